--- /dev/null
+++ b/cmd/gannetline/main.go
@@ -0,0 +1,41 @@
+// Gannetline is a cluster scheduler for jobs; each role is a subcommand.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"gannetline/internal/bootsettings"
+	"gannetline/internal/roles"
+	"gannetline/internal/span"
+)
+
+const (
+	exitFailed = 1
+)
+
+func main() {
+	app := &cli.Command{
+		Name:  "gannetline",
+		Usage: "a cluster scheduler for jobs",
+		Flags: []cli.Flag{&cli.StringFlag{Name: "settings", Usage: "the settings `FILE`", Value: bootsettings.Path()}},
+		Commands: []*cli.Command{
+			roleCommand("gate", "serve clients on an edge machine", roles.Gate),
+			roleCommand("steward", "keep control keys and schedule the pools they name", roles.Steward),
+			roleCommand("local-proxy", "stand before the executor of a side machine", roles.LocalProxy),
+		},
+		ExitErrHandler: func(span.Span, *cli.Command, error) {},
+	}
+	if err := app.Run(span.Root(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "gannetline:", err)
+		os.Exit(exitFailed)
+	}
+}
+
+func roleCommand(name, usage string, run func(path string) error) *cli.Command {
+	return &cli.Command{Name: name, Usage: usage, Action: func(_ span.Span, command *cli.Command) error {
+		return run(command.String("settings"))
+	}}
+}
--- /dev/null
+++ b/internal/bootsettings/bootsettings.go
@@ -0,0 +1,204 @@
+// Package bootsettings reads and checks the settings file of a process.
+package bootsettings
+
+import (
+	"net"
+	"os"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/multierr"
+	"go.yaml.in/yaml/v3"
+
+	"gannetline/internal/pulse"
+)
+
+const PathVariable = "GANNETLINE_BOOT"
+
+type Limits struct {
+	CPUFraction     float64 `yaml:"cpu-fraction"`
+	CoreCount       int     `yaml:"core-count"`
+	MemoryMB        int64   `yaml:"memory-mb"`
+	FileDescriptors int     `yaml:"file-descriptors"`
+	DiskMB          int64   `yaml:"disk-mb"`
+}
+
+type Listen struct {
+	Front     string `yaml:"front-plain"`
+	Readiness string `yaml:"readiness"`
+	Control   string `yaml:"control-plane"`
+}
+
+type FaultTolerance struct {
+	MachineLosses int `yaml:"machine-losses"`
+}
+
+type Bounds struct {
+	ContactWindowMs     int64   `yaml:"contact-window-ms"`
+	AckTimeoutMs        int64   `yaml:"ack-timeout-ms"`
+	CatchUpS            float64 `yaml:"catch-up-s"`
+	DrainTimeoutMs      int64   `yaml:"drain-timeout-ms"`
+	GracePeriodS        float64 `yaml:"grace-period-s"`
+	ConfigApplyMs       int64   `yaml:"config-apply-ms"`
+	MaxHoldMs           int64   `yaml:"max-hold-ms"`
+	StopTimeoutMs       int64   `yaml:"stop-timeout-ms"`
+	GangWaitMs          int64   `yaml:"gang-wait-ms"`
+	EarlyMs             int64   `yaml:"early_ms"`
+	StatusS             float64 `yaml:"status_s"`
+	RemoteFactor        float64 `yaml:"remote-factor"`
+	CheckpointIntervalS float64 `yaml:"checkpoint-interval-s"`
+	RestoreTimeMs       int64   `yaml:"restore-time-ms"`
+}
+
+type Settings struct {
+	NodeName       string            `yaml:"node-name"`
+	NodeRole       string            `yaml:"node-role"`
+	MachineClass   string            `yaml:"machine-class"`
+	ServedRoles    []string          `yaml:"served-roles"`
+	IPAddress      string            `yaml:"ip-address"`
+	Domain         string            `yaml:"zone"`
+	Region         string            `yaml:"region"`
+	Domains        map[string]string `yaml:"zones"`
+	Listen         Listen            `yaml:"listen-addresses"`
+	InternalPorts  []int             `yaml:"internal-port-range"`
+	Seeds          []string          `yaml:"seed-nodes"`
+	InitialStart   bool              `yaml:"initial-start"`
+	LossCounted    bool              `yaml:"loss-counted"`
+	Limits         Limits            `yaml:"limits"`
+	DataDirectory  string            `yaml:"data-directory"`
+	HeartbeatMs    int64             `yaml:"heartbeat-interval-ms"`
+	FaultTolerance FaultTolerance    `yaml:"fault-tolerance"`
+	Bounds         Bounds            `yaml:"protocol-bounds"`
+	OrderList      string            `yaml:"order-list"`
+	App            string            `yaml:"app"`
+	Service        string            `yaml:"service"`
+	LogLevel       int               `yaml:"log-level"`
+}
+
+func Path() string {
+	if path := os.Getenv(PathVariable); path != "" {
+		return path
+	}
+	return "/etc/gannetline/local.yaml"
+}
+
+func Load(path string) (*Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Annotatef(err, "reading the settings file %s", path)
+	}
+	return Parse(text)
+}
+
+func Parse(text []byte) (*Settings, error) {
+	settings := &Settings{}
+	if err := yaml.Unmarshal(text, settings); err != nil {
+		return nil, errors.Annotate(err, "settings")
+	}
+	settings.fillDefaults()
+	if err := settings.check(); err != nil {
+		return nil, errors.Annotate(err, "settings")
+	}
+	return settings, nil
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var none T
+	if *field == none {
+		*field = value
+	}
+}
+
+func (s *Settings) fillDefaults() {
+	setDefault(&s.Bounds.ContactWindowMs, 3000)
+	setDefault(&s.Bounds.AckTimeoutMs, 4000)
+	setDefault(&s.Bounds.CatchUpS, 4)
+	setDefault(&s.Bounds.DrainTimeoutMs, 2000)
+	setDefault(&s.Bounds.GracePeriodS, 6)
+	setDefault(&s.Bounds.ConfigApplyMs, 2000)
+	setDefault(&s.Bounds.MaxHoldMs, 6000)
+	setDefault(&s.Bounds.StopTimeoutMs, 400)
+	setDefault(&s.Bounds.GangWaitMs, 3000)
+	setDefault(&s.Bounds.EarlyMs, 250)
+	setDefault(&s.Bounds.StatusS, 120)
+	setDefault(&s.Bounds.RemoteFactor, 1.5)
+	setDefault(&s.Bounds.CheckpointIntervalS, 2)
+	setDefault(&s.Bounds.RestoreTimeMs, 600)
+	setDefault(&s.HeartbeatMs, 1500)
+	setDefault(&s.OrderList, "invocation")
+	setDefault(&s.Limits.MemoryMB, 256)
+	setDefault(&s.Limits.FileDescriptors, 1024)
+}
+
+func (s *Settings) check() error {
+	var found error
+	complain := func(field, why string) {
+		found = multierr.Append(found, errors.Errorf("field %q %s", field, why))
+	}
+	if s.NodeName == "" {
+		complain("node-name", "is missing")
+	}
+	if net.ParseIP(s.IPAddress) == nil {
+		complain("ip-address", "is not an IP number")
+	}
+	if s.Domain == "" {
+		complain("zone", "is missing")
+	}
+	if len(s.InternalPorts) != 2 || s.InternalPorts[0] < 1 || s.InternalPorts[1] > 65535 || s.InternalPorts[0] > s.InternalPorts[1] {
+		complain("internal-port-range", "must be two rising port numbers")
+	}
+	if len(s.Seeds) == 0 {
+		complain("seed-nodes", "is empty")
+	}
+	for _, seed := range s.Seeds {
+		if !isAddress(seed) {
+			complain("seed-nodes", "holds "+seed+", which is not ip:port")
+		}
+	}
+	for field, address := range map[string]string{"listen-addresses.front-plain": s.Listen.Front,
+		"listen-addresses.readiness": s.Listen.Readiness, "listen-addresses.control-plane": s.Listen.Control, "app": s.App} {
+		if address != "" && !isAddress(address) {
+			complain(field, "is not ip:port")
+		}
+	}
+	for field, value := range map[string]int64{"max-hold-ms": s.Bounds.MaxHoldMs, "contact-window-ms": s.Bounds.ContactWindowMs,
+		"stop-timeout-ms": s.Bounds.StopTimeoutMs, "gang-wait-ms": s.Bounds.GangWaitMs, "early_ms": s.Bounds.EarlyMs,
+		"drain-timeout-ms": s.Bounds.DrainTimeoutMs, "heartbeat-interval-ms": s.HeartbeatMs, "limits.memory-mb": s.Limits.MemoryMB} {
+		if value < 0 {
+			complain(field, "is negative")
+		}
+	}
+	if s.Bounds.RemoteFactor < 1 {
+		complain("remote-factor", "is below 1")
+	}
+	if s.OrderList != "invocation" && s.OrderList != "heartbeat" {
+		complain("order-list", "is neither invocation nor heartbeat")
+	}
+	return found
+}
+
+// Require adds what one role needs beyond the rest.
+func (s *Settings) Require(role string) error {
+	needs := map[string]map[string]string{
+		"gate":        {"listen-addresses.front-plain": s.Listen.Front, "listen-addresses.readiness": s.Listen.Readiness},
+		"steward":     {"listen-addresses.control-plane": s.Listen.Control},
+		"local-proxy": {"listen-addresses.control-plane": s.Listen.Control, "app": s.App, "service": s.Service},
+	}
+	for field, value := range needs[role] {
+		if value == "" {
+			return errors.Errorf("settings: field %q is missing, and the role %s needs it", field, role)
+		}
+	}
+	return nil
+}
+
+func isAddress(text string) bool {
+	host, port, err := net.SplitHostPort(text)
+	return err == nil && net.ParseIP(host) != nil && port != ""
+}
+
+func (s *Settings) GracePeriod() time.Duration {
+	return time.Duration(s.Bounds.GracePeriodS * float64(time.Second))
+}
+
+func (s *Settings) MaxHold() time.Duration { return pulse.Ms(s.Bounds.MaxHoldMs) }
--- /dev/null
+++ b/internal/comparenodes/serve.go
@@ -0,0 +1,37 @@
+// Package comparenodes shows what a node believes, and how two nodes differ in that.
+package comparenodes
+
+import (
+	"net/http"
+
+	"gannetline/internal/planbook"
+	"gannetline/internal/siblingprobe"
+	"gannetline/internal/siblingwire"
+	"gannetline/internal/span"
+)
+
+type Sources struct {
+	View func() *siblingprobe.View
+	Page func() *planbook.Page
+	Ring func(life span.Span) ([]siblingwire.KeyBelief, []siblingwire.JobBelief, []siblingwire.ExecutorBelief)
+}
+
+// Handle lets an operator's tool ask this node for its beliefs.
+func Handle(mux *http.ServeMux, sources Sources) {
+	siblingwire.Serve(mux, siblingwire.ProcedureBeliefs, func(life span.Span, _ *siblingwire.BeliefsCall) (*siblingwire.BeliefsAnswer, error) {
+		view := sources.View()
+		answer := &siblingwire.BeliefsAnswer{Name: view.Self.Name, Role: view.Self.Role, Members: view.Members}
+		for _, fact := range view.Owners {
+			answer.Owners = append(answer.Owners, fact)
+		}
+		if sources.Page != nil {
+			if page := sources.Page(); page != nil {
+				answer.Plan = page.Fact.Version
+			}
+		}
+		if sources.Ring != nil {
+			answer.Keys, answer.Jobs, answer.Executors = sources.Ring(life)
+		}
+		return answer, nil
+	})
+}
--- /dev/null
+++ b/internal/controlcalls/controlcalls.go
@@ -0,0 +1,77 @@
+// Package controlcalls serves the operator at any steward.
+package controlcalls
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"gannetline/internal/ownercalls"
+	"gannetline/internal/planowner"
+	"gannetline/internal/reply"
+	"gannetline/internal/siblingwire"
+)
+
+const (
+	pathReplace  = "/v1/configuration/replace"
+	pathRetrieve = "/v1/configuration/retrieve"
+	mostPlan     = 8 << 20
+	patience     = 900 * time.Millisecond
+)
+
+// Decode makes a command of an operator's call, or a refusal.
+func Decode(request *http.Request) (*siblingwire.ClientCall, reply.Reply) {
+	switch request.URL.Path {
+	case pathRetrieve:
+		if request.Method != http.MethodGet {
+			return nil, reply.Text(http.StatusMethodNotAllowed, "only GET is taken here")
+		}
+		return &siblingwire.ClientCall{Key: planowner.Key, Verb: "retrieve"}, reply.Reply{}
+	case pathReplace:
+		return decodeReplace(request)
+	}
+	return nil, reply.Text(http.StatusNotFound, "there is no such call")
+}
+
+func decodeReplace(request *http.Request) (*siblingwire.ClientCall, reply.Reply) {
+	if request.Method != http.MethodPost {
+		return nil, reply.Text(http.StatusMethodNotAllowed, "only POST is taken here")
+	}
+	base, err := strconv.ParseInt(request.Header.Get("X-Base-Version"), 10, 64)
+	if err != nil || base < 0 {
+		return nil, reply.Text(http.StatusBadRequest, "header X-Base-Version is no version")
+	}
+	body, err := io.ReadAll(io.LimitReader(request.Body, mostPlan+1))
+	switch {
+	case err != nil:
+		return nil, reply.Text(http.StatusBadRequest, "the body ended early")
+	case len(body) > mostPlan:
+		return nil, reply.Text(http.StatusRequestEntityTooLarge, "the plan is too large")
+	case !json.Valid(body):
+		return nil, reply.Text(http.StatusBadRequest, "the plan can't be read whole: no whole JSON")
+	}
+	return &siblingwire.ClientCall{Key: planowner.Key, Verb: "replace", Base: base, Body: body}, reply.Reply{}
+}
+
+// Handler asks the plan's owner, wherever it is.
+func Handler(asker *ownercalls.Asker) http.Handler {
+	return http.HandlerFunc(func(to http.ResponseWriter, request *http.Request) {
+		call, refusal := Decode(request)
+		if call == nil {
+			refusal.Write(to)
+			return
+		}
+		outcome := asker.Ask(request.Context(), call, patience)
+		if outcome.Answer == nil {
+			reply.Later(http.StatusServiceUnavailable, 1, "the plan's owner does not answer").Write(to)
+			return
+		}
+		if outcome.Answer.Why != "" {
+			reply.Later(outcome.Answer.Status, outcome.Answer.RetryAfter, outcome.Answer.Why).Write(to)
+			return
+		}
+		reply.Raw(outcome.Answer.Status, outcome.Answer.Body).Write(to)
+	})
+}
--- /dev/null
+++ b/internal/executorcalls/client.go
@@ -0,0 +1,57 @@
+package executorcalls
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/dghubble/sling"
+	"github.com/juju/errors"
+	"github.com/mailru/easyjson"
+
+	"gannetline/internal/span"
+)
+
+const mostAnswer = 4 << 20
+
+// Client calls the executor of its own machine.
+type Client struct {
+	http *http.Client
+	base string
+}
+
+func NewClient(client *http.Client, address string) *Client {
+	return &Client{http: client, base: "http://" + address}
+}
+
+// Call gives the status and what the executor says; an error means that nobody knows what was done.
+func (c *Client) Call(life span.Span, path, executor string, limit time.Duration, message easyjson.Marshaler) (int, Answer, error) {
+	var answer Answer
+	body, err := easyjson.Marshal(message)
+	if err != nil {
+		return 0, answer, errors.Annotate(err, "writing a call")
+	}
+	request, err := sling.New().Base(c.base).Post(path).Body(bytes.NewReader(body)).
+		Set("Content-Type", "application/json").Set("X-Expected-Executor", executor).Request()
+	if err != nil {
+		return 0, answer, errors.Annotate(err, "making a call")
+	}
+	life, release := span.Within(life, limit)
+	defer release()
+	response, err := c.http.Do(request.WithContext(life))
+	if err != nil {
+		return 0, answer, errors.Annotatef(err, "%s at executor %s", path, executor)
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(response.Body, mostAnswer))
+	if err != nil {
+		return 0, answer, errors.Annotatef(err, "%s at executor %s", path, executor)
+	}
+	if len(text) > 0 {
+		if err := easyjson.Unmarshal(text, &answer); err != nil && response.StatusCode == http.StatusOK {
+			return 0, answer, errors.Annotatef(err, "%s at executor %s", path, executor)
+		}
+	}
+	return response.StatusCode, answer, nil
+}
--- /dev/null
+++ b/internal/executorcalls/server.go
@@ -0,0 +1,64 @@
+package executorcalls
+
+import (
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/mailru/easyjson"
+
+	"gannetline/internal/reply"
+)
+
+const (
+	pathPrefix = "/v1/executors/"
+	mostBeat   = 64 << 10
+)
+
+// Command is a decoded call of an executor, to be run by the table that owns its state.
+type Command struct {
+	Executor string
+	Beat     *Beat
+	IsLeave  bool
+}
+
+// Decode reads a call; a reply with a status means that it was refused.
+func Decode(request *http.Request) (Command, reply.Reply) {
+	rest, isExecutor := strings.CutPrefix(request.URL.Path, pathPrefix)
+	id, verb, hasVerb := strings.Cut(rest, "/")
+	if !isExecutor || !hasVerb || id == "" || verb != "heartbeat" && verb != "deregister" {
+		return Command{}, reply.Text(http.StatusNotFound, "there is no such call")
+	}
+	if request.Method != http.MethodPost {
+		return Command{}, reply.Text(http.StatusMethodNotAllowed, "only POST is taken here")
+	}
+	if verb == "deregister" {
+		return Command{Executor: id, IsLeave: true}, reply.Reply{}
+	}
+	text, err := io.ReadAll(io.LimitReader(request.Body, mostBeat+1))
+	if err != nil || len(text) > mostBeat {
+		return Command{}, reply.Text(http.StatusRequestEntityTooLarge, "the beat is too large")
+	}
+	beat := &Beat{}
+	if err := easyjson.Unmarshal(text, beat); err != nil {
+		return Command{}, reply.Text(http.StatusBadRequest, "the beat can't be read: "+err.Error())
+	}
+	if why := beat.check(); why != "" {
+		return Command{}, reply.Text(http.StatusBadRequest, why)
+	}
+	return Command{Executor: id, Beat: beat}, reply.Reply{}
+}
+
+func (b *Beat) check() string {
+	switch {
+	case b.Service == "":
+		return "field service is missing"
+	case b.Room.CPU < 0 || b.Room.Memory < 0 || b.Room.GPU < 0:
+		return "field capacity is negative"
+	case b.DepartsMs < 0:
+		return "field departure-ms is negative"
+	case b.State != "ready" && b.State != "draining":
+		return "field executor-state is neither ready nor draining"
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/executorcalls/wire.go
@@ -0,0 +1,141 @@
+// Package executorcalls is what executors and local-proxies say to each other.
+package executorcalls
+
+import (
+	"github.com/mailru/easyjson/jlexer"
+	"github.com/mailru/easyjson/jwriter"
+
+	"gannetline/internal/siblingwire"
+)
+
+//go:generate go run github.com/mailru/easyjson/easyjson wire.go
+
+//easyjson:json
+type Beat struct {
+	Service   string               `json:"service"`
+	Address   string               `json:"address"`
+	Domain    string               `json:"zone"`
+	Version   string               `json:"config-version"`
+	Slots     int                  `json:"slot-count"`
+	State     string               `json:"executor-state"`
+	ColdMs    int64                `json:"cold-remaining-ms"`
+	Room      siblingwire.Capacity `json:"capacity"`
+	Labels    []string             `json:"labels"`
+	ClockMs   int64                `json:"clock-ms"`
+	DepartsMs int64                `json:"departure-ms"`
+	Sequence  int64                `json:"call-sequence"`
+}
+
+//easyjson:json
+type RunStart struct {
+	Task     string `json:"task-id"`
+	Run      int64  `json:"run-id"`
+	Spec     string `json:"task-descriptor"`
+	ExpiryMs int64  `json:"expiry-ms"`
+	Fence    uint64 `json:"fence-number"`
+	Saved    string `json:"checkpoint-ref,omitempty"`
+}
+
+//easyjson:json
+type RunStop struct {
+	Task  string `json:"task-id"`
+	Run   int64  `json:"run-id"`
+	Fence uint64 `json:"fence-number"`
+}
+
+//easyjson:json
+type Hold struct {
+	ExpiryMs int64  `json:"expiry-ms,omitempty"`
+	Fence    uint64 `json:"fence-number"`
+	LastSeen int64  `json:"last-seen"`
+	WaitMs   int64  `json:"wait-time-ms,omitempty"`
+}
+
+//easyjson:json
+type Answer struct {
+	ClockMs int64        `json:"clock-ms"`
+	Reason  string       `json:"reason"`
+	Running []RunningRow `json:"running-count"`
+	Ends    []EndRow     `json:"end-state"`
+}
+
+// RunningRow is [task, run, saved, percent].
+type RunningRow siblingwire.RunReport
+
+func (r *RunningRow) UnmarshalEasyJSON(in *jlexer.Lexer) {
+	readRow(in, func(place int) {
+		switch place {
+		case 0:
+			r.Task = in.String()
+		case 1:
+			r.Run = in.Int64()
+		case 2:
+			r.Saved = in.String()
+		case 3:
+			r.Percent = int(in.Float64())
+		default:
+			in.SkipRecursive()
+		}
+	})
+}
+
+func (r RunningRow) MarshalEasyJSON(out *jwriter.Writer) {
+	out.RawByte('[')
+	out.String(r.Task)
+	out.RawByte(',')
+	out.Int64(r.Run)
+	out.RawByte(',')
+	out.String(r.Saved)
+	out.RawByte(',')
+	out.Int(r.Percent)
+	out.RawByte(']')
+}
+
+// EndRow is [N, task, run, how, saved].
+type EndRow siblingwire.EndReport
+
+func (e *EndRow) UnmarshalEasyJSON(in *jlexer.Lexer) {
+	readRow(in, func(place int) {
+		switch place {
+		case 0:
+			e.Number = in.Int64()
+		case 1:
+			e.Task = in.String()
+		case 2:
+			e.Run = in.Int64()
+		case 3:
+			e.How = in.String()
+		case 4:
+			e.Saved = in.String()
+		default:
+			in.SkipRecursive()
+		}
+	})
+}
+
+func (e EndRow) MarshalEasyJSON(out *jwriter.Writer) {
+	out.RawByte('[')
+	out.Int64(e.Number)
+	out.RawByte(',')
+	out.String(e.Task)
+	out.RawByte(',')
+	out.Int64(e.Run)
+	out.RawByte(',')
+	out.String(e.How)
+	out.RawByte(',')
+	out.String(e.Saved)
+	out.RawByte(']')
+}
+
+func readRow(in *jlexer.Lexer, take func(place int)) {
+	in.Delim('[')
+	for place := 0; !in.IsDelim(']') && in.Ok(); place++ {
+		if in.IsNull() {
+			in.Skip()
+		} else {
+			take(place)
+		}
+		in.WantComma()
+	}
+	in.Delim(']')
+}
--- /dev/null
+++ b/internal/gatecalls/gatecalls.go
@@ -0,0 +1,154 @@
+// Package gatecalls serves clients: a decision is made about each call, and an executor carries it out.
+package gatecalls
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"gannetline/internal/headerrules"
+	"gannetline/internal/jobtable"
+	"gannetline/internal/ownercalls"
+	"gannetline/internal/planbook"
+	"gannetline/internal/plancheck"
+	"gannetline/internal/reply"
+	"gannetline/internal/siblingwire"
+	"gannetline/internal/span"
+)
+
+const (
+	mostBody  = 1 << 20
+	answerGap = 25 * time.Millisecond
+)
+
+// Decision is what should become of a call: refused at once, or asked of a key's owner.
+type Decision struct {
+	Refusal reply.Reply
+	Call    *siblingwire.ClientCall
+	Former  []string
+	Limit   time.Duration
+}
+
+func refuse(status int, why string) Decision { return Decision{Refusal: reply.Text(status, why)} }
+
+// Decide is asked about every call; it does no work of its own.
+func Decide(page *planbook.Page, request *http.Request, body []byte) Decision {
+	if page == nil {
+		return Decision{Refusal: reply.Later(http.StatusServiceUnavailable, 1, "there is no plan yet")}
+	}
+	entry := page.Matcher.Match(request.Host, request.URL.Path)
+	if entry == nil {
+		return refuse(http.StatusNotFound, "there is no such queue")
+	}
+	limit, isSane := headerrules.TimeLeft(request.Header, time.Duration(entry.TimeoutMs)*time.Millisecond)
+	if !isSane {
+		return refuse(http.StatusBadRequest, "header X-Time-Remaining is no count of milliseconds")
+	}
+	if limit > 4*answerGap {
+		limit -= answerGap
+	}
+	call := &siblingwire.ClientCall{Key: "pool/" + entry.Service, Entry: entry.Name, ID: strings.ToLower(request.URL.Path[len(entry.Prefix):])}
+	decision := Decision{Call: call, Former: page.Moved(entry.Name), Limit: limit}
+	if call.ID == "" {
+		if request.Method != http.MethodGet {
+			return refuse(http.StatusMethodNotAllowed, "a queue is only asked for its count")
+		}
+		call.Verb, decision.Former = "count", nil
+		return decision
+	}
+	if !jobtable.IsID(call.ID) {
+		return refuse(http.StatusBadRequest, "an ID is 16 hex digits")
+	}
+	return decideJob(decision, entry, request, body)
+}
+
+func decideJob(decision Decision, entry *plancheck.Entry, request *http.Request, body []byte) Decision {
+	call := decision.Call
+	switch request.Method {
+	case http.MethodGet:
+		call.Verb = "state"
+	case http.MethodDelete:
+		call.Verb = "cancel"
+	case http.MethodPost:
+		if !json.Valid(body) {
+			return refuse(http.StatusBadRequest, "the job can't be read: no whole JSON")
+		}
+		call.Verb, call.Body = "hand-in", body
+		call.Terms = &siblingwire.EntryTerms{Priority: entry.Priority, MaxAttempts: entry.MaxAttempts, Stretch: entry.Stretch, TargetMs: entry.TargetMs}
+	default:
+		return refuse(http.StatusMethodNotAllowed, "a job is handed in by POST, asked for by GET, cancelled by DELETE")
+	}
+	return decision
+}
+
+// Gate obeys decisions.
+type Gate struct {
+	page  func() *planbook.Page
+	asker *ownercalls.Asker
+}
+
+func New(page func() *planbook.Page, asker *ownercalls.Asker) *Gate {
+	return &Gate{page: page, asker: asker}
+}
+
+func (g *Gate) ServeHTTP(to http.ResponseWriter, request *http.Request) {
+	page := g.page()
+	limit := int64(mostBody)
+	if page != nil && page.Matcher.Plan().Limits.BodyBytes > 0 {
+		limit = page.Matcher.Plan().Limits.BodyBytes
+	}
+	body, err := io.ReadAll(io.LimitReader(request.Body, limit+1))
+	headerrules.Echo(request.Header, to.Header())
+	switch {
+	case err != nil:
+		reply.Text(http.StatusBadRequest, "the body ended early").Write(to)
+	case int64(len(body)) > limit:
+		reply.Text(http.StatusRequestEntityTooLarge, "the body is too large").Write(to)
+	default:
+		g.obey(request.Context(), Decide(g.page(), request, body)).Write(to)
+	}
+}
+
+func (g *Gate) obey(life span.Span, decision Decision) reply.Reply {
+	if decision.Call == nil {
+		return decision.Refusal
+	}
+	for _, service := range decision.Former {
+		if answer, isFound := g.askFormer(life, decision, service); isFound {
+			return answer
+		}
+	}
+	outcome := g.asker.Ask(life, decision.Call, decision.Limit)
+	return replyOf(decision.Call, outcome)
+}
+
+// askFormer looks for the job in the pool that its queue was sent to before.
+func (g *Gate) askFormer(life span.Span, decision Decision, service string) (reply.Reply, bool) {
+	call := *decision.Call
+	call.Key, call.Body, call.Terms = "pool/"+service, nil, nil
+	if call.Verb == "hand-in" {
+		call.Verb = "state"
+	}
+	outcome := g.asker.Ask(life, &call, decision.Limit/2)
+	if outcome.Answer == nil {
+		return reply.Later(http.StatusServiceUnavailable, 1, "the queue's former owner does not answer"), true
+	}
+	return replyOf(&call, outcome), outcome.Answer.Status == http.StatusOK
+}
+
+func replyOf(call *siblingwire.ClientCall, outcome ownercalls.Outcome) reply.Reply {
+	answer := outcome.Answer
+	switch {
+	case answer == nil && outcome.MaySee && call.Verb == "hand-in":
+		return reply.Text(http.StatusGatewayTimeout, "nobody knows yet whether the job was taken; hand it in again")
+	case answer == nil:
+		return reply.Later(http.StatusServiceUnavailable, 1, "the queue's owner does not answer")
+	case outcome.MaySee && call.Verb == "hand-in" && (answer.Status == http.StatusTooManyRequests || answer.Status == http.StatusServiceUnavailable):
+		return reply.Text(http.StatusGatewayTimeout, "nobody knows yet whether the job was taken; hand it in again")
+	case answer.Why != "":
+		return reply.Later(answer.Status, answer.RetryAfter, answer.Why)
+	}
+	return reply.Raw(answer.Status, answer.Body)
+}
--- /dev/null
+++ b/internal/headerrules/headerrules.go
@@ -0,0 +1,57 @@
+// Package headerrules is the one list of what happens to each header of a client's call.
+package headerrules
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+)
+
+type action int
+
+const (
+	actionDrop action = iota
+	actionRead
+	actionEcho
+)
+
+type rule struct {
+	header string
+	action action
+}
+
+var rules = []rule{
+	{"X-Time-Remaining", actionRead},
+	{"Host", actionRead},
+	{"Content-Type", actionRead},
+	{"Content-Length", actionRead},
+	{"X-Request-Id", actionEcho},
+	{"Authorization", actionDrop},
+	{"Cookie", actionDrop},
+	{"X-Forwarded-For", actionDrop},
+}
+
+// Echo copies onto the answer what the rules say is given back.
+func Echo(from, to http.Header) {
+	for _, rule := range rules {
+		if rule.action != actionEcho {
+			continue
+		}
+		if value := from.Get(rule.header); value != "" {
+			to.Set(rule.header, value)
+		}
+	}
+}
+
+// TimeLeft is how long the client still waits; isSane is false for what is no count.
+func TimeLeft(headers http.Header, most time.Duration) (left time.Duration, isSane bool) {
+	text := headers.Get("X-Time-Remaining")
+	if text == "" {
+		return most, true
+	}
+	count, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || count < 0 {
+		return 0, false
+	}
+	return min(most, time.Duration(min(count, 1<<31))*time.Millisecond), true
+}
--- /dev/null
+++ b/internal/jobtable/read.go
@@ -0,0 +1,146 @@
+package jobtable
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/juju/errors"
+	"github.com/mailru/easyjson"
+	"github.com/mailru/easyjson/jlexer"
+	"github.com/mailru/easyjson/jwriter"
+)
+
+const (
+	mostDescriptor = 4000
+	mostSteps      = 256
+	mostTasks      = 20000
+	mostRepeats    = 100000
+)
+
+// Words is one label or a list of them.
+type Words []string
+
+func (w *Words) UnmarshalEasyJSON(in *jlexer.Lexer) {
+	*w = nil
+	if in.IsNull() {
+		in.Skip()
+		return
+	}
+	if !in.IsDelim('[') {
+		if word := in.String(); word != "" {
+			*w = Words{word}
+		}
+		return
+	}
+	in.Delim('[')
+	for !in.IsDelim(']') {
+		if word := in.String(); word != "" {
+			*w = append(*w, word)
+		}
+		in.WantComma()
+	}
+	in.Delim(']')
+}
+
+func (w Words) MarshalEasyJSON(out *jwriter.Writer) {
+	if len(w) == 1 {
+		out.String(w[0])
+		return
+	}
+	out.RawByte('[')
+	for place, word := range w {
+		if place > 0 {
+			out.RawByte(',')
+		}
+		out.String(word)
+	}
+	out.RawByte(']')
+}
+
+func IsID(id string) bool {
+	if len(id) != 16 {
+		return false
+	}
+	for _, letter := range id {
+		if !strings.ContainsRune("0123456789abcdefABCDEF", letter) {
+			return false
+		}
+	}
+	return true
+}
+
+// Read decodes and checks a job as a client hands it in.
+func Read(body []byte) (*Spec, error) {
+	spec := &Spec{}
+	if err := easyjson.Unmarshal(body, spec); err != nil {
+		return nil, errors.Annotate(err, "the job can't be read")
+	}
+	return spec, spec.check()
+}
+
+func (s *Spec) check() error {
+	if len(s.Descriptor) > mostDescriptor {
+		return errors.Errorf("field task-descriptor is longer than %d bytes", mostDescriptor)
+	}
+	if len(s.Steps) == 0 || len(s.Steps) > mostSteps {
+		return errors.Errorf("field step-list must hold 1 to %d steps", mostSteps)
+	}
+	if s.RepeatCount < 0 || s.RepeatCount > mostRepeats || s.PeriodMs < 0 || s.FirstRunMs < 0 {
+		return errors.New("fields repeat-count, period-ms and first-run-ms must not be negative or too large")
+	}
+	total := 0
+	for number, step := range s.Steps {
+		if err := step.check(number); err != nil {
+			return errors.Annotatef(err, "step %d", number)
+		}
+		total += step.Tasks
+	}
+	if total > mostTasks {
+		return errors.Errorf("field task-count: more than %d tasks in all", mostTasks)
+	}
+	return nil
+}
+
+func (s *Step) check(number int) error {
+	if s.Tasks < 1 || s.Tasks > mostTasks {
+		return errors.New("field task-count must be at least 1")
+	}
+	for field, value := range map[string]int64{"cpu-units": s.CPU, "memory-req-mb": s.Memory, "gpu-count": s.GPU,
+		"estimated-ms": s.EstimatedMs, "anti-affinity": int64(s.Apart)} {
+		if value < 0 {
+			return errors.Errorf("field %s is negative", field)
+		}
+	}
+	for _, earlier := range s.DependsOn {
+		if earlier < 0 || earlier >= number {
+			return errors.Errorf("field depends-on names %d, which is no earlier step", earlier)
+		}
+	}
+	return nil
+}
+
+// TaskName is ID.K.STEP.INDEX.
+func TaskName(id string, time, step, index int) string {
+	return id + "." + strconv.Itoa(time) + "." + strconv.Itoa(step) + "." + strconv.Itoa(index)
+}
+
+type Place struct {
+	ID                string
+	Time, Step, Index int
+}
+
+func ParseTask(name string) (Place, bool) {
+	parts := strings.Split(name, ".")
+	if len(parts) != 4 {
+		return Place{}, false
+	}
+	var numbers [3]int
+	for place, part := range parts[1:] {
+		number, err := strconv.Atoi(part)
+		if err != nil || number < 0 {
+			return Place{}, false
+		}
+		numbers[place] = number
+	}
+	return Place{parts[0], numbers[0], numbers[1], numbers[2]}, true
+}
--- /dev/null
+++ b/internal/jobtable/spec.go
@@ -0,0 +1,29 @@
+// Package jobtable holds jobs: their steps, tasks, runs and what became of them.
+package jobtable
+
+//go:generate go run github.com/mailru/easyjson/easyjson -all spec.go
+
+type Step struct {
+	Tasks         int   `json:"task-count"`
+	CPU           int64 `json:"cpu-units,omitempty"`
+	Memory        int64 `json:"memory-req-mb,omitempty"`
+	GPU           int64 `json:"gpu-count,omitempty"`
+	EstimatedMs   int64 `json:"estimated-ms,omitempty"`
+	DependsOn     []int `json:"depends-on,omitempty"`
+	Checkpointing bool  `json:"checkpointing,omitempty"`
+	Gang          bool  `json:"gang-scheduled,omitempty"`
+	SameRack      bool  `json:"same-rack,omitempty"`
+	Labels        Words `json:"required-labels,omitempty"`
+	Near          Words `json:"affinity-labels,omitempty"`
+	Apart         int   `json:"anti-affinity,omitempty"`
+	Redundant     bool  `json:"redundant,omitempty"`
+	Lasting       bool  `json:"long-running,omitempty"`
+}
+
+type Spec struct {
+	Descriptor  string `json:"task-descriptor"`
+	Steps       []Step `json:"step-list"`
+	FirstRunMs  int64  `json:"first-run-ms,omitempty"`
+	PeriodMs    int64  `json:"period-ms,omitempty"`
+	RepeatCount int    `json:"repeat-count,omitempty"`
+}
--- /dev/null
+++ b/internal/keyowner/engine.go
@@ -0,0 +1,552 @@
+package keyowner
+
+import (
+	"hash/fnv"
+	"slices"
+	"time"
+
+	"gannetline/internal/logs"
+	"gannetline/internal/pulse"
+	"gannetline/internal/siblingwire"
+)
+
+// Links carries an engine's calls; each answer comes back on the engine's own goroutine.
+type Links interface {
+	Promise(disk string, call siblingwire.PromiseCall, done func(siblingwire.PromiseAnswer, error))
+	Append(disk string, call siblingwire.AppendCall, done func(siblingwire.AppendAnswer, error))
+	Fetch(disk string, key string, done func(siblingwire.FetchAnswer, error))
+	Standing(key string, done func(Standing))
+	ReadLocal(key string) (siblingwire.Snapshot, error)
+	InstallLocal(call siblingwire.AppendCall, done func(siblingwire.AppendAnswer, error))
+}
+
+// Machine is what lives on a key while this steward owns it.
+type Machine interface {
+	Open(tenure *Tenure, pairs []siblingwire.Op) error
+	Close()
+}
+
+// Stewards tells where disks are now: their members, alive or not.
+type Stewards func() []siblingwire.Member
+
+type Timing struct {
+	Lease     time.Duration
+	Heartbeat time.Duration
+	Stagger   time.Duration
+	LostAfter time.Duration
+}
+
+var DefaultTiming = Timing{Lease: 1000 * time.Millisecond, Heartbeat: 250 * time.Millisecond,
+	Stagger: 150 * time.Millisecond, LostAfter: 7 * time.Second}
+
+const (
+	leaseMargin  = 30 * time.Millisecond
+	mostTail     = 20000
+	mostTailSize = 6 << 20
+	mostPerCall  = 2000
+)
+
+type phase int
+
+const (
+	phaseIdle phase = iota
+	phaseAsking
+	phaseOpening
+	phaseOwner
+)
+
+type follower struct {
+	disk       string
+	acked      siblingwire.Stamp
+	isKnown    bool
+	isBusy     bool
+	needsWhole bool
+	sentAt     time.Duration
+	heardAt    time.Duration
+	leaseUntil time.Duration
+	wallOffset int64
+	hasWall    bool
+}
+
+type waiter struct {
+	step uint64
+	done func(error)
+}
+
+// Engine owns one key's election, replication, lease and voter set. It has no goroutine of its own.
+type Engine struct {
+	key      string
+	disk     string
+	name     string
+	birth    []string
+	clock    pulse.Pulse
+	links    Links
+	machine  Machine
+	members  Stewards
+	timing   Timing
+	log      logs.Logger
+	announce func(fact siblingwire.OwnerFact)
+
+	phase      phase
+	isAsking   bool
+	attempt    uint64
+	epoch      uint64
+	highest    uint64
+	nextTry    time.Duration
+	base       siblingwire.Stamp
+	last       siblingwire.Stamp
+	committed  uint64
+	set        siblingwire.VoterSet
+	setStep    uint64
+	followers  map[string]*follower
+	tail       []siblingwire.Change
+	tailSize   int
+	waiting    []waiter
+	tenure     *Tenure
+	lostSince  map[string]time.Duration
+	isLeaving  bool
+	staleSince time.Duration
+}
+
+type Option func(*Engine)
+
+func WithTiming(timing Timing) Option { return func(e *Engine) { e.timing = timing } }
+
+func WithBirth(voters []string) Option { return func(e *Engine) { e.birth = voters } }
+
+func WithLog(log logs.Logger) Option { return func(e *Engine) { e.log = log } }
+
+func WithAnnounce(announce func(siblingwire.OwnerFact)) Option {
+	return func(e *Engine) { e.announce = announce }
+}
+
+func NewEngine(key, disk, name string, clock pulse.Pulse, links Links, machine Machine, members Stewards, options ...Option) *Engine {
+	engine := &Engine{key: key, disk: disk, name: name, clock: clock, links: links, machine: machine, members: members,
+		timing: DefaultTiming, log: logs.Silent(), announce: func(siblingwire.OwnerFact) {}, lostSince: map[string]time.Duration{}}
+	for _, option := range options {
+		option(engine)
+	}
+	return engine
+}
+
+func (e *Engine) IsOwner() bool { return e.phase == phaseOwner }
+
+func (e *Engine) Epoch() uint64 { return e.epoch }
+
+func (e *Engine) Belief() siblingwire.KeyBelief {
+	return siblingwire.KeyBelief{Key: e.key, Epoch: e.epoch, Last: e.last, Set: e.set}
+}
+
+// Tick does all that falls due; it is called often.
+func (e *Engine) Tick() {
+	switch e.phase {
+	case phaseIdle:
+		e.considerAsking()
+	case phaseOwner, phaseOpening:
+		e.beat()
+	}
+}
+
+func (e *Engine) considerAsking() {
+	if e.isAsking || e.isLeaving || e.clock.Steady() < e.nextTry {
+		return
+	}
+	e.isAsking = true
+	e.links.Standing(e.key, func(standing Standing) {
+		e.isAsking = false
+		e.highest = max(e.highest, standing.Promised)
+		voters := disksOf(standing.Head.Set)
+		if len(voters) == 0 {
+			voters = e.birth
+		}
+		rank := slices.Index(e.ranked(voters), e.disk)
+		if rank < 0 || e.phase != phaseIdle || e.isLeaving {
+			return
+		}
+		wait := standing.LeaseEnd + time.Duration(rank)*e.timing.Stagger
+		if standing.Released {
+			wait = time.Duration(rank) * e.timing.Stagger / 4
+		}
+		if now := e.clock.Steady(); now < wait {
+			e.nextTry = min(wait, now+e.timing.Lease/4)
+			return
+		}
+		e.ask(voters)
+	})
+}
+
+// ranked orders the voters by rendezvous hash, so that keys spread over stewards.
+func (e *Engine) ranked(voters []string) []string {
+	weigh := func(disk string) uint64 {
+		sum := fnv.New64a()
+		sum.Write([]byte(e.key + "/" + disk))
+		return sum.Sum64()
+	}
+	order := slices.Clone(voters)
+	slices.SortFunc(order, func(one, two string) int {
+		if weigh(one) > weigh(two) {
+			return -1
+		}
+		return 1
+	})
+	return order
+}
+
+func (e *Engine) ask(voters []string) {
+	e.phase = phaseAsking
+	e.attempt++
+	attempt, epoch := e.attempt, e.highest+1
+	granted := map[string]siblingwire.PromiseAnswer{}
+	asked, heard := voters, 0
+	finish := func() {
+		if e.attempt == attempt && e.phase == phaseAsking {
+			e.backOff()
+		}
+	}
+	for _, disk := range asked {
+		e.links.Promise(disk, siblingwire.PromiseCall{Key: e.key, Epoch: epoch, Disk: e.disk}, func(answer siblingwire.PromiseAnswer, err error) {
+			heard++
+			if e.attempt != attempt || e.phase != phaseAsking {
+				return
+			}
+			if err == nil {
+				e.highest = max(e.highest, answer.Promised)
+				if answer.Granted {
+					granted[answer.Disk] = answer
+				}
+			}
+			if len(granted) > 0 && e.tryOpen(epoch, granted) {
+				return
+			}
+			if heard == len(asked) {
+				finish()
+			}
+		})
+	}
+}
+
+func (e *Engine) backOff() {
+	e.phase = phaseIdle
+	spread := fnv.New32a()
+	spread.Write([]byte{byte(e.attempt), byte(e.highest)})
+	spread.Write([]byte(e.disk))
+	e.nextTry = e.clock.Steady() + e.timing.Stagger + time.Duration(spread.Sum32()%200)*time.Millisecond
+}
+
+func (e *Engine) tryOpen(epoch uint64, granted map[string]siblingwire.PromiseAnswer) bool {
+	var best siblingwire.PromiseAnswer
+	for _, answer := range granted {
+		if best.Disk == "" || best.Last.Below(answer.Last) || best.Last == answer.Last && answer.Disk == e.disk {
+			best = answer
+		}
+	}
+	set := best.Set
+	if len(set.Now) == 0 {
+		set = siblingwire.VoterSet{Now: e.birth}
+	}
+	has := func(disk string) bool { _, isThere := granted[disk]; return isThere }
+	if !Agreed(set, has) || !has(e.disk) {
+		return false
+	}
+	e.phase, e.epoch, e.set = phaseOpening, epoch, set
+	attempt := e.attempt
+	if best.Disk == e.disk {
+		e.open(best.Last)
+		return true
+	}
+	e.links.Fetch(best.Disk, e.key, func(answer siblingwire.FetchAnswer, err error) {
+		if e.attempt != attempt || e.phase != phaseOpening {
+			return
+		}
+		if err != nil || answer.Snapshot.Last != best.Last {
+			e.backOff()
+			return
+		}
+		whole := answer.Snapshot
+		whole.Set = set
+		call := siblingwire.AppendCall{Key: e.key, Epoch: epoch, Owner: e.name, Disk: e.disk, Snapshot: &whole}
+		e.links.InstallLocal(call, func(answer siblingwire.AppendAnswer, err error) {
+			if e.attempt != attempt || e.phase != phaseOpening {
+				return
+			}
+			if err != nil || !answer.Taken {
+				e.backOff()
+				return
+			}
+			e.open(best.Last)
+		})
+	})
+	return true
+}
+
+func (e *Engine) open(base siblingwire.Stamp) {
+	whole, err := e.links.ReadLocal(e.key)
+	if err != nil || whole.Last != base {
+		e.backOff()
+		return
+	}
+	e.base, e.last = base, base
+	e.committed, e.tail, e.tailSize, e.waiting = base.Step, nil, 0, nil
+	e.setStep = 0
+	e.followers = map[string]*follower{}
+	for _, disk := range disksOf(e.set) {
+		e.follow(disk)
+	}
+	opening := e.set
+	e.staleSince = e.clock.Steady()
+	attempt := e.attempt
+	e.submit(nil, &opening, func(err error) {
+		if err != nil || e.attempt != attempt || e.phase != phaseOpening {
+			return
+		}
+		e.phase = phaseOwner
+		e.tenure = &Tenure{engine: e, epoch: e.epoch, isOpen: true}
+		e.log.Info("owner of key", "key", e.key, "epoch", e.epoch, "step", base.Step)
+		if err := e.machine.Open(e.tenure, whole.Pairs); err != nil {
+			e.log.Error(err, "the state of the key could not be taken over", "key", e.key)
+			e.stepDown("unreadable state")
+			return
+		}
+		e.announce(siblingwire.OwnerFact{Key: e.key, Epoch: e.epoch, Name: e.name})
+	})
+}
+
+func (e *Engine) follow(disk string) *follower {
+	one := e.followers[disk]
+	if one == nil {
+		one = &follower{disk: disk, heardAt: e.clock.Steady()}
+		e.followers[disk] = one
+	}
+	return one
+}
+
+func (e *Engine) submit(ops []siblingwire.Op, set *siblingwire.VoterSet, done func(error)) {
+	e.last = siblingwire.Stamp{Epoch: e.epoch, Step: e.last.Step + 1}
+	change := siblingwire.Change{Stamp: e.last, Ops: ops, Set: set}
+	e.tail = append(e.tail, change)
+	e.tailSize += sizeOf(change)
+	if set != nil {
+		e.set, e.setStep = *set, e.last.Step
+	}
+	e.waiting = append(e.waiting, waiter{e.last.Step, done})
+	e.trimTail()
+	e.push()
+}
+
+func sizeOf(change siblingwire.Change) int {
+	size := 64
+	for _, op := range change.Ops {
+		size += len(op.Name) + len(op.Value) + 16
+	}
+	return size
+}
+
+func (e *Engine) trimTail() {
+	needed := e.last.Step
+	for _, one := range e.followers {
+		if one.isKnown && e.clock.Steady()-one.heardAt < e.timing.LostAfter {
+			needed = min(needed, one.acked.Step)
+		}
+	}
+	drop := 0
+	for drop < len(e.tail) && (e.tail[drop].Stamp.Step <= needed && e.tail[drop].Stamp.Step <= e.committed ||
+		len(e.tail)-drop > mostTail || e.tailSize > mostTailSize) {
+		e.tailSize -= sizeOf(e.tail[drop])
+		drop++
+	}
+	if drop > 0 {
+		e.tail = slices.Clone(e.tail[drop:])
+	}
+}
+
+func (e *Engine) push() {
+	for _, one := range e.followers {
+		e.send(one, false)
+	}
+}
+
+func (e *Engine) send(one *follower, isBeat bool) {
+	if one.isBusy {
+		return
+	}
+	call := siblingwire.AppendCall{Key: e.key, Epoch: e.epoch, Owner: e.name, Disk: e.disk, Prev: one.acked}
+	if one.needsWhole {
+		whole, err := e.links.ReadLocal(e.key)
+		if err != nil || whole.Last.Epoch != e.epoch {
+			return
+		}
+		call.Snapshot, call.Prev = &whole, whole.Last
+	}
+	if one.isKnown || one.needsWhole {
+		changes, isThere := e.after(call.Prev)
+		if !isThere {
+			one.needsWhole = true
+			return
+		}
+		call.Changes = changes
+	} else {
+		isBeat = true
+	}
+	if len(call.Changes) == 0 && call.Snapshot == nil && !isBeat {
+		return
+	}
+	e.launch(one, call)
+}
+
+// after gives the changes that follow on a stamp, if the tail still has them all.
+func (e *Engine) after(prev siblingwire.Stamp) ([]siblingwire.Change, bool) {
+	if prev == e.last {
+		return nil, true
+	}
+	if prev != e.base && prev.Epoch != e.epoch {
+		return nil, false
+	}
+	if len(e.tail) == 0 || e.tail[0].Stamp.Step > prev.Step+1 {
+		return nil, false
+	}
+	start := int(prev.Step + 1 - e.tail[0].Stamp.Step)
+	if start > len(e.tail) {
+		return nil, false
+	}
+	end := min(len(e.tail), start+mostPerCall)
+	return e.tail[start:end], true
+}
+
+func (e *Engine) launch(one *follower, call siblingwire.AppendCall) {
+	one.isBusy, one.sentAt = true, e.clock.Steady()
+	attempt, sentAt := e.attempt, one.sentAt
+	e.links.Append(one.disk, call, func(answer siblingwire.AppendAnswer, err error) {
+		if e.attempt != attempt {
+			return
+		}
+		one.isBusy = false
+		if err != nil {
+			return
+		}
+		e.hear(one, call, answer, sentAt)
+	})
+}
+
+func (e *Engine) hear(one *follower, call siblingwire.AppendCall, answer siblingwire.AppendAnswer, sentAt time.Duration) {
+	now := e.clock.Steady()
+	if answer.Disk != one.disk {
+		return
+	}
+	if answer.Promised > e.epoch {
+		e.highest = max(e.highest, answer.Promised)
+		e.stepDown("a higher epoch was promised")
+		return
+	}
+	one.heardAt = now
+	one.leaseUntil = max(one.leaseUntil, sentAt+e.timing.Lease-leaseMargin)
+	one.wallOffset, one.hasWall = answer.WallMs-pulse.InMs(sentAt+(now-sentAt)/2), true
+	if answer.Taken || answer.Last.Epoch == e.epoch {
+		one.isKnown, one.needsWhole, one.acked = true, false, answer.Last
+	} else {
+		_, isNear := e.after(answer.Last)
+		one.isKnown, one.needsWhole, one.acked = isNear, !isNear, answer.Last
+	}
+	e.advance()
+	if e.phase == phaseOwner || e.phase == phaseOpening {
+		e.send(one, false)
+	}
+}
+
+func (e *Engine) advance() {
+	step := e.last.Step
+	for ; step > e.committed; step-- {
+		has := func(disk string) bool {
+			one := e.followers[disk]
+			return one != nil && one.isKnown && one.acked.Epoch == e.epoch && one.acked.Step >= step
+		}
+		if Agreed(e.set, has) {
+			break
+		}
+	}
+	if step <= e.committed {
+		return
+	}
+	e.committed = step
+	ready := 0
+	for ready < len(e.waiting) && e.waiting[ready].step <= step {
+		ready++
+	}
+	done := slices.Clone(e.waiting[:ready])
+	e.waiting = slices.Clone(e.waiting[ready:])
+	attempt := e.attempt
+	for _, one := range done {
+		if e.attempt != attempt {
+			one.done(errLost)
+			continue
+		}
+		one.done(nil)
+	}
+	if e.attempt == attempt {
+		e.finishSwap()
+		e.trimTail()
+	}
+}
+
+func (e *Engine) hasLease() bool {
+	now := e.clock.Steady()
+	return Agreed(e.set, func(disk string) bool {
+		one := e.followers[disk]
+		return one != nil && now < one.leaseUntil
+	})
+}
+
+func (e *Engine) beat() {
+	now := e.clock.Steady()
+	for _, one := range e.followers {
+		if one.needsWhole || now-one.sentAt >= e.timing.Heartbeat {
+			e.send(one, now-one.sentAt >= e.timing.Heartbeat)
+		}
+	}
+	if e.hasLease() {
+		e.staleSince = now
+	} else if now-e.staleSince > 4*e.timing.Lease {
+		e.stepDown("no majority answers")
+		return
+	}
+	if e.phase == phaseOwner {
+		e.considerSwap()
+	}
+}
+
+func (e *Engine) stepDown(why string) {
+	if e.phase == phaseIdle {
+		return
+	}
+	e.log.Info("no longer owner of key", "key", e.key, "epoch", e.epoch, "why", why)
+	wasOwner := e.phase == phaseOwner
+	e.phase = phaseIdle
+	e.attempt++
+	waiting := e.waiting
+	e.waiting, e.tail, e.tailSize = nil, nil, 0
+	if e.tenure != nil {
+		e.tenure.isOpen = false
+		e.tenure = nil
+	}
+	e.backOff()
+	for _, one := range waiting {
+		one.done(errLost)
+	}
+	if wasOwner {
+		e.machine.Close()
+	}
+}
+
+// Leave hands the key over: the lease is given back, and a sibling may ask at once.
+func (e *Engine) Leave() {
+	e.isLeaving = true
+	if e.phase != phaseOwner && e.phase != phaseOpening {
+		return
+	}
+	disks := disksOf(e.set)
+	epoch := e.epoch
+	e.stepDown("leaving in order")
+	for _, disk := range disks {
+		e.links.Append(disk, siblingwire.AppendCall{Key: e.key, Epoch: epoch, Owner: e.name, Disk: e.disk, Release: true},
+			func(siblingwire.AppendAnswer, error) {})
+	}
+}
--- /dev/null
+++ b/internal/keyowner/replicas.go
@@ -0,0 +1,166 @@
+// Package keyowner gives each control key one owner at a time, and keeps its changes on a majority of disks.
+package keyowner
+
+import (
+	"time"
+
+	"gannetline/internal/keystore"
+	"gannetline/internal/mailbox"
+	"gannetline/internal/pulse"
+	"gannetline/internal/siblingwire"
+	"gannetline/internal/span"
+)
+
+// Disk is where replicas are kept; keystore.Store is the real one.
+type Disk interface {
+	Disk() string
+	Bare() bool
+	Submit(write keystore.Write, done func(keystore.Outcome))
+	Heads() (map[string]keystore.Head, error)
+	Read(key string) (siblingwire.Snapshot, error)
+}
+
+type replica struct {
+	head       keystore.Head
+	promising  uint64
+	leaseUntil time.Duration
+	leaseDisk  string
+	leaseOwner string
+	released   bool
+}
+
+// Replicas is the table of this disk's replicas: what it promised, holds and leases out.
+type Replicas struct {
+	box        *mailbox.Mailbox
+	disk       Disk
+	clock      pulse.Pulse
+	lease      time.Duration
+	quietUntil time.Duration
+	keys       map[string]*replica
+}
+
+func NewReplicas(box *mailbox.Mailbox, disk Disk, clock pulse.Pulse, lease time.Duration) (*Replicas, error) {
+	heads, err := disk.Heads()
+	if err != nil {
+		return nil, err
+	}
+	table := &Replicas{box: box, disk: disk, clock: clock, lease: lease, keys: map[string]*replica{}}
+	for key, head := range heads {
+		table.keys[key] = &replica{head: head, promising: head.Promised}
+	}
+	if !disk.Bare() {
+		table.quietUntil = clock.Steady() + lease
+	}
+	return table, nil
+}
+
+func (r *Replicas) Box() *mailbox.Mailbox { return r.box }
+
+func (r *Replicas) of(key string) *replica {
+	one := r.keys[key]
+	if one == nil {
+		one = &replica{}
+		r.keys[key] = one
+	}
+	return one
+}
+
+// Promise must run on the table's goroutine.
+func (r *Replicas) Promise(call siblingwire.PromiseCall, answer func(siblingwire.PromiseAnswer)) {
+	one, now := r.of(call.Key), r.clock.Steady()
+	isLeased := now < one.leaseUntil && one.leaseDisk != call.Disk
+	if isLeased || now < r.quietUntil || call.Epoch <= one.promising {
+		answer(r.promiseAnswer(one.head, max(one.promising, one.head.Promised), false))
+		return
+	}
+	one.promising = call.Epoch
+	one.leaseUntil = 0
+	r.disk.Submit(keystore.Write{Key: call.Key, Epoch: call.Epoch, Promise: true}, func(outcome keystore.Outcome) {
+		r.box.Post(func() {
+			r.learn(one, outcome)
+			answer(r.promiseAnswer(outcome.Head, call.Epoch, outcome.Taken))
+		})
+	})
+}
+
+func (r *Replicas) promiseAnswer(head keystore.Head, promised uint64, isGranted bool) siblingwire.PromiseAnswer {
+	return siblingwire.PromiseAnswer{Granted: isGranted, Promised: promised, Last: head.Last, Set: head.Set, Disk: r.disk.Disk()}
+}
+
+func (r *Replicas) learn(one *replica, outcome keystore.Outcome) {
+	if outcome.Err == nil {
+		one.head = outcome.Head
+		one.promising = max(one.promising, outcome.Head.Promised)
+	}
+}
+
+// Append must run on the table's goroutine.
+func (r *Replicas) Append(call siblingwire.AppendCall, answer func(siblingwire.AppendAnswer)) {
+	one, now := r.of(call.Key), r.clock.Steady()
+	if call.Epoch < one.promising {
+		answer(r.appendAnswer(one.head.Last, one.promising, false))
+		return
+	}
+	if call.Release {
+		one.leaseUntil, one.released = 0, true
+		answer(r.appendAnswer(one.head.Last, one.promising, true))
+		return
+	}
+	one.leaseUntil, one.leaseDisk, one.leaseOwner, one.released = now+r.lease, call.Disk, call.Owner, false
+	if len(call.Changes) == 0 && call.Snapshot == nil {
+		answer(r.appendAnswer(one.head.Last, one.promising, call.Epoch == one.head.Promised && one.head.Last == call.Prev))
+		return
+	}
+	one.promising = call.Epoch
+	write := keystore.Write{Key: call.Key, Epoch: call.Epoch, Prev: call.Prev, Changes: call.Changes, Snapshot: call.Snapshot}
+	r.disk.Submit(write, func(outcome keystore.Outcome) {
+		r.box.Post(func() {
+			r.learn(one, outcome)
+			answer(r.appendAnswer(one.head.Last, one.promising, outcome.Taken))
+		})
+	})
+}
+
+func (r *Replicas) appendAnswer(last siblingwire.Stamp, promised uint64, isTaken bool) siblingwire.AppendAnswer {
+	return siblingwire.AppendAnswer{Taken: isTaken, Promised: promised, Last: last, Disk: r.disk.Disk(), WallMs: r.clock.WallMs()}
+}
+
+func (r *Replicas) Fetch(key string) (siblingwire.FetchAnswer, error) {
+	whole, err := r.disk.Read(key)
+	return siblingwire.FetchAnswer{Found: whole.Last != siblingwire.Stamp{}, Snapshot: whole, Disk: r.disk.Disk()}, err
+}
+
+// Standing is what an engine asks before it seeks an epoch.
+type Standing struct {
+	Head     keystore.Head
+	Promised uint64
+	LeaseEnd time.Duration
+	Owner    string
+	Released bool
+}
+
+func (r *Replicas) Standing(key string) Standing {
+	one := r.of(key)
+	return Standing{one.head, one.promising, max(one.leaseUntil, r.quietUntil), one.leaseOwner, one.released}
+}
+
+func (r *Replicas) Keys() []string {
+	names := make([]string, 0, len(r.keys))
+	for name := range r.keys {
+		names = append(names, name)
+	}
+	return names
+}
+
+// AskPromise, AskAppend and AskStanding are for other goroutines.
+func (r *Replicas) AskPromise(life span.Span, call siblingwire.PromiseCall) (siblingwire.PromiseAnswer, error) {
+	return mailbox.Ask(r.box, life, func(answer func(siblingwire.PromiseAnswer)) { r.Promise(call, answer) })
+}
+
+func (r *Replicas) AskAppend(life span.Span, call siblingwire.AppendCall) (siblingwire.AppendAnswer, error) {
+	return mailbox.Ask(r.box, life, func(answer func(siblingwire.AppendAnswer)) { r.Append(call, answer) })
+}
+
+func (r *Replicas) AskStanding(life span.Span, key string) (Standing, error) {
+	return mailbox.Ask(r.box, life, func(answer func(Standing)) { answer(r.Standing(key)) })
+}
--- /dev/null
+++ b/internal/keystore/keystore.go
@@ -0,0 +1,277 @@
+// Package keystore keeps the replicas of control keys on disk; one goroutine writes.
+package keystore
+
+import (
+	"bytes"
+	"crypto/rand"
+	"encoding/hex"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/mailru/easyjson"
+	bolt "go.etcd.io/bbolt"
+
+	"gannetline/internal/siblingwire"
+)
+
+//go:generate go run github.com/mailru/easyjson/easyjson -all head.go
+
+var (
+	bucketMeta  = []byte("meta")
+	bucketHeads = []byte("heads")
+	bucketPairs = []byte("pairs")
+	nameDisk    = []byte("disk")
+)
+
+const mostPerTransaction = 64
+
+// Write is one durable step of a replica: a promise, changes that follow on, or a snapshot.
+type Write struct {
+	Key      string
+	Epoch    uint64
+	Prev     siblingwire.Stamp
+	Changes  []siblingwire.Change
+	Snapshot *siblingwire.Snapshot
+	Promise  bool
+}
+
+type Outcome struct {
+	Taken bool
+	Head  Head
+	Err   error
+}
+
+type job struct {
+	write Write
+	done  func(Outcome)
+}
+
+type Store struct {
+	db   *bolt.DB
+	disk string
+	bare bool
+	jobs chan job
+	over chan struct{}
+}
+
+// Open makes the folder's file if there is none, and names the disk at random then.
+func Open(folder string) (*Store, error) {
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return nil, errors.Annotate(err, "making the data directory")
+	}
+	db, err := bolt.Open(filepath.Join(folder, "keys.db"), 0o600, &bolt.Options{
+		NoFreelistSync: true, FreelistType: bolt.FreelistMapType, InitialMmapSize: 16 << 20, Timeout: time.Second})
+	if err != nil {
+		return nil, errors.Annotate(err, "opening keys.db")
+	}
+	db.MaxBatchDelay = 0
+	store := &Store{db: db, jobs: make(chan job, 4096), over: make(chan struct{})}
+	if err := store.prepare(); err != nil {
+		return nil, errors.Annotate(err, "preparing keys.db")
+	}
+	go store.run()
+	return store, nil
+}
+
+func (s *Store) prepare() error {
+	return s.db.Update(func(tx *bolt.Tx) error {
+		meta, err := tx.CreateBucketIfNotExists(bucketMeta)
+		if err != nil {
+			return err
+		}
+		for _, name := range [][]byte{bucketHeads, bucketPairs} {
+			if _, err := tx.CreateBucketIfNotExists(name); err != nil {
+				return err
+			}
+		}
+		if disk := meta.Get(nameDisk); disk != nil {
+			s.disk = string(disk)
+			return nil
+		}
+		var name [8]byte
+		if _, err := rand.Read(name[:]); err != nil {
+			return err
+		}
+		s.disk, s.bare = hex.EncodeToString(name[:]), true
+		return meta.Put(nameDisk, []byte(s.disk))
+	})
+}
+
+func (s *Store) Disk() string { return s.disk }
+
+// Bare tells whether the disk was empty when it was opened.
+func (s *Store) Bare() bool { return s.bare }
+
+func (s *Store) Close() error {
+	close(s.jobs)
+	<-s.over
+	return s.db.Close()
+}
+
+// Submit queues a write; done is called from the store's goroutine after the sync.
+func (s *Store) Submit(write Write, done func(Outcome)) {
+	s.jobs <- job{write, done}
+}
+
+func (s *Store) run() {
+	defer close(s.over)
+	for first := range s.jobs {
+		batch := []job{first}
+	gather:
+		for len(batch) < mostPerTransaction {
+			select {
+			case next, isOpen := <-s.jobs:
+				if !isOpen {
+					break gather
+				}
+				batch = append(batch, next)
+			default:
+				break gather
+			}
+		}
+		s.commit(batch)
+	}
+}
+
+func (s *Store) commit(batch []job) {
+	outcomes := make([]Outcome, len(batch))
+	err := s.db.Update(func(tx *bolt.Tx) error {
+		for place, one := range batch {
+			outcome, err := apply(tx, one.write)
+			if err != nil {
+				return err
+			}
+			outcomes[place] = outcome
+		}
+		return nil
+	})
+	for place, one := range batch {
+		if err != nil {
+			outcomes[place] = Outcome{Err: errors.Annotate(err, "syncing keys")}
+		}
+		one.done(outcomes[place])
+	}
+}
+
+func apply(tx *bolt.Tx, write Write) (Outcome, error) {
+	heads := tx.Bucket(bucketHeads)
+	head, err := readHead(heads, write.Key)
+	if err != nil {
+		return Outcome{}, err
+	}
+	if write.Epoch < head.Promised || write.Promise && write.Epoch == head.Promised {
+		return Outcome{Head: head}, nil
+	}
+	switch {
+	case write.Promise:
+	case write.Snapshot != nil:
+		if write.Snapshot.Last.Below(head.Last) && head.Last.Epoch == write.Epoch {
+			return Outcome{Head: head}, nil
+		}
+		if err := replacePairs(tx, write.Key, write.Snapshot.Pairs); err != nil {
+			return Outcome{}, err
+		}
+		head.Last, head.Set = write.Snapshot.Last, write.Snapshot.Set
+	default:
+		if write.Prev != head.Last {
+			return Outcome{Head: head}, nil
+		}
+	}
+	if len(write.Changes) > 0 {
+		pairs, err := tx.Bucket(bucketPairs).CreateBucketIfNotExists([]byte(write.Key))
+		if err != nil {
+			return Outcome{}, err
+		}
+		for _, change := range write.Changes {
+			if err := putAll(pairs, change.Ops); err != nil {
+				return Outcome{}, err
+			}
+			head.Last = change.Stamp
+			if change.Set != nil {
+				head.Set = *change.Set
+			}
+		}
+	}
+	head.Promised = write.Epoch
+	text, err := easyjson.Marshal(head)
+	if err != nil {
+		return Outcome{}, err
+	}
+	return Outcome{Taken: true, Head: head}, heads.Put([]byte(write.Key), text)
+}
+
+func replacePairs(tx *bolt.Tx, key string, pairs []siblingwire.Op) error {
+	all := tx.Bucket(bucketPairs)
+	if all.Bucket([]byte(key)) != nil {
+		if err := all.DeleteBucket([]byte(key)); err != nil {
+			return err
+		}
+	}
+	fresh, err := all.CreateBucket([]byte(key))
+	if err != nil {
+		return err
+	}
+	return putAll(fresh, pairs)
+}
+
+func putAll(pairs *bolt.Bucket, ops []siblingwire.Op) error {
+	for _, op := range ops {
+		if len(op.Value) == 0 {
+			if err := pairs.Delete([]byte(op.Name)); err != nil {
+				return err
+			}
+			continue
+		}
+		if err := pairs.Put([]byte(op.Name), op.Value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func readHead(heads *bolt.Bucket, key string) (Head, error) {
+	var head Head
+	text := heads.Get([]byte(key))
+	if text == nil {
+		return head, nil
+	}
+	return head, easyjson.Unmarshal(bytes.Clone(text), &head)
+}
+
+func (s *Store) Heads() (map[string]Head, error) {
+	all := map[string]Head{}
+	err := s.db.View(func(tx *bolt.Tx) error {
+		return tx.Bucket(bucketHeads).ForEach(func(key, text []byte) error {
+			var head Head
+			if err := easyjson.Unmarshal(bytes.Clone(text), &head); err != nil {
+				return err
+			}
+			all[string(key)] = head
+			return nil
+		})
+	})
+	return all, errors.Annotate(err, "reading heads")
+}
+
+// Read gives the whole state of a key as it is on the disk.
+func (s *Store) Read(key string) (siblingwire.Snapshot, error) {
+	var whole siblingwire.Snapshot
+	err := s.db.View(func(tx *bolt.Tx) error {
+		head, err := readHead(tx.Bucket(bucketHeads), key)
+		if err != nil {
+			return err
+		}
+		whole.Last, whole.Set = head.Last, head.Set
+		pairs := tx.Bucket(bucketPairs).Bucket([]byte(key))
+		if pairs == nil {
+			return nil
+		}
+		return pairs.ForEach(func(name, value []byte) error {
+			whole.Pairs = append(whole.Pairs, siblingwire.Op{Name: string(name), Value: bytes.Clone(value)})
+			return nil
+		})
+	})
+	return whole, errors.Annotatef(err, "reading the pairs of %s", key)
+}
--- /dev/null
+++ b/internal/localproxy/proxy.go
@@ -0,0 +1,327 @@
+package localproxy
+
+import (
+	stderrors "errors"
+	"net/http"
+	"time"
+
+	"gannetline/internal/executorcalls"
+	"gannetline/internal/logs"
+	"gannetline/internal/mailbox"
+	"gannetline/internal/pulse"
+	"gannetline/internal/reply"
+	"gannetline/internal/siblingprobe"
+	"gannetline/internal/siblingwire"
+	"gannetline/internal/span"
+)
+
+const (
+	holdWaitMs   = 1000
+	holdGap      = 15 * time.Millisecond
+	pollWaitMs   = 1000
+	startLimit   = 250 * time.Millisecond
+	startTries   = 2
+	atOnce       = 6
+	ownerPause   = 60 * time.Millisecond
+	failedPause  = 300 * time.Millisecond
+	exchangeSlow = 1500 * time.Millisecond
+)
+
+type Proxy struct {
+	box      *mailbox.Mailbox
+	table    *Table
+	clock    pulse.Pulse
+	log      logs.Logger
+	executor *executorcalls.Client
+	caller   *siblingwire.Caller
+	view     func() *siblingprobe.View
+	service  string
+	work     chan struct{}
+	looks    chan struct{}
+	slots    chan struct{}
+}
+
+func New(service, domain, name string, clock pulse.Pulse, log logs.Logger, executor *executorcalls.Client, caller *siblingwire.Caller,
+	view func() *siblingprobe.View) *Proxy {
+	proxy := &Proxy{box: mailbox.New(256), clock: clock, log: log, executor: executor, caller: caller, view: view, service: service,
+		work: make(chan struct{}, 1), looks: make(chan struct{}, 1), slots: make(chan struct{}, atOnce)}
+	proxy.table = NewTable(clock, log, service, domain, name, func() { nudge(proxy.work) }, func() { nudge(proxy.looks) })
+	return proxy
+}
+
+func nudge(bell chan struct{}) {
+	select {
+	case bell <- struct{}{}:
+	default:
+	}
+}
+
+// Run keeps the loops going until the span ends.
+func (p *Proxy) Run(life span.Span) error {
+	go p.holdLoop(life)
+	go p.lookLoop(life)
+	go p.pollLoop(life)
+	go p.reportLoop(life)
+	p.box.Run(life, p.clock, mailbox.Owner{Every: time.Minute})
+	return nil
+}
+
+func ask[T any](p *Proxy, life span.Span, question func() T) (T, bool) {
+	value, err := mailbox.Ask(p.box, life, func(answer func(T)) { answer(question()) })
+	return value, err == nil
+}
+
+func (p *Proxy) pause(life span.Span, wait time.Duration) bool {
+	select {
+	case <-life.Done():
+		return false
+	case <-p.clock.After(wait):
+		return true
+	}
+}
+
+// ServeHTTP takes the executor's own calls.
+func (p *Proxy) ServeHTTP(to http.ResponseWriter, request *http.Request) {
+	command, refusal := executorcalls.Decode(request)
+	if refusal.Status != 0 {
+		refusal.Write(to)
+		return
+	}
+	answer, isTaken := ask(p, request.Context(), func() reply.Reply { return p.obey(command) })
+	if !isTaken {
+		answer = reply.Text(http.StatusServiceUnavailable, "the table is busy")
+	}
+	answer.Write(to)
+}
+
+func (p *Proxy) obey(command executorcalls.Command) reply.Reply {
+	if command.IsLeave {
+		p.table.Leave(command.Executor)
+		return reply.Raw(http.StatusOK, []byte("{}"))
+	}
+	status, why := p.table.Beat(command.Executor, command.Beat)
+	if why != "" {
+		return reply.Text(status, why)
+	}
+	return reply.Raw(status, []byte("{}"))
+}
+
+type holdTurn struct {
+	work  HoldWork
+	isDue bool
+}
+
+func (p *Proxy) holdLoop(life span.Span) {
+	for {
+		turn, isOpen := ask(p, life, func() holdTurn {
+			work, isDue := p.table.NextHold(false)
+			return holdTurn{work, isDue}
+		})
+		if !isOpen {
+			return
+		}
+		wait := holdGap
+		if !turn.isDue || !p.hold(life, turn.work) {
+			wait = failedPause
+		}
+		if !p.pause(life, wait) {
+			return
+		}
+	}
+}
+
+func (p *Proxy) lookLoop(life span.Span) {
+	for {
+		select {
+		case <-life.Done():
+			return
+		case <-p.looks:
+		}
+		turn, isOpen := ask(p, life, func() holdTurn {
+			work, isDue := p.table.NextHold(true)
+			return holdTurn{work, isDue}
+		})
+		if !isOpen {
+			return
+		}
+		if turn.isDue && !p.hold(life, turn.work) {
+			if !p.pause(life, failedPause) {
+				return
+			}
+			nudge(p.looks)
+		}
+	}
+}
+
+func (p *Proxy) hold(life span.Span, work HoldWork) bool {
+	limit := pulse.Ms(work.Hold.WaitMs) + 500*time.Millisecond
+	status, answer, err := p.executor.Call(life, "/v1/hold", work.Life, limit, work.Hold)
+	isHeld := err == nil && status == http.StatusOK
+	p.box.Post(func() {
+		if isHeld {
+			p.table.Held(work, answer)
+			return
+		}
+		p.table.HoldFailed(work, err == nil && status == http.StatusMisdirectedRequest)
+	})
+	if !isHeld {
+		p.log.V(1).Info("a hold failed", "executor", work.Life, "status", status, "why", errorText(err))
+	}
+	return isHeld
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+func (p *Proxy) pollLoop(life span.Span) {
+	for {
+		if !p.exchange(life, pollWaitMs) && !p.pause(life, ownerPause) {
+			return
+		}
+		if life.Err() != nil {
+			return
+		}
+	}
+}
+
+func (p *Proxy) reportLoop(life span.Span) {
+	for {
+		select {
+		case <-life.Done():
+			return
+		case <-p.work:
+		}
+		if !p.exchange(life, 0) {
+			if !p.pause(life, ownerPause) {
+				return
+			}
+			nudge(p.work)
+		}
+	}
+}
+
+// exchange talks to the owner once; it tells whether the owner answered.
+func (p *Proxy) exchange(life span.Span, waitMs int64) bool {
+	call, isOpen := ask(p, life, func() *siblingwire.ExchangeCall {
+		call, _ := p.table.Compose(waitMs)
+		return call
+	})
+	if !isOpen {
+		return false
+	}
+	if call == nil {
+		if waitMs > 0 {
+			p.pause(life, failedPause)
+		}
+		return true
+	}
+	owner := p.ownerAddress(call.Key)
+	if owner == "" {
+		return false
+	}
+	askedAt := p.clock.Steady()
+	answer, err := siblingwire.Call[siblingwire.ExchangeCall, siblingwire.ExchangeAnswer](p.caller, life, owner,
+		siblingwire.ProcedureExchange, pulse.Ms(waitMs)+exchangeSlow, call)
+	if err != nil {
+		p.log.V(1).Info("an exchange failed", "why", err.Error())
+		return false
+	}
+	if answer.Elsewhere {
+		return false
+	}
+	if answer.Fence == 0 {
+		return true
+	}
+	orders, _ := ask(p, life, func() []siblingwire.Order { return p.table.Told(call, askedAt, answer) })
+	for _, order := range orders {
+		go p.carry(life, call.Life, order)
+	}
+	return true
+}
+
+func (p *Proxy) ownerAddress(key string) string {
+	view := p.view()
+	fact, isKnown := view.Owners[key]
+	var fallback string
+	for _, member := range view.Members {
+		if member.Role != "steward" {
+			continue
+		}
+		if isKnown && member.Name == fact.Name {
+			return member.Address
+		}
+		fallback = member.Address
+	}
+	return fallback
+}
+
+type orderTurn struct {
+	work  OrderWork
+	isDue bool
+}
+
+// carry brings one order to the executor, again if it is not answered.
+func (p *Proxy) carry(life span.Span, executor string, order siblingwire.Order) {
+	p.slots <- struct{}{}
+	defer func() { <-p.slots }()
+	for try := range startTries {
+		turn, isOpen := ask(p, life, func() orderTurn {
+			work, isDue := p.table.Ready(executor, order)
+			return orderTurn{work, isDue}
+		})
+		if !isOpen || !turn.isDue {
+			return
+		}
+		status, answer, err := p.deliver(life, turn.work)
+		if err == nil {
+			result := resultOf(status, answer.Reason)
+			p.box.Post(func() {
+				p.table.Clock(executor, answer.ClockMs)
+				p.table.Carried(turn.work, result)
+			})
+			return
+		}
+		isLast := try == startTries-1
+		p.box.Post(func() {
+			if !isRefused(err) {
+				p.table.Unanswered(turn.work)
+			}
+			if isLast {
+				p.table.Carried(turn.work, "timeout")
+			}
+		})
+	}
+}
+
+func isRefused(err error) bool {
+	var timeout interface{ Timeout() bool }
+	return siblingwire.NeverSent(err) && !(stderrors.As(err, &timeout) && timeout.Timeout())
+}
+
+func (p *Proxy) deliver(life span.Span, work OrderWork) (int, executorcalls.Answer, error) {
+	order := work.Order
+	if order.Kind == "launch" {
+		return p.executor.Call(life, "/v1/run-start", work.Life, startLimit, executorcalls.RunStart{Task: order.Task, Run: order.Run,
+			Spec: order.Spec, ExpiryMs: work.ExpiryMs, Fence: work.Fence, Saved: order.Saved})
+	}
+	return p.executor.Call(life, "/v1/run-stop", work.Life, startLimit,
+		executorcalls.RunStop{Task: order.Task, Run: order.Run, Fence: work.Fence})
+}
+
+func resultOf(status int, reason string) string {
+	switch {
+	case status == http.StatusOK:
+		return "ok"
+	case status == http.StatusConflict && reason == "room":
+		return "room"
+	case status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable:
+		return "sick"
+	case status == http.StatusBadRequest || status == http.StatusMisdirectedRequest:
+		return "not-run"
+	}
+	return "unsure"
+}
--- /dev/null
+++ b/internal/localproxy/table.go
@@ -0,0 +1,356 @@
+// Package localproxy stands between the owner of a pool and the executor on its own machine:
+// it carries orders, extends holds by what it was granted, and reports what the executor says.
+package localproxy
+
+import (
+	"slices"
+	"time"
+
+	"gannetline/internal/executorcalls"
+	"gannetline/internal/logs"
+	"gannetline/internal/pulse"
+	"gannetline/internal/siblingwire"
+)
+
+const (
+	mostGone     = 4
+	neverHeld    = time.Hour
+	leavingAfter = 3 * time.Second
+)
+
+type orderKey struct {
+	task string
+	run  int64
+	kind string
+}
+
+type runKey struct {
+	task string
+	run  int64
+}
+
+type clockSample struct {
+	executorMs int64
+	heardAt    time.Duration
+	isThere    bool
+}
+
+// lifeTable is what the proxy knows of the executor's present life.
+type lifeTable struct {
+	id          string
+	sequence    int64
+	beat        executorcalls.Beat
+	beatAt      time.Duration
+	isDraining  bool
+	departsAt   time.Duration
+	isLeaving   bool
+	leftAt      time.Duration
+	clock       clockSample
+	expiryMs    int64
+	holdAt      time.Duration
+	hasHeld     bool
+	fence       uint64
+	fenceHeld   uint64
+	lastSeen    int64
+	ends        []siblingwire.EndReport
+	running     []siblingwire.RunReport
+	lookWanted  uint64
+	lookDone    uint64
+	lookTold    uint64
+	lookRunning []siblingwire.RunReport
+	answers     []siblingwire.OrderAnswer
+	busy        map[orderKey]bool
+	unsure      map[runKey]bool
+	toldAt      time.Duration
+}
+
+// Table is owned by one goroutine; the loops ask it what to do next and tell it what came back.
+type Table struct {
+	clock   pulse.Pulse
+	log     logs.Logger
+	service string
+	domain  string
+	name    string
+	life    *lifeTable
+	gone    []string
+	onWork  func()
+	onLook  func()
+}
+
+func NewTable(clock pulse.Pulse, log logs.Logger, service, domain, name string, onWork, onLook func()) *Table {
+	return &Table{clock: clock, log: log, service: service, domain: domain, name: name, onWork: onWork, onLook: onLook}
+}
+
+func (t *Table) now() time.Duration { return t.clock.Steady() }
+
+// Beat takes an executor's word of itself; why is set when it is refused.
+func (t *Table) Beat(id string, beat *executorcalls.Beat) (status int, why string) {
+	if beat.Service != t.service {
+		return 422, "service " + beat.Service + " is unknown on this machine"
+	}
+	if slices.Contains(t.gone, id) {
+		return 409, "this executor is over"
+	}
+	if t.life != nil && t.life.id == id && beat.Sequence <= t.life.sequence && beat.Sequence != 0 {
+		return 409, "field call-sequence is old"
+	}
+	now := t.now()
+	if t.life == nil || t.life.id != id {
+		t.newLife(id)
+	}
+	one := t.life
+	one.sequence, one.beat, one.beatAt = beat.Sequence, *beat, now
+	if beat.ClockMs > 0 {
+		t.sample(one, beat.ClockMs)
+	}
+	if beat.State == "draining" && !one.isDraining {
+		one.isDraining = true
+		t.log.Info("the executor is draining", "executor", id, "departs-ms", beat.DepartsMs)
+		t.onWork()
+	}
+	if beat.DepartsMs > 0 {
+		one.departsAt = now + pulse.Ms(beat.DepartsMs)
+	}
+	return 200, ""
+}
+
+func (t *Table) newLife(id string) {
+	if t.life != nil {
+		t.markGone(t.life.id)
+	}
+	t.log.Info("an executor's life begins", "executor", id)
+	t.life = &lifeTable{id: id, busy: map[orderKey]bool{}, unsure: map[runKey]bool{}}
+	t.onWork()
+}
+
+func (t *Table) markGone(id string) {
+	t.gone = append(t.gone, id)
+	t.gone = t.gone[max(0, len(t.gone)-mostGone):]
+}
+
+// Leave takes an executor's farewell.
+func (t *Table) Leave(id string) {
+	if t.life != nil && t.life.id == id && !t.life.isLeaving {
+		t.life.isDraining, t.life.isLeaving, t.life.leftAt = true, true, t.now()
+		t.log.Info("the executor says farewell", "executor", id)
+		t.onWork()
+	}
+}
+
+func (t *Table) sample(one *lifeTable, executorMs int64) {
+	one.clock = clockSample{executorMs, t.now(), true}
+}
+
+// clockAt is the least that the executor's clock can have shown at a moment; it may be 2% slow or fast.
+func (s clockSample) clockAt(moment time.Duration) int64 {
+	apart := moment - s.heardAt
+	if apart >= 0 {
+		return s.executorMs + pulse.InMs(apart*98/100)
+	}
+	return s.executorMs + pulse.InMs(apart*102/100)
+}
+
+// Grant extends what may be held, counted from before it was asked for.
+func (t *Table) grant(one *lifeTable, askedAt time.Duration, grantMs int64) {
+	if grantMs > 0 && one.clock.isThere {
+		one.expiryMs = max(one.expiryMs, one.clock.clockAt(askedAt)+grantMs)
+	}
+}
+
+// HoldWork is what a hold should say now.
+type HoldWork struct {
+	Life string
+	Hold executorcalls.Hold
+	Look uint64
+}
+
+func (t *Table) NextHold(isLook bool) (HoldWork, bool) {
+	one := t.life
+	if one == nil || isLook && one.lookDone >= one.lookWanted {
+		return HoldWork{}, false
+	}
+	hold := executorcalls.Hold{Fence: one.fence, LastSeen: one.lastSeen}
+	if one.expiryMs > 0 && one.expiryMs > one.clock.clockAt(t.now()) {
+		hold.ExpiryMs = one.expiryMs
+	}
+	if !isLook {
+		hold.WaitMs = holdWaitMs
+	}
+	return HoldWork{Life: one.id, Hold: hold, Look: one.lookWanted}, true
+}
+
+// Held takes the answer to a hold.
+func (t *Table) Held(work HoldWork, answer executorcalls.Answer) {
+	one := t.life
+	if one == nil || one.id != work.Life {
+		return
+	}
+	t.sample(one, answer.ClockMs)
+	one.holdAt, one.hasHeld = t.now(), true
+	one.fenceHeld = max(one.fenceHeld, work.Hold.Fence)
+	fresh := false
+	for _, row := range answer.Ends {
+		if row.Number > one.lastEnd() && row.Number > one.lastSeen {
+			one.ends = append(one.ends, siblingwire.EndReport(row))
+			fresh = true
+		}
+	}
+	one.running = one.running[:0]
+	for _, row := range answer.Running {
+		one.running = append(one.running, siblingwire.RunReport(row))
+	}
+	if work.Look > one.lookDone && work.Hold.Fence == one.fence {
+		one.lookDone, one.lookRunning = work.Look, slices.Clone(one.running)
+		fresh = true
+	}
+	if fresh {
+		t.onWork()
+	}
+}
+
+// HoldFailed tells whether the life is over for certain.
+func (t *Table) HoldFailed(work HoldWork, isOtherLife bool) {
+	one := t.life
+	if one == nil || one.id != work.Life {
+		return
+	}
+	if isOtherLife || one.isLeaving && t.now()-one.leftAt > leavingAfter {
+		t.markGone(one.id)
+		t.life = nil
+		t.onWork()
+	}
+}
+
+func (l *lifeTable) lastEnd() int64 {
+	if len(l.ends) == 0 {
+		return 0
+	}
+	return l.ends[len(l.ends)-1].Number
+}
+
+// Compose makes the next exchange; told gives back what it held once it was answered.
+func (t *Table) Compose(waitMs int64) (*siblingwire.ExchangeCall, bool) {
+	one := t.life
+	if one == nil {
+		return nil, false
+	}
+	now := t.now()
+	call := &siblingwire.ExchangeCall{Key: "pool/" + t.service, Life: one.id, Proxy: t.name, Domain: t.domain, Labels: one.beat.Labels,
+		Room: one.beat.Room, Draining: one.isDraining, Gone: slices.Clone(t.gone), Fence: one.fenceHeld, WaitMs: waitMs}
+	if one.departsAt > now {
+		call.DepartsMs = pulse.InMs(one.departsAt - now)
+	}
+	age := neverHeld
+	if one.hasHeld {
+		age = now - one.holdAt
+	}
+	call.HoldAgeMs = pulse.InMs(age)
+	call.Ends = slices.Clone(one.ends)
+	call.Answers = slices.Clone(one.answers)
+	if one.lookDone > one.lookTold {
+		call.Look, call.Running = one.lookDone, one.lookRunning
+	} else if now-one.toldAt > time.Second {
+		call.Running = slices.Clone(one.running)
+	}
+	return call, true
+}
+
+// Told takes the owner's answer and gives the orders that are to be carried out.
+func (t *Table) Told(call *siblingwire.ExchangeCall, askedAt time.Duration, answer *siblingwire.ExchangeAnswer) []siblingwire.Order {
+	one := t.life
+	if one == nil || one.id != call.Life || answer.Fence < one.fence {
+		return nil
+	}
+	if answer.Fence > one.fence {
+		one.fence, one.lastSeen, one.lookDone, one.lookTold, one.lookWanted = answer.Fence, 0, 0, 0, 0
+	}
+	if len(call.Answers) > 0 {
+		one.answers = slices.DeleteFunc(one.answers, func(told siblingwire.OrderAnswer) bool { return slices.Contains(call.Answers, told) })
+	}
+	one.lookTold = max(one.lookTold, call.Look)
+	if len(call.Running) > 0 {
+		one.toldAt = t.now()
+	}
+	one.lastSeen = max(one.lastSeen, answer.LastSeen)
+	one.ends = slices.DeleteFunc(one.ends, func(end siblingwire.EndReport) bool { return end.Number <= one.lastSeen })
+	t.grant(one, askedAt, answer.GrantMs)
+	if answer.Look > one.lookWanted {
+		one.lookWanted = answer.Look
+	}
+	if one.lookWanted > one.lookDone {
+		t.onLook()
+	}
+	return t.accept(one, answer.Orders)
+}
+
+func (t *Table) accept(one *lifeTable, orders []siblingwire.Order) []siblingwire.Order {
+	kept := orders[:0]
+	for _, order := range orders {
+		key := orderKey{order.Task, order.Run, order.Kind}
+		if !one.busy[key] {
+			one.busy[key] = true
+			kept = append(kept, order)
+		}
+	}
+	return kept
+}
+
+// OrderWork is one order made ready for the executor.
+type OrderWork struct {
+	Life     string
+	Order    siblingwire.Order
+	Fence    uint64
+	ExpiryMs int64
+}
+
+// Ready is the last check before an executor: life, drain and grant.
+func (t *Table) Ready(lifeID string, order siblingwire.Order) (OrderWork, bool) {
+	one := t.life
+	if one == nil || one.id != lifeID {
+		return OrderWork{}, false
+	}
+	work := OrderWork{Life: lifeID, Order: order, Fence: one.fence, ExpiryMs: one.expiryMs}
+	if order.Kind != "launch" {
+		return work, true
+	}
+	if one.isDraining {
+		t.Carried(work, "not-run")
+		return work, false
+	}
+	if one.expiryMs < one.clock.clockAt(t.now())+400 {
+		delete(one.busy, orderKey{order.Task, order.Run, order.Kind})
+		return work, false
+	}
+	return work, true
+}
+
+// Unanswered notes that an order may yet be carried out.
+func (t *Table) Unanswered(work OrderWork) {
+	if one := t.life; one != nil && one.id == work.Life && len(one.unsure) < 10000 {
+		one.unsure[runKey{work.Order.Task, work.Order.Run}] = true
+	}
+}
+
+func (t *Table) Clock(lifeID string, executorMs int64) {
+	if one := t.life; one != nil && one.id == lifeID && executorMs > 0 {
+		t.sample(one, executorMs)
+	}
+}
+
+// Carried notes an order's answer for the owner.
+func (t *Table) Carried(work OrderWork, result string) {
+	one := t.life
+	if one == nil || one.id != work.Life {
+		return
+	}
+	order, place := work.Order, runKey{work.Order.Task, work.Order.Run}
+	delete(one.busy, orderKey{order.Task, order.Run, order.Kind})
+	if order.Kind == "launch" && one.unsure[place] && result != "ok" && result != "timeout" {
+		result = "unsure"
+	}
+	if result == "ok" {
+		delete(one.unsure, place)
+	}
+	one.answers = append(one.answers, siblingwire.OrderAnswer{Task: order.Task, Run: order.Run, Kind: order.Kind, Result: result})
+	t.onWork()
+}
--- /dev/null
+++ b/internal/mailbox/mailbox.go
@@ -0,0 +1,94 @@
+// Package mailbox runs the one goroutine that owns a table.
+package mailbox
+
+import (
+	"runtime"
+	"time"
+
+	"gannetline/internal/pulse"
+	"gannetline/internal/span"
+)
+
+type Mailbox struct {
+	letters chan func()
+}
+
+func New(room int) *Mailbox { return &Mailbox{letters: make(chan func(), room)} }
+
+func (m *Mailbox) Post(letter func()) { m.letters <- letter }
+
+func (m *Mailbox) TryPost(letter func()) bool {
+	select {
+	case m.letters <- letter:
+		return true
+	default:
+		return false
+	}
+}
+
+type Owner struct {
+	Every   time.Duration
+	Tick    func()
+	Settle  func()
+	OwnCore bool
+}
+
+// Run owns the table until the span ends; Settle is called after each burst of letters.
+func (m *Mailbox) Run(life span.Span, clock pulse.Pulse, owner Owner) {
+	if owner.OwnCore {
+		runtime.LockOSThread()
+		defer runtime.UnlockOSThread()
+	}
+	ring := clock.After(owner.Every)
+	for {
+		select {
+		case <-life.Done():
+			return
+		case letter := <-m.letters:
+			letter()
+			m.drain()
+		case <-ring:
+			if owner.Tick != nil {
+				owner.Tick()
+			}
+			ring = clock.After(owner.Every)
+		}
+		if owner.Settle != nil {
+			owner.Settle()
+		}
+	}
+}
+
+func (m *Mailbox) drain() {
+	for range cap(m.letters) {
+		select {
+		case letter := <-m.letters:
+			letter()
+		default:
+			return
+		}
+	}
+}
+
+// Ask runs the question on the owner's goroutine and waits for its answer.
+func Ask[T any](m *Mailbox, life span.Span, question func(answer func(T))) (T, error) {
+	answers := make(chan T, 1)
+	answer := func(value T) {
+		select {
+		case answers <- value:
+		default:
+		}
+	}
+	var none T
+	select {
+	case m.letters <- func() { question(answer) }:
+	case <-life.Done():
+		return none, life.Err()
+	}
+	select {
+	case value := <-answers:
+		return value, nil
+	case <-life.Done():
+		return none, life.Err()
+	}
+}
--- /dev/null
+++ b/internal/ownercalls/ownercalls.go
@@ -0,0 +1,102 @@
+// Package ownercalls finds a key's owner and asks it, again and elsewhere until there is no time left.
+package ownercalls
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"gannetline/internal/pulse"
+	"gannetline/internal/siblingprobe"
+	"gannetline/internal/siblingwire"
+	"gannetline/internal/span"
+)
+
+const (
+	pauseShort = 30 * time.Millisecond
+	pauseLong  = 120 * time.Millisecond
+)
+
+type Asker struct {
+	caller *siblingwire.Caller
+	clock  pulse.Pulse
+	view   func() *siblingprobe.View
+	perTry time.Duration
+}
+
+func New(caller *siblingwire.Caller, clock pulse.Pulse, view func() *siblingprobe.View) *Asker {
+	return &Asker{caller: caller, clock: clock, view: view, perTry: 900 * time.Millisecond}
+}
+
+// Outcome says what is known after asking: MaySee is set while some steward may have taken the call.
+type Outcome struct {
+	Answer *siblingwire.ClientAnswer
+	MaySee bool
+}
+
+// Ask returns an answer of the owner, or none once the time is over.
+func (a *Asker) Ask(life span.Span, call *siblingwire.ClientCall, limit time.Duration) Outcome {
+	var outcome Outcome
+	end := a.clock.Steady() + limit
+	hint := ""
+	for try := 0; ; try++ {
+		left := end - a.clock.Steady()
+		if left <= 0 || life.Err() != nil {
+			return outcome
+		}
+		address := a.address(call.Key, hint, try)
+		hint = ""
+		if address != "" {
+			answer, err := siblingwire.Call[siblingwire.ClientCall, siblingwire.ClientAnswer](a.caller, life, address,
+				siblingwire.ProcedureClient, min(a.perTry, left), call)
+			switch {
+			case err == nil && !answer.Elsewhere:
+				outcome.Answer = answer
+				return outcome
+			case err == nil:
+				hint = answer.Owner
+			case !siblingwire.NeverSent(err):
+				outcome.MaySee = true
+			}
+		}
+		wait := pauseShort
+		if try > 2 {
+			wait = pauseLong
+		}
+		select {
+		case <-life.Done():
+			return outcome
+		case <-a.clock.After(min(wait, left)):
+		}
+	}
+}
+
+// address prefers the hint, then the known owner, then any steward.
+func (a *Asker) address(key, hint string, try int) string {
+	view := a.view()
+	owner := view.Owners[key].Name
+	var known, hinted string
+	var others []string
+	for _, member := range view.Members {
+		if member.Role != "steward" {
+			continue
+		}
+		if member.Name == owner {
+			known = member.Address
+		}
+		if member.Name == hint && hint != "" {
+			hinted = member.Address
+		}
+		if member.State == siblingwire.StateAlive {
+			others = append(others, member.Address)
+		}
+	}
+	switch {
+	case hinted != "":
+		return hinted
+	case known != "" && try%3 != 2:
+		return known
+	case len(others) > 0:
+		return others[rand.IntN(len(others))]
+	}
+	return known
+}
--- /dev/null
+++ b/internal/plancheck/plan.go
@@ -0,0 +1,39 @@
+// Package plancheck reads and checks the operator's plans.
+package plancheck
+
+//go:generate go run github.com/mailru/easyjson/easyjson -all plan.go
+
+// Entry is a route of the protocol: a queue.
+type Entry struct {
+	Name        string  `json:"name"`
+	Host        string  `json:"host"`
+	Prefix      string  `json:"path-prefix"`
+	Kind        string  `json:"route-type"`
+	TimeoutMs   int64   `json:"timeout-ms"`
+	TargetMs    int64   `json:"target-latency-ms"`
+	Priority    int     `json:"priority"`
+	Service     string  `json:"service"`
+	MaxAttempts int     `json:"max-attempts"`
+	Stretch     float64 `json:"stretch-factor"`
+}
+
+type Service struct {
+	Name     string `json:"name"`
+	ConnCap  int    `json:"connection-limit"`
+	Guards   bool   `json:"guard-list"`
+	Protocol string `json:"protocol"`
+}
+
+type Limits struct {
+	HeaderBytes     int   `json:"max-header-bytes"`
+	BodyBytes       int64 `json:"max-body-bytes"`
+	HeaderTimeoutMs int64 `json:"header-timeout-ms"`
+	IdleTimeoutMs   int64 `json:"idle-timeout-ms"`
+}
+
+type Plan struct {
+	Version  int64     `json:"config-version"`
+	Entries  []Entry   `json:"route-list"`
+	Services []Service `json:"service-list"`
+	Limits   Limits    `json:"limits"`
+}
--- /dev/null
+++ b/internal/planowner/planowner.go
@@ -0,0 +1,188 @@
+// Package planowner is the operator's plan while this steward owns its key.
+package planowner
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"slices"
+	"strconv"
+
+	"github.com/juju/errors"
+	"github.com/mailru/easyjson"
+
+	"gannetline/internal/logs"
+	"gannetline/internal/plancheck"
+	"gannetline/internal/siblingwire"
+)
+
+const (
+	Key       = "plan"
+	factName  = "fact"
+	mostTaken = 64
+)
+
+// Tenure is what the plan needs of the ownership of its key.
+type Tenure interface {
+	Commit(ops []siblingwire.Op, done func(error))
+	HasLease() bool
+	Voters() []string
+}
+
+type Plan struct {
+	tenure  Tenure
+	fact    *siblingwire.PlanFact
+	isBusy  bool
+	publish func(*siblingwire.PlanFact)
+	log     logs.Logger
+}
+
+func New(log logs.Logger, publish func(*siblingwire.PlanFact)) *Plan {
+	return &Plan{publish: publish, log: log}
+}
+
+func (p *Plan) Open(tenure Tenure, pairs []siblingwire.Op) error {
+	p.fact, p.isBusy = nil, false
+	for _, pair := range pairs {
+		if pair.Name == factName {
+			p.fact = &siblingwire.PlanFact{}
+			if err := easyjson.Unmarshal(bytes.Clone(pair.Value), p.fact); err != nil {
+				return errors.Annotate(err, "reading the plan from disk")
+			}
+		}
+	}
+	p.tenure = tenure
+	if p.fact != nil {
+		p.publish(p.fact)
+	}
+	return nil
+}
+
+func (p *Plan) Close() { p.tenure, p.fact = nil, nil }
+
+func (p *Plan) IsOpen() bool { return p.tenure != nil }
+
+type answerClient = func(siblingwire.ClientAnswer)
+
+func digestOf(body []byte) string {
+	sum := sha256.Sum256(body)
+	return hex.EncodeToString(sum[:8])
+}
+
+// Replace decides on an operator's change: taken before, on the wrong base, invalid, or committed.
+func (p *Plan) Replace(call *siblingwire.ClientCall, answer answerClient) {
+	if p.isBusy {
+		answer(siblingwire.ClientAnswer{Elsewhere: true})
+		return
+	}
+	var current int64
+	if p.fact != nil {
+		current = p.fact.Version
+	}
+	plan, err := plancheck.Read(call.Body)
+	if plan != nil && p.wasTaken(plan.Version, digestOf(call.Body)) {
+		p.underLease(answer, siblingwire.ClientAnswer{Status: http.StatusOK, Body: versionBody(plan.Version)})
+		return
+	}
+	switch {
+	case err != nil:
+		answer(siblingwire.ClientAnswer{Status: http.StatusBadRequest, Why: err.Error()})
+		return
+	case call.Base != current:
+		p.underLease(answer, siblingwire.ClientAnswer{Status: http.StatusPreconditionFailed,
+			Why: "the current version is " + strconv.FormatInt(current, 10)})
+		return
+	case plan.Version <= current:
+		answer(siblingwire.ClientAnswer{Status: http.StatusBadRequest,
+			Why: "field config-version is not above the current one, " + strconv.FormatInt(current, 10)})
+		return
+	}
+	p.commit(plan, call.Body, answer)
+}
+
+func versionBody(version int64) []byte {
+	return []byte(`{"config-version":` + strconv.FormatInt(version, 10) + `}`)
+}
+
+func (p *Plan) wasTaken(version int64, digest string) bool {
+	return p.fact != nil && slices.Contains(p.fact.Taken, siblingwire.TakenPlan{Version: version, Digest: digest})
+}
+
+func (p *Plan) underLease(answer answerClient, what siblingwire.ClientAnswer) {
+	if !p.tenure.HasLease() {
+		answer(siblingwire.ClientAnswer{Elsewhere: true})
+		return
+	}
+	answer(what)
+}
+
+func (p *Plan) commit(plan *plancheck.Plan, body []byte, answer answerClient) {
+	next := p.next(plan, body)
+	value, err := easyjson.Marshal(next)
+	if err != nil {
+		answer(siblingwire.ClientAnswer{Status: http.StatusInternalServerError, Why: "the plan could not be written"})
+		return
+	}
+	p.isBusy = true
+	p.tenure.Commit([]siblingwire.Op{{Name: factName, Value: value}}, func(err error) {
+		if err != nil {
+			answer(siblingwire.ClientAnswer{Elsewhere: true})
+			return
+		}
+		p.isBusy = false
+		p.fact = next
+		p.log.Info("plan committed", "version", next.Version)
+		p.publish(next)
+		answer(siblingwire.ClientAnswer{Status: http.StatusOK, Body: versionBody(next.Version)})
+	})
+}
+
+func (p *Plan) next(plan *plancheck.Plan, body []byte) *siblingwire.PlanFact {
+	next := &siblingwire.PlanFact{Version: plan.Version, Body: body}
+	if p.fact != nil {
+		next.Births, next.Taken, next.Moved = slices.Clone(p.fact.Births), slices.Clone(p.fact.Taken), slices.Clone(p.fact.Moved)
+		next.Moved = p.moved(plan, next.Moved)
+	}
+	next.Taken = append(next.Taken, siblingwire.TakenPlan{Version: plan.Version, Digest: digestOf(body)})
+	next.Taken = next.Taken[max(0, len(next.Taken)-mostTaken):]
+	for _, service := range plan.Services {
+		isBorn := slices.ContainsFunc(next.Births, func(birth siblingwire.Birth) bool { return birth.Service == service.Name })
+		if !isBorn {
+			next.Births = append(next.Births, siblingwire.Birth{Service: service.Name, Voters: p.tenure.Voters()})
+		}
+	}
+	return next
+}
+
+func (p *Plan) moved(plan *plancheck.Plan, moved []siblingwire.MovedEntry) []siblingwire.MovedEntry {
+	old, err := plancheck.Read(p.fact.Body)
+	if err != nil {
+		return moved
+	}
+	before := plancheck.NewMatcher(old)
+	for _, entry := range plan.Entries {
+		was := before.ByName(entry.Name)
+		if was == nil || was.Service == entry.Service {
+			continue
+		}
+		place := slices.IndexFunc(moved, func(one siblingwire.MovedEntry) bool { return one.Entry == entry.Name })
+		if place < 0 {
+			moved = append(moved, siblingwire.MovedEntry{Entry: entry.Name, Services: []string{was.Service}})
+			continue
+		}
+		if !slices.Contains(moved[place].Services, was.Service) {
+			moved[place].Services = append(slices.Clone(moved[place].Services), was.Service)
+		}
+	}
+	return moved
+}
+
+// Retrieve gives back the newest plan, whole.
+func (p *Plan) Retrieve(answer answerClient) {
+	if p.fact == nil {
+		p.underLease(answer, siblingwire.ClientAnswer{Status: http.StatusServiceUnavailable, RetryAfter: 1, Why: "there is no plan yet"})
+		return
+	}
+	p.underLease(answer, siblingwire.ClientAnswer{Status: http.StatusOK, Body: p.fact.Body})
+}
--- /dev/null
+++ b/internal/poolowner/clients.go
@@ -0,0 +1,133 @@
+package poolowner
+
+import (
+	"net/http"
+	"strconv"
+
+	"gannetline/internal/jobtable"
+	"gannetline/internal/siblingwire"
+)
+
+type answerClient = func(siblingwire.ClientAnswer)
+
+func lost() siblingwire.ClientAnswer { return siblingwire.ClientAnswer{Elsewhere: true} }
+
+// HandIn accepts a job once it is committed; the same ID again is the same job.
+func (p *Pool) HandIn(call *siblingwire.ClientCall, answer answerClient) {
+	accepted := func(err error) {
+		if err != nil {
+			answer(lost())
+			return
+		}
+		answer(siblingwire.ClientAnswer{Status: http.StatusOK})
+	}
+	if known := p.jobs[call.ID]; known != nil {
+		if known.record.Entry != call.Entry {
+			answer(siblingwire.ClientAnswer{Status: http.StatusConflict, Why: "the ID belongs to a job of another queue"})
+			return
+		}
+		p.after(accepted)
+		return
+	}
+	spec, err := jobtable.Read(call.Body)
+	if err != nil {
+		answer(siblingwire.ClientAnswer{Status: http.StatusBadRequest, Why: err.Error()})
+		return
+	}
+	one := &job{id: call.ID, spec: spec, state: stateQueued, times: map[int]*jobTime{}, doneTimes: map[int]bool{}}
+	one.record = jobRecord{Entry: call.Entry, AcceptedMs: p.tenure.WallMs(), Spec: call.Body}
+	if call.Terms != nil {
+		one.record.Terms = *call.Terms
+	}
+	p.jobs[call.ID] = one
+	p.queued[call.Entry]++
+	p.put("j/"+call.ID, one.record)
+	p.makeTimesOf(one, p.tenure.WallMs())
+	p.after(accepted)
+}
+
+// State, Count and Cancel speak only under a lease, checked again when they answer.
+func (p *Pool) State(call *siblingwire.ClientCall, answer answerClient) {
+	one := p.jobs[call.ID]
+	p.after(func(err error) {
+		switch {
+		case err != nil || p.tenure == nil || !p.tenure.HasLease():
+			answer(lost())
+		case one == nil:
+			answer(siblingwire.ClientAnswer{Status: http.StatusGone, Why: "there is no such job"})
+		default:
+			answer(siblingwire.ClientAnswer{Status: http.StatusOK, Body: []byte(`{"executor-state":"` + one.shown() + `"}`)})
+		}
+	})
+}
+
+func (j *job) shown() string {
+	if j.state == stateQueued && j.hasStarted {
+		return stateActive
+	}
+	return j.state
+}
+
+func (p *Pool) Count(call *siblingwire.ClientCall, answer answerClient) {
+	p.after(func(err error) {
+		if err != nil || p.tenure == nil || !p.tenure.HasLease() {
+			answer(lost())
+			return
+		}
+		count := strconv.Itoa(max(0, p.queued[call.Entry]))
+		answer(siblingwire.ClientAnswer{Status: http.StatusOK, Body: []byte(`{"waiting-count":` + count + `}`)})
+	})
+}
+
+func (p *Pool) Cancel(call *siblingwire.ClientCall, answer answerClient) {
+	one := p.jobs[call.ID]
+	if one != nil && one.isOpen() {
+		p.end(one, stateCancelled, "cancelled by its client")
+	}
+	p.after(func(err error) {
+		switch {
+		case err != nil || p.tenure == nil || !p.tenure.HasLease():
+			answer(lost())
+		case one == nil:
+			answer(siblingwire.ClientAnswer{Status: http.StatusGone, Why: "there is no such job"})
+		default:
+			answer(siblingwire.ClientAnswer{Status: http.StatusOK, Body: []byte(`{}`)})
+		}
+	})
+}
+
+// end closes a job for good and stops whatever of it still runs.
+func (p *Pool) end(one *job, state, why string) {
+	if one.state == stateQueued {
+		p.queued[one.record.Entry]--
+	}
+	one.state, one.endedMs = state, p.tenure.WallMs()
+	p.put("s/"+one.id, stateRecord{Entry: one.record.Entry, State: state, Why: why, EndedMs: one.endedMs})
+	if state != stateCompleted {
+		p.log.V(1).Info("job ended", "job", one.id, "state", state, "why", why)
+	}
+	for _, spell := range one.times {
+		for _, step := range spell.steps {
+			delete(p.open, step)
+			p.stopStep(step)
+			for _, which := range step.tasks {
+				if which.lastRun > 0 {
+					p.putTask(which)
+				}
+			}
+		}
+	}
+	for number := range one.doneTimes {
+		p.drop("k/" + one.id + "/" + strconv.Itoa(number))
+	}
+	p.forgetIfOver(one)
+}
+
+// forgetIfOver keeps only the end of a job once none of its runs is left.
+func (p *Pool) forgetIfOver(one *job) {
+	if one.isOpen() || one.runs > 0 || one.spec == nil {
+		return
+	}
+	p.drop("j/" + one.id)
+	one.spec, one.times, one.record.Spec = nil, nil, nil
+}
--- /dev/null
+++ b/internal/poolowner/exchange.go
@@ -0,0 +1,259 @@
+package poolowner
+
+import (
+	"slices"
+	"time"
+
+	"gannetline/internal/pulse"
+	"gannetline/internal/siblingwire"
+)
+
+// Results a local-proxy gives for an order.
+const (
+	ResultOK      = "ok"
+	ResultNotRun  = "not-run"
+	ResultRoom    = "room"
+	ResultSick    = "sick"
+	ResultUnsure  = "unsure"
+	ResultTimeout = "timeout"
+)
+
+// Exchange takes what a local-proxy says of its executor, and answers with orders, grant and acks.
+func (p *Pool) Exchange(call *siblingwire.ExchangeCall, answer func(siblingwire.ExchangeAnswer)) {
+	now := p.clock.Steady()
+	for _, gone := range call.Gone {
+		if old := p.lives[gone]; old != nil && gone != call.Life {
+			p.lifeGone(old)
+		}
+	}
+	home := p.lifeOf(call.Life)
+	p.learnFacts(home, call, now)
+	for _, one := range call.Answers {
+		p.takeAnswer(home, one)
+	}
+	p.takeEnds(home, call.Ends)
+	p.takeRunning(home, call)
+	if call.WaitMs > 0 {
+		p.unpark(home, p.answerFor(home))
+		home.parked = &parkedCall{until: now + pulse.Ms(call.WaitMs), answer: answer}
+		p.release(home)
+		return
+	}
+	answer(p.answerFor(home))
+}
+
+func (p *Pool) learnFacts(home *life, call *siblingwire.ExchangeCall, now time.Duration) {
+	if !home.isKnown || home.isDraining != call.Draining {
+		p.needsPlacing = true
+	}
+	isNewDrain := call.Draining && !home.isDraining
+	home.isKnown, home.proxy, home.domain, home.labels = true, call.Proxy, call.Domain, call.Labels
+	home.room, home.isDraining, home.contactAt = room(call.Room), call.Draining, now
+	if call.DepartsMs > 0 {
+		home.departsAt = now + pulse.Ms(call.DepartsMs)
+	}
+	isBlocked := pulse.Ms(call.HoldAgeMs) > p.timing.HoldStale
+	if home.isBlocked && !isBlocked {
+		p.needsPlacing = true
+	}
+	home.isBlocked = isBlocked
+	if !isBlocked && p.tenure.HasLease() {
+		home.lapsesAt = max(home.lapsesAt, now+p.lapse(p.timing.Grant))
+	}
+	if !home.isFenced && call.Fence == p.tenure.Epoch() && call.Look >= home.firstLook {
+		home.isFenced = true
+		p.needsPlacing = true
+	}
+	if isNewDrain {
+		p.evacuate(home)
+	}
+}
+
+func (p *Pool) answerFor(home *life) siblingwire.ExchangeAnswer {
+	now := p.clock.Steady()
+	answer := siblingwire.ExchangeAnswer{Fence: p.tenure.Epoch(), LastSeen: home.lastSeen, Look: home.lookWanted}
+	if !home.isBlocked && p.tenure.HasLease() {
+		answer.GrantMs = pulse.InMs(p.timing.Grant)
+		home.lapsesAt = max(home.lapsesAt, now+p.lapse(p.timing.Grant))
+	}
+	answer.Orders = home.strays
+	home.strays = nil
+	if !home.isFenced {
+		return answer
+	}
+	for _, one := range home.outbox {
+		one.isQueued = false
+		if home.runs[one.key()] != one || one.state == runRunning {
+			continue
+		}
+		one.sends++
+		one.sentAt = now
+		answer.Orders = append(answer.Orders, p.order(one))
+	}
+	home.outbox = nil
+	return answer
+}
+
+func (p *Pool) order(one *run) siblingwire.Order {
+	order := siblingwire.Order{Kind: kindStop, Task: one.task.name, Run: one.number}
+	if one.state == runLaunching {
+		order.Kind, order.Spec, order.Saved = kindLaunch, one.task.job().spec.Descriptor, one.task.checkpoint()
+	}
+	return order
+}
+
+func (p *Pool) release(home *life) {
+	if home.parked != nil && (home.isFenced && len(home.outbox) > 0 || len(home.strays) > 0) {
+		p.unpark(home, p.answerFor(home))
+	}
+}
+
+func (p *Pool) unpark(home *life, answer siblingwire.ExchangeAnswer) {
+	if home.parked != nil {
+		reply := home.parked.answer
+		home.parked = nil
+		reply(answer)
+	}
+}
+
+func (p *Pool) wantLook(home *life, one *run) {
+	p.looks++
+	home.lookWanted, home.lookAt = p.looks, p.clock.Steady()
+	one.needsLook = p.looks
+	if home.parked != nil {
+		p.unpark(home, p.answerFor(home))
+	}
+}
+
+func (p *Pool) takeAnswer(home *life, answer siblingwire.OrderAnswer) {
+	one := home.runs[runKey{answer.Task, answer.Run}]
+	if one == nil {
+		return
+	}
+	now := p.clock.Steady()
+	if answer.Kind == kindStop {
+		if one.state == runStopping && answer.Result == ResultOK && !one.isAnswered {
+			one.isAnswered, one.answeredAt = true, now
+			p.drop(orderName(one.task, one.number, kindStop))
+			p.putTask(one.task)
+		}
+		return
+	}
+	if one.state != runLaunching {
+		return
+	}
+	isCertain := one.sends <= 1 && one.needsLook == 0
+	switch answer.Result {
+	case ResultOK:
+		p.started(one)
+	case ResultNotRun, ResultRoom, ResultSick:
+		if answer.Result != ResultNotRun {
+			home.sickUntil = now + 300*time.Millisecond
+		}
+		if answer.Result == ResultSick {
+			home.fails++
+		}
+		one.task.avoid = home.id
+		if isCertain {
+			p.closeRun(one)
+			return
+		}
+		p.stopRun(one)
+	case ResultUnsure:
+		p.stopRun(one)
+	case ResultTimeout:
+		home.fails += 0.3
+	}
+}
+
+func (p *Pool) takeEnds(home *life, ends []siblingwire.EndReport) {
+	if !home.isFenced || len(ends) == 0 || ends[len(ends)-1].Number <= home.notedEnd {
+		return
+	}
+	for _, end := range ends {
+		if end.Number > home.notedEnd {
+			home.notedEnd = end.Number
+			p.takeEnd(home, end)
+		}
+	}
+	noted := home.notedEnd
+	p.after(func(err error) {
+		if err == nil && noted > home.lastSeen {
+			home.lastSeen = noted
+		}
+	})
+}
+
+func (p *Pool) takeRunning(home *life, call *siblingwire.ExchangeCall) {
+	now := p.clock.Steady()
+	running := map[runKey]bool{}
+	for _, report := range call.Running {
+		key := runKey{report.Task, report.Run}
+		running[key] = true
+		one := home.runs[key]
+		if one == nil {
+			hasEnded := slices.ContainsFunc(call.Ends, func(end siblingwire.EndReport) bool { return end.Task == report.Task && end.Run == report.Run })
+			if call.Look > 0 && home.isFenced && !hasEnded {
+				p.stray(home, report)
+			}
+			continue
+		}
+		if report.Percent != one.percent {
+			one.percent, one.percentAt = report.Percent, now
+		}
+		if report.Saved != "" {
+			p.keepSaved(one.task, report.Saved)
+		}
+	}
+	if call.Look == 0 || !home.isFenced {
+		return
+	}
+	for key, one := range home.runs {
+		if one.needsLook == 0 || one.needsLook > call.Look {
+			continue
+		}
+		one.needsLook = 0
+		p.resolve(one, running[key])
+	}
+}
+
+// resolve settles a doubtful run by a look that was taken after the doubt arose.
+func (p *Pool) resolve(one *run, isRunning bool) {
+	switch {
+	case one.state == runLaunching && isRunning:
+		p.started(one)
+	case one.state == runLaunching:
+		one.sends = 0
+		p.queue(one)
+	case one.state == runRunning && !isRunning:
+		p.closeRun(one)
+	case one.state == runStopping && one.isAnswered && !isRunning:
+		p.closeRun(one)
+	case one.state == runStopping && !one.isAnswered:
+		p.queue(one)
+	}
+}
+
+// stray stops a run that no record knows, such as one carried out long after its order was given up.
+func (p *Pool) stray(home *life, report siblingwire.RunReport) {
+	order := siblingwire.Order{Kind: kindStop, Task: report.Task, Run: report.Run}
+	if !slices.Contains(home.strays, order) {
+		p.log.Info("stopping a run that no record knows", "task", report.Task, "run", report.Run, "executor", home.id)
+		home.strays = append(home.strays, order)
+	}
+}
+
+// lifeGone closes all that ran on a life that certainly runs nothing any more.
+func (p *Pool) lifeGone(home *life) {
+	home.isKnown = false
+	p.unpark(home, siblingwire.ExchangeAnswer{})
+	for _, one := range home.runs {
+		step := one.task.step
+		p.closeRun(one)
+		if step.step.Gang && step.hasRuns() && step.brokenAt == 0 {
+			step.brokenAt = p.clock.Steady()
+		}
+	}
+	delete(p.lives, home.id)
+	p.needsPlacing = true
+}
--- /dev/null
+++ b/internal/poolowner/model.go
@@ -0,0 +1,195 @@
+package poolowner
+
+import (
+	"slices"
+	"time"
+
+	"gannetline/internal/jobtable"
+	"gannetline/internal/placetasks"
+	"gannetline/internal/siblingwire"
+)
+
+const (
+	stateQueued    = "queued"
+	stateActive    = "active"
+	stateCompleted = "completed"
+	stateFailed    = "failed"
+	stateCancelled = "cancelled"
+)
+
+// Runs are PENDING while an order for them is unanswered: launching or stopping.
+const (
+	runLaunching = "launching"
+	runRunning   = "running"
+	runStopping  = "stopping"
+)
+
+const (
+	kindLaunch = "launch"
+	kindStop   = "stop"
+)
+
+type job struct {
+	id         string
+	record     jobRecord
+	spec       *jobtable.Spec
+	state      string
+	endedMs    int64
+	times      map[int]*jobTime
+	doneTimes  map[int]bool
+	nextTime   int
+	hasStarted bool
+	runs       int
+}
+
+func (j *job) isOpen() bool { return j.state == stateQueued || j.state == stateActive }
+
+func (j *job) timeCount() int { return max(1, j.spec.RepeatCount) }
+
+func (j *job) dueMs(number int) int64 {
+	if j.spec.RepeatCount == 0 {
+		return 0
+	}
+	return j.spec.FirstRunMs + int64(number)*j.spec.PeriodMs
+}
+
+// aimMs is when the job, or one of its times, should be done.
+func (j *job) aimMs(number int) int64 {
+	begin := max(j.record.AcceptedMs, j.dueMs(number))
+	stretch := j.record.Terms.Stretch
+	if stretch < 1 {
+		stretch = 1
+	}
+	return begin + int64(stretch*float64(j.chainMs())) + j.record.Terms.TargetMs
+}
+
+func (j *job) chainMs() int64 {
+	longest := make([]int64, len(j.spec.Steps))
+	var most int64
+	for number, step := range j.spec.Steps {
+		var before int64
+		for _, earlier := range step.DependsOn {
+			before = max(before, longest[earlier])
+		}
+		longest[number] = before + step.EstimatedMs
+		most = max(most, longest[number])
+	}
+	return most
+}
+
+type jobTime struct {
+	job    *job
+	number int
+	steps  []*stepState
+	left   int
+}
+
+type stepState struct {
+	time      *jobTime
+	number    int
+	step      *jobtable.Step
+	tasks     []*task
+	left      int
+	isOpen    bool
+	failedRun int64
+	brokenAt  time.Duration
+}
+
+func (s *stepState) need() placetasks.Room {
+	return placetasks.Room{CPU: s.step.CPU, Memory: s.step.Memory, GPU: s.step.GPU}
+}
+
+func (s *stepState) lastRun() int64 {
+	var last int64
+	for _, one := range s.tasks {
+		last = max(last, one.lastRun)
+	}
+	return last
+}
+
+func (s *stepState) hasRuns() bool {
+	return slices.ContainsFunc(s.tasks, func(one *task) bool { return len(one.runs) > 0 })
+}
+
+type task struct {
+	name      string
+	step      *stepState
+	index     int
+	isDone    bool
+	failed    int
+	lastRun   int64
+	saved     string
+	runs      []*run
+	avoid     string
+	notBefore time.Duration
+}
+
+func (t *task) job() *job { return t.step.time.job }
+
+type run struct {
+	task        *task
+	number      int64
+	life        *life
+	state       string
+	isCommitted bool
+	isQueued    bool
+	sends       int
+	sentAt      time.Duration
+	orderedAt   time.Duration
+	startedAt   time.Duration
+	answeredAt  time.Duration
+	isAnswered  bool
+	needsLook   uint64
+	percent     int
+	percentAt   time.Duration
+}
+
+func (r *run) key() runKey { return runKey{r.task.name, r.number} }
+
+type runKey struct {
+	task   string
+	number int64
+}
+
+// life is one executor from its start to its end.
+type life struct {
+	id         string
+	proxy      string
+	domain     string
+	labels     []string
+	room       placetasks.Room
+	used       placetasks.Room
+	isDraining bool
+	departsAt  time.Duration
+	isKnown    bool
+	isFenced   bool
+	firstLook  uint64
+	lookWanted uint64
+	lookAt     time.Duration
+	contactAt  time.Duration
+	lapsesAt   time.Duration
+	notedEnd   int64
+	lastSeen   int64
+	sickUntil  time.Duration
+	fails      float64
+	dones      float64
+	runs       map[runKey]*run
+	outbox     []*run
+	strays     []siblingwire.Order
+	parked     *parkedCall
+	isBlocked  bool
+}
+
+func (l *life) rack() string {
+	if len(l.labels) == 0 {
+		return ""
+	}
+	return l.labels[len(l.labels)-1]
+}
+
+func (l *life) doubt() float64 { return l.fails / (l.fails + l.dones + 4) }
+
+type parkedCall struct {
+	until  time.Duration
+	answer func(siblingwire.ExchangeAnswer)
+}
--- /dev/null
+++ b/internal/poolowner/pool.go
@@ -0,0 +1,407 @@
+// Package poolowner is everything about scheduling one service while this steward owns its key:
+// jobs, tasks, runs, the order table, and what its executors are believed to do.
+package poolowner
+
+import (
+	"bytes"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/mailru/easyjson"
+
+	"gannetline/internal/bootsettings"
+	"gannetline/internal/jobtable"
+	"gannetline/internal/keyowner"
+	"gannetline/internal/logs"
+	"gannetline/internal/placetasks"
+	"gannetline/internal/pulse"
+	"gannetline/internal/siblingwire"
+)
+
+// Tenure is what a pool needs of the ownership of its key.
+type Tenure interface {
+	Epoch() uint64
+	Commit(ops []siblingwire.Op, done func(error))
+	HasLease() bool
+	WallMs() int64
+}
+
+type Timing struct {
+	Grant       time.Duration
+	MaxHold     time.Duration
+	Resend      time.Duration
+	ResendMost  time.Duration
+	HoldStale   time.Duration
+	SilentAfter time.Duration
+	StopTimeout time.Duration
+	StuckAfter  time.Duration
+	KeepEnded   time.Duration
+}
+
+func TimingFrom(settings *bootsettings.Settings) Timing {
+	hold := settings.MaxHold()
+	return Timing{Grant: min(hold*8/10, 5*time.Second), MaxHold: hold, Resend: 200 * time.Millisecond,
+		ResendMost: time.Second, HoldStale: 2500 * time.Millisecond, SilentAfter: 1500 * time.Millisecond,
+		StopTimeout: pulse.Ms(settings.Bounds.StopTimeoutMs), StuckAfter: 2 * time.Second,
+		KeepEnded: time.Duration(settings.Bounds.StatusS*float64(time.Second)) + 30*time.Second}
+}
+
+type Pool struct {
+	key    string
+	clock  pulse.Pulse
+	timing Timing
+	log    logs.Logger
+
+	tenure       Tenure
+	jobs         map[string]*job
+	queued       map[string]int
+	lives        map[string]*life
+	open         map[*stepState]bool
+	looks        uint64
+	began        time.Duration
+	needsPlacing bool
+
+	ops      []siblingwire.Op
+	opPlaces map[string]int
+	effects  []func(error)
+	flights  []*flight
+}
+
+type flight struct{ effects []func(error) }
+
+func New(key string, clock pulse.Pulse, timing Timing, log logs.Logger) *Pool {
+	return &Pool{key: key, clock: clock, timing: timing, log: log}
+}
+
+// Opener lets an engine hand the key to the pool.
+type Opener struct{ *Pool }
+
+func (o Opener) Open(tenure *keyowner.Tenure, pairs []siblingwire.Op) error {
+	return o.Pool.Open(tenure, pairs)
+}
+
+func (p *Pool) Open(tenure Tenure, pairs []siblingwire.Op) error {
+	p.jobs, p.lives, p.open, p.queued = map[string]*job{}, map[string]*life{}, map[*stepState]bool{}, map[string]int{}
+	p.ops, p.effects, p.flights, p.opPlaces = nil, nil, nil, map[string]int{}
+	p.began = p.clock.Steady()
+	if err := p.load(pairs); err != nil {
+		return errors.Annotatef(err, "loading %s", p.key)
+	}
+	p.tenure = tenure
+	p.needsPlacing = true
+	p.Settle()
+	return nil
+}
+
+func (p *Pool) Close() {
+	p.tenure = nil
+	for _, one := range p.lives {
+		p.unpark(one, siblingwire.ExchangeAnswer{Elsewhere: true})
+	}
+	flights, effects := p.flights, p.effects
+	p.jobs, p.lives, p.open, p.flights, p.effects, p.ops = nil, nil, nil, nil, nil, nil
+	for _, one := range flights {
+		for _, effect := range one.effects {
+			effect(errClosed)
+		}
+	}
+	for _, effect := range effects {
+		effect(errClosed)
+	}
+}
+
+var errClosed = errors.New("the pool has another owner")
+
+func (p *Pool) IsOpen() bool { return p.tenure != nil }
+
+func (p *Pool) put(name string, value easyjson.Marshaler) {
+	text, err := easyjson.Marshal(value)
+	if err != nil {
+		p.log.Error(err, "a record could not be written", "name", name)
+		return
+	}
+	p.setOp(siblingwire.Op{Name: name, Value: text})
+}
+
+func (p *Pool) drop(name string) { p.setOp(siblingwire.Op{Name: name}) }
+
+func (p *Pool) setOp(op siblingwire.Op) {
+	if place, isThere := p.opPlaces[op.Name]; isThere {
+		p.ops[place] = op
+		return
+	}
+	p.opPlaces[op.Name] = len(p.ops)
+	p.ops = append(p.ops, op)
+}
+
+// after runs an effect once all that was decided so far is committed.
+func (p *Pool) after(effect func(error)) { p.effects = append(p.effects, effect) }
+
+// Settle places what can be placed and commits the turn; effects follow the commit.
+func (p *Pool) Settle() {
+	if p.tenure == nil {
+		return
+	}
+	p.place()
+	if len(p.ops) == 0 {
+		p.settleReads()
+		return
+	}
+	one := &flight{effects: p.effects}
+	ops := p.ops
+	p.ops, p.effects, p.opPlaces = nil, nil, map[string]int{}
+	p.flights = append(p.flights, one)
+	p.tenure.Commit(ops, func(err error) {
+		if len(p.flights) > 0 && p.flights[0] == one {
+			p.flights = p.flights[1:]
+			for _, effect := range one.effects {
+				effect(err)
+			}
+		}
+	})
+}
+
+func (p *Pool) settleReads() {
+	effects := p.effects
+	p.effects = nil
+	if len(p.flights) > 0 {
+		last := p.flights[len(p.flights)-1]
+		last.effects = append(last.effects, effects...)
+		return
+	}
+	for _, effect := range effects {
+		effect(nil)
+	}
+}
+
+func (p *Pool) load(pairs []siblingwire.Op) error {
+	kept := map[byte][]siblingwire.Op{}
+	for _, pair := range pairs {
+		if len(pair.Name) > 2 {
+			kept[pair.Name[0]] = append(kept[pair.Name[0]], pair)
+		}
+	}
+	for _, load := range []struct {
+		kind byte
+		take func(name string, value []byte) error
+	}{{'j', p.loadJob}, {'s', p.loadState}, {'k', p.loadTime}} {
+		for _, pair := range kept[load.kind] {
+			if err := load.take(pair.Name[2:], pair.Value); err != nil {
+				return errors.Annotate(err, pair.Name)
+			}
+		}
+	}
+	p.makeTimes()
+	for _, pair := range kept['t'] {
+		if err := p.loadTask(pair.Name[2:], pair.Value); err != nil {
+			return errors.Annotate(err, pair.Name)
+		}
+	}
+	for _, one := range p.jobs {
+		p.reopen(one)
+	}
+	return nil
+}
+
+func (p *Pool) loadJob(id string, value []byte) error {
+	one := &job{id: id, state: stateQueued, times: map[int]*jobTime{}, doneTimes: map[int]bool{}}
+	if err := easyjson.Unmarshal(bytes.Clone(value), &one.record); err != nil {
+		return err
+	}
+	spec, err := jobtable.Read(one.record.Spec)
+	if err != nil {
+		return err
+	}
+	one.spec = spec
+	p.jobs[id] = one
+	p.queued[one.record.Entry]++
+	return nil
+}
+
+func (p *Pool) loadState(id string, value []byte) error {
+	var record stateRecord
+	if err := easyjson.Unmarshal(value, &record); err != nil {
+		return err
+	}
+	one := p.jobs[id]
+	if one == nil {
+		one = &job{id: id, times: map[int]*jobTime{}, doneTimes: map[int]bool{}}
+		p.jobs[id] = one
+	} else {
+		p.queued[record.Entry]--
+	}
+	one.state, one.endedMs, one.record.Entry = record.State, record.EndedMs, record.Entry
+	return nil
+}
+
+func (p *Pool) loadTime(name string, _ []byte) error {
+	id, number, isWhole := strings.Cut(name, "/")
+	count, err := strconv.Atoi(number)
+	if !isWhole || err != nil {
+		return errors.New("not ID/K")
+	}
+	if one := p.jobs[id]; one != nil {
+		one.doneTimes[count] = true
+	}
+	return nil
+}
+
+func (p *Pool) loadTask(name string, value []byte) error {
+	place, isTask := jobtable.ParseTask(name)
+	var record taskRecord
+	if err := easyjson.Unmarshal(value, &record); err != nil || !isTask {
+		return errors.Errorf("a task that can't be read: %v", err)
+	}
+	one := p.jobs[place.ID]
+	if one == nil || one.spec == nil || one.doneTimes[place.Time] {
+		return nil
+	}
+	spell := p.timeOf(one, place.Time)
+	if place.Step >= len(spell.steps) || place.Index >= len(spell.steps[place.Step].tasks) {
+		return errors.New("no such task in the job")
+	}
+	step := spell.steps[place.Step]
+	which := step.tasks[place.Index]
+	which.isDone, which.failed, which.lastRun, which.saved = record.Done, record.Failed, record.LastRun, record.Saved
+	if record.Done {
+		step.left--
+	}
+	if record.LastRun > 0 {
+		one.hasStarted = true
+	}
+	for _, was := range record.Runs {
+		p.adopt(which, was)
+	}
+	return nil
+}
+
+func (p *Pool) adopt(which *task, was runRecord) {
+	home := p.lifeOf(was.Life)
+	one := &run{task: which, number: was.Number, life: home, state: was.State, isCommitted: true, startedAt: p.began, orderedAt: p.began}
+	which.runs = append(which.runs, one)
+	home.runs[one.key()] = one
+	home.used = home.used.Plus(which.step.need())
+	one.needsLook = home.lookWanted
+	which.job().runs++
+}
+
+// reopen works out what was under way when the state was written.
+func (p *Pool) reopen(one *job) {
+	if !one.isOpen() {
+		for _, spell := range one.times {
+			for _, step := range spell.steps {
+				p.stopStep(step)
+			}
+		}
+		return
+	}
+	if one.hasStarted {
+		p.noteStart(one)
+	}
+	for _, spell := range one.times {
+		spell.left = 0
+		for _, step := range spell.steps {
+			if step.left > 0 {
+				spell.left++
+				continue
+			}
+			delete(p.open, step)
+		}
+		p.openSteps(spell)
+	}
+}
+
+func (p *Pool) lifeOf(id string) *life {
+	one := p.lives[id]
+	if one == nil {
+		one = &life{id: id, runs: map[runKey]*run{}}
+		p.looks++
+		one.firstLook, one.lookWanted = p.looks, p.looks
+		one.lapsesAt = p.began + p.lapse(p.timing.MaxHold)
+		p.lives[id] = one
+	}
+	return one
+}
+
+// lapse is how long after a grant its executor may still hold, with its clock up to 2% slow.
+func (p *Pool) lapse(grant time.Duration) time.Duration {
+	return grant + grant/40 + 250*time.Millisecond
+}
+
+func (p *Pool) timeOf(one *job, number int) *jobTime {
+	if spell := one.times[number]; spell != nil {
+		return spell
+	}
+	spell := &jobTime{job: one, number: number, left: len(one.spec.Steps)}
+	for place := range one.spec.Steps {
+		step := &stepState{time: spell, number: place, step: &one.spec.Steps[place], left: one.spec.Steps[place].Tasks}
+		for index := range step.left {
+			step.tasks = append(step.tasks, &task{name: jobtable.TaskName(one.id, number, place, index), step: step, index: index})
+		}
+		spell.steps = append(spell.steps, step)
+	}
+	one.times[number] = spell
+	return spell
+}
+
+// makeTimes starts what has come due.
+func (p *Pool) makeTimes() {
+	var wall int64
+	if p.tenure != nil {
+		wall = p.tenure.WallMs()
+	}
+	for _, one := range p.jobs {
+		if one.isOpen() && one.nextTime < one.timeCount() {
+			p.makeTimesOf(one, wall)
+		}
+	}
+}
+
+func (p *Pool) makeTimesOf(one *job, wall int64) {
+	for one.nextTime < one.timeCount() && one.dueMs(one.nextTime) <= wall {
+		if number := one.nextTime; !one.doneTimes[number] {
+			p.openSteps(p.timeOf(one, number))
+		}
+		one.nextTime++
+	}
+}
+
+func (p *Pool) openSteps(spell *jobTime) {
+	for _, step := range spell.steps {
+		if step.isOpen || step.left == 0 {
+			continue
+		}
+		isReady := true
+		for _, earlier := range step.step.DependsOn {
+			isReady = isReady && spell.steps[earlier].left == 0
+		}
+		if isReady {
+			step.isOpen = true
+			p.open[step] = true
+			p.needsPlacing = true
+		}
+	}
+}
+
+func (p *Pool) putTask(which *task) {
+	record := taskRecord{Done: which.isDone, Failed: which.failed, LastRun: which.lastRun, Saved: which.saved}
+	for _, one := range which.runs {
+		record.Runs = append(record.Runs, runRecord{one.number, one.life.id, one.state})
+	}
+	isOver := !which.job().isOpen() || which.job().doneTimes[which.step.time.number]
+	if isOver && len(record.Runs) == 0 {
+		p.drop("t/" + which.name)
+		return
+	}
+	p.put("t/"+which.name, record)
+}
+
+func orderName(which *task, number int64, kind string) string {
+	return "o/" + which.name + "/" + strconv.FormatInt(number, 10) + "/" + kind
+}
+
+func room(capacity siblingwire.Capacity) placetasks.Room {
+	return placetasks.Room{CPU: capacity.CPU, Memory: capacity.Memory, GPU: capacity.GPU}
+}
--- /dev/null
+++ b/internal/poolowner/records.go
@@ -0,0 +1,45 @@
+package poolowner
+
+import (
+	"github.com/mailru/easyjson"
+
+	"gannetline/internal/siblingwire"
+)
+
+//go:generate go run github.com/mailru/easyjson/easyjson -all records.go
+
+type jobRecord struct {
+	Entry      string                 `json:"entry"`
+	Terms      siblingwire.EntryTerms `json:"terms"`
+	AcceptedMs int64                  `json:"accepted"`
+	Spec       easyjson.RawMessage    `json:"spec"`
+}
+
+type stateRecord struct {
+	Entry   string `json:"entry"`
+	State   string `json:"state"`
+	Why     string `json:"why,omitempty"`
+	EndedMs int64  `json:"ended"`
+}
+
+type runRecord struct {
+	Number int64  `json:"n"`
+	Life   string `json:"l"`
+	State  string `json:"s"`
+}
+
+type taskRecord struct {
+	Done    bool        `json:"d,omitempty"`
+	Failed  int         `json:"f,omitempty"`
+	LastRun int64       `json:"r,omitempty"`
+	Saved   string      `json:"c,omitempty"`
+	Runs    []runRecord `json:"x,omitempty"`
+}
+
+type orderRecord struct {
+	Life string `json:"l"`
+}
+
+type timeRecord struct {
+	Done bool `json:"d"`
+}
--- /dev/null
+++ b/internal/poolowner/runs.go
@@ -0,0 +1,233 @@
+package poolowner
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"gannetline/internal/siblingwire"
+)
+
+// launch records the placement and its order in this turn's change; the order leaves after the commit.
+func (p *Pool) launch(which *task, home *life, number int64) {
+	one := &run{task: which, number: number, life: home, state: runLaunching, orderedAt: p.clock.Steady()}
+	which.lastRun = number
+	which.runs = append(which.runs, one)
+	home.runs[one.key()] = one
+	home.used = home.used.Plus(which.step.need())
+	which.job().runs++
+	p.put(orderName(which, number, kindLaunch), orderRecord{Life: home.id})
+	p.putTask(which)
+	p.after(func(err error) {
+		one.isCommitted = true
+		if err == nil && one.state == runLaunching {
+			p.queue(one)
+		}
+	})
+}
+
+func (p *Pool) stopRun(one *run) {
+	if one.state == runStopping {
+		return
+	}
+	if one.state == runLaunching && one.isCommitted && one.sends == 0 && one.needsLook == 0 {
+		p.closeRun(one)
+		return
+	}
+	one.state, one.sends, one.sentAt, one.isAnswered, one.orderedAt = runStopping, 0, 0, false, p.clock.Steady()
+	p.drop(orderName(one.task, one.number, kindLaunch))
+	p.put(orderName(one.task, one.number, kindStop), orderRecord{Life: one.life.id})
+	p.putTask(one.task)
+	p.after(func(err error) {
+		if err == nil && one.state == runStopping {
+			p.queue(one)
+		}
+	})
+}
+
+func (p *Pool) stopStep(step *stepState) {
+	for _, which := range step.tasks {
+		for _, one := range slices.Clone(which.runs) {
+			p.stopRun(one)
+		}
+	}
+}
+
+func (p *Pool) queue(one *run) {
+	if one.isQueued || one.life.runs[one.key()] != one {
+		return
+	}
+	one.isQueued = true
+	one.life.outbox = append(one.life.outbox, one)
+	p.release(one.life)
+}
+
+// closeRun forgets a run that certainly neither works nor will.
+func (p *Pool) closeRun(one *run) {
+	home, which := one.life, one.task
+	if home.runs[one.key()] != one {
+		return
+	}
+	delete(home.runs, one.key())
+	home.used = home.used.Minus(which.step.need())
+	which.runs = slices.DeleteFunc(which.runs, func(other *run) bool { return other == one })
+	p.drop(orderName(which, one.number, kindLaunch))
+	p.drop(orderName(which, one.number, kindStop))
+	p.putTask(which)
+	p.needsPlacing = true
+	owner := which.job()
+	owner.runs--
+	p.forgetIfOver(owner)
+	if !home.isKnown && len(home.runs) == 0 {
+		delete(p.lives, home.id)
+	}
+}
+
+func (p *Pool) started(one *run) {
+	if one.state != runLaunching {
+		return
+	}
+	one.state, one.startedAt, one.percentAt = runRunning, p.clock.Steady(), p.clock.Steady()
+	p.drop(orderName(one.task, one.number, kindLaunch))
+	p.putTask(one.task)
+	p.noteStart(one.task.job())
+}
+
+func (p *Pool) noteStart(owner *job) {
+	owner.hasStarted = true
+	if owner.state == stateQueued {
+		owner.state = stateActive
+		p.queued[owner.record.Entry]--
+	}
+}
+
+// takeEnd is the second transaction of an order: what became of the run.
+func (p *Pool) takeEnd(home *life, end siblingwire.EndReport) {
+	one := home.runs[runKey{end.Task, end.Run}]
+	if one == nil {
+		return
+	}
+	which, now := one.task, p.clock.Steady()
+	if end.Saved != "" {
+		p.keepSaved(which, end.Saved)
+	}
+	p.noteStart(which.job())
+	switch end.How {
+	case "done":
+		home.dones++
+		p.closeRun(one)
+		p.taskDone(which)
+	case "failed":
+		home.fails++
+		which.avoid = home.id
+		p.countFailure(which, end.Run)
+		p.closeRun(one)
+	default:
+		p.closeRun(one)
+	}
+	if which.step.step.Gang && end.How != "done" && which.step.hasRuns() && which.step.brokenAt == 0 {
+		which.step.brokenAt = now
+	}
+}
+
+func (p *Pool) keepSaved(which *task, saved string) {
+	if which.saved == saved || which.job().spec == nil {
+		return
+	}
+	holder := which
+	if which.step.step.Gang {
+		holder = which.step.tasks[0]
+	}
+	if holder.saved != saved && which.job().isOpen() {
+		holder.saved = saved
+		p.putTask(holder)
+	}
+}
+
+func (t *task) checkpoint() string {
+	if t.step.step.Gang {
+		return t.step.tasks[0].saved
+	}
+	return t.saved
+}
+
+func (p *Pool) countFailure(which *task, number int64) {
+	step, owner := which.step, which.job()
+	if step.step.Lasting || !owner.isOpen() || which.isDone {
+		which.notBefore = p.clock.Steady() + 100*time.Millisecond
+		return
+	}
+	counter := which
+	if step.step.Gang {
+		counter = step.tasks[0]
+		if step.failedRun == number {
+			return
+		}
+		step.failedRun = number
+	}
+	counter.failed++
+	p.putTask(counter)
+	if counter.failed >= max(1, owner.record.Terms.MaxAttempts) {
+		p.end(owner, stateFailed, "task "+which.name+" failed "+strconv.Itoa(counter.failed)+" times")
+	}
+}
+
+func (p *Pool) taskDone(which *task) {
+	step, owner := which.step, which.job()
+	if which.isDone || !owner.isOpen() {
+		return
+	}
+	finished := []*task{which}
+	if step.step.Gang {
+		finished = step.tasks
+	}
+	for _, one := range finished {
+		if one.isDone {
+			continue
+		}
+		one.isDone = true
+		step.left--
+		p.putTask(one)
+		if !step.step.Gang {
+			for _, other := range slices.Clone(one.runs) {
+				p.stopRun(other)
+			}
+		}
+	}
+	if step.left == 0 {
+		p.stepDone(step)
+	}
+}
+
+func (p *Pool) stepDone(step *stepState) {
+	spell, owner := step.time, step.time.job
+	delete(p.open, step)
+	spell.left--
+	if spell.left > 0 {
+		p.openSteps(spell)
+		return
+	}
+	owner.doneTimes[spell.number] = true
+	if len(owner.doneTimes) == owner.timeCount() {
+		p.end(owner, stateCompleted, "")
+		return
+	}
+	p.put("k/"+owner.id+"/"+strconv.Itoa(spell.number), timeRecord{Done: true})
+	for _, other := range spell.steps {
+		for _, which := range other.tasks {
+			if len(which.runs) == 0 {
+				p.drop("t/" + which.name)
+			}
+		}
+	}
+	p.dropTimeIfOver(owner, spell)
+}
+
+func (p *Pool) dropTimeIfOver(owner *job, spell *jobTime) {
+	for _, step := range spell.steps {
+		if step.hasRuns() {
+			return
+		}
+	}
+	delete(owner.times, spell.number)
+}
--- /dev/null
+++ b/internal/poolowner/tick.go
@@ -0,0 +1,240 @@
+package poolowner
+
+import (
+	"slices"
+	"time"
+
+	"gannetline/internal/placetasks"
+	"gannetline/internal/pulse"
+	"gannetline/internal/siblingwire"
+)
+
+// Tick does all that falls due; Settle follows it.
+func (p *Pool) Tick() {
+	if p.tenure == nil {
+		return
+	}
+	now := p.clock.Steady()
+	p.makeTimes()
+	for _, home := range p.lives {
+		p.tickLife(home, now)
+	}
+	for step := range p.open {
+		if step.brokenAt > 0 {
+			p.tickBroken(step, now)
+		}
+	}
+	p.forgetEnded()
+	if len(p.open) > 0 {
+		p.needsPlacing = true
+	}
+}
+
+func (p *Pool) tickLife(home *life, now time.Duration) {
+	home.fails, home.dones = home.fails*0.99, home.dones*0.99
+	if now > home.lapsesAt {
+		p.lapsed(home, now)
+	}
+	if home.parked != nil && now >= home.parked.until {
+		p.unpark(home, p.answerFor(home))
+	}
+	for _, one := range home.runs {
+		p.tickRun(home, one, now)
+	}
+}
+
+// lapsed closes what ran where the longest hold ever granted is over.
+func (p *Pool) lapsed(home *life, now time.Duration) {
+	if len(home.runs) > 0 {
+		p.log.Info("holds have lapsed", "executor", home.id, "runs", len(home.runs))
+	}
+	if now-home.contactAt > p.timing.SilentAfter || !home.isKnown {
+		p.lifeGone(home)
+		return
+	}
+	for _, one := range home.runs {
+		p.closeRun(one)
+	}
+}
+
+func (p *Pool) tickRun(home *life, one *run, now time.Duration) {
+	isSilent := now-home.contactAt > p.timing.SilentAfter
+	switch {
+	case one.needsLook > 0 || one.isQueued && !isSilent:
+	case one.state == runLaunching && one.isCommitted && one.sends == 0 && isSilent && home.isFenced:
+		p.closeRun(one)
+	case one.state == runLaunching && one.sends > 0 && !isSilent && now-one.orderedAt > p.timing.StuckAfter:
+		p.stopRun(one)
+	case one.state != runRunning && !one.isAnswered && one.sends > 0:
+		if wait := min(p.timing.Resend<<min(one.sends-1, 4), p.timing.ResendMost); now-one.sentAt > wait {
+			p.queue(one)
+		}
+	case one.state == runStopping && one.isAnswered && now-one.answeredAt > p.timing.StopTimeout+300*time.Millisecond:
+		one.answeredAt = now
+		p.wantLook(home, one)
+	}
+}
+
+// tickBroken stops the rest of a gang that lost a member, unless they ended by themselves.
+func (p *Pool) tickBroken(step *stepState, now time.Duration) {
+	if !step.hasRuns() {
+		step.brokenAt = 0
+		p.needsPlacing = true
+		return
+	}
+	if now-step.brokenAt > time.Second {
+		p.stopStep(step)
+	}
+}
+
+// evacuate moves what will not end before a leaving executor is gone.
+func (p *Pool) evacuate(home *life) {
+	now := p.clock.Steady()
+	for _, one := range home.runs {
+		step := one.task.step.step
+		left := pulse.Ms(step.EstimatedMs) - (now - one.startedAt)
+		if one.state == runRunning && (step.Lasting || home.departsAt > 0 && left > home.departsAt-now) {
+			p.stopRun(one)
+		}
+	}
+}
+
+func (p *Pool) forgetEnded() {
+	wall := p.tenure.WallMs()
+	for id, one := range p.jobs {
+		if !one.isOpen() && one.spec == nil && wall-one.endedMs > pulse.InMs(p.timing.KeepEnded) {
+			delete(p.jobs, id)
+			p.drop("s/" + id)
+		}
+	}
+}
+
+func (p *Pool) place() {
+	if !p.needsPlacing {
+		return
+	}
+	p.needsPlacing = false
+	now := p.clock.Steady()
+	homes, executors := p.placeable(now)
+	if len(homes) == 0 {
+		return
+	}
+	steps, tasks, groups := p.waiting(homes, now)
+	next := make([]int, len(steps))
+	gangRun := make([]int64, len(steps))
+	for _, one := range placetasks.Place(executors, groups) {
+		which := tasks[one.Group][next[one.Group]]
+		next[one.Group]++
+		number := which.lastRun + 1
+		if steps[one.Group].step.Gang {
+			if gangRun[one.Group] == 0 {
+				gangRun[one.Group] = steps[one.Group].lastRun() + 1
+			}
+			number = gangRun[one.Group]
+		}
+		p.launch(which, homes[one.Executor], number)
+	}
+}
+
+func (p *Pool) placeable(now time.Duration) ([]*life, []placetasks.Executor) {
+	var homes []*life
+	for _, home := range p.lives {
+		if home.isKnown {
+			homes = append(homes, home)
+		}
+	}
+	slices.SortFunc(homes, func(one, two *life) int {
+		if one.id < two.id {
+			return -1
+		}
+		return 1
+	})
+	executors := make([]placetasks.Executor, len(homes))
+	for place, home := range homes {
+		executors[place] = placetasks.Executor{Free: home.room.Minus(home.used), Total: home.room, Labels: home.labels, Rack: home.rack(),
+			Doubt: home.doubt(), IsClosed: !home.isFenced || home.isDraining || home.isBlocked || now < home.sickUntil ||
+				now-home.contactAt > p.timing.SilentAfter}
+	}
+	return homes, executors
+}
+
+func (p *Pool) waiting(homes []*life, now time.Duration) ([]*stepState, [][]*task, []placetasks.Group) {
+	var steps []*stepState
+	for step := range p.open {
+		steps = append(steps, step)
+	}
+	slices.SortFunc(steps, func(one, two *stepState) int {
+		if one.tasks[0].name < two.tasks[0].name {
+			return -1
+		}
+		return 1
+	})
+	kept := steps[:0]
+	var tasks [][]*task
+	var groups []placetasks.Group
+	for _, step := range steps {
+		ready := p.ready(step, now)
+		if len(ready) == 0 {
+			continue
+		}
+		kept = append(kept, step)
+		tasks = append(tasks, ready)
+		groups = append(groups, p.group(step, ready, homes))
+	}
+	return kept, tasks, groups
+}
+
+func (p *Pool) ready(step *stepState, now time.Duration) []*task {
+	if step.step.Gang && step.hasRuns() {
+		return nil
+	}
+	var ready []*task
+	for _, which := range step.tasks {
+		if !which.isDone && len(which.runs) == 0 && which.notBefore <= now {
+			ready = append(ready, which)
+		}
+	}
+	return ready
+}
+
+func (p *Pool) group(step *stepState, ready []*task, homes []*life) placetasks.Group {
+	held := make([]int, len(homes))
+	avoid := make([]bool, len(homes))
+	for place, home := range homes {
+		for _, which := range step.tasks {
+			for _, one := range which.runs {
+				if one.life == home {
+					held[place]++
+				}
+			}
+		}
+		avoid[place] = ready[0].avoid == home.id
+	}
+	owner := step.time.job
+	return placetasks.Group{Need: step.need(), Count: len(ready), IsGang: step.step.Gang, SameRack: step.step.SameRack,
+		Labels: step.step.Labels, Near: step.step.Near, Apart: step.step.Apart, Held: held, Avoid: avoid,
+		Priority: owner.record.Terms.Priority, Due: owner.aimMs(step.time.number), WorkMs: step.step.EstimatedMs,
+		Redundant: step.step.Redundant}
+}
+
+// Beliefs shows jobs and executors to a comparison.
+func (p *Pool) Beliefs() ([]siblingwire.JobBelief, []siblingwire.ExecutorBelief) {
+	var jobs []siblingwire.JobBelief
+	var executors []siblingwire.ExecutorBelief
+	for id, one := range p.jobs {
+		jobs = append(jobs, siblingwire.JobBelief{Key: p.key, ID: id, State: one.shown()})
+	}
+	for id, home := range p.lives {
+		state := "ready"
+		switch {
+		case !home.isFenced:
+			state = "unfenced"
+		case home.isDraining:
+			state = "draining"
+		case home.isBlocked:
+			state = "blocked"
+		}
+		executors = append(executors, siblingwire.ExecutorBelief{Key: p.key, Life: id, State: state, Running: len(home.runs)})
+	}
+	return jobs, executors
+}
--- /dev/null
+++ b/internal/roles/common.go
@@ -0,0 +1,152 @@
+// Package roles puts the parts of each role together.
+package roles
+
+import (
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+
+	"gannetline/internal/bootsettings"
+	"gannetline/internal/logs"
+	"gannetline/internal/pulse"
+	"gannetline/internal/siblingprobe"
+	"gannetline/internal/siblingwire"
+	"gannetline/internal/span"
+	"gannetline/internal/supervise"
+)
+
+const (
+	silence      = 2 * time.Second
+	settingsLook = 5 * time.Second
+)
+
+// base is what every role has: settings, log, clock, siblings and a tree of parts.
+type base struct {
+	path     string
+	settings *bootsettings.Settings
+	clock    pulse.Pulse
+	log      logs.Logger
+	caller   *siblingwire.Caller
+	calls    net.Listener
+	packets  net.PacketConn
+	inner    *http.ServeMux
+	tree     *supervise.Tree
+	node     *siblingprobe.Node
+}
+
+func newBase(path, role string) (*base, error) {
+	settings, err := bootsettings.Load(path)
+	if err != nil {
+		return nil, err
+	}
+	if err := settings.Require(role); err != nil {
+		return nil, err
+	}
+	tameMemory(settings)
+	clock := pulse.Real()
+	log := logs.New(os.Stderr, settings.LogLevel).WithValues("role", role)
+	calls, packets, err := siblingprobe.BindInternal(settings.IPAddress, settings.InternalPorts[0], settings.InternalPorts[1])
+	if err != nil {
+		return nil, errors.Annotate(err, "field internal-port-range")
+	}
+	return &base{path: path, settings: settings, clock: clock, log: log, calls: calls, packets: packets, inner: http.NewServeMux(),
+		caller: siblingwire.NewCaller(siblingwire.Client(silence, 4)), tree: supervise.New(clock, log)}, nil
+}
+
+func tameMemory(settings *bootsettings.Settings) {
+	debug.SetGCPercent(50)
+	debug.SetMemoryLimit(settings.Limits.MemoryMB << 20 * 6 / 10)
+}
+
+func (b *base) join(self siblingwire.Member, options ...siblingprobe.Option) {
+	self.Name, self.Domain = b.settings.NodeName, b.settings.Domain
+	b.node = siblingprobe.NewNode(self, b.calls, b.packets, b.settings.Seeds, b.caller, b.clock, b.log, options...)
+	b.node.Handle(b.inner)
+	b.tree.Add("siblings", b.node.Run)
+	b.tree.Add("sibling-calls", serving(b.calls, b.inner))
+	b.tree.Add("settings", b.watchSettings)
+}
+
+func serving(listener net.Listener, handler http.Handler) supervise.Part {
+	return func(life span.Span) error {
+		server := newServer(handler)
+		go func() {
+			<-life.Done()
+			server.Close()
+		}()
+		if err := server.Serve(listener); err != http.ErrServerClosed {
+			return err
+		}
+		return nil
+	}
+}
+
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 60 * time.Second, MaxHeaderBytes: 64 << 10,
+		ErrorLog: nil}
+}
+
+func listen(field, address string) (net.Listener, error) {
+	listener, err := net.Listen("tcp4", address)
+	return listener, errors.Annotatef(err, "field listen-addresses.%s", field)
+}
+
+// watchSettings takes a changed file, and keeps the old settings if the new ones are bad.
+func (b *base) watchSettings(life span.Span) error {
+	changed := make(chan os.Signal, 1)
+	signal.Notify(changed, syscall.SIGHUP)
+	defer signal.Stop(changed)
+	last := modified(b.path)
+	for {
+		select {
+		case <-life.Done():
+			return nil
+		case <-changed:
+		case <-b.clock.After(settingsLook):
+			if modified(b.path) == last {
+				continue
+			}
+		}
+		last = modified(b.path)
+		fresh, err := bootsettings.Load(b.path)
+		if err != nil {
+			b.log.Error(err, "the changed settings were refused; the old ones stay")
+			continue
+		}
+		b.node.SetSeeds(fresh.Seeds)
+		b.log.Info("the changed settings were taken")
+	}
+}
+
+func modified(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
+
+// leaveBy gives a span that ends at SIGTERM, and one for the parts that ends after leave is done.
+func (b *base) run(leave func()) error {
+	asked, forget := span.UntilSignal()
+	defer forget()
+	life, end := span.Cancellable(span.Root())
+	defer end()
+	over := make(chan error, 1)
+	go func() { over <- b.tree.Run(life) }()
+	select {
+	case err := <-over:
+		return err
+	case <-asked.Done():
+		b.log.Info("leaving in order")
+		leave()
+		end()
+		return <-over
+	}
+}
--- /dev/null
+++ b/internal/roles/gate.go
@@ -0,0 +1,88 @@
+package roles
+
+import (
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"gannetline/internal/gatecalls"
+	"gannetline/internal/logs"
+	"gannetline/internal/ownercalls"
+	"gannetline/internal/planbook"
+	"gannetline/internal/reply"
+	"gannetline/internal/siblingprobe"
+	"gannetline/internal/siblingwire"
+	"gannetline/internal/span"
+)
+
+const (
+	noticeTime = 2200 * time.Millisecond
+	lastSecond = 700 * time.Millisecond
+)
+
+// Gate serves clients until SIGTERM.
+func Gate(path string) error {
+	b, err := newBase(path, "gate")
+	if err != nil {
+		return err
+	}
+	front, err := listen("front-plain", b.settings.Listen.Front)
+	if err != nil {
+		return err
+	}
+	ready, err := listen("readiness", b.settings.Listen.Readiness)
+	if err != nil {
+		return err
+	}
+	book := planbook.New(b.caller, b.clock, b.log, func(page *planbook.Page) { b.node.HoldsPlan(page.Fact.Version) })
+	book.Handle(b.inner)
+	b.join(siblingwire.Member{Role: "gate"}, siblingprobe.OnPlanAhead(book.Ahead))
+	var isLeaving atomic.Bool
+	asker := ownercalls.New(b.caller, b.clock, b.node.View)
+	server := newServer(gatecalls.New(book.Page, asker))
+	b.tree.Add("plan", book.Run)
+	b.tree.Add("clients", func(life span.Span) error {
+		if err := server.Serve(front); err != http.ErrServerClosed {
+			return err
+		}
+		<-life.Done()
+		return nil
+	})
+	b.tree.Add("readiness", serving(ready, readiness(func() bool {
+		return !isLeaving.Load() && book.Page() != nil && seesSteward(b.node.View())
+	})))
+	log := b.log
+	return b.run(func() {
+		isLeaving.Store(true)
+		server.SetKeepAlivesEnabled(false)
+		<-b.clock.After(min(noticeTime, b.settings.GracePeriod()/2))
+		closeOrderly(server, b.settings.GracePeriod()/2-lastSecond, log)
+	})
+}
+
+func closeOrderly(server *http.Server, limit time.Duration, log logs.Logger) {
+	life, release := span.Within(span.Root(), limit)
+	defer release()
+	if err := server.Shutdown(life); err != nil {
+		log.Info("connections were still open at the end", "why", err.Error())
+	}
+}
+
+func readiness(isReady func() bool) http.Handler {
+	return http.HandlerFunc(func(to http.ResponseWriter, _ *http.Request) {
+		if isReady() {
+			reply.Empty(http.StatusOK).Write(to)
+			return
+		}
+		reply.Empty(http.StatusServiceUnavailable).Write(to)
+	})
+}
+
+func seesSteward(view *siblingprobe.View) bool {
+	for _, member := range view.Members {
+		if member.Role == "steward" && member.State == siblingwire.StateAlive {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/siblingprobe/node.go
@@ -0,0 +1,195 @@
+package siblingprobe
+
+import (
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/mailru/easyjson"
+
+	"gannetline/internal/logs"
+	"gannetline/internal/mailbox"
+	"gannetline/internal/pulse"
+	"gannetline/internal/siblingwire"
+	"gannetline/internal/span"
+)
+
+// Node runs a table on the machine's internal ports.
+type Node struct {
+	table   *Table
+	box     *mailbox.Mailbox
+	view    atomic.Pointer[View]
+	packets net.PacketConn
+	calls   net.Listener
+	caller  *siblingwire.Caller
+	clock   pulse.Pulse
+	log     logs.Logger
+	seeds   atomic.Pointer[[]string]
+	onPlan  func(sibling Member, version int64)
+	onView  func()
+}
+
+type Option func(*Node)
+
+func OnPlanAhead(heed func(sibling Member, version int64)) Option {
+	return func(n *Node) { n.onPlan = heed }
+}
+
+func OnView(heed func()) Option { return func(n *Node) { n.onView = heed } }
+
+// BindInternal takes the first free port of the range, for TCP and UDP alike.
+func BindInternal(ip string, first, last int) (net.Listener, net.PacketConn, error) {
+	for port := first; port <= last; port++ {
+		address := net.JoinHostPort(ip, strconv.Itoa(port))
+		calls, err := net.Listen("tcp4", address)
+		if err != nil {
+			continue
+		}
+		packets, err := net.ListenPacket("udp4", address)
+		if err != nil {
+			calls.Close()
+			continue
+		}
+		return calls, packets, nil
+	}
+	return nil, nil, errors.Errorf("no free port from %d to %d on %s", first, last, ip)
+}
+
+func NewNode(self Member, calls net.Listener, packets net.PacketConn, seeds []string, caller *siblingwire.Caller,
+	clock pulse.Pulse, log logs.Logger, options ...Option) *Node {
+	node := &Node{box: mailbox.New(256), packets: packets, calls: calls, caller: caller, clock: clock, log: log,
+		onPlan: func(Member, int64) {}, onView: func() {}}
+	node.seeds.Store(&seeds)
+	for _, option := range options {
+		option(node)
+	}
+	self.Address = calls.Addr().String()
+	self.Incarnation = uint64(clock.WallMs())
+	node.table = NewTable(self, clock, DefaultTiming, self.Incarnation, Events{
+		Send:      node.send,
+		Show:      func(view *View) { node.view.Store(view); node.onView() },
+		PlanAhead: func(sibling Member, version int64) { node.onPlan(sibling, version) },
+		Differ:    func(sibling Member) { go node.exchange(sibling.Address) },
+	})
+	node.table.Settle()
+	return node
+}
+
+// SetSeeds takes the addresses of a changed settings file.
+func (n *Node) SetSeeds(seeds []string) { n.seeds.Store(&seeds) }
+
+func (n *Node) View() *View { return n.view.Load() }
+
+func (n *Node) send(address string, datagram siblingwire.Datagram) {
+	to, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil {
+		return
+	}
+	if text, err := easyjson.Marshal(datagram); err == nil {
+		n.packets.WriteTo(text, to)
+	}
+}
+
+// Run probes, joins and listens until the span ends.
+func (n *Node) Run(life span.Span) error {
+	go n.listen()
+	go n.join(life)
+	n.box.Run(life, n.clock, mailbox.Owner{Every: n.table.timing.Period / 2, Tick: n.table.Tick})
+	n.packets.Close()
+	return nil
+}
+
+func (n *Node) listen() {
+	room := make([]byte, 16<<10)
+	for {
+		count, _, err := n.packets.ReadFrom(room)
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			continue
+		}
+		var datagram siblingwire.Datagram
+		if err := easyjson.Unmarshal(room[:count], &datagram); err != nil || datagram.From.Name == "" {
+			n.log.V(1).Info("a datagram that can't be read was dropped", "bytes", count)
+			continue
+		}
+		n.box.TryPost(func() { n.table.Hear(datagram) })
+	}
+}
+
+func (n *Node) join(life span.Span) {
+	for round := 0; ; round++ {
+		if !n.knowsSteward() || round%15 == 14 {
+			for _, seed := range *n.seeds.Load() {
+				n.exchange(seed)
+			}
+		}
+		wait := time.Second
+		if !n.knowsSteward() {
+			wait = 200 * time.Millisecond
+		}
+		select {
+		case <-life.Done():
+			return
+		case <-n.clock.After(wait):
+		}
+	}
+}
+
+func (n *Node) knowsSteward() bool {
+	for _, member := range n.View().Members {
+		if member.Role == "steward" && member.State == siblingwire.StateAlive && member.Name != n.View().Self.Name {
+			return true
+		}
+	}
+	return false
+}
+
+func (n *Node) exchange(address string) {
+	if address == n.View().Self.Control {
+		return
+	}
+	whole, err := mailbox.Ask(n.box, span.Root(), func(answer func(siblingwire.MembersCall)) { answer(n.whole()) })
+	if err != nil {
+		return
+	}
+	answer, err := siblingwire.Call[siblingwire.MembersCall, siblingwire.MembersAnswer](
+		n.caller, span.Root(), address, siblingwire.ProcedureMembers, 800*time.Millisecond, &whole)
+	if err != nil {
+		n.log.V(1).Info("members could not be compared", "sibling", address, "why", err.Error())
+		return
+	}
+	from := Member{Address: address}
+	n.box.Post(func() { n.table.TakeAll(from, answer.Members, answer.Digest) })
+}
+
+func (n *Node) whole() siblingwire.MembersCall {
+	return siblingwire.MembersCall{From: n.table.Self(), Members: n.table.All(), Digest: n.table.Digest()}
+}
+
+// Handle lets siblings compare their lists with this one.
+func (n *Node) Handle(mux *http.ServeMux) {
+	siblingwire.Serve(mux, siblingwire.ProcedureMembers, func(life span.Span, call *siblingwire.MembersCall) (*siblingwire.MembersAnswer, error) {
+		answer, err := mailbox.Ask(n.box, life, func(answer func(siblingwire.MembersAnswer)) {
+			n.table.TakeAll(call.From, call.Members, call.Digest)
+			whole := n.whole()
+			answer(siblingwire.MembersAnswer{Members: whole.Members, Digest: whole.Digest})
+		})
+		return &answer, err
+	})
+}
+
+// Announce passes on word of a key's owner; HoldsPlan that of a plan.
+func (n *Node) Announce(fact siblingwire.OwnerFact) {
+	n.box.Post(func() {
+		if n.table.MergeOwner(fact) {
+			n.table.Spread()
+		}
+	})
+}
+
+func (n *Node) HoldsPlan(version int64) { n.box.Post(func() { n.table.HoldsPlan(version) }) }
--- /dev/null
+++ b/internal/siblingwire/dial.go
@@ -0,0 +1,45 @@
+package siblingwire
+
+import (
+	stderrors "errors"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+	"golang.org/x/sys/unix"
+
+	"gannetline/internal/span"
+)
+
+func isDialError(err error) bool {
+	var failed *net.OpError
+	return stderrors.As(errors.Cause(err), &failed) && failed.Op == "dial" || stderrors.As(err, &failed) && failed.Op == "dial"
+}
+
+// Dialer gives up on silent siblings soon.
+func Dialer(silence time.Duration) *net.Dialer {
+	return &net.Dialer{Timeout: silence, KeepAlive: -1, Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) {
+			_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silence/time.Millisecond))
+		})
+	}}
+}
+
+func Client(silence time.Duration, idlePerHost int) *http.Client {
+	dialer := Dialer(silence)
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext: func(life span.Span, network, address string) (net.Conn, error) {
+				return dialer.DialContext(life, network, address)
+			},
+			MaxIdleConnsPerHost: idlePerHost,
+			IdleConnTimeout:     30 * time.Second,
+			DisableCompression:  true,
+			ReadBufferSize:      2048,
+			WriteBufferSize:     2048,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
--- /dev/null
+++ b/internal/siblingwire/messages.go
@@ -0,0 +1,303 @@
+// Package siblingwire holds what the system's own processes say to each other.
+package siblingwire
+
+import "github.com/mailru/easyjson"
+
+//go:generate go run github.com/mailru/easyjson/easyjson -all messages.go
+
+type Stamp struct {
+	Epoch uint64 `json:"e"`
+	Step  uint64 `json:"s"`
+}
+
+func (s Stamp) Below(other Stamp) bool {
+	return s.Epoch < other.Epoch || s.Epoch == other.Epoch && s.Step < other.Step
+}
+
+// VoterSet names disks; while Old is there, a majority of both is asked for.
+type VoterSet struct {
+	Old []string `json:"old,omitempty"`
+	Now []string `json:"now,omitempty"`
+}
+
+type Op struct {
+	Name  string              `json:"n"`
+	Value easyjson.RawMessage `json:"v,omitempty"`
+}
+
+type Change struct {
+	Stamp Stamp     `json:"at"`
+	Ops   []Op      `json:"ops,omitempty"`
+	Set   *VoterSet `json:"set,omitempty"`
+}
+
+type Snapshot struct {
+	Last  Stamp    `json:"last"`
+	Set   VoterSet `json:"set"`
+	Pairs []Op     `json:"pairs,omitempty"`
+}
+
+type PromiseCall struct {
+	Key   string `json:"key"`
+	Epoch uint64 `json:"epoch"`
+	Disk  string `json:"disk"`
+}
+
+type PromiseAnswer struct {
+	Granted  bool     `json:"granted,omitempty"`
+	Promised uint64   `json:"promised"`
+	Last     Stamp    `json:"last"`
+	Set      VoterSet `json:"set"`
+	Disk     string   `json:"disk"`
+}
+
+type AppendCall struct {
+	Key      string    `json:"key"`
+	Epoch    uint64    `json:"epoch"`
+	Owner    string    `json:"owner"`
+	Disk     string    `json:"disk"`
+	Prev     Stamp     `json:"prev"`
+	Changes  []Change  `json:"changes,omitempty"`
+	Snapshot *Snapshot `json:"snapshot,omitempty"`
+	Release  bool      `json:"release,omitempty"`
+}
+
+type AppendAnswer struct {
+	Taken    bool   `json:"taken,omitempty"`
+	Promised uint64 `json:"promised"`
+	Last     Stamp  `json:"last"`
+	Disk     string `json:"disk"`
+	WallMs   int64  `json:"wall"`
+}
+
+type FetchCall struct {
+	Key string `json:"key"`
+}
+
+type FetchAnswer struct {
+	Found    bool     `json:"found,omitempty"`
+	Snapshot Snapshot `json:"snapshot"`
+	Disk     string   `json:"disk"`
+}
+
+type Member struct {
+	Name        string `json:"n"`
+	Role        string `json:"r"`
+	Domain      string `json:"d"`
+	Address     string `json:"a"`
+	Control     string `json:"c,omitempty"`
+	Disk        string `json:"k,omitempty"`
+	Incarnation uint64 `json:"i"`
+	State       int    `json:"s,omitempty"`
+	// Past are disks that this machine has lost.
+	Past []string `json:"x,omitempty"`
+}
+
+const (
+	StateAlive = iota
+	StateSuspect
+	StateGone
+)
+
+// OwnerFact says who owns a key, and under which epoch.
+type OwnerFact struct {
+	Key   string `json:"k"`
+	Epoch uint64 `json:"e"`
+	Name  string `json:"n"`
+}
+
+type Digest struct {
+	Plan    int64       `json:"p,omitempty"`
+	Members uint32      `json:"m,omitempty"`
+	Owners  []OwnerFact `json:"o,omitempty"`
+}
+
+type Datagram struct {
+	Kind   string   `json:"k"`
+	Number uint64   `json:"q,omitempty"`
+	From   Member   `json:"f"`
+	Target string   `json:"t,omitempty"`
+	News   []Member `json:"w,omitempty"`
+	Digest Digest   `json:"g"`
+}
+
+type MembersCall struct {
+	From    Member   `json:"from"`
+	Members []Member `json:"members,omitempty"`
+	Digest  Digest   `json:"digest"`
+}
+
+type MembersAnswer struct {
+	Members []Member `json:"members,omitempty"`
+	Digest  Digest   `json:"digest"`
+}
+
+type PlanCall struct {
+	Held int64 `json:"held"`
+}
+
+type PlanAnswer struct {
+	Fact *PlanFact `json:"fact,omitempty"`
+}
+
+// PlanFact is the committed plan as it is passed on; Births are the first voters of its pools.
+type PlanFact struct {
+	Version int64               `json:"version"`
+	Body    easyjson.RawMessage `json:"body"`
+	Births  []Birth             `json:"births,omitempty"`
+	Taken   []TakenPlan         `json:"taken,omitempty"`
+	Moved   []MovedEntry        `json:"moved,omitempty"`
+}
+
+// MovedEntry names the services that an entry was sent to before.
+type MovedEntry struct {
+	Entry    string   `json:"entry"`
+	Services []string `json:"services"`
+}
+
+type Birth struct {
+	Service string   `json:"service"`
+	Voters  []string `json:"voters"`
+}
+
+type TakenPlan struct {
+	Version int64  `json:"version"`
+	Digest  string `json:"digest"`
+}
+
+type IdentifyCall struct{}
+
+type IdentifyAnswer struct {
+	Disk  string `json:"disk"`
+	Fresh bool   `json:"fresh,omitempty"`
+}
+
+// ClientCall is a call of a client or operator on the way to a key's owner.
+type ClientCall struct {
+	Key    string              `json:"key"`
+	Verb   string              `json:"verb"`
+	Entry  string              `json:"entry,omitempty"`
+	ID     string              `json:"id,omitempty"`
+	Base   int64               `json:"base,omitempty"`
+	Terms  *EntryTerms         `json:"terms,omitempty"`
+	Body   easyjson.RawMessage `json:"body,omitempty"`
+	LeftMs int64               `json:"left,omitempty"`
+}
+
+type EntryTerms struct {
+	Priority    int     `json:"p,omitempty"`
+	MaxAttempts int     `json:"a,omitempty"`
+	Stretch     float64 `json:"s,omitempty"`
+	TargetMs    int64   `json:"t,omitempty"`
+}
+
+// ClientAnswer with Elsewhere set was not taken; Owner is then the best guess.
+type ClientAnswer struct {
+	Elsewhere  bool                `json:"elsewhere,omitempty"`
+	Owner      string              `json:"owner,omitempty"`
+	Status     int                 `json:"status,omitempty"`
+	RetryAfter int                 `json:"retry,omitempty"`
+	Why        string              `json:"why,omitempty"`
+	Body       easyjson.RawMessage `json:"body,omitempty"`
+}
+
+type Capacity struct {
+	CPU    int64 `json:"cpu-units"`
+	Memory int64 `json:"memory-req-mb"`
+	GPU    int64 `json:"gpu-count"`
+}
+
+// RunReport and EndReport are what the hold lists of an executor say.
+type RunReport struct {
+	Task    string `json:"t"`
+	Run     int64  `json:"r"`
+	Saved   string `json:"c,omitempty"`
+	Percent int    `json:"p,omitempty"`
+}
+
+type EndReport struct {
+	Number int64  `json:"n"`
+	Task   string `json:"t"`
+	Run    int64  `json:"r"`
+	How    string `json:"h"`
+	Saved  string `json:"c,omitempty"`
+}
+
+type OrderAnswer struct {
+	Task   string `json:"t"`
+	Run    int64  `json:"r"`
+	Kind   string `json:"k"`
+	Result string `json:"a"`
+}
+
+// ExchangeCall is what a local-proxy tells the owner of its executor's pool.
+type ExchangeCall struct {
+	Key       string        `json:"key"`
+	Life      string        `json:"life"`
+	Proxy     string        `json:"proxy"`
+	Domain    string        `json:"domain"`
+	Labels    []string      `json:"labels,omitempty"`
+	Room      Capacity      `json:"room"`
+	Draining  bool          `json:"draining,omitempty"`
+	DepartsMs int64         `json:"departs,omitempty"`
+	Gone      []string      `json:"gone,omitempty"`
+	Fence     uint64        `json:"fence,omitempty"`
+	HoldAgeMs int64         `json:"holdage"`
+	Look      uint64        `json:"look,omitempty"`
+	Running   []RunReport   `json:"running,omitempty"`
+	Ends      []EndReport   `json:"ends,omitempty"`
+	Answers   []OrderAnswer `json:"answers,omitempty"`
+	WaitMs    int64         `json:"wait,omitempty"`
+}
+
+type Order struct {
+	Kind  string `json:"k"`
+	Task  string `json:"t"`
+	Run   int64  `json:"r"`
+	Spec  string `json:"s,omitempty"`
+	Saved string `json:"c,omitempty"`
+}
+
+type ExchangeAnswer struct {
+	Elsewhere bool    `json:"elsewhere,omitempty"`
+	Owner     string  `json:"owner,omitempty"`
+	Fence     uint64  `json:"fence,omitempty"`
+	GrantMs   int64   `json:"grant,omitempty"`
+	LastSeen  int64   `json:"seen,omitempty"`
+	Look      uint64  `json:"look,omitempty"`
+	Orders    []Order `json:"orders,omitempty"`
+}
+
+type BeliefsCall struct{}
+
+type KeyBelief struct {
+	Key   string   `json:"key"`
+	Owner string   `json:"owner"`
+	Epoch uint64   `json:"epoch"`
+	Last  Stamp    `json:"last"`
+	Set   VoterSet `json:"set"`
+}
+
+type JobBelief struct {
+	Key   string `json:"key"`
+	ID    string `json:"id"`
+	State string `json:"state"`
+}
+
+type ExecutorBelief struct {
+	Key     string `json:"key"`
+	Life    string `json:"life"`
+	State   string `json:"state"`
+	Running int    `json:"running"`
+}
+
+type BeliefsAnswer struct {
+	Name      string           `json:"name"`
+	Role      string           `json:"role"`
+	Plan      int64            `json:"plan"`
+	Members   []Member         `json:"members"`
+	Owners    []OwnerFact      `json:"owners"`
+	Keys      []KeyBelief      `json:"keys"`
+	Jobs      []JobBelief      `json:"jobs"`
+	Executors []ExecutorBelief `json:"executors"`
+}
--- /dev/null
+++ b/internal/stewardkeys/links.go
@@ -0,0 +1,82 @@
+// Package stewardkeys runs the control keys that a steward may own.
+package stewardkeys
+
+import (
+	"time"
+
+	"github.com/juju/errors"
+
+	"gannetline/internal/keyowner"
+	"gannetline/internal/mailbox"
+	"gannetline/internal/siblingwire"
+	"gannetline/internal/span"
+)
+
+const (
+	promiseLimit  = 500 * time.Millisecond
+	appendLimit   = 1500 * time.Millisecond
+	snapshotLimit = 4 * time.Second
+)
+
+// links carries an engine's calls over connect, or straight to the local replicas.
+type links struct {
+	ring *Ring
+	box  *mailbox.Mailbox
+	life span.Span
+}
+
+func (l *links) Promise(disk string, call siblingwire.PromiseCall, done func(siblingwire.PromiseAnswer, error)) {
+	if disk == l.ring.disk {
+		l.ring.replicas.Box().Post(func() {
+			l.ring.replicas.Promise(call, func(answer siblingwire.PromiseAnswer) { l.box.Post(func() { done(answer, nil) }) })
+		})
+		return
+	}
+	remote(l, disk, siblingwire.ProcedurePromise, promiseLimit, call, done)
+}
+
+func (l *links) Append(disk string, call siblingwire.AppendCall, done func(siblingwire.AppendAnswer, error)) {
+	if disk == l.ring.disk {
+		l.InstallLocal(call, done)
+		return
+	}
+	limit := appendLimit
+	if call.Snapshot != nil {
+		limit = snapshotLimit
+	}
+	remote(l, disk, siblingwire.ProcedureAppend, limit, call, done)
+}
+
+func (l *links) InstallLocal(call siblingwire.AppendCall, done func(siblingwire.AppendAnswer, error)) {
+	l.ring.replicas.Box().Post(func() {
+		l.ring.replicas.Append(call, func(answer siblingwire.AppendAnswer) { l.box.Post(func() { done(answer, nil) }) })
+	})
+}
+
+func (l *links) Fetch(disk, key string, done func(siblingwire.FetchAnswer, error)) {
+	remote(l, disk, siblingwire.ProcedureFetch, snapshotLimit, siblingwire.FetchCall{Key: key}, done)
+}
+
+func (l *links) Standing(key string, done func(keyowner.Standing)) {
+	l.ring.replicas.Box().Post(func() {
+		standing := l.ring.replicas.Standing(key)
+		l.box.Post(func() { done(standing) })
+	})
+}
+
+func (l *links) ReadLocal(key string) (siblingwire.Snapshot, error) { return l.ring.store.Read(key) }
+
+func remote[Ask, Tell any](l *links, disk, procedure string, limit time.Duration, call Ask, done func(Tell, error)) {
+	address := l.ring.addressOf(disk)
+	go func() {
+		var answer Tell
+		var err error = errors.Errorf("no sibling is known with disk %s", disk)
+		if address != "" {
+			var told *Tell
+			if told, err = siblingwire.Call[Ask, Tell](l.ring.caller, l.life, address, procedure, limit, &call); err == nil {
+				answer = *told
+			}
+		}
+		l.box.Post(func() { done(answer, err) })
+	}()
+}
--- /dev/null
+++ b/internal/stewardkeys/ring.go
@@ -0,0 +1,321 @@
+package stewardkeys
+
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"gannetline/internal/keyowner"
+	"gannetline/internal/keystore"
+	"gannetline/internal/logs"
+	"gannetline/internal/mailbox"
+	"gannetline/internal/planbook"
+	"gannetline/internal/planowner"
+	"gannetline/internal/poolowner"
+	"gannetline/internal/pulse"
+	"gannetline/internal/siblingprobe"
+	"gannetline/internal/siblingwire"
+	"gannetline/internal/span"
+)
+
+const (
+	poolPrefix = "pool/"
+	tickEvery  = 50 * time.Millisecond
+)
+
+// holder is one key: its engine, its machine and the goroutine that owns both.
+type holder struct {
+	box    *mailbox.Mailbox
+	engine *keyowner.Engine
+	pool   *poolowner.Pool
+	plan   *planowner.Plan
+}
+
+// Ring keeps a holder for each key that is wanted.
+type Ring struct {
+	life      span.Span
+	box       *mailbox.Mailbox
+	clock     pulse.Pulse
+	log       logs.Logger
+	store     *keystore.Store
+	disk      string
+	name      string
+	replicas  *keyowner.Replicas
+	caller    *siblingwire.Caller
+	node      *siblingprobe.Node
+	book      *planbook.Book
+	timing    poolowner.Timing
+	holders   map[string]*holder
+	birth     []string
+	hasPlan   bool
+	isLeaving bool
+}
+
+type Config struct {
+	Clock    pulse.Pulse
+	Log      logs.Logger
+	Store    *keystore.Store
+	Name     string
+	Caller   *siblingwire.Caller
+	Node     *siblingprobe.Node
+	Book     *planbook.Book
+	Timing   poolowner.Timing
+	Replicas *keyowner.Replicas
+}
+
+func New(config Config) *Ring {
+	return &Ring{box: mailbox.New(256), clock: config.Clock, log: config.Log, store: config.Store, disk: config.Store.Disk(),
+		name: config.Name, replicas: config.Replicas, caller: config.Caller, node: config.Node, book: config.Book,
+		timing: config.Timing, holders: map[string]*holder{}}
+}
+
+// Run keeps the holders that the plan asks for.
+func (r *Ring) Run(life span.Span) error {
+	r.life = life
+	r.box.Run(life, r.clock, mailbox.Owner{Every: 200 * time.Millisecond, Tick: r.want})
+	return nil
+}
+
+// Found sets the first voters, once the seeds have named their disks.
+func (r *Ring) Found(voters []string) {
+	r.box.Post(func() {
+		r.birth = voters
+		r.want()
+	})
+}
+
+// want works out the difference between the keys there should be and those there are.
+func (r *Ring) want() {
+	if r.isLeaving {
+		return
+	}
+	r.lookForPlan()
+	if r.hasPlan || len(r.birth) > 0 {
+		r.ensure(planowner.Key, r.birth)
+	}
+	page := r.book.Page()
+	if page == nil {
+		return
+	}
+	for _, birth := range page.Fact.Births {
+		r.ensure(poolPrefix+birth.Service, birth.Voters)
+	}
+}
+
+// lookForPlan notes when this disk holds a replica of the plan.
+func (r *Ring) lookForPlan() {
+	if r.hasPlan {
+		return
+	}
+	r.replicas.Box().Post(func() {
+		isThere := len(r.replicas.Standing(planowner.Key).Head.Set.Now) > 0
+		r.box.Post(func() { r.hasPlan = r.hasPlan || isThere })
+	})
+}
+
+func (r *Ring) ensure(key string, birth []string) {
+	if r.holders[key] != nil {
+		return
+	}
+	one := &holder{box: mailbox.New(1024)}
+	road := &links{ring: r, box: one.box, life: r.life}
+	options := []keyowner.Option{keyowner.WithBirth(birth), keyowner.WithLog(r.log), keyowner.WithAnnounce(r.node.Announce)}
+	owner := mailbox.Owner{Every: tickEvery}
+	if key == planowner.Key {
+		one.plan = planowner.New(r.log, func(fact *siblingwire.PlanFact) { r.book.Hold(fact) })
+		one.engine = keyowner.NewEngine(key, r.disk, r.name, r.clock, road, planMachine{one.plan}, r.stewards, options...)
+		owner.Tick = one.engine.Tick
+	} else {
+		one.pool = poolowner.New(key, r.clock, r.timing, r.log)
+		one.engine = keyowner.NewEngine(key, r.disk, r.name, r.clock, road, poolowner.Opener{Pool: one.pool}, r.stewards, options...)
+		owner.Tick = func() { one.engine.Tick(); one.pool.Tick() }
+		owner.Settle = one.pool.Settle
+	}
+	r.holders[key] = one
+	go one.box.Run(r.life, r.clock, owner)
+}
+
+type planMachine struct{ *planowner.Plan }
+
+func (m planMachine) Open(tenure *keyowner.Tenure, pairs []siblingwire.Op) error {
+	return m.Plan.Open(tenure, pairs)
+}
+
+func (r *Ring) stewards() []siblingwire.Member {
+	var stewards []siblingwire.Member
+	for _, member := range r.node.View().Members {
+		if member.Disk != "" {
+			stewards = append(stewards, member)
+		}
+	}
+	return stewards
+}
+
+func (r *Ring) addressOf(disk string) string {
+	for _, member := range r.node.View().Members {
+		if member.Disk == disk {
+			return member.Address
+		}
+	}
+	return ""
+}
+
+func (r *Ring) holder(life span.Span, key string) *holder {
+	one, err := mailbox.Ask(r.box, life, func(answer func(*holder)) { answer(r.holders[key]) })
+	if err != nil {
+		return nil
+	}
+	return one
+}
+
+func (r *Ring) elsewhere(key string) *siblingwire.ClientAnswer {
+	return &siblingwire.ClientAnswer{Elsewhere: true, Owner: r.ownerName(key)}
+}
+
+func (r *Ring) ownerName(key string) string {
+	if owner := r.node.View().Owners[key].Name; owner != r.name {
+		return owner
+	}
+	return ""
+}
+
+// Client runs a client's or operator's command on the table that owns the key.
+func (r *Ring) Client(life span.Span, call *siblingwire.ClientCall) (*siblingwire.ClientAnswer, error) {
+	one := r.holder(life, call.Key)
+	if one == nil {
+		return r.elsewhere(call.Key), nil
+	}
+	answer, err := mailbox.Ask(one.box, life, func(answer func(siblingwire.ClientAnswer)) { one.obey(call, answer) })
+	if err != nil {
+		return nil, err
+	}
+	if answer.Elsewhere {
+		return r.elsewhere(call.Key), nil
+	}
+	return &answer, nil
+}
+
+func (h *holder) obey(call *siblingwire.ClientCall, answer func(siblingwire.ClientAnswer)) {
+	commands := map[string]func(*siblingwire.ClientCall, func(siblingwire.ClientAnswer)){}
+	switch {
+	case h.pool != nil && h.pool.IsOpen():
+		commands["hand-in"], commands["state"], commands["count"], commands["cancel"] = h.pool.HandIn, h.pool.State, h.pool.Count, h.pool.Cancel
+	case h.plan != nil && h.plan.IsOpen():
+		commands["replace"] = h.plan.Replace
+		commands["retrieve"] = func(_ *siblingwire.ClientCall, answer func(siblingwire.ClientAnswer)) { h.plan.Retrieve(answer) }
+	default:
+		answer(siblingwire.ClientAnswer{Elsewhere: true})
+		return
+	}
+	command := commands[call.Verb]
+	if command == nil {
+		answer(siblingwire.ClientAnswer{Status: http.StatusBadRequest, Why: "unknown verb " + call.Verb})
+		return
+	}
+	command(call, answer)
+}
+
+// Exchange serves a local-proxy.
+func (r *Ring) Exchange(life span.Span, call *siblingwire.ExchangeCall) (*siblingwire.ExchangeAnswer, error) {
+	elsewhere := &siblingwire.ExchangeAnswer{Elsewhere: true, Owner: r.ownerName(call.Key)}
+	one := r.holder(life, call.Key)
+	if one == nil || one.pool == nil {
+		return elsewhere, nil
+	}
+	answer, err := mailbox.Ask(one.box, life, func(answer func(siblingwire.ExchangeAnswer)) {
+		if !one.pool.IsOpen() {
+			answer(siblingwire.ExchangeAnswer{Elsewhere: true})
+			return
+		}
+		one.pool.Exchange(call, answer)
+	})
+	if err != nil {
+		return nil, err
+	}
+	if answer.Elsewhere {
+		return elsewhere, nil
+	}
+	return &answer, nil
+}
+
+// Leave hands over what is owned here.
+func (r *Ring) Leave() {
+	r.box.Post(func() {
+		r.isLeaving = true
+		for _, one := range r.holders {
+			one.box.Post(one.engine.Leave)
+		}
+	})
+}
+
+func (r *Ring) Handle(mux *http.ServeMux) {
+	siblingwire.Serve(mux, siblingwire.ProcedurePromise, func(life span.Span, call *siblingwire.PromiseCall) (*siblingwire.PromiseAnswer, error) {
+		answer, err := r.replicas.AskPromise(life, *call)
+		return &answer, err
+	})
+	siblingwire.Serve(mux, siblingwire.ProcedureAppend, func(life span.Span, call *siblingwire.AppendCall) (*siblingwire.AppendAnswer, error) {
+		answer, err := r.replicas.AskAppend(life, *call)
+		return &answer, err
+	})
+	siblingwire.Serve(mux, siblingwire.ProcedureFetch, func(_ span.Span, call *siblingwire.FetchCall) (*siblingwire.FetchAnswer, error) {
+		answer, err := r.replicas.Fetch(call.Key)
+		return &answer, err
+	})
+	siblingwire.Serve(mux, siblingwire.ProcedureIdentify, func(span.Span, *siblingwire.IdentifyCall) (*siblingwire.IdentifyAnswer, error) {
+		return &siblingwire.IdentifyAnswer{Disk: r.disk, Fresh: r.store.Bare()}, nil
+	})
+	siblingwire.Serve(mux, siblingwire.ProcedureClient, r.Client)
+	siblingwire.Serve(mux, siblingwire.ProcedureExchange, r.Exchange)
+}
+
+// Beliefs gathers what this steward holds true.
+func (r *Ring) Beliefs(life span.Span) ([]siblingwire.KeyBelief, []siblingwire.JobBelief, []siblingwire.ExecutorBelief) {
+	var keys []siblingwire.KeyBelief
+	var jobs []siblingwire.JobBelief
+	var executors []siblingwire.ExecutorBelief
+	names, err := mailbox.Ask(r.replicas.Box(), life, func(answer func([]siblingwire.KeyBelief)) { answer(r.replicaBeliefs()) })
+	if err != nil {
+		return nil, nil, nil
+	}
+	keys = append(keys, names...)
+	holders, err := mailbox.Ask(r.box, life, func(answer func(map[string]*holder)) {
+		copied := map[string]*holder{}
+		for key, one := range r.holders {
+			copied[key] = one
+		}
+		answer(copied)
+	})
+	if err != nil {
+		return keys, nil, nil
+	}
+	for key, one := range holders {
+		if !strings.HasPrefix(key, poolPrefix) {
+			continue
+		}
+		type both struct {
+			jobs      []siblingwire.JobBelief
+			executors []siblingwire.ExecutorBelief
+		}
+		held, err := mailbox.Ask(one.box, life, func(answer func(both)) {
+			var all both
+			if one.pool.IsOpen() {
+				all.jobs, all.executors = one.pool.Beliefs()
+			}
+			answer(all)
+		})
+		if err == nil {
+			jobs, executors = append(jobs, held.jobs...), append(executors, held.executors...)
+		}
+	}
+	return keys, jobs, executors
+}
+
+func (r *Ring) replicaBeliefs() []siblingwire.KeyBelief {
+	var keys []siblingwire.KeyBelief
+	for _, key := range r.replicas.Keys() {
+		standing := r.replicas.Standing(key)
+		keys = append(keys, siblingwire.KeyBelief{Key: key, Owner: standing.Owner, Epoch: standing.Promised,
+			Last: standing.Head.Last, Set: standing.Head.Set})
+	}
+	return keys
+}
--- /dev/null
+++ b/internal/supervise/supervise.go
@@ -0,0 +1,98 @@
+// Package supervise runs a tree of long-lived parts and starts again those that fail.
+package supervise
+
+import (
+	"runtime/debug"
+	"time"
+
+	"github.com/juju/errors"
+
+	"gannetline/internal/logs"
+	"gannetline/internal/pulse"
+	"gannetline/internal/span"
+)
+
+type Part func(life span.Span) error
+
+type Tree struct {
+	clock  pulse.Pulse
+	log    logs.Logger
+	most   int
+	within time.Duration
+	pause  time.Duration
+	parts  []named
+}
+
+type named struct {
+	name string
+	part Part
+}
+
+type Option func(*Tree)
+
+// WithLimit ends the tree once a part failed more often than that within the time.
+func WithLimit(most int, within time.Duration) Option {
+	return func(t *Tree) { t.most, t.within = most, within }
+}
+
+func New(clock pulse.Pulse, log logs.Logger, options ...Option) *Tree {
+	tree := &Tree{clock: clock, log: log, most: 5, within: time.Minute, pause: 100 * time.Millisecond}
+	for _, option := range options {
+		option(tree)
+	}
+	return tree
+}
+
+func (t *Tree) Add(name string, part Part) { t.parts = append(t.parts, named{name, part}) }
+
+// Run returns once the span ends, or with the error of a part that failed too often.
+func (t *Tree) Run(life span.Span) error {
+	life, cancel := span.Cancellable(life)
+	defer cancel()
+	results := make(chan error, len(t.parts))
+	for _, one := range t.parts {
+		go func() { results <- t.keep(life, one) }()
+	}
+	for range t.parts {
+		if err := <-results; err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (t *Tree) keep(life span.Span, one named) error {
+	var failures []time.Duration
+	for {
+		err := guarded(life, one.part)
+		if life.Err() != nil {
+			return nil
+		}
+		if err == nil {
+			return nil
+		}
+		now := t.clock.Steady()
+		failures = append(failures, now)
+		for len(failures) > 0 && now-failures[0] > t.within {
+			failures = failures[1:]
+		}
+		t.log.Error(err, "a part failed", "part", one.name, "times", len(failures))
+		if len(failures) > t.most {
+			return errors.Annotatef(err, "part %s failed too often", one.name)
+		}
+		select {
+		case <-life.Done():
+			return nil
+		case <-t.clock.After(t.pause):
+		}
+	}
+}
+
+func guarded(life span.Span, part Part) (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = errors.Errorf("panic: %v\n%s", cause, debug.Stack())
+		}
+	}()
+	return part(life)
+}
