--- a/internal/localproxy/proxy.go
+++ b/internal/localproxy/proxy.go
@@ -38,14 +38,15 @@
 	service  string
 	work     chan struct{}
 	looks    chan struct{}
+	acks     chan struct{}
 	slots    chan struct{}
 }
 
 func New(service, domain, name string, clock pulse.Pulse, log logs.Logger, executor *executorcalls.Client, caller *siblingwire.Caller,
 	view func() *siblingprobe.View) *Proxy {
 	proxy := &Proxy{box: mailbox.New(256), clock: clock, log: log, executor: executor, caller: caller, view: view, service: service,
-		work: make(chan struct{}, 1), looks: make(chan struct{}, 1), slots: make(chan struct{}, atOnce)}
-	proxy.table = NewTable(clock, log, service, domain, name, func() { nudge(proxy.work) }, func() { nudge(proxy.looks) })
+		work: make(chan struct{}, 1), looks: make(chan struct{}, 1), acks: make(chan struct{}, 1), slots: make(chan struct{}, atOnce)}
+	proxy.table = NewTable(clock, log, service, domain, name, func() { nudge(proxy.work) }, func() { nudge(proxy.looks) }, func() { nudge(proxy.acks) })
 	return proxy
 }
 
@@ -120,12 +121,16 @@
 		if !isOpen {
 			return
 		}
-		wait := holdGap
-		if !turn.isDue || !p.hold(life, turn.work) {
-			wait = failedPause
+		isHeld := turn.isDue && p.hold(life, turn.work)
+		if isHeld {
+			p.pause(life, holdGap)
+			continue
 		}
-		if !p.pause(life, wait) {
+		select {
+		case <-life.Done():
 			return
+		case <-p.acks:
+		case <-p.clock.After(failedPause):
 		}
 	}
 }
--- a/internal/localproxy/table.go
+++ b/internal/localproxy/table.go
@@ -16,6 +16,7 @@
 	mostGone     = 4
 	neverHeld    = time.Hour
 	leavingAfter = 3 * time.Second
+	unackedWait  = 250 * time.Millisecond
 )
 
 type orderKey struct {
@@ -75,10 +76,11 @@
 	gone    []string
 	onWork  func()
 	onLook  func()
+	onAck   func()
 }
 
-func NewTable(clock pulse.Pulse, log logs.Logger, service, domain, name string, onWork, onLook func()) *Table {
-	return &Table{clock: clock, log: log, service: service, domain: domain, name: name, onWork: onWork, onLook: onLook}
+func NewTable(clock pulse.Pulse, log logs.Logger, service, domain, name string, onWork, onLook, onAck func()) *Table {
+	return &Table{clock: clock, log: log, service: service, domain: domain, name: name, onWork: onWork, onLook: onLook, onAck: onAck}
 }
 
 func (t *Table) now() time.Duration { return t.clock.Steady() }
@@ -169,6 +171,9 @@
 	if one == nil || isLook && one.lookDone >= one.lookWanted {
 		return HoldWork{}, false
 	}
+	if !isLook && len(one.ends) > 0 && t.now()-one.holdAt < unackedWait {
+		return HoldWork{}, false
+	}
 	hold := executorcalls.Hold{Fence: one.fence, LastSeen: one.lastSeen}
 	if one.expiryMs > 0 && one.expiryMs > one.clock.clockAt(t.now()) {
 		hold.ExpiryMs = one.expiryMs
@@ -272,7 +277,12 @@
 		one.toldAt = t.now()
 	}
 	one.lastSeen = max(one.lastSeen, answer.LastSeen)
-	one.ends = slices.DeleteFunc(one.ends, func(end siblingwire.EndReport) bool { return end.Number <= one.lastSeen })
+	if len(one.ends) > 0 {
+		one.ends = slices.DeleteFunc(one.ends, func(end siblingwire.EndReport) bool { return end.Number <= one.lastSeen })
+		if len(one.ends) == 0 {
+			t.onAck()
+		}
+	}
 	t.grant(one, askedAt, answer.GrantMs)
 	if answer.Look > one.lookWanted {
 		one.lookWanted = answer.Look
--- a/internal/siblingwire/calls.go
+++ b/internal/siblingwire/calls.go
@@ -1,6 +1,7 @@
 package siblingwire
 
 import (
+	"bytes"
 	"net/http"
 	"time"
 
@@ -38,12 +39,13 @@
 	return easyjson.Marshal(value)
 }
 
+// Unmarshal reads a copy, since raw parts of a message stay in use after the transport takes its buffer back.
 func (easyCodec) Unmarshal(text []byte, message any) error {
 	value, isMessage := message.(easyjson.Unmarshaler)
 	if !isMessage {
 		return errors.Errorf("%T is not a sibling message", message)
 	}
-	return easyjson.Unmarshal(text, value)
+	return easyjson.Unmarshal(bytes.Clone(text), value)
 }
 
 const maxMessage = 16 << 20
