--- a/internal/poolowner/exchange.go
+++ b/internal/poolowner/exchange.go
@@ -34,7 +34,7 @@
 	p.takeEnds(home, call.Ends)
 	p.takeRunning(home, call)
 	if call.WaitMs > 0 {
-		p.unpark(home, p.answerFor(home))
+		p.answerParked(home)
 		home.parked = &parkedCall{until: now + pulse.Ms(call.WaitMs), answer: answer}
 		p.release(home)
 		return
@@ -103,7 +103,13 @@
 }
 
 func (p *Pool) release(home *life) {
-	if home.parked != nil && (home.isFenced && len(home.outbox) > 0 || len(home.strays) > 0) {
+	if home.isFenced && len(home.outbox) > 0 || len(home.strays) > 0 {
+		p.answerParked(home)
+	}
+}
+
+func (p *Pool) answerParked(home *life) {
+	if home.parked != nil {
 		p.unpark(home, p.answerFor(home))
 	}
 }
@@ -120,9 +126,7 @@
 	p.looks++
 	home.lookWanted, home.lookAt = p.looks, p.clock.Steady()
 	one.needsLook = p.looks
-	if home.parked != nil {
-		p.unpark(home, p.answerFor(home))
-	}
+	p.answerParked(home)
 }
 
 func (p *Pool) takeAnswer(home *life, answer siblingwire.OrderAnswer) {
--- a/internal/poolowner/pool.go
+++ b/internal/poolowner/pool.go
@@ -67,6 +67,8 @@
 	opPlaces map[string]int
 	effects  []func(error)
 	flights  []*flight
+
+	toRelease map[*life]bool
 }
 
 type flight struct{ effects []func(error) }
@@ -84,7 +86,7 @@
 
 func (p *Pool) Open(tenure Tenure, pairs []siblingwire.Op) error {
 	p.jobs, p.lives, p.open, p.queued = map[string]*job{}, map[string]*life{}, map[*stepState]bool{}, map[string]int{}
-	p.ops, p.effects, p.flights, p.opPlaces = nil, nil, nil, map[string]int{}
+	p.ops, p.effects, p.flights, p.opPlaces, p.toRelease = nil, nil, nil, map[string]int{}, map[*life]bool{}
 	p.began = p.clock.Steady()
 	if err := p.load(pairs); err != nil {
 		return errors.Annotatef(err, "loading %s", p.key)
@@ -145,6 +147,7 @@
 		return
 	}
 	p.place()
+	p.releaseAll()
 	if len(p.ops) == 0 {
 		p.settleReads()
 		return
@@ -159,10 +162,19 @@
 			for _, effect := range one.effects {
 				effect(err)
 			}
+			p.releaseAll()
 		}
 	})
 }
 
+// releaseAll lets orders leave together, once all effects of a commit are done.
+func (p *Pool) releaseAll() {
+	for home := range p.toRelease {
+		delete(p.toRelease, home)
+		p.release(home)
+	}
+}
+
 func (p *Pool) settleReads() {
 	effects := p.effects
 	p.effects = nil
--- a/internal/poolowner/runs.go
+++ b/internal/poolowner/runs.go
@@ -59,7 +59,7 @@
 	}
 	one.isQueued = true
 	one.life.outbox = append(one.life.outbox, one)
-	p.release(one.life)
+	p.toRelease[one.life] = true
 }
 
 // closeRun forgets a run that certainly neither works nor will.
--- a/internal/poolowner/tick.go
+++ b/internal/poolowner/tick.go
@@ -36,7 +36,7 @@
 		p.lapsed(home, now)
 	}
 	if home.parked != nil && now >= home.parked.until {
-		p.unpark(home, p.answerFor(home))
+		p.answerParked(home)
 	}
 	for _, one := range home.runs {
 		p.tickRun(home, one, now)
