Ask voters on trial before a promise

Ruled out: lost appends, take-over of a stale replica (the trace shows refused promises under a live lease).

--- a/internal/keyowner/engine.go
+++ b/internal/keyowner/engine.go
@@ -164,7 +164,7 @@
 			return
 		}
 		wait := standing.LeaseEnd + time.Duration(rank)*e.timing.Stagger
-		if standing.Released {
+		if standing.Released || standing.Disk == e.disk {
 			wait = time.Duration(rank) * e.timing.Stagger / 4
 		}
 		if now := e.clock.Steady(); now < wait {
@@ -192,19 +192,30 @@
 	return order
 }
 
+// ask first tries whether a majority would promise, so that a steward that was cut off disturbs nobody.
 func (e *Engine) ask(voters []string) {
 	e.phase = phaseAsking
 	e.attempt++
-	attempt, epoch := e.attempt, e.highest+1
-	granted := map[string]siblingwire.PromiseAnswer{}
-	asked, heard := voters, 0
-	finish := func() {
-		if e.attempt == attempt && e.phase == phaseAsking {
-			e.backOff()
+	epoch := e.highest + 1
+	e.canvass(voters, epoch, true, func(granted map[string]siblingwire.PromiseAnswer) bool {
+		if _, isAgreed := e.best(granted); !isAgreed {
+			return false
 		}
-	}
-	for _, disk := range asked {
-		e.links.Promise(disk, siblingwire.PromiseCall{Key: e.key, Epoch: epoch, Disk: e.disk}, func(answer siblingwire.PromiseAnswer, err error) {
+		e.attempt++
+		e.canvass(voters, epoch, false, func(granted map[string]siblingwire.PromiseAnswer) bool {
+			return e.tryOpen(epoch, granted)
+		})
+		return true
+	})
+}
+
+// canvass asks all voters at once; enough is tried at each grant until it is satisfied.
+func (e *Engine) canvass(voters []string, epoch uint64, isTrial bool, enough func(map[string]siblingwire.PromiseAnswer) bool) {
+	attempt, heard := e.attempt, 0
+	granted := map[string]siblingwire.PromiseAnswer{}
+	for _, disk := range voters {
+		call := siblingwire.PromiseCall{Key: e.key, Epoch: epoch, Disk: e.disk, Trial: isTrial}
+		e.links.Promise(disk, call, func(answer siblingwire.PromiseAnswer, err error) {
 			heard++
 			if e.attempt != attempt || e.phase != phaseAsking {
 				return
@@ -213,13 +224,13 @@
 				e.highest = max(e.highest, answer.Promised)
 				if answer.Granted {
 					granted[answer.Disk] = answer
+					if enough(granted) {
+						return
+					}
 				}
 			}
-			if len(granted) > 0 && e.tryOpen(epoch, granted) {
-				return
-			}
-			if heard == len(asked) {
-				finish()
+			if heard == len(voters) {
+				e.backOff()
 			}
 		})
 	}
@@ -233,21 +244,26 @@
 	e.nextTry = e.clock.Steady() + e.timing.Stagger + time.Duration(spread.Sum32()%200)*time.Millisecond
 }
 
-func (e *Engine) tryOpen(epoch uint64, granted map[string]siblingwire.PromiseAnswer) bool {
-	var best siblingwire.PromiseAnswer
+// best is the furthest state among those who grant; isAgreed tells whether they are a majority of its voters.
+func (e *Engine) best(granted map[string]siblingwire.PromiseAnswer) (best siblingwire.PromiseAnswer, isAgreed bool) {
 	for _, answer := range granted {
 		if best.Disk == "" || best.Last.Below(answer.Last) || best.Last == answer.Last && answer.Disk == e.disk {
 			best = answer
 		}
 	}
-	set := best.Set
-	if len(set.Now) == 0 {
-		set = siblingwire.VoterSet{Now: e.birth}
+	if len(best.Set.Now) == 0 {
+		best.Set = siblingwire.VoterSet{Now: e.birth}
 	}
 	has := func(disk string) bool { _, isThere := granted[disk]; return isThere }
-	if !Agreed(set, has) || !has(e.disk) {
+	return best, has(e.disk) && Agreed(best.Set, has)
+}
+
+func (e *Engine) tryOpen(epoch uint64, granted map[string]siblingwire.PromiseAnswer) bool {
+	best, isAgreed := e.best(granted)
+	if !isAgreed {
 		return false
 	}
+	set := best.Set
 	e.phase, e.epoch, e.set = phaseOpening, epoch, set
 	attempt := e.attempt
 	if best.Disk == e.disk {
--- a/internal/keyowner/replicas.go
+++ b/internal/keyowner/replicas.go
@@ -73,6 +73,10 @@
 		answer(r.promiseAnswer(one.head, max(one.promising, one.head.Promised), false))
 		return
 	}
+	if call.Trial {
+		answer(r.promiseAnswer(one.head, one.promising, true))
+		return
+	}
 	one.promising = call.Epoch
 	one.leaseUntil = 0
 	r.disk.Submit(keystore.Write{Key: call.Key, Epoch: call.Epoch, Promise: true}, func(outcome keystore.Outcome) {
@@ -135,13 +139,14 @@
 	Head     keystore.Head
 	Promised uint64
 	LeaseEnd time.Duration
+	Disk     string
 	Owner    string
 	Released bool
 }
 
 func (r *Replicas) Standing(key string) Standing {
 	one := r.of(key)
-	return Standing{one.head, one.promising, max(one.leaseUntil, r.quietUntil), one.leaseOwner, one.released}
+	return Standing{one.head, one.promising, max(one.leaseUntil, r.quietUntil), one.leaseDisk, one.leaseOwner, one.released}
 }
 
 func (r *Replicas) Keys() []string {
--- a/internal/siblingwire/messages.go
+++ b/internal/siblingwire/messages.go
@@ -41,6 +41,8 @@
 	Key   string `json:"key"`
 	Epoch uint64 `json:"epoch"`
 	Disk  string `json:"disk"`
+	// Trial asks what would be answered, and binds nobody.
+	Trial bool `json:"trial,omitempty"`
 }
 
 type PromiseAnswer struct {
--- a/internal/siblingwire/messages_easyjson.go
+++ b/internal/siblingwire/messages_easyjson.go
@@ -558,6 +558,12 @@
 			} else {
 				out.Disk = string(in.String())
 			}
+		case "trial":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Trial = bool(in.Bool())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -587,6 +593,11 @@
 		out.RawString(prefix)
 		out.String(string(in.Disk))
 	}
+	if in.Trial {
+		const prefix string = ",\"trial\":"
+		out.RawString(prefix)
+		out.Bool(bool(in.Trial))
+	}
 	out.RawByte('}')
 }
 
