--- a/internal/planbook/planbook.go
+++ b/internal/planbook/planbook.go
@@ -16,6 +16,8 @@
 	"gannetline/internal/span"
 )
 
+const mostFetches = 3
+
 type Page struct {
 	Fact    *siblingwire.PlanFact
 	Matcher *plancheck.Matcher
@@ -37,12 +39,12 @@
 	caller   *siblingwire.Caller
 	clock    pulse.Pulse
 	log      logs.Logger
-	fetching int64
+	fetching map[string]bool
 	heed     func(*Page)
 }
 
 func New(caller *siblingwire.Caller, clock pulse.Pulse, log logs.Logger, heed func(*Page)) *Book {
-	return &Book{box: mailbox.New(64), caller: caller, clock: clock, log: log, heed: heed}
+	return &Book{box: mailbox.New(64), caller: caller, clock: clock, log: log, heed: heed, fetching: map[string]bool{}}
 }
 
 func (b *Book) Page() *Page { return b.page.Load() }
@@ -74,10 +76,10 @@
 func (b *Book) Ahead(sibling siblingwire.Member, version int64) {
 	b.box.TryPost(func() {
 		held := b.held()
-		if version <= held || version <= b.fetching {
+		if version <= held || b.fetching[sibling.Address] || len(b.fetching) >= mostFetches {
 			return
 		}
-		b.fetching = version
+		b.fetching[sibling.Address] = true
 		go b.fetch(sibling.Address, held)
 	})
 }
@@ -93,9 +95,9 @@
 	answer, err := siblingwire.Call[siblingwire.PlanCall, siblingwire.PlanAnswer](b.caller, span.Root(), address,
 		siblingwire.ProcedurePlan, time.Second, &siblingwire.PlanCall{Held: held})
 	b.box.Post(func() {
-		b.fetching = 0
+		delete(b.fetching, address)
 		if err != nil {
-			b.log.V(1).Info("a plan could not be fetched", "why", err.Error())
+			b.log.Info("a plan could not be fetched", "why", err.Error())
 			return
 		}
 		if answer.Fact != nil {
--- a/internal/siblingprobe/table.go
+++ b/internal/siblingprobe/table.go
@@ -17,16 +17,16 @@
 type Member = siblingwire.Member
 
 type Timing struct {
-	Period       time.Duration
-	AnswerWait   time.Duration
-	SuspectFor   time.Duration
-	ForgetAfter  time.Duration
-	Fanout       int
-	SecondOpinon int
+	Period        time.Duration
+	AnswerWait    time.Duration
+	SuspectFor    time.Duration
+	ForgetAfter   time.Duration
+	Fanout        int
+	SecondOpinion int
 }
 
 var DefaultTiming = Timing{Period: 700 * time.Millisecond, AnswerWait: 250 * time.Millisecond,
-	SuspectFor: 2500 * time.Millisecond, ForgetAfter: 120 * time.Second, Fanout: 3, SecondOpinon: 2}
+	SuspectFor: 2500 * time.Millisecond, ForgetAfter: 120 * time.Second, Fanout: 3, SecondOpinion: 2}
 
 const (
 	kindPing  = "ping"
@@ -36,6 +36,8 @@
 	mostNews  = 5
 	mostPast  = 4
 	newsTimes = 4
+
+	planRounds = 4
 )
 
 type entry struct {
@@ -89,6 +91,8 @@
 	differAt time.Duration
 	isDirty  bool
 	rounds   int
+
+	planRounds int
 }
 
 func NewTable(self Member, clock pulse.Pulse, timing Timing, seed uint64, events Events) *Table {
@@ -168,7 +172,16 @@
 func (t *Table) HoldsPlan(version int64) {
 	if version > t.plan {
 		t.plan = version
-		t.Spread()
+		t.planRounds = planRounds
+		t.spreadPlan()
+	}
+}
+
+// spreadPlan tells those who hold plans; proxies don't, and would not pass it on.
+func (t *Table) spreadPlan() {
+	t.Settle()
+	for _, name := range t.some(2*t.timing.Fanout, func(one Member) bool { return one.Role != "local-proxy" }) {
+		t.send(t.entries[name].member.Address, kindNews, 0, "", nil)
 	}
 }
 
@@ -292,15 +305,17 @@
 // Spread passes news on to a few others at once.
 func (t *Table) Spread() {
 	t.Settle()
-	for _, name := range t.some(t.timing.Fanout, "") {
+	for _, name := range t.some(t.timing.Fanout, anyone) {
 		t.send(t.entries[name].member.Address, kindNews, 0, "", nil)
 	}
 }
 
-func (t *Table) some(count int, except string) []string {
+func anyone(Member) bool { return true }
+
+func (t *Table) some(count int, isFit func(Member) bool) []string {
 	var alive []string
 	for _, name := range slices.Sorted(maps.Keys(t.entries)) {
-		if t.entries[name].member.State == siblingwire.StateAlive && name != except {
+		if t.entries[name].member.State == siblingwire.StateAlive && isFit(t.entries[name].member) {
 			alive = append(alive, name)
 		}
 	}
@@ -322,6 +337,10 @@
 	}
 	t.followProbes(now)
 	t.age(now)
+	if t.planRounds > 0 {
+		t.planRounds--
+		t.spreadPlan()
+	}
 	t.rounds++
 	if t.rounds%2 == 0 {
 		t.probeNext(now)
@@ -343,7 +362,7 @@
 		case now-one.began >= t.timing.AnswerWait && !one.isAsked:
 			one.isAsked = true
 			t.probes[number] = one
-			for _, helper := range t.some(t.timing.SecondOpinon, one.name) {
+			for _, helper := range t.some(t.timing.SecondOpinion, func(other Member) bool { return Name(other) != one.name }) {
 				t.send(t.entries[helper].member.Address, kindAsk, number, one.name, nil)
 			}
 		}
