--- /dev/null
+++ b/internal/keyowner/keyowner_suite_test.go
@@ -0,0 +1,13 @@
+package keyowner_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestKeyowner(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "keyowner")
+}
--- /dev/null
+++ b/internal/keyowner/world_test.go
@@ -0,0 +1,380 @@
+package keyowner_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/juju/errors"
+
+	"gannetline/internal/keyowner"
+	"gannetline/internal/keystore"
+	"gannetline/internal/mailbox"
+	"gannetline/internal/pulse"
+	"gannetline/internal/siblingwire"
+)
+
+// fakeDisk keeps what was synced; a write waits in the line until the world syncs it.
+type fakeDisk struct {
+	name   string
+	isBare bool
+	heads  map[string]keystore.Head
+	pairs  map[string]map[string]string
+	line   []func()
+	stalls bool
+}
+
+func newDisk(name string) *fakeDisk {
+	return &fakeDisk{name: name, isBare: true, heads: map[string]keystore.Head{}, pairs: map[string]map[string]string{}}
+}
+
+func (d *fakeDisk) Disk() string { return d.name }
+func (d *fakeDisk) Bare() bool   { return d.isBare }
+
+func (d *fakeDisk) Heads() (map[string]keystore.Head, error) {
+	copied := map[string]keystore.Head{}
+	for key, head := range d.heads {
+		copied[key] = head
+	}
+	return copied, nil
+}
+
+func (d *fakeDisk) Read(key string) (siblingwire.Snapshot, error) {
+	whole := siblingwire.Snapshot{Last: d.heads[key].Last, Set: d.heads[key].Set}
+	for name, value := range d.pairs[key] {
+		whole.Pairs = append(whole.Pairs, siblingwire.Op{Name: name, Value: []byte(value)})
+	}
+	return whole, nil
+}
+
+func (d *fakeDisk) Submit(write keystore.Write, done func(keystore.Outcome)) {
+	d.line = append(d.line, func() { done(d.apply(write)) })
+}
+
+func (d *fakeDisk) apply(write keystore.Write) keystore.Outcome {
+	head := d.heads[write.Key]
+	if write.Epoch < head.Promised || write.Promise && write.Epoch == head.Promised ||
+		!write.Promise && write.Snapshot == nil && write.Prev != head.Last {
+		return keystore.Outcome{Head: head}
+	}
+	if write.Snapshot != nil {
+		d.pairs[write.Key] = map[string]string{}
+		d.put(write.Key, write.Snapshot.Pairs)
+		head.Last, head.Set = write.Snapshot.Last, write.Snapshot.Set
+	}
+	for _, change := range write.Changes {
+		d.put(write.Key, change.Ops)
+		head.Last = change.Stamp
+		if change.Set != nil {
+			head.Set = *change.Set
+		}
+	}
+	head.Promised = write.Epoch
+	d.heads[write.Key] = head
+	return keystore.Outcome{Taken: true, Head: head}
+}
+
+func (d *fakeDisk) put(key string, ops []siblingwire.Op) {
+	if d.pairs[key] == nil {
+		d.pairs[key] = map[string]string{}
+	}
+	for _, op := range ops {
+		d.pairs[key][op.Name] = string(op.Value)
+	}
+}
+
+type machine struct {
+	world  *world
+	node   *node
+	tenure *keyowner.Tenure
+	held   map[string]string
+}
+
+func (m *machine) Open(tenure *keyowner.Tenure, pairs []siblingwire.Op) error {
+	m.tenure, m.held = tenure, map[string]string{}
+	for _, pair := range pairs {
+		m.held[pair.Name] = string(pair.Value)
+	}
+	m.world.opened(m)
+	return nil
+}
+
+func (m *machine) Close() { m.tenure = nil }
+
+// node is one steward: its disk stays while the rest of it may die.
+type node struct {
+	world    *world
+	name     string
+	disk     *fakeDisk
+	past     []string
+	isUp     bool
+	isFrozen bool
+	life     int
+	replicas *keyowner.Replicas
+	engine   *keyowner.Engine
+	machine  *machine
+}
+
+type letter struct {
+	due time.Duration
+	run func()
+}
+
+// world is a network and a clock of which the test is master.
+type world struct {
+	clock    *pulse.Fake
+	draw     *rand.Rand
+	nodes    []*node
+	letters  []letter
+	cut      map[string]bool
+	loss     float64
+	acked    map[string]string
+	owners   map[uint64]string
+	problems []string
+	written  int
+}
+
+const key = "pool/wards"
+
+func newWorld(seed uint64, names ...string) *world {
+	w := &world{clock: pulse.NewFake(1_000_000), draw: rand.New(rand.NewPCG(seed, 1)), cut: map[string]bool{},
+		acked: map[string]string{}, owners: map[uint64]string{}}
+	for _, name := range names {
+		w.add(name)
+	}
+	for _, one := range w.nodes {
+		one.start()
+	}
+	return w
+}
+
+func (w *world) add(name string) *node {
+	one := &node{world: w, name: name, disk: newDisk("disk-" + name)}
+	w.nodes = append(w.nodes, one)
+	return one
+}
+
+func (w *world) birth() []string { return []string{"disk-a", "disk-b", "disk-c"} }
+
+func (n *node) start() {
+	n.isUp, n.isFrozen = true, false
+	n.life++
+	n.disk.line = nil
+	replicas, err := keyowner.NewReplicas(mailbox.New(64), n.disk, n.world.clock, keyowner.DefaultTiming.Lease)
+	if err != nil {
+		panic(err)
+	}
+	n.disk.isBare = false
+	n.replicas = replicas
+	n.machine = &machine{world: n.world, node: n}
+	n.engine = keyowner.NewEngine(key, n.disk.name, n.name, n.world.clock, &road{n, n.life}, n.machine, n.world.members,
+		keyowner.WithBirth(n.world.birth()))
+}
+
+func (n *node) kill() { n.isUp = false; n.life++; n.disk.line = nil }
+
+func (n *node) wipe(name string) {
+	n.kill()
+	n.past = append(n.past, n.disk.name)
+	n.disk = newDisk(name)
+	n.start()
+}
+
+func (w *world) members() []siblingwire.Member {
+	var all []siblingwire.Member
+	for _, one := range w.nodes {
+		state := siblingwire.StateAlive
+		if !one.isUp {
+			state = siblingwire.StateGone
+		}
+		all = append(all, siblingwire.Member{Name: one.name, Role: "steward", Disk: one.disk.name, State: state, Past: one.past})
+	}
+	return all
+}
+
+func (w *world) byDisk(disk string) *node {
+	for _, one := range w.nodes {
+		if one.disk.name == disk {
+			return one
+		}
+	}
+	return nil
+}
+
+func (w *world) post(wait time.Duration, run func()) {
+	w.letters = append(w.letters, letter{w.clock.Steady() + wait, run})
+}
+
+func (w *world) transit() time.Duration { return time.Duration(1+w.draw.IntN(9)) * time.Millisecond }
+
+func (w *world) isCut(one, two *node) bool {
+	return one != two && (w.cut[one.name] || w.cut[two.name])
+}
+
+// carry brings a call to another node and its answer back, unless a fault eats one of them.
+func carry[T any](w *world, from, to *node, limit time.Duration, serve func(answer func(T)), done func(T, error)) {
+	fromLife, isOver := from.life, false
+	finish := func(value T, err error) {
+		if !isOver && from.isUp && from.life == fromLife {
+			isOver = true
+			done(value, err)
+		}
+	}
+	var none T
+	w.post(limit, func() { finish(none, errors.New("no answer in time")) })
+	if to == nil {
+		return
+	}
+	times := 1
+	if w.draw.Float64() < w.loss {
+		times = w.draw.IntN(3)
+	}
+	for range times {
+		w.post(w.transit()+time.Duration(w.draw.IntN(times))*20*time.Millisecond, func() {
+			w.arrive(from, to, func() {
+				serve(func(value T) { w.post(w.transit(), func() { w.arrive(to, from, func() { finish(value, nil) }) }) })
+			})
+		})
+	}
+}
+
+func (w *world) arrive(from, to *node, run func()) {
+	switch {
+	case w.isCut(from, to) || !to.isUp:
+	case to.isFrozen:
+		w.post(20*time.Millisecond, func() { w.arrive(from, to, run) })
+	default:
+		run()
+	}
+}
+
+type road struct {
+	node *node
+	life int
+}
+
+func (r *road) Promise(disk string, call siblingwire.PromiseCall, done func(siblingwire.PromiseAnswer, error)) {
+	to := r.node.world.byDisk(disk)
+	carry(r.node.world, r.node, to, 500*time.Millisecond, func(answer func(siblingwire.PromiseAnswer)) { to.replicas.Promise(call, answer) }, done)
+}
+
+func (r *road) Append(disk string, call siblingwire.AppendCall, done func(siblingwire.AppendAnswer, error)) {
+	to := r.node.world.byDisk(disk)
+	carry(r.node.world, r.node, to, time.Second, func(answer func(siblingwire.AppendAnswer)) { to.replicas.Append(call, answer) }, done)
+}
+
+func (r *road) InstallLocal(call siblingwire.AppendCall, done func(siblingwire.AppendAnswer, error)) {
+	r.Append(r.node.disk.name, call, done)
+}
+
+func (r *road) Fetch(disk, key string, done func(siblingwire.FetchAnswer, error)) {
+	to := r.node.world.byDisk(disk)
+	carry(r.node.world, r.node, to, time.Second, func(answer func(siblingwire.FetchAnswer)) {
+		if whole, err := to.replicas.Fetch(key); err == nil {
+			answer(whole)
+		}
+	}, done)
+}
+
+func (r *road) Standing(key string, done func(keyowner.Standing)) {
+	done(r.node.replicas.Standing(key))
+}
+
+func (r *road) ReadLocal(key string) (siblingwire.Snapshot, error) { return r.node.disk.Read(key) }
+
+func (w *world) opened(m *machine) {
+	epoch := m.tenure.Epoch()
+	if other, isTaken := w.owners[epoch]; isTaken {
+		w.problem("epoch %d is owned by %s and %s", epoch, other, m.node.name)
+	}
+	w.owners[epoch] = m.node.name
+	for name, value := range w.acked {
+		if m.held[name] != value {
+			w.problem("%s owns epoch %d without %s, which was acknowledged", m.node.name, epoch, name)
+		}
+	}
+}
+
+func (w *world) problem(format string, values ...any) {
+	w.problems = append(w.problems, fmt.Sprintf("%v: ", w.clock.Steady())+fmt.Sprintf(format, values...))
+}
+
+// step lets one millisecond pass.
+func (w *world) step() {
+	w.clock.Advance(time.Millisecond)
+	now := w.clock.Steady()
+	due := w.letters
+	w.letters = nil
+	for _, one := range due {
+		if one.due > now {
+			w.letters = append(w.letters, one)
+			continue
+		}
+		one.run()
+	}
+	for _, one := range w.nodes {
+		if one.isUp && !one.isFrozen {
+			one.turn(now)
+		}
+	}
+	w.checkLeases()
+}
+
+func (n *node) turn(now time.Duration) {
+	if !n.disk.stalls && len(n.disk.line) > 0 && n.world.draw.IntN(4) == 0 {
+		line := n.disk.line
+		n.disk.line = nil
+		for _, sync := range line {
+			sync()
+		}
+	}
+	n.replicas.Box().Drain()
+	if now%(25*time.Millisecond) == 0 {
+		n.engine.Tick()
+	}
+}
+
+func (w *world) checkLeases() {
+	var holders []string
+	for _, one := range w.nodes {
+		if one.isUp && one.machine.tenure != nil && one.machine.tenure.HasLease() {
+			holders = append(holders, one.name)
+		}
+	}
+	if len(holders) > 1 {
+		w.problem("two leases at once: %v", holders)
+	}
+}
+
+func (w *world) run(length time.Duration) {
+	for range length / time.Millisecond {
+		w.step()
+	}
+}
+
+func (w *world) owner() *node {
+	place := slices.IndexFunc(w.nodes, func(one *node) bool {
+		return one.isUp && !one.isFrozen && one.machine.tenure != nil && one.machine.tenure.HasLease()
+	})
+	if place < 0 {
+		return nil
+	}
+	return w.nodes[place]
+}
+
+// write hands a change to whoever holds the key, and notes it once it is acknowledged.
+func (w *world) write() {
+	for _, one := range w.nodes {
+		if !one.isUp || one.isFrozen || one.machine.tenure == nil {
+			continue
+		}
+		w.written++
+		name := fmt.Sprintf("n%d", w.written)
+		one.machine.tenure.Commit([]siblingwire.Op{{Name: name, Value: []byte(`"` + name + `"`)}}, func(err error) {
+			if err == nil {
+				w.acked[name] = `"` + name + `"`
+			}
+		})
+	}
+}
--- a/internal/mailbox/mailbox.go
+++ b/internal/mailbox/mailbox.go
@@ -46,7 +46,7 @@
 			return
 		case letter := <-m.letters:
 			letter()
-			m.drain()
+			m.Drain()
 		case <-ring:
 			if owner.Tick != nil {
 				owner.Tick()
@@ -59,7 +59,8 @@
 	}
 }
 
-func (m *Mailbox) drain() {
+// Drain runs what waits, and no more than the box holds.
+func (m *Mailbox) Drain() {
 	for range cap(m.letters) {
 		select {
 		case letter := <-m.letters:
