--- a/internal/keyowner/engine.go
+++ b/internal/keyowner/engine.go
@@ -37,7 +37,7 @@
 }
 
 var DefaultTiming = Timing{Lease: 1000 * time.Millisecond, Heartbeat: 250 * time.Millisecond,
-	Stagger: 150 * time.Millisecond, LostAfter: 7 * time.Second}
+	Stagger: 150 * time.Millisecond, LostAfter: 1500 * time.Millisecond}
 
 const (
 	leaseMargin  = 30 * time.Millisecond
@@ -122,7 +122,7 @@
 
 func NewEngine(key, disk, name string, clock pulse.Pulse, links Links, machine Machine, members Stewards, options ...Option) *Engine {
 	engine := &Engine{key: key, disk: disk, name: name, clock: clock, links: links, machine: machine, members: members,
-		timing: DefaultTiming, log: logs.Silent(), announce: func(siblingwire.OwnerFact) {}, lostSince: map[string]time.Duration{}}
+		timing: DefaultTiming, log: logs.Silent(), announce: func(siblingwire.OwnerFact) {}}
 	for _, option := range options {
 		option(engine)
 	}
--- a/internal/keyowner/keyowner_test.go
+++ b/internal/keyowner/keyowner_test.go
@@ -96,12 +96,13 @@
 		Expect(w.problems).To(BeEmpty())
 	})
 
-	It("replaces a machine that is gone for good by a new one", func() {
+	It("replaces a machine that is gone for good, before the next one may be lost", func() {
 		w := newWorld(7, "a", "b", "c")
 		w.run(2 * time.Second)
 		w.nodes[2].kill()
+		w.run(2 * time.Second)
 		w.add("d").start()
-		w.run(25 * time.Second)
+		w.run(4 * time.Second)
 		Expect(w.owner()).NotTo(BeNil())
 		Expect(w.owner().disk.heads[key].Set.Now).To(ConsistOf("disk-a", "disk-b", "disk-d"))
 		Expect(w.problems).To(BeEmpty())
--- a/internal/keyowner/swap.go
+++ b/internal/keyowner/swap.go
@@ -46,22 +46,12 @@
 	})
 }
 
-// lostVoter is a voter whose machine came back with another disk, or that has been gone for long.
+// lostVoter is a voter whose machine came back with another disk, or that has not answered for long.
+// It only matters once there is a learner to take its place, so a voter that is merely slow is kept elsewhere.
 func (e *Engine) lostVoter() string {
 	now := e.clock.Steady()
-	there := map[string]bool{}
-	for _, member := range e.members() {
-		there[member.Disk] = member.State != siblingwire.StateGone
-	}
 	for _, disk := range e.set.Now {
-		if disk == e.disk || there[disk] && now-e.followers[disk].heardAt < e.timing.LostAfter {
-			delete(e.lostSince, disk)
-			continue
-		}
-		if _, isNoted := e.lostSince[disk]; !isNoted {
-			e.lostSince[disk] = now
-		}
-		if e.isReplaced(disk) || now-e.lostSince[disk] > e.timing.LostAfter {
+		if disk != e.disk && (e.isReplaced(disk) || now-e.follow(disk).heardAt > e.timing.LostAfter) {
 			return disk
 		}
 	}
