--- a/internal/keyowner/engine.go
+++ b/internal/keyowner/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"maps"
 	"slices"
 	"time"
 
@@ -375,8 +376,16 @@
 	}
 }
 
+func (e *Engine) inOrder() []*follower {
+	all := make([]*follower, 0, len(e.followers))
+	for _, disk := range slices.Sorted(maps.Keys(e.followers)) {
+		all = append(all, e.followers[disk])
+	}
+	return all
+}
+
 func (e *Engine) push() {
-	for _, one := range e.followers {
+	for _, one := range e.inOrder() {
 		e.send(one, false)
 	}
 }
@@ -513,7 +522,7 @@
 
 func (e *Engine) beat() {
 	now := e.clock.Steady()
-	for _, one := range e.followers {
+	for _, one := range e.inOrder() {
 		if one.needsWhole || now-one.sentAt >= e.timing.Heartbeat {
 			e.send(one, now-one.sentAt >= e.timing.Heartbeat)
 		}
--- a/internal/localproxy/proxy.go
+++ b/internal/localproxy/proxy.go
@@ -283,7 +283,7 @@
 		}
 		status, answer, err := p.deliver(life, turn.work)
 		if err == nil {
-			result := resultOf(status, answer.Reason)
+			result := ResultOf(status, answer.Reason)
 			p.box.Post(func() {
 				p.table.Clock(executor, answer.ClockMs)
 				p.table.Carried(turn.work, result)
@@ -317,7 +317,8 @@
 		executorcalls.RunStop{Task: order.Task, Run: order.Run, Fence: work.Fence})
 }
 
-func resultOf(status int, reason string) string {
+// ResultOf names what an executor's answer to an order means.
+func ResultOf(status int, reason string) string {
 	switch {
 	case status == http.StatusOK:
 		return "ok"
--- a/internal/localproxy/table.go
+++ b/internal/localproxy/table.go
@@ -272,7 +272,9 @@
 	if len(call.Answers) > 0 {
 		one.answers = slices.DeleteFunc(one.answers, func(told siblingwire.OrderAnswer) bool { return slices.Contains(call.Answers, told) })
 	}
-	one.lookTold = max(one.lookTold, call.Look)
+	if call.Fence == answer.Fence {
+		one.lookTold = max(one.lookTold, call.Look)
+	}
 	if len(call.Running) > 0 {
 		one.toldAt = t.now()
 	}
--- a/internal/poolowner/clients.go
+++ b/internal/poolowner/clients.go
@@ -1,7 +1,9 @@
 package poolowner
 
 import (
+	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 
 	"gannetline/internal/jobtable"
@@ -39,7 +41,7 @@
 	if call.Terms != nil {
 		one.record.Terms = *call.Terms
 	}
-	p.jobs[call.ID] = one
+	p.jobs[call.ID], p.untimed[call.ID] = one, one
 	p.queued[call.Entry]++
 	p.put("j/"+call.ID, one.record)
 	p.makeTimesOf(one, p.tenure.WallMs())
@@ -106,7 +108,7 @@
 	if state != stateCompleted {
 		p.log.V(1).Info("job ended", "job", one.id, "state", state, "why", why)
 	}
-	for _, spell := range one.times {
+	for _, spell := range one.timesInOrder() {
 		for _, step := range spell.steps {
 			delete(p.open, step)
 			p.stopStep(step)
@@ -117,7 +119,7 @@
 			}
 		}
 	}
-	for number := range one.doneTimes {
+	for _, number := range slices.Sorted(maps.Keys(one.doneTimes)) {
 		p.drop("k/" + one.id + "/" + strconv.Itoa(number))
 	}
 	p.forgetIfOver(one)
--- a/internal/poolowner/exchange.go
+++ b/internal/poolowner/exchange.go
@@ -21,6 +21,9 @@
 // Exchange takes what a local-proxy says of its executor, and answers with orders, grant and acks.
 func (p *Pool) Exchange(call *siblingwire.ExchangeCall, answer func(siblingwire.ExchangeAnswer)) {
 	now := p.clock.Steady()
+	if call.Fence != p.tenure.Epoch() {
+		call.Look = 0
+	}
 	for _, gone := range call.Gone {
 		if old := p.lives[gone]; old != nil && gone != call.Life {
 			p.lifeGone(old)
@@ -212,12 +215,12 @@
 	if call.Look == 0 || !home.isFenced {
 		return
 	}
-	for key, one := range home.runs {
+	for _, one := range home.inOrder() {
 		if one.needsLook == 0 || one.needsLook > call.Look {
 			continue
 		}
 		one.needsLook = 0
-		p.resolve(one, running[key])
+		p.resolve(one, running[one.key()])
 	}
 }
 
@@ -251,7 +254,7 @@
 func (p *Pool) lifeGone(home *life) {
 	home.isKnown = false
 	p.unpark(home, siblingwire.ExchangeAnswer{})
-	for _, one := range home.runs {
+	for _, one := range home.inOrder() {
 		step := one.task.step
 		p.closeRun(one)
 		if step.step.Gang && step.hasRuns() && step.brokenAt == 0 {
--- a/internal/poolowner/model.go
+++ b/internal/poolowner/model.go
@@ -1,6 +1,8 @@
 package poolowner
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -53,6 +55,14 @@
 	return j.spec.FirstRunMs + int64(number)*j.spec.PeriodMs
 }
 
+func (j *job) timesInOrder() []*jobTime {
+	spells := make([]*jobTime, 0, len(j.times))
+	for _, number := range slices.Sorted(maps.Keys(j.times)) {
+		spells = append(spells, j.times[number])
+	}
+	return spells
+}
+
 // aimMs is when the job, or one of its times, should be done.
 func (j *job) aimMs(number int) int64 {
 	begin := max(j.record.AcceptedMs, j.dueMs(number))
@@ -180,6 +190,21 @@
 	isBlocked  bool
 }
 
+// inOrder gives the runs in an order that is the same at every replay.
+func (l *life) inOrder() []*run {
+	runs := slices.Collect(maps.Values(l.runs))
+	slices.SortFunc(runs, func(one, two *run) int {
+		return cmp.Or(cmp.Compare(one.task.name, two.task.name), cmp.Compare(one.number, two.number))
+	})
+	return runs
+}
+
+func (p *Pool) livesInOrder() []*life {
+	lives := slices.Collect(maps.Values(p.lives))
+	slices.SortFunc(lives, func(one, two *life) int { return cmp.Compare(one.id, two.id) })
+	return lives
+}
+
 func (l *life) rack() string {
 	if len(l.labels) == 0 {
 		return ""
--- a/internal/poolowner/pool.go
+++ b/internal/poolowner/pool.go
@@ -4,6 +4,8 @@
 
 import (
 	"bytes"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -69,6 +71,7 @@
 	flights  []*flight
 
 	toRelease map[*life]bool
+	untimed   map[string]*job
 }
 
 type flight struct{ effects []func(error) }
@@ -87,6 +90,7 @@
 func (p *Pool) Open(tenure Tenure, pairs []siblingwire.Op) error {
 	p.jobs, p.lives, p.open, p.queued = map[string]*job{}, map[string]*life{}, map[*stepState]bool{}, map[string]int{}
 	p.ops, p.effects, p.flights, p.opPlaces, p.toRelease = nil, nil, nil, map[string]int{}, map[*life]bool{}
+	p.untimed = map[string]*job{}
 	p.began = p.clock.Steady()
 	if err := p.load(pairs); err != nil {
 		return errors.Annotatef(err, "loading %s", p.key)
@@ -99,7 +103,7 @@
 
 func (p *Pool) Close() {
 	p.tenure = nil
-	for _, one := range p.lives {
+	for _, one := range p.livesInOrder() {
 		p.unpark(one, siblingwire.ExchangeAnswer{Elsewhere: true})
 	}
 	flights, effects := p.flights, p.effects
@@ -169,10 +173,15 @@
 
 // releaseAll lets orders leave together, once all effects of a commit are done.
 func (p *Pool) releaseAll() {
-	for home := range p.toRelease {
-		delete(p.toRelease, home)
-		p.release(home)
+	if len(p.toRelease) == 0 {
+		return
+	}
+	for _, home := range p.livesInOrder() {
+		if p.toRelease[home] {
+			p.release(home)
+		}
 	}
+	clear(p.toRelease)
 }
 
 func (p *Pool) settleReads() {
@@ -211,8 +220,8 @@
 			return errors.Annotate(err, pair.Name)
 		}
 	}
-	for _, one := range p.jobs {
-		p.reopen(one)
+	for _, id := range slices.Sorted(maps.Keys(p.jobs)) {
+		p.reopen(p.jobs[id])
 	}
 	return nil
 }
@@ -227,7 +236,7 @@
 		return err
 	}
 	one.spec = spec
-	p.jobs[id] = one
+	p.jobs[id], p.untimed[id] = one, one
 	p.queued[one.record.Entry]++
 	return nil
 }
@@ -302,7 +311,7 @@
 // reopen works out what was under way when the state was written.
 func (p *Pool) reopen(one *job) {
 	if !one.isOpen() {
-		for _, spell := range one.times {
+		for _, spell := range one.timesInOrder() {
 			for _, step := range spell.steps {
 				p.stopStep(step)
 			}
@@ -312,7 +321,7 @@
 	if one.hasStarted {
 		p.noteStart(one)
 	}
-	for _, spell := range one.times {
+	for _, spell := range one.timesInOrder() {
 		spell.left = 0
 		for _, step := range spell.steps {
 			if step.left > 0 {
@@ -364,10 +373,13 @@
 	if p.tenure != nil {
 		wall = p.tenure.WallMs()
 	}
-	for _, one := range p.jobs {
-		if one.isOpen() && one.nextTime < one.timeCount() {
-			p.makeTimesOf(one, wall)
+	for _, id := range slices.Sorted(maps.Keys(p.untimed)) {
+		one := p.untimed[id]
+		if !one.isOpen() || one.nextTime >= one.timeCount() {
+			delete(p.untimed, id)
+			continue
 		}
+		p.makeTimesOf(one, wall)
 	}
 }
 
--- a/internal/poolowner/tick.go
+++ b/internal/poolowner/tick.go
@@ -1,6 +1,8 @@
 package poolowner
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -16,10 +18,10 @@
 	}
 	now := p.clock.Steady()
 	p.makeTimes()
-	for _, home := range p.lives {
+	for _, home := range p.livesInOrder() {
 		p.tickLife(home, now)
 	}
-	for step := range p.open {
+	for _, step := range p.openInOrder() {
 		if step.brokenAt > 0 {
 			p.tickBroken(step, now)
 		}
@@ -38,7 +40,7 @@
 	if home.parked != nil && now >= home.parked.until {
 		p.answerParked(home)
 	}
-	for _, one := range home.runs {
+	for _, one := range home.inOrder() {
 		p.tickRun(home, one, now)
 	}
 }
@@ -52,7 +54,7 @@
 		p.lifeGone(home)
 		return
 	}
-	for _, one := range home.runs {
+	for _, one := range home.inOrder() {
 		p.closeRun(one)
 	}
 }
@@ -90,7 +92,7 @@
 // evacuate moves what will not end before a leaving executor is gone.
 func (p *Pool) evacuate(home *life) {
 	now := p.clock.Steady()
-	for _, one := range home.runs {
+	for _, one := range home.inOrder() {
 		step := one.task.step.step
 		left := pulse.Ms(step.EstimatedMs) - (now - one.startedAt)
 		if one.state == runRunning && (step.Lasting || home.departsAt > 0 && left > home.departsAt-now) {
@@ -137,18 +139,7 @@
 }
 
 func (p *Pool) placeable(now time.Duration) ([]*life, []placetasks.Executor) {
-	var homes []*life
-	for _, home := range p.lives {
-		if home.isKnown {
-			homes = append(homes, home)
-		}
-	}
-	slices.SortFunc(homes, func(one, two *life) int {
-		if one.id < two.id {
-			return -1
-		}
-		return 1
-	})
+	homes := slices.DeleteFunc(p.livesInOrder(), func(home *life) bool { return !home.isKnown })
 	executors := make([]placetasks.Executor, len(homes))
 	for place, home := range homes {
 		executors[place] = placetasks.Executor{Free: home.room.Minus(home.used), Total: home.room, Labels: home.labels, Rack: home.rack(),
@@ -159,16 +150,7 @@
 }
 
 func (p *Pool) waiting(homes []*life, now time.Duration) ([]*stepState, [][]*task, []placetasks.Group) {
-	var steps []*stepState
-	for step := range p.open {
-		steps = append(steps, step)
-	}
-	slices.SortFunc(steps, func(one, two *stepState) int {
-		if one.tasks[0].name < two.tasks[0].name {
-			return -1
-		}
-		return 1
-	})
+	steps := p.openInOrder()
 	kept := steps[:0]
 	var tasks [][]*task
 	var groups []placetasks.Group
@@ -184,6 +166,12 @@
 	return kept, tasks, groups
 }
 
+func (p *Pool) openInOrder() []*stepState {
+	steps := slices.Collect(maps.Keys(p.open))
+	slices.SortFunc(steps, func(one, two *stepState) int { return cmp.Compare(one.tasks[0].name, two.tasks[0].name) })
+	return steps
+}
+
 func (p *Pool) ready(step *stepState, now time.Duration) []*task {
 	if step.step.Gang && step.hasRuns() {
 		return nil
--- /dev/null
+++ b/internal/stage/line.go
@@ -0,0 +1,64 @@
+// Package stage plays the project's own code over simulated nodes and executors, on a clock of its own.
+// What is drawn by lot is drawn from a seed, so that a play can be repeated to the byte.
+package stage
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"time"
+
+	"gannetline/internal/pulse"
+)
+
+type event struct {
+	due   time.Duration
+	place uint64
+	run   func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].due < e[j].due || e[i].due == e[j].due && e[i].place < e[j].place
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(one any) { *e = append(*e, one.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// Line is what happens, in order of time.
+type Line struct {
+	Clock *pulse.Fake
+	Draw  *rand.Rand
+	queue events
+	count uint64
+}
+
+func NewLine(wallMs int64, seed uint64) *Line {
+	return &Line{Clock: pulse.NewFake(wallMs), Draw: rand.New(rand.NewPCG(seed, 42))}
+}
+
+func (l *Line) Now() time.Duration { return l.Clock.Steady() }
+
+func (l *Line) After(wait time.Duration, run func()) {
+	l.count++
+	heap.Push(&l.queue, event{l.Now() + max(0, wait), l.count, run})
+}
+
+// RunUntil plays all that falls due up to a moment.
+func (l *Line) RunUntil(end time.Duration) {
+	for len(l.queue) > 0 && l.queue[0].due <= end {
+		next := heap.Pop(&l.queue).(event)
+		if next.due > l.Now() {
+			l.Clock.Advance(next.due - l.Now())
+		}
+		next.run()
+	}
+	if end > l.Now() {
+		l.Clock.Advance(end - l.Now())
+	}
+}
--- /dev/null
+++ b/internal/stage/node.go
@@ -0,0 +1,185 @@
+package stage
+
+import (
+	"time"
+
+	"github.com/juju/errors"
+
+	"gannetline/internal/keyowner"
+	"gannetline/internal/mailbox"
+	"gannetline/internal/poolowner"
+	"gannetline/internal/siblingwire"
+)
+
+const (
+	syncTime     = 5 * time.Millisecond
+	tickEvery    = 50 * time.Millisecond
+	promiseLimit = 500 * time.Millisecond
+	appendLimit  = 1500 * time.Millisecond
+)
+
+var errSilence = errors.New("no answer in time")
+
+// Node is one steward: the disk lasts while the rest may die.
+type Node struct {
+	stage    *Stage
+	Name     string
+	disk     *Disk
+	past     []string
+	isUp     bool
+	isFrozen bool
+	life     int
+	replicas *keyowner.Replicas
+	engines  map[string]*keyowner.Engine
+	pools    map[string]*poolowner.Pool
+}
+
+func (n *Node) start() {
+	n.isUp, n.isFrozen = true, false
+	n.life++
+	n.disk.settled = n.settle
+	replicas, err := keyowner.NewReplicas(mailbox.New(4096), n.disk, n.stage.Line.Clock, keyowner.DefaultTiming.Lease)
+	if err != nil {
+		panic(err)
+	}
+	n.replicas = replicas
+	n.engines, n.pools = map[string]*keyowner.Engine{}, map[string]*poolowner.Pool{}
+	for _, key := range n.stage.keys {
+		pool := poolowner.New(key, n.stage.Line.Clock, n.stage.timing, n.stage.log)
+		n.pools[key] = pool
+		n.engines[key] = keyowner.NewEngine(key, n.disk.name, n.Name, n.stage.Line.Clock, &road{n, n.life}, poolowner.Opener{Pool: pool},
+			n.stage.members, keyowner.WithBirth(n.stage.birth()), keyowner.WithLog(n.stage.log))
+	}
+	n.tick(n.life)
+}
+
+func (n *Node) tick(life int) {
+	if !n.isUp || n.life != life {
+		return
+	}
+	n.enter(life, func() {
+		for _, key := range n.stage.keys {
+			n.engines[key].Tick()
+			n.pools[key].Tick()
+		}
+	})
+	n.stage.Line.After(tickEvery, func() { n.tick(life) })
+}
+
+// enter runs something inside the process, if it still lives; a frozen one does it once it wakes.
+func (n *Node) enter(life int, run func()) {
+	switch {
+	case !n.isUp || n.life != life:
+	case n.isFrozen:
+		n.stage.Line.After(20*time.Millisecond, func() { n.enter(life, run) })
+	default:
+		run()
+		n.settle()
+	}
+}
+
+func (n *Node) settle() {
+	if !n.isUp || n.isFrozen {
+		return
+	}
+	n.replicas.Box().Drain()
+	for _, key := range n.stage.keys {
+		n.pools[key].Settle()
+	}
+}
+
+func (n *Node) kill() {
+	n.isUp = false
+	n.life++
+	n.disk.losePower()
+}
+
+// call goes to a place and back; faults may eat, double or delay it.
+func call[T any](s *Stage, from, to *place, limit time.Duration, serve func(answer func(T)), done func(T, error)) {
+	isOver := false
+	finish := func(value T, err error) {
+		if !isOver {
+			isOver = true
+			from.enter(func() { done(value, err) })
+		}
+	}
+	var none T
+	s.Line.After(limit, func() { finish(none, errSilence) })
+	if to == nil {
+		return
+	}
+	for range s.copies() {
+		s.Line.After(s.transit(), func() {
+			if s.isCut(from.name, to.name) {
+				return
+			}
+			to.enter(func() {
+				serve(func(value T) {
+					s.Line.After(s.transit(), func() {
+						if !s.isCut(from.name, to.name) {
+							finish(value, nil)
+						}
+					})
+				})
+			})
+		})
+	}
+}
+
+// place is where a call comes from or goes to.
+type place struct {
+	name  string
+	enter func(run func())
+}
+
+func (n *Node) place() *place {
+	life := n.life
+	return &place{n.Name, func(run func()) { n.enter(life, run) }}
+}
+
+func (s *Stage) placeOf(disk string) (*Node, *place) {
+	for _, one := range s.Nodes {
+		if one.disk.name == disk && one.isUp {
+			return one, one.place()
+		}
+	}
+	return nil, nil
+}
+
+type road struct {
+	node *Node
+	life int
+}
+
+func (r *road) Promise(disk string, ask siblingwire.PromiseCall, done func(siblingwire.PromiseAnswer, error)) {
+	to, where := r.node.stage.placeOf(disk)
+	call(r.node.stage, r.node.place(), where, promiseLimit, func(answer func(siblingwire.PromiseAnswer)) { to.replicas.Promise(ask, answer) }, done)
+}
+
+func (r *road) Append(disk string, ask siblingwire.AppendCall, done func(siblingwire.AppendAnswer, error)) {
+	if disk == r.node.disk.name {
+		r.InstallLocal(ask, done)
+		return
+	}
+	to, where := r.node.stage.placeOf(disk)
+	call(r.node.stage, r.node.place(), where, appendLimit, func(answer func(siblingwire.AppendAnswer)) { to.replicas.Append(ask, answer) }, done)
+}
+
+func (r *road) InstallLocal(ask siblingwire.AppendCall, done func(siblingwire.AppendAnswer, error)) {
+	r.node.replicas.Append(ask, func(answer siblingwire.AppendAnswer) { done(answer, nil) })
+}
+
+func (r *road) Fetch(disk, key string, done func(siblingwire.FetchAnswer, error)) {
+	to, where := r.node.stage.placeOf(disk)
+	call(r.node.stage, r.node.place(), where, appendLimit, func(answer func(siblingwire.FetchAnswer)) {
+		if whole, err := to.replicas.Fetch(key); err == nil {
+			answer(whole)
+		}
+	}, done)
+}
+
+func (r *road) Standing(key string, done func(keyowner.Standing)) {
+	done(r.node.replicas.Standing(key))
+}
+
+func (r *road) ReadLocal(key string) (siblingwire.Snapshot, error) { return r.node.disk.Read(key) }
--- /dev/null
+++ b/internal/stage/proxy.go
@@ -0,0 +1,213 @@
+package stage
+
+import (
+	"time"
+
+	"gannetline/internal/executorcalls"
+	"gannetline/internal/localproxy"
+	"gannetline/internal/pulse"
+	"gannetline/internal/siblingwire"
+)
+
+// Proxy drives the real table of a local-proxy beside a modelled executor.
+type Proxy struct {
+	stage     *Stage
+	executor  *Executor
+	table     *localproxy.Table
+	life      int
+	isUp      bool
+	sequence  int64
+	reporting bool
+	isDirty   bool
+	guess     int
+}
+
+func (p *Proxy) start() {
+	p.life++
+	p.isUp, p.reporting, p.isDirty = true, false, false
+	life := p.life
+	later := func(run func()) func() {
+		return func() { p.stage.Line.After(0, func() { p.enter(life, run) }) }
+	}
+	p.table = localproxy.NewTable(p.stage.Line.Clock, p.stage.log, p.executor.service(), p.executor.Domain, p.executor.Machine,
+		later(p.report), later(func() { p.hold(life, true) }), later(func() { p.hold(life, false) }))
+	p.beat(life)
+	p.holdLoop(life)
+	p.poll(life)
+}
+
+func (e *Executor) service() string { return e.stage.service }
+
+func (p *Proxy) enter(life int, run func()) {
+	if p.isUp && p.life == life {
+		run()
+	}
+}
+
+func (p *Proxy) place() *place {
+	life := p.life
+	return &place{p.executor.Machine, func(run func()) { p.enter(life, run) }}
+}
+
+func (p *Proxy) beat(life int) {
+	p.enter(life, func() {
+		if p.executor.isUp {
+			p.sequence++
+			state := "ready"
+			if p.executor.isDrain {
+				state = "draining"
+			}
+			p.table.Beat(p.executor.ID, &executorcalls.Beat{Service: p.stage.service, State: state, Room: p.executor.Room,
+				Labels: []string{"a", p.executor.Rack}, ClockMs: p.executor.ClockMs(), Sequence: p.sequence})
+		}
+		p.stage.Line.After(1500*time.Millisecond, func() { p.beat(life) })
+	})
+}
+
+func (p *Proxy) holdLoop(life int) {
+	p.enter(life, func() { p.hold(life, false) })
+	if p.isUp && p.life == life {
+		p.stage.Line.After(500*time.Millisecond, func() { p.holdLoop(life) })
+	}
+}
+
+// ask brings a call to the executor; a late one is carried out seconds after it was given up.
+func (p *Proxy) ask(executor string, limit time.Duration, serve func(answer func(int, executorcalls.Answer)), done func(int, executorcalls.Answer, bool)) {
+	life, isOver := p.life, false
+	finish := func(status int, answer executorcalls.Answer, isAnswered bool) {
+		p.enter(life, func() {
+			if !isOver {
+				isOver = true
+				done(status, answer, isAnswered)
+			}
+		})
+	}
+	p.stage.Line.After(limit, func() { finish(0, executorcalls.Answer{}, false) })
+	birth, wait := p.executor.birth, time.Millisecond
+	isMute := p.executor.isLate && p.stage.Line.Draw.IntN(2) == 0
+	if isMute {
+		wait = time.Duration(2+p.stage.Line.Draw.IntN(10)) * time.Second
+	}
+	p.stage.Line.After(wait, func() {
+		switch {
+		case !p.executor.isUp:
+		case p.executor.birth != birth || p.executor.ID != executor:
+			finish(421, executorcalls.Answer{}, true)
+		default:
+			serve(func(status int, answer executorcalls.Answer) {
+				if !isMute {
+					p.stage.Line.After(time.Millisecond, func() { finish(status, answer, true) })
+				}
+			})
+		}
+	})
+}
+
+func (p *Proxy) hold(life int, isLook bool) {
+	work, isDue := p.table.NextHold(isLook)
+	if !isDue || p.life != life {
+		return
+	}
+	limit := pulse.Ms(work.Hold.WaitMs) + 500*time.Millisecond
+	p.ask(work.Life, limit, func(answer func(int, executorcalls.Answer)) { p.executor.Hold(work.Hold, answer) },
+		func(status int, answer executorcalls.Answer, isAnswered bool) {
+			if isAnswered && status == 200 {
+				p.table.Held(work, answer)
+				return
+			}
+			p.table.HoldFailed(work, isAnswered && status == 421)
+		})
+}
+
+func (p *Proxy) report() {
+	if p.reporting {
+		p.isDirty = true
+		return
+	}
+	p.reporting = true
+	life := p.life
+	p.exchange(0, func(isTold bool) {
+		p.reporting = false
+		if !isTold || p.isDirty {
+			p.isDirty = false
+			wait := time.Duration(0)
+			if !isTold {
+				wait = 60 * time.Millisecond
+			}
+			p.stage.Line.After(wait, func() { p.enter(life, p.report) })
+		}
+	})
+}
+
+func (p *Proxy) poll(life int) {
+	p.enter(life, func() {
+		p.exchange(1000, func(isTold bool) {
+			wait := time.Millisecond
+			if !isTold {
+				wait = 60 * time.Millisecond
+			}
+			p.stage.Line.After(wait, func() { p.poll(life) })
+		})
+	})
+}
+
+func (p *Proxy) exchange(waitMs int64, done func(isTold bool)) {
+	ask, isDue := p.table.Compose(waitMs)
+	if !isDue {
+		life := p.life
+		p.stage.Line.After(300*time.Millisecond, func() { p.enter(life, func() { done(true) }) })
+		return
+	}
+	owner := p.stage.Nodes[p.guess%len(p.stage.Nodes)]
+	askedAt := p.stage.Line.Now()
+	call(p.stage, p.place(), owner.place(), pulse.Ms(waitMs)+1500*time.Millisecond, func(answer func(siblingwire.ExchangeAnswer)) {
+		pool := owner.pools[ask.Key]
+		if pool == nil || !pool.IsOpen() {
+			answer(siblingwire.ExchangeAnswer{Elsewhere: true})
+			return
+		}
+		pool.Exchange(ask, answer)
+	}, func(answer siblingwire.ExchangeAnswer, err error) {
+		if err != nil || answer.Elsewhere {
+			p.guess++
+			done(false)
+			return
+		}
+		if answer.Fence > 0 {
+			for _, order := range p.table.Told(ask, askedAt, &answer) {
+				p.carry(ask.Life, order, 0)
+			}
+		}
+		done(true)
+	})
+}
+
+func (p *Proxy) carry(executor string, order siblingwire.Order, try int) {
+	work, isDue := p.table.Ready(executor, order)
+	if !isDue {
+		return
+	}
+	p.ask(executor, 250*time.Millisecond, func(answer func(int, executorcalls.Answer)) { answer(p.deliver(work)) },
+		func(status int, answer executorcalls.Answer, isAnswered bool) {
+			if isAnswered {
+				p.table.Clock(executor, answer.ClockMs)
+				p.table.Carried(work, localproxy.ResultOf(status, answer.Reason))
+				return
+			}
+			p.table.Unanswered(work)
+			if try == 0 {
+				p.carry(executor, order, 1)
+				return
+			}
+			p.table.Carried(work, "timeout")
+		})
+}
+
+func (p *Proxy) deliver(work localproxy.OrderWork) (int, executorcalls.Answer) {
+	order := work.Order
+	if order.Kind == "launch" {
+		return p.executor.Start(executorcalls.RunStart{Task: order.Task, Run: order.Run, Spec: order.Spec, ExpiryMs: work.ExpiryMs,
+			Fence: work.Fence, Saved: order.Saved})
+	}
+	return p.executor.Stop(executorcalls.RunStop{Task: order.Task, Run: order.Run, Fence: work.Fence})
+}
--- /dev/null
+++ b/internal/stage/stage.go
@@ -0,0 +1,232 @@
+package stage
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"gannetline/internal/jobtable"
+	"gannetline/internal/logs"
+	"gannetline/internal/poolowner"
+	"gannetline/internal/siblingwire"
+)
+
+// Stage is a whole small system: stewards, proxies, executors and clients.
+type Stage struct {
+	Line      *Line
+	Nodes     []*Node
+	Proxies   []*Proxy
+	Executors []*Executor
+	Judge     *Judge
+	Work      Work
+	Loss      float64
+	service   string
+	keys      []string
+	timing    poolowner.Timing
+	log       logs.Logger
+	cut       map[string]bool
+	shown     map[string]string
+}
+
+type Option func(*Stage)
+
+func WithTiming(timing poolowner.Timing) Option { return func(s *Stage) { s.timing = timing } }
+
+func WithWork(work Work) Option { return func(s *Stage) { s.Work = work } }
+
+func WithLog(log logs.Logger) Option { return func(s *Stage) { s.log = log } }
+
+// DefaultTiming is that of a deployment with holds of 6 s.
+var DefaultTiming = poolowner.Timing{Grant: 4800 * time.Millisecond, MaxHold: 6 * time.Second, Resend: 200 * time.Millisecond,
+	ResendMost: time.Second, HoldStale: 2500 * time.Millisecond, SilentAfter: 1500 * time.Millisecond,
+	StopTimeout: 400 * time.Millisecond, StuckAfter: 2 * time.Second, KeepEnded: 150 * time.Second}
+
+func evenWork(string, int64, *Executor) (time.Duration, string) {
+	return 200 * time.Millisecond, "done"
+}
+
+// New sets up stewards and executors and starts them all.
+func New(seed uint64, stewards, executors int, room siblingwire.Capacity, wallMs int64, options ...Option) *Stage {
+	line := NewLine(wallMs, seed)
+	s := &Stage{Line: line, Judge: newJudge(line), service: "board", keys: []string{"pool/board"}, timing: DefaultTiming,
+		log: logs.Silent(), cut: map[string]bool{}, Work: evenWork, shown: map[string]string{}}
+	for _, option := range options {
+		option(s)
+	}
+	for number := range stewards {
+		name := fmt.Sprintf("steward-%d", number+1)
+		s.Nodes = append(s.Nodes, &Node{stage: s, Name: name, disk: NewDisk(line, "disk-"+name, syncTime)})
+	}
+	for number := range executors {
+		machine := fmt.Sprintf("side-%02d", number+1)
+		one := &Executor{stage: s, Machine: machine, Domain: "d", Rack: fmt.Sprintf("r%d", number/3+1), Room: room, Speed: 1}
+		one.restart()
+		s.Executors = append(s.Executors, one)
+		s.Proxies = append(s.Proxies, &Proxy{stage: s, executor: one})
+	}
+	for _, one := range s.Nodes {
+		one.start()
+	}
+	for _, one := range s.Proxies {
+		one.start()
+	}
+	return s
+}
+
+func (s *Stage) birth() []string {
+	var disks []string
+	for number := range min(3, len(s.Nodes)) {
+		disks = append(disks, fmt.Sprintf("disk-steward-%d", number+1))
+	}
+	return disks
+}
+
+func (s *Stage) members() []siblingwire.Member {
+	var all []siblingwire.Member
+	for _, one := range s.Nodes {
+		state := siblingwire.StateAlive
+		if !one.isUp {
+			state = siblingwire.StateGone
+		}
+		all = append(all, siblingwire.Member{Name: one.Name, Role: "steward", Disk: one.disk.name, State: state, Past: one.past})
+	}
+	return all
+}
+
+func (s *Stage) transit() time.Duration {
+	return time.Millisecond + time.Duration(s.Line.Draw.IntN(3000))*time.Microsecond
+}
+
+func (s *Stage) copies() int {
+	if s.Loss > 0 && s.Line.Draw.Float64() < s.Loss {
+		return s.Line.Draw.IntN(3)
+	}
+	return 1
+}
+
+func (s *Stage) isCut(one, two string) bool { return one != two && (s.cut[one] || s.cut[two]) }
+
+func (s *Stage) Run(length time.Duration) { s.Line.RunUntil(s.Line.Now() + length) }
+
+// Owner is the steward that holds the pool now, if any does.
+func (s *Stage) Owner() *Node {
+	place := slices.IndexFunc(s.Nodes, func(one *Node) bool {
+		return one.isUp && !one.isFrozen && one.engines[s.keys[0]].IsOwner()
+	})
+	if place < 0 {
+		return nil
+	}
+	return s.Nodes[place]
+}
+
+func (s *Stage) Kill(one *Node)                  { one.kill() }
+func (s *Stage) Start(one *Node)                 { one.start() }
+func (s *Stage) Freeze(one *Node, isFrozen bool) { one.isFrozen = isFrozen }
+func (s *Stage) Stall(one *Node, isStalled bool) { one.disk.Stall(isStalled) }
+func (s *Stage) Cut(name string, isCut bool)     { s.cut[name] = isCut }
+
+// Wipe restarts a steward with an empty disk.
+func (s *Stage) Wipe(one *Node) {
+	one.kill()
+	one.past = append(one.past, one.disk.name)
+	one.disk = NewDisk(s.Line, fmt.Sprintf("disk-%s-%d", one.Name, len(one.past)), syncTime)
+	one.start()
+}
+
+func (s *Stage) KillProxy(one *Proxy)  { one.isUp = false }
+func (s *Stage) StartProxy(one *Proxy) { one.start() }
+
+// Crash ends an executor's life; a new one begins a while later.
+func (s *Stage) Crash(one *Executor, down time.Duration) {
+	one.isUp = false
+	s.Judge.crashed(one)
+	s.Line.After(down, one.restart)
+}
+
+func (s *Stage) Drain(one *Executor)                { one.isDrain = true }
+func (s *Stage) Slow(one *Executor, factor float64) { one.Speed = factor }
+func (s *Stage) Late(one *Executor, isLate bool)    { one.isLate = isLate }
+
+func (s *Stage) breakGang(task string, run int64) {
+	_, place := s.Judge.step(task)
+	s.Line.After(10*time.Millisecond, func() {
+		for _, executor := range s.Executors {
+			for _, one := range slices.Clone(executor.active) {
+				_, other := s.Judge.step(one.task)
+				if one.number == run && other.ID == place.ID && other.Time == place.Time && other.Step == place.Step {
+					executor.end(one, "broken")
+				}
+			}
+		}
+	})
+}
+
+// Ask plays a client: it asks one steward after another until one answers for the pool.
+func (s *Stage) Ask(ask siblingwire.ClientCall, answer func(siblingwire.ClientAnswer)) {
+	ask.Key = s.keys[0]
+	s.ask(&ask, s.Line.Draw.IntN(len(s.Nodes)), 0, answer)
+}
+
+func (s *Stage) ask(ask *siblingwire.ClientCall, number, try int, answer func(siblingwire.ClientAnswer)) {
+	node := s.Nodes[number%len(s.Nodes)]
+	client := &place{"client", func(run func()) { run() }}
+	call(s, client, node.place(), 900*time.Millisecond, func(told func(siblingwire.ClientAnswer)) {
+		pool := node.pools[ask.Key]
+		if pool == nil || !pool.IsOpen() {
+			told(siblingwire.ClientAnswer{Elsewhere: true})
+			return
+		}
+		verbs := map[string]func(*siblingwire.ClientCall, func(siblingwire.ClientAnswer)){
+			"hand-in": pool.HandIn, "state": pool.State, "cancel": pool.Cancel, "count": pool.Count}
+		verbs[ask.Verb](ask, told)
+	}, func(told siblingwire.ClientAnswer, err error) {
+		if err == nil && !told.Elsewhere {
+			answer(told)
+			return
+		}
+		if try < 200 {
+			s.Line.After(50*time.Millisecond, func() { s.ask(ask, number+1, try+1, answer) })
+		}
+	})
+}
+
+// HandIn gives a job to the system, and tells the judge what was given.
+func (s *Stage) HandIn(id, entry string, body []byte, terms siblingwire.EntryTerms, answer func(siblingwire.ClientAnswer)) error {
+	spec, err := jobtable.Read(body)
+	if err != nil {
+		return err
+	}
+	s.Judge.expect(id, spec, terms.MaxAttempts)
+	s.Ask(siblingwire.ClientCall{Verb: "hand-in", Entry: entry, ID: id, Body: body, Terms: &terms}, answer)
+	return nil
+}
+
+// Mend ends every fault that lasts.
+func (s *Stage) Mend() {
+	clear(s.cut)
+	for _, one := range s.Nodes {
+		s.Freeze(one, false)
+		s.Stall(one, false)
+		if !one.isUp {
+			one.start()
+		}
+	}
+	for _, one := range s.Executors {
+		one.isLate, one.Speed = false, 1
+	}
+	for _, one := range s.Proxies {
+		if !one.isUp {
+			one.start()
+		}
+	}
+}
+
+// Kept counts what the owner still holds: jobs in its table, pairs on its disk.
+func (s *Stage) Kept() (jobs, pairs int) {
+	owner := s.Owner()
+	if owner == nil {
+		return 0, 0
+	}
+	held, _ := owner.pools[s.keys[0]].Beliefs()
+	return len(held), len(owner.disk.pairs[s.keys[0]])
+}
--- /dev/null
+++ b/internal/stage/stage_test.go
@@ -0,0 +1,347 @@
+package stage_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gannetline/internal/siblingwire"
+	"gannetline/internal/stage"
+)
+
+const wall = 1_800_000_000_000
+
+var room = siblingwire.Capacity{CPU: 16000, Memory: 32768}
+
+func id(number int) string { return fmt.Sprintf("%016x", number) }
+
+func plain(tasks, cpu int) string {
+	return fmt.Sprintf(`{"task-descriptor":"d","step-list":[{"task-count":%d,"cpu-units":%d,"memory-req-mb":100,"estimated-ms":200}]}`, tasks, cpu)
+}
+
+const chain = `{"task-descriptor":"d","step-list":[{"task-count":4,"cpu-units":500,"estimated-ms":200},` +
+	`{"task-count":3,"cpu-units":2000,"estimated-ms":200,"depends-on":[0]},{"task-count":1,"cpu-units":100,"estimated-ms":100,"depends-on":[0,1]}]}`
+
+const gang = `{"task-descriptor":"d","step-list":[{"task-count":5,"cpu-units":6000,"estimated-ms":300,"gang-scheduled":true}]}`
+
+// crowd hands jobs in and keeps what became of them.
+type crowd struct {
+	*stage.Stage
+	accepted map[string]bool
+}
+
+func newCrowd(seed uint64, options ...stage.Option) *crowd {
+	c := &crowd{Stage: stage.New(seed, 3, 6, room, wall, options...), accepted: map[string]bool{}}
+	c.Run(3 * time.Second)
+	Expect(c.Owner()).NotTo(BeNil())
+	return c
+}
+
+func (c *crowd) handIn(number int, body string) {
+	terms := siblingwire.EntryTerms{MaxAttempts: 4, Stretch: 1.5, TargetMs: 250}
+	Expect(c.HandIn(id(number), "cover", []byte(body), terms, func(answer siblingwire.ClientAnswer) {
+		if answer.Status == 200 {
+			c.accepted[id(number)] = true
+		}
+	})).To(Succeed())
+}
+
+func (c *crowd) state(number int) string {
+	var state string
+	c.Ask(siblingwire.ClientCall{Verb: "state", Entry: "cover", ID: id(number)}, func(answer siblingwire.ClientAnswer) {
+		state = fmt.Sprintf("%d%s", answer.Status, answer.Body)
+	})
+	c.Run(3 * time.Second)
+	return state
+}
+
+const completed = `200{"executor-state":"completed"}`
+
+func (c *crowd) expectAllCompleted() {
+	for one := range c.accepted {
+		var state string
+		c.Ask(siblingwire.ClientCall{Verb: "state", Entry: "cover", ID: one}, func(answer siblingwire.ClientAnswer) { state = string(answer.Body) })
+		for round := 0; round < 100 && state == ""; round++ {
+			c.Run(50 * time.Millisecond)
+		}
+		Expect(state).To(ContainSubstring("completed"), "job %s", one)
+	}
+}
+
+var _ = Describe("a pool, its proxies and its executors", func() {
+	It("completes what is handed in, in the order of its steps", func() {
+		c := newCrowd(1)
+		for number := range 10 {
+			c.handIn(number, chain)
+		}
+		c.Run(5 * time.Second)
+		Expect(c.accepted).To(HaveLen(10))
+		c.expectAllCompleted()
+		Expect(c.Judge.Problems).To(BeEmpty())
+	})
+
+	It("takes the same ID for the same job", func() {
+		c := newCrowd(2)
+		for range 3 {
+			c.handIn(7, plain(4, 500))
+		}
+		c.Run(3 * time.Second)
+		Expect(c.Judge.Starts).To(Equal(4))
+		Expect(c.state(7)).To(Equal(completed))
+	})
+
+	It("answers 410 for what it never took", func() {
+		Expect(newCrowd(3).state(99)).To(HavePrefix("410"))
+	})
+
+	It("starts a gang whole, and again after a member failed", func() {
+		failed := false
+		c := newCrowd(4, stage.WithWork(func(task string, run int64, _ *stage.Executor) (time.Duration, string) {
+			if run == 1 && !failed {
+				failed = true
+				return 100 * time.Millisecond, "failed"
+			}
+			return 300 * time.Millisecond, "done"
+		}))
+		c.handIn(1, gang)
+		c.Run(4 * time.Second)
+		Expect(c.state(1)).To(Equal(completed))
+		Expect(c.Judge.Starts).To(Equal(10))
+		Expect(c.Judge.Problems).To(BeEmpty())
+	})
+
+	It("gives up a job whose task fails every time, after its attempts and no more", func() {
+		c := newCrowd(5, stage.WithWork(func(string, int64, *stage.Executor) (time.Duration, string) { return 50 * time.Millisecond, "failed" }))
+		c.handIn(1, plain(1, 500))
+		c.Run(4 * time.Second)
+		Expect(c.state(1)).To(ContainSubstring("failed"))
+		Expect(c.Judge.Starts).To(Equal(4))
+		Expect(c.Judge.Problems).To(BeEmpty())
+	})
+
+	It("stops what a client cancels, and never starts it again", func() {
+		c := newCrowd(6, stage.WithWork(func(string, int64, *stage.Executor) (time.Duration, string) { return time.Minute, "done" }))
+		c.handIn(1, plain(40, 4000))
+		c.Run(time.Second)
+		c.Ask(siblingwire.ClientCall{Verb: "cancel", Entry: "cover", ID: id(1)}, func(siblingwire.ClientAnswer) {})
+		c.Run(2 * time.Second)
+		starts := c.Judge.Starts
+		c.Run(5 * time.Second)
+		Expect(c.Judge.Starts).To(Equal(starts))
+		Expect(c.state(1)).To(ContainSubstring("cancelled"))
+		for _, executor := range c.Executors {
+			Expect(executor.Active()).To(BeZero())
+		}
+	})
+
+	It("starts a timed job's times when they are due, not before", func() {
+		c := newCrowd(7)
+		first := c.Line.Clock.WallMs() + 2000
+		c.handIn(1, fmt.Sprintf(`{"task-descriptor":"d","step-list":[{"task-count":2,"cpu-units":500,"estimated-ms":100}],"first-run-ms":%d,"period-ms":1500,"repeat-count":3}`, first))
+		c.Run(1900 * time.Millisecond)
+		Expect(c.Judge.Starts).To(BeZero())
+		c.Run(400 * time.Millisecond)
+		Expect(c.Judge.Starts).To(Equal(2))
+		c.Run(4 * time.Second)
+		Expect(c.Judge.Starts).To(Equal(6))
+		Expect(c.state(1)).To(Equal(completed))
+	})
+
+	It("runs a job again elsewhere when its executor crashed, at once if a new life shows it", func() {
+		c := newCrowd(8, stage.WithWork(func(string, int64, *stage.Executor) (time.Duration, string) { return 2 * time.Second, "done" }))
+		c.handIn(1, plain(12, 4000))
+		c.Run(time.Second)
+		c.Crash(c.Executors[0], 300*time.Millisecond)
+		c.Run(9 * time.Second)
+		Expect(c.state(1)).To(Equal(completed))
+		Expect(c.Judge.Problems).To(BeEmpty())
+	})
+
+	It("places a task elsewhere only after the hold of a cut-off executor has lapsed", func() {
+		c := newCrowd(9, stage.WithWork(func(string, int64, *stage.Executor) (time.Duration, string) { return 3 * time.Second, "done" }))
+		c.handIn(1, plain(24, 4000))
+		c.Run(time.Second)
+		c.Cut("side-01", true)
+		c.Cut("side-02", true)
+		c.Run(15 * time.Second)
+		c.Cut("side-01", false)
+		c.Cut("side-02", false)
+		c.Run(5 * time.Second)
+		Expect(c.state(1)).To(Equal(completed))
+		Expect(c.Judge.Problems).To(BeEmpty())
+	})
+
+	It("is not fooled by orders that are carried out long after they were given up", func() {
+		c := newCrowd(10, stage.WithWork(func(string, int64, *stage.Executor) (time.Duration, string) { return 700 * time.Millisecond, "done" }))
+		for _, one := range c.Executors[:3] {
+			c.Late(one, true)
+		}
+		for number := range 12 {
+			c.handIn(number, chain)
+			c.Run(300 * time.Millisecond)
+		}
+		c.Run(8 * time.Second)
+		for _, one := range c.Executors {
+			c.Late(one, false)
+		}
+		c.Run(30 * time.Second)
+		c.expectAllCompleted()
+		Expect(c.Judge.Problems).To(BeEmpty())
+	})
+
+	It("starts nothing on a draining executor", func() {
+		c := newCrowd(11)
+		c.Drain(c.Executors[0])
+		c.Run(2 * time.Second)
+		for number := range 10 {
+			c.handIn(number, plain(6, 2000))
+		}
+		c.Run(100 * time.Millisecond)
+		Expect(c.Executors[0].Active()).To(BeZero())
+		c.Run(5 * time.Second)
+		c.expectAllCompleted()
+	})
+
+	It("goes on after a proxy was killed and came back knowing nothing", func() {
+		c := newCrowd(12, stage.WithWork(func(string, int64, *stage.Executor) (time.Duration, string) { return time.Second, "done" }))
+		c.handIn(1, plain(24, 4000))
+		c.Run(500 * time.Millisecond)
+		for _, one := range c.Proxies {
+			c.KillProxy(one)
+		}
+		c.Run(time.Second)
+		for _, one := range c.Proxies {
+			c.StartProxy(one)
+		}
+		c.Run(8 * time.Second)
+		Expect(c.state(1)).To(Equal(completed))
+		Expect(c.Judge.Problems).To(BeEmpty())
+	})
+
+	It("loses no accepted job when every process dies at once", func() {
+		c := newCrowd(13)
+		for number := range 20 {
+			c.handIn(number, chain)
+			c.Run(40 * time.Millisecond)
+		}
+		for _, one := range c.Nodes {
+			c.Kill(one)
+		}
+		for _, one := range c.Proxies {
+			c.KillProxy(one)
+		}
+		c.Run(time.Second)
+		for _, one := range c.Nodes {
+			c.Start(one)
+		}
+		for _, one := range c.Proxies {
+			c.StartProxy(one)
+		}
+		c.Run(20 * time.Second)
+		Expect(len(c.accepted)).To(Equal(20))
+		c.expectAllCompleted()
+		Expect(c.Judge.Problems).To(BeEmpty())
+	})
+
+	It("loses no accepted job when the owner loses its disk right after the acknowledgement", func() {
+		c := newCrowd(14)
+		c.handIn(1, chain)
+		for round := 0; round < 1000 && len(c.accepted) == 0; round++ {
+			c.Run(time.Millisecond)
+		}
+		c.Wipe(c.Owner())
+		c.Run(12 * time.Second)
+		Expect(c.state(1)).To(Equal(completed))
+		Expect(c.Judge.Problems).To(BeEmpty())
+	})
+
+	It("keeps its tables bounded over a long time", func() {
+		c := newCrowd(15)
+		for number := range 400 {
+			c.handIn(number, plain(2, 500))
+			c.Run(time.Second)
+		}
+		c.Run(200 * time.Second)
+		jobs, pairs := c.Kept()
+		Expect(jobs).To(BeZero())
+		Expect(pairs).To(BeZero())
+	})
+
+	for seed := range uint64(300) {
+		It(fmt.Sprintf("breaks no rule under a random schedule of faults, seed %d", seed), func() {
+			c := newCrowd(200+seed, stage.WithWork(mixedWork))
+			c.Loss = 0.05
+			bodies := []string{chain, plain(14, 1500), gang, plain(3, 9000)}
+			for number := range 40 {
+				c.handIn(number, bodies[number%len(bodies)])
+				c.misfortune()
+				c.Run(time.Duration(100+c.Line.Draw.IntN(500)) * time.Millisecond)
+				Expect(c.Judge.Problems).To(BeEmpty())
+			}
+			c.mend()
+			c.Loss = 0
+			c.Run(60 * time.Second)
+			Expect(c.accepted).NotTo(BeEmpty())
+			c.expectAllCompletedOrFailed()
+			Expect(c.Judge.Problems).To(BeEmpty())
+		})
+	}
+})
+
+func mixedWork(task string, run int64, _ *stage.Executor) (time.Duration, string) {
+	weight := 0
+	for _, letter := range task {
+		weight = weight*31 + int(letter)
+	}
+	weight = (weight + int(run)*77) & 0xffff
+	how := "done"
+	if weight%20 == 0 {
+		how = "failed"
+	}
+	return time.Duration(50+weight%900) * time.Millisecond, how
+}
+
+func (c *crowd) expectAllCompletedOrFailed() {
+	for one := range c.accepted {
+		var state string
+		c.Ask(siblingwire.ClientCall{Verb: "state", Entry: "cover", ID: one}, func(answer siblingwire.ClientAnswer) { state = string(answer.Body) })
+		for round := 0; round < 100 && state == ""; round++ {
+			c.Run(50 * time.Millisecond)
+		}
+		Expect(state).To(Or(ContainSubstring("completed"), ContainSubstring("failed")), "job %s", one)
+	}
+}
+
+func (c *crowd) misfortune() {
+	if c.Line.Draw.IntN(3) > 0 {
+		return
+	}
+	c.mend()
+	node := c.Nodes[c.Line.Draw.IntN(len(c.Nodes))]
+	place := c.Line.Draw.IntN(len(c.Executors))
+	executor, proxy := c.Executors[place], c.Proxies[place]
+	switch c.Line.Draw.IntN(9) {
+	case 0:
+		c.Kill(node)
+	case 1:
+		c.Cut(node.Name, true)
+	case 2:
+		c.Freeze(node, true)
+	case 3:
+		c.Stall(node, true)
+	case 4:
+		c.Cut(executor.Machine, true)
+	case 5:
+		c.Crash(executor, time.Duration(100+c.Line.Draw.IntN(3000))*time.Millisecond)
+	case 6:
+		c.KillProxy(proxy)
+	case 7:
+		c.Late(executor, true)
+	case 8:
+		c.Slow(executor, 5)
+	}
+}
+
+func (c *crowd) mend() { c.Mend() }
