--- a/internal/localproxy/proxy.go
+++ b/internal/localproxy/proxy.go
@@ -16,10 +16,9 @@
 )
 
 const (
-	holdWaitMs   = 1000
 	holdGap      = 15 * time.Millisecond
 	pollWaitMs   = 1000
-	startLimit   = 250 * time.Millisecond
+	startLimit   = 150 * time.Millisecond
 	startTries   = 2
 	atOnce       = 6
 	ownerPause   = 60 * time.Millisecond
@@ -121,8 +120,7 @@
 		if !isOpen {
 			return
 		}
-		isHeld := turn.isDue && p.hold(life, turn.work)
-		if isHeld {
+		if turn.isDue && (p.hold(life, turn.work) || turn.work.Hold.WaitMs == shortWaitMs) {
 			p.pause(life, holdGap)
 			continue
 		}
@@ -159,7 +157,7 @@
 }
 
 func (p *Proxy) hold(life span.Span, work HoldWork) bool {
-	limit := pulse.Ms(work.Hold.WaitMs) + 500*time.Millisecond
+	limit := HoldLimit(work.Hold)
 	status, answer, err := p.executor.Call(life, "/v1/hold", work.Life, limit, work.Hold)
 	isHeld := err == nil && status == http.StatusOK
 	p.box.Post(func() {
--- a/internal/localproxy/table.go
+++ b/internal/localproxy/table.go
@@ -17,6 +17,10 @@
 	neverHeld    = time.Hour
 	leavingAfter = 3 * time.Second
 	unackedWait  = 250 * time.Millisecond
+	holdWaitMs   = 1000
+	shortWaitMs  = 150
+	holdSlack    = 150 * time.Millisecond
+	mistrust     = 10 * time.Second
 )
 
 type orderKey struct {
@@ -63,6 +67,8 @@
 	busy        map[orderKey]bool
 	unsure      map[runKey]bool
 	toldAt      time.Duration
+	lostAt      time.Duration
+	hasLost     bool
 }
 
 // Table is owned by one goroutine; the loops ask it what to do next and tell it what came back.
@@ -179,11 +185,24 @@
 		hold.ExpiryMs = one.expiryMs
 	}
 	if !isLook {
-		hold.WaitMs = holdWaitMs
+		hold.WaitMs = t.holdWait(one)
 	}
 	return HoldWork{Life: one.id, Hold: hold, Look: one.lookWanted}, true
 }
 
+// holdWait is short while the executor leaves calls unanswered: a hold that is lost hides all ends until it is given up.
+func (t *Table) holdWait(one *lifeTable) int64 {
+	if one.hasLost && t.now()-one.lostAt < mistrust {
+		return shortWaitMs
+	}
+	return holdWaitMs
+}
+
+// HoldLimit is when a hold is given up.
+func HoldLimit(hold executorcalls.Hold) time.Duration { return pulse.Ms(hold.WaitMs) + holdSlack }
+
+func (t *Table) noteLost(one *lifeTable) { one.lostAt, one.hasLost = t.now(), true }
+
 // Held takes the answer to a hold.
 func (t *Table) Held(work HoldWork, answer executorcalls.Answer) {
 	one := t.life
@@ -219,6 +238,7 @@
 	if one == nil || one.id != work.Life {
 		return
 	}
+	t.noteLost(one)
 	if isOtherLife || one.isLeaving && t.now()-one.leftAt > leavingAfter {
 		t.markGone(one.id)
 		t.life = nil
@@ -340,6 +360,7 @@
 func (t *Table) Unanswered(work OrderWork) {
 	if one := t.life; one != nil && one.id == work.Life && len(one.unsure) < 10000 {
 		one.unsure[runKey{work.Order.Task, work.Order.Run}] = true
+		t.noteLost(one)
 	}
 }
 
--- a/internal/stage/proxy.go
+++ b/internal/stage/proxy.go
@@ -108,8 +108,7 @@
 	if !isDue || p.life != life {
 		return
 	}
-	limit := pulse.Ms(work.Hold.WaitMs) + 500*time.Millisecond
-	p.ask(work.Life, limit, func(answer func(int, executorcalls.Answer)) { p.executor.Hold(work.Hold, answer) },
+	p.ask(work.Life, localproxy.HoldLimit(work.Hold), func(answer func(int, executorcalls.Answer)) { p.executor.Hold(work.Hold, answer) },
 		func(status int, answer executorcalls.Answer, isAnswered bool) {
 			if isAnswered && status == 200 {
 				p.table.Held(work, answer)
@@ -187,7 +186,7 @@
 	if !isDue {
 		return
 	}
-	p.ask(executor, 250*time.Millisecond, func(answer func(int, executorcalls.Answer)) { answer(p.deliver(work)) },
+	p.ask(executor, 150*time.Millisecond, func(answer func(int, executorcalls.Answer)) { answer(p.deliver(work)) },
 		func(status int, answer executorcalls.Answer, isAnswered bool) {
 			if isAnswered {
 				p.table.Clock(executor, answer.ClockMs)
