--- a/internal/placetasks/place.go
+++ b/internal/placetasks/place.go
@@ -20,6 +20,14 @@
 	return Room{r.CPU + need.CPU, r.Memory + need.Memory, r.GPU + need.GPU}
 }
 
+func (r Room) Times(factor float64) Room {
+	return Room{int64(float64(r.CPU) * factor), int64(float64(r.Memory) * factor), int64(float64(r.GPU) * factor)}
+}
+
+func (r Room) AtLeast(other Room) Room {
+	return Room{max(r.CPU, other.CPU), max(r.Memory, other.Memory), max(r.GPU, other.GPU)}
+}
+
 type Executor struct {
 	Free     Room
 	Total    Room
@@ -42,14 +50,16 @@
 	Avoid    []bool
 	Barred   []bool
 	IsSpare  bool
+	IsLong   bool
 	Priority int
 	Due      int64
 }
 
 type Placement struct{ Group, Executor int }
 
-// Place gives the starts that fit, in the order of priority, then of the aim.
-func Place(executors []Executor, groups []Group) []Placement {
+// Place gives the starts that fit, in the order of priority, then of the aim. Left is what long work of a
+// priority may still take of all room together; a priority without an entry may take all there is.
+func Place(executors []Executor, groups []Group, left map[int]Room) []Placement {
 	free := make([]Room, len(executors))
 	for place, executor := range executors {
 		free[place] = executor.Free
@@ -65,12 +75,20 @@
 	reserved := make([]bool, len(executors))
 	for _, number := range order {
 		group := &groups[number]
+		allowance := allowanceOf(left, group)
 		if group.IsGang {
-			placed = append(placed, placeGang(executors, free, group, number)...)
+			if allowance.covers(group.Need.Times(float64(group.Count))) {
+				gang := placeGang(executors, free, group, number)
+				allowance.spend(group.Need.Times(float64(len(gang))))
+				placed = append(placed, gang...)
+			}
 			continue
 		}
 		held := slices.Clone(group.Held)
 		for range group.Count {
+			if !allowance.covers(group.Need) {
+				break
+			}
 			best := choose(executors, free, reserved, group, held)
 			if best < 0 {
 				if !group.IsSpare {
@@ -80,12 +98,39 @@
 			}
 			free[best] = free[best].Minus(group.Need)
 			held[best]++
+			allowance.spend(group.Need)
 			placed = append(placed, Placement{number, best})
 		}
 	}
 	return placed
 }
 
+// allowance is what one priority may still take.
+type allowance struct {
+	left     map[int]Room
+	priority int
+	isBound  bool
+}
+
+func allowanceOf(left map[int]Room, group *Group) allowance {
+	_, isBound := left[group.Priority]
+	return allowance{left, group.Priority, isBound && group.IsLong}
+}
+
+func (a allowance) covers(need Room) bool {
+	room := a.left[a.priority]
+	return !a.isBound || need.CPU <= room.CPU && need.Memory <= room.Memory
+}
+
+// spend counts against this priority and all below it.
+func (a allowance) spend(need Room) {
+	for priority, room := range a.left {
+		if priority >= a.priority {
+			a.left[priority] = room.Minus(need)
+		}
+	}
+}
+
 func compareBools(one, two bool) int {
 	switch {
 	case one == two:
--- /dev/null
+++ b/internal/poolowner/headroom.go
@@ -0,0 +1,84 @@
+package poolowner
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"gannetline/internal/placetasks"
+)
+
+const (
+	peakHalfLife  = 6 * time.Second
+	mostReserved  = 0.6
+	alwaysAllowed = 0.3
+	longWork      = 1500 * time.Millisecond
+)
+
+// peak is the most that a priority asked for lately; it fades.
+type peak struct {
+	cpu, memory float64
+	at          time.Duration
+}
+
+func (k *peak) raise(cpu, memory float64, now time.Duration) {
+	fade := math.Exp2(-float64(now-k.at) / float64(peakHalfLife))
+	k.cpu, k.memory, k.at = max(cpu, k.cpu*fade), max(memory, k.memory*fade), now
+}
+
+type demand struct{ asked, used placetasks.Room }
+
+// headroom gives each priority what it may still take, so that urgent jobs find room when they come.
+func (p *Pool) headroom(executors []placetasks.Executor, groups []placetasks.Group, now time.Duration) map[int]placetasks.Room {
+	var total placetasks.Room
+	for _, executor := range executors {
+		if !executor.IsClosed {
+			total = total.Plus(executor.Total)
+		}
+	}
+	demands := p.demands(groups)
+	left := map[int]placetasks.Room{}
+	priorities := slices.Sorted(maps.Keys(demands))
+	var used placetasks.Room
+	for _, one := range demands {
+		used = used.Plus(one.used)
+	}
+	var kept, above placetasks.Room
+	for place, priority := range priorities {
+		one := demands[priority]
+		if p.peaks[priority] == nil {
+			p.peaks[priority] = &peak{}
+		}
+		p.peaks[priority].raise(float64(one.asked.CPU), float64(one.asked.Memory), now)
+		if place > 0 {
+			free := total.Minus(used).Minus(kept)
+			least := total.Times(alwaysAllowed).Minus(used.Minus(above))
+			left[priority] = free.AtLeast(least)
+		}
+		kept = kept.Plus(p.peaks[priority].unused(one.used, total))
+		above = above.Plus(one.used)
+	}
+	return left
+}
+
+func (k *peak) unused(used, total placetasks.Room) placetasks.Room {
+	return placetasks.Room{CPU: max(0, int64(min(k.cpu, mostReserved*float64(total.CPU)))-used.CPU),
+		Memory: max(0, int64(min(k.memory, mostReserved*float64(total.Memory)))-used.Memory)}
+}
+
+func (p *Pool) demands(groups []placetasks.Group) map[int]demand {
+	demands := map[int]demand{}
+	for _, home := range p.lives {
+		for _, one := range home.runs {
+			priority, need := one.task.job().record.Terms.Priority, one.task.step.need()
+			was := demands[priority]
+			demands[priority] = demand{was.asked.Plus(need), was.used.Plus(need)}
+		}
+	}
+	for _, group := range groups {
+		was := demands[group.Priority]
+		demands[group.Priority] = demand{was.asked.Plus(group.Need.Times(float64(group.Count))), was.used}
+	}
+	return demands
+}
--- a/internal/poolowner/pool.go
+++ b/internal/poolowner/pool.go
@@ -72,6 +72,7 @@
 
 	toRelease map[*life]bool
 	untimed   map[string]*job
+	peaks     map[int]*peak
 }
 
 type flight struct{ effects []func(error) }
@@ -90,7 +91,7 @@
 func (p *Pool) Open(tenure Tenure, pairs []siblingwire.Op) error {
 	p.jobs, p.lives, p.open, p.queued = map[string]*job{}, map[string]*life{}, map[*stepState]bool{}, map[string]int{}
 	p.ops, p.effects, p.flights, p.opPlaces, p.toRelease = nil, nil, nil, map[string]int{}, map[*life]bool{}
-	p.untimed = map[string]*job{}
+	p.untimed, p.peaks = map[string]*job{}, map[int]*peak{}
 	p.began = p.clock.Steady()
 	if err := p.load(pairs); err != nil {
 		return errors.Annotatef(err, "loading %s", p.key)
--- a/internal/poolowner/tick.go
+++ b/internal/poolowner/tick.go
@@ -124,7 +124,7 @@
 	steps, tasks, groups := p.waiting(homes, now)
 	next := make([]int, len(steps))
 	gangRun := make([]int64, len(steps))
-	for _, one := range placetasks.Place(executors, groups) {
+	for _, one := range placetasks.Place(executors, groups, p.headroom(executors, groups, now)) {
 		which := tasks[one.Group][next[one.Group]]
 		next[one.Group]++
 		number := which.lastRun + 1
@@ -204,7 +204,7 @@
 	owner := step.time.job
 	return placetasks.Group{Need: step.need(), Count: len(ready), IsGang: step.step.Gang, SameRack: step.step.SameRack,
 		Labels: step.step.Labels, Near: step.step.Near, Apart: step.step.Apart, Held: held, Avoid: avoid,
-		Priority: owner.record.Terms.Priority, Due: owner.aimMs(step.time.number)}
+		IsLong: step.step.Lasting || pulse.Ms(step.step.EstimatedMs) > longWork, Priority: owner.record.Terms.Priority, Due: owner.aimMs(step.time.number)}
 }
 
 // Beliefs shows jobs and executors to a comparison.
