--- a/cmd/gannetline/main.go
+++ b/cmd/gannetline/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
 
@@ -13,7 +14,10 @@
 )
 
 const (
-	exitFailed = 1
+	exitFailed  = 1
+	exitUsage   = 2
+	exitDiffers = 3
+	exitSilent  = 4
 )
 
 func main() {
@@ -25,13 +29,32 @@
 			roleCommand("gate", "serve clients on an edge machine", roles.Gate),
 			roleCommand("steward", "keep control keys and schedule the pools they name", roles.Steward),
 			roleCommand("local-proxy", "stand before the executor of a side machine", roles.LocalProxy),
+			compareCommand(),
+			checkCommand(),
+		},
+		Action: func(_ span.Span, command *cli.Command) error {
+			if command.Args().Len() > 0 {
+				return cli.Exit("there is no command "+command.Args().First(), exitUsage)
+			}
+			return cli.ShowAppHelp(command)
 		},
 		ExitErrHandler: func(span.Span, *cli.Command, error) {},
 	}
 	if err := app.Run(span.Root(), os.Args); err != nil {
+		os.Exit(report(err))
+	}
+}
+
+// report prints an error, if it says anything, and gives the exit code.
+func report(err error) int {
+	if err.Error() != "" {
 		fmt.Fprintln(os.Stderr, "gannetline:", err)
-		os.Exit(exitFailed)
 	}
+	var coded cli.ExitCoder
+	if errors.As(err, &coded) {
+		return coded.ExitCode()
+	}
+	return exitFailed
 }
 
 func roleCommand(name, usage string, run func(path string) error) *cli.Command {
--- a/internal/poolowner/tick.go
+++ b/internal/poolowner/tick.go
@@ -4,8 +4,11 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
+	"github.com/mailru/easyjson"
+
 	"gannetline/internal/placetasks"
 	"gannetline/internal/pulse"
 	"gannetline/internal/siblingwire"
@@ -228,3 +231,23 @@
 	}
 	return jobs, executors
 }
+
+// JobsOf reads what a replica of the pool says of its jobs.
+func JobsOf(key string, pairs []siblingwire.Op) []siblingwire.JobBelief {
+	states := map[string]string{}
+	for _, pair := range pairs {
+		kind, id, _ := strings.Cut(pair.Name, "/")
+		var record stateRecord
+		switch {
+		case kind == "j" && states[id] == "":
+			states[id] = "open"
+		case kind == "s" && easyjson.Unmarshal(pair.Value, &record) == nil:
+			states[id] = record.State
+		}
+	}
+	var jobs []siblingwire.JobBelief
+	for _, id := range slices.Sorted(maps.Keys(states)) {
+		jobs = append(jobs, siblingwire.JobBelief{Key: key, ID: id, State: states[id]})
+	}
+	return jobs
+}
--- a/internal/roles/gate.go
+++ b/internal/roles/gate.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"gannetline/internal/comparenodes"
 	"gannetline/internal/gatecalls"
 	"gannetline/internal/logs"
 	"gannetline/internal/ownercalls"
@@ -37,6 +38,7 @@
 	book := planbook.New(b.caller, b.clock, b.log, func(page *planbook.Page) { b.node.HoldsPlan(page.Fact.Version) })
 	book.Handle(b.inner)
 	b.join(siblingwire.Member{Role: "gate"}, siblingprobe.OnPlanAhead(book.Ahead))
+	comparenodes.Handle(b.inner, comparenodes.Sources{View: b.node.View, Page: book.Page})
 	var isLeaving atomic.Bool
 	asker := ownercalls.New(b.caller, b.clock, b.node.View)
 	server := newServer(gatecalls.New(book.Page, asker))
--- a/internal/roles/localproxy.go
+++ b/internal/roles/localproxy.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"gannetline/internal/comparenodes"
 	"gannetline/internal/executorcalls"
 	"gannetline/internal/localproxy"
 	"gannetline/internal/siblingwire"
@@ -19,6 +20,7 @@
 		return err
 	}
 	b.join(siblingwire.Member{Role: "local-proxy"})
+	comparenodes.Handle(b.inner, comparenodes.Sources{View: b.node.View})
 	executor := executorcalls.NewClient(siblingwire.Client(silence, 8), b.settings.App)
 	proxy := localproxy.New(b.settings.Service, b.settings.Domain, b.settings.NodeName, b.clock, b.log, executor, b.caller, b.node.View)
 	b.tree.Add("proxy", proxy.Run)
--- a/internal/stewardkeys/ring.go
+++ b/internal/stewardkeys/ring.go
@@ -292,19 +292,19 @@
 		if !strings.HasPrefix(key, poolPrefix) {
 			continue
 		}
-		type both struct {
-			jobs      []siblingwire.JobBelief
-			executors []siblingwire.ExecutorBelief
+		if whole, err := r.store.Read(key); err == nil {
+			jobs = append(jobs, poolowner.JobsOf(key, whole.Pairs)...)
 		}
-		held, err := mailbox.Ask(one.box, life, func(answer func(both)) {
-			var all both
-			if one.pool.IsOpen() {
-				all.jobs, all.executors = one.pool.Beliefs()
+		held, err := mailbox.Ask(one.box, life, func(answer func([]siblingwire.ExecutorBelief)) {
+			if !one.pool.IsOpen() {
+				answer(nil)
+				return
 			}
-			answer(all)
+			_, executors := one.pool.Beliefs()
+			answer(executors)
 		})
 		if err == nil {
-			jobs, executors = append(jobs, held.jobs...), append(executors, held.executors...)
+			executors = append(executors, held...)
 		}
 	}
 	return keys, jobs, executors
