--- a/internal/localproxy/proxy.go
+++ b/internal/localproxy/proxy.go
@@ -222,12 +222,15 @@
 		}
 		return true
 	}
-	owner := p.ownerAddress(call.Key)
+	view := p.view()
+	owner := ownerAddress(view, call.Key)
 	if owner == "" {
 		return false
 	}
 	askedAt := p.clock.Steady()
-	answer, err := siblingwire.Call[siblingwire.ExchangeCall, siblingwire.ExchangeAnswer](p.caller, life, owner,
+	patience, release := siblingprobe.UntilMoved(life, view)
+	defer release()
+	answer, err := siblingwire.Call[siblingwire.ExchangeCall, siblingwire.ExchangeAnswer](p.caller, patience, owner,
 		siblingwire.ProcedureExchange, pulse.Ms(waitMs)+exchangeSlow, call)
 	if err != nil {
 		p.log.V(1).Info("an exchange failed", "why", err.Error())
@@ -246,8 +249,7 @@
 	return true
 }
 
-func (p *Proxy) ownerAddress(key string) string {
-	view := p.view()
+func ownerAddress(view *siblingprobe.View, key string) string {
 	fact, isKnown := view.Owners[key]
 	var fallback string
 	for _, member := range view.Members {
--- a/internal/ownercalls/ownercalls.go
+++ b/internal/ownercalls/ownercalls.go
@@ -43,11 +43,11 @@
 		if left <= 0 || life.Err() != nil {
 			return outcome
 		}
-		address := a.address(call.Key, hint, try)
+		view := a.view()
+		address := address(view, call.Key, hint, try)
 		hint = ""
 		if address != "" {
-			answer, err := siblingwire.Call[siblingwire.ClientCall, siblingwire.ClientAnswer](a.caller, life, address,
-				siblingwire.ProcedureClient, min(a.perTry, left), call)
+			answer, err := a.askOnce(life, view, address, min(a.perTry, left), call)
 			switch {
 			case err == nil && !answer.Elsewhere:
 				outcome.Answer = answer
@@ -70,9 +70,15 @@
 	}
 }
 
+// askOnce gives up early if the key is heard to have another owner.
+func (a *Asker) askOnce(life span.Span, view *siblingprobe.View, address string, limit time.Duration, call *siblingwire.ClientCall) (*siblingwire.ClientAnswer, error) {
+	patience, release := siblingprobe.UntilMoved(life, view)
+	defer release()
+	return siblingwire.Call[siblingwire.ClientCall, siblingwire.ClientAnswer](a.caller, patience, address, siblingwire.ProcedureClient, limit, call)
+}
+
 // address prefers the hint, then the known owner, then any steward.
-func (a *Asker) address(key, hint string, try int) string {
-	view := a.view()
+func address(view *siblingprobe.View, key, hint string, try int) string {
 	owner := view.Owners[key].Name
 	var known, hinted string
 	var others []string
--- a/internal/siblingprobe/node.go
+++ b/internal/siblingprobe/node.go
@@ -93,6 +93,19 @@
 	}
 }
 
+// UntilMoved gives a span that ends early if a key is heard to have another owner than the view says.
+func UntilMoved(life span.Span, view *View) (span.Span, func()) {
+	life, cancel := span.Cancellable(life)
+	go func() {
+		select {
+		case <-view.Moved:
+			cancel()
+		case <-life.Done():
+		}
+	}()
+	return life, cancel
+}
+
 // Run probes, joins and listens until the span ends.
 func (n *Node) Run(life span.Span) error {
 	go n.listen()
--- a/internal/siblingprobe/table.go
+++ b/internal/siblingprobe/table.go
@@ -62,6 +62,8 @@
 	Self    Member
 	Members []Member
 	Owners  map[string]siblingwire.OwnerFact
+	// Moved is closed once any key has another owner than this view says.
+	Moved chan struct{}
 }
 
 type Events struct {
@@ -93,12 +95,14 @@
 	rounds   int
 
 	planRounds int
+	moved      chan struct{}
+	hasMoved   bool
 }
 
 func NewTable(self Member, clock pulse.Pulse, timing Timing, seed uint64, events Events) *Table {
 	table := &Table{self: self, clock: clock, timing: timing, events: events, draw: rand.New(rand.NewPCG(seed, 7)),
 		entries: map[string]*entry{}, owners: map[string]siblingwire.OwnerFact{}, probes: map[uint64]probe{},
-		relays: map[uint64]relay{}, hot: map[string]int{}, isDirty: true}
+		relays: map[uint64]relay{}, hot: map[string]int{}, isDirty: true, moved: make(chan struct{})}
 	table.lastTick = clock.Steady()
 	return table
 }
@@ -165,7 +169,7 @@
 		return false
 	}
 	t.owners[fact.Key] = fact
-	t.isDirty = true
+	t.isDirty, t.hasMoved = true, true
 	return true
 }
 
@@ -439,5 +443,13 @@
 		sum.Write([]byte{byte(member.State)})
 	}
 	t.hash = sum.Sum32()
-	t.events.Show(&View{Self: t.self, Members: all, Owners: maps.Clone(t.owners)})
+	old := t.moved
+	if t.hasMoved {
+		t.moved = make(chan struct{})
+	}
+	t.events.Show(&View{Self: t.self, Members: all, Owners: maps.Clone(t.owners), Moved: t.moved})
+	if t.hasMoved {
+		t.hasMoved = false
+		close(old)
+	}
 }
