--- /dev/null
+++ b/internal/bootsettings/bootsettings_suite_test.go
@@ -0,0 +1,13 @@
+package bootsettings_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestBootsettings(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "bootsettings")
+}
--- /dev/null
+++ b/internal/controlcalls/controlcalls_suite_test.go
@@ -0,0 +1,13 @@
+package controlcalls_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestControlcalls(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "controlcalls")
+}
--- /dev/null
+++ b/internal/controlcalls/controlcalls_test.go
@@ -0,0 +1,35 @@
+package controlcalls_test
+
+import (
+	"net/http/httptest"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gannetline/internal/controlcalls"
+)
+
+var _ = Describe("an operator's call", func() {
+	It("becomes a command", func() {
+		one := httptest.NewRequest("POST", "/v1/configuration/replace", strings.NewReader(`{"config-version":1}`))
+		one.Header.Set("X-Base-Version", "5")
+		call, _ := controlcalls.Decode(one)
+		Expect(call.Verb).To(Equal("replace"))
+		Expect(call.Base).To(Equal(int64(5)))
+	})
+
+	DescribeTable("is refused", func(method, path, base, body string, status int) {
+		one := httptest.NewRequest(method, path, strings.NewReader(body))
+		one.Header.Set("X-Base-Version", base)
+		call, refusal := controlcalls.Decode(one)
+		Expect(call).To(BeNil())
+		Expect(refusal.Status).To(Equal(status))
+	},
+		Entry("no such path", "GET", "/v1/other", "", "", 404),
+		Entry("a wrong method", "GET", "/v1/configuration/replace", "0", "", 405),
+		Entry("no base", "POST", "/v1/configuration/replace", "", "{}", 400),
+		Entry("a negative base", "POST", "/v1/configuration/replace", "-1", "{}", 400),
+		Entry("cut short", "POST", "/v1/configuration/replace", "0", `{"config-version":`, 400),
+	)
+})
--- /dev/null
+++ b/internal/executorcalls/executorcalls_suite_test.go
@@ -0,0 +1,13 @@
+package executorcalls_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestExecutorcalls(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "executorcalls")
+}
--- /dev/null
+++ b/internal/executorcalls/executorcalls_test.go
@@ -0,0 +1,46 @@
+package executorcalls_test
+
+import (
+	"net/http/httptest"
+	"strings"
+
+	"github.com/mailru/easyjson"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gannetline/internal/executorcalls"
+)
+
+var _ = Describe("what executors say", func() {
+	It("reads the hold lists", func() {
+		var answer executorcalls.Answer
+		text := `{"clock-ms":482113,"running-count":[["a.0.1.17",2,"00000bb87a21d94b",41]],"end-state":[[58,"a.0.1.9",1,"done",""]]}`
+		Expect(easyjson.Unmarshal([]byte(text), &answer)).To(Succeed())
+		Expect(answer.Running).To(Equal([]executorcalls.RunningRow{{Task: "a.0.1.17", Run: 2, Saved: "00000bb87a21d94b", Percent: 41}}))
+		Expect(answer.Ends).To(Equal([]executorcalls.EndRow{{Number: 58, Task: "a.0.1.9", Run: 1, How: "done"}}))
+		back, err := easyjson.Marshal(answer)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(back)).To(ContainSubstring(`[58,"a.0.1.9",1,"done",""]`))
+	})
+
+	It("makes a command of a beat and of a farewell", func() {
+		beat, _ := executorcalls.Decode(httptest.NewRequest("POST", "/v1/executors/i-1/heartbeat",
+			strings.NewReader(`{"service":"s","executor-state":"ready","call-sequence":4}`)))
+		Expect(beat.Executor).To(Equal("i-1"))
+		Expect(beat.Beat.Sequence).To(Equal(int64(4)))
+		leave, _ := executorcalls.Decode(httptest.NewRequest("POST", "/v1/executors/i-1/deregister", nil))
+		Expect(leave.IsLeave).To(BeTrue())
+	})
+
+	DescribeTable("refuses", func(method, path, body string, status int) {
+		_, refusal := executorcalls.Decode(httptest.NewRequest(method, path, strings.NewReader(body)))
+		Expect(refusal.Status).To(Equal(status))
+	},
+		Entry("an unknown call", "POST", "/v1/executors/i-1/dance", "{}", 404),
+		Entry("a wrong method", "GET", "/v1/executors/i-1/heartbeat", "", 405),
+		Entry("no JSON", "POST", "/v1/executors/i-1/heartbeat", "{", 400),
+		Entry("a strange state", "POST", "/v1/executors/i-1/heartbeat", `{"service":"s","executor-state":"tired"}`, 400),
+		Entry("negative room", "POST", "/v1/executors/i-1/heartbeat", `{"service":"s","executor-state":"ready","capacity":{"cpu-units":-1}}`, 400),
+		Entry("a huge beat", "POST", "/v1/executors/i-1/heartbeat", `{"service":"`+strings.Repeat("s", 70000)+`"}`, 413),
+	)
+})
--- /dev/null
+++ b/internal/gatecalls/gatecalls_suite_test.go
@@ -0,0 +1,13 @@
+package gatecalls_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestGatecalls(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "gatecalls")
+}
--- /dev/null
+++ b/internal/jobtable/jobtable_suite_test.go
@@ -0,0 +1,13 @@
+package jobtable_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestJobtable(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "jobtable")
+}
--- /dev/null
+++ b/internal/jobtable/jobtable_test.go
@@ -0,0 +1,48 @@
+package jobtable_test
+
+import (
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gannetline/internal/jobtable"
+)
+
+var _ = Describe("a job", func() {
+	It("is read, with labels as one word or a list", func() {
+		spec, err := jobtable.Read([]byte(`{"task-descriptor":"x","step-list":[{"task-count":2,"affinity-labels":"r1"},{"task-count":1,"depends-on":[0],"required-labels":["a","b"]}]}`))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(spec.Steps[0].Near).To(Equal(jobtable.Words{"r1"}))
+		Expect(spec.Steps[1].Labels).To(Equal(jobtable.Words{"a", "b"}))
+	})
+
+	DescribeTable("is refused with a text that names the field", func(body, field string) {
+		_, err := jobtable.Read([]byte(body))
+		Expect(err).To(MatchError(ContainSubstring(field)))
+	},
+		Entry("no JSON", `{`, "can't be read"),
+		Entry("a wrong type", `{"step-list":"x"}`, "can't be read"),
+		Entry("no steps", `{"task-descriptor":"x"}`, "step-list"),
+		Entry("no tasks", `{"step-list":[{}]}`, "task-count"),
+		Entry("a negative number", `{"step-list":[{"task-count":1,"cpu-units":-1}]}`, "cpu-units"),
+		Entry("a step that depends on itself", `{"step-list":[{"task-count":1,"depends-on":[0]}]}`, "depends-on"),
+		Entry("a step that depends on a later one", `{"step-list":[{"task-count":1,"depends-on":[1]},{"task-count":1}]}`, "depends-on"),
+		Entry("a long descriptor", `{"task-descriptor":"`+strings.Repeat("x", 4001)+`","step-list":[{"task-count":1}]}`, "task-descriptor"),
+		Entry("negative repeats", `{"repeat-count":-1,"step-list":[{"task-count":1}]}`, "repeat-count"),
+		Entry("too many tasks", `{"step-list":[{"task-count":20000},{"task-count":20000}]}`, "task-count"),
+	)
+
+	DescribeTable("has an ID of 16 hex digits", func(id string, isGood bool) { Expect(jobtable.IsID(id)).To(Equal(isGood)) },
+		Entry("good", "5c0e7a21d94b36f8", true), Entry("short", "5c0e", false), Entry("no digit", "5c0e7a21d94b36fx", false))
+
+	It("names its tasks ID.K.STEP.INDEX", func() {
+		name := jobtable.TaskName("5c0e7a21d94b36f8", 0, 1, 17)
+		Expect(name).To(Equal("5c0e7a21d94b36f8.0.1.17"))
+		place, isTask := jobtable.ParseTask(name)
+		Expect(isTask).To(BeTrue())
+		Expect(place.Index).To(Equal(17))
+		_, isTask = jobtable.ParseTask("a.b.c.d")
+		Expect(isTask).To(BeFalse())
+	})
+})
--- /dev/null
+++ b/internal/keystore/keystore_test.go
@@ -0,0 +1,77 @@
+package keystore_test
+
+import (
+	"os"
+	"path/filepath"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gannetline/internal/keystore"
+	"gannetline/internal/siblingwire"
+)
+
+func write(store *keystore.Store, one keystore.Write) keystore.Outcome {
+	heard := make(chan keystore.Outcome, 1)
+	store.Submit(one, func(outcome keystore.Outcome) { heard <- outcome })
+	return <-heard
+}
+
+func at(epoch, step uint64) siblingwire.Stamp { return siblingwire.Stamp{Epoch: epoch, Step: step} }
+
+func change(epoch, step uint64, name, value string) siblingwire.Change {
+	return siblingwire.Change{Stamp: at(epoch, step), Ops: []siblingwire.Op{{Name: name, Value: []byte(value)}}}
+}
+
+var _ = Describe("the store", func() {
+	var folder string
+	var store *keystore.Store
+	BeforeEach(func() {
+		folder = GinkgoT().TempDir()
+		opened, err := keystore.Open(folder)
+		Expect(err).NotTo(HaveOccurred())
+		store = opened
+	})
+	AfterEach(func() { Expect(store.Close()).To(Succeed()) })
+
+	It("keeps its disk's name, its promises and its pairs", func() {
+		Expect(store.Bare()).To(BeTrue())
+		disk := store.Disk()
+		Expect(write(store, keystore.Write{Key: "k", Epoch: 3, Promise: true}).Taken).To(BeTrue())
+		Expect(write(store, keystore.Write{Key: "k", Epoch: 3, Changes: []siblingwire.Change{change(3, 1, "a", "1")}}).Taken).To(BeTrue())
+		Expect(store.Close()).To(Succeed())
+		again, err := keystore.Open(folder)
+		Expect(err).NotTo(HaveOccurred())
+		store = again
+		Expect(store.Disk()).To(Equal(disk))
+		Expect(store.Bare()).To(BeFalse())
+		whole, err := store.Read("k")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(whole.Last).To(Equal(at(3, 1)))
+		Expect(string(whole.Pairs[0].Value)).To(Equal("1"))
+	})
+
+	It("refuses an old epoch, a second promise of one, and a change that does not follow on", func() {
+		write(store, keystore.Write{Key: "k", Epoch: 3, Promise: true})
+		Expect(write(store, keystore.Write{Key: "k", Epoch: 3, Promise: true}).Taken).To(BeFalse())
+		Expect(write(store, keystore.Write{Key: "k", Epoch: 2, Changes: []siblingwire.Change{change(2, 1, "a", "1")}}).Taken).To(BeFalse())
+		Expect(write(store, keystore.Write{Key: "k", Epoch: 3, Prev: at(3, 7), Changes: []siblingwire.Change{change(3, 8, "a", "1")}}).Taken).To(BeFalse())
+	})
+
+	It("takes a snapshot for all it had, and forgets what is deleted", func() {
+		write(store, keystore.Write{Key: "k", Epoch: 1, Changes: []siblingwire.Change{change(1, 1, "old", "1")}})
+		snapshot := &siblingwire.Snapshot{Last: at(2, 9), Pairs: []siblingwire.Op{{Name: "new", Value: []byte("2")}}}
+		Expect(write(store, keystore.Write{Key: "k", Epoch: 2, Snapshot: snapshot}).Taken).To(BeTrue())
+		Expect(write(store, keystore.Write{Key: "k", Epoch: 2, Prev: at(2, 9), Changes: []siblingwire.Change{change(2, 10, "new", "")}}).Taken).To(BeTrue())
+		whole, _ := store.Read("k")
+		Expect(whole.Pairs).To(BeEmpty())
+		Expect(whole.Last).To(Equal(at(2, 10)))
+	})
+
+	It("says which folder it can't use", func() {
+		path := filepath.Join(folder, "file")
+		Expect(os.WriteFile(path, nil, 0o600)).To(Succeed())
+		_, err := keystore.Open(filepath.Join(path, "below"))
+		Expect(err).To(MatchError(ContainSubstring("data directory")))
+	})
+})
--- /dev/null
+++ b/internal/localproxy/localproxy_test.go
@@ -0,0 +1,125 @@
+package localproxy_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gannetline/internal/executorcalls"
+	"gannetline/internal/localproxy"
+	"gannetline/internal/logs"
+	"gannetline/internal/pulse"
+	"gannetline/internal/siblingwire"
+)
+
+var _ = Describe("a local-proxy's table", func() {
+	var clock *pulse.Fake
+	var table *localproxy.Table
+	nothing := func() {}
+	beat := func(id, state string, sequence int64) int {
+		status, _ := table.Beat(id, &executorcalls.Beat{Service: "s", State: state, ClockMs: 1000, Sequence: sequence})
+		return status
+	}
+	told := func(answer siblingwire.ExchangeAnswer) []siblingwire.Order {
+		call, isDue := table.Compose(0)
+		Expect(isDue).To(BeTrue())
+		return table.Told(call, clock.Steady(), &answer)
+	}
+	launch := siblingwire.Order{Kind: "launch", Task: "t.0.0.0", Run: 1}
+	BeforeEach(func() {
+		clock = pulse.NewFake(0)
+		table = localproxy.NewTable(clock, logs.Silent(), "s", "d", "side-1", nothing, nothing, nothing)
+		Expect(beat("i-1", "ready", 1)).To(Equal(200))
+	})
+
+	It("refuses beats of another service, old ones, and those of a life that is over", func() {
+		status, _ := table.Beat("i-1", &executorcalls.Beat{Service: "x"})
+		Expect(status).To(Equal(422))
+		Expect(beat("i-1", "ready", 1)).To(Equal(409))
+		Expect(beat("i-2", "ready", 1)).To(Equal(200))
+		Expect(beat("i-1", "ready", 9)).To(Equal(409))
+		call, _ := table.Compose(0)
+		Expect(call.Gone).To(ContainElement("i-1"))
+	})
+
+	It("extends no hold without a grant, and no further than one", func() {
+		work, _ := table.NextHold(false)
+		Expect(work.Hold.ExpiryMs).To(BeZero())
+		told(siblingwire.ExchangeAnswer{Fence: 3, GrantMs: 4000})
+		work, _ = table.NextHold(false)
+		Expect(work.Hold.ExpiryMs).To(BeNumerically("<=", 5000))
+		Expect(work.Hold.ExpiryMs).To(BeNumerically(">", 4900))
+		clock.Advance(5 * time.Second)
+		work, _ = table.NextHold(false)
+		Expect(work.Hold.ExpiryMs).To(BeZero())
+	})
+
+	It("starts nothing on a draining executor, nor for another life, nor without time left", func() {
+		_, isDue := table.Ready("i-1", launch)
+		Expect(isDue).To(BeFalse())
+		told(siblingwire.ExchangeAnswer{Fence: 3, GrantMs: 4000})
+		_, isDue = table.Ready("i-1", launch)
+		Expect(isDue).To(BeTrue())
+		_, isDue = table.Ready("i-0", launch)
+		Expect(isDue).To(BeFalse())
+		beat("i-1", "draining", 2)
+		_, isDue = table.Ready("i-1", launch)
+		Expect(isDue).To(BeFalse())
+		call, _ := table.Compose(0)
+		Expect(call.Answers).To(ConsistOf(siblingwire.OrderAnswer{Task: "t.0.0.0", Run: 1, Kind: "launch", Result: "not-run"}))
+	})
+
+	It("heeds no owner of an older epoch", func() {
+		told(siblingwire.ExchangeAnswer{Fence: 5})
+		Expect(told(siblingwire.ExchangeAnswer{Fence: 4, Orders: []siblingwire.Order{launch}})).To(BeEmpty())
+		Expect(told(siblingwire.ExchangeAnswer{Fence: 5, Orders: []siblingwire.Order{launch, launch}})).To(HaveLen(1))
+	})
+
+	It("is unsure of a refusal once the order went unanswered", func() {
+		told(siblingwire.ExchangeAnswer{Fence: 5, GrantMs: 4000})
+		work, _ := table.Ready("i-1", launch)
+		table.Unanswered(work)
+		table.Carried(work, "room")
+		call, _ := table.Compose(0)
+		Expect(call.Answers[0].Result).To(Equal("unsure"))
+	})
+
+	It("tells an end until it is taken note of, and then lets the executor forget it", func() {
+		work, _ := table.NextHold(false)
+		table.Held(work, executorcalls.Answer{ClockMs: 1000, Ends: []executorcalls.EndRow{{Number: 1, Task: "t", Run: 1, How: "done"}}})
+		told(siblingwire.ExchangeAnswer{Fence: 1})
+		call, _ := table.Compose(0)
+		Expect(call.Ends).To(HaveLen(1))
+		told(siblingwire.ExchangeAnswer{Fence: 1, LastSeen: 1})
+		call, _ = table.Compose(0)
+		Expect(call.Ends).To(BeEmpty())
+		work, _ = table.NextHold(false)
+		Expect(work.Hold.LastSeen).To(Equal(int64(1)))
+	})
+
+	It("tells a look of a new fence, even while an exchange of the old one is under way", func() {
+		told(siblingwire.ExchangeAnswer{Fence: 1, Look: 9})
+		work, _ := table.NextHold(true)
+		table.Held(work, executorcalls.Answer{ClockMs: 1000})
+		old, _ := table.Compose(0)
+		told(siblingwire.ExchangeAnswer{Fence: 2, Look: 3})
+		table.Told(old, clock.Steady(), &siblingwire.ExchangeAnswer{Fence: 2, Look: 3})
+		work, _ = table.NextHold(true)
+		table.Held(work, executorcalls.Answer{ClockMs: 1000})
+		call, _ := table.Compose(0)
+		Expect(call.Look).To(Equal(uint64(3)))
+		Expect(call.Fence).To(Equal(uint64(2)))
+	})
+
+	It("waits shortly for ends while the executor leaves calls unanswered", func() {
+		work, _ := table.NextHold(false)
+		calm := work.Hold.WaitMs
+		table.HoldFailed(work, false)
+		work, _ = table.NextHold(false)
+		Expect(work.Hold.WaitMs).To(BeNumerically("<", calm/2))
+		clock.Advance(time.Minute)
+		work, _ = table.NextHold(false)
+		Expect(work.Hold.WaitMs).To(Equal(calm))
+	})
+})
--- /dev/null
+++ b/internal/placetasks/placetasks_suite_test.go
@@ -0,0 +1,13 @@
+package placetasks_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestPlacetasks(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "placetasks")
+}
--- /dev/null
+++ b/internal/placetasks/placetasks_test.go
@@ -0,0 +1,129 @@
+package placetasks_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gannetline/internal/placetasks"
+)
+
+func executors(count int, cpu int64) []placetasks.Executor {
+	var all []placetasks.Executor
+	for number := range count {
+		rack := fmt.Sprintf("r%d", number/2)
+		room := placetasks.Room{CPU: cpu, Memory: 1000}
+		all = append(all, placetasks.Executor{Free: room, Total: room, Labels: []string{"a", rack}, Rack: rack})
+	}
+	return all
+}
+
+func group(count int, cpu int64) placetasks.Group {
+	return placetasks.Group{Need: placetasks.Room{CPU: cpu}, Count: count, Held: make([]int, 8)}
+}
+
+var _ = Describe("placement", func() {
+	It("puts the urgent first, then what is due first", func() {
+		late, soon, urgent := group(1, 10), group(1, 10), group(1, 10)
+		late.Priority, late.Due = 1, 200
+		soon.Priority, soon.Due = 1, 100
+		urgent.Due = 900
+		placed := placetasks.Place(executors(1, 20), []placetasks.Group{late, soon, urgent}, nil)
+		Expect(placed).To(Equal([]placetasks.Placement{{Group: 2, Executor: 0}, {Group: 1, Executor: 0}}))
+	})
+
+	It("prefers the rack of the data, and takes another rather than wait", func() {
+		near := group(3, 10)
+		near.Near = []string{"r1"}
+		placed := placetasks.Place(executors(4, 10), []placetasks.Group{near}, nil)
+		Expect(placed).To(HaveLen(3))
+		Expect([]int{placed[0].Executor, placed[1].Executor}).To(ConsistOf(2, 3))
+	})
+
+	It("starts a gang whole or not at all, on one rack if it fits there", func() {
+		gang := group(3, 10)
+		gang.IsGang, gang.SameRack = true, true
+		placed := placetasks.Place(executors(4, 20), []placetasks.Group{gang}, nil)
+		Expect(placed).To(HaveLen(3))
+		for _, one := range placed {
+			Expect(one.Executor / 2).To(Equal(placed[0].Executor / 2))
+		}
+		gang.Count = 9
+		Expect(placetasks.Place(executors(4, 20), []placetasks.Group{gang}, nil)).To(BeEmpty())
+	})
+
+	It("keeps an executor for a large task that small ones would push aside for ever", func() {
+		large, small := group(1, 18), group(5, 4)
+		small.Due = 5
+		all := executors(2, 20)
+		all[0].Free.CPU, all[1].Free.CPU = 8, 12
+		placed := placetasks.Place(all, []placetasks.Group{large, small}, nil)
+		for _, one := range placed {
+			Expect(one.Executor).To(Equal(0))
+		}
+	})
+
+	It("lets long work of lower priority leave what the urgent asked for lately", func() {
+		long, short := group(4, 10), group(1, 10)
+		long.Priority, long.IsLong, short.Priority = 2, true, 2
+		left := map[int]placetasks.Room{2: {CPU: 20, Memory: 1000}}
+		placed := placetasks.Place(executors(2, 20), []placetasks.Group{long}, left)
+		Expect(placed).To(HaveLen(2))
+		left = map[int]placetasks.Room{2: {}}
+		Expect(placetasks.Place(executors(2, 20), []placetasks.Group{short}, left)).To(HaveLen(1))
+	})
+
+	It("gives a spare run another executor, and only what is left over", func() {
+		spare, first := group(1, 10), group(1, 10)
+		spare.IsSpare, spare.Barred = true, []bool{true}
+		first.Priority = 3
+		Expect(placetasks.Place(executors(1, 20), []placetasks.Group{spare}, nil)).To(BeEmpty())
+		placed := placetasks.Place(executors(1, 10), []placetasks.Group{spare, first}, nil)
+		Expect(placed).To(Equal([]placetasks.Placement{{Group: 1, Executor: 0}}))
+	})
+
+	It("never goes beyond room, labels or anti-affinity, whatever is asked", func() {
+		draw := rand.New(rand.NewPCG(5, 5))
+		for range 2000 {
+			all := executors(1+draw.IntN(6), 20)
+			for place := range all {
+				all[place].Free.CPU = int64(draw.IntN(21))
+				all[place].IsClosed = draw.IntN(5) == 0
+			}
+			var groups []placetasks.Group
+			for range draw.IntN(6) {
+				one := group(1+draw.IntN(8), int64(draw.IntN(22)))
+				one.Apart, one.Priority, one.IsGang = draw.IntN(3), draw.IntN(3), draw.IntN(4) == 0
+				if draw.IntN(3) == 0 {
+					one.Labels = []string{"r0"}
+				}
+				groups = append(groups, one)
+			}
+			used, held := map[int]int64{}, map[placetasks.Placement]int{}
+			counts := map[int]int{}
+			for _, one := range placetasks.Place(all, groups, nil) {
+				used[one.Executor] += groups[one.Group].Need.CPU
+				held[one]++
+				counts[one.Group]++
+				Expect(all[one.Executor].IsClosed).To(BeFalse())
+				if groups[one.Group].Labels != nil {
+					Expect(all[one.Executor].Rack).To(Equal("r0"))
+				}
+				if apart := groups[one.Group].Apart; apart > 0 {
+					Expect(held[one]).To(BeNumerically("<=", apart))
+				}
+			}
+			for place, cpu := range used {
+				Expect(cpu).To(BeNumerically("<=", all[place].Free.CPU))
+			}
+			for number, count := range counts {
+				Expect(count).To(BeNumerically("<=", groups[number].Count))
+				if groups[number].IsGang {
+					Expect(count).To(Equal(groups[number].Count))
+				}
+			}
+		}
+	})
+})
--- /dev/null
+++ b/internal/plancheck/plancheck_suite_test.go
@@ -0,0 +1,13 @@
+package plancheck_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestPlancheck(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "plancheck")
+}
--- /dev/null
+++ b/internal/planowner/planowner_test.go
@@ -0,0 +1,93 @@
+package planowner_test
+
+import (
+	"fmt"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gannetline/internal/logs"
+	"gannetline/internal/planowner"
+	"gannetline/internal/siblingwire"
+)
+
+type scripted struct {
+	hasLease bool
+	waiting  []func(error)
+	ops      []siblingwire.Op
+}
+
+func (s *scripted) Commit(ops []siblingwire.Op, done func(error)) {
+	s.ops, s.waiting = ops, append(s.waiting, done)
+}
+func (s *scripted) HasLease() bool   { return s.hasLease }
+func (s *scripted) Voters() []string { return []string{"a", "b", "c"} }
+
+func (s *scripted) settle() {
+	for _, done := range s.waiting {
+		done(nil)
+	}
+	s.waiting = nil
+}
+
+func plan(version int, service string) []byte {
+	return []byte(fmt.Sprintf(`{"config-version":%d,"route-list":[{"name":"r","host":"h","path-prefix":"/","timeout-ms":1,"service":"%s"}],"service-list":[{"name":"%s"}]}`,
+		version, service, service))
+}
+
+var _ = Describe("the plan's owner", func() {
+	var tenure *scripted
+	var owner *planowner.Plan
+	var published []int64
+	BeforeEach(func() {
+		tenure, published = &scripted{hasLease: true}, nil
+		owner = planowner.New(logs.Silent(), func(fact *siblingwire.PlanFact) { published = append(published, fact.Version) })
+		Expect(owner.Open(tenure, nil)).To(Succeed())
+	})
+	replace := func(base int64, body []byte) *siblingwire.ClientAnswer {
+		var told *siblingwire.ClientAnswer
+		owner.Replace(&siblingwire.ClientCall{Base: base, Body: body}, func(answer siblingwire.ClientAnswer) { told = &answer })
+		return told
+	}
+
+	It("acknowledges a plan, and passes it on, only after the commit", func() {
+		Expect(replace(0, plan(3, "s"))).To(BeNil())
+		Expect(published).To(BeEmpty())
+		tenure.settle()
+		Expect(published).To(Equal([]int64{3}))
+	})
+
+	It("lets one of two on the same base win, and takes the same plan again", func() {
+		replace(0, plan(3, "s"))
+		Expect(replace(0, plan(4, "s")).Elsewhere).To(BeTrue())
+		tenure.settle()
+		Expect(replace(0, plan(4, "s")).Status).To(Equal(412))
+		Expect(replace(0, plan(3, "s")).Status).To(Equal(200))
+		Expect(replace(3, plan(3, "x")).Status).To(Equal(400))
+		Expect(replace(3, []byte(`{"config-version":9}`))).To(BeNil())
+	})
+
+	It("takes over what was committed, and remembers where entries went before", func() {
+		replace(0, plan(3, "s"))
+		tenure.settle()
+		replace(3, plan(5, "t"))
+		tenure.settle()
+		next := planowner.New(logs.Silent(), func(*siblingwire.PlanFact) {})
+		Expect(next.Open(tenure, tenure.ops)).To(Succeed())
+		var body string
+		next.Retrieve(func(answer siblingwire.ClientAnswer) { body = string(answer.Body) })
+		Expect(body).To(Equal(string(plan(5, "t"))))
+		Expect(string(tenure.ops[0].Value)).To(ContainSubstring(`"moved":[{"entry":"r","services":["s"]}]`))
+		Expect(string(tenure.ops[0].Value)).To(ContainSubstring(`"births":[{"service":"s","voters":["a","b","c"]}`))
+	})
+
+	It("shows nothing without a lease", func() {
+		replace(0, plan(3, "s"))
+		tenure.settle()
+		tenure.hasLease = false
+		var told siblingwire.ClientAnswer
+		owner.Retrieve(func(answer siblingwire.ClientAnswer) { told = answer })
+		Expect(told.Elsewhere).To(BeTrue())
+		Expect(replace(0, plan(9, "s")).Elsewhere).To(BeTrue())
+	})
+})
--- /dev/null
+++ b/internal/siblingprobe/siblingprobe_suite_test.go
@@ -0,0 +1,13 @@
+package siblingprobe_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestSiblingprobe(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "siblingprobe")
+}
--- /dev/null
+++ b/internal/supervise/supervise_test.go
@@ -0,0 +1,48 @@
+package supervise_test
+
+import (
+	"time"
+
+	"github.com/juju/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gannetline/internal/logs"
+	"gannetline/internal/span"
+	"gannetline/internal/supervise"
+)
+
+type hasty struct{}
+
+func (hasty) Steady() time.Duration { return 0 }
+func (hasty) WallMs() int64         { return 0 }
+func (hasty) After(time.Duration) <-chan time.Time {
+	ring := make(chan time.Time, 1)
+	ring <- time.Time{}
+	return ring
+}
+
+var _ = Describe("the tree", func() {
+	It("starts a part again that failed or panicked", func() {
+		tree, times := supervise.New(hasty{}, logs.Silent()), 0
+		tree.Add("part", func(span.Span) error {
+			times++
+			switch times {
+			case 1:
+				panic("first")
+			case 2:
+				return errors.New("second")
+			}
+			return nil
+		})
+		Expect(tree.Run(span.Root())).To(Succeed())
+		Expect(times).To(Equal(3))
+	})
+
+	It("ends with the error of a part that fails too often", func() {
+		tree := supervise.New(hasty{}, logs.Silent(), supervise.WithLimit(2, time.Minute))
+		tree.Add("part", func(span.Span) error { return errors.New("always") })
+		tree.Add("other", func(life span.Span) error { <-life.Done(); return nil })
+		Expect(tree.Run(span.Root())).To(MatchError(ContainSubstring("always")))
+	})
+})
