A lease of 0.7 s, and 0.45 s for one try at an owner

Cause: after the loss of an owner most of the time without one is the lease (1 s), then tries that hang.

--- a/internal/keyowner/engine.go
+++ b/internal/keyowner/engine.go
@@ -37,8 +37,8 @@
 	LostAfter time.Duration
 }
 
-var DefaultTiming = Timing{Lease: 1000 * time.Millisecond, Heartbeat: 250 * time.Millisecond,
-	Stagger: 150 * time.Millisecond, LostAfter: 1500 * time.Millisecond}
+var DefaultTiming = Timing{Lease: 700 * time.Millisecond, Heartbeat: 175 * time.Millisecond,
+	Stagger: 100 * time.Millisecond, LostAfter: 1500 * time.Millisecond}
 
 const (
 	leaseMargin  = 30 * time.Millisecond
--- a/internal/ownercalls/ownercalls.go
+++ b/internal/ownercalls/ownercalls.go
@@ -24,7 +24,7 @@
 }
 
 func New(caller *siblingwire.Caller, clock pulse.Pulse, view func() *siblingprobe.View) *Asker {
-	return &Asker{caller: caller, clock: clock, view: view, perTry: 900 * time.Millisecond}
+	return &Asker{caller: caller, clock: clock, view: view, perTry: 450 * time.Millisecond}
 }
 
 // Outcome says what is known after asking: MaySee is set while some steward may have taken the call.
