--- a/internal/stage/stage_test.go
+++ b/internal/stage/stage_test.go
@@ -198,7 +198,10 @@
 			return time.Duration(100+30*int(task[len(task)-1]-'0')) * time.Millisecond, "done"
 		}))
 		c.handIn(1, plain(9, 1500))
-		c.Run(460 * time.Millisecond)
+		for round := 0; round < 500 && len(c.accepted) == 0; round++ {
+			c.Run(time.Millisecond)
+		}
+		c.Run(440 * time.Millisecond)
 		Expect(c.StateNow(id(1))).To(Equal("completed"))
 	})
 
