--- /dev/null
+++ b/internal/poolowner/poolowner_suite_test.go
@@ -0,0 +1,13 @@
+package poolowner_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestPoolowner(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "poolowner")
+}
--- /dev/null
+++ b/internal/poolowner/poolowner_test.go
@@ -0,0 +1,264 @@
+package poolowner_test
+
+import (
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gannetline/internal/logs"
+	"gannetline/internal/poolowner"
+	"gannetline/internal/pulse"
+	"gannetline/internal/siblingwire"
+)
+
+// scripted is a tenure whose commits the test finishes.
+type scripted struct {
+	clock    *pulse.Fake
+	epoch    uint64
+	hasLease bool
+	kept     map[string][]byte
+	waiting  []func(error)
+}
+
+func (s *scripted) Epoch() uint64  { return s.epoch }
+func (s *scripted) HasLease() bool { return s.hasLease }
+func (s *scripted) WallMs() int64  { return s.clock.WallMs() }
+
+func (s *scripted) Commit(ops []siblingwire.Op, done func(error)) {
+	s.waiting = append(s.waiting, func(err error) {
+		if err == nil {
+			for _, op := range ops {
+				s.kept[op.Name] = op.Value
+				if len(op.Value) == 0 {
+					delete(s.kept, op.Name)
+				}
+			}
+		}
+		done(err)
+	})
+}
+
+func (s *scripted) settle(err error) {
+	waiting := s.waiting
+	s.waiting = nil
+	for _, done := range waiting {
+		done(err)
+	}
+}
+
+func (s *scripted) pairs() []siblingwire.Op {
+	var all []siblingwire.Op
+	for name, value := range s.kept {
+		all = append(all, siblingwire.Op{Name: name, Value: value})
+	}
+	return all
+}
+
+func (s *scripted) has(prefix string) bool {
+	for name := range s.kept {
+		if strings.HasPrefix(name, prefix) {
+			return true
+		}
+	}
+	return false
+}
+
+const (
+	id   = "5c0e7a21d94b36f8"
+	task = id + ".0.0.0"
+)
+
+var timing = poolowner.Timing{Grant: 4 * time.Second, MaxHold: 6 * time.Second, Resend: 200 * time.Millisecond, ResendMost: time.Second,
+	HoldStale: 2500 * time.Millisecond, SilentAfter: 1500 * time.Millisecond, StopTimeout: 400 * time.Millisecond,
+	StuckAfter: 2 * time.Second, KeepEnded: 150 * time.Second}
+
+var _ = Describe("orders as persistent messages", func() {
+	var clock *pulse.Fake
+	var tenure *scripted
+	var pool *poolowner.Pool
+	var accepted []int
+	open := func(epoch uint64, pairs []siblingwire.Op) {
+		tenure.epoch = epoch
+		pool = poolowner.New("pool/s", clock, timing, logs.Silent())
+		Expect(pool.Open(tenure, pairs)).To(Succeed())
+	}
+	exchange := func(change func(*siblingwire.ExchangeCall)) *siblingwire.ExchangeAnswer {
+		call := &siblingwire.ExchangeCall{Key: "pool/s", Life: "i-1", Proxy: "side-1", Room: siblingwire.Capacity{CPU: 4000, Memory: 4000},
+			Labels: []string{"a", "r1"}, Fence: tenure.epoch, Look: 1 << 40}
+		if change != nil {
+			change(call)
+		}
+		var told *siblingwire.ExchangeAnswer
+		pool.Exchange(call, func(answer siblingwire.ExchangeAnswer) { told = &answer })
+		pool.Settle()
+		return told
+	}
+	handIn := func() {
+		pool.HandIn(&siblingwire.ClientCall{Verb: "hand-in", Entry: "e", ID: id, Terms: &siblingwire.EntryTerms{MaxAttempts: 2},
+			Body: []byte(`{"task-descriptor":"d","step-list":[{"task-count":1,"cpu-units":1000}]}`)},
+			func(answer siblingwire.ClientAnswer) { accepted = append(accepted, answer.Status) })
+		pool.Settle()
+	}
+	started := func(call *siblingwire.ExchangeCall) {
+		call.Answers = []siblingwire.OrderAnswer{{Task: task, Run: 1, Kind: "launch", Result: "ok"}}
+	}
+	ended := func(how string) func(*siblingwire.ExchangeCall) {
+		return func(call *siblingwire.ExchangeCall) {
+			call.Ends = []siblingwire.EndReport{{Number: 1, Task: task, Run: 1, How: how}}
+		}
+	}
+	BeforeEach(func() {
+		clock, accepted = pulse.NewFake(1_000_000), nil
+		tenure = &scripted{clock: clock, hasLease: true, kept: map[string][]byte{}}
+		open(3, nil)
+		exchange(nil)
+	})
+
+	It("answers a client, and lets an order leave, only after the commit", func() {
+		handIn()
+		Expect(accepted).To(BeEmpty())
+		Expect(exchange(nil).Orders).To(BeEmpty())
+		tenure.settle(nil)
+		Expect(accepted).To(Equal([]int{200}))
+		Expect(exchange(nil).Orders).To(HaveLen(1))
+		Expect(tenure.has("o/" + task + "/1/launch")).To(BeTrue())
+	})
+
+	It("sends nothing, and promises nothing, when the commit is lost", func() {
+		handIn()
+		tenure.settle(errors.New("lost"))
+		Expect(accepted).To(Equal([]int{0}))
+		Expect(exchange(nil).Orders).To(BeEmpty())
+	})
+
+	It("sends an unanswered order again after 200 ms, then less often", func() {
+		handIn()
+		tenure.settle(nil)
+		Expect(exchange(nil).Orders).To(HaveLen(1))
+		clock.Advance(150 * time.Millisecond)
+		pool.Tick()
+		Expect(exchange(nil).Orders).To(BeEmpty())
+		clock.Advance(60 * time.Millisecond)
+		pool.Tick()
+		Expect(exchange(nil).Orders).To(HaveLen(1))
+		clock.Advance(250 * time.Millisecond)
+		pool.Tick()
+		Expect(exchange(nil).Orders).To(BeEmpty())
+	})
+
+	It("takes the answer in a second transaction, which ends PENDING", func() {
+		handIn()
+		tenure.settle(nil)
+		exchange(nil)
+		exchange(started)
+		Expect(tenure.has("o/")).To(BeTrue())
+		tenure.settle(nil)
+		Expect(tenure.has("o/")).To(BeFalse())
+	})
+
+	It("acks an end with its commit, not before and not later", func() {
+		handIn()
+		tenure.settle(nil)
+		exchange(nil)
+		exchange(started)
+		tenure.settle(nil)
+		var told *siblingwire.ExchangeAnswer
+		call := &siblingwire.ExchangeCall{Key: "pool/s", Life: "i-1", Fence: 3}
+		ended("done")(call)
+		pool.Exchange(call, func(answer siblingwire.ExchangeAnswer) { told = &answer })
+		pool.Settle()
+		Expect(told).To(BeNil())
+		tenure.settle(nil)
+		Expect(told.LastSeen).To(Equal(int64(1)))
+	})
+
+	It("sends a PENDING order again after a take-over, once the fence stands", func() {
+		handIn()
+		tenure.settle(nil)
+		exchange(nil)
+		open(4, tenure.pairs())
+		Expect(exchange(func(call *siblingwire.ExchangeCall) { call.Fence, call.Look = 3, 0 }).Orders).To(BeEmpty())
+		answer := exchange(nil)
+		tenure.settle(nil)
+		if len(answer.Orders) == 0 {
+			answer = exchange(nil)
+		}
+		Expect(answer.Orders).To(ConsistOf(HaveField("Run", int64(1))))
+		Expect(answer.Fence).To(Equal(uint64(4)))
+	})
+
+	It("adopts after a take-over what the executor shows", func() {
+		handIn()
+		tenure.settle(nil)
+		exchange(nil)
+		open(4, tenure.pairs())
+		exchange(func(call *siblingwire.ExchangeCall) { call.Running = []siblingwire.RunReport{{Task: task, Run: 1}} })
+		tenure.settle(nil)
+		Expect(exchange(nil).Orders).To(BeEmpty())
+		Expect(tenure.has("o/")).To(BeFalse())
+		exchange(ended("done"))
+		tenure.settle(nil)
+		var state string
+		pool.State(&siblingwire.ClientCall{ID: id}, func(answer siblingwire.ClientAnswer) { state = string(answer.Body) })
+		pool.Settle()
+		Expect(state).To(ContainSubstring("completed"))
+	})
+
+	It("places nothing elsewhere before the longest hold that may stand has passed, and does so then", func() {
+		handIn()
+		tenure.settle(nil)
+		exchange(nil)
+		exchange(started)
+		tenure.settle(nil)
+		other := func(call *siblingwire.ExchangeCall) { call.Life = "i-2" }
+		for waited := time.Duration(0); waited < 6300*time.Millisecond; waited += 50 * time.Millisecond {
+			clock.Advance(50 * time.Millisecond)
+			pool.Tick()
+			pool.Settle()
+			tenure.settle(nil)
+			Expect(exchange(other).Orders).To(BeEmpty(), waited.String())
+		}
+		clock.Advance(500 * time.Millisecond)
+		exchange(other)
+		pool.Tick()
+		pool.Settle()
+		tenure.settle(nil)
+		Expect(exchange(other).Orders).To(HaveLen(1))
+	})
+
+	It("grants nothing without a lease", func() {
+		tenure.hasLease = false
+		Expect(exchange(nil).GrantMs).To(BeZero())
+		tenure.hasLease = true
+		Expect(exchange(nil).GrantMs).To(Equal(int64(4000)))
+	})
+
+	It("says 410 only under a lease", func() {
+		ask := func() (told siblingwire.ClientAnswer) {
+			pool.State(&siblingwire.ClientCall{ID: id}, func(answer siblingwire.ClientAnswer) { told = answer })
+			pool.Settle()
+			return told
+		}
+		Expect(ask().Status).To(Equal(410))
+		tenure.hasLease = false
+		Expect(ask().Elsewhere).To(BeTrue())
+	})
+
+	It("stops a run that no record knows", func() {
+		answer := exchange(func(call *siblingwire.ExchangeCall) {
+			call.Running = []siblingwire.RunReport{{Task: "x.0.0.0", Run: 9}}
+		})
+		Expect(answer.Orders).To(ConsistOf(siblingwire.Order{Kind: "stop", Task: "x.0.0.0", Run: 9}))
+	})
+
+	It("refuses a job of a queue whose ID is another queue's", func() {
+		handIn()
+		tenure.settle(nil)
+		var status int
+		pool.HandIn(&siblingwire.ClientCall{Entry: "other", ID: id, Body: []byte(`{}`)}, func(answer siblingwire.ClientAnswer) { status = answer.Status })
+		Expect(status).To(Equal(409))
+	})
+})
