--- a/internal/localproxy/proxy.go
+++ b/internal/localproxy/proxy.go
@@ -17,7 +17,7 @@
 
 const (
 	holdGap      = 15 * time.Millisecond
-	pollWaitMs   = 1000
+	pollWaitMs   = 300
 	startLimit   = 150 * time.Millisecond
 	startTries   = 2
 	atOnce       = 6
--- a/internal/poolowner/pool.go
+++ b/internal/poolowner/pool.go
@@ -45,7 +45,7 @@
 func TimingFrom(settings *bootsettings.Settings) Timing {
 	hold := settings.MaxHold()
 	return Timing{Grant: min(hold*8/10, 5*time.Second), MaxHold: hold, Resend: 200 * time.Millisecond,
-		ResendMost: time.Second, HoldStale: 2500 * time.Millisecond, SilentAfter: 1500 * time.Millisecond,
+		ResendMost: time.Second, HoldStale: 2500 * time.Millisecond, SilentAfter: 900 * time.Millisecond,
 		StopTimeout: pulse.Ms(settings.Bounds.StopTimeoutMs), StuckAfter: 2 * time.Second,
 		KeepEnded: time.Duration(settings.Bounds.StatusS*float64(time.Second)) + 30*time.Second}
 }
--- a/internal/poolowner/spares.go
+++ b/internal/poolowner/spares.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	doubtAfter   = 600 * time.Millisecond
+	doubtAfter   = 700 * time.Millisecond
 	unansweredIn = 400 * time.Millisecond
 	leastOverdue = 250 * time.Millisecond
 	fewDone      = 3
--- a/internal/poolowner/tick.go
+++ b/internal/poolowner/tick.go
@@ -154,7 +154,7 @@
 
 func (p *Pool) waiting(homes []*life, now time.Duration) ([]*stepState, [][]*task, []placetasks.Group) {
 	steps := p.openInOrder()
-	kept := steps[:0]
+	var kept []*stepState
 	var tasks [][]*task
 	var groups []placetasks.Group
 	for _, step := range steps {
--- a/internal/stage/proxy.go
+++ b/internal/stage/proxy.go
@@ -140,7 +140,7 @@
 
 func (p *Proxy) poll(life int) {
 	p.enter(life, func() {
-		p.exchange(1000, func(isTold bool) {
+		p.exchange(300, func(isTold bool) {
 			wait := time.Millisecond
 			if !isTold {
 				wait = 60 * time.Millisecond
--- a/internal/stage/stage_test.go
+++ b/internal/stage/stage_test.go
@@ -218,6 +218,17 @@
 		Expect(c.StateNow(id(1))).To(Equal("completed"))
 	})
 
+	It("runs redundant tasks once each while all is well", func() {
+		c := newCrowd(19)
+		for number := range 6 {
+			c.handIn(number, redundant)
+			c.handIn(100+number, `{"task-descriptor":"d","step-list":[{"task-count":20,"cpu-units":4000,"estimated-ms":200,"redundant":true}]}`)
+			c.Run(1300 * time.Millisecond)
+		}
+		c.Run(3 * time.Second)
+		Expect(c.Judge.Starts).To(Equal(6 * 23))
+	})
+
 	It("gives a redundant task a second run when the first takes far longer than the others", func() {
 		c := newCrowd(18, stage.WithWork(func(_ string, run int64, executor *stage.Executor) (time.Duration, string) {
 			if run == 1 && executor.Machine == "side-01" {
@@ -228,6 +239,7 @@
 		c.handIn(1, `{"task-descriptor":"d","step-list":[{"task-count":20,"cpu-units":4000,"estimated-ms":200,"redundant":true}]}`)
 		c.Run(3 * time.Second)
 		Expect(c.StateNow(id(1))).To(Equal("completed"))
+		Expect(c.Judge.Starts).To(BeNumerically("<=", 24))
 	})
 
 	It("starts nothing on a draining executor", func() {
