--- a/internal/stage/judge.go
+++ b/internal/stage/judge.go
@@ -133,3 +133,12 @@
 		delete(facts.running, executor)
 	}
 }
+
+// MostStarts is how often the task that was started most often was started.
+func (j *Judge) MostStarts() int {
+	most := 0
+	for _, facts := range j.tasks {
+		most = max(most, facts.starts)
+	}
+	return most
+}
--- a/internal/stage/stage_test.go
+++ b/internal/stage/stage_test.go
@@ -236,10 +236,13 @@
 			}
 			return 200 * time.Millisecond, "done"
 		}))
+		for number := range 5 {
+			c.handIn(10+number, redundant)
+		}
 		c.handIn(1, `{"task-descriptor":"d","step-list":[{"task-count":20,"cpu-units":4000,"estimated-ms":200,"redundant":true}]}`)
 		c.Run(3 * time.Second)
 		Expect(c.StateNow(id(1))).To(Equal("completed"))
-		Expect(c.Judge.Starts).To(BeNumerically("<=", 24))
+		Expect(c.Judge.MostStarts()).To(Equal(2))
 	})
 
 	It("starts nothing on a draining executor", func() {
