--- a/cmd/gannetline/main.go
+++ b/cmd/gannetline/main.go
@@ -31,6 +31,7 @@
 			roleCommand("local-proxy", "stand before the executor of a side machine", roles.LocalProxy),
 			compareCommand(),
 			checkCommand(),
+			rehearseCommand(),
 		},
 		Action: func(_ span.Span, command *cli.Command) error {
 			if command.Args().Len() > 0 {
--- /dev/null
+++ b/cmd/gannetline/rehearse.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"os"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"gannetline/internal/daybook"
+	"gannetline/internal/rehearseday"
+	"gannetline/internal/span"
+)
+
+func rehearseCommand() *cli.Command {
+	return &cli.Command{
+		Name: "rehearse", Usage: "play a recorded day as things are and under a proposed change", ArgsUsage: "RECORDING...",
+		Description: "Exit codes: 0 nothing is worse under the change, 2 bad input, 3 a job comes late, goes missing or lands twice.",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "change", Usage: "the proposed change, a YAML `FILE`"},
+			&cli.StringSliceFlag{Name: "fault", Usage: "a fault over the day, `KIND:TARGET:AT-MS[:FOR-MS]` (kill, cut, freeze, wipe, drain, slow)"},
+			&cli.Uint64Flag{Name: "seed", Usage: "what is drawn by lot", Value: 1},
+			&cli.DurationFlag{Name: "horizon", Usage: "how long after the last event a job may still end", Value: time.Minute},
+			&cli.BoolFlag{Name: "lenient", Usage: "skip and count broken lines"},
+			&cli.BoolFlag{Name: "json", Usage: "print JSON"},
+		},
+		Action: func(_ span.Span, command *cli.Command) error {
+			setup, err := rehearsal(command)
+			if err != nil {
+				return cli.Exit(err.Error(), exitUsage)
+			}
+			report, err := rehearseday.Rehearse(setup)
+			if err != nil {
+				return cli.Exit(err.Error(), exitUsage)
+			}
+			if err := report.Write(os.Stdout, command.Bool("json")); err != nil {
+				return err
+			}
+			if len(report.Worse) > 0 {
+				return cli.Exit("", exitDiffers)
+			}
+			return nil
+		},
+	}
+}
+
+func rehearsal(command *cli.Command) (rehearseday.Setup, error) {
+	setup := rehearseday.Setup{Change: &rehearseday.Change{}, Seed: command.Uint64("seed"), Horizon: command.Duration("horizon")}
+	if command.Args().Len() == 0 {
+		return setup, cli.Exit("rehearse takes at least one recording", exitUsage)
+	}
+	var err error
+	if path := command.String("change"); path != "" {
+		if setup.Change, err = rehearseday.LoadChange(path); err != nil {
+			return setup, err
+		}
+	}
+	for _, text := range command.StringSlice("fault") {
+		fault, err := rehearseday.ParseFault(text)
+		if err != nil {
+			return setup, err
+		}
+		setup.Faults = append(setup.Faults, fault)
+	}
+	setup.Day, err = daybook.ReadFiles(command.Args().Slice(), command.Bool("lenient"))
+	return setup, err
+}
--- a/internal/bootsettings/bootsettings.go
+++ b/internal/bootsettings/bootsettings.go
@@ -73,6 +73,8 @@
 	App            string            `yaml:"app"`
 	Service        string            `yaml:"service"`
 	LogLevel       int               `yaml:"log-level"`
+	RecordDay      bool              `yaml:"record-day"`
+	RecordWords    bool              `yaml:"record-descriptors"`
 }
 
 func Path() string {
--- /dev/null
+++ b/internal/daybook/read.go
@@ -0,0 +1,141 @@
+package daybook
+
+import (
+	"bufio"
+	"cmp"
+	"io"
+	"os"
+	"slices"
+	"strconv"
+
+	"github.com/juju/errors"
+	"github.com/mailru/easyjson"
+
+	"gannetline/internal/jobtable"
+)
+
+const mostLine = 8 << 20
+
+// Day is what was read: events in order of time, and what is missing.
+type Day struct {
+	Events  []Event
+	Lines   int
+	Lost    int64
+	Skipped int
+}
+
+// ReadFiles merges the recordings of several nodes into one day; what several of them saw counts once.
+func ReadFiles(paths []string, isLenient bool) (*Day, error) {
+	day := &Day{}
+	for _, path := range paths {
+		file, err := os.Open(path)
+		if err != nil {
+			return nil, errors.Annotate(err, "opening a recording")
+		}
+		err = day.read(file, path, isLenient)
+		file.Close()
+		if err != nil {
+			return nil, err
+		}
+	}
+	day.merge()
+	return day, nil
+}
+
+func (d *Day) read(from io.Reader, path string, isLenient bool) error {
+	lines := bufio.NewScanner(from)
+	lines.Buffer(make([]byte, 64<<10), mostLine)
+	var last int64
+	hasHeader := false
+	for number := 1; lines.Scan(); number++ {
+		event, err := decode(lines.Bytes())
+		if err == nil {
+			err = check(event, last, hasHeader)
+		}
+		if err != nil {
+			if isLenient && hasHeader {
+				d.Skipped++
+				continue
+			}
+			return errors.Annotatef(err, "%s:%d", path, number)
+		}
+		d.Lines++
+		last = event.AtMs
+		switch event.Kind {
+		case KindHeader:
+			hasHeader = true
+		case KindLost:
+			d.Lost += event.Count
+		default:
+			d.Events = append(d.Events, event)
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return errors.Annotatef(err, "%s", path)
+	}
+	if !hasHeader {
+		return errors.Errorf("%s:1: field kind: a recording begins with a header", path)
+	}
+	return nil
+}
+
+func decode(line []byte) (Event, error) {
+	var event Event
+	err := easyjson.Unmarshal(slices.Clone(line), &event)
+	return event, errors.Annotate(err, "a broken line")
+}
+
+func check(event Event, last int64, hasHeader bool) error {
+	switch {
+	case event.Kind == KindHeader && event.Version != Version:
+		return errors.Errorf("field version: %d is unknown, this program reads %d", event.Version, Version)
+	case !hasHeader && event.Kind != KindHeader:
+		return errors.New("field kind: a recording begins with a header")
+	case event.AtMs < last:
+		return errors.Errorf("field at-ms: the time goes backwards, from %d to %d", last, event.AtMs)
+	}
+	switch event.Kind {
+	case KindHandIn:
+		if !jobtable.IsID(event.ID) {
+			return errors.Errorf("field id: %q is not 16 hex digits", event.ID)
+		}
+		_, err := jobtable.Read(event.Body)
+		return errors.Annotate(err, "field body")
+	case KindCancel:
+		if !jobtable.IsID(event.ID) {
+			return errors.Errorf("field id: %q is not 16 hex digits", event.ID)
+		}
+	case KindEnd:
+		if _, isTask := jobtable.ParseTask(event.Task); !isTask || event.LengthMs < 0 {
+			return errors.New("field task or length-ms is wrong")
+		}
+	case KindExecutor:
+		if event.Machine == "" || event.Room.CPU < 0 {
+			return errors.New("field machine or room is wrong")
+		}
+	case KindHeader, KindPlan, KindLost:
+	default:
+		return errors.Errorf("field kind: %q is unknown", event.Kind)
+	}
+	return nil
+}
+
+// merge sorts by time, and drops what was recorded before by another node or at another try.
+func (d *Day) merge() {
+	slices.SortStableFunc(d.Events, func(one, two Event) int { return cmp.Compare(one.AtMs, two.AtMs) })
+	seen := map[string]bool{}
+	d.Events = slices.DeleteFunc(d.Events, func(event Event) bool {
+		var name string
+		switch event.Kind {
+		case KindHandIn, KindCancel:
+			name = event.Kind + event.ID
+		case KindEnd:
+			name = event.Task + "/" + strconv.FormatInt(event.Run, 10)
+		default:
+			return false
+		}
+		isAgain := seen[name]
+		seen[name] = true
+		return isAgain
+	})
+}
--- a/internal/poolowner/clients.go
+++ b/internal/poolowner/clients.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 
+	"gannetline/internal/daybook"
 	"gannetline/internal/jobtable"
 	"gannetline/internal/siblingwire"
 )
@@ -45,6 +46,8 @@
 	p.queued[call.Entry]++
 	p.put("j/"+call.ID, one.record)
 	p.makeTimesOf(one, p.tenure.WallMs())
+	p.record.Record(daybook.Event{Kind: daybook.KindHandIn, AtMs: one.record.AcceptedMs, Queue: call.Entry, ID: call.ID,
+		Terms: one.record.Terms, Body: call.Body})
 	p.after(accepted)
 }
 
@@ -84,6 +87,7 @@
 func (p *Pool) Cancel(call *siblingwire.ClientCall, answer answerClient) {
 	one := p.jobs[call.ID]
 	if one != nil && one.isOpen() {
+		p.record.Record(daybook.Event{Kind: daybook.KindCancel, AtMs: p.tenure.WallMs(), ID: call.ID})
 		p.end(one, stateCancelled, "cancelled by its client")
 	}
 	p.after(func(err error) {
--- a/internal/poolowner/exchange.go
+++ b/internal/poolowner/exchange.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"gannetline/internal/daybook"
 	"gannetline/internal/pulse"
 	"gannetline/internal/siblingwire"
 )
@@ -63,6 +64,10 @@
 		p.needsPlacing = true
 	}
 	isNewDrain := call.Draining && !home.isDraining
+	if !home.isKnown || isNewDrain {
+		p.record.Record(daybook.Event{Kind: daybook.KindExecutor, AtMs: p.tenure.WallMs(), Machine: call.Proxy, Room: call.Room,
+			Labels: call.Labels, IsDraining: call.Draining})
+	}
 	home.isKnown, home.proxy, home.domain, home.labels = true, call.Proxy, call.Domain, call.Labels
 	home.room, home.isDraining, home.contactAt = room(call.Room), call.Draining, now
 	if call.DepartsMs > 0 {
--- a/internal/poolowner/headroom.go
+++ b/internal/poolowner/headroom.go
@@ -9,12 +9,16 @@
 	"gannetline/internal/placetasks"
 )
 
-const (
-	peakHalfLife  = 6 * time.Second
-	mostReserved  = 0.6
-	alwaysAllowed = 0.3
-	longWork      = 1500 * time.Millisecond
-)
+const peakHalfLife = 6 * time.Second
+
+// Headroom is what long work of lower priority leaves to the urgent.
+type Headroom struct {
+	MostReserved  float64
+	AlwaysAllowed float64
+	LongWork      time.Duration
+}
+
+var DefaultHeadroom = Headroom{MostReserved: 0.6, AlwaysAllowed: 0.3, LongWork: 1500 * time.Millisecond}
 
 // peak is the most that a priority asked for lately; it fades.
 type peak struct {
@@ -53,18 +57,17 @@
 		p.peaks[priority].raise(float64(one.asked.CPU), float64(one.asked.Memory), now)
 		if place > 0 {
 			free := total.Minus(used).Minus(kept)
-			least := total.Times(alwaysAllowed).Minus(used.Minus(above))
+			least := total.Times(p.timing.Headroom.AlwaysAllowed).Minus(used.Minus(above))
 			left[priority] = free.AtLeast(least)
 		}
-		kept = kept.Plus(p.peaks[priority].unused(one.used, total))
+		kept = kept.Plus(p.peaks[priority].unused(one.used, total.Times(p.timing.Headroom.MostReserved)))
 		above = above.Plus(one.used)
 	}
 	return left
 }
 
-func (k *peak) unused(used, total placetasks.Room) placetasks.Room {
-	return placetasks.Room{CPU: max(0, int64(min(k.cpu, mostReserved*float64(total.CPU)))-used.CPU),
-		Memory: max(0, int64(min(k.memory, mostReserved*float64(total.Memory)))-used.Memory)}
+func (k *peak) unused(used, most placetasks.Room) placetasks.Room {
+	return placetasks.Room{CPU: max(0, min(int64(k.cpu), most.CPU)-used.CPU), Memory: max(0, min(int64(k.memory), most.Memory)-used.Memory)}
 }
 
 func (p *Pool) demands(groups []placetasks.Group) map[int]demand {
--- a/internal/poolowner/pool.go
+++ b/internal/poolowner/pool.go
@@ -14,6 +14,7 @@
 	"github.com/mailru/easyjson"
 
 	"gannetline/internal/bootsettings"
+	"gannetline/internal/daybook"
 	"gannetline/internal/jobtable"
 	"gannetline/internal/keyowner"
 	"gannetline/internal/logs"
@@ -40,6 +41,7 @@
 	StopTimeout time.Duration
 	StuckAfter  time.Duration
 	KeepEnded   time.Duration
+	Headroom    Headroom
 }
 
 func TimingFrom(settings *bootsettings.Settings) Timing {
@@ -47,7 +49,8 @@
 	return Timing{Grant: min(hold*8/10, 5*time.Second), MaxHold: hold, Resend: 200 * time.Millisecond,
 		ResendMost: time.Second, HoldStale: 2500 * time.Millisecond, SilentAfter: 900 * time.Millisecond,
 		StopTimeout: pulse.Ms(settings.Bounds.StopTimeoutMs), StuckAfter: 2 * time.Second,
-		KeepEnded: time.Duration(settings.Bounds.StatusS*float64(time.Second)) + 30*time.Second}
+		KeepEnded: time.Duration(settings.Bounds.StatusS*float64(time.Second)) + 30*time.Second,
+		Headroom:  DefaultHeadroom}
 }
 
 type Pool struct {
@@ -73,12 +76,28 @@
 	toRelease map[*life]bool
 	untimed   map[string]*job
 	peaks     map[int]*peak
+	record    Recorder
 }
 
+// Recorder is told what a rehearsal needs to play the day again; it must not block.
+type Recorder interface{ Record(daybook.Event) }
+
+type silentRecorder struct{}
+
+func (silentRecorder) Record(daybook.Event) {}
+
+type Option func(*Pool)
+
+func WithRecorder(record Recorder) Option { return func(p *Pool) { p.record = record } }
+
 type flight struct{ effects []func(error) }
 
-func New(key string, clock pulse.Pulse, timing Timing, log logs.Logger) *Pool {
-	return &Pool{key: key, clock: clock, timing: timing, log: log}
+func New(key string, clock pulse.Pulse, timing Timing, log logs.Logger, options ...Option) *Pool {
+	pool := &Pool{key: key, clock: clock, timing: timing, log: log, record: silentRecorder{}}
+	for _, option := range options {
+		option(pool)
+	}
+	return pool
 }
 
 // Opener lets an engine hand the key to the pool.
--- a/internal/poolowner/runs.go
+++ b/internal/poolowner/runs.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"time"
 
+	"gannetline/internal/daybook"
+	"gannetline/internal/pulse"
 	"gannetline/internal/siblingwire"
 )
 
@@ -112,6 +114,8 @@
 		p.keepSaved(which, end.Saved)
 	}
 	p.noteStart(which.job())
+	p.record.Record(daybook.Event{Kind: daybook.KindEnd, AtMs: p.tenure.WallMs(), Task: end.Task, Run: end.Run, How: end.How,
+		LengthMs: pulse.InMs(now - one.startedAt)})
 	switch end.How {
 	case "done":
 		home.dones++
--- a/internal/poolowner/tick.go
+++ b/internal/poolowner/tick.go
@@ -207,7 +207,7 @@
 	owner := step.time.job
 	return placetasks.Group{Need: step.need(), Count: len(ready), IsGang: step.step.Gang, SameRack: step.step.SameRack,
 		Labels: step.step.Labels, Near: step.step.Near, Apart: step.step.Apart, Held: held, Avoid: avoid,
-		IsLong: step.step.Lasting || pulse.Ms(step.step.EstimatedMs) > longWork, Priority: owner.record.Terms.Priority, Due: owner.aimMs(step.time.number)}
+		IsLong: step.step.Lasting || pulse.Ms(step.step.EstimatedMs) > p.timing.Headroom.LongWork, Priority: owner.record.Terms.Priority, Due: owner.aimMs(step.time.number)}
 }
 
 // Beliefs shows jobs and executors to a comparison.
--- /dev/null
+++ b/internal/rehearseday/change.go
@@ -0,0 +1,122 @@
+// Package rehearseday plays a recorded day again through the project's own code, as things are and under a
+// proposed change, and says what came late, went missing or landed twice.
+package rehearseday
+
+import (
+	"bytes"
+	"io"
+	"os"
+	"time"
+
+	"github.com/juju/errors"
+	"go.yaml.in/yaml/v3"
+
+	"gannetline/internal/poolowner"
+	"gannetline/internal/siblingwire"
+)
+
+// Queue is what a change may say of one queue; what it leaves out stays.
+type Queue struct {
+	Priority    *int     `yaml:"priority"`
+	MaxAttempts *int     `yaml:"max-attempts"`
+	Stretch     *float64 `yaml:"stretch-factor"`
+	TargetMs    *int64   `yaml:"target-latency-ms"`
+}
+
+// Change is a proposed scheduling change.
+type Change struct {
+	GrantMs       *int64           `yaml:"grant-ms"`
+	ResendMs      *int64           `yaml:"resend-ms"`
+	MostReserved  *float64         `yaml:"most-reserved"`
+	AlwaysAllowed *float64         `yaml:"always-allowed"`
+	LongWorkMs    *int64           `yaml:"long-work-ms"`
+	Queues        map[string]Queue `yaml:"queues"`
+}
+
+// LoadChange reads a proposal; an unknown field or a value out of range is an error that names it.
+func LoadChange(path string) (*Change, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Annotate(err, "reading the change")
+	}
+	change := &Change{}
+	decoder := yaml.NewDecoder(bytes.NewReader(text))
+	decoder.KnownFields(true)
+	if err := decoder.Decode(change); err != nil && err != io.EOF {
+		return nil, errors.Annotate(err, path)
+	}
+	return change, errors.Annotate(change.check(), path)
+}
+
+func (c *Change) check() error {
+	inRange := func(field string, value *float64, least, most float64) error {
+		if value != nil && (*value < least || *value > most) {
+			return errors.Errorf("field %s: %g is not from %g to %g", field, *value, least, most)
+		}
+		return nil
+	}
+	whole := func(value *int64) *float64 {
+		if value == nil {
+			return nil
+		}
+		number := float64(*value)
+		return &number
+	}
+	for _, err := range []error{
+		inRange("grant-ms", whole(c.GrantMs), 500, 60000), inRange("resend-ms", whole(c.ResendMs), 20, 10000),
+		inRange("most-reserved", c.MostReserved, 0, 1), inRange("always-allowed", c.AlwaysAllowed, 0, 1),
+		inRange("long-work-ms", whole(c.LongWorkMs), 0, 3600000)} {
+		if err != nil {
+			return err
+		}
+	}
+	for name, queue := range c.Queues {
+		for _, err := range []error{
+			inRange("priority", number(queue.Priority), 0, 1000), inRange("max-attempts", number(queue.MaxAttempts), 1, 1000),
+			inRange("stretch-factor", queue.Stretch, 0, 1000), inRange("target-latency-ms", whole(queue.TargetMs), 0, 86400000)} {
+			if err != nil {
+				return errors.Annotatef(err, "queue %s", name)
+			}
+		}
+	}
+	return nil
+}
+
+func number(value *int) *float64 {
+	if value == nil {
+		return nil
+	}
+	float := float64(*value)
+	return &float
+}
+
+func set[T any](field *T, value *T) {
+	if value != nil {
+		*field = *value
+	}
+}
+
+func (c *Change) timing(timing poolowner.Timing) poolowner.Timing {
+	setMs := func(field *time.Duration, value *int64) {
+		if value != nil {
+			*field = time.Duration(*value) * time.Millisecond
+		}
+	}
+	setMs(&timing.Grant, c.GrantMs)
+	setMs(&timing.Resend, c.ResendMs)
+	setMs(&timing.Headroom.LongWork, c.LongWorkMs)
+	set(&timing.Headroom.MostReserved, c.MostReserved)
+	set(&timing.Headroom.AlwaysAllowed, c.AlwaysAllowed)
+	timing.Grant = min(timing.Grant, timing.MaxHold)
+	return timing
+}
+
+// terms gives what a job is handed in with; its aim is judged by what was recorded.
+func (c *Change) terms(queue string, terms siblingwire.EntryTerms) siblingwire.EntryTerms {
+	change := c.Queues[queue]
+	set(&terms.Priority, change.Priority)
+	set(&terms.MaxAttempts, change.MaxAttempts)
+	set(&terms.Stretch, change.Stretch)
+	set(&terms.TargetMs, change.TargetMs)
+	return terms
+}
--- /dev/null
+++ b/internal/rehearseday/rehearseday_suite_test.go
@@ -0,0 +1,13 @@
+package rehearseday_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestRehearseday(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "rehearseday")
+}
--- /dev/null
+++ b/internal/rehearseday/report.go
@@ -0,0 +1,167 @@
+package rehearseday
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+
+	"github.com/juju/errors"
+)
+
+// QueueSum is one queue in one play.
+type QueueSum struct {
+	Jobs    int   `json:"jobs"`
+	Late    int   `json:"late"`
+	Missing int   `json:"missing"`
+	Twice   int   `json:"twice"`
+	Failed  int   `json:"failed"`
+	HalfMs  int64 `json:"half-within-ms"`
+	MostMs  int64 `json:"95-of-100-within-ms"`
+}
+
+type Pair struct {
+	AsIs    QueueSum `json:"as-is"`
+	Changed QueueSum `json:"changed"`
+}
+
+type JobPair struct {
+	AsIs    Outcome `json:"as-is"`
+	Changed Outcome `json:"changed"`
+}
+
+// Report is the whole of a rehearsal; it holds nothing that another run of it would not.
+type Report struct {
+	Lines       int             `json:"lines"`
+	Lost        int64           `json:"lost"`
+	Skipped     int             `json:"skipped"`
+	Seed        uint64          `json:"seed"`
+	Recorded    int             `json:"tasks-with-recorded-lengths"`
+	Queues      map[string]Pair `json:"queues"`
+	Differences []JobPair       `json:"differences"`
+	Worse       []string        `json:"worse"`
+}
+
+// Rehearse plays the day as things are and under the change.
+func Rehearse(setup Setup) (*Report, error) {
+	asIs := setup
+	asIs.Change = &Change{}
+	before, err := Play(asIs)
+	if err != nil {
+		return nil, err
+	}
+	after, err := Play(setup)
+	if err != nil {
+		return nil, errors.Annotate(err, "under the change")
+	}
+	return compare(setup, before, after), nil
+}
+
+func compare(setup Setup, before, after []Outcome) *Report {
+	report := &Report{Lines: setup.Day.Lines, Lost: setup.Day.Lost, Skipped: setup.Day.Skipped, Seed: setup.Seed,
+		Queues: map[string]Pair{}, Differences: []JobPair{}, Worse: []string{}}
+	for _, event := range setup.Day.Events {
+		if event.Kind == "end" && event.How == "done" {
+			report.Recorded++
+		}
+	}
+	one, two := sums(before), sums(after)
+	for queue := range one {
+		report.Queues[queue] = Pair{one[queue], two[queue]}
+	}
+	for place, was := range before {
+		is := after[place]
+		if was.Late != is.Late || was.Missing != is.Missing || was.Twice != is.Twice || was.State != is.State {
+			report.Differences = append(report.Differences, JobPair{was, is})
+		}
+		if is.Late && !was.Late || is.Missing && !was.Missing || is.Twice && !was.Twice {
+			report.Worse = append(report.Worse, is.ID)
+		}
+	}
+	return report
+}
+
+func sums(outcomes []Outcome) map[string]QueueSum {
+	all, took := map[string]QueueSum{}, map[string][]int64{}
+	for _, one := range outcomes {
+		sum := all[one.Queue]
+		sum.Jobs++
+		for _, count := range []struct {
+			isSo  bool
+			field *int
+		}{{one.Late, &sum.Late}, {one.Missing, &sum.Missing}, {one.Twice, &sum.Twice}, {one.State == "failed", &sum.Failed}} {
+			if count.isSo {
+				*count.field++
+			}
+		}
+		all[one.Queue] = sum
+		if one.State == "completed" {
+			took[one.Queue] = append(took[one.Queue], one.TookMs)
+		}
+	}
+	for queue, lengths := range took {
+		slices.Sort(lengths)
+		sum := all[queue]
+		sum.HalfMs, sum.MostMs = lengths[len(lengths)/2], lengths[len(lengths)*95/100]
+		all[queue] = sum
+	}
+	return all
+}
+
+// Write shows the report to people, or as JSON.
+func (r *Report) Write(to io.Writer, isJSON bool) error {
+	if isJSON {
+		lines := json.NewEncoder(to)
+		lines.SetIndent("", "  ")
+		return lines.Encode(r)
+	}
+	out := &printer{to: to}
+	out.line("recording: %d lines, %d lost, %d skipped; seed %d", r.Lines, r.Lost, r.Skipped, r.Seed)
+	if r.Lost > 0 {
+		out.line("the recording lost lines: jobs may be missing from both plays")
+	}
+	out.line("executors are a model: %d tasks run as long as recorded, the others as long as estimated", r.Recorded)
+	out.line("%-24s %-8s %6s %6s %8s %6s %7s %9s %9s", "queue", "", "jobs", "late", "missing", "twice", "failed", "half ms", "95% ms")
+	for _, queue := range slices.Sorted(maps.Keys(r.Queues)) {
+		out.sum(queue, "as is", r.Queues[queue].AsIs)
+		out.sum("", "changed", r.Queues[queue].Changed)
+	}
+	for _, pair := range r.Differences {
+		out.line("job %s of %s: %s -> %s", pair.AsIs.ID, pair.AsIs.Queue, pair.AsIs.words(), pair.Changed.words())
+	}
+	if len(r.Worse) == 0 {
+		out.line("nothing is worse under the change")
+	} else {
+		out.line("%d jobs are worse under the change", len(r.Worse))
+	}
+	return out.err
+}
+
+func (o Outcome) words() string {
+	words := fmt.Sprintf("%s after %d ms (aim %d ms)", o.State, o.TookMs, o.AimMs)
+	for _, one := range []struct {
+		isSo bool
+		word string
+	}{{o.Late, ", late"}, {o.Missing, ", missing"}, {o.Twice, ", twice"}} {
+		if one.isSo {
+			words += one.word
+		}
+	}
+	return words
+}
+
+type printer struct {
+	to  io.Writer
+	err error
+}
+
+func (p *printer) line(format string, values ...any) {
+	if p.err == nil {
+		_, p.err = fmt.Fprintf(p.to, format+"\n", values...)
+	}
+}
+
+func (p *printer) sum(queue, which string, sum QueueSum) {
+	p.line("%-24s %-8s %6d %6d %8d %6d %7d %9d %9d", queue, which, sum.Jobs, sum.Late, sum.Missing, sum.Twice, sum.Failed, sum.HalfMs, sum.MostMs)
+}
--- a/internal/roles/steward.go
+++ b/internal/roles/steward.go
@@ -3,12 +3,14 @@
 import (
 	"net/http"
 	"os"
+	"path/filepath"
 	"time"
 
 	"github.com/juju/errors"
 
 	"gannetline/internal/comparenodes"
 	"gannetline/internal/controlcalls"
+	"gannetline/internal/daybook"
 	"gannetline/internal/keyowner"
 	"gannetline/internal/keystore"
 	"gannetline/internal/mailbox"
@@ -51,8 +53,14 @@
 	book := planbook.New(b.caller, b.clock, b.log, func(page *planbook.Page) { b.node.HoldsPlan(page.Fact.Version) })
 	book.Handle(b.inner)
 	b.join(siblingwire.Member{Role: "steward", Control: b.settings.Listen.Control, Disk: store.Disk()}, siblingprobe.OnPlanAhead(book.Ahead))
+	var pool []poolowner.Option
+	if b.settings.RecordDay {
+		writer := daybook.NewWriter(filepath.Join(folder, "day.jsonl"), b.settings.NodeName, b.settings.RecordWords)
+		b.tree.Add("recording", writer.Run)
+		pool = append(pool, poolowner.WithRecorder(writer))
+	}
 	ring := stewardkeys.New(stewardkeys.Config{Clock: b.clock, Log: b.log, Store: store, Name: b.settings.NodeName, Caller: b.caller,
-		Node: b.node, Book: book, Timing: poolowner.TimingFrom(b.settings), Replicas: replicas})
+		Node: b.node, Book: book, Timing: poolowner.TimingFrom(b.settings), Replicas: replicas, Pool: pool})
 	ring.Handle(b.inner)
 	comparenodes.Handle(b.inner, comparenodes.Sources{View: b.node.View, Page: book.Page, Ring: ring.Beliefs})
 	outer := http.NewServeMux()
--- a/internal/stage/executor.go
+++ b/internal/stage/executor.go
@@ -26,7 +26,7 @@
 	stage   *Stage
 	Machine string
 	Domain  string
-	Rack    string
+	Labels  []string
 	ID      string
 	Room    siblingwire.Capacity
 	Speed   float64
--- a/internal/stage/proxy.go
+++ b/internal/stage/proxy.go
@@ -58,7 +58,7 @@
 				state = "draining"
 			}
 			p.table.Beat(p.executor.ID, &executorcalls.Beat{Service: p.stage.service, State: state, Room: p.executor.Room,
-				Labels: []string{"a", p.executor.Rack}, ClockMs: p.executor.ClockMs(), Sequence: p.sequence})
+				Labels: p.executor.Labels, ClockMs: p.executor.ClockMs(), Sequence: p.sequence})
 		}
 		p.stage.Line.After(1500*time.Millisecond, func() { p.beat(life) })
 	})
@@ -172,6 +172,7 @@
 			done(false)
 			return
 		}
+		answer.GrantMs *= p.stage.grantBy
 		if answer.Fence > 0 {
 			for _, order := range p.table.Told(ask, askedAt, &answer) {
 				p.carry(ask.Life, order, 0)
--- a/internal/stage/stage.go
+++ b/internal/stage/stage.go
@@ -25,7 +25,9 @@
 	timing    poolowner.Timing
 	log       logs.Logger
 	cut       map[string]bool
-	shown     map[string]string
+	places    []Place
+	record    poolowner.Recorder
+	grantBy   int64
 }
 
 type Option func(*Stage)
@@ -34,12 +36,27 @@
 
 func WithWork(work Work) Option { return func(s *Stage) { s.Work = work } }
 
+// Place is one executor as it should stand on the stage.
+type Place struct {
+	Machine string
+	Room    siblingwire.Capacity
+	Labels  []string
+}
+
+// WithPlaces sets executors that differ; it replaces the even ones.
+func WithPlaces(places []Place) Option { return func(s *Stage) { s.places = places } }
+
+func WithRecorder(record poolowner.Recorder) Option { return func(s *Stage) { s.record = record } }
+
+// WithGrantsBroken makes proxies hold that many times as long as they were granted, to show that the judge sees it.
+func WithGrantsBroken(factor int64) Option { return func(s *Stage) { s.grantBy = factor } }
+
 func WithLog(log logs.Logger) Option { return func(s *Stage) { s.log = log } }
 
 // DefaultTiming is that of a deployment with holds of 6 s.
 var DefaultTiming = poolowner.Timing{Grant: 4800 * time.Millisecond, MaxHold: 6 * time.Second, Resend: 200 * time.Millisecond,
 	ResendMost: time.Second, HoldStale: 2500 * time.Millisecond, SilentAfter: 900 * time.Millisecond,
-	StopTimeout: 400 * time.Millisecond, StuckAfter: 2 * time.Second, KeepEnded: 150 * time.Second}
+	StopTimeout: 400 * time.Millisecond, StuckAfter: 2 * time.Second, KeepEnded: 150 * time.Second, Headroom: poolowner.DefaultHeadroom}
 
 func evenWork(string, int64, *Executor) (time.Duration, string) {
 	return 200 * time.Millisecond, "done"
@@ -49,7 +66,7 @@
 func New(seed uint64, stewards, executors int, room siblingwire.Capacity, wallMs int64, options ...Option) *Stage {
 	line := NewLine(wallMs, seed)
 	s := &Stage{Line: line, Judge: newJudge(line), service: "board", keys: []string{"pool/board"}, timing: DefaultTiming,
-		log: logs.Silent(), cut: map[string]bool{}, Work: evenWork, shown: map[string]string{}}
+		log: logs.Silent(), cut: map[string]bool{}, Work: evenWork, grantBy: 1}
 	for _, option := range options {
 		option(s)
 	}
@@ -57,9 +74,11 @@
 		name := fmt.Sprintf("steward-%d", number+1)
 		s.Nodes = append(s.Nodes, &Node{stage: s, Name: name, disk: NewDisk(line, "disk-"+name, syncTime)})
 	}
-	for number := range executors {
-		machine := fmt.Sprintf("side-%02d", number+1)
-		one := &Executor{stage: s, Machine: machine, Domain: "d", Rack: fmt.Sprintf("r%d", number/3+1), Room: room, Speed: 1}
+	if s.places == nil {
+		s.places = evenPlaces(executors, room)
+	}
+	for _, where := range s.places {
+		one := &Executor{stage: s, Machine: where.Machine, Domain: "d", Labels: where.Labels, Room: where.Room, Speed: 1}
 		one.restart()
 		s.Executors = append(s.Executors, one)
 		s.Proxies = append(s.Proxies, &Proxy{stage: s, executor: one})
@@ -73,6 +92,14 @@
 	return s
 }
 
+func evenPlaces(count int, room siblingwire.Capacity) []Place {
+	var places []Place
+	for number := range count {
+		places = append(places, Place{Machine: fmt.Sprintf("side-%02d", number+1), Room: room, Labels: []string{"a", fmt.Sprintf("r%d", number/3+1)}})
+	}
+	return places
+}
+
 func (s *Stage) birth() []string {
 	var disks []string
 	for number := range min(3, len(s.Nodes)) {
@@ -232,14 +259,16 @@
 }
 
 // StateNow is what the owner's own table says of a job.
-func (s *Stage) StateNow(id string) string {
+func (s *Stage) StateNow(id string) string { return s.States()[id] }
+
+// States is what the owner's own table says of all jobs.
+func (s *Stage) States() map[string]string {
+	states := map[string]string{}
 	if owner := s.Owner(); owner != nil {
 		jobs, _ := owner.pools[s.keys[0]].Beliefs()
 		for _, one := range jobs {
-			if one.ID == id {
-				return one.State
-			}
+			states[one.ID] = one.State
 		}
 	}
-	return ""
+	return states
 }
--- a/internal/stewardkeys/ring.go
+++ b/internal/stewardkeys/ring.go
@@ -46,6 +46,7 @@
 	book      *planbook.Book
 	timing    poolowner.Timing
 	holders   map[string]*holder
+	pool      []poolowner.Option
 	birth     []string
 	hasPlan   bool
 	isLeaving bool
@@ -61,12 +62,13 @@
 	Book     *planbook.Book
 	Timing   poolowner.Timing
 	Replicas *keyowner.Replicas
+	Pool     []poolowner.Option
 }
 
 func New(config Config) *Ring {
 	return &Ring{box: mailbox.New(256), clock: config.Clock, log: config.Log, store: config.Store, disk: config.Store.Disk(),
 		name: config.Name, replicas: config.Replicas, caller: config.Caller, node: config.Node, book: config.Book,
-		timing: config.Timing, holders: map[string]*holder{}}
+		timing: config.Timing, pool: config.Pool, holders: map[string]*holder{}}
 }
 
 // Run keeps the holders that the plan asks for.
@@ -126,7 +128,7 @@
 		one.engine = keyowner.NewEngine(key, r.disk, r.name, r.clock, road, planMachine{one.plan}, r.stewards, options...)
 		owner.Tick = one.engine.Tick
 	} else {
-		one.pool = poolowner.New(key, r.clock, r.timing, r.log)
+		one.pool = poolowner.New(key, r.clock, r.timing, r.log, r.pool...)
 		one.engine = keyowner.NewEngine(key, r.disk, r.name, r.clock, road, poolowner.Opener{Pool: one.pool}, r.stewards, options...)
 		owner.Tick = func() { one.engine.Tick(); one.pool.Tick() }
 		owner.Settle = one.pool.Settle
