--- a/internal/keyowner/engine.go
+++ b/internal/keyowner/engine.go
@@ -111,8 +111,6 @@
 
 type Option func(*Engine)
 
-func WithTiming(timing Timing) Option { return func(e *Engine) { e.timing = timing } }
-
 func WithBirth(voters []string) Option { return func(e *Engine) { e.birth = voters } }
 
 func WithLog(log logs.Logger) Option { return func(e *Engine) { e.log = log } }
--- a/internal/reply/reply.go
+++ b/internal/reply/reply.go
@@ -5,8 +5,6 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
-
-	"github.com/mailru/easyjson"
 )
 
 type Reply struct {
@@ -27,14 +25,6 @@
 
 func Raw(status int, body []byte) Reply { return Reply{Status: status, Body: body} }
 
-func JSON(status int, value easyjson.Marshaler) Reply {
-	body, err := easyjson.Marshal(value)
-	if err != nil {
-		return Text(http.StatusInternalServerError, "the answer could not be written")
-	}
-	return Reply{Status: status, Body: body}
-}
-
 func Later(status int, seconds int, why string) Reply {
 	answer := Text(status, why)
 	answer.RetryAfter = seconds
--- a/internal/siblingprobe/node.go
+++ b/internal/siblingprobe/node.go
@@ -29,7 +29,6 @@
 	log     logs.Logger
 	seeds   atomic.Pointer[[]string]
 	onPlan  func(sibling Member, version int64)
-	onView  func()
 }
 
 type Option func(*Node)
@@ -38,8 +37,6 @@
 	return func(n *Node) { n.onPlan = heed }
 }
 
-func OnView(heed func()) Option { return func(n *Node) { n.onView = heed } }
-
 // BindInternal takes the first free port of the range, for TCP and UDP alike.
 func BindInternal(ip string, first, last int) (net.Listener, net.PacketConn, error) {
 	for port := first; port <= last; port++ {
@@ -61,7 +58,7 @@
 func NewNode(self Member, calls net.Listener, packets net.PacketConn, seeds []string, caller *siblingwire.Caller,
 	clock pulse.Pulse, log logs.Logger, options ...Option) *Node {
 	node := &Node{box: mailbox.New(256), packets: packets, calls: calls, caller: caller, clock: clock, log: log,
-		onPlan: func(Member, int64) {}, onView: func() {}}
+		onPlan: func(Member, int64) {}}
 	node.seeds.Store(&seeds)
 	for _, option := range options {
 		option(node)
@@ -70,7 +67,7 @@
 	self.Incarnation = uint64(clock.WallMs())
 	node.table = NewTable(self, clock, DefaultTiming, self.Incarnation, Events{
 		Send:      node.send,
-		Show:      func(view *View) { node.view.Store(view); node.onView() },
+		Show:      func(view *View) { node.view.Store(view) },
 		PlanAhead: func(sibling Member, version int64) { node.onPlan(sibling, version) },
 		Differ:    func(sibling Member) { go node.exchange(sibling.Address) },
 	})
