--- a/internal/keyowner/keyowner_test.go
+++ b/internal/keyowner/keyowner_test.go
@@ -118,10 +118,18 @@
 		Expect(w.problems).To(BeEmpty())
 	})
 
-	It("carries the time of day as the median of the voters'", func() {
+	It("carries the time of day as the median of the voters', whichever clock jumps", func() {
 		w := newWorld(9, "a", "b", "c")
 		w.run(2 * time.Second)
-		Expect(w.owner().machine.tenure.WallMs()).To(BeNumerically("~", w.clock.WallMs(), 20))
+		for _, one := range w.nodes {
+			for _, jump := range []int64{5000, -5000} {
+				one.clock.jump = jump
+				w.run(time.Second)
+				Expect(w.owner().machine.tenure.WallMs()).To(BeNumerically("~", w.clock.WallMs(), 20))
+			}
+			one.clock.jump = 0
+			w.run(time.Second)
+		}
 	})
 
 	for seed := range uint64(24) {
--- a/internal/keyowner/world_test.go
+++ b/internal/keyowner/world_test.go
@@ -102,6 +102,14 @@
 
 func (m *machine) Close() { m.tenure = nil }
 
+// nodeClock is the world's clock with a time of day that may jump.
+type nodeClock struct {
+	*pulse.Fake
+	jump int64
+}
+
+func (c *nodeClock) WallMs() int64 { return c.Fake.WallMs() + c.jump }
+
 // node is one steward: its disk stays while the rest of it may die.
 type node struct {
 	world    *world
@@ -111,6 +119,7 @@
 	isUp     bool
 	isFrozen bool
 	life     int
+	clock    *nodeClock
 	replicas *keyowner.Replicas
 	engine   *keyowner.Engine
 	machine  *machine
@@ -150,7 +159,7 @@
 }
 
 func (w *world) add(name string) *node {
-	one := &node{world: w, name: name, disk: newDisk("disk-" + name)}
+	one := &node{world: w, name: name, disk: newDisk("disk-" + name), clock: &nodeClock{Fake: w.clock}}
 	w.nodes = append(w.nodes, one)
 	return one
 }
@@ -161,14 +170,14 @@
 	n.isUp, n.isFrozen = true, false
 	n.life++
 	n.disk.line = nil
-	replicas, err := keyowner.NewReplicas(mailbox.New(64), n.disk, n.world.clock, keyowner.DefaultTiming.Lease)
+	replicas, err := keyowner.NewReplicas(mailbox.New(64), n.disk, n.clock, keyowner.DefaultTiming.Lease)
 	if err != nil {
 		panic(err)
 	}
 	n.disk.isBare = false
 	n.replicas = replicas
 	n.machine = &machine{world: n.world, node: n}
-	n.engine = keyowner.NewEngine(key, n.disk.name, n.name, n.world.clock, &road{n, n.life}, n.machine, n.world.members,
+	n.engine = keyowner.NewEngine(key, n.disk.name, n.name, n.clock, &road{n, n.life}, n.machine, n.world.members,
 		keyowner.WithBirth(n.world.birth()))
 }
 
