--- a/internal/poolowner/headroom.go
+++ b/internal/poolowner/headroom.go
@@ -9,7 +9,7 @@
 	"gannetline/internal/placetasks"
 )
 
-const peakHalfLife = 6 * time.Second
+const peakHalfLife = 15 * time.Second
 
 // Headroom is what long work of lower priority leaves to the urgent.
 type Headroom struct {
