Rules of queues as expressions: checked when loaded, bounded, off by default, rehearsed with the same command

A use-rule is kept to for a second at most, an order-rule sorts within a priority: neither can break a rule that placement keeps.

--- a/internal/bootsettings/bootsettings.go
+++ b/internal/bootsettings/bootsettings.go
@@ -11,6 +11,7 @@
 	"go.yaml.in/yaml/v3"
 
 	"gannetline/internal/pulse"
+	"gannetline/internal/queuerules"
 )
 
 const PathVariable = "GANNETLINE_BOOT"
@@ -75,6 +76,8 @@
 	LogLevel       int               `yaml:"log-level"`
 	RecordDay      bool              `yaml:"record-day"`
 	RecordWords    bool              `yaml:"record-descriptors"`
+
+	QueueRules map[string]queuerules.Text `yaml:"queue-rules"`
 }
 
 func Path() string {
@@ -173,6 +176,9 @@
 	if s.Bounds.RemoteFactor < 1 {
 		complain("remote-factor", "is below 1")
 	}
+	if _, err := queuerules.Compile(s.QueueRules); err != nil {
+		complain("queue-rules", err.Error())
+	}
 	if s.OrderList != "invocation" && s.OrderList != "heartbeat" {
 		complain("order-list", "is neither invocation nor heartbeat")
 	}
--- a/internal/bootsettings/bootsettings_test.go
+++ b/internal/bootsettings/bootsettings_test.go
@@ -40,6 +40,7 @@
 		Entry("a bad seed", `["10.1.0.10:8166"]`, `["nowhere"]`, "seed-nodes"),
 		Entry("no seeds", `["10.1.0.10:8166"]`, `[]`, "seed-nodes"),
 		Entry("a negative bound", `6000`, `-1`, "max-hold-ms"),
+		Entry("a rule that can't be read", `something-new: {a: 1}`, `queue-rules: {q: {use: "speed > 3"}}`, "queue-rules"),
 		Entry("no YAML", `zone: "hall"`, `zone: [`, "settings"),
 	)
 
--- a/internal/poolowner/model.go
+++ b/internal/poolowner/model.go
@@ -101,6 +101,7 @@
 	tasks     []*task
 	left      int
 	isOpen    bool
+	openedAt  time.Duration
 	failedRun int64
 	brokenAt  time.Duration
 	lengths   []time.Duration
--- a/internal/poolowner/pool.go
+++ b/internal/poolowner/pool.go
@@ -20,6 +20,7 @@
 	"gannetline/internal/logs"
 	"gannetline/internal/placetasks"
 	"gannetline/internal/pulse"
+	"gannetline/internal/queuerules"
 	"gannetline/internal/siblingwire"
 )
 
@@ -77,6 +78,7 @@
 	untimed   map[string]*job
 	peaks     map[int]*peak
 	record    Recorder
+	rules     *queuerules.Rules
 }
 
 // Recorder is told what a rehearsal needs to play the day again; it must not block.
@@ -92,6 +94,8 @@
 
 type flight struct{ effects []func(error) }
 
+func WithRules(rules *queuerules.Rules) Option { return func(p *Pool) { p.rules = rules } }
+
 func New(key string, clock pulse.Pulse, timing Timing, log logs.Logger, options ...Option) *Pool {
 	pool := &Pool{key: key, clock: clock, timing: timing, log: log, record: silentRecorder{}}
 	for _, option := range options {
@@ -422,7 +426,7 @@
 			isReady = isReady && spell.steps[earlier].left == 0
 		}
 		if isReady {
-			step.isOpen = true
+			step.isOpen, step.openedAt = true, p.clock.Steady()
 			p.open[step] = true
 			p.needsPlacing = true
 		}
--- a/internal/poolowner/spares.go
+++ b/internal/poolowner/spares.go
@@ -76,9 +76,12 @@
 // spare asks for a second run of a task, anywhere but where the first one is.
 func (p *Pool) spare(which *task, homes []*life) placetasks.Group {
 	group := p.group(which.step, []*task{which}, homes)
-	group.IsSpare, group.Barred = true, make([]bool, len(homes))
+	group.IsSpare = true
+	if group.Barred == nil {
+		group.Barred = make([]bool, len(homes))
+	}
 	for place, home := range homes {
-		group.Barred[place] = home == which.runs[0].life
+		group.Barred[place] = group.Barred[place] || home == which.runs[0].life
 	}
 	return group
 }
--- a/internal/poolowner/tick.go
+++ b/internal/poolowner/tick.go
@@ -11,9 +11,13 @@
 
 	"gannetline/internal/placetasks"
 	"gannetline/internal/pulse"
+	"gannetline/internal/queuerules"
 	"gannetline/internal/siblingwire"
 )
 
+// ruleHolds is how long a task waits for the executors of its queue's rule.
+const ruleHolds = time.Second
+
 // Tick does all that falls due; Settle follows it.
 func (p *Pool) Tick() {
 	if p.tenure == nil {
@@ -205,9 +209,26 @@
 		avoid[place] = ready[0].avoid == home.id
 	}
 	owner := step.time.job
-	return placetasks.Group{Need: step.need(), Count: len(ready), IsGang: step.step.Gang, SameRack: step.step.SameRack,
+	due := p.rules.Order(owner.record.Entry, queuerules.Step{Due: int(owner.aimMs(step.time.number)), Tasks: len(ready),
+		CPU: int(step.step.CPU), Memory: int(step.step.Memory), Estimate: int(step.step.EstimatedMs)})
+	return placetasks.Group{Barred: p.barredByRule(step, homes), Need: step.need(), Count: len(ready), IsGang: step.step.Gang, SameRack: step.step.SameRack,
 		Labels: step.step.Labels, Near: step.step.Near, Apart: step.step.Apart, Held: held, Avoid: avoid,
-		IsLong: step.step.Lasting || pulse.Ms(step.step.EstimatedMs) > p.timing.Headroom.LongWork, Priority: owner.record.Terms.Priority, Due: owner.aimMs(step.time.number)}
+		IsLong: step.step.Lasting || pulse.Ms(step.step.EstimatedMs) > p.timing.Headroom.LongWork, Priority: owner.record.Terms.Priority, Due: due}
+}
+
+// barredByRule keeps a queue to the executors of its rule for a moment; a task that waits longer may go anywhere,
+// so that no rule of a queue leaves work undone while there is room.
+func (p *Pool) barredByRule(step *stepState, homes []*life) []bool {
+	queue := step.time.job.record.Entry
+	if !p.rules.HasUse(queue) || p.clock.Steady()-step.openedAt > ruleHolds {
+		return nil
+	}
+	barred := make([]bool, len(homes))
+	for place, home := range homes {
+		barred[place] = !p.rules.Allows(queue, queuerules.Executor{Labels: home.labels, CPU: int(home.room.CPU),
+			Memory: int(home.room.Memory), GPU: int(home.room.GPU)})
+	}
+	return barred
 }
 
 // Beliefs shows jobs and executors to a comparison.
--- a/internal/rehearseday/change.go
+++ b/internal/rehearseday/change.go
@@ -12,6 +12,7 @@
 	"go.yaml.in/yaml/v3"
 
 	"gannetline/internal/poolowner"
+	"gannetline/internal/queuerules"
 	"gannetline/internal/siblingwire"
 )
 
@@ -21,6 +22,8 @@
 	MaxAttempts *int     `yaml:"max-attempts"`
 	Stretch     *float64 `yaml:"stretch-factor"`
 	TargetMs    *int64   `yaml:"target-latency-ms"`
+
+	queuerules.Text `yaml:",inline"`
 }
 
 // Change is a proposed scheduling change.
@@ -79,7 +82,16 @@
 			}
 		}
 	}
-	return nil
+	_, err := c.rules()
+	return err
+}
+
+func (c *Change) rules() (*queuerules.Rules, error) {
+	texts := map[string]queuerules.Text{}
+	for name, queue := range c.Queues {
+		texts[name] = queue.Text
+	}
+	return queuerules.Compile(texts)
 }
 
 func number(value *int) *float64 {
--- a/internal/rehearseday/play.go
+++ b/internal/rehearseday/play.go
@@ -76,8 +76,13 @@
 		return nil, errors.New("the recording names no executors")
 	}
 	options := append([]stage.Option{stage.WithPlaces(places), stage.WithWork(p.work), stage.WithTiming(setup.Change.timing(stage.DefaultTiming))}, setup.Stage...)
+	rules, err := setup.Change.rules()
+	if err != nil {
+		return nil, err
+	}
+	options = append(options, stage.WithPool(poolowner.WithRules(rules)))
 	if setup.Record != nil {
-		options = append(options, stage.WithRecorder(setup.Record))
+		options = append(options, stage.WithPool(poolowner.WithRecorder(setup.Record)))
 	}
 	p.stage = stage.New(setup.Seed, 3, 0, siblingwire.Capacity{}, p.firstMs-warmUp.Milliseconds(), options...)
 	for _, fault := range setup.Faults {
--- a/internal/rehearseday/rehearseday_test.go
+++ b/internal/rehearseday/rehearseday_test.go
@@ -133,6 +133,15 @@
 		Expect(report.Worse).NotTo(BeEmpty())
 	})
 
+	It("rehearses rules of queues, which order work and leave none undone", func() {
+		report := rehearse("queues:\n  week-rebuild: {use: '\"r2\" in labels', order: 'due - estimate'}\n  rota-check: {use: 'cpu > 99000'}\n")
+		for queue, pair := range report.Queues {
+			Expect(pair.Changed.Missing).To(BeZero(), queue)
+			Expect(pair.Changed.Twice).To(BeZero(), queue)
+		}
+		Expect(report.Queues["rota-check"].Changed.HalfMs).To(BeNumerically(">", 1000))
+	})
+
 	It("gives the same report to the byte", func() {
 		var one, two bytes.Buffer
 		Expect(rehearse("grant-ms: 3000\n").Write(&one, true)).To(Succeed())
@@ -230,6 +239,7 @@
 	},
 		Entry("an unknown field", "speed: 7\n", "speed"),
 		Entry("out of range", "most-reserved: 1.5\n", "most-reserved"),
+		Entry("a rule that can't be read", "queues:\n  a: {use: \"speed > 3\"}\n", "field use"),
 		Entry("a queue's field out of range", "queues:\n  a: {max-attempts: 0}\n", "max-attempts"),
 	)
 
--- a/internal/roles/steward.go
+++ b/internal/roles/steward.go
@@ -17,6 +17,7 @@
 	"gannetline/internal/ownercalls"
 	"gannetline/internal/planbook"
 	"gannetline/internal/poolowner"
+	"gannetline/internal/queuerules"
 	"gannetline/internal/siblingprobe"
 	"gannetline/internal/siblingwire"
 	"gannetline/internal/span"
@@ -53,7 +54,11 @@
 	book := planbook.New(b.caller, b.clock, b.log, func(page *planbook.Page) { b.node.HoldsPlan(page.Fact.Version) })
 	book.Handle(b.inner)
 	b.join(siblingwire.Member{Role: "steward", Control: b.settings.Listen.Control, Disk: store.Disk()}, siblingprobe.OnPlanAhead(book.Ahead))
-	var pool []poolowner.Option
+	rules, err := queuerules.Compile(b.settings.QueueRules)
+	if err != nil {
+		return errors.Annotate(err, "field queue-rules")
+	}
+	pool := []poolowner.Option{poolowner.WithRules(rules)}
 	if b.settings.RecordDay {
 		writer := daybook.NewWriter(filepath.Join(folder, "day.jsonl"), b.settings.NodeName, b.settings.RecordWords)
 		b.tree.Add("recording", writer.Run)
--- a/internal/stage/node.go
+++ b/internal/stage/node.go
@@ -45,7 +45,7 @@
 	n.replicas = replicas
 	n.engines, n.pools = map[string]*keyowner.Engine{}, map[string]*poolowner.Pool{}
 	for _, key := range n.stage.keys {
-		pool := poolowner.New(key, n.stage.Line.Clock, n.stage.timing, n.stage.log, n.stage.poolOptions()...)
+		pool := poolowner.New(key, n.stage.Line.Clock, n.stage.timing, n.stage.log, n.stage.pool...)
 		n.pools[key] = pool
 		n.engines[key] = keyowner.NewEngine(key, n.disk.name, n.Name, n.stage.Line.Clock, &road{n, n.life}, poolowner.Opener{Pool: pool},
 			n.stage.members, keyowner.WithBirth(n.stage.birth()), keyowner.WithLog(n.stage.log))
@@ -53,13 +53,6 @@
 	n.tick(n.life)
 }
 
-func (s *Stage) poolOptions() []poolowner.Option {
-	if s.record == nil {
-		return nil
-	}
-	return []poolowner.Option{poolowner.WithRecorder(s.record)}
-}
-
 func (n *Node) tick(life int) {
 	if !n.isUp || n.life != life {
 		return
--- a/internal/stage/stage.go
+++ b/internal/stage/stage.go
@@ -26,7 +26,7 @@
 	log       logs.Logger
 	cut       map[string]bool
 	places    []Place
-	record    poolowner.Recorder
+	pool      []poolowner.Option
 	grantBy   int64
 }
 
@@ -46,7 +46,10 @@
 // WithPlaces sets executors that differ; it replaces the even ones.
 func WithPlaces(places []Place) Option { return func(s *Stage) { s.places = places } }
 
-func WithRecorder(record poolowner.Recorder) Option { return func(s *Stage) { s.record = record } }
+// WithPool passes options on to every pool.
+func WithPool(options ...poolowner.Option) Option {
+	return func(s *Stage) { s.pool = append(s.pool, options...) }
+}
 
 // WithGrantsBroken makes proxies hold that many times as long as they were granted, to show that the judge sees it.
 func WithGrantsBroken(factor int64) Option { return func(s *Stage) { s.grantBy = factor } }
