--- a/internal/keyowner/keyowner_test.go
+++ b/internal/keyowner/keyowner_test.go
@@ -87,7 +87,7 @@
 		w.nodes[0].wipe("disk-a2")
 		w.run(6 * time.Second)
 		Expect(w.owner()).NotTo(BeNil())
-		Expect(w.nodes[0].disk.heads[key].Set.Now).To(ContainElement("disk-a2"))
+		Expect(w.nodes[0].disk.Shelf.Heads[key].Set.Now).To(ContainElement("disk-a2"))
 		w.write()
 		w.run(100 * time.Millisecond)
 		w.nodes[1].kill()
@@ -104,7 +104,7 @@
 		w.add("d").start()
 		w.run(4 * time.Second)
 		Expect(w.owner()).NotTo(BeNil())
-		Expect(w.owner().disk.heads[key].Set.Now).To(ConsistOf("disk-a", "disk-b", "disk-d"))
+		Expect(w.owner().disk.Shelf.Heads[key].Set.Now).To(ConsistOf("disk-a", "disk-b", "disk-d"))
 		Expect(w.problems).To(BeEmpty())
 	})
 
@@ -200,10 +200,10 @@
 	if owner == nil {
 		return false
 	}
-	head := owner.disk.heads[key]
+	head := owner.disk.Shelf.Heads[key]
 	for _, one := range w.nodes {
 		isVoter := slices.Contains(head.Set.Now, one.disk.name)
-		if !isVoter || one.disk.heads[key].Last.Epoch != head.Last.Epoch || len(head.Set.Old) > 0 {
+		if !isVoter || one.disk.Shelf.Heads[key].Last.Epoch != head.Last.Epoch || len(head.Set.Old) > 0 {
 			return false
 		}
 	}
--- a/internal/keyowner/world_test.go
+++ b/internal/keyowner/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -13,75 +14,29 @@
 	"gannetline/internal/mailbox"
 	"gannetline/internal/pulse"
 	"gannetline/internal/siblingwire"
+	"gannetline/internal/stage"
 )
 
 // fakeDisk keeps what was synced; a write waits in the line until the world syncs it.
 type fakeDisk struct {
+	*stage.Shelf
 	name   string
 	isBare bool
-	heads  map[string]keystore.Head
-	pairs  map[string]map[string]string
 	line   []func()
 	stalls bool
 }
 
 func newDisk(name string) *fakeDisk {
-	return &fakeDisk{name: name, isBare: true, heads: map[string]keystore.Head{}, pairs: map[string]map[string]string{}}
+	return &fakeDisk{Shelf: stage.NewShelf(), name: name, isBare: true}
 }
 
 func (d *fakeDisk) Disk() string { return d.name }
 func (d *fakeDisk) Bare() bool   { return d.isBare }
 
-func (d *fakeDisk) Heads() (map[string]keystore.Head, error) {
-	copied := map[string]keystore.Head{}
-	for key, head := range d.heads {
-		copied[key] = head
-	}
-	return copied, nil
-}
-
-func (d *fakeDisk) Read(key string) (siblingwire.Snapshot, error) {
-	whole := siblingwire.Snapshot{Last: d.heads[key].Last, Set: d.heads[key].Set}
-	for name, value := range d.pairs[key] {
-		whole.Pairs = append(whole.Pairs, siblingwire.Op{Name: name, Value: []byte(value)})
-	}
-	return whole, nil
-}
+func (d *fakeDisk) Heads() (map[string]keystore.Head, error) { return maps.Clone(d.Shelf.Heads), nil }
 
 func (d *fakeDisk) Submit(write keystore.Write, done func(keystore.Outcome)) {
-	d.line = append(d.line, func() { done(d.apply(write)) })
-}
-
-func (d *fakeDisk) apply(write keystore.Write) keystore.Outcome {
-	head := d.heads[write.Key]
-	if write.Epoch < head.Promised || write.Promise && write.Epoch == head.Promised ||
-		!write.Promise && write.Snapshot == nil && write.Prev != head.Last {
-		return keystore.Outcome{Head: head}
-	}
-	if write.Snapshot != nil {
-		d.pairs[write.Key] = map[string]string{}
-		d.put(write.Key, write.Snapshot.Pairs)
-		head.Last, head.Set = write.Snapshot.Last, write.Snapshot.Set
-	}
-	for _, change := range write.Changes {
-		d.put(write.Key, change.Ops)
-		head.Last = change.Stamp
-		if change.Set != nil {
-			head.Set = *change.Set
-		}
-	}
-	head.Promised = write.Epoch
-	d.heads[write.Key] = head
-	return keystore.Outcome{Taken: true, Head: head}
-}
-
-func (d *fakeDisk) put(key string, ops []siblingwire.Op) {
-	if d.pairs[key] == nil {
-		d.pairs[key] = map[string]string{}
-	}
-	for _, op := range ops {
-		d.pairs[key][op.Name] = string(op.Value)
-	}
+	d.line = append(d.line, func() { done(d.Apply(write)) })
 }
 
 type machine struct {
--- a/internal/stage/proxy.go
+++ b/internal/stage/proxy.go
@@ -29,15 +29,13 @@
 	later := func(run func()) func() {
 		return func() { p.stage.Line.After(0, func() { p.enter(life, run) }) }
 	}
-	p.table = localproxy.NewTable(p.stage.Line.Clock, p.stage.log, p.executor.service(), p.executor.Domain, p.executor.Machine,
+	p.table = localproxy.NewTable(p.stage.Line.Clock, p.stage.log, p.stage.service, p.executor.Domain, p.executor.Machine,
 		later(p.report), later(func() { p.hold(life, true) }), later(func() { p.hold(life, false) }))
 	p.beat(life)
 	p.holdLoop(life)
 	p.poll(life)
 }
 
-func (e *Executor) service() string { return e.stage.service }
-
 func (p *Proxy) enter(life int, run func()) {
 	if p.isUp && p.life == life {
 		run()
--- a/internal/stage/stage_test.go
+++ b/internal/stage/stage_test.go
@@ -7,6 +7,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/types"
 
 	"gannetline/internal/siblingwire"
 	"gannetline/internal/stage"
@@ -62,14 +63,17 @@
 
 const completed = `200{"executor-state":"completed"}`
 
-func (c *crowd) expectAllCompleted() {
+func (c *crowd) expectAllCompleted() { c.expectAll(ContainSubstring("completed")) }
+
+// expectAll asks for every accepted job's state.
+func (c *crowd) expectAll(isRight types.GomegaMatcher) {
 	for one := range c.accepted {
 		var state string
 		c.Ask(siblingwire.ClientCall{Verb: "state", Entry: "cover", ID: one}, func(answer siblingwire.ClientAnswer) { state = string(answer.Body) })
 		for round := 0; round < 100 && state == ""; round++ {
 			c.Run(50 * time.Millisecond)
 		}
-		Expect(state).To(ContainSubstring("completed"), "job %s", one)
+		Expect(state).To(isRight, "job %s", one)
 	}
 }
 
@@ -338,11 +342,11 @@
 				c.Run(time.Duration(100+c.Line.Draw.IntN(500)) * time.Millisecond)
 				Expect(c.Judge.Problems).To(BeEmpty())
 			}
-			c.mend()
+			c.Mend()
 			c.Loss = 0
 			c.Run(60 * time.Second)
 			Expect(c.accepted).NotTo(BeEmpty())
-			c.expectAllCompletedOrFailed()
+			c.expectAll(Or(ContainSubstring("completed"), ContainSubstring("failed")))
 			Expect(c.Judge.Problems).To(BeEmpty())
 		})
 	}
@@ -361,22 +365,11 @@
 	return time.Duration(50+weight%900) * time.Millisecond, how
 }
 
-func (c *crowd) expectAllCompletedOrFailed() {
-	for one := range c.accepted {
-		var state string
-		c.Ask(siblingwire.ClientCall{Verb: "state", Entry: "cover", ID: one}, func(answer siblingwire.ClientAnswer) { state = string(answer.Body) })
-		for round := 0; round < 100 && state == ""; round++ {
-			c.Run(50 * time.Millisecond)
-		}
-		Expect(state).To(Or(ContainSubstring("completed"), ContainSubstring("failed")), "job %s", one)
-	}
-}
-
 func (c *crowd) misfortune() {
 	if c.Line.Draw.IntN(3) > 0 {
 		return
 	}
-	c.mend()
+	c.Mend()
 	node := c.Nodes[c.Line.Draw.IntN(len(c.Nodes))]
 	place := c.Line.Draw.IntN(len(c.Executors))
 	executor, proxy := c.Executors[place], c.Proxies[place]
@@ -401,5 +394,3 @@
 		c.Slow(executor, 5)
 	}
 }
-
-func (c *crowd) mend() { c.Mend() }
