A machine's new executor ends the runs of the one before it

Change: the machine of an executor that was given runs is kept in the pool's key (e/LIFE, dropped when it has been idle for 30 s); once another life answers from there under the present fence, the one before it is over, as a machine holds one executor at a time. A life known to this owner must also have been silent for 2.5 s, which is longer than an exchange can be on its way.

--- a/internal/poolowner/exchange.go
+++ b/internal/poolowner/exchange.go
@@ -83,6 +83,7 @@
 	}
 	if !home.isFenced && call.Fence == p.tenure.Epoch() && call.Look >= home.firstLook {
 		home.isFenced = true
+		p.newest[home.proxy] = home
 		p.needsPlacing = true
 	}
 	if isNewDrain {
@@ -280,6 +281,6 @@
 			step.brokenAt = p.clock.Steady()
 		}
 	}
-	delete(p.lives, home.id)
+	p.forgetLife(home)
 	p.needsPlacing = true
 }
--- a/internal/poolowner/model.go
+++ b/internal/poolowner/model.go
@@ -191,6 +191,8 @@
 	strays     []siblingwire.Order
 	parked     *parkedCall
 	isBlocked  bool
+	isRecorded bool
+	idleAt     time.Duration
 }
 
 // inOrder gives the runs in an order that is the same at every replay.
--- a/internal/poolowner/pool.go
+++ b/internal/poolowner/pool.go
@@ -64,6 +64,7 @@
 	jobs         map[string]*job
 	queued       map[string]int
 	lives        map[string]*life
+	newest       map[string]*life
 	open         map[*stepState]bool
 	looks        uint64
 	began        time.Duration
@@ -114,7 +115,7 @@
 func (p *Pool) Open(tenure Tenure, pairs []siblingwire.Op) error {
 	p.jobs, p.lives, p.open, p.queued = map[string]*job{}, map[string]*life{}, map[*stepState]bool{}, map[string]int{}
 	p.ops, p.effects, p.flights, p.opPlaces, p.toRelease = nil, nil, nil, map[string]int{}, map[*life]bool{}
-	p.untimed, p.peaks = map[string]*job{}, map[int]*peak{}
+	p.untimed, p.peaks, p.newest = map[string]*job{}, map[int]*peak{}, map[string]*life{}
 	p.began = p.clock.Steady()
 	if err := p.load(pairs); err != nil {
 		return errors.Annotatef(err, "loading %s", p.key)
@@ -244,6 +245,11 @@
 			return errors.Annotate(err, pair.Name)
 		}
 	}
+	for _, pair := range kept['e'] {
+		if err := p.loadExecutor(pair.Name[2:], pair.Value); err != nil {
+			return errors.Annotate(err, pair.Name)
+		}
+	}
 	for _, id := range slices.Sorted(maps.Keys(p.jobs)) {
 		p.reopen(p.jobs[id])
 	}
--- a/internal/poolowner/records.go
+++ b/internal/poolowner/records.go
@@ -40,6 +40,11 @@
 	Life string `json:"l"`
 }
 
+// executorRecord tells on which machine an executor that was given runs stands.
+type executorRecord struct {
+	Proxy string `json:"p"`
+}
+
 type timeRecord struct {
 	Done bool `json:"d"`
 }
--- a/internal/poolowner/records_easyjson.go
+++ b/internal/poolowner/records_easyjson.go
@@ -590,3 +590,68 @@
 func (v *jobRecord) UnmarshalEasyJSON(l *jlexer.Lexer) {
 	easyjsonAf922c28DecodeGannetlineInternalPoolowner5(l, v)
 }
+func easyjsonAf922c28DecodeGannetlineInternalPoolowner6(in *jlexer.Lexer, out *executorRecord) {
+	isTopLevel := in.IsStart()
+	if in.IsNull() {
+		if isTopLevel {
+			in.Consumed()
+		}
+		in.Skip()
+		return
+	}
+	in.Delim('{')
+	for !in.IsDelim('}') {
+		key := in.UnsafeFieldName(false)
+		in.WantColon()
+		switch key {
+		case "p":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Proxy = string(in.String())
+			}
+		default:
+			in.SkipRecursive()
+		}
+		in.WantComma()
+	}
+	in.Delim('}')
+	if isTopLevel {
+		in.Consumed()
+	}
+}
+func easyjsonAf922c28EncodeGannetlineInternalPoolowner6(out *jwriter.Writer, in executorRecord) {
+	out.RawByte('{')
+	first := true
+	_ = first
+	{
+		const prefix string = ",\"p\":"
+		out.RawString(prefix[1:])
+		out.String(string(in.Proxy))
+	}
+	out.RawByte('}')
+}
+
+// MarshalJSON supports json.Marshaler interface
+func (v executorRecord) MarshalJSON() ([]byte, error) {
+	w := jwriter.Writer{}
+	easyjsonAf922c28EncodeGannetlineInternalPoolowner6(&w, v)
+	return w.Buffer.BuildBytes(), w.Error
+}
+
+// MarshalEasyJSON supports easyjson.Marshaler interface
+func (v executorRecord) MarshalEasyJSON(w *jwriter.Writer) {
+	easyjsonAf922c28EncodeGannetlineInternalPoolowner6(w, v)
+}
+
+// UnmarshalJSON supports json.Unmarshaler interface
+func (v *executorRecord) UnmarshalJSON(data []byte) error {
+	r := jlexer.Lexer{Data: data}
+	easyjsonAf922c28DecodeGannetlineInternalPoolowner6(&r, v)
+	return r.Error()
+}
+
+// UnmarshalEasyJSON supports easyjson.Unmarshaler interface
+func (v *executorRecord) UnmarshalEasyJSON(l *jlexer.Lexer) {
+	easyjsonAf922c28DecodeGannetlineInternalPoolowner6(l, v)
+}
--- a/internal/poolowner/runs.go
+++ b/internal/poolowner/runs.go
@@ -18,6 +18,7 @@
 	home.runs[one.key()] = one
 	home.used = home.used.Plus(which.step.need())
 	which.job().runs++
+	p.recordExecutor(home)
 	p.put(orderName(which, number, kindLaunch), orderRecord{Life: home.id})
 	p.putTask(which)
 	p.after(func(err error) {
@@ -71,6 +72,7 @@
 		return
 	}
 	delete(home.runs, one.key())
+	home.idleAt = p.clock.Steady()
 	home.used = home.used.Minus(which.step.need())
 	which.runs = slices.DeleteFunc(which.runs, func(other *run) bool { return other == one })
 	p.drop(orderName(which, one.number, kindLaunch))
@@ -81,7 +83,7 @@
 	owner.runs--
 	p.forgetIfOver(owner)
 	if !home.isKnown && len(home.runs) == 0 {
-		delete(p.lives, home.id)
+		p.forgetLife(home)
 	}
 }
 
--- a/internal/poolowner/tick.go
+++ b/internal/poolowner/tick.go
@@ -41,9 +41,15 @@
 
 func (p *Pool) tickLife(home *life, now time.Duration) {
 	home.fails, home.dones = home.fails*0.99, home.dones*0.99
+	if p.isOutlived(home, now) {
+		p.log.Info("an executor was replaced on its machine", "executor", home.id, "machine", home.proxy, "runs", len(home.runs))
+		p.lifeGone(home)
+		return
+	}
 	if now > home.lapsesAt {
 		p.lapsed(home, now)
 	}
+	p.tidyLife(home, now)
 	if home.parked != nil && now >= home.parked.until {
 		p.answerParked(home)
 	}
