Spare runs wait by how uneven a queue's tasks are

Cause: a run counted as overdue at twice the median of its step. Change: by queue, the ratio to the step's median that nine of ten runs stay below is followed, overtaken runs counted too; overdue is half as much again, twice the median at least. The same ratio keeps long tasks from making a sound executor look slow.

--- a/internal/poolowner/pool.go
+++ b/internal/poolowner/pool.go
@@ -78,6 +78,7 @@
 	toRelease map[*life]bool
 	untimed   map[string]*job
 	peaks     map[int]*peak
+	spreads   map[string]*spread
 	record    Recorder
 	rules     *queuerules.Rules
 }
@@ -116,6 +117,7 @@
 	p.jobs, p.lives, p.open, p.queued = map[string]*job{}, map[string]*life{}, map[*stepState]bool{}, map[string]int{}
 	p.ops, p.effects, p.flights, p.opPlaces, p.toRelease = nil, nil, nil, map[string]int{}, map[*life]bool{}
 	p.untimed, p.peaks, p.newest = map[string]*job{}, map[int]*peak{}, map[string]*life{}
+	p.spreads = map[string]*spread{}
 	p.began = p.clock.Steady()
 	if err := p.load(pairs); err != nil {
 		return errors.Annotatef(err, "loading %s", p.key)
--- a/internal/poolowner/runs.go
+++ b/internal/poolowner/runs.go
@@ -121,7 +121,7 @@
 	switch end.How {
 	case "done":
 		home.dones++
-		which.step.noteLength(home, now-one.startedAt)
+		p.noteLength(which.step, home, now-one.startedAt)
 		p.closeRun(one)
 		p.taskDone(which)
 	case "failed":
@@ -197,6 +197,7 @@
 		p.putTask(one)
 		if !step.step.Gang {
 			for _, other := range slices.Clone(one.runs) {
+				p.noteOvertaken(other)
 				p.stopRun(other)
 			}
 		}
--- a/internal/poolowner/spares.go
+++ b/internal/poolowner/spares.go
@@ -26,13 +26,60 @@
 	return known[len(known)/2], true
 }
 
-func (s *stepState) noteLength(home *life, length time.Duration) {
-	if typical, isKnown := s.typical(); isKnown && typical > 0 {
-		ratio := min(10, float64(length)/float64(typical))
-		home.slow += (ratio - home.slow) / 6
+func (p *Pool) noteLength(step *stepState, home *life, length time.Duration) {
+	if ratio, isKnown := step.ratio(length); isKnown {
+		spread := p.spreadOf(step)
+		home.slow += (min(10, ratio*evenSpread/max(evenSpread, spread.ninth)) - home.slow) / 6
+		spread.note(ratio)
 	}
-	if len(s.lengths) < mostKnown {
-		s.lengths = append(s.lengths, length)
+	if len(step.lengths) < mostKnown {
+		step.lengths = append(step.lengths, length)
+	}
+}
+
+func (s *stepState) ratio(length time.Duration) (float64, bool) {
+	typical, isKnown := s.typical()
+	if !isKnown || typical <= 0 {
+		return 0, false
+	}
+	return min(10, float64(length)/float64(typical)), true
+}
+
+// spread is how uneven the runs of a queue's steps are: the ratio to the step's median that nine of ten stay below.
+type spread struct{ ninth float64 }
+
+const (
+	evenSpread = 4.0 / 3
+	spreadStep = 0.05
+	pastSpread = 1.5
+)
+
+// note moves the estimate up by nine parts or down by one, so that it rests where nine of ten are below it.
+func (s *spread) note(ratio float64) {
+	if ratio > s.ninth {
+		s.ninth += 0.9 * spreadStep
+		return
+	}
+	s.ninth = max(1, s.ninth-0.1*spreadStep)
+}
+
+func (p *Pool) spreadOf(step *stepState) *spread {
+	queue := step.time.job.record.Entry
+	one := p.spreads[queue]
+	if one == nil {
+		one = &spread{ninth: evenSpread}
+		p.spreads[queue] = one
+	}
+	return one
+}
+
+// noteOvertaken counts a run that its spare overtook: it would have been longer still.
+func (p *Pool) noteOvertaken(one *run) {
+	if one.state != runRunning {
+		return
+	}
+	if ratio, isKnown := one.task.step.ratio(p.clock.Steady() - one.startedAt); isKnown {
+		p.spreadOf(one.task.step).note(ratio)
 	}
 }
 
@@ -40,11 +87,11 @@
 func (l *life) slowness() float64 { return max(0, l.slow-1.6) * 0.4 }
 
 // overdue is when a run takes so long that something is wrong with its executor.
-func (s *stepState) overdue() time.Duration {
-	if typical, isKnown := s.typical(); isKnown {
-		return max(leastOverdue, 2*typical)
+func (p *Pool) overdue(step *stepState) time.Duration {
+	if typical, isKnown := step.typical(); isKnown {
+		return max(leastOverdue, time.Duration(max(2, pastSpread*p.spreadOf(step).ninth)*float64(typical)))
 	}
-	return max(2*leastOverdue, 4*pulse.Ms(s.step.EstimatedMs))
+	return max(2*leastOverdue, 4*pulse.Ms(step.step.EstimatedMs))
 }
 
 // doubtful gives the tasks of a redundant step whose only run may not come back in time.
@@ -70,7 +117,7 @@
 	case one.state == runLaunching:
 		return one.sends > 0 && now-one.orderedAt > unansweredIn
 	}
-	return now-one.startedAt > one.task.step.overdue()
+	return now-one.startedAt > p.overdue(one.task.step)
 }
 
 // spare asks for a second run of a task, anywhere but where the first one is.
--- a/internal/stage/stage_test.go
+++ b/internal/stage/stage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"time"
 
@@ -234,6 +235,27 @@
 		Expect(c.Judge.Starts).To(Equal(6 * 23))
 	})
 
+	It("learns how uneven a queue's tasks are, and gives few of them second runs for that alone", func() {
+		uneven := rand.New(rand.NewPCG(21, 21))
+		lengths := map[string]time.Duration{}
+		c := newCrowd(21, stage.WithWork(func(task string, _ int64, _ *stage.Executor) (time.Duration, string) {
+			if lengths[task] == 0 {
+				lengths[task] = time.Duration(50+300*uneven.ExpFloat64()) * time.Millisecond
+			}
+			return lengths[task], "done"
+		}))
+		steps := func(first, last int) int {
+			before := c.Judge.Starts
+			for number := first; number < last; number++ {
+				c.handIn(number, `{"task-descriptor":"d","step-list":[{"task-count":20,"cpu-units":1000,"estimated-ms":300,"redundant":true}]}`)
+				c.Run(1500 * time.Millisecond)
+			}
+			return c.Judge.Starts - before - 20*(last-first)
+		}
+		steps(0, 20)
+		Expect(steps(20, 50)).To(BeNumerically("<", 30*20/16))
+	})
+
 	It("gives a redundant task a second run when the first takes far longer than the others", func() {
 		c := newCrowd(18, stage.WithWork(func(task string, run int64, executor *stage.Executor) (time.Duration, string) {
 			if !strings.HasPrefix(task, id(1)) {
