A key's voters grow to 2f+1, so that it survives f lost disks at once

Cause: the first voters are the seeds' disks, three, and a swap kept their number, whatever fault-tolerance.machine-losses asked; and one steward a zone could not hold five voters.

Change: the owner brings the set to 2f+1 by joint changes, one at a time, two learners in one change if both have caught up; newcomers come from the domain that holds the fewest voters; a set that is too large loses only lost voters. A steward voted out while it was cut off opens no later state and asks seldom.

--- a/internal/keyowner/engine.go
+++ b/internal/keyowner/engine.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"gannetline/internal/keystore"
 	"gannetline/internal/logs"
 	"gannetline/internal/pulse"
 	"gannetline/internal/siblingwire"
@@ -90,6 +91,7 @@
 
 	phase      phase
 	isAsking   bool
+	head       keystore.Head
 	attempt    uint64
 	epoch      uint64
 	highest    uint64
@@ -104,15 +106,23 @@
 	tailSize   int
 	waiting    []waiter
 	tenure     *Tenure
-	lostSince  map[string]time.Duration
 	isLeaving  bool
 	staleSince time.Duration
+
+	size         int
+	shortSince   time.Duration
+	isShortNoted bool
 }
 
 type Option func(*Engine)
 
 func WithBirth(voters []string) Option { return func(e *Engine) { e.birth = voters } }
 
+// WithMachineLosses sets how many disks a key must be able to lose at once; its voters grow to twice that and one.
+func WithMachineLosses(losses int) Option {
+	return func(e *Engine) { e.size = 2*max(1, losses) + 1 }
+}
+
 func WithLog(log logs.Logger) Option { return func(e *Engine) { e.log = log } }
 
 func WithAnnounce(announce func(siblingwire.OwnerFact)) Option {
@@ -121,7 +131,7 @@
 
 func NewEngine(key, disk, name string, clock pulse.Pulse, links Links, machine Machine, members Stewards, options ...Option) *Engine {
 	engine := &Engine{key: key, disk: disk, name: name, clock: clock, links: links, machine: machine, members: members,
-		timing: DefaultTiming, log: logs.Silent(), announce: func(siblingwire.OwnerFact) {}}
+		timing: DefaultTiming, size: 3, log: logs.Silent(), announce: func(siblingwire.OwnerFact) {}}
 	for _, option := range options {
 		option(engine)
 	}
@@ -159,21 +169,30 @@
 			voters = e.birth
 		}
 		rank := slices.Index(e.ranked(voters), e.disk)
+		if rank < 0 {
+			e.nextTry = e.clock.Steady() + e.timing.Lease/4
+		}
 		if rank < 0 || e.phase != phaseIdle || e.isLeaving {
 			return
 		}
-		wait := standing.LeaseEnd + time.Duration(rank)*e.timing.Stagger
+		wait := standing.LeaseEnd + e.stagger(rank, len(voters))
 		if standing.Released || standing.Disk == e.disk {
-			wait = time.Duration(rank) * e.timing.Stagger / 4
+			wait = e.stagger(rank, len(voters)) / 4
 		}
 		if now := e.clock.Steady(); now < wait {
 			e.nextTry = min(wait, now+e.timing.Lease/4)
 			return
 		}
+		e.head = standing.Head
 		e.ask(voters)
 	})
 }
 
+// stagger is how long a candidate lets those before it try; the last of any set waits as long as the last of three.
+func (e *Engine) stagger(rank, voters int) time.Duration {
+	return time.Duration(rank) * e.timing.Stagger * 2 / time.Duration(max(2, voters-1))
+}
+
 // ranked orders the voters by rendezvous hash, so that keys spread over stewards.
 func (e *Engine) ranked(voters []string) []string {
 	weigh := func(disk string) uint64 {
@@ -221,6 +240,11 @@
 			}
 			if err == nil {
 				e.highest = max(e.highest, answer.Promised)
+				if e.isOutvoted(answer) {
+					e.backOff()
+					e.nextTry = e.clock.Steady() + e.timing.LostAfter
+					return
+				}
 				if answer.Granted {
 					granted[answer.Disk] = answer
 					if enough(granted) {
@@ -235,6 +259,11 @@
 	}
 }
 
+// isOutvoted tells whether a sibling has a later state whose voters are others, so that this steward need not ask.
+func (e *Engine) isOutvoted(answer siblingwire.PromiseAnswer) bool {
+	return e.head.Last.Below(answer.Last) && !slices.Contains(disksOf(answer.Set), e.disk)
+}
+
 func (e *Engine) backOff() {
 	e.phase = phaseIdle
 	spread := fnv.New32a()
@@ -254,7 +283,7 @@
 		best.Set = siblingwire.VoterSet{Now: e.birth}
 	}
 	has := func(disk string) bool { _, isThere := granted[disk]; return isThere }
-	return best, has(e.disk) && Agreed(best.Set, has)
+	return best, has(e.disk) && slices.Contains(disksOf(best.Set), e.disk) && Agreed(best.Set, has)
 }
 
 func (e *Engine) tryOpen(epoch uint64, granted map[string]siblingwire.PromiseAnswer) bool {
@@ -308,7 +337,7 @@
 		e.follow(disk)
 	}
 	opening := e.set
-	e.staleSince = e.clock.Steady()
+	e.staleSince, e.shortSince, e.isShortNoted = e.clock.Steady(), e.clock.Steady(), false
 	attempt := e.attempt
 	e.submit(nil, &opening, func(err error) {
 		if err != nil || e.attempt != attempt || e.phase != phaseOpening {
@@ -460,6 +489,9 @@
 		e.stepDown("a higher epoch was promised")
 		return
 	}
+	if e.followers[one.disk] != one {
+		return
+	}
 	one.heardAt = now
 	one.leaseUntil = max(one.leaseUntil, sentAt+e.timing.Lease-leaseMargin)
 	one.wallOffset, one.hasWall = answer.WallMs-pulse.InMs(sentAt+(now-sentAt)/2), true
@@ -532,7 +564,7 @@
 		return
 	}
 	if e.phase == phaseOwner {
-		e.considerSwap()
+		e.considerVoters()
 	}
 }
 
--- a/internal/keyowner/swap.go
+++ b/internal/keyowner/swap.go
@@ -2,31 +2,52 @@
 
 import (
 	"slices"
+	"time"
 
 	"gannetline/internal/siblingwire"
 )
 
-// considerSwap replaces one lost voter by a learner that has caught up.
-func (e *Engine) considerSwap() {
+const (
+	mostBehind  = 200
+	shortageLog = 5 * time.Second
+)
+
+// considerVoters brings the voter set nearer to what is wanted: lost voters replaced, 2f+1 of them, spread over domains.
+func (e *Engine) considerVoters() {
 	if len(e.set.Old) > 0 || e.setStep > e.committed {
 		return
 	}
-	lost := e.lostVoter()
-	if lost == "" {
+	members := e.members()
+	choice := voterChoice{set: e.set.Now, size: e.size, isLost: func(disk string) bool { return e.isLost(members, disk) },
+		domainOf: func(disk string) string { return domainOf(members, disk) }}
+	fit := e.fitForVoting(members)
+	e.noteShortage(len(choice.kept()) + len(fit))
+	wanted := choice.from(fit)
+	if slices.Equal(wanted, e.set.Now) {
+		e.forgetOutsiders()
 		return
 	}
-	learner := e.learner()
-	if learner == "" {
-		return
+	var ready []string
+	for _, disk := range fit {
+		if !slices.Contains(wanted, disk) {
+			continue
+		}
+		if one := e.follow(disk); e.hasCaughtUp(one) {
+			ready = append(ready, disk)
+		} else {
+			e.send(one, true)
+		}
 	}
-	one := e.follow(learner)
-	if !one.isKnown || one.acked.Epoch != e.epoch || e.last.Step-one.acked.Step > 200 {
-		e.send(one, true)
+	next := choice.from(ready)
+	if slices.Equal(next, e.set.Now) {
 		return
 	}
-	next := siblingwire.VoterSet{Old: e.set.Now, Now: swap(e.set.Now, lost, learner)}
-	e.log.Info("swapping a lost voter for a learner", "key", e.key, "lost", lost, "learner", learner)
-	e.submit(nil, &next, func(error) {})
+	e.log.Info("changing the voters of a key", "key", e.key, "from", e.set.Now, "to", next)
+	e.submit(nil, &siblingwire.VoterSet{Old: e.set.Now, Now: next}, func(error) {})
+}
+
+func (e *Engine) hasCaughtUp(one *follower) bool {
+	return one.isKnown && one.acked.Epoch == e.epoch && e.last.Step-one.acked.Step <= mostBehind
 }
 
 func (e *Engine) finishSwap() {
@@ -35,43 +56,66 @@
 	}
 	final := siblingwire.VoterSet{Now: e.set.Now}
 	e.submit(nil, &final, func(err error) {
-		if err != nil {
-			return
-		}
-		for disk := range e.followers {
-			if !slices.Contains(e.set.Now, disk) {
-				delete(e.followers, disk)
-			}
+		if err == nil {
+			e.forgetOutsiders()
 		}
 	})
 }
 
-// lostVoter is a voter whose machine came back with another disk, or that has not answered for long.
+func (e *Engine) forgetOutsiders() {
+	for disk := range e.followers {
+		if !slices.Contains(disksOf(e.set), disk) {
+			delete(e.followers, disk)
+		}
+	}
+}
+
+// isLost tells whether a voter's machine came back with another disk, or has not answered for long.
 // It only matters once there is a learner to take its place, so a voter that is merely slow is kept elsewhere.
-func (e *Engine) lostVoter() string {
-	now := e.clock.Steady()
-	for _, disk := range e.set.Now {
-		if disk != e.disk && (e.isReplaced(disk) || now-e.follow(disk).heardAt > e.timing.LostAfter) {
-			return disk
+func (e *Engine) isLost(members []siblingwire.Member, disk string) bool {
+	return disk != e.disk && (isReplaced(members, disk) || e.clock.Steady()-e.follow(disk).heardAt > e.timing.LostAfter)
+}
+
+func isReplaced(members []siblingwire.Member, disk string) bool {
+	return slices.ContainsFunc(members, func(member siblingwire.Member) bool {
+		return member.Disk != disk && slices.Contains(member.Past, disk)
+	})
+}
+
+func domainOf(members []siblingwire.Member, disk string) string {
+	for _, member := range members {
+		if member.Disk == disk {
+			return member.Domain
 		}
 	}
 	return ""
 }
 
-func (e *Engine) isReplaced(disk string) bool {
-	for _, member := range e.members() {
-		if slices.Contains(member.Past, disk) && member.Disk != disk {
-			return true
+// fitForVoting lists live disks that are no voters, in the key's own order; a learner that stays silent is left out.
+func (e *Engine) fitForVoting(members []siblingwire.Member) []string {
+	var fit []string
+	for _, member := range members {
+		if member.Disk == "" || member.State != siblingwire.StateAlive || slices.Contains(e.set.Now, member.Disk) {
+			continue
 		}
+		if one := e.followers[member.Disk]; one != nil && e.clock.Steady()-one.heardAt > e.timing.LostAfter {
+			continue
+		}
+		fit = append(fit, member.Disk)
 	}
-	return false
+	return e.ranked(fit)
 }
 
-func (e *Engine) learner() string {
-	for _, member := range e.members() {
-		if member.Disk != "" && member.State == siblingwire.StateAlive && !slices.Contains(e.set.Now, member.Disk) {
-			return member.Disk
-		}
+// noteShortage says once an epoch that the losses to be borne ask for more disks than there are.
+func (e *Engine) noteShortage(disks int) {
+	now := e.clock.Steady()
+	if disks >= e.size {
+		e.shortSince = now
+		return
+	}
+	if now-e.shortSince > shortageLog && !e.isShortNoted {
+		e.isShortNoted = true
+		e.log.Info("too few disks for the losses to be borne", "key", e.key, "disks", disks, "wanted", e.size,
+			"borne", (min(len(e.set.Now), disks)-1)/2)
 	}
-	return ""
 }
--- a/internal/keyowner/world_test.go
+++ b/internal/keyowner/world_test.go
@@ -69,6 +69,7 @@
 type node struct {
 	world    *world
 	name     string
+	domain   string
 	disk     *fakeDisk
 	past     []string
 	isUp     bool
@@ -97,12 +98,19 @@
 	owners   map[uint64]string
 	problems []string
 	written  int
+	losses   int
+	trials   int
+	eats     func(to *node, call siblingwire.AppendCall) bool
+	diskless []siblingwire.Member
 }
 
 const key = "pool/wards"
 
-func newWorld(seed uint64, names ...string) *world {
-	w := &world{clock: pulse.NewFake(1_000_000), draw: rand.New(rand.NewPCG(seed, 1)), cut: map[string]bool{},
+func newWorld(seed uint64, names ...string) *world { return newWorldBearing(1, seed, names...) }
+
+// newWorldBearing has keys that must survive the loss of so many disks at once.
+func newWorldBearing(losses int, seed uint64, names ...string) *world {
+	w := &world{losses: losses, clock: pulse.NewFake(1_000_000), draw: rand.New(rand.NewPCG(seed, 1)), cut: map[string]bool{},
 		acked: map[string]string{}, owners: map[uint64]string{}}
 	for _, name := range names {
 		w.add(name)
@@ -133,7 +141,7 @@
 	n.replicas = replicas
 	n.machine = &machine{world: n.world, node: n}
 	n.engine = keyowner.NewEngine(key, n.disk.name, n.name, n.clock, &road{n, n.life}, n.machine, n.world.members,
-		keyowner.WithBirth(n.world.birth()))
+		keyowner.WithBirth(n.world.birth()), keyowner.WithMachineLosses(n.world.losses))
 }
 
 func (n *node) kill() { n.isUp = false; n.life++; n.disk.line = nil }
@@ -146,13 +154,13 @@
 }
 
 func (w *world) members() []siblingwire.Member {
-	var all []siblingwire.Member
+	all := slices.Clone(w.diskless)
 	for _, one := range w.nodes {
 		state := siblingwire.StateAlive
 		if !one.isUp {
 			state = siblingwire.StateGone
 		}
-		all = append(all, siblingwire.Member{Name: one.name, Role: "steward", Disk: one.disk.name, State: state, Past: one.past})
+		all = append(all, siblingwire.Member{Name: one.name, Role: "steward", Domain: one.domain, Disk: one.disk.name, State: state, Past: one.past})
 	}
 	return all
 }
@@ -219,12 +227,18 @@
 }
 
 func (r *road) Promise(disk string, call siblingwire.PromiseCall, done func(siblingwire.PromiseAnswer, error)) {
+	if call.Trial {
+		r.node.world.trials++
+	}
 	to := r.node.world.byDisk(disk)
 	carry(r.node.world, r.node, to, 500*time.Millisecond, func(answer func(siblingwire.PromiseAnswer)) { to.replicas.Promise(call, answer) }, done)
 }
 
 func (r *road) Append(disk string, call siblingwire.AppendCall, done func(siblingwire.AppendAnswer, error)) {
 	to := r.node.world.byDisk(disk)
+	if to != nil && r.node.world.eats != nil && r.node.world.eats(to, call) {
+		to = nil
+	}
 	carry(r.node.world, r.node, to, time.Second, func(answer func(siblingwire.AppendAnswer)) { to.replicas.Append(call, answer) }, done)
 }
 
--- a/internal/localproxy/proxy.go
+++ b/internal/localproxy/proxy.go
@@ -253,7 +253,7 @@
 	fact, isKnown := view.Owners[key]
 	var fallback string
 	for _, member := range view.Members {
-		if member.Role != "steward" {
+		if !member.MayOwn() {
 			continue
 		}
 		if isKnown && member.Name == fact.Name {
--- a/internal/ownercalls/ownercalls.go
+++ b/internal/ownercalls/ownercalls.go
@@ -83,7 +83,7 @@
 	var known, hinted string
 	var others []string
 	for _, member := range view.Members {
-		if member.Role != "steward" {
+		if !member.MayOwn() {
 			continue
 		}
 		if member.Name == owner {
--- a/internal/roles/gate.go
+++ b/internal/roles/gate.go
@@ -82,7 +82,7 @@
 
 func seesSteward(view *siblingprobe.View) bool {
 	for _, member := range view.Members {
-		if member.Role == "steward" && member.State == siblingwire.StateAlive {
+		if member.MayOwn() && member.State == siblingwire.StateAlive {
 			return true
 		}
 	}
--- a/internal/siblingwire/messages.go
+++ b/internal/siblingwire/messages.go
@@ -93,8 +93,13 @@
 	State       int    `json:"s,omitempty"`
 	// Past are disks that this machine has lost.
 	Past []string `json:"x,omitempty"`
+	// Makeshift names a disk that does not outlive the machine's power; it counts where no member has another.
+	Makeshift string `json:"m,omitempty"`
 }
 
+// MayOwn tells whether the member can own keys; a steward without any disk can't.
+func (m Member) MayOwn() bool { return m.Role == "steward" && (m.Disk != "" || m.Makeshift != "") }
+
 const (
 	StateAlive = iota
 	StateSuspect
@@ -169,9 +174,11 @@
 
 type IdentifyCall struct{}
 
+// IdentifyAnswer has no disk if the steward has none, and then at most a makeshift one.
 type IdentifyAnswer struct {
-	Disk  string `json:"disk"`
-	Fresh bool   `json:"fresh,omitempty"`
+	Disk      string `json:"disk"`
+	Makeshift string `json:"makeshift,omitempty"`
+	Fresh     bool   `json:"fresh,omitempty"`
 }
 
 // ClientCall is a call of a client or operator on the way to a key's owner.
--- a/internal/siblingwire/messages_easyjson.go
+++ b/internal/siblingwire/messages_easyjson.go
@@ -1873,6 +1873,12 @@
 				}
 				in.Delim(']')
 			}
+		case "m":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Makeshift = string(in.String())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -1941,6 +1947,11 @@
 			out.RawByte(']')
 		}
 	}
+	if in.Makeshift != "" {
+		const prefix string = ",\"m\":"
+		out.RawString(prefix)
+		out.String(string(in.Makeshift))
+	}
 	out.RawByte('}')
 }
 
@@ -2237,6 +2248,12 @@
 			} else {
 				out.Disk = string(in.String())
 			}
+		case "makeshift":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Makeshift = string(in.String())
+			}
 		case "fresh":
 			if in.IsNull() {
 				in.Skip()
@@ -2262,6 +2279,11 @@
 		out.RawString(prefix[1:])
 		out.String(string(in.Disk))
 	}
+	if in.Makeshift != "" {
+		const prefix string = ",\"makeshift\":"
+		out.RawString(prefix)
+		out.String(string(in.Makeshift))
+	}
 	if in.Fresh {
 		const prefix string = ",\"fresh\":"
 		out.RawString(prefix)
--- a/internal/stewardkeys/found.go
+++ b/internal/stewardkeys/found.go
@@ -10,26 +10,22 @@
 
 // FoundFirst asks the seeds for their disks until all have spoken; they are the first voters.
 func (r *Ring) FoundFirst(life span.Span, seeds []string) {
-	disks := map[string]string{}
+	answers := map[string]siblingwire.IdentifyAnswer{}
 	for {
 		for _, seed := range seeds {
-			if disks[seed] != "" {
+			if _, hasSpoken := answers[seed]; hasSpoken {
 				continue
 			}
 			answer, err := siblingwire.Call[siblingwire.IdentifyCall, siblingwire.IdentifyAnswer](r.caller, life, seed,
 				siblingwire.ProcedureIdentify, 500*time.Millisecond, &siblingwire.IdentifyCall{})
 			if err == nil {
-				disks[seed] = answer.Disk
+				answers[seed] = *answer
 			}
 		}
-		if len(disks) == len(seeds) {
-			var voters []string
-			for _, disk := range disks {
-				voters = append(voters, disk)
-			}
-			slices.Sort(voters)
+		if len(answers) == len(seeds) {
+			voters := firstVoters(answers)
 			r.log.Info("the first voters", "disks", voters)
-			r.Found(slices.Compact(voters))
+			r.Found(voters)
 			return
 		}
 		select {
@@ -39,3 +35,22 @@
 		}
 	}
 }
+
+// firstVoters are the seeds' disks; makeshift ones count only if no seed has a lasting one.
+func firstVoters(answers map[string]siblingwire.IdentifyAnswer) []string {
+	var lasting, makeshift []string
+	for _, answer := range answers {
+		if answer.Disk != "" {
+			lasting = append(lasting, answer.Disk)
+		}
+		if answer.Makeshift != "" {
+			makeshift = append(makeshift, answer.Makeshift)
+		}
+	}
+	voters := lasting
+	if len(voters) == 0 {
+		voters = makeshift
+	}
+	slices.Sort(voters)
+	return slices.Compact(voters)
+}
--- a/internal/stewardkeys/ring.go
+++ b/internal/stewardkeys/ring.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -50,29 +51,43 @@
 	birth     []string
 	hasPlan   bool
 	isLeaving bool
+
+	isMakeshift bool
+	losses      int
 }
 
+// Config has neither Store nor Replicas on a machine without a disk: such a steward owns no key and is no voter.
 type Config struct {
-	Clock    pulse.Pulse
-	Log      logs.Logger
-	Store    *keystore.Store
-	Name     string
-	Caller   *siblingwire.Caller
-	Node     *siblingprobe.Node
-	Book     *planbook.Book
-	Timing   poolowner.Timing
-	Replicas *keyowner.Replicas
-	Pool     []poolowner.Option
+	Clock         pulse.Pulse
+	Log           logs.Logger
+	Store         *keystore.Store
+	IsMakeshift   bool
+	MachineLosses int
+	Name          string
+	Caller        *siblingwire.Caller
+	Node          *siblingprobe.Node
+	Book          *planbook.Book
+	Timing        poolowner.Timing
+	Replicas      *keyowner.Replicas
+	Pool          []poolowner.Option
 }
 
 func New(config Config) *Ring {
-	return &Ring{box: mailbox.New(256), clock: config.Clock, log: config.Log, store: config.Store, disk: config.Store.Disk(),
-		name: config.Name, replicas: config.Replicas, caller: config.Caller, node: config.Node, book: config.Book,
-		timing: config.Timing, pool: config.Pool, holders: map[string]*holder{}}
+	ring := &Ring{box: mailbox.New(256), clock: config.Clock, log: config.Log, store: config.Store, isMakeshift: config.IsMakeshift,
+		losses: config.MachineLosses, name: config.Name, replicas: config.Replicas, caller: config.Caller, node: config.Node,
+		book: config.Book, timing: config.Timing, pool: config.Pool, holders: map[string]*holder{}}
+	if config.Store != nil {
+		ring.disk = config.Store.Disk()
+	}
+	return ring
 }
 
 // Run keeps the holders that the plan asks for.
 func (r *Ring) Run(life span.Span) error {
+	if r.disk == "" {
+		<-life.Done()
+		return nil
+	}
 	r.life = life
 	r.box.Run(life, r.clock, mailbox.Owner{Every: 200 * time.Millisecond, Tick: r.want})
 	return nil
@@ -88,10 +103,13 @@
 
 // want works out the difference between the keys there should be and those there are.
 func (r *Ring) want() {
-	if r.isLeaving {
+	if r.isLeaving || r.disk == "" {
 		return
 	}
 	r.lookForPlan()
+	if r.isMakeshift && !r.hasPlan && !slices.Contains(r.birth, r.disk) {
+		return
+	}
 	if r.hasPlan || len(r.birth) > 0 {
 		r.ensure(planowner.Key, r.birth)
 	}
@@ -121,7 +139,8 @@
 	}
 	one := &holder{box: mailbox.New(1024)}
 	road := &links{ring: r, box: one.box, life: r.life}
-	options := []keyowner.Option{keyowner.WithBirth(birth), keyowner.WithLog(r.log), keyowner.WithAnnounce(r.node.Announce)}
+	options := []keyowner.Option{keyowner.WithBirth(birth), keyowner.WithLog(r.log), keyowner.WithAnnounce(r.node.Announce),
+		keyowner.WithMachineLosses(r.losses)}
 	owner := mailbox.Owner{Every: tickEvery}
 	if key == planowner.Key {
 		one.plan = planowner.New(r.log, func(fact *siblingwire.PlanFact) { r.book.Hold(fact) })
@@ -143,19 +162,29 @@
 	return m.Plan.Open(tenure, pairs)
 }
 
-func (r *Ring) stewards() []siblingwire.Member {
-	var stewards []siblingwire.Member
-	for _, member := range r.node.View().Members {
+func (r *Ring) stewards() []siblingwire.Member { return withDisks(r.node.View().Members) }
+
+// withDisks lists the members that have a disk; makeshift ones count only if there is no other.
+func withDisks(members []siblingwire.Member) []siblingwire.Member {
+	var lasting, makeshift []siblingwire.Member
+	for _, member := range members {
 		if member.Disk != "" {
-			stewards = append(stewards, member)
+			lasting = append(lasting, member)
 		}
+		if member.Makeshift != "" {
+			member.Disk = member.Makeshift
+			makeshift = append(makeshift, member)
+		}
+	}
+	if len(lasting) == 0 {
+		return makeshift
 	}
-	return stewards
+	return lasting
 }
 
 func (r *Ring) addressOf(disk string) string {
 	for _, member := range r.node.View().Members {
-		if member.Disk == disk {
+		if disk != "" && (member.Disk == disk || member.Makeshift == disk) {
 			return member.Address
 		}
 	}
@@ -163,6 +192,9 @@
 }
 
 func (r *Ring) holder(life span.Span, key string) *holder {
+	if r.disk == "" {
+		return nil
+	}
 	one, err := mailbox.Ask(r.box, life, func(answer func(*holder)) { answer(r.holders[key]) })
 	if err != nil {
 		return nil
@@ -251,6 +283,27 @@
 }
 
 func (r *Ring) Handle(mux *http.ServeMux) {
+	if r.disk != "" {
+		r.handleReplicas(mux)
+	}
+	siblingwire.Serve(mux, siblingwire.ProcedureIdentify, func(span.Span, *siblingwire.IdentifyCall) (*siblingwire.IdentifyAnswer, error) {
+		return r.identity(), nil
+	})
+	siblingwire.Serve(mux, siblingwire.ProcedureClient, r.Client)
+	siblingwire.Serve(mux, siblingwire.ProcedureExchange, r.Exchange)
+}
+
+func (r *Ring) identity() *siblingwire.IdentifyAnswer {
+	if r.disk == "" {
+		return &siblingwire.IdentifyAnswer{}
+	}
+	if r.isMakeshift {
+		return &siblingwire.IdentifyAnswer{Makeshift: r.disk, Fresh: true}
+	}
+	return &siblingwire.IdentifyAnswer{Disk: r.disk, Fresh: r.store.Bare()}
+}
+
+func (r *Ring) handleReplicas(mux *http.ServeMux) {
 	siblingwire.Serve(mux, siblingwire.ProcedurePromise, func(life span.Span, call *siblingwire.PromiseCall) (*siblingwire.PromiseAnswer, error) {
 		answer, err := r.replicas.AskPromise(life, *call)
 		return &answer, err
@@ -263,11 +316,6 @@
 		answer, err := r.replicas.Fetch(call.Key)
 		return &answer, err
 	})
-	siblingwire.Serve(mux, siblingwire.ProcedureIdentify, func(span.Span, *siblingwire.IdentifyCall) (*siblingwire.IdentifyAnswer, error) {
-		return &siblingwire.IdentifyAnswer{Disk: r.disk, Fresh: r.store.Bare()}, nil
-	})
-	siblingwire.Serve(mux, siblingwire.ProcedureClient, r.Client)
-	siblingwire.Serve(mux, siblingwire.ProcedureExchange, r.Exchange)
 }
 
 // Beliefs gathers what this steward holds true.
@@ -275,6 +323,9 @@
 	var keys []siblingwire.KeyBelief
 	var jobs []siblingwire.JobBelief
 	var executors []siblingwire.ExecutorBelief
+	if r.disk == "" {
+		return nil, nil, nil
+	}
 	names, err := mailbox.Ask(r.replicas.Box(), life, func(answer func([]siblingwire.KeyBelief)) { answer(r.replicaBeliefs()) })
 	if err != nil {
 		return nil, nil, nil
--- /dev/null
+++ b/internal/stewardkeys/stewardkeys_suite_test.go
@@ -0,0 +1,13 @@
+package stewardkeys
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestStewardkeys(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "stewardkeys")
+}
--- /dev/null
+++ b/internal/stewardkeys/stewardkeys_test.go
@@ -0,0 +1,132 @@
+package stewardkeys
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gannetline/internal/keyowner"
+	"gannetline/internal/keystore"
+	"gannetline/internal/logs"
+	"gannetline/internal/mailbox"
+	"gannetline/internal/planbook"
+	"gannetline/internal/planowner"
+	"gannetline/internal/pulse"
+	"gannetline/internal/siblingprobe"
+	"gannetline/internal/siblingwire"
+	"gannetline/internal/span"
+)
+
+type nameOnly struct{ net.Listener }
+
+func (nameOnly) Addr() net.Addr { return &net.TCPAddr{IP: net.IPv4(10, 0, 0, 1), Port: 7000} }
+
+// straight carries calls into a mux, without a network.
+type straight struct{ mux *http.ServeMux }
+
+func (s straight) RoundTrip(request *http.Request) (*http.Response, error) {
+	answer := httptest.NewRecorder()
+	s.mux.ServeHTTP(answer, request)
+	return answer.Result(), nil
+}
+
+func newRing(store *keystore.Store, isMakeshift bool) (*Ring, *siblingwire.Caller) {
+	clock, mux := pulse.NewFake(1000), http.NewServeMux()
+	caller := siblingwire.NewCaller(&http.Client{Transport: straight{mux}})
+	config := Config{Clock: clock, Log: logs.Silent(), Store: store, IsMakeshift: isMakeshift, MachineLosses: 1, Name: "one", Caller: caller,
+		Node: siblingprobe.NewNode(siblingwire.Member{Name: "one", Role: "steward"}, nameOnly{}, nil, nil, caller, clock, logs.Silent()),
+		Book: planbook.New(caller, clock, logs.Silent(), func(*planbook.Page) {})}
+	if store != nil {
+		var err error
+		config.Replicas, err = keyowner.NewReplicas(mailbox.New(64), store, clock, time.Second)
+		Expect(err).NotTo(HaveOccurred())
+	}
+	ring := New(config)
+	ring.life = span.Root()
+	ring.Handle(mux)
+	return ring, caller
+}
+
+func ask[Ask, Tell any](caller *siblingwire.Caller, procedure string, call Ask) (*Tell, error) {
+	return siblingwire.Call[Ask, Tell](caller, span.Root(), "10.0.0.1:7000", procedure, time.Second, &call)
+}
+
+func openStore() *keystore.Store {
+	store, err := keystore.Open(GinkgoT().TempDir())
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(store.Close)
+	return store
+}
+
+var _ = Describe("a steward without a disk", func() {
+	It("names none, votes on nothing, and sends callers elsewhere", func() {
+		ring, caller := newRing(nil, false)
+		ring.birth = []string{"a", "b", "c"}
+		ring.want()
+		Expect(ring.holders).To(BeEmpty())
+		identity, err := ask[siblingwire.IdentifyCall, siblingwire.IdentifyAnswer](caller, siblingwire.ProcedureIdentify, siblingwire.IdentifyCall{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(*identity).To(Equal(siblingwire.IdentifyAnswer{}))
+		_, err = ask[siblingwire.PromiseCall, siblingwire.PromiseAnswer](caller, siblingwire.ProcedurePromise, siblingwire.PromiseCall{Key: "plan", Epoch: 1})
+		Expect(err).To(HaveOccurred())
+		_, err = ask[siblingwire.AppendCall, siblingwire.AppendAnswer](caller, siblingwire.ProcedureAppend, siblingwire.AppendCall{Key: "plan", Epoch: 1})
+		Expect(err).To(HaveOccurred())
+		told, err := ask[siblingwire.ClientCall, siblingwire.ClientAnswer](caller, siblingwire.ProcedureClient, siblingwire.ClientCall{Key: "plan"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(told.Elsewhere).To(BeTrue())
+		exchanged, err := ask[siblingwire.ExchangeCall, siblingwire.ExchangeAnswer](caller, siblingwire.ProcedureExchange, siblingwire.ExchangeCall{Key: "pool/s"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(exchanged.Elsewhere).To(BeTrue())
+		keys, jobs, executors := ring.Beliefs(span.Root())
+		Expect(keys).To(BeNil())
+		Expect(jobs).To(BeNil())
+		Expect(executors).To(BeNil())
+	})
+
+	It("ends its part when its span does", func() {
+		ring, _ := newRing(nil, false)
+		life, end := span.Cancellable(span.Root())
+		end()
+		Expect(ring.Run(life)).To(Succeed())
+	})
+
+	It("takes part with a makeshift disk only if it is one of the first voters", func() {
+		store := openStore()
+		ring, caller := newRing(store, true)
+		identity, err := ask[siblingwire.IdentifyCall, siblingwire.IdentifyAnswer](caller, siblingwire.ProcedureIdentify, siblingwire.IdentifyCall{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(identity.Disk).To(BeEmpty())
+		Expect(identity.Makeshift).To(Equal(store.Disk()))
+		ring.birth = []string{"a", "b", "c"}
+		ring.want()
+		Expect(ring.holders).To(BeEmpty())
+		ring.birth = []string{"a", "b", store.Disk()}
+		ring.want()
+		Expect(ring.holders).To(HaveKey(planowner.Key))
+	})
+})
+
+var _ = Describe("the first voters", func() {
+	It("are the seeds' lasting disks, each once", func() {
+		Expect(firstVoters(map[string]siblingwire.IdentifyAnswer{"x": {Disk: "b"}, "y": {Disk: "a"}, "z": {Disk: "a"}})).To(Equal([]string{"a", "b"}))
+		Expect(firstVoters(map[string]siblingwire.IdentifyAnswer{"x": {Disk: "b"}, "y": {}, "z": {Makeshift: "m"}})).To(Equal([]string{"b"}))
+	})
+
+	It("are makeshift ones where no seed has another", func() {
+		Expect(firstVoters(map[string]siblingwire.IdentifyAnswer{"x": {Makeshift: "n"}, "y": {}, "z": {Makeshift: "m"}})).To(Equal([]string{"m", "n"}))
+	})
+})
+
+var _ = Describe("the disks that an owner may choose from", func() {
+	It("leave out members without one, and makeshift ones beside lasting ones", func() {
+		lasting, makeshift, none := siblingwire.Member{Name: "a", Disk: "a"}, siblingwire.Member{Name: "m", Makeshift: "m"}, siblingwire.Member{Name: "n"}
+		Expect(withDisks([]siblingwire.Member{makeshift, lasting, none})).To(Equal([]siblingwire.Member{lasting}))
+		found := withDisks([]siblingwire.Member{makeshift, none})
+		Expect(found).To(HaveLen(1))
+		Expect(found[0].Disk).To(Equal("m"))
+	})
+})
