--- a/internal/placetasks/place.go
+++ b/internal/placetasks/place.go
@@ -3,6 +3,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 )
 
@@ -37,7 +38,8 @@
 	Doubt    float64
 }
 
-// Group is the tasks of one step that may start now; they all ask for the same.
+// Group is the tasks of one step that may start now; they all ask for the same. Executors are named by their place;
+// Held counts those that hold tasks of the step already, and matters only with Apart.
 type Group struct {
 	Need     Room
 	Count    int
@@ -46,8 +48,9 @@
 	Labels   []string
 	Near     []string
 	Apart    int
-	Held     []int
-	Avoid    []bool
+	Held     map[int]int
+	Avoid    []int
+	Except   []int
 	Barred   []bool
 	IsSpare  bool
 	IsLong   bool
@@ -59,50 +62,41 @@
 
 // Place gives the starts that fit, in the order of priority, then of the aim. Left is what long work of a
 // priority may still take of all room together; a priority without an entry may take all there is.
-func Place(executors []Executor, groups []Group, left map[int]Room) []Placement {
-	free := make([]Room, len(executors))
-	for place, executor := range executors {
-		free[place] = executor.Free
+func Place(executors []Executor, groups []*Group, left map[int]Room) []Placement {
+	turn := newTurn(executors)
+	for _, number := range inOrder(groups) {
+		group := groups[number]
+		allowance := allowanceOf(left, group)
+		if group.IsGang {
+			turn.placeGang(group, number, allowance)
+			continue
+		}
+		turn.placeSingles(group, number, allowance)
 	}
+	return turn.placed
+}
+
+func inOrder(groups []*Group) []int {
 	order := make([]int, len(groups))
 	for place := range order {
 		order[place] = place
 	}
-	slices.SortStableFunc(order, func(one, two int) int {
-		return cmp.Or(compareBools(groups[one].IsSpare, groups[two].IsSpare), cmp.Compare(groups[one].Priority, groups[two].Priority), cmp.Compare(groups[one].Due, groups[two].Due))
-	})
-	var placed []Placement
-	reserved := make([]bool, len(executors))
-	for _, number := range order {
-		group := &groups[number]
-		allowance := allowanceOf(left, group)
-		if group.IsGang {
-			if allowance.covers(group.Need.Times(float64(group.Count))) {
-				gang := placeGang(executors, free, group, number)
-				allowance.spend(group.Need.Times(float64(len(gang))))
-				placed = append(placed, gang...)
-			}
-			continue
-		}
-		held := slices.Clone(group.Held)
-		for range group.Count {
-			if !allowance.covers(group.Need) {
-				break
-			}
-			best := choose(executors, free, reserved, group, held)
-			if best < 0 {
-				if !group.IsSpare {
-					reserve(executors, free, reserved, group)
-				}
-				break
-			}
-			free[best] = free[best].Minus(group.Need)
-			held[best]++
-			allowance.spend(group.Need)
-			placed = append(placed, Placement{number, best})
-		}
+	compare := func(one, two int) int { return CompareGroups(groups[one], groups[two]) }
+	if !slices.IsSortedFunc(order, compare) {
+		slices.SortStableFunc(order, compare)
 	}
-	return placed
+	return order
+}
+
+// CompareGroups orders groups as they are placed: spares last, then by priority, then by what is due.
+func CompareGroups(one, two *Group) int {
+	if one.IsSpare != two.IsSpare {
+		return compareBools(one.IsSpare, two.IsSpare)
+	}
+	if one.Priority != two.Priority {
+		return cmp.Compare(one.Priority, two.Priority)
+	}
+	return cmp.Compare(one.Due, two.Due)
 }
 
 // allowance is what one priority may still take.
@@ -118,8 +112,11 @@
 }
 
 func (a allowance) covers(need Room) bool {
+	if !a.isBound {
+		return true
+	}
 	room := a.left[a.priority]
-	return !a.isBound || need.CPU <= room.CPU && need.Memory <= room.Memory
+	return need.CPU <= room.CPU && need.Memory <= room.Memory
 }
 
 // spend counts against this priority and all below it.
@@ -141,28 +138,139 @@
 	return 1
 }
 
-func allowed(executor *Executor, group *Group, held []int, place int) bool {
-	isBarred := len(group.Barred) > place && group.Barred[place]
-	if executor.IsClosed || isBarred || group.Apart > 0 && held[place] >= group.Apart {
+// turn is one placement under way. Room only shrinks while it lasts, so what found no room once finds none later.
+// Gangs may use reserved executors, others not.
+type turn struct {
+	executors []Executor
+	free      []Room
+	reserved  []bool
+	open      int
+	most      Room
+	isMostOld bool
+	failed    []Room
+	smallest  Room
+	placed    []Placement
+}
+
+func newTurn(executors []Executor) *turn {
+	t := &turn{executors: executors, free: make([]Room, len(executors)), reserved: make([]bool, len(executors))}
+	for place := range executors {
+		executor := &executors[place]
+		t.free[place] = executor.Free
+		if executor.IsClosed {
+			continue
+		}
+		if t.open == 0 {
+			t.smallest = executor.Total
+		}
+		t.smallest = Room{CPU: min(t.smallest.CPU, executor.Total.CPU), Memory: min(t.smallest.Memory, executor.Total.Memory)}
+		t.open++
+	}
+	t.measure()
+	return t
+}
+
+// measure works out the most room that any executor has for single tasks; it is too much once something was placed.
+func (t *turn) measure() {
+	t.most, t.isMostOld = Room{CPU: -1, Memory: -1, GPU: -1}, false
+	for place := range t.executors {
+		if !t.executors[place].IsClosed && !t.reserved[place] {
+			t.most = t.most.AtLeast(t.free[place])
+		}
+	}
+}
+
+// hasNoRoom rejects at once a single task that certainly fits nowhere.
+func (t *turn) hasNoRoom(need Room) bool {
+	return t.open == 0 || !t.most.Fits(need) || slices.ContainsFunc(t.failed, need.Fits)
+}
+
+// noteFailure remembers a need that fits nowhere, if it was its size alone that failed.
+func (t *turn) noteFailure(group *Group) {
+	if t.isMostOld {
+		t.measure()
+	}
+	isSizeAlone := len(group.Labels) == 0 && group.Apart == 0 && group.Barred == nil && group.Except == nil
+	if !isSizeAlone || t.hasNoRoom(group.Need) {
+		return
+	}
+	t.failed = append(slices.DeleteFunc(t.failed, func(old Room) bool { return old.Fits(group.Need) }), group.Need)
+}
+
+func (t *turn) placeSingles(group *Group, number int, allowance allowance) {
+	held := group.Held
+	if group.Apart > 0 {
+		held = heldBy(group)
+	}
+	for range group.Count {
+		if !allowance.covers(group.Need) {
+			return
+		}
+		best := -1
+		if !t.hasNoRoom(group.Need) {
+			best = t.choose(group, held, "")
+		}
+		if best < 0 {
+			t.fail(group)
+			return
+		}
+		t.take(group, held, best)
+		allowance.spend(group.Need)
+		t.placed = append(t.placed, Placement{number, best})
+	}
+}
+
+func (t *turn) fail(group *Group) {
+	if !t.hasNoRoom(group.Need) {
+		t.noteFailure(group)
+	}
+	if !group.IsSpare && t.open > 0 {
+		t.reserve(group)
+	}
+}
+
+func heldBy(group *Group) map[int]int {
+	held := maps.Clone(group.Held)
+	if held == nil {
+		held = map[int]int{}
+	}
+	return held
+}
+
+func (t *turn) take(group *Group, held map[int]int, place int) {
+	t.free[place] = t.free[place].Minus(group.Need)
+	t.isMostOld = true
+	if group.Apart > 0 {
+		held[place]++
+	}
+}
+
+func (t *turn) allows(group *Group, held map[int]int, place int) bool {
+	if len(group.Barred) > place && group.Barred[place] || slices.Contains(group.Except, place) {
+		return false
+	}
+	if group.Apart > 0 && held[place] >= group.Apart {
 		return false
 	}
 	for _, label := range group.Labels {
-		if !slices.Contains(executor.Labels, label) {
+		if !slices.Contains(t.executors[place].Labels, label) {
 			return false
 		}
 	}
 	return true
 }
 
-func choose(executors []Executor, free []Room, reserved []bool, group *Group, held []int) int {
+// choose gives the best executor for one task, on one rack if that is named, or -1.
+func (t *turn) choose(group *Group, held map[int]int, rack string) int {
 	best, bestScore := -1, 0.0
-	for place := range executors {
-		executor := &executors[place]
-		if reserved[place] || !allowed(executor, group, held, place) || !free[place].Fits(group.Need) {
+	for place := range t.executors {
+		executor := &t.executors[place]
+		if executor.IsClosed || t.reserved[place] && !group.IsGang || !t.free[place].Fits(group.Need) || rack != "" && executor.Rack != rack ||
+			!t.allows(group, held, place) {
 			continue
 		}
-		score := rate(executor, free[place], group)
-		if len(group.Avoid) > place && group.Avoid[place] {
+		score := rate(executor, t.free[place], group)
+		if slices.Contains(group.Avoid, place) {
 			score += 20
 		}
 		if best < 0 || score < bestScore {
@@ -193,67 +301,116 @@
 }
 
 // reserve keeps the emptiest executor for a large task, so that it does not starve behind small later ones.
-func reserve(executors []Executor, free []Room, reserved []bool, group *Group) {
+func (t *turn) reserve(group *Group) {
+	if 3*group.Need.CPU <= t.smallest.CPU && 3*group.Need.Memory <= t.smallest.Memory {
+		return
+	}
 	best := -1
-	for place := range executors {
-		executor := &executors[place]
+	for place := range t.executors {
+		executor := &t.executors[place]
 		isLarge := 3*group.Need.CPU > executor.Total.CPU || 3*group.Need.Memory > executor.Total.Memory
-		if reserved[place] || executor.IsClosed || !isLarge || !executor.Total.Fits(group.Need) {
+		if t.reserved[place] || executor.IsClosed || !isLarge || !executor.Total.Fits(group.Need) {
 			continue
 		}
-		if best < 0 || free[place].CPU > free[best].CPU {
+		if best < 0 || t.free[place].CPU > t.free[best].CPU {
 			best = place
 		}
 	}
 	if best >= 0 {
-		reserved[best] = true
+		t.reserved[best] = true
+		t.open--
+		t.isMostOld = true
+	}
+}
+
+func (t *turn) placeGang(group *Group, number int, allowance allowance) {
+	whole := group.Need.Times(float64(group.Count))
+	if !allowance.covers(whole) {
+		return
+	}
+	places := t.findGang(group)
+	for _, place := range places {
+		t.placed = append(t.placed, Placement{number, place})
 	}
+	allowance.spend(group.Need.Times(float64(len(places))))
 }
 
-func placeGang(executors []Executor, free []Room, group *Group, number int) []Placement {
+// findGang takes the room of a whole gang, or none.
+func (t *turn) findGang(group *Group) []int {
+	if !t.hasSlots(group, "") {
+		return nil
+	}
 	if group.SameRack {
-		for _, rack := range racksByFree(executors, free) {
-			if placed := fillGang(executors, free, group, number, rack); placed != nil {
-				return placed
+		for _, rack := range t.racksByFree() {
+			if places := t.fillGang(group, rack); places != nil {
+				return places
 			}
 		}
 	}
-	return fillGang(executors, free, group, number, "")
+	return t.fillGang(group, "")
 }
 
-func racksByFree(executors []Executor, free []Room) []string {
+func (t *turn) racksByFree() []string {
 	total := map[string]int64{}
-	for place, executor := range executors {
-		if !executor.IsClosed && executor.Rack != "" {
-			total[executor.Rack] += free[place].CPU
+	for place := range t.executors {
+		if executor := &t.executors[place]; !executor.IsClosed && executor.Rack != "" {
+			total[executor.Rack] += t.free[place].CPU
 		}
 	}
-	racks := make([]string, 0, len(total))
-	for rack := range total {
-		racks = append(racks, rack)
-	}
+	racks := slices.Collect(maps.Keys(total))
 	slices.SortFunc(racks, func(one, two string) int {
 		return cmp.Or(cmp.Compare(total[two], total[one]), cmp.Compare(one, two))
 	})
 	return racks
 }
 
-func fillGang(executors []Executor, free []Room, group *Group, number int, rack string) []Placement {
-	trial, held := slices.Clone(free), slices.Clone(group.Held)
-	closed := make([]bool, len(executors))
-	for place, executor := range executors {
-		closed[place] = rack != "" && executor.Rack != rack
+func (t *turn) fillGang(group *Group, rack string) []int {
+	if !t.hasSlots(group, rack) {
+		return nil
 	}
-	var placed []Placement
+	held := heldBy(group)
+	var places []int
 	for range group.Count {
-		best := choose(executors, trial, closed, group, held)
+		best := t.choose(group, held, rack)
 		if best < 0 {
+			for _, place := range places {
+				t.free[place] = t.free[place].Plus(group.Need)
+			}
 			return nil
 		}
-		trial[best] = trial[best].Minus(group.Need)
-		held[best]++
-		placed = append(placed, Placement{number, best})
+		t.take(group, held, best)
+		places = append(places, best)
+	}
+	return places
+}
+
+// hasSlots tells whether a gang could fit if size were all that counts.
+func (t *turn) hasSlots(group *Group, rack string) bool {
+	count := int64(0)
+	for place := range t.executors {
+		if executor := &t.executors[place]; !executor.IsClosed && (rack == "" || executor.Rack == rack) {
+			count += t.free[place].slots(group.Need, int64(group.Count))
+		}
+		if count >= int64(group.Count) {
+			return true
+		}
+	}
+	return false
+}
+
+// slots is how often a need fits, counted no further than most.
+func (r Room) slots(need Room, most int64) int64 {
+	if !r.Fits(need) {
+		return 0
+	}
+	if need.CPU > 0 {
+		most = min(most, r.CPU/need.CPU)
+	}
+	if need.Memory > 0 {
+		most = min(most, r.Memory/need.Memory)
+	}
+	if need.GPU > 0 {
+		most = min(most, r.GPU/need.GPU)
 	}
-	copy(free, trial)
-	return placed
+	return most
 }
--- a/internal/placetasks/placetasks_test.go
+++ b/internal/placetasks/placetasks_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -20,8 +21,8 @@
 	return all
 }
 
-func group(count int, cpu int64) placetasks.Group {
-	return placetasks.Group{Need: placetasks.Room{CPU: cpu}, Count: count, Held: make([]int, 8)}
+func group(count int, cpu int64) *placetasks.Group {
+	return &placetasks.Group{Need: placetasks.Room{CPU: cpu}, Count: count}
 }
 
 var _ = Describe("placement", func() {
@@ -30,14 +31,14 @@
 		late.Priority, late.Due = 1, 200
 		soon.Priority, soon.Due = 1, 100
 		urgent.Due = 900
-		placed := placetasks.Place(executors(1, 20), []placetasks.Group{late, soon, urgent}, nil)
+		placed := placetasks.Place(executors(1, 20), []*placetasks.Group{late, soon, urgent}, nil)
 		Expect(placed).To(Equal([]placetasks.Placement{{Group: 2, Executor: 0}, {Group: 1, Executor: 0}}))
 	})
 
 	It("prefers the rack of the data, and takes another rather than wait", func() {
 		near := group(3, 10)
 		near.Near = []string{"r1"}
-		placed := placetasks.Place(executors(4, 10), []placetasks.Group{near}, nil)
+		placed := placetasks.Place(executors(4, 10), []*placetasks.Group{near}, nil)
 		Expect(placed).To(HaveLen(3))
 		Expect([]int{placed[0].Executor, placed[1].Executor}).To(ConsistOf(2, 3))
 	})
@@ -45,13 +46,13 @@
 	It("starts a gang whole or not at all, on one rack if it fits there", func() {
 		gang := group(3, 10)
 		gang.IsGang, gang.SameRack = true, true
-		placed := placetasks.Place(executors(4, 20), []placetasks.Group{gang}, nil)
+		placed := placetasks.Place(executors(4, 20), []*placetasks.Group{gang}, nil)
 		Expect(placed).To(HaveLen(3))
 		for _, one := range placed {
 			Expect(one.Executor / 2).To(Equal(placed[0].Executor / 2))
 		}
 		gang.Count = 9
-		Expect(placetasks.Place(executors(4, 20), []placetasks.Group{gang}, nil)).To(BeEmpty())
+		Expect(placetasks.Place(executors(4, 20), []*placetasks.Group{gang}, nil)).To(BeEmpty())
 	})
 
 	It("keeps an executor for a large task that small ones would push aside for ever", func() {
@@ -59,7 +60,7 @@
 		small.Due = 5
 		all := executors(2, 20)
 		all[0].Free.CPU, all[1].Free.CPU = 8, 12
-		placed := placetasks.Place(all, []placetasks.Group{large, small}, nil)
+		placed := placetasks.Place(all, []*placetasks.Group{large, small}, nil)
 		for _, one := range placed {
 			Expect(one.Executor).To(Equal(0))
 		}
@@ -69,18 +70,18 @@
 		long, short := group(4, 10), group(1, 10)
 		long.Priority, long.IsLong, short.Priority = 2, true, 2
 		left := map[int]placetasks.Room{2: {CPU: 20, Memory: 1000}}
-		placed := placetasks.Place(executors(2, 20), []placetasks.Group{long}, left)
+		placed := placetasks.Place(executors(2, 20), []*placetasks.Group{long}, left)
 		Expect(placed).To(HaveLen(2))
 		left = map[int]placetasks.Room{2: {}}
-		Expect(placetasks.Place(executors(2, 20), []placetasks.Group{short}, left)).To(HaveLen(1))
+		Expect(placetasks.Place(executors(2, 20), []*placetasks.Group{short}, left)).To(HaveLen(1))
 	})
 
 	It("gives a spare run another executor, and only what is left over", func() {
 		spare, first := group(1, 10), group(1, 10)
 		spare.IsSpare, spare.Barred = true, []bool{true}
 		first.Priority = 3
-		Expect(placetasks.Place(executors(1, 20), []placetasks.Group{spare}, nil)).To(BeEmpty())
-		placed := placetasks.Place(executors(1, 10), []placetasks.Group{spare, first}, nil)
+		Expect(placetasks.Place(executors(1, 20), []*placetasks.Group{spare}, nil)).To(BeEmpty())
+		placed := placetasks.Place(executors(1, 10), []*placetasks.Group{spare, first}, nil)
 		Expect(placed).To(Equal([]placetasks.Placement{{Group: 1, Executor: 0}}))
 	})
 
@@ -92,7 +93,7 @@
 				all[place].Free.CPU = int64(draw.IntN(21))
 				all[place].IsClosed = draw.IntN(5) == 0
 			}
-			var groups []placetasks.Group
+			var groups []*placetasks.Group
 			for range draw.IntN(6) {
 				one := group(1+draw.IntN(8), int64(draw.IntN(22)))
 				one.Apart, one.Priority, one.IsGang = draw.IntN(3), draw.IntN(3), draw.IntN(4) == 0
@@ -126,4 +127,68 @@
 			}
 		}
 	})
+
+	It("starts the same tasks on the same executors as the plain way does", func() {
+		draw := rand.New(rand.NewPCG(7, 7))
+		starts := 0
+		for range 4000 {
+			all, groups, left := drawPlacement(draw)
+			other := maps.Clone(left)
+			placed := placetasks.Place(all, groups, left)
+			Expect(placed).To(Equal(placetasks.PlaceByWalking(all, groups, other)))
+			Expect(left).To(Equal(other))
+			starts += len(placed)
+		}
+		Expect(starts).To(BeNumerically(">", 10000))
+	})
 })
+
+func drawPlacement(draw *rand.Rand) ([]placetasks.Executor, []*placetasks.Group, map[int]placetasks.Room) {
+	all := executors(1+draw.IntN(12), 20)
+	for place := range all {
+		one := &all[place]
+		one.Total = placetasks.Room{CPU: 10 + int64(draw.IntN(3))*10, Memory: 1000, GPU: int64(draw.IntN(2))}
+		one.Free = placetasks.Room{CPU: int64(draw.IntN(int(one.Total.CPU)+4)) - 3, Memory: int64(draw.IntN(1000)), GPU: one.Total.GPU}
+		one.IsClosed, one.Doubt = draw.IntN(5) == 0, float64(draw.IntN(3))/10
+		if draw.IntN(3) == 0 {
+			one.Labels = append([]string{"b"}, one.Labels...)
+		}
+	}
+	var groups []*placetasks.Group
+	for range draw.IntN(14) {
+		groups = append(groups, drawGroup(draw, len(all)))
+	}
+	if draw.IntN(2) == 0 {
+		return all, groups, nil
+	}
+	return all, groups, map[int]placetasks.Room{1: {CPU: int64(draw.IntN(60)), Memory: 3000}, 2: {CPU: int64(draw.IntN(30)), Memory: 900}}
+}
+
+func drawGroup(draw *rand.Rand, executors int) *placetasks.Group {
+	one := group(1+draw.IntN(8), int64(draw.IntN(14)))
+	one.Need.Memory, one.Need.GPU = int64(draw.IntN(400)), int64(draw.IntN(8)/7)
+	one.Priority, one.Due, one.IsLong = draw.IntN(3), int64(draw.IntN(5)), draw.IntN(3) == 0
+	one.IsGang, one.SameRack = draw.IntN(5) == 0, draw.IntN(2) == 0
+	if draw.IntN(3) == 0 {
+		one.Apart, one.Held = 1+draw.IntN(2), map[int]int{draw.IntN(executors): 1, draw.IntN(executors): 2}
+	}
+	if draw.IntN(4) == 0 {
+		one.Avoid = []int{draw.IntN(executors)}
+	}
+	if draw.IntN(5) == 0 {
+		one.Count, one.IsGang, one.IsSpare, one.Except = 1, false, true, []int{draw.IntN(executors)}
+	}
+	if draw.IntN(6) == 0 {
+		one.Barred = make([]bool, executors)
+		one.Barred[draw.IntN(executors)] = true
+	}
+	switch draw.IntN(8) {
+	case 0:
+		one.Labels = []string{"b"}
+	case 1:
+		one.Labels = []string{"a", "r1"}
+	case 2:
+		one.Near = []string{"r0"}
+	}
+	return one
+}
--- a/internal/poolowner/clients.go
+++ b/internal/poolowner/clients.go
@@ -114,7 +114,7 @@
 	}
 	for _, spell := range one.timesInOrder() {
 		for _, step := range spell.steps {
-			delete(p.open, step)
+			p.open.remove(step)
 			p.stopStep(step)
 			for _, which := range step.tasks {
 				if which.lastRun > 0 {
@@ -136,4 +136,6 @@
 	}
 	p.drop("j/" + one.id)
 	one.spec, one.times, one.record.Spec = nil, nil, nil
+	delete(p.untimed, one.id)
+	p.noteEnded(one)
 }
--- /dev/null
+++ b/internal/poolowner/cost_test.go
@@ -0,0 +1,194 @@
+package poolowner_test
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+
+	"gannetline/internal/logs"
+	"gannetline/internal/poolowner"
+	"gannetline/internal/pulse"
+	"gannetline/internal/siblingwire"
+)
+
+// prompt is a tenure whose commits succeed at once; it counts what they would write.
+type prompt struct {
+	clock *pulse.Fake
+	ops   int
+	bytes int
+}
+
+func (t *prompt) Epoch() uint64  { return 1 }
+func (t *prompt) HasLease() bool { return true }
+func (t *prompt) WallMs() int64  { return t.clock.WallMs() }
+
+func (t *prompt) Commit(ops []siblingwire.Op, done func(error)) {
+	t.ops += len(ops)
+	for _, op := range ops {
+		t.bytes += len(op.Name) + len(op.Value)
+	}
+	done(nil)
+}
+
+const slotsEach = 15
+
+type hand struct {
+	life    string
+	labels  []string
+	ends    int64
+	look    uint64
+	running []siblingwire.Order
+	answers []siblingwire.OrderAnswer
+}
+
+// crowd is a pool with full executors and a backlog of open steps.
+type crowd struct {
+	clock  *pulse.Fake
+	tenure *prompt
+	pool   *poolowner.Pool
+	hands  []*hand
+	jobs   int
+	starts int
+}
+
+func newCrowd(executors, backlog int) *crowd {
+	clock := pulse.NewFake(1_000_000)
+	c := &crowd{clock: clock, tenure: &prompt{clock: clock}}
+	timing := timing
+	timing.Headroom = poolowner.DefaultHeadroom
+	c.pool = poolowner.New("pool/s", clock, timing, logs.Silent())
+	if err := c.pool.Open(c.tenure, nil); err != nil {
+		panic(err)
+	}
+	for number := range executors {
+		c.hands = append(c.hands, &hand{life: fmt.Sprintf("i-%04d", number), look: 1 << 40, labels: []string{"a", "r" + strconv.Itoa(number/7)}})
+	}
+	for range 2 {
+		c.beatAll()
+	}
+	for range executors*slotsEach/22 + 1 {
+		c.handIn(0)
+	}
+	c.beatAll()
+	for number := range backlog {
+		c.handIn(number)
+	}
+	c.beatAll()
+	return c
+}
+
+func (c *crowd) beatAll() {
+	for _, one := range c.hands {
+		c.exchange(one, nil)
+		c.pool.Settle()
+	}
+}
+
+// handIn gives one job in the mix of a board: most are short and urgent, some long, some spread out.
+func (c *crowd) handIn(number int) {
+	step, terms := `{"task-count":22,"cpu-units":1066,"memory-req-mb":1600,"estimated-ms":240,"redundant":true}`, siblingwire.EntryTerms{Stretch: 1.5, TargetMs: 250}
+	switch number % 10 {
+	case 8:
+		step, terms = `{"task-count":46,"cpu-units":5000,"memory-req-mb":9200,"estimated-ms":6000}`, siblingwire.EntryTerms{Priority: 2, Stretch: 3.2, TargetMs: 3000}
+	case 9:
+		step, terms = `{"task-count":5,"cpu-units":2500,"memory-req-mb":2600,"estimated-ms":900,"anti-affinity":1}`, siblingwire.EntryTerms{Priority: 1, Stretch: 2.2, TargetMs: 1000}
+	}
+	c.jobs++
+	c.pool.HandIn(&siblingwire.ClientCall{Verb: "hand-in", Entry: "e", ID: fmt.Sprintf("%016x", c.jobs), Terms: &terms,
+		Body: []byte(`{"task-descriptor":"` + fmt.Sprintf("%0200d", c.jobs) + `","step-list":[` + step + `]}`)}, func(siblingwire.ClientAnswer) {})
+	c.pool.Settle()
+}
+
+func (c *crowd) exchange(one *hand, ends []siblingwire.EndReport) {
+	call := &siblingwire.ExchangeCall{Key: "pool/s", Life: one.life, Proxy: one.life, Domain: "d", Labels: one.labels,
+		Room: siblingwire.Capacity{CPU: 16000, Memory: 32768}, Fence: 1, Look: one.look, WaitMs: 1000, Ends: ends, Answers: one.answers}
+	one.answers, one.look = nil, 0
+	c.pool.Exchange(call, func(answer siblingwire.ExchangeAnswer) {
+		for _, order := range answer.Orders {
+			one.running = append(one.running, order)
+			one.answers = append(one.answers, siblingwire.OrderAnswer{Task: order.Task, Run: order.Run, Kind: order.Kind, Result: poolowner.ResultOK})
+			c.starts++
+		}
+	})
+}
+
+// turn ends one run of an executor and answers the start that follows.
+func (c *crowd) turn(one *hand) {
+	if len(one.running) == 0 {
+		return
+	}
+	gone := one.running[0]
+	one.running = one.running[1:]
+	one.ends++
+	c.exchange(one, []siblingwire.EndReport{{Number: one.ends, Task: gone.Task, Run: gone.Run, How: "done"}})
+	c.pool.Settle()
+	c.exchange(one, nil)
+	c.pool.Settle()
+}
+
+func eachSize(b *testing.B, run func(b *testing.B, c *crowd)) {
+	for _, executors := range []int{62, 250, 1000} {
+		for _, backlog := range []int{0, 300, 1000} {
+			b.Run(fmt.Sprintf("executors=%d/backlog=%d", executors, backlog), func(b *testing.B) {
+				c := newCrowd(executors, backlog)
+				b.ReportAllocs()
+				b.ResetTimer()
+				run(b, c)
+			})
+		}
+	}
+}
+
+// BenchmarkTurn is one end, the start that follows, its answer, and the 22nd part of a hand-in.
+func BenchmarkTurn(b *testing.B) {
+	eachSize(b, func(b *testing.B, c *crowd) {
+		c.tenure.bytes, c.tenure.ops, c.starts = 0, 0, 0
+		for turn := range b.N {
+			if turn%22 == 0 {
+				c.handIn(0)
+			}
+			c.turn(c.hands[turn%len(c.hands)])
+		}
+		b.ReportMetric(float64(c.starts)/float64(b.N), "starts/op")
+		b.ReportMetric(float64(c.tenure.bytes)/float64(b.N), "written-B/op")
+		b.ReportMetric(float64(c.tenure.ops)/float64(b.N), "written-ops/op")
+	})
+}
+
+// BenchmarkTick is one tick and the placement that follows it.
+func BenchmarkTick(b *testing.B) {
+	eachSize(b, func(b *testing.B, c *crowd) {
+		for turn := range b.N {
+			c.clock.Advance(50 * time.Millisecond)
+			if turn%10 == 9 {
+				b.StopTimer()
+				c.beatAll()
+				b.StartTimer()
+			}
+			c.pool.Tick()
+			c.pool.Settle()
+		}
+	})
+}
+
+// BenchmarkBeat is one exchange of an executor that has nothing new.
+func BenchmarkBeat(b *testing.B) {
+	eachSize(b, func(b *testing.B, c *crowd) {
+		for turn := range b.N {
+			c.exchange(c.hands[turn%len(c.hands)], nil)
+			c.pool.Settle()
+		}
+	})
+}
+
+// BenchmarkHandIn is one job of 22 tasks that finds no room, and its cancel.
+func BenchmarkHandIn(b *testing.B) {
+	eachSize(b, func(b *testing.B, c *crowd) {
+		for range b.N {
+			c.handIn(0)
+			c.pool.Cancel(&siblingwire.ClientCall{ID: fmt.Sprintf("%016x", c.jobs)}, func(siblingwire.ClientAnswer) {})
+			c.pool.Settle()
+		}
+	})
+}
--- a/internal/poolowner/exchange.go
+++ b/internal/poolowner/exchange.go
@@ -31,6 +31,7 @@
 		}
 	}
 	home := p.lifeOf(call.Life)
+	p.roster.note(home)
 	p.learnFacts(home, call, now)
 	for _, one := range call.Answers {
 		p.takeAnswer(home, one)
@@ -68,6 +69,9 @@
 		p.record.Record(daybook.Event{Kind: daybook.KindExecutor, AtMs: p.tenure.WallMs(), Machine: call.Proxy, Room: call.Room,
 			Labels: call.Labels, IsDraining: call.Draining})
 	}
+	if home.room != room(call.Room) || !slices.Equal(home.labels, call.Labels) {
+		p.roster.version++
+	}
 	home.isKnown, home.proxy, home.domain, home.labels = true, call.Proxy, call.Domain, call.Labels
 	home.room, home.isDraining, home.contactAt = room(call.Room), call.Draining, now
 	if call.DepartsMs > 0 {
@@ -77,6 +81,9 @@
 	if home.isBlocked && !isBlocked {
 		p.needsPlacing = true
 	}
+	if isBlocked && !home.isBlocked {
+		p.doubtRuns(home)
+	}
 	home.isBlocked = isBlocked
 	if !isBlocked && p.tenure.HasLease() {
 		home.lapsesAt = max(home.lapsesAt, now+p.lapse(p.timing.Grant))
@@ -109,6 +116,7 @@
 		}
 		one.sends++
 		one.sentAt = now
+		one.task.touch()
 		answer.Orders = append(answer.Orders, p.order(one))
 	}
 	home.outbox = nil
@@ -250,6 +258,7 @@
 		p.started(one)
 	case one.state == runLaunching:
 		one.sends = 0
+		one.task.touch()
 		p.queue(one)
 	case one.state == runRunning && !isRunning:
 		p.closeRun(one)
@@ -276,10 +285,8 @@
 	for _, one := range home.inOrder() {
 		step := one.task.step
 		p.closeRun(one)
-		if step.step.Gang && step.hasRuns() && step.brokenAt == 0 {
-			step.brokenAt = p.clock.Steady()
-		}
+		p.noteBroken(step)
 	}
-	delete(p.lives, home.id)
+	p.dropLife(home)
 	p.needsPlacing = true
 }
--- a/internal/poolowner/headroom.go
+++ b/internal/poolowner/headroom.go
@@ -34,7 +34,7 @@
 type demand struct{ asked, used placetasks.Room }
 
 // headroom gives each priority what it may still take, so that urgent jobs find room when they come.
-func (p *Pool) headroom(executors []placetasks.Executor, groups []placetasks.Group, now time.Duration) map[int]placetasks.Room {
+func (p *Pool) headroom(executors []placetasks.Executor, groups []*placetasks.Group, now time.Duration) map[int]placetasks.Room {
 	var total placetasks.Room
 	for _, executor := range executors {
 		if !executor.IsClosed {
@@ -70,14 +70,29 @@
 	return placetasks.Room{CPU: max(0, min(int64(k.cpu), most.CPU)-used.CPU), Memory: max(0, min(int64(k.memory), most.Memory)-used.Memory)}
 }
 
-func (p *Pool) demands(groups []placetasks.Group) map[int]demand {
+// usage is what the runs of one priority take.
+type usage struct {
+	room placetasks.Room
+	runs int
+}
+
+func (p *Pool) use(priority int, need placetasks.Room) {
+	was := p.usage[priority]
+	p.usage[priority] = usage{was.room.Plus(need), was.runs + 1}
+}
+
+func (p *Pool) free(priority int, need placetasks.Room) {
+	was := p.usage[priority]
+	p.usage[priority] = usage{was.room.Minus(need), was.runs - 1}
+	if was.runs == 1 {
+		delete(p.usage, priority)
+	}
+}
+
+func (p *Pool) demands(groups []*placetasks.Group) map[int]demand {
 	demands := map[int]demand{}
-	for _, home := range p.lives {
-		for _, one := range home.runs {
-			priority, need := one.task.job().record.Terms.Priority, one.task.step.need()
-			was := demands[priority]
-			demands[priority] = demand{was.asked.Plus(need), was.used.Plus(need)}
-		}
+	for priority, one := range p.usage {
+		demands[priority] = demand{one.room, one.room}
 	}
 	for _, group := range groups {
 		was := demands[group.Priority]
--- a/internal/poolowner/model.go
+++ b/internal/poolowner/model.go
@@ -42,6 +42,7 @@
 	nextTime   int
 	hasStarted bool
 	runs       int
+	chain      int64
 }
 
 func (j *job) isOpen() bool { return j.state == stateQueued || j.state == stateActive }
@@ -65,12 +66,15 @@
 
 // aimMs is when the job, or one of its times, should be done.
 func (j *job) aimMs(number int) int64 {
+	if j.chain == 0 {
+		j.chain = j.chainMs()
+	}
 	begin := max(j.record.AcceptedMs, j.dueMs(number))
 	stretch := j.record.Terms.Stretch
 	if stretch < 1 {
 		stretch = 1
 	}
-	return begin + int64(stretch*float64(j.chainMs())) + j.record.Terms.TargetMs
+	return begin + int64(stretch*float64(j.chain)) + j.record.Terms.TargetMs
 }
 
 func (j *job) chainMs() int64 {
@@ -90,6 +94,7 @@
 type jobTime struct {
 	job    *job
 	number int
+	aimMs  int64
 	steps  []*stepState
 	left   int
 }
@@ -105,8 +110,14 @@
 	failedRun int64
 	brokenAt  time.Duration
 	lengths   []time.Duration
+	notBefore time.Duration
+	idle      []*task
+	busy      []*task
+	waits     waits
 }
 
+func (s *stepState) priority() int { return s.time.job.record.Terms.Priority }
+
 func (s *stepState) need() placetasks.Room {
 	return placetasks.Room{CPU: s.step.CPU, Memory: s.step.Memory, GPU: s.step.GPU}
 }
@@ -119,8 +130,25 @@
 	return last
 }
 
-func (s *stepState) hasRuns() bool {
-	return slices.ContainsFunc(s.tasks, func(one *task) bool { return len(one.runs) > 0 })
+func (s *stepState) hasRuns() bool { return len(s.busy) > 0 }
+
+// file keeps a task among those of its step that run, those that could, or neither.
+func (s *stepState) file(which *task) {
+	s.busy = filed(s.busy, which, len(which.runs) > 0)
+	s.idle = filed(s.idle, which, len(which.runs) == 0 && !which.isDone)
+}
+
+func filed(list []*task, which *task, belongs bool) []*task {
+	place, isThere := slices.BinarySearchFunc(list, which, func(one, two *task) int { return cmp.Compare(one.index, two.index) })
+	switch {
+	case belongs && !isThere:
+		return slices.Insert(list, place, which)
+	case isThere && !belongs && place == 0:
+		return list[1:]
+	case isThere && !belongs:
+		return slices.Delete(list, place, place+1)
+	}
+	return list
 }
 
 type task struct {
@@ -191,6 +219,8 @@
 	strays     []siblingwire.Order
 	parked     *parkedCall
 	isBlocked  bool
+	place      int
+	isChanged  bool
 }
 
 // inOrder gives the runs in an order that is the same at every replay.
@@ -202,12 +232,6 @@
 	return runs
 }
 
-func (p *Pool) livesInOrder() []*life {
-	lives := slices.Collect(maps.Values(p.lives))
-	slices.SortFunc(lives, func(one, two *life) int { return cmp.Compare(one.id, two.id) })
-	return lives
-}
-
 func (l *life) rack() string {
 	if len(l.labels) == 0 {
 		return ""
--- a/internal/poolowner/pool.go
+++ b/internal/poolowner/pool.go
@@ -4,7 +4,9 @@
 
 import (
 	"bytes"
+	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -64,13 +66,20 @@
 	jobs         map[string]*job
 	queued       map[string]int
 	lives        map[string]*life
-	open         map[*stepState]bool
+	roster       roster
+	open         openSteps
+	usage        map[int]usage
+	pending      map[*run]bool
+	broken       map[*stepState]bool
+	ended        []*job
+	timesAtMs    int64
 	looks        uint64
 	began        time.Duration
 	needsPlacing bool
 
 	ops      []siblingwire.Op
 	opPlaces map[string]int
+	opTasks  []*task
 	effects  []func(error)
 	flights  []*flight
 
@@ -112,8 +121,10 @@
 }
 
 func (p *Pool) Open(tenure Tenure, pairs []siblingwire.Op) error {
-	p.jobs, p.lives, p.open, p.queued = map[string]*job{}, map[string]*life{}, map[*stepState]bool{}, map[string]int{}
-	p.ops, p.effects, p.flights, p.opPlaces, p.toRelease = nil, nil, nil, map[string]int{}, map[*life]bool{}
+	p.jobs, p.lives, p.queued = map[string]*job{}, map[string]*life{}, map[string]int{}
+	p.roster, p.open, p.usage = roster{}, openSteps{}, map[int]usage{}
+	p.pending, p.broken, p.ended, p.timesAtMs = map[*run]bool{}, map[*stepState]bool{}, nil, 0
+	p.ops, p.opTasks, p.effects, p.flights, p.opPlaces, p.toRelease = nil, nil, nil, nil, map[string]int{}, map[*life]bool{}
 	p.untimed, p.peaks = map[string]*job{}, map[int]*peak{}
 	p.began = p.clock.Steady()
 	if err := p.load(pairs); err != nil {
@@ -127,11 +138,12 @@
 
 func (p *Pool) Close() {
 	p.tenure = nil
-	for _, one := range p.livesInOrder() {
+	for _, one := range p.roster.lives {
 		p.unpark(one, siblingwire.ExchangeAnswer{Elsewhere: true})
 	}
 	flights, effects := p.flights, p.effects
-	p.jobs, p.lives, p.open, p.flights, p.effects, p.ops = nil, nil, nil, nil, nil, nil
+	p.jobs, p.lives, p.flights, p.effects, p.ops, p.opTasks = nil, nil, nil, nil, nil, nil
+	p.roster, p.open, p.usage, p.pending, p.broken, p.ended = roster{}, openSteps{}, nil, nil, nil, nil
 	for _, one := range flights {
 		for _, effect := range one.effects {
 			effect(errClosed)
@@ -152,18 +164,19 @@
 		p.log.Error(err, "a record could not be written", "name", name)
 		return
 	}
-	p.setOp(siblingwire.Op{Name: name, Value: text})
+	p.setOp(siblingwire.Op{Name: name, Value: text}, nil)
 }
 
-func (p *Pool) drop(name string) { p.setOp(siblingwire.Op{Name: name}) }
+func (p *Pool) drop(name string) { p.setOp(siblingwire.Op{Name: name}, nil) }
 
-func (p *Pool) setOp(op siblingwire.Op) {
+// setOp takes the value of a task's record from the task itself, when the turn is committed.
+func (p *Pool) setOp(op siblingwire.Op, which *task) {
 	if place, isThere := p.opPlaces[op.Name]; isThere {
-		p.ops[place] = op
+		p.ops[place], p.opTasks[place] = op, which
 		return
 	}
 	p.opPlaces[op.Name] = len(p.ops)
-	p.ops = append(p.ops, op)
+	p.ops, p.opTasks = append(p.ops, op), append(p.opTasks, which)
 }
 
 // after runs an effect once all that was decided so far is committed.
@@ -181,8 +194,10 @@
 		return
 	}
 	one := &flight{effects: p.effects}
+	p.writeTasks()
 	ops := p.ops
-	p.ops, p.effects, p.opPlaces = nil, nil, map[string]int{}
+	p.ops, p.opTasks, p.effects = nil, p.opTasks[:0], nil
+	clear(p.opPlaces)
 	p.flights = append(p.flights, one)
 	p.tenure.Commit(ops, func(err error) {
 		if len(p.flights) > 0 && p.flights[0] == one {
@@ -200,12 +215,13 @@
 	if len(p.toRelease) == 0 {
 		return
 	}
-	for _, home := range p.livesInOrder() {
-		if p.toRelease[home] {
+	homes := slices.SortedFunc(maps.Keys(p.toRelease), func(one, two *life) int { return cmp.Compare(one.id, two.id) })
+	clear(p.toRelease)
+	for _, home := range homes {
+		if p.lives[home.id] == home {
 			p.release(home)
 		}
 	}
-	clear(p.toRelease)
 }
 
 func (p *Pool) settleReads() {
@@ -245,7 +261,11 @@
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(p.jobs)) {
-		p.reopen(p.jobs[id])
+		if one := p.jobs[id]; one.spec != nil {
+			p.reopen(one)
+		} else {
+			p.noteEnded(one)
+		}
 	}
 	return nil
 }
@@ -312,6 +332,7 @@
 	which.isDone, which.failed, which.lastRun, which.saved = record.Done, record.Failed, record.LastRun, record.Saved
 	if record.Done {
 		step.left--
+		step.file(which)
 	}
 	if record.LastRun > 0 {
 		one.hasStarted = true
@@ -325,11 +346,8 @@
 func (p *Pool) adopt(which *task, was runRecord) {
 	home := p.lifeOf(was.Life)
 	one := &run{task: which, number: was.Number, life: home, state: was.State, isCommitted: true, startedAt: p.began, orderedAt: p.began}
-	which.runs = append(which.runs, one)
-	home.runs[one.key()] = one
-	home.used = home.used.Plus(which.step.need())
+	p.hold(one)
 	one.needsLook = home.lookWanted
-	which.job().runs++
 }
 
 // reopen works out what was under way when the state was written.
@@ -352,7 +370,7 @@
 				spell.left++
 				continue
 			}
-			delete(p.open, step)
+			p.open.remove(step)
 		}
 		p.openSteps(spell)
 	}
@@ -366,6 +384,7 @@
 		one.firstLook, one.lookWanted = p.looks, p.looks
 		one.lapsesAt = p.began + p.lapse(p.timing.MaxHold)
 		p.lives[id] = one
+		p.roster.add(one)
 	}
 	return one
 }
@@ -379,12 +398,13 @@
 	if spell := one.times[number]; spell != nil {
 		return spell
 	}
-	spell := &jobTime{job: one, number: number, left: len(one.spec.Steps)}
+	spell := &jobTime{job: one, number: number, left: len(one.spec.Steps), aimMs: one.aimMs(number)}
 	for place := range one.spec.Steps {
 		step := &stepState{time: spell, number: place, step: &one.spec.Steps[place], left: one.spec.Steps[place].Tasks}
 		for index := range step.left {
 			step.tasks = append(step.tasks, &task{name: jobtable.TaskName(one.id, number, place, index), step: step, index: index})
 		}
+		step.idle = slices.Clone(step.tasks)
 		spell.steps = append(spell.steps, step)
 	}
 	one.times[number] = spell
@@ -397,23 +417,27 @@
 	if p.tenure != nil {
 		wall = p.tenure.WallMs()
 	}
+	if wall < p.timesAtMs {
+		return
+	}
+	p.timesAtMs = math.MaxInt64
 	for _, id := range slices.Sorted(maps.Keys(p.untimed)) {
-		one := p.untimed[id]
-		if !one.isOpen() || one.nextTime >= one.timeCount() {
-			delete(p.untimed, id)
-			continue
-		}
-		p.makeTimesOf(one, wall)
+		p.makeTimesOf(p.untimed[id], wall)
 	}
 }
 
 func (p *Pool) makeTimesOf(one *job, wall int64) {
-	for one.nextTime < one.timeCount() && one.dueMs(one.nextTime) <= wall {
+	for one.isOpen() && one.nextTime < one.timeCount() && one.dueMs(one.nextTime) <= wall {
 		if number := one.nextTime; !one.doneTimes[number] {
 			p.openSteps(p.timeOf(one, number))
 		}
 		one.nextTime++
 	}
+	if !one.isOpen() || one.nextTime >= one.timeCount() {
+		delete(p.untimed, one.id)
+		return
+	}
+	p.timesAtMs = min(p.timesAtMs, one.dueMs(one.nextTime))
 }
 
 func (p *Pool) openSteps(spell *jobTime) {
@@ -427,23 +451,36 @@
 		}
 		if isReady {
 			step.isOpen, step.openedAt = true, p.clock.Steady()
-			p.open[step] = true
+			step.waits.isStale, step.waits.due = true, p.due(step, step.left)
+			p.open.add(step)
 			p.needsPlacing = true
 		}
 	}
 }
 
-func (p *Pool) putTask(which *task) {
-	record := taskRecord{Done: which.isDone, Failed: which.failed, LastRun: which.lastRun, Saved: which.saved}
-	for _, one := range which.runs {
-		record.Runs = append(record.Runs, runRecord{one.number, one.life.id, one.state})
-	}
-	isOver := !which.job().isOpen() || which.job().doneTimes[which.step.time.number]
-	if isOver && len(record.Runs) == 0 {
-		p.drop("t/" + which.name)
-		return
+func (p *Pool) putTask(which *task) { p.setOp(siblingwire.Op{Name: "t/" + which.name}, which) }
+
+// writeTasks gives each task that changed its record as it is at the end of the turn.
+func (p *Pool) writeTasks() {
+	for place, which := range p.opTasks {
+		if which == nil {
+			continue
+		}
+		record := taskRecord{Done: which.isDone, Failed: which.failed, LastRun: which.lastRun, Saved: which.saved}
+		for _, one := range which.runs {
+			record.Runs = append(record.Runs, runRecord{one.number, one.life.id, one.state})
+		}
+		isOver := !which.job().isOpen() || which.job().doneTimes[which.step.time.number]
+		if isOver && len(record.Runs) == 0 {
+			continue
+		}
+		text, err := easyjson.Marshal(record)
+		if err != nil {
+			p.log.Error(err, "a record could not be written", "name", which.name)
+			continue
+		}
+		p.ops[place].Value = text
 	}
-	p.put("t/"+which.name, record)
 }
 
 func orderName(which *task, number int64, kind string) string {
--- /dev/null
+++ b/internal/poolowner/roster.go
@@ -0,0 +1,99 @@
+package poolowner
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"gannetline/internal/placetasks"
+)
+
+const never = time.Duration(math.MaxInt64)
+
+// roster keeps the lives in the order of their names, and what placement sees of each.
+type roster struct {
+	lives     []*life
+	executors []placetasks.Executor
+	version   uint64
+	isStale   bool
+	until     time.Duration
+	changed   []*life
+}
+
+func (r *roster) find(id string) (int, bool) {
+	return slices.BinarySearchFunc(r.lives, id, func(one *life, id string) int { return cmp.Compare(one.id, id) })
+}
+
+func (r *roster) add(one *life) {
+	place, _ := r.find(one.id)
+	r.lives = slices.Insert(r.lives, place, one)
+	r.renumber(place)
+}
+
+func (r *roster) remove(one *life) {
+	place, isThere := r.find(one.id)
+	if isThere {
+		r.lives = slices.Delete(r.lives, place, place+1)
+		r.renumber(place)
+	}
+}
+
+func (r *roster) renumber(from int) {
+	for place := from; place < len(r.lives); place++ {
+		r.lives[place].place = place
+	}
+	r.version++
+	r.isStale = true
+}
+
+func (r *roster) note(one *life) {
+	if !one.isChanged {
+		one.isChanged = true
+		r.changed = append(r.changed, one)
+	}
+}
+
+// executors is what placement sees now; only what changed since is worked out again.
+func (p *Pool) executors(now time.Duration) []placetasks.Executor {
+	r := &p.roster
+	if r.isStale || now >= r.until {
+		r.until, r.isStale = never, false
+		r.executors = slices.Grow(r.executors[:0], len(r.lives))[:len(r.lives)]
+		for _, home := range r.lives {
+			p.show(home, now)
+		}
+	} else {
+		for _, home := range r.changed {
+			p.show(home, now)
+		}
+	}
+	for _, home := range r.changed {
+		home.isChanged = false
+	}
+	r.changed = r.changed[:0]
+	return r.executors
+}
+
+func (p *Pool) show(home *life, now time.Duration) {
+	p.roster.executors[home.place] = p.executor(home, now)
+	if now < home.sickUntil {
+		p.roster.until = min(p.roster.until, home.sickUntil)
+	}
+	if silentAt := home.contactAt + p.timing.SilentAfter + 1; now < silentAt {
+		p.roster.until = min(p.roster.until, silentAt)
+	}
+}
+
+func (p *Pool) executor(home *life, now time.Duration) placetasks.Executor {
+	return placetasks.Executor{Free: home.room.Minus(home.used), Total: home.room, Labels: home.labels, Rack: home.rack(),
+		Doubt: home.doubt() + home.slowness(), IsClosed: !home.isFenced || home.isDraining || home.isBlocked || now < home.sickUntil ||
+			now-home.contactAt > p.timing.SilentAfter}
+}
+
+func (p *Pool) dropLife(home *life) {
+	if p.lives[home.id] == home {
+		delete(p.lives, home.id)
+		p.roster.remove(home)
+	}
+}
--- a/internal/poolowner/runs.go
+++ b/internal/poolowner/runs.go
@@ -14,10 +14,7 @@
 func (p *Pool) launch(which *task, home *life, number int64) {
 	one := &run{task: which, number: number, life: home, state: runLaunching, orderedAt: p.clock.Steady()}
 	which.lastRun = number
-	which.runs = append(which.runs, one)
-	home.runs[one.key()] = one
-	home.used = home.used.Plus(which.step.need())
-	which.job().runs++
+	p.hold(one)
 	p.put(orderName(which, number, kindLaunch), orderRecord{Life: home.id})
 	p.putTask(which)
 	p.after(func(err error) {
@@ -28,6 +25,26 @@
 	})
 }
 
+// hold counts a run where it is; closeRun is its end.
+func (p *Pool) hold(one *run) {
+	which, home, need := one.task, one.life, one.task.step.need()
+	which.runs = append(which.runs, one)
+	home.runs[one.key()] = one
+	home.used = home.used.Plus(need)
+	which.job().runs++
+	p.use(which.step.priority(), need)
+	if one.state != runRunning {
+		p.pending[one] = true
+	}
+	p.noteChange(one)
+}
+
+// noteChange tells placement that a run is another than it was.
+func (p *Pool) noteChange(one *run) {
+	one.task.touch()
+	p.roster.note(one.life)
+}
+
 func (p *Pool) stopRun(one *run) {
 	if one.state == runStopping {
 		return
@@ -37,6 +54,8 @@
 		return
 	}
 	one.state, one.sends, one.sentAt, one.isAnswered, one.orderedAt = runStopping, 0, 0, false, p.clock.Steady()
+	p.pending[one] = true
+	p.noteChange(one)
 	p.drop(orderName(one.task, one.number, kindLaunch))
 	p.put(orderName(one.task, one.number, kindStop), orderRecord{Life: one.life.id})
 	p.putTask(one.task)
@@ -48,7 +67,7 @@
 }
 
 func (p *Pool) stopStep(step *stepState) {
-	for _, which := range step.tasks {
+	for _, which := range slices.Clone(step.busy) {
 		for _, one := range slices.Clone(which.runs) {
 			p.stopRun(one)
 		}
@@ -71,17 +90,24 @@
 		return
 	}
 	delete(home.runs, one.key())
+	delete(p.pending, one)
 	home.used = home.used.Minus(which.step.need())
 	which.runs = slices.DeleteFunc(which.runs, func(other *run) bool { return other == one })
-	p.drop(orderName(which, one.number, kindLaunch))
-	p.drop(orderName(which, one.number, kindStop))
+	p.free(which.step.priority(), which.step.need())
+	p.noteChange(one)
+	switch one.state {
+	case runLaunching:
+		p.drop(orderName(which, one.number, kindLaunch))
+	case runStopping:
+		p.drop(orderName(which, one.number, kindStop))
+	}
 	p.putTask(which)
 	p.needsPlacing = true
 	owner := which.job()
 	owner.runs--
 	p.forgetIfOver(owner)
 	if !home.isKnown && len(home.runs) == 0 {
-		delete(p.lives, home.id)
+		p.dropLife(home)
 	}
 }
 
@@ -90,6 +116,8 @@
 		return
 	}
 	one.state, one.startedAt, one.percentAt = runRunning, p.clock.Steady(), p.clock.Steady()
+	delete(p.pending, one)
+	p.noteChange(one)
 	p.drop(orderName(one.task, one.number, kindLaunch))
 	p.putTask(one.task)
 	p.noteStart(one.task.job())
@@ -130,8 +158,8 @@
 	default:
 		p.closeRun(one)
 	}
-	if which.step.step.Gang && end.How != "done" && which.step.hasRuns() && which.step.brokenAt == 0 {
-		which.step.brokenAt = now
+	if end.How != "done" {
+		p.noteBroken(which.step)
 	}
 }
 
@@ -160,6 +188,8 @@
 	step, owner := which.step, which.job()
 	if step.step.Lasting || !owner.isOpen() || which.isDone {
 		which.notBefore = p.clock.Steady() + 100*time.Millisecond
+		step.notBefore = max(step.notBefore, which.notBefore)
+		which.touch()
 		return
 	}
 	counter := which
@@ -191,6 +221,7 @@
 			continue
 		}
 		one.isDone = true
+		one.touch()
 		step.left--
 		p.putTask(one)
 		if !step.step.Gang {
@@ -206,7 +237,7 @@
 
 func (p *Pool) stepDone(step *stepState) {
 	spell, owner := step.time, step.time.job
-	delete(p.open, step)
+	p.open.remove(step)
 	spell.left--
 	if spell.left > 0 {
 		p.openSteps(spell)
--- a/internal/poolowner/spares.go
+++ b/internal/poolowner/spares.go
@@ -21,9 +21,7 @@
 	if len(s.lengths) < min(fewDone, max(1, len(s.tasks)/3)) {
 		return 0, false
 	}
-	known := slices.Clone(s.lengths)
-	slices.Sort(known)
-	return known[len(known)/2], true
+	return s.lengths[len(s.lengths)/2], true
 }
 
 func (s *stepState) noteLength(home *life, length time.Duration) {
@@ -32,7 +30,8 @@
 		home.slow += (ratio - home.slow) / 6
 	}
 	if len(s.lengths) < mostKnown {
-		s.lengths = append(s.lengths, length)
+		place, _ := slices.BinarySearch(s.lengths, length)
+		s.lengths = slices.Insert(s.lengths, place, length)
 	}
 }
 
@@ -53,14 +52,39 @@
 		return nil
 	}
 	var found []*task
-	for _, which := range step.tasks {
-		if !which.isDone && len(which.runs) == 1 && p.isDoubtful(which.runs[0], now) {
+	for _, which := range step.busy {
+		switch {
+		case which.isDone || len(which.runs) != 1:
+		case p.isDoubtful(which.runs[0], now):
 			found = append(found, which)
+		default:
+			step.waits.lookAgain = min(step.waits.lookAgain, doubtfulFrom(which.runs[0]))
 		}
 	}
 	return found
 }
 
+// doubtfulFrom is when a run becomes doubtful if nothing is heard until then.
+func doubtfulFrom(one *run) time.Duration {
+	silent := one.life.contactAt + doubtAfter + 1
+	switch {
+	case one.state == runStopping:
+		return never
+	case one.state == runLaunching && one.sends == 0:
+		return silent
+	case one.state == runLaunching:
+		return min(silent, one.orderedAt+unansweredIn+1)
+	}
+	return min(silent, one.startedAt+one.task.step.overdue()+1)
+}
+
+// doubtRuns has the spares of all that an executor runs worked out anew.
+func (p *Pool) doubtRuns(home *life) {
+	for _, one := range home.runs {
+		one.task.touch()
+	}
+}
+
 func (p *Pool) isDoubtful(one *run, now time.Duration) bool {
 	switch home := one.life; {
 	case one.state == runStopping:
@@ -74,14 +98,8 @@
 }
 
 // spare asks for a second run of a task, anywhere but where the first one is.
-func (p *Pool) spare(which *task, homes []*life) placetasks.Group {
-	group := p.group(which.step, []*task{which}, homes)
-	group.IsSpare = true
-	if group.Barred == nil {
-		group.Barred = make([]bool, len(homes))
-	}
-	for place, home := range homes {
-		group.Barred[place] = group.Barred[place] || home == which.runs[0].life
-	}
-	return group
+func (p *Pool) spare(which *task) *placetasks.Group {
+	group := p.group(which.step, []*task{which})
+	group.IsSpare, group.Except = true, []int{which.runs[0].life.place}
+	return &group
 }
--- a/internal/poolowner/tick.go
+++ b/internal/poolowner/tick.go
@@ -11,13 +11,9 @@
 
 	"gannetline/internal/placetasks"
 	"gannetline/internal/pulse"
-	"gannetline/internal/queuerules"
 	"gannetline/internal/siblingwire"
 )
 
-// ruleHolds is how long a task waits for the executors of its queue's rule.
-const ruleHolds = time.Second
-
 // Tick does all that falls due; Settle follows it.
 func (p *Pool) Tick() {
 	if p.tenure == nil {
@@ -25,17 +21,46 @@
 	}
 	now := p.clock.Steady()
 	p.makeTimes()
-	for _, home := range p.livesInOrder() {
+	for _, home := range slices.Clone(p.roster.lives) {
 		p.tickLife(home, now)
 	}
-	for _, step := range p.openInOrder() {
-		if step.brokenAt > 0 {
+	p.roster.isStale = true
+	p.tickPending(now)
+	p.tickAllBroken(now)
+	p.forgetEnded()
+	if len(p.open.steps) > 0 {
+		p.needsPlacing = true
+	}
+}
+
+// tickPending looks after the runs that an order is under way for, in an order that is the same at every replay.
+func (p *Pool) tickPending(now time.Duration) {
+	runs := slices.SortedFunc(maps.Keys(p.pending), func(one, two *run) int {
+		return cmp.Or(cmp.Compare(one.life.id, two.life.id), cmp.Compare(one.task.name, two.task.name), cmp.Compare(one.number, two.number))
+	})
+	for _, one := range runs {
+		if p.pending[one] {
+			p.tickRun(one.life, one, now)
+		}
+	}
+}
+
+func (p *Pool) tickAllBroken(now time.Duration) {
+	steps := slices.SortedFunc(maps.Keys(p.broken), func(one, two *stepState) int { return cmp.Compare(one.tasks[0].name, two.tasks[0].name) })
+	for _, step := range steps {
+		if step.left > 0 && step.time.job.isOpen() {
 			p.tickBroken(step, now)
 		}
+		if step.brokenAt == 0 || step.left == 0 || !step.time.job.isOpen() {
+			delete(p.broken, step)
+		}
 	}
-	p.forgetEnded()
-	if len(p.open) > 0 {
-		p.needsPlacing = true
+}
+
+func (p *Pool) noteBroken(step *stepState) {
+	if step.step.Gang && step.hasRuns() && step.brokenAt == 0 {
+		step.brokenAt = p.clock.Steady()
+		p.broken[step] = true
 	}
 }
 
@@ -47,9 +72,6 @@
 	if home.parked != nil && now >= home.parked.until {
 		p.answerParked(home)
 	}
-	for _, one := range home.inOrder() {
-		p.tickRun(home, one, now)
-	}
 }
 
 // lapsed closes what ran where the longest hold ever granted is over.
@@ -110,125 +132,64 @@
 
 func (p *Pool) forgetEnded() {
 	wall := p.tenure.WallMs()
-	for id, one := range p.jobs {
-		if !one.isOpen() && one.spec == nil && wall-one.endedMs > pulse.InMs(p.timing.KeepEnded) {
-			delete(p.jobs, id)
-			p.drop("s/" + id)
-		}
+	for len(p.ended) > 0 && wall-p.ended[0].endedMs > pulse.InMs(p.timing.KeepEnded) {
+		delete(p.jobs, p.ended[0].id)
+		p.drop("s/" + p.ended[0].id)
+		p.ended = p.ended[1:]
 	}
 }
 
+// noteEnded keeps ended jobs in the order in which they may be forgotten.
+func (p *Pool) noteEnded(one *job) {
+	place, _ := slices.BinarySearchFunc(p.ended, one, func(one, two *job) int {
+		return cmp.Or(cmp.Compare(one.endedMs, two.endedMs), cmp.Compare(one.id, two.id))
+	})
+	p.ended = slices.Insert(p.ended, place, one)
+}
+
 func (p *Pool) place() {
 	if !p.needsPlacing {
 		return
 	}
 	p.needsPlacing = false
-	now := p.clock.Steady()
-	homes, executors := p.placeable(now)
-	if len(homes) == 0 {
+	if !slices.ContainsFunc(p.roster.lives, func(home *life) bool { return home.isKnown }) {
 		return
 	}
-	steps, tasks, groups := p.waiting(homes, now)
-	next := make([]int, len(steps))
-	gangRun := make([]int64, len(steps))
-	for _, one := range placetasks.Place(executors, groups, p.headroom(executors, groups, now)) {
-		which := tasks[one.Group][next[one.Group]]
-		next[one.Group]++
-		number := which.lastRun + 1
-		if steps[one.Group].step.Gang {
-			if gangRun[one.Group] == 0 {
-				gangRun[one.Group] = steps[one.Group].lastRun() + 1
-			}
-			number = gangRun[one.Group]
-		}
-		p.launch(which, homes[one.Executor], number)
+	now := p.clock.Steady()
+	executors, requests := p.executors(now), p.requests(now)
+	groups := make([]*placetasks.Group, len(requests))
+	for number, one := range requests {
+		groups[number] = one.group
 	}
-}
-
-func (p *Pool) placeable(now time.Duration) ([]*life, []placetasks.Executor) {
-	homes := slices.DeleteFunc(p.livesInOrder(), func(home *life) bool { return !home.isKnown })
-	executors := make([]placetasks.Executor, len(homes))
-	for place, home := range homes {
-		executors[place] = placetasks.Executor{Free: home.room.Minus(home.used), Total: home.room, Labels: home.labels, Rack: home.rack(),
-			Doubt: home.doubt() + home.slowness(), IsClosed: !home.isFenced || home.isDraining || home.isBlocked || now < home.sickUntil ||
-				now-home.contactAt > p.timing.SilentAfter}
+	placed := placetasks.Place(executors, groups, p.headroom(executors, groups, now))
+	for _, start := range p.starts(requests, placed) {
+		p.launch(start.task, start.home, start.number)
 	}
-	return homes, executors
 }
 
-func (p *Pool) waiting(homes []*life, now time.Duration) ([]*stepState, [][]*task, []placetasks.Group) {
-	steps := p.openInOrder()
-	var kept []*stepState
-	var tasks [][]*task
-	var groups []placetasks.Group
-	for _, step := range steps {
-		if ready := p.ready(step, now); len(ready) > 0 {
-			kept = append(kept, step)
-			tasks = append(tasks, ready)
-			groups = append(groups, p.group(step, ready, homes))
-		}
-		for _, which := range p.doubtful(step, now) {
-			kept = append(kept, step)
-			tasks = append(tasks, []*task{which})
-			groups = append(groups, p.spare(which, homes))
-		}
-	}
-	return kept, tasks, groups
+type start struct {
+	task   *task
+	home   *life
+	number int64
 }
 
-func (p *Pool) openInOrder() []*stepState {
-	steps := slices.Collect(maps.Keys(p.open))
-	slices.SortFunc(steps, func(one, two *stepState) int { return cmp.Compare(one.tasks[0].name, two.tasks[0].name) })
-	return steps
-}
-
-func (p *Pool) ready(step *stepState, now time.Duration) []*task {
-	if step.step.Gang && step.hasRuns() {
-		return nil
-	}
-	var ready []*task
-	for _, which := range step.tasks {
-		if !which.isDone && len(which.runs) == 0 && which.notBefore <= now {
-			ready = append(ready, which)
-		}
-	}
-	return ready
-}
-
-func (p *Pool) group(step *stepState, ready []*task, homes []*life) placetasks.Group {
-	held := make([]int, len(homes))
-	avoid := make([]bool, len(homes))
-	for place, home := range homes {
-		for _, which := range step.tasks {
-			for _, one := range which.runs {
-				if one.life == home {
-					held[place]++
-				}
+// starts gives each placement its task and the number of its run; all of a gang have one number.
+func (p *Pool) starts(requests []*request, placed []placetasks.Placement) []start {
+	starts := make([]start, len(placed))
+	next, gangRun := map[int]int{}, map[int]int64{}
+	for place, one := range placed {
+		step, which := requests[one.Group].step, requests[one.Group].tasks[next[one.Group]]
+		next[one.Group]++
+		number := which.lastRun + 1
+		if step.step.Gang {
+			if gangRun[one.Group] == 0 {
+				gangRun[one.Group] = step.lastRun() + 1
 			}
+			number = gangRun[one.Group]
 		}
-		avoid[place] = ready[0].avoid == home.id
-	}
-	owner := step.time.job
-	due := p.rules.Order(owner.record.Entry, queuerules.Step{Due: int(owner.aimMs(step.time.number)), Tasks: len(ready),
-		CPU: int(step.step.CPU), Memory: int(step.step.Memory), Estimate: int(step.step.EstimatedMs)})
-	return placetasks.Group{Barred: p.barredByRule(step, homes), Need: step.need(), Count: len(ready), IsGang: step.step.Gang, SameRack: step.step.SameRack,
-		Labels: step.step.Labels, Near: step.step.Near, Apart: step.step.Apart, Held: held, Avoid: avoid,
-		IsLong: step.step.Lasting || pulse.Ms(step.step.EstimatedMs) > p.timing.Headroom.LongWork, Priority: owner.record.Terms.Priority, Due: due}
-}
-
-// barredByRule keeps a queue to the executors of its rule for a moment; a task that waits longer may go anywhere,
-// so that no rule of a queue leaves work undone while there is room.
-func (p *Pool) barredByRule(step *stepState, homes []*life) []bool {
-	queue := step.time.job.record.Entry
-	if !p.rules.HasUse(queue) || p.clock.Steady()-step.openedAt > ruleHolds {
-		return nil
-	}
-	barred := make([]bool, len(homes))
-	for place, home := range homes {
-		barred[place] = !p.rules.Allows(queue, queuerules.Executor{Labels: home.labels, CPU: int(home.room.CPU),
-			Memory: int(home.room.Memory), GPU: int(home.room.GPU)})
+		starts[place] = start{which, p.roster.lives[one.Executor], number}
 	}
-	return barred
+	return starts
 }
 
 // Beliefs shows jobs and executors to a comparison.
