--- a/internal/poolowner/spares.go
+++ b/internal/poolowner/spares.go
@@ -21,9 +21,7 @@
 	if len(s.lengths) < min(fewDone, max(1, len(s.tasks)/3)) {
 		return 0, false
 	}
-	known := slices.Clone(s.lengths)
-	slices.Sort(known)
-	return known[len(known)/2], true
+	return s.lengths[len(s.lengths)/2], true
 }
 
 func (p *Pool) noteLength(step *stepState, home *life, length time.Duration) {
@@ -33,8 +31,10 @@
 		spread.note(ratio)
 	}
 	if len(step.lengths) < mostKnown {
-		step.lengths = append(step.lengths, length)
+		place, _ := slices.BinarySearch(step.lengths, length)
+		step.lengths = slices.Insert(step.lengths, place, length)
 	}
+	step.patience = max(2, pastSpread*p.spreadOf(step).ninth)
 }
 
 func (s *stepState) ratio(length time.Duration) (float64, bool) {
@@ -87,11 +87,11 @@
 func (l *life) slowness() float64 { return max(0, l.slow-1.6) * 0.4 }
 
 // overdue is when a run takes so long that something is wrong with its executor.
-func (p *Pool) overdue(step *stepState) time.Duration {
-	if typical, isKnown := step.typical(); isKnown {
-		return max(leastOverdue, time.Duration(max(2, pastSpread*p.spreadOf(step).ninth)*float64(typical)))
+func (s *stepState) overdue() time.Duration {
+	if typical, isKnown := s.typical(); isKnown {
+		return max(leastOverdue, time.Duration(s.patience*float64(typical)))
 	}
-	return max(2*leastOverdue, 4*pulse.Ms(step.step.EstimatedMs))
+	return max(2*leastOverdue, 4*pulse.Ms(s.step.EstimatedMs))
 }
 
 // doubtful gives the tasks of a redundant step whose only run may not come back in time.
@@ -100,14 +100,39 @@
 		return nil
 	}
 	var found []*task
-	for _, which := range step.tasks {
-		if !which.isDone && len(which.runs) == 1 && p.isDoubtful(which.runs[0], now) {
+	for _, which := range step.busy {
+		switch {
+		case which.isDone || len(which.runs) != 1:
+		case p.isDoubtful(which.runs[0], now):
 			found = append(found, which)
+		default:
+			step.waits.lookAgain = min(step.waits.lookAgain, doubtfulFrom(which.runs[0]))
 		}
 	}
 	return found
 }
 
+// doubtfulFrom is when a run becomes doubtful if nothing is heard until then.
+func doubtfulFrom(one *run) time.Duration {
+	silent := one.life.contactAt + doubtAfter + 1
+	switch {
+	case one.state == runStopping:
+		return never
+	case one.state == runLaunching && one.sends == 0:
+		return silent
+	case one.state == runLaunching:
+		return min(silent, one.orderedAt+unansweredIn+1)
+	}
+	return min(silent, one.startedAt+one.task.step.overdue()+1)
+}
+
+// doubtRuns has the spares of all that an executor runs worked out anew.
+func (p *Pool) doubtRuns(home *life) {
+	for _, one := range home.runs {
+		one.task.touch()
+	}
+}
+
 func (p *Pool) isDoubtful(one *run, now time.Duration) bool {
 	switch home := one.life; {
 	case one.state == runStopping:
@@ -117,18 +142,12 @@
 	case one.state == runLaunching:
 		return one.sends > 0 && now-one.orderedAt > unansweredIn
 	}
-	return now-one.startedAt > p.overdue(one.task.step)
+	return now-one.startedAt > one.task.step.overdue()
 }
 
 // spare asks for a second run of a task, anywhere but where the first one is.
-func (p *Pool) spare(which *task, homes []*life) placetasks.Group {
-	group := p.group(which.step, []*task{which}, homes)
-	group.IsSpare = true
-	if group.Barred == nil {
-		group.Barred = make([]bool, len(homes))
-	}
-	for place, home := range homes {
-		group.Barred[place] = group.Barred[place] || home == which.runs[0].life
-	}
-	return group
+func (p *Pool) spare(which *task) *placetasks.Group {
+	group := p.group(which.step, []*task{which})
+	group.IsSpare, group.Except = true, []int{which.runs[0].life.place}
+	return &group
 }
--- a/internal/poolowner/successors.go
+++ b/internal/poolowner/successors.go
@@ -36,7 +36,7 @@
 }
 
 func (p *Pool) forgetLife(home *life) {
-	delete(p.lives, home.id)
+	p.dropLife(home)
 	if p.newest[home.proxy] == home {
 		delete(p.newest, home.proxy)
 	}
