Open steps are listed by change: by placing order, by time, by doubt

Cause: each placement still walked all open steps. Change: the requests of open steps are a kept list in the order of placement; a heap holds the steps that change with time alone; what is asked for by priority and the least need are kept. Placement of a kept list needs no sorting.

--- a/internal/placetasks/place.go
+++ b/internal/placetasks/place.go
@@ -29,6 +29,10 @@
 	return Room{max(r.CPU, other.CPU), max(r.Memory, other.Memory), max(r.GPU, other.GPU)}
 }
 
+func (r Room) AtMost(other Room) Room {
+	return Room{min(r.CPU, other.CPU), min(r.Memory, other.Memory), min(r.GPU, other.GPU)}
+}
+
 type Executor struct {
 	Free     Room
 	Total    Room
@@ -60,16 +64,45 @@
 
 type Placement struct{ Group, Executor int }
 
+// Line is groups in the order in which they are placed, and a room that none needs less than.
+type Line struct {
+	Groups []*Group
+	Least  Room
+}
+
 // Place gives the starts that fit, in the order of priority, then of the aim. Left is what long work of a
 // priority may still take of all room together; a priority without an entry may take all there is.
 func Place(executors []Executor, groups []*Group, left map[int]Room) []Placement {
-	turn := newTurn(executors, groups)
-	for place := range groups {
+	order := make([]int, len(groups))
+	for place := range order {
+		order[place] = place
+	}
+	slices.SortStableFunc(order, func(one, two int) int { return CompareGroups(groups[one], groups[two]) })
+	var line Line
+	for place, number := range order {
+		line.Groups = append(line.Groups, groups[number])
+		if place == 0 {
+			line.Least = groups[number].Need
+		}
+		line.Least = line.Least.AtMost(groups[number].Need)
+	}
+	placed := PlaceLine(executors, line, left)
+	for place := range placed {
+		placed[place].Group = order[placed[place].Group]
+	}
+	return placed
+}
+
+// PlaceLine is Place for groups that are in order already.
+func PlaceLine(executors []Executor, line Line, left map[int]Room) []Placement {
+	if len(line.Groups) == 0 {
+		return nil
+	}
+	turn := newTurn(executors, line.Least)
+	for number, group := range line.Groups {
 		if turn.isOver {
 			break
 		}
-		number := turn.number(place)
-		group := groups[number]
 		allowance := allowanceOf(left, group)
 		if group.IsGang {
 			turn.placeGang(group, number, allowance)
@@ -136,7 +169,6 @@
 	executors  []Executor
 	free       []Room
 	reserved   []bool
-	order      []int
 	least      Room
 	candidates []int
 	open       int
@@ -148,14 +180,8 @@
 	placed     []Placement
 }
 
-func newTurn(executors []Executor, groups []*Group) *turn {
-	t := &turn{executors: executors}
-	if len(groups) == 0 {
-		t.isOver = true
-		return t
-	}
-	t.free, t.reserved = make([]Room, len(executors)), make([]bool, len(executors))
-	t.sort(groups)
+func newTurn(executors []Executor, least Room) *turn {
+	t := &turn{executors: executors, least: least, free: make([]Room, len(executors)), reserved: make([]bool, len(executors))}
 	for place := range executors {
 		executor := &executors[place]
 		t.free[place] = executor.Free
@@ -165,7 +191,7 @@
 		if t.open == 0 {
 			t.smallest = executor.Total
 		}
-		t.smallest = Room{CPU: min(t.smallest.CPU, executor.Total.CPU), Memory: min(t.smallest.Memory, executor.Total.Memory)}
+		t.smallest = t.smallest.AtMost(executor.Total)
 		t.open++
 		if executor.Free.Fits(t.least) {
 			t.candidates = append(t.candidates, place)
@@ -175,31 +201,6 @@
 	return t
 }
 
-// sort finds the order of the groups, unless they come in order, and the least that any of them needs.
-func (t *turn) sort(groups []*Group) {
-	isSorted := true
-	t.least = groups[0].Need
-	for place, group := range groups {
-		t.least = Room{CPU: min(t.least.CPU, group.Need.CPU), Memory: min(t.least.Memory, group.Need.Memory), GPU: min(t.least.GPU, group.Need.GPU)}
-		isSorted = isSorted && (place == 0 || CompareGroups(groups[place-1], group) <= 0)
-	}
-	if isSorted {
-		return
-	}
-	t.order = make([]int, len(groups))
-	for place := range t.order {
-		t.order[place] = place
-	}
-	slices.SortStableFunc(t.order, func(one, two int) int { return CompareGroups(groups[one], groups[two]) })
-}
-
-func (t *turn) number(place int) int {
-	if t.order == nil {
-		return place
-	}
-	return t.order[place]
-}
-
 // measure works out the most room that any executor has for single tasks; it is too much once something was placed.
 // It also finds out when no executor, reserved or not, has room for anything.
 func (t *turn) measure() {
--- a/internal/poolowner/exchange.go
+++ b/internal/poolowner/exchange.go
@@ -116,7 +116,7 @@
 		}
 		one.sends++
 		one.sentAt = now
-		one.task.touch()
+		p.touch(one.task)
 		answer.Orders = append(answer.Orders, p.order(one))
 	}
 	home.outbox = nil
@@ -258,7 +258,7 @@
 		p.started(one)
 	case one.state == runLaunching:
 		one.sends = 0
-		one.task.touch()
+		p.touch(one.task)
 		p.queue(one)
 	case one.state == runRunning && !isRunning:
 		p.closeRun(one)
--- a/internal/poolowner/headroom.go
+++ b/internal/poolowner/headroom.go
@@ -34,14 +34,14 @@
 type demand struct{ asked, used placetasks.Room }
 
 // headroom gives each priority what it may still take, so that urgent jobs find room when they come.
-func (p *Pool) headroom(executors []placetasks.Executor, groups []*placetasks.Group, now time.Duration) map[int]placetasks.Room {
+func (p *Pool) headroom(executors []placetasks.Executor, spares []*request, now time.Duration) map[int]placetasks.Room {
 	var total placetasks.Room
 	for _, executor := range executors {
 		if !executor.IsClosed {
 			total = total.Plus(executor.Total)
 		}
 	}
-	demands := p.demands(groups)
+	demands := p.demands(spares)
 	left := map[int]placetasks.Room{}
 	priorities := slices.Sorted(maps.Keys(demands))
 	var used placetasks.Room
@@ -70,37 +70,42 @@
 	return placetasks.Room{CPU: max(0, min(int64(k.cpu), most.CPU)-used.CPU), Memory: max(0, min(int64(k.memory), most.Memory)-used.Memory)}
 }
 
-// usage is what the runs of one priority take.
+// usage is what so many runs, or groups, of one priority take.
 type usage struct {
-	room placetasks.Room
-	runs int
+	room  placetasks.Room
+	count int
+}
+
+func (u usage) with(room placetasks.Room, count int) usage {
+	if count < 0 {
+		return usage{u.room.Minus(room), u.count + count}
+	}
+	return usage{u.room.Plus(room), u.count + count}
 }
 
 func (p *Pool) use(priority int, need placetasks.Room) {
-	was := p.usage[priority]
-	p.usage[priority] = usage{was.room.Plus(need), was.runs + 1}
+	p.usage[priority] = p.usage[priority].with(need, 1)
 }
 
 func (p *Pool) free(priority int, need placetasks.Room) {
-	was := p.usage[priority]
-	p.usage[priority] = usage{was.room.Minus(need), was.runs - 1}
-	if was.runs == 1 {
+	p.usage[priority] = p.usage[priority].with(need, -1)
+	if p.usage[priority].count == 0 {
 		delete(p.usage, priority)
 	}
 }
 
-func (p *Pool) demands(groups []*placetasks.Group) map[int]demand {
+func (p *Pool) demands(spares []*request) map[int]demand {
 	demands := map[int]demand{}
 	for priority, one := range p.usage {
 		demands[priority] = demand{one.room, one.room}
 	}
-	for first := 0; first < len(groups); {
-		next, priority := first, groups[first].Priority
-		one := demands[priority]
-		for ; next < len(groups) && groups[next].Priority == priority; next++ {
-			one.asked = one.asked.Plus(groups[next].Need.Times(float64(groups[next].Count)))
-		}
-		demands[priority], first = one, next
+	for priority, one := range p.open.asked {
+		was := demands[priority]
+		demands[priority] = demand{was.asked.Plus(one.room), was.used}
+	}
+	for _, spare := range spares {
+		was := demands[spare.group.Priority]
+		demands[spare.group.Priority] = demand{was.asked.Plus(asks(spare.group)), was.used}
 	}
 	return demands
 }
--- a/internal/poolowner/pool.go
+++ b/internal/poolowner/pool.go
@@ -68,9 +68,6 @@
 	lives        map[string]*life
 	roster       roster
 	open         openSteps
-	found        []*request
-	spares       []*request
-	groups       []*placetasks.Group
 	usage        map[int]usage
 	pending      map[*run]bool
 	broken       map[*stepState]bool
@@ -125,7 +122,7 @@
 
 func (p *Pool) Open(tenure Tenure, pairs []siblingwire.Op) error {
 	p.jobs, p.lives, p.queued = map[string]*job{}, map[string]*life{}, map[string]int{}
-	p.roster, p.open, p.usage = roster{}, openSteps{}, map[int]usage{}
+	p.roster, p.open, p.usage = roster{}, newOpenSteps(), map[int]usage{}
 	p.pending, p.broken, p.ended, p.timesAtMs = map[*run]bool{}, map[*stepState]bool{}, nil, 0
 	p.ops, p.opTasks, p.effects, p.flights, p.opPlaces, p.toRelease = nil, nil, nil, nil, map[string]int{}, map[*life]bool{}
 	p.untimed, p.peaks = map[string]*job{}, map[int]*peak{}
@@ -454,7 +451,6 @@
 		}
 		if isReady {
 			step.isOpen, step.openedAt = true, p.clock.Steady()
-			step.waits.isStale, step.waits.due = true, p.due(step, step.left)
 			p.open.add(step)
 			p.needsPlacing = true
 		}
--- a/internal/poolowner/runs.go
+++ b/internal/poolowner/runs.go
@@ -41,7 +41,7 @@
 
 // noteChange tells placement that a run is another than it was.
 func (p *Pool) noteChange(one *run) {
-	one.task.touch()
+	p.touch(one.task)
 	p.roster.note(one.life)
 }
 
@@ -189,7 +189,7 @@
 	if step.step.Lasting || !owner.isOpen() || which.isDone {
 		which.notBefore = p.clock.Steady() + 100*time.Millisecond
 		step.notBefore = max(step.notBefore, which.notBefore)
-		which.touch()
+		p.touch(which)
 		return
 	}
 	counter := which
@@ -221,7 +221,7 @@
 			continue
 		}
 		one.isDone = true
-		one.touch()
+		p.touch(one)
 		step.left--
 		p.putTask(one)
 		if !step.step.Gang {
--- a/internal/poolowner/scratch_test.go
+++ b/internal/poolowner/scratch_test.go
@@ -36,13 +36,21 @@
 		compare("idle of "+name, plain(step.idle), where(step, func(which *task) bool { return !which.isDone && len(which.runs) == 0 }))
 		compare("busy of "+name, plain(step.busy), where(step, func(which *task) bool { return len(which.runs) > 0 }))
 	}
-	kept, fresh := slices.Clone(p.requests(now)), p.requestsFromNothing(steps, now)
+	p.refreshAll(now)
+	kept, fresh := append(slices.Clone(p.open.requests), p.doubted(now)...), p.requestsFromNothing(steps, now)
 	compare("requests", len(kept), len(fresh))
 	for place := range min(len(kept), len(fresh)) {
 		compare("step", kept[place].step.tasks[0].name, fresh[place].step.tasks[0].name)
 		compare("tasks", plain(kept[place].tasks), fresh[place].tasks)
 		compare("group", *kept[place].group, *fresh[place].group)
 	}
+	asked := map[int]usage{}
+	for place, one := range p.open.requests {
+		compare("group in its place", p.open.groups[place] == one.group, true)
+		compare("least need", one.group.Need.Fits(p.open.least), true)
+		asked[one.group.Priority] = asked[one.group.Priority].with(asks(one.group), 1)
+	}
+	compare("asked", p.open.asked, asked)
 	return found
 }
 
@@ -66,7 +74,7 @@
 		for _, one := range home.runs {
 			need, priority := one.task.step.need(), one.task.step.priority()
 			used = used.Plus(need)
-			taken[priority] = usage{taken[priority].room.Plus(need), taken[priority].runs + 1}
+			taken[priority] = taken[priority].with(need, 1)
 			if one.state != runRunning {
 				pending[one] = true
 			}
--- a/internal/poolowner/spares.go
+++ b/internal/poolowner/spares.go
@@ -46,22 +46,22 @@
 	return max(2*leastOverdue, 4*pulse.Ms(s.step.EstimatedMs))
 }
 
-// doubtful gives the tasks of a redundant step whose only run may not come back in time.
-func (p *Pool) doubtful(step *stepState, now time.Duration) []*task {
+// doubtful gives the tasks of a redundant step whose only run may not come back in time, and when others may join them.
+func (p *Pool) doubtful(step *stepState, now time.Duration) (found []*task, again time.Duration) {
+	again = never
 	if !step.step.Redundant || step.step.Gang {
-		return nil
+		return nil, again
 	}
-	var found []*task
 	for _, which := range step.busy {
 		switch {
 		case which.isDone || len(which.runs) != 1:
 		case p.isDoubtful(which.runs[0], now):
 			found = append(found, which)
 		default:
-			step.waits.lookAgain = min(step.waits.lookAgain, doubtfulFrom(which.runs[0]))
+			again = min(again, doubtfulFrom(which.runs[0]))
 		}
 	}
-	return found
+	return found, again
 }
 
 // doubtfulFrom is when a run becomes doubtful if nothing is heard until then.
@@ -81,7 +81,7 @@
 // doubtRuns has the spares of all that an executor runs worked out anew.
 func (p *Pool) doubtRuns(home *life) {
 	for _, one := range home.runs {
-		one.task.touch()
+		p.touch(one.task)
 	}
 }
 
--- a/internal/poolowner/tick.go
+++ b/internal/poolowner/tick.go
@@ -28,6 +28,7 @@
 	p.tickPending(now)
 	p.tickAllBroken(now)
 	p.forgetEnded()
+	p.open.findLeast()
 	if len(p.open.steps) > 0 {
 		p.needsPlacing = true
 	}
@@ -156,17 +157,23 @@
 		return
 	}
 	now := p.clock.Steady()
-	executors, requests := p.executors(now), p.requests(now)
-	p.groups = p.groups[:0]
-	for _, one := range requests {
-		p.groups = append(p.groups, one.group)
-	}
-	placed := placetasks.Place(executors, p.groups, p.headroom(executors, p.groups, now))
-	for _, start := range p.starts(requests, placed) {
+	p.refreshAll(now)
+	executors, spares := p.executors(now), p.doubted(now)
+	line := p.line(spares)
+	placed := placetasks.PlaceLine(executors, line, p.headroom(executors, spares, now))
+	for _, start := range p.starts(append(p.open.requests, spares...), placed) {
 		p.launch(start.task, start.home, start.number)
 	}
 }
 
+func (p *Pool) line(spares []*request) placetasks.Line {
+	line := placetasks.Line{Groups: p.open.groups, Least: p.open.least}
+	for _, spare := range spares {
+		line.Groups, line.Least = append(line.Groups, spare.group), line.Least.AtMost(spare.group.Need)
+	}
+	return line
+}
+
 type start struct {
 	task   *task
 	home   *life
--- a/internal/poolowner/waiting.go
+++ b/internal/poolowner/waiting.go
@@ -2,6 +2,9 @@
 
 import (
 	"cmp"
+	"container/heap"
+	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -17,7 +20,7 @@
 type waits struct {
 	isStale   bool
 	lookAgain time.Duration
-	version   uint64
+	inTimes   int
 	due       int64
 	request   request
 	group     placetasks.Group
@@ -31,105 +34,218 @@
 	group *placetasks.Group
 }
 
-// openSteps keeps the steps that are under way in the order in which they are placed.
-type openSteps struct{ steps []*stepState }
+// openSteps keeps the steps that are under way: those that ask for room in the order in which they are placed,
+// those with spares, and those that have to be looked at again.
+type openSteps struct {
+	steps    map[*stepState]bool
+	requests []*request
+	groups   []*placetasks.Group
+	least    placetasks.Room
+	asked    map[int]usage
+	spared   map[*stepState]bool
+	stale    []*stepState
+	times    stepTimes
+	version  uint64
+}
 
-func compareSteps(one, two *stepState) int {
-	if one.priority() != two.priority() {
-		return cmp.Compare(one.priority(), two.priority())
-	}
-	if one.waits.due != two.waits.due {
-		return cmp.Compare(one.waits.due, two.waits.due)
-	}
-	return cmp.Compare(one.tasks[0].name, two.tasks[0].name)
+func newOpenSteps() openSteps {
+	o := openSteps{steps: map[*stepState]bool{}, asked: map[int]usage{}, spared: map[*stepState]bool{}}
+	o.findLeast()
+	return o
 }
 
 func (o *openSteps) add(step *stepState) {
-	if place, isThere := slices.BinarySearchFunc(o.steps, step, compareSteps); !isThere {
-		o.steps = slices.Insert(o.steps, place, step)
+	if !o.steps[step] {
+		o.steps[step] = true
+		o.note(step)
 	}
 }
 
 func (o *openSteps) remove(step *stepState) {
-	if place, isThere := slices.BinarySearchFunc(o.steps, step, compareSteps); isThere {
-		o.steps = slices.Delete(o.steps, place, place+1)
+	if !o.steps[step] {
+		return
+	}
+	o.unlist(step)
+	o.times.set(step, never)
+	delete(o.steps, step)
+}
+
+func (o *openSteps) note(step *stepState) {
+	if o.steps[step] && !step.waits.isStale {
+		step.waits.isStale = true
+		o.stale = append(o.stale, step)
+	}
+}
+
+func compareRequests(one, two *request) int {
+	if one.group.Priority != two.group.Priority {
+		return cmp.Compare(one.group.Priority, two.group.Priority)
+	}
+	if one.group.Due != two.group.Due {
+		return cmp.Compare(one.group.Due, two.group.Due)
+	}
+	return cmp.Compare(one.step.tasks[0].name, two.step.tasks[0].name)
+}
+
+func (o *openSteps) list(step *stepState) {
+	if len(step.waits.spares) > 0 {
+		o.spared[step] = true
+	}
+	one := &step.waits.request
+	if one.group.Count == 0 {
+		return
+	}
+	place, _ := slices.BinarySearchFunc(o.requests, one, compareRequests)
+	o.requests, o.groups = slices.Insert(o.requests, place, one), slices.Insert(o.groups, place, one.group)
+	o.least = o.least.AtMost(one.group.Need)
+	o.asked[one.group.Priority] = o.asked[one.group.Priority].with(asks(one.group), 1)
+}
+
+func (o *openSteps) unlist(step *stepState) {
+	delete(o.spared, step)
+	one := &step.waits.request
+	if one.group == nil || one.group.Count == 0 {
+		return
+	}
+	place, _ := slices.BinarySearchFunc(o.requests, one, compareRequests)
+	o.requests, o.groups = slices.Delete(o.requests, place, place+1), slices.Delete(o.groups, place, place+1)
+	o.asked[one.group.Priority] = o.asked[one.group.Priority].with(asks(one.group), -1)
+	if o.asked[one.group.Priority].count == 0 {
+		delete(o.asked, one.group.Priority)
+	}
+}
+
+func asks(group *placetasks.Group) placetasks.Room { return group.Need.Times(float64(group.Count)) }
+
+// findLeast works out the least need again, which only sinks in between.
+func (o *openSteps) findLeast() {
+	o.least = placetasks.Room{CPU: math.MaxInt64, Memory: math.MaxInt64, GPU: math.MaxInt64}
+	for _, group := range o.groups {
+		o.least = o.least.AtMost(group.Need)
+	}
+}
+
+// stepTimes is a heap of the steps that have to be looked at again at a time.
+type stepTimes struct{ steps []*stepState }
+
+func (t *stepTimes) Len() int { return len(t.steps) }
+func (t *stepTimes) Less(one, two int) bool {
+	return t.steps[one].waits.lookAgain < t.steps[two].waits.lookAgain
+}
+func (t *stepTimes) Swap(one, two int) {
+	t.steps[one], t.steps[two] = t.steps[two], t.steps[one]
+	t.steps[one].waits.inTimes, t.steps[two].waits.inTimes = one+1, two+1
+}
+func (t *stepTimes) Push(step any) {
+	t.steps = append(t.steps, step.(*stepState))
+	t.steps[len(t.steps)-1].waits.inTimes = len(t.steps)
+}
+func (t *stepTimes) Pop() any {
+	last := t.steps[len(t.steps)-1]
+	t.steps, last.waits.inTimes = t.steps[:len(t.steps)-1], 0
+	return last
+}
+
+func (t *stepTimes) set(step *stepState, at time.Duration) {
+	place := step.waits.inTimes
+	step.waits.lookAgain = at
+	switch {
+	case place == 0 && at < never:
+		heap.Push(t, step)
+	case place > 0 && at < never:
+		heap.Fix(t, place-1)
+	case place > 0:
+		heap.Remove(t, place-1)
 	}
 }
 
 // touch notes that something of a task changed which placement may see.
-func (t *task) touch() {
-	t.step.file(t)
-	t.step.waits.isStale = true
+func (p *Pool) touch(which *task) {
+	which.step.file(which)
+	p.open.note(which.step)
 }
 
-// requests gives what waits for room, in the order of placement: first what must run, then the spares.
-func (p *Pool) requests(now time.Duration) []*request {
-	var moved []*stepState
-	for _, step := range p.open.steps {
-		waits := &step.waits
-		if waits.isStale || now >= waits.lookAgain || waits.version != p.roster.version {
-			p.refresh(step, now)
-			if waits.group.Count > 0 && waits.group.Due != waits.due {
-				moved = append(moved, step)
-			}
+// refreshAll works out anew what may have changed since the last placement.
+func (p *Pool) refreshAll(now time.Duration) {
+	o := &p.open
+	if o.version != p.roster.version {
+		o.version = p.roster.version
+		for step := range o.steps {
+			o.note(step)
 		}
 	}
-	for _, step := range moved {
-		p.open.remove(step)
-		step.waits.due = step.waits.group.Due
-		p.open.add(step)
+	for len(o.times.steps) > 0 && o.times.steps[0].waits.lookAgain <= now {
+		step := o.times.steps[0]
+		o.times.set(step, never)
+		o.note(step)
 	}
-	found, spares := p.found[:0], p.spares[:0]
-	for _, step := range p.open.steps {
-		if waits := &step.waits; waits.group.Count > 0 {
-			found = append(found, &waits.request)
-		}
-		for _, spare := range step.waits.spares {
-			if p.isDoubtful(spare.tasks[0].runs[0], now) {
-				spares = append(spares, spare)
-			}
+	for _, step := range o.stale {
+		step.waits.isStale = false
+		if o.steps[step] {
+			p.refresh(step, now)
 		}
 	}
-	p.found, p.spares = append(found, spares...), spares
-	return p.found
+	o.stale = o.stale[:0]
 }
 
 // refresh works out anew what a step asks for, and until when that holds.
 func (p *Pool) refresh(step *stepState, now time.Duration) {
 	waits := &step.waits
-	waits.isStale, waits.version, waits.lookAgain = false, p.roster.version, never
-	waits.request = request{step, p.ready(step, now), &waits.group}
-	waits.group = placetasks.Group{}
-	if len(waits.request.tasks) > 0 {
-		waits.group = p.group(step, waits.request.tasks)
+	p.open.unlist(step)
+	lookAgain := never
+	ready, again := p.ready(step, now)
+	waits.request, waits.group, lookAgain = request{step, ready, &waits.group}, placetasks.Group{}, min(lookAgain, again)
+	if len(ready) > 0 {
+		waits.group = p.group(step, ready)
 	}
 	waits.spares = nil
-	for _, which := range p.doubtful(step, now) {
+	doubtful, again := p.doubtful(step, now)
+	for _, which := range doubtful {
 		waits.spares = append(waits.spares, &request{step, []*task{which}, p.spare(which)})
 	}
-	if p.rules.HasUse(step.time.job.record.Entry) {
-		if frees := step.openedAt + ruleHolds + 1; now < frees {
-			waits.lookAgain = min(waits.lookAgain, frees)
-		}
+	lookAgain = min(lookAgain, again)
+	if frees := step.openedAt + ruleHolds + 1; now < frees && p.rules.HasUse(step.time.job.record.Entry) {
+		lookAgain = min(lookAgain, frees)
 	}
+	p.open.list(step)
+	p.open.times.set(step, lookAgain)
 }
 
-func (p *Pool) ready(step *stepState, now time.Duration) []*task {
-	if step.step.Gang && step.hasRuns() {
+// doubted gives the spares that are wanted now, in the order in which they are placed.
+func (p *Pool) doubted(now time.Duration) []*request {
+	if len(p.open.spared) == 0 {
 		return nil
 	}
-	if step.notBefore <= now {
-		return step.idle
+	var spares []*request
+	steps := slices.SortedFunc(maps.Keys(p.open.spared), func(one, two *stepState) int { return cmp.Compare(one.tasks[0].name, two.tasks[0].name) })
+	for _, step := range steps {
+		for _, spare := range step.waits.spares {
+			if p.isDoubtful(spare.tasks[0].runs[0], now) {
+				spares = append(spares, spare)
+			}
+		}
+	}
+	slices.SortStableFunc(spares, func(one, two *request) int { return placetasks.CompareGroups(one.group, two.group) })
+	return spares
+}
+
+// ready gives the tasks that may start now, and when others may.
+func (p *Pool) ready(step *stepState, now time.Duration) (ready []*task, again time.Duration) {
+	switch {
+	case step.step.Gang && step.hasRuns():
+		return nil, never
+	case step.notBefore <= now:
+		return step.idle, never
 	}
-	var ready []*task
+	again = never
 	for _, which := range step.idle {
-		if which.notBefore > now {
-			step.waits.lookAgain = min(step.waits.lookAgain, which.notBefore)
+		if which.notBefore <= now {
+			ready = append(ready, which)
 			continue
 		}
-		ready = append(ready, which)
+		again = min(again, which.notBefore)
 	}
-	return ready
+	return ready, again
 }
 
 func (p *Pool) group(step *stepState, ready []*task) placetasks.Group {
