Spares are listed by change, too

Cause: with the runs of a large pool overdue, each placement gathered and sorted all spares. Change: spares are a kept list like first runs; contact with an executor that was in doubt has them worked out anew.

--- a/internal/placetasks/place.go
+++ b/internal/placetasks/place.go
@@ -64,9 +64,11 @@
 
 type Placement struct{ Group, Executor int }
 
-// Line is groups in the order in which they are placed, and a room that none needs less than.
+// Line is groups in the order in which they are placed, the spares after them, and a room that none needs less than.
+// Spares are numbered on from the groups.
 type Line struct {
 	Groups []*Group
+	Spares []*Group
 	Least  Room
 }
 
@@ -95,22 +97,27 @@
 
 // PlaceLine is Place for groups that are in order already.
 func PlaceLine(executors []Executor, line Line, left map[int]Room) []Placement {
-	if len(line.Groups) == 0 {
+	if len(line.Groups)+len(line.Spares) == 0 {
 		return nil
 	}
 	turn := newTurn(executors, line.Least)
-	for number, group := range line.Groups {
-		if turn.isOver {
-			break
+	turn.placeAll(line.Groups, 0, left)
+	turn.placeAll(line.Spares, len(line.Groups), left)
+	return turn.placed
+}
+
+func (t *turn) placeAll(groups []*Group, number int, left map[int]Room) {
+	for place, group := range groups {
+		if t.isOver {
+			return
 		}
 		allowance := allowanceOf(left, group)
 		if group.IsGang {
-			turn.placeGang(group, number, allowance)
+			t.placeGang(group, number+place, allowance)
 			continue
 		}
-		turn.placeSingles(group, number, allowance)
+		t.placeSingles(group, number+place, allowance)
 	}
-	return turn.placed
 }
 
 // CompareGroups orders groups as they are placed: spares last, then by priority, then by what is due.
--- a/internal/poolowner/cost_test.go
+++ b/internal/poolowner/cost_test.go
@@ -169,10 +169,15 @@
 }
 
 // BenchmarkTick is one tick and the placement that follows it.
-func BenchmarkTick(b *testing.B) {
+func BenchmarkTick(b *testing.B) { benchmarkTick(b, time.Microsecond) }
+
+// BenchmarkTickOverdue is the same while nearly all runs of redundant steps take too long, so that spares are wanted.
+func BenchmarkTickOverdue(b *testing.B) { benchmarkTick(b, 50*time.Millisecond) }
+
+func benchmarkTick(b *testing.B, between time.Duration) {
 	eachSize(b, func(b *testing.B, c *crowd) {
 		for turn := range b.N {
-			c.clock.Advance(50 * time.Millisecond)
+			c.clock.Advance(between)
 			if turn%10 == 9 {
 				b.StopTimer()
 				c.beatAll()
--- a/internal/poolowner/exchange.go
+++ b/internal/poolowner/exchange.go
@@ -73,7 +73,7 @@
 		p.roster.version++
 	}
 	home.isKnown, home.proxy, home.domain, home.labels = true, call.Proxy, call.Domain, call.Labels
-	home.room, home.isDraining, home.contactAt = room(call.Room), call.Draining, now
+	home.room, home.isDraining = room(call.Room), call.Draining
 	if call.DepartsMs > 0 {
 		home.departsAt = now + pulse.Ms(call.DepartsMs)
 	}
@@ -81,10 +81,10 @@
 	if home.isBlocked && !isBlocked {
 		p.needsPlacing = true
 	}
-	if isBlocked && !home.isBlocked {
+	if isBlocked != home.isBlocked || now-home.contactAt > doubtAfter {
 		p.doubtRuns(home)
 	}
-	home.isBlocked = isBlocked
+	home.isBlocked, home.contactAt = isBlocked, now
 	if !isBlocked && p.tenure.HasLease() {
 		home.lapsesAt = max(home.lapsesAt, now+p.lapse(p.timing.Grant))
 	}
--- a/internal/poolowner/headroom.go
+++ b/internal/poolowner/headroom.go
@@ -34,14 +34,14 @@
 type demand struct{ asked, used placetasks.Room }
 
 // headroom gives each priority what it may still take, so that urgent jobs find room when they come.
-func (p *Pool) headroom(executors []placetasks.Executor, spares []*request, now time.Duration) map[int]placetasks.Room {
+func (p *Pool) headroom(executors []placetasks.Executor, now time.Duration) map[int]placetasks.Room {
 	var total placetasks.Room
 	for _, executor := range executors {
 		if !executor.IsClosed {
 			total = total.Plus(executor.Total)
 		}
 	}
-	demands := p.demands(spares)
+	demands := p.demands()
 	left := map[int]placetasks.Room{}
 	priorities := slices.Sorted(maps.Keys(demands))
 	var used placetasks.Room
@@ -94,18 +94,16 @@
 	}
 }
 
-func (p *Pool) demands(spares []*request) map[int]demand {
+func (p *Pool) demands() map[int]demand {
 	demands := map[int]demand{}
 	for priority, one := range p.usage {
 		demands[priority] = demand{one.room, one.room}
 	}
-	for priority, one := range p.open.asked {
-		was := demands[priority]
-		demands[priority] = demand{was.asked.Plus(one.room), was.used}
-	}
-	for _, spare := range spares {
-		was := demands[spare.group.Priority]
-		demands[spare.group.Priority] = demand{was.asked.Plus(asks(spare.group)), was.used}
+	for _, list := range []*requests{&p.open.firsts, &p.open.spares} {
+		for priority, one := range list.asked {
+			was := demands[priority]
+			demands[priority] = demand{was.asked.Plus(one.room), was.used}
+		}
 	}
 	return demands
 }
--- a/internal/poolowner/scratch_test.go
+++ b/internal/poolowner/scratch_test.go
@@ -37,20 +37,22 @@
 		compare("busy of "+name, plain(step.busy), where(step, func(which *task) bool { return len(which.runs) > 0 }))
 	}
 	p.refreshAll(now)
-	kept, fresh := append(slices.Clone(p.open.requests), p.doubted(now)...), p.requestsFromNothing(steps, now)
+	kept, fresh := append(slices.Clone(p.open.firsts.requests), p.open.spares.requests...), p.requestsFromNothing(steps, now)
 	compare("requests", len(kept), len(fresh))
 	for place := range min(len(kept), len(fresh)) {
 		compare("step", kept[place].step.tasks[0].name, fresh[place].step.tasks[0].name)
 		compare("tasks", plain(kept[place].tasks), fresh[place].tasks)
 		compare("group", *kept[place].group, *fresh[place].group)
 	}
-	asked := map[int]usage{}
-	for place, one := range p.open.requests {
-		compare("group in its place", p.open.groups[place] == one.group, true)
-		compare("least need", one.group.Need.Fits(p.open.least), true)
-		asked[one.group.Priority] = asked[one.group.Priority].with(asks(one.group), 1)
+	for _, list := range []*requests{&p.open.firsts, &p.open.spares} {
+		asked := map[int]usage{}
+		for place, one := range list.requests {
+			compare("group in its place", list.groups[place] == one.group, true)
+			compare("least need", one.group.Need.Fits(list.least), true)
+			asked[one.group.Priority] = asked[one.group.Priority].with(asks(one.group), 1)
+		}
+		compare("asked", list.asked, asked)
 	}
-	compare("asked", p.open.asked, asked)
 	return found
 }
 
@@ -146,7 +148,8 @@
 		for _, which := range where(step, func(which *task) bool {
 			return step.step.Redundant && !step.step.Gang && !which.isDone && len(which.runs) == 1 && p.isDoubtful(which.runs[0], now)
 		}) {
-			found = append(found, &request{step, []*task{which}, p.spare(which)})
+			group := p.spare(which)
+			found = append(found, &request{step, []*task{which}, &group})
 		}
 	}
 	slices.SortStableFunc(found, func(one, two *request) int { return placetasks.CompareGroups(one.group, two.group) })
--- a/internal/poolowner/spares.go
+++ b/internal/poolowner/spares.go
@@ -78,7 +78,7 @@
 	return min(silent, one.startedAt+one.task.step.overdue()+1)
 }
 
-// doubtRuns has the spares of all that an executor runs worked out anew.
+// doubtRuns has the spares of all that an executor runs worked out anew, as it is trusted more or less than before.
 func (p *Pool) doubtRuns(home *life) {
 	for _, one := range home.runs {
 		p.touch(one.task)
@@ -98,8 +98,8 @@
 }
 
 // spare asks for a second run of a task, anywhere but where the first one is.
-func (p *Pool) spare(which *task) *placetasks.Group {
+func (p *Pool) spare(which *task) placetasks.Group {
 	group := p.group(which.step, []*task{which})
 	group.IsSpare, group.Except = true, []int{which.runs[0].life.place}
-	return &group
+	return group
 }
--- a/internal/poolowner/tick.go
+++ b/internal/poolowner/tick.go
@@ -28,7 +28,8 @@
 	p.tickPending(now)
 	p.tickAllBroken(now)
 	p.forgetEnded()
-	p.open.findLeast()
+	p.open.firsts.findLeast()
+	p.open.spares.findLeast()
 	if len(p.open.steps) > 0 {
 		p.needsPlacing = true
 	}
@@ -158,22 +159,13 @@
 	}
 	now := p.clock.Steady()
 	p.refreshAll(now)
-	executors, spares := p.executors(now), p.doubted(now)
-	line := p.line(spares)
-	placed := placetasks.PlaceLine(executors, line, p.headroom(executors, spares, now))
-	for _, start := range p.starts(append(p.open.requests, spares...), placed) {
+	executors := p.executors(now)
+	placed := placetasks.PlaceLine(executors, p.open.line(), p.headroom(executors, now))
+	for _, start := range p.starts(placed) {
 		p.launch(start.task, start.home, start.number)
 	}
 }
 
-func (p *Pool) line(spares []*request) placetasks.Line {
-	line := placetasks.Line{Groups: p.open.groups, Least: p.open.least}
-	for _, spare := range spares {
-		line.Groups, line.Least = append(line.Groups, spare.group), line.Least.AtMost(spare.group.Need)
-	}
-	return line
-}
-
 type start struct {
 	task   *task
 	home   *life
@@ -181,11 +173,12 @@
 }
 
 // starts gives each placement its task and the number of its run; all of a gang have one number.
-func (p *Pool) starts(requests []*request, placed []placetasks.Placement) []start {
+func (p *Pool) starts(placed []placetasks.Placement) []start {
 	starts := make([]start, len(placed))
 	next, gangRun := map[int]int{}, map[int]int64{}
 	for place, one := range placed {
-		step, which := requests[one.Group].step, requests[one.Group].tasks[next[one.Group]]
+		request := p.open.request(one.Group)
+		step, which := request.step, request.tasks[next[one.Group]]
 		next[one.Group]++
 		number := which.lastRun + 1
 		if step.step.Gang {
--- a/internal/poolowner/waiting.go
+++ b/internal/poolowner/waiting.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"container/heap"
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -21,7 +20,6 @@
 	isStale   bool
 	lookAgain time.Duration
 	inTimes   int
-	due       int64
 	request   request
 	group     placetasks.Group
 	spares    []*request
@@ -34,29 +32,90 @@
 	group *placetasks.Group
 }
 
-// openSteps keeps the steps that are under way: those that ask for room in the order in which they are placed,
-// those with spares, and those that have to be looked at again.
-type openSteps struct {
-	steps    map[*stepState]bool
+// requests are kept in the order in which they are placed, with what they ask for by priority, and a room that none
+// needs less than.
+type requests struct {
 	requests []*request
 	groups   []*placetasks.Group
-	least    placetasks.Room
 	asked    map[int]usage
-	spared   map[*stepState]bool
-	stale    []*stepState
-	times    stepTimes
-	version  uint64
+	least    placetasks.Room
+}
+
+func newRequests() requests {
+	r := requests{asked: map[int]usage{}}
+	r.findLeast()
+	return r
+}
+
+func compareRequests(one, two *request) int {
+	if one.group.Priority != two.group.Priority {
+		return cmp.Compare(one.group.Priority, two.group.Priority)
+	}
+	if one.group.Due != two.group.Due {
+		return cmp.Compare(one.group.Due, two.group.Due)
+	}
+	return cmp.Or(cmp.Compare(one.step.tasks[0].name, two.step.tasks[0].name), cmp.Compare(one.tasks[0].index, two.tasks[0].index))
+}
+
+// change makes a request ask for something else; one that asks for nothing is not listed.
+func (r *requests) change(one *request, tasks []*task, group placetasks.Group) {
+	was := *one.group
+	staysInPlace := was.Count > 0 && group.Count > 0 && was.Priority == group.Priority && was.Due == group.Due
+	if was.Count > 0 && !staysInPlace {
+		place, _ := slices.BinarySearchFunc(r.requests, one, compareRequests)
+		r.requests, r.groups = slices.Delete(r.requests, place, place+1), slices.Delete(r.groups, place, place+1)
+	}
+	*one.group, one.tasks = group, tasks
+	if group.Count > 0 && !staysInPlace {
+		place, _ := slices.BinarySearchFunc(r.requests, one, compareRequests)
+		r.requests, r.groups = slices.Insert(r.requests, place, one), slices.Insert(r.groups, place, one.group)
+	}
+	r.count(&was, -1)
+	r.count(&group, 1)
+}
+
+func (r *requests) count(group *placetasks.Group, count int) {
+	if group.Count == 0 {
+		return
+	}
+	taken := r.asked[group.Priority].with(asks(group), count)
+	r.asked[group.Priority] = taken
+	if taken.count == 0 {
+		delete(r.asked, group.Priority)
+	}
+	if count > 0 {
+		r.least = r.least.AtMost(group.Need)
+	}
+}
+
+func asks(group *placetasks.Group) placetasks.Room { return group.Need.Times(float64(group.Count)) }
+
+// findLeast works out the least need again, which only sinks in between.
+func (r *requests) findLeast() {
+	r.least = placetasks.Room{CPU: math.MaxInt64, Memory: math.MaxInt64, GPU: math.MaxInt64}
+	for _, group := range r.groups {
+		r.least = r.least.AtMost(group.Need)
+	}
+}
+
+// openSteps keeps the steps that are under way, what they ask for, and when they have to be looked at again.
+type openSteps struct {
+	steps   map[*stepState]bool
+	firsts  requests
+	spares  requests
+	stale   []*stepState
+	times   stepTimes
+	version uint64
 }
 
 func newOpenSteps() openSteps {
-	o := openSteps{steps: map[*stepState]bool{}, asked: map[int]usage{}, spared: map[*stepState]bool{}}
-	o.findLeast()
-	return o
+	return openSteps{steps: map[*stepState]bool{}, firsts: newRequests(), spares: newRequests()}
 }
 
 func (o *openSteps) add(step *stepState) {
 	if !o.steps[step] {
 		o.steps[step] = true
+		step.waits.request = request{step: step, group: &step.waits.group}
 		o.note(step)
 	}
 }
@@ -65,7 +124,11 @@
 	if !o.steps[step] {
 		return
 	}
-	o.unlist(step)
+	o.firsts.change(&step.waits.request, nil, placetasks.Group{})
+	for _, spare := range step.waits.spares {
+		o.spares.change(spare, spare.tasks, placetasks.Group{})
+	}
+	step.waits.spares = nil
 	o.times.set(step, never)
 	delete(o.steps, step)
 }
@@ -77,52 +140,16 @@
 	}
 }
 
-func compareRequests(one, two *request) int {
-	if one.group.Priority != two.group.Priority {
-		return cmp.Compare(one.group.Priority, two.group.Priority)
-	}
-	if one.group.Due != two.group.Due {
-		return cmp.Compare(one.group.Due, two.group.Due)
-	}
-	return cmp.Compare(one.step.tasks[0].name, two.step.tasks[0].name)
-}
-
-func (o *openSteps) list(step *stepState) {
-	if len(step.waits.spares) > 0 {
-		o.spared[step] = true
-	}
-	one := &step.waits.request
-	if one.group.Count == 0 {
-		return
-	}
-	place, _ := slices.BinarySearchFunc(o.requests, one, compareRequests)
-	o.requests, o.groups = slices.Insert(o.requests, place, one), slices.Insert(o.groups, place, one.group)
-	o.least = o.least.AtMost(one.group.Need)
-	o.asked[one.group.Priority] = o.asked[one.group.Priority].with(asks(one.group), 1)
-}
-
-func (o *openSteps) unlist(step *stepState) {
-	delete(o.spared, step)
-	one := &step.waits.request
-	if one.group == nil || one.group.Count == 0 {
-		return
-	}
-	place, _ := slices.BinarySearchFunc(o.requests, one, compareRequests)
-	o.requests, o.groups = slices.Delete(o.requests, place, place+1), slices.Delete(o.groups, place, place+1)
-	o.asked[one.group.Priority] = o.asked[one.group.Priority].with(asks(one.group), -1)
-	if o.asked[one.group.Priority].count == 0 {
-		delete(o.asked, one.group.Priority)
+// request gives the request of a group by its number in the line.
+func (o *openSteps) request(number int) *request {
+	if number < len(o.firsts.requests) {
+		return o.firsts.requests[number]
 	}
+	return o.spares.requests[number-len(o.firsts.requests)]
 }
 
-func asks(group *placetasks.Group) placetasks.Room { return group.Need.Times(float64(group.Count)) }
-
-// findLeast works out the least need again, which only sinks in between.
-func (o *openSteps) findLeast() {
-	o.least = placetasks.Room{CPU: math.MaxInt64, Memory: math.MaxInt64, GPU: math.MaxInt64}
-	for _, group := range o.groups {
-		o.least = o.least.AtMost(group.Need)
-	}
+func (o *openSteps) line() placetasks.Line {
+	return placetasks.Line{Groups: o.firsts.groups, Spares: o.spares.groups, Least: o.firsts.least.AtMost(o.spares.least)}
 }
 
 // stepTimes is a heap of the steps that have to be looked at again at a time.
@@ -190,43 +217,43 @@
 
 // refresh works out anew what a step asks for, and until when that holds.
 func (p *Pool) refresh(step *stepState, now time.Duration) {
-	waits := &step.waits
-	p.open.unlist(step)
-	lookAgain := never
 	ready, again := p.ready(step, now)
-	waits.request, waits.group, lookAgain = request{step, ready, &waits.group}, placetasks.Group{}, min(lookAgain, again)
+	var group placetasks.Group
 	if len(ready) > 0 {
-		waits.group = p.group(step, ready)
-	}
-	waits.spares = nil
-	doubtful, again := p.doubtful(step, now)
-	for _, which := range doubtful {
-		waits.spares = append(waits.spares, &request{step, []*task{which}, p.spare(which)})
+		group = p.group(step, ready)
 	}
-	lookAgain = min(lookAgain, again)
+	p.open.firsts.change(&step.waits.request, ready, group)
+	doubtful, doubtAgain := p.doubtful(step, now)
+	p.refreshSpares(step, doubtful)
+	again = min(again, doubtAgain)
 	if frees := step.openedAt + ruleHolds + 1; now < frees && p.rules.HasUse(step.time.job.record.Entry) {
-		lookAgain = min(lookAgain, frees)
+		again = min(again, frees)
 	}
-	p.open.list(step)
-	p.open.times.set(step, lookAgain)
+	p.open.times.set(step, again)
 }
 
-// doubted gives the spares that are wanted now, in the order in which they are placed.
-func (p *Pool) doubted(now time.Duration) []*request {
-	if len(p.open.spared) == 0 {
-		return nil
+// refreshSpares goes along the spares there are and those there should be, both in the order of their tasks.
+func (p *Pool) refreshSpares(step *stepState, doubtful []*task) {
+	old := step.waits.spares
+	step.waits.spares = nil
+	drop := func() {
+		p.open.spares.change(old[0], old[0].tasks, placetasks.Group{})
+		old = old[1:]
 	}
-	var spares []*request
-	steps := slices.SortedFunc(maps.Keys(p.open.spared), func(one, two *stepState) int { return cmp.Compare(one.tasks[0].name, two.tasks[0].name) })
-	for _, step := range steps {
-		for _, spare := range step.waits.spares {
-			if p.isDoubtful(spare.tasks[0].runs[0], now) {
-				spares = append(spares, spare)
-			}
+	for _, which := range doubtful {
+		for len(old) > 0 && old[0].tasks[0].index < which.index {
+			drop()
+		}
+		one := &request{step, []*task{which}, &placetasks.Group{}}
+		if len(old) > 0 && old[0].tasks[0] == which {
+			one, old = old[0], old[1:]
 		}
+		p.open.spares.change(one, one.tasks, p.spare(which))
+		step.waits.spares = append(step.waits.spares, one)
+	}
+	for len(old) > 0 {
+		drop()
 	}
-	slices.SortStableFunc(spares, func(one, two *request) int { return placetasks.CompareGroups(one.group, two.group) })
-	return spares
 }
 
 // ready gives the tasks that may start now, and when others may.
