A placement keeps the room of its candidates only, and the roster the room that is open

Cause: each placement copied the room of all executors, and added up what is open. Change: candidates carry their own room; the roster adds up the open room as executors change.

--- a/internal/placetasks/place.go
+++ b/internal/placetasks/place.go
@@ -174,10 +174,9 @@
 // and only executors with room for the least need of all can be chosen. Gangs may use reserved executors, others not.
 type turn struct {
 	executors  []Executor
-	free       []Room
-	reserved   []bool
 	least      Room
-	candidates []int
+	candidates []candidate
+	reserved   []bool
 	open       int
 	most       Room
 	isMostOld  bool
@@ -187,11 +186,17 @@
 	placed     []Placement
 }
 
+// candidate is an executor that had room when the turn began, and what it has now.
+type candidate struct {
+	place      int
+	free       Room
+	isReserved bool
+}
+
 func newTurn(executors []Executor, least Room) *turn {
-	t := &turn{executors: executors, least: least, free: make([]Room, len(executors)), reserved: make([]bool, len(executors))}
+	t := &turn{executors: executors, least: least}
 	for place := range executors {
 		executor := &executors[place]
-		t.free[place] = executor.Free
 		if executor.IsClosed {
 			continue
 		}
@@ -201,7 +206,7 @@
 		t.smallest = t.smallest.AtMost(executor.Total)
 		t.open++
 		if executor.Free.Fits(t.least) {
-			t.candidates = append(t.candidates, place)
+			t.candidates = append(t.candidates, candidate{place: place, free: executor.Free})
 		}
 	}
 	t.measure()
@@ -212,11 +217,11 @@
 // It also finds out when no executor, reserved or not, has room for anything.
 func (t *turn) measure() {
 	t.most, t.isMostOld, t.isOver = Room{CPU: -1, Memory: -1, GPU: -1}, false, true
-	t.candidates = slices.DeleteFunc(t.candidates, func(place int) bool { return !t.free[place].Fits(t.least) })
-	for _, place := range t.candidates {
-		t.isOver = false
-		if !t.reserved[place] {
-			t.most = t.most.AtLeast(t.free[place])
+	for place := range t.candidates {
+		one := &t.candidates[place]
+		t.isOver = t.isOver && !one.free.Fits(t.least)
+		if !one.isReserved {
+			t.most = t.most.AtLeast(one.free)
 		}
 	}
 }
@@ -247,17 +252,17 @@
 		if !allowance.covers(group.Need) {
 			return
 		}
-		best := -1
+		var best *candidate
 		if !t.hasNoRoom(group.Need) {
 			best = t.choose(group, held, "")
 		}
-		if best < 0 {
+		if best == nil {
 			t.fail(group)
 			return
 		}
 		t.take(group, held, best)
 		allowance.spend(group.Need)
-		t.placed = append(t.placed, Placement{number, best})
+		t.placed = append(t.placed, Placement{number, best.place})
 	}
 }
 
@@ -278,11 +283,11 @@
 	return held
 }
 
-func (t *turn) take(group *Group, held map[int]int, place int) {
-	t.free[place] = t.free[place].Minus(group.Need)
+func (t *turn) take(group *Group, held map[int]int, one *candidate) {
+	one.free = one.free.Minus(group.Need)
 	t.isMostOld = true
 	if group.Apart > 0 {
-		held[place]++
+		held[one.place]++
 	}
 }
 
@@ -301,21 +306,23 @@
 	return true
 }
 
-// choose gives the best executor for one task, on one rack if that is named, or -1.
-func (t *turn) choose(group *Group, held map[int]int, rack string) int {
-	best, bestScore := -1, 0.0
-	for _, place := range t.candidates {
-		executor := &t.executors[place]
-		if t.reserved[place] && !group.IsGang || !t.free[place].Fits(group.Need) || rack != "" && executor.Rack != rack ||
-			!t.allows(group, held, place) {
+// choose gives the best executor for one task, on one rack if that is named, or nil.
+func (t *turn) choose(group *Group, held map[int]int, rack string) *candidate {
+	var best *candidate
+	bestScore := 0.0
+	for number := range t.candidates {
+		one := &t.candidates[number]
+		executor := &t.executors[one.place]
+		if one.isReserved && !group.IsGang || !one.free.Fits(group.Need) || rack != "" && executor.Rack != rack ||
+			!t.allows(group, held, one.place) {
 			continue
 		}
-		score := rate(executor, t.free[place], group)
-		if slices.Contains(group.Avoid, place) {
+		score := rate(executor, one.free, group)
+		if slices.Contains(group.Avoid, one.place) {
 			score += 20
 		}
-		if best < 0 || score < bestScore {
-			best, bestScore = place, score
+		if best == nil || score < bestScore {
+			best, bestScore = one, score
 		}
 	}
 	return best
@@ -346,21 +353,36 @@
 	if 3*group.Need.CPU <= t.smallest.CPU && 3*group.Need.Memory <= t.smallest.Memory {
 		return
 	}
-	best := -1
+	best, bestFree, next := -1, int64(0), 0
 	for place := range t.executors {
-		executor := &t.executors[place]
+		executor, free := &t.executors[place], t.executors[place].Free.CPU
+		if next < len(t.candidates) && t.candidates[next].place == place {
+			free = t.candidates[next].free.CPU
+			next++
+		}
 		isLarge := 3*group.Need.CPU > executor.Total.CPU || 3*group.Need.Memory > executor.Total.Memory
-		if t.reserved[place] || executor.IsClosed || !isLarge || !executor.Total.Fits(group.Need) {
+		if t.reserved != nil && t.reserved[place] || executor.IsClosed || !isLarge || !executor.Total.Fits(group.Need) {
 			continue
 		}
-		if best < 0 || t.free[place].CPU > t.free[best].CPU {
-			best = place
+		if best < 0 || free > bestFree {
+			best, bestFree = place, free
 		}
 	}
 	if best >= 0 {
-		t.reserved[best] = true
-		t.open--
-		t.isMostOld = true
+		t.setReserved(best)
+	}
+}
+
+func (t *turn) setReserved(place int) {
+	if t.reserved == nil {
+		t.reserved = make([]bool, len(t.executors))
+	}
+	t.reserved[place] = true
+	t.open--
+	t.isMostOld = true
+	number, isCandidate := slices.BinarySearchFunc(t.candidates, place, func(one candidate, place int) int { return cmp.Compare(one.place, place) })
+	if isCandidate {
+		t.candidates[number].isReserved = true
 	}
 }
 
@@ -369,22 +391,22 @@
 	if !allowance.covers(whole) {
 		return
 	}
-	places := t.findGang(group)
-	for _, place := range places {
-		t.placed = append(t.placed, Placement{number, place})
+	taken := t.findGang(group)
+	for _, one := range taken {
+		t.placed = append(t.placed, Placement{number, one.place})
 	}
-	allowance.spend(group.Need.Times(float64(len(places))))
+	allowance.spend(group.Need.Times(float64(len(taken))))
 }
 
 // findGang takes the room of a whole gang, or none.
-func (t *turn) findGang(group *Group) []int {
+func (t *turn) findGang(group *Group) []*candidate {
 	if !t.hasSlots(group, "") {
 		return nil
 	}
 	if group.SameRack {
 		for _, rack := range t.racksByFree() {
-			if places := t.fillGang(group, rack); places != nil {
-				return places
+			if taken := t.fillGang(group, rack); taken != nil {
+				return taken
 			}
 		}
 	}
@@ -395,7 +417,12 @@
 	total := map[string]int64{}
 	for place := range t.executors {
 		if executor := &t.executors[place]; !executor.IsClosed && executor.Rack != "" {
-			total[executor.Rack] += t.free[place].CPU
+			total[executor.Rack] += executor.Free.CPU
+		}
+	}
+	for _, one := range t.candidates {
+		if executor := &t.executors[one.place]; executor.Rack != "" {
+			total[executor.Rack] += one.free.CPU - executor.Free.CPU
 		}
 	}
 	racks := slices.Collect(maps.Keys(total))
@@ -405,32 +432,32 @@
 	return racks
 }
 
-func (t *turn) fillGang(group *Group, rack string) []int {
+func (t *turn) fillGang(group *Group, rack string) []*candidate {
 	if !t.hasSlots(group, rack) {
 		return nil
 	}
 	held := heldBy(group)
-	var places []int
+	var taken []*candidate
 	for range group.Count {
 		best := t.choose(group, held, rack)
-		if best < 0 {
-			for _, place := range places {
-				t.free[place] = t.free[place].Plus(group.Need)
+		if best == nil {
+			for _, one := range taken {
+				one.free = one.free.Plus(group.Need)
 			}
 			return nil
 		}
 		t.take(group, held, best)
-		places = append(places, best)
+		taken = append(taken, best)
 	}
-	return places
+	return taken
 }
 
 // hasSlots tells whether a gang could fit if size were all that counts.
 func (t *turn) hasSlots(group *Group, rack string) bool {
 	count := int64(0)
-	for _, place := range t.candidates {
-		if rack == "" || t.executors[place].Rack == rack {
-			count += t.free[place].slots(group.Need, int64(group.Count))
+	for _, one := range t.candidates {
+		if rack == "" || t.executors[one.place].Rack == rack {
+			count += one.free.slots(group.Need, int64(group.Count))
 		}
 		if count >= int64(group.Count) {
 			return true
--- a/internal/poolowner/headroom.go
+++ b/internal/poolowner/headroom.go
@@ -34,13 +34,7 @@
 type demand struct{ asked, used placetasks.Room }
 
 // headroom gives each priority what it may still take, so that urgent jobs find room when they come.
-func (p *Pool) headroom(executors []placetasks.Executor, now time.Duration) map[int]placetasks.Room {
-	var total placetasks.Room
-	for _, executor := range executors {
-		if !executor.IsClosed {
-			total = total.Plus(executor.Total)
-		}
-	}
+func (p *Pool) headroom(total placetasks.Room, now time.Duration) map[int]placetasks.Room {
 	demands := p.demands()
 	left := map[int]placetasks.Room{}
 	priorities := slices.Sorted(maps.Keys(demands))
--- a/internal/poolowner/roster.go
+++ b/internal/poolowner/roster.go
@@ -15,6 +15,7 @@
 type roster struct {
 	lives     []*life
 	executors []placetasks.Executor
+	open      placetasks.Room
 	version   uint64
 	isStale   bool
 	until     time.Duration
@@ -58,8 +59,9 @@
 func (p *Pool) executors(now time.Duration) []placetasks.Executor {
 	r := &p.roster
 	if r.isStale || now >= r.until {
-		r.until, r.isStale = never, false
+		r.until, r.isStale, r.open = never, false, placetasks.Room{}
 		r.executors = slices.Grow(r.executors[:0], len(r.lives))[:len(r.lives)]
+		clear(r.executors)
 		for _, home := range r.lives {
 			p.show(home, now)
 		}
@@ -76,13 +78,23 @@
 }
 
 func (p *Pool) show(home *life, now time.Duration) {
-	p.roster.executors[home.place] = p.executor(home, now)
+	r := &p.roster
+	old, fresh := &r.executors[home.place], p.executor(home, now)
+	r.open = r.open.Minus(openRoom(old)).Plus(openRoom(&fresh))
+	*old = fresh
 	if now < home.sickUntil {
-		p.roster.until = min(p.roster.until, home.sickUntil)
+		r.until = min(r.until, home.sickUntil)
 	}
 	if silentAt := home.contactAt + p.timing.SilentAfter + 1; now < silentAt {
-		p.roster.until = min(p.roster.until, silentAt)
+		r.until = min(r.until, silentAt)
+	}
+}
+
+func openRoom(executor *placetasks.Executor) placetasks.Room {
+	if executor.IsClosed {
+		return placetasks.Room{}
 	}
+	return executor.Total
 }
 
 func (p *Pool) executor(home *life, now time.Duration) placetasks.Executor {
--- a/internal/poolowner/scratch_test.go
+++ b/internal/poolowner/scratch_test.go
@@ -23,10 +23,15 @@
 	lives := slices.SortedFunc(maps.Values(p.lives), func(one, two *life) int { return cmp.Compare(one.id, two.id) })
 	compare("lives", plain(p.roster.lives), plain(lives))
 	executors := slices.Clone(p.executors(now))
+	var open placetasks.Room
 	for place, home := range lives {
+		if executor := p.executor(home, now); !executor.IsClosed {
+			open = open.Plus(executor.Total)
+		}
 		compare("place", home.place, place)
 		compare("executor "+home.id, executors[place], p.executor(home, now))
 	}
+	compare("open room", p.roster.open, open)
 	p.compareRuns(compare, lives)
 	compare("ended", plain(p.ended), p.endedFromNothing())
 	compare("broken", p.brokenAndOpen(), p.brokenFromNothing())
--- a/internal/poolowner/tick.go
+++ b/internal/poolowner/tick.go
@@ -160,7 +160,7 @@
 	now := p.clock.Steady()
 	p.refreshAll(now)
 	executors := p.executors(now)
-	placed := placetasks.PlaceLine(executors, p.open.line(), p.headroom(executors, now))
+	placed := placetasks.PlaceLine(executors, p.open.line(), p.headroom(p.roster.open, now))
 	for _, start := range p.starts(placed) {
 		p.launch(start.task, start.home, start.number)
 	}
