--- a/internal/placetasks/place.go
+++ b/internal/placetasks/place.go
@@ -29,6 +29,10 @@
 	return Room{max(r.CPU, other.CPU), max(r.Memory, other.Memory), max(r.GPU, other.GPU)}
 }
 
+func (r Room) AtMost(other Room) Room {
+	return Room{min(r.CPU, other.CPU), min(r.Memory, other.Memory), min(r.GPU, other.GPU)}
+}
+
 type Executor struct {
 	Free     Room
 	Total    Room
@@ -60,32 +64,60 @@
 
 type Placement struct{ Group, Executor int }
 
+// Line is groups in the order in which they are placed, the spares after them, and a room that none needs less than.
+// Spares are numbered on from the groups.
+type Line struct {
+	Groups []*Group
+	Spares []*Group
+	Least  Room
+}
+
 // Place gives the starts that fit, in the order of priority, then of the aim. Left is what long work of a
 // priority may still take of all room together; a priority without an entry may take all there is.
 func Place(executors []Executor, groups []*Group, left map[int]Room) []Placement {
-	turn := newTurn(executors)
-	for _, number := range inOrder(groups) {
-		group := groups[number]
-		allowance := allowanceOf(left, group)
-		if group.IsGang {
-			turn.placeGang(group, number, allowance)
-			continue
+	order := make([]int, len(groups))
+	for place := range order {
+		order[place] = place
+	}
+	slices.SortStableFunc(order, func(one, two int) int { return CompareGroups(groups[one], groups[two]) })
+	var line Line
+	for place, number := range order {
+		line.Groups = append(line.Groups, groups[number])
+		if place == 0 {
+			line.Least = groups[number].Need
 		}
-		turn.placeSingles(group, number, allowance)
+		line.Least = line.Least.AtMost(groups[number].Need)
 	}
-	return turn.placed
+	placed := PlaceLine(executors, line, left)
+	for place := range placed {
+		placed[place].Group = order[placed[place].Group]
+	}
+	return placed
 }
 
-func inOrder(groups []*Group) []int {
-	order := make([]int, len(groups))
-	for place := range order {
-		order[place] = place
+// PlaceLine is Place for groups that are in order already.
+func PlaceLine(executors []Executor, line Line, left map[int]Room) []Placement {
+	if len(line.Groups)+len(line.Spares) == 0 {
+		return nil
 	}
-	compare := func(one, two int) int { return CompareGroups(groups[one], groups[two]) }
-	if !slices.IsSortedFunc(order, compare) {
-		slices.SortStableFunc(order, compare)
+	turn := newTurn(executors, line.Least)
+	turn.placeAll(line.Groups, 0, left)
+	turn.placeAll(line.Spares, len(line.Groups), left)
+	return turn.placed
+}
+
+func (t *turn) placeAll(groups []*Group, number int, left map[int]Room) {
+	for place, group := range groups {
+		if t.isOver {
+			return
+		}
+		allowance := allowanceOf(left, group)
+		if group.IsGang {
+			t.placeGang(group, number+place, allowance)
+			continue
+		}
+		t.placeSingles(group, number+place, allowance)
 	}
-	return order
 }
 
 // CompareGroups orders groups as they are placed: spares last, then by priority, then by what is due.
@@ -138,44 +170,58 @@
 	return 1
 }
 
-// turn is one placement under way. Room only shrinks while it lasts, so what found no room once finds none later.
-// Gangs may use reserved executors, others not.
+// turn is one placement under way. Room only shrinks while it lasts, so what found no room once finds none later,
+// and only executors with room for the least need of all can be chosen. Gangs may use reserved executors, others not.
 type turn struct {
-	executors []Executor
-	free      []Room
-	reserved  []bool
-	open      int
-	most      Room
-	isMostOld bool
-	failed    []Room
-	smallest  Room
-	placed    []Placement
-}
-
-func newTurn(executors []Executor) *turn {
-	t := &turn{executors: executors, free: make([]Room, len(executors)), reserved: make([]bool, len(executors))}
+	executors  []Executor
+	least      Room
+	candidates []candidate
+	reserved   []bool
+	open       int
+	most       Room
+	isMostOld  bool
+	isOver     bool
+	failed     []Room
+	smallest   Room
+	placed     []Placement
+}
+
+// candidate is an executor that had room when the turn began, and what it has now.
+type candidate struct {
+	place      int
+	free       Room
+	isReserved bool
+}
+
+func newTurn(executors []Executor, least Room) *turn {
+	t := &turn{executors: executors, least: least}
 	for place := range executors {
 		executor := &executors[place]
-		t.free[place] = executor.Free
 		if executor.IsClosed {
 			continue
 		}
 		if t.open == 0 {
 			t.smallest = executor.Total
 		}
-		t.smallest = Room{CPU: min(t.smallest.CPU, executor.Total.CPU), Memory: min(t.smallest.Memory, executor.Total.Memory)}
+		t.smallest = t.smallest.AtMost(executor.Total)
 		t.open++
+		if executor.Free.Fits(t.least) {
+			t.candidates = append(t.candidates, candidate{place: place, free: executor.Free})
+		}
 	}
 	t.measure()
 	return t
 }
 
 // measure works out the most room that any executor has for single tasks; it is too much once something was placed.
+// It also finds out when no executor, reserved or not, has room for anything.
 func (t *turn) measure() {
-	t.most, t.isMostOld = Room{CPU: -1, Memory: -1, GPU: -1}, false
-	for place := range t.executors {
-		if !t.executors[place].IsClosed && !t.reserved[place] {
-			t.most = t.most.AtLeast(t.free[place])
+	t.most, t.isMostOld, t.isOver = Room{CPU: -1, Memory: -1, GPU: -1}, false, true
+	for place := range t.candidates {
+		one := &t.candidates[place]
+		t.isOver = t.isOver && !one.free.Fits(t.least)
+		if !one.isReserved {
+			t.most = t.most.AtLeast(one.free)
 		}
 	}
 }
@@ -206,17 +252,17 @@
 		if !allowance.covers(group.Need) {
 			return
 		}
-		best := -1
+		var best *candidate
 		if !t.hasNoRoom(group.Need) {
 			best = t.choose(group, held, "")
 		}
-		if best < 0 {
+		if best == nil {
 			t.fail(group)
 			return
 		}
 		t.take(group, held, best)
 		allowance.spend(group.Need)
-		t.placed = append(t.placed, Placement{number, best})
+		t.placed = append(t.placed, Placement{number, best.place})
 	}
 }
 
@@ -224,7 +270,7 @@
 	if !t.hasNoRoom(group.Need) {
 		t.noteFailure(group)
 	}
-	if !group.IsSpare && t.open > 0 {
+	if !group.IsSpare && t.open > 0 && !t.isOver {
 		t.reserve(group)
 	}
 }
@@ -237,11 +283,11 @@
 	return held
 }
 
-func (t *turn) take(group *Group, held map[int]int, place int) {
-	t.free[place] = t.free[place].Minus(group.Need)
+func (t *turn) take(group *Group, held map[int]int, one *candidate) {
+	one.free = one.free.Minus(group.Need)
 	t.isMostOld = true
 	if group.Apart > 0 {
-		held[place]++
+		held[one.place]++
 	}
 }
 
@@ -260,21 +306,23 @@
 	return true
 }
 
-// choose gives the best executor for one task, on one rack if that is named, or -1.
-func (t *turn) choose(group *Group, held map[int]int, rack string) int {
-	best, bestScore := -1, 0.0
-	for place := range t.executors {
-		executor := &t.executors[place]
-		if executor.IsClosed || t.reserved[place] && !group.IsGang || !t.free[place].Fits(group.Need) || rack != "" && executor.Rack != rack ||
-			!t.allows(group, held, place) {
+// choose gives the best executor for one task, on one rack if that is named, or nil.
+func (t *turn) choose(group *Group, held map[int]int, rack string) *candidate {
+	var best *candidate
+	bestScore := 0.0
+	for number := range t.candidates {
+		one := &t.candidates[number]
+		executor := &t.executors[one.place]
+		if one.isReserved && !group.IsGang || !one.free.Fits(group.Need) || rack != "" && executor.Rack != rack ||
+			!t.allows(group, held, one.place) {
 			continue
 		}
-		score := rate(executor, t.free[place], group)
-		if slices.Contains(group.Avoid, place) {
+		score := rate(executor, one.free, group)
+		if slices.Contains(group.Avoid, one.place) {
 			score += 20
 		}
-		if best < 0 || score < bestScore {
-			best, bestScore = place, score
+		if best == nil || score < bestScore {
+			best, bestScore = one, score
 		}
 	}
 	return best
@@ -305,21 +353,36 @@
 	if 3*group.Need.CPU <= t.smallest.CPU && 3*group.Need.Memory <= t.smallest.Memory {
 		return
 	}
-	best := -1
+	best, bestFree, next := -1, int64(0), 0
 	for place := range t.executors {
-		executor := &t.executors[place]
+		executor, free := &t.executors[place], t.executors[place].Free.CPU
+		if next < len(t.candidates) && t.candidates[next].place == place {
+			free = t.candidates[next].free.CPU
+			next++
+		}
 		isLarge := 3*group.Need.CPU > executor.Total.CPU || 3*group.Need.Memory > executor.Total.Memory
-		if t.reserved[place] || executor.IsClosed || !isLarge || !executor.Total.Fits(group.Need) {
+		if t.reserved != nil && t.reserved[place] || executor.IsClosed || !isLarge || !executor.Total.Fits(group.Need) {
 			continue
 		}
-		if best < 0 || t.free[place].CPU > t.free[best].CPU {
-			best = place
+		if best < 0 || free > bestFree {
+			best, bestFree = place, free
 		}
 	}
 	if best >= 0 {
-		t.reserved[best] = true
-		t.open--
-		t.isMostOld = true
+		t.setReserved(best)
+	}
+}
+
+func (t *turn) setReserved(place int) {
+	if t.reserved == nil {
+		t.reserved = make([]bool, len(t.executors))
+	}
+	t.reserved[place] = true
+	t.open--
+	t.isMostOld = true
+	number, isCandidate := slices.BinarySearchFunc(t.candidates, place, func(one candidate, place int) int { return cmp.Compare(one.place, place) })
+	if isCandidate {
+		t.candidates[number].isReserved = true
 	}
 }
 
@@ -328,22 +391,22 @@
 	if !allowance.covers(whole) {
 		return
 	}
-	places := t.findGang(group)
-	for _, place := range places {
-		t.placed = append(t.placed, Placement{number, place})
+	taken := t.findGang(group)
+	for _, one := range taken {
+		t.placed = append(t.placed, Placement{number, one.place})
 	}
-	allowance.spend(group.Need.Times(float64(len(places))))
+	allowance.spend(group.Need.Times(float64(len(taken))))
 }
 
 // findGang takes the room of a whole gang, or none.
-func (t *turn) findGang(group *Group) []int {
+func (t *turn) findGang(group *Group) []*candidate {
 	if !t.hasSlots(group, "") {
 		return nil
 	}
 	if group.SameRack {
 		for _, rack := range t.racksByFree() {
-			if places := t.fillGang(group, rack); places != nil {
-				return places
+			if taken := t.fillGang(group, rack); taken != nil {
+				return taken
 			}
 		}
 	}
@@ -354,7 +417,12 @@
 	total := map[string]int64{}
 	for place := range t.executors {
 		if executor := &t.executors[place]; !executor.IsClosed && executor.Rack != "" {
-			total[executor.Rack] += t.free[place].CPU
+			total[executor.Rack] += executor.Free.CPU
+		}
+	}
+	for _, one := range t.candidates {
+		if executor := &t.executors[one.place]; executor.Rack != "" {
+			total[executor.Rack] += one.free.CPU - executor.Free.CPU
 		}
 	}
 	racks := slices.Collect(maps.Keys(total))
@@ -364,32 +432,32 @@
 	return racks
 }
 
-func (t *turn) fillGang(group *Group, rack string) []int {
+func (t *turn) fillGang(group *Group, rack string) []*candidate {
 	if !t.hasSlots(group, rack) {
 		return nil
 	}
 	held := heldBy(group)
-	var places []int
+	var taken []*candidate
 	for range group.Count {
 		best := t.choose(group, held, rack)
-		if best < 0 {
-			for _, place := range places {
-				t.free[place] = t.free[place].Plus(group.Need)
+		if best == nil {
+			for _, one := range taken {
+				one.free = one.free.Plus(group.Need)
 			}
 			return nil
 		}
 		t.take(group, held, best)
-		places = append(places, best)
+		taken = append(taken, best)
 	}
-	return places
+	return taken
 }
 
 // hasSlots tells whether a gang could fit if size were all that counts.
 func (t *turn) hasSlots(group *Group, rack string) bool {
 	count := int64(0)
-	for place := range t.executors {
-		if executor := &t.executors[place]; !executor.IsClosed && (rack == "" || executor.Rack == rack) {
-			count += t.free[place].slots(group.Need, int64(group.Count))
+	for _, one := range t.candidates {
+		if rack == "" || t.executors[one.place].Rack == rack {
+			count += one.free.slots(group.Need, int64(group.Count))
 		}
 		if count >= int64(group.Count) {
 			return true
--- a/internal/poolowner/cost_test.go
+++ b/internal/poolowner/cost_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"runtime"
 	"strconv"
+	"syscall"
 	"testing"
 	"time"
 
@@ -127,14 +129,25 @@
 	c.pool.Settle()
 }
 
+// processorTime is what this process has used, also for collecting garbage; it says more than the clock on a busy machine.
+func processorTime() int64 {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		panic(err)
+	}
+	return usage.Utime.Nano() + usage.Stime.Nano()
+}
+
 func eachSize(b *testing.B, run func(b *testing.B, c *crowd)) {
 	for _, executors := range []int{62, 250, 1000} {
 		for _, backlog := range []int{0, 300, 1000} {
 			b.Run(fmt.Sprintf("executors=%d/backlog=%d", executors, backlog), func(b *testing.B) {
 				c := newCrowd(executors, backlog)
 				b.ReportAllocs()
+				began := processorTime()
 				b.ResetTimer()
 				run(b, c)
+				b.ReportMetric(float64(processorTime()-began)/float64(b.N), "cpu-ns/op")
 			})
 		}
 	}
@@ -157,10 +170,15 @@
 }
 
 // BenchmarkTick is one tick and the placement that follows it.
-func BenchmarkTick(b *testing.B) {
+func BenchmarkTick(b *testing.B) { benchmarkTick(b, time.Microsecond) }
+
+// BenchmarkTickOverdue is the same while nearly all runs of redundant steps take too long, so that spares are wanted.
+func BenchmarkTickOverdue(b *testing.B) { benchmarkTick(b, 50*time.Millisecond) }
+
+func benchmarkTick(b *testing.B, between time.Duration) {
 	eachSize(b, func(b *testing.B, c *crowd) {
 		for turn := range b.N {
-			c.clock.Advance(50 * time.Millisecond)
+			c.clock.Advance(between)
 			if turn%10 == 9 {
 				b.StopTimer()
 				c.beatAll()
@@ -192,3 +210,26 @@
 		}
 	})
 }
+
+// BenchmarkMemory is what a pool with full executors keeps, by task that runs, with descriptors of 200 bytes a job.
+func BenchmarkMemory(b *testing.B) {
+	for _, executors := range []int{62, 1000} {
+		b.Run(fmt.Sprintf("executors=%d", executors), func(b *testing.B) {
+			before := heapInUse()
+			c := newCrowd(executors, 0)
+			c.hands, c.tenure = nil, nil
+			kept := heapInUse() - before
+			b.ReportMetric(float64(kept)/1e6, "MB")
+			b.ReportMetric(float64(kept)/float64(executors*slotsEach), "B/run")
+			runtime.KeepAlive(c)
+		})
+	}
+}
+
+func heapInUse() int64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
--- a/internal/poolowner/pool.go
+++ b/internal/poolowner/pool.go
@@ -3,7 +3,6 @@
 package poolowner
 
 import (
-	"bytes"
 	"cmp"
 	"maps"
 	"math"
@@ -124,7 +123,7 @@
 
 func (p *Pool) Open(tenure Tenure, pairs []siblingwire.Op) error {
 	p.jobs, p.lives, p.queued = map[string]*job{}, map[string]*life{}, map[string]int{}
-	p.roster, p.open, p.usage = roster{}, openSteps{}, map[int]usage{}
+	p.roster, p.open, p.usage = roster{}, newOpenSteps(), map[int]usage{}
 	p.pending, p.broken, p.ended, p.timesAtMs = map[*run]bool{}, map[*stepState]bool{}, nil, 0
 	p.ops, p.opTasks, p.effects, p.flights, p.opPlaces, p.toRelease = nil, nil, nil, nil, map[string]int{}, map[*life]bool{}
 	p.untimed, p.peaks, p.newest = map[string]*job{}, map[int]*peak{}, map[string]*life{}
@@ -280,14 +279,14 @@
 
 func (p *Pool) loadJob(id string, value []byte) error {
 	one := &job{id: id, state: stateQueued, times: map[int]*jobTime{}, doneTimes: map[int]bool{}}
-	if err := easyjson.Unmarshal(bytes.Clone(value), &one.record); err != nil {
+	if err := easyjson.Unmarshal(value, &one.record); err != nil {
 		return err
 	}
 	spec, err := jobtable.Read(one.record.Spec)
 	if err != nil {
 		return err
 	}
-	one.spec = spec
+	one.spec, one.record.Spec = spec, nil
 	p.jobs[id], p.untimed[id] = one, one
 	p.queued[one.record.Entry]++
 	return nil
@@ -459,7 +458,6 @@
 		}
 		if isReady {
 			step.isOpen, step.openedAt = true, p.clock.Steady()
-			step.waits.isStale, step.waits.due = true, p.due(step, step.left)
 			p.open.add(step)
 			p.needsPlacing = true
 		}
--- a/internal/poolowner/scratch_test.go
+++ b/internal/poolowner/scratch_test.go
@@ -23,26 +23,44 @@
 	lives := slices.SortedFunc(maps.Values(p.lives), func(one, two *life) int { return cmp.Compare(one.id, two.id) })
 	compare("lives", plain(p.roster.lives), plain(lives))
 	executors := slices.Clone(p.executors(now))
+	var open placetasks.Room
 	for place, home := range lives {
+		if executor := p.executor(home, now); !executor.IsClosed {
+			open = open.Plus(executor.Total)
+		}
 		compare("place", home.place, place)
 		compare("executor "+home.id, executors[place], p.executor(home, now))
 	}
+	compare("open room", p.roster.open, open)
 	p.compareRuns(compare, lives)
 	compare("ended", plain(p.ended), p.endedFromNothing())
 	compare("broken", p.brokenAndOpen(), p.brokenFromNothing())
+	for _, step := range p.open.times.steps {
+		compare("open while its time is kept", p.open.steps[step], true)
+	}
 	steps := p.openFromNothing()
 	for _, step := range steps {
 		name := step.tasks[0].name
 		compare("idle of "+name, plain(step.idle), where(step, func(which *task) bool { return !which.isDone && len(which.runs) == 0 }))
 		compare("busy of "+name, plain(step.busy), where(step, func(which *task) bool { return len(which.runs) > 0 }))
 	}
-	kept, fresh := p.requests(now), p.requestsFromNothing(steps, now)
+	p.refreshAll(now)
+	kept, fresh := append(slices.Clone(p.open.firsts.requests), p.open.spares.requests...), p.requestsFromNothing(steps, now)
 	compare("requests", len(kept), len(fresh))
 	for place := range min(len(kept), len(fresh)) {
 		compare("step", kept[place].step.tasks[0].name, fresh[place].step.tasks[0].name)
 		compare("tasks", plain(kept[place].tasks), fresh[place].tasks)
 		compare("group", *kept[place].group, *fresh[place].group)
 	}
+	for _, list := range []*requests{&p.open.firsts, &p.open.spares} {
+		asked := map[int]usage{}
+		for place, one := range list.requests {
+			compare("group in its place", list.groups[place] == one.group, true)
+			compare("least need", one.group.Need.Fits(list.least), true)
+			asked[one.group.Priority] = asked[one.group.Priority].with(asks(one.group), 1)
+		}
+		compare("asked", list.asked, asked)
+	}
 	return found
 }
 
@@ -66,7 +84,7 @@
 		for _, one := range home.runs {
 			need, priority := one.task.step.need(), one.task.step.priority()
 			used = used.Plus(need)
-			taken[priority] = usage{taken[priority].room.Plus(need), taken[priority].runs + 1}
+			taken[priority] = taken[priority].with(need, 1)
 			if one.state != runRunning {
 				pending[one] = true
 			}
@@ -138,7 +156,8 @@
 		for _, which := range where(step, func(which *task) bool {
 			return step.step.Redundant && !step.step.Gang && !which.isDone && len(which.runs) == 1 && p.isDoubtful(which.runs[0], now)
 		}) {
-			found = append(found, &request{step, []*task{which}, p.spare(which)})
+			group := p.spare(which)
+			found = append(found, &request{step, []*task{which}, &group})
 		}
 	}
 	slices.SortStableFunc(found, func(one, two *request) int { return placetasks.CompareGroups(one.group, two.group) })
--- a/internal/poolowner/spares.go
+++ b/internal/poolowner/spares.go
@@ -94,22 +94,22 @@
 	return max(2*leastOverdue, 4*pulse.Ms(s.step.EstimatedMs))
 }
 
-// doubtful gives the tasks of a redundant step whose only run may not come back in time.
-func (p *Pool) doubtful(step *stepState, now time.Duration) []*task {
+// doubtful gives the tasks of a redundant step whose only run may not come back in time, and when others may join them.
+func (p *Pool) doubtful(step *stepState, now time.Duration) (found []*task, again time.Duration) {
+	again = never
 	if !step.step.Redundant || step.step.Gang {
-		return nil
+		return nil, again
 	}
-	var found []*task
 	for _, which := range step.busy {
 		switch {
 		case which.isDone || len(which.runs) != 1:
 		case p.isDoubtful(which.runs[0], now):
 			found = append(found, which)
 		default:
-			step.waits.lookAgain = min(step.waits.lookAgain, doubtfulFrom(which.runs[0]))
+			again = min(again, doubtfulFrom(which.runs[0]))
 		}
 	}
-	return found
+	return found, again
 }
 
 // doubtfulFrom is when a run becomes doubtful if nothing is heard until then.
@@ -126,10 +126,10 @@
 	return min(silent, one.startedAt+one.task.step.overdue()+1)
 }
 
-// doubtRuns has the spares of all that an executor runs worked out anew.
+// doubtRuns has the spares of all that an executor runs worked out anew, as it is trusted more or less than before.
 func (p *Pool) doubtRuns(home *life) {
 	for _, one := range home.runs {
-		one.task.touch()
+		p.touch(one.task)
 	}
 }
 
@@ -146,8 +146,8 @@
 }
 
 // spare asks for a second run of a task, anywhere but where the first one is.
-func (p *Pool) spare(which *task) *placetasks.Group {
+func (p *Pool) spare(which *task) placetasks.Group {
 	group := p.group(which.step, []*task{which})
 	group.IsSpare, group.Except = true, []int{which.runs[0].life.place}
-	return &group
+	return group
 }
--- a/internal/poolowner/tick.go
+++ b/internal/poolowner/tick.go
@@ -28,6 +28,8 @@
 	p.tickPending(now)
 	p.tickAllBroken(now)
 	p.forgetEnded()
+	p.open.firsts.findLeast()
+	p.open.spares.findLeast()
 	if len(p.open.steps) > 0 {
 		p.needsPlacing = true
 	}
@@ -162,13 +164,10 @@
 		return
 	}
 	now := p.clock.Steady()
-	executors, requests := p.executors(now), p.requests(now)
-	groups := make([]*placetasks.Group, len(requests))
-	for number, one := range requests {
-		groups[number] = one.group
-	}
-	placed := placetasks.Place(executors, groups, p.headroom(executors, groups, now))
-	for _, start := range p.starts(requests, placed) {
+	p.refreshAll(now)
+	executors := p.executors(now)
+	placed := placetasks.PlaceLine(executors, p.open.line(), p.headroom(p.roster.open, now))
+	for _, start := range p.starts(placed) {
 		p.launch(start.task, start.home, start.number)
 	}
 }
@@ -180,11 +179,12 @@
 }
 
 // starts gives each placement its task and the number of its run; all of a gang have one number.
-func (p *Pool) starts(requests []*request, placed []placetasks.Placement) []start {
+func (p *Pool) starts(placed []placetasks.Placement) []start {
 	starts := make([]start, len(placed))
 	next, gangRun := map[int]int{}, map[int]int64{}
 	for place, one := range placed {
-		step, which := requests[one.Group].step, requests[one.Group].tasks[next[one.Group]]
+		request := p.open.request(one.Group)
+		step, which := request.step, request.tasks[next[one.Group]]
 		next[one.Group]++
 		number := which.lastRun + 1
 		if step.step.Gang {
