Metrics of every process: counted always, shown at /metrics and by gannetline metrics

Cause: what grows faster than the traffic could only be guessed at, as no process counted its messages, bytes, commits or wake-ups.

Change: a package metrics wraps VictoriaMetrics/metrics (counters, gauges, histograms with le buckets, a bound of 256 series a name). Hooks count sibling calls by procedure and side with bytes and errors, datagrams by kind, executor calls by path and result, client calls by verb and status with durations, the pool owner's work, the key store's transactions, and plans taken. Each process serves /metrics at its internal address; gannetline metrics shows several processes, or all members by role, side by side. metrics-log-s (off by default) logs them, for places where nobody can call in. gatecalls.Gate now takes the clock, and gives one answer it then counts and writes; the executor states of a comparison have names.

--- a/cmd/gannetline/main.go
+++ b/cmd/gannetline/main.go
@@ -32,6 +32,7 @@
 			compareCommand(),
 			checkCommand(),
 			rehearseCommand(),
+			metricsCommand(),
 		},
 		Action: func(_ span.Span, command *cli.Command) error {
 			if command.Args().Len() > 0 {
--- a/internal/bootsettings/bootsettings.go
+++ b/internal/bootsettings/bootsettings.go
@@ -16,6 +16,11 @@
 
 const PathVariable = "GANNETLINE_BOOT"
 
+const (
+	leastMetricsLogS = 1
+	mostMetricsLogS  = 86400
+)
+
 type Limits struct {
 	CPUFraction     float64 `yaml:"cpu-fraction"`
 	CoreCount       int     `yaml:"core-count"`
@@ -76,6 +81,7 @@
 	LogLevel       int               `yaml:"log-level"`
 	RecordDay      bool              `yaml:"record-day"`
 	RecordWords    bool              `yaml:"record-descriptors"`
+	MetricsLogS    float64           `yaml:"metrics-log-s"`
 
 	QueueRules map[string]queuerules.Text `yaml:"queue-rules"`
 }
@@ -173,6 +179,9 @@
 			complain(field, "is negative")
 		}
 	}
+	if !(s.MetricsLogS == 0 || s.MetricsLogS >= leastMetricsLogS && s.MetricsLogS <= mostMetricsLogS) {
+		complain("metrics-log-s", "is neither 0 nor from 1 to 86400 seconds")
+	}
 	if s.Bounds.RemoteFactor < 1 {
 		complain("remote-factor", "is below 1")
 	}
@@ -209,4 +218,9 @@
 	return time.Duration(s.Bounds.GracePeriodS * float64(time.Second))
 }
 
+// MetricsLog is how often a process logs its metrics; 0 is never.
+func (s *Settings) MetricsLog() time.Duration {
+	return time.Duration(s.MetricsLogS * float64(time.Second))
+}
+
 func (s *Settings) MaxHold() time.Duration { return pulse.Ms(s.Bounds.MaxHoldMs) }
--- a/internal/bootsettings/bootsettings_test.go
+++ b/internal/bootsettings/bootsettings_test.go
@@ -41,6 +41,9 @@
 		Entry("no seeds", `["10.1.0.10:8166"]`, `[]`, "seed-nodes"),
 		Entry("a negative bound", `6000`, `-1`, "max-hold-ms"),
 		Entry("a rule that can't be read", `something-new: {a: 1}`, `queue-rules: {q: {use: "speed > 3"}}`, "queue-rules"),
+		Entry("metrics logged at a negative pace", `something-new: {a: 1}`, `metrics-log-s: -1`, "metrics-log-s"),
+		Entry("metrics logged without a pause", `something-new: {a: 1}`, `metrics-log-s: 0.001`, "metrics-log-s"),
+		Entry("metrics logged at no pace", `something-new: {a: 1}`, `metrics-log-s: .nan`, "metrics-log-s"),
 		Entry("no YAML", `zone: "hall"`, `zone: [`, "settings"),
 	)
 
--- a/internal/executorcalls/client.go
+++ b/internal/executorcalls/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/dghubble/sling"
@@ -27,6 +28,16 @@
 
 // Call gives the status and what the executor says; an error means that nobody knows what was done.
 func (c *Client) Call(life span.Span, path, executor string, limit time.Duration, message easyjson.Marshaler) (int, Answer, error) {
+	status, answer, err := c.call(life, path, executor, limit, message)
+	result := "error"
+	if err == nil {
+		result = strconv.Itoa(status)
+	}
+	calls.With(path, result).Inc()
+	return status, answer, err
+}
+
+func (c *Client) call(life span.Span, path, executor string, limit time.Duration, message easyjson.Marshaler) (int, Answer, error) {
 	var answer Answer
 	body, err := easyjson.Marshal(message)
 	if err != nil {
@@ -37,6 +48,7 @@
 	if err != nil {
 		return 0, answer, errors.Annotate(err, "making a call")
 	}
+	sentBytes.With(path).Add(len(body))
 	life, release := span.Within(life, limit)
 	defer release()
 	response, err := c.http.Do(request.WithContext(life))
@@ -48,6 +60,7 @@
 	if err != nil {
 		return 0, answer, errors.Annotatef(err, "%s at executor %s", path, executor)
 	}
+	receivedBytes.With(path).Add(len(text))
 	if len(text) > 0 {
 		if err := easyjson.Unmarshal(text, &answer); err != nil && response.StatusCode == http.StatusOK {
 			return 0, answer, errors.Annotatef(err, "%s at executor %s", path, executor)
--- a/internal/executorcalls/executorcalls_test.go
+++ b/internal/executorcalls/executorcalls_test.go
@@ -1,14 +1,19 @@
 package executorcalls_test
 
 import (
+	"io"
+	"net/http"
 	"net/http/httptest"
 	"strings"
+	"time"
 
 	"github.com/mailru/easyjson"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"gannetline/internal/executorcalls"
+	"gannetline/internal/metrics"
+	"gannetline/internal/span"
 )
 
 var _ = Describe("what executors say", func() {
@@ -32,6 +37,25 @@
 		Expect(leave.IsLeave).To(BeTrue())
 	})
 
+	It("counts calls by path and result, with their bytes", func() {
+		server := httptest.NewServer(http.HandlerFunc(func(to http.ResponseWriter, _ *http.Request) {
+			to.WriteHeader(http.StatusConflict)
+			io.WriteString(to, "{}")
+		}))
+		client := executorcalls.NewClient(http.DefaultClient, server.Listener.Addr().String())
+		status, _, err := client.Call(span.Root(), "/v1/counted", "i-1", time.Minute, executorcalls.Answer{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(status).To(Equal(http.StatusConflict))
+		server.Close()
+		_, _, err = client.Call(span.Root(), "/v1/counted", "i-1", time.Minute, executorcalls.Answer{})
+		Expect(err).To(HaveOccurred())
+		own := metrics.Own()
+		Expect(own).To(HaveKeyWithValue(`gannetline_executor_calls_total{path="/v1/counted",result="409"}`, 1.0))
+		Expect(own).To(HaveKeyWithValue(`gannetline_executor_calls_total{path="/v1/counted",result="error"}`, 1.0))
+		Expect(own).To(HaveKeyWithValue(`gannetline_executor_received_bytes_total{path="/v1/counted"}`, 2.0))
+		Expect(own[`gannetline_executor_sent_bytes_total{path="/v1/counted"}`]).To(BeNumerically(">", 2))
+	})
+
 	DescribeTable("refuses", func(method, path, body string, status int) {
 		_, refusal := executorcalls.Decode(httptest.NewRequest(method, path, strings.NewReader(body)))
 		Expect(refusal.Status).To(Equal(status))
--- /dev/null
+++ b/internal/executorcalls/metrics.go
@@ -0,0 +1,9 @@
+package executorcalls
+
+import "gannetline/internal/metrics"
+
+var (
+	calls         = metrics.NewCounters("gannetline_executor_calls_total", "path", "result")
+	sentBytes     = metrics.NewCounters("gannetline_executor_sent_bytes_total", "path")
+	receivedBytes = metrics.NewCounters("gannetline_executor_received_bytes_total", "path")
+)
--- a/internal/gatecalls/gatecalls.go
+++ b/internal/gatecalls/gatecalls.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -13,6 +14,7 @@
 	"gannetline/internal/ownercalls"
 	"gannetline/internal/planbook"
 	"gannetline/internal/plancheck"
+	"gannetline/internal/pulse"
 	"gannetline/internal/reply"
 	"gannetline/internal/siblingwire"
 	"gannetline/internal/span"
@@ -87,13 +89,24 @@
 type Gate struct {
 	page  func() *planbook.Page
 	asker *ownercalls.Asker
+	clock pulse.Pulse
 }
 
-func New(page func() *planbook.Page, asker *ownercalls.Asker) *Gate {
-	return &Gate{page: page, asker: asker}
+func New(page func() *planbook.Page, asker *ownercalls.Asker, clock pulse.Pulse) *Gate {
+	return &Gate{page: page, asker: asker, clock: clock}
 }
 
 func (g *Gate) ServeHTTP(to http.ResponseWriter, request *http.Request) {
+	began := g.clock.Steady()
+	verb, answer := g.answer(to, request)
+	answer.Write(to)
+	calls.With(verb, strconv.Itoa(answer.Status)).Inc()
+	callSeconds.With(verb).Observe(g.clock.Steady() - began)
+}
+
+const verbRefused = "refused"
+
+func (g *Gate) answer(to http.ResponseWriter, request *http.Request) (string, reply.Reply) {
 	page := g.page()
 	limit := int64(mostBody)
 	if page != nil && page.Matcher.Plan().Limits.BodyBytes > 0 {
@@ -103,18 +116,18 @@
 	headerrules.Echo(request.Header, to.Header())
 	switch {
 	case err != nil:
-		reply.Text(http.StatusBadRequest, "the body ended early").Write(to)
+		return verbRefused, reply.Text(http.StatusBadRequest, "the body ended early")
 	case int64(len(body)) > limit:
-		reply.Text(http.StatusRequestEntityTooLarge, "the body is too large").Write(to)
-	default:
-		g.obey(request.Context(), Decide(g.page(), request, body)).Write(to)
+		return verbRefused, reply.Text(http.StatusRequestEntityTooLarge, "the body is too large")
 	}
-}
-
-func (g *Gate) obey(life span.Span, decision Decision) reply.Reply {
+	decision := Decide(g.page(), request, body)
 	if decision.Call == nil {
-		return decision.Refusal
+		return verbRefused, decision.Refusal
 	}
+	return decision.Call.Verb, g.ask(request.Context(), decision)
+}
+
+func (g *Gate) ask(life span.Span, decision Decision) reply.Reply {
 	for _, service := range decision.Former {
 		if answer, isFound := g.askFormer(life, decision, service); isFound {
 			return answer
--- a/internal/gatecalls/gatecalls_test.go
+++ b/internal/gatecalls/gatecalls_test.go
@@ -9,9 +9,14 @@
 	. "github.com/onsi/gomega"
 
 	"gannetline/internal/gatecalls"
+	"gannetline/internal/metrics"
+	"gannetline/internal/ownercalls"
 	"gannetline/internal/planbook"
 	"gannetline/internal/plancheck"
+	"gannetline/internal/pulse"
+	"gannetline/internal/siblingprobe"
 	"gannetline/internal/siblingwire"
+	"gannetline/internal/span"
 )
 
 const body = `{"config-version":7,"route-list":[{"name":"a","host":"h.example","path-prefix":"/q/","timeout-ms":3000,"service":"s","priority":2,"max-attempts":4}],"service-list":[{"name":"s"}]}`
@@ -59,6 +64,25 @@
 		Entry("a wrong method on a queue", "POST", "/q/", "{}", 405),
 	)
 
+	It("counts calls by verb and status, and how long they took", func() {
+		clock := pulse.NewFake(0)
+		view := func() *siblingprobe.View { return &siblingprobe.View{} }
+		pages := func() *planbook.Page { return page() }
+		gate := gatecalls.New(pages, ownercalls.New(siblingwire.NewCaller(http.DefaultClient), clock, view), clock)
+		before := metrics.Own()
+		for _, path := range []string{"/other/", "/q/" + id} {
+			one := request("GET", path)
+			life, end := span.Cancellable(span.Root())
+			end()
+			gate.ServeHTTP(httptest.NewRecorder(), one.WithContext(life))
+		}
+		own := metrics.Own()
+		for _, name := range []string{`calls_total{verb="refused",status="404"}`, `calls_total{verb="state",status="503"}`,
+			`call_seconds_count{verb="refused"}`, `call_seconds_count{verb="state"}`} {
+			Expect(own["gannetline_client_"+name] - before["gannetline_client_"+name]).To(Equal(1.0))
+		}
+	})
+
 	It("refuses a strange count of time, and answers 503 while there is no plan", func() {
 		one := request("GET", "/q/"+id)
 		one.Header.Set("X-Time-Remaining", "soon")
--- /dev/null
+++ b/internal/gatecalls/metrics.go
@@ -0,0 +1,8 @@
+package gatecalls
+
+import "gannetline/internal/metrics"
+
+var (
+	calls       = metrics.NewCounters("gannetline_client_calls_total", "verb", "status")
+	callSeconds = metrics.NewHistograms("gannetline_client_call_seconds", "verb")
+)
--- a/internal/keystore/keystore.go
+++ b/internal/keystore/keystore.go
@@ -13,6 +13,7 @@
 	"github.com/mailru/easyjson"
 	bolt "go.etcd.io/bbolt"
 
+	"gannetline/internal/pulse"
 	"gannetline/internal/siblingwire"
 )
 
@@ -54,6 +55,8 @@
 	bare bool
 	jobs chan job
 	over chan struct{}
+
+	clock pulse.Pulse
 }
 
 // Open makes the folder's file if there is none, and names the disk at random then.
@@ -67,7 +70,7 @@
 		return nil, errors.Annotate(err, "opening keys.db")
 	}
 	db.MaxBatchDelay = 0
-	store := &Store{db: db, jobs: make(chan job, 4096), over: make(chan struct{})}
+	store := &Store{db: db, jobs: make(chan job, 4096), over: make(chan struct{}), clock: pulse.Real()}
 	if err := store.prepare(); err != nil {
 		return nil, errors.Annotate(err, "preparing keys.db")
 	}
@@ -137,16 +140,28 @@
 
 func (s *Store) commit(batch []job) {
 	outcomes := make([]Outcome, len(batch))
+	began := s.clock.Steady()
+	var recordBytes int
+	var pages bolt.TxStats
 	err := s.db.Update(func(tx *bolt.Tx) error {
+		tx.OnCommit(func() { pages = tx.Stats() })
 		for place, one := range batch {
 			outcome, err := apply(tx, one.write)
 			if err != nil {
 				return err
 			}
 			outcomes[place] = outcome
+			if outcome.Taken {
+				recordBytes += one.write.recordBytes()
+			}
 		}
 		return nil
 	})
+	commitSeconds.Observe(s.clock.Steady() - began)
+	transactions.Inc()
+	writes.Add(len(batch))
+	recordBytesTotal.Add(recordBytes)
+	pageBytesTotal.AddInt64(pages.GetPageAlloc())
 	for place, one := range batch {
 		if err != nil {
 			outcomes[place] = Outcome{Err: errors.Annotate(err, "syncing keys")}
--- a/internal/keystore/keystore_test.go
+++ b/internal/keystore/keystore_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"gannetline/internal/keystore"
+	"gannetline/internal/metrics"
 	"gannetline/internal/siblingwire"
 )
 
@@ -68,6 +69,21 @@
 		Expect(whole.Last).To(Equal(at(2, 10)))
 	})
 
+	It("counts its transactions, writes and bytes", func() {
+		before := metrics.Own()
+		write(store, keystore.Write{Key: "k", Epoch: 1, Changes: []siblingwire.Change{change(1, 1, "name", "value")}})
+		write(store, keystore.Write{Key: "k", Epoch: 0, Changes: []siblingwire.Change{change(0, 2, "old", "value")}})
+		snapshot := &siblingwire.Snapshot{Last: at(2, 9), Pairs: []siblingwire.Op{{Name: "a", Value: []byte("2")}}}
+		write(store, keystore.Write{Key: "k", Epoch: 2, Snapshot: snapshot})
+		own := metrics.Own()
+		since := func(name string) float64 { return own["gannetline_store_"+name] - before["gannetline_store_"+name] }
+		Expect(since("transactions_total")).To(Equal(3.0))
+		Expect(since("writes_total")).To(Equal(3.0))
+		Expect(since("commit_seconds_count")).To(Equal(3.0))
+		Expect(since("record_bytes_total")).To(Equal(float64(len("name" + "value" + "a" + "2"))))
+		Expect(since("page_bytes_total")).To(BeNumerically(">=", 3*4096))
+	})
+
 	It("says which folder it can't use", func() {
 		path := filepath.Join(folder, "file")
 		Expect(os.WriteFile(path, nil, 0o600)).To(Succeed())
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,125 @@
+// Package metrics counts what a process does, and shows it in the exposition format of Prometheus.
+package metrics
+
+import (
+	"io"
+	"maps"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	library "github.com/VictoriaMetrics/metrics"
+)
+
+const (
+	mostLabels = 2
+	mostSeries = 256
+	// Path is where a process shows its metrics, at its internal address.
+	Path = "/metrics"
+)
+
+var (
+	registry = library.NewSet()
+	bounds   = []float64{0.0001, 0.0003, 0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1, 3, 10}
+)
+
+func init() { library.ExposeMetadata(true) }
+
+type (
+	Counter = library.Counter
+	Gauge   = library.Gauge
+)
+
+// Histogram counts durations, in seconds, by size.
+type Histogram struct{ kept *library.PrometheusHistogram }
+
+func (h Histogram) Observe(length time.Duration) { h.kept.Update(length.Seconds()) }
+
+func NewCounter(name string) *Counter { return registry.NewCounter(name) }
+
+func NewGauge(name string) *Gauge { return registry.NewGauge(name, nil) }
+
+func NewHistogram(name string) Histogram {
+	return Histogram{registry.GetOrCreatePrometheusHistogramExt(name, bounds)}
+}
+
+type labelValues [mostLabels]string
+
+// Vector is the series of one name, told apart by the values of at most two labels.
+type Vector[T any] struct {
+	name   string
+	labels []string
+	create func(name string) T
+	held   atomic.Pointer[map[labelValues]T]
+}
+
+func newVector[T any](create func(string) T, name string, labels []string) *Vector[T] {
+	vector := &Vector[T]{name: name, labels: labels, create: create}
+	vector.held.Store(&map[labelValues]T{})
+	return vector
+}
+
+func NewCounters(name string, labels ...string) *Vector[*Counter] {
+	return newVector(registry.GetOrCreateCounter, name, labels)
+}
+
+func NewGauges(name string, labels ...string) *Vector[*Gauge] {
+	return newVector(func(name string) *Gauge { return registry.GetOrCreateGauge(name, nil) }, name, labels)
+}
+
+func NewHistograms(name string, labels ...string) *Vector[Histogram] {
+	return newVector(NewHistogram, name, labels)
+}
+
+// With gives the series of these values; past a bound of series, all further ones are counted together as "other".
+func (v *Vector[T]) With(values ...string) T {
+	var key labelValues
+	copy(key[:], values)
+	if one, isThere := (*v.held.Load())[key]; isThere {
+		return one
+	}
+	return v.add(key)
+}
+
+func (v *Vector[T]) add(key labelValues) T {
+	for {
+		held := v.held.Load()
+		if len(*held) >= mostSeries {
+			key = labelValues{"other", "other"}
+		}
+		if one, isThere := (*held)[key]; isThere {
+			return one
+		}
+		one := v.create(v.seriesName(key))
+		grown := maps.Clone(*held)
+		grown[key] = one
+		if v.held.CompareAndSwap(held, &grown) {
+			return one
+		}
+	}
+}
+
+func (v *Vector[T]) seriesName(key labelValues) string {
+	var pairs []string
+	for place, label := range v.labels {
+		pairs = append(pairs, label+`="`+strings.Map(plain, key[place])+`"`)
+	}
+	return v.name + "{" + strings.Join(pairs, ",") + "}"
+}
+
+func plain(sign rune) rune {
+	if sign < ' ' || sign > '~' || sign == '"' || sign == '\\' {
+		return '_'
+	}
+	return sign
+}
+
+func Write(to io.Writer) { registry.WritePrometheus(to) }
+
+func Handle(mux *http.ServeMux) {
+	mux.HandleFunc("GET "+Path, func(to http.ResponseWriter, _ *http.Request) {
+		to.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		Write(to)
+	})
+}
--- /dev/null
+++ b/internal/planbook/metrics.go
@@ -0,0 +1,9 @@
+package planbook
+
+import "gannetline/internal/metrics"
+
+var (
+	versionsTaken    = metrics.NewCounter("gannetline_plan_versions_total")
+	versionHeld      = metrics.NewGauge("gannetline_plan_version")
+	bodyBytesFetched = metrics.NewCounter("gannetline_plan_fetched_bytes_total")
+)
--- a/internal/planbook/planbook.go
+++ b/internal/planbook/planbook.go
@@ -68,6 +68,8 @@
 	}
 	page := &Page{Fact: fact, Matcher: plancheck.NewMatcher(plan)}
 	b.page.Store(page)
+	versionsTaken.Inc()
+	versionHeld.Set(float64(fact.Version))
 	b.log.Info("plan in force", "version", fact.Version, "routes", len(plan.Entries))
 	b.heed(page)
 }
@@ -101,6 +103,7 @@
 			return
 		}
 		if answer.Fact != nil {
+			bodyBytesFetched.Add(len(answer.Fact.Body))
 			b.hold(answer.Fact)
 		}
 	})
--- /dev/null
+++ b/internal/planbook/planbook_test.go
@@ -0,0 +1,51 @@
+package planbook_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gannetline/internal/logs"
+	"gannetline/internal/metrics"
+	"gannetline/internal/planbook"
+	"gannetline/internal/pulse"
+	"gannetline/internal/siblingwire"
+	"gannetline/internal/span"
+)
+
+const body = `{"config-version":7,"route-list":[{"name":"a","host":"h.example","path-prefix":"/q/","timeout-ms":3000,"service":"s"}],"service-list":[{"name":"s"}]}`
+
+func runningBook(heed func(*planbook.Page)) *planbook.Book {
+	life, end := span.Cancellable(span.Root())
+	book := planbook.New(siblingwire.NewCaller(http.DefaultClient), pulse.Real(), logs.Silent(), heed)
+	over := make(chan error, 1)
+	go func() { over <- book.Run(life) }()
+	DeferCleanup(func() {
+		end()
+		Expect(<-over).To(Succeed())
+	})
+	return book
+}
+
+var _ = Describe("the plan that a process holds", func() {
+	It("is fetched from a sibling that is ahead, and counted", func() {
+		pages := make(chan *planbook.Page, 2)
+		heed := func(page *planbook.Page) { pages <- page }
+		ahead, behind := runningBook(heed), runningBook(heed)
+		mux := http.NewServeMux()
+		ahead.Handle(mux)
+		server := httptest.NewServer(mux)
+		defer server.Close()
+		ahead.Hold(&siblingwire.PlanFact{Version: 7, Body: []byte(body)})
+		<-pages
+		behind.Ahead(siblingwire.Member{Address: server.Listener.Addr().String()}, 7)
+		Expect((<-pages).Fact.Version).To(Equal(int64(7)))
+		Expect(behind.Page().Matcher.Match("h.example", "/q/x").Name).To(Equal("a"))
+		own := metrics.Own()
+		Expect(own).To(HaveKeyWithValue("gannetline_plan_versions_total", 2.0))
+		Expect(own).To(HaveKeyWithValue("gannetline_plan_version", 7.0))
+		Expect(own).To(HaveKeyWithValue("gannetline_plan_fetched_bytes_total", float64(len(body))))
+	})
+})
--- a/internal/poolowner/clients.go
+++ b/internal/poolowner/clients.go
@@ -37,6 +37,7 @@
 		answer(siblingwire.ClientAnswer{Status: http.StatusBadRequest, Why: err.Error()})
 		return
 	}
+	p.meters.handIns.Inc()
 	one := &job{id: call.ID, spec: spec, state: stateQueued, times: map[int]*jobTime{}, doneTimes: map[int]bool{}}
 	one.record = jobRecord{Entry: call.Entry, AcceptedMs: p.tenure.WallMs(), Spec: call.Body}
 	if call.Terms != nil {
--- a/internal/poolowner/exchange.go
+++ b/internal/poolowner/exchange.go
@@ -107,6 +107,7 @@
 		if home.runs[one.key()] != one || one.state == runRunning {
 			continue
 		}
+		p.meters.sent(one)
 		one.sends++
 		one.sentAt = now
 		answer.Orders = append(answer.Orders, p.order(one))
--- a/internal/poolowner/pool.go
+++ b/internal/poolowner/pool.go
@@ -79,6 +79,7 @@
 	peaks     map[int]*peak
 	record    Recorder
 	rules     *queuerules.Rules
+	meters    meters
 }
 
 // Recorder is told what a rehearsal needs to play the day again; it must not block.
@@ -97,7 +98,7 @@
 func WithRules(rules *queuerules.Rules) Option { return func(p *Pool) { p.rules = rules } }
 
 func New(key string, clock pulse.Pulse, timing Timing, log logs.Logger, options ...Option) *Pool {
-	pool := &Pool{key: key, clock: clock, timing: timing, log: log, record: silentRecorder{}}
+	pool := &Pool{key: key, clock: clock, timing: timing, log: log, record: silentRecorder{}, meters: newMeters(key)}
 	for _, option := range options {
 		option(pool)
 	}
@@ -130,6 +131,7 @@
 	for _, one := range p.livesInOrder() {
 		p.unpark(one, siblingwire.ExchangeAnswer{Elsewhere: true})
 	}
+	p.meters.clear()
 	flights, effects := p.flights, p.effects
 	p.jobs, p.lives, p.open, p.flights, p.effects, p.ops = nil, nil, nil, nil, nil, nil
 	for _, one := range flights {
@@ -184,6 +186,8 @@
 	ops := p.ops
 	p.ops, p.effects, p.opPlaces = nil, nil, map[string]int{}
 	p.flights = append(p.flights, one)
+	p.meters.commits.Inc()
+	p.meters.changes.Add(len(ops))
 	p.tenure.Commit(ops, func(err error) {
 		if len(p.flights) > 0 && p.flights[0] == one {
 			p.flights = p.flights[1:]
--- a/internal/poolowner/poolowner_test.go
+++ b/internal/poolowner/poolowner_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"gannetline/internal/logs"
+	"gannetline/internal/metrics"
 	"gannetline/internal/poolowner"
 	"gannetline/internal/pulse"
 	"gannetline/internal/siblingwire"
@@ -127,6 +128,42 @@
 		Expect(tenure.has("o/" + task + "/1/launch")).To(BeTrue())
 	})
 
+	It("counts hand-ins, placements, orders, starts, ends, stops and commits, and shows what is open", func() {
+		before := metrics.Own()
+		handIn()
+		tenure.settle(nil)
+		exchange(nil)
+		clock.Advance(250 * time.Millisecond)
+		pool.Tick()
+		pool.Settle()
+		exchange(nil)
+		exchange(started)
+		clock.Advance(time.Second)
+		pool.Tick()
+		running := metrics.Own()
+		Expect(running).To(HaveKeyWithValue(`gannetline_pool_runs{key="pool/s"}`, 1.0))
+		Expect(running).To(HaveKeyWithValue(`gannetline_pool_open_steps{key="pool/s"}`, 1.0))
+		Expect(running).To(HaveKeyWithValue(`gannetline_pool_executors{key="pool/s",state="ready"}`, 1.0))
+		exchange(ended("failed"))
+		tenure.settle(nil)
+		pool.Cancel(&siblingwire.ClientCall{ID: id}, func(siblingwire.ClientAnswer) {})
+		own := metrics.Own()
+		for name, count := range map[string]float64{"hand_ins_total": 1, "placements_total": 2, "starts_total": 1, "stops_total": 0, "spares_total": 0} {
+			name = "gannetline_pool_" + name + `{key="pool/s"}`
+			Expect(own[name]-before[name]).To(Equal(count), name)
+		}
+		for name, count := range map[string]float64{`ends_total{key="pool/s",how="failed"}`: 1,
+			`orders_sent_total{key="pool/s",kind="launch"}`: 2, `orders_resent_total{key="pool/s",kind="launch"}`: 1,
+			`tick_seconds_count{key="pool/s"}`: 2} {
+			Expect(own["gannetline_pool_"+name]-before["gannetline_pool_"+name]).To(Equal(count), name)
+		}
+		for _, name := range []string{`commits_total{key="pool/s"}`, `changes_total{key="pool/s"}`, `placement_seconds_count{key="pool/s"}`} {
+			Expect(own["gannetline_pool_"+name]).To(BeNumerically(">", before["gannetline_pool_"+name]), name)
+		}
+		pool.Close()
+		Expect(metrics.Own()).NotTo(HaveKey(`gannetline_pool_runs{key="pool/s"}`))
+	})
+
 	It("sends nothing, and promises nothing, when the commit is lost", func() {
 		handIn()
 		tenure.settle(errors.New("lost"))
--- a/internal/poolowner/runs.go
+++ b/internal/poolowner/runs.go
@@ -12,6 +12,7 @@
 
 // launch records the placement and its order in this turn's change; the order leaves after the commit.
 func (p *Pool) launch(which *task, home *life, number int64) {
+	p.meters.placements.Inc()
 	one := &run{task: which, number: number, life: home, state: runLaunching, orderedAt: p.clock.Steady()}
 	which.lastRun = number
 	which.runs = append(which.runs, one)
@@ -36,6 +37,7 @@
 		p.closeRun(one)
 		return
 	}
+	p.meters.stops.Inc()
 	one.state, one.sends, one.sentAt, one.isAnswered, one.orderedAt = runStopping, 0, 0, false, p.clock.Steady()
 	p.drop(orderName(one.task, one.number, kindLaunch))
 	p.put(orderName(one.task, one.number, kindStop), orderRecord{Life: one.life.id})
@@ -89,6 +91,7 @@
 	if one.state != runLaunching {
 		return
 	}
+	p.meters.starts.Inc()
 	one.state, one.startedAt, one.percentAt = runRunning, p.clock.Steady(), p.clock.Steady()
 	p.drop(orderName(one.task, one.number, kindLaunch))
 	p.putTask(one.task)
@@ -109,6 +112,7 @@
 	if one == nil {
 		return
 	}
+	ends.With(p.key, end.How).Inc()
 	which, now := one.task, p.clock.Steady()
 	if end.Saved != "" {
 		p.keepSaved(which, end.Saved)
--- a/internal/poolowner/tick.go
+++ b/internal/poolowner/tick.go
@@ -24,6 +24,7 @@
 		return
 	}
 	now := p.clock.Steady()
+	defer func() { p.meters.tickSeconds.Observe(p.clock.Steady() - now) }()
 	p.makeTimes()
 	for _, home := range p.livesInOrder() {
 		p.tickLife(home, now)
@@ -37,6 +38,7 @@
 	if len(p.open) > 0 {
 		p.needsPlacing = true
 	}
+	p.meters.show(p, now)
 }
 
 func (p *Pool) tickLife(home *life, now time.Duration) {
@@ -124,6 +126,7 @@
 	}
 	p.needsPlacing = false
 	now := p.clock.Steady()
+	defer func() { p.meters.placeSeconds.Observe(p.clock.Steady() - now) }()
 	homes, executors := p.placeable(now)
 	if len(homes) == 0 {
 		return
@@ -141,6 +144,9 @@
 			}
 			number = gangRun[one.Group]
 		}
+		if groups[one.Group].IsSpare {
+			p.meters.spares.Inc()
+		}
 		p.launch(which, homes[one.Executor], number)
 	}
 }
@@ -239,16 +245,7 @@
 		jobs = append(jobs, siblingwire.JobBelief{Key: p.key, ID: id, State: one.shown()})
 	}
 	for id, home := range p.lives {
-		state := "ready"
-		switch {
-		case !home.isFenced:
-			state = "unfenced"
-		case home.isDraining:
-			state = "draining"
-		case home.isBlocked:
-			state = "blocked"
-		}
-		executors = append(executors, siblingwire.ExecutorBelief{Key: p.key, Life: id, State: state, Running: len(home.runs)})
+		executors = append(executors, siblingwire.ExecutorBelief{Key: p.key, Life: id, State: home.shown(), Running: len(home.runs)})
 	}
 	return jobs, executors
 }
--- a/internal/roles/common.go
+++ b/internal/roles/common.go
@@ -14,6 +14,7 @@
 
 	"gannetline/internal/bootsettings"
 	"gannetline/internal/logs"
+	"gannetline/internal/metrics"
 	"gannetline/internal/pulse"
 	"gannetline/internal/siblingprobe"
 	"gannetline/internal/siblingwire"
@@ -68,9 +69,13 @@
 	self.Name, self.Domain = b.settings.NodeName, b.settings.Domain
 	b.node = siblingprobe.NewNode(self, b.calls, b.packets, b.settings.Seeds, b.caller, b.clock, b.log, options...)
 	b.node.Handle(b.inner)
+	metrics.Handle(b.inner)
 	b.tree.Add("siblings", b.node.Run)
 	b.tree.Add("sibling-calls", serving(b.calls, b.inner))
 	b.tree.Add("settings", b.watchSettings)
+	if every := b.settings.MetricsLog(); every > 0 {
+		b.tree.Add("metrics", metrics.Logging(b.log, b.clock, every))
+	}
 }
 
 func serving(listener net.Listener, handler http.Handler) supervise.Part {
@@ -145,6 +150,9 @@
 		return err
 	case <-asked.Done():
 		b.log.Info("leaving in order")
+		if b.settings.MetricsLog() > 0 {
+			metrics.Log(b.log)
+		}
 		leave()
 		end()
 		return <-over
--- a/internal/roles/gate.go
+++ b/internal/roles/gate.go
@@ -41,7 +41,7 @@
 	comparenodes.Handle(b.inner, comparenodes.Sources{View: b.node.View, Page: book.Page})
 	var isLeaving atomic.Bool
 	asker := ownercalls.New(b.caller, b.clock, b.node.View)
-	server := newServer(gatecalls.New(book.Page, asker))
+	server := newServer(gatecalls.New(book.Page, asker, b.clock))
 	b.tree.Add("plan", book.Run)
 	b.tree.Add("clients", func(life span.Span) error {
 		if err := server.Serve(front); err != http.ErrServerClosed {
--- a/internal/siblingprobe/node.go
+++ b/internal/siblingprobe/node.go
@@ -86,6 +86,8 @@
 		return
 	}
 	if text, err := easyjson.Marshal(datagram); err == nil {
+		datagramsSent.With(datagram.Kind).Inc()
+		datagramBytesSent.With(datagram.Kind).Add(len(text))
 		n.packets.WriteTo(text, to)
 	}
 }
@@ -124,10 +126,15 @@
 		}
 		var datagram siblingwire.Datagram
 		if err := easyjson.Unmarshal(room[:count], &datagram); err != nil || datagram.From.Name == "" {
+			datagramsDropped.With("unreadable").Inc()
 			n.log.V(1).Info("a datagram that can't be read was dropped", "bytes", count)
 			continue
 		}
-		n.box.TryPost(func() { n.table.Hear(datagram) })
+		datagramsReceived.With(datagram.Kind).Inc()
+		datagramBytesReceived.With(datagram.Kind).Add(count)
+		if !n.box.TryPost(func() { n.table.Hear(datagram) }) {
+			datagramsDropped.With("busy").Inc()
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/siblingprobe/node_test.go
@@ -0,0 +1,55 @@
+package siblingprobe_test
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/mailru/easyjson"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gannetline/internal/logs"
+	"gannetline/internal/metrics"
+	"gannetline/internal/pulse"
+	"gannetline/internal/siblingprobe"
+	"gannetline/internal/siblingwire"
+	"gannetline/internal/span"
+)
+
+var _ = Describe("a node's datagrams", func() {
+	It("are counted by kind, with their bytes, and those that can't be read", func() {
+		calls, packets, err := siblingprobe.BindInternal("127.0.0.1", 20000, 29999)
+		Expect(err).NotTo(HaveOccurred())
+		defer calls.Close()
+		node := siblingprobe.NewNode(siblingwire.Member{Name: "one", Role: "gate"}, calls, packets, nil,
+			siblingwire.NewCaller(http.DefaultClient), pulse.Real(), logs.Silent())
+		life, end := span.Cancellable(span.Root())
+		over := make(chan error)
+		go func() { over <- node.Run(life) }()
+		defer func() {
+			end()
+			Expect(<-over).To(Succeed())
+		}()
+		other, err := net.Dial("udp4", packets.LocalAddr().String())
+		Expect(err).NotTo(HaveOccurred())
+		defer other.Close()
+		Expect(other.SetDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
+		other.Write([]byte("no datagram"))
+		text, err := easyjson.Marshal(siblingwire.Datagram{Kind: "ping", Number: 4,
+			From: siblingwire.Member{Name: "two", Role: "gate", Address: other.LocalAddr().String()}})
+		Expect(err).NotTo(HaveOccurred())
+		other.Write(text)
+		answer := make([]byte, 16<<10)
+		count, err := other.Read(answer)
+		Expect(err).NotTo(HaveOccurred())
+		var said siblingwire.Datagram
+		Expect(easyjson.Unmarshal(answer[:count], &said)).To(Succeed())
+		own := metrics.Own()
+		Expect(own).To(HaveKeyWithValue(`gannetline_datagrams_dropped_total{why="unreadable"}`, 1.0))
+		Expect(own).To(HaveKeyWithValue(`gannetline_datagrams_received_total{kind="ping"}`, 1.0))
+		Expect(own).To(HaveKeyWithValue(`gannetline_datagrams_received_bytes_total{kind="ping"}`, float64(len(text))))
+		Expect(own[`gannetline_datagrams_sent_total{kind="`+said.Kind+`"}`]).To(BeNumerically(">=", 1))
+		Expect(own[`gannetline_datagrams_sent_bytes_total{kind="`+said.Kind+`"}`]).To(BeNumerically(">=", count))
+	})
+})
--- a/internal/siblingwire/calls.go
+++ b/internal/siblingwire/calls.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 	"github.com/mailru/easyjson"
 
+	"gannetline/internal/metrics"
 	"gannetline/internal/span"
 )
 
@@ -27,24 +28,32 @@
 	ProcedureBeliefs  = Prefix + "Beliefs"
 )
 
-type easyCodec struct{}
+// easyCodec counts the bodies it writes and reads.
+type easyCodec struct{ sent, received *metrics.Counter }
+
+func codec(procedure, side string) easyCodec {
+	return easyCodec{sentBytes.With(procedure, side), receivedBytes.With(procedure, side)}
+}
 
 func (easyCodec) Name() string { return "easyjson" }
 
-func (easyCodec) Marshal(message any) ([]byte, error) {
+func (c easyCodec) Marshal(message any) ([]byte, error) {
 	value, isMessage := message.(easyjson.Marshaler)
 	if !isMessage {
 		return nil, errors.Errorf("%T is not a sibling message", message)
 	}
-	return easyjson.Marshal(value)
+	text, err := easyjson.Marshal(value)
+	c.sent.Add(len(text))
+	return text, err
 }
 
 // Unmarshal reads a copy, since raw parts of a message stay in use after the transport takes its buffer back.
-func (easyCodec) Unmarshal(text []byte, message any) error {
+func (c easyCodec) Unmarshal(text []byte, message any) error {
 	value, isMessage := message.(easyjson.Unmarshaler)
 	if !isMessage {
 		return errors.Errorf("%T is not a sibling message", message)
 	}
+	c.received.Add(len(text))
 	return easyjson.Unmarshal(bytes.Clone(text), value)
 }
 
@@ -52,8 +61,18 @@
 
 // Serve answers one procedure on the mux.
 func Serve[Ask, Tell any](mux *http.ServeMux, procedure string, answer func(span.Span, *Ask) (*Tell, error)) {
-	mux.Handle(procedure, connect.NewUnaryHandlerSimple(procedure, answer,
-		connect.WithCodec(easyCodec{}), connect.WithReadMaxBytes(maxMessage), connect.WithCompression("gzip", nil, nil)))
+	name := procedure[len(Prefix):]
+	calls, failures := calls.With(name, sideServed), callErrors.With(name, sideServed)
+	counted := func(life span.Span, ask *Ask) (*Tell, error) {
+		calls.Inc()
+		tell, err := answer(life, ask)
+		if err != nil {
+			failures.Inc()
+		}
+		return tell, err
+	}
+	mux.Handle(procedure, connect.NewUnaryHandlerSimple(procedure, counted,
+		connect.WithCodec(codec(name, sideServed)), connect.WithReadMaxBytes(maxMessage), connect.WithCompression("gzip", nil, nil)))
 }
 
 type Caller struct{ client *http.Client }
@@ -64,11 +83,14 @@
 func Call[Ask, Tell any](caller *Caller, life span.Span, address, procedure string, limit time.Duration, ask *Ask) (*Tell, error) {
 	life, release := span.Within(life, limit)
 	defer release()
+	name := procedure[len(Prefix):]
+	calls.With(name, sideMade).Inc()
 	client := connect.NewClient[Ask, Tell](caller.client, "http://"+address+procedure,
-		connect.WithCodec(easyCodec{}), connect.WithReadMaxBytes(maxMessage), connect.WithAcceptCompression("gzip", nil, nil))
+		connect.WithCodec(codec(name, sideMade)), connect.WithReadMaxBytes(maxMessage), connect.WithAcceptCompression("gzip", nil, nil))
 	answer, err := client.CallUnary(life, connect.NewRequest(ask))
 	if err != nil {
-		return nil, errors.Annotatef(err, "%s at sibling %s", procedure[len(Prefix):], address)
+		callErrors.With(name, sideMade).Inc()
+		return nil, errors.Annotatef(err, "%s at sibling %s", name, address)
 	}
 	return answer.Msg, nil
 }
--- /dev/null
+++ b/internal/siblingwire/metrics.go
@@ -0,0 +1,15 @@
+package siblingwire
+
+import "gannetline/internal/metrics"
+
+const (
+	sideMade   = "made"
+	sideServed = "served"
+)
+
+var (
+	calls         = metrics.NewCounters("gannetline_sibling_calls_total", "procedure", "side")
+	callErrors    = metrics.NewCounters("gannetline_sibling_call_errors_total", "procedure", "side")
+	sentBytes     = metrics.NewCounters("gannetline_sibling_sent_bytes_total", "procedure", "side")
+	receivedBytes = metrics.NewCounters("gannetline_sibling_received_bytes_total", "procedure", "side")
+)
--- /dev/null
+++ b/internal/siblingwire/metrics_test.go
@@ -0,0 +1,47 @@
+package siblingwire_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"time"
+
+	"github.com/juju/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gannetline/internal/metrics"
+	"gannetline/internal/siblingwire"
+	"gannetline/internal/span"
+)
+
+var _ = Describe("calls between siblings", func() {
+	It("are counted on both sides, with their bytes and their errors", func() {
+		mux := http.NewServeMux()
+		siblingwire.Serve(mux, siblingwire.ProcedurePlan, func(_ span.Span, call *siblingwire.PlanCall) (*siblingwire.PlanAnswer, error) {
+			if call.Held == 9 {
+				return nil, errors.New("no")
+			}
+			return &siblingwire.PlanAnswer{}, nil
+		})
+		server := httptest.NewServer(mux)
+		defer server.Close()
+		caller := siblingwire.NewCaller(http.DefaultClient)
+		ask := func(held int64) error {
+			_, err := siblingwire.Call[siblingwire.PlanCall, siblingwire.PlanAnswer](caller, span.Root(),
+				server.Listener.Addr().String(), siblingwire.ProcedurePlan, time.Minute, &siblingwire.PlanCall{Held: held})
+			return err
+		}
+		Expect(ask(1)).To(Succeed())
+		Expect(ask(9)).NotTo(Succeed())
+		own := metrics.Own()
+		for _, side := range []string{"made", "served"} {
+			labels := `{procedure="Plan",side="` + side + `"}`
+			Expect(own).To(HaveKeyWithValue("gannetline_sibling_calls_total"+labels, 2.0))
+			Expect(own).To(HaveKeyWithValue("gannetline_sibling_call_errors_total"+labels, 1.0))
+		}
+		Expect(own).To(HaveKeyWithValue(`gannetline_sibling_sent_bytes_total{procedure="Plan",side="made"}`, float64(2*len(`{"held":1}`))))
+		Expect(own).To(HaveKeyWithValue(`gannetline_sibling_received_bytes_total{procedure="Plan",side="served"}`, float64(2*len(`{"held":1}`))))
+		Expect(own).To(HaveKeyWithValue(`gannetline_sibling_sent_bytes_total{procedure="Plan",side="served"}`, float64(len(`{}`))))
+		Expect(own).To(HaveKeyWithValue(`gannetline_sibling_received_bytes_total{procedure="Plan",side="made"}`, float64(len(`{}`))))
+	})
+})
--- /dev/null
+++ b/internal/siblingwire/siblingwire_suite_test.go
@@ -0,0 +1,13 @@
+package siblingwire_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestSiblingwire(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "siblingwire")
+}
