--- a/internal/poolowner/pool.go
+++ b/internal/poolowner/pool.go
@@ -89,6 +89,7 @@
 	spreads   map[string]*spread
 	record    Recorder
 	rules     *queuerules.Rules
+	meters    meters
 }
 
 // Recorder is told what a rehearsal needs to play the day again; it must not block.
@@ -107,7 +108,7 @@
 func WithRules(rules *queuerules.Rules) Option { return func(p *Pool) { p.rules = rules } }
 
 func New(key string, clock pulse.Pulse, timing Timing, log logs.Logger, options ...Option) *Pool {
-	pool := &Pool{key: key, clock: clock, timing: timing, log: log, record: silentRecorder{}}
+	pool := &Pool{key: key, clock: clock, timing: timing, log: log, record: silentRecorder{}, meters: newMeters(key)}
 	for _, option := range options {
 		option(pool)
 	}
@@ -143,6 +144,7 @@
 	for _, one := range p.roster.lives {
 		p.unpark(one, siblingwire.ExchangeAnswer{Elsewhere: true})
 	}
+	p.meters.clear()
 	flights, effects := p.flights, p.effects
 	p.jobs, p.lives, p.flights, p.effects, p.ops, p.opTasks = nil, nil, nil, nil, nil, nil
 	p.roster, p.open, p.usage, p.pending, p.broken, p.ended = roster{}, openSteps{}, nil, nil, nil, nil
@@ -201,6 +203,8 @@
 	p.ops, p.opTasks, p.effects = nil, p.opTasks[:0], nil
 	clear(p.opPlaces)
 	p.flights = append(p.flights, one)
+	p.meters.commits.Inc()
+	p.meters.changes.Add(len(ops))
 	p.tenure.Commit(ops, func(err error) {
 		if len(p.flights) > 0 && p.flights[0] == one {
 			p.flights = p.flights[1:]
--- a/internal/poolowner/tick.go
+++ b/internal/poolowner/tick.go
@@ -20,6 +20,7 @@
 		return
 	}
 	now := p.clock.Steady()
+	defer func() { p.meters.tickSeconds.Observe(p.clock.Steady() - now) }()
 	p.makeTimes()
 	for _, home := range slices.Clone(p.roster.lives) {
 		p.tickLife(home, now)
@@ -33,6 +34,7 @@
 	if len(p.open.steps) > 0 {
 		p.needsPlacing = true
 	}
+	p.meters.show(p, now)
 }
 
 // tickPending looks after the runs that an order is under way for, in an order that is the same at every replay.
@@ -164,6 +166,7 @@
 		return
 	}
 	now := p.clock.Steady()
+	defer func() { p.meters.placeSeconds.Observe(p.clock.Steady() - now) }()
 	p.refreshAll(now)
 	executors := p.executors(now)
 	placed := placetasks.PlaceLine(executors, p.open.line(), p.headroom(p.roster.open, now))
@@ -184,6 +187,9 @@
 	next, gangRun := map[int]int{}, map[int]int64{}
 	for place, one := range placed {
 		request := p.open.request(one.Group)
+		if request.group.IsSpare {
+			p.meters.spares.Inc()
+		}
 		step, which := request.step, request.tasks[next[one.Group]]
 		next[one.Group]++
 		number := which.lastRun + 1
@@ -206,16 +212,7 @@
 		jobs = append(jobs, siblingwire.JobBelief{Key: p.key, ID: id, State: one.shown()})
 	}
 	for id, home := range p.lives {
-		state := "ready"
-		switch {
-		case !home.isFenced:
-			state = "unfenced"
-		case home.isDraining:
-			state = "draining"
-		case home.isBlocked:
-			state = "blocked"
-		}
-		executors = append(executors, siblingwire.ExecutorBelief{Key: p.key, Life: id, State: state, Running: len(home.runs)})
+		executors = append(executors, siblingwire.ExecutorBelief{Key: p.key, Life: id, State: home.shown(), Running: len(home.runs)})
 	}
 	return jobs, executors
 }
