--- a/internal/comparenodes/compare.go
+++ b/internal/comparenodes/compare.go
@@ -35,7 +35,11 @@
 		}
 	}
 	add("plan", map[string]string{"version": strconv.FormatInt(first.Plan, 10)}, map[string]string{"version": strconv.FormatInt(second.Plan, 10)})
-	add("member", members(first), members(second))
+	isListed := func(member siblingwire.Member) bool {
+		hasLeaf := first.Role == siblingprobe.RoleLocalProxy || second.Role == siblingprobe.RoleLocalProxy
+		return !hasLeaf || member.Role == siblingprobe.RoleSteward
+	}
+	add("member", members(first, isListed), members(second, isListed))
 	add("owner", owners(first), owners(second))
 	if first.Role == second.Role {
 		add("replica", replicas(first), replicas(second))
@@ -68,10 +72,13 @@
 	return unknown
 }
 
-func members(answer *siblingwire.BeliefsAnswer) map[string]string {
+func members(answer *siblingwire.BeliefsAnswer, isListed func(siblingwire.Member) bool) map[string]string {
 	states := map[int]string{siblingwire.StateAlive: "alive", siblingwire.StateSuspect: "suspect", siblingwire.StateGone: "gone"}
 	held := map[string]string{}
 	for _, member := range answer.Members {
+		if !isListed(member) {
+			continue
+		}
 		held[siblingprobe.Name(member)] = strings.TrimSpace(states[member.State] + " at " + member.Address + " " + member.Disk)
 	}
 	return held
--- a/internal/comparenodes/comparenodes_test.go
+++ b/internal/comparenodes/comparenodes_test.go
@@ -24,6 +24,12 @@
 		Expect(comparenodes.Compare(node("a", 7), node("b", 7))).To(BeEmpty())
 	})
 
+	It("does not miss at a local-proxy the members that it need not know", func() {
+		side := node("side-1", 7)
+		side.Role, side.Members = "local-proxy", []siblingwire.Member{{Name: "side-1", Role: "local-proxy"}}
+		Expect(comparenodes.Compare(node("a", 7), side)).To(BeEmpty())
+	})
+
 	It("shows the differences only, to people and as JSON", func() {
 		other := node("b", 9)
 		other.Owners[0].Epoch = 3
--- a/internal/localproxy/proxy.go
+++ b/internal/localproxy/proxy.go
@@ -250,18 +250,13 @@
 }
 
 func ownerAddress(view *siblingprobe.View, key string) string {
-	fact, isKnown := view.Owners[key]
-	var fallback string
-	for _, member := range view.Members {
-		if member.Role != "steward" {
-			continue
-		}
-		if isKnown && member.Name == fact.Name {
-			return member.Address
-		}
-		fallback = member.Address
+	if owner, isKnown := view.Steward(view.Owners[key].Name); isKnown {
+		return owner.Address
+	}
+	if len(view.Stewards) == 0 {
+		return ""
 	}
-	return fallback
+	return view.Stewards[len(view.Stewards)-1].Address
 }
 
 type orderTurn struct {
--- a/internal/ownercalls/ownercalls.go
+++ b/internal/ownercalls/ownercalls.go
@@ -79,30 +79,21 @@
 
 // address prefers the hint, then the known owner, then any steward.
 func address(view *siblingprobe.View, key, hint string, try int) string {
-	owner := view.Owners[key].Name
-	var known, hinted string
+	if hinted, isThere := view.Steward(hint); isThere {
+		return hinted.Address
+	}
+	known, isThere := view.Steward(view.Owners[key].Name)
+	if isThere && try%3 != 2 {
+		return known.Address
+	}
 	var others []string
-	for _, member := range view.Members {
-		if member.Role != "steward" {
-			continue
-		}
-		if member.Name == owner {
-			known = member.Address
-		}
-		if member.Name == hint && hint != "" {
-			hinted = member.Address
-		}
+	for _, member := range view.Stewards {
 		if member.State == siblingwire.StateAlive {
 			others = append(others, member.Address)
 		}
 	}
-	switch {
-	case hinted != "":
-		return hinted
-	case known != "" && try%3 != 2:
-		return known
-	case len(others) > 0:
+	if len(others) > 0 {
 		return others[rand.IntN(len(others))]
 	}
-	return known
+	return known.Address
 }
--- a/internal/roles/gate.go
+++ b/internal/roles/gate.go
@@ -51,7 +51,7 @@
 		return nil
 	})
 	b.tree.Add("readiness", serving(ready, readiness(func() bool {
-		return !isLeaving.Load() && book.Page() != nil && seesSteward(b.node.View())
+		return !isLeaving.Load() && book.Page() != nil && b.node.View().SeesSteward()
 	})))
 	log := b.log
 	return b.run(func() {
@@ -79,12 +79,3 @@
 		reply.Empty(http.StatusServiceUnavailable).Write(to)
 	})
 }
-
-func seesSteward(view *siblingprobe.View) bool {
-	for _, member := range view.Members {
-		if member.Role == "steward" && member.State == siblingwire.StateAlive {
-			return true
-		}
-	}
-	return false
-}
--- /dev/null
+++ b/internal/siblingprobe/membership_test.go
@@ -0,0 +1,381 @@
+package siblingprobe_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gannetline/internal/pulse"
+	"gannetline/internal/siblingprobe"
+	"gannetline/internal/siblingwire"
+)
+
+func membersOf(view *siblingprobe.View) string {
+	told := ""
+	for _, member := range view.Members {
+		if member.Role != "local-proxy" {
+			told += fmt.Sprint(member.Name, member.Role, member.Address, member.Incarnation, member.State, " ")
+		}
+	}
+	return told
+}
+
+func stewardsOf(view *siblingprobe.View) string {
+	told := ""
+	for _, member := range view.Stewards {
+		told += fmt.Sprint(member.Name, member.Address, member.Incarnation, " ")
+	}
+	return told
+}
+
+func lone(self siblingwire.Member, clock pulse.Pulse) (*siblingprobe.Table, *[]siblingwire.Datagram, *int) {
+	sent, differed := &[]siblingwire.Datagram{}, new(int)
+	return siblingprobe.NewTable(self, clock, siblingprobe.DefaultTiming, 1, siblingprobe.Events{
+		Send:      func(_ string, datagram siblingwire.Datagram) { *sent = append(*sent, datagram) },
+		Show:      func(*siblingprobe.View) {},
+		PlanAhead: func(siblingwire.Member, int64) {},
+		Differ:    func(siblingwire.Member) { *differed++ },
+	}), sent, differed
+}
+
+func gate(number int) siblingwire.Member {
+	return siblingwire.Member{Name: fmt.Sprintf("edge-%d", number), Role: "gate", Address: fmt.Sprintf("10.0.0.2:%d", number), Incarnation: 1}
+}
+
+func steward(number int) siblingwire.Member {
+	return siblingwire.Member{Name: fmt.Sprintf("control-%d", number), Role: "steward", Address: fmt.Sprintf("10.0.0.3:%d", number), Incarnation: 1}
+}
+
+var _ = Describe("a network of tables", func() {
+	DescribeTable("an owner's change reaches every process at once, for a bounded number of datagrams",
+		func(stewards, gates, proxies int) {
+			n := newNetwork(7)
+			n.loss = 0.01
+			n.people(stewards, gates, proxies)
+			n.acquaint()
+			n.run(15 * time.Second)
+			n.resetCounts()
+			n.run(3 * time.Second)
+			calm := n.total(func(one *resident) int { return one.datagrams })
+			var worst time.Duration
+			n.resetCounts()
+			for epoch := uint64(1); epoch <= 10; epoch++ {
+				lengths := n.moveOwner(n.all[int(epoch)%stewards], epoch, 3*time.Second)
+				worst = max(worst, lengths[len(lengths)-1])
+			}
+			each := n.total(func(one *resident) int { return one.datagrams })/10 - calm
+			GinkgoWriter.Printf("%d processes: worst %v, %d datagrams a change\n", len(n.all), worst, each)
+			Expect(worst).To(BeNumerically("<", 100*time.Millisecond))
+			Expect(each).To(BeNumerically("<", 14*(stewards+gates)+8*proxies))
+		},
+		Entry("20", 4, 4, 12), Entry("80", 8, 10, 62), Entry("1,000", 6, 14, 980))
+
+	It("of 1,000 processes finds itself through the seeds, and then costs each the same little", func() {
+		n := newNetwork(3)
+		n.loss = 0.01
+		n.people(6, 14, 980)
+		for _, one := range n.all {
+			for seed := range 3 {
+				n.exchange(one, n.all[seed].member.Address)
+			}
+		}
+		n.run(6 * time.Second)
+		Expect(n.isAgreed(stewardsOf)).To(BeTrue())
+		for _, one := range n.all[:20] {
+			Expect(one.view.Members).To(HaveLen(20))
+		}
+		n.run(10 * time.Second)
+		n.resetCounts()
+		n.run(10 * time.Second)
+		for _, one := range n.all {
+			datagrams, bytes := one.datagrams/10, one.bytes/10
+			if one.member.Role == "steward" {
+				Expect(datagrams).To(BeNumerically("<", 200))
+				Expect(bytes).To(BeNumerically("<", 27_000))
+				continue
+			}
+			Expect(datagrams).To(BeNumerically("<=", 5), one.member.Name)
+			Expect(bytes).To(BeNumerically("<", 1_200), one.member.Name)
+		}
+		Expect(n.total(func(one *resident) int { return one.calls })).To(BeNumerically("<", 10))
+	})
+
+	It("of 1,000 gates agrees on a death and a start, with messages that don't grow with their number", func() {
+		n := newNetwork(5)
+		n.loss = 0.01
+		n.people(3, 997, 0)
+		n.acquaint()
+		n.run(11 * time.Second)
+		n.all[500].isShut = true
+		n.add("edge-new", "gate", 1)
+		n.exchange(n.all[1000], n.all[0].member.Address)
+		n.resetCounts()
+		n.run(13 * time.Second)
+		Expect(n.most(func(one *resident) int { return one.datagrams })).To(BeNumerically("<", 13*10))
+		Expect(n.total(func(one *resident) int { return one.bytes }) / 1000 / 13).To(BeNumerically("<", 3_000))
+		n.loss = 0
+		n.run(5 * time.Second)
+		first := n.all[0].table.Ask().Digest.MemberSum
+		for _, one := range n.all {
+			if !one.isShut {
+				Expect(one.table.Ask().Digest.MemberSum).To(Equal(first))
+			}
+		}
+		Expect(n.all[1].view.Members).To(HaveLen(1001))
+	})
+
+	It("agrees under loss, doubling and reordering", func() {
+		n := newNetwork(11)
+		n.loss, n.doubled, n.jitter = 0.05, 0.1, 60*time.Millisecond
+		n.people(4, 6, 20)
+		n.acquaint()
+		n.run(30 * time.Second)
+		lengths := n.moveOwner(n.all[2], 9, 2*time.Second)
+		Expect(lengths[len(lengths)-1]).To(BeNumerically("<", 1500*time.Millisecond))
+		n.loss = 0
+		n.run(20 * time.Second)
+		Expect(n.isAgreed(stewardsOf)).To(BeTrue())
+		for _, one := range n.all[:10] {
+			Expect(one.view.Members).To(HaveLen(10))
+			Expect(membersOf(one.view)).To(Equal(membersOf(n.all[0].view)))
+		}
+	})
+
+	It("mends the gap of those that were cut off", func() {
+		n := newNetwork(13)
+		n.people(4, 4, 8)
+		n.acquaint()
+		n.run(15 * time.Second)
+		edge, side := n.all[6], n.all[12]
+		edge.isShut, side.isShut = true, true
+		n.add("control-new", "steward", 1)
+		n.exchange(n.all[16], n.all[0].member.Address)
+		n.run(2 * time.Second)
+		n.moveOwner(n.all[16], 5, 8*time.Second)
+		Expect(edge.view.Owners).To(BeEmpty())
+		edge.isShut, side.isShut = false, false
+		n.run(1500 * time.Millisecond)
+		Expect(edge.view.Owners["plan"].Name).To(Equal("control-new"))
+		Expect(side.view.Owners["plan"].Name).To(Equal("control-new"))
+		_, isKnown := side.view.Steward("control-new")
+		Expect(isKnown).To(BeTrue())
+		n.run(6 * time.Second)
+		_, isKnown = edge.view.Steward("control-new")
+		Expect(isKnown).To(BeTrue())
+	})
+
+	It("takes a restarted steward by its new life, also where its clock went back", func() {
+		for _, incarnation := range []uint64{7, 1} {
+			n := newNetwork(17)
+			n.people(3, 2, 6)
+			n.acquaint()
+			n.run(12 * time.Second)
+			old := n.all[1]
+			delete(n.by, old.member.Address)
+			n.all = append(n.all[:1], n.all[2:]...)
+			n.run(2 * time.Second)
+			fresh := n.add("control-1", "steward", incarnation)
+			n.exchange(fresh, n.all[0].member.Address)
+			n.run(7 * time.Second)
+			for _, one := range n.all {
+				kept, isKnown := one.view.Steward("control-1")
+				Expect(isKnown).To(BeTrue())
+				Expect(kept.Address).To(Equal(fresh.member.Address), "%s, incarnation %d", one.member.Name, incarnation)
+				Expect(kept.State).To(Equal(siblingwire.StateAlive))
+			}
+		}
+	})
+
+	It("lists no local-proxy anywhere, and a local-proxy moves on from a silent steward", func() {
+		n := newNetwork(19)
+		n.people(4, 2, 5)
+		n.acquaint()
+		n.run(15 * time.Second)
+		for _, one := range n.all[:6] {
+			Expect(one.view.Members).To(HaveLen(6))
+		}
+		for _, one := range n.all[:3] {
+			one.isShut = true
+		}
+		n.run(4 * time.Second)
+		lengths := n.moveOwner(n.all[3], 3, 500*time.Millisecond)
+		Expect(lengths[len(lengths)-1]).To(BeNumerically("<", 100*time.Millisecond))
+		for _, one := range n.all[6:] {
+			Expect(one.view.IsLonely).To(BeFalse())
+		}
+		n.all[3].isShut = true
+		n.run(4 * time.Second)
+		Expect(n.all[7].view.IsLonely).To(BeTrue())
+	})
+})
+
+var _ = Describe("comparing lists", func() {
+	var one, two *siblingprobe.Table
+	BeforeEach(func() {
+		clock := pulse.NewFake(1)
+		one, _, _ = lone(steward(0), clock)
+		two, _, _ = lone(steward(1), clock)
+		for number := range 200 {
+			one.Merge(gate(number))
+			two.Merge(gate(number))
+		}
+		one.Merge(steward(1))
+		two.Merge(steward(0))
+	})
+
+	It("moves nothing where nothing differs", func() {
+		ask := one.Ask()
+		Expect(two.Answer(&ask).Members).To(BeEmpty())
+	})
+
+	It("moves only the buckets that differ, and the newer record both ways", func() {
+		dead, risen := gate(7), gate(8)
+		dead.State, risen.Incarnation = siblingwire.StateSuspect, 2
+		one.Merge(dead)
+		two.Merge(risen)
+		ask := one.Ask()
+		answer := two.Answer(&ask)
+		Expect(len(answer.Differing)).To(BeNumerically("<=", 2))
+		Expect(len(answer.Members)).To(BeNumerically("<", 30))
+		given := one.Take(steward(1), &answer)
+		Expect(given.Members).To(ConsistOf(dead))
+		Expect(one.All()).To(ContainElement(risen))
+		two.Answer(given)
+		Expect(two.All()).To(ContainElement(dead))
+		Expect(one.Ask().Buckets).To(Equal(two.Ask().Buckets))
+	})
+
+	It("gives owners both ways, by the higher epoch", func() {
+		one.MergeOwner(siblingwire.OwnerFact{Key: "a", Epoch: 3, Name: "x"})
+		one.MergeOwner(siblingwire.OwnerFact{Key: "b", Epoch: 3, Name: "x"})
+		two.MergeOwner(siblingwire.OwnerFact{Key: "a", Epoch: 4, Name: "y"})
+		ask := one.Ask()
+		answer := two.Answer(&ask)
+		two.Answer(one.Take(steward(1), &answer))
+		Expect(one.Ask().Digest.OwnerSum).To(Equal(two.Ask().Digest.OwnerSum))
+		again := two.Ask()
+		Expect(one.Answer(&again).Digest.Owners).To(BeEmpty())
+	})
+
+	It("keeps sums by change as if they were worked out from nothing", func() {
+		for number := range 60 {
+			member := gate(number * 3)
+			member.Incarnation, member.State = uint64(1+number%3), number%3
+			one.Merge(member)
+		}
+		fresh, _, _ := lone(steward(0), pulse.NewFake(1))
+		for _, member := range one.All() {
+			fresh.Merge(member)
+		}
+		Expect(fresh.Ask().Buckets).To(Equal(one.Ask().Buckets))
+	})
+
+	It("gives a sibling of the older form the whole list and all owners, and takes such a list", func() {
+		one.MergeOwner(siblingwire.OwnerFact{Key: "a", Epoch: 3, Name: "x"})
+		answer := one.Answer(&siblingwire.MembersCall{From: gate(900), Members: []siblingwire.Member{gate(901)}})
+		Expect(answer.Members).To(HaveLen(204))
+		Expect(answer.Digest.Owners).To(HaveLen(1))
+		older := &siblingwire.MembersAnswer{Members: []siblingwire.Member{gate(950)},
+			Digest: siblingwire.Digest{Owners: []siblingwire.OwnerFact{{Key: "a", Epoch: 9, Name: "z"}}}}
+		Expect(one.Take(gate(900), older)).To(BeNil())
+		Expect(one.All()).To(ContainElement(gate(950)))
+		Expect(one.MergeOwner(siblingwire.OwnerFact{Key: "a", Epoch: 9, Name: "z"})).To(BeFalse())
+	})
+})
+
+var _ = Describe("one table", func() {
+	It("hears a sibling of the older form without comparing, and lists no proxies that it tells of", func() {
+		clock := pulse.NewFake(1)
+		table, sent, differed := lone(gate(0), clock)
+		side := siblingwire.Member{Name: "side-1", Role: "local-proxy", Address: "10.0.0.4:1", Incarnation: 1}
+		table.Hear(siblingwire.Datagram{Kind: "ping", Number: 4, From: gate(1), News: []siblingwire.Member{side},
+			Digest: siblingwire.Digest{Owners: []siblingwire.OwnerFact{{Key: "a", Epoch: 2, Name: "x"}}}})
+		table.Hear(siblingwire.Datagram{Kind: "ping", Number: 5, From: side})
+		Expect(table.All()).To(ConsistOf(gate(0), gate(1)))
+		Expect(table.MergeOwner(siblingwire.OwnerFact{Key: "a", Epoch: 2, Name: "x"})).To(BeFalse())
+		Expect(*differed).To(BeZero())
+		last := (*sent)[len(*sent)-1]
+		Expect(last.Kind).To(Equal("ack"))
+		Expect(last.Number).To(Equal(uint64(5)))
+	})
+
+	It("leaves owners out of datagrams once they are no news, and gives them to a sibling without", func() {
+		clock := pulse.NewFake(1)
+		table, sent, _ := lone(gate(0), clock)
+		table.Merge(gate(1))
+		table.MergeOwner(siblingwire.OwnerFact{Key: "a", Epoch: 2, Name: "x"})
+		for range 6 {
+			clock.Advance(350 * time.Millisecond)
+			table.Tick()
+		}
+		sum := table.Ask().Digest.OwnerSum
+		table.Hear(siblingwire.Datagram{Kind: "ping", From: gate(1), Digest: siblingwire.Digest{OwnerSum: sum}})
+		Expect((*sent)[len(*sent)-1].Digest.Owners).To(BeEmpty())
+		table.Hear(siblingwire.Datagram{Kind: "ack", From: gate(1), Digest: siblingwire.Digest{OwnerSum: 1}})
+		Expect((*sent)[len(*sent)-1].Digest.Owners).To(HaveLen(1))
+	})
+
+	It("compares with a sibling that stays different, not while news is on its way", func() {
+		clock := pulse.NewFake(1)
+		table, _, differed := lone(gate(0), clock)
+		table.Merge(gate(1))
+		clock.Advance(20 * time.Second)
+		table.Hear(siblingwire.Datagram{Kind: "news", From: gate(1), Digest: siblingwire.Digest{MemberSum: 5}})
+		Expect(*differed).To(Equal(1))
+		clock.Advance(2 * time.Second)
+		table.Merge(gate(2))
+		table.Hear(siblingwire.Datagram{Kind: "news", From: gate(1), Digest: siblingwire.Digest{MemberSum: 5}})
+		Expect(*differed).To(Equal(1))
+		clock.Advance(time.Second)
+		table.Hear(siblingwire.Datagram{Kind: "news", From: gate(1), Digest: siblingwire.Digest{MemberSum: 5}})
+		Expect(*differed).To(Equal(2))
+	})
+
+	It("does not take back a member that is long gone, and pushes to no leaf that fell silent", func() {
+		clock := pulse.NewFake(1)
+		table, sent, _ := lone(steward(0), clock)
+		table.Hear(siblingwire.Datagram{Kind: "ping", From: siblingwire.Member{Name: "side-1", Role: "local-proxy", Address: "10.0.0.4:1"}})
+		before := len(*sent)
+		table.MergeOwner(siblingwire.OwnerFact{Key: "a", Epoch: 2, Name: "x"})
+		table.Spread()
+		Expect(*sent).To(HaveLen(before + 1))
+		for range 400 {
+			clock.Advance(350 * time.Millisecond)
+			table.Tick()
+		}
+		before = len(*sent)
+		table.MergeOwner(siblingwire.OwnerFact{Key: "a", Epoch: 3, Name: "x"})
+		table.Spread()
+		Expect(*sent).To(HaveLen(before))
+		gone := gate(3)
+		gone.State = siblingwire.StateGone
+		Expect(table.Merge(gone)).To(BeFalse())
+	})
+
+	It("shows views that later changes leave alone", func() {
+		var views []*siblingprobe.View
+		table := siblingprobe.NewTable(steward(5), pulse.NewFake(1), siblingprobe.DefaultTiming, 1, siblingprobe.Events{
+			Send: func(string, siblingwire.Datagram) {}, Show: func(view *siblingprobe.View) { views = append(views, view) }})
+		for _, number := range []int{3, 9, 1} {
+			table.Merge(steward(number))
+			table.Settle()
+		}
+		risen := steward(3)
+		risen.Incarnation, risen.Disk = 4, "d"
+		table.Merge(risen)
+		table.MergeOwner(siblingwire.OwnerFact{Key: "a", Epoch: 2, Name: "control-3"})
+		table.Settle()
+		Expect(stewardsOf(views[0])).To(Equal("control-310.0.0.3:31 control-510.0.0.3:51 "))
+		Expect(views[2].Owners).To(BeEmpty())
+		last := views[len(views)-1]
+		Expect(last.Members).To(HaveLen(4))
+		kept, isKnown := last.Steward("control-3")
+		Expect(isKnown).To(BeTrue())
+		Expect(kept.Incarnation).To(Equal(uint64(4)))
+		keeper, _ := last.StewardOf("d")
+		Expect(keeper.Name).To(Equal("control-3"))
+		Expect(views[0].Members[0].Incarnation).To(Equal(uint64(1)))
+	})
+})
--- a/internal/siblingprobe/node.go
+++ b/internal/siblingprobe/node.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -81,12 +82,12 @@
 func (n *Node) View() *View { return n.view.Load() }
 
 func (n *Node) send(address string, datagram siblingwire.Datagram) {
-	to, err := net.ResolveUDPAddr("udp4", address)
+	to, err := netip.ParseAddrPort(address)
 	if err != nil {
 		return
 	}
 	if text, err := easyjson.Marshal(datagram); err == nil {
-		n.packets.WriteTo(text, to)
+		n.packets.WriteTo(text, net.UDPAddrFromAddrPort(to))
 	}
 }
 
@@ -133,13 +134,15 @@
 
 func (n *Node) join(life span.Span) {
 	for round := 0; ; round++ {
-		if !n.knowsSteward() || round%15 == 14 {
+		view := n.View()
+		isLeaf := isLeaf(view.Self)
+		if !view.SeesSteward() || isLeaf && view.IsLonely || !isLeaf && round%15 == 14 {
 			for _, seed := range *n.seeds.Load() {
 				n.exchange(seed)
 			}
 		}
 		wait := time.Second
-		if !n.knowsSteward() {
+		if !n.View().SeesSteward() {
 			wait = 200 * time.Millisecond
 		}
 		select {
@@ -150,45 +153,40 @@
 	}
 }
 
-func (n *Node) knowsSteward() bool {
-	for _, member := range n.View().Members {
-		if member.Role == "steward" && member.State == siblingwire.StateAlive && member.Name != n.View().Self.Name {
-			return true
-		}
-	}
-	return false
-}
-
+// exchange compares lists with a sibling by buckets, and gives it in a second call what it lacked.
 func (n *Node) exchange(address string) {
 	if address == n.View().Self.Control {
 		return
 	}
-	whole, err := mailbox.Ask(n.box, span.Root(), func(answer func(siblingwire.MembersCall)) { answer(n.whole()) })
+	call, err := mailbox.Ask(n.box, span.Root(), func(answer func(siblingwire.MembersCall)) { answer(n.table.Ask()) })
 	if err != nil {
 		return
 	}
-	answer, err := siblingwire.Call[siblingwire.MembersCall, siblingwire.MembersAnswer](
-		n.caller, span.Root(), address, siblingwire.ProcedureMembers, 800*time.Millisecond, &whole)
+	answer, err := n.callMembers(address, &call)
 	if err != nil {
-		n.log.V(1).Info("members could not be compared", "sibling", address, "why", err.Error())
 		return
 	}
-	from := Member{Address: address}
-	n.box.Post(func() { n.table.TakeAll(from, answer.Members, answer.Digest) })
+	given, err := mailbox.Ask(n.box, span.Root(), func(tell func(*siblingwire.MembersCall)) {
+		tell(n.table.Take(Member{Address: address}, answer))
+	})
+	if err == nil && given != nil {
+		n.callMembers(address, given)
+	}
 }
 
-func (n *Node) whole() siblingwire.MembersCall {
-	return siblingwire.MembersCall{From: n.table.Self(), Members: n.table.All(), Digest: n.table.Digest()}
+func (n *Node) callMembers(address string, call *siblingwire.MembersCall) (*siblingwire.MembersAnswer, error) {
+	answer, err := siblingwire.Call[siblingwire.MembersCall, siblingwire.MembersAnswer](
+		n.caller, span.Root(), address, siblingwire.ProcedureMembers, 800*time.Millisecond, call)
+	if err != nil {
+		n.log.V(1).Info("members could not be compared", "sibling", address, "why", err.Error())
+	}
+	return answer, err
 }
 
 // Handle lets siblings compare their lists with this one.
 func (n *Node) Handle(mux *http.ServeMux) {
 	siblingwire.Serve(mux, siblingwire.ProcedureMembers, func(life span.Span, call *siblingwire.MembersCall) (*siblingwire.MembersAnswer, error) {
-		answer, err := mailbox.Ask(n.box, life, func(answer func(siblingwire.MembersAnswer)) {
-			n.table.TakeAll(call.From, call.Members, call.Digest)
-			whole := n.whole()
-			answer(siblingwire.MembersAnswer{Members: whole.Members, Digest: whole.Digest})
-		})
+		answer, err := mailbox.Ask(n.box, life, func(answer func(siblingwire.MembersAnswer)) { answer(n.table.Answer(call)) })
 		return &answer, err
 	})
 }
--- /dev/null
+++ b/internal/siblingprobe/roster.go
@@ -0,0 +1,44 @@
+package siblingprobe
+
+import (
+	"cmp"
+	"slices"
+)
+
+// roster is a sorted list of members; it is copied only when a change follows after it was shown.
+type roster struct {
+	members []Member
+	isShown bool
+}
+
+func byName(one, two Member) int {
+	return cmp.Or(cmp.Compare(one.Name, two.Name), cmp.Compare(one.Role, two.Role))
+}
+
+func (r *roster) show() []Member {
+	r.isShown = true
+	return r.members
+}
+
+func (r *roster) own() {
+	if r.isShown {
+		r.members, r.isShown = slices.Clone(r.members), false
+	}
+}
+
+func (r *roster) put(member Member) {
+	r.own()
+	place, isThere := slices.BinarySearchFunc(r.members, member, byName)
+	if isThere {
+		r.members[place] = member
+		return
+	}
+	r.members = slices.Insert(r.members, place, member)
+}
+
+func (r *roster) drop(member Member) {
+	if place, isThere := slices.BinarySearchFunc(r.members, member, byName); isThere {
+		r.own()
+		r.members = slices.Delete(r.members, place, place+1)
+	}
+}
--- /dev/null
+++ b/internal/siblingprobe/sums.go
@@ -0,0 +1,40 @@
+package siblingprobe
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+
+	"gannetline/internal/siblingwire"
+)
+
+const bucketCount = 32
+
+// sums are digests of records by bucket, kept up to date by change.
+type sums [bucketCount]uint32
+
+func (s *sums) toggle(bucket int, hash uint32) { s[bucket] ^= hash }
+
+func (s *sums) whole() uint32 {
+	var whole uint32
+	for _, one := range s {
+		whole ^= one
+	}
+	return shown(whole)
+}
+
+// shown is never 0, as that stands for a sibling without sums.
+func shown(sum uint32) uint32 { return max(sum, 1) }
+
+func bucketOf(name string) int {
+	sum := sha256.Sum256([]byte(name))
+	return int(sum[0]) % bucketCount
+}
+
+func hashOf(name string, version uint64, state int) uint32 {
+	text := append([]byte(name), 0)
+	text = binary.BigEndian.AppendUint64(text, version)
+	sum := sha256.Sum256(append(text, byte(state)))
+	return binary.BigEndian.Uint32(sum[:])
+}
+
+func factHash(fact siblingwire.OwnerFact) uint32 { return hashOf(fact.Key, fact.Epoch, 0) }
--- a/internal/siblingprobe/table.go
+++ b/internal/siblingprobe/table.go
@@ -1,13 +1,12 @@
 // Package siblingprobe knows the system's processes: probes in turn, second opinions, suspicion before
-// removal; the same datagrams carry news, and digests that show gaps.
+// removal; the same datagrams carry news, and digests that show gaps. Local-proxies are leaves: nobody
+// lists or probes them, and they attach to a few stewards.
 package siblingprobe
 
 import (
-	"hash/crc32"
 	"maps"
 	"math/rand/v2"
 	"slices"
-	"strconv"
 	"time"
 
 	"gannetline/internal/pulse"
@@ -16,17 +15,28 @@
 
 type Member = siblingwire.Member
 
+const (
+	RoleSteward    = "steward"
+	RoleLocalProxy = "local-proxy"
+)
+
 type Timing struct {
 	Period        time.Duration
 	AnswerWait    time.Duration
 	SuspectFor    time.Duration
 	ForgetAfter   time.Duration
 	Fanout        int
+	OwnerFanout   int
 	SecondOpinion int
+	// LeafPeriod lies between two pings of a local-proxy; a steward pushes to it for LeafKeep after one.
+	LeafPeriod  time.Duration
+	LeafKeep    time.Duration
+	LonelyAfter time.Duration
 }
 
 var DefaultTiming = Timing{Period: 700 * time.Millisecond, AnswerWait: 250 * time.Millisecond,
-	SuspectFor: 2500 * time.Millisecond, ForgetAfter: 120 * time.Second, Fanout: 3, SecondOpinion: 2}
+	SuspectFor: 2500 * time.Millisecond, ForgetAfter: 120 * time.Second, Fanout: 3, OwnerFanout: 6, SecondOpinion: 2,
+	LeafPeriod: 1400 * time.Millisecond, LeafKeep: 13 * time.Second, LonelyAfter: 3 * time.Second}
 
 const (
 	kindPing  = "ping"
@@ -34,16 +44,24 @@
 	kindAsk   = "ask"
 	kindNews  = "news"
 	mostNews  = 5
+	mostFacts = 12
 	mostPast  = 4
 	newsTimes = 4
 
 	planRounds = 4
+	freshTicks = 4
+	leafTicks  = 16
+	youngFor   = 10 * time.Second
 )
 
 type entry struct {
-	member  Member
-	since   time.Duration
-	heardAt time.Duration
+	member Member
+	bucket int
+	// hash stands for the record among all, lifeHash among the stewards, where the state counts only once it is gone.
+	hash     uint32
+	lifeHash uint32
+	since    time.Duration
+	heardAt  time.Duration
 }
 
 type probe struct {
@@ -53,19 +71,10 @@
 }
 
 type relay struct {
-	to     string
+	to     Member
 	number uint64
 }
 
-// View is what the table shows to the rest of the process; it is never changed after it is made.
-type View struct {
-	Self    Member
-	Members []Member
-	Owners  map[string]siblingwire.OwnerFact
-	// Moved is closed once any key has another owner than this view says.
-	Moved chan struct{}
-}
-
 type Events struct {
 	Send      func(address string, datagram siblingwire.Datagram)
 	Show      func(*View)
@@ -75,35 +84,62 @@
 
 // Table has no goroutine of its own; its owner calls it.
 type Table struct {
-	self     Member
-	clock    pulse.Pulse
-	timing   Timing
-	events   Events
-	draw     *rand.Rand
-	entries  map[string]*entry
-	owners   map[string]siblingwire.OwnerFact
-	plan     int64
-	order    []string
-	number   uint64
-	probes   map[uint64]probe
-	relays   map[uint64]relay
-	hot      map[string]int
-	hash     uint32
-	lastTick time.Duration
-	differAt time.Duration
-	isDirty  bool
-	rounds   int
-
+	self   Member
+	clock  pulse.Pulse
+	timing Timing
+	events Events
+	draw   *rand.Rand
+
+	me          *entry
+	entries     map[string]*entry
+	unwell      map[string]*entry
+	everyone    roster
+	stewards    roster
+	sums        sums
+	stewardSums sums
+
+	owners        map[string]siblingwire.OwnerFact
+	isOwnersShown bool
+	ownerSum      uint32
+	fresh         map[string]int
+
+	plan       int64
 	planRounds int
-	moved      chan struct{}
-	hasMoved   bool
+
+	order  []string
+	number uint64
+	probes map[uint64]probe
+	relays map[uint64]relay
+	hot    map[string]int
+
+	leaves   map[string]leaf
+	attached []Member
+	turn     int
+	askedAt  time.Duration
+	heardAt  time.Duration
+	isHeard  bool
+	isLonely bool
+
+	born      time.Duration
+	lastTick  time.Duration
+	changedAt time.Duration
+	differAt  time.Duration
+	rounds    int
+	isDirty   bool
+	moved     chan struct{}
+	hasMoved  bool
 }
 
 func NewTable(self Member, clock pulse.Pulse, timing Timing, seed uint64, events Events) *Table {
-	table := &Table{self: self, clock: clock, timing: timing, events: events, draw: rand.New(rand.NewPCG(seed, 7)),
-		entries: map[string]*entry{}, owners: map[string]siblingwire.OwnerFact{}, probes: map[uint64]probe{},
-		relays: map[uint64]relay{}, hot: map[string]int{}, isDirty: true, moved: make(chan struct{})}
-	table.lastTick = clock.Steady()
+	table := &Table{clock: clock, timing: timing, events: events, draw: rand.New(rand.NewPCG(seed, 7)),
+		entries: map[string]*entry{}, unwell: map[string]*entry{}, owners: map[string]siblingwire.OwnerFact{},
+		fresh: map[string]int{}, probes: map[uint64]probe{}, relays: map[uint64]relay{}, hot: map[string]int{},
+		leaves: map[string]leaf{}, isHeard: true, isDirty: true, moved: make(chan struct{})}
+	now := clock.Steady()
+	table.born, table.lastTick, table.heardAt = now, now, now
+	table.self = self
+	table.me = &entry{bucket: bucketOf(Name(self))}
+	table.write(table.me, self)
 	return table
 }
 
@@ -111,6 +147,18 @@
 
 func (t *Table) Self() Member { return t.self }
 
+func isNewer(one, two Member) bool {
+	return one.Incarnation > two.Incarnation || one.Incarnation == two.Incarnation && one.State > two.State
+}
+
+// isKept tells whether this table lists a member: a local-proxy lists stewards, all others list no local-proxies.
+func (t *Table) isKept(member Member) bool {
+	if isLeaf(t.self) {
+		return member.Role == RoleSteward
+	}
+	return !isLeaf(member)
+}
+
 // Merge takes one record; it tells whether it was news.
 func (t *Table) Merge(member Member) bool {
 	name := Name(member)
@@ -118,26 +166,85 @@
 		t.refute(member)
 		return false
 	}
+	if !t.isKept(member) {
+		return false
+	}
+	if isLeaf(t.self) && member.State == siblingwire.StateSuspect {
+		member.State = siblingwire.StateAlive
+	}
 	now := t.clock.Steady()
 	known := t.entries[name]
 	if known == nil {
-		t.entries[name] = &entry{member: member, since: now, heardAt: now}
+		if member.State == siblingwire.StateGone && now-t.born > t.timing.ForgetAfter {
+			return false
+		}
+		known = &entry{bucket: bucketOf(name), since: now, heardAt: now}
+		t.entries[name] = known
+		t.write(known, member)
 		t.noteNews(name)
 		return true
 	}
 	old := known.member
-	if member.Incarnation < old.Incarnation || member.Incarnation == old.Incarnation && member.State <= old.State {
+	if !isNewer(member, old) {
 		return false
 	}
 	member.Past = joinPast(old, member)
-	known.member = member
-	if old.State != member.State || old.Incarnation != member.Incarnation {
-		known.since = now
-	}
+	known.since = now
+	t.write(known, member)
 	t.noteNews(name)
 	return true
 }
 
+// write puts a record in its place, and keeps all that is derived from it.
+func (t *Table) write(known *entry, member Member) {
+	t.count(known)
+	known.member = member
+	known.hash, known.lifeHash = 0, 0
+	if member.State != siblingwire.StateGone {
+		known.hash = hashOf(Name(member), member.Incarnation, member.State)
+		known.lifeHash = hashOf(Name(member), member.Incarnation, siblingwire.StateAlive)
+	}
+	t.count(known)
+	t.everyone.put(member)
+	if member.Role == RoleSteward {
+		t.stewards.put(member)
+	}
+	if name := Name(member); member.State == siblingwire.StateAlive {
+		delete(t.unwell, name)
+	} else {
+		t.unwell[name] = known
+	}
+	t.noteChange()
+}
+
+func (t *Table) count(known *entry) {
+	if isLeaf(known.member) {
+		return
+	}
+	t.sums.toggle(known.bucket, known.hash)
+	if known.member.Role == RoleSteward {
+		t.stewardSums.toggle(known.bucket, known.lifeHash)
+	}
+}
+
+func (t *Table) forget(name string) {
+	known := t.entries[name]
+	if known == nil {
+		return
+	}
+	t.count(known)
+	delete(t.entries, name)
+	delete(t.unwell, name)
+	t.everyone.drop(known.member)
+	t.stewards.drop(known.member)
+	t.noteChange()
+}
+
+func (t *Table) noteChange() {
+	t.isDirty = true
+	t.changedAt = t.clock.Steady()
+}
+
 func joinPast(old, fresh Member) []string {
 	past := slices.Clone(fresh.Past)
 	for _, disk := range append(slices.Clone(old.Past), old.Disk) {
@@ -154,21 +261,27 @@
 	}
 	t.self.Past = joinPast(belief, t.self)
 	t.self.Incarnation = belief.Incarnation + 1
-	t.isDirty = true
+	t.write(t.me, t.self)
 	t.Spread()
 }
 
-func (t *Table) noteNews(name string) {
-	t.hot[name] = newsTimes
-	t.isDirty = true
-}
+func (t *Table) noteNews(name string) { t.hot[name] = newsTimes }
 
 // MergeOwner takes word of a key's owner; the higher epoch counts.
 func (t *Table) MergeOwner(fact siblingwire.OwnerFact) bool {
-	if known, isThere := t.owners[fact.Key]; isThere && known.Epoch >= fact.Epoch {
+	known, isThere := t.owners[fact.Key]
+	if isThere && known.Epoch >= fact.Epoch {
 		return false
 	}
+	if t.isOwnersShown {
+		t.owners, t.isOwnersShown = maps.Clone(t.owners), false
+	}
+	if isThere {
+		t.ownerSum ^= factHash(known)
+	}
+	t.ownerSum ^= factHash(fact)
 	t.owners[fact.Key] = fact
+	t.fresh[fact.Key] = freshTicks
 	t.isDirty, t.hasMoved = true, true
 	return true
 }
@@ -181,28 +294,36 @@
 	}
 }
 
-// spreadPlan tells those who hold plans; proxies don't, and would not pass it on.
-func (t *Table) spreadPlan() {
-	t.Settle()
-	for _, name := range t.some(2*t.timing.Fanout, func(one Member) bool { return one.Role != "local-proxy" }) {
-		t.send(t.entries[name].member.Address, kindNews, 0, "", nil)
+func (t *Table) spreadPlan() { t.tell(2 * t.timing.Fanout) }
+
+func (t *Table) sumsFor(role string) *sums {
+	if isLeaf(t.self) || role == RoleLocalProxy {
+		return &t.stewardSums
 	}
+	return &t.sums
 }
 
-func (t *Table) digest() siblingwire.Digest {
-	owners := slices.Collect(maps.Values(t.owners))
-	slices.SortFunc(owners, func(one, two siblingwire.OwnerFact) int {
-		if one.Key < two.Key {
-			return -1
-		}
-		return 1
-	})
-	return siblingwire.Digest{Plan: t.plan, Members: t.hash, Owners: owners}
+func (t *Table) shownOwnerSum() uint32 { return shown(t.ownerSum) }
+
+func (t *Table) digestFor(role string) siblingwire.Digest {
+	return siblingwire.Digest{Plan: t.plan, MemberSum: t.sumsFor(role).whole(), OwnerSum: t.shownOwnerSum()}
 }
 
-func (t *Table) Digest() siblingwire.Digest { return t.digest() }
+func (t *Table) facts() []siblingwire.OwnerFact { return slices.Collect(maps.Values(t.owners)) }
 
-func (t *Table) heed(from Member, digest siblingwire.Digest) {
+func (t *Table) freshFacts() []siblingwire.OwnerFact {
+	var facts []siblingwire.OwnerFact
+	for key := range t.fresh {
+		if len(facts) == mostFacts {
+			break
+		}
+		facts = append(facts, t.owners[key])
+	}
+	return facts
+}
+
+// heedNews takes what a digest says outright.
+func (t *Table) heedNews(from Member, digest siblingwire.Digest) {
 	isNews := false
 	for _, fact := range digest.Owners {
 		isNews = t.MergeOwner(fact) || isNews
@@ -210,59 +331,94 @@
 	if digest.Plan > t.plan {
 		t.events.PlanAhead(from, digest.Plan)
 	}
-	if isNews {
+	if isNews && !isLeaf(t.self) {
 		t.Spread()
 	}
+}
+
+// heedSums looks for what a digest shows to be missing; a sibling of the older form has no sums.
+func (t *Table) heedSums(from Member, digest siblingwire.Digest) {
+	if isLeaf(from) {
+		return
+	}
+	isOwnersBeyond := digest.OwnerSum != 0 && digest.OwnerSum != t.shownOwnerSum() && len(t.owners) > mostFacts
+	isDiffering := digest.MemberSum != 0 && digest.MemberSum != t.sumsFor(from.Role).whole()
 	now := t.clock.Steady()
-	if digest.Members != t.hash && now-t.differAt > 2*t.timing.Period {
-		t.differAt = now
-		t.events.Differ(from)
+	if !isOwnersBeyond && !(isDiffering && t.isCalm(now)) || now-t.differAt <= 2*t.timing.Period {
+		return
 	}
+	t.differAt = now
+	t.events.Differ(from)
 }
 
-// TakeAll merges a sibling's whole list.
-func (t *Table) TakeAll(from Member, members []Member, digest siblingwire.Digest) {
-	for _, member := range members {
-		t.Merge(member)
-	}
-	t.heed(from, digest)
-	t.Settle()
+// isCalm gives news the time to arrive by itself, except in the first seconds and where changes never cease.
+func (t *Table) isCalm(now time.Duration) bool {
+	return now-t.born < youngFor || now-t.changedAt >= t.timing.Period || now-t.differAt >= 6*t.timing.Period
 }
 
+// All gives every record, this process's own first.
 func (t *Table) All() []Member {
 	all := []Member{t.self}
-	for _, name := range slices.Sorted(maps.Keys(t.entries)) {
-		all = append(all, t.entries[name].member)
-	}
+	t.each(func(known *entry) {
+		if known != t.me {
+			all = append(all, known.member)
+		}
+	})
 	return all
 }
 
 // Hear takes one datagram.
 func (t *Table) Hear(datagram siblingwire.Datagram) {
-	name := Name(datagram.From)
-	if name == Name(t.self) {
+	from := datagram.From
+	if Name(from) == Name(t.self) {
 		return
 	}
-	t.Merge(datagram.From)
+	t.meet(from)
 	for _, member := range datagram.News {
 		t.Merge(member)
 	}
-	known := t.entries[name]
-	if known != nil {
-		known.heardAt = t.clock.Steady()
-	}
+	t.heedNews(from, datagram.Digest)
+	reply := siblingwire.Datagram{Digest: siblingwire.Digest{Owners: t.mend(datagram.Digest)}}
 	switch datagram.Kind {
 	case kindPing:
-		t.send(datagram.From.Address, kindAck, datagram.Number, "", t.beliefAbout(name))
+		reply.Kind, reply.Number, reply.News = kindAck, datagram.Number, t.beliefAbout(Name(from))
 	case kindAck:
 		t.hearAck(datagram)
 	case kindAsk:
 		t.relay(datagram)
 	}
-	t.heed(datagram.From, datagram.Digest)
+	if reply.Kind == "" && len(reply.Digest.Owners) > 0 {
+		reply.Kind = kindNews
+	}
+	if reply.Kind != "" {
+		t.send(from, reply)
+	}
+	t.heedSums(from, datagram.Digest)
 	t.Settle()
 }
 
+// meet notes that a sibling has spoken.
+func (t *Table) meet(from Member) {
+	if isLeaf(from) {
+		t.hearLeaf(from)
+		return
+	}
+	t.Merge(from)
+	now := t.clock.Steady()
+	if known := t.entries[Name(from)]; known != nil {
+		known.heardAt = now
+		t.heardAt, t.isHeard = now, true
+	}
+}
+
+// mend gives all facts to a sibling whose sum of them differs; if it holds newer ones, it does the same in turn.
+func (t *Table) mend(digest siblingwire.Digest) []siblingwire.OwnerFact {
+	if digest.OwnerSum == 0 || digest.OwnerSum == t.shownOwnerSum() || len(t.owners) > mostFacts {
+		return nil
+	}
+	return t.facts()
+}
+
 func (t *Table) beliefAbout(name string) []Member {
 	if known := t.entries[name]; known != nil && known.member.State != siblingwire.StateAlive {
 		return []Member{known.member}
@@ -273,7 +429,7 @@
 func (t *Table) hearAck(datagram siblingwire.Datagram) {
 	if pending, isThere := t.relays[datagram.Number]; isThere {
 		delete(t.relays, datagram.Number)
-		t.send(pending.to, kindAck, pending.number, "", nil)
+		t.send(pending.to, siblingwire.Datagram{Kind: kindAck, Number: pending.number})
 		return
 	}
 	delete(t.probes, datagram.Number)
@@ -285,11 +441,39 @@
 		return
 	}
 	t.number++
-	t.relays[t.number] = relay{datagram.From.Address, datagram.Number}
-	t.send(target.member.Address, kindPing, t.number, "", nil)
+	t.relays[t.number] = relay{datagram.From, datagram.Number}
+	t.send(target.member, siblingwire.Datagram{Kind: kindPing, Number: t.number})
 }
 
-func (t *Table) send(address, kind string, number uint64, target string, news []Member) {
+// send adds this process's record, digest and news to a datagram.
+func (t *Table) send(to Member, datagram siblingwire.Datagram) {
+	facts := datagram.Digest.Owners
+	if len(facts) == 0 {
+		facts = t.freshFacts()
+	}
+	if isLeaf(to) {
+		datagram.News = append(datagram.News, t.recordsOf(facts)...)
+	} else {
+		datagram.News = t.withHot(datagram.News)
+	}
+	datagram.From, datagram.Digest = t.self, t.digestFor(to.Role)
+	datagram.Digest.Owners = facts
+	t.events.Send(to.Address, datagram)
+}
+
+func (t *Table) recordsOf(facts []siblingwire.OwnerFact) []Member {
+	var records []Member
+	for _, fact := range facts {
+		known := t.entries[Name(Member{Name: fact.Name, Role: RoleSteward})]
+		isListed := known == nil || slices.ContainsFunc(records, func(one Member) bool { return one.Name == fact.Name })
+		if !isListed && len(records) < mostNews {
+			records = append(records, known.member)
+		}
+	}
+	return records
+}
+
+func (t *Table) withHot(news []Member) []Member {
 	for name, times := range t.hot {
 		if len(news) >= mostNews {
 			break
@@ -303,41 +487,64 @@
 		}
 		t.hot[name] = times - 1
 	}
-	t.events.Send(address, siblingwire.Datagram{Kind: kind, Number: number, From: t.self, Target: target, News: news, Digest: t.digest()})
+	return news
 }
 
 // Spread passes news on to a few others at once.
 func (t *Table) Spread() {
-	t.Settle()
-	for _, name := range t.some(t.timing.Fanout, anyone) {
-		t.send(t.entries[name].member.Address, kindNews, 0, "", nil)
+	if len(t.fresh) == 0 {
+		t.tell(t.timing.Fanout)
+		return
 	}
+	t.tell(t.timing.OwnerFanout)
+	t.pushToLeaves()
 }
 
-func anyone(Member) bool { return true }
+func (t *Table) tell(count int) {
+	t.Settle()
+	for _, one := range t.some(count, "") {
+		t.send(one, siblingwire.Datagram{Kind: kindNews})
+	}
+}
 
-func (t *Table) some(count int, isFit func(Member) bool) []string {
-	var alive []string
-	for _, name := range slices.Sorted(maps.Keys(t.entries)) {
-		if t.entries[name].member.State == siblingwire.StateAlive && isFit(t.entries[name].member) {
-			alive = append(alive, name)
+// some draws a few members that are alive, without walking the whole list unless most of it is not.
+func (t *Table) some(count int, without string) []Member {
+	all := t.everyone.members
+	var chosen []Member
+	take := func(one Member) {
+		name := Name(one)
+		isFit := one.State == siblingwire.StateAlive && name != without && name != Name(t.self)
+		if isFit && !slices.ContainsFunc(chosen, func(other Member) bool { return Name(other) == name }) {
+			chosen = append(chosen, one)
+		}
+	}
+	for try := 0; try < 8*count && len(chosen) < count; try++ {
+		take(all[t.draw.IntN(len(all))])
+	}
+	if len(chosen) == count {
+		return chosen
+	}
+	for _, place := range t.draw.Perm(len(all)) {
+		if len(chosen) < count {
+			take(all[place])
 		}
 	}
-	t.draw.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
-	return alive[:min(count, len(alive))]
+	return chosen
 }
 
 // Tick is called a few times a period.
 func (t *Table) Tick() {
 	now := t.clock.Steady()
-	isLate := now-t.lastTick > 2*t.timing.Period
+	if now-t.lastTick > 2*t.timing.Period {
+		t.wake(now)
+	}
 	t.lastTick = now
-	if isLate {
-		clear(t.probes)
-		for _, one := range t.entries {
-			one.since = max(one.since, now)
-			one.heardAt = now
-		}
+	t.rounds++
+	if isLeaf(t.self) {
+		t.tickLeaf(now)
+		t.cool()
+		t.Settle()
+		return
 	}
 	t.followProbes(now)
 	t.age(now)
@@ -345,13 +552,44 @@
 		t.planRounds--
 		t.spreadPlan()
 	}
-	t.rounds++
+	if t.cool() {
+		t.Spread()
+	}
 	if t.rounds%2 == 0 {
 		t.probeNext(now)
 	}
+	if t.rounds%leafTicks == 0 {
+		t.forgetLeaves(now)
+	}
 	t.Settle()
 }
 
+// wake follows a freeze of this process: nobody's silence counts.
+func (t *Table) wake(now time.Duration) {
+	clear(t.probes)
+	for _, one := range t.entries {
+		one.since = max(one.since, now)
+		one.heardAt = now
+	}
+	for name, one := range t.leaves {
+		one.heardAt = now
+		t.leaves[name] = one
+	}
+	t.heardAt, t.isHeard = now, false
+}
+
+// cool lets facts about owners cease to be news; it tells whether some are to be spread once more.
+func (t *Table) cool() bool {
+	isHot := false
+	for key, left := range t.fresh {
+		isHot = isHot || left == freshTicks
+		if t.fresh[key] = left - 1; left <= 1 {
+			delete(t.fresh, key)
+		}
+	}
+	return isHot
+}
+
 func (t *Table) followProbes(now time.Duration) {
 	for number, one := range t.probes {
 		known := t.entries[one.name]
@@ -366,8 +604,8 @@
 		case now-one.began >= t.timing.AnswerWait && !one.isAsked:
 			one.isAsked = true
 			t.probes[number] = one
-			for _, helper := range t.some(t.timing.SecondOpinion, func(other Member) bool { return Name(other) != one.name }) {
-				t.send(t.entries[helper].member.Address, kindAsk, number, one.name, nil)
+			for _, helper := range t.some(t.timing.SecondOpinion, one.name) {
+				t.send(helper, siblingwire.Datagram{Kind: kindAsk, Number: number, Target: one.name})
 			}
 		}
 	}
@@ -378,24 +616,28 @@
 
 func (t *Table) suspect(name string) {
 	if known := t.entries[name]; known.member.State == siblingwire.StateAlive {
-		known.member.State = siblingwire.StateSuspect
-		known.since = t.clock.Steady()
-		t.noteNews(name)
+		t.demote(known, siblingwire.StateSuspect)
 	}
 }
 
+func (t *Table) demote(known *entry, state int) {
+	member := known.member
+	member.State = state
+	known.since = t.clock.Steady()
+	t.write(known, member)
+	t.noteNews(Name(member))
+}
+
 func (t *Table) age(now time.Duration) {
-	for name, known := range t.entries {
+	for name, known := range t.unwell {
 		switch known.member.State {
 		case siblingwire.StateSuspect:
 			if now-known.since > t.timing.SuspectFor {
-				known.member.State, known.since = siblingwire.StateGone, now
-				t.noteNews(name)
+				t.demote(known, siblingwire.StateGone)
 			}
 		case siblingwire.StateGone:
 			if now-known.since > t.timing.ForgetAfter {
-				delete(t.entries, name)
-				t.isDirty = true
+				t.forget(name)
 			}
 		}
 	}
@@ -403,12 +645,12 @@
 
 func (t *Table) probeNext(now time.Duration) {
 	if len(t.order) == 0 {
-		for name, known := range t.entries {
-			if known.member.State != siblingwire.StateGone || t.draw.IntN(3) == 0 {
+		for _, member := range t.everyone.members {
+			isDue := member.State != siblingwire.StateGone || t.draw.IntN(3) == 0
+			if name := Name(member); isDue && name != Name(t.self) {
 				t.order = append(t.order, name)
 			}
 		}
-		slices.Sort(t.order)
 		t.draw.Shuffle(len(t.order), func(i, j int) { t.order[i], t.order[j] = t.order[j], t.order[i] })
 	}
 	for len(t.order) > 0 {
@@ -417,7 +659,7 @@
 		if known := t.entries[name]; known != nil {
 			t.number++
 			t.probes[t.number] = probe{name: name, began: now}
-			t.send(known.member.Address, kindPing, t.number, "", t.beliefAbout(name))
+			t.send(known.member, siblingwire.Datagram{Kind: kindPing, Number: t.number, News: t.beliefAbout(name)})
 			return
 		}
 	}
@@ -429,25 +671,16 @@
 		return
 	}
 	t.isDirty = false
-	all := t.All()
-	sum := crc32.NewIEEE()
-	slices.SortFunc(all, func(one, two Member) int {
-		if Name(one) < Name(two) {
-			return -1
-		}
-		return 1
-	})
-	for _, member := range all {
-		sum.Write([]byte(Name(member)))
-		sum.Write(strconv.AppendUint(nil, member.Incarnation, 36))
-		sum.Write([]byte{byte(member.State)})
+	if isLeaf(t.self) && !t.stewards.isShown {
+		t.attach()
 	}
-	t.hash = sum.Sum32()
 	old := t.moved
 	if t.hasMoved {
 		t.moved = make(chan struct{})
 	}
-	t.events.Show(&View{Self: t.self, Members: all, Owners: maps.Clone(t.owners), Moved: t.moved})
+	t.isOwnersShown = true
+	t.events.Show(&View{Self: t.self, Members: t.everyone.show(), Stewards: t.stewards.show(), Owners: t.owners,
+		IsLonely: t.isLonely, Moved: t.moved})
 	if t.hasMoved {
 		t.hasMoved = false
 		close(old)
--- /dev/null
+++ b/internal/siblingprobe/view.go
@@ -0,0 +1,45 @@
+package siblingprobe
+
+import (
+	"slices"
+
+	"gannetline/internal/siblingwire"
+)
+
+// View is what the table shows to the rest of the process; it is never changed after it is made.
+// Members and Stewards are sorted by name; a local-proxy knows stewards only, and nobody lists local-proxies.
+type View struct {
+	Self     Member
+	Members  []Member
+	Stewards []Member
+	Owners   map[string]siblingwire.OwnerFact
+	// IsLonely is set at a local-proxy that no steward has answered for some time.
+	IsLonely bool
+	// Moved is closed once any key has another owner than this view says.
+	Moved chan struct{}
+}
+
+// Steward finds a steward by its node's name.
+func (v *View) Steward(name string) (Member, bool) {
+	place, isThere := slices.BinarySearchFunc(v.Stewards, Member{Name: name, Role: RoleSteward}, byName)
+	if !isThere {
+		return Member{}, false
+	}
+	return v.Stewards[place], true
+}
+
+// StewardOf finds the steward that keeps a disk.
+func (v *View) StewardOf(disk string) (Member, bool) {
+	place := slices.IndexFunc(v.Stewards, func(one Member) bool { return one.Disk == disk })
+	if place < 0 || disk == "" {
+		return Member{}, false
+	}
+	return v.Stewards[place], true
+}
+
+// SeesSteward tells whether any steward but this process is thought alive.
+func (v *View) SeesSteward() bool {
+	return slices.ContainsFunc(v.Stewards, func(one Member) bool {
+		return one.State == siblingwire.StateAlive && Name(one) != Name(v.Self)
+	})
+}
--- a/internal/siblingwire/messages.go
+++ b/internal/siblingwire/messages.go
@@ -108,10 +108,13 @@
 	Name  string `json:"n"`
 }
 
+// Digest carries owners that are news, or missing at the other side; the sums show the rest and are never 0.
+// A sibling of the older form sends no sums, and all of its owners.
 type Digest struct {
-	Plan    int64       `json:"p,omitempty"`
-	Members uint32      `json:"m,omitempty"`
-	Owners  []OwnerFact `json:"o,omitempty"`
+	Plan      int64       `json:"p,omitempty"`
+	Owners    []OwnerFact `json:"o,omitempty"`
+	MemberSum uint32      `json:"s,omitempty"`
+	OwnerSum  uint32      `json:"h,omitempty"`
 }
 
 type Datagram struct {
@@ -123,15 +126,21 @@
 	Digest Digest   `json:"g"`
 }
 
+// MembersCall compares lists by the caller's sums of each bucket; a call without them is of the older form, and
+// is answered with the whole list. Gives marks the second call, which brings what the first answer lacked.
 type MembersCall struct {
 	From    Member   `json:"from"`
 	Members []Member `json:"members,omitempty"`
 	Digest  Digest   `json:"digest"`
+	Buckets []uint32 `json:"buckets,omitempty"`
+	Gives   bool     `json:"gives,omitempty"`
 }
 
+// MembersAnswer holds all records of the differing buckets.
 type MembersAnswer struct {
-	Members []Member `json:"members,omitempty"`
-	Digest  Digest   `json:"digest"`
+	Members   []Member `json:"members,omitempty"`
+	Digest    Digest   `json:"digest"`
+	Differing []int    `json:"differing,omitempty"`
 }
 
 type PlanCall struct {
--- a/internal/siblingwire/messages_easyjson.go
+++ b/internal/siblingwire/messages_easyjson.go
@@ -1608,6 +1608,39 @@
 			} else {
 				(out.Digest).UnmarshalEasyJSON(in)
 			}
+		case "buckets":
+			if in.IsNull() {
+				in.Skip()
+				out.Buckets = nil
+			} else {
+				in.Delim('[')
+				if out.Buckets == nil {
+					if !in.IsDelim(']') {
+						out.Buckets = make([]uint32, 0, 16)
+					} else {
+						out.Buckets = []uint32{}
+					}
+				} else {
+					out.Buckets = (out.Buckets)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v23 uint32
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						v23 = uint32(in.Uint32())
+					}
+					out.Buckets = append(out.Buckets, v23)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
+		case "gives":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Gives = bool(in.Bool())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -1632,11 +1665,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v23, v24 := range in.Members {
-				if v23 > 0 {
+			for v24, v25 := range in.Members {
+				if v24 > 0 {
 					out.RawByte(',')
 				}
-				(v24).MarshalEasyJSON(out)
+				(v25).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -1646,6 +1679,25 @@
 		out.RawString(prefix)
 		(in.Digest).MarshalEasyJSON(out)
 	}
+	if len(in.Buckets) != 0 {
+		const prefix string = ",\"buckets\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('[')
+			for v26, v27 := range in.Buckets {
+				if v26 > 0 {
+					out.RawByte(',')
+				}
+				out.Uint32(uint32(v27))
+			}
+			out.RawByte(']')
+		}
+	}
+	if in.Gives {
+		const prefix string = ",\"gives\":"
+		out.RawString(prefix)
+		out.Bool(bool(in.Gives))
+	}
 	out.RawByte('}')
 }
 
@@ -1702,13 +1754,13 @@
 					out.Members = (out.Members)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v25 Member
+					var v28 Member
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v25).UnmarshalEasyJSON(in)
+						(v28).UnmarshalEasyJSON(in)
 					}
-					out.Members = append(out.Members, v25)
+					out.Members = append(out.Members, v28)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -1719,6 +1771,33 @@
 			} else {
 				(out.Digest).UnmarshalEasyJSON(in)
 			}
+		case "differing":
+			if in.IsNull() {
+				in.Skip()
+				out.Differing = nil
+			} else {
+				in.Delim('[')
+				if out.Differing == nil {
+					if !in.IsDelim(']') {
+						out.Differing = make([]int, 0, 8)
+					} else {
+						out.Differing = []int{}
+					}
+				} else {
+					out.Differing = (out.Differing)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v29 int
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						v29 = int(in.Int())
+					}
+					out.Differing = append(out.Differing, v29)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -1739,11 +1818,11 @@
 		out.RawString(prefix[1:])
 		{
 			out.RawByte('[')
-			for v26, v27 := range in.Members {
-				if v26 > 0 {
+			for v30, v31 := range in.Members {
+				if v30 > 0 {
 					out.RawByte(',')
 				}
-				(v27).MarshalEasyJSON(out)
+				(v31).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -1758,6 +1837,20 @@
 		}
 		(in.Digest).MarshalEasyJSON(out)
 	}
+	if len(in.Differing) != 0 {
+		const prefix string = ",\"differing\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('[')
+			for v32, v33 := range in.Differing {
+				if v32 > 0 {
+					out.RawByte(',')
+				}
+				out.Int(int(v33))
+			}
+			out.RawByte(']')
+		}
+	}
 	out.RawByte('}')
 }
 
@@ -1862,13 +1955,13 @@
 					out.Past = (out.Past)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v28 string
+					var v34 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v28 = string(in.String())
+						v34 = string(in.String())
 					}
-					out.Past = append(out.Past, v28)
+					out.Past = append(out.Past, v34)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -1932,11 +2025,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v29, v30 := range in.Past {
-				if v29 > 0 {
+			for v35, v36 := range in.Past {
+				if v35 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v30))
+				out.String(string(v36))
 			}
 			out.RawByte(']')
 		}
@@ -2603,13 +2696,13 @@
 					out.Labels = (out.Labels)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v31 string
+					var v37 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v31 = string(in.String())
+						v37 = string(in.String())
 					}
-					out.Labels = append(out.Labels, v31)
+					out.Labels = append(out.Labels, v37)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -2648,13 +2741,13 @@
 					out.Gone = (out.Gone)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v32 string
+					var v38 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v32 = string(in.String())
+						v38 = string(in.String())
 					}
-					out.Gone = append(out.Gone, v32)
+					out.Gone = append(out.Gone, v38)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -2693,13 +2786,13 @@
 					out.Running = (out.Running)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v33 RunReport
+					var v39 RunReport
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v33).UnmarshalEasyJSON(in)
+						(v39).UnmarshalEasyJSON(in)
 					}
-					out.Running = append(out.Running, v33)
+					out.Running = append(out.Running, v39)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -2720,13 +2813,13 @@
 					out.Ends = (out.Ends)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v34 EndReport
+					var v40 EndReport
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v34).UnmarshalEasyJSON(in)
+						(v40).UnmarshalEasyJSON(in)
 					}
-					out.Ends = append(out.Ends, v34)
+					out.Ends = append(out.Ends, v40)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -2747,13 +2840,13 @@
 					out.Answers = (out.Answers)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v35 OrderAnswer
+					var v41 OrderAnswer
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v35).UnmarshalEasyJSON(in)
+						(v41).UnmarshalEasyJSON(in)
 					}
-					out.Answers = append(out.Answers, v35)
+					out.Answers = append(out.Answers, v41)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -2803,11 +2896,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v36, v37 := range in.Labels {
-				if v36 > 0 {
+			for v42, v43 := range in.Labels {
+				if v42 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v37))
+				out.String(string(v43))
 			}
 			out.RawByte(']')
 		}
@@ -2832,11 +2925,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v38, v39 := range in.Gone {
-				if v38 > 0 {
+			for v44, v45 := range in.Gone {
+				if v44 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v39))
+				out.String(string(v45))
 			}
 			out.RawByte(']')
 		}
@@ -2861,11 +2954,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v40, v41 := range in.Running {
-				if v40 > 0 {
+			for v46, v47 := range in.Running {
+				if v46 > 0 {
 					out.RawByte(',')
 				}
-				(v41).MarshalEasyJSON(out)
+				(v47).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -2875,11 +2968,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v42, v43 := range in.Ends {
-				if v42 > 0 {
+			for v48, v49 := range in.Ends {
+				if v48 > 0 {
 					out.RawByte(',')
 				}
-				(v43).MarshalEasyJSON(out)
+				(v49).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -2889,11 +2982,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v44, v45 := range in.Answers {
-				if v44 > 0 {
+			for v50, v51 := range in.Answers {
+				if v50 > 0 {
 					out.RawByte(',')
 				}
-				(v45).MarshalEasyJSON(out)
+				(v51).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -2995,13 +3088,13 @@
 					out.Orders = (out.Orders)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v46 Order
+					var v52 Order
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v46).UnmarshalEasyJSON(in)
+						(v52).UnmarshalEasyJSON(in)
 					}
-					out.Orders = append(out.Orders, v46)
+					out.Orders = append(out.Orders, v52)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -3086,11 +3179,11 @@
 		}
 		{
 			out.RawByte('[')
-			for v47, v48 := range in.Orders {
-				if v47 > 0 {
+			for v53, v54 := range in.Orders {
+				if v53 > 0 {
 					out.RawByte(',')
 				}
-				(v48).MarshalEasyJSON(out)
+				(v54).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -3364,12 +3457,6 @@
 			} else {
 				out.Plan = int64(in.Int64())
 			}
-		case "m":
-			if in.IsNull() {
-				in.Skip()
-			} else {
-				out.Members = uint32(in.Uint32())
-			}
 		case "o":
 			if in.IsNull() {
 				in.Skip()
@@ -3386,17 +3473,29 @@
 					out.Owners = (out.Owners)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v49 OwnerFact
+					var v55 OwnerFact
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v49).UnmarshalEasyJSON(in)
+						(v55).UnmarshalEasyJSON(in)
 					}
-					out.Owners = append(out.Owners, v49)
+					out.Owners = append(out.Owners, v55)
 					in.WantComma()
 				}
 				in.Delim(']')
 			}
+		case "s":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.MemberSum = uint32(in.Uint32())
+			}
+		case "h":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.OwnerSum = uint32(in.Uint32())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -3417,16 +3516,6 @@
 		out.RawString(prefix[1:])
 		out.Int64(int64(in.Plan))
 	}
-	if in.Members != 0 {
-		const prefix string = ",\"m\":"
-		if first {
-			first = false
-			out.RawString(prefix[1:])
-		} else {
-			out.RawString(prefix)
-		}
-		out.Uint32(uint32(in.Members))
-	}
 	if len(in.Owners) != 0 {
 		const prefix string = ",\"o\":"
 		if first {
@@ -3437,15 +3526,35 @@
 		}
 		{
 			out.RawByte('[')
-			for v50, v51 := range in.Owners {
-				if v50 > 0 {
+			for v56, v57 := range in.Owners {
+				if v56 > 0 {
 					out.RawByte(',')
 				}
-				(v51).MarshalEasyJSON(out)
+				(v57).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
 	}
+	if in.MemberSum != 0 {
+		const prefix string = ",\"s\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		out.Uint32(uint32(in.MemberSum))
+	}
+	if in.OwnerSum != 0 {
+		const prefix string = ",\"h\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		out.Uint32(uint32(in.OwnerSum))
+	}
 	out.RawByte('}')
 }
 
@@ -3526,13 +3635,13 @@
 					out.News = (out.News)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v52 Member
+					var v58 Member
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v52).UnmarshalEasyJSON(in)
+						(v58).UnmarshalEasyJSON(in)
 					}
-					out.News = append(out.News, v52)
+					out.News = append(out.News, v58)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -3582,11 +3691,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v53, v54 := range in.News {
-				if v53 > 0 {
+			for v59, v60 := range in.News {
+				if v59 > 0 {
 					out.RawByte(',')
 				}
-				(v54).MarshalEasyJSON(out)
+				(v60).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -3954,13 +4063,13 @@
 					out.Ops = (out.Ops)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v55 Op
+					var v61 Op
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v55).UnmarshalEasyJSON(in)
+						(v61).UnmarshalEasyJSON(in)
 					}
-					out.Ops = append(out.Ops, v55)
+					out.Ops = append(out.Ops, v61)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4003,11 +4112,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v56, v57 := range in.Ops {
-				if v56 > 0 {
+			for v62, v63 := range in.Ops {
+				if v62 > 0 {
 					out.RawByte(',')
 				}
-				(v57).MarshalEasyJSON(out)
+				(v63).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4166,13 +4275,13 @@
 					out.Voters = (out.Voters)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v58 string
+					var v64 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v58 = string(in.String())
+						v64 = string(in.String())
 					}
-					out.Voters = append(out.Voters, v58)
+					out.Voters = append(out.Voters, v64)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4203,11 +4312,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v59, v60 := range in.Voters {
-				if v59 > 0 {
+			for v65, v66 := range in.Voters {
+				if v65 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v60))
+				out.String(string(v66))
 			}
 			out.RawByte(']')
 		}
@@ -4340,13 +4449,13 @@
 					out.Members = (out.Members)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v61 Member
+					var v67 Member
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v61).UnmarshalEasyJSON(in)
+						(v67).UnmarshalEasyJSON(in)
 					}
-					out.Members = append(out.Members, v61)
+					out.Members = append(out.Members, v67)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4367,13 +4476,13 @@
 					out.Owners = (out.Owners)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v62 OwnerFact
+					var v68 OwnerFact
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v62).UnmarshalEasyJSON(in)
+						(v68).UnmarshalEasyJSON(in)
 					}
-					out.Owners = append(out.Owners, v62)
+					out.Owners = append(out.Owners, v68)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4394,13 +4503,13 @@
 					out.Keys = (out.Keys)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v63 KeyBelief
+					var v69 KeyBelief
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v63).UnmarshalEasyJSON(in)
+						(v69).UnmarshalEasyJSON(in)
 					}
-					out.Keys = append(out.Keys, v63)
+					out.Keys = append(out.Keys, v69)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4421,13 +4530,13 @@
 					out.Jobs = (out.Jobs)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v64 JobBelief
+					var v70 JobBelief
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v64).UnmarshalEasyJSON(in)
+						(v70).UnmarshalEasyJSON(in)
 					}
-					out.Jobs = append(out.Jobs, v64)
+					out.Jobs = append(out.Jobs, v70)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4448,13 +4557,13 @@
 					out.Executors = (out.Executors)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v65 ExecutorBelief
+					var v71 ExecutorBelief
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v65).UnmarshalEasyJSON(in)
+						(v71).UnmarshalEasyJSON(in)
 					}
-					out.Executors = append(out.Executors, v65)
+					out.Executors = append(out.Executors, v71)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4495,11 +4604,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v66, v67 := range in.Members {
-				if v66 > 0 {
+			for v72, v73 := range in.Members {
+				if v72 > 0 {
 					out.RawByte(',')
 				}
-				(v67).MarshalEasyJSON(out)
+				(v73).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4511,11 +4620,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v68, v69 := range in.Owners {
-				if v68 > 0 {
+			for v74, v75 := range in.Owners {
+				if v74 > 0 {
 					out.RawByte(',')
 				}
-				(v69).MarshalEasyJSON(out)
+				(v75).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4527,11 +4636,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v70, v71 := range in.Keys {
-				if v70 > 0 {
+			for v76, v77 := range in.Keys {
+				if v76 > 0 {
 					out.RawByte(',')
 				}
-				(v71).MarshalEasyJSON(out)
+				(v77).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4543,11 +4652,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v72, v73 := range in.Jobs {
-				if v72 > 0 {
+			for v78, v79 := range in.Jobs {
+				if v78 > 0 {
 					out.RawByte(',')
 				}
-				(v73).MarshalEasyJSON(out)
+				(v79).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4559,11 +4668,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v74, v75 := range in.Executors {
-				if v74 > 0 {
+			for v80, v81 := range in.Executors {
+				if v80 > 0 {
 					out.RawByte(',')
 				}
-				(v75).MarshalEasyJSON(out)
+				(v81).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4654,13 +4763,13 @@
 					out.Changes = (out.Changes)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v76 Change
+					var v82 Change
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v76).UnmarshalEasyJSON(in)
+						(v82).UnmarshalEasyJSON(in)
 					}
-					out.Changes = append(out.Changes, v76)
+					out.Changes = append(out.Changes, v82)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4729,11 +4838,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v77, v78 := range in.Changes {
-				if v77 > 0 {
+			for v83, v84 := range in.Changes {
+				if v83 > 0 {
 					out.RawByte(',')
 				}
-				(v78).MarshalEasyJSON(out)
+				(v84).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
--- a/internal/stewardkeys/ring.go
+++ b/internal/stewardkeys/ring.go
@@ -145,7 +145,7 @@
 
 func (r *Ring) stewards() []siblingwire.Member {
 	var stewards []siblingwire.Member
-	for _, member := range r.node.View().Members {
+	for _, member := range r.node.View().Stewards {
 		if member.Disk != "" {
 			stewards = append(stewards, member)
 		}
@@ -154,12 +154,8 @@
 }
 
 func (r *Ring) addressOf(disk string) string {
-	for _, member := range r.node.View().Members {
-		if member.Disk == disk {
-			return member.Address
-		}
-	}
-	return ""
+	keeper, _ := r.node.View().StewardOf(disk)
+	return keeper.Address
 }
 
 func (r *Ring) holder(life span.Span, key string) *holder {
