--- /dev/null
+++ b/internal/planbook/edition.go
@@ -0,0 +1,87 @@
+package planbook
+
+import (
+	"github.com/juju/errors"
+
+	"gannetline/internal/siblingwire"
+)
+
+const mostChanges = 8
+
+// Edition is a plan that is held, and the changes that led to it, each on the one before; it is never changed.
+type Edition struct {
+	Fact    *siblingwire.PlanFact
+	changes []*siblingwire.PlanChange
+}
+
+func (e *Edition) version() int64 {
+	if e == nil {
+		return 0
+	}
+	return e.Fact.Version
+}
+
+// Follow gives the edition of a newer fact; an older one changes nothing.
+func (e *Edition) Follow(fact *siblingwire.PlanFact) *Edition {
+	if fact.Version <= e.version() {
+		return e
+	}
+	if e == nil {
+		return &Edition{Fact: fact}
+	}
+	return &Edition{fact, e.with(changeOf(e.Fact, fact))}
+}
+
+func (e *Edition) with(change *siblingwire.PlanChange) []*siblingwire.PlanChange {
+	if change == nil {
+		return nil
+	}
+	changes := append(append([]*siblingwire.PlanChange{}, e.changes...), change)
+	return changes[max(0, len(changes)-mostChanges):]
+}
+
+// Take applies a sibling's answer; an error says that only the whole plan helps.
+func (e *Edition) Take(answer *siblingwire.PlanAnswer) (*Edition, error) {
+	if answer.Fact != nil {
+		return e.Follow(answer.Fact), nil
+	}
+	next := e
+	for _, change := range answer.Changes {
+		if change.Version <= next.version() {
+			continue
+		}
+		if change.Base != next.version() {
+			return e, errors.Errorf("a change to version %d is on version %d, and %d is held", change.Version, change.Base, next.version())
+		}
+		fact, err := apply(next.Fact, change)
+		if err != nil {
+			return e, err
+		}
+		next = &Edition{fact, next.with(change)}
+	}
+	return next, nil
+}
+
+// Answer gives a sibling the changes since the version that it holds, or the whole plan.
+func (e *Edition) Answer(call *siblingwire.PlanCall) *siblingwire.PlanAnswer {
+	if e.version() <= call.Held {
+		return &siblingwire.PlanAnswer{}
+	}
+	if changes := e.since(call.Held); call.TakesChanges && len(changes) > 0 {
+		return &siblingwire.PlanAnswer{Changes: changes}
+	}
+	return &siblingwire.PlanAnswer{Fact: e.Fact}
+}
+
+func (e *Edition) since(held int64) []*siblingwire.PlanChange {
+	text := 0
+	for place := len(e.changes) - 1; place >= 0; place-- {
+		if text += textIn(e.changes[place]); text > len(e.Fact.Body) {
+			return nil
+		}
+		if e.changes[place].Base == held {
+			return e.changes[place:]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/planbook/fetch_test.go
@@ -0,0 +1,101 @@
+package planbook_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gannetline/internal/logs"
+	"gannetline/internal/planbook"
+	"gannetline/internal/pulse"
+	"gannetline/internal/siblingwire"
+	"gannetline/internal/span"
+)
+
+// scriptedSibling answers calls for a plan without a network.
+type scriptedSibling struct {
+	mux   *http.ServeMux
+	calls chan siblingwire.PlanCall
+	tell  chan *siblingwire.PlanAnswer
+}
+
+func newScriptedSibling() *scriptedSibling {
+	s := &scriptedSibling{mux: http.NewServeMux(), calls: make(chan siblingwire.PlanCall, 9), tell: make(chan *siblingwire.PlanAnswer, 9)}
+	siblingwire.Serve(s.mux, siblingwire.ProcedurePlan, func(_ span.Span, call *siblingwire.PlanCall) (*siblingwire.PlanAnswer, error) {
+		s.calls <- *call
+		return <-s.tell, nil
+	})
+	return s
+}
+
+func (s *scriptedSibling) RoundTrip(request *http.Request) (*http.Response, error) {
+	recorder := httptest.NewRecorder()
+	s.mux.ServeHTTP(recorder, request)
+	return recorder.Result(), nil
+}
+
+var _ = Describe("a book", func() {
+	var sibling *scriptedSibling
+	var book *planbook.Book
+	var clock *pulse.Fake
+	var inForce chan int64
+	old := fact(3, body(3, routes(40)...))
+	next := fact(5, body(5, append(routes(39), route("x", 1))...))
+	BeforeEach(func() {
+		sibling, clock, inForce = newScriptedSibling(), pulse.NewFake(1), make(chan int64, 9)
+		book = planbook.New(siblingwire.NewCaller(&http.Client{Transport: sibling}), clock, logs.Silent(),
+			func(page *planbook.Page) { inForce <- page.Fact.Version })
+		life, end := span.Cancellable(span.Root())
+		DeferCleanup(end)
+		go book.Run(life)
+	})
+
+	It("asks for changes on what it holds, and for the whole where they don't fit", func() {
+		book.Hold(old)
+		Expect(<-inForce).To(Equal(int64(3)))
+		book.Ahead(siblingwire.Member{Address: "10.0.0.9:1"}, 5)
+		Expect(<-sibling.calls).To(Equal(siblingwire.PlanCall{Held: 3, TakesChanges: true}))
+		wrong := *edition(old, next).Answer(&siblingwire.PlanCall{Held: 3, TakesChanges: true}).Changes[0]
+		wrong.Digest = "of another plan"
+		sibling.tell <- &siblingwire.PlanAnswer{Changes: []*siblingwire.PlanChange{&wrong}}
+		Expect(<-sibling.calls).To(Equal(siblingwire.PlanCall{Held: 3}))
+		Expect(book.Page().Fact.Version).To(Equal(int64(3)))
+		sibling.tell <- &siblingwire.PlanAnswer{Fact: next}
+		Expect(<-inForce).To(Equal(int64(5)))
+		Expect(book.Page().Fact.Body).To(Equal(next.Body))
+	})
+
+	It("asks for the whole without a base, and serves what it holds in turn", func() {
+		book.Ahead(siblingwire.Member{Address: "10.0.0.9:1"}, 3)
+		Expect(<-sibling.calls).To(Equal(siblingwire.PlanCall{}))
+		sibling.tell <- &siblingwire.PlanAnswer{Fact: old}
+		Expect(<-inForce).To(Equal(int64(3)))
+		book.Hold(next)
+		Expect(<-inForce).To(Equal(int64(5)))
+		book.Hold(old)
+		mux := http.NewServeMux()
+		book.Handle(mux)
+		caller := siblingwire.NewCaller(&http.Client{Transport: &scriptedSibling{mux: mux}})
+		answer, err := siblingwire.Call[siblingwire.PlanCall, siblingwire.PlanAnswer](caller, span.Root(), "10.0.0.9:1",
+			siblingwire.ProcedurePlan, time.Second, &siblingwire.PlanCall{Held: 3, TakesChanges: true})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Changes).To(HaveLen(1))
+	})
+
+	It("asks a second sibling only once the first one is slow", func() {
+		book.Ahead(siblingwire.Member{Address: "10.0.0.9:1"}, 3)
+		<-sibling.calls
+		book.Ahead(siblingwire.Member{Address: "10.0.0.9:2"}, 3)
+		book.Hold(old)
+		Expect(<-inForce).To(Equal(int64(3)))
+		Expect(sibling.calls).To(BeEmpty())
+		clock.Advance(250 * time.Millisecond)
+		book.Ahead(siblingwire.Member{Address: "10.0.0.9:2"}, 5)
+		Expect(<-sibling.calls).To(Equal(siblingwire.PlanCall{Held: 3, TakesChanges: true}))
+		sibling.tell <- &siblingwire.PlanAnswer{}
+		sibling.tell <- &siblingwire.PlanAnswer{}
+	})
+})
--- a/internal/planbook/planbook.go
+++ b/internal/planbook/planbook.go
@@ -16,11 +16,13 @@
 	"gannetline/internal/span"
 )
 
-const mostFetches = 3
+// A second sibling is asked only if the first one has not answered for a while.
+const fetchPatience = 200 * time.Millisecond
 
 type Page struct {
 	Fact    *siblingwire.PlanFact
 	Matcher *plancheck.Matcher
+	edition *Edition
 }
 
 // Moved gives the services that an entry was sent to before.
@@ -40,6 +42,7 @@
 	clock    pulse.Pulse
 	log      logs.Logger
 	fetching map[string]bool
+	askedAt  time.Duration
 	heed     func(*Page)
 }
 
@@ -57,16 +60,26 @@
 // Hold takes a committed plan.
 func (b *Book) Hold(fact *siblingwire.PlanFact) { b.box.Post(func() { b.hold(fact) }) }
 
-func (b *Book) hold(fact *siblingwire.PlanFact) {
-	if held := b.page.Load(); held != nil && held.Fact.Version >= fact.Version {
+func (b *Book) edition() *Edition {
+	if page := b.page.Load(); page != nil {
+		return page.edition
+	}
+	return nil
+}
+
+func (b *Book) hold(fact *siblingwire.PlanFact) { b.turnTo(b.edition().Follow(fact)) }
+
+func (b *Book) turnTo(edition *Edition) {
+	if edition == b.edition() {
 		return
 	}
+	fact := edition.Fact
 	plan, err := plancheck.Read(fact.Body)
 	if err != nil {
 		b.log.Error(errors.Annotate(err, "a plan from a sibling"), "the plan was refused", "version", fact.Version)
 		return
 	}
-	page := &Page{Fact: fact, Matcher: plancheck.NewMatcher(plan)}
+	page := &Page{Fact: fact, Matcher: plancheck.NewMatcher(plan), edition: edition}
 	b.page.Store(page)
 	b.log.Info("plan in force", "version", fact.Version, "routes", len(plan.Entries))
 	b.heed(page)
@@ -75,44 +88,43 @@
 // Ahead fetches a plan that a sibling holds and this process does not.
 func (b *Book) Ahead(sibling siblingwire.Member, version int64) {
 	b.box.TryPost(func() {
-		held := b.held()
-		if version <= held || b.fetching[sibling.Address] || len(b.fetching) >= mostFetches {
+		isWaiting := len(b.fetching) > 0 && b.clock.Steady()-b.askedAt < fetchPatience
+		if version <= b.edition().version() || b.fetching[sibling.Address] || isWaiting {
 			return
 		}
-		b.fetching[sibling.Address] = true
-		go b.fetch(sibling.Address, held)
+		b.ask(sibling.Address, true)
 	})
 }
 
-func (b *Book) held() int64 {
-	if page := b.page.Load(); page != nil {
-		return page.Fact.Version
-	}
-	return 0
+func (b *Book) ask(address string, takesChanges bool) {
+	b.fetching[address] = true
+	b.askedAt = b.clock.Steady()
+	call := &siblingwire.PlanCall{Held: b.edition().version(), TakesChanges: takesChanges && b.edition() != nil}
+	go func() {
+		answer, err := siblingwire.Call[siblingwire.PlanCall, siblingwire.PlanAnswer](b.caller, span.Root(), address,
+			siblingwire.ProcedurePlan, time.Second, call)
+		b.box.Post(func() { b.take(address, answer, err) })
+	}()
 }
 
-func (b *Book) fetch(address string, held int64) {
-	answer, err := siblingwire.Call[siblingwire.PlanCall, siblingwire.PlanAnswer](b.caller, span.Root(), address,
-		siblingwire.ProcedurePlan, time.Second, &siblingwire.PlanCall{Held: held})
-	b.box.Post(func() {
-		delete(b.fetching, address)
-		if err != nil {
-			b.log.Info("a plan could not be fetched", "why", err.Error())
-			return
-		}
-		if answer.Fact != nil {
-			b.hold(answer.Fact)
-		}
-	})
+func (b *Book) take(address string, answer *siblingwire.PlanAnswer, err error) {
+	delete(b.fetching, address)
+	if err != nil {
+		b.log.Info("a plan could not be fetched", "why", err.Error())
+		return
+	}
+	edition, err := b.edition().Take(answer)
+	if err != nil {
+		b.log.Info("changes of the plan do not fit; the whole is fetched", "why", err.Error())
+		b.ask(address, false)
+		return
+	}
+	b.turnTo(edition)
 }
 
 // Handle lets siblings fetch the plan.
 func (b *Book) Handle(mux *http.ServeMux) {
 	siblingwire.Serve(mux, siblingwire.ProcedurePlan, func(_ span.Span, call *siblingwire.PlanCall) (*siblingwire.PlanAnswer, error) {
-		page := b.Page()
-		if page == nil || page.Fact.Version <= call.Held {
-			return &siblingwire.PlanAnswer{}, nil
-		}
-		return &siblingwire.PlanAnswer{Fact: page.Fact}, nil
+		return b.edition().Answer(call), nil
 	})
 }
--- /dev/null
+++ b/internal/planbook/planbook_test.go
@@ -0,0 +1,196 @@
+package planbook_test
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+
+	"github.com/mailru/easyjson"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gannetline/internal/planbook"
+	"gannetline/internal/siblingwire"
+)
+
+func route(name string, timeout int) string {
+	return fmt.Sprintf(`{"name":"%s","host":"h.example","path-prefix":"/%s/","route-type":"non_idempotent","timeout-ms":%d,"service":"s","new":["{,\"]"]}`,
+		name, name, timeout)
+}
+
+func body(version int64, routes ...string) []byte {
+	return []byte(fmt.Sprintf(`{ "config-version":%d, "route-list":[%s], "service-list":[{"name":"s"} ],"limits":{"max-header-bytes":16384},"later":"ü"
+}`,
+		version, strings.Join(routes, ",\n ")))
+}
+
+func routes(count int) []string {
+	var all []string
+	for number := range count {
+		all = append(all, route(fmt.Sprintf("r-%d", number), 3000))
+	}
+	return all
+}
+
+func fact(version int64, text []byte) *siblingwire.PlanFact {
+	return &siblingwire.PlanFact{Version: version, Body: text, Births: []siblingwire.Birth{{Service: "s", Voters: []string{"a", "b"}}}}
+}
+
+func size(answer *siblingwire.PlanAnswer) int {
+	text, err := easyjson.Marshal(answer)
+	Expect(err).NotTo(HaveOccurred())
+	return len(text)
+}
+
+// sent is the answer as it arrives over the wire.
+func sent(answer *siblingwire.PlanAnswer) *siblingwire.PlanAnswer {
+	text, err := easyjson.Marshal(answer)
+	Expect(err).NotTo(HaveOccurred())
+	arrived := &siblingwire.PlanAnswer{}
+	Expect(easyjson.Unmarshal(text, arrived)).To(Succeed())
+	return arrived
+}
+
+func edition(facts ...*siblingwire.PlanFact) *planbook.Edition {
+	var held *planbook.Edition
+	for _, one := range facts {
+		held = held.Follow(one)
+	}
+	return held
+}
+
+var _ = Describe("changes of a plan", func() {
+	old := fact(3, body(3, routes(40)...))
+	changed := func(version int64, place, timeout int) *siblingwire.PlanFact {
+		all := routes(40)
+		all[place] = route(fmt.Sprintf("r-%d", place), timeout)
+		return fact(version, body(version, all...))
+	}
+
+	It("carry one route, and rebuild the body byte for byte", func() {
+		next := changed(5, 7, 4000)
+		next.Births = append(next.Births, siblingwire.Birth{Service: "t", Voters: []string{"c"}})
+		next.Moved = []siblingwire.MovedEntry{{Entry: "r-7", Services: []string{"s"}}}
+		answer := edition(old, next).Answer(&siblingwire.PlanCall{Held: 3, TakesChanges: true})
+		Expect(answer.Fact).To(BeNil())
+		GinkgoWriter.Printf("a change of one route of 40 takes %d bytes, the whole %d\n", size(answer), size(&siblingwire.PlanAnswer{Fact: next}))
+		Expect(size(answer)).To(BeNumerically("<", 700))
+		taken, err := edition(old).Take(sent(answer))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(taken.Fact).To(Equal(next))
+	})
+
+	It("rebuild whatever an operator may send", func() {
+		draw := rand.New(rand.NewPCG(1, 2))
+		held := edition(old)
+		for version := int64(4); version < 200; version++ {
+			all := routes(20 + draw.IntN(30))
+			for range draw.IntN(4) {
+				all[draw.IntN(len(all))] = route("x-"+fmt.Sprint(version), draw.IntN(9999))
+			}
+			draw.Shuffle(draw.IntN(len(all)), func(i, j int) { all[i], all[j] = all[j], all[i] })
+			next := fact(version, body(version, all...))
+			answer := held.Follow(next).Answer(&siblingwire.PlanCall{Held: version - 1, TakesChanges: true})
+			taken, err := held.Take(sent(answer))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(taken.Fact.Body)).To(Equal(string(next.Body)))
+			held = taken
+		}
+	})
+
+	It("lead over several versions, in one answer", func() {
+		ahead := edition(old, changed(4, 1, 1), changed(5, 2, 2), changed(9, 3, 3))
+		answer := ahead.Answer(&siblingwire.PlanCall{Held: 3, TakesChanges: true})
+		Expect(answer.Changes).To(HaveLen(3))
+		taken, err := edition(old).Take(sent(answer))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(taken.Fact).To(Equal(ahead.Fact))
+		again := taken.Answer(&siblingwire.PlanCall{Held: 4, TakesChanges: true})
+		Expect(again.Changes).To(HaveLen(2))
+	})
+
+	It("are kept for eight versions, and the whole is sent beyond", func() {
+		held := edition(old)
+		for version := range int64(9) {
+			held = held.Follow(changed(4+version, int(version), 1))
+		}
+		Expect(held.Answer(&siblingwire.PlanCall{Held: 3, TakesChanges: true}).Fact).NotTo(BeNil())
+		Expect(held.Answer(&siblingwire.PlanCall{Held: 4, TakesChanges: true}).Changes).To(HaveLen(8))
+	})
+
+	It("are not sent over a gap, to one without a base, or to a sibling of the older form", func() {
+		ahead := edition(old, changed(5, 1, 1), changed(7, 2, 2))
+		for _, call := range []*siblingwire.PlanCall{{Held: 6, TakesChanges: true}, {Held: 0, TakesChanges: true}, {Held: 5}} {
+			answer := ahead.Answer(call)
+			Expect(answer.Changes).To(BeEmpty())
+			Expect(answer.Fact.Version).To(Equal(int64(7)))
+		}
+		taken, err := edition(old).Take(&siblingwire.PlanAnswer{Fact: ahead.Fact})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(taken.Fact.Version).To(Equal(int64(7)))
+	})
+
+	It("that come twice, late or in another order never lead back", func() {
+		four, five := changed(4, 1, 1), changed(5, 2, 2)
+		first := edition(old, four).Answer(&siblingwire.PlanCall{Held: 3, TakesChanges: true})
+		second := edition(old, four, five).Answer(&siblingwire.PlanCall{Held: 4, TakesChanges: true})
+		held := edition(old)
+		_, err := held.Take(second)
+		Expect(err).To(MatchError(ContainSubstring("3 is held")))
+		for _, answer := range []*siblingwire.PlanAnswer{first, second, first, second, {Fact: four}, {}} {
+			held, err = held.Take(answer)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(held.Fact).To(Equal(five))
+	})
+
+	It("are refused where the digest differs, the base is another or gone, or a part is beyond it", func() {
+		next := changed(5, 7, 4000)
+		answer := edition(old, next).Answer(&siblingwire.PlanCall{Held: 3, TakesChanges: true})
+		held := edition(changed(3, 9, 1))
+		kept, err := held.Take(answer)
+		Expect(err).To(MatchError(ContainSubstring("is not version 5")))
+		Expect(kept).To(BeIdenticalTo(held))
+		var none *planbook.Edition
+		_, err = none.Take(answer)
+		Expect(err).To(HaveOccurred())
+		for _, part := range []siblingwire.PlanPart{{From: 9999, Count: 1}, {From: 1, Count: 1 << 40}, {From: -1, Count: 1}, {From: 1, Count: -1}} {
+			wrong := *answer.Changes[0]
+			wrong.Parts = []siblingwire.PlanPart{part}
+			_, err = edition(old).Take(&siblingwire.PlanAnswer{Changes: []*siblingwire.PlanChange{&wrong}})
+			Expect(err).To(MatchError(ContainSubstring("not in the plan's base")))
+		}
+	})
+
+	It("are the whole where nearly all is new", func() {
+		var fresh []string
+		for number := range 40 {
+			fresh = append(fresh, route(fmt.Sprintf("other-%d", number), 1))
+		}
+		answer := edition(old, fact(5, body(5, fresh...))).Answer(&siblingwire.PlanCall{Held: 3, TakesChanges: true})
+		Expect(answer.Fact).NotTo(BeNil())
+	})
+
+	It("of a plan of 1 MB are as short as those of a small one", func() {
+		all := routes(8000)
+		big := fact(3, body(3, all...))
+		Expect(len(big.Body)).To(BeNumerically(">", 1<<20))
+		all[4000] = route("r-4000", 1)
+		next := fact(4, body(4, all...))
+		answer := edition(big, next).Answer(&siblingwire.PlanCall{Held: 3, TakesChanges: true})
+		Expect(size(answer)).To(BeNumerically("<", 700))
+		taken, err := edition(big).Take(sent(answer))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(bytes.Equal(taken.Fact.Body, next.Body)).To(BeTrue())
+	})
+})
+
+var _ = Describe("cutting a plan", func() {
+	It("loses no byte, and cuts around each route", func() {
+		text := body(3, route("a", 1), route("b", 2))
+		pieces := planbook.Pieces(text)
+		Expect(bytes.Join(pieces, nil)).To(Equal(text))
+		Expect(pieces).To(ContainElement([]byte(route("a", 1))))
+	})
+})
--- a/internal/planowner/planowner.go
+++ b/internal/planowner/planowner.go
@@ -54,11 +54,16 @@
 	}
 	p.tenure = tenure
 	if p.fact != nil {
-		p.publish(p.fact)
+		p.publish(passedOn(p.fact))
 	}
 	return nil
 }
 
+// passedOn leaves out what only the key's owner needs, and the space around the body, which no message carries.
+func passedOn(fact *siblingwire.PlanFact) *siblingwire.PlanFact {
+	return &siblingwire.PlanFact{Version: fact.Version, Body: bytes.TrimSpace(fact.Body), Births: fact.Births, Moved: fact.Moved}
+}
+
 func (p *Plan) Close() { p.tenure, p.fact = nil, nil }
 
 func (p *Plan) IsOpen() bool { return p.tenure != nil }
@@ -133,7 +138,7 @@
 		p.isBusy = false
 		p.fact = next
 		p.log.Info("plan committed", "version", next.Version)
-		p.publish(next)
+		p.publish(passedOn(next))
 		answer(siblingwire.ClientAnswer{Status: http.StatusOK, Body: versionBody(next.Version)})
 	})
 }
--- a/internal/planowner/planowner_test.go
+++ b/internal/planowner/planowner_test.go
@@ -39,9 +39,12 @@
 	var tenure *scripted
 	var owner *planowner.Plan
 	var published []int64
+	var passedOn *siblingwire.PlanFact
 	BeforeEach(func() {
 		tenure, published = &scripted{hasLease: true}, nil
-		owner = planowner.New(logs.Silent(), func(fact *siblingwire.PlanFact) { published = append(published, fact.Version) })
+		owner = planowner.New(logs.Silent(), func(fact *siblingwire.PlanFact) {
+			published, passedOn = append(published, fact.Version), fact
+		})
 		Expect(owner.Open(tenure, nil)).To(Succeed())
 	})
 	replace := func(base int64, body []byte) *siblingwire.ClientAnswer {
@@ -81,6 +84,16 @@
 		Expect(string(tenure.ops[0].Value)).To(ContainSubstring(`"births":[{"service":"s","voters":["a","b","c"]}`))
 	})
 
+	It("gives back the very bytes, and passes on the body without the space around it", func() {
+		sent := append([]byte(" \n"), append(plan(3, "s"), '\n')...)
+		replace(0, sent)
+		tenure.settle()
+		owner.Retrieve(func(answer siblingwire.ClientAnswer) { Expect([]byte(answer.Body)).To(Equal(sent)) })
+		Expect([]byte(passedOn.Body)).To(Equal(plan(3, "s")))
+		Expect(passedOn.Births).To(HaveLen(1))
+		Expect(passedOn.Taken).To(BeEmpty())
+	})
+
 	It("shows nothing without a lease", func() {
 		replace(0, plan(3, "s"))
 		tenure.settle()
--- a/internal/siblingwire/messages.go
+++ b/internal/siblingwire/messages.go
@@ -143,12 +143,33 @@
 	Differing []int    `json:"differing,omitempty"`
 }
 
+// PlanCall asks for what is newer than Held; a sibling of the older form is always given the whole.
 type PlanCall struct {
-	Held int64 `json:"held"`
+	Held         int64 `json:"held"`
+	TakesChanges bool  `json:"changes,omitempty"`
 }
 
+// PlanAnswer holds the whole plan, or the changes that lead to it from the version that is held.
 type PlanAnswer struct {
-	Fact *PlanFact `json:"fact,omitempty"`
+	Fact    *PlanFact     `json:"fact,omitempty"`
+	Changes []*PlanChange `json:"changes,omitempty"`
+}
+
+// PlanChange makes the plan of one version out of that of another; Digest is that of the result.
+type PlanChange struct {
+	Base    int64        `json:"base"`
+	Version int64        `json:"version"`
+	Digest  string       `json:"digest"`
+	Parts   []PlanPart   `json:"parts"`
+	Births  []Birth      `json:"births,omitempty"`
+	Moved   []MovedEntry `json:"moved,omitempty"`
+}
+
+// PlanPart is a span of the base's pieces, or text.
+type PlanPart struct {
+	From  int    `json:"f,omitempty"`
+	Count int    `json:"c,omitempty"`
+	Text  string `json:"t,omitempty"`
 }
 
 // PlanFact is the committed plan as it is passed on; Births are the first voters of its pools.
--- a/internal/siblingwire/messages_easyjson.go
+++ b/internal/siblingwire/messages_easyjson.go
@@ -739,7 +739,105 @@
 func (v *PromiseAnswer) UnmarshalEasyJSON(l *jlexer.Lexer) {
 	easyjson66c1e240DecodeGannetlineInternalSiblingwire6(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire7(in *jlexer.Lexer, out *PlanFact) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire7(in *jlexer.Lexer, out *PlanPart) {
+	isTopLevel := in.IsStart()
+	if in.IsNull() {
+		if isTopLevel {
+			in.Consumed()
+		}
+		in.Skip()
+		return
+	}
+	in.Delim('{')
+	for !in.IsDelim('}') {
+		key := in.UnsafeFieldName(false)
+		in.WantColon()
+		switch key {
+		case "f":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.From = int(in.Int())
+			}
+		case "c":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Count = int(in.Int())
+			}
+		case "t":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Text = string(in.String())
+			}
+		default:
+			in.SkipRecursive()
+		}
+		in.WantComma()
+	}
+	in.Delim('}')
+	if isTopLevel {
+		in.Consumed()
+	}
+}
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire7(out *jwriter.Writer, in PlanPart) {
+	out.RawByte('{')
+	first := true
+	_ = first
+	if in.From != 0 {
+		const prefix string = ",\"f\":"
+		first = false
+		out.RawString(prefix[1:])
+		out.Int(int(in.From))
+	}
+	if in.Count != 0 {
+		const prefix string = ",\"c\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		out.Int(int(in.Count))
+	}
+	if in.Text != "" {
+		const prefix string = ",\"t\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		out.String(string(in.Text))
+	}
+	out.RawByte('}')
+}
+
+// MarshalJSON supports json.Marshaler interface
+func (v PlanPart) MarshalJSON() ([]byte, error) {
+	w := jwriter.Writer{}
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire7(&w, v)
+	return w.Buffer.BuildBytes(), w.Error
+}
+
+// MarshalEasyJSON supports easyjson.Marshaler interface
+func (v PlanPart) MarshalEasyJSON(w *jwriter.Writer) {
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire7(w, v)
+}
+
+// UnmarshalJSON supports json.Unmarshaler interface
+func (v *PlanPart) UnmarshalJSON(data []byte) error {
+	r := jlexer.Lexer{Data: data}
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire7(&r, v)
+	return r.Error()
+}
+
+// UnmarshalEasyJSON supports easyjson.Unmarshaler interface
+func (v *PlanPart) UnmarshalEasyJSON(l *jlexer.Lexer) {
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire7(l, v)
+}
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire8(in *jlexer.Lexer, out *PlanFact) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -856,7 +954,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire7(out *jwriter.Writer, in PlanFact) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire8(out *jwriter.Writer, in PlanFact) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -918,27 +1016,239 @@
 // MarshalJSON supports json.Marshaler interface
 func (v PlanFact) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire7(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire8(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v PlanFact) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire7(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire8(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *PlanFact) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire7(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire8(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *PlanFact) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire7(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire8(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire8(in *jlexer.Lexer, out *PlanCall) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire9(in *jlexer.Lexer, out *PlanChange) {
+	isTopLevel := in.IsStart()
+	if in.IsNull() {
+		if isTopLevel {
+			in.Consumed()
+		}
+		in.Skip()
+		return
+	}
+	in.Delim('{')
+	for !in.IsDelim('}') {
+		key := in.UnsafeFieldName(false)
+		in.WantColon()
+		switch key {
+		case "base":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Base = int64(in.Int64())
+			}
+		case "version":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Version = int64(in.Int64())
+			}
+		case "digest":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Digest = string(in.String())
+			}
+		case "parts":
+			if in.IsNull() {
+				in.Skip()
+				out.Parts = nil
+			} else {
+				in.Delim('[')
+				if out.Parts == nil {
+					if !in.IsDelim(']') {
+						out.Parts = make([]PlanPart, 0, 2)
+					} else {
+						out.Parts = []PlanPart{}
+					}
+				} else {
+					out.Parts = (out.Parts)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v19 PlanPart
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						(v19).UnmarshalEasyJSON(in)
+					}
+					out.Parts = append(out.Parts, v19)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
+		case "births":
+			if in.IsNull() {
+				in.Skip()
+				out.Births = nil
+			} else {
+				in.Delim('[')
+				if out.Births == nil {
+					if !in.IsDelim(']') {
+						out.Births = make([]Birth, 0, 1)
+					} else {
+						out.Births = []Birth{}
+					}
+				} else {
+					out.Births = (out.Births)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v20 Birth
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						(v20).UnmarshalEasyJSON(in)
+					}
+					out.Births = append(out.Births, v20)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
+		case "moved":
+			if in.IsNull() {
+				in.Skip()
+				out.Moved = nil
+			} else {
+				in.Delim('[')
+				if out.Moved == nil {
+					if !in.IsDelim(']') {
+						out.Moved = make([]MovedEntry, 0, 1)
+					} else {
+						out.Moved = []MovedEntry{}
+					}
+				} else {
+					out.Moved = (out.Moved)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v21 MovedEntry
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						(v21).UnmarshalEasyJSON(in)
+					}
+					out.Moved = append(out.Moved, v21)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
+		default:
+			in.SkipRecursive()
+		}
+		in.WantComma()
+	}
+	in.Delim('}')
+	if isTopLevel {
+		in.Consumed()
+	}
+}
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire9(out *jwriter.Writer, in PlanChange) {
+	out.RawByte('{')
+	first := true
+	_ = first
+	{
+		const prefix string = ",\"base\":"
+		out.RawString(prefix[1:])
+		out.Int64(int64(in.Base))
+	}
+	{
+		const prefix string = ",\"version\":"
+		out.RawString(prefix)
+		out.Int64(int64(in.Version))
+	}
+	{
+		const prefix string = ",\"digest\":"
+		out.RawString(prefix)
+		out.String(string(in.Digest))
+	}
+	{
+		const prefix string = ",\"parts\":"
+		out.RawString(prefix)
+		if in.Parts == nil && (out.Flags&jwriter.NilSliceAsEmpty) == 0 {
+			out.RawString("null")
+		} else {
+			out.RawByte('[')
+			for v22, v23 := range in.Parts {
+				if v22 > 0 {
+					out.RawByte(',')
+				}
+				(v23).MarshalEasyJSON(out)
+			}
+			out.RawByte(']')
+		}
+	}
+	if len(in.Births) != 0 {
+		const prefix string = ",\"births\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('[')
+			for v24, v25 := range in.Births {
+				if v24 > 0 {
+					out.RawByte(',')
+				}
+				(v25).MarshalEasyJSON(out)
+			}
+			out.RawByte(']')
+		}
+	}
+	if len(in.Moved) != 0 {
+		const prefix string = ",\"moved\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('[')
+			for v26, v27 := range in.Moved {
+				if v26 > 0 {
+					out.RawByte(',')
+				}
+				(v27).MarshalEasyJSON(out)
+			}
+			out.RawByte(']')
+		}
+	}
+	out.RawByte('}')
+}
+
+// MarshalJSON supports json.Marshaler interface
+func (v PlanChange) MarshalJSON() ([]byte, error) {
+	w := jwriter.Writer{}
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire9(&w, v)
+	return w.Buffer.BuildBytes(), w.Error
+}
+
+// MarshalEasyJSON supports easyjson.Marshaler interface
+func (v PlanChange) MarshalEasyJSON(w *jwriter.Writer) {
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire9(w, v)
+}
+
+// UnmarshalJSON supports json.Unmarshaler interface
+func (v *PlanChange) UnmarshalJSON(data []byte) error {
+	r := jlexer.Lexer{Data: data}
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire9(&r, v)
+	return r.Error()
+}
+
+// UnmarshalEasyJSON supports easyjson.Unmarshaler interface
+func (v *PlanChange) UnmarshalEasyJSON(l *jlexer.Lexer) {
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire9(l, v)
+}
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire10(in *jlexer.Lexer, out *PlanCall) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -958,6 +1268,12 @@
 			} else {
 				out.Held = int64(in.Int64())
 			}
+		case "changes":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.TakesChanges = bool(in.Bool())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -968,7 +1284,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire8(out *jwriter.Writer, in PlanCall) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire10(out *jwriter.Writer, in PlanCall) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -977,33 +1293,38 @@
 		out.RawString(prefix[1:])
 		out.Int64(int64(in.Held))
 	}
+	if in.TakesChanges {
+		const prefix string = ",\"changes\":"
+		out.RawString(prefix)
+		out.Bool(bool(in.TakesChanges))
+	}
 	out.RawByte('}')
 }
 
 // MarshalJSON supports json.Marshaler interface
 func (v PlanCall) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire8(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire10(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v PlanCall) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire8(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire10(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *PlanCall) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire8(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire10(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *PlanCall) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire8(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire10(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire9(in *jlexer.Lexer, out *PlanAnswer) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire11(in *jlexer.Lexer, out *PlanAnswer) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -1031,6 +1352,41 @@
 					(*out.Fact).UnmarshalEasyJSON(in)
 				}
 			}
+		case "changes":
+			if in.IsNull() {
+				in.Skip()
+				out.Changes = nil
+			} else {
+				in.Delim('[')
+				if out.Changes == nil {
+					if !in.IsDelim(']') {
+						out.Changes = make([]*PlanChange, 0, 8)
+					} else {
+						out.Changes = []*PlanChange{}
+					}
+				} else {
+					out.Changes = (out.Changes)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v28 *PlanChange
+					if in.IsNull() {
+						in.Skip()
+						v28 = nil
+					} else {
+						if v28 == nil {
+							v28 = new(PlanChange)
+						}
+						if in.IsNull() {
+							in.Skip()
+						} else {
+							(*v28).UnmarshalEasyJSON(in)
+						}
+					}
+					out.Changes = append(out.Changes, v28)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -1041,7 +1397,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire9(out *jwriter.Writer, in PlanAnswer) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire11(out *jwriter.Writer, in PlanAnswer) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -1051,33 +1407,56 @@
 		out.RawString(prefix[1:])
 		(*in.Fact).MarshalEasyJSON(out)
 	}
+	if len(in.Changes) != 0 {
+		const prefix string = ",\"changes\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		{
+			out.RawByte('[')
+			for v29, v30 := range in.Changes {
+				if v29 > 0 {
+					out.RawByte(',')
+				}
+				if v30 == nil {
+					out.RawString("null")
+				} else {
+					(*v30).MarshalEasyJSON(out)
+				}
+			}
+			out.RawByte(']')
+		}
+	}
 	out.RawByte('}')
 }
 
 // MarshalJSON supports json.Marshaler interface
 func (v PlanAnswer) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire9(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire11(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v PlanAnswer) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire9(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire11(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *PlanAnswer) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire9(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire11(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *PlanAnswer) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire9(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire11(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire10(in *jlexer.Lexer, out *OwnerFact) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire12(in *jlexer.Lexer, out *OwnerFact) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -1119,7 +1498,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire10(out *jwriter.Writer, in OwnerFact) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire12(out *jwriter.Writer, in OwnerFact) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -1144,27 +1523,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v OwnerFact) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire10(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire12(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v OwnerFact) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire10(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire12(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *OwnerFact) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire10(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire12(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *OwnerFact) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire10(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire12(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire11(in *jlexer.Lexer, out *OrderAnswer) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire13(in *jlexer.Lexer, out *OrderAnswer) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -1212,7 +1591,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire11(out *jwriter.Writer, in OrderAnswer) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire13(out *jwriter.Writer, in OrderAnswer) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -1242,27 +1621,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v OrderAnswer) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire11(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire13(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v OrderAnswer) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire11(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire13(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *OrderAnswer) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire11(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire13(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *OrderAnswer) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire11(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire13(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire12(in *jlexer.Lexer, out *Order) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire14(in *jlexer.Lexer, out *Order) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -1316,7 +1695,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire12(out *jwriter.Writer, in Order) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire14(out *jwriter.Writer, in Order) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -1351,27 +1730,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Order) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire12(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire14(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Order) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire12(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire14(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Order) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire12(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire14(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Order) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire12(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire14(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire13(in *jlexer.Lexer, out *Op) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire15(in *jlexer.Lexer, out *Op) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -1407,7 +1786,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire13(out *jwriter.Writer, in Op) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire15(out *jwriter.Writer, in Op) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -1427,27 +1806,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Op) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire13(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire15(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Op) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire13(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire15(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Op) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire13(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire15(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Op) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire13(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire15(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire14(in *jlexer.Lexer, out *MovedEntry) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire16(in *jlexer.Lexer, out *MovedEntry) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -1483,13 +1862,13 @@
 					out.Services = (out.Services)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v19 string
+					var v31 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v19 = string(in.String())
+						v31 = string(in.String())
 					}
-					out.Services = append(out.Services, v19)
+					out.Services = append(out.Services, v31)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -1504,7 +1883,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire14(out *jwriter.Writer, in MovedEntry) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire16(out *jwriter.Writer, in MovedEntry) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -1520,11 +1899,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v20, v21 := range in.Services {
-				if v20 > 0 {
+			for v32, v33 := range in.Services {
+				if v32 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v21))
+				out.String(string(v33))
 			}
 			out.RawByte(']')
 		}
@@ -1535,27 +1914,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v MovedEntry) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire14(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire16(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v MovedEntry) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire14(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire16(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *MovedEntry) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire14(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire16(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *MovedEntry) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire14(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire16(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire15(in *jlexer.Lexer, out *MembersCall) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire17(in *jlexer.Lexer, out *MembersCall) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -1591,13 +1970,13 @@
 					out.Members = (out.Members)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v22 Member
+					var v34 Member
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v22).UnmarshalEasyJSON(in)
+						(v34).UnmarshalEasyJSON(in)
 					}
-					out.Members = append(out.Members, v22)
+					out.Members = append(out.Members, v34)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -1624,13 +2003,13 @@
 					out.Buckets = (out.Buckets)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v23 uint32
+					var v35 uint32
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v23 = uint32(in.Uint32())
+						v35 = uint32(in.Uint32())
 					}
-					out.Buckets = append(out.Buckets, v23)
+					out.Buckets = append(out.Buckets, v35)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -1651,7 +2030,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire15(out *jwriter.Writer, in MembersCall) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire17(out *jwriter.Writer, in MembersCall) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -1665,11 +2044,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v24, v25 := range in.Members {
-				if v24 > 0 {
+			for v36, v37 := range in.Members {
+				if v36 > 0 {
 					out.RawByte(',')
 				}
-				(v25).MarshalEasyJSON(out)
+				(v37).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -1684,11 +2063,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v26, v27 := range in.Buckets {
-				if v26 > 0 {
+			for v38, v39 := range in.Buckets {
+				if v38 > 0 {
 					out.RawByte(',')
 				}
-				out.Uint32(uint32(v27))
+				out.Uint32(uint32(v39))
 			}
 			out.RawByte(']')
 		}
@@ -1704,27 +2083,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v MembersCall) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire15(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire17(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v MembersCall) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire15(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire17(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *MembersCall) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire15(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire17(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *MembersCall) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire15(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire17(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire16(in *jlexer.Lexer, out *MembersAnswer) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire18(in *jlexer.Lexer, out *MembersAnswer) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -1754,13 +2133,13 @@
 					out.Members = (out.Members)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v28 Member
+					var v40 Member
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v28).UnmarshalEasyJSON(in)
+						(v40).UnmarshalEasyJSON(in)
 					}
-					out.Members = append(out.Members, v28)
+					out.Members = append(out.Members, v40)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -1787,13 +2166,13 @@
 					out.Differing = (out.Differing)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v29 int
+					var v41 int
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v29 = int(in.Int())
+						v41 = int(in.Int())
 					}
-					out.Differing = append(out.Differing, v29)
+					out.Differing = append(out.Differing, v41)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -1808,7 +2187,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire16(out *jwriter.Writer, in MembersAnswer) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire18(out *jwriter.Writer, in MembersAnswer) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -1818,11 +2197,11 @@
 		out.RawString(prefix[1:])
 		{
 			out.RawByte('[')
-			for v30, v31 := range in.Members {
-				if v30 > 0 {
+			for v42, v43 := range in.Members {
+				if v42 > 0 {
 					out.RawByte(',')
 				}
-				(v31).MarshalEasyJSON(out)
+				(v43).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -1842,11 +2221,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v32, v33 := range in.Differing {
-				if v32 > 0 {
+			for v44, v45 := range in.Differing {
+				if v44 > 0 {
 					out.RawByte(',')
 				}
-				out.Int(int(v33))
+				out.Int(int(v45))
 			}
 			out.RawByte(']')
 		}
@@ -1857,27 +2236,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v MembersAnswer) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire16(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire18(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v MembersAnswer) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire16(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire18(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *MembersAnswer) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire16(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire18(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *MembersAnswer) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire16(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire18(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire17(in *jlexer.Lexer, out *Member) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire19(in *jlexer.Lexer, out *Member) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -1955,13 +2334,13 @@
 					out.Past = (out.Past)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v34 string
+					var v46 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v34 = string(in.String())
+						v46 = string(in.String())
 					}
-					out.Past = append(out.Past, v34)
+					out.Past = append(out.Past, v46)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -1976,7 +2355,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire17(out *jwriter.Writer, in Member) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire19(out *jwriter.Writer, in Member) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -2025,11 +2404,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v35, v36 := range in.Past {
-				if v35 > 0 {
+			for v47, v48 := range in.Past {
+				if v47 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v36))
+				out.String(string(v48))
 			}
 			out.RawByte(']')
 		}
@@ -2040,27 +2419,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Member) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire17(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire19(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Member) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire17(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire19(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Member) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire17(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire19(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Member) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire17(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire19(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire18(in *jlexer.Lexer, out *KeyBelief) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire20(in *jlexer.Lexer, out *KeyBelief) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -2114,7 +2493,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire18(out *jwriter.Writer, in KeyBelief) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire20(out *jwriter.Writer, in KeyBelief) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -2149,27 +2528,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v KeyBelief) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire18(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire20(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v KeyBelief) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire18(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire20(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *KeyBelief) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire18(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire20(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *KeyBelief) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire18(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire20(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire19(in *jlexer.Lexer, out *JobBelief) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire21(in *jlexer.Lexer, out *JobBelief) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -2211,7 +2590,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire19(out *jwriter.Writer, in JobBelief) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire21(out *jwriter.Writer, in JobBelief) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -2236,27 +2615,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v JobBelief) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire19(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire21(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v JobBelief) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire19(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire21(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *JobBelief) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire19(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire21(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *JobBelief) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire19(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire21(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire20(in *jlexer.Lexer, out *IdentifyCall) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire22(in *jlexer.Lexer, out *IdentifyCall) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -2280,7 +2659,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire20(out *jwriter.Writer, in IdentifyCall) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire22(out *jwriter.Writer, in IdentifyCall) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -2290,27 +2669,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v IdentifyCall) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire20(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire22(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v IdentifyCall) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire20(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire22(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *IdentifyCall) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire20(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire22(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *IdentifyCall) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire20(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire22(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire21(in *jlexer.Lexer, out *IdentifyAnswer) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire23(in *jlexer.Lexer, out *IdentifyAnswer) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -2346,7 +2725,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire21(out *jwriter.Writer, in IdentifyAnswer) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire23(out *jwriter.Writer, in IdentifyAnswer) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -2366,27 +2745,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v IdentifyAnswer) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire21(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire23(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v IdentifyAnswer) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire21(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire23(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *IdentifyAnswer) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire21(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire23(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *IdentifyAnswer) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire21(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire23(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire22(in *jlexer.Lexer, out *FetchCall) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire24(in *jlexer.Lexer, out *FetchCall) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -2416,7 +2795,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire22(out *jwriter.Writer, in FetchCall) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire24(out *jwriter.Writer, in FetchCall) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -2431,27 +2810,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v FetchCall) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire22(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire24(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v FetchCall) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire22(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire24(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *FetchCall) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire22(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire24(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *FetchCall) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire22(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire24(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire23(in *jlexer.Lexer, out *FetchAnswer) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire25(in *jlexer.Lexer, out *FetchAnswer) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -2493,7 +2872,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire23(out *jwriter.Writer, in FetchAnswer) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire25(out *jwriter.Writer, in FetchAnswer) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -2524,27 +2903,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v FetchAnswer) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire23(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire25(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v FetchAnswer) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire23(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire25(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *FetchAnswer) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire23(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire25(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *FetchAnswer) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire23(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire25(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire24(in *jlexer.Lexer, out *ExecutorBelief) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire26(in *jlexer.Lexer, out *ExecutorBelief) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -2592,7 +2971,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire24(out *jwriter.Writer, in ExecutorBelief) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire26(out *jwriter.Writer, in ExecutorBelief) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -2622,27 +3001,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v ExecutorBelief) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire24(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire26(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v ExecutorBelief) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire24(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire26(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *ExecutorBelief) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire24(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire26(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *ExecutorBelief) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire24(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire26(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire25(in *jlexer.Lexer, out *ExchangeCall) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire27(in *jlexer.Lexer, out *ExchangeCall) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -2696,13 +3075,13 @@
 					out.Labels = (out.Labels)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v37 string
+					var v49 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v37 = string(in.String())
+						v49 = string(in.String())
 					}
-					out.Labels = append(out.Labels, v37)
+					out.Labels = append(out.Labels, v49)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -2741,13 +3120,13 @@
 					out.Gone = (out.Gone)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v38 string
+					var v50 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v38 = string(in.String())
+						v50 = string(in.String())
 					}
-					out.Gone = append(out.Gone, v38)
+					out.Gone = append(out.Gone, v50)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -2786,13 +3165,13 @@
 					out.Running = (out.Running)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v39 RunReport
+					var v51 RunReport
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v39).UnmarshalEasyJSON(in)
+						(v51).UnmarshalEasyJSON(in)
 					}
-					out.Running = append(out.Running, v39)
+					out.Running = append(out.Running, v51)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -2813,13 +3192,13 @@
 					out.Ends = (out.Ends)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v40 EndReport
+					var v52 EndReport
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v40).UnmarshalEasyJSON(in)
+						(v52).UnmarshalEasyJSON(in)
 					}
-					out.Ends = append(out.Ends, v40)
+					out.Ends = append(out.Ends, v52)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -2840,13 +3219,13 @@
 					out.Answers = (out.Answers)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v41 OrderAnswer
+					var v53 OrderAnswer
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v41).UnmarshalEasyJSON(in)
+						(v53).UnmarshalEasyJSON(in)
 					}
-					out.Answers = append(out.Answers, v41)
+					out.Answers = append(out.Answers, v53)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -2867,7 +3246,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire25(out *jwriter.Writer, in ExchangeCall) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire27(out *jwriter.Writer, in ExchangeCall) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -2896,11 +3275,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v42, v43 := range in.Labels {
-				if v42 > 0 {
+			for v54, v55 := range in.Labels {
+				if v54 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v43))
+				out.String(string(v55))
 			}
 			out.RawByte(']')
 		}
@@ -2925,11 +3304,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v44, v45 := range in.Gone {
-				if v44 > 0 {
+			for v56, v57 := range in.Gone {
+				if v56 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v45))
+				out.String(string(v57))
 			}
 			out.RawByte(']')
 		}
@@ -2954,11 +3333,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v46, v47 := range in.Running {
-				if v46 > 0 {
+			for v58, v59 := range in.Running {
+				if v58 > 0 {
 					out.RawByte(',')
 				}
-				(v47).MarshalEasyJSON(out)
+				(v59).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -2968,11 +3347,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v48, v49 := range in.Ends {
-				if v48 > 0 {
+			for v60, v61 := range in.Ends {
+				if v60 > 0 {
 					out.RawByte(',')
 				}
-				(v49).MarshalEasyJSON(out)
+				(v61).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -2982,11 +3361,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v50, v51 := range in.Answers {
-				if v50 > 0 {
+			for v62, v63 := range in.Answers {
+				if v62 > 0 {
 					out.RawByte(',')
 				}
-				(v51).MarshalEasyJSON(out)
+				(v63).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -3002,27 +3381,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v ExchangeCall) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire25(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire27(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v ExchangeCall) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire25(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire27(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *ExchangeCall) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire25(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire27(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *ExchangeCall) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire25(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire27(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire26(in *jlexer.Lexer, out *ExchangeAnswer) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire28(in *jlexer.Lexer, out *ExchangeAnswer) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -3088,13 +3467,13 @@
 					out.Orders = (out.Orders)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v52 Order
+					var v64 Order
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v52).UnmarshalEasyJSON(in)
+						(v64).UnmarshalEasyJSON(in)
 					}
-					out.Orders = append(out.Orders, v52)
+					out.Orders = append(out.Orders, v64)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -3109,7 +3488,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire26(out *jwriter.Writer, in ExchangeAnswer) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire28(out *jwriter.Writer, in ExchangeAnswer) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -3179,11 +3558,11 @@
 		}
 		{
 			out.RawByte('[')
-			for v53, v54 := range in.Orders {
-				if v53 > 0 {
+			for v65, v66 := range in.Orders {
+				if v65 > 0 {
 					out.RawByte(',')
 				}
-				(v54).MarshalEasyJSON(out)
+				(v66).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -3194,27 +3573,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v ExchangeAnswer) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire26(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire28(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v ExchangeAnswer) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire26(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire28(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *ExchangeAnswer) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire26(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire28(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *ExchangeAnswer) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire26(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire28(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire27(in *jlexer.Lexer, out *EntryTerms) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire29(in *jlexer.Lexer, out *EntryTerms) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -3262,7 +3641,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire27(out *jwriter.Writer, in EntryTerms) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire29(out *jwriter.Writer, in EntryTerms) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -3308,27 +3687,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v EntryTerms) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire27(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire29(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v EntryTerms) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire27(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire29(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *EntryTerms) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire27(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire29(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *EntryTerms) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire27(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire29(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire28(in *jlexer.Lexer, out *EndReport) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire30(in *jlexer.Lexer, out *EndReport) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -3382,7 +3761,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire28(out *jwriter.Writer, in EndReport) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire30(out *jwriter.Writer, in EndReport) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -3417,27 +3796,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v EndReport) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire28(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire30(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v EndReport) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire28(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire30(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *EndReport) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire28(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire30(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *EndReport) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire28(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire30(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire29(in *jlexer.Lexer, out *Digest) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire31(in *jlexer.Lexer, out *Digest) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -3473,13 +3852,13 @@
 					out.Owners = (out.Owners)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v55 OwnerFact
+					var v67 OwnerFact
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v55).UnmarshalEasyJSON(in)
+						(v67).UnmarshalEasyJSON(in)
 					}
-					out.Owners = append(out.Owners, v55)
+					out.Owners = append(out.Owners, v67)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -3506,7 +3885,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire29(out *jwriter.Writer, in Digest) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire31(out *jwriter.Writer, in Digest) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -3526,11 +3905,11 @@
 		}
 		{
 			out.RawByte('[')
-			for v56, v57 := range in.Owners {
-				if v56 > 0 {
+			for v68, v69 := range in.Owners {
+				if v68 > 0 {
 					out.RawByte(',')
 				}
-				(v57).MarshalEasyJSON(out)
+				(v69).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -3561,27 +3940,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Digest) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire29(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire31(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Digest) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire29(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire31(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Digest) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire29(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire31(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Digest) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire29(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire31(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire30(in *jlexer.Lexer, out *Datagram) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire32(in *jlexer.Lexer, out *Datagram) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -3635,13 +4014,13 @@
 					out.News = (out.News)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v58 Member
+					var v70 Member
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v58).UnmarshalEasyJSON(in)
+						(v70).UnmarshalEasyJSON(in)
 					}
-					out.News = append(out.News, v58)
+					out.News = append(out.News, v70)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -3662,7 +4041,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire30(out *jwriter.Writer, in Datagram) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire32(out *jwriter.Writer, in Datagram) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -3691,11 +4070,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v59, v60 := range in.News {
-				if v59 > 0 {
+			for v71, v72 := range in.News {
+				if v71 > 0 {
 					out.RawByte(',')
 				}
-				(v60).MarshalEasyJSON(out)
+				(v72).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -3711,27 +4090,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Datagram) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire30(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire32(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Datagram) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire30(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire32(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Datagram) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire30(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire32(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Datagram) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire30(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire32(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire31(in *jlexer.Lexer, out *ClientCall) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire33(in *jlexer.Lexer, out *ClientCall) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -3811,7 +4190,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire31(out *jwriter.Writer, in ClientCall) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire33(out *jwriter.Writer, in ClientCall) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -3861,27 +4240,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v ClientCall) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire31(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire33(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v ClientCall) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire31(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire33(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *ClientCall) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire31(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire33(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *ClientCall) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire31(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire33(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire32(in *jlexer.Lexer, out *ClientAnswer) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire34(in *jlexer.Lexer, out *ClientAnswer) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -3941,7 +4320,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire32(out *jwriter.Writer, in ClientAnswer) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire34(out *jwriter.Writer, in ClientAnswer) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -4007,27 +4386,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v ClientAnswer) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire32(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire34(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v ClientAnswer) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire32(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire34(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *ClientAnswer) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire32(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire34(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *ClientAnswer) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire32(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire34(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire33(in *jlexer.Lexer, out *Change) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire35(in *jlexer.Lexer, out *Change) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -4063,13 +4442,13 @@
 					out.Ops = (out.Ops)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v61 Op
+					var v73 Op
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v61).UnmarshalEasyJSON(in)
+						(v73).UnmarshalEasyJSON(in)
 					}
-					out.Ops = append(out.Ops, v61)
+					out.Ops = append(out.Ops, v73)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4098,7 +4477,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire33(out *jwriter.Writer, in Change) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire35(out *jwriter.Writer, in Change) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -4112,11 +4491,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v62, v63 := range in.Ops {
-				if v62 > 0 {
+			for v74, v75 := range in.Ops {
+				if v74 > 0 {
 					out.RawByte(',')
 				}
-				(v63).MarshalEasyJSON(out)
+				(v75).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4132,27 +4511,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Change) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire33(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire35(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Change) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire33(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire35(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Change) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire33(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire35(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Change) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire33(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire35(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire34(in *jlexer.Lexer, out *Capacity) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire36(in *jlexer.Lexer, out *Capacity) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -4194,7 +4573,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire34(out *jwriter.Writer, in Capacity) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire36(out *jwriter.Writer, in Capacity) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -4219,27 +4598,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Capacity) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire34(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire36(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Capacity) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire34(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire36(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Capacity) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire34(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire36(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Capacity) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire34(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire36(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire35(in *jlexer.Lexer, out *Birth) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire37(in *jlexer.Lexer, out *Birth) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -4275,13 +4654,13 @@
 					out.Voters = (out.Voters)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v64 string
+					var v76 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v64 = string(in.String())
+						v76 = string(in.String())
 					}
-					out.Voters = append(out.Voters, v64)
+					out.Voters = append(out.Voters, v76)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4296,7 +4675,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire35(out *jwriter.Writer, in Birth) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire37(out *jwriter.Writer, in Birth) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -4312,11 +4691,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v65, v66 := range in.Voters {
-				if v65 > 0 {
+			for v77, v78 := range in.Voters {
+				if v77 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v66))
+				out.String(string(v78))
 			}
 			out.RawByte(']')
 		}
@@ -4327,27 +4706,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Birth) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire35(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire37(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Birth) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire35(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire37(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Birth) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire35(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire37(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Birth) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire35(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire37(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire36(in *jlexer.Lexer, out *BeliefsCall) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire38(in *jlexer.Lexer, out *BeliefsCall) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -4371,7 +4750,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire36(out *jwriter.Writer, in BeliefsCall) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire38(out *jwriter.Writer, in BeliefsCall) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -4381,27 +4760,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v BeliefsCall) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire36(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire38(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v BeliefsCall) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire36(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire38(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *BeliefsCall) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire36(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire38(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *BeliefsCall) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire36(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire38(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire37(in *jlexer.Lexer, out *BeliefsAnswer) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire39(in *jlexer.Lexer, out *BeliefsAnswer) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -4449,13 +4828,13 @@
 					out.Members = (out.Members)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v67 Member
+					var v79 Member
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v67).UnmarshalEasyJSON(in)
+						(v79).UnmarshalEasyJSON(in)
 					}
-					out.Members = append(out.Members, v67)
+					out.Members = append(out.Members, v79)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4476,13 +4855,13 @@
 					out.Owners = (out.Owners)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v68 OwnerFact
+					var v80 OwnerFact
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v68).UnmarshalEasyJSON(in)
+						(v80).UnmarshalEasyJSON(in)
 					}
-					out.Owners = append(out.Owners, v68)
+					out.Owners = append(out.Owners, v80)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4503,13 +4882,13 @@
 					out.Keys = (out.Keys)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v69 KeyBelief
+					var v81 KeyBelief
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v69).UnmarshalEasyJSON(in)
+						(v81).UnmarshalEasyJSON(in)
 					}
-					out.Keys = append(out.Keys, v69)
+					out.Keys = append(out.Keys, v81)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4530,13 +4909,13 @@
 					out.Jobs = (out.Jobs)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v70 JobBelief
+					var v82 JobBelief
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v70).UnmarshalEasyJSON(in)
+						(v82).UnmarshalEasyJSON(in)
 					}
-					out.Jobs = append(out.Jobs, v70)
+					out.Jobs = append(out.Jobs, v82)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4557,13 +4936,13 @@
 					out.Executors = (out.Executors)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v71 ExecutorBelief
+					var v83 ExecutorBelief
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v71).UnmarshalEasyJSON(in)
+						(v83).UnmarshalEasyJSON(in)
 					}
-					out.Executors = append(out.Executors, v71)
+					out.Executors = append(out.Executors, v83)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4578,7 +4957,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire37(out *jwriter.Writer, in BeliefsAnswer) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire39(out *jwriter.Writer, in BeliefsAnswer) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -4604,11 +4983,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v72, v73 := range in.Members {
-				if v72 > 0 {
+			for v84, v85 := range in.Members {
+				if v84 > 0 {
 					out.RawByte(',')
 				}
-				(v73).MarshalEasyJSON(out)
+				(v85).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4620,11 +4999,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v74, v75 := range in.Owners {
-				if v74 > 0 {
+			for v86, v87 := range in.Owners {
+				if v86 > 0 {
 					out.RawByte(',')
 				}
-				(v75).MarshalEasyJSON(out)
+				(v87).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4636,11 +5015,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v76, v77 := range in.Keys {
-				if v76 > 0 {
+			for v88, v89 := range in.Keys {
+				if v88 > 0 {
 					out.RawByte(',')
 				}
-				(v77).MarshalEasyJSON(out)
+				(v89).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4652,11 +5031,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v78, v79 := range in.Jobs {
-				if v78 > 0 {
+			for v90, v91 := range in.Jobs {
+				if v90 > 0 {
 					out.RawByte(',')
 				}
-				(v79).MarshalEasyJSON(out)
+				(v91).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4668,11 +5047,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v80, v81 := range in.Executors {
-				if v80 > 0 {
+			for v92, v93 := range in.Executors {
+				if v92 > 0 {
 					out.RawByte(',')
 				}
-				(v81).MarshalEasyJSON(out)
+				(v93).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4683,27 +5062,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v BeliefsAnswer) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire37(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire39(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v BeliefsAnswer) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire37(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire39(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *BeliefsAnswer) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire37(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire39(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *BeliefsAnswer) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire37(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire39(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire38(in *jlexer.Lexer, out *AppendCall) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire40(in *jlexer.Lexer, out *AppendCall) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -4763,13 +5142,13 @@
 					out.Changes = (out.Changes)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v82 Change
+					var v94 Change
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v82).UnmarshalEasyJSON(in)
+						(v94).UnmarshalEasyJSON(in)
 					}
-					out.Changes = append(out.Changes, v82)
+					out.Changes = append(out.Changes, v94)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4804,7 +5183,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire38(out *jwriter.Writer, in AppendCall) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire40(out *jwriter.Writer, in AppendCall) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -4838,11 +5217,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v83, v84 := range in.Changes {
-				if v83 > 0 {
+			for v95, v96 := range in.Changes {
+				if v95 > 0 {
 					out.RawByte(',')
 				}
-				(v84).MarshalEasyJSON(out)
+				(v96).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4863,27 +5242,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v AppendCall) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire38(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire40(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v AppendCall) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire38(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire40(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *AppendCall) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire38(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire40(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *AppendCall) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire38(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire40(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire39(in *jlexer.Lexer, out *AppendAnswer) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire41(in *jlexer.Lexer, out *AppendAnswer) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -4937,7 +5316,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire39(out *jwriter.Writer, in AppendAnswer) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire41(out *jwriter.Writer, in AppendAnswer) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -4978,23 +5357,23 @@
 // MarshalJSON supports json.Marshaler interface
 func (v AppendAnswer) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire39(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire41(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v AppendAnswer) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire39(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire41(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *AppendAnswer) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire39(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire41(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *AppendAnswer) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire39(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire41(l, v)
 }
