--- a/internal/localproxy/proxy.go
+++ b/internal/localproxy/proxy.go
@@ -3,6 +3,7 @@
 import (
 	stderrors "errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"gannetline/internal/executorcalls"
@@ -250,18 +251,15 @@
 }
 
 func ownerAddress(view *siblingprobe.View, key string) string {
-	fact, isKnown := view.Owners[key]
-	var fallback string
-	for _, member := range view.Members {
-		if !member.MayOwn() {
-			continue
-		}
-		if isKnown && member.Name == fact.Name {
-			return member.Address
+	if owner, isKnown := view.Steward(view.Owners[key].Name); isKnown {
+		return owner.Address
+	}
+	for _, steward := range slices.Backward(view.Stewards) {
+		if steward.MayOwn() {
+			return steward.Address
 		}
-		fallback = member.Address
 	}
-	return fallback
+	return ""
 }
 
 type orderTurn struct {
--- a/internal/siblingwire/messages.go
+++ b/internal/siblingwire/messages.go
@@ -113,10 +113,13 @@
 	Name  string `json:"n"`
 }
 
+// Digest carries owners that are news, or missing at the other side; the sums show the rest and are never 0.
+// A sibling of the older form sends no sums, and all of its owners.
 type Digest struct {
-	Plan    int64       `json:"p,omitempty"`
-	Members uint32      `json:"m,omitempty"`
-	Owners  []OwnerFact `json:"o,omitempty"`
+	Plan      int64       `json:"p,omitempty"`
+	Owners    []OwnerFact `json:"o,omitempty"`
+	MemberSum uint32      `json:"s,omitempty"`
+	OwnerSum  uint32      `json:"h,omitempty"`
 }
 
 type Datagram struct {
@@ -128,23 +131,50 @@
 	Digest Digest   `json:"g"`
 }
 
+// MembersCall compares lists by the caller's sums of each bucket; a call without them is of the older form, and
+// is answered with the whole list. Gives marks the second call, which brings what the first answer lacked.
 type MembersCall struct {
 	From    Member   `json:"from"`
 	Members []Member `json:"members,omitempty"`
 	Digest  Digest   `json:"digest"`
+	Buckets []uint32 `json:"buckets,omitempty"`
+	Gives   bool     `json:"gives,omitempty"`
 }
 
+// MembersAnswer holds all records of the differing buckets.
 type MembersAnswer struct {
-	Members []Member `json:"members,omitempty"`
-	Digest  Digest   `json:"digest"`
+	Members   []Member `json:"members,omitempty"`
+	Digest    Digest   `json:"digest"`
+	Differing []int    `json:"differing,omitempty"`
 }
 
+// PlanCall asks for what is newer than Held; a sibling of the older form is always given the whole.
 type PlanCall struct {
-	Held int64 `json:"held"`
+	Held         int64 `json:"held"`
+	TakesChanges bool  `json:"changes,omitempty"`
 }
 
+// PlanAnswer holds the whole plan, or the changes that lead to it from the version that is held.
 type PlanAnswer struct {
-	Fact *PlanFact `json:"fact,omitempty"`
+	Fact    *PlanFact     `json:"fact,omitempty"`
+	Changes []*PlanChange `json:"changes,omitempty"`
+}
+
+// PlanChange makes the plan of one version out of that of another; Digest is that of the result.
+type PlanChange struct {
+	Base    int64        `json:"base"`
+	Version int64        `json:"version"`
+	Digest  string       `json:"digest"`
+	Parts   []PlanPart   `json:"parts"`
+	Births  []Birth      `json:"births,omitempty"`
+	Moved   []MovedEntry `json:"moved,omitempty"`
+}
+
+// PlanPart is a span of the base's pieces, or text.
+type PlanPart struct {
+	From  int    `json:"f,omitempty"`
+	Count int    `json:"c,omitempty"`
+	Text  string `json:"t,omitempty"`
 }
 
 // PlanFact is the committed plan as it is passed on; Births are the first voters of its pools.
--- a/internal/stewardkeys/ring.go
+++ b/internal/stewardkeys/ring.go
@@ -162,7 +162,7 @@
 	return m.Plan.Open(tenure, pairs)
 }
 
-func (r *Ring) stewards() []siblingwire.Member { return withDisks(r.node.View().Members) }
+func (r *Ring) stewards() []siblingwire.Member { return withDisks(r.node.View().Stewards) }
 
 // withDisks lists the members that have a disk; makeshift ones count only if there is no other.
 func withDisks(members []siblingwire.Member) []siblingwire.Member {
@@ -183,12 +183,8 @@
 }
 
 func (r *Ring) addressOf(disk string) string {
-	for _, member := range r.node.View().Members {
-		if disk != "" && (member.Disk == disk || member.Makeshift == disk) {
-			return member.Address
-		}
-	}
-	return ""
+	keeper, _ := r.node.View().StewardOf(disk)
+	return keeper.Address
 }
 
 func (r *Ring) holder(life span.Span, key string) *holder {
