Exchanges: facts and checkpoints travel when they change, by session, number and base

Cause: each exchange between a local-proxy and the owner of its pool told labels, room, domain, proxy and lives that are over, and once a second all that runs. Of the running list an ordinary exchange needs only checkpoints; percent was kept and read by nothing.

Change: a proxy numbers its changes within a session and tells those after the base that the owner holds; the owner refuses what does not follow on what it holds, and gets the whole with the next exchange. Late and doubled calls take nothing back. A look is whole, as it was. Siblings of the older form, which know no numbers, tell and get the whole each time.

--- /dev/null
+++ b/internal/localproxy/feed_test.go
@@ -0,0 +1,138 @@
+package localproxy_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/mailru/easyjson"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gannetline/internal/executorcalls"
+	"gannetline/internal/localproxy"
+	"gannetline/internal/logs"
+	"gannetline/internal/pulse"
+	"gannetline/internal/siblingwire"
+)
+
+var _ = Describe("what a proxy leaves out of its exchanges", func() {
+	var clock *pulse.Fake
+	var table *localproxy.Table
+	var works int
+	nothing := func() {}
+	told := func(answer siblingwire.ExchangeAnswer) *siblingwire.ExchangeCall {
+		call, _ := table.Compose(0)
+		table.Told(call, clock.Steady(), &answer)
+		return call
+	}
+	hold := func(isLook bool, rows ...executorcalls.RunningRow) {
+		work, isDue := table.NextHold(isLook)
+		Expect(isDue).To(BeTrue())
+		table.Held(work, executorcalls.Answer{ClockMs: 1000, Running: rows})
+	}
+	row := func(number int, saved string) executorcalls.RunningRow {
+		return executorcalls.RunningRow{Task: fmt.Sprintf("5c0e7a21d94b36f8.0.1.%d", number), Run: 1, Saved: saved, Percent: 41}
+	}
+	size := func(call *siblingwire.ExchangeCall) int {
+		text, err := easyjson.Marshal(call)
+		Expect(err).NotTo(HaveOccurred())
+		return len(text)
+	}
+	begin := func(options ...localproxy.TableOption) {
+		clock, works = pulse.NewFake(0), 0
+		table = localproxy.NewTable(clock, logs.Silent(), "rota-board", "derby-hall", "side-1", func() { works++ }, nothing, nothing, options...)
+		table.Beat("i-7f3a91c2", &executorcalls.Beat{Service: "rota-board", State: "ready", ClockMs: 1000, Sequence: 1,
+			Room: siblingwire.Capacity{CPU: 16000, Memory: 32768}, Labels: []string{"a", "r1-3"}})
+	}
+	BeforeEach(func() { begin(localproxy.WithSession(7)) })
+
+	It("tells facts again only when they changed", func() {
+		first := told(siblingwire.ExchangeAnswer{Fence: 3, Held: 1})
+		Expect(first.Proxy).To(Equal("side-1"))
+		Expect(first.Base).To(BeZero())
+		second := told(siblingwire.ExchangeAnswer{Fence: 3, Held: 1})
+		Expect(second.Proxy).To(BeEmpty())
+		Expect(second.Base).To(Equal(first.Number))
+		table.Beat("i-7f3a91c2", &executorcalls.Beat{Service: "rota-board", State: "draining", Sequence: 2})
+		third := told(siblingwire.ExchangeAnswer{Fence: 3, Held: 1})
+		Expect(third.Draining).To(BeTrue())
+		Expect(told(siblingwire.ExchangeAnswer{Fence: 3, Held: third.Number}).Draining).To(BeTrue(), "as the answer was not there yet")
+		Expect(told(siblingwire.ExchangeAnswer{Fence: 3, Held: third.Number}).Proxy).To(BeEmpty())
+	})
+
+	It("tells a checkpoint until the owner holds it, and a run without one not at all", func() {
+		told(siblingwire.ExchangeAnswer{Fence: 3, Held: 1})
+		hold(false, row(1, ""), row(2, "c1"))
+		lost, _ := table.Compose(0)
+		Expect(lost.Changed).To(ConsistOf(HaveField("Saved", "c1")))
+		again := told(siblingwire.ExchangeAnswer{Fence: 3, Held: lost.Number})
+		Expect(again.Changed).To(HaveLen(1))
+		hold(false, row(1, ""), row(2, "c1"))
+		Expect(told(siblingwire.ExchangeAnswer{Fence: 3, Held: again.Number}).Changed).To(BeEmpty())
+	})
+
+	It("gives a look whole, whatever the owner holds", func() {
+		hold(false, row(1, ""), row(2, "c1"))
+		told(siblingwire.ExchangeAnswer{Fence: 3, Held: 2, Look: 1})
+		hold(true, row(1, ""), row(2, "c1"))
+		Expect(told(siblingwire.ExchangeAnswer{Fence: 3, Held: 2, Look: 1}).Running).To(HaveLen(2))
+		clock.Advance(5 * time.Second)
+		Expect(told(siblingwire.ExchangeAnswer{Fence: 3, Held: 2, Look: 1}).Running).To(BeEmpty())
+	})
+
+	It("keeps what was told in an exchange that the owner did not take, and tells it with the whole at once", func() {
+		told(siblingwire.ExchangeAnswer{Fence: 3, Held: 1, GrantMs: 4000, Look: 1})
+		hold(true)
+		order := siblingwire.Order{Kind: "launch", Task: "t.0.0.0", Run: 1}
+		work, isDue := table.Ready("i-7f3a91c2", order)
+		Expect(isDue).To(BeTrue())
+		table.Carried(work, "ok")
+		works = 0
+		Expect(told(siblingwire.ExchangeAnswer{Fence: 3, Again: true}).Base).NotTo(BeZero())
+		Expect(works).To(Equal(1))
+		whole := told(siblingwire.ExchangeAnswer{Fence: 3, Held: 1})
+		Expect(whole.Base).To(BeZero())
+		Expect(whole.Answers).To(HaveLen(1))
+		Expect(whole.Look).To(Equal(uint64(1)))
+		Expect(told(siblingwire.ExchangeAnswer{Fence: 3, Held: 1}).Answers).To(BeEmpty())
+	})
+
+	It("begins a later session where the owner knows one already", func() {
+		told(siblingwire.ExchangeAnswer{Fence: 3, Again: true, Session: 90})
+		Expect(told(siblingwire.ExchangeAnswer{Fence: 3}).Session).To(Equal(uint64(91)))
+	})
+
+	It("tells an owner of the older form the whole each time, and what runs once a second", func() {
+		clock.Advance(2 * time.Second)
+		hold(false, row(1, ""), row(2, "c1"))
+		for range 3 {
+			call := told(siblingwire.ExchangeAnswer{Fence: 3})
+			Expect(call.Proxy).To(Equal("side-1"))
+			Expect(call.Running).To(HaveLen(2))
+			Expect(told(siblingwire.ExchangeAnswer{Fence: 3}).Running).To(BeEmpty())
+			clock.Advance(1100 * time.Millisecond)
+		}
+	})
+
+	It("says little once the owner holds all", func() {
+		var rows []executorcalls.RunningRow
+		for number := range 12 {
+			rows = append(rows, row(number, ""))
+		}
+		measure := func(held uint64) (calm, busy int) {
+			clock.Advance(2 * time.Second)
+			hold(false, rows...)
+			busy = size(told(siblingwire.ExchangeAnswer{Fence: 3, Held: held}))
+			return size(told(siblingwire.ExchangeAnswer{Fence: 3, Held: held})), busy
+		}
+		measure(1)
+		calm, busy := measure(1)
+		begin()
+		measure(0)
+		calmBefore, busyBefore := measure(0)
+		fmt.Fprintf(GinkgoWriter, "bytes of a call: %d; where the whole is told each time %d, and %d once a second with 12 runs\n", calm, calmBefore, busyBefore)
+		Expect(busy).To(Equal(calm))
+		Expect(3 * calm).To(BeNumerically("<", 2*calmBefore))
+		Expect(3 * calm).To(BeNumerically("<", busyBefore))
+	})
+})
--- a/internal/localproxy/proxy.go
+++ b/internal/localproxy/proxy.go
@@ -45,7 +45,8 @@
 	view func() *siblingprobe.View) *Proxy {
 	proxy := &Proxy{box: mailbox.New(256), clock: clock, log: log, executor: executor, caller: caller, view: view, service: service,
 		work: make(chan struct{}, 1), looks: make(chan struct{}, 1), acks: make(chan struct{}, 1), slots: make(chan struct{}, atOnce)}
-	proxy.table = NewTable(clock, log, service, domain, name, func() { nudge(proxy.work) }, func() { nudge(proxy.looks) }, func() { nudge(proxy.acks) })
+	proxy.table = NewTable(clock, log, service, domain, name, func() { nudge(proxy.work) }, func() { nudge(proxy.looks) }, func() { nudge(proxy.acks) },
+		WithSession(uint64(clock.WallMs())))
 	return proxy
 }
 
--- a/internal/localproxy/table.go
+++ b/internal/localproxy/table.go
@@ -69,6 +69,7 @@
 	toldAt      time.Duration
 	lostAt      time.Duration
 	hasLost     bool
+	feed        *feed
 }
 
 // Table is owned by one goroutine; the loops ask it what to do next and tell it what came back.
@@ -83,10 +84,20 @@
 	onWork  func()
 	onLook  func()
 	onAck   func()
+	session uint64
 }
 
-func NewTable(clock pulse.Pulse, log logs.Logger, service, domain, name string, onWork, onLook, onAck func()) *Table {
-	return &Table{clock: clock, log: log, service: service, domain: domain, name: name, onWork: onWork, onLook: onLook, onAck: onAck}
+type TableOption func(*Table)
+
+// WithSession lets only changes travel to the owner; the number should rise from one process beside the executor to the next.
+func WithSession(number uint64) TableOption { return func(t *Table) { t.session = number } }
+
+func NewTable(clock pulse.Pulse, log logs.Logger, service, domain, name string, onWork, onLook, onAck func(), options ...TableOption) *Table {
+	table := &Table{clock: clock, log: log, service: service, domain: domain, name: name, onWork: onWork, onLook: onLook, onAck: onAck}
+	for _, option := range options {
+		option(table)
+	}
+	return table
 }
 
 func (t *Table) now() time.Duration { return t.clock.Steady() }
@@ -127,7 +138,7 @@
 		t.markGone(t.life.id)
 	}
 	t.log.Info("an executor's life begins", "executor", id)
-	t.life = &lifeTable{id: id, busy: map[orderKey]bool{}, unsure: map[runKey]bool{}}
+	t.life = &lifeTable{id: id, busy: map[orderKey]bool{}, unsure: map[runKey]bool{}, feed: newFeed(t.session)}
 	t.onWork()
 }
 
@@ -223,6 +234,7 @@
 	for _, row := range answer.Running {
 		one.running = append(one.running, siblingwire.RunReport(row))
 	}
+	one.feed.noteSaved(one.running)
 	if work.Look > one.lookDone && work.Hold.Fence == one.fence {
 		one.lookDone, one.lookRunning = work.Look, slices.Clone(one.running)
 		fresh = true
@@ -260,8 +272,10 @@
 		return nil, false
 	}
 	now := t.now()
-	call := &siblingwire.ExchangeCall{Key: "pool/" + t.service, Life: one.id, Proxy: t.name, Domain: t.domain, Labels: one.beat.Labels,
-		Room: one.beat.Room, Draining: one.isDraining, Gone: slices.Clone(t.gone), Fence: one.fenceHeld, WaitMs: waitMs}
+	call := &siblingwire.ExchangeCall{Key: "pool/" + t.service, Life: one.id, Fence: one.fenceHeld, WaitMs: waitMs}
+	one.feed.noteFacts(facts{proxy: t.name, domain: t.domain, labels: one.beat.Labels, room: one.beat.Room, isDraining: one.isDraining,
+		gone: slices.Clone(t.gone)})
+	one.feed.write(call)
 	if one.departsAt > now {
 		call.DepartsMs = pulse.InMs(one.departsAt - now)
 	}
@@ -274,7 +288,7 @@
 	call.Answers = slices.Clone(one.answers)
 	if one.lookDone > one.lookTold {
 		call.Look, call.Running = one.lookDone, one.lookRunning
-	} else if now-one.toldAt > time.Second {
+	} else if one.feed.held == 0 && now-one.toldAt > time.Second {
 		call.Running = slices.Clone(one.running)
 	}
 	return call, true
@@ -289,10 +303,14 @@
 	if answer.Fence > one.fence {
 		one.fence, one.lastSeen, one.lookDone, one.lookTold, one.lookWanted = answer.Fence, 0, 0, 0, 0
 	}
-	if len(call.Answers) > 0 {
+	one.feed.told(answer)
+	if answer.Again {
+		t.onWork()
+	}
+	if !answer.Again && len(call.Answers) > 0 {
 		one.answers = slices.DeleteFunc(one.answers, func(told siblingwire.OrderAnswer) bool { return slices.Contains(call.Answers, told) })
 	}
-	if call.Fence == answer.Fence {
+	if !answer.Again && call.Fence == answer.Fence {
 		one.lookTold = max(one.lookTold, call.Look)
 	}
 	if len(call.Running) > 0 {
--- a/internal/poolowner/exchange.go
+++ b/internal/poolowner/exchange.go
@@ -22,6 +22,15 @@
 // Exchange takes what a local-proxy says of its executor, and answers with orders, grant and acks.
 func (p *Pool) Exchange(call *siblingwire.ExchangeCall, answer func(siblingwire.ExchangeAnswer)) {
 	now := p.clock.Steady()
+	home := p.lifeOf(call.Life)
+	call, isTaken := home.heard.take(call)
+	p.learnContact(home, call, now)
+	if !isTaken {
+		refusal := p.answerFor(home)
+		refusal.Held, refusal.Again, refusal.Session = 0, true, home.heard.session
+		answer(refusal)
+		return
+	}
 	if call.Fence != p.tenure.Epoch() {
 		call.Look = 0
 	}
@@ -30,13 +39,13 @@
 			p.lifeGone(old)
 		}
 	}
-	home := p.lifeOf(call.Life)
 	p.learnFacts(home, call, now)
 	for _, one := range call.Answers {
 		p.takeAnswer(home, one)
 	}
 	hasNews := p.takeEnds(home, call.Ends)
-	p.takeRunning(home, call)
+	p.takeSaved(home, call.Changed)
+	p.takeLook(home, call)
 	if call.WaitMs > 0 {
 		p.answerParked(home)
 		home.parked = &parkedCall{until: now + pulse.Ms(call.WaitMs), answer: answer}
@@ -59,6 +68,19 @@
 	answer(p.answerFor(home))
 }
 
+// learnContact takes what every exchange tells, also one whose base is not known here.
+func (p *Pool) learnContact(home *life, call *siblingwire.ExchangeCall, now time.Duration) {
+	home.contactAt = now
+	isBlocked := pulse.Ms(call.HoldAgeMs) > p.timing.HoldStale
+	if home.isBlocked && !isBlocked {
+		p.needsPlacing = true
+	}
+	home.isBlocked = isBlocked
+	if !isBlocked && p.tenure.HasLease() {
+		home.lapsesAt = max(home.lapsesAt, now+p.lapse(p.timing.Grant))
+	}
+}
+
 func (p *Pool) learnFacts(home *life, call *siblingwire.ExchangeCall, now time.Duration) {
 	if !home.isKnown || home.isDraining != call.Draining {
 		p.needsPlacing = true
@@ -69,18 +91,10 @@
 			Labels: call.Labels, IsDraining: call.Draining})
 	}
 	home.isKnown, home.proxy, home.domain, home.labels = true, call.Proxy, call.Domain, call.Labels
-	home.room, home.isDraining, home.contactAt = room(call.Room), call.Draining, now
+	home.room, home.isDraining = room(call.Room), call.Draining
 	if call.DepartsMs > 0 {
 		home.departsAt = now + pulse.Ms(call.DepartsMs)
 	}
-	isBlocked := pulse.Ms(call.HoldAgeMs) > p.timing.HoldStale
-	if home.isBlocked && !isBlocked {
-		p.needsPlacing = true
-	}
-	home.isBlocked = isBlocked
-	if !isBlocked && p.tenure.HasLease() {
-		home.lapsesAt = max(home.lapsesAt, now+p.lapse(p.timing.Grant))
-	}
 	if !home.isFenced && call.Fence == p.tenure.Epoch() && call.Look >= home.firstLook {
 		home.isFenced = true
 		p.needsPlacing = true
@@ -92,7 +106,7 @@
 
 func (p *Pool) answerFor(home *life) siblingwire.ExchangeAnswer {
 	now := p.clock.Steady()
-	answer := siblingwire.ExchangeAnswer{Fence: p.tenure.Epoch(), LastSeen: home.lastSeen, Look: home.lookWanted}
+	answer := siblingwire.ExchangeAnswer{Fence: p.tenure.Epoch(), LastSeen: home.lastSeen, Look: home.lookWanted, Held: home.heard.held}
 	if !home.isBlocked && p.tenure.HasLease() {
 		answer.GrantMs = pulse.InMs(p.timing.Grant)
 		home.lapsesAt = max(home.lapsesAt, now+p.lapse(p.timing.Grant))
@@ -210,30 +224,27 @@
 	return true
 }
 
-func (p *Pool) takeRunning(home *life, call *siblingwire.ExchangeCall) {
-	now := p.clock.Steady()
-	running := map[runKey]bool{}
-	for _, report := range call.Running {
-		key := runKey{report.Task, report.Run}
-		running[key] = true
-		one := home.runs[key]
-		if one == nil {
-			hasEnded := slices.ContainsFunc(call.Ends, func(end siblingwire.EndReport) bool { return end.Task == report.Task && end.Run == report.Run })
-			if call.Look > 0 && home.isFenced && !hasEnded {
-				p.stray(home, report)
-			}
-			continue
-		}
-		if report.Percent != one.percent {
-			one.percent, one.percentAt = report.Percent, now
-		}
-		if report.Saved != "" {
+func (p *Pool) takeSaved(home *life, changed []siblingwire.RunReport) {
+	for _, report := range changed {
+		if one := home.runs[runKey{report.Task, report.Run}]; one != nil && report.Saved != "" {
 			p.keepSaved(one.task, report.Saved)
 		}
 	}
+}
+
+func (p *Pool) takeLook(home *life, call *siblingwire.ExchangeCall) {
 	if call.Look == 0 || !home.isFenced {
 		return
 	}
+	running := map[runKey]bool{}
+	for _, report := range call.Running {
+		key := runKey{report.Task, report.Run}
+		running[key] = true
+		hasEnded := slices.ContainsFunc(call.Ends, func(end siblingwire.EndReport) bool { return end.Task == report.Task && end.Run == report.Run })
+		if home.runs[key] == nil && !hasEnded {
+			p.stray(home, report)
+		}
+	}
 	for _, one := range home.inOrder() {
 		if one.needsLook == 0 || one.needsLook > call.Look {
 			continue
--- a/internal/poolowner/model.go
+++ b/internal/poolowner/model.go
@@ -152,8 +152,6 @@
 	answeredAt  time.Duration
 	isAnswered  bool
 	needsLook   uint64
-	percent     int
-	percentAt   time.Duration
 }
 
 func (r *run) key() runKey { return runKey{r.task.name, r.number} }
@@ -191,6 +189,7 @@
 	strays     []siblingwire.Order
 	parked     *parkedCall
 	isBlocked  bool
+	heard      heard
 }
 
 // inOrder gives the runs in an order that is the same at every replay.
--- a/internal/poolowner/runs.go
+++ b/internal/poolowner/runs.go
@@ -89,7 +89,7 @@
 	if one.state != runLaunching {
 		return
 	}
-	one.state, one.startedAt, one.percentAt = runRunning, p.clock.Steady(), p.clock.Steady()
+	one.state, one.startedAt = runRunning, p.clock.Steady()
 	p.drop(orderName(one.task, one.number, kindLaunch))
 	p.putTask(one.task)
 	p.noteStart(one.task.job())
--- a/internal/siblingwire/messages.go
+++ b/internal/siblingwire/messages.go
@@ -209,6 +209,9 @@
 	GPU    int64 `json:"gpu-count"`
 }
 
+// IsDefined lets a capacity of nothing be left out of a message.
+func (c Capacity) IsDefined() bool { return c != Capacity{} }
+
 // RunReport and EndReport are what the hold lists of an executor say.
 type RunReport struct {
 	Task    string `json:"t"`
@@ -232,14 +235,19 @@
 	Result string `json:"a"`
 }
 
-// ExchangeCall is what a local-proxy tells the owner of its executor's pool.
+// ExchangeCall is what a local-proxy tells the owner of its executor's pool. With a Session, the facts (Proxy to
+// Gone) and Changed are what changed after Base, up to Number; Base 0 tells the whole. A session that begins later
+// has a higher number. Without a Session, all is whole.
 type ExchangeCall struct {
 	Key       string        `json:"key"`
 	Life      string        `json:"life"`
-	Proxy     string        `json:"proxy"`
-	Domain    string        `json:"domain"`
+	Session   uint64        `json:"session,omitempty"`
+	Number    uint64        `json:"number,omitempty"`
+	Base      uint64        `json:"base,omitempty"`
+	Proxy     string        `json:"proxy,omitempty"`
+	Domain    string        `json:"domain,omitempty"`
 	Labels    []string      `json:"labels,omitempty"`
-	Room      Capacity      `json:"room"`
+	Room      Capacity      `json:"room,omitempty"`
 	Draining  bool          `json:"draining,omitempty"`
 	DepartsMs int64         `json:"departs,omitempty"`
 	Gone      []string      `json:"gone,omitempty"`
@@ -247,6 +255,7 @@
 	HoldAgeMs int64         `json:"holdage"`
 	Look      uint64        `json:"look,omitempty"`
 	Running   []RunReport   `json:"running,omitempty"`
+	Changed   []RunReport   `json:"changed,omitempty"`
 	Ends      []EndReport   `json:"ends,omitempty"`
 	Answers   []OrderAnswer `json:"answers,omitempty"`
 	WaitMs    int64         `json:"wait,omitempty"`
@@ -260,10 +269,15 @@
 	Saved string `json:"c,omitempty"`
 }
 
+// ExchangeAnswer names the Number that the owner holds; Again asks for the whole, as nothing of the call was taken,
+// in a session above the one that is named.
 type ExchangeAnswer struct {
 	Elsewhere bool    `json:"elsewhere,omitempty"`
 	Owner     string  `json:"owner,omitempty"`
 	Fence     uint64  `json:"fence,omitempty"`
+	Held      uint64  `json:"held,omitempty"`
+	Again     bool    `json:"again,omitempty"`
+	Session   uint64  `json:"session,omitempty"`
 	GrantMs   int64   `json:"grant,omitempty"`
 	LastSeen  int64   `json:"seen,omitempty"`
 	Look      uint64  `json:"look,omitempty"`
--- a/internal/siblingwire/messages_easyjson.go
+++ b/internal/siblingwire/messages_easyjson.go
@@ -2575,6 +2575,24 @@
 			} else {
 				out.Life = string(in.String())
 			}
+		case "session":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Session = uint64(in.Uint64())
+			}
+		case "number":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Number = uint64(in.Uint64())
+			}
+		case "base":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Base = uint64(in.Uint64())
+			}
 		case "proxy":
 			if in.IsNull() {
 				in.Skip()
@@ -2704,6 +2722,33 @@
 				}
 				in.Delim(']')
 			}
+		case "changed":
+			if in.IsNull() {
+				in.Skip()
+				out.Changed = nil
+			} else {
+				in.Delim('[')
+				if out.Changed == nil {
+					if !in.IsDelim(']') {
+						out.Changed = make([]RunReport, 0, 1)
+					} else {
+						out.Changed = []RunReport{}
+					}
+				} else {
+					out.Changed = (out.Changed)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v34 RunReport
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						(v34).UnmarshalEasyJSON(in)
+					}
+					out.Changed = append(out.Changed, v34)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
 		case "ends":
 			if in.IsNull() {
 				in.Skip()
@@ -2720,13 +2765,13 @@
 					out.Ends = (out.Ends)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v34 EndReport
+					var v35 EndReport
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v34).UnmarshalEasyJSON(in)
+						(v35).UnmarshalEasyJSON(in)
 					}
-					out.Ends = append(out.Ends, v34)
+					out.Ends = append(out.Ends, v35)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -2747,13 +2792,13 @@
 					out.Answers = (out.Answers)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v35 OrderAnswer
+					var v36 OrderAnswer
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v35).UnmarshalEasyJSON(in)
+						(v36).UnmarshalEasyJSON(in)
 					}
-					out.Answers = append(out.Answers, v35)
+					out.Answers = append(out.Answers, v36)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -2788,12 +2833,27 @@
 		out.RawString(prefix)
 		out.String(string(in.Life))
 	}
-	{
+	if in.Session != 0 {
+		const prefix string = ",\"session\":"
+		out.RawString(prefix)
+		out.Uint64(uint64(in.Session))
+	}
+	if in.Number != 0 {
+		const prefix string = ",\"number\":"
+		out.RawString(prefix)
+		out.Uint64(uint64(in.Number))
+	}
+	if in.Base != 0 {
+		const prefix string = ",\"base\":"
+		out.RawString(prefix)
+		out.Uint64(uint64(in.Base))
+	}
+	if in.Proxy != "" {
 		const prefix string = ",\"proxy\":"
 		out.RawString(prefix)
 		out.String(string(in.Proxy))
 	}
-	{
+	if in.Domain != "" {
 		const prefix string = ",\"domain\":"
 		out.RawString(prefix)
 		out.String(string(in.Domain))
@@ -2803,16 +2863,16 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v36, v37 := range in.Labels {
-				if v36 > 0 {
+			for v37, v38 := range in.Labels {
+				if v37 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v37))
+				out.String(string(v38))
 			}
 			out.RawByte(']')
 		}
 	}
-	{
+	if (in.Room).IsDefined() {
 		const prefix string = ",\"room\":"
 		out.RawString(prefix)
 		(in.Room).MarshalEasyJSON(out)
@@ -2832,11 +2892,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v38, v39 := range in.Gone {
-				if v38 > 0 {
+			for v39, v40 := range in.Gone {
+				if v39 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v39))
+				out.String(string(v40))
 			}
 			out.RawByte(']')
 		}
@@ -2861,11 +2921,25 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v40, v41 := range in.Running {
-				if v40 > 0 {
+			for v41, v42 := range in.Running {
+				if v41 > 0 {
 					out.RawByte(',')
 				}
-				(v41).MarshalEasyJSON(out)
+				(v42).MarshalEasyJSON(out)
+			}
+			out.RawByte(']')
+		}
+	}
+	if len(in.Changed) != 0 {
+		const prefix string = ",\"changed\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('[')
+			for v43, v44 := range in.Changed {
+				if v43 > 0 {
+					out.RawByte(',')
+				}
+				(v44).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -2875,11 +2949,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v42, v43 := range in.Ends {
-				if v42 > 0 {
+			for v45, v46 := range in.Ends {
+				if v45 > 0 {
 					out.RawByte(',')
 				}
-				(v43).MarshalEasyJSON(out)
+				(v46).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -2889,11 +2963,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v44, v45 := range in.Answers {
-				if v44 > 0 {
+			for v47, v48 := range in.Answers {
+				if v47 > 0 {
 					out.RawByte(',')
 				}
-				(v45).MarshalEasyJSON(out)
+				(v48).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -2961,6 +3035,24 @@
 			} else {
 				out.Fence = uint64(in.Uint64())
 			}
+		case "held":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Held = uint64(in.Uint64())
+			}
+		case "again":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Again = bool(in.Bool())
+			}
+		case "session":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Session = uint64(in.Uint64())
+			}
 		case "grant":
 			if in.IsNull() {
 				in.Skip()
@@ -2995,13 +3087,13 @@
 					out.Orders = (out.Orders)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v46 Order
+					var v49 Order
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v46).UnmarshalEasyJSON(in)
+						(v49).UnmarshalEasyJSON(in)
 					}
-					out.Orders = append(out.Orders, v46)
+					out.Orders = append(out.Orders, v49)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -3046,6 +3138,36 @@
 		}
 		out.Uint64(uint64(in.Fence))
 	}
+	if in.Held != 0 {
+		const prefix string = ",\"held\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		out.Uint64(uint64(in.Held))
+	}
+	if in.Again {
+		const prefix string = ",\"again\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		out.Bool(bool(in.Again))
+	}
+	if in.Session != 0 {
+		const prefix string = ",\"session\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		out.Uint64(uint64(in.Session))
+	}
 	if in.GrantMs != 0 {
 		const prefix string = ",\"grant\":"
 		if first {
@@ -3086,11 +3208,11 @@
 		}
 		{
 			out.RawByte('[')
-			for v47, v48 := range in.Orders {
-				if v47 > 0 {
+			for v50, v51 := range in.Orders {
+				if v50 > 0 {
 					out.RawByte(',')
 				}
-				(v48).MarshalEasyJSON(out)
+				(v51).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -3386,13 +3508,13 @@
 					out.Owners = (out.Owners)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v49 OwnerFact
+					var v52 OwnerFact
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v49).UnmarshalEasyJSON(in)
+						(v52).UnmarshalEasyJSON(in)
 					}
-					out.Owners = append(out.Owners, v49)
+					out.Owners = append(out.Owners, v52)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -3437,11 +3559,11 @@
 		}
 		{
 			out.RawByte('[')
-			for v50, v51 := range in.Owners {
-				if v50 > 0 {
+			for v53, v54 := range in.Owners {
+				if v53 > 0 {
 					out.RawByte(',')
 				}
-				(v51).MarshalEasyJSON(out)
+				(v54).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -3526,13 +3648,13 @@
 					out.News = (out.News)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v52 Member
+					var v55 Member
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v52).UnmarshalEasyJSON(in)
+						(v55).UnmarshalEasyJSON(in)
 					}
-					out.News = append(out.News, v52)
+					out.News = append(out.News, v55)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -3582,11 +3704,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v53, v54 := range in.News {
-				if v53 > 0 {
+			for v56, v57 := range in.News {
+				if v56 > 0 {
 					out.RawByte(',')
 				}
-				(v54).MarshalEasyJSON(out)
+				(v57).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -3954,13 +4076,13 @@
 					out.Ops = (out.Ops)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v55 Op
+					var v58 Op
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v55).UnmarshalEasyJSON(in)
+						(v58).UnmarshalEasyJSON(in)
 					}
-					out.Ops = append(out.Ops, v55)
+					out.Ops = append(out.Ops, v58)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4003,11 +4125,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v56, v57 := range in.Ops {
-				if v56 > 0 {
+			for v59, v60 := range in.Ops {
+				if v59 > 0 {
 					out.RawByte(',')
 				}
-				(v57).MarshalEasyJSON(out)
+				(v60).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4166,13 +4288,13 @@
 					out.Voters = (out.Voters)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v58 string
+					var v61 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v58 = string(in.String())
+						v61 = string(in.String())
 					}
-					out.Voters = append(out.Voters, v58)
+					out.Voters = append(out.Voters, v61)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4203,11 +4325,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v59, v60 := range in.Voters {
-				if v59 > 0 {
+			for v62, v63 := range in.Voters {
+				if v62 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v60))
+				out.String(string(v63))
 			}
 			out.RawByte(']')
 		}
@@ -4340,13 +4462,13 @@
 					out.Members = (out.Members)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v61 Member
+					var v64 Member
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v61).UnmarshalEasyJSON(in)
+						(v64).UnmarshalEasyJSON(in)
 					}
-					out.Members = append(out.Members, v61)
+					out.Members = append(out.Members, v64)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4367,13 +4489,13 @@
 					out.Owners = (out.Owners)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v62 OwnerFact
+					var v65 OwnerFact
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v62).UnmarshalEasyJSON(in)
+						(v65).UnmarshalEasyJSON(in)
 					}
-					out.Owners = append(out.Owners, v62)
+					out.Owners = append(out.Owners, v65)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4394,13 +4516,13 @@
 					out.Keys = (out.Keys)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v63 KeyBelief
+					var v66 KeyBelief
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v63).UnmarshalEasyJSON(in)
+						(v66).UnmarshalEasyJSON(in)
 					}
-					out.Keys = append(out.Keys, v63)
+					out.Keys = append(out.Keys, v66)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4421,13 +4543,13 @@
 					out.Jobs = (out.Jobs)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v64 JobBelief
+					var v67 JobBelief
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v64).UnmarshalEasyJSON(in)
+						(v67).UnmarshalEasyJSON(in)
 					}
-					out.Jobs = append(out.Jobs, v64)
+					out.Jobs = append(out.Jobs, v67)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4448,13 +4570,13 @@
 					out.Executors = (out.Executors)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v65 ExecutorBelief
+					var v68 ExecutorBelief
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v65).UnmarshalEasyJSON(in)
+						(v68).UnmarshalEasyJSON(in)
 					}
-					out.Executors = append(out.Executors, v65)
+					out.Executors = append(out.Executors, v68)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4495,11 +4617,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v66, v67 := range in.Members {
-				if v66 > 0 {
+			for v69, v70 := range in.Members {
+				if v69 > 0 {
 					out.RawByte(',')
 				}
-				(v67).MarshalEasyJSON(out)
+				(v70).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4511,11 +4633,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v68, v69 := range in.Owners {
-				if v68 > 0 {
+			for v71, v72 := range in.Owners {
+				if v71 > 0 {
 					out.RawByte(',')
 				}
-				(v69).MarshalEasyJSON(out)
+				(v72).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4527,11 +4649,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v70, v71 := range in.Keys {
-				if v70 > 0 {
+			for v73, v74 := range in.Keys {
+				if v73 > 0 {
 					out.RawByte(',')
 				}
-				(v71).MarshalEasyJSON(out)
+				(v74).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4543,11 +4665,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v72, v73 := range in.Jobs {
-				if v72 > 0 {
+			for v75, v76 := range in.Jobs {
+				if v75 > 0 {
 					out.RawByte(',')
 				}
-				(v73).MarshalEasyJSON(out)
+				(v76).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4559,11 +4681,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v74, v75 := range in.Executors {
-				if v74 > 0 {
+			for v77, v78 := range in.Executors {
+				if v77 > 0 {
 					out.RawByte(',')
 				}
-				(v75).MarshalEasyJSON(out)
+				(v78).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4654,13 +4776,13 @@
 					out.Changes = (out.Changes)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v76 Change
+					var v79 Change
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v76).UnmarshalEasyJSON(in)
+						(v79).UnmarshalEasyJSON(in)
 					}
-					out.Changes = append(out.Changes, v76)
+					out.Changes = append(out.Changes, v79)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4729,11 +4851,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v77, v78 := range in.Changes {
-				if v77 > 0 {
+			for v80, v81 := range in.Changes {
+				if v80 > 0 {
 					out.RawByte(',')
 				}
-				(v78).MarshalEasyJSON(out)
+				(v81).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
--- a/internal/stage/proxy.go
+++ b/internal/stage/proxy.go
@@ -30,7 +30,7 @@
 		return func() { p.stage.Line.After(0, func() { p.enter(life, run) }) }
 	}
 	p.table = localproxy.NewTable(p.stage.Line.Clock, p.stage.log, p.stage.service, p.executor.Domain, p.executor.Machine,
-		later(p.report), later(func() { p.hold(life, true) }), later(func() { p.hold(life, false) }))
+		later(p.report), later(func() { p.hold(life, true) }), later(func() { p.hold(life, false) }), localproxy.WithSession(uint64(life)))
 	p.beat(life)
 	p.holdLoop(life)
 	p.poll(life)
