Exchanges: the news of a start shares a report, and idle proxies poll half as often

Cause: each start that an executor confirmed made a report of its own, about one exchange a run besides the polls, and a proxy with nothing to do asked the owner 3.3 times a second.

Change: the answer "ok" to a launch waits up to 80 ms for other news, which goes at once as before; it carries its age, so that a run's length is counted from its start. After 2 s without work a poll waits 600 ms, still well below the 900 ms of silence after which nothing is placed.

--- a/internal/localproxy/feed_test.go
+++ b/internal/localproxy/feed_test.go
@@ -114,6 +114,44 @@
 		}
 	})
 
+	It("lets the news of a start wait for a moment, with its age, and no other news", func() {
+		begins := 0
+		begin(localproxy.WithStartBell(func() { begins++ }))
+		told(siblingwire.ExchangeAnswer{Fence: 3, GrantMs: 4000})
+		launch := func(number int64, result string) {
+			work, _ := table.Ready("i-7f3a91c2", siblingwire.Order{Kind: "launch", Task: "t.0.0.0", Run: number})
+			table.Carried(work, result)
+		}
+		works = 0
+		Expect(table.HasUnsent()).To(BeFalse())
+		launch(1, "ok")
+		Expect([]int{begins, works}).To(Equal([]int{1, 0}))
+		Expect(table.HasUnsent()).To(BeTrue())
+		clock.Advance(70 * time.Millisecond)
+		call, _ := table.Compose(0)
+		Expect(call.Answers).To(ConsistOf(HaveField("AgeMs", int64(70))))
+		Expect(table.HasUnsent()).To(BeFalse())
+		told(siblingwire.ExchangeAnswer{Fence: 3})
+		Expect(told(siblingwire.ExchangeAnswer{Fence: 3}).Answers).To(BeEmpty())
+		launch(2, "room")
+		Expect([]int{begins, works}).To(Equal([]int{1, 1}))
+	})
+
+	It("waits longer for orders once nothing has run for a while", func() {
+		wait := func() int64 {
+			call, _ := table.Compose(300)
+			return call.WaitMs
+		}
+		Expect(wait()).To(Equal(int64(300)))
+		clock.Advance(2100 * time.Millisecond)
+		Expect(wait()).To(Equal(int64(600)))
+		told(siblingwire.ExchangeAnswer{Fence: 3, Orders: []siblingwire.Order{{Kind: "launch", Task: "t.0.0.0", Run: 1}}})
+		Expect(wait()).To(Equal(int64(300)))
+		clock.Advance(2100 * time.Millisecond)
+		hold(false, row(1, ""))
+		Expect(wait()).To(Equal(int64(300)))
+	})
+
 	It("says little once the owner holds all", func() {
 		var rows []executorcalls.RunningRow
 		for number := range 12 {
--- a/internal/localproxy/proxy.go
+++ b/internal/localproxy/proxy.go
@@ -18,6 +18,7 @@
 const (
 	holdGap      = 15 * time.Millisecond
 	pollWaitMs   = 300
+	startPause   = 80 * time.Millisecond
 	startLimit   = 150 * time.Millisecond
 	startTries   = 2
 	atOnce       = 6
@@ -36,6 +37,7 @@
 	view     func() *siblingprobe.View
 	service  string
 	work     chan struct{}
+	starts   chan struct{}
 	looks    chan struct{}
 	acks     chan struct{}
 	slots    chan struct{}
@@ -44,9 +46,9 @@
 func New(service, domain, name string, clock pulse.Pulse, log logs.Logger, executor *executorcalls.Client, caller *siblingwire.Caller,
 	view func() *siblingprobe.View) *Proxy {
 	proxy := &Proxy{box: mailbox.New(256), clock: clock, log: log, executor: executor, caller: caller, view: view, service: service,
-		work: make(chan struct{}, 1), looks: make(chan struct{}, 1), acks: make(chan struct{}, 1), slots: make(chan struct{}, atOnce)}
+		work: make(chan struct{}, 1), starts: make(chan struct{}, 1), looks: make(chan struct{}, 1), acks: make(chan struct{}, 1), slots: make(chan struct{}, atOnce)}
 	proxy.table = NewTable(clock, log, service, domain, name, func() { nudge(proxy.work) }, func() { nudge(proxy.looks) }, func() { nudge(proxy.acks) },
-		WithSession(uint64(clock.WallMs())))
+		WithSession(uint64(clock.WallMs())), WithStartBell(func() { nudge(proxy.starts) }))
 	return proxy
 }
 
@@ -198,6 +200,10 @@
 		case <-life.Done():
 			return
 		case <-p.work:
+		case <-p.starts:
+			if !p.awaitMore(life) {
+				continue
+			}
 		}
 		if !p.exchange(life, 0) {
 			if !p.pause(life, ownerPause) {
@@ -208,6 +214,19 @@
 	}
 }
 
+// awaitMore lets news that can wait share the report of what follows; it tells whether a report is due.
+func (p *Proxy) awaitMore(life span.Span) bool {
+	select {
+	case <-life.Done():
+		return false
+	case <-p.work:
+		return true
+	case <-p.clock.After(startPause):
+	}
+	hasUnsent, _ := ask(p, life, p.table.HasUnsent)
+	return hasUnsent
+}
+
 // exchange talks to the owner once; it tells whether the owner answered.
 func (p *Proxy) exchange(life span.Span, waitMs int64) bool {
 	call, isOpen := ask(p, life, func() *siblingwire.ExchangeCall {
@@ -232,7 +251,7 @@
 	patience, release := siblingprobe.UntilMoved(life, view)
 	defer release()
 	answer, err := siblingwire.Call[siblingwire.ExchangeCall, siblingwire.ExchangeAnswer](p.caller, patience, owner,
-		siblingwire.ProcedureExchange, pulse.Ms(waitMs)+exchangeSlow, call)
+		siblingwire.ProcedureExchange, pulse.Ms(call.WaitMs)+exchangeSlow, call)
 	if err != nil {
 		p.log.V(1).Info("an exchange failed", "why", err.Error())
 		return false
--- a/internal/localproxy/table.go
+++ b/internal/localproxy/table.go
@@ -21,6 +21,7 @@
 	shortWaitMs  = 150
 	holdSlack    = 150 * time.Millisecond
 	mistrust     = 10 * time.Second
+	idleAfter    = 2 * time.Second
 )
 
 type orderKey struct {
@@ -63,13 +64,20 @@
 	lookDone    uint64
 	lookTold    uint64
 	lookRunning []siblingwire.RunReport
-	answers     []siblingwire.OrderAnswer
+	answers     []givenAnswer
 	busy        map[orderKey]bool
 	unsure      map[runKey]bool
 	toldAt      time.Duration
 	lostAt      time.Duration
 	hasLost     bool
 	feed        *feed
+	busyAt      time.Duration
+}
+
+type givenAnswer struct {
+	siblingwire.OrderAnswer
+	at     time.Duration
+	isSent bool
 }
 
 // Table is owned by one goroutine; the loops ask it what to do next and tell it what came back.
@@ -84,6 +92,7 @@
 	onWork  func()
 	onLook  func()
 	onAck   func()
+	onStart func()
 	session uint64
 }
 
@@ -92,8 +101,12 @@
 // WithSession lets only changes travel to the owner; the number should rise from one process beside the executor to the next.
 func WithSession(number uint64) TableOption { return func(t *Table) { t.session = number } }
 
+// WithStartBell is rung, instead of the one for work, by news that can wait for a moment: that a run was started.
+func WithStartBell(onStart func()) TableOption { return func(t *Table) { t.onStart = onStart } }
+
 func NewTable(clock pulse.Pulse, log logs.Logger, service, domain, name string, onWork, onLook, onAck func(), options ...TableOption) *Table {
-	table := &Table{clock: clock, log: log, service: service, domain: domain, name: name, onWork: onWork, onLook: onLook, onAck: onAck}
+	table := &Table{clock: clock, log: log, service: service, domain: domain, name: name, onWork: onWork, onLook: onLook, onAck: onAck,
+		onStart: onWork}
 	for _, option := range options {
 		option(table)
 	}
@@ -138,7 +151,7 @@
 		t.markGone(t.life.id)
 	}
 	t.log.Info("an executor's life begins", "executor", id)
-	t.life = &lifeTable{id: id, busy: map[orderKey]bool{}, unsure: map[runKey]bool{}, feed: newFeed(t.session)}
+	t.life = &lifeTable{id: id, busy: map[orderKey]bool{}, unsure: map[runKey]bool{}, feed: newFeed(t.session), busyAt: t.now()}
 	t.onWork()
 }
 
@@ -235,6 +248,9 @@
 		one.running = append(one.running, siblingwire.RunReport(row))
 	}
 	one.feed.noteSaved(one.running)
+	if len(one.running) > 0 {
+		one.busyAt = t.now()
+	}
 	if work.Look > one.lookDone && work.Hold.Fence == one.fence {
 		one.lookDone, one.lookRunning = work.Look, slices.Clone(one.running)
 		fresh = true
@@ -272,7 +288,7 @@
 		return nil, false
 	}
 	now := t.now()
-	call := &siblingwire.ExchangeCall{Key: "pool/" + t.service, Life: one.id, Fence: one.fenceHeld, WaitMs: waitMs}
+	call := &siblingwire.ExchangeCall{Key: "pool/" + t.service, Life: one.id, Fence: one.fenceHeld, WaitMs: t.pollWait(one, waitMs)}
 	one.feed.noteFacts(facts{proxy: t.name, domain: t.domain, labels: one.beat.Labels, room: one.beat.Room, isDraining: one.isDraining,
 		gone: slices.Clone(t.gone)})
 	one.feed.write(call)
@@ -285,7 +301,11 @@
 	}
 	call.HoldAgeMs = pulse.InMs(age)
 	call.Ends = slices.Clone(one.ends)
-	call.Answers = slices.Clone(one.answers)
+	for place := range one.answers {
+		given := &one.answers[place]
+		given.AgeMs, given.isSent = pulse.InMs(now-given.at), true
+		call.Answers = append(call.Answers, given.OrderAnswer)
+	}
 	if one.lookDone > one.lookTold {
 		call.Look, call.Running = one.lookDone, one.lookRunning
 	} else if one.feed.held == 0 && now-one.toldAt > time.Second {
@@ -294,6 +314,14 @@
 	return call, true
 }
 
+// pollWait is longer while the executor is idle; it stays well below the silence after which an owner places nothing there.
+func (t *Table) pollWait(one *lifeTable, waitMs int64) int64 {
+	if t.now()-one.busyAt > idleAfter {
+		return 2 * waitMs
+	}
+	return waitMs
+}
+
 // Told takes the owner's answer and gives the orders that are to be carried out.
 func (t *Table) Told(call *siblingwire.ExchangeCall, askedAt time.Duration, answer *siblingwire.ExchangeAnswer) []siblingwire.Order {
 	one := t.life
@@ -308,7 +336,7 @@
 		t.onWork()
 	}
 	if !answer.Again && len(call.Answers) > 0 {
-		one.answers = slices.DeleteFunc(one.answers, func(told siblingwire.OrderAnswer) bool { return slices.Contains(call.Answers, told) })
+		one.answers = slices.DeleteFunc(one.answers, func(given givenAnswer) bool { return given.isIn(call.Answers) })
 	}
 	if !answer.Again && call.Fence == answer.Fence {
 		one.lookTold = max(one.lookTold, call.Look)
@@ -333,12 +361,23 @@
 	return t.accept(one, answer.Orders)
 }
 
+// HasUnsent tells whether an answer of the executor was in no exchange yet.
+func (t *Table) HasUnsent() bool {
+	return t.life != nil && slices.ContainsFunc(t.life.answers, func(given givenAnswer) bool { return !given.isSent })
+}
+
+func (g givenAnswer) isIn(told []siblingwire.OrderAnswer) bool {
+	return slices.ContainsFunc(told, func(one siblingwire.OrderAnswer) bool {
+		return one.Task == g.Task && one.Run == g.Run && one.Kind == g.Kind && one.Result == g.Result
+	})
+}
+
 func (t *Table) accept(one *lifeTable, orders []siblingwire.Order) []siblingwire.Order {
 	kept := orders[:0]
 	for _, order := range orders {
 		key := orderKey{order.Task, order.Run, order.Kind}
 		if !one.busy[key] {
-			one.busy[key] = true
+			one.busy[key], one.busyAt = true, t.now()
 			kept = append(kept, order)
 		}
 	}
@@ -402,6 +441,11 @@
 	if result == "ok" {
 		delete(one.unsure, place)
 	}
-	one.answers = append(one.answers, siblingwire.OrderAnswer{Task: order.Task, Run: order.Run, Kind: order.Kind, Result: result})
+	one.answers = append(one.answers, givenAnswer{at: t.now(),
+		OrderAnswer: siblingwire.OrderAnswer{Task: order.Task, Run: order.Run, Kind: order.Kind, Result: result}})
+	if order.Kind == "launch" && result == "ok" {
+		t.onStart()
+		return
+	}
 	t.onWork()
 }
--- a/internal/poolowner/exchange.go
+++ b/internal/poolowner/exchange.go
@@ -185,6 +185,7 @@
 	switch answer.Result {
 	case ResultOK:
 		p.started(one)
+		one.startedAt -= min(pulse.Ms(answer.AgeMs), now-one.orderedAt)
 	case ResultNotRun, ResultRoom, ResultSick:
 		if answer.Result != ResultNotRun {
 			home.sickUntil = now + 300*time.Millisecond
--- a/internal/poolowner/poolowner_test.go
+++ b/internal/poolowner/poolowner_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"gannetline/internal/daybook"
 	"gannetline/internal/logs"
 	"gannetline/internal/poolowner"
 	"gannetline/internal/pulse"
@@ -66,6 +67,15 @@
 	return false
 }
 
+// diary keeps how long the runs were that ended.
+type diary struct{ lengths []int64 }
+
+func (d *diary) Record(event daybook.Event) {
+	if event.Kind == daybook.KindEnd {
+		d.lengths = append(d.lengths, event.LengthMs)
+	}
+}
+
 const (
 	id   = "5c0e7a21d94b36f8"
 	task = id + ".0.0.0"
@@ -229,6 +239,23 @@
 		Expect(exchange(other).Orders).To(HaveLen(1))
 	})
 
+	It("counts a run's length from when it was started, however late that was told", func() {
+		day := &diary{}
+		pool = poolowner.New("pool/s", clock, timing, logs.Silent(), poolowner.WithRecorder(day))
+		Expect(pool.Open(tenure, nil)).To(Succeed())
+		exchange(nil)
+		handIn()
+		tenure.settle(nil)
+		exchange(nil)
+		clock.Advance(90 * time.Millisecond)
+		exchange(func(call *siblingwire.ExchangeCall) {
+			started(call)
+			call.Answers[0].AgeMs = 80
+			ended("done")(call)
+		})
+		Expect(day.lengths).To(Equal([]int64{80}))
+	})
+
 	It("grants nothing without a lease", func() {
 		tenure.hasLease = false
 		Expect(exchange(nil).GrantMs).To(BeZero())
--- a/internal/siblingwire/messages.go
+++ b/internal/siblingwire/messages.go
@@ -228,11 +228,13 @@
 	Saved  string `json:"c,omitempty"`
 }
 
+// OrderAnswer is what came of an order, AgeMs before it is told.
 type OrderAnswer struct {
 	Task   string `json:"t"`
 	Run    int64  `json:"r"`
 	Kind   string `json:"k"`
 	Result string `json:"a"`
+	AgeMs  int64  `json:"g,omitempty"`
 }
 
 // ExchangeCall is what a local-proxy tells the owner of its executor's pool. With a Session, the facts (Proxy to
--- a/internal/siblingwire/messages_easyjson.go
+++ b/internal/siblingwire/messages_easyjson.go
@@ -1202,6 +1202,12 @@
 			} else {
 				out.Result = string(in.String())
 			}
+		case "g":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.AgeMs = int64(in.Int64())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -1236,6 +1242,11 @@
 		out.RawString(prefix)
 		out.String(string(in.Result))
 	}
+	if in.AgeMs != 0 {
+		const prefix string = ",\"g\":"
+		out.RawString(prefix)
+		out.Int64(int64(in.AgeMs))
+	}
 	out.RawByte('}')
 }
 
--- a/internal/stage/proxy.go
+++ b/internal/stage/proxy.go
@@ -9,6 +9,8 @@
 	"gannetline/internal/siblingwire"
 )
 
+const startPause = 80 * time.Millisecond
+
 // Proxy drives the real table of a local-proxy beside a modelled executor.
 type Proxy struct {
 	stage     *Stage
@@ -30,7 +32,8 @@
 		return func() { p.stage.Line.After(0, func() { p.enter(life, run) }) }
 	}
 	p.table = localproxy.NewTable(p.stage.Line.Clock, p.stage.log, p.stage.service, p.executor.Domain, p.executor.Machine,
-		later(p.report), later(func() { p.hold(life, true) }), later(func() { p.hold(life, false) }), localproxy.WithSession(uint64(life)))
+		later(p.report), later(func() { p.hold(life, true) }), later(func() { p.hold(life, false) }), localproxy.WithSession(uint64(life)),
+		localproxy.WithStartBell(func() { p.stage.Line.After(startPause, func() { p.enter(life, p.reportStarts) }) }))
 	p.beat(life)
 	p.holdLoop(life)
 	p.poll(life)
@@ -116,12 +119,19 @@
 		})
 }
 
+func (p *Proxy) reportStarts() {
+	if p.table.HasUnsent() {
+		p.report()
+	}
+}
+
 func (p *Proxy) report() {
 	if p.reporting {
 		p.isDirty = true
 		return
 	}
 	p.reporting = true
+	p.stage.Reports++
 	life := p.life
 	p.exchange(0, func(isTold bool) {
 		p.reporting = false
@@ -138,6 +148,7 @@
 
 func (p *Proxy) poll(life int) {
 	p.enter(life, func() {
+		p.stage.Polls++
 		p.exchange(300, func(isTold bool) {
 			wait := time.Millisecond
 			if !isTold {
@@ -157,7 +168,7 @@
 	}
 	owner := p.stage.Nodes[p.guess%len(p.stage.Nodes)]
 	askedAt := p.stage.Line.Now()
-	call(p.stage, p.place(), owner.place(), pulse.Ms(waitMs)+1500*time.Millisecond, func(answer func(siblingwire.ExchangeAnswer)) {
+	call(p.stage, p.place(), owner.place(), pulse.Ms(ask.WaitMs)+1500*time.Millisecond, func(answer func(siblingwire.ExchangeAnswer)) {
 		pool := owner.pools[ask.Key]
 		if pool == nil || !pool.IsOpen() {
 			answer(siblingwire.ExchangeAnswer{Elsewhere: true})
--- a/internal/stage/stage.go
+++ b/internal/stage/stage.go
@@ -20,6 +20,8 @@
 	Judge     *Judge
 	Work      Work
 	Loss      float64
+	Polls     int
+	Reports   int
 	service   string
 	keys      []string
 	timing    poolowner.Timing
