--- a/internal/planbook/planbook.go
+++ b/internal/planbook/planbook.go
@@ -115,7 +115,7 @@
 		b.log.Info("a plan could not be fetched", "why", err.Error())
 		return
 	}
-	bodyBytesFetched.Add(textIn(answer))
+	bodyBytesFetched.Add(bytesOf(answer))
 	edition, err := b.edition().Take(answer)
 	if err != nil {
 		b.log.Info("changes of the plan do not fit; the whole is fetched", "why", err.Error())
@@ -125,16 +125,14 @@
 	b.turnTo(edition)
 }
 
-// textIn counts the bytes of plans in an answer, whole or in parts.
-func textIn(answer *siblingwire.PlanAnswer) int {
+// bytesOf counts the text of plans in an answer, whole or in parts.
+func bytesOf(answer *siblingwire.PlanAnswer) int {
 	count := 0
 	if answer.Fact != nil {
 		count = len(answer.Fact.Body)
 	}
 	for _, change := range answer.Changes {
-		for _, part := range change.Parts {
-			count += len(part.Text)
-		}
+		count += textIn(change)
 	}
 	return count
 }
--- a/internal/poolowner/model.go
+++ b/internal/poolowner/model.go
@@ -181,8 +181,6 @@
 	answeredAt  time.Duration
 	isAnswered  bool
 	needsLook   uint64
-	percent     int
-	percentAt   time.Duration
 }
 
 func (r *run) key() runKey { return runKey{r.task.name, r.number} }
@@ -224,6 +222,7 @@
 	idleAt     time.Duration
 	place      int
 	isChanged  bool
+	heard      heard
 }
 
 // inOrder gives the runs in an order that is the same at every replay.
--- a/internal/poolowner/runs.go
+++ b/internal/poolowner/runs.go
@@ -120,7 +120,7 @@
 		return
 	}
 	p.meters.starts.Inc()
-	one.state, one.startedAt, one.percentAt = runRunning, p.clock.Steady(), p.clock.Steady()
+	one.state, one.startedAt = runRunning, p.clock.Steady()
 	delete(p.pending, one)
 	p.noteChange(one)
 	p.drop(orderName(one.task, one.number, kindLaunch))
--- a/internal/siblingwire/messages_easyjson.go
+++ b/internal/siblingwire/messages_easyjson.go
@@ -1581,6 +1581,12 @@
 			} else {
 				out.Result = string(in.String())
 			}
+		case "g":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.AgeMs = int64(in.Int64())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -1615,6 +1621,11 @@
 		out.RawString(prefix)
 		out.String(string(in.Result))
 	}
+	if in.AgeMs != 0 {
+		const prefix string = ",\"g\":"
+		out.RawString(prefix)
+		out.Int64(int64(in.AgeMs))
+	}
 	out.RawByte('}')
 }
 
@@ -3069,6 +3080,24 @@
 			} else {
 				out.Life = string(in.String())
 			}
+		case "session":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Session = uint64(in.Uint64())
+			}
+		case "number":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Number = uint64(in.Uint64())
+			}
+		case "base":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Base = uint64(in.Uint64())
+			}
 		case "proxy":
 			if in.IsNull() {
 				in.Skip()
@@ -3198,6 +3227,33 @@
 				}
 				in.Delim(']')
 			}
+		case "changed":
+			if in.IsNull() {
+				in.Skip()
+				out.Changed = nil
+			} else {
+				in.Delim('[')
+				if out.Changed == nil {
+					if !in.IsDelim(']') {
+						out.Changed = make([]RunReport, 0, 1)
+					} else {
+						out.Changed = []RunReport{}
+					}
+				} else {
+					out.Changed = (out.Changed)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v52 RunReport
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						(v52).UnmarshalEasyJSON(in)
+					}
+					out.Changed = append(out.Changed, v52)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
 		case "ends":
 			if in.IsNull() {
 				in.Skip()
@@ -3214,13 +3270,13 @@
 					out.Ends = (out.Ends)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v52 EndReport
+					var v53 EndReport
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v52).UnmarshalEasyJSON(in)
+						(v53).UnmarshalEasyJSON(in)
 					}
-					out.Ends = append(out.Ends, v52)
+					out.Ends = append(out.Ends, v53)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -3241,13 +3297,13 @@
 					out.Answers = (out.Answers)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v53 OrderAnswer
+					var v54 OrderAnswer
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v53).UnmarshalEasyJSON(in)
+						(v54).UnmarshalEasyJSON(in)
 					}
-					out.Answers = append(out.Answers, v53)
+					out.Answers = append(out.Answers, v54)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -3282,12 +3338,27 @@
 		out.RawString(prefix)
 		out.String(string(in.Life))
 	}
-	{
+	if in.Session != 0 {
+		const prefix string = ",\"session\":"
+		out.RawString(prefix)
+		out.Uint64(uint64(in.Session))
+	}
+	if in.Number != 0 {
+		const prefix string = ",\"number\":"
+		out.RawString(prefix)
+		out.Uint64(uint64(in.Number))
+	}
+	if in.Base != 0 {
+		const prefix string = ",\"base\":"
+		out.RawString(prefix)
+		out.Uint64(uint64(in.Base))
+	}
+	if in.Proxy != "" {
 		const prefix string = ",\"proxy\":"
 		out.RawString(prefix)
 		out.String(string(in.Proxy))
 	}
-	{
+	if in.Domain != "" {
 		const prefix string = ",\"domain\":"
 		out.RawString(prefix)
 		out.String(string(in.Domain))
@@ -3297,16 +3368,16 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v54, v55 := range in.Labels {
-				if v54 > 0 {
+			for v55, v56 := range in.Labels {
+				if v55 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v55))
+				out.String(string(v56))
 			}
 			out.RawByte(']')
 		}
 	}
-	{
+	if (in.Room).IsDefined() {
 		const prefix string = ",\"room\":"
 		out.RawString(prefix)
 		(in.Room).MarshalEasyJSON(out)
@@ -3326,11 +3397,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v56, v57 := range in.Gone {
-				if v56 > 0 {
+			for v57, v58 := range in.Gone {
+				if v57 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v57))
+				out.String(string(v58))
 			}
 			out.RawByte(']')
 		}
@@ -3355,11 +3426,25 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v58, v59 := range in.Running {
-				if v58 > 0 {
+			for v59, v60 := range in.Running {
+				if v59 > 0 {
+					out.RawByte(',')
+				}
+				(v60).MarshalEasyJSON(out)
+			}
+			out.RawByte(']')
+		}
+	}
+	if len(in.Changed) != 0 {
+		const prefix string = ",\"changed\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('[')
+			for v61, v62 := range in.Changed {
+				if v61 > 0 {
 					out.RawByte(',')
 				}
-				(v59).MarshalEasyJSON(out)
+				(v62).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -3369,11 +3454,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v60, v61 := range in.Ends {
-				if v60 > 0 {
+			for v63, v64 := range in.Ends {
+				if v63 > 0 {
 					out.RawByte(',')
 				}
-				(v61).MarshalEasyJSON(out)
+				(v64).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -3383,11 +3468,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v62, v63 := range in.Answers {
-				if v62 > 0 {
+			for v65, v66 := range in.Answers {
+				if v65 > 0 {
 					out.RawByte(',')
 				}
-				(v63).MarshalEasyJSON(out)
+				(v66).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -3455,6 +3540,24 @@
 			} else {
 				out.Fence = uint64(in.Uint64())
 			}
+		case "held":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Held = uint64(in.Uint64())
+			}
+		case "again":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Again = bool(in.Bool())
+			}
+		case "session":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Session = uint64(in.Uint64())
+			}
 		case "grant":
 			if in.IsNull() {
 				in.Skip()
@@ -3489,13 +3592,13 @@
 					out.Orders = (out.Orders)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v64 Order
+					var v67 Order
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v64).UnmarshalEasyJSON(in)
+						(v67).UnmarshalEasyJSON(in)
 					}
-					out.Orders = append(out.Orders, v64)
+					out.Orders = append(out.Orders, v67)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -3540,6 +3643,36 @@
 		}
 		out.Uint64(uint64(in.Fence))
 	}
+	if in.Held != 0 {
+		const prefix string = ",\"held\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		out.Uint64(uint64(in.Held))
+	}
+	if in.Again {
+		const prefix string = ",\"again\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		out.Bool(bool(in.Again))
+	}
+	if in.Session != 0 {
+		const prefix string = ",\"session\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		out.Uint64(uint64(in.Session))
+	}
 	if in.GrantMs != 0 {
 		const prefix string = ",\"grant\":"
 		if first {
@@ -3580,11 +3713,11 @@
 		}
 		{
 			out.RawByte('[')
-			for v65, v66 := range in.Orders {
-				if v65 > 0 {
+			for v68, v69 := range in.Orders {
+				if v68 > 0 {
 					out.RawByte(',')
 				}
-				(v66).MarshalEasyJSON(out)
+				(v69).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -3874,13 +4007,13 @@
 					out.Owners = (out.Owners)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v67 OwnerFact
+					var v70 OwnerFact
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v67).UnmarshalEasyJSON(in)
+						(v70).UnmarshalEasyJSON(in)
 					}
-					out.Owners = append(out.Owners, v67)
+					out.Owners = append(out.Owners, v70)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -3927,11 +4060,11 @@
 		}
 		{
 			out.RawByte('[')
-			for v68, v69 := range in.Owners {
-				if v68 > 0 {
+			for v71, v72 := range in.Owners {
+				if v71 > 0 {
 					out.RawByte(',')
 				}
-				(v69).MarshalEasyJSON(out)
+				(v72).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4036,13 +4169,13 @@
 					out.News = (out.News)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v70 Member
+					var v73 Member
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v70).UnmarshalEasyJSON(in)
+						(v73).UnmarshalEasyJSON(in)
 					}
-					out.News = append(out.News, v70)
+					out.News = append(out.News, v73)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4092,11 +4225,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v71, v72 := range in.News {
-				if v71 > 0 {
+			for v74, v75 := range in.News {
+				if v74 > 0 {
 					out.RawByte(',')
 				}
-				(v72).MarshalEasyJSON(out)
+				(v75).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4464,13 +4597,13 @@
 					out.Ops = (out.Ops)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v73 Op
+					var v76 Op
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v73).UnmarshalEasyJSON(in)
+						(v76).UnmarshalEasyJSON(in)
 					}
-					out.Ops = append(out.Ops, v73)
+					out.Ops = append(out.Ops, v76)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4513,11 +4646,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v74, v75 := range in.Ops {
-				if v74 > 0 {
+			for v77, v78 := range in.Ops {
+				if v77 > 0 {
 					out.RawByte(',')
 				}
-				(v75).MarshalEasyJSON(out)
+				(v78).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4676,13 +4809,13 @@
 					out.Voters = (out.Voters)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v76 string
+					var v79 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v76 = string(in.String())
+						v79 = string(in.String())
 					}
-					out.Voters = append(out.Voters, v76)
+					out.Voters = append(out.Voters, v79)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4713,11 +4846,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v77, v78 := range in.Voters {
-				if v77 > 0 {
+			for v80, v81 := range in.Voters {
+				if v80 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v78))
+				out.String(string(v81))
 			}
 			out.RawByte(']')
 		}
@@ -4850,13 +4983,13 @@
 					out.Members = (out.Members)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v79 Member
+					var v82 Member
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v79).UnmarshalEasyJSON(in)
+						(v82).UnmarshalEasyJSON(in)
 					}
-					out.Members = append(out.Members, v79)
+					out.Members = append(out.Members, v82)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4877,13 +5010,13 @@
 					out.Owners = (out.Owners)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v80 OwnerFact
+					var v83 OwnerFact
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v80).UnmarshalEasyJSON(in)
+						(v83).UnmarshalEasyJSON(in)
 					}
-					out.Owners = append(out.Owners, v80)
+					out.Owners = append(out.Owners, v83)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4904,13 +5037,13 @@
 					out.Keys = (out.Keys)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v81 KeyBelief
+					var v84 KeyBelief
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v81).UnmarshalEasyJSON(in)
+						(v84).UnmarshalEasyJSON(in)
 					}
-					out.Keys = append(out.Keys, v81)
+					out.Keys = append(out.Keys, v84)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4931,13 +5064,13 @@
 					out.Jobs = (out.Jobs)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v82 JobBelief
+					var v85 JobBelief
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v82).UnmarshalEasyJSON(in)
+						(v85).UnmarshalEasyJSON(in)
 					}
-					out.Jobs = append(out.Jobs, v82)
+					out.Jobs = append(out.Jobs, v85)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4958,13 +5091,13 @@
 					out.Executors = (out.Executors)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v83 ExecutorBelief
+					var v86 ExecutorBelief
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v83).UnmarshalEasyJSON(in)
+						(v86).UnmarshalEasyJSON(in)
 					}
-					out.Executors = append(out.Executors, v83)
+					out.Executors = append(out.Executors, v86)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -5005,11 +5138,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v84, v85 := range in.Members {
-				if v84 > 0 {
+			for v87, v88 := range in.Members {
+				if v87 > 0 {
 					out.RawByte(',')
 				}
-				(v85).MarshalEasyJSON(out)
+				(v88).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -5021,11 +5154,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v86, v87 := range in.Owners {
-				if v86 > 0 {
+			for v89, v90 := range in.Owners {
+				if v89 > 0 {
 					out.RawByte(',')
 				}
-				(v87).MarshalEasyJSON(out)
+				(v90).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -5037,11 +5170,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v88, v89 := range in.Keys {
-				if v88 > 0 {
+			for v91, v92 := range in.Keys {
+				if v91 > 0 {
 					out.RawByte(',')
 				}
-				(v89).MarshalEasyJSON(out)
+				(v92).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -5053,11 +5186,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v90, v91 := range in.Jobs {
-				if v90 > 0 {
+			for v93, v94 := range in.Jobs {
+				if v93 > 0 {
 					out.RawByte(',')
 				}
-				(v91).MarshalEasyJSON(out)
+				(v94).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -5069,11 +5202,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v92, v93 := range in.Executors {
-				if v92 > 0 {
+			for v95, v96 := range in.Executors {
+				if v95 > 0 {
 					out.RawByte(',')
 				}
-				(v93).MarshalEasyJSON(out)
+				(v96).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -5164,13 +5297,13 @@
 					out.Changes = (out.Changes)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v94 Change
+					var v97 Change
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v94).UnmarshalEasyJSON(in)
+						(v97).UnmarshalEasyJSON(in)
 					}
-					out.Changes = append(out.Changes, v94)
+					out.Changes = append(out.Changes, v97)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -5239,11 +5372,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v95, v96 := range in.Changes {
-				if v95 > 0 {
+			for v98, v99 := range in.Changes {
+				if v98 > 0 {
 					out.RawByte(',')
 				}
-				(v96).MarshalEasyJSON(out)
+				(v99).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
