A scale run of our own: hollow workers beside real processes on loopback addresses

'gannetline hollow' keeps up to 200 worker nodes in one process, each a real local-proxy before a stand-in executor that keeps to the protocol over HTTP and lets tasks run by timer. 'scale-run' starts real stewards, gates and three real local-proxies beside them, fills the workers with standing tasks, offers jobs at an even rate, changes the plan, and counts processor time, memory, bytes, datagrams and calls of each process; it judges from the executors' records whether a task was lost, doubled or started again, and fits slopes over workers, running tasks and starts. Only loopback addresses, at most half of the memory, all children end with it. The plotting library stays out of the daemon: scale-run is a program of its own.

Roles take options now (a meter, a further page at the internal address); without them they are what they were.

--- a/cmd/gannetline/main.go
+++ b/cmd/gannetline/main.go
@@ -32,6 +32,8 @@
 			compareCommand(),
 			checkCommand(),
 			rehearseCommand(),
+			hollowCommand(),
+			measuredCommand(),
 		},
 		Action: func(_ span.Span, command *cli.Command) error {
 			if command.Args().Len() > 0 {
@@ -58,7 +60,7 @@
 	return exitFailed
 }
 
-func roleCommand(name, usage string, run func(path string) error) *cli.Command {
+func roleCommand(name, usage string, run func(path string, options ...roles.Option) error) *cli.Command {
 	return &cli.Command{Name: name, Usage: usage, Action: func(_ span.Span, command *cli.Command) error {
 		return run(command.String("settings"))
 	}}
--- /dev/null
+++ b/internal/hollow/executor.go
@@ -0,0 +1,283 @@
+// Package hollow is many worker nodes in one process: real local-proxies, each before a stand-in of an executor
+// that keeps to the protocol and lets time pass instead of working.
+package hollow
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"gannetline/internal/executorcalls"
+	"gannetline/internal/pulse"
+	"gannetline/internal/siblingwire"
+)
+
+const (
+	mostEnds   = 500
+	mostWaitMs = 2000
+	firstClock = 100_000
+)
+
+// Load is what a task of the scale run asks for; it travels as the task's descriptor.
+type Load struct {
+	Length   time.Duration
+	CPU      int64
+	MemoryMB int64
+}
+
+const loadForm = "hollow %d ms, %d cpu-units, %d MB"
+
+func (l Load) Descriptor() string {
+	return fmt.Sprintf(loadForm, l.Length.Milliseconds(), l.CPU, l.MemoryMB)
+}
+
+func parseLoad(text string) (Load, error) {
+	var ms int64
+	var load Load
+	_, err := fmt.Sscanf(text, loadForm, &ms, &load.CPU, &load.MemoryMB)
+	load.Length = pulse.Ms(ms)
+	return load, err
+}
+
+// RunRecord is one run as an executor saw it, in milliseconds of its machine's clock; EndMs is 0 while it runs.
+type RunRecord struct {
+	Task    string `json:"task"`
+	Run     int64  `json:"run"`
+	Node    string `json:"node"`
+	StartMs int64  `json:"start"`
+	EndMs   int64  `json:"end,omitempty"`
+	How     string `json:"how,omitempty"`
+}
+
+type activeRun struct {
+	record RunRecord
+	load   Load
+	began  time.Duration
+}
+
+type waitingHold struct {
+	answer func(int, executorcalls.Answer)
+}
+
+// Shape is what an executor is: its name, room, labels, and how it keeps time.
+type Shape struct {
+	Node        string
+	ID          string
+	Room        siblingwire.Capacity
+	Labels      []string
+	MaxHold     time.Duration
+	StopTimeout time.Duration
+	// Pace is how fast its clock goes, 0.98 to 1.
+	Pace float64
+}
+
+// Executor has no goroutine of its own; its owner calls it, and later brings letters back to that owner.
+type Executor struct {
+	shape    Shape
+	clock    pulse.Pulse
+	later    func(wait time.Duration, letter func())
+	begunAt  time.Duration
+	fence    uint64
+	expiryMs int64
+	isTimed  bool
+	active   []*activeRun
+	ends     []executorcalls.EndRow
+	lastEnd  int64
+	highest  map[string]int64
+	waiting  []*waitingHold
+	over     []RunRecord
+	sequence int64
+}
+
+func NewExecutor(shape Shape, clock pulse.Pulse, later func(time.Duration, func())) *Executor {
+	return &Executor{shape: shape, clock: clock, later: later, begunAt: clock.Steady(), highest: map[string]int64{}}
+}
+
+// ClockMs is the executor's own steady clock.
+func (e *Executor) ClockMs() int64 {
+	return firstClock + int64(float64(pulse.InMs(e.clock.Steady()-e.begunAt))*e.shape.Pace)
+}
+
+func (e *Executor) answer(reason string) executorcalls.Answer {
+	return executorcalls.Answer{ClockMs: e.ClockMs(), Reason: reason}
+}
+
+func (e *Executor) raise(fence uint64) bool {
+	if fence < e.fence {
+		return false
+	}
+	e.fence = fence
+	return true
+}
+
+func (e *Executor) extend(expiryMs int64) {
+	e.expiryMs = max(e.expiryMs, min(expiryMs, e.ClockMs()+pulse.InMs(e.shape.MaxHold)))
+	if !e.isTimed {
+		e.watchExpiry()
+	}
+}
+
+func (e *Executor) watchExpiry() {
+	left := pulse.Ms(int64(float64(e.expiryMs-e.ClockMs())/e.shape.Pace) + 1)
+	e.isTimed = true
+	e.later(left, func() {
+		e.isTimed = false
+		if len(e.active) == 0 {
+			return
+		}
+		if e.ClockMs() < e.expiryMs {
+			e.watchExpiry()
+			return
+		}
+		for _, one := range slices.Clone(e.active) {
+			e.end(one, "lapsed")
+		}
+	})
+}
+
+func (e *Executor) hasRoomFor(load Load) bool {
+	cpu, memory := load.CPU, load.MemoryMB
+	for _, one := range e.active {
+		cpu, memory = cpu+one.load.CPU, memory+one.load.MemoryMB
+	}
+	return cpu <= e.shape.Room.CPU && memory <= e.shape.Room.Memory
+}
+
+func (e *Executor) find(task string, run int64) *activeRun {
+	for _, one := range e.active {
+		if one.record.Task == task && one.record.Run == run {
+			return one
+		}
+	}
+	return nil
+}
+
+// Start is POST /v1/run-start.
+func (e *Executor) Start(order executorcalls.RunStart) (int, executorcalls.Answer) {
+	load, err := parseLoad(order.Spec)
+	switch {
+	case !e.raise(order.Fence):
+		return 409, e.answer("fence")
+	case err != nil || order.Task == "" || order.Run < 1:
+		return 400, e.answer("")
+	case e.find(order.Task, order.Run) != nil:
+		e.extend(order.ExpiryMs)
+		return 200, e.answer("")
+	case order.Run <= e.highest[order.Task]:
+		e.extend(order.ExpiryMs)
+		return 409, e.answer("old")
+	case order.ExpiryMs <= e.ClockMs():
+		return 409, e.answer("late")
+	}
+	e.extend(order.ExpiryMs)
+	if !e.hasRoomFor(load) {
+		return 409, e.answer("room")
+	}
+	e.begin(order, load)
+	return 200, e.answer("")
+}
+
+func (e *Executor) begin(order executorcalls.RunStart, load Load) {
+	one := &activeRun{load: load, began: e.clock.Steady(),
+		record: RunRecord{Task: order.Task, Run: order.Run, Node: e.shape.Node, StartMs: e.clock.WallMs()}}
+	e.active = append(e.active, one)
+	if !e.isTimed {
+		e.watchExpiry()
+	}
+	e.later(load.Length, func() {
+		if slices.Contains(e.active, one) {
+			e.end(one, "done")
+		}
+	})
+}
+
+func (e *Executor) end(one *activeRun, how string) {
+	e.active = slices.DeleteFunc(e.active, func(other *activeRun) bool { return other == one })
+	one.record.EndMs, one.record.How = e.clock.WallMs(), how
+	e.over = append(e.over, one.record)
+	e.highest[one.record.Task] = max(e.highest[one.record.Task], one.record.Run)
+	e.lastEnd++
+	e.ends = append(e.ends, executorcalls.EndRow{Number: e.lastEnd, Task: one.record.Task, Run: one.record.Run, How: how})
+	waiting := e.waiting
+	e.waiting = nil
+	for _, hold := range waiting {
+		hold.answer(200, e.lists())
+	}
+}
+
+// Stop is POST /v1/run-stop.
+func (e *Executor) Stop(order executorcalls.RunStop) (int, executorcalls.Answer) {
+	if !e.raise(order.Fence) {
+		return 409, e.answer("fence")
+	}
+	e.highest[order.Task] = max(e.highest[order.Task], order.Run)
+	if one := e.find(order.Task, order.Run); one != nil {
+		e.later(e.shape.StopTimeout/2, func() {
+			if slices.Contains(e.active, one) {
+				e.end(one, "stopped")
+			}
+		})
+	}
+	return 200, e.answer("")
+}
+
+// Hold is POST /v1/hold; the answer may wait for an end.
+func (e *Executor) Hold(hold executorcalls.Hold, answer func(int, executorcalls.Answer)) {
+	if !e.raise(hold.Fence) {
+		answer(409, e.answer("fence"))
+		return
+	}
+	e.ends = slices.DeleteFunc(e.ends, func(end executorcalls.EndRow) bool { return end.Number <= hold.LastSeen })
+	if hold.ExpiryMs > 0 {
+		e.extend(hold.ExpiryMs)
+	}
+	if len(e.ends) > 0 || hold.WaitMs <= 0 {
+		answer(200, e.lists())
+		return
+	}
+	one := &waitingHold{answer: answer}
+	e.waiting = append(e.waiting, one)
+	e.later(pulse.Ms(min(hold.WaitMs, mostWaitMs)), func() {
+		if place := slices.Index(e.waiting, one); place >= 0 {
+			e.waiting = slices.Delete(e.waiting, place, place+1)
+			one.answer(200, e.lists())
+		}
+	})
+}
+
+func (e *Executor) lists() executorcalls.Answer {
+	answer := e.answer("")
+	answer.Ends = slices.Clone(e.ends[:min(len(e.ends), mostEnds)])
+	for _, one := range e.active {
+		percent := int(100 * (e.clock.Steady() - one.began) / max(one.load.Length, 1))
+		answer.Running = append(answer.Running,
+			executorcalls.RunningRow{Task: one.record.Task, Run: one.record.Run, Percent: min(percent, 99)})
+	}
+	return answer
+}
+
+// Beat is the executor's next word of itself.
+func (e *Executor) Beat(service, address, domain string) executorcalls.Beat {
+	e.sequence++
+	return executorcalls.Beat{Service: service, Address: address, Domain: domain, Version: "v1", Slots: 8, State: "ready",
+		Room: e.shape.Room, Labels: e.shape.Labels, ClockMs: e.ClockMs(), Sequence: e.sequence}
+}
+
+// Counts are how many tasks run now and how many were started in all.
+type Counts struct {
+	Running int `json:"running"`
+	Started int `json:"started"`
+}
+
+func (e *Executor) Counts() Counts {
+	return Counts{Running: len(e.active), Started: len(e.active) + len(e.over)}
+}
+
+// Records are all runs so far, those still running among them.
+func (e *Executor) Records() []RunRecord {
+	records := slices.Clone(e.over)
+	for _, one := range e.active {
+		records = append(records, one.record)
+	}
+	return records
+}
--- /dev/null
+++ b/internal/hollow/executor_test.go
@@ -0,0 +1,182 @@
+package hollow_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gannetline/internal/executorcalls"
+	"gannetline/internal/hollow"
+	"gannetline/internal/pulse"
+	"gannetline/internal/siblingwire"
+)
+
+// world is one executor on a fake clock, with the letters that wait.
+type world struct {
+	clock    *pulse.Fake
+	executor *hollow.Executor
+	letters  []letter
+}
+
+type letter struct {
+	due time.Duration
+	run func()
+}
+
+func newWorld() *world {
+	w := &world{clock: pulse.NewFake(0)}
+	w.executor = hollow.NewExecutor(hollow.Shape{Node: "w", ID: "i-w", Room: siblingwire.Capacity{CPU: 1000, Memory: 1000},
+		MaxHold: 6 * time.Second, StopTimeout: 400 * time.Millisecond, Pace: 1}, w.clock,
+		func(wait time.Duration, run func()) {
+			w.letters = append(w.letters, letter{w.clock.Steady() + wait, run})
+		})
+	return w
+}
+
+func (w *world) pass(length time.Duration) {
+	for until := w.clock.Steady() + length; w.clock.Steady() < until; w.clock.Advance(time.Millisecond) {
+		due := w.letters
+		w.letters = nil
+		for _, one := range due {
+			if one.due <= w.clock.Steady() {
+				one.run()
+			} else {
+				w.letters = append(w.letters, one)
+			}
+		}
+	}
+}
+
+func (w *world) order(task string, run int64, fence uint64) executorcalls.RunStart {
+	return executorcalls.RunStart{Task: task, Run: run, Fence: fence, ExpiryMs: w.executor.ClockMs() + 5000,
+		Spec: hollow.Load{Length: time.Second, CPU: 600, MemoryMB: 10}.Descriptor()}
+}
+
+func (w *world) start(task string, run int64, fence uint64) (int, string) {
+	status, answer := w.executor.Start(w.order(task, run, fence))
+	return status, answer.Reason
+}
+
+func (w *world) hold(hold executorcalls.Hold) *executorcalls.Answer {
+	var got *executorcalls.Answer
+	w.executor.Hold(hold, func(_ int, answer executorcalls.Answer) { got = &answer })
+	return got
+}
+
+func (w *world) ends() []executorcalls.EndRow { return w.hold(executorcalls.Hold{Fence: 9}).Ends }
+
+var _ = Describe("the stand-in executor", func() {
+	var w *world
+	BeforeEach(func() { w = newWorld() })
+
+	refused := func(task string, run int64, fence uint64, why string) {
+		status, reason := w.start(task, run, fence)
+		ExpectWithOffset(1, status).To(Equal(409))
+		ExpectWithOffset(1, reason).To(Equal(why))
+	}
+	started := func(task string, run int64, fence uint64) {
+		status, _ := w.start(task, run, fence)
+		ExpectWithOffset(1, status).To(Equal(200))
+	}
+
+	It("runs a task for its time, and tells its end until it is seen", func() {
+		started("a.0.0.0", 1, 1)
+		w.pass(1100 * time.Millisecond)
+		Expect(w.ends()).To(Equal([]executorcalls.EndRow{{Number: 1, Task: "a.0.0.0", Run: 1, How: "done"}}))
+		Expect(w.hold(executorcalls.Hold{Fence: 9, LastSeen: 1}).Ends).To(BeEmpty())
+	})
+
+	It("does nothing for a lower fence", func() {
+		started("a.0.0.0", 1, 5)
+		refused("b.0.0.0", 1, 4, "fence")
+		status, _ := w.executor.Stop(executorcalls.RunStop{Task: "a.0.0.0", Run: 1, Fence: 4})
+		Expect(status).To(Equal(409))
+		Expect(w.hold(executorcalls.Hold{Fence: 4}).Reason).To(Equal("fence"))
+	})
+
+	It("takes a start that is there already, and turns away the old, the late and what has no room", func() {
+		started("a.0.0.0", 2, 1)
+		started("a.0.0.0", 2, 1)
+		Expect(w.executor.Counts()).To(Equal(hollow.Counts{Running: 1, Started: 1}))
+		refused("b.0.0.0", 1, 1, "room")
+		w.pass(1100 * time.Millisecond)
+		refused("a.0.0.0", 2, 1, "old")
+		late := w.order("c.0.0.0", 1, 1)
+		late.ExpiryMs = w.executor.ClockMs()
+		_, answer := w.executor.Start(late)
+		Expect(answer.Reason).To(Equal("late"))
+	})
+
+	It("turns away a run that was stopped before it came", func() {
+		w.executor.Stop(executorcalls.RunStop{Task: "a.0.0.0", Run: 1, Fence: 1})
+		refused("a.0.0.0", 1, 1, "old")
+		started("a.0.0.0", 2, 1)
+	})
+
+	It("stops a run within the stop's time, and lists its end once", func() {
+		started("a.0.0.0", 1, 1)
+		w.executor.Stop(executorcalls.RunStop{Task: "a.0.0.0", Run: 1, Fence: 1})
+		w.pass(410 * time.Millisecond)
+		w.pass(time.Second)
+		Expect(w.ends()).To(Equal([]executorcalls.EndRow{{Number: 1, Task: "a.0.0.0", Run: 1, How: "stopped"}}))
+	})
+
+	long := func(expiry time.Duration) {
+		order := w.order("a.0.0.0", 1, 1)
+		order.Spec = hollow.Load{Length: time.Minute, CPU: 600}.Descriptor()
+		order.ExpiryMs = w.executor.ClockMs() + expiry.Milliseconds()
+		status, _ := w.executor.Start(order)
+		Expect(status).To(Equal(200))
+	}
+
+	It("lets all lapse once nobody holds it, and cuts a hold to the longest", func() {
+		long(time.Hour)
+		w.pass(5900 * time.Millisecond)
+		Expect(w.executor.Counts().Running).To(Equal(1))
+		w.pass(200 * time.Millisecond)
+		Expect(w.ends()).To(HaveExactElements(HaveField("How", "lapsed")))
+	})
+
+	It("goes on while it is held, and a hold is never shortened", func() {
+		long(5 * time.Second)
+		w.pass(4 * time.Second)
+		w.hold(executorcalls.Hold{Fence: 1, ExpiryMs: w.executor.ClockMs() + 5000})
+		w.hold(executorcalls.Hold{Fence: 1, ExpiryMs: w.executor.ClockMs() + 10})
+		w.pass(4 * time.Second)
+		Expect(w.executor.Counts().Running).To(Equal(1))
+	})
+
+	It("extends by a start that has no room", func() {
+		long(2 * time.Second)
+		w.pass(1500 * time.Millisecond)
+		refused("b.0.0.0", 1, 1, "room")
+		w.pass(3 * time.Second)
+		Expect(w.executor.Counts().Running).To(Equal(1))
+	})
+
+	It("answers a waiting hold at an end, or when its wait is over", func() {
+		started("a.0.0.0", 1, 1)
+		var answers []int
+		wait := func() {
+			w.executor.Hold(executorcalls.Hold{Fence: 1, WaitMs: 700}, func(_ int, answer executorcalls.Answer) {
+				answers = append(answers, len(answer.Ends))
+			})
+		}
+		wait()
+		w.pass(710 * time.Millisecond)
+		Expect(answers).To(Equal([]int{0}))
+		wait()
+		w.pass(310 * time.Millisecond)
+		Expect(answers).To(Equal([]int{0, 1}))
+		w.pass(time.Second)
+		Expect(answers).To(HaveLen(2))
+	})
+
+	It("refuses a descriptor that is not of the scale run", func() {
+		order := w.order("a.0.0.0", 1, 1)
+		order.Spec = "something else"
+		status, _ := w.executor.Start(order)
+		Expect(status).To(Equal(400))
+	})
+})
--- /dev/null
+++ b/internal/hollow/spec.go
@@ -0,0 +1,115 @@
+package hollow
+
+import (
+	"encoding/json"
+	"net"
+	"os"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/multierr"
+
+	"gannetline/internal/bootsettings"
+	"gannetline/internal/siblingwire"
+)
+
+const (
+	// MostWorkers is how many hollow workers one process takes.
+	MostWorkers = 200
+	// LongestRun is how long hollow workers go on at most.
+	LongestRun = time.Hour
+)
+
+// Worker is one hollow node: the settings file of its local-proxy and the executor behind it.
+type Worker struct {
+	Settings string               `json:"settings"`
+	Room     siblingwire.Capacity `json:"capacity"`
+	Labels   []string             `json:"labels"`
+	Pace     float64              `json:"pace"`
+	// IsExecutorOnly leaves the local-proxy to another process.
+	IsExecutorOnly bool `json:"executor-only,omitempty"`
+}
+
+// Spec is what one process of hollow workers is told.
+type Spec struct {
+	Workers []Worker `json:"workers"`
+	Report  string   `json:"report"`
+	ForMs   int64    `json:"for-ms"`
+}
+
+// IsLoopback tells whether an address, ip or ip:port, is in 127.0.0.0/8.
+func IsLoopback(address string) bool {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		host = address
+	}
+	ip := net.ParseIP(host).To4()
+	return ip != nil && ip.IsLoopback()
+}
+
+// LoadSpec reads and checks a spec and the settings it names.
+func LoadSpec(path string) (*Spec, []*bootsettings.Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, nil, errors.Annotate(err, "reading the spec")
+	}
+	spec := &Spec{}
+	if err := json.Unmarshal(text, spec); err != nil {
+		return nil, nil, errors.Annotate(err, "the spec can't be read")
+	}
+	if err := spec.check(); err != nil {
+		return nil, nil, errors.Annotate(err, "spec")
+	}
+	var all []*bootsettings.Settings
+	for place, worker := range spec.Workers {
+		settings, err := bootsettings.Load(worker.Settings)
+		if err != nil {
+			return nil, nil, errors.Annotatef(err, "worker %d", place)
+		}
+		if err := checkAddresses(settings); err != nil {
+			return nil, nil, errors.Annotatef(err, "worker %d", place)
+		}
+		all = append(all, settings)
+	}
+	return spec, all, nil
+}
+
+func (s *Spec) check() error {
+	var found error
+	if len(s.Workers) < 1 || len(s.Workers) > MostWorkers {
+		found = multierr.Append(found, errors.Errorf("field workers must hold 1 to %d, and holds %d", MostWorkers, len(s.Workers)))
+	}
+	if !IsLoopback(s.Report) {
+		found = multierr.Append(found, errors.Errorf("field report: %q is no loopback address", s.Report))
+	}
+	if s.ForMs < 1 || s.ForMs > LongestRun.Milliseconds() {
+		found = multierr.Append(found, errors.Errorf("field for-ms must be 1 to %d", LongestRun.Milliseconds()))
+	}
+	for place, worker := range s.Workers {
+		if worker.Pace < 0.98 || worker.Pace > 1 {
+			found = multierr.Append(found, errors.Errorf("worker %d: field pace must be 0.98 to 1", place))
+		}
+		if worker.Room.CPU < 1 || worker.Room.Memory < 1 {
+			found = multierr.Append(found, errors.Errorf("worker %d: field capacity is empty", place))
+		}
+	}
+	return found
+}
+
+func checkAddresses(settings *bootsettings.Settings) error {
+	if err := settings.Require("local-proxy"); err != nil {
+		return err
+	}
+	for field, address := range map[string]string{"ip-address": settings.IPAddress, "app": settings.App,
+		"listen-addresses.control-plane": settings.Listen.Control} {
+		if !IsLoopback(address) {
+			return errors.Errorf("field %s: %q is no loopback address", field, address)
+		}
+	}
+	for _, seed := range settings.Seeds {
+		if !IsLoopback(seed) {
+			return errors.Errorf("field seed-nodes: %q is no loopback address", seed)
+		}
+	}
+	return nil
+}
--- a/internal/roles/common.go
+++ b/internal/roles/common.go
@@ -19,6 +19,7 @@
 	"gannetline/internal/siblingwire"
 	"gannetline/internal/span"
 	"gannetline/internal/supervise"
+	"gannetline/internal/wiremeter"
 )
 
 const (
@@ -38,9 +39,21 @@
 	inner    *http.ServeMux
 	tree     *supervise.Tree
 	node     *siblingprobe.Node
+	meter    *wiremeter.Meter
 }
 
-func newBase(path, role string) (*base, error) {
+// Option adds to a role what only a measured process has.
+type Option func(*base)
+
+// WithMeter counts what the role sends and receives.
+func WithMeter(meter *wiremeter.Meter) Option { return func(b *base) { b.meter = meter } }
+
+// WithPage serves one more page at the internal address.
+func WithPage(path string, page http.Handler) Option {
+	return func(b *base) { b.inner.Handle(path, page) }
+}
+
+func newBase(path, role string, options ...Option) (*base, error) {
 	settings, err := bootsettings.Load(path)
 	if err != nil {
 		return nil, err
@@ -49,14 +62,28 @@
 		return nil, err
 	}
 	tameMemory(settings)
+	b, err := assemble(settings, logs.New(os.Stderr, settings.LogLevel).WithValues("role", role), options...)
+	if err != nil {
+		return nil, err
+	}
+	b.path = path
+	b.tree.Add("settings", b.watchSettings)
+	return b, nil
+}
+
+func assemble(settings *bootsettings.Settings, log logs.Logger, options ...Option) (*base, error) {
 	clock := pulse.Real()
-	log := logs.New(os.Stderr, settings.LogLevel).WithValues("role", role)
+	b := &base{settings: settings, clock: clock, log: log, inner: http.NewServeMux(), tree: supervise.New(clock, log)}
+	for _, option := range options {
+		option(b)
+	}
 	calls, packets, err := siblingprobe.BindInternal(settings.IPAddress, settings.InternalPorts[0], settings.InternalPorts[1])
 	if err != nil {
 		return nil, errors.Annotate(err, "field internal-port-range")
 	}
-	return &base{path: path, settings: settings, clock: clock, log: log, calls: calls, packets: packets, inner: http.NewServeMux(),
-		caller: siblingwire.NewCaller(siblingwire.Client(silence, 4)), tree: supervise.New(clock, log)}, nil
+	b.calls, b.packets = b.meter.Listener(calls), b.meter.Packets(packets)
+	b.caller = siblingwire.NewCaller(b.meter.Client(siblingwire.Client(silence, 4)))
+	return b, nil
 }
 
 func tameMemory(settings *bootsettings.Settings) {
@@ -69,8 +96,7 @@
 	b.node = siblingprobe.NewNode(self, b.calls, b.packets, b.settings.Seeds, b.caller, b.clock, b.log, options...)
 	b.node.Handle(b.inner)
 	b.tree.Add("siblings", b.node.Run)
-	b.tree.Add("sibling-calls", serving(b.calls, b.inner))
-	b.tree.Add("settings", b.watchSettings)
+	b.tree.Add("sibling-calls", serving(b.calls, b.meter.Handler(b.inner)))
 }
 
 func serving(listener net.Listener, handler http.Handler) supervise.Part {
@@ -92,9 +118,12 @@
 		ErrorLog: nil}
 }
 
-func listen(field, address string) (net.Listener, error) {
+func (b *base) listen(field, address string) (net.Listener, error) {
 	listener, err := net.Listen("tcp4", address)
-	return listener, errors.Annotatef(err, "field listen-addresses.%s", field)
+	if err != nil {
+		return nil, errors.Annotatef(err, "field listen-addresses.%s", field)
+	}
+	return b.meter.Listener(listener), nil
 }
 
 // watchSettings takes a changed file, and keeps the old settings if the new ones are bad.
--- a/internal/roles/gate.go
+++ b/internal/roles/gate.go
@@ -22,16 +22,16 @@
 )
 
 // Gate serves clients until SIGTERM.
-func Gate(path string) error {
-	b, err := newBase(path, "gate")
+func Gate(path string, options ...Option) error {
+	b, err := newBase(path, "gate", options...)
 	if err != nil {
 		return err
 	}
-	front, err := listen("front-plain", b.settings.Listen.Front)
+	front, err := b.listen("front-plain", b.settings.Listen.Front)
 	if err != nil {
 		return err
 	}
-	ready, err := listen("readiness", b.settings.Listen.Readiness)
+	ready, err := b.listen("readiness", b.settings.Listen.Readiness)
 	if err != nil {
 		return err
 	}
@@ -41,7 +41,7 @@
 	comparenodes.Handle(b.inner, comparenodes.Sources{View: b.node.View, Page: book.Page})
 	var isLeaving atomic.Bool
 	asker := ownercalls.New(b.caller, b.clock, b.node.View)
-	server := newServer(gatecalls.New(book.Page, asker))
+	server := newServer(b.meter.Handler(gatecalls.New(book.Page, asker)))
 	b.tree.Add("plan", book.Run)
 	b.tree.Add("clients", func(life span.Span) error {
 		if err := server.Serve(front); err != http.ErrServerClosed {
--- a/internal/roles/localproxy.go
+++ b/internal/roles/localproxy.go
@@ -3,27 +3,52 @@
 import (
 	"time"
 
+	"gannetline/internal/bootsettings"
 	"gannetline/internal/comparenodes"
 	"gannetline/internal/executorcalls"
 	"gannetline/internal/localproxy"
+	"gannetline/internal/logs"
 	"gannetline/internal/siblingwire"
+	"gannetline/internal/span"
 )
 
 // LocalProxy stands before the executor of its machine, until SIGTERM.
-func LocalProxy(path string) error {
-	b, err := newBase(path, "local-proxy")
+func LocalProxy(path string, options ...Option) error {
+	b, err := newBase(path, "local-proxy", options...)
 	if err != nil {
 		return err
 	}
-	control, err := listen("control-plane", b.settings.Listen.Control)
+	if err := b.standBeforeExecutor(); err != nil {
+		return err
+	}
+	return b.run(func() { <-b.clock.After(200 * time.Millisecond) })
+}
+
+// HollowProxy is a local-proxy among many in one process, until the span ends.
+func HollowProxy(life span.Span, settings *bootsettings.Settings, log logs.Logger, options ...Option) error {
+	if err := settings.Require("local-proxy"); err != nil {
+		return err
+	}
+	b, err := assemble(settings, log, options...)
+	if err != nil {
+		return err
+	}
+	if err := b.standBeforeExecutor(); err != nil {
+		return err
+	}
+	return b.tree.Run(life)
+}
+
+func (b *base) standBeforeExecutor() error {
+	control, err := b.listen("control-plane", b.settings.Listen.Control)
 	if err != nil {
 		return err
 	}
 	b.join(siblingwire.Member{Role: "local-proxy"})
 	comparenodes.Handle(b.inner, comparenodes.Sources{View: b.node.View})
-	executor := executorcalls.NewClient(siblingwire.Client(silence, 8), b.settings.App)
+	executor := executorcalls.NewClient(b.meter.Client(siblingwire.Client(silence, 8)), b.settings.App)
 	proxy := localproxy.New(b.settings.Service, b.settings.Domain, b.settings.NodeName, b.clock, b.log, executor, b.caller, b.node.View)
 	b.tree.Add("proxy", proxy.Run)
-	b.tree.Add("executor-calls", serving(control, proxy))
-	return b.run(func() { <-b.clock.After(200 * time.Millisecond) })
+	b.tree.Add("executor-calls", serving(control, b.meter.Handler(proxy)))
+	return nil
 }
--- a/internal/roles/steward.go
+++ b/internal/roles/steward.go
@@ -27,12 +27,12 @@
 const handOver = 400 * time.Millisecond
 
 // Steward keeps control keys and schedules the pools it owns, until SIGTERM.
-func Steward(path string) error {
-	b, err := newBase(path, "steward")
+func Steward(path string, options ...Option) error {
+	b, err := newBase(path, "steward", options...)
 	if err != nil {
 		return err
 	}
-	control, err := listen("control-plane", b.settings.Listen.Control)
+	control, err := b.listen("control-plane", b.settings.Listen.Control)
 	if err != nil {
 		return err
 	}
@@ -77,7 +77,7 @@
 	})
 	b.tree.Add("plan", book.Run)
 	b.tree.Add("keys", ring.Run)
-	b.tree.Add("control-calls", serving(control, outer))
+	b.tree.Add("control-calls", serving(control, b.meter.Handler(outer)))
 	if b.settings.InitialStart && store.Bare() {
 		b.tree.Add("first-voters", func(life span.Span) error { ring.FoundFirst(life, b.settings.Seeds); return nil })
 	}
--- /dev/null
+++ b/internal/scalerun/layout.go
@@ -0,0 +1,155 @@
+package scalerun
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+
+	"github.com/juju/errors"
+	"go.yaml.in/yaml/v3"
+
+	"gannetline/internal/bootsettings"
+	"gannetline/internal/hollow"
+	"gannetline/internal/siblingwire"
+)
+
+const (
+	service       = "scale"
+	host          = "scale.example"
+	controlPort   = 8166
+	frontPort     = 8161
+	readinessPort = 8167
+	appPort       = 8080
+	internalPort  = 7720
+	reportPort    = 7800
+
+	rowStewards = 0
+	rowGates    = 1
+	rowReports  = 2
+	rowWorkers  = 10
+	perRow      = 250
+
+	workerCPU    = 64_000
+	workerMemory = 128_000
+	perRack      = 20
+	zoneCount    = 5
+)
+
+// seat is one process or hollow worker: its settings file and its addresses.
+type seat struct {
+	name     string
+	role     string
+	ip       string
+	settings string
+}
+
+func (s seat) at(port int) string { return fmt.Sprintf("%s:%d", s.ip, port) }
+
+// layout is everything a size needs on disk before it starts.
+type layout struct {
+	folder    string
+	block     netip.Prefix
+	stewards  []seat
+	gates     []seat
+	workers   []seat
+	hostSpecs []hostSpec
+}
+
+type hostSpec struct {
+	path   string
+	report string
+}
+
+func (l *layout) address(row, number int) string {
+	base := l.block.Addr().As4()
+	return netip.AddrFrom4([4]byte{base[0], base[1], byte(row + number/perRow), byte(1 + number%perRow)}).String()
+}
+
+func (l *layout) seeds() []string {
+	var seeds []string
+	for _, one := range l.stewards[:min(3, len(l.stewards))] {
+		seeds = append(seeds, one.at(controlPort))
+	}
+	return seeds
+}
+
+func layOut(setup *Setup, workers int, folder string) (*layout, error) {
+	block, err := blockOf(setup.Addresses)
+	if err != nil {
+		return nil, err
+	}
+	l := &layout{folder: folder, block: block}
+	take := func(role string, row, count int) []seat {
+		var seats []seat
+		for number := range count {
+			name := fmt.Sprintf("%s-%d", role, number+1)
+			seats = append(seats, seat{name: name, role: role, ip: l.address(row, number), settings: filepath.Join(folder, name+".yaml")})
+		}
+		return seats
+	}
+	l.stewards, l.gates = take("steward", rowStewards, setup.Stewards), take("gate", rowGates, setup.Gates)
+	l.workers = take("worker", rowWorkers, workers)
+	for _, seats := range [][]seat{l.stewards, l.gates, l.workers} {
+		for number, one := range seats {
+			if err := l.writeSettings(one, number); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return l, l.writeSpecs(workers)
+}
+
+func zoneOf(number int) string { return fmt.Sprintf("zone-%d", number%zoneCount+1) }
+
+func (l *layout) writeSettings(one seat, number int) error {
+	settings := bootsettings.Settings{NodeName: one.name, NodeRole: one.role, IPAddress: one.ip, Domain: zoneOf(number),
+		InternalPorts: []int{internalPort, internalPort + 15}, Seeds: l.seeds(), InitialStart: true, HeartbeatMs: 1500}
+	settings.Bounds.StatusS = 120
+	switch one.role {
+	case "steward":
+		settings.Listen.Control = one.at(controlPort)
+		settings.DataDirectory = filepath.Join(l.folder, one.name)
+		settings.FaultTolerance.MachineLosses = (len(l.stewards) - 1) / 2
+		settings.Limits.MemoryMB = 1024
+		if err := os.Mkdir(settings.DataDirectory, 0o700); err != nil {
+			return errors.Annotate(err, "making a data directory")
+		}
+	case "gate":
+		settings.Listen.Front, settings.Listen.Readiness = one.at(frontPort), one.at(readinessPort)
+	case "worker":
+		settings.Listen.Control, settings.App, settings.Service = one.at(controlPort), one.at(appPort), service
+	}
+	text, err := yaml.Marshal(settings)
+	if err != nil {
+		return errors.Annotate(err, "writing settings")
+	}
+	return errors.Annotate(os.WriteFile(one.settings, text, 0o600), "writing settings")
+}
+
+// realSeats are the workers whose local-proxy is a process of its own.
+func (l *layout) realSeats() []seat { return l.workers[:min(realProxies, len(l.workers))] }
+
+func (l *layout) writeSpecs(workers int) error {
+	for first := 0; first < workers; first += perHost {
+		spec := hollow.Spec{Report: fmt.Sprintf("%s:%d", l.address(rowReports, first/perHost), reportPort),
+			ForMs: hollow.LongestRun.Milliseconds()}
+		for number := first; number < min(first+perHost, workers); number++ {
+			spec.Workers = append(spec.Workers, hollow.Worker{Settings: l.workers[number].settings,
+				Room:   siblingwire.Capacity{CPU: workerCPU, Memory: workerMemory, GPU: 2},
+				Labels: []string{"a", fmt.Sprintf("r%d", number/perRack)}, Pace: 1 - float64(number%21)/1000,
+				IsExecutorOnly: number < len(l.realSeats())})
+		}
+		path := filepath.Join(l.folder, fmt.Sprintf("host-%d.json", first/perHost+1))
+		text, err := json.Marshal(spec)
+		if err != nil {
+			return errors.Annotate(err, "writing a spec")
+		}
+		if err := os.WriteFile(path, text, 0o600); err != nil {
+			return errors.Annotate(err, "writing a spec")
+		}
+		l.hostSpecs = append(l.hostSpecs, hostSpec{path, spec.Report})
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/wiremeter/wiremeter_test.go
@@ -0,0 +1,62 @@
+package wiremeter_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gannetline/internal/siblingwire"
+	"gannetline/internal/wiremeter"
+)
+
+func TestWiremeter(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "wiremeter")
+}
+
+var _ = Describe("the meter", func() {
+	It("counts calls and their bytes on both sides", func() {
+		served, made := &wiremeter.Meter{}, &wiremeter.Meter{}
+		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		server := &http.Server{Handler: served.Handler(http.HandlerFunc(func(to http.ResponseWriter, _ *http.Request) { io.WriteString(to, "word") }))}
+		go server.Serve(served.Listener(listener))
+		defer server.Close()
+		response, err := made.Client(siblingwire.Client(0, 1)).Get("http://" + listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.ReadAll(response.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.Body.Close()).To(Succeed())
+		there, here := served.Figures(), made.Figures()
+		Expect(there.Served).To(Equal(int64(1)))
+		Expect(here.Made).To(Equal(int64(1)))
+		Expect(here.BytesIn).To(BeNumerically(">", 4))
+		Expect(there.BytesIn).To(Equal(here.BytesOut))
+		Expect(there.BytesOut).To(Equal(here.BytesIn))
+	})
+
+	It("counts datagrams", func() {
+		meter := &wiremeter.Meter{}
+		plain, err := net.ListenPacket("udp4", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		packets := meter.Packets(plain)
+		defer packets.Close()
+		_, err = packets.WriteTo([]byte("word"), packets.LocalAddr())
+		Expect(err).NotTo(HaveOccurred())
+		_, _, err = packets.ReadFrom(make([]byte, 10))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(meter.Figures()).To(Equal(wiremeter.Figures{BytesIn: 4, BytesOut: 4, DatagramsIn: 1, DatagramsOut: 1}))
+	})
+
+	It("wraps nothing when there is none", func() {
+		var none *wiremeter.Meter
+		client := siblingwire.Client(0, 1)
+		Expect(none.Client(client).Transport).To(BeIdenticalTo(client.Transport))
+		Expect(none.Listener(nil)).To(BeNil())
+		Expect(none.Packets(nil)).To(BeNil())
+	})
+})
