--- a/internal/planbook/planbook_test.go
+++ b/internal/planbook/planbook_test.go
@@ -119,6 +119,19 @@
 		Expect(held.Answer(&siblingwire.PlanCall{Held: 4, TakesChanges: true}).Changes).To(HaveLen(8))
 	})
 
+	It("are the whole where all of them together are longer than it", func() {
+		held := edition(old)
+		for version := int64(4); version < 9; version++ {
+			all := routes(40)
+			for place := range 15 {
+				all[place] = route(fmt.Sprintf("new-%d-%d", version, place), 1)
+			}
+			held = held.Follow(fact(version, body(version, all...)))
+		}
+		Expect(held.Answer(&siblingwire.PlanCall{Held: 7, TakesChanges: true}).Changes).To(HaveLen(1))
+		Expect(held.Answer(&siblingwire.PlanCall{Held: 3, TakesChanges: true}).Fact).NotTo(BeNil())
+	})
+
 	It("are not sent over a gap, to one without a base, or to a sibling of the older form", func() {
 		ahead := edition(old, changed(5, 1, 1), changed(7, 2, 2))
 		for _, call := range []*siblingwire.PlanCall{{Held: 6, TakesChanges: true}, {Held: 0, TakesChanges: true}, {Held: 5}} {
--- a/internal/siblingprobe/leaves.go
+++ b/internal/siblingprobe/leaves.go
@@ -26,8 +26,7 @@
 		return
 	}
 	name := Name(member)
-	known, isKnown := t.leaves[name]
-	if !isKnown && len(t.leaves) >= mostLeaves || isKnown && member.Incarnation < known.member.Incarnation {
+	if _, isKnown := t.leaves[name]; !isKnown && len(t.leaves) >= mostLeaves {
 		return
 	}
 	t.leaves[name] = leaf{member, t.clock.Steady()}
--- a/internal/siblingprobe/table.go
+++ b/internal/siblingprobe/table.go
@@ -575,7 +575,7 @@
 		one.heardAt = now
 		t.leaves[name] = one
 	}
-	t.heardAt, t.isHeard = now, false
+	t.heardAt = now
 }
 
 // cool lets facts about owners cease to be news; it tells whether some are to be spread once more.
