Spare runs keep to anti-affinity

Cause: spare runs are asked for in groups of their own, and each group counts only the runs that were there before the turn. A step with both `redundant` and `anti-affinity` could so get several runs on one executor in one turn, beyond its bound: the first runs of a step of three hung, and all three spares went to the same executor.

Change: such a step asks for one group a turn, a spare only when none of its tasks waits.

--- a/internal/poolowner/spares.go
+++ b/internal/poolowner/spares.go
@@ -58,9 +58,20 @@
 			found = append(found, which)
 		}
 	}
+	if step.step.Apart > 0 && len(found) > 0 {
+		return p.oneApart(step, found, now)
+	}
 	return found
 }
 
+// oneApart lets a step with anti-affinity ask once in a turn, as what else is placed in the turn is not counted yet.
+func (p *Pool) oneApart(step *stepState, found []*task, now time.Duration) []*task {
+	if len(p.ready(step, now)) > 0 {
+		return nil
+	}
+	return found[:1]
+}
+
 func (p *Pool) isDoubtful(one *run, now time.Duration) bool {
 	switch home := one.life; {
 	case one.state == runStopping:
--- a/internal/stage/executor.go
+++ b/internal/stage/executor.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gannetline/internal/executorcalls"
+	"gannetline/internal/jobtable"
 	"gannetline/internal/pulse"
 	"gannetline/internal/siblingwire"
 )
@@ -215,5 +216,15 @@
 	return answer
 }
 
+// runsOf counts the runs of one step.
+func (e *Executor) runsOf(step jobtable.Place) (count int) {
+	for _, one := range e.active {
+		if _, place := e.stage.Judge.step(one.task); place.ID == step.ID && place.Time == step.Time && place.Step == step.Step {
+			count++
+		}
+	}
+	return count
+}
+
 // Active counts what runs here now.
 func (e *Executor) Active() int { return len(e.active) }
--- a/internal/stage/judge.go
+++ b/internal/stage/judge.go
@@ -103,6 +103,9 @@
 	}
 	facts.starts++
 	facts.running[executor] = run
+	if here := executor.runsOf(place); step.Apart > 0 && here > step.Apart {
+		j.problem("%s run %d is one of %d of its step on %s", task, run, here, executor.ID)
+	}
 }
 
 func (j *Judge) ended(executor *Executor, task string, run int64, how string) {
