Reservations for large tasks come from a heap of the emptiest executors

Cause: each large task that found no room walked all executors to reserve the emptiest one. Change: a heap for each total room, made when the first reservation of a placement is asked for.

--- a/internal/placetasks/place.go
+++ b/internal/placetasks/place.go
@@ -139,8 +139,11 @@
 }
 
 func allowanceOf(left map[int]Room, group *Group) allowance {
+	if !group.IsLong {
+		return allowance{left: left, priority: group.Priority}
+	}
 	_, isBound := left[group.Priority]
-	return allowance{left, group.Priority, isBound && group.IsLong}
+	return allowance{left, group.Priority, isBound}
 }
 
 func (a allowance) covers(need Room) bool {
@@ -176,7 +179,7 @@
 	executors  []Executor
 	least      Room
 	candidates []candidate
-	reserved   []bool
+	sizes      []*size
 	open       int
 	most       Room
 	isMostOld  bool
@@ -348,44 +351,6 @@
 	return slices.ContainsFunc(group.Near, func(label string) bool { return slices.Contains(executor.Labels, label) })
 }
 
-// reserve keeps the emptiest executor for a large task, so that it does not starve behind small later ones.
-func (t *turn) reserve(group *Group) {
-	if 3*group.Need.CPU <= t.smallest.CPU && 3*group.Need.Memory <= t.smallest.Memory {
-		return
-	}
-	best, bestFree, next := -1, int64(0), 0
-	for place := range t.executors {
-		executor, free := &t.executors[place], t.executors[place].Free.CPU
-		if next < len(t.candidates) && t.candidates[next].place == place {
-			free = t.candidates[next].free.CPU
-			next++
-		}
-		isLarge := 3*group.Need.CPU > executor.Total.CPU || 3*group.Need.Memory > executor.Total.Memory
-		if t.reserved != nil && t.reserved[place] || executor.IsClosed || !isLarge || !executor.Total.Fits(group.Need) {
-			continue
-		}
-		if best < 0 || free > bestFree {
-			best, bestFree = place, free
-		}
-	}
-	if best >= 0 {
-		t.setReserved(best)
-	}
-}
-
-func (t *turn) setReserved(place int) {
-	if t.reserved == nil {
-		t.reserved = make([]bool, len(t.executors))
-	}
-	t.reserved[place] = true
-	t.open--
-	t.isMostOld = true
-	number, isCandidate := slices.BinarySearchFunc(t.candidates, place, func(one candidate, place int) int { return cmp.Compare(one.place, place) })
-	if isCandidate {
-		t.candidates[number].isReserved = true
-	}
-}
-
 func (t *turn) placeGang(group *Group, number int, allowance allowance) {
 	whole := group.Need.Times(float64(group.Count))
 	if !allowance.covers(whole) {
