--- a/internal/poolowner/model.go
+++ b/internal/poolowner/model.go
@@ -110,6 +110,7 @@
 	failedRun int64
 	brokenAt  time.Duration
 	lengths   []time.Duration
+	patience  float64
 	notBefore time.Duration
 	idle      []*task
 	busy      []*task
@@ -180,8 +181,6 @@
 	answeredAt  time.Duration
 	isAnswered  bool
 	needsLook   uint64
-	percent     int
-	percentAt   time.Duration
 }
 
 func (r *run) key() runKey { return runKey{r.task.name, r.number} }
@@ -219,8 +218,11 @@
 	strays     []siblingwire.Order
 	parked     *parkedCall
 	isBlocked  bool
+	isRecorded bool
+	idleAt     time.Duration
 	place      int
 	isChanged  bool
+	heard      heard
 }
 
 // inOrder gives the runs in an order that is the same at every replay.
--- a/internal/poolowner/pool.go
+++ b/internal/poolowner/pool.go
@@ -65,6 +65,7 @@
 	jobs         map[string]*job
 	queued       map[string]int
 	lives        map[string]*life
+	newest       map[string]*life
 	roster       roster
 	open         openSteps
 	usage        map[int]usage
@@ -85,8 +86,10 @@
 	toRelease map[*life]bool
 	untimed   map[string]*job
 	peaks     map[int]*peak
+	spreads   map[string]*spread
 	record    Recorder
 	rules     *queuerules.Rules
+	meters    meters
 }
 
 // Recorder is told what a rehearsal needs to play the day again; it must not block.
@@ -105,7 +108,7 @@
 func WithRules(rules *queuerules.Rules) Option { return func(p *Pool) { p.rules = rules } }
 
 func New(key string, clock pulse.Pulse, timing Timing, log logs.Logger, options ...Option) *Pool {
-	pool := &Pool{key: key, clock: clock, timing: timing, log: log, record: silentRecorder{}}
+	pool := &Pool{key: key, clock: clock, timing: timing, log: log, record: silentRecorder{}, meters: newMeters(key)}
 	for _, option := range options {
 		option(pool)
 	}
@@ -124,7 +127,8 @@
 	p.roster, p.open, p.usage = roster{}, newOpenSteps(), map[int]usage{}
 	p.pending, p.broken, p.ended, p.timesAtMs = map[*run]bool{}, map[*stepState]bool{}, nil, 0
 	p.ops, p.opTasks, p.effects, p.flights, p.opPlaces, p.toRelease = nil, nil, nil, nil, map[string]int{}, map[*life]bool{}
-	p.untimed, p.peaks = map[string]*job{}, map[int]*peak{}
+	p.untimed, p.peaks, p.newest = map[string]*job{}, map[int]*peak{}, map[string]*life{}
+	p.spreads = map[string]*spread{}
 	p.began = p.clock.Steady()
 	if err := p.load(pairs); err != nil {
 		return errors.Annotatef(err, "loading %s", p.key)
@@ -140,6 +144,7 @@
 	for _, one := range p.roster.lives {
 		p.unpark(one, siblingwire.ExchangeAnswer{Elsewhere: true})
 	}
+	p.meters.clear()
 	flights, effects := p.flights, p.effects
 	p.jobs, p.lives, p.flights, p.effects, p.ops, p.opTasks = nil, nil, nil, nil, nil, nil
 	p.roster, p.open, p.usage, p.pending, p.broken, p.ended = roster{}, openSteps{}, nil, nil, nil, nil
@@ -198,6 +203,8 @@
 	p.ops, p.opTasks, p.effects = nil, p.opTasks[:0], nil
 	clear(p.opPlaces)
 	p.flights = append(p.flights, one)
+	p.meters.commits.Inc()
+	p.meters.changes.Add(len(ops))
 	p.tenure.Commit(ops, func(err error) {
 		if len(p.flights) > 0 && p.flights[0] == one {
 			p.flights = p.flights[1:]
@@ -259,6 +266,11 @@
 			return errors.Annotate(err, pair.Name)
 		}
 	}
+	for _, pair := range kept['e'] {
+		if err := p.loadExecutor(pair.Name[2:], pair.Value); err != nil {
+			return errors.Annotate(err, pair.Name)
+		}
+	}
 	for _, id := range slices.Sorted(maps.Keys(p.jobs)) {
 		if one := p.jobs[id]; one.spec != nil {
 			p.reopen(one)
--- a/internal/poolowner/runs.go
+++ b/internal/poolowner/runs.go
@@ -12,8 +12,10 @@
 
 // launch records the placement and its order in this turn's change; the order leaves after the commit.
 func (p *Pool) launch(which *task, home *life, number int64) {
+	p.meters.placements.Inc()
 	one := &run{task: which, number: number, life: home, state: runLaunching, orderedAt: p.clock.Steady()}
 	which.lastRun = number
+	p.recordExecutor(home)
 	p.hold(one)
 	p.put(orderName(which, number, kindLaunch), orderRecord{Life: home.id})
 	p.putTask(which)
@@ -53,6 +55,7 @@
 		p.closeRun(one)
 		return
 	}
+	p.meters.stops.Inc()
 	one.state, one.sends, one.sentAt, one.isAnswered, one.orderedAt = runStopping, 0, 0, false, p.clock.Steady()
 	p.pending[one] = true
 	p.noteChange(one)
@@ -90,6 +93,7 @@
 		return
 	}
 	delete(home.runs, one.key())
+	home.idleAt = p.clock.Steady()
 	delete(p.pending, one)
 	home.used = home.used.Minus(which.step.need())
 	which.runs = slices.DeleteFunc(which.runs, func(other *run) bool { return other == one })
@@ -107,7 +111,7 @@
 	owner.runs--
 	p.forgetIfOver(owner)
 	if !home.isKnown && len(home.runs) == 0 {
-		p.dropLife(home)
+		p.forgetLife(home)
 	}
 }
 
@@ -115,7 +119,8 @@
 	if one.state != runLaunching {
 		return
 	}
-	one.state, one.startedAt, one.percentAt = runRunning, p.clock.Steady(), p.clock.Steady()
+	p.meters.starts.Inc()
+	one.state, one.startedAt = runRunning, p.clock.Steady()
 	delete(p.pending, one)
 	p.noteChange(one)
 	p.drop(orderName(one.task, one.number, kindLaunch))
@@ -137,6 +142,7 @@
 	if one == nil {
 		return
 	}
+	ends.With(p.key, end.How).Inc()
 	which, now := one.task, p.clock.Steady()
 	if end.Saved != "" {
 		p.keepSaved(which, end.Saved)
@@ -147,7 +153,7 @@
 	switch end.How {
 	case "done":
 		home.dones++
-		which.step.noteLength(home, now-one.startedAt)
+		p.noteLength(which.step, home, now-one.startedAt)
 		p.closeRun(one)
 		p.taskDone(which)
 	case "failed":
@@ -225,6 +231,7 @@
 		p.putTask(one)
 		if !step.step.Gang {
 			for _, other := range slices.Clone(one.runs) {
+				p.noteOvertaken(other)
 				p.stopRun(other)
 			}
 		}
