A take-over looks again only at steps that name executors

Cause: each executor that showed its room after a take-over had all open steps worked out anew. Change: a change of the roster concerns steps with anti-affinity, an executor to avoid, spares or a rule of their queue; room and labels concern the roster only where there are rules.

--- a/internal/poolowner/cost_test.go
+++ b/internal/poolowner/cost_test.go
@@ -19,6 +19,7 @@
 	clock *pulse.Fake
 	ops   int
 	bytes int
+	kept  map[string][]byte
 }
 
 func (t *prompt) Epoch() uint64  { return 1 }
@@ -30,9 +31,21 @@
 	for _, op := range ops {
 		t.bytes += len(op.Name) + len(op.Value)
 	}
+	if t.kept != nil {
+		t.keep(ops)
+	}
 	done(nil)
 }
 
+func (t *prompt) keep(ops []siblingwire.Op) {
+	for _, op := range ops {
+		t.kept[op.Name] = op.Value
+		if len(op.Value) == 0 {
+			delete(t.kept, op.Name)
+		}
+	}
+}
+
 const slotsEach = 15
 
 type hand struct {
@@ -54,9 +67,11 @@
 	starts int
 }
 
-func newCrowd(executors, backlog int) *crowd {
+func newCrowd(executors, backlog int) *crowd { return newCrowdKept(executors, backlog, nil) }
+
+func newCrowdKept(executors, backlog int, kept map[string][]byte) *crowd {
 	clock := pulse.NewFake(1_000_000)
-	c := &crowd{clock: clock, tenure: &prompt{clock: clock}}
+	c := &crowd{clock: clock, tenure: &prompt{clock: clock, kept: kept}}
 	timing := timing
 	timing.Headroom = poolowner.DefaultHeadroom
 	c.pool = poolowner.New("pool/s", clock, timing, logs.Silent())
@@ -211,6 +226,34 @@
 	})
 }
 
+// BenchmarkTakeOver opens a pool from its records, and takes the first look at each executor.
+func BenchmarkTakeOver(b *testing.B) {
+	for _, executors := range []int{62, 1000} {
+		b.Run(fmt.Sprintf("executors=%d/backlog=300", executors), func(b *testing.B) {
+			kept := map[string][]byte{}
+			c := newCrowdKept(executors, 300, kept)
+			c.tenure.kept = nil
+			var pairs []siblingwire.Op
+			for name, value := range kept {
+				pairs = append(pairs, siblingwire.Op{Name: name, Value: value})
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				pool := poolowner.New("pool/s", c.clock, timing, logs.Silent())
+				if err := pool.Open(c.tenure, pairs); err != nil {
+					b.Fatal(err)
+				}
+				c.pool = pool
+				for _, one := range c.hands {
+					one.look = 1 << 40
+				}
+				c.beatAll()
+			}
+		})
+	}
+}
+
 // BenchmarkMemory is what a pool with full executors keeps, by task that runs, with descriptors of 200 bytes a job.
 func BenchmarkMemory(b *testing.B) {
 	for _, executors := range []int{62, 1000} {
--- a/internal/poolowner/exchange.go
+++ b/internal/poolowner/exchange.go
@@ -93,7 +93,7 @@
 		p.record.Record(daybook.Event{Kind: daybook.KindExecutor, AtMs: p.tenure.WallMs(), Machine: call.Proxy, Room: call.Room,
 			Labels: call.Labels, IsDraining: call.Draining})
 	}
-	if home.room != room(call.Room) || !slices.Equal(home.labels, call.Labels) {
+	if p.rules != nil && (home.room != room(call.Room) || !slices.Equal(home.labels, call.Labels)) {
 		p.roster.version++
 	}
 	home.isKnown, home.proxy, home.domain, home.labels = true, call.Proxy, call.Domain, call.Labels
--- a/internal/poolowner/waiting.go
+++ b/internal/poolowner/waiting.go
@@ -198,7 +198,9 @@
 	if o.version != p.roster.version {
 		o.version = p.roster.version
 		for step := range o.steps {
-			o.note(step)
+			if p.namesExecutors(step) {
+				o.note(step)
+			}
 		}
 	}
 	for len(o.times.steps) > 0 && o.times.steps[0].waits.lookAgain <= now {
@@ -215,6 +217,13 @@
 	o.stale = o.stale[:0]
 }
 
+// namesExecutors tells whether what a step asks for depends on who is in the roster, and in which place.
+func (p *Pool) namesExecutors(step *stepState) bool {
+	ready := step.waits.request.tasks
+	return step.step.Apart > 0 || len(step.waits.spares) > 0 || len(ready) > 0 && ready[0].avoid != "" ||
+		p.rules.HasUse(step.time.job.record.Entry)
+}
+
 // refresh works out anew what a step asks for, and until when that holds.
 func (p *Pool) refresh(step *stepState, now time.Duration) {
 	ready, again := p.ready(step, now)
