--- a/internal/poolowner/poolowner_test.go
+++ b/internal/poolowner/poolowner_test.go
@@ -146,14 +146,21 @@
 		Expect(running).To(HaveKeyWithValue(`gannetline_pool_executors{key="pool/s",state="ready"}`, 1.0))
 		exchange(ended("failed"))
 		tenure.settle(nil)
+		exchange(nil)
+		exchange(func(call *siblingwire.ExchangeCall) {
+			call.Answers = []siblingwire.OrderAnswer{{Task: task, Run: 2, Kind: "launch", Result: "ok"}}
+		})
 		pool.Cancel(&siblingwire.ClientCall{ID: id}, func(siblingwire.ClientAnswer) {})
+		pool.Settle()
+		tenure.settle(nil)
+		exchange(nil)
 		own := metrics.Own()
-		for name, count := range map[string]float64{"hand_ins_total": 1, "placements_total": 2, "starts_total": 1, "stops_total": 0, "spares_total": 0} {
+		for name, count := range map[string]float64{"hand_ins_total": 1, "placements_total": 2, "starts_total": 2, "stops_total": 1, "spares_total": 0} {
 			name = "gannetline_pool_" + name + `{key="pool/s"}`
 			Expect(own[name]-before[name]).To(Equal(count), name)
 		}
 		for name, count := range map[string]float64{`ends_total{key="pool/s",how="failed"}`: 1,
-			`orders_sent_total{key="pool/s",kind="launch"}`: 2, `orders_resent_total{key="pool/s",kind="launch"}`: 1,
+			`orders_sent_total{key="pool/s",kind="launch"}`: 3, `orders_sent_total{key="pool/s",kind="stop"}`: 1, `orders_resent_total{key="pool/s",kind="launch"}`: 1,
 			`tick_seconds_count{key="pool/s"}`: 2} {
 			Expect(own["gannetline_pool_"+name]-before["gannetline_pool_"+name]).To(Equal(count), name)
 		}
@@ -164,6 +171,23 @@
 		Expect(metrics.Own()).NotTo(HaveKey(`gannetline_pool_runs{key="pool/s"}`))
 	})
 
+	It("counts a spare run apart", func() {
+		spares := `gannetline_pool_spares_total{key="pool/s"}`
+		before := metrics.Own()[spares]
+		pool.HandIn(&siblingwire.ClientCall{Verb: "hand-in", Entry: "e", ID: id,
+			Body: []byte(`{"task-descriptor":"d","step-list":[{"task-count":1,"cpu-units":1000,"redundant":true}]}`)}, func(siblingwire.ClientAnswer) {})
+		pool.Settle()
+		tenure.settle(nil)
+		exchange(nil)
+		exchange(started)
+		Expect(metrics.Own()[spares]).To(Equal(before))
+		clock.Advance(800 * time.Millisecond)
+		exchange(func(call *siblingwire.ExchangeCall) { call.Life, call.Proxy = "i-2", "side-2" })
+		pool.Tick()
+		pool.Settle()
+		Expect(metrics.Own()[spares] - before).To(Equal(1.0))
+	})
+
 	It("sends nothing, and promises nothing, when the commit is lost", func() {
 		handIn()
 		tenure.settle(errors.New("lost"))
