--- a/internal/placetasks/place.go
+++ b/internal/placetasks/place.go
@@ -3,6 +3,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 )
 
@@ -28,6 +29,10 @@
 	return Room{max(r.CPU, other.CPU), max(r.Memory, other.Memory), max(r.GPU, other.GPU)}
 }
 
+func (r Room) AtMost(other Room) Room {
+	return Room{min(r.CPU, other.CPU), min(r.Memory, other.Memory), min(r.GPU, other.GPU)}
+}
+
 type Executor struct {
 	Free     Room
 	Total    Room
@@ -37,7 +42,8 @@
 	Doubt    float64
 }
 
-// Group is the tasks of one step that may start now; they all ask for the same.
+// Group is the tasks of one step that may start now; they all ask for the same. Executors are named by their place;
+// Held counts those that hold tasks of the step already, and matters only with Apart.
 type Group struct {
 	Need     Room
 	Count    int
@@ -46,8 +52,9 @@
 	Labels   []string
 	Near     []string
 	Apart    int
-	Held     []int
-	Avoid    []bool
+	Held     map[int]int
+	Avoid    []int
+	Except   []int
 	Barred   []bool
 	IsSpare  bool
 	IsLong   bool
@@ -57,52 +64,71 @@
 
 type Placement struct{ Group, Executor int }
 
+// Line is groups in the order in which they are placed, the spares after them, and a room that none needs less than.
+// Spares are numbered on from the groups.
+type Line struct {
+	Groups []*Group
+	Spares []*Group
+	Least  Room
+}
+
 // Place gives the starts that fit, in the order of priority, then of the aim. Left is what long work of a
 // priority may still take of all room together; a priority without an entry may take all there is.
-func Place(executors []Executor, groups []Group, left map[int]Room) []Placement {
-	free := make([]Room, len(executors))
-	for place, executor := range executors {
-		free[place] = executor.Free
-	}
+func Place(executors []Executor, groups []*Group, left map[int]Room) []Placement {
 	order := make([]int, len(groups))
 	for place := range order {
 		order[place] = place
 	}
-	slices.SortStableFunc(order, func(one, two int) int {
-		return cmp.Or(compareBools(groups[one].IsSpare, groups[two].IsSpare), cmp.Compare(groups[one].Priority, groups[two].Priority), cmp.Compare(groups[one].Due, groups[two].Due))
-	})
-	var placed []Placement
-	reserved := make([]bool, len(executors))
-	for _, number := range order {
-		group := &groups[number]
+	slices.SortStableFunc(order, func(one, two int) int { return CompareGroups(groups[one], groups[two]) })
+	var line Line
+	for place, number := range order {
+		line.Groups = append(line.Groups, groups[number])
+		if place == 0 {
+			line.Least = groups[number].Need
+		}
+		line.Least = line.Least.AtMost(groups[number].Need)
+	}
+	placed := PlaceLine(executors, line, left)
+	for place := range placed {
+		placed[place].Group = order[placed[place].Group]
+	}
+	return placed
+}
+
+// PlaceLine is Place for groups that are in order already.
+func PlaceLine(executors []Executor, line Line, left map[int]Room) []Placement {
+	if len(line.Groups)+len(line.Spares) == 0 {
+		return nil
+	}
+	turn := newTurn(executors, line.Least)
+	turn.placeAll(line.Groups, 0, left)
+	turn.placeAll(line.Spares, len(line.Groups), left)
+	return turn.placed
+}
+
+func (t *turn) placeAll(groups []*Group, number int, left map[int]Room) {
+	for place, group := range groups {
+		if t.isOver {
+			return
+		}
 		allowance := allowanceOf(left, group)
 		if group.IsGang {
-			if allowance.covers(group.Need.Times(float64(group.Count))) {
-				gang := placeGang(executors, free, group, number)
-				allowance.spend(group.Need.Times(float64(len(gang))))
-				placed = append(placed, gang...)
-			}
+			t.placeGang(group, number+place, allowance)
 			continue
 		}
-		held := slices.Clone(group.Held)
-		for range group.Count {
-			if !allowance.covers(group.Need) {
-				break
-			}
-			best := choose(executors, free, reserved, group, held)
-			if best < 0 {
-				if !group.IsSpare {
-					reserve(executors, free, reserved, group)
-				}
-				break
-			}
-			free[best] = free[best].Minus(group.Need)
-			held[best]++
-			allowance.spend(group.Need)
-			placed = append(placed, Placement{number, best})
-		}
+		t.placeSingles(group, number+place, allowance)
 	}
-	return placed
+}
+
+// CompareGroups orders groups as they are placed: spares last, then by priority, then by what is due.
+func CompareGroups(one, two *Group) int {
+	if one.IsSpare != two.IsSpare {
+		return compareBools(one.IsSpare, two.IsSpare)
+	}
+	if one.Priority != two.Priority {
+		return cmp.Compare(one.Priority, two.Priority)
+	}
+	return cmp.Compare(one.Due, two.Due)
 }
 
 // allowance is what one priority may still take.
@@ -118,8 +144,11 @@
 }
 
 func (a allowance) covers(need Room) bool {
+	if !a.isBound {
+		return true
+	}
 	room := a.left[a.priority]
-	return !a.isBound || need.CPU <= room.CPU && need.Memory <= room.Memory
+	return need.CPU <= room.CPU && need.Memory <= room.Memory
 }
 
 // spend counts against this priority and all below it.
@@ -141,32 +170,159 @@
 	return 1
 }
 
-func allowed(executor *Executor, group *Group, held []int, place int) bool {
-	isBarred := len(group.Barred) > place && group.Barred[place]
-	if executor.IsClosed || isBarred || group.Apart > 0 && held[place] >= group.Apart {
+// turn is one placement under way. Room only shrinks while it lasts, so what found no room once finds none later,
+// and only executors with room for the least need of all can be chosen. Gangs may use reserved executors, others not.
+type turn struct {
+	executors  []Executor
+	least      Room
+	candidates []candidate
+	reserved   []bool
+	open       int
+	most       Room
+	isMostOld  bool
+	isOver     bool
+	failed     []Room
+	smallest   Room
+	placed     []Placement
+}
+
+// candidate is an executor that had room when the turn began, and what it has now.
+type candidate struct {
+	place      int
+	free       Room
+	isReserved bool
+}
+
+func newTurn(executors []Executor, least Room) *turn {
+	t := &turn{executors: executors, least: least}
+	for place := range executors {
+		executor := &executors[place]
+		if executor.IsClosed {
+			continue
+		}
+		if t.open == 0 {
+			t.smallest = executor.Total
+		}
+		t.smallest = t.smallest.AtMost(executor.Total)
+		t.open++
+		if executor.Free.Fits(t.least) {
+			t.candidates = append(t.candidates, candidate{place: place, free: executor.Free})
+		}
+	}
+	t.measure()
+	return t
+}
+
+// measure works out the most room that any executor has for single tasks; it is too much once something was placed.
+// It also finds out when no executor, reserved or not, has room for anything.
+func (t *turn) measure() {
+	t.most, t.isMostOld, t.isOver = Room{CPU: -1, Memory: -1, GPU: -1}, false, true
+	for place := range t.candidates {
+		one := &t.candidates[place]
+		t.isOver = t.isOver && !one.free.Fits(t.least)
+		if !one.isReserved {
+			t.most = t.most.AtLeast(one.free)
+		}
+	}
+}
+
+// hasNoRoom rejects at once a single task that certainly fits nowhere.
+func (t *turn) hasNoRoom(need Room) bool {
+	return t.open == 0 || !t.most.Fits(need) || slices.ContainsFunc(t.failed, need.Fits)
+}
+
+// noteFailure remembers a need that fits nowhere, if it was its size alone that failed.
+func (t *turn) noteFailure(group *Group) {
+	if t.isMostOld {
+		t.measure()
+	}
+	isSizeAlone := len(group.Labels) == 0 && group.Apart == 0 && group.Barred == nil && group.Except == nil
+	if !isSizeAlone || t.hasNoRoom(group.Need) {
+		return
+	}
+	t.failed = append(slices.DeleteFunc(t.failed, func(old Room) bool { return old.Fits(group.Need) }), group.Need)
+}
+
+func (t *turn) placeSingles(group *Group, number int, allowance allowance) {
+	held := group.Held
+	if group.Apart > 0 {
+		held = heldBy(group)
+	}
+	for range group.Count {
+		if !allowance.covers(group.Need) {
+			return
+		}
+		var best *candidate
+		if !t.hasNoRoom(group.Need) {
+			best = t.choose(group, held, "")
+		}
+		if best == nil {
+			t.fail(group)
+			return
+		}
+		t.take(group, held, best)
+		allowance.spend(group.Need)
+		t.placed = append(t.placed, Placement{number, best.place})
+	}
+}
+
+func (t *turn) fail(group *Group) {
+	if !t.hasNoRoom(group.Need) {
+		t.noteFailure(group)
+	}
+	if !group.IsSpare && t.open > 0 && !t.isOver {
+		t.reserve(group)
+	}
+}
+
+func heldBy(group *Group) map[int]int {
+	held := maps.Clone(group.Held)
+	if held == nil {
+		held = map[int]int{}
+	}
+	return held
+}
+
+func (t *turn) take(group *Group, held map[int]int, one *candidate) {
+	one.free = one.free.Minus(group.Need)
+	t.isMostOld = true
+	if group.Apart > 0 {
+		held[one.place]++
+	}
+}
+
+func (t *turn) allows(group *Group, held map[int]int, place int) bool {
+	if len(group.Barred) > place && group.Barred[place] || slices.Contains(group.Except, place) {
+		return false
+	}
+	if group.Apart > 0 && held[place] >= group.Apart {
 		return false
 	}
 	for _, label := range group.Labels {
-		if !slices.Contains(executor.Labels, label) {
+		if !slices.Contains(t.executors[place].Labels, label) {
 			return false
 		}
 	}
 	return true
 }
 
-func choose(executors []Executor, free []Room, reserved []bool, group *Group, held []int) int {
-	best, bestScore := -1, 0.0
-	for place := range executors {
-		executor := &executors[place]
-		if reserved[place] || !allowed(executor, group, held, place) || !free[place].Fits(group.Need) {
+// choose gives the best executor for one task, on one rack if that is named, or nil.
+func (t *turn) choose(group *Group, held map[int]int, rack string) *candidate {
+	var best *candidate
+	bestScore := 0.0
+	for number := range t.candidates {
+		one := &t.candidates[number]
+		executor := &t.executors[one.place]
+		if one.isReserved && !group.IsGang || !one.free.Fits(group.Need) || rack != "" && executor.Rack != rack ||
+			!t.allows(group, held, one.place) {
 			continue
 		}
-		score := rate(executor, free[place], group)
-		if len(group.Avoid) > place && group.Avoid[place] {
+		score := rate(executor, one.free, group)
+		if slices.Contains(group.Avoid, one.place) {
 			score += 20
 		}
-		if best < 0 || score < bestScore {
-			best, bestScore = place, score
+		if best == nil || score < bestScore {
+			best, bestScore = one, score
 		}
 	}
 	return best
@@ -193,67 +349,136 @@
 }
 
 // reserve keeps the emptiest executor for a large task, so that it does not starve behind small later ones.
-func reserve(executors []Executor, free []Room, reserved []bool, group *Group) {
-	best := -1
-	for place := range executors {
-		executor := &executors[place]
+func (t *turn) reserve(group *Group) {
+	if 3*group.Need.CPU <= t.smallest.CPU && 3*group.Need.Memory <= t.smallest.Memory {
+		return
+	}
+	best, bestFree, next := -1, int64(0), 0
+	for place := range t.executors {
+		executor, free := &t.executors[place], t.executors[place].Free.CPU
+		if next < len(t.candidates) && t.candidates[next].place == place {
+			free = t.candidates[next].free.CPU
+			next++
+		}
 		isLarge := 3*group.Need.CPU > executor.Total.CPU || 3*group.Need.Memory > executor.Total.Memory
-		if reserved[place] || executor.IsClosed || !isLarge || !executor.Total.Fits(group.Need) {
+		if t.reserved != nil && t.reserved[place] || executor.IsClosed || !isLarge || !executor.Total.Fits(group.Need) {
 			continue
 		}
-		if best < 0 || free[place].CPU > free[best].CPU {
-			best = place
+		if best < 0 || free > bestFree {
+			best, bestFree = place, free
 		}
 	}
 	if best >= 0 {
-		reserved[best] = true
+		t.setReserved(best)
 	}
 }
 
-func placeGang(executors []Executor, free []Room, group *Group, number int) []Placement {
+func (t *turn) setReserved(place int) {
+	if t.reserved == nil {
+		t.reserved = make([]bool, len(t.executors))
+	}
+	t.reserved[place] = true
+	t.open--
+	t.isMostOld = true
+	number, isCandidate := slices.BinarySearchFunc(t.candidates, place, func(one candidate, place int) int { return cmp.Compare(one.place, place) })
+	if isCandidate {
+		t.candidates[number].isReserved = true
+	}
+}
+
+func (t *turn) placeGang(group *Group, number int, allowance allowance) {
+	whole := group.Need.Times(float64(group.Count))
+	if !allowance.covers(whole) {
+		return
+	}
+	taken := t.findGang(group)
+	for _, one := range taken {
+		t.placed = append(t.placed, Placement{number, one.place})
+	}
+	allowance.spend(group.Need.Times(float64(len(taken))))
+}
+
+// findGang takes the room of a whole gang, or none.
+func (t *turn) findGang(group *Group) []*candidate {
+	if !t.hasSlots(group, "") {
+		return nil
+	}
 	if group.SameRack {
-		for _, rack := range racksByFree(executors, free) {
-			if placed := fillGang(executors, free, group, number, rack); placed != nil {
-				return placed
+		for _, rack := range t.racksByFree() {
+			if taken := t.fillGang(group, rack); taken != nil {
+				return taken
 			}
 		}
 	}
-	return fillGang(executors, free, group, number, "")
+	return t.fillGang(group, "")
 }
 
-func racksByFree(executors []Executor, free []Room) []string {
+func (t *turn) racksByFree() []string {
 	total := map[string]int64{}
-	for place, executor := range executors {
-		if !executor.IsClosed && executor.Rack != "" {
-			total[executor.Rack] += free[place].CPU
+	for place := range t.executors {
+		if executor := &t.executors[place]; !executor.IsClosed && executor.Rack != "" {
+			total[executor.Rack] += executor.Free.CPU
 		}
 	}
-	racks := make([]string, 0, len(total))
-	for rack := range total {
-		racks = append(racks, rack)
+	for _, one := range t.candidates {
+		if executor := &t.executors[one.place]; executor.Rack != "" {
+			total[executor.Rack] += one.free.CPU - executor.Free.CPU
+		}
 	}
+	racks := slices.Collect(maps.Keys(total))
 	slices.SortFunc(racks, func(one, two string) int {
 		return cmp.Or(cmp.Compare(total[two], total[one]), cmp.Compare(one, two))
 	})
 	return racks
 }
 
-func fillGang(executors []Executor, free []Room, group *Group, number int, rack string) []Placement {
-	trial, held := slices.Clone(free), slices.Clone(group.Held)
-	closed := make([]bool, len(executors))
-	for place, executor := range executors {
-		closed[place] = rack != "" && executor.Rack != rack
+func (t *turn) fillGang(group *Group, rack string) []*candidate {
+	if !t.hasSlots(group, rack) {
+		return nil
 	}
-	var placed []Placement
+	held := heldBy(group)
+	var taken []*candidate
 	for range group.Count {
-		best := choose(executors, trial, closed, group, held)
-		if best < 0 {
+		best := t.choose(group, held, rack)
+		if best == nil {
+			for _, one := range taken {
+				one.free = one.free.Plus(group.Need)
+			}
 			return nil
 		}
-		trial[best] = trial[best].Minus(group.Need)
-		held[best]++
-		placed = append(placed, Placement{number, best})
+		t.take(group, held, best)
+		taken = append(taken, best)
 	}
-	copy(free, trial)
-	return placed
+	return taken
+}
+
+// hasSlots tells whether a gang could fit if size were all that counts.
+func (t *turn) hasSlots(group *Group, rack string) bool {
+	count := int64(0)
+	for _, one := range t.candidates {
+		if rack == "" || t.executors[one.place].Rack == rack {
+			count += one.free.slots(group.Need, int64(group.Count))
+		}
+		if count >= int64(group.Count) {
+			return true
+		}
+	}
+	return false
+}
+
+// slots is how often a need fits, counted no further than most.
+func (r Room) slots(need Room, most int64) int64 {
+	if !r.Fits(need) {
+		return 0
+	}
+	if need.CPU > 0 {
+		most = min(most, r.CPU/need.CPU)
+	}
+	if need.Memory > 0 {
+		most = min(most, r.Memory/need.Memory)
+	}
+	if need.GPU > 0 {
+		most = min(most, r.GPU/need.GPU)
+	}
+	return most
 }
--- a/internal/poolowner/meters.go
+++ b/internal/poolowner/meters.go
@@ -26,7 +26,7 @@
 	ordersResent = metrics.NewCounters("gannetline_pool_orders_resent_total", "key", "kind")
 	commits      = metrics.NewCounters("gannetline_pool_commits_total", "key")
 	changes      = metrics.NewCounters("gannetline_pool_changes_total", "key")
-	openSteps    = metrics.NewGauges("gannetline_pool_open_steps", "key")
+	stepsOpen    = metrics.NewGauges("gannetline_pool_open_steps", "key")
 	runsHeld     = metrics.NewGauges("gannetline_pool_runs", "key")
 	executors    = metrics.NewGauges("gannetline_pool_executors", "key", "state")
 	tickSeconds  = metrics.NewHistograms("gannetline_pool_tick_seconds", "key")
@@ -70,13 +70,13 @@
 		counts[home.shown()]++
 		running += len(home.runs)
 	}
-	m.set(len(p.open), running, counts)
+	m.set(len(p.open.steps), running, counts)
 }
 
 func (m *meters) clear() { m.set(0, 0, nil) }
 
 func (m *meters) set(open, running int, counts map[string]int) {
-	openSteps.With(m.key).Set(float64(open))
+	stepsOpen.With(m.key).Set(float64(open))
 	runsHeld.With(m.key).Set(float64(running))
 	for _, state := range []string{stateReady, stateUnfenced, stateDraining, stateBlocked} {
 		executors.With(m.key, state).Set(float64(counts[state]))
--- a/internal/poolowner/poolowner_test.go
+++ b/internal/poolowner/poolowner_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"gannetline/internal/daybook"
 	"gannetline/internal/logs"
 	"gannetline/internal/metrics"
 	"gannetline/internal/poolowner"
@@ -67,6 +68,15 @@
 	return false
 }
 
+// diary keeps how long the runs were that ended.
+type diary struct{ lengths []int64 }
+
+func (d *diary) Record(event daybook.Event) {
+	if event.Kind == daybook.KindEnd {
+		d.lengths = append(d.lengths, event.LengthMs)
+	}
+}
+
 const (
 	id   = "5c0e7a21d94b36f8"
 	task = id + ".0.0.0"
@@ -274,7 +284,7 @@
 		exchange(nil)
 		exchange(started)
 		tenure.settle(nil)
-		other := func(call *siblingwire.ExchangeCall) { call.Life = "i-2" }
+		other := func(call *siblingwire.ExchangeCall) { call.Life, call.Proxy = "i-2", "side-2" }
 		for waited := time.Duration(0); waited < 6300*time.Millisecond; waited += 50 * time.Millisecond {
 			clock.Advance(50 * time.Millisecond)
 			pool.Tick()
@@ -290,6 +300,85 @@
 		Expect(exchange(other).Orders).To(HaveLen(1))
 	})
 
+	It("ends at once, after a take-over, a life whose machine shows another one under the new fence", func() {
+		handIn()
+		tenure.settle(nil)
+		exchange(nil)
+		exchange(started)
+		tenure.settle(nil)
+		open(4, tenure.pairs())
+		next := func(call *siblingwire.ExchangeCall) { call.Life = "i-2" }
+		unfenced := func(call *siblingwire.ExchangeCall) { call.Life, call.Fence, call.Look = "i-2", 3, 0 }
+		exchange(unfenced)
+		pool.Tick()
+		pool.Settle()
+		tenure.settle(nil)
+		Expect(exchange(unfenced).Orders).To(BeEmpty())
+		exchange(next)
+		pool.Tick()
+		pool.Settle()
+		tenure.settle(nil)
+		Expect(exchange(next).Orders).To(ConsistOf(HaveField("Run", int64(2))))
+		Expect(tenure.has("e/i-1")).To(BeFalse())
+	})
+
+	It("ends a known life only once it was silent for longer than an exchange takes", func() {
+		handIn()
+		tenure.settle(nil)
+		exchange(nil)
+		exchange(started)
+		tenure.settle(nil)
+		next := func(call *siblingwire.ExchangeCall) { call.Life = "i-2" }
+		for waited := time.Duration(0); waited < 2500*time.Millisecond; waited += 50 * time.Millisecond {
+			clock.Advance(50 * time.Millisecond)
+			exchange(next)
+			pool.Tick()
+			pool.Settle()
+			tenure.settle(nil)
+			Expect(tenure.has("e/i-1")).To(BeTrue(), waited.String())
+		}
+		clock.Advance(50 * time.Millisecond)
+		exchange(next)
+		pool.Tick()
+		pool.Settle()
+		tenure.settle(nil)
+		Expect(tenure.has("e/i-1")).To(BeFalse())
+		Expect(exchange(next).Orders).To(HaveLen(1))
+	})
+
+	It("does not end a life by word of another one that it has outlived", func() {
+		handIn()
+		tenure.settle(nil)
+		exchange(nil)
+		exchange(func(call *siblingwire.ExchangeCall) { call.Life = "i-0" })
+		exchange(started)
+		tenure.settle(nil)
+		clock.Advance(100 * time.Millisecond)
+		exchange(nil)
+		clock.Advance(3 * time.Second)
+		pool.Tick()
+		pool.Settle()
+		tenure.settle(nil)
+		Expect(tenure.has("e/i-1")).To(BeTrue())
+	})
+
+	It("counts a run's length from when it was started, however late that was told", func() {
+		day := &diary{}
+		pool = poolowner.New("pool/s", clock, timing, logs.Silent(), poolowner.WithRecorder(day))
+		Expect(pool.Open(tenure, nil)).To(Succeed())
+		exchange(nil)
+		handIn()
+		tenure.settle(nil)
+		exchange(nil)
+		clock.Advance(90 * time.Millisecond)
+		exchange(func(call *siblingwire.ExchangeCall) {
+			started(call)
+			call.Answers[0].AgeMs = 80
+			ended("done")(call)
+		})
+		Expect(day.lengths).To(Equal([]int64{80}))
+	})
+
 	It("grants nothing without a lease", func() {
 		tenure.hasLease = false
 		Expect(exchange(nil).GrantMs).To(BeZero())
--- a/internal/siblingwire/messages_easyjson.go
+++ b/internal/siblingwire/messages_easyjson.go
@@ -739,7 +739,105 @@
 func (v *PromiseAnswer) UnmarshalEasyJSON(l *jlexer.Lexer) {
 	easyjson66c1e240DecodeGannetlineInternalSiblingwire6(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire7(in *jlexer.Lexer, out *PlanFact) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire7(in *jlexer.Lexer, out *PlanPart) {
+	isTopLevel := in.IsStart()
+	if in.IsNull() {
+		if isTopLevel {
+			in.Consumed()
+		}
+		in.Skip()
+		return
+	}
+	in.Delim('{')
+	for !in.IsDelim('}') {
+		key := in.UnsafeFieldName(false)
+		in.WantColon()
+		switch key {
+		case "f":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.From = int(in.Int())
+			}
+		case "c":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Count = int(in.Int())
+			}
+		case "t":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Text = string(in.String())
+			}
+		default:
+			in.SkipRecursive()
+		}
+		in.WantComma()
+	}
+	in.Delim('}')
+	if isTopLevel {
+		in.Consumed()
+	}
+}
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire7(out *jwriter.Writer, in PlanPart) {
+	out.RawByte('{')
+	first := true
+	_ = first
+	if in.From != 0 {
+		const prefix string = ",\"f\":"
+		first = false
+		out.RawString(prefix[1:])
+		out.Int(int(in.From))
+	}
+	if in.Count != 0 {
+		const prefix string = ",\"c\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		out.Int(int(in.Count))
+	}
+	if in.Text != "" {
+		const prefix string = ",\"t\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		out.String(string(in.Text))
+	}
+	out.RawByte('}')
+}
+
+// MarshalJSON supports json.Marshaler interface
+func (v PlanPart) MarshalJSON() ([]byte, error) {
+	w := jwriter.Writer{}
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire7(&w, v)
+	return w.Buffer.BuildBytes(), w.Error
+}
+
+// MarshalEasyJSON supports easyjson.Marshaler interface
+func (v PlanPart) MarshalEasyJSON(w *jwriter.Writer) {
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire7(w, v)
+}
+
+// UnmarshalJSON supports json.Unmarshaler interface
+func (v *PlanPart) UnmarshalJSON(data []byte) error {
+	r := jlexer.Lexer{Data: data}
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire7(&r, v)
+	return r.Error()
+}
+
+// UnmarshalEasyJSON supports easyjson.Unmarshaler interface
+func (v *PlanPart) UnmarshalEasyJSON(l *jlexer.Lexer) {
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire7(l, v)
+}
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire8(in *jlexer.Lexer, out *PlanFact) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -856,7 +954,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire7(out *jwriter.Writer, in PlanFact) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire8(out *jwriter.Writer, in PlanFact) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -918,27 +1016,239 @@
 // MarshalJSON supports json.Marshaler interface
 func (v PlanFact) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire7(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire8(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v PlanFact) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire7(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire8(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *PlanFact) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire7(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire8(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *PlanFact) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire7(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire8(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire8(in *jlexer.Lexer, out *PlanCall) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire9(in *jlexer.Lexer, out *PlanChange) {
+	isTopLevel := in.IsStart()
+	if in.IsNull() {
+		if isTopLevel {
+			in.Consumed()
+		}
+		in.Skip()
+		return
+	}
+	in.Delim('{')
+	for !in.IsDelim('}') {
+		key := in.UnsafeFieldName(false)
+		in.WantColon()
+		switch key {
+		case "base":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Base = int64(in.Int64())
+			}
+		case "version":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Version = int64(in.Int64())
+			}
+		case "digest":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Digest = string(in.String())
+			}
+		case "parts":
+			if in.IsNull() {
+				in.Skip()
+				out.Parts = nil
+			} else {
+				in.Delim('[')
+				if out.Parts == nil {
+					if !in.IsDelim(']') {
+						out.Parts = make([]PlanPart, 0, 2)
+					} else {
+						out.Parts = []PlanPart{}
+					}
+				} else {
+					out.Parts = (out.Parts)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v19 PlanPart
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						(v19).UnmarshalEasyJSON(in)
+					}
+					out.Parts = append(out.Parts, v19)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
+		case "births":
+			if in.IsNull() {
+				in.Skip()
+				out.Births = nil
+			} else {
+				in.Delim('[')
+				if out.Births == nil {
+					if !in.IsDelim(']') {
+						out.Births = make([]Birth, 0, 1)
+					} else {
+						out.Births = []Birth{}
+					}
+				} else {
+					out.Births = (out.Births)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v20 Birth
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						(v20).UnmarshalEasyJSON(in)
+					}
+					out.Births = append(out.Births, v20)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
+		case "moved":
+			if in.IsNull() {
+				in.Skip()
+				out.Moved = nil
+			} else {
+				in.Delim('[')
+				if out.Moved == nil {
+					if !in.IsDelim(']') {
+						out.Moved = make([]MovedEntry, 0, 1)
+					} else {
+						out.Moved = []MovedEntry{}
+					}
+				} else {
+					out.Moved = (out.Moved)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v21 MovedEntry
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						(v21).UnmarshalEasyJSON(in)
+					}
+					out.Moved = append(out.Moved, v21)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
+		default:
+			in.SkipRecursive()
+		}
+		in.WantComma()
+	}
+	in.Delim('}')
+	if isTopLevel {
+		in.Consumed()
+	}
+}
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire9(out *jwriter.Writer, in PlanChange) {
+	out.RawByte('{')
+	first := true
+	_ = first
+	{
+		const prefix string = ",\"base\":"
+		out.RawString(prefix[1:])
+		out.Int64(int64(in.Base))
+	}
+	{
+		const prefix string = ",\"version\":"
+		out.RawString(prefix)
+		out.Int64(int64(in.Version))
+	}
+	{
+		const prefix string = ",\"digest\":"
+		out.RawString(prefix)
+		out.String(string(in.Digest))
+	}
+	{
+		const prefix string = ",\"parts\":"
+		out.RawString(prefix)
+		if in.Parts == nil && (out.Flags&jwriter.NilSliceAsEmpty) == 0 {
+			out.RawString("null")
+		} else {
+			out.RawByte('[')
+			for v22, v23 := range in.Parts {
+				if v22 > 0 {
+					out.RawByte(',')
+				}
+				(v23).MarshalEasyJSON(out)
+			}
+			out.RawByte(']')
+		}
+	}
+	if len(in.Births) != 0 {
+		const prefix string = ",\"births\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('[')
+			for v24, v25 := range in.Births {
+				if v24 > 0 {
+					out.RawByte(',')
+				}
+				(v25).MarshalEasyJSON(out)
+			}
+			out.RawByte(']')
+		}
+	}
+	if len(in.Moved) != 0 {
+		const prefix string = ",\"moved\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('[')
+			for v26, v27 := range in.Moved {
+				if v26 > 0 {
+					out.RawByte(',')
+				}
+				(v27).MarshalEasyJSON(out)
+			}
+			out.RawByte(']')
+		}
+	}
+	out.RawByte('}')
+}
+
+// MarshalJSON supports json.Marshaler interface
+func (v PlanChange) MarshalJSON() ([]byte, error) {
+	w := jwriter.Writer{}
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire9(&w, v)
+	return w.Buffer.BuildBytes(), w.Error
+}
+
+// MarshalEasyJSON supports easyjson.Marshaler interface
+func (v PlanChange) MarshalEasyJSON(w *jwriter.Writer) {
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire9(w, v)
+}
+
+// UnmarshalJSON supports json.Unmarshaler interface
+func (v *PlanChange) UnmarshalJSON(data []byte) error {
+	r := jlexer.Lexer{Data: data}
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire9(&r, v)
+	return r.Error()
+}
+
+// UnmarshalEasyJSON supports easyjson.Unmarshaler interface
+func (v *PlanChange) UnmarshalEasyJSON(l *jlexer.Lexer) {
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire9(l, v)
+}
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire10(in *jlexer.Lexer, out *PlanCall) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -958,6 +1268,12 @@
 			} else {
 				out.Held = int64(in.Int64())
 			}
+		case "changes":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.TakesChanges = bool(in.Bool())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -968,7 +1284,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire8(out *jwriter.Writer, in PlanCall) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire10(out *jwriter.Writer, in PlanCall) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -977,33 +1293,38 @@
 		out.RawString(prefix[1:])
 		out.Int64(int64(in.Held))
 	}
+	if in.TakesChanges {
+		const prefix string = ",\"changes\":"
+		out.RawString(prefix)
+		out.Bool(bool(in.TakesChanges))
+	}
 	out.RawByte('}')
 }
 
 // MarshalJSON supports json.Marshaler interface
 func (v PlanCall) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire8(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire10(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v PlanCall) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire8(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire10(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *PlanCall) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire8(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire10(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *PlanCall) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire8(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire10(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire9(in *jlexer.Lexer, out *PlanAnswer) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire11(in *jlexer.Lexer, out *PlanAnswer) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -1031,6 +1352,41 @@
 					(*out.Fact).UnmarshalEasyJSON(in)
 				}
 			}
+		case "changes":
+			if in.IsNull() {
+				in.Skip()
+				out.Changes = nil
+			} else {
+				in.Delim('[')
+				if out.Changes == nil {
+					if !in.IsDelim(']') {
+						out.Changes = make([]*PlanChange, 0, 8)
+					} else {
+						out.Changes = []*PlanChange{}
+					}
+				} else {
+					out.Changes = (out.Changes)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v28 *PlanChange
+					if in.IsNull() {
+						in.Skip()
+						v28 = nil
+					} else {
+						if v28 == nil {
+							v28 = new(PlanChange)
+						}
+						if in.IsNull() {
+							in.Skip()
+						} else {
+							(*v28).UnmarshalEasyJSON(in)
+						}
+					}
+					out.Changes = append(out.Changes, v28)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -1041,7 +1397,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire9(out *jwriter.Writer, in PlanAnswer) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire11(out *jwriter.Writer, in PlanAnswer) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -1051,33 +1407,56 @@
 		out.RawString(prefix[1:])
 		(*in.Fact).MarshalEasyJSON(out)
 	}
+	if len(in.Changes) != 0 {
+		const prefix string = ",\"changes\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		{
+			out.RawByte('[')
+			for v29, v30 := range in.Changes {
+				if v29 > 0 {
+					out.RawByte(',')
+				}
+				if v30 == nil {
+					out.RawString("null")
+				} else {
+					(*v30).MarshalEasyJSON(out)
+				}
+			}
+			out.RawByte(']')
+		}
+	}
 	out.RawByte('}')
 }
 
 // MarshalJSON supports json.Marshaler interface
 func (v PlanAnswer) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire9(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire11(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v PlanAnswer) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire9(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire11(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *PlanAnswer) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire9(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire11(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *PlanAnswer) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire9(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire11(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire10(in *jlexer.Lexer, out *OwnerFact) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire12(in *jlexer.Lexer, out *OwnerFact) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -1119,7 +1498,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire10(out *jwriter.Writer, in OwnerFact) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire12(out *jwriter.Writer, in OwnerFact) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -1144,27 +1523,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v OwnerFact) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire10(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire12(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v OwnerFact) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire10(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire12(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *OwnerFact) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire10(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire12(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *OwnerFact) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire10(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire12(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire11(in *jlexer.Lexer, out *OrderAnswer) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire13(in *jlexer.Lexer, out *OrderAnswer) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -1202,6 +1581,12 @@
 			} else {
 				out.Result = string(in.String())
 			}
+		case "g":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.AgeMs = int64(in.Int64())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -1212,7 +1597,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire11(out *jwriter.Writer, in OrderAnswer) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire13(out *jwriter.Writer, in OrderAnswer) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -1236,33 +1621,38 @@
 		out.RawString(prefix)
 		out.String(string(in.Result))
 	}
+	if in.AgeMs != 0 {
+		const prefix string = ",\"g\":"
+		out.RawString(prefix)
+		out.Int64(int64(in.AgeMs))
+	}
 	out.RawByte('}')
 }
 
 // MarshalJSON supports json.Marshaler interface
 func (v OrderAnswer) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire11(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire13(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v OrderAnswer) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire11(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire13(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *OrderAnswer) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire11(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire13(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *OrderAnswer) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire11(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire13(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire12(in *jlexer.Lexer, out *Order) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire14(in *jlexer.Lexer, out *Order) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -1316,7 +1706,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire12(out *jwriter.Writer, in Order) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire14(out *jwriter.Writer, in Order) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -1351,27 +1741,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Order) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire12(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire14(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Order) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire12(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire14(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Order) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire12(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire14(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Order) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire12(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire14(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire13(in *jlexer.Lexer, out *Op) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire15(in *jlexer.Lexer, out *Op) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -1407,7 +1797,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire13(out *jwriter.Writer, in Op) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire15(out *jwriter.Writer, in Op) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -1427,27 +1817,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Op) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire13(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire15(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Op) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire13(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire15(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Op) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire13(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire15(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Op) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire13(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire15(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire14(in *jlexer.Lexer, out *MovedEntry) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire16(in *jlexer.Lexer, out *MovedEntry) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -1483,13 +1873,13 @@
 					out.Services = (out.Services)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v19 string
+					var v31 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v19 = string(in.String())
+						v31 = string(in.String())
 					}
-					out.Services = append(out.Services, v19)
+					out.Services = append(out.Services, v31)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -1504,7 +1894,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire14(out *jwriter.Writer, in MovedEntry) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire16(out *jwriter.Writer, in MovedEntry) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -1520,11 +1910,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v20, v21 := range in.Services {
-				if v20 > 0 {
+			for v32, v33 := range in.Services {
+				if v32 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v21))
+				out.String(string(v33))
 			}
 			out.RawByte(']')
 		}
@@ -1535,27 +1925,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v MovedEntry) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire14(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire16(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v MovedEntry) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire14(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire16(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *MovedEntry) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire14(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire16(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *MovedEntry) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire14(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire16(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire15(in *jlexer.Lexer, out *MembersCall) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire17(in *jlexer.Lexer, out *MembersCall) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -1591,13 +1981,13 @@
 					out.Members = (out.Members)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v22 Member
+					var v34 Member
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v22).UnmarshalEasyJSON(in)
+						(v34).UnmarshalEasyJSON(in)
 					}
-					out.Members = append(out.Members, v22)
+					out.Members = append(out.Members, v34)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -1608,6 +1998,39 @@
 			} else {
 				(out.Digest).UnmarshalEasyJSON(in)
 			}
+		case "buckets":
+			if in.IsNull() {
+				in.Skip()
+				out.Buckets = nil
+			} else {
+				in.Delim('[')
+				if out.Buckets == nil {
+					if !in.IsDelim(']') {
+						out.Buckets = make([]uint32, 0, 16)
+					} else {
+						out.Buckets = []uint32{}
+					}
+				} else {
+					out.Buckets = (out.Buckets)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v35 uint32
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						v35 = uint32(in.Uint32())
+					}
+					out.Buckets = append(out.Buckets, v35)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
+		case "gives":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Gives = bool(in.Bool())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -1618,7 +2041,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire15(out *jwriter.Writer, in MembersCall) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire17(out *jwriter.Writer, in MembersCall) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -1632,11 +2055,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v23, v24 := range in.Members {
-				if v23 > 0 {
+			for v36, v37 := range in.Members {
+				if v36 > 0 {
 					out.RawByte(',')
 				}
-				(v24).MarshalEasyJSON(out)
+				(v37).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -1646,33 +2069,52 @@
 		out.RawString(prefix)
 		(in.Digest).MarshalEasyJSON(out)
 	}
+	if len(in.Buckets) != 0 {
+		const prefix string = ",\"buckets\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('[')
+			for v38, v39 := range in.Buckets {
+				if v38 > 0 {
+					out.RawByte(',')
+				}
+				out.Uint32(uint32(v39))
+			}
+			out.RawByte(']')
+		}
+	}
+	if in.Gives {
+		const prefix string = ",\"gives\":"
+		out.RawString(prefix)
+		out.Bool(bool(in.Gives))
+	}
 	out.RawByte('}')
 }
 
 // MarshalJSON supports json.Marshaler interface
 func (v MembersCall) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire15(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire17(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v MembersCall) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire15(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire17(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *MembersCall) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire15(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire17(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *MembersCall) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire15(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire17(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire16(in *jlexer.Lexer, out *MembersAnswer) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire18(in *jlexer.Lexer, out *MembersAnswer) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -1702,13 +2144,13 @@
 					out.Members = (out.Members)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v25 Member
+					var v40 Member
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v25).UnmarshalEasyJSON(in)
+						(v40).UnmarshalEasyJSON(in)
 					}
-					out.Members = append(out.Members, v25)
+					out.Members = append(out.Members, v40)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -1719,6 +2161,33 @@
 			} else {
 				(out.Digest).UnmarshalEasyJSON(in)
 			}
+		case "differing":
+			if in.IsNull() {
+				in.Skip()
+				out.Differing = nil
+			} else {
+				in.Delim('[')
+				if out.Differing == nil {
+					if !in.IsDelim(']') {
+						out.Differing = make([]int, 0, 8)
+					} else {
+						out.Differing = []int{}
+					}
+				} else {
+					out.Differing = (out.Differing)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v41 int
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						v41 = int(in.Int())
+					}
+					out.Differing = append(out.Differing, v41)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -1729,7 +2198,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire16(out *jwriter.Writer, in MembersAnswer) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire18(out *jwriter.Writer, in MembersAnswer) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -1739,11 +2208,11 @@
 		out.RawString(prefix[1:])
 		{
 			out.RawByte('[')
-			for v26, v27 := range in.Members {
-				if v26 > 0 {
+			for v42, v43 := range in.Members {
+				if v42 > 0 {
 					out.RawByte(',')
 				}
-				(v27).MarshalEasyJSON(out)
+				(v43).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -1758,33 +2227,47 @@
 		}
 		(in.Digest).MarshalEasyJSON(out)
 	}
+	if len(in.Differing) != 0 {
+		const prefix string = ",\"differing\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('[')
+			for v44, v45 := range in.Differing {
+				if v44 > 0 {
+					out.RawByte(',')
+				}
+				out.Int(int(v45))
+			}
+			out.RawByte(']')
+		}
+	}
 	out.RawByte('}')
 }
 
 // MarshalJSON supports json.Marshaler interface
 func (v MembersAnswer) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire16(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire18(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v MembersAnswer) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire16(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire18(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *MembersAnswer) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire16(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire18(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *MembersAnswer) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire16(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire18(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire17(in *jlexer.Lexer, out *Member) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire19(in *jlexer.Lexer, out *Member) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -1862,17 +2345,23 @@
 					out.Past = (out.Past)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v28 string
+					var v46 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v28 = string(in.String())
+						v46 = string(in.String())
 					}
-					out.Past = append(out.Past, v28)
+					out.Past = append(out.Past, v46)
 					in.WantComma()
 				}
 				in.Delim(']')
 			}
+		case "m":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Makeshift = string(in.String())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -1883,7 +2372,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire17(out *jwriter.Writer, in Member) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire19(out *jwriter.Writer, in Member) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -1932,42 +2421,47 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v29, v30 := range in.Past {
-				if v29 > 0 {
+			for v47, v48 := range in.Past {
+				if v47 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v30))
+				out.String(string(v48))
 			}
 			out.RawByte(']')
 		}
 	}
+	if in.Makeshift != "" {
+		const prefix string = ",\"m\":"
+		out.RawString(prefix)
+		out.String(string(in.Makeshift))
+	}
 	out.RawByte('}')
 }
 
 // MarshalJSON supports json.Marshaler interface
 func (v Member) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire17(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire19(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Member) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire17(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire19(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Member) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire17(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire19(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Member) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire17(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire19(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire18(in *jlexer.Lexer, out *KeyBelief) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire20(in *jlexer.Lexer, out *KeyBelief) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -2021,7 +2515,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire18(out *jwriter.Writer, in KeyBelief) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire20(out *jwriter.Writer, in KeyBelief) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -2056,27 +2550,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v KeyBelief) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire18(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire20(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v KeyBelief) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire18(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire20(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *KeyBelief) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire18(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire20(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *KeyBelief) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire18(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire20(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire19(in *jlexer.Lexer, out *JobBelief) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire21(in *jlexer.Lexer, out *JobBelief) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -2118,7 +2612,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire19(out *jwriter.Writer, in JobBelief) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire21(out *jwriter.Writer, in JobBelief) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -2143,27 +2637,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v JobBelief) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire19(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire21(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v JobBelief) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire19(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire21(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *JobBelief) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire19(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire21(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *JobBelief) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire19(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire21(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire20(in *jlexer.Lexer, out *IdentifyCall) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire22(in *jlexer.Lexer, out *IdentifyCall) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -2187,7 +2681,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire20(out *jwriter.Writer, in IdentifyCall) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire22(out *jwriter.Writer, in IdentifyCall) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -2197,27 +2691,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v IdentifyCall) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire20(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire22(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v IdentifyCall) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire20(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire22(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *IdentifyCall) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire20(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire22(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *IdentifyCall) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire20(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire22(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire21(in *jlexer.Lexer, out *IdentifyAnswer) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire23(in *jlexer.Lexer, out *IdentifyAnswer) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -2237,6 +2731,12 @@
 			} else {
 				out.Disk = string(in.String())
 			}
+		case "makeshift":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Makeshift = string(in.String())
+			}
 		case "fresh":
 			if in.IsNull() {
 				in.Skip()
@@ -2253,7 +2753,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire21(out *jwriter.Writer, in IdentifyAnswer) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire23(out *jwriter.Writer, in IdentifyAnswer) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -2262,6 +2762,11 @@
 		out.RawString(prefix[1:])
 		out.String(string(in.Disk))
 	}
+	if in.Makeshift != "" {
+		const prefix string = ",\"makeshift\":"
+		out.RawString(prefix)
+		out.String(string(in.Makeshift))
+	}
 	if in.Fresh {
 		const prefix string = ",\"fresh\":"
 		out.RawString(prefix)
@@ -2273,27 +2778,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v IdentifyAnswer) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire21(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire23(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v IdentifyAnswer) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire21(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire23(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *IdentifyAnswer) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire21(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire23(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *IdentifyAnswer) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire21(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire23(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire22(in *jlexer.Lexer, out *FetchCall) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire24(in *jlexer.Lexer, out *FetchCall) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -2323,7 +2828,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire22(out *jwriter.Writer, in FetchCall) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire24(out *jwriter.Writer, in FetchCall) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -2338,27 +2843,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v FetchCall) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire22(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire24(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v FetchCall) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire22(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire24(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *FetchCall) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire22(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire24(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *FetchCall) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire22(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire24(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire23(in *jlexer.Lexer, out *FetchAnswer) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire25(in *jlexer.Lexer, out *FetchAnswer) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -2400,7 +2905,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire23(out *jwriter.Writer, in FetchAnswer) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire25(out *jwriter.Writer, in FetchAnswer) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -2431,27 +2936,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v FetchAnswer) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire23(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire25(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v FetchAnswer) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire23(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire25(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *FetchAnswer) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire23(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire25(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *FetchAnswer) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire23(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire25(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire24(in *jlexer.Lexer, out *ExecutorBelief) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire26(in *jlexer.Lexer, out *ExecutorBelief) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -2499,7 +3004,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire24(out *jwriter.Writer, in ExecutorBelief) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire26(out *jwriter.Writer, in ExecutorBelief) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -2529,27 +3034,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v ExecutorBelief) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire24(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire26(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v ExecutorBelief) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire24(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire26(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *ExecutorBelief) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire24(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire26(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *ExecutorBelief) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire24(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire26(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire25(in *jlexer.Lexer, out *ExchangeCall) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire27(in *jlexer.Lexer, out *ExchangeCall) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -2569,11 +3074,29 @@
 			} else {
 				out.Key = string(in.String())
 			}
-		case "life":
+		case "life":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Life = string(in.String())
+			}
+		case "session":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Session = uint64(in.Uint64())
+			}
+		case "number":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Number = uint64(in.Uint64())
+			}
+		case "base":
 			if in.IsNull() {
 				in.Skip()
 			} else {
-				out.Life = string(in.String())
+				out.Base = uint64(in.Uint64())
 			}
 		case "proxy":
 			if in.IsNull() {
@@ -2603,13 +3126,13 @@
 					out.Labels = (out.Labels)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v31 string
+					var v49 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v31 = string(in.String())
+						v49 = string(in.String())
 					}
-					out.Labels = append(out.Labels, v31)
+					out.Labels = append(out.Labels, v49)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -2648,13 +3171,13 @@
 					out.Gone = (out.Gone)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v32 string
+					var v50 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v32 = string(in.String())
+						v50 = string(in.String())
 					}
-					out.Gone = append(out.Gone, v32)
+					out.Gone = append(out.Gone, v50)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -2693,13 +3216,40 @@
 					out.Running = (out.Running)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v33 RunReport
+					var v51 RunReport
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						(v51).UnmarshalEasyJSON(in)
+					}
+					out.Running = append(out.Running, v51)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
+		case "changed":
+			if in.IsNull() {
+				in.Skip()
+				out.Changed = nil
+			} else {
+				in.Delim('[')
+				if out.Changed == nil {
+					if !in.IsDelim(']') {
+						out.Changed = make([]RunReport, 0, 1)
+					} else {
+						out.Changed = []RunReport{}
+					}
+				} else {
+					out.Changed = (out.Changed)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v52 RunReport
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v33).UnmarshalEasyJSON(in)
+						(v52).UnmarshalEasyJSON(in)
 					}
-					out.Running = append(out.Running, v33)
+					out.Changed = append(out.Changed, v52)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -2720,13 +3270,13 @@
 					out.Ends = (out.Ends)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v34 EndReport
+					var v53 EndReport
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v34).UnmarshalEasyJSON(in)
+						(v53).UnmarshalEasyJSON(in)
 					}
-					out.Ends = append(out.Ends, v34)
+					out.Ends = append(out.Ends, v53)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -2747,13 +3297,13 @@
 					out.Answers = (out.Answers)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v35 OrderAnswer
+					var v54 OrderAnswer
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v35).UnmarshalEasyJSON(in)
+						(v54).UnmarshalEasyJSON(in)
 					}
-					out.Answers = append(out.Answers, v35)
+					out.Answers = append(out.Answers, v54)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -2774,7 +3324,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire25(out *jwriter.Writer, in ExchangeCall) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire27(out *jwriter.Writer, in ExchangeCall) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -2788,12 +3338,27 @@
 		out.RawString(prefix)
 		out.String(string(in.Life))
 	}
-	{
+	if in.Session != 0 {
+		const prefix string = ",\"session\":"
+		out.RawString(prefix)
+		out.Uint64(uint64(in.Session))
+	}
+	if in.Number != 0 {
+		const prefix string = ",\"number\":"
+		out.RawString(prefix)
+		out.Uint64(uint64(in.Number))
+	}
+	if in.Base != 0 {
+		const prefix string = ",\"base\":"
+		out.RawString(prefix)
+		out.Uint64(uint64(in.Base))
+	}
+	if in.Proxy != "" {
 		const prefix string = ",\"proxy\":"
 		out.RawString(prefix)
 		out.String(string(in.Proxy))
 	}
-	{
+	if in.Domain != "" {
 		const prefix string = ",\"domain\":"
 		out.RawString(prefix)
 		out.String(string(in.Domain))
@@ -2803,16 +3368,16 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v36, v37 := range in.Labels {
-				if v36 > 0 {
+			for v55, v56 := range in.Labels {
+				if v55 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v37))
+				out.String(string(v56))
 			}
 			out.RawByte(']')
 		}
 	}
-	{
+	if (in.Room).IsDefined() {
 		const prefix string = ",\"room\":"
 		out.RawString(prefix)
 		(in.Room).MarshalEasyJSON(out)
@@ -2832,11 +3397,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v38, v39 := range in.Gone {
-				if v38 > 0 {
+			for v57, v58 := range in.Gone {
+				if v57 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v39))
+				out.String(string(v58))
 			}
 			out.RawByte(']')
 		}
@@ -2861,11 +3426,25 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v40, v41 := range in.Running {
-				if v40 > 0 {
+			for v59, v60 := range in.Running {
+				if v59 > 0 {
+					out.RawByte(',')
+				}
+				(v60).MarshalEasyJSON(out)
+			}
+			out.RawByte(']')
+		}
+	}
+	if len(in.Changed) != 0 {
+		const prefix string = ",\"changed\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('[')
+			for v61, v62 := range in.Changed {
+				if v61 > 0 {
 					out.RawByte(',')
 				}
-				(v41).MarshalEasyJSON(out)
+				(v62).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -2875,11 +3454,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v42, v43 := range in.Ends {
-				if v42 > 0 {
+			for v63, v64 := range in.Ends {
+				if v63 > 0 {
 					out.RawByte(',')
 				}
-				(v43).MarshalEasyJSON(out)
+				(v64).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -2889,11 +3468,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v44, v45 := range in.Answers {
-				if v44 > 0 {
+			for v65, v66 := range in.Answers {
+				if v65 > 0 {
 					out.RawByte(',')
 				}
-				(v45).MarshalEasyJSON(out)
+				(v66).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -2909,27 +3488,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v ExchangeCall) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire25(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire27(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v ExchangeCall) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire25(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire27(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *ExchangeCall) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire25(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire27(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *ExchangeCall) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire25(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire27(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire26(in *jlexer.Lexer, out *ExchangeAnswer) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire28(in *jlexer.Lexer, out *ExchangeAnswer) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -2961,6 +3540,24 @@
 			} else {
 				out.Fence = uint64(in.Uint64())
 			}
+		case "held":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Held = uint64(in.Uint64())
+			}
+		case "again":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Again = bool(in.Bool())
+			}
+		case "session":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Session = uint64(in.Uint64())
+			}
 		case "grant":
 			if in.IsNull() {
 				in.Skip()
@@ -2995,13 +3592,13 @@
 					out.Orders = (out.Orders)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v46 Order
+					var v67 Order
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v46).UnmarshalEasyJSON(in)
+						(v67).UnmarshalEasyJSON(in)
 					}
-					out.Orders = append(out.Orders, v46)
+					out.Orders = append(out.Orders, v67)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -3016,7 +3613,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire26(out *jwriter.Writer, in ExchangeAnswer) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire28(out *jwriter.Writer, in ExchangeAnswer) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -3046,6 +3643,36 @@
 		}
 		out.Uint64(uint64(in.Fence))
 	}
+	if in.Held != 0 {
+		const prefix string = ",\"held\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		out.Uint64(uint64(in.Held))
+	}
+	if in.Again {
+		const prefix string = ",\"again\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		out.Bool(bool(in.Again))
+	}
+	if in.Session != 0 {
+		const prefix string = ",\"session\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		out.Uint64(uint64(in.Session))
+	}
 	if in.GrantMs != 0 {
 		const prefix string = ",\"grant\":"
 		if first {
@@ -3086,11 +3713,11 @@
 		}
 		{
 			out.RawByte('[')
-			for v47, v48 := range in.Orders {
-				if v47 > 0 {
+			for v68, v69 := range in.Orders {
+				if v68 > 0 {
 					out.RawByte(',')
 				}
-				(v48).MarshalEasyJSON(out)
+				(v69).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -3101,27 +3728,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v ExchangeAnswer) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire26(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire28(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v ExchangeAnswer) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire26(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire28(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *ExchangeAnswer) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire26(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire28(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *ExchangeAnswer) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire26(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire28(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire27(in *jlexer.Lexer, out *EntryTerms) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire29(in *jlexer.Lexer, out *EntryTerms) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -3169,7 +3796,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire27(out *jwriter.Writer, in EntryTerms) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire29(out *jwriter.Writer, in EntryTerms) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -3215,27 +3842,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v EntryTerms) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire27(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire29(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v EntryTerms) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire27(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire29(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *EntryTerms) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire27(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire29(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *EntryTerms) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire27(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire29(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire28(in *jlexer.Lexer, out *EndReport) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire30(in *jlexer.Lexer, out *EndReport) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -3289,7 +3916,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire28(out *jwriter.Writer, in EndReport) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire30(out *jwriter.Writer, in EndReport) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -3324,27 +3951,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v EndReport) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire28(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire30(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v EndReport) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire28(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire30(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *EndReport) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire28(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire30(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *EndReport) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire28(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire30(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire29(in *jlexer.Lexer, out *Digest) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire31(in *jlexer.Lexer, out *Digest) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -3364,12 +3991,6 @@
 			} else {
 				out.Plan = int64(in.Int64())
 			}
-		case "m":
-			if in.IsNull() {
-				in.Skip()
-			} else {
-				out.Members = uint32(in.Uint32())
-			}
 		case "o":
 			if in.IsNull() {
 				in.Skip()
@@ -3386,17 +4007,29 @@
 					out.Owners = (out.Owners)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v49 OwnerFact
+					var v70 OwnerFact
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v49).UnmarshalEasyJSON(in)
+						(v70).UnmarshalEasyJSON(in)
 					}
-					out.Owners = append(out.Owners, v49)
+					out.Owners = append(out.Owners, v70)
 					in.WantComma()
 				}
 				in.Delim(']')
 			}
+		case "s":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.MemberSum = uint32(in.Uint32())
+			}
+		case "h":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.OwnerSum = uint32(in.Uint32())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -3407,7 +4040,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire29(out *jwriter.Writer, in Digest) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire31(out *jwriter.Writer, in Digest) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -3417,16 +4050,6 @@
 		out.RawString(prefix[1:])
 		out.Int64(int64(in.Plan))
 	}
-	if in.Members != 0 {
-		const prefix string = ",\"m\":"
-		if first {
-			first = false
-			out.RawString(prefix[1:])
-		} else {
-			out.RawString(prefix)
-		}
-		out.Uint32(uint32(in.Members))
-	}
 	if len(in.Owners) != 0 {
 		const prefix string = ",\"o\":"
 		if first {
@@ -3437,42 +4060,62 @@
 		}
 		{
 			out.RawByte('[')
-			for v50, v51 := range in.Owners {
-				if v50 > 0 {
+			for v71, v72 := range in.Owners {
+				if v71 > 0 {
 					out.RawByte(',')
 				}
-				(v51).MarshalEasyJSON(out)
+				(v72).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
 	}
+	if in.MemberSum != 0 {
+		const prefix string = ",\"s\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		out.Uint32(uint32(in.MemberSum))
+	}
+	if in.OwnerSum != 0 {
+		const prefix string = ",\"h\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		out.Uint32(uint32(in.OwnerSum))
+	}
 	out.RawByte('}')
 }
 
 // MarshalJSON supports json.Marshaler interface
 func (v Digest) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire29(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire31(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Digest) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire29(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire31(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Digest) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire29(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire31(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Digest) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire29(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire31(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire30(in *jlexer.Lexer, out *Datagram) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire32(in *jlexer.Lexer, out *Datagram) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -3526,13 +4169,13 @@
 					out.News = (out.News)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v52 Member
+					var v73 Member
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v52).UnmarshalEasyJSON(in)
+						(v73).UnmarshalEasyJSON(in)
 					}
-					out.News = append(out.News, v52)
+					out.News = append(out.News, v73)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -3553,7 +4196,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire30(out *jwriter.Writer, in Datagram) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire32(out *jwriter.Writer, in Datagram) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -3582,11 +4225,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v53, v54 := range in.News {
-				if v53 > 0 {
+			for v74, v75 := range in.News {
+				if v74 > 0 {
 					out.RawByte(',')
 				}
-				(v54).MarshalEasyJSON(out)
+				(v75).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -3602,27 +4245,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Datagram) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire30(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire32(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Datagram) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire30(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire32(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Datagram) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire30(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire32(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Datagram) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire30(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire32(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire31(in *jlexer.Lexer, out *ClientCall) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire33(in *jlexer.Lexer, out *ClientCall) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -3702,7 +4345,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire31(out *jwriter.Writer, in ClientCall) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire33(out *jwriter.Writer, in ClientCall) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -3752,27 +4395,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v ClientCall) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire31(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire33(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v ClientCall) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire31(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire33(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *ClientCall) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire31(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire33(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *ClientCall) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire31(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire33(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire32(in *jlexer.Lexer, out *ClientAnswer) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire34(in *jlexer.Lexer, out *ClientAnswer) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -3832,7 +4475,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire32(out *jwriter.Writer, in ClientAnswer) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire34(out *jwriter.Writer, in ClientAnswer) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -3898,27 +4541,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v ClientAnswer) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire32(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire34(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v ClientAnswer) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire32(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire34(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *ClientAnswer) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire32(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire34(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *ClientAnswer) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire32(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire34(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire33(in *jlexer.Lexer, out *Change) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire35(in *jlexer.Lexer, out *Change) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -3954,13 +4597,13 @@
 					out.Ops = (out.Ops)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v55 Op
+					var v76 Op
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v55).UnmarshalEasyJSON(in)
+						(v76).UnmarshalEasyJSON(in)
 					}
-					out.Ops = append(out.Ops, v55)
+					out.Ops = append(out.Ops, v76)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -3989,7 +4632,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire33(out *jwriter.Writer, in Change) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire35(out *jwriter.Writer, in Change) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -4003,11 +4646,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v56, v57 := range in.Ops {
-				if v56 > 0 {
+			for v77, v78 := range in.Ops {
+				if v77 > 0 {
 					out.RawByte(',')
 				}
-				(v57).MarshalEasyJSON(out)
+				(v78).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4023,27 +4666,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Change) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire33(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire35(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Change) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire33(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire35(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Change) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire33(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire35(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Change) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire33(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire35(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire34(in *jlexer.Lexer, out *Capacity) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire36(in *jlexer.Lexer, out *Capacity) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -4085,7 +4728,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire34(out *jwriter.Writer, in Capacity) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire36(out *jwriter.Writer, in Capacity) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -4110,27 +4753,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Capacity) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire34(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire36(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Capacity) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire34(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire36(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Capacity) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire34(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire36(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Capacity) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire34(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire36(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire35(in *jlexer.Lexer, out *Birth) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire37(in *jlexer.Lexer, out *Birth) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -4166,13 +4809,13 @@
 					out.Voters = (out.Voters)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v58 string
+					var v79 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v58 = string(in.String())
+						v79 = string(in.String())
 					}
-					out.Voters = append(out.Voters, v58)
+					out.Voters = append(out.Voters, v79)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4187,7 +4830,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire35(out *jwriter.Writer, in Birth) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire37(out *jwriter.Writer, in Birth) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -4203,11 +4846,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v59, v60 := range in.Voters {
-				if v59 > 0 {
+			for v80, v81 := range in.Voters {
+				if v80 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v60))
+				out.String(string(v81))
 			}
 			out.RawByte(']')
 		}
@@ -4218,27 +4861,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Birth) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire35(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire37(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Birth) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire35(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire37(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Birth) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire35(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire37(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Birth) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire35(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire37(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire36(in *jlexer.Lexer, out *BeliefsCall) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire38(in *jlexer.Lexer, out *BeliefsCall) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -4262,7 +4905,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire36(out *jwriter.Writer, in BeliefsCall) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire38(out *jwriter.Writer, in BeliefsCall) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -4272,27 +4915,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v BeliefsCall) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire36(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire38(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v BeliefsCall) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire36(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire38(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *BeliefsCall) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire36(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire38(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *BeliefsCall) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire36(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire38(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire37(in *jlexer.Lexer, out *BeliefsAnswer) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire39(in *jlexer.Lexer, out *BeliefsAnswer) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -4340,13 +4983,13 @@
 					out.Members = (out.Members)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v61 Member
+					var v82 Member
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v61).UnmarshalEasyJSON(in)
+						(v82).UnmarshalEasyJSON(in)
 					}
-					out.Members = append(out.Members, v61)
+					out.Members = append(out.Members, v82)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4367,13 +5010,13 @@
 					out.Owners = (out.Owners)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v62 OwnerFact
+					var v83 OwnerFact
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v62).UnmarshalEasyJSON(in)
+						(v83).UnmarshalEasyJSON(in)
 					}
-					out.Owners = append(out.Owners, v62)
+					out.Owners = append(out.Owners, v83)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4394,13 +5037,13 @@
 					out.Keys = (out.Keys)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v63 KeyBelief
+					var v84 KeyBelief
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v63).UnmarshalEasyJSON(in)
+						(v84).UnmarshalEasyJSON(in)
 					}
-					out.Keys = append(out.Keys, v63)
+					out.Keys = append(out.Keys, v84)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4421,13 +5064,13 @@
 					out.Jobs = (out.Jobs)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v64 JobBelief
+					var v85 JobBelief
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v64).UnmarshalEasyJSON(in)
+						(v85).UnmarshalEasyJSON(in)
 					}
-					out.Jobs = append(out.Jobs, v64)
+					out.Jobs = append(out.Jobs, v85)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4448,13 +5091,13 @@
 					out.Executors = (out.Executors)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v65 ExecutorBelief
+					var v86 ExecutorBelief
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v65).UnmarshalEasyJSON(in)
+						(v86).UnmarshalEasyJSON(in)
 					}
-					out.Executors = append(out.Executors, v65)
+					out.Executors = append(out.Executors, v86)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4469,7 +5112,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire37(out *jwriter.Writer, in BeliefsAnswer) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire39(out *jwriter.Writer, in BeliefsAnswer) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -4495,11 +5138,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v66, v67 := range in.Members {
-				if v66 > 0 {
+			for v87, v88 := range in.Members {
+				if v87 > 0 {
 					out.RawByte(',')
 				}
-				(v67).MarshalEasyJSON(out)
+				(v88).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4511,11 +5154,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v68, v69 := range in.Owners {
-				if v68 > 0 {
+			for v89, v90 := range in.Owners {
+				if v89 > 0 {
 					out.RawByte(',')
 				}
-				(v69).MarshalEasyJSON(out)
+				(v90).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4527,11 +5170,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v70, v71 := range in.Keys {
-				if v70 > 0 {
+			for v91, v92 := range in.Keys {
+				if v91 > 0 {
 					out.RawByte(',')
 				}
-				(v71).MarshalEasyJSON(out)
+				(v92).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4543,11 +5186,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v72, v73 := range in.Jobs {
-				if v72 > 0 {
+			for v93, v94 := range in.Jobs {
+				if v93 > 0 {
 					out.RawByte(',')
 				}
-				(v73).MarshalEasyJSON(out)
+				(v94).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4559,11 +5202,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v74, v75 := range in.Executors {
-				if v74 > 0 {
+			for v95, v96 := range in.Executors {
+				if v95 > 0 {
 					out.RawByte(',')
 				}
-				(v75).MarshalEasyJSON(out)
+				(v96).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4574,27 +5217,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v BeliefsAnswer) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire37(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire39(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v BeliefsAnswer) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire37(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire39(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *BeliefsAnswer) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire37(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire39(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *BeliefsAnswer) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire37(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire39(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire38(in *jlexer.Lexer, out *AppendCall) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire40(in *jlexer.Lexer, out *AppendCall) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -4654,13 +5297,13 @@
 					out.Changes = (out.Changes)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v76 Change
+					var v97 Change
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v76).UnmarshalEasyJSON(in)
+						(v97).UnmarshalEasyJSON(in)
 					}
-					out.Changes = append(out.Changes, v76)
+					out.Changes = append(out.Changes, v97)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4695,7 +5338,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire38(out *jwriter.Writer, in AppendCall) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire40(out *jwriter.Writer, in AppendCall) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -4729,11 +5372,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v77, v78 := range in.Changes {
-				if v77 > 0 {
+			for v98, v99 := range in.Changes {
+				if v98 > 0 {
 					out.RawByte(',')
 				}
-				(v78).MarshalEasyJSON(out)
+				(v99).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4754,27 +5397,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v AppendCall) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire38(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire40(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v AppendCall) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire38(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire40(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *AppendCall) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire38(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire40(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *AppendCall) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire38(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire40(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire39(in *jlexer.Lexer, out *AppendAnswer) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire41(in *jlexer.Lexer, out *AppendAnswer) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -4828,7 +5471,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire39(out *jwriter.Writer, in AppendAnswer) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire41(out *jwriter.Writer, in AppendAnswer) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -4869,23 +5512,23 @@
 // MarshalJSON supports json.Marshaler interface
 func (v AppendAnswer) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire39(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire41(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v AppendAnswer) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire39(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire41(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *AppendAnswer) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire39(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire41(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *AppendAnswer) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire39(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire41(l, v)
 }
