--- a/internal/scalerun/plot.go
+++ b/internal/scalerun/plot.go
@@ -55,7 +55,7 @@
 		var points plotter.XYs
 		for _, size := range r.Sizes {
 			for _, window := range size.Windows {
-				if value, isThere := window.mean(role, one); isThere && window.Phase == "load" {
+				if value, isThere := window.mean(role, one); isThere && window.Phase == phaseLoad {
 					points = append(points, plotter.XY{X: float64(size.Workers), Y: value})
 				}
 			}
--- a/internal/scalerun/run.go
+++ b/internal/scalerun/run.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"go.uber.org/multierr"
 
 	"gannetline/internal/comparenodes"
 	"gannetline/internal/hollow"
@@ -32,6 +33,11 @@
 	mb          = 1 << 20
 	killAfter   = 2 * time.Second
 	profileS    = 10
+
+	phaseJoining  = "joining"
+	phaseIdle     = "idle"
+	phaseStanding = "standing"
+	phaseLoad     = "load"
 )
 
 // run is one size being played.
@@ -60,7 +66,7 @@
 	Calls      float64 `json:"calls"`
 }
 
-// Window is one stretch of a size: idle, standing or load.
+// Window is one stretch of a size: idle, standing or load; joining if not every worker came in.
 type Window struct {
 	Phase   string  `json:"phase"`
 	Workers int     `json:"workers"`
@@ -156,12 +162,13 @@
 	}
 	r.say("the first plan is taken")
 	if err := r.join(); err != nil {
-		return err
+		r.say("%v", err)
+		return multierr.Append(err, r.measure(size, phaseJoining, r.setup.Idle, r.profile))
 	}
 	size.JoinSeconds = time.Since(r.began).Seconds()
 	r.say("every worker and gate is in")
 	r.pause(settleFor)
-	if err := r.measure(size, "idle", r.setup.Idle, nil); err != nil {
+	if err := r.measure(size, phaseIdle, r.setup.Idle, nil); err != nil {
 		return err
 	}
 	standing, err := r.fill()
@@ -170,7 +177,7 @@
 	}
 	if len(standing) > 0 {
 		r.pause(settleFor)
-		if err := r.measure(size, "standing", r.setup.Idle, nil); err != nil {
+		if err := r.measure(size, phaseStanding, r.setup.Idle, nil); err != nil {
 			return err
 		}
 	}
@@ -418,7 +425,7 @@
 		over <- err
 	}()
 	r.pause(time.Second)
-	err := r.measure(size, "load", r.setup.Seconds-time.Second, func() error { return r.stir(size) })
+	err := r.measure(size, phaseLoad, r.setup.Seconds-time.Second, func() error { return r.stir(size) })
 	if failed := <-over; err == nil {
 		err = failed
 	}
@@ -427,9 +434,8 @@
 
 // stir changes the plan now and then, and kills the owner if that is asked for.
 func (r *run) stir(size *Size) error {
-	if r.setup.IsProfiled {
-		go r.profileOwner()
-	}
+	profiled := make(chan error, 1)
+	go func() { profiled <- r.profile() }()
 	for turn := range planChanges {
 		if !r.pause(r.setup.Seconds / (planChanges + 2)) {
 			return r.life.Err()
@@ -447,7 +453,7 @@
 			}
 		}
 	}
-	return nil
+	return <-profiled
 }
 
 func (r *run) owner() int {
@@ -483,28 +489,25 @@
 	return nil
 }
 
-// profileOwner keeps the owner's processor profile beside the report.
-func (r *run) profileOwner() {
+// profile keeps the owner's processor profile beside the report, if that is asked for.
+func (r *run) profile() error {
 	place := r.owner()
-	if place < 0 {
-		return
+	if !r.setup.IsProfiled || place < 0 {
+		return nil
 	}
 	url := fmt.Sprintf("%s%s?seconds=%d", r.all()[place].figures, hollow.PathProfile, profileS)
 	response, err := r.client.Get(url)
 	if err != nil {
-		r.say("no profile: %v", err)
-		return
+		return errors.Annotate(err, "profiling the owner")
 	}
 	defer response.Body.Close()
 	file, err := os.Create(filepath.Join(r.setup.Folder, fmt.Sprintf("owner-%d.pprof", r.workers)))
 	if err != nil {
-		r.say("no profile: %v", err)
-		return
+		return errors.Annotate(err, "profiling the owner")
 	}
 	defer file.Close()
-	if _, err := io.Copy(file, response.Body); err != nil {
-		r.say("no profile: %v", err)
-	}
+	_, err = io.Copy(file, response.Body)
+	return errors.Annotate(err, "profiling the owner")
 }
 
 // clear cancels the standing jobs and waits until nothing runs.
