--- a/cmd/gannetline/main.go
+++ b/cmd/gannetline/main.go
@@ -32,6 +32,7 @@
 			compareCommand(),
 			checkCommand(),
 			rehearseCommand(),
+			metricsCommand(),
 			hollowCommand(),
 			measuredCommand(),
 		},
