A done end counts though its run was given up; no order outlives its owner at the proxy

Not shown to be its cause: an end whose run the owner had closed was acknowledged and forgotten, and an order that waited at a proxy while the pool changed hands was carried out under the new owner's fence. Change: a done end of a task's run counts whether or not the run is still on the books; a proxy carries out an order only for the owner that gave it, or gave it again. Each has a test that fails without it.

--- a/internal/localproxy/localproxy_test.go
+++ b/internal/localproxy/localproxy_test.go
@@ -76,6 +76,19 @@
 		Expect(told(siblingwire.ExchangeAnswer{Fence: 5, Orders: []siblingwire.Order{launch, launch}})).To(HaveLen(1))
 	})
 
+	It("carries out no order of an owner before the present one, unless that gave it as well", func() {
+		told(siblingwire.ExchangeAnswer{Fence: 5, GrantMs: 4000, Orders: []siblingwire.Order{launch}})
+		told(siblingwire.ExchangeAnswer{Fence: 6, GrantMs: 4000})
+		_, isDue := table.Ready("i-1", launch)
+		Expect(isDue).To(BeFalse())
+		told(siblingwire.ExchangeAnswer{Fence: 6, GrantMs: 4000, Orders: []siblingwire.Order{launch}})
+		told(siblingwire.ExchangeAnswer{Fence: 7, GrantMs: 4000})
+		Expect(told(siblingwire.ExchangeAnswer{Fence: 7, GrantMs: 4000, Orders: []siblingwire.Order{launch}})).To(BeEmpty())
+		work, isDue := table.Ready("i-1", launch)
+		Expect(isDue).To(BeTrue())
+		Expect(work.Fence).To(Equal(uint64(7)))
+	})
+
 	It("is unsure of a refusal once the order went unanswered", func() {
 		told(siblingwire.ExchangeAnswer{Fence: 5, GrantMs: 4000})
 		work, _ := table.Ready("i-1", launch)
--- a/internal/localproxy/table.go
+++ b/internal/localproxy/table.go
@@ -65,7 +65,7 @@
 	lookTold    uint64
 	lookRunning []siblingwire.RunReport
 	answers     []givenAnswer
-	busy        map[orderKey]bool
+	busy        map[orderKey]uint64
 	unsure      map[runKey]bool
 	toldAt      time.Duration
 	lostAt      time.Duration
@@ -151,7 +151,7 @@
 		t.markGone(t.life.id)
 	}
 	t.log.Info("an executor's life begins", "executor", id)
-	t.life = &lifeTable{id: id, busy: map[orderKey]bool{}, unsure: map[runKey]bool{}, feed: newFeed(t.session), busyAt: t.now()}
+	t.life = &lifeTable{id: id, busy: map[orderKey]uint64{}, unsure: map[runKey]bool{}, feed: newFeed(t.session), busyAt: t.now()}
 	t.onWork()
 }
 
@@ -376,8 +376,10 @@
 	kept := orders[:0]
 	for _, order := range orders {
 		key := orderKey{order.Task, order.Run, order.Kind}
-		if !one.busy[key] {
-			one.busy[key], one.busyAt = true, t.now()
+		_, isBusy := one.busy[key]
+		one.busy[key] = one.fence
+		if !isBusy {
+			one.busyAt = t.now()
 			kept = append(kept, order)
 		}
 	}
@@ -392,12 +394,17 @@
 	ExpiryMs int64
 }
 
-// Ready is the last check before an executor: life, drain and grant.
+// Ready is the last check before an executor: life, owner, drain and grant. An order that waited here while the pool
+// changed hands is carried out only if the new owner gave it, too.
 func (t *Table) Ready(lifeID string, order siblingwire.Order) (OrderWork, bool) {
 	one := t.life
 	if one == nil || one.id != lifeID {
 		return OrderWork{}, false
 	}
+	if given, isBusy := one.busy[orderKey{order.Task, order.Run, order.Kind}]; isBusy && given != one.fence {
+		delete(one.busy, orderKey{order.Task, order.Run, order.Kind})
+		return OrderWork{}, false
+	}
 	work := OrderWork{Life: lifeID, Order: order, Fence: one.fence, ExpiryMs: one.expiryMs}
 	if order.Kind != "launch" {
 		return work, true
--- a/internal/poolowner/poolowner_test.go
+++ b/internal/poolowner/poolowner_test.go
@@ -379,6 +379,25 @@
 		Expect(day.lengths).To(Equal([]int64{80}))
 	})
 
+	It("starts no task again whose run was given up and came to its end all the same", func() {
+		handIn()
+		tenure.settle(nil)
+		exchange(nil)
+		exchange(started)
+		tenure.settle(nil)
+		exchange(func(call *siblingwire.ExchangeCall) {
+			call.Gone, call.Life, call.Proxy = []string{"i-1"}, "i-2", "side-2"
+		})
+		tenure.settle(nil)
+		exchange(ended("done"))
+		tenure.settle(nil)
+		var state string
+		pool.State(&siblingwire.ClientCall{ID: id}, func(answer siblingwire.ClientAnswer) { state = string(answer.Body) })
+		pool.Settle()
+		Expect(state).To(ContainSubstring("completed"))
+		Expect(exchange(func(call *siblingwire.ExchangeCall) { call.Life, call.Proxy = "i-2", "side-2" }).Orders).To(BeEmpty())
+	})
+
 	It("grants nothing without a lease", func() {
 		tenure.hasLease = false
 		Expect(exchange(nil).GrantMs).To(BeZero())
--- a/internal/poolowner/runs.go
+++ b/internal/poolowner/runs.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gannetline/internal/daybook"
+	"gannetline/internal/jobtable"
 	"gannetline/internal/pulse"
 	"gannetline/internal/siblingwire"
 )
@@ -140,6 +141,7 @@
 func (p *Pool) takeEnd(home *life, end siblingwire.EndReport) {
 	one := home.runs[runKey{end.Task, end.Run}]
 	if one == nil {
+		p.takeForgottenEnd(end)
 		return
 	}
 	ends.With(p.key, end.How).Inc()
@@ -169,6 +171,29 @@
 	}
 }
 
+// takeForgottenEnd believes a run that was given up and came to its end all the same: its task must not start again.
+func (p *Pool) takeForgottenEnd(end siblingwire.EndReport) {
+	which := p.find(end.Task)
+	if end.How != "done" || which == nil || which.isDone || end.Run > which.lastRun {
+		return
+	}
+	p.log.Info("a run that was given up has done its task", "task", end.Task, "run", end.Run)
+	p.taskDone(which)
+}
+
+func (p *Pool) find(name string) *task {
+	place, isTask := jobtable.ParseTask(name)
+	one := p.jobs[place.ID]
+	if !isTask || one == nil || one.spec == nil {
+		return nil
+	}
+	spell := one.times[place.Time]
+	if spell == nil || place.Step >= len(spell.steps) || place.Index >= len(spell.steps[place.Step].tasks) {
+		return nil
+	}
+	return spell.steps[place.Step].tasks[place.Index]
+}
+
 func (p *Pool) keepSaved(which *task, saved string) {
 	if which.saved == saved || which.job().spec == nil {
 		return
