The meter counts bytes before they are written

Cause: the test of both sides failed once, expecting 120 bytes and finding none: the client can read an answer before the server's write has returned. Change: a write is counted first, and what was not written taken off again.

--- a/internal/wiremeter/wiremeter.go
+++ b/internal/wiremeter/wiremeter.go
@@ -40,9 +40,11 @@
 	return count, err
 }
 
+// Write counts first, so that whoever reads the bytes finds them counted.
 func (c countedConn) Write(text []byte) (int, error) {
+	c.meter.bytesOut.Add(int64(len(text)))
 	count, err := c.Conn.Write(text)
-	c.meter.bytesOut.Add(int64(count))
+	c.meter.bytesOut.Add(int64(count - len(text)))
 	return count, err
 }
 
