A seed without a disk goes on without a store where no makeshift one can be had

Change: such a steward logs it and owns nothing, like any other without a disk. A first suite for the roles.

--- a/internal/roles/storage.go
+++ b/internal/roles/storage.go
@@ -23,23 +23,38 @@
 func openStorage(b *base) (*storage, error) {
 	kept := &storage{folder: b.settings.DataDirectory}
 	if kept.folder == "" {
-		if !slices.Contains(b.settings.Seeds, b.settings.Listen.Control) {
-			return kept, nil
-		}
+		kept.openMakeshift(b)
+	} else {
 		var err error
-		if kept.folder, err = os.MkdirTemp("", "gannetline"); err != nil {
-			return nil, errors.Annotate(err, "field data-directory is empty, and no other folder can be made")
+		if kept.store, err = keystore.Open(kept.folder); err != nil {
+			return nil, errors.Annotate(err, "field data-directory")
 		}
-		kept.isMakeshift = true
 	}
-	var err error
-	if kept.store, err = keystore.Open(kept.folder); err != nil {
-		return nil, errors.Annotate(err, "field data-directory")
+	if kept.store == nil {
+		return kept, nil
 	}
+	var err error
 	kept.replicas, err = keyowner.NewReplicas(mailbox.New(4096), kept.store, b.clock, keyowner.DefaultTiming.Lease)
 	return kept, err
 }
 
+// openMakeshift gives a seed without a disk a folder that does not outlive it; where none can be had, the steward
+// goes on without, as any other that has no disk.
+func (s *storage) openMakeshift(b *base) {
+	if !slices.Contains(b.settings.Seeds, b.settings.Listen.Control) {
+		return
+	}
+	folder, err := os.MkdirTemp("", "gannetline")
+	if err == nil {
+		s.store, err = keystore.Open(folder)
+	}
+	if err != nil {
+		b.log.Error(err, "a seed without a disk keeps no keys: field data-directory is empty, and no other folder can be used")
+		return
+	}
+	s.folder, s.isMakeshift = folder, true
+}
+
 func (s *storage) member(control string) siblingwire.Member {
 	self := siblingwire.Member{Role: "steward", Control: control}
 	switch {
--- /dev/null
+++ b/internal/roles/storage_test.go
@@ -0,0 +1,68 @@
+package roles
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gannetline/internal/bootsettings"
+	"gannetline/internal/logs"
+	"gannetline/internal/pulse"
+)
+
+func TestRoles(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "roles")
+}
+
+var _ = Describe("where a steward keeps its keys", func() {
+	var settings *bootsettings.Settings
+	open := func() (*storage, error) {
+		return openStorage(&base{settings: settings, log: logs.Silent(), clock: pulse.NewFake(0)})
+	}
+	BeforeEach(func() {
+		settings = &bootsettings.Settings{Seeds: []string{"10.0.0.1:1"}}
+		settings.Listen.Control = "10.0.0.1:1"
+	})
+
+	It("is its data directory", func() {
+		settings.DataDirectory = GinkgoT().TempDir()
+		kept, err := open()
+		Expect(err).NotTo(HaveOccurred())
+		defer kept.close()
+		Expect(kept.member("c").Disk).NotTo(BeEmpty())
+	})
+
+	It("must be usable if it is named", func() {
+		settings.DataDirectory = filepath.Join(GinkgoT().TempDir(), "file")
+		Expect(os.WriteFile(settings.DataDirectory, nil, 0o600)).To(Succeed())
+		_, err := open()
+		Expect(err).To(MatchError(ContainSubstring("field data-directory")))
+	})
+
+	It("is a makeshift folder for a seed without a disk", func() {
+		GinkgoT().Setenv("TMPDIR", GinkgoT().TempDir())
+		kept, err := open()
+		Expect(err).NotTo(HaveOccurred())
+		defer kept.close()
+		Expect(kept.member("c").Disk).To(BeEmpty())
+		Expect(kept.member("c").Makeshift).NotTo(BeEmpty())
+	})
+
+	It("is nowhere for a seed that can have no makeshift folder, and it goes on without", func() {
+		GinkgoT().Setenv("TMPDIR", filepath.Join(GinkgoT().TempDir(), "gone"))
+		kept, err := open()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(kept.member("c").MayOwn()).To(BeFalse())
+	})
+
+	It("is nowhere for a steward that is neither a seed nor has a disk", func() {
+		settings.Listen.Control = "10.0.0.2:1"
+		kept, err := open()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(kept.member("c").MayOwn()).To(BeFalse())
+	})
+})
