No spares at a take-over for executors that had no time to be heard

Cause: an owner that had just opened took every executor for silent, and started spares for all redundant runs as soon as the first executors had room. Change: silence counts from when the owner first knows the executor. Changes what is placed, on purpose. Checked: a test that fails without the line.

--- a/internal/poolowner/pool.go
+++ b/internal/poolowner/pool.go
@@ -390,7 +390,7 @@
 func (p *Pool) lifeOf(id string) *life {
 	one := p.lives[id]
 	if one == nil {
-		one = &life{id: id, runs: map[runKey]*run{}, slow: 1}
+		one = &life{id: id, runs: map[runKey]*run{}, slow: 1, contactAt: p.clock.Steady()}
 		p.looks++
 		one.firstLook, one.lookWanted = p.looks, p.looks
 		one.lapsesAt = p.began + p.lapse(p.timing.MaxHold)
--- a/internal/poolowner/poolowner_test.go
+++ b/internal/poolowner/poolowner_test.go
@@ -355,6 +355,27 @@
 		Expect(day.lengths).To(Equal([]int64{80}))
 	})
 
+	It("gives an executor time to be heard after a take-over before its runs get spares", func() {
+		pool.HandIn(&siblingwire.ClientCall{Entry: "e", ID: id, Body: []byte(`{"step-list":[{"task-count":1,"cpu-units":10,"redundant":true,"estimated-ms":60000}]}`)},
+			func(siblingwire.ClientAnswer) {})
+		pool.Settle()
+		tenure.settle(nil)
+		exchange(nil)
+		exchange(started)
+		tenure.settle(nil)
+		clock.Advance(time.Second)
+		open(4, tenure.pairs())
+		orders := func() []siblingwire.Order {
+			exchange(func(call *siblingwire.ExchangeCall) { call.Life, call.Proxy = "i-2", "side-2" })
+			tenure.settle(nil)
+			return exchange(func(call *siblingwire.ExchangeCall) { call.Life, call.Proxy = "i-2", "side-2" }).Orders
+		}
+		Expect(orders()).To(BeEmpty())
+		clock.Advance(750 * time.Millisecond)
+		pool.Tick()
+		Expect(orders()).To(HaveLen(1))
+	})
+
 	It("grants nothing without a lease", func() {
 		tenure.hasLease = false
 		Expect(exchange(nil).GrantMs).To(BeZero())
