--- a/internal/poolowner/schedule_test.go
+++ b/internal/poolowner/schedule_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -211,6 +212,16 @@
 	}
 }
 
+func (s *schedule) orders() []string {
+	names := []string{}
+	for name := range s.tenure.kept {
+		if strings.HasPrefix(name, "o/") {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 var _ = Describe("what a pool keeps", func() {
 	It("is what comes out when it is worked out from nothing, after every turn of random histories", func() {
 		starts := 0
@@ -221,6 +232,9 @@
 				Expect(s.pool.Differences()).To(BeEmpty(), "seed %d, turn %d, before placing", seed, turn)
 				s.settle()
 				Expect(s.pool.Differences()).To(BeEmpty(), "seed %d, turn %d", seed, turn)
+				if len(s.tenure.waiting) == 0 {
+					Expect(s.pool.Orders()).To(ContainElements(s.orders()), "seed %d, turn %d", seed, turn)
+				}
 			}
 			starts += s.starts
 		}
--- a/internal/poolowner/scratch_test.go
+++ b/internal/poolowner/scratch_test.go
@@ -35,6 +35,9 @@
 	p.compareRuns(compare, lives)
 	compare("ended", plain(p.ended), p.endedFromNothing())
 	compare("broken", p.brokenAndOpen(), p.brokenFromNothing())
+	for id, one := range p.untimed {
+		compare("due before it is looked at, "+id, one.dueMs(one.nextTime) < p.timesAtMs, false)
+	}
 	for _, step := range p.open.times.steps {
 		compare("open while its time is kept", p.open.steps[step], true)
 	}
@@ -95,6 +98,22 @@
 	compare("usage", p.usage, taken)
 }
 
+// Orders names the orders that may be under way.
+func (p *Pool) Orders() []string {
+	var names []string
+	for _, home := range p.lives {
+		for _, one := range home.runs {
+			switch one.state {
+			case runLaunching:
+				names = append(names, orderName(one.task, one.number, kindLaunch))
+			case runStopping:
+				names = append(names, orderName(one.task, one.number, kindStop))
+			}
+		}
+	}
+	return names
+}
+
 func (p *Pool) endedFromNothing() []*job {
 	var ended []*job
 	for _, one := range p.jobs {
