--- a/internal/poolowner/scratch_test.go
+++ b/internal/poolowner/scratch_test.go
@@ -172,9 +172,16 @@
 			group := p.group(step, ready)
 			found = append(found, &request{step, ready, &group})
 		}
-		for _, which := range where(step, func(which *task) bool {
+		doubtful := where(step, func(which *task) bool {
 			return step.step.Redundant && !step.step.Gang && !which.isDone && len(which.runs) == 1 && p.isDoubtful(which.runs[0], now)
-		}) {
+		})
+		if step.step.Apart > 0 && len(ready) > 0 {
+			doubtful = nil
+		}
+		if step.step.Apart > 0 && len(doubtful) > 1 {
+			doubtful = doubtful[:1]
+		}
+		for _, which := range doubtful {
 			group := p.spare(which)
 			found = append(found, &request{step, []*task{which}, &group})
 		}
--- a/internal/poolowner/spares.go
+++ b/internal/poolowner/spares.go
@@ -109,6 +109,9 @@
 			again = min(again, doubtfulFrom(which.runs[0]))
 		}
 	}
+	if step.step.Apart > 0 && len(found) > 0 {
+		found = p.oneApart(step, found, now)
+	}
 	return found, again
 }
 
@@ -133,6 +136,14 @@
 	}
 }
 
+// oneApart lets a step with anti-affinity ask once in a turn, as what else is placed in the turn is not counted yet.
+func (p *Pool) oneApart(step *stepState, found []*task, now time.Duration) []*task {
+	if ready, _ := p.ready(step, now); len(ready) > 0 {
+		return nil
+	}
+	return found[:1]
+}
+
 func (p *Pool) isDoubtful(one *run, now time.Duration) bool {
 	switch home := one.life; {
 	case one.state == runStopping:
