Executors that mislead: deaf ones, hung runs, and trust by machine

A run that hangs was waited for without end, unless its step is redundant. A machine whose executor dies by turns began each life with full trust, and a task that fails wherever it runs counted against each executor.

Change: - After two calls without an answer, or one refused connection, a proxy takes the executor for deaf: starts are refused at once as sick where they certainly did not arrive, stops and looks wait, the owner hears of it and places nothing there. The holds go on, ten times a second at most where they fail at once. - A proxy tells which runs stand still: the same percent for 1.5 s of answered holds. The owner stops such a run and starts its task elsewhere, four times a task at most; gangs and lasting tasks are left alone. - A machine keeps a penalty for deaths, refusals and hung runs, halved in 8 s, whatever life is there. A life on a machine with a penalty may run one task at once, twice as many with each success (read by placement next). - A failure counts a fifth where the task failed on another executor before, and the first one is excused.

Tests: tables, owner and stage; the stage's random schedules refuse connections, too.

--- a/internal/localproxy/feed.go
+++ b/internal/localproxy/feed.go
@@ -3,10 +3,17 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"gannetline/internal/siblingwire"
 )
 
+const (
+	stuckAfter  = 1500 * time.Millisecond
+	mostUnseen  = time.Second
+	restoreMost = 3 * time.Second
+)
+
 // facts are what an executor is; they seldom change.
 type facts struct {
 	proxy      string
@@ -22,9 +29,12 @@
 		f.isDraining == other.isDraining && slices.Equal(f.gone, other.gone)
 }
 
-type savedRun struct {
-	report    siblingwire.RunReport
+// runNews is what the owner is told of a run: its checkpoint, and whether it stands still.
+type runNews struct {
+	told      siblingwire.RunReport
 	changedAt uint64
+	percent   int
+	still     time.Duration
 }
 
 // feed numbers the changes of what the owner is to know, and remembers the number that the owner holds.
@@ -34,10 +44,10 @@
 	held    uint64
 	facts   facts
 	factsAt uint64
-	saved   map[runKey]savedRun
+	runs    map[runKey]runNews
 }
 
-func newFeed(session uint64) *feed { return &feed{session: session, saved: map[runKey]savedRun{}} }
+func newFeed(session uint64) *feed { return &feed{session: session, runs: map[runKey]runNews{}} }
 
 func (f *feed) noteFacts(now facts) {
 	if f.factsAt == 0 || !f.facts.equals(now) {
@@ -46,22 +56,43 @@
 	}
 }
 
-// noteSaved takes a list of running runs; a run that is not in it needs telling no more.
-func (f *feed) noteSaved(running []siblingwire.RunReport) {
-	kept := map[runKey]savedRun{}
+// noteRunning takes the list of running runs that an executor gave after a while; a run that is not in it needs telling no more.
+func (f *feed) noteRunning(running []siblingwire.RunReport, after time.Duration) {
+	kept := make(map[runKey]runNews, len(running))
 	next := f.number + 1
 	for _, report := range running {
-		if report.Saved == "" {
-			continue
-		}
 		key := runKey{report.Task, report.Run}
-		one, isThere := f.saved[key]
-		if !isThere || one.report.Saved != report.Saved {
-			one, f.number = savedRun{report, next}, next
+		one, isThere := f.runs[key]
+		if isThere {
+			one.move(report.Percent, after)
+		} else {
+			one = newRunNews(report)
+		}
+		isStuck := one.still > stuckAfter
+		if one.told.Saved != report.Saved || one.told.Stuck != isStuck {
+			one.told.Saved, one.told.Stuck, one.changedAt, f.number = report.Saved, isStuck, next, next
 		}
 		kept[key] = one
 	}
-	f.saved = kept
+	f.runs = kept
+}
+
+// newRunNews gives a run that begins from a checkpoint time to restore it.
+func newRunNews(report siblingwire.RunReport) runNews {
+	one := runNews{told: siblingwire.RunReport{Task: report.Task, Run: report.Run}, percent: report.Percent}
+	if report.Saved != "" {
+		one.still = -restoreMost
+	}
+	return one
+}
+
+// move counts how long a run has stood still, and little of a time in which the executor said nothing.
+func (n *runNews) move(percent int, after time.Duration) {
+	if percent != n.percent {
+		n.percent, n.still = percent, 0
+		return
+	}
+	n.still += min(after, mostUnseen)
 }
 
 func (f *feed) write(call *siblingwire.ExchangeCall) {
@@ -75,9 +106,9 @@
 	if f.session == 0 {
 		return
 	}
-	for _, one := range f.saved {
+	for _, one := range f.runs {
 		if one.changedAt > call.Base {
-			call.Changed = append(call.Changed, one.report)
+			call.Changed = append(call.Changed, one.told)
 		}
 	}
 	slices.SortFunc(call.Changed, func(one, two siblingwire.RunReport) int {
--- a/internal/localproxy/feed_test.go
+++ b/internal/localproxy/feed_test.go
@@ -71,6 +71,45 @@
 		Expect(told(siblingwire.ExchangeAnswer{Fence: 3, Held: again.Number}).Changed).To(BeEmpty())
 	})
 
+	It("tells that a run stands still, and that it moves again", func() {
+		percent := func(number, percent int) executorcalls.RunningRow {
+			one := row(number, "")
+			one.Percent = percent
+			return one
+		}
+		told(siblingwire.ExchangeAnswer{Fence: 3, Held: 1})
+		hold(false, percent(1, 40), percent(2, 40))
+		for step := range 5 {
+			clock.Advance(400 * time.Millisecond)
+			hold(false, percent(1, 40), percent(2, 41+step))
+		}
+		stuck, _ := table.Compose(0)
+		Expect(stuck.Changed).To(ConsistOf(And(HaveField("Stuck", true), HaveField("Task", row(1, "").Task))))
+		hold(false, percent(1, 41), percent(2, 46))
+		moves, _ := table.Compose(0)
+		Expect(moves.Changed).To(ConsistOf(HaveField("Stuck", false)))
+	})
+
+	It("takes an executor that was silent for long for one that stood still as a whole", func() {
+		told(siblingwire.ExchangeAnswer{Fence: 3, Held: 1})
+		hold(false, row(1, ""))
+		clock.Advance(time.Minute)
+		hold(false, row(1, ""))
+		call, _ := table.Compose(0)
+		Expect(call.Changed).To(BeEmpty())
+	})
+
+	It("leaves a run that began from a checkpoint time to restore it", func() {
+		told(siblingwire.ExchangeAnswer{Fence: 3, Held: 1})
+		hold(false, row(1, "c1"))
+		for range 10 {
+			clock.Advance(400 * time.Millisecond)
+			hold(false, row(1, "c1"))
+		}
+		call, _ := table.Compose(0)
+		Expect(call.Changed).To(ConsistOf(HaveField("Stuck", false)))
+	})
+
 	It("gives a look whole, whatever the owner holds", func() {
 		hold(false, row(1, ""), row(2, "c1"))
 		told(siblingwire.ExchangeAnswer{Fence: 3, Held: 2, Look: 1})
--- a/internal/localproxy/proxy.go
+++ b/internal/localproxy/proxy.go
@@ -17,6 +17,7 @@
 
 const (
 	holdGap      = 15 * time.Millisecond
+	deafPause    = 100 * time.Millisecond
 	pollWaitMs   = 300
 	startPause   = 80 * time.Millisecond
 	startLimit   = 150 * time.Millisecond
@@ -123,10 +124,15 @@
 		if !isOpen {
 			return
 		}
-		if turn.isDue && (p.hold(life, turn.work) || turn.work.Hold.WaitMs == shortWaitMs) {
+		begunAt := p.clock.Steady()
+		if turn.isDue && p.hold(life, turn.work) {
 			p.pause(life, holdGap)
 			continue
 		}
+		if turn.isDue && turn.work.Hold.WaitMs == shortWaitMs {
+			p.pause(life, PauseAfterMiss(p.clock.Steady()-begunAt))
+			continue
+		}
 		select {
 		case <-life.Done():
 			return
@@ -136,6 +142,9 @@
 	}
 }
 
+// PauseAfterMiss is longer where a hold was cut or refused at once: each try is then a new connection.
+func PauseAfterMiss(took time.Duration) time.Duration { return max(holdGap, deafPause-took) }
+
 func (p *Proxy) lookLoop(life span.Span) {
 	for {
 		select {
@@ -310,6 +319,10 @@
 			})
 			return
 		}
+		if order.Kind == "launch" && isRefused(err) {
+			p.box.Post(func() { p.table.Refused(turn.work) })
+			return
+		}
 		isLast := try == startTries-1
 		p.box.Post(func() {
 			if !isRefused(err) {
--- a/internal/localproxy/table.go
+++ b/internal/localproxy/table.go
@@ -22,6 +22,8 @@
 	holdSlack    = 150 * time.Millisecond
 	mistrust     = 10 * time.Second
 	idleAfter    = 2 * time.Second
+	deafFor      = time.Second
+	deafAfter    = 2
 )
 
 type orderKey struct {
@@ -72,6 +74,8 @@
 	hasLost     bool
 	feed        *feed
 	busyAt      time.Duration
+	misses      int
+	missedAt    time.Duration
 }
 
 type givenAnswer struct {
@@ -198,7 +202,7 @@
 
 func (t *Table) NextHold(isLook bool) (HoldWork, bool) {
 	one := t.life
-	if one == nil || isLook && one.lookDone >= one.lookWanted {
+	if one == nil || isLook && (one.lookDone >= one.lookWanted || t.isDeaf(one)) {
 		return HoldWork{}, false
 	}
 	if !isLook && len(one.ends) > 0 && t.now()-one.holdAt < unackedWait {
@@ -225,6 +229,19 @@
 // HoldLimit is when a hold is given up.
 func HoldLimit(hold executorcalls.Hold) time.Duration { return pulse.Ms(hold.WaitMs) + holdSlack }
 
+// isDeaf tells whether calls to the executor fail one after the other; the holds that go on show when they do no more.
+func (t *Table) isDeaf(one *lifeTable) bool {
+	return one.misses >= deafAfter && t.now()-one.missedAt < deafFor
+}
+
+func (t *Table) noteMisses(one *lifeTable, count int) {
+	wasDeaf := t.isDeaf(one)
+	one.misses, one.missedAt = one.misses+count, t.now()
+	if !wasDeaf && t.isDeaf(one) {
+		t.onWork()
+	}
+}
+
 func (t *Table) noteLost(one *lifeTable) { one.lostAt, one.hasLost = t.now(), true }
 
 // Held takes the answer to a hold.
@@ -234,7 +251,8 @@
 		return
 	}
 	t.sample(one, answer.ClockMs)
-	one.holdAt, one.hasHeld = t.now(), true
+	sinceHold := t.now() - one.holdAt
+	one.holdAt, one.hasHeld, one.misses = t.now(), true, 0
 	one.fenceHeld = max(one.fenceHeld, work.Hold.Fence)
 	fresh := false
 	for _, row := range answer.Ends {
@@ -247,7 +265,7 @@
 	for _, row := range answer.Running {
 		one.running = append(one.running, siblingwire.RunReport(row))
 	}
-	one.feed.noteSaved(one.running)
+	one.feed.noteRunning(one.running, sinceHold)
 	if len(one.running) > 0 {
 		one.busyAt = t.now()
 	}
@@ -266,6 +284,7 @@
 	if one == nil || one.id != work.Life {
 		return
 	}
+	t.noteMisses(one, 1)
 	t.noteLost(one)
 	if isOtherLife || one.isLeaving && t.now()-one.leftAt > leavingAfter {
 		t.markGone(one.id)
@@ -299,6 +318,9 @@
 	if one.hasHeld {
 		age = now - one.holdAt
 	}
+	if t.isDeaf(one) {
+		age = neverHeld
+	}
 	call.HoldAgeMs = pulse.InMs(age)
 	call.Ends = slices.Clone(one.ends)
 	for place := range one.answers {
@@ -400,12 +422,20 @@
 	}
 	work := OrderWork{Life: lifeID, Order: order, Fence: one.fence, ExpiryMs: one.expiryMs}
 	if order.Kind != "launch" {
+		if t.isDeaf(one) {
+			delete(one.busy, orderKey{order.Task, order.Run, order.Kind})
+			return work, false
+		}
 		return work, true
 	}
 	if one.isDraining {
 		t.Carried(work, "not-run")
 		return work, false
 	}
+	if t.isDeaf(one) {
+		t.Carried(work, "sick")
+		return work, false
+	}
 	if one.expiryMs < one.clock.clockAt(t.now())+400 {
 		delete(one.busy, orderKey{order.Task, order.Run, order.Kind})
 		return work, false
@@ -413,16 +443,26 @@
 	return work, true
 }
 
+// Refused notes that nobody listens at the executor's address: the order was certainly not carried out.
+func (t *Table) Refused(work OrderWork) {
+	if one := t.life; one != nil && one.id == work.Life {
+		t.noteMisses(one, deafAfter)
+		t.Carried(work, "sick")
+	}
+}
+
 // Unanswered notes that an order may yet be carried out.
 func (t *Table) Unanswered(work OrderWork) {
 	if one := t.life; one != nil && one.id == work.Life && len(one.unsure) < 10000 {
 		one.unsure[runKey{work.Order.Task, work.Order.Run}] = true
+		t.noteMisses(one, 1)
 		t.noteLost(one)
 	}
 }
 
 func (t *Table) Clock(lifeID string, executorMs int64) {
 	if one := t.life; one != nil && one.id == lifeID && executorMs > 0 {
+		one.misses = 0
 		t.sample(one, executorMs)
 	}
 }
--- a/internal/poolowner/exchange.go
+++ b/internal/poolowner/exchange.go
@@ -36,6 +36,9 @@
 	}
 	for _, gone := range call.Gone {
 		if old := p.lives[gone]; old != nil && gone != call.Life {
+			if !old.isDraining {
+				p.mistrust(old)
+			}
 			p.lifeGone(old)
 		}
 	}
@@ -44,7 +47,7 @@
 		p.takeAnswer(home, one)
 	}
 	hasNews := p.takeEnds(home, call.Ends)
-	p.takeSaved(home, call.Changed)
+	p.takeChanged(home, call.Changed)
 	p.takeLook(home, call)
 	if call.WaitMs > 0 {
 		p.answerParked(home)
@@ -90,6 +93,7 @@
 		p.record.Record(daybook.Event{Kind: daybook.KindExecutor, AtMs: p.tenure.WallMs(), Machine: call.Proxy, Room: call.Room,
 			Labels: call.Labels, IsDraining: call.Draining})
 	}
+	home.learnPenalty(p.penaltyOf(call.Proxy, now))
 	home.isKnown, home.proxy, home.domain, home.labels = true, call.Proxy, call.Domain, call.Labels
 	home.room, home.isDraining = room(call.Room), call.Draining
 	if call.DepartsMs > 0 {
@@ -187,12 +191,13 @@
 		p.started(one)
 		one.startedAt -= min(pulse.Ms(answer.AgeMs), now-one.orderedAt)
 	case ResultNotRun, ResultRoom, ResultSick:
-		if answer.Result != ResultNotRun {
-			home.sickUntil = now + 300*time.Millisecond
-		}
 		if answer.Result == ResultSick {
+			p.mistrustUnlessResting(home)
 			home.fails++
 		}
+		if answer.Result != ResultNotRun {
+			home.sickUntil = now + sickPause
+		}
 		one.task.avoid = home.id
 		if isCertain {
 			p.closeRun(one)
@@ -225,11 +230,17 @@
 	return true
 }
 
-func (p *Pool) takeSaved(home *life, changed []siblingwire.RunReport) {
+func (p *Pool) takeChanged(home *life, changed []siblingwire.RunReport) {
 	for _, report := range changed {
-		if one := home.runs[runKey{report.Task, report.Run}]; one != nil && report.Saved != "" {
+		one := home.runs[runKey{report.Task, report.Run}]
+		if one == nil {
+			continue
+		}
+		if report.Saved != "" {
 			p.keepSaved(one.task, report.Saved)
 		}
+		one.isStuck = report.Stuck
+		p.moveStuck(one)
 	}
 }
 
--- a/internal/poolowner/export_test.go
+++ b/internal/poolowner/export_test.go
@@ -21,3 +21,9 @@
 		Labels: home.labels, Room: siblingwire.Capacity{CPU: home.room.CPU, Memory: home.room.Memory, GPU: home.room.GPU},
 		Draining: home.isDraining}, saved
 }
+
+// Doubt is how little the owner trusts an executor.
+func (p *Pool) Doubt(id string) float64 { return p.lives[id].doubt() }
+
+// AtOnce is how many runs an executor may have at once; 0 sets no bound.
+func (p *Pool) AtOnce(id string) int { return p.lives[id].atOnce }
--- a/internal/poolowner/model.go
+++ b/internal/poolowner/model.go
@@ -133,6 +133,9 @@
 	saved     string
 	runs      []*run
 	avoid     string
+	failedAt  *life
+	isExcused bool
+	timesHung int
 	notBefore time.Duration
 }
 
@@ -152,6 +155,7 @@
 	answeredAt  time.Duration
 	isAnswered  bool
 	needsLook   uint64
+	isStuck     bool
 }
 
 func (r *run) key() runKey { return runKey{r.task.name, r.number} }
@@ -190,6 +194,8 @@
 	parked     *parkedCall
 	isBlocked  bool
 	heard      heard
+	penalty    float64
+	atOnce     int
 }
 
 // inOrder gives the runs in an order that is the same at every replay.
@@ -214,7 +220,7 @@
 	return l.labels[len(l.labels)-1]
 }
 
-func (l *life) doubt() float64 { return l.fails / (l.fails + l.dones + 4) }
+func (l *life) doubt() float64 { return l.fails/(l.fails+l.dones+4) + 0.3*l.penalty }
 
 type parkedCall struct {
 	until  time.Duration
--- a/internal/poolowner/pool.go
+++ b/internal/poolowner/pool.go
@@ -68,6 +68,7 @@
 	looks        uint64
 	began        time.Duration
 	needsPlacing bool
+	trusts       map[string]*trust
 
 	ops      []siblingwire.Op
 	opPlaces map[string]int
@@ -97,7 +98,7 @@
 func WithRules(rules *queuerules.Rules) Option { return func(p *Pool) { p.rules = rules } }
 
 func New(key string, clock pulse.Pulse, timing Timing, log logs.Logger, options ...Option) *Pool {
-	pool := &Pool{key: key, clock: clock, timing: timing, log: log, record: silentRecorder{}}
+	pool := &Pool{key: key, clock: clock, timing: timing, log: log, record: silentRecorder{}, trusts: map[string]*trust{}}
 	for _, option := range options {
 		option(pool)
 	}
--- a/internal/poolowner/runs.go
+++ b/internal/poolowner/runs.go
@@ -93,6 +93,7 @@
 	p.drop(orderName(one.task, one.number, kindLaunch))
 	p.putTask(one.task)
 	p.noteStart(one.task.job())
+	p.moveStuck(one)
 }
 
 func (p *Pool) noteStart(owner *job) {
@@ -119,11 +120,12 @@
 	switch end.How {
 	case "done":
 		home.dones++
+		home.earn()
 		which.step.noteLength(home, now-one.startedAt)
 		p.closeRun(one)
 		p.taskDone(which)
 	case "failed":
-		home.fails++
+		which.blame(home)
 		which.avoid = home.id
 		p.countFailure(which, end.Run)
 		p.closeRun(one)
--- /dev/null
+++ b/internal/poolowner/trust_test.go
@@ -0,0 +1,192 @@
+package poolowner_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gannetline/internal/logs"
+	"gannetline/internal/poolowner"
+	"gannetline/internal/pulse"
+	"gannetline/internal/siblingwire"
+)
+
+var _ = Describe("trust in executors", func() {
+	var clock *pulse.Fake
+	var tenure *scripted
+	var pool *poolowner.Pool
+	numbers := map[string]int64{}
+	settle := func() {
+		pool.Settle()
+		tenure.settle(nil)
+		pool.Settle()
+	}
+	exchange := func(life, machine string, change func(*siblingwire.ExchangeCall)) (told siblingwire.ExchangeAnswer) {
+		call := &siblingwire.ExchangeCall{Key: "pool/s", Life: life, Proxy: machine, Fence: 3, Look: 1 << 40,
+			Room: siblingwire.Capacity{CPU: 4000, Memory: 4000}}
+		if change != nil {
+			change(call)
+		}
+		pool.Exchange(call, func(answer siblingwire.ExchangeAnswer) { told = answer })
+		settle()
+		return told
+	}
+	// orderOf gives the next start that one of the executors is told.
+	orderOf := func() (life string, order siblingwire.Order) {
+		for range 20 {
+			for _, life := range []string{"i-1", "i-2"} {
+				for _, one := range exchange(life, "side-"+life, nil).Orders {
+					if one.Kind == "launch" {
+						return life, one
+					}
+				}
+			}
+			clock.Advance(100 * time.Millisecond)
+			pool.Tick()
+			settle()
+		}
+		Fail("nothing was placed")
+		return "", siblingwire.Order{}
+	}
+	end := func(life string, order siblingwire.Order, how string) {
+		numbers[life]++
+		machine := map[string]string{"i-1": "side-i-1", "i-2": "side-i-2", "i-9": "side-i-2"}[life]
+		exchange(life, machine, func(call *siblingwire.ExchangeCall) {
+			call.Answers = []siblingwire.OrderAnswer{{Task: order.Task, Run: order.Run, Kind: "launch", Result: "ok"}}
+			call.Ends = []siblingwire.EndReport{{Number: numbers[life], Task: order.Task, Run: order.Run, How: how}}
+		})
+	}
+	refuse := func(life string, order siblingwire.Order, result string) {
+		exchange(life, "side-"+life, func(call *siblingwire.ExchangeCall) {
+			call.Answers = []siblingwire.OrderAnswer{{Task: order.Task, Run: order.Run, Kind: "launch", Result: result}}
+		})
+	}
+	handIn := func(number int) {
+		pool.HandIn(&siblingwire.ClientCall{Entry: "e", ID: fmt.Sprintf("%016x", number), Terms: &siblingwire.EntryTerms{MaxAttempts: 9},
+			Body: []byte(`{"task-descriptor":"d","step-list":[{"task-count":1,"cpu-units":1000}]}`)}, func(siblingwire.ClientAnswer) {})
+		settle()
+	}
+	BeforeEach(func() {
+		clock = pulse.NewFake(1_000_000)
+		tenure = &scripted{clock: clock, hasLease: true, kept: map[string][]byte{}, epoch: 3}
+		pool = poolowner.New("pool/s", clock, timing, logs.Silent())
+		Expect(pool.Open(tenure, nil)).To(Succeed())
+		clear(numbers)
+		exchange("i-1", "side-i-1", nil)
+		exchange("i-2", "side-i-2", nil)
+	})
+
+	It("blames no executor for a task that fails on another one as well", func() {
+		handIn(1)
+		first, order := orderOf()
+		end(first, order, "failed")
+		blamed := pool.Doubt(first)
+		Expect(blamed).To(BeNumerically("~", 0.2, 0.01))
+		second, order := orderOf()
+		Expect(second).NotTo(Equal(first))
+		end(second, order, "failed")
+		Expect(pool.Doubt(second)).To(BeNumerically("<", 0.06))
+		Expect(pool.Doubt(first)).To(BeNumerically("<", 0.06))
+	})
+
+	It("keeps the blame on one whose tasks get done elsewhere", func() {
+		handIn(1)
+		first, order := orderOf()
+		end(first, order, "failed")
+		second, order := orderOf()
+		end(second, order, "done")
+		Expect(pool.Doubt(first)).To(BeNumerically(">", 0.15))
+		Expect(pool.Doubt(second)).To(BeZero())
+	})
+
+	It("mistrusts a machine whose executor died, in its next life, for a while", func() {
+		exchange("i-9", "side-i-1", func(call *siblingwire.ExchangeCall) { call.Gone = []string{"i-1"} })
+		died := pool.Doubt("i-9")
+		Expect(died).To(BeNumerically("~", 0.3, 0.01))
+		clock.Advance(8 * time.Second)
+		exchange("i-9", "side-i-1", nil)
+		Expect(pool.Doubt("i-9")).To(BeNumerically("~", died/2, 0.01))
+		Expect(pool.Doubt("i-2")).To(BeZero())
+	})
+
+	It("holds nothing against a machine whose executor left in order", func() {
+		exchange("i-1", "side-i-1", func(call *siblingwire.ExchangeCall) { call.Draining = true })
+		exchange("i-9", "side-i-1", func(call *siblingwire.ExchangeCall) { call.Gone = []string{"i-1"} })
+		Expect(pool.Doubt("i-9")).To(BeZero())
+	})
+
+	for result, most := range map[string]float64{"room": 0, "sick": 0.3} {
+		It("counts refusals of one moment once, and want of room not at all: "+result, func() {
+			var orders []siblingwire.Order
+			for number := range 3 {
+				handIn(number + 1)
+				life, order := orderOf()
+				Expect(life).To(Equal("i-1"))
+				orders = append(orders, order)
+			}
+			for _, order := range orders {
+				refuse("i-1", order, result)
+			}
+			exchange("i-9", "side-i-1", nil)
+			Expect(pool.Doubt("i-9")).To(BeNumerically("~", most, 0.02))
+		})
+	}
+
+	It("lets a machine that lost trust run one task at a time, and twice as many with each success", func() {
+		exchange("i-1", "side-i-1", func(call *siblingwire.ExchangeCall) { call.Draining = true })
+		exchange("i-9", "side-i-2", func(call *siblingwire.ExchangeCall) { call.Gone = []string{"i-2"} })
+		for number := range 9 {
+			handIn(number + 1)
+		}
+		given := func() (orders []siblingwire.Order) {
+			for range 3 {
+				orders = append(orders, exchange("i-9", "side-i-2", nil).Orders...)
+			}
+			return orders
+		}
+		Expect(given()).To(HaveLen(1))
+		clock.Advance(20 * time.Millisecond)
+		end("i-9", siblingwire.Order{Task: fmt.Sprintf("%016x.0.0.0", 1), Run: 1}, "done")
+		Expect(given()).To(HaveLen(2))
+		end("i-9", siblingwire.Order{Task: fmt.Sprintf("%016x.0.0.0", 2), Run: 1}, "done")
+		Expect(given()).To(HaveLen(3), "four at once, one of them from before")
+	})
+
+	It("halves what runs at once where a start is refused", func() {
+		var orders []siblingwire.Order
+		for number := range 4 {
+			handIn(number + 1)
+			_, order := orderOf()
+			orders = append(orders, order)
+		}
+		refuse("i-1", orders[0], "sick")
+		Expect(pool.AtOnce("i-1")).To(Equal(2))
+	})
+
+	It("moves a run that hangs, even when its start is only known of later, and where it hung gets the task last", func() {
+		handIn(1)
+		first, order := orderOf()
+		stuck := func(call *siblingwire.ExchangeCall) {
+			call.Session, call.Number, call.Proxy = 1, 1, "side-"+first
+			call.Changed = []siblingwire.RunReport{{Task: order.Task, Run: order.Run, Stuck: true}}
+		}
+		Expect(exchange(first, "side-"+first, stuck).Orders).To(BeEmpty())
+		refuse(first, order, "ok")
+		Expect(exchange(first, "side-"+first, nil).Orders).To(ConsistOf(HaveField("Kind", "stop")))
+		Expect(pool.AtOnce(first)).To(Equal(1))
+		end(first, order, "stopped")
+		second, order := orderOf()
+		Expect(second).NotTo(Equal(first))
+		Expect(order.Run).To(Equal(int64(2)))
+	})
+
+	It("is forgiven with time", func() {
+		exchange("i-9", "side-i-2", func(call *siblingwire.ExchangeCall) { call.Gone = []string{"i-2"} })
+		Expect(pool.AtOnce("i-9")).To(Equal(1))
+		clock.Advance(9 * time.Second)
+		exchange("i-9", "side-i-2", nil)
+		Expect(pool.AtOnce("i-9")).To(BeZero())
+	})
+})
--- a/internal/siblingwire/messages.go
+++ b/internal/siblingwire/messages.go
@@ -212,12 +212,13 @@
 // IsDefined lets a capacity of nothing be left out of a message.
 func (c Capacity) IsDefined() bool { return c != Capacity{} }
 
-// RunReport and EndReport are what the hold lists of an executor say.
+// RunReport and EndReport are what the hold lists of an executor say; a run is Stuck when it makes no progress.
 type RunReport struct {
 	Task    string `json:"t"`
 	Run     int64  `json:"r"`
 	Saved   string `json:"c,omitempty"`
 	Percent int    `json:"p,omitempty"`
+	Stuck   bool   `json:"x,omitempty"`
 }
 
 type EndReport struct {
--- a/internal/siblingwire/messages_easyjson.go
+++ b/internal/siblingwire/messages_easyjson.go
@@ -466,6 +466,12 @@
 			} else {
 				out.Percent = int(in.Int())
 			}
+		case "x":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Stuck = bool(in.Bool())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -500,6 +506,11 @@
 		out.RawString(prefix)
 		out.Int(int(in.Percent))
 	}
+	if in.Stuck {
+		const prefix string = ",\"x\":"
+		out.RawString(prefix)
+		out.Bool(bool(in.Stuck))
+	}
 	out.RawByte('}')
 }
 
--- a/internal/stage/executor.go
+++ b/internal/stage/executor.go
@@ -24,27 +24,29 @@
 
 // Executor is a model of one: it keeps to the protocol, guards its room and forgets all when it crashes.
 type Executor struct {
-	stage   *Stage
-	Machine string
-	Domain  string
-	Labels  []string
-	ID      string
-	Room    siblingwire.Capacity
-	Speed   float64
-	isUp    bool
-	isLate  bool
-	isDrain bool
-	birth   int
-	begunAt time.Duration
-	fence   uint64
-	expiry  int64
-	active  []*activeRun
-	ends    []executorcalls.EndRow
-	lastEnd int64
-	highest map[string]int64
-	waiting []func()
-	lapses  int
-	endedIn map[int64]int
+	stage      *Stage
+	Machine    string
+	Domain     string
+	Labels     []string
+	ID         string
+	Room       siblingwire.Capacity
+	Speed      float64
+	Starts     int
+	isUp       bool
+	isLate     bool
+	isRefusing bool
+	isDrain    bool
+	birth      int
+	begunAt    time.Duration
+	fence      uint64
+	expiry     int64
+	active     []*activeRun
+	ends       []executorcalls.EndRow
+	lastEnd    int64
+	highest    map[string]int64
+	waiting    []func()
+	lapses     int
+	endedIn    map[int64]int
 }
 
 func (e *Executor) restart() {
@@ -127,6 +129,7 @@
 	length = time.Duration(float64(length) * e.Speed)
 	one := &activeRun{task: order.Task, number: order.Run, ends: e.stage.Line.Now() + length, length: length, how: how}
 	e.active = append(e.active, one)
+	e.Starts++
 	e.stage.Judge.started(e, order.Task, order.Run)
 	birth := e.birth
 	e.stage.Line.After(length, func() {
--- a/internal/stage/proxy.go
+++ b/internal/stage/proxy.go
@@ -9,6 +9,9 @@
 	"gannetline/internal/siblingwire"
 )
 
+// refused is the status of a call that nobody listened to.
+const refused = -1
+
 const startPause = 80 * time.Millisecond
 
 // Proxy drives the real table of a local-proxy beside a modelled executor.
@@ -92,6 +95,9 @@
 	p.stage.Line.After(wait, func() {
 		switch {
 		case !p.executor.isUp:
+		case p.executor.isRefusing:
+			p.stage.Refusals++
+			finish(refused, executorcalls.Answer{}, false)
 		case p.executor.birth != birth || p.executor.ID != executor:
 			finish(421, executorcalls.Answer{}, true)
 		default:
@@ -203,6 +209,10 @@
 				p.table.Carried(work, localproxy.ResultOf(status, answer.Reason))
 				return
 			}
+			if status == refused && order.Kind == "launch" {
+				p.table.Refused(work)
+				return
+			}
 			p.table.Unanswered(work)
 			if try == 0 {
 				p.carry(executor, order, 1)
--- a/internal/stage/stage.go
+++ b/internal/stage/stage.go
@@ -22,6 +22,7 @@
 	Loss      float64
 	Polls     int
 	Reports   int
+	Refusals  int
 	service   string
 	keys      []string
 	timing    poolowner.Timing
@@ -177,7 +178,11 @@
 
 func (s *Stage) Drain(one *Executor)                { one.isDrain = true }
 func (s *Stage) Slow(one *Executor, factor float64) { one.Speed = factor }
-func (s *Stage) Late(one *Executor, isLate bool)    { one.isLate = isLate }
+
+// Refuse lets an executor refuse connections, while what runs there goes on.
+func (s *Stage) Refuse(one *Executor, isRefusing bool) { one.isRefusing = isRefusing }
+
+func (s *Stage) Late(one *Executor, isLate bool) { one.isLate = isLate }
 
 func (s *Stage) breakGang(task string, run int64) {
 	_, place := s.Judge.step(task)
@@ -244,7 +249,7 @@
 		}
 	}
 	for _, one := range s.Executors {
-		one.isLate, one.Speed = false, 1
+		one.isLate, one.isRefusing, one.Speed = false, false, 1
 	}
 	for _, one := range s.Proxies {
 		if !one.isUp {
--- a/internal/stage/stage_test.go
+++ b/internal/stage/stage_test.go
@@ -373,7 +373,7 @@
 	node := c.Nodes[c.Line.Draw.IntN(len(c.Nodes))]
 	place := c.Line.Draw.IntN(len(c.Executors))
 	executor, proxy := c.Executors[place], c.Proxies[place]
-	switch c.Line.Draw.IntN(9) {
+	switch c.Line.Draw.IntN(10) {
 	case 0:
 		c.Kill(node)
 	case 1:
@@ -392,5 +392,7 @@
 		c.Late(executor, true)
 	case 8:
 		c.Slow(executor, 5)
+	case 9:
+		c.Refuse(executor, true)
 	}
 }
