--- /dev/null
+++ b/internal/metrics/log.go
@@ -0,0 +1,42 @@
+package metrics
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"gannetline/internal/logs"
+	"gannetline/internal/pulse"
+	"gannetline/internal/span"
+)
+
+// mostInLine keeps lines short enough for collectors that cut long ones.
+const mostInLine = 50
+
+// Log writes all that was counted so far, zeros and buckets left out, as few lines.
+func Log(log logs.Logger) {
+	own := Own()
+	maps.DeleteFunc(own, func(name string, _ float64) bool { return strings.Contains(name, "_bucket{") })
+	for names := range slices.Chunk(slices.Sorted(maps.Keys(own)), mostInLine) {
+		line := map[string]float64{}
+		for _, name := range names {
+			line[name] = own[name]
+		}
+		log.Info("metrics", "metrics", line)
+	}
+}
+
+// Logging does so at each pulse until the span ends.
+func Logging(log logs.Logger, clock pulse.Pulse, every time.Duration) func(span.Span) error {
+	return func(life span.Span) error {
+		for {
+			select {
+			case <-life.Done():
+				return nil
+			case <-clock.After(every):
+				Log(log)
+			}
+		}
+	}
+}
--- a/internal/poolowner/clients.go
+++ b/internal/poolowner/clients.go
@@ -37,6 +37,7 @@
 		answer(siblingwire.ClientAnswer{Status: http.StatusBadRequest, Why: err.Error()})
 		return
 	}
+	p.meters.handIns.Inc()
 	one := &job{id: call.ID, spec: spec, state: stateQueued, times: map[int]*jobTime{}, doneTimes: map[int]bool{}}
 	one.record = jobRecord{Entry: call.Entry, AcceptedMs: p.tenure.WallMs(), Spec: call.Body}
 	if call.Terms != nil {
@@ -45,6 +46,7 @@
 	p.jobs[call.ID], p.untimed[call.ID] = one, one
 	p.queued[call.Entry]++
 	p.put("j/"+call.ID, one.record)
+	one.record.Spec = nil
 	p.makeTimesOf(one, p.tenure.WallMs())
 	p.record.Record(daybook.Event{Kind: daybook.KindHandIn, AtMs: one.record.AcceptedMs, Queue: call.Entry, ID: call.ID,
 		Terms: one.record.Terms, Body: call.Body})
@@ -114,7 +116,7 @@
 	}
 	for _, spell := range one.timesInOrder() {
 		for _, step := range spell.steps {
-			delete(p.open, step)
+			p.open.remove(step)
 			p.stopStep(step)
 			for _, which := range step.tasks {
 				if which.lastRun > 0 {
@@ -135,5 +137,7 @@
 		return
 	}
 	p.drop("j/" + one.id)
-	one.spec, one.times, one.record.Spec = nil, nil, nil
+	one.spec, one.times = nil, nil
+	delete(p.untimed, one.id)
+	p.noteEnded(one)
 }
--- a/internal/poolowner/exchange.go
+++ b/internal/poolowner/exchange.go
@@ -73,12 +73,15 @@
 
 // learnContact takes what every exchange tells, also one whose base is not known here.
 func (p *Pool) learnContact(home *life, call *siblingwire.ExchangeCall, now time.Duration) {
-	home.contactAt = now
+	p.roster.note(home)
 	isBlocked := pulse.Ms(call.HoldAgeMs) > p.timing.HoldStale
 	if home.isBlocked && !isBlocked {
 		p.needsPlacing = true
 	}
-	home.isBlocked = isBlocked
+	if isBlocked != home.isBlocked || now-home.contactAt > doubtAfter {
+		p.doubtRuns(home)
+	}
+	home.isBlocked, home.contactAt = isBlocked, now
 	if !isBlocked && p.tenure.HasLease() {
 		home.lapsesAt = max(home.lapsesAt, now+p.lapse(p.timing.Grant))
 	}
@@ -94,6 +97,9 @@
 			Labels: call.Labels, IsDraining: call.Draining})
 	}
 	home.learnPenalty(p.penaltyOf(call.Proxy, now))
+	if p.rules != nil && (home.room != room(call.Room) || !slices.Equal(home.labels, call.Labels)) {
+		p.roster.version++
+	}
 	home.isKnown, home.proxy, home.domain, home.labels = true, call.Proxy, call.Domain, call.Labels
 	home.room, home.isDraining = room(call.Room), call.Draining
 	if call.DepartsMs > 0 {
@@ -101,6 +107,7 @@
 	}
 	if !home.isFenced && call.Fence == p.tenure.Epoch() && call.Look >= home.firstLook {
 		home.isFenced = true
+		p.newest[home.proxy] = home
 		p.needsPlacing = true
 	}
 	if isNewDrain {
@@ -125,8 +132,10 @@
 		if home.runs[one.key()] != one || one.state == runRunning {
 			continue
 		}
+		p.meters.sent(one)
 		one.sends++
 		one.sentAt = now
+		p.touch(one.task)
 		answer.Orders = append(answer.Orders, p.order(one))
 	}
 	home.outbox = nil
@@ -299,10 +308,8 @@
 	for _, one := range home.inOrder() {
 		step := one.task.step
 		p.closeRun(one)
-		if step.step.Gang && step.hasRuns() && step.brokenAt == 0 {
-			step.brokenAt = p.clock.Steady()
-		}
+		p.noteBroken(step)
 	}
-	delete(p.lives, home.id)
+	p.forgetLife(home)
 	p.needsPlacing = true
 }
--- a/internal/poolowner/runs.go
+++ b/internal/poolowner/runs.go
@@ -6,18 +6,18 @@
 	"time"
 
 	"gannetline/internal/daybook"
+	"gannetline/internal/jobtable"
 	"gannetline/internal/pulse"
 	"gannetline/internal/siblingwire"
 )
 
 // launch records the placement and its order in this turn's change; the order leaves after the commit.
 func (p *Pool) launch(which *task, home *life, number int64) {
+	p.meters.placements.Inc()
 	one := &run{task: which, number: number, life: home, state: runLaunching, orderedAt: p.clock.Steady()}
 	which.lastRun = number
-	which.runs = append(which.runs, one)
-	home.runs[one.key()] = one
-	home.used = home.used.Plus(which.step.need())
-	which.job().runs++
+	p.recordExecutor(home)
+	p.hold(one)
 	p.put(orderName(which, number, kindLaunch), orderRecord{Life: home.id})
 	p.putTask(which)
 	p.after(func(err error) {
@@ -28,6 +28,26 @@
 	})
 }
 
+// hold counts a run where it is; closeRun is its end.
+func (p *Pool) hold(one *run) {
+	which, home, need := one.task, one.life, one.task.step.need()
+	which.runs = append(which.runs, one)
+	home.runs[one.key()] = one
+	home.used = home.used.Plus(need)
+	which.job().runs++
+	p.use(which.step.priority(), need)
+	if one.state != runRunning {
+		p.pending[one] = true
+	}
+	p.noteChange(one)
+}
+
+// noteChange tells placement that a run is another than it was.
+func (p *Pool) noteChange(one *run) {
+	p.touch(one.task)
+	p.roster.note(one.life)
+}
+
 func (p *Pool) stopRun(one *run) {
 	if one.state == runStopping {
 		return
@@ -36,7 +56,10 @@
 		p.closeRun(one)
 		return
 	}
+	p.meters.stops.Inc()
 	one.state, one.sends, one.sentAt, one.isAnswered, one.orderedAt = runStopping, 0, 0, false, p.clock.Steady()
+	p.pending[one] = true
+	p.noteChange(one)
 	p.drop(orderName(one.task, one.number, kindLaunch))
 	p.put(orderName(one.task, one.number, kindStop), orderRecord{Life: one.life.id})
 	p.putTask(one.task)
@@ -48,7 +71,7 @@
 }
 
 func (p *Pool) stopStep(step *stepState) {
-	for _, which := range step.tasks {
+	for _, which := range slices.Clone(step.busy) {
 		for _, one := range slices.Clone(which.runs) {
 			p.stopRun(one)
 		}
@@ -71,17 +94,25 @@
 		return
 	}
 	delete(home.runs, one.key())
+	home.idleAt = p.clock.Steady()
+	delete(p.pending, one)
 	home.used = home.used.Minus(which.step.need())
 	which.runs = slices.DeleteFunc(which.runs, func(other *run) bool { return other == one })
-	p.drop(orderName(which, one.number, kindLaunch))
-	p.drop(orderName(which, one.number, kindStop))
+	p.free(which.step.priority(), which.step.need())
+	p.noteChange(one)
+	switch one.state {
+	case runLaunching:
+		p.drop(orderName(which, one.number, kindLaunch))
+	case runStopping:
+		p.drop(orderName(which, one.number, kindStop))
+	}
 	p.putTask(which)
 	p.needsPlacing = true
 	owner := which.job()
 	owner.runs--
 	p.forgetIfOver(owner)
 	if !home.isKnown && len(home.runs) == 0 {
-		delete(p.lives, home.id)
+		p.forgetLife(home)
 	}
 }
 
@@ -89,7 +120,10 @@
 	if one.state != runLaunching {
 		return
 	}
+	p.meters.starts.Inc()
 	one.state, one.startedAt = runRunning, p.clock.Steady()
+	delete(p.pending, one)
+	p.noteChange(one)
 	p.drop(orderName(one.task, one.number, kindLaunch))
 	p.putTask(one.task)
 	p.noteStart(one.task.job())
@@ -108,8 +142,10 @@
 func (p *Pool) takeEnd(home *life, end siblingwire.EndReport) {
 	one := home.runs[runKey{end.Task, end.Run}]
 	if one == nil {
+		p.takeForgottenEnd(end)
 		return
 	}
+	ends.With(p.key, end.How).Inc()
 	which, now := one.task, p.clock.Steady()
 	if end.Saved != "" {
 		p.keepSaved(which, end.Saved)
@@ -121,20 +157,43 @@
 	case "done":
 		home.dones++
 		home.earn()
-		which.step.noteLength(home, now-one.startedAt)
+		p.noteLength(which.step, home, now-one.startedAt)
 		p.closeRun(one)
 		p.taskDone(which)
 	case "failed":
-		which.blame(home)
+		p.blame(which, home)
 		which.avoid = home.id
 		p.countFailure(which, end.Run)
 		p.closeRun(one)
 	default:
 		p.closeRun(one)
 	}
-	if which.step.step.Gang && end.How != "done" && which.step.hasRuns() && which.step.brokenAt == 0 {
-		which.step.brokenAt = now
+	if end.How != "done" {
+		p.noteBroken(which.step)
+	}
+}
+
+// takeForgottenEnd believes a run that was given up and came to its end all the same: its task must not start again.
+func (p *Pool) takeForgottenEnd(end siblingwire.EndReport) {
+	which := p.find(end.Task)
+	if end.How != "done" || which == nil || which.isDone || end.Run > which.lastRun {
+		return
+	}
+	p.log.Info("a run that was given up has done its task", "task", end.Task, "run", end.Run)
+	p.taskDone(which)
+}
+
+func (p *Pool) find(name string) *task {
+	place, isTask := jobtable.ParseTask(name)
+	one := p.jobs[place.ID]
+	if !isTask || one == nil || one.spec == nil {
+		return nil
+	}
+	spell := one.times[place.Time]
+	if spell == nil || place.Step >= len(spell.steps) || place.Index >= len(spell.steps[place.Step].tasks) {
+		return nil
 	}
+	return spell.steps[place.Step].tasks[place.Index]
 }
 
 func (p *Pool) keepSaved(which *task, saved string) {
@@ -162,6 +221,7 @@
 	step, owner := which.step, which.job()
 	if step.step.Lasting || !owner.isOpen() || which.isDone {
 		which.notBefore = p.clock.Steady() + 100*time.Millisecond
+		step.notBefore = max(step.notBefore, which.notBefore)
 		return
 	}
 	counter := which
@@ -193,10 +253,12 @@
 			continue
 		}
 		one.isDone = true
+		p.touch(one)
 		step.left--
 		p.putTask(one)
 		if !step.step.Gang {
 			for _, other := range slices.Clone(one.runs) {
+				p.noteOvertaken(other)
 				p.stopRun(other)
 			}
 		}
@@ -208,7 +270,7 @@
 
 func (p *Pool) stepDone(step *stepState) {
 	spell, owner := step.time, step.time.job
-	delete(p.open, step)
+	p.open.remove(step)
 	spell.left--
 	if spell.left > 0 {
 		p.openSteps(spell)
--- a/internal/poolowner/trust.go
+++ b/internal/poolowner/trust.go
@@ -100,23 +100,25 @@
 }
 
 // blame weighs a failure against its executor, less where the same task failed on another one before.
-func (t *task) blame(home *life) {
+func (p *Pool) blame(which *task, home *life) {
 	switch {
-	case t.failedAt == nil:
-		t.failedAt = home
+	case which.failedAt == nil:
+		which.failedAt = home
 		home.fails++
-	case t.failedAt == home:
+	case which.failedAt == home:
 		home.fails++
 	default:
 		home.fails += strange
-		t.excuse()
+		p.excuse(which)
 	}
 }
 
 // excuse gives back what the first executor was blamed for, once another one shows that the task itself fails.
-func (t *task) excuse() {
-	if !t.isExcused {
-		t.isExcused = true
-		t.failedAt.fails = max(0, t.failedAt.fails-(1-strange))
+func (p *Pool) excuse(which *task) {
+	first := which.failedAt
+	if !which.isExcused && p.lives[first.id] == first {
+		first.fails = max(0, first.fails-(1-strange))
+		p.roster.note(first)
 	}
+	which.isExcused = true
 }
