Placement: a machine that lost trust begins with one run at once

Change: an executor may have a bound of runs that placement adds in a turn. It is one after a death or a hung run, half of what runs there after a refusal, doubles with each run that gets done, and goes when the penalty has sunk below a half; so a doubtful executor is never shut out, and others wait for it no longer than for one run.

--- a/internal/placetasks/place.go
+++ b/internal/placetasks/place.go
@@ -40,6 +40,8 @@
 	Rack     string
 	IsClosed bool
 	Doubt    float64
+	// Most is how many runs may be added where trust is to be earned first; 0 sets no bound.
+	Most int
 }
 
 // Group is the tasks of one step that may start now; they all ask for the same. Executors are named by their place;
@@ -194,6 +196,7 @@
 	place      int
 	free       Room
 	isReserved bool
+	added      int
 }
 
 func newTurn(executors []Executor, least Room) *turn {
@@ -288,6 +291,7 @@
 
 func (t *turn) take(group *Group, held map[int]int, one *candidate) {
 	one.free = one.free.Minus(group.Need)
+	one.added++
 	t.isMostOld = true
 	if group.Apart > 0 {
 		held[one.place]++
@@ -316,7 +320,7 @@
 	for number := range t.candidates {
 		one := &t.candidates[number]
 		executor := &t.executors[one.place]
-		if one.isReserved && !group.IsGang || !one.free.Fits(group.Need) || rack != "" && executor.Rack != rack ||
+		if one.isReserved && !group.IsGang || executor.Most > 0 && one.added >= executor.Most || !one.free.Fits(group.Need) || rack != "" && executor.Rack != rack ||
 			!t.allows(group, held, one.place) {
 			continue
 		}
@@ -408,6 +412,7 @@
 		if best == nil {
 			for _, one := range taken {
 				one.free = one.free.Plus(group.Need)
+				one.added--
 			}
 			return nil
 		}
--- a/internal/poolowner/exchange.go
+++ b/internal/poolowner/exchange.go
@@ -96,6 +96,9 @@
 		p.record.Record(daybook.Event{Kind: daybook.KindExecutor, AtMs: p.tenure.WallMs(), Machine: call.Proxy, Room: call.Room,
 			Labels: call.Labels, IsDraining: call.Draining})
 	}
+	if home.atOnce > 0 {
+		p.needsPlacing = true
+	}
 	home.learnPenalty(p.penaltyOf(call.Proxy, now))
 	if p.rules != nil && (home.room != room(call.Room) || !slices.Equal(home.labels, call.Labels)) {
 		p.roster.version++
--- a/internal/poolowner/roster.go
+++ b/internal/poolowner/roster.go
@@ -99,7 +99,7 @@
 
 func (p *Pool) executor(home *life, now time.Duration) placetasks.Executor {
 	return placetasks.Executor{Free: home.room.Minus(home.used), Total: home.room, Labels: home.labels, Rack: home.rack(),
-		Doubt: home.doubt() + home.slowness(), IsClosed: !home.isFenced || home.isDraining || home.isBlocked || now < home.sickUntil ||
+		Doubt: home.doubt() + home.slowness(), Most: home.most(), IsClosed: home.isAtMost() || !home.isFenced || home.isDraining || home.isBlocked || now < home.sickUntil ||
 			now-home.contactAt > p.timing.SilentAfter}
 }
 
--- a/internal/poolowner/trust_test.go
+++ b/internal/poolowner/trust_test.go
@@ -134,6 +134,26 @@
 		})
 	}
 
+	It("lets a machine that lost trust run one task at a time, and twice as many with each success", func() {
+		exchange("i-1", "side-i-1", func(call *siblingwire.ExchangeCall) { call.Draining = true })
+		exchange("i-9", "side-i-2", func(call *siblingwire.ExchangeCall) { call.Gone = []string{"i-2"} })
+		for number := range 9 {
+			handIn(number + 1)
+		}
+		given := func() (orders []siblingwire.Order) {
+			for range 3 {
+				orders = append(orders, exchange("i-9", "side-i-2", nil).Orders...)
+			}
+			return orders
+		}
+		Expect(given()).To(HaveLen(1))
+		clock.Advance(20 * time.Millisecond)
+		end("i-9", siblingwire.Order{Task: fmt.Sprintf("%016x.0.0.0", 1), Run: 1}, "done")
+		Expect(given()).To(HaveLen(2))
+		end("i-9", siblingwire.Order{Task: fmt.Sprintf("%016x.0.0.0", 2), Run: 1}, "done")
+		Expect(given()).To(HaveLen(3), "four at once, one of them from before")
+	})
+
 	It("halves what runs at once where a start is refused", func() {
 		var orders []siblingwire.Order
 		for number := range 4 {
