--- a/internal/placetasks/most_test.go
+++ b/internal/placetasks/most_test.go
@@ -36,7 +36,7 @@
 
 	It("counts nothing for a gang that was not placed", func() {
 		groups := []*placetasks.Group{
-			{Need: placetasks.Room{CPU: 9000}, Count: 4, IsGang: true},
+			{Need: one, Count: 3, IsGang: true, Apart: 1},
 			{Need: one, Count: 2, Due: 1},
 		}
 		placed := placetasks.Place(executors(), groups, nil)
