Plan: a fetch that leaves a process behind is followed by the next sibling

A version announced while an older one was being fetched waited for the next announcement, up to 350 ms; now it is remembered and fetched at once.

--- a/internal/planbook/fetch_test.go
+++ b/internal/planbook/fetch_test.go
@@ -85,6 +85,23 @@
 		Expect(answer.Changes).To(HaveLen(1))
 	})
 
+	It("turns to who was heard of during a fetch that left it behind, once", func() {
+		book.Hold(old)
+		<-inForce
+		book.Ahead(siblingwire.Member{Address: "10.0.0.9:1"}, 5)
+		<-sibling.calls
+		book.Ahead(siblingwire.Member{Address: "10.0.0.9:1"}, 7)
+		book.Hold(old)
+		book.Ahead(siblingwire.Member{Address: "10.0.0.9:2"}, 7)
+		sibling.tell <- edition(old, next).Answer(&siblingwire.PlanCall{Held: 3, TakesChanges: true})
+		Expect(<-inForce).To(Equal(int64(5)))
+		Expect(<-sibling.calls).To(Equal(siblingwire.PlanCall{Held: 5, TakesChanges: true}))
+		sibling.tell <- &siblingwire.PlanAnswer{}
+		book.Hold(fact(9, body(9)))
+		Expect(<-inForce).To(Equal(int64(9)))
+		Expect(sibling.calls).To(BeEmpty())
+	})
+
 	It("asks a second sibling only once the first one is slow", func() {
 		book.Ahead(siblingwire.Member{Address: "10.0.0.9:1"}, 3)
 		<-sibling.calls
--- a/internal/planbook/planbook.go
+++ b/internal/planbook/planbook.go
@@ -43,7 +43,10 @@
 	log      logs.Logger
 	fetching map[string]bool
 	askedAt  time.Duration
-	heed     func(*Page)
+	// next was heard to hold nextHolds during a fetch.
+	next      siblingwire.Member
+	nextHolds int64
+	heed      func(*Page)
 }
 
 func New(caller *siblingwire.Caller, clock pulse.Pulse, log logs.Logger, heed func(*Page)) *Book {
@@ -89,13 +92,24 @@
 func (b *Book) Ahead(sibling siblingwire.Member, version int64) {
 	b.box.TryPost(func() {
 		isWaiting := len(b.fetching) > 0 && b.clock.Steady()-b.askedAt < fetchPatience
-		if version <= b.edition().version() || b.fetching[sibling.Address] || isWaiting {
-			return
+		switch {
+		case version <= b.edition().version():
+		case b.fetching[sibling.Address] || isWaiting:
+			b.next, b.nextHolds = sibling, version
+		default:
+			b.ask(sibling.Address, true)
 		}
-		b.ask(sibling.Address, true)
 	})
 }
 
+// askNext turns to who was heard of during a fetch, if that fetch left this process behind.
+func (b *Book) askNext() {
+	if b.nextHolds > b.edition().version() && !b.fetching[b.next.Address] {
+		b.nextHolds = 0
+		b.ask(b.next.Address, true)
+	}
+}
+
 func (b *Book) ask(address string, takesChanges bool) {
 	b.fetching[address] = true
 	b.askedAt = b.clock.Steady()
@@ -111,6 +125,7 @@
 	delete(b.fetching, address)
 	if err != nil {
 		b.log.Info("a plan could not be fetched", "why", err.Error())
+		b.askNext()
 		return
 	}
 	edition, err := b.edition().Take(answer)
@@ -120,6 +135,7 @@
 		return
 	}
 	b.turnTo(edition)
+	b.askNext()
 }
 
 // Handle lets siblings fetch the plan.
