--- a/internal/ownercalls/ownercalls.go
+++ b/internal/ownercalls/ownercalls.go
@@ -77,7 +77,7 @@
 	return siblingwire.Call[siblingwire.ClientCall, siblingwire.ClientAnswer](a.caller, patience, address, siblingwire.ProcedureClient, limit, call)
 }
 
-// address prefers the hint, then the known owner, then any steward.
+// address prefers the hint, then the known owner, then any steward that may own keys.
 func address(view *siblingprobe.View, key, hint string, try int) string {
 	if hinted, isThere := view.Steward(hint); isThere {
 		return hinted.Address
@@ -88,7 +88,7 @@
 	}
 	var others []string
 	for _, member := range view.Stewards {
-		if member.State == siblingwire.StateAlive {
+		if member.MayOwn() && member.State == siblingwire.StateAlive {
 			others = append(others, member.Address)
 		}
 	}
--- a/internal/planbook/planbook.go
+++ b/internal/planbook/planbook.go
@@ -84,6 +84,8 @@
 	}
 	page := &Page{Fact: fact, Matcher: plancheck.NewMatcher(plan), edition: edition}
 	b.page.Store(page)
+	versionsTaken.Inc()
+	versionHeld.Set(float64(fact.Version))
 	b.log.Info("plan in force", "version", fact.Version, "routes", len(plan.Entries))
 	b.heed(page)
 }
@@ -128,6 +130,7 @@
 		b.askNext()
 		return
 	}
+	bodyBytesFetched.Add(bytesOf(answer))
 	edition, err := b.edition().Take(answer)
 	if err != nil {
 		b.log.Info("changes of the plan do not fit; the whole is fetched", "why", err.Error())
@@ -138,6 +141,18 @@
 	b.askNext()
 }
 
+// bytesOf counts the text of plans in an answer, whole or in parts.
+func bytesOf(answer *siblingwire.PlanAnswer) int {
+	count := 0
+	if answer.Fact != nil {
+		count = len(answer.Fact.Body)
+	}
+	for _, change := range answer.Changes {
+		count += textIn(change)
+	}
+	return count
+}
+
 // Handle lets siblings fetch the plan.
 func (b *Book) Handle(mux *http.ServeMux) {
 	siblingwire.Serve(mux, siblingwire.ProcedurePlan, func(_ span.Span, call *siblingwire.PlanCall) (*siblingwire.PlanAnswer, error) {
--- a/internal/siblingprobe/view.go
+++ b/internal/siblingprobe/view.go
@@ -28,18 +28,18 @@
 	return v.Stewards[place], true
 }
 
-// StewardOf finds the steward that keeps a disk.
+// StewardOf finds the steward that keeps a disk, a lasting or a makeshift one.
 func (v *View) StewardOf(disk string) (Member, bool) {
-	place := slices.IndexFunc(v.Stewards, func(one Member) bool { return one.Disk == disk })
+	place := slices.IndexFunc(v.Stewards, func(one Member) bool { return one.Disk == disk || one.Makeshift == disk })
 	if place < 0 || disk == "" {
 		return Member{}, false
 	}
 	return v.Stewards[place], true
 }
 
-// SeesSteward tells whether any steward but this process is thought alive.
+// SeesSteward tells whether any steward that may own keys, but this process, is thought alive.
 func (v *View) SeesSteward() bool {
 	return slices.ContainsFunc(v.Stewards, func(one Member) bool {
-		return one.State == siblingwire.StateAlive && Name(one) != Name(v.Self)
+		return one.MayOwn() && one.State == siblingwire.StateAlive && Name(one) != Name(v.Self)
 	})
 }
