Membership: a steward of many leaves asks them to wait longer; a new table compares at once

With 980 local-proxies on six stewards the busiest sent 137 datagrams and 19 KB a second, most of what a node may send. Beyond 160 leaves a steward now asks for a longer pause in its answers, and keeps its leaves as much longer: 54 datagrams and 8 KB (simulated network of the tests). A leaf that differs keeps the usual pace until it does not. A table did not compare in its first 1.4 s, so a leaf that joined early could lack stewards until its third ping; now it does at once.

--- a/internal/siblingprobe/compare.go
+++ b/internal/siblingprobe/compare.go
@@ -54,7 +54,7 @@
 	if answer.Digest.MemberSum == 0 {
 		return nil
 	}
-	t.heardAt = t.clock.Steady()
+	t.silentSince = t.clock.Steady()
 	given := &siblingwire.MembersCall{From: t.self, Gives: true, Digest: t.digestFor(t.self.Role)}
 	lacking := t.notIn(answer)
 	if isLeaf(t.self) {
--- a/internal/siblingprobe/leaves.go
+++ b/internal/siblingprobe/leaves.go
@@ -5,12 +5,16 @@
 	"slices"
 	"time"
 
+	"gannetline/internal/pulse"
 	"gannetline/internal/siblingwire"
 )
 
 const (
 	attachments = 3
 	mostLeaves  = 4096
+	// easyLeaves ping at the usual pace; with more of them each waits longer, so that a steward hears as many pings.
+	easyLeaves   = 160
+	longestPause = 20 * time.Second
 )
 
 // leaf is a local-proxy that pings this steward.
@@ -32,9 +36,22 @@
 	t.leaves[name] = leaf{member, t.clock.Steady()}
 }
 
+func (t *Table) stretched(length time.Duration) time.Duration {
+	return length * time.Duration(max(easyLeaves, len(t.leaves))) / easyLeaves
+}
+
+// pauseMs is 0 while a leaf may ping at the usual pace.
+func (t *Table) pauseMs() int64 {
+	if len(t.leaves) <= easyLeaves {
+		return 0
+	}
+	return pulse.InMs(t.stretched(t.timing.LeafPeriod))
+}
+
 func (t *Table) forgetLeaves(now time.Duration) {
+	keep := t.stretched(t.timing.LeafKeep)
 	for name, one := range t.leaves {
-		if now-one.heardAt > t.timing.LeafKeep {
+		if now-one.heardAt > keep {
 			delete(t.leaves, name)
 		}
 	}
@@ -60,13 +77,18 @@
 	t.attached = fit[:min(attachments, len(fit))]
 }
 
+// heedPause takes the pace that a steward asks for.
+func (t *Table) heedPause(pauseMs int64) {
+	t.pause = min(max(pulse.Ms(pauseMs), t.timing.LeafPeriod), longestPause)
+}
+
 // tickLeaf pings the attached stewards in turn, and any other as soon as one does not answer.
 func (t *Table) tickLeaf(now time.Duration) {
 	isUnheard := !t.isHeard && now-t.askedAt >= t.timing.AnswerWait
-	if isUnheard || now-t.askedAt >= t.timing.LeafPeriod {
+	if isUnheard || now-t.askedAt >= t.pause {
 		t.pingSteward(now, isUnheard)
 	}
-	if isLonely := now-t.heardAt > t.timing.LonelyAfter; isLonely != t.isLonely {
+	if isLonely := !t.isHeard && now-t.silentSince > t.timing.LonelyAfter; isLonely != t.isLonely {
 		t.isLonely, t.isDirty = isLonely, true
 	}
 }
@@ -85,6 +107,9 @@
 		place = t.draw.IntN(len(among))
 	}
 	t.number++
+	if t.isHeard {
+		t.silentSince = now
+	}
 	t.askedAt, t.isHeard = now, false
 	t.send(among[place], siblingwire.Datagram{Kind: kindPing, Number: t.number})
 }
--- a/internal/siblingprobe/membership_test.go
+++ b/internal/siblingprobe/membership_test.go
@@ -92,8 +92,8 @@
 		for _, one := range n.all {
 			datagrams, bytes := one.datagrams/10, one.bytes/10
 			if one.member.Role == "steward" {
-				Expect(datagrams).To(BeNumerically("<", 200))
-				Expect(bytes).To(BeNumerically("<", 27_000))
+				Expect(datagrams).To(BeNumerically("<", 60))
+				Expect(bytes).To(BeNumerically("<", 10_000))
 				continue
 			}
 			Expect(datagrams).To(BeNumerically("<=", 5), one.member.Name)
@@ -342,6 +342,74 @@
 		Expect(pushed.Digest.Owners).To(HaveLen(1))
 	})
 
+	It("asks its leaves to wait longer the more they are, and keeps them as much longer", func() {
+		clock := pulse.NewFake(1)
+		table, sent, _ := lone(steward(0), clock)
+		for number := range 1600 {
+			side := siblingwire.Member{Name: fmt.Sprintf("side-%d", number), Role: "local-proxy", Address: "10.0.0.4:1"}
+			table.Hear(siblingwire.Datagram{Kind: "ping", From: side})
+		}
+		Expect((*sent)[0].PauseMs).To(BeZero())
+		Expect((*sent)[1599].PauseMs).To(Equal(int64(14_000)))
+		pushes := func(wait time.Duration, epoch uint64) int {
+			for range wait / (350 * time.Millisecond) {
+				clock.Advance(350 * time.Millisecond)
+				table.Tick()
+			}
+			before := len(*sent)
+			table.MergeOwner(siblingwire.OwnerFact{Key: "a", Epoch: epoch, Name: "control-0"})
+			table.Spread()
+			return len(*sent) - before
+		}
+		Expect(pushes(100*time.Second, 2)).To(Equal(1600))
+		Expect(pushes(40*time.Second, 3)).To(BeZero())
+	})
+
+	It("waits between two pings as long as it was asked to, at a local-proxy", func() {
+		clock := pulse.NewFake(1)
+		pings, isLonely := 0, false
+		side := siblingprobe.NewTable(siblingwire.Member{Name: "side-1", Role: "local-proxy"}, clock, siblingprobe.DefaultTiming, 1,
+			siblingprobe.Events{Send: func(string, siblingwire.Datagram) { pings++ }, Show: func(view *siblingprobe.View) { isLonely = isLonely || view.IsLonely }})
+		side.Merge(steward(0))
+		side.Settle()
+		for range 80 {
+			clock.Advance(350 * time.Millisecond)
+			before := pings
+			if side.Tick(); pings > before {
+				side.Hear(siblingwire.Datagram{Kind: "ack", From: steward(0), PauseMs: 7000})
+			}
+		}
+		Expect(pings).To(Equal(4))
+		Expect(isLonely).To(BeFalse())
+	})
+
+	It("compares at once when it is new, and keeps the usual pace while it differs, at a local-proxy", func() {
+		clock := pulse.NewFake(1)
+		side, sent, differed := lone(siblingwire.Member{Name: "side-1", Role: "local-proxy"}, clock)
+		side.Merge(steward(0))
+		side.Settle()
+		for range 9 {
+			clock.Advance(350 * time.Millisecond)
+			before := len(*sent)
+			if side.Tick(); len(*sent) > before {
+				side.Hear(siblingwire.Datagram{Kind: "ack", From: steward(0), PauseMs: 7000, Digest: siblingwire.Digest{MemberSum: 5}})
+			}
+		}
+		Expect(*sent).To(HaveLen(2))
+		Expect(*differed).To(Equal(1))
+		side.Tick()
+		clock.Advance(1400 * time.Millisecond)
+		side.Tick()
+		side.Hear(siblingwire.Datagram{Kind: "ack", From: steward(0), Digest: siblingwire.Digest{MemberSum: 5}})
+		Expect(*differed).To(Equal(2))
+	})
+
+	It("compares with a sibling at once when it has just begun", func() {
+		table, _, differed := lone(gate(0), pulse.NewFake(1))
+		table.Hear(siblingwire.Datagram{Kind: "news", From: gate(1), Digest: siblingwire.Digest{MemberSum: 5}})
+		Expect(*differed).To(Equal(1))
+	})
+
 	It("keeps its leaves over a freeze of its own", func() {
 		clock := pulse.NewFake(1)
 		table, sent, _ := lone(steward(0), clock)
@@ -364,9 +432,11 @@
 			siblingprobe.Events{Send: func(string, siblingwire.Datagram) { pings++ }, Show: func(view *siblingprobe.View) { isLonely = view.IsLonely }})
 		side.Merge(steward(0))
 		side.Settle()
+		clock.Advance(1400 * time.Millisecond)
+		side.Tick()
 		clock.Advance(30 * time.Second)
 		side.Tick()
-		Expect(pings).To(Equal(1))
+		Expect(pings).To(Equal(2))
 		Expect(isLonely).To(BeFalse())
 	})
 
--- a/internal/siblingprobe/table.go
+++ b/internal/siblingprobe/table.go
@@ -115,10 +115,12 @@
 	leaves   map[string]leaf
 	attached []Member
 	turn     int
+	pause    time.Duration
 	askedAt  time.Duration
-	heardAt  time.Duration
 	isHeard  bool
 	isLonely bool
+	// silentSince is when the first of the pings went out that nobody has answered yet.
+	silentSince time.Duration
 
 	born      time.Duration
 	lastTick  time.Duration
@@ -134,9 +136,10 @@
 	table := &Table{clock: clock, timing: timing, events: events, draw: rand.New(rand.NewPCG(seed, 7)),
 		entries: map[string]*entry{}, unwell: map[string]*entry{}, owners: map[string]siblingwire.OwnerFact{},
 		fresh: map[string]int{}, probes: map[uint64]probe{}, relays: map[uint64]relay{}, hot: map[string]int{},
-		leaves: map[string]leaf{}, isHeard: true, isDirty: true, moved: make(chan struct{})}
+		leaves: map[string]leaf{}, pause: timing.LeafPeriod, isHeard: true, isDirty: true, moved: make(chan struct{})}
 	now := clock.Steady()
-	table.born, table.lastTick, table.heardAt = now, now, now
+	table.born, table.lastTick = now, now
+	table.differAt = now - 2*timing.Period - 1
 	table.self = self
 	table.me = &entry{bucket: bucketOf(Name(self))}
 	table.write(table.me, self)
@@ -343,6 +346,9 @@
 	}
 	isOwnersBeyond := digest.OwnerSum != 0 && digest.OwnerSum != t.shownOwnerSum() && len(t.owners) > mostFacts
 	isDiffering := digest.MemberSum != 0 && digest.MemberSum != t.sumsFor(from.Role).whole()
+	if isDiffering {
+		t.pause = t.timing.LeafPeriod
+	}
 	now := t.clock.Steady()
 	if !isOwnersBeyond && !(isDiffering && t.isCalm(now)) || now-t.differAt <= 2*t.timing.Period {
 		return
@@ -384,6 +390,7 @@
 		reply.Kind, reply.Number, reply.News = kindAck, datagram.Number, t.beliefAbout(Name(from))
 	case kindAck:
 		t.hearAck(datagram)
+		t.heedPause(datagram.PauseMs)
 	case kindAsk:
 		t.relay(datagram)
 	}
@@ -407,7 +414,7 @@
 	now := t.clock.Steady()
 	if known := t.entries[Name(from)]; known != nil {
 		known.heardAt = now
-		t.heardAt, t.isHeard = now, true
+		t.isHeard = true
 	}
 }
 
@@ -452,6 +459,7 @@
 		facts = t.freshFacts()
 	}
 	if isLeaf(to) {
+		datagram.PauseMs = t.pauseMs()
 		datagram.News = append(datagram.News, t.recordsOf(facts)...)
 	} else {
 		datagram.News = t.withHot(datagram.News)
@@ -575,7 +583,7 @@
 		one.heardAt = now
 		t.leaves[name] = one
 	}
-	t.heardAt = now
+	t.silentSince = now
 }
 
 // cool lets facts about owners cease to be news; it tells whether some are to be spread once more.
--- a/internal/siblingwire/messages.go
+++ b/internal/siblingwire/messages.go
@@ -129,6 +129,8 @@
 	Target string   `json:"t,omitempty"`
 	News   []Member `json:"w,omitempty"`
 	Digest Digest   `json:"g"`
+	// PauseMs is how long a steward of many local-proxies asks one to wait between two pings.
+	PauseMs int64 `json:"z,omitempty"`
 }
 
 // MembersCall compares lists by the caller's sums of each bucket; a call without them is of the older form, and
--- a/internal/siblingwire/messages_easyjson.go
+++ b/internal/siblingwire/messages_easyjson.go
@@ -4186,6 +4186,12 @@
 			} else {
 				(out.Digest).UnmarshalEasyJSON(in)
 			}
+		case "z":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.PauseMs = int64(in.Int64())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -4239,6 +4245,11 @@
 		out.RawString(prefix)
 		(in.Digest).MarshalEasyJSON(out)
 	}
+	if in.PauseMs != 0 {
+		const prefix string = ",\"z\":"
+		out.RawString(prefix)
+		out.Int64(int64(in.PauseMs))
+	}
 	out.RawByte('}')
 }
 
