A slow owner hands its key on; followers are sent changes across owners

Cause: an owner on a slow machine renews its lease and keeps its pool slow. After a take-over every follower and candidate that was not at the very base was sent the whole state.

Change: voters say in their answers how long a change took them; an owner that is three times slower than the quickest, and over 30 ms, for a second, gives the lease back and names that one as heir; not if it was never well since it took over (the key itself is heavy). What was sent before a release and comes later brings no new lease. Replicas keep their last changes in memory; a new owner's tail starts with them, a follower that stands in the chain gets the rest in calls of 256 KB, and a candidate that is behind fetches the rest. An owner that is still fetching a state no longer beats to former followers.

--- a/internal/keyowner/engine.go
+++ b/internal/keyowner/engine.go
@@ -16,8 +16,9 @@
 type Links interface {
 	Promise(disk string, call siblingwire.PromiseCall, done func(siblingwire.PromiseAnswer, error))
 	Append(disk string, call siblingwire.AppendCall, done func(siblingwire.AppendAnswer, error))
-	Fetch(disk string, key string, done func(siblingwire.FetchAnswer, error))
+	Fetch(disk string, call siblingwire.FetchCall, done func(siblingwire.FetchAnswer, error))
 	Standing(key string, done func(Standing))
+	History(key string, done func(History))
 	ReadLocal(key string) (siblingwire.Snapshot, error)
 	InstallLocal(call siblingwire.AppendCall, done func(siblingwire.AppendAnswer, error))
 }
@@ -46,6 +47,8 @@
 	mostTail     = 20000
 	mostTailSize = 6 << 20
 	mostPerCall  = 2000
+
+	mostPerCallSize = 256 << 10
 )
 
 type phase int
@@ -68,6 +71,8 @@
 	leaseUntil time.Duration
 	wallOffset int64
 	hasWall    bool
+	delay      time.Duration
+	hasDelay   bool
 }
 
 type waiter struct {
@@ -96,7 +101,7 @@
 	epoch      uint64
 	highest    uint64
 	nextTry    time.Duration
-	base       siblingwire.Stamp
+	tailBase   siblingwire.Stamp
 	last       siblingwire.Stamp
 	committed  uint64
 	set        siblingwire.VoterSet
@@ -112,6 +117,11 @@
 	size         int
 	shortSince   time.Duration
 	isShortNoted bool
+
+	openedAt   time.Duration
+	worseSince time.Duration
+	wellSince  time.Duration
+	wasWell    bool
 }
 
 type Option func(*Engine)
@@ -176,8 +186,11 @@
 			return
 		}
 		wait := standing.LeaseEnd + e.stagger(rank, len(voters))
-		if standing.Released || standing.Disk == e.disk {
-			wait = e.stagger(rank, len(voters)) / 4
+		switch {
+		case standing.Disk == e.disk:
+			wait = 0
+		case standing.Released:
+			wait = standing.ReleasedAt + e.afterRelease(rank, len(voters), standing.Heir)
 		}
 		if now := e.clock.Steady(); now < wait {
 			e.nextTry = min(wait, now+e.timing.Lease/4)
@@ -210,6 +223,18 @@
 	return order
 }
 
+// afterRelease lets the heir go first, if the owner has named one; it may look for a release as late as a quarter lease after.
+func (e *Engine) afterRelease(rank, voters int, heir string) time.Duration {
+	wait := e.stagger(rank, voters) / 4
+	switch heir {
+	case "":
+		return wait
+	case e.disk:
+		return 0
+	}
+	return e.timing.Lease/4 + e.timing.Stagger + wait
+}
+
 // ask first tries whether a majority would promise, so that a steward that was cut off disturbs nobody.
 func (e *Engine) ask(voters []string) {
 	e.phase = phaseAsking
@@ -283,7 +308,7 @@
 		best.Set = siblingwire.VoterSet{Now: e.birth}
 	}
 	has := func(disk string) bool { _, isThere := granted[disk]; return isThere }
-	return best, has(e.disk) && slices.Contains(disksOf(best.Set), e.disk) && Agreed(best.Set, has)
+	return best, has(e.disk) && Agreed(best.Set, has)
 }
 
 func (e *Engine) tryOpen(epoch uint64, granted map[string]siblingwire.PromiseAnswer) bool {
@@ -293,22 +318,22 @@
 	}
 	set := best.Set
 	e.phase, e.epoch, e.set = phaseOpening, epoch, set
+	e.followers, e.staleSince = map[string]*follower{}, e.clock.Steady()
 	attempt := e.attempt
 	if best.Disk == e.disk {
-		e.open(best.Last)
+		e.openWithHistory(best.Last)
 		return true
 	}
-	e.links.Fetch(best.Disk, e.key, func(answer siblingwire.FetchAnswer, err error) {
+	from := granted[e.disk].Last
+	e.links.Fetch(best.Disk, siblingwire.FetchCall{Key: e.key, From: &from}, func(answer siblingwire.FetchAnswer, err error) {
 		if e.attempt != attempt || e.phase != phaseOpening {
 			return
 		}
-		if err != nil || answer.Snapshot.Last != best.Last {
+		call, isWhole := e.takeOver(answer, from, best)
+		if err != nil || !isWhole {
 			e.backOff()
 			return
 		}
-		whole := answer.Snapshot
-		whole.Set = set
-		call := siblingwire.AppendCall{Key: e.key, Epoch: epoch, Owner: e.name, Disk: e.disk, Snapshot: &whole}
 		e.links.InstallLocal(call, func(answer siblingwire.AppendAnswer, err error) {
 			if e.attempt != attempt || e.phase != phaseOpening {
 				return
@@ -317,27 +342,49 @@
 				e.backOff()
 				return
 			}
-			e.open(best.Last)
+			e.openWithHistory(best.Last)
 		})
 	})
 	return true
 }
 
-func (e *Engine) open(base siblingwire.Stamp) {
+func (e *Engine) openWithHistory(base siblingwire.Stamp) {
+	attempt := e.attempt
+	e.links.History(e.key, func(held History) {
+		if e.attempt == attempt && e.phase == phaseOpening {
+			e.open(base, held)
+		}
+	})
+}
+
+// takeOver is what brings the local disk to the best state; isWhole tells whether the answer leads there.
+func (e *Engine) takeOver(answer siblingwire.FetchAnswer, from siblingwire.Stamp, best siblingwire.PromiseAnswer) (call siblingwire.AppendCall, isWhole bool) {
+	call = siblingwire.AppendCall{Key: e.key, Epoch: e.epoch, Owner: e.name, Disk: e.disk}
+	if count := len(answer.Changes); count > 0 {
+		call.Prev, call.Changes = from, answer.Changes
+		return call, answer.Changes[count-1].Stamp == best.Last
+	}
+	whole := answer.Snapshot
+	whole.Set = best.Set
+	call.Snapshot = &whole
+	return call, whole.Last == best.Last
+}
+
+func (e *Engine) open(base siblingwire.Stamp, held History) {
 	whole, err := e.links.ReadLocal(e.key)
 	if err != nil || whole.Last != base {
 		e.backOff()
 		return
 	}
-	e.base, e.last = base, base
-	e.committed, e.tail, e.tailSize, e.waiting = base.Step, nil, 0, nil
+	e.last, e.committed, e.waiting = base, base.Step, nil
+	e.inherit(base, held)
 	e.setStep = 0
-	e.followers = map[string]*follower{}
 	for _, disk := range disksOf(e.set) {
 		e.follow(disk)
 	}
 	opening := e.set
 	e.staleSince, e.shortSince, e.isShortNoted = e.clock.Steady(), e.clock.Steady(), false
+	e.openedAt, e.worseSince, e.wellSince, e.wasWell = e.clock.Steady(), e.clock.Steady(), e.clock.Steady(), false
 	attempt := e.attempt
 	e.submit(nil, &opening, func(err error) {
 		if err != nil || e.attempt != attempt || e.phase != phaseOpening {
@@ -355,6 +402,17 @@
 	})
 }
 
+// inherit keeps what was taken before, so that a follower that is a little behind is sent no whole state.
+func (e *Engine) inherit(base siblingwire.Stamp, held History) {
+	if held.last() != base {
+		held = History{Base: base}
+	}
+	e.tailBase, e.tail, e.tailSize = held.Base, held.Changes, 0
+	for _, change := range e.tail {
+		e.tailSize += sizeOf(change)
+	}
+}
+
 func (e *Engine) follow(disk string) *follower {
 	one := e.followers[disk]
 	if one == nil {
@@ -388,9 +446,10 @@
 func (e *Engine) trimTail() {
 	needed := e.last.Step
 	for _, one := range e.followers {
-		if one.isKnown && e.clock.Steady()-one.heardAt < e.timing.LostAfter {
-			needed = min(needed, one.acked.Step)
+		if one.needsWhole || e.clock.Steady()-one.heardAt >= e.timing.LostAfter {
+			continue
 		}
+		needed = min(needed, one.acked.Step)
 	}
 	drop := 0
 	for drop < len(e.tail) && (e.tail[drop].Stamp.Step <= needed && e.tail[drop].Stamp.Step <= e.committed ||
@@ -399,6 +458,7 @@
 		drop++
 	}
 	if drop > 0 {
+		e.tailBase = e.tailStamp(drop)
 		e.tail = slices.Clone(e.tail[drop:])
 	}
 }
@@ -445,25 +505,31 @@
 	e.launch(one, call)
 }
 
-// after gives the changes that follow on a stamp, if the tail still has them all.
+// after gives the changes that follow on a stamp, as far as one call may carry them, if the tail still has them all.
 func (e *Engine) after(prev siblingwire.Stamp) ([]siblingwire.Change, bool) {
-	if prev == e.last {
-		return nil, true
-	}
-	if prev != e.base && prev.Epoch != e.epoch {
+	if prev.Step < e.tailBase.Step || prev.Step > e.last.Step {
 		return nil, false
 	}
-	if len(e.tail) == 0 || e.tail[0].Stamp.Step > prev.Step+1 {
+	start := int(prev.Step - e.tailBase.Step)
+	if prev != e.tailStamp(start) {
 		return nil, false
 	}
-	start := int(prev.Step + 1 - e.tail[0].Stamp.Step)
-	if start > len(e.tail) {
-		return nil, false
+	end, size := start, 0
+	for end < len(e.tail) && end-start < mostPerCall && (end == start || size+sizeOf(e.tail[end]) <= mostPerCallSize) {
+		size += sizeOf(e.tail[end])
+		end++
 	}
-	end := min(len(e.tail), start+mostPerCall)
 	return e.tail[start:end], true
 }
 
+// tailStamp is the stamp of the state that so many changes of the tail lead to.
+func (e *Engine) tailStamp(count int) siblingwire.Stamp {
+	if count == 0 {
+		return e.tailBase
+	}
+	return e.tail[count-1].Stamp
+}
+
 func (e *Engine) launch(one *follower, call siblingwire.AppendCall) {
 	one.isBusy, one.sentAt = true, e.clock.Steady()
 	attempt, sentAt := e.attempt, one.sentAt
@@ -494,6 +560,9 @@
 	}
 	one.heardAt = now
 	one.leaseUntil = max(one.leaseUntil, sentAt+e.timing.Lease-leaseMargin)
+	if len(call.Changes) > 0 {
+		e.noteDelay(one, answer, now-sentAt)
+	}
 	one.wallOffset, one.hasWall = answer.WallMs-pulse.InMs(sentAt+(now-sentAt)/2), true
 	if answer.Taken || answer.Last.Epoch == e.epoch {
 		one.isKnown, one.needsWhole, one.acked = true, false, answer.Last
@@ -565,6 +634,7 @@
 	}
 	if e.phase == phaseOwner {
 		e.considerVoters()
+		e.considerHandingOn()
 	}
 }
 
@@ -597,11 +667,5 @@
 	if e.phase != phaseOwner && e.phase != phaseOpening {
 		return
 	}
-	disks := disksOf(e.set)
-	epoch := e.epoch
-	e.stepDown("leaving in order")
-	for _, disk := range disks {
-		e.links.Append(disk, siblingwire.AppendCall{Key: e.key, Epoch: epoch, Owner: e.name, Disk: e.disk, Release: true},
-			func(siblingwire.AppendAnswer, error) {})
-	}
+	e.release("leaving in order", "")
 }
--- /dev/null
+++ b/internal/keyowner/history.go
@@ -0,0 +1,73 @@
+package keyowner
+
+import (
+	"slices"
+
+	"gannetline/internal/siblingwire"
+)
+
+const (
+	mostHistory     = 4000
+	mostHistorySize = 1 << 20
+)
+
+// History holds changes that follow on Base, each on the one before. A state whose stamp is among theirs shares
+// all that came before, since an epoch has one owner, and a disk takes a change only on top of the stamp before it.
+type History struct {
+	Base    siblingwire.Stamp
+	Changes []siblingwire.Change
+}
+
+func (h History) last() siblingwire.Stamp {
+	if len(h.Changes) == 0 {
+		return h.Base
+	}
+	return h.Changes[len(h.Changes)-1].Stamp
+}
+
+// after gives the changes that follow on a stamp; there are none if it is not one of the history's, or the last.
+func (h History) after(stamp siblingwire.Stamp) ([]siblingwire.Change, bool) {
+	if stamp == h.Base {
+		return h.Changes, len(h.Changes) > 0
+	}
+	for place, change := range h.Changes {
+		if change.Stamp == stamp {
+			return h.Changes[place+1:], place+1 < len(h.Changes)
+		}
+	}
+	return nil, false
+}
+
+// history is the bounded one of a replica.
+type history struct {
+	base    siblingwire.Stamp
+	changes []siblingwire.Change
+	size    int
+}
+
+func (h *history) take(call siblingwire.AppendCall) {
+	if call.Snapshot != nil {
+		*h = history{base: call.Snapshot.Last}
+	} else if (History{h.base, h.changes}).last() != call.Prev {
+		*h = history{base: call.Prev}
+	}
+	for _, change := range call.Changes {
+		h.changes = append(h.changes, change)
+		h.size += sizeOf(change)
+	}
+	h.trim()
+}
+
+// trim lets go of the older half at once, so that little is copied.
+func (h *history) trim() {
+	if len(h.changes) <= mostHistory && h.size <= mostHistorySize {
+		return
+	}
+	drop := 0
+	for len(h.changes)-drop > mostHistory/2 || h.size > mostHistorySize/2 {
+		h.size -= sizeOf(h.changes[drop])
+		drop++
+	}
+	h.base = h.changes[drop-1].Stamp
+	h.changes = slices.Clone(h.changes[drop:])
+}
--- a/internal/keyowner/replicas.go
+++ b/internal/keyowner/replicas.go
@@ -2,6 +2,7 @@
 package keyowner
 
 import (
+	"slices"
 	"time"
 
 	"gannetline/internal/keystore"
@@ -27,6 +28,11 @@
 	leaseDisk  string
 	leaseOwner string
 	released   bool
+	releasedAt time.Duration
+	heir       string
+
+	releasedEpoch uint64
+	history       history
 }
 
 // Replicas is the table of this disk's replicas: what it promised, holds and leases out.
@@ -106,11 +112,13 @@
 		return
 	}
 	if call.Release {
-		one.leaseUntil, one.released = 0, true
+		one.release(now, call.Epoch, call.Heir)
 		answer(r.appendAnswer(one.head.Last, one.promising, true))
 		return
 	}
-	one.leaseUntil, one.leaseDisk, one.leaseOwner, one.released = now+r.lease, call.Disk, call.Owner, false
+	if call.Epoch > one.releasedEpoch {
+		one.leaseUntil, one.leaseDisk, one.leaseOwner, one.released = now+r.lease, call.Disk, call.Owner, false
+	}
 	if len(call.Changes) == 0 && call.Snapshot == nil {
 		answer(r.appendAnswer(one.head.Last, one.promising, call.Epoch == one.head.Promised && one.head.Last == call.Prev))
 		return
@@ -120,20 +128,40 @@
 	r.disk.Submit(write, func(outcome keystore.Outcome) {
 		r.box.Post(func() {
 			r.learn(one, outcome)
+			if outcome.Taken {
+				one.history.take(call)
+			}
 			answer(r.appendAnswer(one.head.Last, one.promising, outcome.Taken))
 		})
 	})
 }
 
+// release ends the lease of an epoch; what its owner sent before and comes later brings no new one.
+func (one *replica) release(now time.Duration, epoch uint64, heir string) {
+	one.leaseUntil, one.released, one.releasedAt, one.releasedEpoch, one.heir = 0, true, now, epoch, heir
+}
+
 func (r *Replicas) appendAnswer(last siblingwire.Stamp, promised uint64, isTaken bool) siblingwire.AppendAnswer {
 	return siblingwire.AppendAnswer{Taken: isTaken, Promised: promised, Last: last, Disk: r.disk.Disk(), WallMs: r.clock.WallMs()}
 }
 
-func (r *Replicas) Fetch(key string) (siblingwire.FetchAnswer, error) {
-	whole, err := r.disk.Read(key)
+// Fetch gives the changes after a stamp if the history has them, else the whole state as the disk has it.
+func (r *Replicas) Fetch(held History, call siblingwire.FetchCall) (siblingwire.FetchAnswer, error) {
+	if call.From != nil {
+		if changes, isThere := held.after(*call.From); isThere {
+			return siblingwire.FetchAnswer{Found: true, Changes: changes, Disk: r.disk.Disk()}, nil
+		}
+	}
+	whole, err := r.disk.Read(call.Key)
 	return siblingwire.FetchAnswer{Found: whole.Last != siblingwire.Stamp{}, Snapshot: whole, Disk: r.disk.Disk()}, err
 }
 
+// History gives the last changes that this disk took, one after the other, up to what it holds.
+func (r *Replicas) History(key string) History {
+	held := &r.of(key).history
+	return History{held.base, slices.Clone(held.changes)}
+}
+
 // Standing is what an engine asks before it seeks an epoch.
 type Standing struct {
 	Head     keystore.Head
@@ -142,11 +170,15 @@
 	Disk     string
 	Owner    string
 	Released bool
+	// ReleasedAt and Heir belong to the release.
+	ReleasedAt time.Duration
+	Heir       string
 }
 
 func (r *Replicas) Standing(key string) Standing {
 	one := r.of(key)
-	return Standing{one.head, one.promising, max(one.leaseUntil, r.quietUntil), one.leaseDisk, one.leaseOwner, one.released}
+	return Standing{Head: one.head, Promised: one.promising, LeaseEnd: max(one.leaseUntil, r.quietUntil), Disk: one.leaseDisk,
+		Owner: one.leaseOwner, Released: one.released, ReleasedAt: one.releasedAt, Heir: one.heir}
 }
 
 func (r *Replicas) Keys() []string {
@@ -157,13 +189,27 @@
 	return names
 }
 
-// AskPromise, AskAppend and AskStanding are for other goroutines.
+// AskPromise, AskAppend, AskFetch and AskStanding are for other goroutines.
 func (r *Replicas) AskPromise(life span.Span, call siblingwire.PromiseCall) (siblingwire.PromiseAnswer, error) {
 	return mailbox.Ask(r.box, life, func(answer func(siblingwire.PromiseAnswer)) { r.Promise(call, answer) })
 }
 
 func (r *Replicas) AskAppend(life span.Span, call siblingwire.AppendCall) (siblingwire.AppendAnswer, error) {
-	return mailbox.Ask(r.box, life, func(answer func(siblingwire.AppendAnswer)) { r.Append(call, answer) })
+	arrivedAt := r.clock.Steady()
+	return mailbox.Ask(r.box, life, func(answer func(siblingwire.AppendAnswer)) {
+		r.Append(call, func(told siblingwire.AppendAnswer) {
+			told.DelayUs = max(1, (r.clock.Steady() - arrivedAt).Microseconds())
+			answer(told)
+		})
+	})
+}
+
+func (r *Replicas) AskFetch(life span.Span, call siblingwire.FetchCall) (siblingwire.FetchAnswer, error) {
+	held, err := mailbox.Ask(r.box, life, func(answer func(History)) { answer(r.History(call.Key)) })
+	if err != nil {
+		return siblingwire.FetchAnswer{}, err
+	}
+	return r.Fetch(held, call)
 }
 
 func (r *Replicas) AskStanding(life span.Span, key string) (Standing, error) {
--- a/internal/keyowner/swap.go
+++ b/internal/keyowner/swap.go
@@ -55,11 +55,7 @@
 		return
 	}
 	final := siblingwire.VoterSet{Now: e.set.Now}
-	e.submit(nil, &final, func(err error) {
-		if err == nil {
-			e.forgetOutsiders()
-		}
-	})
+	e.submit(nil, &final, func(error) {})
 }
 
 func (e *Engine) forgetOutsiders() {
--- a/internal/keyowner/voters.go
+++ b/internal/keyowner/voters.go
@@ -48,7 +48,7 @@
 	next := c.kept()
 	goal := max(len(c.set), largestOdd(min(c.size, len(next)+len(newcomers))))
 	if len(c.set) > c.size {
-		goal = max(c.size, len(next))
+		goal = c.size
 	}
 	rest := slices.Clone(newcomers)
 	for len(next) < goal && len(rest) > 0 {
--- a/internal/keyowner/voters_test.go
+++ b/internal/keyowner/voters_test.go
@@ -255,21 +255,93 @@
 	It("never count a steward without a disk", func() {
 		w := newWorldBearing(2, 7, "a", "b", "c", "d", "e")
 		w.diskless = []siblingwire.Member{{Name: "x", Role: "steward", Domain: "far"}, {Name: "y", Role: "steward", Domain: "off"}}
-		w.run(3 * time.Second)
+		w.until(func() bool { return w.owner() != nil })
+		w.run(600 * time.Millisecond)
 		Expect(w.voters()).To(ConsistOf("disk-a", "disk-b", "disk-c", "disk-d", "disk-e"))
 	})
 
-	It("pass over a newcomer that does not answer", func() {
-		w := newWorldBearing(2, 8, "a", "b", "c", "d", "e", "f")
-		for _, one := range w.nodes[3:] {
-			w.cut[one.name] = true
+	It("never wait for a machine that is known to be gone", func() {
+		w := newWorldBearing(2, 11, "a", "b", "c", "d", "e")
+		for _, name := range []string{"g", "h", "i", "j", "k", "l"} {
+			w.add(name)
 		}
+		w.until(func() bool { return w.owner() != nil })
+		w.run(600 * time.Millisecond)
+		Expect(w.voters()).To(ConsistOf("disk-a", "disk-b", "disk-c", "disk-d", "disk-e"))
+	})
+
+	It("take a machine's new disk for its old one as soon as that is known", func() {
+		w := newWorldBearing(2, 13, "a", "b", "c", "d", "e")
+		w.run(2 * time.Second)
+		owner := w.owner()
+		victim := w.nodes[(slices.Index(w.nodes, owner)+1)%5]
+		victim.wipe("disk-fresh")
 		w.run(time.Second)
-		for _, one := range w.nodes[4:] {
-			delete(w.cut, one.name)
+		Expect(w.voters()).To(HaveLen(5))
+		Expect(w.voters()).To(ContainElement("disk-fresh"))
+	})
+
+	It("are sent nothing once they are voted out", func() {
+		w := grown(14)
+		victim := w.nodes[slices.IndexFunc(w.nodes, func(one *node) bool {
+			return one != w.owner() && slices.Contains(w.voters(), one.disk.name)
+		})]
+		victim.isFrozen = true
+		w.until(func() bool {
+			w.write()
+			w.run(9 * time.Millisecond)
+			return !slices.Contains(w.voters(), victim.disk.name)
+		})
+		victim.isFrozen = false
+		var last [2]siblingwire.Stamp
+		for place := range last {
+			for range 100 {
+				w.write()
+				w.run(5 * time.Millisecond)
+			}
+			last[place] = victim.disk.Shelf.Heads[key].Last
+		}
+		Expect(last[1]).To(Equal(last[0]))
+	})
+
+	It("leave alone a newcomer that is no longer needed", func() {
+		w := grown(15)
+		isVoter := func(one *node) bool { return slices.Contains(w.voters(), one.disk.name) }
+		spare := w.nodes[slices.IndexFunc(w.nodes, func(one *node) bool { return !isVoter(one) })]
+		victim := w.nodes[slices.IndexFunc(w.nodes, func(one *node) bool { return one != w.owner() && isVoter(one) })]
+		w.cut[spare.name], victim.isFrozen = true, true
+		w.run(1900 * time.Millisecond)
+		victim.isFrozen = false
+		w.run(300 * time.Millisecond)
+		delete(w.cut, spare.name)
+		w.write()
+		w.run(500 * time.Millisecond)
+		Expect(isVoter(victim)).To(BeTrue())
+		Expect(spare.disk.Shelf.Heads[key].Last).To(Equal(siblingwire.Stamp{}))
+	})
+
+	It("keep a lost one while there is none to take its place", func() {
+		w := newWorldBearing(2, 12, "a", "b", "c", "d", "e")
+		w.run(2 * time.Second)
+		for _, one := range w.nodes {
+			if one != w.owner() {
+				one.kill()
+				break
+			}
+		}
+		w.run(3 * time.Second)
+		Expect(w.voters()).To(ConsistOf("disk-a", "disk-b", "disk-c", "disk-d", "disk-e"))
+	})
+
+	It("pass over a newcomer that does not answer", func() {
+		for place := range 3 {
+			w := newWorldBearing(2, 8, "a", "b", "c", "d", "e", "f")
+			silent := w.nodes[3+place]
+			w.cut[silent.name] = true
+			w.run(5 * time.Second)
+			Expect(w.voters()).To(HaveLen(5))
+			Expect(w.voters()).NotTo(ContainElement(silent.disk.name))
 		}
-		w.run(6 * time.Second)
-		Expect(w.voters()).To(ConsistOf("disk-a", "disk-b", "disk-c", "disk-e", "disk-f"))
 	})
 
 	for seed := range uint64(24) {
--- a/internal/keyowner/world_test.go
+++ b/internal/keyowner/world_test.go
@@ -74,6 +74,8 @@
 	past     []string
 	isUp     bool
 	isFrozen bool
+	isOld    bool
+	late     time.Duration
 	life     int
 	clock    *nodeClock
 	replicas *keyowner.Replicas
@@ -100,6 +102,7 @@
 	written  int
 	losses   int
 	trials   int
+	wholes   int
 	eats     func(to *node, call siblingwire.AppendCall) bool
 	diskless []siblingwire.Member
 }
@@ -235,21 +238,34 @@
 }
 
 func (r *road) Append(disk string, call siblingwire.AppendCall, done func(siblingwire.AppendAnswer, error)) {
+	if call.Snapshot != nil {
+		r.node.world.wholes++
+	}
 	to := r.node.world.byDisk(disk)
 	if to != nil && r.node.world.eats != nil && r.node.world.eats(to, call) {
 		to = nil
 	}
-	carry(r.node.world, r.node, to, time.Second, func(answer func(siblingwire.AppendAnswer)) { to.replicas.Append(call, answer) }, done)
+	carry(r.node.world, r.node, to, time.Second, func(answer func(siblingwire.AppendAnswer)) {
+		to.replicas.Append(call, func(told siblingwire.AppendAnswer) {
+			if !to.isOld && to != r.node {
+				told.DelayUs = max(1, to.late.Microseconds())
+			}
+			r.node.world.post(to.late, func() { answer(told) })
+		})
+	}, done)
 }
 
 func (r *road) InstallLocal(call siblingwire.AppendCall, done func(siblingwire.AppendAnswer, error)) {
 	r.Append(r.node.disk.name, call, done)
 }
 
-func (r *road) Fetch(disk, key string, done func(siblingwire.FetchAnswer, error)) {
+func (r *road) Fetch(disk string, ask siblingwire.FetchCall, done func(siblingwire.FetchAnswer, error)) {
 	to := r.node.world.byDisk(disk)
 	carry(r.node.world, r.node, to, time.Second, func(answer func(siblingwire.FetchAnswer)) {
-		if whole, err := to.replicas.Fetch(key); err == nil {
+		if whole, err := to.replicas.Fetch(to.replicas.History(ask.Key), ask); err == nil {
+			if to.isOld {
+				whole, _ = to.replicas.Fetch(keyowner.History{}, siblingwire.FetchCall{Key: ask.Key})
+			}
 			answer(whole)
 		}
 	}, done)
@@ -259,6 +275,8 @@
 	done(r.node.replicas.Standing(key))
 }
 
+func (r *road) History(key string, done func(keyowner.History)) { done(r.node.replicas.History(key)) }
+
 func (r *road) ReadLocal(key string) (siblingwire.Snapshot, error) { return r.node.disk.Read(key) }
 
 func (w *world) opened(m *machine) {
--- a/internal/siblingwire/messages.go
+++ b/internal/siblingwire/messages.go
@@ -62,6 +62,8 @@
 	Changes  []Change  `json:"changes,omitempty"`
 	Snapshot *Snapshot `json:"snapshot,omitempty"`
 	Release  bool      `json:"release,omitempty"`
+	// Heir is the disk whose steward should ask first after a release by an owner that is slow.
+	Heir string `json:"heir,omitempty"`
 }
 
 type AppendAnswer struct {
@@ -70,15 +72,20 @@
 	Last     Stamp  `json:"last"`
 	Disk     string `json:"disk"`
 	WallMs   int64  `json:"wall"`
+	// DelayUs is the time from the call's arrival to this answer, at least 1; 0 is from a sibling of an older form.
+	DelayUs int64 `json:"delay,omitempty"`
 }
 
+// FetchCall asks for the changes after From, or for the whole state if they are no longer there or From is not named.
 type FetchCall struct {
-	Key string `json:"key"`
+	Key  string `json:"key"`
+	From *Stamp `json:"from,omitempty"`
 }
 
 type FetchAnswer struct {
 	Found    bool     `json:"found,omitempty"`
 	Snapshot Snapshot `json:"snapshot"`
+	Changes  []Change `json:"changes,omitempty"`
 	Disk     string   `json:"disk"`
 }
 
--- a/internal/siblingwire/messages_easyjson.go
+++ b/internal/siblingwire/messages_easyjson.go
@@ -2335,6 +2335,20 @@
 			} else {
 				out.Key = string(in.String())
 			}
+		case "from":
+			if in.IsNull() {
+				in.Skip()
+				out.From = nil
+			} else {
+				if out.From == nil {
+					out.From = new(Stamp)
+				}
+				if in.IsNull() {
+					in.Skip()
+				} else {
+					(*out.From).UnmarshalEasyJSON(in)
+				}
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -2354,6 +2368,11 @@
 		out.RawString(prefix[1:])
 		out.String(string(in.Key))
 	}
+	if in.From != nil {
+		const prefix string = ",\"from\":"
+		out.RawString(prefix)
+		(*in.From).MarshalEasyJSON(out)
+	}
 	out.RawByte('}')
 }
 
@@ -2406,6 +2425,33 @@
 			} else {
 				(out.Snapshot).UnmarshalEasyJSON(in)
 			}
+		case "changes":
+			if in.IsNull() {
+				in.Skip()
+				out.Changes = nil
+			} else {
+				in.Delim('[')
+				if out.Changes == nil {
+					if !in.IsDelim(']') {
+						out.Changes = make([]Change, 0, 1)
+					} else {
+						out.Changes = []Change{}
+					}
+				} else {
+					out.Changes = (out.Changes)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v31 Change
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						(v31).UnmarshalEasyJSON(in)
+					}
+					out.Changes = append(out.Changes, v31)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
 		case "disk":
 			if in.IsNull() {
 				in.Skip()
@@ -2442,6 +2488,20 @@
 		}
 		(in.Snapshot).MarshalEasyJSON(out)
 	}
+	if len(in.Changes) != 0 {
+		const prefix string = ",\"changes\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('[')
+			for v32, v33 := range in.Changes {
+				if v32 > 0 {
+					out.RawByte(',')
+				}
+				(v33).MarshalEasyJSON(out)
+			}
+			out.RawByte(']')
+		}
+	}
 	{
 		const prefix string = ",\"disk\":"
 		out.RawString(prefix)
@@ -2625,13 +2685,13 @@
 					out.Labels = (out.Labels)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v31 string
+					var v34 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v31 = string(in.String())
+						v34 = string(in.String())
 					}
-					out.Labels = append(out.Labels, v31)
+					out.Labels = append(out.Labels, v34)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -2670,13 +2730,13 @@
 					out.Gone = (out.Gone)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v32 string
+					var v35 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v32 = string(in.String())
+						v35 = string(in.String())
 					}
-					out.Gone = append(out.Gone, v32)
+					out.Gone = append(out.Gone, v35)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -2715,13 +2775,13 @@
 					out.Running = (out.Running)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v33 RunReport
+					var v36 RunReport
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v33).UnmarshalEasyJSON(in)
+						(v36).UnmarshalEasyJSON(in)
 					}
-					out.Running = append(out.Running, v33)
+					out.Running = append(out.Running, v36)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -2742,13 +2802,13 @@
 					out.Ends = (out.Ends)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v34 EndReport
+					var v37 EndReport
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v34).UnmarshalEasyJSON(in)
+						(v37).UnmarshalEasyJSON(in)
 					}
-					out.Ends = append(out.Ends, v34)
+					out.Ends = append(out.Ends, v37)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -2769,13 +2829,13 @@
 					out.Answers = (out.Answers)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v35 OrderAnswer
+					var v38 OrderAnswer
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v35).UnmarshalEasyJSON(in)
+						(v38).UnmarshalEasyJSON(in)
 					}
-					out.Answers = append(out.Answers, v35)
+					out.Answers = append(out.Answers, v38)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -2825,11 +2885,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v36, v37 := range in.Labels {
-				if v36 > 0 {
+			for v39, v40 := range in.Labels {
+				if v39 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v37))
+				out.String(string(v40))
 			}
 			out.RawByte(']')
 		}
@@ -2854,11 +2914,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v38, v39 := range in.Gone {
-				if v38 > 0 {
+			for v41, v42 := range in.Gone {
+				if v41 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v39))
+				out.String(string(v42))
 			}
 			out.RawByte(']')
 		}
@@ -2883,11 +2943,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v40, v41 := range in.Running {
-				if v40 > 0 {
+			for v43, v44 := range in.Running {
+				if v43 > 0 {
 					out.RawByte(',')
 				}
-				(v41).MarshalEasyJSON(out)
+				(v44).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -2897,11 +2957,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v42, v43 := range in.Ends {
-				if v42 > 0 {
+			for v45, v46 := range in.Ends {
+				if v45 > 0 {
 					out.RawByte(',')
 				}
-				(v43).MarshalEasyJSON(out)
+				(v46).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -2911,11 +2971,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v44, v45 := range in.Answers {
-				if v44 > 0 {
+			for v47, v48 := range in.Answers {
+				if v47 > 0 {
 					out.RawByte(',')
 				}
-				(v45).MarshalEasyJSON(out)
+				(v48).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -3017,13 +3077,13 @@
 					out.Orders = (out.Orders)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v46 Order
+					var v49 Order
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v46).UnmarshalEasyJSON(in)
+						(v49).UnmarshalEasyJSON(in)
 					}
-					out.Orders = append(out.Orders, v46)
+					out.Orders = append(out.Orders, v49)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -3108,11 +3168,11 @@
 		}
 		{
 			out.RawByte('[')
-			for v47, v48 := range in.Orders {
-				if v47 > 0 {
+			for v50, v51 := range in.Orders {
+				if v50 > 0 {
 					out.RawByte(',')
 				}
-				(v48).MarshalEasyJSON(out)
+				(v51).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -3408,13 +3468,13 @@
 					out.Owners = (out.Owners)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v49 OwnerFact
+					var v52 OwnerFact
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v49).UnmarshalEasyJSON(in)
+						(v52).UnmarshalEasyJSON(in)
 					}
-					out.Owners = append(out.Owners, v49)
+					out.Owners = append(out.Owners, v52)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -3459,11 +3519,11 @@
 		}
 		{
 			out.RawByte('[')
-			for v50, v51 := range in.Owners {
-				if v50 > 0 {
+			for v53, v54 := range in.Owners {
+				if v53 > 0 {
 					out.RawByte(',')
 				}
-				(v51).MarshalEasyJSON(out)
+				(v54).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -3548,13 +3608,13 @@
 					out.News = (out.News)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v52 Member
+					var v55 Member
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v52).UnmarshalEasyJSON(in)
+						(v55).UnmarshalEasyJSON(in)
 					}
-					out.News = append(out.News, v52)
+					out.News = append(out.News, v55)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -3604,11 +3664,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v53, v54 := range in.News {
-				if v53 > 0 {
+			for v56, v57 := range in.News {
+				if v56 > 0 {
 					out.RawByte(',')
 				}
-				(v54).MarshalEasyJSON(out)
+				(v57).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -3976,13 +4036,13 @@
 					out.Ops = (out.Ops)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v55 Op
+					var v58 Op
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v55).UnmarshalEasyJSON(in)
+						(v58).UnmarshalEasyJSON(in)
 					}
-					out.Ops = append(out.Ops, v55)
+					out.Ops = append(out.Ops, v58)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4025,11 +4085,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v56, v57 := range in.Ops {
-				if v56 > 0 {
+			for v59, v60 := range in.Ops {
+				if v59 > 0 {
 					out.RawByte(',')
 				}
-				(v57).MarshalEasyJSON(out)
+				(v60).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4188,13 +4248,13 @@
 					out.Voters = (out.Voters)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v58 string
+					var v61 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v58 = string(in.String())
+						v61 = string(in.String())
 					}
-					out.Voters = append(out.Voters, v58)
+					out.Voters = append(out.Voters, v61)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4225,11 +4285,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v59, v60 := range in.Voters {
-				if v59 > 0 {
+			for v62, v63 := range in.Voters {
+				if v62 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v60))
+				out.String(string(v63))
 			}
 			out.RawByte(']')
 		}
@@ -4362,13 +4422,13 @@
 					out.Members = (out.Members)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v61 Member
+					var v64 Member
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v61).UnmarshalEasyJSON(in)
+						(v64).UnmarshalEasyJSON(in)
 					}
-					out.Members = append(out.Members, v61)
+					out.Members = append(out.Members, v64)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4389,13 +4449,13 @@
 					out.Owners = (out.Owners)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v62 OwnerFact
+					var v65 OwnerFact
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v62).UnmarshalEasyJSON(in)
+						(v65).UnmarshalEasyJSON(in)
 					}
-					out.Owners = append(out.Owners, v62)
+					out.Owners = append(out.Owners, v65)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4416,13 +4476,13 @@
 					out.Keys = (out.Keys)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v63 KeyBelief
+					var v66 KeyBelief
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v63).UnmarshalEasyJSON(in)
+						(v66).UnmarshalEasyJSON(in)
 					}
-					out.Keys = append(out.Keys, v63)
+					out.Keys = append(out.Keys, v66)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4443,13 +4503,13 @@
 					out.Jobs = (out.Jobs)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v64 JobBelief
+					var v67 JobBelief
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v64).UnmarshalEasyJSON(in)
+						(v67).UnmarshalEasyJSON(in)
 					}
-					out.Jobs = append(out.Jobs, v64)
+					out.Jobs = append(out.Jobs, v67)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4470,13 +4530,13 @@
 					out.Executors = (out.Executors)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v65 ExecutorBelief
+					var v68 ExecutorBelief
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v65).UnmarshalEasyJSON(in)
+						(v68).UnmarshalEasyJSON(in)
 					}
-					out.Executors = append(out.Executors, v65)
+					out.Executors = append(out.Executors, v68)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4517,11 +4577,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v66, v67 := range in.Members {
-				if v66 > 0 {
+			for v69, v70 := range in.Members {
+				if v69 > 0 {
 					out.RawByte(',')
 				}
-				(v67).MarshalEasyJSON(out)
+				(v70).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4533,11 +4593,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v68, v69 := range in.Owners {
-				if v68 > 0 {
+			for v71, v72 := range in.Owners {
+				if v71 > 0 {
 					out.RawByte(',')
 				}
-				(v69).MarshalEasyJSON(out)
+				(v72).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4549,11 +4609,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v70, v71 := range in.Keys {
-				if v70 > 0 {
+			for v73, v74 := range in.Keys {
+				if v73 > 0 {
 					out.RawByte(',')
 				}
-				(v71).MarshalEasyJSON(out)
+				(v74).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4565,11 +4625,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v72, v73 := range in.Jobs {
-				if v72 > 0 {
+			for v75, v76 := range in.Jobs {
+				if v75 > 0 {
 					out.RawByte(',')
 				}
-				(v73).MarshalEasyJSON(out)
+				(v76).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4581,11 +4641,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v74, v75 := range in.Executors {
-				if v74 > 0 {
+			for v77, v78 := range in.Executors {
+				if v77 > 0 {
 					out.RawByte(',')
 				}
-				(v75).MarshalEasyJSON(out)
+				(v78).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4676,13 +4736,13 @@
 					out.Changes = (out.Changes)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v76 Change
+					var v79 Change
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v76).UnmarshalEasyJSON(in)
+						(v79).UnmarshalEasyJSON(in)
 					}
-					out.Changes = append(out.Changes, v76)
+					out.Changes = append(out.Changes, v79)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4707,6 +4767,12 @@
 			} else {
 				out.Release = bool(in.Bool())
 			}
+		case "heir":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Heir = string(in.String())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -4751,11 +4817,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v77, v78 := range in.Changes {
-				if v77 > 0 {
+			for v80, v81 := range in.Changes {
+				if v80 > 0 {
 					out.RawByte(',')
 				}
-				(v78).MarshalEasyJSON(out)
+				(v81).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4770,6 +4836,11 @@
 		out.RawString(prefix)
 		out.Bool(bool(in.Release))
 	}
+	if in.Heir != "" {
+		const prefix string = ",\"heir\":"
+		out.RawString(prefix)
+		out.String(string(in.Heir))
+	}
 	out.RawByte('}')
 }
 
@@ -4840,6 +4911,12 @@
 			} else {
 				out.WallMs = int64(in.Int64())
 			}
+		case "delay":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.DelayUs = int64(in.Int64())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -4885,6 +4962,11 @@
 		out.RawString(prefix)
 		out.Int64(int64(in.WallMs))
 	}
+	if in.DelayUs != 0 {
+		const prefix string = ",\"delay\":"
+		out.RawString(prefix)
+		out.Int64(int64(in.DelayUs))
+	}
 	out.RawByte('}')
 }
 
--- a/internal/stage/node.go
+++ b/internal/stage/node.go
@@ -169,10 +169,10 @@
 	r.node.replicas.Append(ask, func(answer siblingwire.AppendAnswer) { done(answer, nil) })
 }
 
-func (r *road) Fetch(disk, key string, done func(siblingwire.FetchAnswer, error)) {
+func (r *road) Fetch(disk string, ask siblingwire.FetchCall, done func(siblingwire.FetchAnswer, error)) {
 	to, where := r.node.stage.placeOf(disk)
 	call(r.node.stage, r.node.place(), where, appendLimit, func(answer func(siblingwire.FetchAnswer)) {
-		if whole, err := to.replicas.Fetch(key); err == nil {
+		if whole, err := to.replicas.Fetch(to.replicas.History(ask.Key), ask); err == nil {
 			answer(whole)
 		}
 	}, done)
@@ -182,4 +182,6 @@
 	done(r.node.replicas.Standing(key))
 }
 
+func (r *road) History(key string, done func(keyowner.History)) { done(r.node.replicas.History(key)) }
+
 func (r *road) ReadLocal(key string) (siblingwire.Snapshot, error) { return r.node.disk.Read(key) }
--- a/internal/stewardkeys/links.go
+++ b/internal/stewardkeys/links.go
@@ -53,8 +53,8 @@
 	})
 }
 
-func (l *links) Fetch(disk, key string, done func(siblingwire.FetchAnswer, error)) {
-	remote(l, disk, siblingwire.ProcedureFetch, snapshotLimit, siblingwire.FetchCall{Key: key}, done)
+func (l *links) Fetch(disk string, call siblingwire.FetchCall, done func(siblingwire.FetchAnswer, error)) {
+	remote(l, disk, siblingwire.ProcedureFetch, snapshotLimit, call, done)
 }
 
 func (l *links) Standing(key string, done func(keyowner.Standing)) {
@@ -64,6 +64,13 @@
 	})
 }
 
+func (l *links) History(key string, done func(keyowner.History)) {
+	l.ring.replicas.Box().Post(func() {
+		held := l.ring.replicas.History(key)
+		l.box.Post(func() { done(held) })
+	})
+}
+
 func (l *links) ReadLocal(key string) (siblingwire.Snapshot, error) { return l.ring.store.Read(key) }
 
 func remote[Ask, Tell any](l *links, disk, procedure string, limit time.Duration, call Ask, done func(Tell, error)) {
--- a/internal/stewardkeys/ring.go
+++ b/internal/stewardkeys/ring.go
@@ -312,8 +312,8 @@
 		answer, err := r.replicas.AskAppend(life, *call)
 		return &answer, err
 	})
-	siblingwire.Serve(mux, siblingwire.ProcedureFetch, func(_ span.Span, call *siblingwire.FetchCall) (*siblingwire.FetchAnswer, error) {
-		answer, err := r.replicas.Fetch(call.Key)
+	siblingwire.Serve(mux, siblingwire.ProcedureFetch, func(life span.Span, call *siblingwire.FetchCall) (*siblingwire.FetchAnswer, error) {
+		answer, err := r.replicas.AskFetch(life, *call)
 		return &answer, err
 	})
 }
