--- a/internal/planbook/fetch_test.go
+++ b/internal/planbook/fetch_test.go
@@ -31,6 +31,7 @@
 
 var _ = Describe("the plan that a process holds", func() {
 	It("is fetched from a sibling that is ahead, and counted", func() {
+		before := metrics.Own()
 		pages := make(chan *planbook.Page, 2)
 		heed := func(page *planbook.Page) { pages <- page }
 		ahead, behind := runningBook(heed), runningBook(heed)
@@ -44,8 +45,9 @@
 		Expect((<-pages).Fact.Version).To(Equal(int64(7)))
 		Expect(behind.Page().Matcher.Match("h.example", "/q/x").Name).To(Equal("a"))
 		own := metrics.Own()
-		Expect(own).To(HaveKeyWithValue("gannetline_plan_versions_total", 2.0))
+		grown := func(name string) float64 { return own[name] - before[name] }
+		Expect(grown("gannetline_plan_versions_total")).To(Equal(2.0))
 		Expect(own).To(HaveKeyWithValue("gannetline_plan_version", 7.0))
-		Expect(own).To(HaveKeyWithValue("gannetline_plan_fetched_bytes_total", float64(len(smallBody))))
+		Expect(grown("gannetline_plan_fetched_bytes_total")).To(Equal(float64(len(smallBody))))
 	})
 })
--- a/internal/siblingwire/messages_easyjson.go
+++ b/internal/siblingwire/messages_easyjson.go
@@ -466,6 +466,12 @@
 			} else {
 				out.Percent = int(in.Int())
 			}
+		case "x":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Stuck = bool(in.Bool())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -500,6 +506,11 @@
 		out.RawString(prefix)
 		out.Int(int(in.Percent))
 	}
+	if in.Stuck {
+		const prefix string = ",\"x\":"
+		out.RawString(prefix)
+		out.Bool(bool(in.Stuck))
+	}
 	out.RawByte('}')
 }
 
@@ -2818,6 +2829,20 @@
 			} else {
 				out.Key = string(in.String())
 			}
+		case "from":
+			if in.IsNull() {
+				in.Skip()
+				out.From = nil
+			} else {
+				if out.From == nil {
+					out.From = new(Stamp)
+				}
+				if in.IsNull() {
+					in.Skip()
+				} else {
+					(*out.From).UnmarshalEasyJSON(in)
+				}
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -2837,6 +2862,11 @@
 		out.RawString(prefix[1:])
 		out.String(string(in.Key))
 	}
+	if in.From != nil {
+		const prefix string = ",\"from\":"
+		out.RawString(prefix)
+		(*in.From).MarshalEasyJSON(out)
+	}
 	out.RawByte('}')
 }
 
@@ -2889,6 +2919,33 @@
 			} else {
 				(out.Snapshot).UnmarshalEasyJSON(in)
 			}
+		case "changes":
+			if in.IsNull() {
+				in.Skip()
+				out.Changes = nil
+			} else {
+				in.Delim('[')
+				if out.Changes == nil {
+					if !in.IsDelim(']') {
+						out.Changes = make([]Change, 0, 1)
+					} else {
+						out.Changes = []Change{}
+					}
+				} else {
+					out.Changes = (out.Changes)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v49 Change
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						(v49).UnmarshalEasyJSON(in)
+					}
+					out.Changes = append(out.Changes, v49)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
 		case "disk":
 			if in.IsNull() {
 				in.Skip()
@@ -2925,6 +2982,20 @@
 		}
 		(in.Snapshot).MarshalEasyJSON(out)
 	}
+	if len(in.Changes) != 0 {
+		const prefix string = ",\"changes\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('[')
+			for v50, v51 := range in.Changes {
+				if v50 > 0 {
+					out.RawByte(',')
+				}
+				(v51).MarshalEasyJSON(out)
+			}
+			out.RawByte(']')
+		}
+	}
 	{
 		const prefix string = ",\"disk\":"
 		out.RawString(prefix)
@@ -3126,13 +3197,13 @@
 					out.Labels = (out.Labels)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v49 string
+					var v52 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v49 = string(in.String())
+						v52 = string(in.String())
 					}
-					out.Labels = append(out.Labels, v49)
+					out.Labels = append(out.Labels, v52)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -3171,13 +3242,13 @@
 					out.Gone = (out.Gone)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v50 string
+					var v53 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v50 = string(in.String())
+						v53 = string(in.String())
 					}
-					out.Gone = append(out.Gone, v50)
+					out.Gone = append(out.Gone, v53)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -3216,13 +3287,13 @@
 					out.Running = (out.Running)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v51 RunReport
+					var v54 RunReport
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v51).UnmarshalEasyJSON(in)
+						(v54).UnmarshalEasyJSON(in)
 					}
-					out.Running = append(out.Running, v51)
+					out.Running = append(out.Running, v54)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -3243,13 +3314,13 @@
 					out.Changed = (out.Changed)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v52 RunReport
+					var v55 RunReport
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v52).UnmarshalEasyJSON(in)
+						(v55).UnmarshalEasyJSON(in)
 					}
-					out.Changed = append(out.Changed, v52)
+					out.Changed = append(out.Changed, v55)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -3270,13 +3341,13 @@
 					out.Ends = (out.Ends)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v53 EndReport
+					var v56 EndReport
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v53).UnmarshalEasyJSON(in)
+						(v56).UnmarshalEasyJSON(in)
 					}
-					out.Ends = append(out.Ends, v53)
+					out.Ends = append(out.Ends, v56)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -3297,13 +3368,13 @@
 					out.Answers = (out.Answers)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v54 OrderAnswer
+					var v57 OrderAnswer
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v54).UnmarshalEasyJSON(in)
+						(v57).UnmarshalEasyJSON(in)
 					}
-					out.Answers = append(out.Answers, v54)
+					out.Answers = append(out.Answers, v57)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -3368,11 +3439,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v55, v56 := range in.Labels {
-				if v55 > 0 {
+			for v58, v59 := range in.Labels {
+				if v58 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v56))
+				out.String(string(v59))
 			}
 			out.RawByte(']')
 		}
@@ -3397,11 +3468,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v57, v58 := range in.Gone {
-				if v57 > 0 {
+			for v60, v61 := range in.Gone {
+				if v60 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v58))
+				out.String(string(v61))
 			}
 			out.RawByte(']')
 		}
@@ -3426,11 +3497,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v59, v60 := range in.Running {
-				if v59 > 0 {
+			for v62, v63 := range in.Running {
+				if v62 > 0 {
 					out.RawByte(',')
 				}
-				(v60).MarshalEasyJSON(out)
+				(v63).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -3440,11 +3511,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v61, v62 := range in.Changed {
-				if v61 > 0 {
+			for v64, v65 := range in.Changed {
+				if v64 > 0 {
 					out.RawByte(',')
 				}
-				(v62).MarshalEasyJSON(out)
+				(v65).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -3454,11 +3525,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v63, v64 := range in.Ends {
-				if v63 > 0 {
+			for v66, v67 := range in.Ends {
+				if v66 > 0 {
 					out.RawByte(',')
 				}
-				(v64).MarshalEasyJSON(out)
+				(v67).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -3468,11 +3539,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v65, v66 := range in.Answers {
-				if v65 > 0 {
+			for v68, v69 := range in.Answers {
+				if v68 > 0 {
 					out.RawByte(',')
 				}
-				(v66).MarshalEasyJSON(out)
+				(v69).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -3592,13 +3663,13 @@
 					out.Orders = (out.Orders)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v67 Order
+					var v70 Order
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v67).UnmarshalEasyJSON(in)
+						(v70).UnmarshalEasyJSON(in)
 					}
-					out.Orders = append(out.Orders, v67)
+					out.Orders = append(out.Orders, v70)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -3713,11 +3784,11 @@
 		}
 		{
 			out.RawByte('[')
-			for v68, v69 := range in.Orders {
-				if v68 > 0 {
+			for v71, v72 := range in.Orders {
+				if v71 > 0 {
 					out.RawByte(',')
 				}
-				(v69).MarshalEasyJSON(out)
+				(v72).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4007,13 +4078,13 @@
 					out.Owners = (out.Owners)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v70 OwnerFact
+					var v73 OwnerFact
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v70).UnmarshalEasyJSON(in)
+						(v73).UnmarshalEasyJSON(in)
 					}
-					out.Owners = append(out.Owners, v70)
+					out.Owners = append(out.Owners, v73)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4060,11 +4131,11 @@
 		}
 		{
 			out.RawByte('[')
-			for v71, v72 := range in.Owners {
-				if v71 > 0 {
+			for v74, v75 := range in.Owners {
+				if v74 > 0 {
 					out.RawByte(',')
 				}
-				(v72).MarshalEasyJSON(out)
+				(v75).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4169,13 +4240,13 @@
 					out.News = (out.News)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v73 Member
+					var v76 Member
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v73).UnmarshalEasyJSON(in)
+						(v76).UnmarshalEasyJSON(in)
 					}
-					out.News = append(out.News, v73)
+					out.News = append(out.News, v76)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4186,6 +4257,12 @@
 			} else {
 				(out.Digest).UnmarshalEasyJSON(in)
 			}
+		case "z":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.PauseMs = int64(in.Int64())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -4225,11 +4302,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v74, v75 := range in.News {
-				if v74 > 0 {
+			for v77, v78 := range in.News {
+				if v77 > 0 {
 					out.RawByte(',')
 				}
-				(v75).MarshalEasyJSON(out)
+				(v78).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4239,6 +4316,11 @@
 		out.RawString(prefix)
 		(in.Digest).MarshalEasyJSON(out)
 	}
+	if in.PauseMs != 0 {
+		const prefix string = ",\"z\":"
+		out.RawString(prefix)
+		out.Int64(int64(in.PauseMs))
+	}
 	out.RawByte('}')
 }
 
@@ -4597,13 +4679,13 @@
 					out.Ops = (out.Ops)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v76 Op
+					var v79 Op
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v76).UnmarshalEasyJSON(in)
+						(v79).UnmarshalEasyJSON(in)
 					}
-					out.Ops = append(out.Ops, v76)
+					out.Ops = append(out.Ops, v79)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4646,11 +4728,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v77, v78 := range in.Ops {
-				if v77 > 0 {
+			for v80, v81 := range in.Ops {
+				if v80 > 0 {
 					out.RawByte(',')
 				}
-				(v78).MarshalEasyJSON(out)
+				(v81).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4809,13 +4891,13 @@
 					out.Voters = (out.Voters)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v79 string
+					var v82 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v79 = string(in.String())
+						v82 = string(in.String())
 					}
-					out.Voters = append(out.Voters, v79)
+					out.Voters = append(out.Voters, v82)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4846,11 +4928,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v80, v81 := range in.Voters {
-				if v80 > 0 {
+			for v83, v84 := range in.Voters {
+				if v83 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v81))
+				out.String(string(v84))
 			}
 			out.RawByte(']')
 		}
@@ -4983,13 +5065,13 @@
 					out.Members = (out.Members)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v82 Member
+					var v85 Member
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v82).UnmarshalEasyJSON(in)
+						(v85).UnmarshalEasyJSON(in)
 					}
-					out.Members = append(out.Members, v82)
+					out.Members = append(out.Members, v85)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -5010,13 +5092,13 @@
 					out.Owners = (out.Owners)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v83 OwnerFact
+					var v86 OwnerFact
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v83).UnmarshalEasyJSON(in)
+						(v86).UnmarshalEasyJSON(in)
 					}
-					out.Owners = append(out.Owners, v83)
+					out.Owners = append(out.Owners, v86)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -5037,13 +5119,13 @@
 					out.Keys = (out.Keys)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v84 KeyBelief
+					var v87 KeyBelief
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v84).UnmarshalEasyJSON(in)
+						(v87).UnmarshalEasyJSON(in)
 					}
-					out.Keys = append(out.Keys, v84)
+					out.Keys = append(out.Keys, v87)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -5064,13 +5146,13 @@
 					out.Jobs = (out.Jobs)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v85 JobBelief
+					var v88 JobBelief
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v85).UnmarshalEasyJSON(in)
+						(v88).UnmarshalEasyJSON(in)
 					}
-					out.Jobs = append(out.Jobs, v85)
+					out.Jobs = append(out.Jobs, v88)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -5091,13 +5173,13 @@
 					out.Executors = (out.Executors)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v86 ExecutorBelief
+					var v89 ExecutorBelief
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v86).UnmarshalEasyJSON(in)
+						(v89).UnmarshalEasyJSON(in)
 					}
-					out.Executors = append(out.Executors, v86)
+					out.Executors = append(out.Executors, v89)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -5138,11 +5220,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v87, v88 := range in.Members {
-				if v87 > 0 {
+			for v90, v91 := range in.Members {
+				if v90 > 0 {
 					out.RawByte(',')
 				}
-				(v88).MarshalEasyJSON(out)
+				(v91).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -5154,11 +5236,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v89, v90 := range in.Owners {
-				if v89 > 0 {
+			for v92, v93 := range in.Owners {
+				if v92 > 0 {
 					out.RawByte(',')
 				}
-				(v90).MarshalEasyJSON(out)
+				(v93).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -5170,11 +5252,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v91, v92 := range in.Keys {
-				if v91 > 0 {
+			for v94, v95 := range in.Keys {
+				if v94 > 0 {
 					out.RawByte(',')
 				}
-				(v92).MarshalEasyJSON(out)
+				(v95).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -5186,11 +5268,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v93, v94 := range in.Jobs {
-				if v93 > 0 {
+			for v96, v97 := range in.Jobs {
+				if v96 > 0 {
 					out.RawByte(',')
 				}
-				(v94).MarshalEasyJSON(out)
+				(v97).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -5202,11 +5284,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v95, v96 := range in.Executors {
-				if v95 > 0 {
+			for v98, v99 := range in.Executors {
+				if v98 > 0 {
 					out.RawByte(',')
 				}
-				(v96).MarshalEasyJSON(out)
+				(v99).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -5297,13 +5379,13 @@
 					out.Changes = (out.Changes)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v97 Change
+					var v100 Change
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v97).UnmarshalEasyJSON(in)
+						(v100).UnmarshalEasyJSON(in)
 					}
-					out.Changes = append(out.Changes, v97)
+					out.Changes = append(out.Changes, v100)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -5328,6 +5410,12 @@
 			} else {
 				out.Release = bool(in.Bool())
 			}
+		case "heir":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Heir = string(in.String())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -5372,11 +5460,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v98, v99 := range in.Changes {
-				if v98 > 0 {
+			for v101, v102 := range in.Changes {
+				if v101 > 0 {
 					out.RawByte(',')
 				}
-				(v99).MarshalEasyJSON(out)
+				(v102).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -5391,6 +5479,11 @@
 		out.RawString(prefix)
 		out.Bool(bool(in.Release))
 	}
+	if in.Heir != "" {
+		const prefix string = ",\"heir\":"
+		out.RawString(prefix)
+		out.String(string(in.Heir))
+	}
 	out.RawByte('}')
 }
 
@@ -5461,6 +5554,12 @@
 			} else {
 				out.WallMs = int64(in.Int64())
 			}
+		case "delay":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.DelayUs = int64(in.Int64())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -5506,6 +5605,11 @@
 		out.RawString(prefix)
 		out.Int64(int64(in.WallMs))
 	}
+	if in.DelayUs != 0 {
+		const prefix string = ",\"delay\":"
+		out.RawString(prefix)
+		out.Int64(int64(in.DelayUs))
+	}
 	out.RawByte('}')
 }
 
