--- a/internal/placetasks/oracle_test.go
+++ b/internal/placetasks/oracle_test.go
@@ -44,7 +44,8 @@
 		order[place] = place
 	}
 	slices.SortStableFunc(order, func(one, two int) int {
-		return cmp.Or(compareBools(groups[one].IsSpare, groups[two].IsSpare), cmp.Compare(groups[one].Priority, groups[two].Priority), cmp.Compare(groups[one].Due, groups[two].Due))
+		return cmp.Or(compareBools(groups[one].IsSpare, groups[two].IsSpare), compareBools(groups[one].Chance == ChanceTooLate, groups[two].Chance == ChanceTooLate),
+			cmp.Compare(groups[one].Priority, groups[two].Priority), cmp.Compare(groups[one].Chance, groups[two].Chance), cmp.Compare(groups[one].Due, groups[two].Due))
 	})
 	var placed []Placement
 	reserved := make([]bool, len(executors))
--- a/internal/placetasks/place.go
+++ b/internal/placetasks/place.go
@@ -59,9 +59,20 @@
 	IsSpare  bool
 	IsLong   bool
 	Priority int
+	Chance   Chance
 	Due      int64
 }
 
+// Chance is what a group's job can still earn. Within a priority what may be in time goes before what is late, and
+// what comes too late for anything goes after all others.
+type Chance int
+
+const (
+	ChanceInTime Chance = iota
+	ChanceLate
+	ChanceTooLate
+)
+
 type Placement struct{ Group, Executor int }
 
 // Line is groups in the order in which they are placed, the spares after them, and a room that none needs less than.
@@ -120,17 +131,26 @@
 	}
 }
 
-// CompareGroups orders groups as they are placed: spares last, then by priority, then by what is due.
+// CompareGroups orders groups as they are placed: spares last, before them what is too late, then by priority, by
+// what can be in time, and by what is due.
 func CompareGroups(one, two *Group) int {
 	if one.IsSpare != two.IsSpare {
 		return compareBools(one.IsSpare, two.IsSpare)
 	}
+	if one.isTooLate() != two.isTooLate() {
+		return compareBools(one.isTooLate(), two.isTooLate())
+	}
 	if one.Priority != two.Priority {
 		return cmp.Compare(one.Priority, two.Priority)
 	}
+	if one.Chance != two.Chance {
+		return cmp.Compare(one.Chance, two.Chance)
+	}
 	return cmp.Compare(one.Due, two.Due)
 }
 
+func (g *Group) isTooLate() bool { return g.Chance == ChanceTooLate }
+
 // allowance is what one priority may still take.
 type allowance struct {
 	left     map[int]Room
--- a/internal/poolowner/model.go
+++ b/internal/poolowner/model.go
@@ -77,6 +77,14 @@
 	return begin + int64(stretch*float64(j.chain)) + j.record.Terms.TargetMs
 }
 
+// lateFactor times the aim is the last that counts as late.
+const lateFactor = 3
+
+func (j *job) newTime(number int) *jobTime {
+	begin, aim := max(j.record.AcceptedMs, j.dueMs(number)), j.aimMs(number)
+	return &jobTime{job: j, number: number, left: len(j.spec.Steps), beginMs: begin, aimMs: aim, lastMs: begin + lateFactor*(aim-begin)}
+}
+
 func (j *job) chainMs() int64 {
 	longest := make([]int64, len(j.spec.Steps))
 	var most int64
@@ -94,9 +102,12 @@
 type jobTime struct {
 	job    *job
 	number int
-	aimMs  int64
-	steps  []*stepState
-	left   int
+	// beginMs, aimMs and lastMs: when it was asked for, when it should be done, until when it is worth something.
+	beginMs int64
+	aimMs   int64
+	lastMs  int64
+	steps   []*stepState
+	left    int
 }
 
 type stepState struct {
@@ -111,6 +122,7 @@
 	brokenAt  time.Duration
 	lengths   []time.Duration
 	patience  float64
+	restMs    int64
 	notBefore time.Duration
 	idle      []*task
 	busy      []*task
--- a/internal/poolowner/pool.go
+++ b/internal/poolowner/pool.go
@@ -409,7 +409,7 @@
 	if spell := one.times[number]; spell != nil {
 		return spell
 	}
-	spell := &jobTime{job: one, number: number, left: len(one.spec.Steps), aimMs: one.aimMs(number)}
+	spell := one.newTime(number)
 	for place := range one.spec.Steps {
 		step := &stepState{time: spell, number: place, step: &one.spec.Steps[place], left: one.spec.Steps[place].Tasks}
 		for index := range step.left {
@@ -418,6 +418,7 @@
 		step.idle = slices.Clone(step.tasks)
 		spell.steps = append(spell.steps, step)
 	}
+	spell.noteRests()
 	one.times[number] = spell
 	return spell
 }
--- a/internal/poolowner/waiting.go
+++ b/internal/poolowner/waiting.go
@@ -48,11 +48,8 @@
 }
 
 func compareRequests(one, two *request) int {
-	if one.group.Priority != two.group.Priority {
-		return cmp.Compare(one.group.Priority, two.group.Priority)
-	}
-	if one.group.Due != two.group.Due {
-		return cmp.Compare(one.group.Due, two.group.Due)
+	if order := placetasks.CompareGroups(one.group, two.group); order != 0 {
+		return order
 	}
 	return cmp.Or(cmp.Compare(one.step.tasks[0].name, two.step.tasks[0].name), cmp.Compare(one.tasks[0].index, two.tasks[0].index))
 }
@@ -60,7 +57,7 @@
 // change makes a request ask for something else; one that asks for nothing is not listed.
 func (r *requests) change(one *request, tasks []*task, group placetasks.Group) {
 	was := *one.group
-	staysInPlace := was.Count > 0 && group.Count > 0 && was.Priority == group.Priority && was.Due == group.Due
+	staysInPlace := was.Count > 0 && group.Count > 0 && placetasks.CompareGroups(&was, &group) == 0
 	if was.Count > 0 && !staysInPlace {
 		place, _ := slices.BinarySearchFunc(r.requests, one, compareRequests)
 		r.requests, r.groups = slices.Delete(r.requests, place, place+1), slices.Delete(r.groups, place, place+1)
@@ -226,6 +223,9 @@
 	doubtful, doubtAgain := p.doubtful(step, now)
 	p.refreshSpares(step, doubtful)
 	again = min(again, doubtAgain)
+	if len(ready)+len(doubtful) > 0 {
+		again = min(again, p.chanceChanges(step, now))
+	}
 	if frees := step.openedAt + ruleHolds + 1; now < frees && p.rules.HasUse(step.time.job.record.Entry) {
 		again = min(again, frees)
 	}
@@ -280,7 +280,7 @@
 	group := placetasks.Group{Barred: p.barredByRule(step), Need: step.need(), Count: len(ready), IsGang: step.step.Gang,
 		SameRack: step.step.SameRack, Labels: step.step.Labels, Near: step.step.Near, Apart: step.step.Apart,
 		IsLong:   step.step.Lasting || pulse.Ms(step.step.EstimatedMs) > p.timing.Headroom.LongWork,
-		Priority: owner.record.Terms.Priority, Due: p.due(step, len(ready))}
+		Priority: owner.record.Terms.Priority, Chance: p.chance(step), Due: p.due(step, len(ready))}
 	if group.Apart > 0 {
 		group.Held = step.held()
 	}
