Placement takes groups in their order only

Cause: the form of Place that sorts its groups had no caller but tests. Change: Place takes the line; the sorting form lives with the tests, which call it as before. CompareGroups is what the pool sorts by, and no longer looks at spares, which have a list of their own.

--- a/internal/placetasks/oracle_test.go
+++ b/internal/placetasks/oracle_test.go
@@ -176,3 +176,46 @@
 	copy(free, trial)
 	return placed
 }
+
+func compareBools(one, two bool) int {
+	switch {
+	case one == two:
+		return 0
+	case two:
+		return -1
+	}
+	return 1
+}
+
+// PlaceInAnyOrder lines the groups up first; placements name them as they were given.
+func PlaceInAnyOrder(executors []Executor, groups []*Group, left map[int]Room) []Placement {
+	var firsts, spares []int
+	for number, group := range groups {
+		if group.IsSpare {
+			spares = append(spares, number)
+			continue
+		}
+		firsts = append(firsts, number)
+	}
+	compare := func(one, two int) int { return CompareGroups(groups[one], groups[two]) }
+	slices.SortStableFunc(firsts, compare)
+	slices.SortStableFunc(spares, compare)
+	line := Line{}
+	order := append(firsts, spares...)
+	for place, number := range order {
+		if place == 0 {
+			line.Least = groups[number].Need
+		}
+		line.Least = line.Least.AtMost(groups[number].Need)
+		if groups[number].IsSpare {
+			line.Spares = append(line.Spares, groups[number])
+			continue
+		}
+		line.Groups = append(line.Groups, groups[number])
+	}
+	placed := Place(executors, line, left)
+	for place := range placed {
+		placed[place].Group = order[placed[place].Group]
+	}
+	return placed
+}
--- a/internal/placetasks/place.go
+++ b/internal/placetasks/place.go
@@ -64,7 +64,7 @@
 
 type Placement struct{ Group, Executor int }
 
-// Line is groups in the order in which they are placed, the spares after them, and a room that none needs less than.
+// Line is groups in the order of CompareGroups, the spares after them, and a room that none needs less than.
 // Spares are numbered on from the groups.
 type Line struct {
 	Groups []*Group
@@ -72,31 +72,9 @@
 	Least  Room
 }
 
-// Place gives the starts that fit, in the order of priority, then of the aim. Left is what long work of a
-// priority may still take of all room together; a priority without an entry may take all there is.
-func Place(executors []Executor, groups []*Group, left map[int]Room) []Placement {
-	order := make([]int, len(groups))
-	for place := range order {
-		order[place] = place
-	}
-	slices.SortStableFunc(order, func(one, two int) int { return CompareGroups(groups[one], groups[two]) })
-	var line Line
-	for place, number := range order {
-		line.Groups = append(line.Groups, groups[number])
-		if place == 0 {
-			line.Least = groups[number].Need
-		}
-		line.Least = line.Least.AtMost(groups[number].Need)
-	}
-	placed := PlaceLine(executors, line, left)
-	for place := range placed {
-		placed[place].Group = order[placed[place].Group]
-	}
-	return placed
-}
-
-// PlaceLine is Place for groups that are in order already.
-func PlaceLine(executors []Executor, line Line, left map[int]Room) []Placement {
+// Place gives the starts that fit, in the order of the line. Left is what long work of a priority may still take of
+// all room together; a priority without an entry may take all there is.
+func Place(executors []Executor, line Line, left map[int]Room) []Placement {
 	if len(line.Groups)+len(line.Spares) == 0 {
 		return nil
 	}
@@ -120,11 +98,8 @@
 	}
 }
 
-// CompareGroups orders groups as they are placed: spares last, then by priority, then by what is due.
+// CompareGroups orders the groups of a line: by priority, then by what is due.
 func CompareGroups(one, two *Group) int {
-	if one.IsSpare != two.IsSpare {
-		return compareBools(one.IsSpare, two.IsSpare)
-	}
 	if one.Priority != two.Priority {
 		return cmp.Compare(one.Priority, two.Priority)
 	}
@@ -163,16 +138,6 @@
 	}
 }
 
-func compareBools(one, two bool) int {
-	switch {
-	case one == two:
-		return 0
-	case two:
-		return -1
-	}
-	return 1
-}
-
 // turn is one placement under way. Room only shrinks while it lasts, so what found no room once finds none later,
 // and only executors with room for the least need of all can be chosen. Gangs may use reserved executors, others not.
 type turn struct {
--- a/internal/placetasks/placetasks_test.go
+++ b/internal/placetasks/placetasks_test.go
@@ -31,14 +31,14 @@
 		late.Priority, late.Due = 1, 200
 		soon.Priority, soon.Due = 1, 100
 		urgent.Due = 900
-		placed := placetasks.Place(executors(1, 20), []*placetasks.Group{late, soon, urgent}, nil)
+		placed := placetasks.PlaceInAnyOrder(executors(1, 20), []*placetasks.Group{late, soon, urgent}, nil)
 		Expect(placed).To(Equal([]placetasks.Placement{{Group: 2, Executor: 0}, {Group: 1, Executor: 0}}))
 	})
 
 	It("prefers the rack of the data, and takes another rather than wait", func() {
 		near := group(3, 10)
 		near.Near = []string{"r1"}
-		placed := placetasks.Place(executors(4, 10), []*placetasks.Group{near}, nil)
+		placed := placetasks.PlaceInAnyOrder(executors(4, 10), []*placetasks.Group{near}, nil)
 		Expect(placed).To(HaveLen(3))
 		Expect([]int{placed[0].Executor, placed[1].Executor}).To(ConsistOf(2, 3))
 	})
@@ -46,13 +46,13 @@
 	It("starts a gang whole or not at all, on one rack if it fits there", func() {
 		gang := group(3, 10)
 		gang.IsGang, gang.SameRack = true, true
-		placed := placetasks.Place(executors(4, 20), []*placetasks.Group{gang}, nil)
+		placed := placetasks.PlaceInAnyOrder(executors(4, 20), []*placetasks.Group{gang}, nil)
 		Expect(placed).To(HaveLen(3))
 		for _, one := range placed {
 			Expect(one.Executor / 2).To(Equal(placed[0].Executor / 2))
 		}
 		gang.Count = 9
-		Expect(placetasks.Place(executors(4, 20), []*placetasks.Group{gang}, nil)).To(BeEmpty())
+		Expect(placetasks.PlaceInAnyOrder(executors(4, 20), []*placetasks.Group{gang}, nil)).To(BeEmpty())
 	})
 
 	It("keeps an executor for a large task that small ones would push aside for ever", func() {
@@ -60,7 +60,7 @@
 		small.Due = 5
 		all := executors(2, 20)
 		all[0].Free.CPU, all[1].Free.CPU = 8, 12
-		placed := placetasks.Place(all, []*placetasks.Group{large, small}, nil)
+		placed := placetasks.PlaceInAnyOrder(all, []*placetasks.Group{large, small}, nil)
 		for _, one := range placed {
 			Expect(one.Executor).To(Equal(0))
 		}
@@ -70,18 +70,18 @@
 		long, short := group(4, 10), group(1, 10)
 		long.Priority, long.IsLong, short.Priority = 2, true, 2
 		left := map[int]placetasks.Room{2: {CPU: 20, Memory: 1000}}
-		placed := placetasks.Place(executors(2, 20), []*placetasks.Group{long}, left)
+		placed := placetasks.PlaceInAnyOrder(executors(2, 20), []*placetasks.Group{long}, left)
 		Expect(placed).To(HaveLen(2))
 		left = map[int]placetasks.Room{2: {}}
-		Expect(placetasks.Place(executors(2, 20), []*placetasks.Group{short}, left)).To(HaveLen(1))
+		Expect(placetasks.PlaceInAnyOrder(executors(2, 20), []*placetasks.Group{short}, left)).To(HaveLen(1))
 	})
 
 	It("gives a spare run another executor, and only what is left over", func() {
 		spare, first := group(1, 10), group(1, 10)
 		spare.IsSpare, spare.Barred = true, []bool{true}
 		first.Priority = 3
-		Expect(placetasks.Place(executors(1, 20), []*placetasks.Group{spare}, nil)).To(BeEmpty())
-		placed := placetasks.Place(executors(1, 10), []*placetasks.Group{spare, first}, nil)
+		Expect(placetasks.PlaceInAnyOrder(executors(1, 20), []*placetasks.Group{spare}, nil)).To(BeEmpty())
+		placed := placetasks.PlaceInAnyOrder(executors(1, 10), []*placetasks.Group{spare, first}, nil)
 		Expect(placed).To(Equal([]placetasks.Placement{{Group: 1, Executor: 0}}))
 	})
 
@@ -104,7 +104,7 @@
 			}
 			used, held := map[int]int64{}, map[placetasks.Placement]int{}
 			counts := map[int]int{}
-			for _, one := range placetasks.Place(all, groups, nil) {
+			for _, one := range placetasks.PlaceInAnyOrder(all, groups, nil) {
 				used[one.Executor] += groups[one.Group].Need.CPU
 				held[one]++
 				counts[one.Group]++
@@ -134,7 +134,7 @@
 		for range 4000 {
 			all, groups, left := drawPlacement(draw)
 			other := maps.Clone(left)
-			placed := placetasks.Place(all, groups, left)
+			placed := placetasks.PlaceInAnyOrder(all, groups, left)
 			Expect(placed).To(Equal(placetasks.PlaceByWalking(all, groups, other)))
 			Expect(left).To(Equal(other))
 			starts += len(placed)
--- a/internal/poolowner/scratch_test.go
+++ b/internal/poolowner/scratch_test.go
@@ -186,6 +186,11 @@
 			found = append(found, &request{step, []*task{which}, &group})
 		}
 	}
-	slices.SortStableFunc(found, func(one, two *request) int { return placetasks.CompareGroups(one.group, two.group) })
+	slices.SortStableFunc(found, func(one, two *request) int {
+		if one.group.IsSpare != two.group.IsSpare {
+			return map[bool]int{true: 1, false: -1}[one.group.IsSpare]
+		}
+		return placetasks.CompareGroups(one.group, two.group)
+	})
 	return found
 }
--- a/internal/poolowner/waiting.go
+++ b/internal/poolowner/waiting.go
@@ -48,11 +48,8 @@
 }
 
 func compareRequests(one, two *request) int {
-	if one.group.Priority != two.group.Priority {
-		return cmp.Compare(one.group.Priority, two.group.Priority)
-	}
-	if one.group.Due != two.group.Due {
-		return cmp.Compare(one.group.Due, two.group.Due)
+	if order := placetasks.CompareGroups(one.group, two.group); order != 0 {
+		return order
 	}
 	return cmp.Or(cmp.Compare(one.step.tasks[0].name, two.step.tasks[0].name), cmp.Compare(one.tasks[0].index, two.tasks[0].index))
 }
