Executors that were given all they may have count as full for the turn

Change: such executors are left out when the most room is measured; the plain way knows the bound, and random input has it. The test calls PlaceInAnyOrder and expects what it did.

--- a/internal/placetasks/most_test.go
+++ b/internal/placetasks/most_test.go
@@ -29,7 +29,7 @@
 			{Need: one, Count: 5, Due: 2},
 			{Count: 5, Due: 3},
 		}
-		placed := placetasks.Place(executors(), groups, nil)
+		placed := placetasks.PlaceInAnyOrder(executors(), groups, nil)
 		Expect(placed).To(HaveLen(14))
 		Expect(placedOn(placed, 0)).To(Equal(2))
 	})
@@ -39,7 +39,7 @@
 			{Need: one, Count: 3, IsGang: true, Apart: 1},
 			{Need: one, Count: 2, Due: 1},
 		}
-		placed := placetasks.Place(executors(), groups, nil)
+		placed := placetasks.PlaceInAnyOrder(executors(), groups, nil)
 		Expect(placedOn(placed, 0)).To(Equal(2))
 	})
 
@@ -51,6 +51,6 @@
 			{Need: one, Count: 2, IsGang: true, Apart: 1, Due: 1},
 			{Need: one, Count: 5, Due: 2},
 		}
-		Expect(placedOn(placetasks.Place(few, groups, nil), 0)).To(Equal(3))
+		Expect(placedOn(placetasks.PlaceInAnyOrder(few, groups, nil), 0)).To(Equal(3))
 	})
 })
--- a/internal/placetasks/oracle_test.go
+++ b/internal/placetasks/oracle_test.go
@@ -47,13 +47,13 @@
 		return cmp.Or(compareBools(groups[one].IsSpare, groups[two].IsSpare), cmp.Compare(groups[one].Priority, groups[two].Priority), cmp.Compare(groups[one].Due, groups[two].Due))
 	})
 	var placed []Placement
-	reserved := make([]bool, len(executors))
+	reserved, added := make([]bool, len(executors)), make([]int, len(executors))
 	for _, number := range order {
 		group := &groups[number]
 		allowance := allowanceOf(left, group.Group)
 		if group.IsGang {
 			if allowance.covers(group.Need.Times(float64(group.Count))) {
-				gang := placeGang(executors, free, group, number)
+				gang := placeGang(executors, free, added, group, number)
 				allowance.spend(group.Need.Times(float64(len(gang))))
 				placed = append(placed, gang...)
 			}
@@ -64,7 +64,7 @@
 			if !allowance.covers(group.Need) {
 				break
 			}
-			best := choose(executors, free, reserved, group, held)
+			best := choose(executors, free, reserved, added, group, held)
 			if best < 0 {
 				if !group.IsSpare {
 					reserve(executors, free, reserved, group)
@@ -73,6 +73,7 @@
 			}
 			free[best] = free[best].Minus(group.Need)
 			held[best]++
+			added[best]++
 			allowance.spend(group.Need)
 			placed = append(placed, Placement{number, best})
 		}
@@ -93,11 +94,12 @@
 	return true
 }
 
-func choose(executors []Executor, free []Room, reserved []bool, group *denseGroup, held []int) int {
+func choose(executors []Executor, free []Room, reserved []bool, added []int, group *denseGroup, held []int) int {
 	best, bestScore := -1, 0.0
 	for place := range executors {
 		executor := &executors[place]
-		if reserved[place] || !allowed(executor, group, held, place) || !free[place].Fits(group.Need) {
+		isLimited := executor.Most > 0 && added[place] >= executor.Most
+		if isLimited || reserved[place] || !allowed(executor, group, held, place) || !free[place].Fits(group.Need) {
 			continue
 		}
 		score := rate(executor, free[place], group.Group)
@@ -129,15 +131,15 @@
 	}
 }
 
-func placeGang(executors []Executor, free []Room, group *denseGroup, number int) []Placement {
+func placeGang(executors []Executor, free []Room, added []int, group *denseGroup, number int) []Placement {
 	if group.SameRack {
 		for _, rack := range racksByFree(executors, free) {
-			if placed := fillGang(executors, free, group, number, rack); placed != nil {
+			if placed := fillGang(executors, free, added, group, number, rack); placed != nil {
 				return placed
 			}
 		}
 	}
-	return fillGang(executors, free, group, number, "")
+	return fillGang(executors, free, added, group, number, "")
 }
 
 func racksByFree(executors []Executor, free []Room) []string {
@@ -157,23 +159,25 @@
 	return racks
 }
 
-func fillGang(executors []Executor, free []Room, group *denseGroup, number int, rack string) []Placement {
-	trial, held := slices.Clone(free), slices.Clone(group.held)
+func fillGang(executors []Executor, free []Room, added []int, group *denseGroup, number int, rack string) []Placement {
+	trial, held, counts := slices.Clone(free), slices.Clone(group.held), slices.Clone(added)
 	closed := make([]bool, len(executors))
 	for place, executor := range executors {
 		closed[place] = rack != "" && executor.Rack != rack
 	}
 	var placed []Placement
 	for range group.Count {
-		best := choose(executors, trial, closed, group, held)
+		best := choose(executors, trial, closed, counts, group, held)
 		if best < 0 {
 			return nil
 		}
 		trial[best] = trial[best].Minus(group.Need)
 		held[best]++
+		counts[best]++
 		placed = append(placed, Placement{number, best})
 	}
 	copy(free, trial)
+	copy(added, counts)
 	return placed
 }
 
--- a/internal/placetasks/place.go
+++ b/internal/placetasks/place.go
@@ -190,6 +190,9 @@
 	t.most, t.isMostOld, t.isOver = Room{CPU: -1, Memory: -1, GPU: -1}, false, true
 	for place := range t.candidates {
 		one := &t.candidates[place]
+		if t.hasMost(one) {
+			continue
+		}
 		t.isOver = t.isOver && !one.free.Fits(t.least)
 		if !one.isReserved {
 			t.most = t.most.AtLeast(one.free)
@@ -197,6 +200,12 @@
 	}
 }
 
+// hasMost tells whether an executor was given all that it may have in this turn.
+func (t *turn) hasMost(one *candidate) bool {
+	most := t.executors[one.place].Most
+	return most > 0 && one.added >= most
+}
+
 // hasNoRoom rejects at once a single task that certainly fits nowhere.
 func (t *turn) hasNoRoom(need Room) bool {
 	return t.open == 0 || !t.most.Fits(need) || slices.ContainsFunc(t.failed, need.Fits)
@@ -285,8 +294,8 @@
 	for number := range t.candidates {
 		one := &t.candidates[number]
 		executor := &t.executors[one.place]
-		if one.isReserved && !group.IsGang || executor.Most > 0 && one.added >= executor.Most || !one.free.Fits(group.Need) || rack != "" && executor.Rack != rack ||
-			!t.allows(group, held, one.place) {
+		if one.isReserved && !group.IsGang || t.hasMost(one) || !one.free.Fits(group.Need) ||
+			rack != "" && executor.Rack != rack || !t.allows(group, held, one.place) {
 			continue
 		}
 		score := rate(executor, one.free, group)
--- a/internal/placetasks/placetasks_test.go
+++ b/internal/placetasks/placetasks_test.go
@@ -150,6 +150,9 @@
 		one.Total = placetasks.Room{CPU: 10 + int64(draw.IntN(3))*10, Memory: 1000, GPU: int64(draw.IntN(2))}
 		one.Free = placetasks.Room{CPU: int64(draw.IntN(int(one.Total.CPU)+4)) - 3, Memory: int64(draw.IntN(1000)), GPU: one.Total.GPU}
 		one.IsClosed, one.Doubt = draw.IntN(5) == 0, float64(draw.IntN(3))/10
+		if draw.IntN(5) == 0 {
+			one.Most = 1 + draw.IntN(2)
+		}
 		if draw.IntN(3) == 0 {
 			one.Labels = append([]string{"b"}, one.Labels...)
 		}
