--- a/internal/placetasks/place.go
+++ b/internal/placetasks/place.go
@@ -40,6 +40,8 @@
 	Rack     string
 	IsClosed bool
 	Doubt    float64
+	// Most is how many runs may be added where trust is to be earned first; 0 sets no bound.
+	Most int
 }
 
 // Group is the tasks of one step that may start now; they all ask for the same. Executors are named by their place;
@@ -139,8 +141,11 @@
 }
 
 func allowanceOf(left map[int]Room, group *Group) allowance {
+	if !group.IsLong {
+		return allowance{left: left, priority: group.Priority}
+	}
 	_, isBound := left[group.Priority]
-	return allowance{left, group.Priority, isBound && group.IsLong}
+	return allowance{left, group.Priority, isBound}
 }
 
 func (a allowance) covers(need Room) bool {
@@ -176,7 +181,7 @@
 	executors  []Executor
 	least      Room
 	candidates []candidate
-	reserved   []bool
+	sizes      []*size
 	open       int
 	most       Room
 	isMostOld  bool
@@ -191,6 +196,7 @@
 	place      int
 	free       Room
 	isReserved bool
+	added      int
 }
 
 func newTurn(executors []Executor, least Room) *turn {
@@ -285,6 +291,7 @@
 
 func (t *turn) take(group *Group, held map[int]int, one *candidate) {
 	one.free = one.free.Minus(group.Need)
+	one.added++
 	t.isMostOld = true
 	if group.Apart > 0 {
 		held[one.place]++
@@ -313,7 +320,7 @@
 	for number := range t.candidates {
 		one := &t.candidates[number]
 		executor := &t.executors[one.place]
-		if one.isReserved && !group.IsGang || !one.free.Fits(group.Need) || rack != "" && executor.Rack != rack ||
+		if one.isReserved && !group.IsGang || executor.Most > 0 && one.added >= executor.Most || !one.free.Fits(group.Need) || rack != "" && executor.Rack != rack ||
 			!t.allows(group, held, one.place) {
 			continue
 		}
@@ -348,44 +355,6 @@
 	return slices.ContainsFunc(group.Near, func(label string) bool { return slices.Contains(executor.Labels, label) })
 }
 
-// reserve keeps the emptiest executor for a large task, so that it does not starve behind small later ones.
-func (t *turn) reserve(group *Group) {
-	if 3*group.Need.CPU <= t.smallest.CPU && 3*group.Need.Memory <= t.smallest.Memory {
-		return
-	}
-	best, bestFree, next := -1, int64(0), 0
-	for place := range t.executors {
-		executor, free := &t.executors[place], t.executors[place].Free.CPU
-		if next < len(t.candidates) && t.candidates[next].place == place {
-			free = t.candidates[next].free.CPU
-			next++
-		}
-		isLarge := 3*group.Need.CPU > executor.Total.CPU || 3*group.Need.Memory > executor.Total.Memory
-		if t.reserved != nil && t.reserved[place] || executor.IsClosed || !isLarge || !executor.Total.Fits(group.Need) {
-			continue
-		}
-		if best < 0 || free > bestFree {
-			best, bestFree = place, free
-		}
-	}
-	if best >= 0 {
-		t.setReserved(best)
-	}
-}
-
-func (t *turn) setReserved(place int) {
-	if t.reserved == nil {
-		t.reserved = make([]bool, len(t.executors))
-	}
-	t.reserved[place] = true
-	t.open--
-	t.isMostOld = true
-	number, isCandidate := slices.BinarySearchFunc(t.candidates, place, func(one candidate, place int) int { return cmp.Compare(one.place, place) })
-	if isCandidate {
-		t.candidates[number].isReserved = true
-	}
-}
-
 func (t *turn) placeGang(group *Group, number int, allowance allowance) {
 	whole := group.Need.Times(float64(group.Count))
 	if !allowance.covers(whole) {
@@ -443,6 +412,7 @@
 		if best == nil {
 			for _, one := range taken {
 				one.free = one.free.Plus(group.Need)
+				one.added--
 			}
 			return nil
 		}
--- a/internal/poolowner/pool.go
+++ b/internal/poolowner/pool.go
@@ -76,6 +76,7 @@
 	looks        uint64
 	began        time.Duration
 	needsPlacing bool
+	trusts       map[string]*trust
 
 	ops      []siblingwire.Op
 	opPlaces map[string]int
@@ -108,7 +109,8 @@
 func WithRules(rules *queuerules.Rules) Option { return func(p *Pool) { p.rules = rules } }
 
 func New(key string, clock pulse.Pulse, timing Timing, log logs.Logger, options ...Option) *Pool {
-	pool := &Pool{key: key, clock: clock, timing: timing, log: log, record: silentRecorder{}, meters: newMeters(key)}
+	pool := &Pool{key: key, clock: clock, timing: timing, log: log, record: silentRecorder{}, meters: newMeters(key),
+		trusts: map[string]*trust{}}
 	for _, option := range options {
 		option(pool)
 	}
@@ -390,7 +392,7 @@
 func (p *Pool) lifeOf(id string) *life {
 	one := p.lives[id]
 	if one == nil {
-		one = &life{id: id, runs: map[runKey]*run{}, slow: 1}
+		one = &life{id: id, runs: map[runKey]*run{}, slow: 1, contactAt: p.clock.Steady()}
 		p.looks++
 		one.firstLook, one.lookWanted = p.looks, p.looks
 		one.lapsesAt = p.began + p.lapse(p.timing.MaxHold)
--- a/internal/poolowner/runs.go
+++ b/internal/poolowner/runs.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gannetline/internal/daybook"
+	"gannetline/internal/jobtable"
 	"gannetline/internal/pulse"
 	"gannetline/internal/siblingwire"
 )
@@ -126,6 +127,7 @@
 	p.drop(orderName(one.task, one.number, kindLaunch))
 	p.putTask(one.task)
 	p.noteStart(one.task.job())
+	p.moveStuck(one)
 }
 
 func (p *Pool) noteStart(owner *job) {
@@ -140,6 +142,7 @@
 func (p *Pool) takeEnd(home *life, end siblingwire.EndReport) {
 	one := home.runs[runKey{end.Task, end.Run}]
 	if one == nil {
+		p.takeForgottenEnd(end)
 		return
 	}
 	ends.With(p.key, end.How).Inc()
@@ -153,11 +156,12 @@
 	switch end.How {
 	case "done":
 		home.dones++
+		home.earn()
 		p.noteLength(which.step, home, now-one.startedAt)
 		p.closeRun(one)
 		p.taskDone(which)
 	case "failed":
-		home.fails++
+		p.blame(which, home)
 		which.avoid = home.id
 		p.countFailure(which, end.Run)
 		p.closeRun(one)
@@ -169,6 +173,29 @@
 	}
 }
 
+// takeForgottenEnd believes a run that was given up and came to its end all the same: its task must not start again.
+func (p *Pool) takeForgottenEnd(end siblingwire.EndReport) {
+	which := p.find(end.Task)
+	if end.How != "done" || which == nil || which.isDone || end.Run > which.lastRun {
+		return
+	}
+	p.log.Info("a run that was given up has done its task", "task", end.Task, "run", end.Run)
+	p.taskDone(which)
+}
+
+func (p *Pool) find(name string) *task {
+	place, isTask := jobtable.ParseTask(name)
+	one := p.jobs[place.ID]
+	if !isTask || one == nil || one.spec == nil {
+		return nil
+	}
+	spell := one.times[place.Time]
+	if spell == nil || place.Step >= len(spell.steps) || place.Index >= len(spell.steps[place.Step].tasks) {
+		return nil
+	}
+	return spell.steps[place.Step].tasks[place.Index]
+}
+
 func (p *Pool) keepSaved(which *task, saved string) {
 	if which.saved == saved || which.job().spec == nil {
 		return
