--- a/internal/keyowner/engine.go
+++ b/internal/keyowner/engine.go
@@ -73,6 +73,9 @@
 	hasWall    bool
 	delay      time.Duration
 	hasDelay   bool
+	parcel     *parcel
+	piece      int
+	isOld      bool
 }
 
 type waiter struct {
@@ -446,10 +449,13 @@
 func (e *Engine) trimTail() {
 	needed := e.last.Step
 	for _, one := range e.followers {
-		if one.needsWhole || e.clock.Steady()-one.heardAt >= e.timing.LostAfter {
-			continue
+		switch {
+		case e.clock.Steady()-one.heardAt >= e.timing.LostAfter:
+		case one.parcel != nil:
+			needed = min(needed, one.parcel.whole.Last.Step)
+		case !one.needsWhole:
+			needed = min(needed, one.acked.Step)
 		}
-		needed = min(needed, one.acked.Step)
 	}
 	drop := 0
 	for drop < len(e.tail) && (e.tail[drop].Stamp.Step <= needed && e.tail[drop].Stamp.Step <= e.committed ||
@@ -482,17 +488,24 @@
 		return
 	}
 	call := siblingwire.AppendCall{Key: e.key, Epoch: e.epoch, Owner: e.name, Disk: e.disk, Prev: one.acked}
-	if one.needsWhole {
-		whole, err := e.links.ReadLocal(e.key)
-		if err != nil || whole.Last.Epoch != e.epoch {
+	getsWhole := one.needsWhole && e.clock.Steady()-one.heardAt < e.timing.LostAfter
+	if getsWhole {
+		packed := e.parcelFor(one)
+		if packed == nil {
 			return
 		}
-		call.Snapshot, call.Prev = &whole, whole.Last
+		call.Prev = packed.whole.Last
+		if packed.count() > 1 && !one.isOld {
+			call.Piece = packed.piece(one.piece)
+			e.launch(one, call)
+			return
+		}
+		call.Snapshot = &packed.whole
 	}
-	if one.isKnown || one.needsWhole {
+	if one.isKnown || getsWhole {
 		changes, isThere := e.after(call.Prev)
 		if !isThere {
-			one.needsWhole = true
+			one.isKnown, one.needsWhole = false, true
 			return
 		}
 		call.Changes = changes
@@ -564,11 +577,14 @@
 		e.noteDelay(one, answer, now-sentAt)
 	}
 	one.wallOffset, one.hasWall = answer.WallMs-pulse.InMs(sentAt+(now-sentAt)/2), true
-	if answer.Taken || answer.Last.Epoch == e.epoch {
-		one.isKnown, one.needsWhole, one.acked = true, false, answer.Last
-	} else {
-		_, isNear := e.after(answer.Last)
-		one.isKnown, one.needsWhole, one.acked = isNear, !isNear, answer.Last
+	_, isNear := e.after(answer.Last)
+	switch {
+	case answer.Taken || isNear:
+		one.isKnown, one.needsWhole, one.acked, one.parcel = true, false, answer.Last, nil
+	case call.Piece != nil:
+		e.hearPiece(one, call, answer)
+	default:
+		one.isKnown, one.needsWhole, one.acked = false, true, answer.Last
 	}
 	e.advance()
 	if e.phase == phaseOwner || e.phase == phaseOpening {
--- a/internal/keyowner/history_test.go
+++ b/internal/keyowner/history_test.go
@@ -39,7 +39,7 @@
 	late := w.others()[0]
 	w.cut[late.name] = true
 	w.work(100 * time.Millisecond)
-	w.wholes = 0
+	w.wholes, w.fetched = 0, 0
 	dead.kill()
 	delete(w.cut, late.name)
 	w.work(3 * time.Second)
@@ -51,7 +51,7 @@
 	It("is sent what it misses and no whole state, though the owner is another", func() {
 		for seed := range uint64(6) {
 			w, dead := takenOver(400 + seed)
-			Expect(w.wholes).To(BeZero())
+			Expect(w.wholes + w.fetched).To(BeZero())
 			dead.start()
 			w.work(3 * time.Second)
 			w.run(time.Second)
@@ -72,12 +72,12 @@
 			w.cut[late.name] = true
 			w.work(100 * time.Millisecond)
 			w.others()[1].engine.Leave()
-			w.wholes = 0
+			w.fetched = 0
 			dead.kill()
 			delete(w.cut, late.name)
 			w.work(3 * time.Second)
 			Expect(w.owner()).To(Equal(late))
-			Expect(w.wholes > 0).To(Equal(isOld))
+			Expect(w.fetched > 0).To(Equal(isOld))
 			Expect(w.problems).To(BeEmpty())
 		}
 	})
--- a/internal/keyowner/replicas.go
+++ b/internal/keyowner/replicas.go
@@ -33,6 +33,7 @@
 
 	releasedEpoch uint64
 	history       history
+	arrivals      arrivals
 }
 
 // Replicas is the table of this disk's replicas: what it promised, holds and leases out.
@@ -119,6 +120,17 @@
 	if call.Epoch > one.releasedEpoch {
 		one.leaseUntil, one.leaseDisk, one.leaseOwner, one.released = now+r.lease, call.Disk, call.Owner, false
 	}
+	if call.Piece != nil {
+		one.arrivals.take(call.Piece)
+		if !one.arrivals.isWhole(call.Piece) {
+			told := r.appendAnswer(one.head.Last, one.promising, false)
+			told.Pieces = one.arrivals.count
+			answer(told)
+			return
+		}
+		call.Snapshot = &siblingwire.Snapshot{Last: call.Piece.At, Set: call.Piece.Set, Pairs: one.arrivals.pairs}
+		one.arrivals = arrivals{}
+	}
 	if len(call.Changes) == 0 && call.Snapshot == nil {
 		answer(r.appendAnswer(one.head.Last, one.promising, call.Epoch == one.head.Promised && one.head.Last == call.Prev))
 		return
--- a/internal/keyowner/world_test.go
+++ b/internal/keyowner/world_test.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -103,6 +104,9 @@
 	losses   int
 	trials   int
 	wholes   int
+	fetched  int
+	pieces   []int
+	bulk     int
 	eats     func(to *node, call siblingwire.AppendCall) bool
 	diskless []siblingwire.Member
 }
@@ -238,13 +242,19 @@
 }
 
 func (r *road) Append(disk string, call siblingwire.AppendCall, done func(siblingwire.AppendAnswer, error)) {
-	if call.Snapshot != nil {
+	if call.Snapshot != nil && disk != r.node.disk.name {
 		r.node.world.wholes++
 	}
 	to := r.node.world.byDisk(disk)
+	if call.Piece != nil {
+		r.node.world.pieces = append(r.node.world.pieces, call.Piece.Number)
+	}
 	if to != nil && r.node.world.eats != nil && r.node.world.eats(to, call) {
 		to = nil
 	}
+	if to != nil && to.isOld {
+		call.Piece = nil
+	}
 	carry(r.node.world, r.node, to, time.Second, func(answer func(siblingwire.AppendAnswer)) {
 		to.replicas.Append(call, func(told siblingwire.AppendAnswer) {
 			if !to.isOld && to != r.node {
@@ -256,6 +266,9 @@
 }
 
 func (r *road) InstallLocal(call siblingwire.AppendCall, done func(siblingwire.AppendAnswer, error)) {
+	if call.Snapshot != nil {
+		r.node.world.fetched++
+	}
 	r.Append(r.node.disk.name, call, done)
 }
 
@@ -367,9 +380,10 @@
 		}
 		w.written++
 		name := fmt.Sprintf("n%d", w.written)
-		one.machine.tenure.Commit([]siblingwire.Op{{Name: name, Value: []byte(`"` + name + `"`)}}, func(err error) {
+		value := `"` + name + strings.Repeat("x", w.bulk) + `"`
+		one.machine.tenure.Commit([]siblingwire.Op{{Name: name, Value: []byte(value)}}, func(err error) {
 			if err == nil {
-				w.acked[name] = `"` + name + `"`
+				w.acked[name] = value
 			}
 		})
 	}
--- a/internal/siblingwire/messages.go
+++ b/internal/siblingwire/messages.go
@@ -53,6 +53,15 @@
 	Disk     string   `json:"disk"`
 }
 
+// Piece is one of Count parts of the state at a stamp; the last one to come lets the state be installed as a whole.
+type Piece struct {
+	At     Stamp    `json:"at"`
+	Set    VoterSet `json:"set"`
+	Number int      `json:"number"`
+	Count  int      `json:"count"`
+	Pairs  []Op     `json:"pairs,omitempty"`
+}
+
 type AppendCall struct {
 	Key      string    `json:"key"`
 	Epoch    uint64    `json:"epoch"`
@@ -61,6 +70,7 @@
 	Prev     Stamp     `json:"prev"`
 	Changes  []Change  `json:"changes,omitempty"`
 	Snapshot *Snapshot `json:"snapshot,omitempty"`
+	Piece    *Piece    `json:"piece,omitempty"`
 	Release  bool      `json:"release,omitempty"`
 	// Heir is the disk whose steward should ask first after a release by an owner that is slow.
 	Heir string `json:"heir,omitempty"`
@@ -74,6 +84,8 @@
 	WallMs   int64  `json:"wall"`
 	// DelayUs is the time from the call's arrival to this answer, at least 1; 0 is from a sibling of an older form.
 	DelayUs int64 `json:"delay,omitempty"`
+	// Pieces is how many pieces of the state under way are here; a sibling of an older form has none.
+	Pieces int `json:"pieces,omitempty"`
 }
 
 // FetchCall asks for the changes after From, or for the whole state if they are no longer there or From is not named.
--- a/internal/siblingwire/messages_easyjson.go
+++ b/internal/siblingwire/messages_easyjson.go
@@ -1077,7 +1077,146 @@
 func (v *PlanAnswer) UnmarshalEasyJSON(l *jlexer.Lexer) {
 	easyjson66c1e240DecodeGannetlineInternalSiblingwire9(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire10(in *jlexer.Lexer, out *OwnerFact) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire10(in *jlexer.Lexer, out *Piece) {
+	isTopLevel := in.IsStart()
+	if in.IsNull() {
+		if isTopLevel {
+			in.Consumed()
+		}
+		in.Skip()
+		return
+	}
+	in.Delim('{')
+	for !in.IsDelim('}') {
+		key := in.UnsafeFieldName(false)
+		in.WantColon()
+		switch key {
+		case "at":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				(out.At).UnmarshalEasyJSON(in)
+			}
+		case "set":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				(out.Set).UnmarshalEasyJSON(in)
+			}
+		case "number":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Number = int(in.Int())
+			}
+		case "count":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Count = int(in.Int())
+			}
+		case "pairs":
+			if in.IsNull() {
+				in.Skip()
+				out.Pairs = nil
+			} else {
+				in.Delim('[')
+				if out.Pairs == nil {
+					if !in.IsDelim(']') {
+						out.Pairs = make([]Op, 0, 1)
+					} else {
+						out.Pairs = []Op{}
+					}
+				} else {
+					out.Pairs = (out.Pairs)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v19 Op
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						(v19).UnmarshalEasyJSON(in)
+					}
+					out.Pairs = append(out.Pairs, v19)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
+		default:
+			in.SkipRecursive()
+		}
+		in.WantComma()
+	}
+	in.Delim('}')
+	if isTopLevel {
+		in.Consumed()
+	}
+}
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire10(out *jwriter.Writer, in Piece) {
+	out.RawByte('{')
+	first := true
+	_ = first
+	{
+		const prefix string = ",\"at\":"
+		out.RawString(prefix[1:])
+		(in.At).MarshalEasyJSON(out)
+	}
+	{
+		const prefix string = ",\"set\":"
+		out.RawString(prefix)
+		(in.Set).MarshalEasyJSON(out)
+	}
+	{
+		const prefix string = ",\"number\":"
+		out.RawString(prefix)
+		out.Int(int(in.Number))
+	}
+	{
+		const prefix string = ",\"count\":"
+		out.RawString(prefix)
+		out.Int(int(in.Count))
+	}
+	if len(in.Pairs) != 0 {
+		const prefix string = ",\"pairs\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('[')
+			for v20, v21 := range in.Pairs {
+				if v20 > 0 {
+					out.RawByte(',')
+				}
+				(v21).MarshalEasyJSON(out)
+			}
+			out.RawByte(']')
+		}
+	}
+	out.RawByte('}')
+}
+
+// MarshalJSON supports json.Marshaler interface
+func (v Piece) MarshalJSON() ([]byte, error) {
+	w := jwriter.Writer{}
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire10(&w, v)
+	return w.Buffer.BuildBytes(), w.Error
+}
+
+// MarshalEasyJSON supports easyjson.Marshaler interface
+func (v Piece) MarshalEasyJSON(w *jwriter.Writer) {
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire10(w, v)
+}
+
+// UnmarshalJSON supports json.Unmarshaler interface
+func (v *Piece) UnmarshalJSON(data []byte) error {
+	r := jlexer.Lexer{Data: data}
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire10(&r, v)
+	return r.Error()
+}
+
+// UnmarshalEasyJSON supports easyjson.Unmarshaler interface
+func (v *Piece) UnmarshalEasyJSON(l *jlexer.Lexer) {
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire10(l, v)
+}
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire11(in *jlexer.Lexer, out *OwnerFact) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -1119,7 +1258,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire10(out *jwriter.Writer, in OwnerFact) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire11(out *jwriter.Writer, in OwnerFact) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -1144,27 +1283,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v OwnerFact) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire10(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire11(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v OwnerFact) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire10(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire11(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *OwnerFact) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire10(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire11(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *OwnerFact) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire10(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire11(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire11(in *jlexer.Lexer, out *OrderAnswer) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire12(in *jlexer.Lexer, out *OrderAnswer) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -1212,7 +1351,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire11(out *jwriter.Writer, in OrderAnswer) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire12(out *jwriter.Writer, in OrderAnswer) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -1242,27 +1381,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v OrderAnswer) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire11(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire12(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v OrderAnswer) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire11(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire12(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *OrderAnswer) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire11(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire12(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *OrderAnswer) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire11(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire12(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire12(in *jlexer.Lexer, out *Order) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire13(in *jlexer.Lexer, out *Order) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -1316,7 +1455,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire12(out *jwriter.Writer, in Order) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire13(out *jwriter.Writer, in Order) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -1351,27 +1490,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Order) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire12(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire13(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Order) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire12(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire13(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Order) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire12(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire13(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Order) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire12(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire13(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire13(in *jlexer.Lexer, out *Op) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire14(in *jlexer.Lexer, out *Op) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -1407,7 +1546,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire13(out *jwriter.Writer, in Op) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire14(out *jwriter.Writer, in Op) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -1427,27 +1566,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Op) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire13(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire14(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Op) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire13(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire14(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Op) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire13(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire14(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Op) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire13(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire14(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire14(in *jlexer.Lexer, out *MovedEntry) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire15(in *jlexer.Lexer, out *MovedEntry) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -1483,13 +1622,13 @@
 					out.Services = (out.Services)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v19 string
+					var v22 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v19 = string(in.String())
+						v22 = string(in.String())
 					}
-					out.Services = append(out.Services, v19)
+					out.Services = append(out.Services, v22)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -1504,7 +1643,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire14(out *jwriter.Writer, in MovedEntry) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire15(out *jwriter.Writer, in MovedEntry) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -1520,11 +1659,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v20, v21 := range in.Services {
-				if v20 > 0 {
+			for v23, v24 := range in.Services {
+				if v23 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v21))
+				out.String(string(v24))
 			}
 			out.RawByte(']')
 		}
@@ -1535,27 +1674,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v MovedEntry) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire14(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire15(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v MovedEntry) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire14(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire15(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *MovedEntry) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire14(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire15(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *MovedEntry) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire14(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire15(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire15(in *jlexer.Lexer, out *MembersCall) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire16(in *jlexer.Lexer, out *MembersCall) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -1591,13 +1730,13 @@
 					out.Members = (out.Members)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v22 Member
+					var v25 Member
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v22).UnmarshalEasyJSON(in)
+						(v25).UnmarshalEasyJSON(in)
 					}
-					out.Members = append(out.Members, v22)
+					out.Members = append(out.Members, v25)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -1618,7 +1757,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire15(out *jwriter.Writer, in MembersCall) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire16(out *jwriter.Writer, in MembersCall) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -1632,11 +1771,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v23, v24 := range in.Members {
-				if v23 > 0 {
+			for v26, v27 := range in.Members {
+				if v26 > 0 {
 					out.RawByte(',')
 				}
-				(v24).MarshalEasyJSON(out)
+				(v27).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -1652,27 +1791,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v MembersCall) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire15(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire16(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v MembersCall) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire15(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire16(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *MembersCall) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire15(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire16(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *MembersCall) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire15(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire16(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire16(in *jlexer.Lexer, out *MembersAnswer) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire17(in *jlexer.Lexer, out *MembersAnswer) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -1702,13 +1841,13 @@
 					out.Members = (out.Members)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v25 Member
+					var v28 Member
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v25).UnmarshalEasyJSON(in)
+						(v28).UnmarshalEasyJSON(in)
 					}
-					out.Members = append(out.Members, v25)
+					out.Members = append(out.Members, v28)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -1729,7 +1868,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire16(out *jwriter.Writer, in MembersAnswer) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire17(out *jwriter.Writer, in MembersAnswer) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -1739,11 +1878,11 @@
 		out.RawString(prefix[1:])
 		{
 			out.RawByte('[')
-			for v26, v27 := range in.Members {
-				if v26 > 0 {
+			for v29, v30 := range in.Members {
+				if v29 > 0 {
 					out.RawByte(',')
 				}
-				(v27).MarshalEasyJSON(out)
+				(v30).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -1764,27 +1903,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v MembersAnswer) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire16(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire17(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v MembersAnswer) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire16(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire17(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *MembersAnswer) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire16(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire17(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *MembersAnswer) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire16(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire17(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire17(in *jlexer.Lexer, out *Member) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire18(in *jlexer.Lexer, out *Member) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -1862,13 +2001,13 @@
 					out.Past = (out.Past)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v28 string
+					var v31 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v28 = string(in.String())
+						v31 = string(in.String())
 					}
-					out.Past = append(out.Past, v28)
+					out.Past = append(out.Past, v31)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -1889,7 +2028,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire17(out *jwriter.Writer, in Member) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire18(out *jwriter.Writer, in Member) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -1938,11 +2077,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v29, v30 := range in.Past {
-				if v29 > 0 {
+			for v32, v33 := range in.Past {
+				if v32 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v30))
+				out.String(string(v33))
 			}
 			out.RawByte(']')
 		}
@@ -1958,27 +2097,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Member) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire17(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire18(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Member) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire17(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire18(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Member) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire17(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire18(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Member) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire17(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire18(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire18(in *jlexer.Lexer, out *KeyBelief) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire19(in *jlexer.Lexer, out *KeyBelief) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -2032,7 +2171,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire18(out *jwriter.Writer, in KeyBelief) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire19(out *jwriter.Writer, in KeyBelief) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -2067,27 +2206,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v KeyBelief) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire18(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire19(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v KeyBelief) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire18(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire19(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *KeyBelief) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire18(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire19(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *KeyBelief) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire18(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire19(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire19(in *jlexer.Lexer, out *JobBelief) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire20(in *jlexer.Lexer, out *JobBelief) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -2129,7 +2268,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire19(out *jwriter.Writer, in JobBelief) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire20(out *jwriter.Writer, in JobBelief) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -2154,27 +2293,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v JobBelief) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire19(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire20(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v JobBelief) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire19(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire20(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *JobBelief) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire19(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire20(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *JobBelief) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire19(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire20(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire20(in *jlexer.Lexer, out *IdentifyCall) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire21(in *jlexer.Lexer, out *IdentifyCall) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -2198,7 +2337,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire20(out *jwriter.Writer, in IdentifyCall) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire21(out *jwriter.Writer, in IdentifyCall) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -2208,27 +2347,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v IdentifyCall) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire20(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire21(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v IdentifyCall) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire20(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire21(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *IdentifyCall) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire20(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire21(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *IdentifyCall) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire20(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire21(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire21(in *jlexer.Lexer, out *IdentifyAnswer) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire22(in *jlexer.Lexer, out *IdentifyAnswer) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -2270,7 +2409,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire21(out *jwriter.Writer, in IdentifyAnswer) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire22(out *jwriter.Writer, in IdentifyAnswer) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -2295,27 +2434,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v IdentifyAnswer) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire21(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire22(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v IdentifyAnswer) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire21(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire22(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *IdentifyAnswer) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire21(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire22(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *IdentifyAnswer) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire21(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire22(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire22(in *jlexer.Lexer, out *FetchCall) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire23(in *jlexer.Lexer, out *FetchCall) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -2359,7 +2498,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire22(out *jwriter.Writer, in FetchCall) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire23(out *jwriter.Writer, in FetchCall) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -2379,27 +2518,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v FetchCall) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire22(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire23(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v FetchCall) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire22(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire23(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *FetchCall) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire22(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire23(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *FetchCall) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire22(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire23(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire23(in *jlexer.Lexer, out *FetchAnswer) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire24(in *jlexer.Lexer, out *FetchAnswer) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -2441,13 +2580,13 @@
 					out.Changes = (out.Changes)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v31 Change
+					var v34 Change
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v31).UnmarshalEasyJSON(in)
+						(v34).UnmarshalEasyJSON(in)
 					}
-					out.Changes = append(out.Changes, v31)
+					out.Changes = append(out.Changes, v34)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -2468,7 +2607,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire23(out *jwriter.Writer, in FetchAnswer) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire24(out *jwriter.Writer, in FetchAnswer) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -2493,11 +2632,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v32, v33 := range in.Changes {
-				if v32 > 0 {
+			for v35, v36 := range in.Changes {
+				if v35 > 0 {
 					out.RawByte(',')
 				}
-				(v33).MarshalEasyJSON(out)
+				(v36).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -2513,27 +2652,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v FetchAnswer) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire23(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire24(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v FetchAnswer) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire23(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire24(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *FetchAnswer) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire23(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire24(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *FetchAnswer) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire23(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire24(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire24(in *jlexer.Lexer, out *ExecutorBelief) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire25(in *jlexer.Lexer, out *ExecutorBelief) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -2581,7 +2720,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire24(out *jwriter.Writer, in ExecutorBelief) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire25(out *jwriter.Writer, in ExecutorBelief) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -2611,27 +2750,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v ExecutorBelief) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire24(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire25(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v ExecutorBelief) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire24(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire25(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *ExecutorBelief) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire24(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire25(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *ExecutorBelief) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire24(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire25(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire25(in *jlexer.Lexer, out *ExchangeCall) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire26(in *jlexer.Lexer, out *ExchangeCall) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -2685,13 +2824,13 @@
 					out.Labels = (out.Labels)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v34 string
+					var v37 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v34 = string(in.String())
+						v37 = string(in.String())
 					}
-					out.Labels = append(out.Labels, v34)
+					out.Labels = append(out.Labels, v37)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -2730,13 +2869,13 @@
 					out.Gone = (out.Gone)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v35 string
+					var v38 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v35 = string(in.String())
+						v38 = string(in.String())
 					}
-					out.Gone = append(out.Gone, v35)
+					out.Gone = append(out.Gone, v38)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -2775,13 +2914,13 @@
 					out.Running = (out.Running)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v36 RunReport
+					var v39 RunReport
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v36).UnmarshalEasyJSON(in)
+						(v39).UnmarshalEasyJSON(in)
 					}
-					out.Running = append(out.Running, v36)
+					out.Running = append(out.Running, v39)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -2802,13 +2941,13 @@
 					out.Ends = (out.Ends)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v37 EndReport
+					var v40 EndReport
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v37).UnmarshalEasyJSON(in)
+						(v40).UnmarshalEasyJSON(in)
 					}
-					out.Ends = append(out.Ends, v37)
+					out.Ends = append(out.Ends, v40)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -2829,13 +2968,13 @@
 					out.Answers = (out.Answers)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v38 OrderAnswer
+					var v41 OrderAnswer
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v38).UnmarshalEasyJSON(in)
+						(v41).UnmarshalEasyJSON(in)
 					}
-					out.Answers = append(out.Answers, v38)
+					out.Answers = append(out.Answers, v41)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -2856,7 +2995,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire25(out *jwriter.Writer, in ExchangeCall) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire26(out *jwriter.Writer, in ExchangeCall) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -2885,11 +3024,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v39, v40 := range in.Labels {
-				if v39 > 0 {
+			for v42, v43 := range in.Labels {
+				if v42 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v40))
+				out.String(string(v43))
 			}
 			out.RawByte(']')
 		}
@@ -2914,11 +3053,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v41, v42 := range in.Gone {
-				if v41 > 0 {
+			for v44, v45 := range in.Gone {
+				if v44 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v42))
+				out.String(string(v45))
 			}
 			out.RawByte(']')
 		}
@@ -2943,11 +3082,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v43, v44 := range in.Running {
-				if v43 > 0 {
+			for v46, v47 := range in.Running {
+				if v46 > 0 {
 					out.RawByte(',')
 				}
-				(v44).MarshalEasyJSON(out)
+				(v47).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -2957,11 +3096,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v45, v46 := range in.Ends {
-				if v45 > 0 {
+			for v48, v49 := range in.Ends {
+				if v48 > 0 {
 					out.RawByte(',')
 				}
-				(v46).MarshalEasyJSON(out)
+				(v49).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -2971,11 +3110,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v47, v48 := range in.Answers {
-				if v47 > 0 {
+			for v50, v51 := range in.Answers {
+				if v50 > 0 {
 					out.RawByte(',')
 				}
-				(v48).MarshalEasyJSON(out)
+				(v51).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -2991,27 +3130,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v ExchangeCall) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire25(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire26(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v ExchangeCall) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire25(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire26(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *ExchangeCall) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire25(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire26(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *ExchangeCall) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire25(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire26(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire26(in *jlexer.Lexer, out *ExchangeAnswer) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire27(in *jlexer.Lexer, out *ExchangeAnswer) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -3077,13 +3216,13 @@
 					out.Orders = (out.Orders)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v49 Order
+					var v52 Order
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v49).UnmarshalEasyJSON(in)
+						(v52).UnmarshalEasyJSON(in)
 					}
-					out.Orders = append(out.Orders, v49)
+					out.Orders = append(out.Orders, v52)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -3098,7 +3237,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire26(out *jwriter.Writer, in ExchangeAnswer) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire27(out *jwriter.Writer, in ExchangeAnswer) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -3168,11 +3307,11 @@
 		}
 		{
 			out.RawByte('[')
-			for v50, v51 := range in.Orders {
-				if v50 > 0 {
+			for v53, v54 := range in.Orders {
+				if v53 > 0 {
 					out.RawByte(',')
 				}
-				(v51).MarshalEasyJSON(out)
+				(v54).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -3183,27 +3322,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v ExchangeAnswer) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire26(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire27(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v ExchangeAnswer) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire26(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire27(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *ExchangeAnswer) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire26(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire27(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *ExchangeAnswer) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire26(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire27(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire27(in *jlexer.Lexer, out *EntryTerms) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire28(in *jlexer.Lexer, out *EntryTerms) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -3251,7 +3390,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire27(out *jwriter.Writer, in EntryTerms) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire28(out *jwriter.Writer, in EntryTerms) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -3297,27 +3436,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v EntryTerms) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire27(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire28(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v EntryTerms) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire27(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire28(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *EntryTerms) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire27(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire28(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *EntryTerms) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire27(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire28(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire28(in *jlexer.Lexer, out *EndReport) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire29(in *jlexer.Lexer, out *EndReport) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -3371,7 +3510,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire28(out *jwriter.Writer, in EndReport) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire29(out *jwriter.Writer, in EndReport) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -3406,27 +3545,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v EndReport) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire28(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire29(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v EndReport) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire28(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire29(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *EndReport) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire28(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire29(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *EndReport) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire28(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire29(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire29(in *jlexer.Lexer, out *Digest) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire30(in *jlexer.Lexer, out *Digest) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -3468,13 +3607,13 @@
 					out.Owners = (out.Owners)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v52 OwnerFact
+					var v55 OwnerFact
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v52).UnmarshalEasyJSON(in)
+						(v55).UnmarshalEasyJSON(in)
 					}
-					out.Owners = append(out.Owners, v52)
+					out.Owners = append(out.Owners, v55)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -3489,7 +3628,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire29(out *jwriter.Writer, in Digest) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire30(out *jwriter.Writer, in Digest) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -3519,11 +3658,11 @@
 		}
 		{
 			out.RawByte('[')
-			for v53, v54 := range in.Owners {
-				if v53 > 0 {
+			for v56, v57 := range in.Owners {
+				if v56 > 0 {
 					out.RawByte(',')
 				}
-				(v54).MarshalEasyJSON(out)
+				(v57).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -3534,27 +3673,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Digest) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire29(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire30(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Digest) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire29(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire30(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Digest) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire29(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire30(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Digest) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire29(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire30(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire30(in *jlexer.Lexer, out *Datagram) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire31(in *jlexer.Lexer, out *Datagram) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -3608,13 +3747,13 @@
 					out.News = (out.News)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v55 Member
+					var v58 Member
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v55).UnmarshalEasyJSON(in)
+						(v58).UnmarshalEasyJSON(in)
 					}
-					out.News = append(out.News, v55)
+					out.News = append(out.News, v58)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -3635,7 +3774,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire30(out *jwriter.Writer, in Datagram) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire31(out *jwriter.Writer, in Datagram) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -3664,11 +3803,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v56, v57 := range in.News {
-				if v56 > 0 {
+			for v59, v60 := range in.News {
+				if v59 > 0 {
 					out.RawByte(',')
 				}
-				(v57).MarshalEasyJSON(out)
+				(v60).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -3684,27 +3823,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Datagram) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire30(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire31(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Datagram) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire30(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire31(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Datagram) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire30(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire31(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Datagram) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire30(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire31(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire31(in *jlexer.Lexer, out *ClientCall) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire32(in *jlexer.Lexer, out *ClientCall) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -3784,7 +3923,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire31(out *jwriter.Writer, in ClientCall) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire32(out *jwriter.Writer, in ClientCall) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -3834,27 +3973,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v ClientCall) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire31(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire32(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v ClientCall) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire31(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire32(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *ClientCall) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire31(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire32(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *ClientCall) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire31(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire32(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire32(in *jlexer.Lexer, out *ClientAnswer) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire33(in *jlexer.Lexer, out *ClientAnswer) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -3914,7 +4053,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire32(out *jwriter.Writer, in ClientAnswer) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire33(out *jwriter.Writer, in ClientAnswer) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -3980,27 +4119,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v ClientAnswer) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire32(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire33(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v ClientAnswer) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire32(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire33(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *ClientAnswer) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire32(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire33(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *ClientAnswer) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire32(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire33(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire33(in *jlexer.Lexer, out *Change) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire34(in *jlexer.Lexer, out *Change) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -4036,13 +4175,13 @@
 					out.Ops = (out.Ops)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v58 Op
+					var v61 Op
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v58).UnmarshalEasyJSON(in)
+						(v61).UnmarshalEasyJSON(in)
 					}
-					out.Ops = append(out.Ops, v58)
+					out.Ops = append(out.Ops, v61)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4071,7 +4210,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire33(out *jwriter.Writer, in Change) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire34(out *jwriter.Writer, in Change) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -4085,11 +4224,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v59, v60 := range in.Ops {
-				if v59 > 0 {
+			for v62, v63 := range in.Ops {
+				if v62 > 0 {
 					out.RawByte(',')
 				}
-				(v60).MarshalEasyJSON(out)
+				(v63).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4105,27 +4244,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Change) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire33(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire34(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Change) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire33(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire34(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Change) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire33(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire34(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Change) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire33(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire34(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire34(in *jlexer.Lexer, out *Capacity) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire35(in *jlexer.Lexer, out *Capacity) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -4167,7 +4306,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire34(out *jwriter.Writer, in Capacity) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire35(out *jwriter.Writer, in Capacity) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -4192,27 +4331,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Capacity) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire34(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire35(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Capacity) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire34(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire35(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Capacity) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire34(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire35(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Capacity) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire34(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire35(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire35(in *jlexer.Lexer, out *Birth) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire36(in *jlexer.Lexer, out *Birth) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -4248,13 +4387,13 @@
 					out.Voters = (out.Voters)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v61 string
+					var v64 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v61 = string(in.String())
+						v64 = string(in.String())
 					}
-					out.Voters = append(out.Voters, v61)
+					out.Voters = append(out.Voters, v64)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4269,7 +4408,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire35(out *jwriter.Writer, in Birth) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire36(out *jwriter.Writer, in Birth) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -4285,11 +4424,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v62, v63 := range in.Voters {
-				if v62 > 0 {
+			for v65, v66 := range in.Voters {
+				if v65 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v63))
+				out.String(string(v66))
 			}
 			out.RawByte(']')
 		}
@@ -4300,27 +4439,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Birth) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire35(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire36(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Birth) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire35(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire36(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Birth) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire35(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire36(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Birth) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire35(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire36(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire36(in *jlexer.Lexer, out *BeliefsCall) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire37(in *jlexer.Lexer, out *BeliefsCall) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -4344,7 +4483,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire36(out *jwriter.Writer, in BeliefsCall) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire37(out *jwriter.Writer, in BeliefsCall) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -4354,27 +4493,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v BeliefsCall) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire36(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire37(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v BeliefsCall) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire36(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire37(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *BeliefsCall) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire36(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire37(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *BeliefsCall) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire36(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire37(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire37(in *jlexer.Lexer, out *BeliefsAnswer) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire38(in *jlexer.Lexer, out *BeliefsAnswer) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -4422,13 +4561,13 @@
 					out.Members = (out.Members)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v64 Member
+					var v67 Member
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v64).UnmarshalEasyJSON(in)
+						(v67).UnmarshalEasyJSON(in)
 					}
-					out.Members = append(out.Members, v64)
+					out.Members = append(out.Members, v67)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4449,13 +4588,13 @@
 					out.Owners = (out.Owners)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v65 OwnerFact
+					var v68 OwnerFact
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v65).UnmarshalEasyJSON(in)
+						(v68).UnmarshalEasyJSON(in)
 					}
-					out.Owners = append(out.Owners, v65)
+					out.Owners = append(out.Owners, v68)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4476,13 +4615,13 @@
 					out.Keys = (out.Keys)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v66 KeyBelief
+					var v69 KeyBelief
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v66).UnmarshalEasyJSON(in)
+						(v69).UnmarshalEasyJSON(in)
 					}
-					out.Keys = append(out.Keys, v66)
+					out.Keys = append(out.Keys, v69)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4503,13 +4642,13 @@
 					out.Jobs = (out.Jobs)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v67 JobBelief
+					var v70 JobBelief
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v67).UnmarshalEasyJSON(in)
+						(v70).UnmarshalEasyJSON(in)
 					}
-					out.Jobs = append(out.Jobs, v67)
+					out.Jobs = append(out.Jobs, v70)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4530,13 +4669,13 @@
 					out.Executors = (out.Executors)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v68 ExecutorBelief
+					var v71 ExecutorBelief
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v68).UnmarshalEasyJSON(in)
+						(v71).UnmarshalEasyJSON(in)
 					}
-					out.Executors = append(out.Executors, v68)
+					out.Executors = append(out.Executors, v71)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4551,7 +4690,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire37(out *jwriter.Writer, in BeliefsAnswer) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire38(out *jwriter.Writer, in BeliefsAnswer) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -4577,11 +4716,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v69, v70 := range in.Members {
-				if v69 > 0 {
+			for v72, v73 := range in.Members {
+				if v72 > 0 {
 					out.RawByte(',')
 				}
-				(v70).MarshalEasyJSON(out)
+				(v73).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4593,11 +4732,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v71, v72 := range in.Owners {
-				if v71 > 0 {
+			for v74, v75 := range in.Owners {
+				if v74 > 0 {
 					out.RawByte(',')
 				}
-				(v72).MarshalEasyJSON(out)
+				(v75).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4609,11 +4748,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v73, v74 := range in.Keys {
-				if v73 > 0 {
+			for v76, v77 := range in.Keys {
+				if v76 > 0 {
 					out.RawByte(',')
 				}
-				(v74).MarshalEasyJSON(out)
+				(v77).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4625,11 +4764,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v75, v76 := range in.Jobs {
-				if v75 > 0 {
+			for v78, v79 := range in.Jobs {
+				if v78 > 0 {
 					out.RawByte(',')
 				}
-				(v76).MarshalEasyJSON(out)
+				(v79).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4641,11 +4780,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v77, v78 := range in.Executors {
-				if v77 > 0 {
+			for v80, v81 := range in.Executors {
+				if v80 > 0 {
 					out.RawByte(',')
 				}
-				(v78).MarshalEasyJSON(out)
+				(v81).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4656,27 +4795,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v BeliefsAnswer) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire37(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire38(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v BeliefsAnswer) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire37(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire38(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *BeliefsAnswer) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire37(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire38(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *BeliefsAnswer) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire37(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire38(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire38(in *jlexer.Lexer, out *AppendCall) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire39(in *jlexer.Lexer, out *AppendCall) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -4736,13 +4875,13 @@
 					out.Changes = (out.Changes)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v79 Change
+					var v82 Change
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v79).UnmarshalEasyJSON(in)
+						(v82).UnmarshalEasyJSON(in)
 					}
-					out.Changes = append(out.Changes, v79)
+					out.Changes = append(out.Changes, v82)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4761,6 +4900,20 @@
 					(*out.Snapshot).UnmarshalEasyJSON(in)
 				}
 			}
+		case "piece":
+			if in.IsNull() {
+				in.Skip()
+				out.Piece = nil
+			} else {
+				if out.Piece == nil {
+					out.Piece = new(Piece)
+				}
+				if in.IsNull() {
+					in.Skip()
+				} else {
+					(*out.Piece).UnmarshalEasyJSON(in)
+				}
+			}
 		case "release":
 			if in.IsNull() {
 				in.Skip()
@@ -4783,7 +4936,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire38(out *jwriter.Writer, in AppendCall) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire39(out *jwriter.Writer, in AppendCall) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -4817,11 +4970,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v80, v81 := range in.Changes {
-				if v80 > 0 {
+			for v83, v84 := range in.Changes {
+				if v83 > 0 {
 					out.RawByte(',')
 				}
-				(v81).MarshalEasyJSON(out)
+				(v84).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4831,6 +4984,11 @@
 		out.RawString(prefix)
 		(*in.Snapshot).MarshalEasyJSON(out)
 	}
+	if in.Piece != nil {
+		const prefix string = ",\"piece\":"
+		out.RawString(prefix)
+		(*in.Piece).MarshalEasyJSON(out)
+	}
 	if in.Release {
 		const prefix string = ",\"release\":"
 		out.RawString(prefix)
@@ -4847,27 +5005,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v AppendCall) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire38(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire39(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v AppendCall) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire38(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire39(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *AppendCall) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire38(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire39(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *AppendCall) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire38(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire39(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire39(in *jlexer.Lexer, out *AppendAnswer) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire40(in *jlexer.Lexer, out *AppendAnswer) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -4917,6 +5075,12 @@
 			} else {
 				out.DelayUs = int64(in.Int64())
 			}
+		case "pieces":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Pieces = int(in.Int())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -4927,7 +5091,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire39(out *jwriter.Writer, in AppendAnswer) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire40(out *jwriter.Writer, in AppendAnswer) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -4967,29 +5131,34 @@
 		out.RawString(prefix)
 		out.Int64(int64(in.DelayUs))
 	}
+	if in.Pieces != 0 {
+		const prefix string = ",\"pieces\":"
+		out.RawString(prefix)
+		out.Int(int(in.Pieces))
+	}
 	out.RawByte('}')
 }
 
 // MarshalJSON supports json.Marshaler interface
 func (v AppendAnswer) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire39(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire40(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v AppendAnswer) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire39(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire40(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *AppendAnswer) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire39(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire40(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *AppendAnswer) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire39(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire40(l, v)
 }
