--- a/internal/placetasks/place.go
+++ b/internal/placetasks/place.go
@@ -61,12 +61,23 @@
 	IsSpare  bool
 	IsLong   bool
 	Priority int
+	Chance   Chance
 	Due      int64
 }
 
+// Chance is what a group's job can still earn. Within a priority what may be in time goes before what is late, and
+// what comes too late for anything goes after all others.
+type Chance int
+
+const (
+	ChanceInTime Chance = iota
+	ChanceLate
+	ChanceTooLate
+)
+
 type Placement struct{ Group, Executor int }
 
-// Line is groups in the order in which they are placed, the spares after them, and a room that none needs less than.
+// Line is groups in the order of CompareGroups, the spares after them, and a room that none needs less than.
 // Spares are numbered on from the groups.
 type Line struct {
 	Groups []*Group
@@ -74,31 +85,9 @@
 	Least  Room
 }
 
-// Place gives the starts that fit, in the order of priority, then of the aim. Left is what long work of a
-// priority may still take of all room together; a priority without an entry may take all there is.
-func Place(executors []Executor, groups []*Group, left map[int]Room) []Placement {
-	order := make([]int, len(groups))
-	for place := range order {
-		order[place] = place
-	}
-	slices.SortStableFunc(order, func(one, two int) int { return CompareGroups(groups[one], groups[two]) })
-	var line Line
-	for place, number := range order {
-		line.Groups = append(line.Groups, groups[number])
-		if place == 0 {
-			line.Least = groups[number].Need
-		}
-		line.Least = line.Least.AtMost(groups[number].Need)
-	}
-	placed := PlaceLine(executors, line, left)
-	for place := range placed {
-		placed[place].Group = order[placed[place].Group]
-	}
-	return placed
-}
-
-// PlaceLine is Place for groups that are in order already.
-func PlaceLine(executors []Executor, line Line, left map[int]Room) []Placement {
+// Place gives the starts that fit, in the order of the line. Left is what long work of a priority may still take of
+// all room together; a priority without an entry may take all there is.
+func Place(executors []Executor, line Line, left map[int]Room) []Placement {
 	if len(line.Groups)+len(line.Spares) == 0 {
 		return nil
 	}
@@ -122,17 +111,26 @@
 	}
 }
 
-// CompareGroups orders groups as they are placed: spares last, then by priority, then by what is due.
+// CompareGroups orders the groups of a line: what is too late after all others, then by priority, by what can be in
+// time, and by what is due.
 func CompareGroups(one, two *Group) int {
-	if one.IsSpare != two.IsSpare {
-		return compareBools(one.IsSpare, two.IsSpare)
+	if one.isTooLate() != two.isTooLate() {
+		if two.isTooLate() {
+			return -1
+		}
+		return 1
 	}
 	if one.Priority != two.Priority {
 		return cmp.Compare(one.Priority, two.Priority)
 	}
+	if one.Chance != two.Chance {
+		return cmp.Compare(one.Chance, two.Chance)
+	}
 	return cmp.Compare(one.Due, two.Due)
 }
 
+func (g *Group) isTooLate() bool { return g.Chance == ChanceTooLate }
+
 // allowance is what one priority may still take.
 type allowance struct {
 	left     map[int]Room
@@ -165,16 +163,6 @@
 	}
 }
 
-func compareBools(one, two bool) int {
-	switch {
-	case one == two:
-		return 0
-	case two:
-		return -1
-	}
-	return 1
-}
-
 // turn is one placement under way. Room only shrinks while it lasts, so what found no room once finds none later,
 // and only executors with room for the least need of all can be chosen. Gangs may use reserved executors, others not.
 type turn struct {
@@ -225,6 +213,9 @@
 	t.most, t.isMostOld, t.isOver = Room{CPU: -1, Memory: -1, GPU: -1}, false, true
 	for place := range t.candidates {
 		one := &t.candidates[place]
+		if t.hasMost(one) {
+			continue
+		}
 		t.isOver = t.isOver && !one.free.Fits(t.least)
 		if !one.isReserved {
 			t.most = t.most.AtLeast(one.free)
@@ -232,6 +223,12 @@
 	}
 }
 
+// hasMost tells whether an executor was given all that it may have in this turn.
+func (t *turn) hasMost(one *candidate) bool {
+	most := t.executors[one.place].Most
+	return most > 0 && one.added >= most
+}
+
 // hasNoRoom rejects at once a single task that certainly fits nowhere.
 func (t *turn) hasNoRoom(need Room) bool {
 	return t.open == 0 || !t.most.Fits(need) || slices.ContainsFunc(t.failed, need.Fits)
@@ -320,8 +317,8 @@
 	for number := range t.candidates {
 		one := &t.candidates[number]
 		executor := &t.executors[one.place]
-		if one.isReserved && !group.IsGang || executor.Most > 0 && one.added >= executor.Most || !one.free.Fits(group.Need) || rack != "" && executor.Rack != rack ||
-			!t.allows(group, held, one.place) {
+		if one.isReserved && !group.IsGang || t.hasMost(one) || !one.free.Fits(group.Need) ||
+			rack != "" && executor.Rack != rack || !t.allows(group, held, one.place) {
 			continue
 		}
 		score := rate(executor, one.free, group)
