--- a/internal/localproxy/table.go
+++ b/internal/localproxy/table.go
@@ -440,7 +440,7 @@
 		return work, false
 	}
 	if t.isDeaf(one) {
-		t.Carried(work, "sick")
+		t.Carried(work, one.whileDeaf(order))
 		return work, false
 	}
 	if one.expiryMs < one.clock.clockAt(t.now())+400 {
@@ -458,6 +458,14 @@
 	}
 }
 
+// whileDeaf leaves a start that may have reached the executor to be sent again, as that is sooner over than a stop.
+func (l *lifeTable) whileDeaf(order siblingwire.Order) string {
+	if l.unsure[runKey{order.Task, order.Run}] {
+		return "timeout"
+	}
+	return "sick"
+}
+
 // Unanswered notes that an order may yet be carried out.
 func (t *Table) Unanswered(work OrderWork) {
 	if one := t.life; one != nil && one.id == work.Life && len(one.unsure) < 10000 {
--- a/internal/poolowner/exchange.go
+++ b/internal/poolowner/exchange.go
@@ -204,7 +204,7 @@
 		one.startedAt -= min(pulse.Ms(answer.AgeMs), now-one.orderedAt)
 	case ResultNotRun, ResultRoom, ResultSick:
 		if answer.Result == ResultSick {
-			p.mistrustUnlessResting(home)
+			p.penalizeUnlessResting(home)
 			home.fails++
 		}
 		if answer.Result != ResultNotRun {
--- a/internal/poolowner/trust.go
+++ b/internal/poolowner/trust.go
@@ -40,8 +40,13 @@
 	return 0
 }
 
-// mistrust notes that an executor died, or is sick, at its machine.
+// mistrust notes that an executor died or hung; what comes next there begins with one run at once.
 func (p *Pool) mistrust(home *life) {
+	p.penalize(home)
+	home.atOnce = 1
+}
+
+func (p *Pool) penalize(home *life) {
 	now := p.clock.Steady()
 	one := p.trusts[home.proxy]
 	if one == nil {
@@ -50,7 +55,7 @@
 		p.trusts[home.proxy] = one
 	}
 	one.lose(now)
-	home.penalty, home.atOnce = one.penaltyAt(now), 1
+	home.penalty = one.penaltyAt(now)
 }
 
 // learnPenalty lets a machine that lost trust begin with one run at a time, in a new life as well.
@@ -77,11 +82,10 @@
 // most is how many runs may be added; 0 sets no bound.
 func (l *life) most() int { return max(0, l.atOnce-len(l.runs)) }
 
-// mistrustUnlessResting counts the refusals of one moment once.
-func (p *Pool) mistrustUnlessResting(home *life) {
+// penalizeUnlessResting counts the refusals of one moment once.
+func (p *Pool) penalizeUnlessResting(home *life) {
 	if p.clock.Steady() >= home.sickUntil {
-		p.mistrust(home)
-		home.atOnce = max(1, len(home.runs)/2)
+		p.penalize(home)
 	}
 }
 
