--- a/internal/poolowner/pool.go
+++ b/internal/poolowner/pool.go
@@ -392,7 +392,7 @@
 func (p *Pool) lifeOf(id string) *life {
 	one := p.lives[id]
 	if one == nil {
-		one = &life{id: id, runs: map[runKey]*run{}, slow: 1}
+		one = &life{id: id, runs: map[runKey]*run{}, slow: 1, contactAt: p.clock.Steady()}
 		p.looks++
 		one.firstLook, one.lookWanted = p.looks, p.looks
 		one.lapsesAt = p.began + p.lapse(p.timing.MaxHold)
@@ -411,7 +411,7 @@
 	if spell := one.times[number]; spell != nil {
 		return spell
 	}
-	spell := &jobTime{job: one, number: number, left: len(one.spec.Steps), aimMs: one.aimMs(number)}
+	spell := one.newTime(number)
 	for place := range one.spec.Steps {
 		step := &stepState{time: spell, number: place, step: &one.spec.Steps[place], left: one.spec.Steps[place].Tasks}
 		for index := range step.left {
@@ -420,6 +420,7 @@
 		step.idle = slices.Clone(step.tasks)
 		spell.steps = append(spell.steps, step)
 	}
+	spell.noteRests()
 	one.times[number] = spell
 	return spell
 }
--- a/internal/siblingwire/messages.go
+++ b/internal/siblingwire/messages.go
@@ -53,6 +53,15 @@
 	Disk     string   `json:"disk"`
 }
 
+// Piece is one of Count parts of the state at a stamp; the last one to come lets the state be installed as a whole.
+type Piece struct {
+	At     Stamp    `json:"at"`
+	Set    VoterSet `json:"set"`
+	Number int      `json:"number"`
+	Count  int      `json:"count"`
+	Pairs  []Op     `json:"pairs,omitempty"`
+}
+
 type AppendCall struct {
 	Key      string    `json:"key"`
 	Epoch    uint64    `json:"epoch"`
@@ -61,7 +70,10 @@
 	Prev     Stamp     `json:"prev"`
 	Changes  []Change  `json:"changes,omitempty"`
 	Snapshot *Snapshot `json:"snapshot,omitempty"`
+	Piece    *Piece    `json:"piece,omitempty"`
 	Release  bool      `json:"release,omitempty"`
+	// Heir is the disk whose steward should ask first after a release by an owner that is slow.
+	Heir string `json:"heir,omitempty"`
 }
 
 type AppendAnswer struct {
@@ -70,15 +82,22 @@
 	Last     Stamp  `json:"last"`
 	Disk     string `json:"disk"`
 	WallMs   int64  `json:"wall"`
+	// DelayUs is the time from the call's arrival to this answer, at least 1; 0 is from a sibling of an older form.
+	DelayUs int64 `json:"delay,omitempty"`
+	// Pieces is how many pieces of the state under way are here; a sibling of an older form has none.
+	Pieces int `json:"pieces,omitempty"`
 }
 
+// FetchCall asks for the changes after From, or for the whole state if they are no longer there or From is not named.
 type FetchCall struct {
-	Key string `json:"key"`
+	Key  string `json:"key"`
+	From *Stamp `json:"from,omitempty"`
 }
 
 type FetchAnswer struct {
 	Found    bool     `json:"found,omitempty"`
 	Snapshot Snapshot `json:"snapshot"`
+	Changes  []Change `json:"changes,omitempty"`
 	Disk     string   `json:"disk"`
 }
 
@@ -129,6 +148,8 @@
 	Target string   `json:"t,omitempty"`
 	News   []Member `json:"w,omitempty"`
 	Digest Digest   `json:"g"`
+	// PauseMs is how long a steward of many local-proxies asks one to wait between two pings.
+	PauseMs int64 `json:"z,omitempty"`
 }
 
 // MembersCall compares lists by the caller's sums of each bucket; a call without them is of the older form, and
--- a/internal/siblingwire/messages_easyjson.go
+++ b/internal/siblingwire/messages_easyjson.go
@@ -1467,7 +1467,146 @@
 func (v *PlanAnswer) UnmarshalEasyJSON(l *jlexer.Lexer) {
 	easyjson66c1e240DecodeGannetlineInternalSiblingwire11(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire12(in *jlexer.Lexer, out *OwnerFact) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire12(in *jlexer.Lexer, out *Piece) {
+	isTopLevel := in.IsStart()
+	if in.IsNull() {
+		if isTopLevel {
+			in.Consumed()
+		}
+		in.Skip()
+		return
+	}
+	in.Delim('{')
+	for !in.IsDelim('}') {
+		key := in.UnsafeFieldName(false)
+		in.WantColon()
+		switch key {
+		case "at":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				(out.At).UnmarshalEasyJSON(in)
+			}
+		case "set":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				(out.Set).UnmarshalEasyJSON(in)
+			}
+		case "number":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Number = int(in.Int())
+			}
+		case "count":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Count = int(in.Int())
+			}
+		case "pairs":
+			if in.IsNull() {
+				in.Skip()
+				out.Pairs = nil
+			} else {
+				in.Delim('[')
+				if out.Pairs == nil {
+					if !in.IsDelim(']') {
+						out.Pairs = make([]Op, 0, 1)
+					} else {
+						out.Pairs = []Op{}
+					}
+				} else {
+					out.Pairs = (out.Pairs)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v31 Op
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						(v31).UnmarshalEasyJSON(in)
+					}
+					out.Pairs = append(out.Pairs, v31)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
+		default:
+			in.SkipRecursive()
+		}
+		in.WantComma()
+	}
+	in.Delim('}')
+	if isTopLevel {
+		in.Consumed()
+	}
+}
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire12(out *jwriter.Writer, in Piece) {
+	out.RawByte('{')
+	first := true
+	_ = first
+	{
+		const prefix string = ",\"at\":"
+		out.RawString(prefix[1:])
+		(in.At).MarshalEasyJSON(out)
+	}
+	{
+		const prefix string = ",\"set\":"
+		out.RawString(prefix)
+		(in.Set).MarshalEasyJSON(out)
+	}
+	{
+		const prefix string = ",\"number\":"
+		out.RawString(prefix)
+		out.Int(int(in.Number))
+	}
+	{
+		const prefix string = ",\"count\":"
+		out.RawString(prefix)
+		out.Int(int(in.Count))
+	}
+	if len(in.Pairs) != 0 {
+		const prefix string = ",\"pairs\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('[')
+			for v32, v33 := range in.Pairs {
+				if v32 > 0 {
+					out.RawByte(',')
+				}
+				(v33).MarshalEasyJSON(out)
+			}
+			out.RawByte(']')
+		}
+	}
+	out.RawByte('}')
+}
+
+// MarshalJSON supports json.Marshaler interface
+func (v Piece) MarshalJSON() ([]byte, error) {
+	w := jwriter.Writer{}
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire12(&w, v)
+	return w.Buffer.BuildBytes(), w.Error
+}
+
+// MarshalEasyJSON supports easyjson.Marshaler interface
+func (v Piece) MarshalEasyJSON(w *jwriter.Writer) {
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire12(w, v)
+}
+
+// UnmarshalJSON supports json.Unmarshaler interface
+func (v *Piece) UnmarshalJSON(data []byte) error {
+	r := jlexer.Lexer{Data: data}
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire12(&r, v)
+	return r.Error()
+}
+
+// UnmarshalEasyJSON supports easyjson.Unmarshaler interface
+func (v *Piece) UnmarshalEasyJSON(l *jlexer.Lexer) {
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire12(l, v)
+}
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire13(in *jlexer.Lexer, out *OwnerFact) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -1509,7 +1648,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire12(out *jwriter.Writer, in OwnerFact) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire13(out *jwriter.Writer, in OwnerFact) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -1534,27 +1673,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v OwnerFact) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire12(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire13(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v OwnerFact) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire12(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire13(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *OwnerFact) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire12(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire13(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *OwnerFact) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire12(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire13(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire13(in *jlexer.Lexer, out *OrderAnswer) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire14(in *jlexer.Lexer, out *OrderAnswer) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -1608,7 +1747,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire13(out *jwriter.Writer, in OrderAnswer) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire14(out *jwriter.Writer, in OrderAnswer) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -1643,27 +1782,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v OrderAnswer) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire13(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire14(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v OrderAnswer) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire13(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire14(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *OrderAnswer) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire13(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire14(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *OrderAnswer) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire13(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire14(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire14(in *jlexer.Lexer, out *Order) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire15(in *jlexer.Lexer, out *Order) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -1717,7 +1856,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire14(out *jwriter.Writer, in Order) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire15(out *jwriter.Writer, in Order) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -1752,27 +1891,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Order) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire14(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire15(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Order) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire14(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire15(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Order) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire14(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire15(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Order) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire14(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire15(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire15(in *jlexer.Lexer, out *Op) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire16(in *jlexer.Lexer, out *Op) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -1808,7 +1947,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire15(out *jwriter.Writer, in Op) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire16(out *jwriter.Writer, in Op) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -1828,27 +1967,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Op) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire15(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire16(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Op) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire15(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire16(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Op) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire15(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire16(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Op) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire15(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire16(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire16(in *jlexer.Lexer, out *MovedEntry) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire17(in *jlexer.Lexer, out *MovedEntry) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -1884,13 +2023,13 @@
 					out.Services = (out.Services)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v31 string
+					var v34 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v31 = string(in.String())
+						v34 = string(in.String())
 					}
-					out.Services = append(out.Services, v31)
+					out.Services = append(out.Services, v34)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -1905,7 +2044,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire16(out *jwriter.Writer, in MovedEntry) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire17(out *jwriter.Writer, in MovedEntry) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -1921,11 +2060,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v32, v33 := range in.Services {
-				if v32 > 0 {
+			for v35, v36 := range in.Services {
+				if v35 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v33))
+				out.String(string(v36))
 			}
 			out.RawByte(']')
 		}
@@ -1936,27 +2075,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v MovedEntry) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire16(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire17(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v MovedEntry) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire16(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire17(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *MovedEntry) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire16(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire17(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *MovedEntry) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire16(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire17(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire17(in *jlexer.Lexer, out *MembersCall) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire18(in *jlexer.Lexer, out *MembersCall) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -1992,13 +2131,13 @@
 					out.Members = (out.Members)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v34 Member
+					var v37 Member
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v34).UnmarshalEasyJSON(in)
+						(v37).UnmarshalEasyJSON(in)
 					}
-					out.Members = append(out.Members, v34)
+					out.Members = append(out.Members, v37)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -2025,13 +2164,13 @@
 					out.Buckets = (out.Buckets)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v35 uint32
+					var v38 uint32
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v35 = uint32(in.Uint32())
+						v38 = uint32(in.Uint32())
 					}
-					out.Buckets = append(out.Buckets, v35)
+					out.Buckets = append(out.Buckets, v38)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -2052,7 +2191,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire17(out *jwriter.Writer, in MembersCall) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire18(out *jwriter.Writer, in MembersCall) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -2066,11 +2205,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v36, v37 := range in.Members {
-				if v36 > 0 {
+			for v39, v40 := range in.Members {
+				if v39 > 0 {
 					out.RawByte(',')
 				}
-				(v37).MarshalEasyJSON(out)
+				(v40).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -2085,11 +2224,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v38, v39 := range in.Buckets {
-				if v38 > 0 {
+			for v41, v42 := range in.Buckets {
+				if v41 > 0 {
 					out.RawByte(',')
 				}
-				out.Uint32(uint32(v39))
+				out.Uint32(uint32(v42))
 			}
 			out.RawByte(']')
 		}
@@ -2105,27 +2244,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v MembersCall) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire17(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire18(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v MembersCall) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire17(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire18(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *MembersCall) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire17(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire18(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *MembersCall) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire17(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire18(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire18(in *jlexer.Lexer, out *MembersAnswer) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire19(in *jlexer.Lexer, out *MembersAnswer) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -2155,13 +2294,13 @@
 					out.Members = (out.Members)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v40 Member
+					var v43 Member
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v40).UnmarshalEasyJSON(in)
+						(v43).UnmarshalEasyJSON(in)
 					}
-					out.Members = append(out.Members, v40)
+					out.Members = append(out.Members, v43)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -2188,13 +2327,13 @@
 					out.Differing = (out.Differing)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v41 int
+					var v44 int
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v41 = int(in.Int())
+						v44 = int(in.Int())
 					}
-					out.Differing = append(out.Differing, v41)
+					out.Differing = append(out.Differing, v44)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -2209,7 +2348,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire18(out *jwriter.Writer, in MembersAnswer) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire19(out *jwriter.Writer, in MembersAnswer) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -2219,11 +2358,11 @@
 		out.RawString(prefix[1:])
 		{
 			out.RawByte('[')
-			for v42, v43 := range in.Members {
-				if v42 > 0 {
+			for v45, v46 := range in.Members {
+				if v45 > 0 {
 					out.RawByte(',')
 				}
-				(v43).MarshalEasyJSON(out)
+				(v46).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -2243,11 +2382,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v44, v45 := range in.Differing {
-				if v44 > 0 {
+			for v47, v48 := range in.Differing {
+				if v47 > 0 {
 					out.RawByte(',')
 				}
-				out.Int(int(v45))
+				out.Int(int(v48))
 			}
 			out.RawByte(']')
 		}
@@ -2258,27 +2397,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v MembersAnswer) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire18(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire19(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v MembersAnswer) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire18(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire19(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *MembersAnswer) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire18(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire19(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *MembersAnswer) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire18(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire19(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire19(in *jlexer.Lexer, out *Member) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire20(in *jlexer.Lexer, out *Member) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -2356,13 +2495,13 @@
 					out.Past = (out.Past)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v46 string
+					var v49 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v46 = string(in.String())
+						v49 = string(in.String())
 					}
-					out.Past = append(out.Past, v46)
+					out.Past = append(out.Past, v49)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -2383,7 +2522,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire19(out *jwriter.Writer, in Member) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire20(out *jwriter.Writer, in Member) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -2432,11 +2571,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v47, v48 := range in.Past {
-				if v47 > 0 {
+			for v50, v51 := range in.Past {
+				if v50 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v48))
+				out.String(string(v51))
 			}
 			out.RawByte(']')
 		}
@@ -2452,27 +2591,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Member) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire19(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire20(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Member) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire19(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire20(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Member) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire19(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire20(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Member) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire19(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire20(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire20(in *jlexer.Lexer, out *KeyBelief) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire21(in *jlexer.Lexer, out *KeyBelief) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -2526,7 +2665,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire20(out *jwriter.Writer, in KeyBelief) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire21(out *jwriter.Writer, in KeyBelief) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -2561,27 +2700,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v KeyBelief) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire20(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire21(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v KeyBelief) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire20(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire21(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *KeyBelief) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire20(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire21(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *KeyBelief) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire20(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire21(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire21(in *jlexer.Lexer, out *JobBelief) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire22(in *jlexer.Lexer, out *JobBelief) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -2623,7 +2762,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire21(out *jwriter.Writer, in JobBelief) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire22(out *jwriter.Writer, in JobBelief) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -2648,27 +2787,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v JobBelief) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire21(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire22(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v JobBelief) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire21(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire22(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *JobBelief) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire21(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire22(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *JobBelief) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire21(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire22(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire22(in *jlexer.Lexer, out *IdentifyCall) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire23(in *jlexer.Lexer, out *IdentifyCall) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -2692,7 +2831,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire22(out *jwriter.Writer, in IdentifyCall) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire23(out *jwriter.Writer, in IdentifyCall) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -2702,27 +2841,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v IdentifyCall) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire22(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire23(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v IdentifyCall) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire22(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire23(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *IdentifyCall) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire22(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire23(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *IdentifyCall) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire22(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire23(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire23(in *jlexer.Lexer, out *IdentifyAnswer) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire24(in *jlexer.Lexer, out *IdentifyAnswer) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -2764,7 +2903,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire23(out *jwriter.Writer, in IdentifyAnswer) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire24(out *jwriter.Writer, in IdentifyAnswer) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -2789,27 +2928,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v IdentifyAnswer) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire23(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire24(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v IdentifyAnswer) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire23(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire24(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *IdentifyAnswer) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire23(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire24(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *IdentifyAnswer) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire23(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire24(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire24(in *jlexer.Lexer, out *FetchCall) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire25(in *jlexer.Lexer, out *FetchCall) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -2829,6 +2968,20 @@
 			} else {
 				out.Key = string(in.String())
 			}
+		case "from":
+			if in.IsNull() {
+				in.Skip()
+				out.From = nil
+			} else {
+				if out.From == nil {
+					out.From = new(Stamp)
+				}
+				if in.IsNull() {
+					in.Skip()
+				} else {
+					(*out.From).UnmarshalEasyJSON(in)
+				}
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -2839,7 +2992,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire24(out *jwriter.Writer, in FetchCall) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire25(out *jwriter.Writer, in FetchCall) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -2848,33 +3001,38 @@
 		out.RawString(prefix[1:])
 		out.String(string(in.Key))
 	}
+	if in.From != nil {
+		const prefix string = ",\"from\":"
+		out.RawString(prefix)
+		(*in.From).MarshalEasyJSON(out)
+	}
 	out.RawByte('}')
 }
 
 // MarshalJSON supports json.Marshaler interface
 func (v FetchCall) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire24(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire25(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v FetchCall) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire24(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire25(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *FetchCall) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire24(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire25(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *FetchCall) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire24(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire25(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire25(in *jlexer.Lexer, out *FetchAnswer) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire26(in *jlexer.Lexer, out *FetchAnswer) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -2900,6 +3058,33 @@
 			} else {
 				(out.Snapshot).UnmarshalEasyJSON(in)
 			}
+		case "changes":
+			if in.IsNull() {
+				in.Skip()
+				out.Changes = nil
+			} else {
+				in.Delim('[')
+				if out.Changes == nil {
+					if !in.IsDelim(']') {
+						out.Changes = make([]Change, 0, 1)
+					} else {
+						out.Changes = []Change{}
+					}
+				} else {
+					out.Changes = (out.Changes)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v52 Change
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						(v52).UnmarshalEasyJSON(in)
+					}
+					out.Changes = append(out.Changes, v52)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
 		case "disk":
 			if in.IsNull() {
 				in.Skip()
@@ -2916,7 +3101,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire25(out *jwriter.Writer, in FetchAnswer) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire26(out *jwriter.Writer, in FetchAnswer) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -2936,6 +3121,20 @@
 		}
 		(in.Snapshot).MarshalEasyJSON(out)
 	}
+	if len(in.Changes) != 0 {
+		const prefix string = ",\"changes\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('[')
+			for v53, v54 := range in.Changes {
+				if v53 > 0 {
+					out.RawByte(',')
+				}
+				(v54).MarshalEasyJSON(out)
+			}
+			out.RawByte(']')
+		}
+	}
 	{
 		const prefix string = ",\"disk\":"
 		out.RawString(prefix)
@@ -2947,27 +3146,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v FetchAnswer) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire25(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire26(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v FetchAnswer) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire25(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire26(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *FetchAnswer) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire25(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire26(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *FetchAnswer) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire25(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire26(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire26(in *jlexer.Lexer, out *ExecutorBelief) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire27(in *jlexer.Lexer, out *ExecutorBelief) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -3015,7 +3214,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire26(out *jwriter.Writer, in ExecutorBelief) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire27(out *jwriter.Writer, in ExecutorBelief) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -3045,27 +3244,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v ExecutorBelief) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire26(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire27(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v ExecutorBelief) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire26(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire27(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *ExecutorBelief) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire26(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire27(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *ExecutorBelief) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire26(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire27(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire27(in *jlexer.Lexer, out *ExchangeCall) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire28(in *jlexer.Lexer, out *ExchangeCall) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -3137,13 +3336,13 @@
 					out.Labels = (out.Labels)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v49 string
+					var v55 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v49 = string(in.String())
+						v55 = string(in.String())
 					}
-					out.Labels = append(out.Labels, v49)
+					out.Labels = append(out.Labels, v55)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -3182,13 +3381,13 @@
 					out.Gone = (out.Gone)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v50 string
+					var v56 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v50 = string(in.String())
+						v56 = string(in.String())
 					}
-					out.Gone = append(out.Gone, v50)
+					out.Gone = append(out.Gone, v56)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -3227,13 +3426,13 @@
 					out.Running = (out.Running)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v51 RunReport
+					var v57 RunReport
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v51).UnmarshalEasyJSON(in)
+						(v57).UnmarshalEasyJSON(in)
 					}
-					out.Running = append(out.Running, v51)
+					out.Running = append(out.Running, v57)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -3254,13 +3453,13 @@
 					out.Changed = (out.Changed)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v52 RunReport
+					var v58 RunReport
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v52).UnmarshalEasyJSON(in)
+						(v58).UnmarshalEasyJSON(in)
 					}
-					out.Changed = append(out.Changed, v52)
+					out.Changed = append(out.Changed, v58)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -3281,13 +3480,13 @@
 					out.Ends = (out.Ends)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v53 EndReport
+					var v59 EndReport
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v53).UnmarshalEasyJSON(in)
+						(v59).UnmarshalEasyJSON(in)
 					}
-					out.Ends = append(out.Ends, v53)
+					out.Ends = append(out.Ends, v59)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -3308,13 +3507,13 @@
 					out.Answers = (out.Answers)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v54 OrderAnswer
+					var v60 OrderAnswer
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v54).UnmarshalEasyJSON(in)
+						(v60).UnmarshalEasyJSON(in)
 					}
-					out.Answers = append(out.Answers, v54)
+					out.Answers = append(out.Answers, v60)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -3335,7 +3534,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire27(out *jwriter.Writer, in ExchangeCall) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire28(out *jwriter.Writer, in ExchangeCall) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -3379,11 +3578,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v55, v56 := range in.Labels {
-				if v55 > 0 {
+			for v61, v62 := range in.Labels {
+				if v61 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v56))
+				out.String(string(v62))
 			}
 			out.RawByte(']')
 		}
@@ -3408,11 +3607,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v57, v58 := range in.Gone {
-				if v57 > 0 {
+			for v63, v64 := range in.Gone {
+				if v63 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v58))
+				out.String(string(v64))
 			}
 			out.RawByte(']')
 		}
@@ -3437,11 +3636,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v59, v60 := range in.Running {
-				if v59 > 0 {
+			for v65, v66 := range in.Running {
+				if v65 > 0 {
 					out.RawByte(',')
 				}
-				(v60).MarshalEasyJSON(out)
+				(v66).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -3451,11 +3650,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v61, v62 := range in.Changed {
-				if v61 > 0 {
+			for v67, v68 := range in.Changed {
+				if v67 > 0 {
 					out.RawByte(',')
 				}
-				(v62).MarshalEasyJSON(out)
+				(v68).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -3465,11 +3664,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v63, v64 := range in.Ends {
-				if v63 > 0 {
+			for v69, v70 := range in.Ends {
+				if v69 > 0 {
 					out.RawByte(',')
 				}
-				(v64).MarshalEasyJSON(out)
+				(v70).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -3479,11 +3678,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v65, v66 := range in.Answers {
-				if v65 > 0 {
+			for v71, v72 := range in.Answers {
+				if v71 > 0 {
 					out.RawByte(',')
 				}
-				(v66).MarshalEasyJSON(out)
+				(v72).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -3499,27 +3698,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v ExchangeCall) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire27(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire28(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v ExchangeCall) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire27(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire28(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *ExchangeCall) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire27(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire28(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *ExchangeCall) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire27(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire28(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire28(in *jlexer.Lexer, out *ExchangeAnswer) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire29(in *jlexer.Lexer, out *ExchangeAnswer) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -3603,13 +3802,13 @@
 					out.Orders = (out.Orders)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v67 Order
+					var v73 Order
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v67).UnmarshalEasyJSON(in)
+						(v73).UnmarshalEasyJSON(in)
 					}
-					out.Orders = append(out.Orders, v67)
+					out.Orders = append(out.Orders, v73)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -3624,7 +3823,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire28(out *jwriter.Writer, in ExchangeAnswer) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire29(out *jwriter.Writer, in ExchangeAnswer) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -3724,11 +3923,11 @@
 		}
 		{
 			out.RawByte('[')
-			for v68, v69 := range in.Orders {
-				if v68 > 0 {
+			for v74, v75 := range in.Orders {
+				if v74 > 0 {
 					out.RawByte(',')
 				}
-				(v69).MarshalEasyJSON(out)
+				(v75).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -3739,27 +3938,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v ExchangeAnswer) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire28(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire29(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v ExchangeAnswer) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire28(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire29(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *ExchangeAnswer) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire28(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire29(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *ExchangeAnswer) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire28(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire29(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire29(in *jlexer.Lexer, out *EntryTerms) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire30(in *jlexer.Lexer, out *EntryTerms) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -3807,7 +4006,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire29(out *jwriter.Writer, in EntryTerms) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire30(out *jwriter.Writer, in EntryTerms) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -3853,27 +4052,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v EntryTerms) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire29(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire30(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v EntryTerms) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire29(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire30(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *EntryTerms) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire29(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire30(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *EntryTerms) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire29(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire30(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire30(in *jlexer.Lexer, out *EndReport) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire31(in *jlexer.Lexer, out *EndReport) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -3927,7 +4126,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire30(out *jwriter.Writer, in EndReport) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire31(out *jwriter.Writer, in EndReport) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -3962,27 +4161,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v EndReport) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire30(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire31(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v EndReport) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire30(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire31(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *EndReport) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire30(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire31(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *EndReport) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire30(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire31(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire31(in *jlexer.Lexer, out *Digest) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire32(in *jlexer.Lexer, out *Digest) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -4018,13 +4217,13 @@
 					out.Owners = (out.Owners)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v70 OwnerFact
+					var v76 OwnerFact
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v70).UnmarshalEasyJSON(in)
+						(v76).UnmarshalEasyJSON(in)
 					}
-					out.Owners = append(out.Owners, v70)
+					out.Owners = append(out.Owners, v76)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4051,7 +4250,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire31(out *jwriter.Writer, in Digest) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire32(out *jwriter.Writer, in Digest) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -4071,11 +4270,11 @@
 		}
 		{
 			out.RawByte('[')
-			for v71, v72 := range in.Owners {
-				if v71 > 0 {
+			for v77, v78 := range in.Owners {
+				if v77 > 0 {
 					out.RawByte(',')
 				}
-				(v72).MarshalEasyJSON(out)
+				(v78).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4106,27 +4305,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Digest) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire31(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire32(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Digest) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire31(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire32(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Digest) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire31(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire32(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Digest) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire31(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire32(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire32(in *jlexer.Lexer, out *Datagram) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire33(in *jlexer.Lexer, out *Datagram) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -4180,13 +4379,13 @@
 					out.News = (out.News)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v73 Member
+					var v79 Member
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v73).UnmarshalEasyJSON(in)
+						(v79).UnmarshalEasyJSON(in)
 					}
-					out.News = append(out.News, v73)
+					out.News = append(out.News, v79)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4197,6 +4396,12 @@
 			} else {
 				(out.Digest).UnmarshalEasyJSON(in)
 			}
+		case "z":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.PauseMs = int64(in.Int64())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -4207,7 +4412,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire32(out *jwriter.Writer, in Datagram) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire33(out *jwriter.Writer, in Datagram) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -4236,11 +4441,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v74, v75 := range in.News {
-				if v74 > 0 {
+			for v80, v81 := range in.News {
+				if v80 > 0 {
 					out.RawByte(',')
 				}
-				(v75).MarshalEasyJSON(out)
+				(v81).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4250,33 +4455,38 @@
 		out.RawString(prefix)
 		(in.Digest).MarshalEasyJSON(out)
 	}
+	if in.PauseMs != 0 {
+		const prefix string = ",\"z\":"
+		out.RawString(prefix)
+		out.Int64(int64(in.PauseMs))
+	}
 	out.RawByte('}')
 }
 
 // MarshalJSON supports json.Marshaler interface
 func (v Datagram) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire32(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire33(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Datagram) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire32(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire33(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Datagram) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire32(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire33(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Datagram) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire32(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire33(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire33(in *jlexer.Lexer, out *ClientCall) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire34(in *jlexer.Lexer, out *ClientCall) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -4356,7 +4566,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire33(out *jwriter.Writer, in ClientCall) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire34(out *jwriter.Writer, in ClientCall) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -4406,27 +4616,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v ClientCall) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire33(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire34(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v ClientCall) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire33(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire34(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *ClientCall) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire33(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire34(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *ClientCall) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire33(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire34(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire34(in *jlexer.Lexer, out *ClientAnswer) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire35(in *jlexer.Lexer, out *ClientAnswer) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -4486,7 +4696,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire34(out *jwriter.Writer, in ClientAnswer) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire35(out *jwriter.Writer, in ClientAnswer) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -4552,27 +4762,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v ClientAnswer) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire34(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire35(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v ClientAnswer) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire34(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire35(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *ClientAnswer) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire34(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire35(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *ClientAnswer) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire34(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire35(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire35(in *jlexer.Lexer, out *Change) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire36(in *jlexer.Lexer, out *Change) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -4608,13 +4818,13 @@
 					out.Ops = (out.Ops)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v76 Op
+					var v82 Op
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v76).UnmarshalEasyJSON(in)
+						(v82).UnmarshalEasyJSON(in)
 					}
-					out.Ops = append(out.Ops, v76)
+					out.Ops = append(out.Ops, v82)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4643,7 +4853,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire35(out *jwriter.Writer, in Change) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire36(out *jwriter.Writer, in Change) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -4657,11 +4867,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v77, v78 := range in.Ops {
-				if v77 > 0 {
+			for v83, v84 := range in.Ops {
+				if v83 > 0 {
 					out.RawByte(',')
 				}
-				(v78).MarshalEasyJSON(out)
+				(v84).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4677,27 +4887,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Change) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire35(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire36(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Change) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire35(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire36(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Change) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire35(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire36(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Change) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire35(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire36(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire36(in *jlexer.Lexer, out *Capacity) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire37(in *jlexer.Lexer, out *Capacity) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -4739,7 +4949,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire36(out *jwriter.Writer, in Capacity) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire37(out *jwriter.Writer, in Capacity) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -4764,27 +4974,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Capacity) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire36(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire37(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Capacity) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire36(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire37(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Capacity) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire36(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire37(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Capacity) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire36(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire37(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire37(in *jlexer.Lexer, out *Birth) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire38(in *jlexer.Lexer, out *Birth) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -4820,13 +5030,13 @@
 					out.Voters = (out.Voters)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v79 string
+					var v85 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v79 = string(in.String())
+						v85 = string(in.String())
 					}
-					out.Voters = append(out.Voters, v79)
+					out.Voters = append(out.Voters, v85)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4841,7 +5051,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire37(out *jwriter.Writer, in Birth) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire38(out *jwriter.Writer, in Birth) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -4857,11 +5067,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v80, v81 := range in.Voters {
-				if v80 > 0 {
+			for v86, v87 := range in.Voters {
+				if v86 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v81))
+				out.String(string(v87))
 			}
 			out.RawByte(']')
 		}
@@ -4872,27 +5082,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Birth) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire37(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire38(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Birth) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire37(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire38(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Birth) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire37(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire38(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Birth) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire37(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire38(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire38(in *jlexer.Lexer, out *BeliefsCall) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire39(in *jlexer.Lexer, out *BeliefsCall) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -4916,7 +5126,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire38(out *jwriter.Writer, in BeliefsCall) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire39(out *jwriter.Writer, in BeliefsCall) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -4926,27 +5136,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v BeliefsCall) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire38(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire39(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v BeliefsCall) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire38(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire39(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *BeliefsCall) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire38(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire39(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *BeliefsCall) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire38(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire39(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire39(in *jlexer.Lexer, out *BeliefsAnswer) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire40(in *jlexer.Lexer, out *BeliefsAnswer) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -4994,13 +5204,13 @@
 					out.Members = (out.Members)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v82 Member
+					var v88 Member
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v82).UnmarshalEasyJSON(in)
+						(v88).UnmarshalEasyJSON(in)
 					}
-					out.Members = append(out.Members, v82)
+					out.Members = append(out.Members, v88)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -5021,13 +5231,13 @@
 					out.Owners = (out.Owners)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v83 OwnerFact
+					var v89 OwnerFact
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v83).UnmarshalEasyJSON(in)
+						(v89).UnmarshalEasyJSON(in)
 					}
-					out.Owners = append(out.Owners, v83)
+					out.Owners = append(out.Owners, v89)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -5048,13 +5258,13 @@
 					out.Keys = (out.Keys)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v84 KeyBelief
+					var v90 KeyBelief
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v84).UnmarshalEasyJSON(in)
+						(v90).UnmarshalEasyJSON(in)
 					}
-					out.Keys = append(out.Keys, v84)
+					out.Keys = append(out.Keys, v90)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -5075,13 +5285,13 @@
 					out.Jobs = (out.Jobs)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v85 JobBelief
+					var v91 JobBelief
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v85).UnmarshalEasyJSON(in)
+						(v91).UnmarshalEasyJSON(in)
 					}
-					out.Jobs = append(out.Jobs, v85)
+					out.Jobs = append(out.Jobs, v91)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -5102,13 +5312,13 @@
 					out.Executors = (out.Executors)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v86 ExecutorBelief
+					var v92 ExecutorBelief
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v86).UnmarshalEasyJSON(in)
+						(v92).UnmarshalEasyJSON(in)
 					}
-					out.Executors = append(out.Executors, v86)
+					out.Executors = append(out.Executors, v92)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -5123,7 +5333,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire39(out *jwriter.Writer, in BeliefsAnswer) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire40(out *jwriter.Writer, in BeliefsAnswer) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -5149,11 +5359,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v87, v88 := range in.Members {
-				if v87 > 0 {
+			for v93, v94 := range in.Members {
+				if v93 > 0 {
 					out.RawByte(',')
 				}
-				(v88).MarshalEasyJSON(out)
+				(v94).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -5165,11 +5375,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v89, v90 := range in.Owners {
-				if v89 > 0 {
+			for v95, v96 := range in.Owners {
+				if v95 > 0 {
 					out.RawByte(',')
 				}
-				(v90).MarshalEasyJSON(out)
+				(v96).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -5181,11 +5391,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v91, v92 := range in.Keys {
-				if v91 > 0 {
+			for v97, v98 := range in.Keys {
+				if v97 > 0 {
 					out.RawByte(',')
 				}
-				(v92).MarshalEasyJSON(out)
+				(v98).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -5197,11 +5407,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v93, v94 := range in.Jobs {
-				if v93 > 0 {
+			for v99, v100 := range in.Jobs {
+				if v99 > 0 {
 					out.RawByte(',')
 				}
-				(v94).MarshalEasyJSON(out)
+				(v100).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -5213,11 +5423,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v95, v96 := range in.Executors {
-				if v95 > 0 {
+			for v101, v102 := range in.Executors {
+				if v101 > 0 {
 					out.RawByte(',')
 				}
-				(v96).MarshalEasyJSON(out)
+				(v102).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -5228,27 +5438,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v BeliefsAnswer) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire39(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire40(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v BeliefsAnswer) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire39(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire40(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *BeliefsAnswer) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire39(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire40(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *BeliefsAnswer) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire39(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire40(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire40(in *jlexer.Lexer, out *AppendCall) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire41(in *jlexer.Lexer, out *AppendCall) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -5308,13 +5518,13 @@
 					out.Changes = (out.Changes)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v97 Change
+					var v103 Change
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v97).UnmarshalEasyJSON(in)
+						(v103).UnmarshalEasyJSON(in)
 					}
-					out.Changes = append(out.Changes, v97)
+					out.Changes = append(out.Changes, v103)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -5333,12 +5543,32 @@
 					(*out.Snapshot).UnmarshalEasyJSON(in)
 				}
 			}
+		case "piece":
+			if in.IsNull() {
+				in.Skip()
+				out.Piece = nil
+			} else {
+				if out.Piece == nil {
+					out.Piece = new(Piece)
+				}
+				if in.IsNull() {
+					in.Skip()
+				} else {
+					(*out.Piece).UnmarshalEasyJSON(in)
+				}
+			}
 		case "release":
 			if in.IsNull() {
 				in.Skip()
 			} else {
 				out.Release = bool(in.Bool())
 			}
+		case "heir":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Heir = string(in.String())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -5349,7 +5579,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire40(out *jwriter.Writer, in AppendCall) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire41(out *jwriter.Writer, in AppendCall) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -5383,11 +5613,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v98, v99 := range in.Changes {
-				if v98 > 0 {
+			for v104, v105 := range in.Changes {
+				if v104 > 0 {
 					out.RawByte(',')
 				}
-				(v99).MarshalEasyJSON(out)
+				(v105).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -5397,38 +5627,48 @@
 		out.RawString(prefix)
 		(*in.Snapshot).MarshalEasyJSON(out)
 	}
+	if in.Piece != nil {
+		const prefix string = ",\"piece\":"
+		out.RawString(prefix)
+		(*in.Piece).MarshalEasyJSON(out)
+	}
 	if in.Release {
 		const prefix string = ",\"release\":"
 		out.RawString(prefix)
 		out.Bool(bool(in.Release))
 	}
+	if in.Heir != "" {
+		const prefix string = ",\"heir\":"
+		out.RawString(prefix)
+		out.String(string(in.Heir))
+	}
 	out.RawByte('}')
 }
 
 // MarshalJSON supports json.Marshaler interface
 func (v AppendCall) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire40(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire41(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v AppendCall) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire40(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire41(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *AppendCall) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire40(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire41(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *AppendCall) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire40(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire41(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire41(in *jlexer.Lexer, out *AppendAnswer) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire42(in *jlexer.Lexer, out *AppendAnswer) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -5472,6 +5712,18 @@
 			} else {
 				out.WallMs = int64(in.Int64())
 			}
+		case "delay":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.DelayUs = int64(in.Int64())
+			}
+		case "pieces":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Pieces = int(in.Int())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -5482,7 +5734,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire41(out *jwriter.Writer, in AppendAnswer) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire42(out *jwriter.Writer, in AppendAnswer) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -5517,29 +5769,39 @@
 		out.RawString(prefix)
 		out.Int64(int64(in.WallMs))
 	}
+	if in.DelayUs != 0 {
+		const prefix string = ",\"delay\":"
+		out.RawString(prefix)
+		out.Int64(int64(in.DelayUs))
+	}
+	if in.Pieces != 0 {
+		const prefix string = ",\"pieces\":"
+		out.RawString(prefix)
+		out.Int(int(in.Pieces))
+	}
 	out.RawByte('}')
 }
 
 // MarshalJSON supports json.Marshaler interface
 func (v AppendAnswer) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire41(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire42(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v AppendAnswer) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire41(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire42(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *AppendAnswer) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire41(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire42(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *AppendAnswer) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire41(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire42(l, v)
 }
