--- a/internal/localproxy/proxy.go
+++ b/internal/localproxy/proxy.go
@@ -3,6 +3,7 @@
 import (
 	stderrors "errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"gannetline/internal/executorcalls"
@@ -17,7 +18,9 @@
 
 const (
 	holdGap      = 15 * time.Millisecond
+	deafPause    = 100 * time.Millisecond
 	pollWaitMs   = 300
+	startPause   = 80 * time.Millisecond
 	startLimit   = 150 * time.Millisecond
 	startTries   = 2
 	atOnce       = 6
@@ -36,6 +39,7 @@
 	view     func() *siblingprobe.View
 	service  string
 	work     chan struct{}
+	starts   chan struct{}
 	looks    chan struct{}
 	acks     chan struct{}
 	slots    chan struct{}
@@ -44,8 +48,9 @@
 func New(service, domain, name string, clock pulse.Pulse, log logs.Logger, executor *executorcalls.Client, caller *siblingwire.Caller,
 	view func() *siblingprobe.View) *Proxy {
 	proxy := &Proxy{box: mailbox.New(256), clock: clock, log: log, executor: executor, caller: caller, view: view, service: service,
-		work: make(chan struct{}, 1), looks: make(chan struct{}, 1), acks: make(chan struct{}, 1), slots: make(chan struct{}, atOnce)}
-	proxy.table = NewTable(clock, log, service, domain, name, func() { nudge(proxy.work) }, func() { nudge(proxy.looks) }, func() { nudge(proxy.acks) })
+		work: make(chan struct{}, 1), starts: make(chan struct{}, 1), looks: make(chan struct{}, 1), acks: make(chan struct{}, 1), slots: make(chan struct{}, atOnce)}
+	proxy.table = NewTable(clock, log, service, domain, name, func() { nudge(proxy.work) }, func() { nudge(proxy.looks) }, func() { nudge(proxy.acks) },
+		WithSession(uint64(clock.WallMs())), WithStartBell(func() { nudge(proxy.starts) }))
 	return proxy
 }
 
@@ -120,10 +125,15 @@
 		if !isOpen {
 			return
 		}
-		if turn.isDue && (p.hold(life, turn.work) || turn.work.Hold.WaitMs == shortWaitMs) {
+		begunAt := p.clock.Steady()
+		if turn.isDue && p.hold(life, turn.work) {
 			p.pause(life, holdGap)
 			continue
 		}
+		if turn.isDue && turn.work.Hold.WaitMs == shortWaitMs {
+			p.pause(life, PauseAfterMiss(p.clock.Steady()-begunAt))
+			continue
+		}
 		select {
 		case <-life.Done():
 			return
@@ -133,6 +143,9 @@
 	}
 }
 
+// PauseAfterMiss is longer where a hold was cut or refused at once: each try is then a new connection.
+func PauseAfterMiss(took time.Duration) time.Duration { return max(holdGap, deafPause-took) }
+
 func (p *Proxy) lookLoop(life span.Span) {
 	for {
 		select {
@@ -197,6 +210,10 @@
 		case <-life.Done():
 			return
 		case <-p.work:
+		case <-p.starts:
+			if !p.awaitMore(life) {
+				continue
+			}
 		}
 		if !p.exchange(life, 0) {
 			if !p.pause(life, ownerPause) {
@@ -207,6 +224,19 @@
 	}
 }
 
+// awaitMore lets news that can wait share the report of what follows; it tells whether a report is due.
+func (p *Proxy) awaitMore(life span.Span) bool {
+	select {
+	case <-life.Done():
+		return false
+	case <-p.work:
+		return true
+	case <-p.clock.After(startPause):
+	}
+	hasUnsent, _ := ask(p, life, p.table.HasUnsent)
+	return hasUnsent
+}
+
 // exchange talks to the owner once; it tells whether the owner answered.
 func (p *Proxy) exchange(life span.Span, waitMs int64) bool {
 	call, isOpen := ask(p, life, func() *siblingwire.ExchangeCall {
@@ -231,7 +261,7 @@
 	patience, release := siblingprobe.UntilMoved(life, view)
 	defer release()
 	answer, err := siblingwire.Call[siblingwire.ExchangeCall, siblingwire.ExchangeAnswer](p.caller, patience, owner,
-		siblingwire.ProcedureExchange, pulse.Ms(waitMs)+exchangeSlow, call)
+		siblingwire.ProcedureExchange, pulse.Ms(call.WaitMs)+exchangeSlow, call)
 	if err != nil {
 		p.log.V(1).Info("an exchange failed", "why", err.Error())
 		return false
@@ -250,18 +280,15 @@
 }
 
 func ownerAddress(view *siblingprobe.View, key string) string {
-	fact, isKnown := view.Owners[key]
-	var fallback string
-	for _, member := range view.Members {
-		if !member.MayOwn() {
-			continue
-		}
-		if isKnown && member.Name == fact.Name {
-			return member.Address
+	if owner, isKnown := view.Steward(view.Owners[key].Name); isKnown {
+		return owner.Address
+	}
+	for _, steward := range slices.Backward(view.Stewards) {
+		if steward.MayOwn() {
+			return steward.Address
 		}
-		fallback = member.Address
 	}
-	return fallback
+	return ""
 }
 
 type orderTurn struct {
@@ -290,6 +317,10 @@
 			})
 			return
 		}
+		if order.Kind == "launch" && isRefused(err) {
+			p.box.Post(func() { p.table.Refused(turn.work) })
+			return
+		}
 		isLast := try == startTries-1
 		p.box.Post(func() {
 			if !isRefused(err) {
--- a/internal/poolowner/model.go
+++ b/internal/poolowner/model.go
@@ -42,6 +42,7 @@
 	nextTime   int
 	hasStarted bool
 	runs       int
+	chain      int64
 }
 
 func (j *job) isOpen() bool { return j.state == stateQueued || j.state == stateActive }
@@ -65,12 +66,23 @@
 
 // aimMs is when the job, or one of its times, should be done.
 func (j *job) aimMs(number int) int64 {
+	if j.chain == 0 {
+		j.chain = j.chainMs()
+	}
 	begin := max(j.record.AcceptedMs, j.dueMs(number))
 	stretch := j.record.Terms.Stretch
 	if stretch < 1 {
 		stretch = 1
 	}
-	return begin + int64(stretch*float64(j.chainMs())) + j.record.Terms.TargetMs
+	return begin + int64(stretch*float64(j.chain)) + j.record.Terms.TargetMs
+}
+
+// lateFactor times the aim is the last that counts as late.
+const lateFactor = 3
+
+func (j *job) newTime(number int) *jobTime {
+	begin, aim := max(j.record.AcceptedMs, j.dueMs(number)), j.aimMs(number)
+	return &jobTime{job: j, number: number, left: len(j.spec.Steps), beginMs: begin, aimMs: aim, lastMs: begin + lateFactor*(aim-begin)}
 }
 
 func (j *job) chainMs() int64 {
@@ -90,8 +102,12 @@
 type jobTime struct {
 	job    *job
 	number int
-	steps  []*stepState
-	left   int
+	// beginMs, aimMs and lastMs: when it was asked for, when it should be done, until when it is worth something.
+	beginMs int64
+	aimMs   int64
+	lastMs  int64
+	steps   []*stepState
+	left    int
 }
 
 type stepState struct {
@@ -105,8 +121,16 @@
 	failedRun int64
 	brokenAt  time.Duration
 	lengths   []time.Duration
+	patience  float64
+	restMs    int64
+	notBefore time.Duration
+	idle      []*task
+	busy      []*task
+	waits     waits
 }
 
+func (s *stepState) priority() int { return s.time.job.record.Terms.Priority }
+
 func (s *stepState) need() placetasks.Room {
 	return placetasks.Room{CPU: s.step.CPU, Memory: s.step.Memory, GPU: s.step.GPU}
 }
@@ -119,8 +143,25 @@
 	return last
 }
 
-func (s *stepState) hasRuns() bool {
-	return slices.ContainsFunc(s.tasks, func(one *task) bool { return len(one.runs) > 0 })
+func (s *stepState) hasRuns() bool { return len(s.busy) > 0 }
+
+// file keeps a task among those of its step that run, those that could, or neither.
+func (s *stepState) file(which *task) {
+	s.busy = filed(s.busy, which, len(which.runs) > 0)
+	s.idle = filed(s.idle, which, len(which.runs) == 0 && !which.isDone)
+}
+
+func filed(list []*task, which *task, belongs bool) []*task {
+	place, isThere := slices.BinarySearchFunc(list, which, func(one, two *task) int { return cmp.Compare(one.index, two.index) })
+	switch {
+	case belongs && !isThere:
+		return slices.Insert(list, place, which)
+	case isThere && !belongs && place == 0:
+		return list[1:]
+	case isThere && !belongs:
+		return slices.Delete(list, place, place+1)
+	}
+	return list
 }
 
 type task struct {
@@ -133,6 +174,9 @@
 	saved     string
 	runs      []*run
 	avoid     string
+	failedAt  *life
+	isExcused bool
+	timesHung int
 	notBefore time.Duration
 }
 
@@ -152,8 +196,7 @@
 	answeredAt  time.Duration
 	isAnswered  bool
 	needsLook   uint64
-	percent     int
-	percentAt   time.Duration
+	isStuck     bool
 }
 
 func (r *run) key() runKey { return runKey{r.task.name, r.number} }
@@ -191,6 +234,13 @@
 	strays     []siblingwire.Order
 	parked     *parkedCall
 	isBlocked  bool
+	isRecorded bool
+	idleAt     time.Duration
+	place      int
+	isChanged  bool
+	heard      heard
+	penalty    float64
+	atOnce     int
 }
 
 // inOrder gives the runs in an order that is the same at every replay.
@@ -202,12 +252,6 @@
 	return runs
 }
 
-func (p *Pool) livesInOrder() []*life {
-	lives := slices.Collect(maps.Values(p.lives))
-	slices.SortFunc(lives, func(one, two *life) int { return cmp.Compare(one.id, two.id) })
-	return lives
-}
-
 func (l *life) rack() string {
 	if len(l.labels) == 0 {
 		return ""
@@ -215,7 +259,7 @@
 	return l.labels[len(l.labels)-1]
 }
 
-func (l *life) doubt() float64 { return l.fails / (l.fails + l.dones + 4) }
+func (l *life) doubt() float64 { return l.fails/(l.fails+l.dones+4) + 0.3*l.penalty }
 
 type parkedCall struct {
 	until  time.Duration
--- a/internal/poolowner/poolowner_test.go
+++ b/internal/poolowner/poolowner_test.go
@@ -8,7 +8,9 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"gannetline/internal/daybook"
 	"gannetline/internal/logs"
+	"gannetline/internal/metrics"
 	"gannetline/internal/poolowner"
 	"gannetline/internal/pulse"
 	"gannetline/internal/siblingwire"
@@ -66,6 +68,15 @@
 	return false
 }
 
+// diary keeps how long the runs were that ended.
+type diary struct{ lengths []int64 }
+
+func (d *diary) Record(event daybook.Event) {
+	if event.Kind == daybook.KindEnd {
+		d.lengths = append(d.lengths, event.LengthMs)
+	}
+}
+
 const (
 	id   = "5c0e7a21d94b36f8"
 	task = id + ".0.0.0"
@@ -127,6 +138,66 @@
 		Expect(tenure.has("o/" + task + "/1/launch")).To(BeTrue())
 	})
 
+	It("counts hand-ins, placements, orders, starts, ends, stops and commits, and shows what is open", func() {
+		before := metrics.Own()
+		handIn()
+		tenure.settle(nil)
+		exchange(nil)
+		clock.Advance(250 * time.Millisecond)
+		pool.Tick()
+		pool.Settle()
+		exchange(nil)
+		exchange(started)
+		clock.Advance(time.Second)
+		pool.Tick()
+		running := metrics.Own()
+		Expect(running).To(HaveKeyWithValue(`gannetline_pool_runs{key="pool/s"}`, 1.0))
+		Expect(running).To(HaveKeyWithValue(`gannetline_pool_open_steps{key="pool/s"}`, 1.0))
+		Expect(running).To(HaveKeyWithValue(`gannetline_pool_executors{key="pool/s",state="ready"}`, 1.0))
+		exchange(ended("failed"))
+		tenure.settle(nil)
+		exchange(nil)
+		exchange(func(call *siblingwire.ExchangeCall) {
+			call.Answers = []siblingwire.OrderAnswer{{Task: task, Run: 2, Kind: "launch", Result: "ok"}}
+		})
+		pool.Cancel(&siblingwire.ClientCall{ID: id}, func(siblingwire.ClientAnswer) {})
+		pool.Settle()
+		tenure.settle(nil)
+		exchange(nil)
+		own := metrics.Own()
+		for name, count := range map[string]float64{"hand_ins_total": 1, "placements_total": 2, "starts_total": 2, "stops_total": 1, "spares_total": 0} {
+			name = "gannetline_pool_" + name + `{key="pool/s"}`
+			Expect(own[name]-before[name]).To(Equal(count), name)
+		}
+		for name, count := range map[string]float64{`ends_total{key="pool/s",how="failed"}`: 1,
+			`orders_sent_total{key="pool/s",kind="launch"}`: 3, `orders_sent_total{key="pool/s",kind="stop"}`: 1, `orders_resent_total{key="pool/s",kind="launch"}`: 1,
+			`tick_seconds_count{key="pool/s"}`: 2} {
+			Expect(own["gannetline_pool_"+name]-before["gannetline_pool_"+name]).To(Equal(count), name)
+		}
+		for _, name := range []string{`commits_total{key="pool/s"}`, `changes_total{key="pool/s"}`, `placement_seconds_count{key="pool/s"}`} {
+			Expect(own["gannetline_pool_"+name]).To(BeNumerically(">", before["gannetline_pool_"+name]), name)
+		}
+		pool.Close()
+		Expect(metrics.Own()).NotTo(HaveKey(`gannetline_pool_runs{key="pool/s"}`))
+	})
+
+	It("counts a spare run apart", func() {
+		spares := `gannetline_pool_spares_total{key="pool/s"}`
+		before := metrics.Own()[spares]
+		pool.HandIn(&siblingwire.ClientCall{Verb: "hand-in", Entry: "e", ID: id,
+			Body: []byte(`{"task-descriptor":"d","step-list":[{"task-count":1,"cpu-units":1000,"redundant":true}]}`)}, func(siblingwire.ClientAnswer) {})
+		pool.Settle()
+		tenure.settle(nil)
+		exchange(nil)
+		exchange(started)
+		Expect(metrics.Own()[spares]).To(Equal(before))
+		clock.Advance(800 * time.Millisecond)
+		exchange(func(call *siblingwire.ExchangeCall) { call.Life, call.Proxy = "i-2", "side-2" })
+		pool.Tick()
+		pool.Settle()
+		Expect(metrics.Own()[spares] - before).To(Equal(1.0))
+	})
+
 	It("sends nothing, and promises nothing, when the commit is lost", func() {
 		handIn()
 		tenure.settle(errors.New("lost"))
@@ -213,7 +284,7 @@
 		exchange(nil)
 		exchange(started)
 		tenure.settle(nil)
-		other := func(call *siblingwire.ExchangeCall) { call.Life = "i-2" }
+		other := func(call *siblingwire.ExchangeCall) { call.Life, call.Proxy = "i-2", "side-2" }
 		for waited := time.Duration(0); waited < 6300*time.Millisecond; waited += 50 * time.Millisecond {
 			clock.Advance(50 * time.Millisecond)
 			pool.Tick()
@@ -229,6 +300,125 @@
 		Expect(exchange(other).Orders).To(HaveLen(1))
 	})
 
+	It("ends at once, after a take-over, a life whose machine shows another one under the new fence", func() {
+		handIn()
+		tenure.settle(nil)
+		exchange(nil)
+		exchange(started)
+		tenure.settle(nil)
+		open(4, tenure.pairs())
+		next := func(call *siblingwire.ExchangeCall) { call.Life = "i-2" }
+		unfenced := func(call *siblingwire.ExchangeCall) { call.Life, call.Fence, call.Look = "i-2", 3, 0 }
+		exchange(unfenced)
+		pool.Tick()
+		pool.Settle()
+		tenure.settle(nil)
+		Expect(exchange(unfenced).Orders).To(BeEmpty())
+		exchange(next)
+		pool.Tick()
+		pool.Settle()
+		tenure.settle(nil)
+		Expect(exchange(next).Orders).To(ConsistOf(HaveField("Run", int64(2))))
+		Expect(tenure.has("e/i-1")).To(BeFalse())
+	})
+
+	It("ends a known life only once it was silent for longer than an exchange takes", func() {
+		handIn()
+		tenure.settle(nil)
+		exchange(nil)
+		exchange(started)
+		tenure.settle(nil)
+		next := func(call *siblingwire.ExchangeCall) { call.Life = "i-2" }
+		for waited := time.Duration(0); waited < 2500*time.Millisecond; waited += 50 * time.Millisecond {
+			clock.Advance(50 * time.Millisecond)
+			exchange(next)
+			pool.Tick()
+			pool.Settle()
+			tenure.settle(nil)
+			Expect(tenure.has("e/i-1")).To(BeTrue(), waited.String())
+		}
+		clock.Advance(50 * time.Millisecond)
+		exchange(next)
+		pool.Tick()
+		pool.Settle()
+		tenure.settle(nil)
+		Expect(tenure.has("e/i-1")).To(BeFalse())
+		Expect(exchange(next).Orders).To(HaveLen(1))
+	})
+
+	It("does not end a life by word of another one that it has outlived", func() {
+		handIn()
+		tenure.settle(nil)
+		exchange(nil)
+		exchange(func(call *siblingwire.ExchangeCall) { call.Life = "i-0" })
+		exchange(started)
+		tenure.settle(nil)
+		clock.Advance(100 * time.Millisecond)
+		exchange(nil)
+		clock.Advance(3 * time.Second)
+		pool.Tick()
+		pool.Settle()
+		tenure.settle(nil)
+		Expect(tenure.has("e/i-1")).To(BeTrue())
+	})
+
+	It("counts a run's length from when it was started, however late that was told", func() {
+		day := &diary{}
+		pool = poolowner.New("pool/s", clock, timing, logs.Silent(), poolowner.WithRecorder(day))
+		Expect(pool.Open(tenure, nil)).To(Succeed())
+		exchange(nil)
+		handIn()
+		tenure.settle(nil)
+		exchange(nil)
+		clock.Advance(90 * time.Millisecond)
+		exchange(func(call *siblingwire.ExchangeCall) {
+			started(call)
+			call.Answers[0].AgeMs = 80
+			ended("done")(call)
+		})
+		Expect(day.lengths).To(Equal([]int64{80}))
+	})
+
+	It("gives an executor time to be heard after a take-over before its runs get spares", func() {
+		pool.HandIn(&siblingwire.ClientCall{Entry: "e", ID: id, Body: []byte(`{"step-list":[{"task-count":1,"cpu-units":10,"redundant":true,"estimated-ms":60000}]}`)},
+			func(siblingwire.ClientAnswer) {})
+		pool.Settle()
+		tenure.settle(nil)
+		exchange(nil)
+		exchange(started)
+		tenure.settle(nil)
+		clock.Advance(time.Second)
+		open(4, tenure.pairs())
+		orders := func() []siblingwire.Order {
+			exchange(func(call *siblingwire.ExchangeCall) { call.Life, call.Proxy = "i-2", "side-2" })
+			tenure.settle(nil)
+			return exchange(func(call *siblingwire.ExchangeCall) { call.Life, call.Proxy = "i-2", "side-2" }).Orders
+		}
+		Expect(orders()).To(BeEmpty())
+		clock.Advance(750 * time.Millisecond)
+		pool.Tick()
+		Expect(orders()).To(HaveLen(1))
+	})
+
+	It("starts no task again whose run was given up and came to its end all the same", func() {
+		handIn()
+		tenure.settle(nil)
+		exchange(nil)
+		exchange(started)
+		tenure.settle(nil)
+		exchange(func(call *siblingwire.ExchangeCall) {
+			call.Gone, call.Life, call.Proxy = []string{"i-1"}, "i-2", "side-2"
+		})
+		tenure.settle(nil)
+		exchange(ended("done"))
+		tenure.settle(nil)
+		var state string
+		pool.State(&siblingwire.ClientCall{ID: id}, func(answer siblingwire.ClientAnswer) { state = string(answer.Body) })
+		pool.Settle()
+		Expect(state).To(ContainSubstring("completed"))
+		Expect(exchange(func(call *siblingwire.ExchangeCall) { call.Life, call.Proxy = "i-2", "side-2" }).Orders).To(BeEmpty())
+	})
+
 	It("grants nothing without a lease", func() {
 		tenure.hasLease = false
 		Expect(exchange(nil).GrantMs).To(BeZero())
--- a/internal/siblingwire/messages_easyjson.go
+++ b/internal/siblingwire/messages_easyjson.go
@@ -466,6 +466,12 @@
 			} else {
 				out.Percent = int(in.Int())
 			}
+		case "x":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Stuck = bool(in.Bool())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -500,6 +506,11 @@
 		out.RawString(prefix)
 		out.Int(int(in.Percent))
 	}
+	if in.Stuck {
+		const prefix string = ",\"x\":"
+		out.RawString(prefix)
+		out.Bool(bool(in.Stuck))
+	}
 	out.RawByte('}')
 }
 
@@ -739,7 +750,105 @@
 func (v *PromiseAnswer) UnmarshalEasyJSON(l *jlexer.Lexer) {
 	easyjson66c1e240DecodeGannetlineInternalSiblingwire6(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire7(in *jlexer.Lexer, out *PlanFact) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire7(in *jlexer.Lexer, out *PlanPart) {
+	isTopLevel := in.IsStart()
+	if in.IsNull() {
+		if isTopLevel {
+			in.Consumed()
+		}
+		in.Skip()
+		return
+	}
+	in.Delim('{')
+	for !in.IsDelim('}') {
+		key := in.UnsafeFieldName(false)
+		in.WantColon()
+		switch key {
+		case "f":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.From = int(in.Int())
+			}
+		case "c":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Count = int(in.Int())
+			}
+		case "t":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Text = string(in.String())
+			}
+		default:
+			in.SkipRecursive()
+		}
+		in.WantComma()
+	}
+	in.Delim('}')
+	if isTopLevel {
+		in.Consumed()
+	}
+}
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire7(out *jwriter.Writer, in PlanPart) {
+	out.RawByte('{')
+	first := true
+	_ = first
+	if in.From != 0 {
+		const prefix string = ",\"f\":"
+		first = false
+		out.RawString(prefix[1:])
+		out.Int(int(in.From))
+	}
+	if in.Count != 0 {
+		const prefix string = ",\"c\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		out.Int(int(in.Count))
+	}
+	if in.Text != "" {
+		const prefix string = ",\"t\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		out.String(string(in.Text))
+	}
+	out.RawByte('}')
+}
+
+// MarshalJSON supports json.Marshaler interface
+func (v PlanPart) MarshalJSON() ([]byte, error) {
+	w := jwriter.Writer{}
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire7(&w, v)
+	return w.Buffer.BuildBytes(), w.Error
+}
+
+// MarshalEasyJSON supports easyjson.Marshaler interface
+func (v PlanPart) MarshalEasyJSON(w *jwriter.Writer) {
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire7(w, v)
+}
+
+// UnmarshalJSON supports json.Unmarshaler interface
+func (v *PlanPart) UnmarshalJSON(data []byte) error {
+	r := jlexer.Lexer{Data: data}
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire7(&r, v)
+	return r.Error()
+}
+
+// UnmarshalEasyJSON supports easyjson.Unmarshaler interface
+func (v *PlanPart) UnmarshalEasyJSON(l *jlexer.Lexer) {
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire7(l, v)
+}
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire8(in *jlexer.Lexer, out *PlanFact) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -856,7 +965,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire7(out *jwriter.Writer, in PlanFact) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire8(out *jwriter.Writer, in PlanFact) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -918,27 +1027,239 @@
 // MarshalJSON supports json.Marshaler interface
 func (v PlanFact) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire7(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire8(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v PlanFact) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire7(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire8(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *PlanFact) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire7(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire8(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *PlanFact) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire7(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire8(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire8(in *jlexer.Lexer, out *PlanCall) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire9(in *jlexer.Lexer, out *PlanChange) {
+	isTopLevel := in.IsStart()
+	if in.IsNull() {
+		if isTopLevel {
+			in.Consumed()
+		}
+		in.Skip()
+		return
+	}
+	in.Delim('{')
+	for !in.IsDelim('}') {
+		key := in.UnsafeFieldName(false)
+		in.WantColon()
+		switch key {
+		case "base":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Base = int64(in.Int64())
+			}
+		case "version":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Version = int64(in.Int64())
+			}
+		case "digest":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Digest = string(in.String())
+			}
+		case "parts":
+			if in.IsNull() {
+				in.Skip()
+				out.Parts = nil
+			} else {
+				in.Delim('[')
+				if out.Parts == nil {
+					if !in.IsDelim(']') {
+						out.Parts = make([]PlanPart, 0, 2)
+					} else {
+						out.Parts = []PlanPart{}
+					}
+				} else {
+					out.Parts = (out.Parts)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v19 PlanPart
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						(v19).UnmarshalEasyJSON(in)
+					}
+					out.Parts = append(out.Parts, v19)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
+		case "births":
+			if in.IsNull() {
+				in.Skip()
+				out.Births = nil
+			} else {
+				in.Delim('[')
+				if out.Births == nil {
+					if !in.IsDelim(']') {
+						out.Births = make([]Birth, 0, 1)
+					} else {
+						out.Births = []Birth{}
+					}
+				} else {
+					out.Births = (out.Births)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v20 Birth
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						(v20).UnmarshalEasyJSON(in)
+					}
+					out.Births = append(out.Births, v20)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
+		case "moved":
+			if in.IsNull() {
+				in.Skip()
+				out.Moved = nil
+			} else {
+				in.Delim('[')
+				if out.Moved == nil {
+					if !in.IsDelim(']') {
+						out.Moved = make([]MovedEntry, 0, 1)
+					} else {
+						out.Moved = []MovedEntry{}
+					}
+				} else {
+					out.Moved = (out.Moved)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v21 MovedEntry
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						(v21).UnmarshalEasyJSON(in)
+					}
+					out.Moved = append(out.Moved, v21)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
+		default:
+			in.SkipRecursive()
+		}
+		in.WantComma()
+	}
+	in.Delim('}')
+	if isTopLevel {
+		in.Consumed()
+	}
+}
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire9(out *jwriter.Writer, in PlanChange) {
+	out.RawByte('{')
+	first := true
+	_ = first
+	{
+		const prefix string = ",\"base\":"
+		out.RawString(prefix[1:])
+		out.Int64(int64(in.Base))
+	}
+	{
+		const prefix string = ",\"version\":"
+		out.RawString(prefix)
+		out.Int64(int64(in.Version))
+	}
+	{
+		const prefix string = ",\"digest\":"
+		out.RawString(prefix)
+		out.String(string(in.Digest))
+	}
+	{
+		const prefix string = ",\"parts\":"
+		out.RawString(prefix)
+		if in.Parts == nil && (out.Flags&jwriter.NilSliceAsEmpty) == 0 {
+			out.RawString("null")
+		} else {
+			out.RawByte('[')
+			for v22, v23 := range in.Parts {
+				if v22 > 0 {
+					out.RawByte(',')
+				}
+				(v23).MarshalEasyJSON(out)
+			}
+			out.RawByte(']')
+		}
+	}
+	if len(in.Births) != 0 {
+		const prefix string = ",\"births\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('[')
+			for v24, v25 := range in.Births {
+				if v24 > 0 {
+					out.RawByte(',')
+				}
+				(v25).MarshalEasyJSON(out)
+			}
+			out.RawByte(']')
+		}
+	}
+	if len(in.Moved) != 0 {
+		const prefix string = ",\"moved\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('[')
+			for v26, v27 := range in.Moved {
+				if v26 > 0 {
+					out.RawByte(',')
+				}
+				(v27).MarshalEasyJSON(out)
+			}
+			out.RawByte(']')
+		}
+	}
+	out.RawByte('}')
+}
+
+// MarshalJSON supports json.Marshaler interface
+func (v PlanChange) MarshalJSON() ([]byte, error) {
+	w := jwriter.Writer{}
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire9(&w, v)
+	return w.Buffer.BuildBytes(), w.Error
+}
+
+// MarshalEasyJSON supports easyjson.Marshaler interface
+func (v PlanChange) MarshalEasyJSON(w *jwriter.Writer) {
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire9(w, v)
+}
+
+// UnmarshalJSON supports json.Unmarshaler interface
+func (v *PlanChange) UnmarshalJSON(data []byte) error {
+	r := jlexer.Lexer{Data: data}
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire9(&r, v)
+	return r.Error()
+}
+
+// UnmarshalEasyJSON supports easyjson.Unmarshaler interface
+func (v *PlanChange) UnmarshalEasyJSON(l *jlexer.Lexer) {
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire9(l, v)
+}
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire10(in *jlexer.Lexer, out *PlanCall) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -958,6 +1279,12 @@
 			} else {
 				out.Held = int64(in.Int64())
 			}
+		case "changes":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.TakesChanges = bool(in.Bool())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -968,7 +1295,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire8(out *jwriter.Writer, in PlanCall) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire10(out *jwriter.Writer, in PlanCall) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -977,33 +1304,38 @@
 		out.RawString(prefix[1:])
 		out.Int64(int64(in.Held))
 	}
+	if in.TakesChanges {
+		const prefix string = ",\"changes\":"
+		out.RawString(prefix)
+		out.Bool(bool(in.TakesChanges))
+	}
 	out.RawByte('}')
 }
 
 // MarshalJSON supports json.Marshaler interface
 func (v PlanCall) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire8(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire10(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v PlanCall) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire8(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire10(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *PlanCall) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire8(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire10(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *PlanCall) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire8(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire10(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire9(in *jlexer.Lexer, out *PlanAnswer) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire11(in *jlexer.Lexer, out *PlanAnswer) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -1031,6 +1363,41 @@
 					(*out.Fact).UnmarshalEasyJSON(in)
 				}
 			}
+		case "changes":
+			if in.IsNull() {
+				in.Skip()
+				out.Changes = nil
+			} else {
+				in.Delim('[')
+				if out.Changes == nil {
+					if !in.IsDelim(']') {
+						out.Changes = make([]*PlanChange, 0, 8)
+					} else {
+						out.Changes = []*PlanChange{}
+					}
+				} else {
+					out.Changes = (out.Changes)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v28 *PlanChange
+					if in.IsNull() {
+						in.Skip()
+						v28 = nil
+					} else {
+						if v28 == nil {
+							v28 = new(PlanChange)
+						}
+						if in.IsNull() {
+							in.Skip()
+						} else {
+							(*v28).UnmarshalEasyJSON(in)
+						}
+					}
+					out.Changes = append(out.Changes, v28)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -1041,7 +1408,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire9(out *jwriter.Writer, in PlanAnswer) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire11(out *jwriter.Writer, in PlanAnswer) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -1051,33 +1418,56 @@
 		out.RawString(prefix[1:])
 		(*in.Fact).MarshalEasyJSON(out)
 	}
+	if len(in.Changes) != 0 {
+		const prefix string = ",\"changes\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		{
+			out.RawByte('[')
+			for v29, v30 := range in.Changes {
+				if v29 > 0 {
+					out.RawByte(',')
+				}
+				if v30 == nil {
+					out.RawString("null")
+				} else {
+					(*v30).MarshalEasyJSON(out)
+				}
+			}
+			out.RawByte(']')
+		}
+	}
 	out.RawByte('}')
 }
 
 // MarshalJSON supports json.Marshaler interface
 func (v PlanAnswer) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire9(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire11(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v PlanAnswer) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire9(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire11(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *PlanAnswer) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire9(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire11(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *PlanAnswer) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire9(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire11(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire10(in *jlexer.Lexer, out *Piece) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire12(in *jlexer.Lexer, out *Piece) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -1131,13 +1521,13 @@
 					out.Pairs = (out.Pairs)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v19 Op
+					var v31 Op
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v19).UnmarshalEasyJSON(in)
+						(v31).UnmarshalEasyJSON(in)
 					}
-					out.Pairs = append(out.Pairs, v19)
+					out.Pairs = append(out.Pairs, v31)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -1152,7 +1542,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire10(out *jwriter.Writer, in Piece) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire12(out *jwriter.Writer, in Piece) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -1181,11 +1571,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v20, v21 := range in.Pairs {
-				if v20 > 0 {
+			for v32, v33 := range in.Pairs {
+				if v32 > 0 {
 					out.RawByte(',')
 				}
-				(v21).MarshalEasyJSON(out)
+				(v33).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -1196,27 +1586,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Piece) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire10(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire12(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Piece) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire10(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire12(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Piece) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire10(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire12(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Piece) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire10(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire12(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire11(in *jlexer.Lexer, out *OwnerFact) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire13(in *jlexer.Lexer, out *OwnerFact) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -1258,7 +1648,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire11(out *jwriter.Writer, in OwnerFact) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire13(out *jwriter.Writer, in OwnerFact) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -1283,27 +1673,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v OwnerFact) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire11(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire13(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v OwnerFact) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire11(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire13(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *OwnerFact) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire11(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire13(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *OwnerFact) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire11(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire13(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire12(in *jlexer.Lexer, out *OrderAnswer) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire14(in *jlexer.Lexer, out *OrderAnswer) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -1341,6 +1731,12 @@
 			} else {
 				out.Result = string(in.String())
 			}
+		case "g":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.AgeMs = int64(in.Int64())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -1351,7 +1747,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire12(out *jwriter.Writer, in OrderAnswer) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire14(out *jwriter.Writer, in OrderAnswer) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -1375,33 +1771,38 @@
 		out.RawString(prefix)
 		out.String(string(in.Result))
 	}
+	if in.AgeMs != 0 {
+		const prefix string = ",\"g\":"
+		out.RawString(prefix)
+		out.Int64(int64(in.AgeMs))
+	}
 	out.RawByte('}')
 }
 
 // MarshalJSON supports json.Marshaler interface
 func (v OrderAnswer) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire12(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire14(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v OrderAnswer) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire12(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire14(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *OrderAnswer) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire12(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire14(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *OrderAnswer) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire12(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire14(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire13(in *jlexer.Lexer, out *Order) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire15(in *jlexer.Lexer, out *Order) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -1455,7 +1856,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire13(out *jwriter.Writer, in Order) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire15(out *jwriter.Writer, in Order) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -1490,27 +1891,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Order) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire13(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire15(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Order) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire13(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire15(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Order) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire13(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire15(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Order) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire13(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire15(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire14(in *jlexer.Lexer, out *Op) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire16(in *jlexer.Lexer, out *Op) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -1546,7 +1947,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire14(out *jwriter.Writer, in Op) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire16(out *jwriter.Writer, in Op) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -1566,27 +1967,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Op) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire14(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire16(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Op) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire14(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire16(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Op) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire14(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire16(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Op) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire14(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire16(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire15(in *jlexer.Lexer, out *MovedEntry) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire17(in *jlexer.Lexer, out *MovedEntry) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -1622,13 +2023,13 @@
 					out.Services = (out.Services)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v22 string
+					var v34 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v22 = string(in.String())
+						v34 = string(in.String())
 					}
-					out.Services = append(out.Services, v22)
+					out.Services = append(out.Services, v34)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -1643,7 +2044,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire15(out *jwriter.Writer, in MovedEntry) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire17(out *jwriter.Writer, in MovedEntry) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -1659,11 +2060,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v23, v24 := range in.Services {
-				if v23 > 0 {
+			for v35, v36 := range in.Services {
+				if v35 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v24))
+				out.String(string(v36))
 			}
 			out.RawByte(']')
 		}
@@ -1674,27 +2075,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v MovedEntry) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire15(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire17(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v MovedEntry) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire15(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire17(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *MovedEntry) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire15(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire17(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *MovedEntry) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire15(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire17(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire16(in *jlexer.Lexer, out *MembersCall) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire18(in *jlexer.Lexer, out *MembersCall) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -1730,13 +2131,13 @@
 					out.Members = (out.Members)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v25 Member
+					var v37 Member
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v25).UnmarshalEasyJSON(in)
+						(v37).UnmarshalEasyJSON(in)
 					}
-					out.Members = append(out.Members, v25)
+					out.Members = append(out.Members, v37)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -1747,6 +2148,39 @@
 			} else {
 				(out.Digest).UnmarshalEasyJSON(in)
 			}
+		case "buckets":
+			if in.IsNull() {
+				in.Skip()
+				out.Buckets = nil
+			} else {
+				in.Delim('[')
+				if out.Buckets == nil {
+					if !in.IsDelim(']') {
+						out.Buckets = make([]uint32, 0, 16)
+					} else {
+						out.Buckets = []uint32{}
+					}
+				} else {
+					out.Buckets = (out.Buckets)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v38 uint32
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						v38 = uint32(in.Uint32())
+					}
+					out.Buckets = append(out.Buckets, v38)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
+		case "gives":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Gives = bool(in.Bool())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -1757,7 +2191,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire16(out *jwriter.Writer, in MembersCall) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire18(out *jwriter.Writer, in MembersCall) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -1771,11 +2205,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v26, v27 := range in.Members {
-				if v26 > 0 {
+			for v39, v40 := range in.Members {
+				if v39 > 0 {
 					out.RawByte(',')
 				}
-				(v27).MarshalEasyJSON(out)
+				(v40).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -1785,33 +2219,52 @@
 		out.RawString(prefix)
 		(in.Digest).MarshalEasyJSON(out)
 	}
+	if len(in.Buckets) != 0 {
+		const prefix string = ",\"buckets\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('[')
+			for v41, v42 := range in.Buckets {
+				if v41 > 0 {
+					out.RawByte(',')
+				}
+				out.Uint32(uint32(v42))
+			}
+			out.RawByte(']')
+		}
+	}
+	if in.Gives {
+		const prefix string = ",\"gives\":"
+		out.RawString(prefix)
+		out.Bool(bool(in.Gives))
+	}
 	out.RawByte('}')
 }
 
 // MarshalJSON supports json.Marshaler interface
 func (v MembersCall) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire16(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire18(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v MembersCall) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire16(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire18(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *MembersCall) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire16(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire18(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *MembersCall) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire16(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire18(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire17(in *jlexer.Lexer, out *MembersAnswer) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire19(in *jlexer.Lexer, out *MembersAnswer) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -1841,13 +2294,13 @@
 					out.Members = (out.Members)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v28 Member
+					var v43 Member
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v28).UnmarshalEasyJSON(in)
+						(v43).UnmarshalEasyJSON(in)
 					}
-					out.Members = append(out.Members, v28)
+					out.Members = append(out.Members, v43)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -1858,6 +2311,33 @@
 			} else {
 				(out.Digest).UnmarshalEasyJSON(in)
 			}
+		case "differing":
+			if in.IsNull() {
+				in.Skip()
+				out.Differing = nil
+			} else {
+				in.Delim('[')
+				if out.Differing == nil {
+					if !in.IsDelim(']') {
+						out.Differing = make([]int, 0, 8)
+					} else {
+						out.Differing = []int{}
+					}
+				} else {
+					out.Differing = (out.Differing)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v44 int
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						v44 = int(in.Int())
+					}
+					out.Differing = append(out.Differing, v44)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -1868,7 +2348,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire17(out *jwriter.Writer, in MembersAnswer) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire19(out *jwriter.Writer, in MembersAnswer) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -1878,11 +2358,11 @@
 		out.RawString(prefix[1:])
 		{
 			out.RawByte('[')
-			for v29, v30 := range in.Members {
-				if v29 > 0 {
+			for v45, v46 := range in.Members {
+				if v45 > 0 {
 					out.RawByte(',')
 				}
-				(v30).MarshalEasyJSON(out)
+				(v46).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -1897,33 +2377,47 @@
 		}
 		(in.Digest).MarshalEasyJSON(out)
 	}
+	if len(in.Differing) != 0 {
+		const prefix string = ",\"differing\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('[')
+			for v47, v48 := range in.Differing {
+				if v47 > 0 {
+					out.RawByte(',')
+				}
+				out.Int(int(v48))
+			}
+			out.RawByte(']')
+		}
+	}
 	out.RawByte('}')
 }
 
 // MarshalJSON supports json.Marshaler interface
 func (v MembersAnswer) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire17(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire19(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v MembersAnswer) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire17(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire19(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *MembersAnswer) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire17(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire19(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *MembersAnswer) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire17(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire19(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire18(in *jlexer.Lexer, out *Member) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire20(in *jlexer.Lexer, out *Member) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -2001,13 +2495,13 @@
 					out.Past = (out.Past)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v31 string
+					var v49 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v31 = string(in.String())
+						v49 = string(in.String())
 					}
-					out.Past = append(out.Past, v31)
+					out.Past = append(out.Past, v49)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -2028,7 +2522,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire18(out *jwriter.Writer, in Member) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire20(out *jwriter.Writer, in Member) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -2077,11 +2571,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v32, v33 := range in.Past {
-				if v32 > 0 {
+			for v50, v51 := range in.Past {
+				if v50 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v33))
+				out.String(string(v51))
 			}
 			out.RawByte(']')
 		}
@@ -2097,27 +2591,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Member) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire18(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire20(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Member) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire18(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire20(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Member) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire18(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire20(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Member) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire18(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire20(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire19(in *jlexer.Lexer, out *KeyBelief) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire21(in *jlexer.Lexer, out *KeyBelief) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -2171,7 +2665,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire19(out *jwriter.Writer, in KeyBelief) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire21(out *jwriter.Writer, in KeyBelief) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -2206,27 +2700,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v KeyBelief) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire19(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire21(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v KeyBelief) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire19(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire21(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *KeyBelief) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire19(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire21(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *KeyBelief) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire19(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire21(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire20(in *jlexer.Lexer, out *JobBelief) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire22(in *jlexer.Lexer, out *JobBelief) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -2268,7 +2762,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire20(out *jwriter.Writer, in JobBelief) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire22(out *jwriter.Writer, in JobBelief) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -2293,27 +2787,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v JobBelief) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire20(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire22(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v JobBelief) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire20(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire22(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *JobBelief) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire20(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire22(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *JobBelief) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire20(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire22(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire21(in *jlexer.Lexer, out *IdentifyCall) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire23(in *jlexer.Lexer, out *IdentifyCall) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -2337,7 +2831,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire21(out *jwriter.Writer, in IdentifyCall) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire23(out *jwriter.Writer, in IdentifyCall) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -2347,27 +2841,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v IdentifyCall) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire21(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire23(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v IdentifyCall) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire21(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire23(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *IdentifyCall) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire21(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire23(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *IdentifyCall) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire21(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire23(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire22(in *jlexer.Lexer, out *IdentifyAnswer) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire24(in *jlexer.Lexer, out *IdentifyAnswer) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -2409,7 +2903,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire22(out *jwriter.Writer, in IdentifyAnswer) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire24(out *jwriter.Writer, in IdentifyAnswer) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -2434,27 +2928,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v IdentifyAnswer) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire22(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire24(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v IdentifyAnswer) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire22(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire24(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *IdentifyAnswer) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire22(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire24(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *IdentifyAnswer) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire22(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire24(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire23(in *jlexer.Lexer, out *FetchCall) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire25(in *jlexer.Lexer, out *FetchCall) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -2498,7 +2992,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire23(out *jwriter.Writer, in FetchCall) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire25(out *jwriter.Writer, in FetchCall) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -2518,27 +3012,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v FetchCall) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire23(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire25(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v FetchCall) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire23(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire25(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *FetchCall) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire23(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire25(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *FetchCall) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire23(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire25(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire24(in *jlexer.Lexer, out *FetchAnswer) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire26(in *jlexer.Lexer, out *FetchAnswer) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -2580,13 +3074,13 @@
 					out.Changes = (out.Changes)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v34 Change
+					var v52 Change
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v34).UnmarshalEasyJSON(in)
+						(v52).UnmarshalEasyJSON(in)
 					}
-					out.Changes = append(out.Changes, v34)
+					out.Changes = append(out.Changes, v52)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -2607,7 +3101,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire24(out *jwriter.Writer, in FetchAnswer) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire26(out *jwriter.Writer, in FetchAnswer) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -2632,11 +3126,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v35, v36 := range in.Changes {
-				if v35 > 0 {
+			for v53, v54 := range in.Changes {
+				if v53 > 0 {
 					out.RawByte(',')
 				}
-				(v36).MarshalEasyJSON(out)
+				(v54).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -2652,27 +3146,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v FetchAnswer) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire24(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire26(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v FetchAnswer) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire24(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire26(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *FetchAnswer) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire24(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire26(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *FetchAnswer) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire24(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire26(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire25(in *jlexer.Lexer, out *ExecutorBelief) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire27(in *jlexer.Lexer, out *ExecutorBelief) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -2720,7 +3214,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire25(out *jwriter.Writer, in ExecutorBelief) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire27(out *jwriter.Writer, in ExecutorBelief) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -2750,27 +3244,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v ExecutorBelief) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire25(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire27(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v ExecutorBelief) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire25(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire27(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *ExecutorBelief) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire25(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire27(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *ExecutorBelief) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire25(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire27(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire26(in *jlexer.Lexer, out *ExchangeCall) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire28(in *jlexer.Lexer, out *ExchangeCall) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -2794,7 +3288,25 @@
 			if in.IsNull() {
 				in.Skip()
 			} else {
-				out.Life = string(in.String())
+				out.Life = string(in.String())
+			}
+		case "session":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Session = uint64(in.Uint64())
+			}
+		case "number":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Number = uint64(in.Uint64())
+			}
+		case "base":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Base = uint64(in.Uint64())
 			}
 		case "proxy":
 			if in.IsNull() {
@@ -2824,13 +3336,13 @@
 					out.Labels = (out.Labels)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v37 string
+					var v55 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v37 = string(in.String())
+						v55 = string(in.String())
 					}
-					out.Labels = append(out.Labels, v37)
+					out.Labels = append(out.Labels, v55)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -2869,13 +3381,13 @@
 					out.Gone = (out.Gone)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v38 string
+					var v56 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v38 = string(in.String())
+						v56 = string(in.String())
 					}
-					out.Gone = append(out.Gone, v38)
+					out.Gone = append(out.Gone, v56)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -2914,13 +3426,40 @@
 					out.Running = (out.Running)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v39 RunReport
+					var v57 RunReport
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						(v57).UnmarshalEasyJSON(in)
+					}
+					out.Running = append(out.Running, v57)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
+		case "changed":
+			if in.IsNull() {
+				in.Skip()
+				out.Changed = nil
+			} else {
+				in.Delim('[')
+				if out.Changed == nil {
+					if !in.IsDelim(']') {
+						out.Changed = make([]RunReport, 0, 1)
+					} else {
+						out.Changed = []RunReport{}
+					}
+				} else {
+					out.Changed = (out.Changed)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v58 RunReport
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v39).UnmarshalEasyJSON(in)
+						(v58).UnmarshalEasyJSON(in)
 					}
-					out.Running = append(out.Running, v39)
+					out.Changed = append(out.Changed, v58)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -2941,13 +3480,13 @@
 					out.Ends = (out.Ends)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v40 EndReport
+					var v59 EndReport
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v40).UnmarshalEasyJSON(in)
+						(v59).UnmarshalEasyJSON(in)
 					}
-					out.Ends = append(out.Ends, v40)
+					out.Ends = append(out.Ends, v59)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -2968,13 +3507,13 @@
 					out.Answers = (out.Answers)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v41 OrderAnswer
+					var v60 OrderAnswer
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v41).UnmarshalEasyJSON(in)
+						(v60).UnmarshalEasyJSON(in)
 					}
-					out.Answers = append(out.Answers, v41)
+					out.Answers = append(out.Answers, v60)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -2995,7 +3534,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire26(out *jwriter.Writer, in ExchangeCall) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire28(out *jwriter.Writer, in ExchangeCall) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -3009,12 +3548,27 @@
 		out.RawString(prefix)
 		out.String(string(in.Life))
 	}
-	{
+	if in.Session != 0 {
+		const prefix string = ",\"session\":"
+		out.RawString(prefix)
+		out.Uint64(uint64(in.Session))
+	}
+	if in.Number != 0 {
+		const prefix string = ",\"number\":"
+		out.RawString(prefix)
+		out.Uint64(uint64(in.Number))
+	}
+	if in.Base != 0 {
+		const prefix string = ",\"base\":"
+		out.RawString(prefix)
+		out.Uint64(uint64(in.Base))
+	}
+	if in.Proxy != "" {
 		const prefix string = ",\"proxy\":"
 		out.RawString(prefix)
 		out.String(string(in.Proxy))
 	}
-	{
+	if in.Domain != "" {
 		const prefix string = ",\"domain\":"
 		out.RawString(prefix)
 		out.String(string(in.Domain))
@@ -3024,16 +3578,16 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v42, v43 := range in.Labels {
-				if v42 > 0 {
+			for v61, v62 := range in.Labels {
+				if v61 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v43))
+				out.String(string(v62))
 			}
 			out.RawByte(']')
 		}
 	}
-	{
+	if (in.Room).IsDefined() {
 		const prefix string = ",\"room\":"
 		out.RawString(prefix)
 		(in.Room).MarshalEasyJSON(out)
@@ -3053,11 +3607,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v44, v45 := range in.Gone {
-				if v44 > 0 {
+			for v63, v64 := range in.Gone {
+				if v63 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v45))
+				out.String(string(v64))
 			}
 			out.RawByte(']')
 		}
@@ -3082,11 +3636,25 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v46, v47 := range in.Running {
-				if v46 > 0 {
+			for v65, v66 := range in.Running {
+				if v65 > 0 {
+					out.RawByte(',')
+				}
+				(v66).MarshalEasyJSON(out)
+			}
+			out.RawByte(']')
+		}
+	}
+	if len(in.Changed) != 0 {
+		const prefix string = ",\"changed\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('[')
+			for v67, v68 := range in.Changed {
+				if v67 > 0 {
 					out.RawByte(',')
 				}
-				(v47).MarshalEasyJSON(out)
+				(v68).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -3096,11 +3664,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v48, v49 := range in.Ends {
-				if v48 > 0 {
+			for v69, v70 := range in.Ends {
+				if v69 > 0 {
 					out.RawByte(',')
 				}
-				(v49).MarshalEasyJSON(out)
+				(v70).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -3110,11 +3678,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v50, v51 := range in.Answers {
-				if v50 > 0 {
+			for v71, v72 := range in.Answers {
+				if v71 > 0 {
 					out.RawByte(',')
 				}
-				(v51).MarshalEasyJSON(out)
+				(v72).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -3130,27 +3698,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v ExchangeCall) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire26(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire28(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v ExchangeCall) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire26(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire28(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *ExchangeCall) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire26(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire28(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *ExchangeCall) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire26(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire28(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire27(in *jlexer.Lexer, out *ExchangeAnswer) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire29(in *jlexer.Lexer, out *ExchangeAnswer) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -3182,6 +3750,24 @@
 			} else {
 				out.Fence = uint64(in.Uint64())
 			}
+		case "held":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Held = uint64(in.Uint64())
+			}
+		case "again":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Again = bool(in.Bool())
+			}
+		case "session":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Session = uint64(in.Uint64())
+			}
 		case "grant":
 			if in.IsNull() {
 				in.Skip()
@@ -3216,13 +3802,13 @@
 					out.Orders = (out.Orders)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v52 Order
+					var v73 Order
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v52).UnmarshalEasyJSON(in)
+						(v73).UnmarshalEasyJSON(in)
 					}
-					out.Orders = append(out.Orders, v52)
+					out.Orders = append(out.Orders, v73)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -3237,7 +3823,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire27(out *jwriter.Writer, in ExchangeAnswer) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire29(out *jwriter.Writer, in ExchangeAnswer) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -3267,6 +3853,36 @@
 		}
 		out.Uint64(uint64(in.Fence))
 	}
+	if in.Held != 0 {
+		const prefix string = ",\"held\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		out.Uint64(uint64(in.Held))
+	}
+	if in.Again {
+		const prefix string = ",\"again\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		out.Bool(bool(in.Again))
+	}
+	if in.Session != 0 {
+		const prefix string = ",\"session\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		out.Uint64(uint64(in.Session))
+	}
 	if in.GrantMs != 0 {
 		const prefix string = ",\"grant\":"
 		if first {
@@ -3307,11 +3923,11 @@
 		}
 		{
 			out.RawByte('[')
-			for v53, v54 := range in.Orders {
-				if v53 > 0 {
+			for v74, v75 := range in.Orders {
+				if v74 > 0 {
 					out.RawByte(',')
 				}
-				(v54).MarshalEasyJSON(out)
+				(v75).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -3322,27 +3938,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v ExchangeAnswer) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire27(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire29(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v ExchangeAnswer) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire27(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire29(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *ExchangeAnswer) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire27(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire29(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *ExchangeAnswer) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire27(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire29(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire28(in *jlexer.Lexer, out *EntryTerms) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire30(in *jlexer.Lexer, out *EntryTerms) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -3390,7 +4006,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire28(out *jwriter.Writer, in EntryTerms) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire30(out *jwriter.Writer, in EntryTerms) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -3436,27 +4052,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v EntryTerms) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire28(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire30(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v EntryTerms) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire28(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire30(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *EntryTerms) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire28(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire30(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *EntryTerms) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire28(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire30(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire29(in *jlexer.Lexer, out *EndReport) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire31(in *jlexer.Lexer, out *EndReport) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -3510,7 +4126,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire29(out *jwriter.Writer, in EndReport) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire31(out *jwriter.Writer, in EndReport) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -3545,27 +4161,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v EndReport) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire29(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire31(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v EndReport) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire29(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire31(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *EndReport) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire29(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire31(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *EndReport) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire29(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire31(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire30(in *jlexer.Lexer, out *Digest) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire32(in *jlexer.Lexer, out *Digest) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -3585,12 +4201,6 @@
 			} else {
 				out.Plan = int64(in.Int64())
 			}
-		case "m":
-			if in.IsNull() {
-				in.Skip()
-			} else {
-				out.Members = uint32(in.Uint32())
-			}
 		case "o":
 			if in.IsNull() {
 				in.Skip()
@@ -3607,17 +4217,29 @@
 					out.Owners = (out.Owners)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v55 OwnerFact
+					var v76 OwnerFact
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v55).UnmarshalEasyJSON(in)
+						(v76).UnmarshalEasyJSON(in)
 					}
-					out.Owners = append(out.Owners, v55)
+					out.Owners = append(out.Owners, v76)
 					in.WantComma()
 				}
 				in.Delim(']')
 			}
+		case "s":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.MemberSum = uint32(in.Uint32())
+			}
+		case "h":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.OwnerSum = uint32(in.Uint32())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -3628,7 +4250,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire30(out *jwriter.Writer, in Digest) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire32(out *jwriter.Writer, in Digest) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -3638,16 +4260,6 @@
 		out.RawString(prefix[1:])
 		out.Int64(int64(in.Plan))
 	}
-	if in.Members != 0 {
-		const prefix string = ",\"m\":"
-		if first {
-			first = false
-			out.RawString(prefix[1:])
-		} else {
-			out.RawString(prefix)
-		}
-		out.Uint32(uint32(in.Members))
-	}
 	if len(in.Owners) != 0 {
 		const prefix string = ",\"o\":"
 		if first {
@@ -3658,42 +4270,62 @@
 		}
 		{
 			out.RawByte('[')
-			for v56, v57 := range in.Owners {
-				if v56 > 0 {
+			for v77, v78 := range in.Owners {
+				if v77 > 0 {
 					out.RawByte(',')
 				}
-				(v57).MarshalEasyJSON(out)
+				(v78).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
 	}
+	if in.MemberSum != 0 {
+		const prefix string = ",\"s\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		out.Uint32(uint32(in.MemberSum))
+	}
+	if in.OwnerSum != 0 {
+		const prefix string = ",\"h\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		out.Uint32(uint32(in.OwnerSum))
+	}
 	out.RawByte('}')
 }
 
 // MarshalJSON supports json.Marshaler interface
 func (v Digest) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire30(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire32(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Digest) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire30(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire32(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Digest) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire30(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire32(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Digest) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire30(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire32(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire31(in *jlexer.Lexer, out *Datagram) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire33(in *jlexer.Lexer, out *Datagram) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -3747,13 +4379,13 @@
 					out.News = (out.News)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v58 Member
+					var v79 Member
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v58).UnmarshalEasyJSON(in)
+						(v79).UnmarshalEasyJSON(in)
 					}
-					out.News = append(out.News, v58)
+					out.News = append(out.News, v79)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -3764,6 +4396,12 @@
 			} else {
 				(out.Digest).UnmarshalEasyJSON(in)
 			}
+		case "z":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.PauseMs = int64(in.Int64())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -3774,7 +4412,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire31(out *jwriter.Writer, in Datagram) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire33(out *jwriter.Writer, in Datagram) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -3803,11 +4441,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v59, v60 := range in.News {
-				if v59 > 0 {
+			for v80, v81 := range in.News {
+				if v80 > 0 {
 					out.RawByte(',')
 				}
-				(v60).MarshalEasyJSON(out)
+				(v81).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -3817,33 +4455,38 @@
 		out.RawString(prefix)
 		(in.Digest).MarshalEasyJSON(out)
 	}
+	if in.PauseMs != 0 {
+		const prefix string = ",\"z\":"
+		out.RawString(prefix)
+		out.Int64(int64(in.PauseMs))
+	}
 	out.RawByte('}')
 }
 
 // MarshalJSON supports json.Marshaler interface
 func (v Datagram) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire31(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire33(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Datagram) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire31(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire33(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Datagram) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire31(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire33(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Datagram) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire31(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire33(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire32(in *jlexer.Lexer, out *ClientCall) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire34(in *jlexer.Lexer, out *ClientCall) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -3923,7 +4566,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire32(out *jwriter.Writer, in ClientCall) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire34(out *jwriter.Writer, in ClientCall) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -3973,27 +4616,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v ClientCall) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire32(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire34(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v ClientCall) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire32(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire34(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *ClientCall) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire32(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire34(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *ClientCall) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire32(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire34(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire33(in *jlexer.Lexer, out *ClientAnswer) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire35(in *jlexer.Lexer, out *ClientAnswer) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -4053,7 +4696,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire33(out *jwriter.Writer, in ClientAnswer) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire35(out *jwriter.Writer, in ClientAnswer) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -4119,27 +4762,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v ClientAnswer) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire33(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire35(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v ClientAnswer) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire33(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire35(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *ClientAnswer) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire33(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire35(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *ClientAnswer) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire33(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire35(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire34(in *jlexer.Lexer, out *Change) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire36(in *jlexer.Lexer, out *Change) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -4175,13 +4818,13 @@
 					out.Ops = (out.Ops)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v61 Op
+					var v82 Op
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v61).UnmarshalEasyJSON(in)
+						(v82).UnmarshalEasyJSON(in)
 					}
-					out.Ops = append(out.Ops, v61)
+					out.Ops = append(out.Ops, v82)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4210,7 +4853,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire34(out *jwriter.Writer, in Change) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire36(out *jwriter.Writer, in Change) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -4224,11 +4867,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v62, v63 := range in.Ops {
-				if v62 > 0 {
+			for v83, v84 := range in.Ops {
+				if v83 > 0 {
 					out.RawByte(',')
 				}
-				(v63).MarshalEasyJSON(out)
+				(v84).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4244,27 +4887,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Change) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire34(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire36(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Change) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire34(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire36(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Change) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire34(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire36(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Change) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire34(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire36(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire35(in *jlexer.Lexer, out *Capacity) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire37(in *jlexer.Lexer, out *Capacity) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -4306,7 +4949,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire35(out *jwriter.Writer, in Capacity) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire37(out *jwriter.Writer, in Capacity) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -4331,27 +4974,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Capacity) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire35(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire37(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Capacity) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire35(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire37(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Capacity) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire35(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire37(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Capacity) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire35(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire37(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire36(in *jlexer.Lexer, out *Birth) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire38(in *jlexer.Lexer, out *Birth) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -4387,13 +5030,13 @@
 					out.Voters = (out.Voters)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v64 string
+					var v85 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v64 = string(in.String())
+						v85 = string(in.String())
 					}
-					out.Voters = append(out.Voters, v64)
+					out.Voters = append(out.Voters, v85)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4408,7 +5051,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire36(out *jwriter.Writer, in Birth) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire38(out *jwriter.Writer, in Birth) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -4424,11 +5067,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v65, v66 := range in.Voters {
-				if v65 > 0 {
+			for v86, v87 := range in.Voters {
+				if v86 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v66))
+				out.String(string(v87))
 			}
 			out.RawByte(']')
 		}
@@ -4439,27 +5082,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Birth) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire36(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire38(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Birth) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire36(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire38(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Birth) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire36(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire38(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Birth) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire36(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire38(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire37(in *jlexer.Lexer, out *BeliefsCall) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire39(in *jlexer.Lexer, out *BeliefsCall) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -4483,7 +5126,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire37(out *jwriter.Writer, in BeliefsCall) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire39(out *jwriter.Writer, in BeliefsCall) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -4493,27 +5136,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v BeliefsCall) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire37(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire39(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v BeliefsCall) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire37(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire39(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *BeliefsCall) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire37(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire39(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *BeliefsCall) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire37(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire39(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire38(in *jlexer.Lexer, out *BeliefsAnswer) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire40(in *jlexer.Lexer, out *BeliefsAnswer) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -4561,13 +5204,13 @@
 					out.Members = (out.Members)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v67 Member
+					var v88 Member
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v67).UnmarshalEasyJSON(in)
+						(v88).UnmarshalEasyJSON(in)
 					}
-					out.Members = append(out.Members, v67)
+					out.Members = append(out.Members, v88)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4588,13 +5231,13 @@
 					out.Owners = (out.Owners)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v68 OwnerFact
+					var v89 OwnerFact
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v68).UnmarshalEasyJSON(in)
+						(v89).UnmarshalEasyJSON(in)
 					}
-					out.Owners = append(out.Owners, v68)
+					out.Owners = append(out.Owners, v89)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4615,13 +5258,13 @@
 					out.Keys = (out.Keys)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v69 KeyBelief
+					var v90 KeyBelief
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v69).UnmarshalEasyJSON(in)
+						(v90).UnmarshalEasyJSON(in)
 					}
-					out.Keys = append(out.Keys, v69)
+					out.Keys = append(out.Keys, v90)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4642,13 +5285,13 @@
 					out.Jobs = (out.Jobs)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v70 JobBelief
+					var v91 JobBelief
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v70).UnmarshalEasyJSON(in)
+						(v91).UnmarshalEasyJSON(in)
 					}
-					out.Jobs = append(out.Jobs, v70)
+					out.Jobs = append(out.Jobs, v91)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4669,13 +5312,13 @@
 					out.Executors = (out.Executors)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v71 ExecutorBelief
+					var v92 ExecutorBelief
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v71).UnmarshalEasyJSON(in)
+						(v92).UnmarshalEasyJSON(in)
 					}
-					out.Executors = append(out.Executors, v71)
+					out.Executors = append(out.Executors, v92)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4690,7 +5333,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire38(out *jwriter.Writer, in BeliefsAnswer) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire40(out *jwriter.Writer, in BeliefsAnswer) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -4716,11 +5359,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v72, v73 := range in.Members {
-				if v72 > 0 {
+			for v93, v94 := range in.Members {
+				if v93 > 0 {
 					out.RawByte(',')
 				}
-				(v73).MarshalEasyJSON(out)
+				(v94).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4732,11 +5375,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v74, v75 := range in.Owners {
-				if v74 > 0 {
+			for v95, v96 := range in.Owners {
+				if v95 > 0 {
 					out.RawByte(',')
 				}
-				(v75).MarshalEasyJSON(out)
+				(v96).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4748,11 +5391,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v76, v77 := range in.Keys {
-				if v76 > 0 {
+			for v97, v98 := range in.Keys {
+				if v97 > 0 {
 					out.RawByte(',')
 				}
-				(v77).MarshalEasyJSON(out)
+				(v98).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4764,11 +5407,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v78, v79 := range in.Jobs {
-				if v78 > 0 {
+			for v99, v100 := range in.Jobs {
+				if v99 > 0 {
 					out.RawByte(',')
 				}
-				(v79).MarshalEasyJSON(out)
+				(v100).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4780,11 +5423,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v80, v81 := range in.Executors {
-				if v80 > 0 {
+			for v101, v102 := range in.Executors {
+				if v101 > 0 {
 					out.RawByte(',')
 				}
-				(v81).MarshalEasyJSON(out)
+				(v102).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -4795,27 +5438,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v BeliefsAnswer) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire38(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire40(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v BeliefsAnswer) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire38(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire40(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *BeliefsAnswer) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire38(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire40(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *BeliefsAnswer) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire38(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire40(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire39(in *jlexer.Lexer, out *AppendCall) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire41(in *jlexer.Lexer, out *AppendCall) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -4875,13 +5518,13 @@
 					out.Changes = (out.Changes)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v82 Change
+					var v103 Change
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v82).UnmarshalEasyJSON(in)
+						(v103).UnmarshalEasyJSON(in)
 					}
-					out.Changes = append(out.Changes, v82)
+					out.Changes = append(out.Changes, v103)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -4936,7 +5579,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire39(out *jwriter.Writer, in AppendCall) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire41(out *jwriter.Writer, in AppendCall) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -4970,11 +5613,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v83, v84 := range in.Changes {
-				if v83 > 0 {
+			for v104, v105 := range in.Changes {
+				if v104 > 0 {
 					out.RawByte(',')
 				}
-				(v84).MarshalEasyJSON(out)
+				(v105).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -5005,27 +5648,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v AppendCall) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire39(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire41(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v AppendCall) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire39(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire41(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *AppendCall) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire39(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire41(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *AppendCall) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire39(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire41(l, v)
 }
-func easyjson66c1e240DecodeGannetlineInternalSiblingwire40(in *jlexer.Lexer, out *AppendAnswer) {
+func easyjson66c1e240DecodeGannetlineInternalSiblingwire42(in *jlexer.Lexer, out *AppendAnswer) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -5091,7 +5734,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeGannetlineInternalSiblingwire40(out *jwriter.Writer, in AppendAnswer) {
+func easyjson66c1e240EncodeGannetlineInternalSiblingwire42(out *jwriter.Writer, in AppendAnswer) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -5142,23 +5785,23 @@
 // MarshalJSON supports json.Marshaler interface
 func (v AppendAnswer) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire40(&w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire42(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v AppendAnswer) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeGannetlineInternalSiblingwire40(w, v)
+	easyjson66c1e240EncodeGannetlineInternalSiblingwire42(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *AppendAnswer) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire40(&r, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire42(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *AppendAnswer) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeGannetlineInternalSiblingwire40(l, v)
+	easyjson66c1e240DecodeGannetlineInternalSiblingwire42(l, v)
 }
--- a/internal/stage/proxy.go
+++ b/internal/stage/proxy.go
@@ -9,6 +9,11 @@
 	"gannetline/internal/siblingwire"
 )
 
+// refused is the status of a call that nobody listened to.
+const refused = -1
+
+const startPause = 80 * time.Millisecond
+
 // Proxy drives the real table of a local-proxy beside a modelled executor.
 type Proxy struct {
 	stage     *Stage
@@ -30,7 +35,8 @@
 		return func() { p.stage.Line.After(0, func() { p.enter(life, run) }) }
 	}
 	p.table = localproxy.NewTable(p.stage.Line.Clock, p.stage.log, p.stage.service, p.executor.Domain, p.executor.Machine,
-		later(p.report), later(func() { p.hold(life, true) }), later(func() { p.hold(life, false) }))
+		later(p.report), later(func() { p.hold(life, true) }), later(func() { p.hold(life, false) }), localproxy.WithSession(uint64(life)),
+		localproxy.WithStartBell(func() { p.stage.Line.After(startPause, func() { p.enter(life, p.reportStarts) }) }))
 	p.beat(life)
 	p.holdLoop(life)
 	p.poll(life)
@@ -89,6 +95,9 @@
 	p.stage.Line.After(wait, func() {
 		switch {
 		case !p.executor.isUp:
+		case p.executor.isRefusing:
+			p.stage.Refusals++
+			finish(refused, executorcalls.Answer{}, false)
 		case p.executor.birth != birth || p.executor.ID != executor:
 			finish(421, executorcalls.Answer{}, true)
 		default:
@@ -116,12 +125,19 @@
 		})
 }
 
+func (p *Proxy) reportStarts() {
+	if p.table.HasUnsent() {
+		p.report()
+	}
+}
+
 func (p *Proxy) report() {
 	if p.reporting {
 		p.isDirty = true
 		return
 	}
 	p.reporting = true
+	p.stage.Reports++
 	life := p.life
 	p.exchange(0, func(isTold bool) {
 		p.reporting = false
@@ -138,6 +154,7 @@
 
 func (p *Proxy) poll(life int) {
 	p.enter(life, func() {
+		p.stage.Polls++
 		p.exchange(300, func(isTold bool) {
 			wait := time.Millisecond
 			if !isTold {
@@ -157,7 +174,7 @@
 	}
 	owner := p.stage.Nodes[p.guess%len(p.stage.Nodes)]
 	askedAt := p.stage.Line.Now()
-	call(p.stage, p.place(), owner.place(), pulse.Ms(waitMs)+1500*time.Millisecond, func(answer func(siblingwire.ExchangeAnswer)) {
+	call(p.stage, p.place(), owner.place(), pulse.Ms(ask.WaitMs)+1500*time.Millisecond, func(answer func(siblingwire.ExchangeAnswer)) {
 		pool := owner.pools[ask.Key]
 		if pool == nil || !pool.IsOpen() {
 			answer(siblingwire.ExchangeAnswer{Elsewhere: true})
@@ -192,6 +209,10 @@
 				p.table.Carried(work, localproxy.ResultOf(status, answer.Reason))
 				return
 			}
+			if status == refused && order.Kind == "launch" {
+				p.table.Refused(work)
+				return
+			}
 			p.table.Unanswered(work)
 			if try == 0 {
 				p.carry(executor, order, 1)
