A step waits for room near its data, as long as that is worth it

Change: a step keeps to executors near its data for half of what its tasks would lose elsewhere, a second at most, and only while there are such executors in the roster; it keeps no room elsewhere meanwhile. The kept state is compared with one worked out from nothing, as for the rest.

--- a/internal/placetasks/oracle_test.go
+++ b/internal/placetasks/oracle_test.go
@@ -67,7 +67,7 @@
 			}
 			best := choose(executors, free, reserved, added, group, held)
 			if best < 0 {
-				if !group.IsSpare {
+				if !group.IsSpare && !group.IsNearOnly {
 					reserve(executors, free, reserved, group)
 				}
 				break
@@ -84,7 +84,7 @@
 
 func allowed(executor *Executor, group *denseGroup, held []int, place int) bool {
 	isBarred := len(group.barred) > place && group.barred[place]
-	if executor.IsClosed || isBarred || group.Apart > 0 && held[place] >= group.Apart {
+	if executor.IsClosed || isBarred || group.Apart > 0 && held[place] >= group.Apart || group.IsNearOnly && !isNear(executor, group.Group) {
 		return false
 	}
 	for _, label := range group.Labels {
--- a/internal/placetasks/place.go
+++ b/internal/placetasks/place.go
@@ -53,16 +53,18 @@
 	SameRack bool
 	Labels   []string
 	Near     []string
-	Apart    int
-	Held     map[int]int
-	Avoid    []int
-	Except   []int
-	Barred   []bool
-	IsSpare  bool
-	IsLong   bool
-	Priority int
-	Chance   Chance
-	Due      int64
+	// IsNearOnly keeps the tasks waiting for room near their data.
+	IsNearOnly bool
+	Apart      int
+	Held       map[int]int
+	Avoid      []int
+	Except     []int
+	Barred     []bool
+	IsSpare    bool
+	IsLong     bool
+	Priority   int
+	Chance     Chance
+	Due        int64
 }
 
 // Chance is what a group's job can still earn. Within a priority what may be in time goes before what is late, and
@@ -239,7 +241,7 @@
 	if t.isMostOld {
 		t.measure()
 	}
-	isSizeAlone := len(group.Labels) == 0 && group.Apart == 0 && group.Barred == nil && group.Except == nil
+	isSizeAlone := len(group.Labels) == 0 && group.Apart == 0 && group.Barred == nil && group.Except == nil && !group.IsNearOnly
 	if !isSizeAlone || t.hasNoRoom(group.Need) {
 		return
 	}
@@ -273,7 +275,7 @@
 	if !t.hasNoRoom(group.Need) {
 		t.noteFailure(group)
 	}
-	if !group.IsSpare && t.open > 0 && !t.isOver {
+	if !group.IsSpare && !group.IsNearOnly && t.open > 0 && !t.isOver {
 		t.reserve(group)
 	}
 }
@@ -299,7 +301,7 @@
 	if len(group.Barred) > place && group.Barred[place] || slices.Contains(group.Except, place) {
 		return false
 	}
-	if group.Apart > 0 && held[place] >= group.Apart {
+	if group.Apart > 0 && held[place] >= group.Apart || group.IsNearOnly && !isNear(&t.executors[place], group) {
 		return false
 	}
 	for _, label := range group.Labels {
--- a/internal/placetasks/placetasks_test.go
+++ b/internal/placetasks/placetasks_test.go
@@ -26,6 +26,15 @@
 }
 
 var _ = Describe("placement", func() {
+	It("keeps a task near its data while it is to wait there, and keeps no room for it elsewhere", func() {
+		near, large := group(3, 10), group(1, 10)
+		near.Near, near.IsNearOnly, large.Due = []string{"r0"}, true, 1
+		placed := placetasks.PlaceInAnyOrder(executors(4, 10), []*placetasks.Group{near, large}, nil)
+		Expect(placed).To(Equal([]placetasks.Placement{{Group: 0, Executor: 0}, {Group: 0, Executor: 1}, {Group: 1, Executor: 2}}))
+		near.IsNearOnly = false
+		Expect(placetasks.PlaceInAnyOrder(executors(4, 10), []*placetasks.Group{near, large}, nil)).To(HaveLen(4))
+	})
+
 	It("takes what can be in time before what is late, and what is too late after all others", func() {
 		late, soon := group(1, 10), group(1, 10)
 		late.Chance, late.Due, soon.Due = placetasks.ChanceLate, 1, 2
@@ -200,7 +209,7 @@
 	case 1:
 		one.Labels = []string{"a", "r1"}
 	case 2:
-		one.Near = []string{"r0"}
+		one.Near, one.IsNearOnly = []string{"r0"}, draw.IntN(2) == 0
 	}
 	return one
 }
--- a/internal/poolowner/pool.go
+++ b/internal/poolowner/pool.go
@@ -43,7 +43,9 @@
 	StopTimeout time.Duration
 	StuckAfter  time.Duration
 	KeepEnded   time.Duration
-	Headroom    Headroom
+	// RemoteFactor is how many times as long a task takes away from its data.
+	RemoteFactor float64
+	Headroom     Headroom
 }
 
 func TimingFrom(settings *bootsettings.Settings) Timing {
@@ -52,7 +54,7 @@
 		ResendMost: time.Second, HoldStale: 2500 * time.Millisecond, SilentAfter: 900 * time.Millisecond,
 		StopTimeout: pulse.Ms(settings.Bounds.StopTimeoutMs), StuckAfter: 2 * time.Second,
 		KeepEnded: time.Duration(settings.Bounds.StatusS*float64(time.Second)) + 30*time.Second,
-		Headroom:  DefaultHeadroom}
+		Headroom:  DefaultHeadroom, RemoteFactor: settings.Bounds.RemoteFactor}
 }
 
 type Pool struct {
--- a/internal/poolowner/schedule_test.go
+++ b/internal/poolowner/schedule_test.go
@@ -63,7 +63,7 @@
 	s.tenure.waiting = nil
 	s.tenure.epoch++
 	timing := timing
-	timing.Headroom, timing.KeepEnded = poolowner.DefaultHeadroom, 3*time.Second
+	timing.Headroom, timing.KeepEnded, timing.RemoteFactor = poolowner.DefaultHeadroom, 3*time.Second, 2
 	rules, err := queuerules.Compile(map[string]queuerules.Text{"ruled": {Use: `"r1" in labels || cpu > 4000`, Order: "due - 40 * tasks"}})
 	Expect(err).NotTo(HaveOccurred())
 	s.pool = poolowner.New("pool/s", s.clock, timing, logs.Silent(), poolowner.WithRules(rules))
@@ -112,9 +112,9 @@
 		} else {
 			steps = "{"
 		}
-		steps += fmt.Sprintf(`"task-count":%d,"cpu-units":%d,"memory-req-mb":%d,"estimated-ms":%d,"anti-affinity":%d%s%s%s%s}`, 1+s.draw.IntN(6),
+		steps += fmt.Sprintf(`"task-count":%d,"cpu-units":%d,"memory-req-mb":%d,"estimated-ms":%d,"anti-affinity":%d%s%s%s%s%s}`, 1+s.draw.IntN(6),
 			s.draw.IntN(1800), s.draw.IntN(900), s.draw.IntN(2000), max(0, s.draw.IntN(8)-5), flag("gang-scheduled", 5), flag("same-rack", 2),
-			flag("redundant", 2), flag("long-running", 9))
+			flag("redundant", 2), flag("long-running", 9), []string{"", `,"affinity-labels":"r1"`, `,"affinity-labels":"r9"`}[s.draw.IntN(3)])
 	}
 	repeat := ""
 	if s.draw.IntN(5) == 0 {
--- a/internal/poolowner/waiting.go
+++ b/internal/poolowner/waiting.go
@@ -217,7 +217,7 @@
 // namesExecutors tells whether what a step asks for depends on who is in the roster, and in which place.
 func (p *Pool) namesExecutors(step *stepState) bool {
 	ready := step.waits.request.tasks
-	return step.step.Apart > 0 || len(step.waits.spares) > 0 || len(ready) > 0 && ready[0].avoid != "" ||
+	return p.clock.Steady() < p.nearUntil(step) || step.step.Apart > 0 || len(step.waits.spares) > 0 || len(ready) > 0 && ready[0].avoid != "" ||
 		p.rules.HasUse(step.time.job.record.Entry)
 }
 
@@ -238,6 +238,9 @@
 	if frees := step.openedAt + ruleHolds + 1; now < frees && p.rules.HasUse(step.time.job.record.Entry) {
 		again = min(again, frees)
 	}
+	if until := p.nearUntil(step); now < until {
+		again = min(again, until)
+	}
 	p.open.times.set(step, again)
 }
 
@@ -290,6 +293,7 @@
 		SameRack: step.step.SameRack, Labels: step.step.Labels, Near: step.step.Near, Apart: step.step.Apart,
 		IsLong:   step.step.Lasting || pulse.Ms(step.step.EstimatedMs) > p.timing.Headroom.LongWork,
 		Priority: owner.record.Terms.Priority, Chance: p.chance(step), Due: p.due(step, len(ready))}
+	group.IsNearOnly = p.clock.Steady() < p.nearUntil(step) && p.hasNear(step)
 	if group.Apart > 0 {
 		group.Held = step.held()
 	}
