No record keeps a pool from being taken over, and none is left behind

Cause: Pool.Open gave an error for any record that it could not read (a job's steps under other limits than those it was handed in with, a task that its job does not have, a damaged value). The next leader finds the same record, so the key had no leader from then on, and no job of the service was known any more. Records of tasks that no job stands for came about by itself: the runs of a time that was done (gang, redundant step) were skipped at a take-over; they were not stopped, their room counted as free, and their records and orders stayed for good, also under an ID that is used again.

Mended: a job with a record that can't be read is set aside: known (503, not 410), not run, its records kept as they are; all others go on. Limits of size hold at the hand-in only.

Ruled out: leftovers by jobs that end (tasks are dropped with the last run, in the same commit as the job's record).

Data on disk and mixed versions: the records are the same.

--- a/internal/jobs/read.go
+++ b/internal/jobs/read.go
@@ -74,6 +74,15 @@
 
 // Read decodes and checks a job as a client hands it in.
 func Read(body []byte) (*Spec, error) {
+	spec, err := Restore(body)
+	if err != nil {
+		return nil, err
+	}
+	return spec, spec.checkSize()
+}
+
+// Restore decodes a job that was accepted before, maybe under other limits of size than those of Read.
+func Restore(body []byte) (*Spec, error) {
 	spec := &Spec{}
 	if err := easyjson.Unmarshal(body, spec); err != nil {
 		return nil, errors.Annotate(err, "the job can't be read")
@@ -81,31 +90,45 @@
 	return spec, spec.check()
 }
 
-func (s *Spec) check() error {
+// checkSize refuses what is larger than a client may hand in.
+func (s *Spec) checkSize() error {
 	if len(s.Descriptor) > mostDescriptor {
 		return errors.Errorf("field task-descriptor is longer than %d bytes", mostDescriptor)
 	}
-	if len(s.Steps) == 0 || len(s.Steps) > mostSteps {
+	if len(s.Steps) > mostSteps {
 		return errors.Errorf("field step-list must hold 1 to %d steps", mostSteps)
 	}
-	if s.RepeatCount < 0 || s.RepeatCount > mostRepeats || s.PeriodMs < 0 || s.FirstRunMs < 0 {
-		return errors.New("fields repeat-count, period-ms and first-run-ms must not be negative or too large")
+	if s.RepeatCount > mostRepeats {
+		return errors.Errorf("field repeat-count is over %d", mostRepeats)
 	}
 	total := 0
+	for _, step := range s.Steps {
+		total += min(step.Tasks, mostTasks+1)
+	}
+	if total > mostTasks {
+		return errors.Errorf("field task-count: more than %d tasks in all", mostTasks)
+	}
+	return nil
+}
+
+// check refuses what could not be run at all.
+func (s *Spec) check() error {
+	if len(s.Steps) == 0 {
+		return errors.Errorf("field step-list must hold 1 to %d steps", mostSteps)
+	}
+	if s.RepeatCount < 0 || s.PeriodMs < 0 || s.FirstRunMs < 0 {
+		return errors.New("fields repeat-count, period-ms and first-run-ms must not be negative")
+	}
 	for number, step := range s.Steps {
 		if err := step.check(number); err != nil {
 			return errors.Annotatef(err, "step %d", number)
 		}
-		total += step.Tasks
-	}
-	if total > mostTasks {
-		return errors.Errorf("field task-count: more than %d tasks in all", mostTasks)
 	}
 	return nil
 }
 
 func (s *Step) check(number int) error {
-	if s.Tasks < 1 || s.Tasks > mostTasks {
+	if s.Tasks < 1 {
 		return errors.New("field task-count must be at least 1")
 	}
 	for field, value := range map[string]int64{"cpu-units": s.CPU, "memory-req-mb": s.Memory, "gpu-count": s.GPU,
--- a/internal/scheduler/clients.go
+++ b/internal/scheduler/clients.go
@@ -66,6 +66,8 @@
 			answer(lost())
 		case one == nil:
 			answer(peerapi.ClientAnswer{Status: http.StatusGone, Why: "there is no such job"})
+		case one.isUnreadable && one.isOpen():
+			answer(peerapi.ClientAnswer{Status: http.StatusServiceUnavailable, Why: "the job's record can't be read by this version"})
 		default:
 			answer(peerapi.ClientAnswer{Status: http.StatusOK, Body: []byte(`{"executor-state":"` + one.shown() + `"}`)})
 		}
--- /dev/null
+++ b/internal/scheduler/fleet_test.go
@@ -0,0 +1,168 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"gannetline/internal/logging"
+	"gannetline/internal/peerapi"
+	"gannetline/internal/pulse"
+	"gannetline/internal/scheduler"
+)
+
+// fleetTick is how often a fleet's pool ticks and its executors are heard.
+const fleetTick = 50 * time.Millisecond
+
+// fleetExecutor is an executor and its local proxy, which obey every order at once unless they are told otherwise.
+type fleetExecutor struct {
+	peerapi.ExchangeCall
+	running  []peerapi.Order
+	isSilent bool
+	// refusal answers every launch, if it is set.
+	refusal string
+	starts  int
+	lastEnd int64
+}
+
+// fleet is a pool, the executors that report to it, and a tenure whose commits succeed at once.
+type fleet struct {
+	clock     *pulse.Fake
+	tenure    *scripted
+	pool      *scheduler.Pool
+	timing    scheduler.Timing
+	executors []*fleetExecutor
+	states    map[string]string
+}
+
+func newFleet(timing scheduler.Timing) *fleet {
+	clock := pulse.NewFake(1_000_000)
+	f := &fleet{clock: clock, timing: timing, tenure: &scripted{clock: clock, hasLease: true, kept: map[string][]byte{}}}
+	f.takeOver()
+	return f
+}
+
+// takeOver gives the pool to another leader, which knows only what is committed.
+func (f *fleet) takeOver() {
+	f.tenure.epoch++
+	f.pool = scheduler.New("pool/s", f.clock, f.timing, logging.Silent())
+	f.pool.Open(f.tenure, f.tenure.pairs())
+	f.settle()
+}
+
+// add brings executors of one kind that are known to the pool.
+func (f *fleet) add(count int, room peerapi.Capacity, labels ...string) []*fleetExecutor {
+	var added []*fleetExecutor
+	for range count {
+		name := fmt.Sprintf("%03d", len(f.executors))
+		one := &fleetExecutor{ExchangeCall: peerapi.ExchangeCall{Key: "pool/s", Life: "i-" + name, Proxy: "side-" + name, Room: room, Labels: labels}}
+		f.executors = append(f.executors, one)
+		added = append(added, one)
+	}
+	f.pass(2 * fleetTick)
+	return added
+}
+
+func (f *fleet) settle() {
+	for f.pool.Settle(); len(f.tenure.waiting) > 0; f.pool.Settle() {
+		f.tenure.settle(nil)
+	}
+}
+
+// hear exchanges once for an executor and has it obey what it is told.
+func (f *fleet) hear(one *fleetExecutor) {
+	call := one.ExchangeCall
+	call.Fence, call.Look = f.tenure.epoch, 1<<40
+	for _, order := range one.running {
+		call.Running = append(call.Running, peerapi.RunReport{Task: order.Task, Run: order.Run})
+	}
+	one.Answers = nil
+	f.pool.Exchange(&call, func(answer peerapi.ExchangeAnswer) {
+		one.Ends = slices.DeleteFunc(one.Ends, func(end peerapi.EndReport) bool { return end.Number <= answer.LastSeen })
+		for _, order := range answer.Orders {
+			one.obey(order)
+		}
+	})
+	f.settle()
+}
+
+func (one *fleetExecutor) obey(order peerapi.Order) {
+	result := "ok"
+	switch {
+	case order.Kind == "stop":
+		one.end(order.Task, "stopped")
+	case one.refusal != "":
+		result = one.refusal
+	default:
+		one.starts++
+		one.running = append(one.running, order)
+	}
+	one.Answers = append(one.Answers, peerapi.OrderAnswer{Task: order.Task, Run: order.Run, Kind: order.Kind, Result: result})
+}
+
+// end ends the run of a task here, if there is one.
+func (one *fleetExecutor) end(task, how string) {
+	one.running = slices.DeleteFunc(one.running, func(order peerapi.Order) bool {
+		if order.Task != task {
+			return false
+		}
+		one.lastEnd++
+		one.Ends = append(one.Ends, peerapi.EndReport{Number: one.lastEnd, Task: task, Run: order.Run, How: how})
+		return true
+	})
+}
+
+// endAll ends all that runs anywhere.
+func (f *fleet) endAll(how string) {
+	for _, one := range f.executors {
+		for _, order := range slices.Clone(one.running) {
+			one.end(order.Task, how)
+		}
+	}
+}
+
+// pass lets time go on.
+func (f *fleet) pass(length time.Duration) {
+	for end := f.clock.Steady() + length; f.clock.Steady() < end; f.clock.Advance(fleetTick) {
+		f.pool.Tick()
+		f.settle()
+		for _, one := range f.executors {
+			if !one.isSilent {
+				f.hear(one)
+			}
+		}
+	}
+}
+
+func (f *fleet) handIn(id string, terms peerapi.RouteTerms, body string) {
+	f.pool.HandIn(&peerapi.ClientCall{Entry: "e", ID: id, Terms: &terms, Body: []byte(body)}, func(answer peerapi.ClientAnswer) {
+		Expect(answer.Status).To(Equal(200))
+	})
+	f.settle()
+}
+
+func (f *fleet) state(id string) (told string) {
+	f.pool.State(&peerapi.ClientCall{Entry: "e", ID: id}, func(answer peerapi.ClientAnswer) { told = fmt.Sprint(answer.Status, string(answer.Body)) })
+	f.settle()
+	return told
+}
+
+// tasks names what runs now, and on how many executors.
+func (f *fleet) tasks() []string {
+	var names []string
+	for _, one := range f.executors {
+		for _, order := range one.running {
+			names = append(names, order.Task)
+		}
+	}
+	return names
+}
+
+func (f *fleet) starts() (count int) {
+	for _, one := range f.executors {
+		count += one.starts
+	}
+	return count
+}
--- a/internal/scheduler/model.go
+++ b/internal/scheduler/model.go
@@ -41,8 +41,10 @@
 	doneTimes  map[int]bool
 	nextTime   int
 	hasStarted bool
-	runs       int
-	chain      int64
+	// isUnreadable is set if a record of the job can't be read: it is known and not run.
+	isUnreadable bool
+	runs         int
+	chain        int64
 }
 
 func (j *job) isOpen() bool { return j.state == stateQueued || j.state == stateActive }
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -8,7 +8,6 @@
 	"math"
 	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -90,6 +89,7 @@
 	looks        uint64
 	began        time.Duration
 	needsPlacing bool
+	unreadable   []string
 	trusts       map[string]*trust
 
 	ops      []peerapi.Op
@@ -138,27 +138,25 @@
 // Opener lets an engine hand the key to the pool.
 type Opener struct{ *Pool }
 
-// Open passes the leadership on to the pool.
+// Open passes the leadership on to the pool, which no record keeps from opening.
 func (o Opener) Open(tenure *replication.Leadership, pairs []peerapi.Op) error {
-	return o.Pool.Open(tenure, pairs)
+	o.Pool.Open(tenure, pairs)
+	return nil
 }
 
-// Open takes the key over with what is committed of it; an error names the record that can't be read.
-func (p *Pool) Open(tenure Tenure, pairs []peerapi.Op) error {
+// Open takes the key over with what is committed of it.
+func (p *Pool) Open(tenure Tenure, pairs []peerapi.Op) {
 	p.jobs, p.lives, p.queued = map[string]*job{}, map[string]*life{}, map[string]int{}
 	p.roster, p.open, p.usage = roster{}, newOpenSteps(), map[int]usage{}
 	p.pending, p.broken, p.ended, p.timesAtMs = map[*run]bool{}, map[*stepState]bool{}, nil, 0
 	p.ops, p.opTasks, p.effects, p.flights, p.opPlaces, p.toRelease = nil, nil, nil, nil, map[string]int{}, map[*life]bool{}
 	p.untimed, p.peaks, p.newest = map[string]*job{}, map[int]*peak{}, map[string]*life{}
-	p.spreads = map[string]*spread{}
+	p.spreads, p.unreadable = map[string]*spread{}, nil
 	p.began = p.clock.Steady()
-	if err := p.load(pairs); err != nil {
-		return errors.Annotatef(err, "loading %s", p.key)
-	}
+	p.load(pairs)
 	p.tenure = tenure
 	p.needsPlacing = true
 	p.Settle()
-	return nil
 }
 
 // Close gives the key up: exchanges that wait are sent elsewhere, and calls whose changes are not committed fail.
@@ -267,150 +265,6 @@
 	}
 }
 
-func (p *Pool) load(pairs []peerapi.Op) error {
-	kept := map[byte][]peerapi.Op{}
-	for _, pair := range pairs {
-		if len(pair.Name) > 2 {
-			kept[pair.Name[0]] = append(kept[pair.Name[0]], pair)
-		}
-	}
-	for _, load := range []struct {
-		kind byte
-		take func(name string, value []byte) error
-	}{{'j', p.loadJob}, {'s', p.loadState}, {'k', p.loadTime}} {
-		for _, pair := range kept[load.kind] {
-			if err := load.take(pair.Name[2:], pair.Value); err != nil {
-				return errors.Annotate(err, pair.Name)
-			}
-		}
-	}
-	p.makeTimes()
-	for _, pair := range kept['t'] {
-		if err := p.loadTask(pair.Name[2:], pair.Value); err != nil {
-			return errors.Annotate(err, pair.Name)
-		}
-	}
-	for _, pair := range kept['e'] {
-		if err := p.loadExecutor(pair.Name[2:], pair.Value); err != nil {
-			return errors.Annotate(err, pair.Name)
-		}
-	}
-	for _, id := range slices.Sorted(maps.Keys(p.jobs)) {
-		if one := p.jobs[id]; one.spec != nil {
-			p.reopen(one)
-		} else {
-			p.noteEnded(one)
-		}
-	}
-	return nil
-}
-
-func (p *Pool) loadJob(id string, value []byte) error {
-	one := &job{id: id, state: stateQueued, times: map[int]*jobTime{}, doneTimes: map[int]bool{}}
-	if err := easyjson.Unmarshal(value, &one.record); err != nil {
-		return err
-	}
-	spec, err := jobs.Read(one.record.Spec)
-	if err != nil {
-		return err
-	}
-	one.spec, one.record.Spec = spec, nil
-	p.jobs[id], p.untimed[id] = one, one
-	p.queued[one.record.Entry]++
-	return nil
-}
-
-func (p *Pool) loadState(id string, value []byte) error {
-	var record stateRecord
-	if err := easyjson.Unmarshal(value, &record); err != nil {
-		return err
-	}
-	one := p.jobs[id]
-	if one == nil {
-		one = &job{id: id, times: map[int]*jobTime{}, doneTimes: map[int]bool{}}
-		p.jobs[id] = one
-	} else {
-		p.queued[record.Entry]--
-	}
-	one.state, one.endedMs, one.record.Entry = record.State, record.EndedMs, record.Entry
-	return nil
-}
-
-func (p *Pool) loadTime(name string, _ []byte) error {
-	id, number, isWhole := strings.Cut(name, "/")
-	count, err := strconv.Atoi(number)
-	if !isWhole || err != nil {
-		return errors.New("not ID/K")
-	}
-	if one := p.jobs[id]; one != nil {
-		one.doneTimes[count] = true
-	}
-	return nil
-}
-
-func (p *Pool) loadTask(name string, value []byte) error {
-	place, isTask := jobs.ParseTask(name)
-	var record taskRecord
-	if err := easyjson.Unmarshal(value, &record); err != nil || !isTask {
-		return errors.Errorf("a task that can't be read: %v", err)
-	}
-	one := p.jobs[place.ID]
-	if one == nil || one.spec == nil || one.doneTimes[place.Time] {
-		return nil
-	}
-	spell := p.timeOf(one, place.Time)
-	if place.Step >= len(spell.steps) || place.Index >= len(spell.steps[place.Step].tasks) {
-		return errors.New("no such task in the job")
-	}
-	step := spell.steps[place.Step]
-	which := step.tasks[place.Index]
-	which.isDone, which.failed, which.lastRun, which.saved = record.Done, record.Failed, record.LastRun, record.Saved
-	if record.Done {
-		step.left--
-		step.file(which)
-	}
-	if record.LastRun > 0 {
-		one.hasStarted = true
-	}
-	for _, was := range record.Runs {
-		p.adopt(which, was)
-	}
-	return nil
-}
-
-func (p *Pool) adopt(which *task, was runRecord) {
-	home := p.lifeOf(was.Life)
-	one := &run{task: which, number: was.Number, life: home, state: was.State, isCommitted: true, startedAt: p.began, orderedAt: p.began}
-	p.hold(one)
-	one.needsLook = home.lookWanted
-}
-
-// reopen works out what was under way when the state was written.
-func (p *Pool) reopen(one *job) {
-	if !one.isOpen() {
-		for _, spell := range one.timesInOrder() {
-			for _, step := range spell.steps {
-				p.stopStep(step)
-			}
-		}
-		return
-	}
-	if one.hasStarted {
-		p.noteStart(one)
-	}
-	for _, spell := range one.timesInOrder() {
-		spell.left = 0
-		for _, step := range spell.steps {
-			if step.left > 0 {
-				spell.left++
-				continue
-			}
-			p.open.remove(step)
-		}
-		p.openSteps(spell)
-	}
-}
-
 func (p *Pool) lifeOf(id string) *life {
 	one := p.lives[id]
 	if one == nil {
