A gang that lost a member starts again once, not for ever

Cause: the watch over a broken gang (brokenAt) was only taken back by a tick that found the gang without runs. The last of its runs mostly ends in an exchange, which places the gang anew at once: the next tick saw runs, and a breach over a second old, and stopped the new gang, 20 starts a second and no work done, until a tick happened to come in between. Also: a member whose run was closed by a refusal, a look or a lapse began no watch at all, so that the others waited until they ended `alone`; a member stopped by the pool (start never answered, unsure) left the others to wait as well; and two members that failed in one run counted as two failures if the leader changed in between.

--- a/internal/scheduler/exchange.go
+++ b/internal/scheduler/exchange.go
@@ -309,9 +309,7 @@
 	home.isKnown = false
 	p.unpark(home, peerapi.ExchangeAnswer{})
 	for _, one := range home.inOrder() {
-		step := one.task.step
 		p.closeRun(one)
-		p.noteBroken(step)
 	}
 	p.forgetLife(home)
 	p.needsPlacing = true
--- /dev/null
+++ b/internal/scheduler/gangs_test.go
@@ -0,0 +1,80 @@
+package scheduler_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gannetline/internal/peerapi"
+)
+
+var _ = Describe("a gang that loses a member", func() {
+	const gangOfThree = `{"task-descriptor":"d","step-list":[{"task-count":3,"cpu-units":3000,"estimated-ms":60000,"gang-scheduled":true}]}`
+	const secondID = "5c0e7a21d94b36f9"
+	var f *fleet
+	BeforeEach(func() {
+		f = newFleet(timing)
+		f.add(6, peerapi.Capacity{CPU: 4000, Memory: 4000}, "a", "r1")
+		f.handIn(id, peerapi.RouteTerms{MaxAttempts: 2}, gangOfThree)
+		f.pass(time.Second)
+		Expect(f.tasks()).To(HaveLen(3))
+	})
+
+	It("starts again once, and is then left to its work", func() {
+		for _, one := range f.executors {
+			if len(one.running) > 0 {
+				one.isSilent = true
+				break
+			}
+		}
+		f.pass(10 * time.Second)
+		before := f.starts()
+		f.pass(10 * time.Second)
+		Expect(f.starts()).To(Equal(before))
+		Expect(before).To(Equal(6))
+	})
+
+	It("counts two members that failed in one run once, also where the leader changes between them", func() {
+		var failed int
+		for _, one := range f.executors {
+			if len(one.running) > 0 {
+				one.end(one.running[0].Task, "failed")
+				if failed++; failed == 1 {
+					f.hear(one)
+					f.takeOver()
+					continue
+				}
+				break
+			}
+		}
+		f.pass(100 * time.Millisecond)
+		Expect(f.state(id)).To(ContainSubstring("active"))
+	})
+
+	It("is not left waiting by a member that was refused", func() {
+		f.endAll("lapsed")
+		for _, one := range f.executors {
+			if one.refusal = "room"; one.Life == "i-005" {
+				one.refusal = ""
+			}
+		}
+		f.pass(1500 * time.Millisecond)
+		for _, one := range f.executors {
+			one.refusal = ""
+		}
+		f.pass(2500 * time.Millisecond)
+		Expect(f.tasks()).To(HaveLen(3))
+	})
+
+	It("is stopped before its members are through with waiting for one whose start is never answered", func() {
+		f.endAll("done")
+		f.pass(time.Second)
+		f.executors[0].refusal = "timeout"
+		f.handIn(secondID, peerapi.RouteTerms{MaxAttempts: 2}, gangOfThree)
+		f.pass(time.Second)
+		Expect(f.tasks()).To(HaveLen(2))
+		f.pass(1400 * time.Millisecond)
+		Expect(f.tasks()).To(BeEmpty())
+	})
+})
--- a/internal/scheduler/load.go
+++ b/internal/scheduler/load.go
@@ -162,6 +162,7 @@
 	step := p.timeOf(one.job, one.place.Time).steps[one.place.Step]
 	which := step.tasks[one.place.Index]
 	which.isDone, which.failed, which.lastRun, which.saved = record.Done || isOver, record.Failed, record.LastRun, record.Saved
+	step.failedRun = max(step.failedRun, record.FailedRun)
 	if which.isDone {
 		step.left--
 		step.file(which)
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -356,6 +356,9 @@
 			continue
 		}
 		record := taskRecord{Done: which.isDone, Failed: which.failed, LastRun: which.lastRun, Saved: which.saved}
+		if which.index == 0 {
+			record.FailedRun = which.step.failedRun
+		}
 		for _, one := range which.runs {
 			record.Runs = append(record.Runs, runRecord{one.number, one.life.id, one.state})
 		}
--- a/internal/scheduler/records.go
+++ b/internal/scheduler/records.go
@@ -34,6 +34,8 @@
 	LastRun int64       `json:"r,omitempty"`
 	Saved   string      `json:"c,omitempty"`
 	Runs    []runRecord `json:"x,omitempty"`
+	// FailedRun is the last run of a gang that counts among Failed; it stands in the record of the first task.
+	FailedRun int64 `json:"g,omitempty"`
 }
 
 type orderRecord struct {
--- a/internal/scheduler/records_easyjson.go
+++ b/internal/scheduler/records_easyjson.go
@@ -147,6 +147,12 @@
 				}
 				in.Delim(']')
 			}
+		case "g":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.FailedRun = int64(in.Int64())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -216,6 +222,16 @@
 			out.RawByte(']')
 		}
 	}
+	if in.FailedRun != 0 {
+		const prefix string = ",\"g\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		out.Int64(int64(in.FailedRun))
+	}
 	out.RawByte('}')
 }
 
--- a/internal/scheduler/runs.go
+++ b/internal/scheduler/runs.go
@@ -16,6 +16,7 @@
 	p.meters.placements.Inc()
 	one := &run{task: which, number: number, life: home, state: runLaunching, orderedAt: p.clock.Steady()}
 	which.lastRun = number
+	p.noteWhole(which.step)
 	p.recordExecutor(home)
 	p.hold(one)
 	p.put(orderName(which, number, kindLaunch), orderRecord{Life: home.id})
@@ -48,6 +49,7 @@
 	p.roster.note(one.life)
 }
 
+// stopRun has a run stopped, and with a member of a gang all others, which could only wait for it.
 func (p *Pool) stopRun(one *run) {
 	if one.state == runStopping {
 		return
@@ -68,6 +70,9 @@
 			p.queue(one)
 		}
 	})
+	if one.task.step.step.Gang {
+		p.stopStep(one.task.step)
+	}
 }
 
 func (p *Pool) stopStep(step *stepState) {
@@ -100,6 +105,7 @@
 	which.runs = slices.DeleteFunc(which.runs, func(other *run) bool { return other == one })
 	p.free(which.step.priority(), which.step.need())
 	p.noteChange(one)
+	p.noteBroken(which.step)
 	switch one.state {
 	case runLaunching:
 		p.drop(orderName(which, one.number, kindLaunch))
@@ -168,9 +174,6 @@
 	default:
 		p.closeRun(one)
 	}
-	if end.How != "done" {
-		p.noteBroken(which.step)
-	}
 }
 
 // takeForgottenEnd believes a run that was given up and came to its end all the same: its task must not start again.
--- a/internal/scheduler/tick.go
+++ b/internal/scheduler/tick.go
@@ -61,6 +61,7 @@
 	}
 }
 
+// noteBroken begins to watch a gang that has lost a member, whichever way: what is left of it can only wait.
 func (p *Pool) noteBroken(step *stepState) {
 	if step.step.Gang && step.hasRuns() && step.brokenAt == 0 {
 		step.brokenAt = p.clock.Steady()
@@ -68,6 +69,12 @@
 	}
 }
 
+// noteWhole ends the watch over a gang that starts again, as the members it has now are not those that were broken.
+func (p *Pool) noteWhole(step *stepState) {
+	step.brokenAt = 0
+	delete(p.broken, step)
+}
+
 func (p *Pool) tickLife(home *life, now time.Duration) {
 	home.fails, home.dones = home.fails*0.99, home.dones*0.99
 	if p.isOutlived(home, now) {
