No soft limit keeps a step from its first run while room stands empty

Cause: headroom for the urgent, reservations for large tasks and trust that is to be earned are preferences, but each could keep a job from all room: a burst of urgent work kept up to 0.6 of the room for long after it; as many large steps without room as there are executors reserved every executor, also such as lack their label; after a loss of many executors each took one run for 8 s and more.

Mended: a step of which nothing has run for a second takes its first run, or its gang, past these limits, while under 0.6 of all CPU is in use. An executor is reserved only for tasks that may use it.

The placement that walks through everything, to which the quick one is compared at random, has the rule as well.

--- a/internal/placement/cost_test.go
+++ b/internal/placement/cost_test.go
@@ -29,7 +29,7 @@
 		b.Run(fmt.Sprintf("executors=%d", size), func(b *testing.B) {
 			b.ReportAllocs()
 			for range b.N {
-				placement.Place(all, line, nil)
+				placement.Place(all, line, placement.Limits{})
 			}
 		})
 	}
--- a/internal/placement/most_test.go
+++ b/internal/placement/most_test.go
@@ -29,7 +29,7 @@
 			{Need: one, Count: 5, Due: 2},
 			{Count: 5, Due: 3},
 		}
-		placed := placement.PlaceInAnyOrder(executors(), groups, nil)
+		placed := placement.PlaceInAnyOrder(executors(), groups, placement.Limits{})
 		Expect(placed).To(HaveLen(14))
 		Expect(placedOn(placed, 0)).To(Equal(2))
 	})
@@ -39,7 +39,7 @@
 			{Need: one, Count: 3, IsGang: true, Apart: 1},
 			{Need: one, Count: 2, Due: 1},
 		}
-		placed := placement.PlaceInAnyOrder(executors(), groups, nil)
+		placed := placement.PlaceInAnyOrder(executors(), groups, placement.Limits{})
 		Expect(placedOn(placed, 0)).To(Equal(2))
 	})
 
@@ -51,6 +51,6 @@
 			{Need: one, Count: 2, IsGang: true, Apart: 1, Due: 1},
 			{Need: one, Count: 5, Due: 2},
 		}
-		Expect(placedOn(placement.PlaceInAnyOrder(few, groups, nil), 0)).To(Equal(3))
+		Expect(placedOn(placement.PlaceInAnyOrder(few, groups, placement.Limits{}), 0)).To(Equal(3))
 	})
 })
--- a/internal/placement/oracle_test.go
+++ b/internal/placement/oracle_test.go
@@ -33,7 +33,8 @@
 }
 
 // PlaceByWalking is the plain way to place: all executors are looked at for each task.
-func PlaceByWalking(executors []Executor, sparse []*Group, left map[int]Room) []Placement {
+func PlaceByWalking(executors []Executor, sparse []*Group, limits Limits) []Placement {
+	left, firstRuns := limits.Left, limits.FirstRuns
 	groups := denseGroups(sparse, len(executors))
 	free := make([]Room, len(executors))
 	for place, executor := range executors {
@@ -52,20 +53,29 @@
 	for _, number := range order {
 		group := &groups[number]
 		allowance := allowanceOf(left, group.Group)
+		isFirst := group.IsIdle && !group.IsSpare && firstRuns > 0
 		if group.IsGang {
-			if allowance.covers(group.Need.Times(float64(group.Count))) {
+			if isFirst || allowance.covers(group.Need.Times(float64(group.Count))) {
 				gang := placeGang(executors, free, added, group, number)
+				if gang == nil && isFirst {
+					gang = placeGang(unlimited(executors), free, added, group, number)
+				}
 				allowance.spend(group.Need.Times(float64(len(gang))))
+				firstRuns -= group.Need.CPU * int64(len(gang))
 				placed = append(placed, gang...)
 			}
 			continue
 		}
 		held := slices.Clone(group.held)
-		for range group.Count {
-			if !allowance.covers(group.Need) {
+		for count := range group.Count {
+			isFirst = isFirst && count == 0
+			if !isFirst && !allowance.covers(group.Need) {
 				break
 			}
 			best := choose(executors, free, reserved, added, group, held)
+			if best < 0 && isFirst {
+				best = choose(unlimited(executors), free, make([]bool, len(executors)), added, group, held)
+			}
 			if best < 0 {
 				if !group.IsSpare && !group.IsNearOnly {
 					reserve(executors, free, reserved, group)
@@ -76,12 +86,22 @@
 			held[best]++
 			added[best]++
 			allowance.spend(group.Need)
+			firstRuns -= group.Need.CPU
 			placed = append(placed, Placement{number, best})
 		}
 	}
 	return placed
 }
 
+// unlimited gives the executors without any bound on their runs.
+func unlimited(executors []Executor) []Executor {
+	all := slices.Clone(executors)
+	for place := range all {
+		all[place].Most = 0
+	}
+	return all
+}
+
 func allowed(executor *Executor, group *denseGroup, held []int, place int) bool {
 	isBarred := len(group.barred) > place && group.barred[place]
 	if executor.IsClosed || isBarred || group.Apart > 0 && held[place] >= group.Apart || group.IsNearOnly && !isNear(executor, group.Group) {
@@ -99,7 +119,7 @@
 	best, bestScore := -1, 0.0
 	for place := range executors {
 		executor := &executors[place]
-		isLimited := executor.Most > 0 && added[place] >= executor.Most
+		isLimited := executor.Most == NoMore || executor.Most > 0 && added[place] >= executor.Most
 		if isLimited || reserved[place] || !allowed(executor, group, held, place) || !free[place].Fits(group.Need) {
 			continue
 		}
@@ -120,7 +140,8 @@
 	for place := range executors {
 		executor := &executors[place]
 		isLarge := 3*group.Need.CPU > executor.Total.CPU || 3*group.Need.Memory > executor.Total.Memory
-		if reserved[place] || executor.IsClosed || !isLarge || !executor.Total.Fits(group.Need) {
+		mayUse := !(len(group.Barred) > place && group.Barred[place]) && hasAll(executor.Labels, group.Labels)
+		if !mayUse || reserved[place] || executor.IsClosed || executor.Most == NoMore || !isLarge || !executor.Total.Fits(group.Need) {
 			continue
 		}
 		if best < 0 || free[place].CPU > free[best].CPU {
@@ -193,7 +214,7 @@
 }
 
 // PlaceInAnyOrder lines the groups up first; placements name them as they were given.
-func PlaceInAnyOrder(executors []Executor, groups []*Group, left map[int]Room) []Placement {
+func PlaceInAnyOrder(executors []Executor, groups []*Group, limits Limits) []Placement {
 	var firsts, spares []int
 	for number, group := range groups {
 		if group.IsSpare {
@@ -218,7 +239,7 @@
 		}
 		line.Groups = append(line.Groups, groups[number])
 	}
-	placed := Place(executors, line, left)
+	placed := Place(executors, line, limits)
 	for place := range placed {
 		placed[place].Group = order[placed[place].Group]
 	}
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -49,10 +49,16 @@
 	Rack     string
 	IsClosed bool
 	Doubt    float64
-	// Most is how many runs may be added where trust is to be earned first; 0 sets no bound.
+	// Most is how many runs may be added where trust is to be earned first; 0 sets no bound, NoMore adds none.
 	Most int
 }
 
+// NoMore is the Most of an executor that has as many runs as it is trusted with.
+const NoMore = -1
+
+// isShut tells whether only first runs, if any, may be added.
+func (e *Executor) isShut() bool { return e.IsClosed || e.Most == NoMore }
+
 // Group is the tasks of one step that may start now; they all ask for the same. Executors are named by their place;
 // Held counts those that hold tasks of the step already, and matters only with Apart.
 type Group struct {
@@ -71,9 +77,11 @@
 	Barred     []bool
 	IsSpare    bool
 	IsLong     bool
-	Priority   int
-	Chance     Chance
-	Due        int64
+	// IsIdle tells that none of the step's tasks runs, so that its first run, or its gang, may go past soft limits.
+	IsIdle   bool
+	Priority int
+	Chance   Chance
+	Due      int64
 }
 
 // Chance is what a group's job can still earn. Within a priority what may be in time goes before what is late, and
@@ -100,15 +108,22 @@
 	Least  Room
 }
 
-// Place gives the starts that fit, in the order of the line. Left is what long work of a priority may still take of
-// all room together; a priority without an entry may take all there is.
-func Place(executors []Executor, line Line, left map[int]Room) []Placement {
+// Limits are the soft limits of a placement. Left is what long work of a priority may still take of all room
+// together; a priority without an entry may take all there is. As long as less CPU than FirstRuns has been given out,
+// Left, reservations and the Most of executors keep no step from its first run.
+type Limits struct {
+	Left      map[int]Room
+	FirstRuns int64
+}
+
+// Place gives the starts that fit, in the order of the line.
+func Place(executors []Executor, line Line, limits Limits) []Placement {
 	if len(line.Groups)+len(line.Spares) == 0 {
 		return nil
 	}
-	turn := newTurn(executors, line.Least)
-	turn.placeAll(line.Groups, 0, left)
-	turn.placeAll(line.Spares, len(line.Groups), left)
+	turn := newTurn(executors, line.Least, limits.FirstRuns)
+	turn.placeAll(line.Groups, 0, limits.Left)
+	turn.placeAll(line.Spares, len(line.Groups), limits.Left)
 	return turn.placed
 }
 
@@ -189,7 +204,9 @@
 	most       Room
 	isMostOld  bool
 	isOver     bool
-	failed     []Room
+	failed     misses
+	failedAny  misses
+	firstRuns  int64
 	smallest   Room
 	placed     []Placement
 }
@@ -202,18 +219,20 @@
 	added      int
 }
 
-func newTurn(executors []Executor, least Room) *turn {
-	t := &turn{executors: executors, least: least}
+func newTurn(executors []Executor, least Room, firstRuns int64) *turn {
+	t := &turn{executors: executors, least: least, firstRuns: firstRuns}
 	for place := range executors {
 		executor := &executors[place]
 		if executor.IsClosed {
 			continue
 		}
-		if t.open == 0 {
-			t.smallest = executor.Total
+		if !executor.isShut() {
+			if t.open == 0 {
+				t.smallest = executor.Total
+			}
+			t.smallest = t.smallest.AtMost(executor.Total)
+			t.open++
 		}
-		t.smallest = t.smallest.AtMost(executor.Total)
-		t.open++
 		if executor.Free.Fits(t.least) {
 			t.candidates = append(t.candidates, candidate{place: place, free: executor.Free})
 		}
@@ -228,11 +247,12 @@
 	t.most, t.isMostOld, t.isOver = Room{CPU: -1, Memory: -1, GPU: -1}, false, true
 	for place := range t.candidates {
 		one := &t.candidates[place]
-		if t.hasMost(one) {
+		hasMost := t.hasMost(one)
+		if hasMost && t.firstRuns <= 0 {
 			continue
 		}
 		t.isOver = t.isOver && !one.free.Fits(t.least)
-		if !one.isReserved {
+		if !one.isReserved && !hasMost {
 			t.most = t.most.AtLeast(one.free)
 		}
 	}
@@ -241,24 +261,25 @@
 // hasMost tells whether an executor was given all that it may have in this turn.
 func (t *turn) hasMost(one *candidate) bool {
 	most := t.executors[one.place].Most
-	return most > 0 && one.added >= most
+	return most != 0 && one.added >= max(0, most)
 }
 
+// mayGoPast tells whether soft limits give way to a group, as far as nothing of its step runs.
+func (t *turn) mayGoPast(group *Group) bool { return group.IsIdle && !group.IsSpare && t.firstRuns > 0 }
+
 // hasNoRoom rejects at once a single task that certainly fits nowhere.
-func (t *turn) hasNoRoom(need Room) bool {
-	return t.open == 0 || !t.most.Fits(need) || slices.ContainsFunc(t.failed, need.Fits)
+func (t *turn) hasNoRoom(group *Group) bool {
+	return t.open == 0 || !t.most.Fits(group.Need) || t.failed.covers(group)
 }
 
-// noteFailure remembers a need that fits nowhere, if it was its size alone that failed.
+// noteFailure remembers a need that fits nowhere.
 func (t *turn) noteFailure(group *Group) {
 	if t.isMostOld {
 		t.measure()
 	}
-	isSizeAlone := len(group.Labels) == 0 && group.Apart == 0 && group.Barred == nil && group.Except == nil && !group.IsNearOnly
-	if !isSizeAlone || t.hasNoRoom(group.Need) {
-		return
+	if !t.hasNoRoom(group) {
+		t.failed.note(group)
 	}
-	t.failed = append(slices.DeleteFunc(t.failed, func(old Room) bool { return old.Fits(group.Need) }), group.Need)
 }
 
 func (t *turn) placeSingles(group *Group, number int, allowance allowance) {
@@ -266,13 +287,17 @@
 	if group.Apart > 0 {
 		held = heldBy(group)
 	}
-	for range group.Count {
-		if !allowance.covers(group.Need) {
+	for count := range group.Count {
+		mayGoPast := count == 0 && t.mayGoPast(group)
+		if !mayGoPast && !allowance.covers(group.Need) {
 			return
 		}
 		var best *candidate
-		if !t.hasNoRoom(group.Need) {
-			best = t.choose(group, held, "")
+		if !t.hasNoRoom(group) {
+			best = t.choose(group, held, "", softly)
+		}
+		if best == nil && mayGoPast {
+			best = t.chooseAny(group, held)
 		}
 		if best == nil {
 			t.fail(group)
@@ -284,8 +309,20 @@
 	}
 }
 
+// chooseAny gives the best executor for a first run, past all soft limits.
+func (t *turn) chooseAny(group *Group, held map[int]int) *candidate {
+	if t.failedAny.covers(group) {
+		return nil
+	}
+	best := t.choose(group, held, "", pastLimits)
+	if best == nil {
+		t.failedAny.note(group)
+	}
+	return best
+}
+
 func (t *turn) fail(group *Group) {
-	if !t.hasNoRoom(group.Need) {
+	if !t.hasNoRoom(group) {
 		t.noteFailure(group)
 	}
 	if !group.IsSpare && !group.IsNearOnly && t.open > 0 && !t.isOver {
@@ -304,6 +341,7 @@
 func (t *turn) take(group *Group, held map[int]int, one *candidate) {
 	one.free = one.free.Minus(group.Need)
 	one.added++
+	t.firstRuns -= group.Need.CPU
 	t.isMostOld = true
 	if group.Apart > 0 {
 		held[one.place]++
@@ -325,14 +363,26 @@
 	return true
 }
 
+// strictness says whether soft limits hold: reservations, which gangs may always use, and the Most of executors.
+type strictness bool
+
+const (
+	softly     strictness = true
+	pastLimits strictness = false
+)
+
+func (t *turn) isLimited(group *Group, one *candidate, limits strictness) bool {
+	return limits == softly && (one.isReserved && !group.IsGang || t.hasMost(one))
+}
+
 // choose gives the best executor for one task, on one rack if that is named, or nil.
-func (t *turn) choose(group *Group, held map[int]int, rack string) *candidate {
+func (t *turn) choose(group *Group, held map[int]int, rack string, limits strictness) *candidate {
 	var best *candidate
 	bestScore := 0.0
 	for number := range t.candidates {
 		one := &t.candidates[number]
 		executor := &t.executors[one.place]
-		if one.isReserved && !group.IsGang || t.hasMost(one) || !one.free.Fits(group.Need) ||
+		if !one.free.Fits(group.Need) || t.isLimited(group, one, limits) ||
 			rack != "" && executor.Rack != rack || !t.allows(group, held, one.place) {
 			continue
 		}
@@ -368,11 +418,14 @@
 }
 
 func (t *turn) placeGang(group *Group, number int, allowance allowance) {
-	whole := group.Need.Times(float64(group.Count))
-	if !allowance.covers(whole) {
+	whole, mayGoPast := group.Need.Times(float64(group.Count)), t.mayGoPast(group)
+	if !mayGoPast && !allowance.covers(whole) {
 		return
 	}
-	taken := t.findGang(group)
+	taken := t.findGang(group, softly)
+	if taken == nil && mayGoPast {
+		taken = t.findGang(group, pastLimits)
+	}
 	for _, one := range taken {
 		t.placed = append(t.placed, Placement{number, one.place})
 	}
@@ -380,18 +433,18 @@
 }
 
 // findGang takes the room of a whole gang, or none.
-func (t *turn) findGang(group *Group) []*candidate {
+func (t *turn) findGang(group *Group, limits strictness) []*candidate {
 	if !t.hasSlots(group, "") {
 		return nil
 	}
 	if group.SameRack {
 		for _, rack := range t.racksByFree() {
-			if taken := t.fillGang(group, rack); taken != nil {
+			if taken := t.fillGang(group, rack, limits); taken != nil {
 				return taken
 			}
 		}
 	}
-	return t.fillGang(group, "")
+	return t.fillGang(group, "", limits)
 }
 
 func (t *turn) racksByFree() []string {
@@ -413,18 +466,19 @@
 	return racks
 }
 
-func (t *turn) fillGang(group *Group, rack string) []*candidate {
+func (t *turn) fillGang(group *Group, rack string, limits strictness) []*candidate {
 	if !t.hasSlots(group, rack) {
 		return nil
 	}
 	held := heldBy(group)
 	var taken []*candidate
 	for range group.Count {
-		best := t.choose(group, held, rack)
+		best := t.choose(group, held, rack, limits)
 		if best == nil {
 			for _, one := range taken {
 				one.free = one.free.Plus(group.Need)
 				one.added--
+				t.firstRuns += group.Need.CPU
 			}
 			return nil
 		}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -29,19 +29,19 @@
 	It("keeps a task near its data while it is to wait there, and keeps no room for it elsewhere", func() {
 		near, large := group(3, 10), group(1, 10)
 		near.Near, near.IsNearOnly, large.Due = []string{"r0"}, true, 1
-		placed := placement.PlaceInAnyOrder(executors(4, 10), []*placement.Group{near, large}, nil)
+		placed := placement.PlaceInAnyOrder(executors(4, 10), []*placement.Group{near, large}, placement.Limits{})
 		Expect(placed).To(Equal([]placement.Placement{{Group: 0, Executor: 0}, {Group: 0, Executor: 1}, {Group: 1, Executor: 2}}))
 		near.IsNearOnly = false
-		Expect(placement.PlaceInAnyOrder(executors(4, 10), []*placement.Group{near, large}, nil)).To(HaveLen(4))
+		Expect(placement.PlaceInAnyOrder(executors(4, 10), []*placement.Group{near, large}, placement.Limits{})).To(HaveLen(4))
 	})
 
 	It("takes what can be in time before what is late, and what is too late after all others", func() {
 		late, soon := group(1, 10), group(1, 10)
 		late.Chance, late.Due, soon.Due = placement.ChanceLate, 1, 2
-		Expect(placement.PlaceInAnyOrder(executors(1, 10), []*placement.Group{late, soon}, nil)).To(Equal([]placement.Placement{{Group: 1, Executor: 0}}))
+		Expect(placement.PlaceInAnyOrder(executors(1, 10), []*placement.Group{late, soon}, placement.Limits{})).To(Equal([]placement.Placement{{Group: 1, Executor: 0}}))
 		tooLate, lower := group(1, 10), group(1, 10)
 		tooLate.Chance, lower.Priority = placement.ChanceTooLate, 2
-		Expect(placement.PlaceInAnyOrder(executors(1, 10), []*placement.Group{tooLate, lower}, nil)).To(Equal([]placement.Placement{{Group: 1, Executor: 0}}))
+		Expect(placement.PlaceInAnyOrder(executors(1, 10), []*placement.Group{tooLate, lower}, placement.Limits{})).To(Equal([]placement.Placement{{Group: 1, Executor: 0}}))
 	})
 
 	It("puts the urgent first, then what is due first", func() {
@@ -49,14 +49,14 @@
 		late.Priority, late.Due = 1, 200
 		soon.Priority, soon.Due = 1, 100
 		urgent.Due = 900
-		placed := placement.PlaceInAnyOrder(executors(1, 20), []*placement.Group{late, soon, urgent}, nil)
+		placed := placement.PlaceInAnyOrder(executors(1, 20), []*placement.Group{late, soon, urgent}, placement.Limits{})
 		Expect(placed).To(Equal([]placement.Placement{{Group: 2, Executor: 0}, {Group: 1, Executor: 0}}))
 	})
 
 	It("prefers the rack of the data, and takes another rather than wait", func() {
 		near := group(3, 10)
 		near.Near = []string{"r1"}
-		placed := placement.PlaceInAnyOrder(executors(4, 10), []*placement.Group{near}, nil)
+		placed := placement.PlaceInAnyOrder(executors(4, 10), []*placement.Group{near}, placement.Limits{})
 		Expect(placed).To(HaveLen(3))
 		Expect([]int{placed[0].Executor, placed[1].Executor}).To(ConsistOf(2, 3))
 	})
@@ -64,13 +64,13 @@
 	It("starts a gang whole or not at all, on one rack if it fits there", func() {
 		gang := group(3, 10)
 		gang.IsGang, gang.SameRack = true, true
-		placed := placement.PlaceInAnyOrder(executors(4, 20), []*placement.Group{gang}, nil)
+		placed := placement.PlaceInAnyOrder(executors(4, 20), []*placement.Group{gang}, placement.Limits{})
 		Expect(placed).To(HaveLen(3))
 		for _, one := range placed {
 			Expect(one.Executor / 2).To(Equal(placed[0].Executor / 2))
 		}
 		gang.Count = 9
-		Expect(placement.PlaceInAnyOrder(executors(4, 20), []*placement.Group{gang}, nil)).To(BeEmpty())
+		Expect(placement.PlaceInAnyOrder(executors(4, 20), []*placement.Group{gang}, placement.Limits{})).To(BeEmpty())
 	})
 
 	It("keeps an executor for a large task that small ones would push aside for ever", func() {
@@ -78,7 +78,7 @@
 		small.Due = 5
 		all := executors(2, 20)
 		all[0].Free.CPU, all[1].Free.CPU = 8, 12
-		placed := placement.PlaceInAnyOrder(all, []*placement.Group{large, small}, nil)
+		placed := placement.PlaceInAnyOrder(all, []*placement.Group{large, small}, placement.Limits{})
 		for _, one := range placed {
 			Expect(one.Executor).To(Equal(0))
 		}
@@ -88,18 +88,18 @@
 		long, short := group(4, 10), group(1, 10)
 		long.Priority, long.IsLong, short.Priority = 2, true, 2
 		left := map[int]placement.Room{2: {CPU: 20, Memory: 1000}}
-		placed := placement.PlaceInAnyOrder(executors(2, 20), []*placement.Group{long}, left)
+		placed := placement.PlaceInAnyOrder(executors(2, 20), []*placement.Group{long}, placement.Limits{Left: left})
 		Expect(placed).To(HaveLen(2))
 		left = map[int]placement.Room{2: {}}
-		Expect(placement.PlaceInAnyOrder(executors(2, 20), []*placement.Group{short}, left)).To(HaveLen(1))
+		Expect(placement.PlaceInAnyOrder(executors(2, 20), []*placement.Group{short}, placement.Limits{Left: left})).To(HaveLen(1))
 	})
 
 	It("gives a spare run another executor, and only what is left over", func() {
 		spare, first := group(1, 10), group(1, 10)
 		spare.IsSpare, spare.Barred = true, []bool{true}
 		first.Priority = 3
-		Expect(placement.PlaceInAnyOrder(executors(1, 20), []*placement.Group{spare}, nil)).To(BeEmpty())
-		placed := placement.PlaceInAnyOrder(executors(1, 10), []*placement.Group{spare, first}, nil)
+		Expect(placement.PlaceInAnyOrder(executors(1, 20), []*placement.Group{spare}, placement.Limits{})).To(BeEmpty())
+		placed := placement.PlaceInAnyOrder(executors(1, 10), []*placement.Group{spare, first}, placement.Limits{})
 		Expect(placed).To(Equal([]placement.Placement{{Group: 1, Executor: 0}}))
 	})
 
@@ -122,7 +122,7 @@
 			}
 			used, held := map[int]int64{}, map[placement.Placement]int{}
 			counts := map[int]int{}
-			for _, one := range placement.PlaceInAnyOrder(all, groups, nil) {
+			for _, one := range placement.PlaceInAnyOrder(all, groups, placement.Limits{}) {
 				used[one.Executor] += groups[one.Group].Need.CPU
 				held[one]++
 				counts[one.Group]++
@@ -146,14 +146,23 @@
 		}
 	})
 
+	It("reserves no executor for a large task that can't use it", func() {
+		all := executors(2, 10)
+		all[1].Free.CPU = 5
+		large, small := group(1, 10), group(3, 5)
+		large.Labels, small.Due = []string{"r1"}, 1
+		placed := placement.PlaceInAnyOrder(all, []*placement.Group{large, small}, placement.Limits{})
+		Expect(placed).To(HaveLen(3))
+	})
+
 	It("starts the same tasks on the same executors as the plain way does", func() {
 		draw := rand.New(rand.NewPCG(7, 7))
 		starts := 0
 		for range 4000 {
 			all, groups, left := drawPlacement(draw)
-			other := maps.Clone(left)
-			placed := placement.PlaceInAnyOrder(all, groups, left)
-			Expect(placed).To(Equal(placement.PlaceByWalking(all, groups, other)))
+			other, firstRuns := maps.Clone(left), max(0, int64(draw.IntN(400))-200)
+			placed := placement.PlaceInAnyOrder(all, groups, placement.Limits{Left: left, FirstRuns: firstRuns})
+			Expect(placed).To(Equal(placement.PlaceByWalking(all, groups, placement.Limits{Left: other, FirstRuns: firstRuns})))
 			Expect(left).To(Equal(other))
 			starts += len(placed)
 		}
@@ -169,7 +178,7 @@
 		one.Free = placement.Room{CPU: int64(draw.IntN(int(one.Total.CPU)+4)) - 3, Memory: int64(draw.IntN(1000)), GPU: one.Total.GPU}
 		one.IsClosed, one.Doubt = draw.IntN(5) == 0, float64(draw.IntN(3))/10
 		if draw.IntN(5) == 0 {
-			one.Most = 1 + draw.IntN(2)
+			one.Most = []int{1, 2, placement.NoMore}[draw.IntN(3)]
 		}
 		if draw.IntN(3) == 0 {
 			one.Labels = append([]string{"b"}, one.Labels...)
@@ -189,7 +198,7 @@
 	one := group(1+draw.IntN(8), int64(draw.IntN(14)))
 	one.Need.Memory, one.Need.GPU = int64(draw.IntN(400)), int64(draw.IntN(8)/7)
 	one.Priority, one.Due, one.IsLong = draw.IntN(3), int64(draw.IntN(5)), draw.IntN(3) == 0
-	one.IsGang, one.SameRack = draw.IntN(5) == 0, draw.IntN(2) == 0
+	one.IsGang, one.SameRack, one.IsIdle = draw.IntN(5) == 0, draw.IntN(2) == 0, draw.IntN(2) == 0
 	if draw.IntN(3) == 0 {
 		one.Apart, one.Held = 1+draw.IntN(2), map[int]int{draw.IntN(executors): 1, draw.IntN(executors): 2}
 	}
--- a/internal/placement/reserve.go
+++ b/internal/placement/reserve.go
@@ -45,19 +45,40 @@
 	}
 }
 
-func (s *size) takeEmptiest() {
-	if one := s.emptiest().candidate; one != noCandidate {
+// take reserves an executor and removes it from the heap.
+func (s *size) take(number int) {
+	if one := s.places[number].candidate; one != noCandidate {
 		s.candidates[one].isReserved = true
 	}
-	last := len(s.places) - 1
-	s.places[0] = s.places[last]
-	s.places = s.places[:last]
-	if last > 0 {
-		heap.Fix(s, 0)
+	heap.Remove(s, number)
+	s.places = s.places[:len(s.places)-1]
+}
+
+// emptiestFor finds the emptiest executor that a group with labels, or with executors barred, may use at all.
+func (s *size) emptiestFor(group *Group, executors []Executor) (best emptiness, number int) {
+	number = -1
+	for place, one := range s.places {
+		if one.candidate != noCandidate {
+			one.cpu = s.candidates[one.candidate].free.CPU
+		}
+		isBarred := len(group.Barred) > one.place && group.Barred[one.place]
+		if !isBarred && hasAll(executors[one.place].Labels, group.Labels) && (number < 0 || one.isBefore(best)) {
+			best, number = one, place
+		}
 	}
+	return best, number
 }
 
-// reserve keeps the emptiest executor for a large task, so that it does not starve behind small later ones.
+// findEmptiest gives the emptiest executor of this size that a group may use, by its number in the heap.
+func (s *size) findEmptiest(group *Group, executors []Executor) (best emptiness, number int) {
+	if len(group.Labels) == 0 && group.Barred == nil {
+		return s.emptiest(), 0
+	}
+	return s.emptiestFor(group, executors)
+}
+
+// reserve keeps the emptiest executor for a large task, so that it does not starve behind small later ones. One that
+// the task can't use is left to others.
 func (t *turn) reserve(group *Group) {
 	if 3*group.Need.CPU <= t.smallest.CPU && 3*group.Need.Memory <= t.smallest.Memory {
 		return
@@ -65,16 +86,21 @@
 	if t.sizes == nil {
 		t.sizes = t.bySize()
 	}
-	var best *size
+	var best emptiness
+	var of *size
+	var inHeap int
 	for _, one := range t.sizes {
-		if one.suits(group.Need) && (best == nil || one.emptiest().isBefore(best.emptiest())) {
-			best = one
+		if !one.suits(group.Need) {
+			continue
+		}
+		if top, number := one.findEmptiest(group, t.executors); number >= 0 && (of == nil || top.isBefore(best)) {
+			best, of, inHeap = top, one, number
 		}
 	}
-	if best == nil {
+	if of == nil {
 		return
 	}
-	best.takeEmptiest()
+	of.take(inHeap)
 	t.open--
 	t.isMostOld = true
 }
@@ -85,7 +111,11 @@
 	next := 0
 	for place := range t.executors {
 		executor := &t.executors[place]
-		if executor.IsClosed {
+		isCandidate := next < len(t.candidates) && t.candidates[next].place == place
+		if isCandidate {
+			next++
+		}
+		if executor.isShut() {
 			continue
 		}
 		of := known[executor.Total]
@@ -95,9 +125,8 @@
 			sizes = append(sizes, of)
 		}
 		one := emptiness{place, executor.Free.CPU, noCandidate}
-		if next < len(t.candidates) && t.candidates[next].place == place {
-			one.candidate, one.cpu = next, t.candidates[next].free.CPU
-			next++
+		if isCandidate {
+			one.candidate, one.cpu = next-1, t.candidates[next-1].free.CPU
 		}
 		of.places = append(of.places, one)
 	}
--- a/internal/scheduler/headroom.go
+++ b/internal/scheduler/headroom.go
@@ -35,6 +35,19 @@
 
 type demand struct{ asked, used placement.Room }
 
+// firstRunShare is the part of all CPU up to which no soft limit keeps a step from its first run. It is over half, as
+// runs that have ended count as running here until that is told.
+const firstRunShare = 0.6
+
+// limits are the soft limits of a placement now.
+func (p *Pool) limits(now time.Duration) placement.Limits {
+	var used int64
+	for _, one := range p.usage {
+		used += one.room.CPU
+	}
+	return placement.Limits{Left: p.headroom(p.roster.open, now), FirstRuns: int64(firstRunShare*float64(p.roster.all.CPU)) - used}
+}
+
 // headroom gives each priority what it may still take, so that urgent jobs find room when they come.
 func (p *Pool) headroom(total placement.Room, now time.Duration) map[int]placement.Room {
 	demands := p.demands()
--- a/internal/scheduler/model.go
+++ b/internal/scheduler/model.go
@@ -113,13 +113,15 @@
 }
 
 type stepState struct {
-	time      *jobTime
-	number    int
-	step      *jobs.Step
-	tasks     []*task
-	left      int
-	isOpen    bool
-	openedAt  time.Duration
+	time     *jobTime
+	number   int
+	step     *jobs.Step
+	tasks    []*task
+	left     int
+	isOpen   bool
+	openedAt time.Duration
+	// ranAt is when a run of the step was last known to work, or when the step opened.
+	ranAt     time.Duration
 	failedRun int64
 	brokenAt  time.Duration
 	lengths   []time.Duration
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -340,7 +340,7 @@
 			isReady = isReady && spell.steps[earlier].left == 0
 		}
 		if isReady {
-			step.isOpen, step.openedAt = true, p.clock.Steady()
+			step.isOpen, step.openedAt, step.ranAt = true, p.clock.Steady(), p.clock.Steady()
 			p.open.add(step)
 			p.needsPlacing = true
 		}
--- a/internal/scheduler/roster.go
+++ b/internal/scheduler/roster.go
@@ -15,11 +15,13 @@
 type roster struct {
 	lives     []*life
 	executors []placement.Executor
-	open      placement.Room
-	version   uint64
-	isStale   bool
-	until     time.Duration
-	changed   []*life
+	// open is the room of those that may be given runs, all that of those that are known.
+	open    placement.Room
+	all     placement.Room
+	version uint64
+	isStale bool
+	until   time.Duration
+	changed []*life
 }
 
 func (r *roster) find(id string) (int, bool) {
@@ -59,7 +61,7 @@
 func (p *Pool) executors(now time.Duration) []placement.Executor {
 	r := &p.roster
 	if r.isStale || now >= r.until {
-		r.until, r.isStale, r.open = never, false, placement.Room{}
+		r.until, r.isStale, r.open, r.all = never, false, placement.Room{}, placement.Room{}
 		r.executors = slices.Grow(r.executors[:0], len(r.lives))[:len(r.lives)]
 		clear(r.executors)
 		for _, home := range r.lives {
@@ -81,6 +83,7 @@
 	r := &p.roster
 	old, fresh := &r.executors[home.place], p.executor(home, now)
 	r.open = r.open.Minus(openRoom(old)).Plus(openRoom(&fresh))
+	r.all = r.all.Minus(old.Total).Plus(fresh.Total)
 	*old = fresh
 	if now < home.sickUntil {
 		r.until = min(r.until, home.sickUntil)
@@ -91,7 +94,7 @@
 }
 
 func openRoom(executor *placement.Executor) placement.Room {
-	if executor.IsClosed {
+	if executor.IsClosed || executor.Most == placement.NoMore {
 		return placement.Room{}
 	}
 	return executor.Total
@@ -99,7 +102,7 @@
 
 func (p *Pool) executor(home *life, now time.Duration) placement.Executor {
 	return placement.Executor{Free: home.room.Minus(home.used), Total: home.room, Labels: home.labels, Rack: home.rack(),
-		Doubt: home.doubt() + home.slowness(), Most: home.most(), IsClosed: home.isAtMost() || !home.isFenced || home.isDraining || home.isBlocked || now < home.sickUntil ||
+		Doubt: home.doubt() + home.slowness(), Most: home.most(), IsClosed: !home.isFenced || home.isDraining || home.isBlocked || now < home.sickUntil ||
 			now-home.contactAt > p.timing.SilentAfter}
 }
 
--- a/internal/scheduler/runs.go
+++ b/internal/scheduler/runs.go
@@ -100,6 +100,9 @@
 	}
 	delete(home.runs, one.key())
 	home.idleAt = p.clock.Steady()
+	if one.startedAt > 0 {
+		which.step.ranAt = p.clock.Steady()
+	}
 	delete(p.pending, one)
 	home.used = home.used.Minus(which.step.need())
 	which.runs = slices.DeleteFunc(which.runs, func(other *run) bool { return other == one })
--- a/internal/scheduler/scratch_test.go
+++ b/internal/scheduler/scratch_test.go
@@ -23,15 +23,17 @@
 	lives := slices.SortedFunc(maps.Values(p.lives), func(one, two *life) int { return cmp.Compare(one.id, two.id) })
 	compare("lives", plain(p.roster.lives), plain(lives))
 	executors := slices.Clone(p.executors(now))
-	var open placement.Room
+	var open, all placement.Room
 	for place, home := range lives {
-		if executor := p.executor(home, now); !executor.IsClosed {
+		executor := p.executor(home, now)
+		if all = all.Plus(executor.Total); !executor.IsClosed && executor.Most != placement.NoMore {
 			open = open.Plus(executor.Total)
 		}
 		compare("place", home.place, place)
 		compare("executor "+home.id, executors[place], p.executor(home, now))
 	}
 	compare("open room", p.roster.open, open)
+	compare("all room", p.roster.all, all)
 	p.compareRuns(compare, lives)
 	compare("ended", plain(p.ended), p.endedFromNothing())
 	compare("broken", p.brokenAndOpen(), p.brokenFromNothing())
--- a/internal/scheduler/tick.go
+++ b/internal/scheduler/tick.go
@@ -176,7 +176,7 @@
 	defer func() { p.meters.placeSeconds.Observe(p.clock.Steady() - now) }()
 	p.refreshAll(now)
 	executors := p.executors(now)
-	placed := placement.Place(executors, p.open.line(), p.headroom(p.roster.open, now))
+	placed := placement.Place(executors, p.open.line(), p.limits(now))
 	for _, start := range p.starts(placed) {
 		p.launch(start.task, start.home, start.number)
 	}
--- a/internal/scheduler/trust.go
+++ b/internal/scheduler/trust.go
@@ -4,6 +4,8 @@
 	"maps"
 	"math"
 	"time"
+
+	"gannetline/internal/placement"
 )
 
 const (
@@ -77,10 +79,16 @@
 	}
 }
 
-func (l *life) isAtMost() bool { return l.atOnce > 0 && len(l.runs) >= l.atOnce }
-
-// most is how many runs may be added; 0 sets no bound.
-func (l *life) most() int { return max(0, l.atOnce-len(l.runs)) }
+// most is how many runs may be added, as placement counts them.
+func (l *life) most() int {
+	switch {
+	case l.atOnce == 0:
+		return 0
+	case len(l.runs) >= l.atOnce:
+		return placement.NoMore
+	}
+	return l.atOnce - len(l.runs)
+}
 
 // penalizeUnlessResting counts the refusals of one moment once.
 func (p *Pool) penalizeUnlessResting(home *life) {
--- a/internal/scheduler/waiting.go
+++ b/internal/scheduler/waiting.go
@@ -15,6 +15,9 @@
 // ruleHolds is how long a task waits for the executors of its queue's rule.
 const ruleHolds = time.Second
 
+// mostIdle is how long soft limits may keep a step that runs nothing from its first run.
+const mostIdle = time.Second
+
 // waits is what a step asks of placement, kept until something of the step changes or its time comes.
 type waits struct {
 	isStale   bool
@@ -241,6 +244,9 @@
 	if until := p.nearUntil(step); now < until {
 		again = min(again, until)
 	}
+	if idleFrom := p.idleFrom(step); now < idleFrom {
+		again = min(again, idleFrom)
+	}
 	p.open.times.set(step, again)
 }
 
@@ -289,7 +295,7 @@
 
 func (p *Pool) group(step *stepState, ready []*task) placement.Group {
 	owner := step.time.job
-	group := placement.Group{Barred: p.barredByRule(step), Need: step.need(), Count: len(ready), IsGang: step.step.Gang,
+	group := placement.Group{Barred: p.barredByRule(step), Need: step.need(), Count: len(ready), IsGang: step.step.Gang, IsIdle: p.clock.Steady() >= p.idleFrom(step),
 		SameRack: step.step.SameRack, Labels: step.step.Labels, Near: step.step.Near, Apart: step.step.Apart,
 		IsLong:   step.step.Lasting || pulse.Ms(step.step.EstimatedMs) > p.timing.Headroom.LongWork,
 		Priority: owner.record.Terms.Priority, Chance: p.chance(step), Due: p.due(step, len(ready))}
@@ -303,6 +309,14 @@
 	return group
 }
 
+// idleFrom is when a step that runs nothing goes past soft limits.
+func (p *Pool) idleFrom(step *stepState) time.Duration {
+	if step.hasRuns() {
+		return never
+	}
+	return step.ranAt + mostIdle
+}
+
 func (p *Pool) due(step *stepState, tasks int) int64 {
 	return p.rules.Order(step.time.job.record.Entry, queuerules.Step{Due: int(step.time.aimMs), Tasks: tasks,
 		CPU: int(step.step.CPU), Memory: int(step.step.Memory), Estimate: int(step.step.EstimatedMs)})
