A leaving process answers every request that it has read

Cause: a gate left by http.Server.Shutdown and then exited. Shutdown drops a request that is read whole after it has begun, SetKeepAlivesEnabled(false) closes connections whose request has arrived and is not parsed, and the exit at 4.5 s cut calls whose leader was away. All other listeners were ended by Server.Close.

Conclusion: one server, internal/httpserver, for all listeners. No wire or disk change.

--- a/internal/clientapi/clientapi.go
+++ b/internal/clientapi/clientapi.go
@@ -100,7 +100,7 @@
 // ServeHTTP answers one request of a client.
 func (g *Gate) ServeHTTP(to http.ResponseWriter, request *http.Request) {
 	began := g.clock.Steady()
-	verb, answer := g.answer(to, request)
+	verb, answer := g.answer(to, request, began)
 	answer.Write(to)
 	calls.With(verb, strconv.Itoa(answer.Status)).Inc()
 	callSeconds.With(verb).Observe(g.clock.Steady() - began)
@@ -108,7 +108,8 @@
 
 const verbRefused = "refused"
 
-func (g *Gate) answer(to http.ResponseWriter, request *http.Request) (string, response.Reply) {
+// answer reads the request and asks for its answer; the time that the client has left counts from when it began.
+func (g *Gate) answer(to http.ResponseWriter, request *http.Request, began time.Duration) (string, response.Reply) {
 	page := g.page()
 	limit := int64(mostBody)
 	if page != nil && page.Matcher.Plan().Limits.BodyBytes > 0 {
@@ -126,6 +127,7 @@
 	if decision.Call == nil {
 		return verbRefused, decision.Refusal
 	}
+	decision.Limit -= g.clock.Steady() - began
 	return decision.Call.Verb, g.ask(request.Context(), decision)
 }
 
--- /dev/null
+++ b/internal/clientapi/leaving_test.go
@@ -0,0 +1,98 @@
+package clientapi_test
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gannetline/internal/clientapi"
+	"gannetline/internal/leaderclient"
+	"gannetline/internal/membership"
+	"gannetline/internal/peerapi"
+	"gannetline/internal/pulse"
+	"gannetline/internal/span"
+)
+
+// silentPeer takes calls and answers none; it reports each.
+type silentPeer struct{ asked chan struct{} }
+
+func (s silentPeer) RoundTrip(request *http.Request) (*http.Response, error) {
+	s.asked <- struct{}{}
+	<-request.Context().Done()
+	return nil, request.Context().Err()
+}
+
+// hurried is a clock whose waits are over at once.
+type hurried struct{ *pulse.Fake }
+
+func (h hurried) After(wait time.Duration) <-chan time.Time {
+	ring := h.Fake.After(wait)
+	h.Advance(wait)
+	return ring
+}
+
+// slowBody takes some time until it is whole.
+type slowBody struct {
+	io.Reader
+	clock *pulse.Fake
+	takes time.Duration
+}
+
+func (b slowBody) Read([]byte) (int, error) {
+	b.clock.Advance(b.takes)
+	return 0, io.EOF
+}
+
+var _ = Describe("a gate whose calls are ended", func() {
+	view := &membership.View{Stewards: []peerapi.Member{{Name: "a", Role: membership.RoleSteward, Address: "10.0.0.1:1", Disk: "d"}}}
+
+	DescribeTable("says what is known of a call that a steward may have taken", func(method string, status int) {
+		clock, peer := pulse.NewFake(0), silentPeer{make(chan struct{})}
+		asker := leaderclient.New(peerapi.NewCaller(&http.Client{Transport: peer}), clock, func() *membership.View { return view })
+		gate := clientapi.New(page, asker, clock)
+		life, end := span.Cancellable(span.Root())
+		go func() {
+			<-peer.asked
+			end()
+		}()
+		answer := httptest.NewRecorder()
+		one := httptest.NewRequest(method, "http://h.example/q/"+id, strings.NewReader("{}"))
+		gate.ServeHTTP(answer, one.WithContext(life))
+		Expect(answer.Code).To(Equal(status))
+	},
+		Entry("a hand-in may run, and comes again", http.MethodPost, 504),
+		Entry("a question", http.MethodGet, 503),
+		Entry("a cancel", http.MethodDelete, 503),
+	)
+
+	It("refuses a hand-in that nobody was asked about", func() {
+		clock := pulse.NewFake(0)
+		asker := leaderclient.New(peerapi.NewCaller(http.DefaultClient), clock, func() *membership.View { return view })
+		life, end := span.Cancellable(span.Root())
+		end()
+		one := httptest.NewRequest(http.MethodPost, "http://h.example/q/"+id, strings.NewReader("{}"))
+		answer := httptest.NewRecorder()
+		clientapi.New(page, asker, clock).ServeHTTP(answer, one.WithContext(life))
+		Expect(answer.Code).To(Equal(503))
+		Expect(answer.Header().Get("Retry-After")).NotTo(BeEmpty())
+	})
+})
+
+var _ = Describe("the time that a client has left", func() {
+	It("counts from the beginning of its request, not from the end of its body", func() {
+		clock := hurried{pulse.NewFake(0)}
+		asker := leaderclient.New(peerapi.NewCaller(http.DefaultClient), clock, func() *membership.View { return &membership.View{} })
+		one := request(http.MethodGet, "/q/"+id)
+		one.Header.Set("X-Time-Remaining", "700")
+		one.Body = io.NopCloser(slowBody{clock: clock.Fake, takes: 400 * time.Millisecond})
+		answer := httptest.NewRecorder()
+		clientapi.New(page, asker, clock).ServeHTTP(answer, one)
+		Expect(answer.Code).To(Equal(503))
+		Expect(clock.Steady()).To(BeNumerically("<=", 700*time.Millisecond))
+	})
+})
--- a/internal/roles/common.go
+++ b/internal/roles/common.go
@@ -12,6 +12,7 @@
 
 	"github.com/juju/errors"
 
+	"gannetline/internal/httpserver"
 	"gannetline/internal/logging"
 	"gannetline/internal/membership"
 	"gannetline/internal/metrics"
@@ -41,6 +42,7 @@
 	tree     *supervise.Tree
 	node     *membership.Node
 	meter    *transportmetrics.Meter
+	hangups  chan os.Signal
 }
 
 // Option adds to a role what only a measured process has.
@@ -55,6 +57,7 @@
 }
 
 func newBase(path, role string, options ...Option) (*base, error) {
+	hangups := noticeHangups()
 	nodeSettings, err := settings.Load(path)
 	if err != nil {
 		return nil, err
@@ -67,7 +70,7 @@
 	if err != nil {
 		return nil, err
 	}
-	b.path = path
+	b.path, b.hangups = path, hangups
 	b.tree.Add("settings", b.watchSettings)
 	return b, nil
 }
@@ -98,31 +101,35 @@
 	b.node.Handle(b.inner)
 	metrics.Handle(b.inner)
 	b.tree.Add("peers", b.node.Run)
-	b.tree.Add("peer-calls", serving(b.calls, b.meter.Handler(b.inner)))
+	b.tree.Add("peer-calls", b.serving(b.calls, b.inner, internalLeave))
 	if every := b.settings.MetricsLog(); every > 0 {
 		b.tree.Add("metrics", metrics.Logging(b.log, b.clock, every))
 	}
 }
 
-func serving(listener net.Listener, handler http.Handler) supervise.Part {
+// The servers of calls between processes, executors and operators leave once the role has handed over what it keeps.
+var (
+	internalLeave = httpserver.LeaveTimes{Close: 300 * time.Millisecond}
+	executorLeave = httpserver.LeaveTimes{CallsEnd: 100 * time.Millisecond, Close: 400 * time.Millisecond}
+	operatorLeave = httpserver.LeaveTimes{Quiet: 100 * time.Millisecond, CallsEnd: 950 * time.Millisecond, Close: 1300 * time.Millisecond}
+)
+
+// serving gives a part that answers calls until its span ends, and then leaves in order.
+func (b *base) serving(listener net.Listener, handler http.Handler, times httpserver.LeaveTimes) supervise.Part {
+	server := httpserver.New(listener, b.meter.Handler(handler), b.clock, b.log)
 	return func(life span.Span) error {
-		server := newServer(handler)
-		go func() {
-			<-life.Done()
-			server.Close()
-		}()
-		if err := server.Serve(listener); err != http.ErrServerClosed {
+		ended := make(chan error, 1)
+		go func() { ended <- server.Serve() }()
+		select {
+		case err := <-ended:
 			return err
+		case <-life.Done():
+			server.Leave(times)
+			return nil
 		}
-		return nil
 	}
 }
 
-func newServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 60 * time.Second, MaxHeaderBytes: 64 << 10,
-		ErrorLog: nil}
-}
-
 func (b *base) listen(field, address string) (net.Listener, error) {
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
@@ -131,17 +138,21 @@
 	return b.meter.Listener(listener), nil
 }
 
+// noticeHangups takes SIGHUP from the start of a process to its end: by default the signal would end it.
+func noticeHangups() chan os.Signal {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	return hangups
+}
+
 // watchSettings takes a changed file, and keeps the old settings if the new ones are bad.
 func (b *base) watchSettings(life span.Span) error {
-	changed := make(chan os.Signal, 1)
-	signal.Notify(changed, syscall.SIGHUP)
-	defer signal.Stop(changed)
 	last := modified(b.path)
 	for {
 		select {
 		case <-life.Done():
 			return nil
-		case <-changed:
+		case <-b.hangups:
 		case <-b.clock.After(settingsLook):
 			if modified(b.path) == last {
 				continue
@@ -166,7 +177,8 @@
 	return info.ModTime()
 }
 
-// leaveBy gives a span that ends at SIGTERM, and one for the parts that ends after leave is done.
+// run keeps the parts going until SIGTERM, then calls leave, and ends the parts once that is done. Further signals of
+// the kind change nothing.
 func (b *base) run(leave func()) error {
 	asked, forget := span.UntilSignal()
 	defer forget()
--- a/internal/roles/gate.go
+++ b/internal/roles/gate.go
@@ -8,8 +8,8 @@
 	"gannetline/internal/clientapi"
 	"gannetline/internal/comparenodes"
 	"gannetline/internal/configcache"
+	"gannetline/internal/httpserver"
 	"gannetline/internal/leaderclient"
-	"gannetline/internal/logging"
 	"gannetline/internal/membership"
 	"gannetline/internal/peerapi"
 	"gannetline/internal/response"
@@ -17,8 +17,12 @@
 )
 
 const (
-	noticeTime     = 2200 * time.Millisecond
-	closingReserve = 700 * time.Millisecond
+	// noticeTime is how long the platform may need to learn that a gate is no longer ready.
+	noticeTime = 2200 * time.Millisecond
+	// quietTime is how long nothing may arrive at a leaving gate before it closes.
+	quietTime = 250 * time.Millisecond
+	// reservedDescriptors are left to files and to what the runtime opens.
+	reservedDescriptors = 200
 )
 
 // Gate serves clients until SIGTERM.
@@ -41,35 +45,35 @@
 	comparenodes.Handle(b.inner, comparenodes.Sources{View: b.node.View, Page: book.Page})
 	var isLeaving atomic.Bool
 	asker := leaderclient.New(b.caller, b.clock, b.node.View)
-	server := newServer(b.meter.Handler(clientapi.New(book.Page, asker, b.clock)))
+	server := httpserver.New(front, b.meter.Handler(clientapi.New(book.Page, asker, b.clock)), b.clock, b.log,
+		httpserver.WithMostConnections(mostClientConnections(b.settings.Limits.FileDescriptors)))
 	b.tree.Add("plan", book.Run)
-	b.tree.Add("clients", func(life span.Span) error {
-		if err := server.Serve(front); err != http.ErrServerClosed {
-			return err
-		}
-		<-life.Done()
-		return nil
-	})
-	b.tree.Add("readiness", serving(ready, readiness(func() bool {
+	b.tree.Add("clients", func(span.Span) error { return server.Serve() })
+	b.tree.Add("readiness", b.serving(ready, readiness(func() bool {
 		return !isLeaving.Load() && book.Page() != nil && b.node.View().SeesSteward()
-	})))
-	log := b.log
+	}), internalLeave))
 	return b.run(func() {
 		isLeaving.Store(true)
-		server.SetKeepAlivesEnabled(false)
-		<-b.clock.After(min(noticeTime, b.settings.GracePeriod()/2))
-		closeOrderly(server, b.settings.GracePeriod()/2-closingReserve, log)
+		server.Leave(clientLeave(b.settings.GracePeriod()))
 	})
 }
 
-func closeOrderly(server *http.Server, limit time.Duration, log logging.Logger) {
-	life, release := span.Within(span.Root(), limit)
-	defer release()
-	if err := server.Shutdown(life); err != nil {
-		log.Info("connections were still open at the end", "why", err.Error())
+// clientLeave says how a gate leaves within the grace period: calls to leaders that are away are ended while there is
+// time left to write all their answers on a slow machine and link.
+func clientLeave(gracePeriod time.Duration) httpserver.LeaveTimes {
+	return httpserver.LeaveTimes{
+		Notice:   min(noticeTime, gracePeriod/2),
+		Quiet:    quietTime,
+		CallsEnd: gracePeriod * 3 / 4,
+		Close:    gracePeriod * 11 / 12,
 	}
 }
 
+// mostClientConnections leaves half of the descriptors to the calls that a gate makes for its clients.
+func mostClientConnections(descriptors int) int {
+	return max(1, (descriptors-reservedDescriptors)/2)
+}
+
 func readiness(isReady func() bool) http.Handler {
 	return http.HandlerFunc(func(to http.ResponseWriter, _ *http.Request) {
 		if isReady() {
--- a/internal/roles/localproxy.go
+++ b/internal/roles/localproxy.go
@@ -49,6 +49,6 @@
 	executor := executorapi.NewClient(b.meter.Client(peerapi.Client(silence, 8)), b.settings.App)
 	proxy := localproxy.New(b.settings.Service, b.settings.Domain, b.settings.NodeName, b.clock, b.log, executor, b.caller, b.node.View)
 	b.tree.Add("proxy", proxy.Run)
-	b.tree.Add("executor-calls", serving(control, b.meter.Handler(proxy)))
+	b.tree.Add("executor-calls", b.serving(control, proxy, executorLeave))
 	return nil
 }
--- a/internal/roles/steward.go
+++ b/internal/roles/steward.go
@@ -70,7 +70,7 @@
 	}
 	b.tree.Add("plan", book.Run)
 	b.tree.Add("keys", ring.Run)
-	b.tree.Add("control-calls", serving(control, b.meter.Handler(outer)))
+	b.tree.Add("control-calls", b.serving(control, outer, operatorLeave))
 	if b.settings.InitialStart && kept.store != nil && kept.store.Bare() {
 		b.tree.Add("first-voters", func(life span.Span) error { ring.FoundFirst(life, b.settings.Seeds); return nil })
 	}
--- a/internal/span/span.go
+++ b/internal/span/span.go
@@ -23,6 +23,9 @@
 // Cancellable gives a span that ends with its parent or by the function, which must be called in the end.
 func Cancellable(parent Span) (Span, func()) { return context.WithCancel(parent) }
 
+// WithValue gives a span that ends with its parent and carries a value.
+func WithValue(parent Span, key, value any) Span { return context.WithValue(parent, key, value) }
+
 // UntilSignal gives a span that ends with SIGTERM or SIGINT, or by the function.
 func UntilSignal() (Span, func()) {
 	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
