An executor that deregisters unannounced is drained, and not taken for over while it may run

Cause: a local-proxy took any farewell for the end of an executor. Executors may now deregister first and serve on for the time to drain and many seconds more. Their runs had no time of departure, so that none was moved; 3 s later one unanswered hold was taken for the end of the executor, and the pool would have started its runs elsewhere beside the first ones. A farewell that came while a late beat had set another executor in place, or before any beat, was acknowledged and forgotten. A proxy that was restarted and heard a late beat first made the pool take a draining executor for ready again.

Ruled out: a refused connection as proof that the executor is over, as cuts may refuse, too.

Failed before (trial with the former table.go and exchange.go): five tests of localproxy/farewell_test.go, one of them with a panic as the executor had been dropped; scheduler/again_test.go "starts nothing on an executor that leaves because its proxy forgot that". The other tests of again_test.go (the same ID again, cancels) passed before.

Conclusion: a farewell that nothing announced counts as draining from that moment, with the settings' drain-timeout-ms until departure; the end is known from another executor's answer, from 421, or from the lapse of the hold. Both fields existed on the wire: old leaders and proxies understand each other.

--- /dev/null
+++ b/internal/localproxy/farewell_test.go
@@ -0,0 +1,116 @@
+package localproxy_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gannetline/internal/executorapi"
+	"gannetline/internal/localproxy"
+	"gannetline/internal/logging"
+	"gannetline/internal/peerapi"
+	"gannetline/internal/pulse"
+)
+
+var _ = Describe("an executor that leaves", func() {
+	const drainTime = 2500 * time.Millisecond
+	var clock *pulse.Fake
+	var table *localproxy.Table
+	nothing := func() {}
+	launch := peerapi.Order{Kind: "launch", Task: "t.0.0.0", Run: 1}
+	beat := func(id, state string, sequence int64) int {
+		status, _ := table.Beat(id, &executorapi.Beat{Service: "s", State: state, ClockMs: 1000, Sequence: sequence})
+		return status
+	}
+	told := func() *peerapi.ExchangeCall {
+		call, _ := table.Compose(0)
+		return call
+	}
+	holdFails := func() {
+		work, _ := table.NextHold(false)
+		table.HoldFailed(work, false)
+	}
+	startIsDue := func() bool {
+		call := told()
+		table.Told(call, clock.Steady(), &peerapi.ExchangeAnswer{Fence: 3, GrantMs: 4000, Orders: []peerapi.Order{launch}})
+		_, isDue := table.Ready(call.Life, launch)
+		return isDue
+	}
+	BeforeEach(func() {
+		clock = pulse.NewFake(0)
+		table = localproxy.NewTable(clock, logging.Silent(), "s", "d", "side-1", nothing, nothing, nothing, localproxy.WithDrainTime(drainTime))
+	})
+
+	Context("with a farewell that nothing announced", func() {
+		BeforeEach(func() {
+			beat("i-1", "ready", 1)
+			table.Leave("i-1")
+		})
+
+		It("is known to go once the time to drain is over, so that what would run longer is moved", func() {
+			Expect(told().Draining).To(BeTrue())
+			Expect(told().DepartsMs).To(Equal(drainTime.Milliseconds()))
+		})
+
+		It("is sent no start", func() { Expect(startIsDue()).To(BeFalse()) })
+
+		It("isn't taken for over because it leaves calls unanswered: it may serve on for many seconds", func() {
+			clock.Advance(10 * time.Second)
+			holdFails()
+			Expect(told().Life).To(Equal("i-1"))
+			Expect(told().Gone).To(BeEmpty())
+		})
+
+		It("is over once another answers in its place", func() {
+			beat("i-2", "ready", 1)
+			work, _ := table.NextHold(false)
+			table.Held(work, executorapi.Answer{ClockMs: 1000})
+			Expect(told().Gone).To(ContainElement("i-1"))
+		})
+
+		It("isn't called back by a beat that comes late, nor by a second farewell", func() {
+			clock.Advance(time.Second)
+			Expect(beat("i-1", "ready", 2)).To(Equal(200))
+			table.Leave("i-1")
+			Expect(told().Draining).To(BeTrue())
+			Expect(told().DepartsMs).To(Equal((drainTime - time.Second).Milliseconds()))
+			Expect(startIsDue()).To(BeFalse())
+		})
+	})
+
+	It("is over soon after its farewell if it had announced it and answers no more", func() {
+		beat("i-1", "draining", 1)
+		table.Leave("i-1")
+		clock.Advance(4 * time.Second)
+		holdFails()
+		_, hasLife := table.Compose(0)
+		Expect(hasLife).To(BeFalse())
+		Expect(beat("i-1", "ready", 9)).To(Equal(409))
+	})
+
+	It("isn't ready again by an older beat that comes late", func() {
+		Expect(beat("i-1", "draining", 6)).To(Equal(200))
+		Expect(beat("i-1", "ready", 4)).To(Equal(409))
+		Expect(told().Draining).To(BeTrue())
+		Expect(beat("i-1", "ready", 7)).To(Equal(200))
+		Expect(told().Draining).To(BeTrue())
+	})
+
+	It("has left also where a late beat of the one before it came between", func() {
+		beat("i-1", "ready", 1)
+		beat("i-0", "ready", 8)
+		table.Leave("i-1")
+		hold, _ := table.NextHold(false)
+		table.HoldFailed(hold, true)
+		Expect(told().Life).To(Equal("i-1"))
+		Expect(startIsDue()).To(BeFalse())
+	})
+
+	It("has left also where its farewell came first and a beat of before comes late", func() {
+		table.Leave("i-1")
+		Expect(beat("i-1", "ready", 3)).To(Equal(200))
+		Expect(told().Draining).To(BeTrue())
+		Expect(startIsDue()).To(BeFalse())
+	})
+})
--- a/internal/localproxy/proxy.go
+++ b/internal/localproxy/proxy.go
@@ -49,11 +49,12 @@
 
 // New makes a proxy for the executors of a service on this machine. It calls nobody before Run.
 func New(service, domain, name string, clock pulse.Pulse, log logging.Logger, executor *executorapi.Client, caller *peerapi.Caller,
-	view func() *membership.View) *Proxy {
+	view func() *membership.View, options ...TableOption) *Proxy {
 	proxy := &Proxy{box: mailbox.New(256), clock: clock, log: log, executor: executor, caller: caller, view: view, service: service,
 		work: make(chan struct{}, 1), starts: make(chan struct{}, 1), looks: make(chan struct{}, 1), acks: make(chan struct{}, 1), slots: make(chan struct{}, atOnce)}
-	proxy.table = NewTable(clock, log, service, domain, name, func() { nudge(proxy.work) }, func() { nudge(proxy.looks) }, func() { nudge(proxy.acks) },
-		WithSession(uint64(clock.WallMs())), WithStartBell(func() { nudge(proxy.starts) }))
+	options = append([]TableOption{WithSession(uint64(clock.WallMs())), WithStartBell(func() { nudge(proxy.starts) })}, options...)
+	proxy.table = NewTable(clock, log, service, domain, name, func() { nudge(proxy.work) }, func() { nudge(proxy.looks) },
+		func() { nudge(proxy.acks) }, options...)
 	return proxy
 }
 
--- a/internal/localproxy/table.go
+++ b/internal/localproxy/table.go
@@ -13,7 +13,9 @@
 )
 
 const (
-	mostGone     = 4
+	mostGone = 4
+	// usualDrain is how long an executor serves on after its farewell where the settings name no other time.
+	usualDrain   = 2 * time.Second
 	neverHeld    = time.Hour
 	leavingAfter = 3 * time.Second
 	unackedWait  = 250 * time.Millisecond
@@ -55,13 +57,15 @@
 
 // lifeTable is what the proxy knows of the executor's present life.
 type lifeTable struct {
-	id          string
-	sequence    int64
-	beat        executorapi.Beat
-	beatAt      time.Duration
-	isDraining  bool
-	departsAt   time.Duration
-	isLeaving   bool
+	id         string
+	sequence   int64
+	beat       executorapi.Beat
+	beatAt     time.Duration
+	isDraining bool
+	departsAt  time.Duration
+	isLeaving  bool
+	// servesOn is set at a farewell that nothing announced: the executor serves on for some time, and how long is not known.
+	servesOn    bool
 	leftAt      time.Duration
 	clock       clockSample
 	expiryMs    int64
@@ -106,13 +110,16 @@
 	name    string
 	life    *lifeTable
 	// others are lives that have sent beats as well and may be over; the next answer of the present life shows it.
-	others  []*lifeTable
-	gone    []string
-	onWork  func()
-	onLook  func()
-	onAck   func()
-	onStart func()
-	session uint64
+	others []*lifeTable
+	gone   []string
+	// farewells are those of lives that this process has not heard of; a beat of theirs may still come.
+	farewells []string
+	drainTime time.Duration
+	onWork    func()
+	onLook    func()
+	onAck     func()
+	onStart   func()
+	session   uint64
 }
 
 // TableOption changes how a table is made.
@@ -121,6 +128,9 @@
 // WithSession lets only changes travel to the owner; the number should rise from one process beside the executor to the next.
 func WithSession(number uint64) TableOption { return func(t *Table) { t.session = number } }
 
+// WithDrainTime says how long an executor serves on at least once it has said that it leaves.
+func WithDrainTime(length time.Duration) TableOption { return func(t *Table) { t.drainTime = length } }
+
 // WithStartBell is rung, instead of the one for work, by news that can wait for a moment: that a run was started.
 func WithStartBell(onStart func()) TableOption { return func(t *Table) { t.onStart = onStart } }
 
@@ -129,7 +139,7 @@
 // acknowledged. They must not block.
 func NewTable(clock pulse.Pulse, log logging.Logger, service, domain, name string, onWork, onLook, onAck func(), options ...TableOption) *Table {
 	table := &Table{clock: clock, log: log, service: service, domain: domain, name: name, onWork: onWork, onLook: onLook, onAck: onAck,
-		onStart: onWork}
+		onStart: onWork, drainTime: usualDrain}
 	for _, option := range options {
 		option(table)
 	}
@@ -197,6 +207,9 @@
 	}
 	next.chosenAt = t.now()
 	t.life = next
+	if slices.Contains(t.farewells, id) {
+		t.leave(next)
+	}
 	t.onAck()
 	t.onWork()
 }
@@ -241,13 +254,34 @@
 	t.gone = t.gone[max(0, len(t.gone)-mostGone):]
 }
 
-// Leave takes an executor's farewell.
+// Leave takes an executor's farewell. One that said before that it drains ends with it; any other serves on, so that what
+// it runs is moved as if it had said so.
 func (t *Table) Leave(id string) {
-	if t.life != nil && t.life.id == id && !t.life.isLeaving {
-		t.life.isDraining, t.life.isLeaving, t.life.leftAt = true, true, t.now()
-		t.log.Info("the executor says farewell", "executor", id)
-		t.onWork()
+	one := t.known(id)
+	if one == nil {
+		t.farewells = append(t.farewells, id)
+		t.farewells = t.farewells[max(0, len(t.farewells)-mostGone):]
+		return
 	}
+	t.leave(one)
+}
+
+func (t *Table) leave(one *lifeTable) {
+	if one.isLeaving {
+		return
+	}
+	if !one.isDraining {
+		one.servesOn, one.departsAt = true, t.now()+t.drainTime
+	}
+	one.isDraining, one.isLeaving, one.leftAt = true, true, t.now()
+	t.log.Info("the executor says farewell", "executor", one.id)
+	t.onWork()
+}
+
+// isOver tells whether an executor that no longer answers has ended by its own word. One that serves on for a time that
+// nobody knows may only be deaf for the moment: its runs are over when their hold is, or when another answers.
+func (t *Table) isOver(one *lifeTable) bool {
+	return one.isLeaving && !one.servesOn && t.now()-one.leftAt > leavingAfter
 }
 
 func (t *Table) sample(one *lifeTable, executorMs int64) {
@@ -372,7 +406,7 @@
 	}
 	t.noteMisses(one, 1)
 	t.noteLost(one)
-	if isOtherLife || one.isLeaving && t.now()-one.leftAt > leavingAfter {
+	if isOtherLife || t.isOver(one) {
 		t.dismiss()
 	}
 }
--- a/internal/roles/localproxy.go
+++ b/internal/roles/localproxy.go
@@ -8,6 +8,7 @@
 	"gannetline/internal/localproxy"
 	"gannetline/internal/logging"
 	"gannetline/internal/peerapi"
+	"gannetline/internal/pulse"
 	"gannetline/internal/settings"
 	"gannetline/internal/span"
 )
@@ -47,7 +48,8 @@
 	b.join(peerapi.Member{Role: "local-proxy"})
 	comparenodes.Handle(b.inner, comparenodes.Sources{View: b.node.View})
 	executor := executorapi.NewClient(b.meter.Client(peerapi.Client(silence, 8)), b.settings.App)
-	proxy := localproxy.New(b.settings.Service, b.settings.Domain, b.settings.NodeName, b.clock, b.log, executor, b.caller, b.node.View)
+	proxy := localproxy.New(b.settings.Service, b.settings.Domain, b.settings.NodeName, b.clock, b.log, executor, b.caller, b.node.View,
+		localproxy.WithDrainTime(pulse.Ms(b.settings.Bounds.DrainTimeoutMs)))
 	b.tree.Add("proxy", proxy.Run)
 	b.tree.Add("executor-calls", b.serving(control, proxy, executorLeave))
 	return nil
--- /dev/null
+++ b/internal/scheduler/again_test.go
@@ -0,0 +1,135 @@
+package scheduler_test
+
+import (
+	"net/http"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gannetline/internal/logging"
+	"gannetline/internal/peerapi"
+	"gannetline/internal/pulse"
+	"gannetline/internal/scheduler"
+)
+
+var _ = Describe("a pool and what its clients and executors repeat", func() {
+	const (
+		body      = `{"task-descriptor":"d","step-list":[{"task-count":1,"cpu-units":1000,"estimated-ms":5000}]}`
+		otherBody = `{"task-descriptor":"other","step-list":[{"task-count":3,"cpu-units":1000}]}`
+	)
+	var clock *pulse.Fake
+	var tenure *scripted
+	var pool *scheduler.Pool
+	open := func(epoch uint64) {
+		tenure.epoch = epoch
+		pool = scheduler.New("pool/s", clock, timing, logging.Silent())
+		Expect(pool.Open(tenure, tenure.pairs())).To(Succeed())
+	}
+	// ask sends a client's call and settles its commit.
+	ask := func(verb, text string) peerapi.ClientAnswer {
+		var told peerapi.ClientAnswer
+		call := &peerapi.ClientCall{Verb: verb, Entry: "e", ID: id, Body: []byte(text), Terms: &peerapi.RouteTerms{MaxAttempts: 2}}
+		answer := func(one peerapi.ClientAnswer) { told = one }
+		switch verb {
+		case "hand-in":
+			pool.HandIn(call, answer)
+		case "cancel":
+			pool.Cancel(call, answer)
+		case "state":
+			pool.State(call, answer)
+		}
+		pool.Settle()
+		tenure.settle(nil)
+		return told
+	}
+	state := func() string { return string(ask("state", "").Body) }
+	exchange := func(change func(*peerapi.ExchangeCall)) peerapi.ExchangeAnswer {
+		call := &peerapi.ExchangeCall{Key: "pool/s", Life: "i-1", Proxy: "side-1", Room: peerapi.Capacity{CPU: 4000, Memory: 4000},
+			Labels: []string{"a", "r1"}, Fence: tenure.epoch, Look: 1 << 40}
+		change(call)
+		var told peerapi.ExchangeAnswer
+		pool.Exchange(call, func(answer peerapi.ExchangeAnswer) { told = answer })
+		pool.Settle()
+		tenure.settle(nil)
+		return told
+	}
+	nothing := func(*peerapi.ExchangeCall) {}
+	start := func() {
+		exchange(nothing)
+		pool.Settle()
+		tenure.settle(nil)
+		Expect(exchange(nothing).Orders).To(HaveLen(1))
+		exchange(func(call *peerapi.ExchangeCall) {
+			call.Answers = []peerapi.OrderAnswer{{Task: task, Run: 1, Kind: "launch", Result: "ok"}}
+		})
+	}
+	finish := func() {
+		exchange(func(call *peerapi.ExchangeCall) {
+			call.Ends = []peerapi.EndReport{{Number: 1, Task: task, Run: 1, How: "done"}}
+		})
+	}
+	BeforeEach(func() {
+		clock = pulse.NewFake(1_000_000)
+		tenure = &scripted{clock: clock, hasLease: true, kept: map[string][]byte{}}
+		open(3)
+		Expect(ask("hand-in", body).Status).To(Equal(http.StatusOK))
+	})
+
+	DescribeTable("takes the same ID again for the same job", func(before func(), shown string) {
+		before()
+		Expect(ask("hand-in", otherBody).Status).To(Equal(http.StatusOK))
+		Expect(ask("hand-in", body).Status).To(Equal(http.StatusOK))
+		Expect(state()).To(ContainSubstring(shown))
+	},
+		Entry("right after it was accepted", func() {}, "queued"),
+		Entry("once it runs", func() { start() }, "active"),
+		Entry("once it has ended", func() { start(); finish() }, "completed"),
+		Entry("once it was cancelled", func() { ask("cancel", "") }, "cancelled"),
+		Entry("at the next leader", func() { open(4) }, "queued"),
+		Entry("at the next leader, once it has ended", func() { start(); finish(); open(4) }, "completed"),
+	)
+
+	DescribeTable("acknowledges a cancel, and again", func(before func(), status int, shown string) {
+		before()
+		Expect(ask("cancel", "").Status).To(Equal(status))
+		Expect(ask("cancel", "").Status).To(Equal(status))
+		Expect(state()).To(ContainSubstring(shown))
+	},
+		Entry("of a job that waits", func() {}, 200, "cancelled"),
+		Entry("of a job that runs", func() { start() }, 200, "cancelled"),
+		Entry("of a job that runs where the executor leaves", func() {
+			start()
+			exchange(func(call *peerapi.ExchangeCall) { call.Draining = true })
+		}, 200, "cancelled"),
+		Entry("of a job that has ended", func() { start(); finish() }, 200, "completed"),
+		Entry("at the next leader", func() { start(); open(4) }, 200, "cancelled"),
+	)
+
+	It("acknowledges a cancel that comes while the hand-in is being committed", func() {
+		open(4)
+		var handedIn, cancelled int
+		other := &peerapi.ClientCall{Entry: "e", ID: "00000000000000aa", Body: []byte(body), Terms: &peerapi.RouteTerms{MaxAttempts: 2}}
+		pool.HandIn(other, func(answer peerapi.ClientAnswer) { handedIn = answer.Status })
+		pool.Settle()
+		pool.Cancel(other, func(answer peerapi.ClientAnswer) { cancelled = answer.Status })
+		pool.Settle()
+		tenure.settle(nil)
+		tenure.settle(nil)
+		Expect(handedIn).To(Equal(http.StatusOK))
+		Expect(cancelled).To(Equal(http.StatusOK))
+	})
+
+	It("moves at once what will not end before an executor is gone that left unannounced", func() {
+		start()
+		exchange(func(call *peerapi.ExchangeCall) { call.Draining, call.DepartsMs = true, 2000 })
+		Expect(exchange(nothing).Orders).To(ContainElement(peerapi.Order{Kind: "stop", Task: task, Run: 1}))
+	})
+
+	It("starts nothing on an executor that leaves because its proxy forgot that", func() {
+		exchange(func(call *peerapi.ExchangeCall) { call.Draining, call.DepartsMs = true, 2000 })
+		exchange(nothing)
+		pool.Settle()
+		tenure.settle(nil)
+		Expect(exchange(nothing).Orders).To(BeEmpty())
+	})
+})
--- a/internal/scheduler/exchange.go
+++ b/internal/scheduler/exchange.go
@@ -104,7 +104,8 @@
 		p.roster.version++
 	}
 	home.isKnown, home.proxy, home.domain, home.labels = true, call.Proxy, call.Domain, call.Labels
-	home.room, home.isDraining = room(call.Room), call.Draining
+	// A proxy that was restarted may not have heard yet that its executor leaves; no executor takes that back.
+	home.room, home.isDraining = room(call.Room), home.isDraining || call.Draining
 	if call.DepartsMs > 0 {
 		home.departsAt = now + pulse.Ms(call.DepartsMs)
 	}
