A job is found in its pool while a former pool of its queue does not answer

Cause: a gate asked the pools that a queue was sent to before first, and answered 503 if one of them had no leader for the moment, also for states and cancels of jobs that the present pool has. That goes on for as long as the former pool has no leader. A second pool was given the whole time of the route after the first had used up half of it.

Ruled out: 410 while any pool is unknown; it stays 503. Hand-ins go on asking former pools first, since a job must not be taken twice.

Conclusion: states and cancels ask the present pool first; all pools share the time that the client has left.

--- a/internal/clientapi/clientapi.go
+++ b/internal/clientapi/clientapi.go
@@ -57,7 +57,7 @@
 		if request.Method != http.MethodGet {
 			return refuse(http.StatusMethodNotAllowed, "a queue is only asked for its count")
 		}
-		call.Verb, decision.Former = "count", nil
+		call.Verb, decision.Former = verbCount, nil
 		return decision
 	}
 	if !jobs.IsID(call.ID) {
@@ -70,14 +70,14 @@
 	call := decision.Call
 	switch request.Method {
 	case http.MethodGet:
-		call.Verb = "state"
+		call.Verb = verbState
 	case http.MethodDelete:
-		call.Verb = "cancel"
+		call.Verb = verbCancel
 	case http.MethodPost:
 		if !json.Valid(body) {
 			return refuse(http.StatusBadRequest, "the job can't be read: no whole JSON")
 		}
-		call.Verb, call.Body = "hand-in", body
+		call.Verb, call.Body = verbHandIn, body
 		call.Terms = &peerapi.RouteTerms{Priority: entry.Priority, MaxAttempts: entry.MaxAttempts, Stretch: entry.Stretch, TargetMs: entry.TargetMs}
 	default:
 		return refuse(http.StatusMethodNotAllowed, "a job is handed in by POST, asked for by GET, cancelled by DELETE")
@@ -106,7 +106,14 @@
 	callSeconds.With(verb).Observe(g.clock.Steady() - began)
 }
 
-const verbRefused = "refused"
+// The verbs of calls to pools, and the one under which refusals are counted.
+const (
+	verbHandIn  = "hand-in"
+	verbState   = "state"
+	verbCancel  = "cancel"
+	verbCount   = "count"
+	verbRefused = "refused"
+)
 
 // answer reads the request and asks for its answer; the time that the client has left counts from when it began.
 func (g *Gate) answer(to http.ResponseWriter, request *http.Request, began time.Duration) (string, response.Reply) {
@@ -131,39 +138,79 @@
 	return decision.Call.Verb, g.ask(request.Context(), decision)
 }
 
+// ask spends the time of the decision on all pools that it has to ask.
 func (g *Gate) ask(life span.Span, decision Decision) response.Reply {
+	end := g.clock.Steady() + decision.Limit
+	if decision.Call.Verb == verbHandIn {
+		return g.handIn(life, decision, end)
+	}
+	return g.find(life, decision, end)
+}
+
+// handIn hands a job in, unless a pool that its queue was sent to before has it or can't be asked.
+func (g *Gate) handIn(life span.Span, decision Decision, end time.Duration) response.Reply {
 	for _, service := range decision.Former {
-		if answer, isFound := g.askFormer(life, decision, service); isFound {
-			return answer
+		call := formerCall(decision.Call, service)
+		outcome := g.asker.Ask(life, call, (end-g.clock.Steady())/2)
+		switch {
+		case outcome.Answer == nil:
+			return response.Later(http.StatusServiceUnavailable, 1, "the queue's former owner does not answer")
+		case outcome.Answer.Status != http.StatusGone:
+			return ReplyOf(call, outcome)
 		}
 	}
-	outcome := g.asker.Ask(life, decision.Call, decision.Limit)
+	outcome := g.asker.Ask(life, decision.Call, end-g.clock.Steady())
 	return ReplyOf(decision.Call, outcome)
 }
 
-// askFormer looks for the job in the pool that its queue was sent to before.
-func (g *Gate) askFormer(life span.Span, decision Decision, service string) (response.Reply, bool) {
-	call := *decision.Call
-	call.Key, call.Body, call.Terms = "pool/"+service, nil, nil
-	if call.Verb == "hand-in" {
-		call.Verb = "state"
+// find asks the pool of the queue for a job, and then those that the queue was sent to before. A pool that does not
+// answer leaves the jobs of the others alone; only a job that no pool knows is gone.
+func (g *Gate) find(life span.Span, decision Decision, end time.Duration) response.Reply {
+	calls := []*peerapi.ClientCall{decision.Call}
+	for _, service := range decision.Former {
+		calls = append(calls, formerCall(decision.Call, service))
 	}
-	outcome := g.asker.Ask(life, &call, decision.Limit/2)
-	if outcome.Answer == nil {
-		return response.Later(http.StatusServiceUnavailable, 1, "the queue's former owner does not answer"), true
+	var gone, unanswered response.Reply
+	for place, call := range calls {
+		limit := end - g.clock.Steady()
+		if isLast := place == len(calls)-1; !isLast {
+			limit /= 2
+		}
+		outcome := g.asker.Ask(life, call, limit)
+		switch {
+		case outcome.Answer == nil:
+			unanswered = ReplyOf(call, outcome)
+		case outcome.Answer.Status != http.StatusGone:
+			return ReplyOf(call, outcome)
+		default:
+			gone = ReplyOf(call, outcome)
+		}
+	}
+	if unanswered.Status != 0 {
+		return unanswered
+	}
+	return gone
+}
+
+// formerCall asks a pool that the queue was sent to before for the job; a hand-in only asks whether it is there.
+func formerCall(call *peerapi.ClientCall, service string) *peerapi.ClientCall {
+	former := *call
+	former.Key, former.Body, former.Terms = "pool/"+service, nil, nil
+	if former.Verb == verbHandIn {
+		former.Verb = verbState
 	}
-	return ReplyOf(&call, outcome), outcome.Answer.Status == http.StatusOK
+	return &former
 }
 
 // ReplyOf is what a client is told of an outcome. A hand-in is only refused if no steward can have taken it.
 func ReplyOf(call *peerapi.ClientCall, outcome leaderclient.Outcome) response.Reply {
 	answer := outcome.Answer
 	switch {
-	case answer == nil && outcome.MaySee && call.Verb == "hand-in":
+	case answer == nil && outcome.MaySee && call.Verb == verbHandIn:
 		return response.Text(http.StatusGatewayTimeout, "nobody knows yet whether the job was taken; hand it in again")
 	case answer == nil:
 		return response.Later(http.StatusServiceUnavailable, 1, "the queue's owner does not answer")
-	case outcome.MaySee && call.Verb == "hand-in" && (answer.Status == http.StatusTooManyRequests || answer.Status == http.StatusServiceUnavailable):
+	case outcome.MaySee && call.Verb == verbHandIn && (answer.Status == http.StatusTooManyRequests || answer.Status == http.StatusServiceUnavailable):
 		return response.Text(http.StatusGatewayTimeout, "nobody knows yet whether the job was taken; hand it in again")
 	case answer.Why != "":
 		return response.Later(answer.Status, answer.RetryAfter, answer.Why)
--- /dev/null
+++ b/internal/clientapi/moved_test.go
@@ -0,0 +1,111 @@
+package clientapi_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gannetline/internal/clientapi"
+	"gannetline/internal/configcache"
+	"gannetline/internal/leaderclient"
+	"gannetline/internal/membership"
+	"gannetline/internal/peerapi"
+	"gannetline/internal/pulse"
+	"gannetline/internal/span"
+)
+
+// scriptedLeaders carry calls to the leaders of two pools; one that is silent takes all the time that a try has.
+type scriptedLeaders struct {
+	clock   *pulse.Fake
+	muxes   map[string]*http.ServeMux
+	silent  string
+	handIns int
+}
+
+const (
+	perTry       = 450 * time.Millisecond
+	currentPool  = "current"
+	formerPool   = "former"
+	movedRequest = "/q/" + id
+)
+
+func (s *scriptedLeaders) RoundTrip(request *http.Request) (*http.Response, error) {
+	if request.URL.Hostname() == s.silent {
+		s.clock.Advance(perTry)
+		return nil, errors.New("no answer")
+	}
+	answer := httptest.NewRecorder()
+	s.muxes[request.URL.Hostname()].ServeHTTP(answer, request)
+	return answer.Result(), nil
+}
+
+var _ = Describe("a queue that was moved to another service", func() {
+	const patience = 3 * time.Second
+	var clock hurried
+	// ask sends one request while a pool knows the job, or none does, and another is silent, or none is.
+	ask := func(method, knowing, silent string) (int, *scriptedLeaders) {
+		clock = hurried{pulse.NewFake(0)}
+		leaders := &scriptedLeaders{clock: clock.Fake, muxes: map[string]*http.ServeMux{}, silent: silent}
+		lead := func(steward, key string) {
+			leaders.muxes[steward] = http.NewServeMux()
+			peerapi.Serve(leaders.muxes[steward], peerapi.ProcedureClient, func(_ span.Span, call *peerapi.ClientCall) (*peerapi.ClientAnswer, error) {
+				switch {
+				case call.Key != key:
+					return &peerapi.ClientAnswer{Elsewhere: true}, nil
+				case call.Verb == "hand-in":
+					leaders.handIns++
+					return &peerapi.ClientAnswer{Status: http.StatusOK}, nil
+				case call.Key == "pool/"+knowing:
+					return &peerapi.ClientAnswer{Status: http.StatusOK}, nil
+				}
+				return &peerapi.ClientAnswer{Status: http.StatusGone, Why: "there is no such job"}, nil
+			})
+		}
+		lead(currentPool, "pool/s")
+		lead(formerPool, "pool/"+formerPool)
+		view := &membership.View{
+			Owners: map[string]peerapi.LeaderFact{"pool/s": {Name: currentPool}, "pool/" + formerPool: {Name: formerPool}},
+			Stewards: []peerapi.Member{{Name: currentPool, Role: membership.RoleSteward, Address: "current:1", Disk: "d"},
+				{Name: formerPool, Role: membership.RoleSteward, Address: "former:1", Disk: "e"}}}
+		moved := page()
+		moved.Fact.Moved = []peerapi.MovedRoute{{Entry: "a", Services: []string{formerPool}}}
+		asker := leaderclient.New(peerapi.NewCaller(&http.Client{Transport: leaders}), clock, func() *membership.View { return view })
+		one := httptest.NewRequest(method, "http://h.example"+movedRequest, strings.NewReader("{}"))
+		answer := httptest.NewRecorder()
+		clientapi.New(func() *configcache.Snapshot { return moved }, asker, clock).ServeHTTP(answer, one)
+		Expect(clock.Steady()).To(BeNumerically("<=", patience), "the answer came after the time of the route")
+		return answer.Code, leaders
+	}
+
+	DescribeTable("is asked for a job", func(method, knowing, silent string, status int) {
+		got, _ := ask(method, knowing, silent)
+		Expect(got).To(Equal(status))
+	},
+		Entry("that the pool has", http.MethodGet, "s", "", 200),
+		Entry("that the former pool has", http.MethodGet, formerPool, "", 200),
+		Entry("that nobody has", http.MethodGet, "", "", 410),
+		Entry("that the pool has, while the former one is silent", http.MethodGet, "s", formerPool, 200),
+		Entry("that the former pool has, while the present one is silent", http.MethodGet, formerPool, currentPool, 200),
+		Entry("that the former pool may have, which is silent", http.MethodGet, "", formerPool, 503),
+		Entry("that the present pool may have, which is silent", http.MethodGet, "", currentPool, 503),
+		Entry("to cancel it, while the former pool is silent", http.MethodDelete, "s", formerPool, 200),
+		Entry("to cancel it in the former pool, while the present one is silent", http.MethodDelete, formerPool, currentPool, 200),
+		Entry("to cancel it where the former pool may have it", http.MethodDelete, "", formerPool, 503),
+	)
+
+	DescribeTable("is given a job once", func(knowing, silent string, status, handIns int) {
+		got, leaders := ask(http.MethodPost, knowing, silent)
+		Expect(got).To(Equal(status))
+		Expect(leaders.handIns).To(Equal(handIns))
+	},
+		Entry("that nobody has", "", "", 200, 1),
+		Entry("that the former pool has", formerPool, "", 200, 0),
+		Entry("that the former pool may have", "", formerPool, 503, 0),
+		Entry("to a pool that is silent", "", currentPool, 504, 0),
+	)
+})
