A new leader keeps its lease while it reads the state of its disk

Cause: a candidate with a majority of promises read the whole state from its disk on the engine's own goroutine, before its first heartbeat. A promise ends the lease before it, so nothing held off the others meanwhile: the next candidate was promised the next epoch, read its own state, and lost to the third. Where the reading took longer than the pause of the candidates this went on without end. A leader that read the state for a follower that lacks all of it missed its heartbeats in the same way, and while it opened it read the state again at each tick for each such follower, only to throw it away, as its own disk had no change of the epoch yet.

Change: the reading runs beside the engine (Links.ReadLocal answers later); the lease is asked for before it and renewed meanwhile; the changes that lead on from what is being read are kept; the state a leader began with also serves the followers that lack it, but none whose disk is ahead of it (test; without the guard that disk never follows). A disk that does not give the state within 10 s loses the key to another steward (test).

Nothing on the wire or on disk changes; stewards of the former program may take part.

--- a/internal/controlkeys/links.go
+++ b/internal/controlkeys/links.go
@@ -95,7 +95,12 @@
 	})
 }
 
-func (l *links) ReadLocal(key string) (peerapi.Snapshot, error) { return l.ring.store.Read(key) }
+func (l *links) ReadLocal(key string, done func(peerapi.Snapshot, error)) {
+	go func() {
+		snapshot, err := l.ring.store.Read(key)
+		l.box.Post(func() { done(snapshot, err) })
+	}()
+}
 
 func remote[Ask, Tell any](l *links, disk, procedure string, limit time.Duration, call Ask, done func(Tell, error)) {
 	address := l.ring.addressOf(disk)
--- a/internal/modelcheck/controlmodel/network.go
+++ b/internal/modelcheck/controlmodel/network.go
@@ -211,4 +211,7 @@
 	done(l.node.replicas.History(key))
 }
 
-func (l *links) ReadLocal(key string) (peerapi.Snapshot, error) { return l.node.disk.Read(key) }
+func (l *links) ReadLocal(key string, done func(peerapi.Snapshot, error)) {
+	snapshot, err := l.node.disk.Read(key)
+	l.node.post(func() { done(snapshot, err) })
+}
--- a/internal/replication/election.go
+++ b/internal/replication/election.go
@@ -176,6 +176,7 @@
 	return true
 }
 
+// openWithHistory begins to lead from the state of the own disk, which is at that position.
 func (e *Engine) openWithHistory(base peerapi.LogPosition) {
 	attempt := e.attempt
 	e.links.History(e.key, func(recent History) {
@@ -185,22 +186,36 @@
 	})
 }
 
-// open takes the leadership over: it commits a first change under its epoch, and then hands the state to the machine.
+// open takes the leadership over. It asks for the lease at once and keeps it while the state is being read, however long
+// that takes; else another candidate would be promised the next epoch meanwhile, and fare no better.
 func (e *Engine) open(base peerapi.LogPosition, recent History) {
-	snapshot, err := e.links.ReadLocal(e.key)
-	if err != nil || snapshot.Last != base {
-		e.backOff()
-		return
-	}
+	now := e.clock.Steady()
 	e.last, e.committed, e.waiting = base, base.Index, nil
 	e.inherit(base, recent)
-	e.setIndex = 0
+	e.setIndex, e.reader = 0, stateReader{isReading: true, since: now, from: base.Index}
+	e.staleSince, e.shortSince, e.isShortNoted = now, now, false
+	e.openedAt, e.worseSince, e.wellSince, e.wasWell = now, now, now, false
 	for _, disk := range disksOf(e.set) {
-		e.follow(disk)
+		e.send(e.follow(disk), true)
 	}
+	attempt := e.attempt
+	e.links.ReadLocal(e.key, func(snapshot peerapi.Snapshot, err error) {
+		if e.attempt != attempt || e.phase != phaseOpening {
+			return
+		}
+		e.reader = stateReader{}
+		if err != nil || snapshot.Last != base {
+			e.release("the state on its own disk could not be read", "")
+			return
+		}
+		e.offer(snapshot)
+		e.takeOver(snapshot)
+	})
+}
+
+// takeOver commits a first change under the new epoch, and then hands the state to the machine.
+func (e *Engine) takeOver(snapshot peerapi.Snapshot) {
 	opening := e.set
-	e.staleSince, e.shortSince, e.isShortNoted = e.clock.Steady(), e.clock.Steady(), false
-	e.openedAt, e.worseSince, e.wellSince, e.wasWell = e.clock.Steady(), e.clock.Steady(), e.clock.Steady(), false
 	attempt := e.attempt
 	e.propose(nil, &opening, func(err error) {
 		if err != nil || e.attempt != attempt || e.phase != phaseOpening {
@@ -208,7 +223,7 @@
 		}
 		e.phase = phaseLeading
 		e.leadership = &Leadership{engine: e, epoch: e.epoch, isOpen: true}
-		e.log.Info("owner of key", "key", e.key, "epoch", e.epoch, "step", base.Index)
+		e.log.Info("owner of key", "key", e.key, "epoch", e.epoch, "step", snapshot.Last.Index)
 		if err := e.machine.Open(e.leadership, snapshot.Pairs); err != nil {
 			e.log.Error(err, "the state of the key could not be taken over", "key", e.key)
 			e.stepDown("unreadable state")
--- a/internal/replication/engine.go
+++ b/internal/replication/engine.go
@@ -21,8 +21,9 @@
 	Status(key string, done func(ReplicaStatus))
 	// History reads the changes that the local replica still has one by one.
 	History(key string, done func(History))
-	// ReadLocal reads the whole state of the local replica from its disk.
-	ReadLocal(key string) (peerapi.Snapshot, error)
+	// ReadLocal reads the whole state of the local replica from its disk. The reading must not hold up the engine's
+	// goroutine, which has leases to renew meanwhile; done is never called within the call.
+	ReadLocal(key string, done func(peerapi.Snapshot, error))
 	// InstallLocal brings the local replica to a fetched state.
 	InstallLocal(call peerapi.AppendCall, done func(peerapi.AppendAnswer, error))
 }
@@ -106,6 +107,7 @@
 	isLeaving       bool
 	leaveBy         time.Duration
 	staleSince      time.Duration
+	reader          stateReader
 
 	size         int
 	shortSince   time.Duration
--- a/internal/replication/followers.go
+++ b/internal/replication/followers.go
@@ -80,6 +80,9 @@
 	if getsSnapshot {
 		transfer := e.transferFor(to)
 		if transfer == nil {
+			if isHeartbeat {
+				e.launch(to, call)
+			}
 			return
 		}
 		call.Prev = transfer.snapshot.Last
--- a/internal/replication/recentlog.go
+++ b/internal/replication/recentlog.go
@@ -51,7 +51,7 @@
 
 // neededByFollowers is the index up to which all followers in contact, and the own disk, hold the changes, or the snapshot on its way.
 func (e *Engine) neededByFollowers() uint64 {
-	needed := e.last.Index
+	needed := e.reader.needed(e.last.Index)
 	for _, to := range e.followers {
 		switch {
 		case to.disk != e.disk && e.clock.Steady()-to.lastContact >= e.timing.LostAfter:
--- /dev/null
+++ b/internal/replication/takeover_test.go
@@ -0,0 +1,121 @@
+package replication_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gannetline/internal/peerapi"
+)
+
+// slowReaders gives all nodes processors that need so long to read the state.
+func (w *world) slowReaders(readTime time.Duration) {
+	for _, one := range w.nodes {
+		one.readTime = readTime
+	}
+}
+
+// settleTime is how long it takes until one leader has held its lease for two seconds on end; a limit ends the wait.
+func (w *world) settleTime(limit time.Duration) time.Duration {
+	began, since := w.clock.Steady(), w.clock.Steady()
+	var leader *node
+	for w.clock.Steady()-began < limit {
+		w.work(time.Millisecond)
+		if now := w.owner(); now == nil || now != leader {
+			leader, since = now, w.clock.Steady()
+		}
+		if leader != nil && w.clock.Steady()-since >= 2*time.Second {
+			return since - began
+		}
+	}
+	return limit
+}
+
+// leaderWhile prepares each node, and gives the first that has taken the lease over; the others are as before then.
+func (w *world) leaderWhile(prepare func(one *node)) *node {
+	for _, one := range w.nodes {
+		prepare(one)
+	}
+	var first *node
+	w.until(func() bool {
+		for _, one := range w.nodes {
+			if one.replicas.Status(key).Disk == one.disk.name {
+				first = one
+			}
+		}
+		return first != nil
+	})
+	for _, one := range w.nodes {
+		if one != first {
+			one.readTime = 0
+		}
+	}
+	return first
+}
+
+var _ = Describe("a take-over on slow processors", func() {
+	It("after a restart of all settles once one of them has read the state", func() {
+		for seed := range uint64(5) {
+			for _, readTime := range []time.Duration{500 * time.Millisecond, 1500 * time.Millisecond, 4 * time.Second} {
+				w := grown(1500 + seed)
+				w.work(500 * time.Millisecond)
+				before := len(w.owners)
+				w.slowReaders(readTime)
+				w.restartAll()
+				took := w.settleTime(60 * time.Second)
+				AddReportEntry("settled after", readTime.String()+": "+took.String())
+				Expect(took).To(BeNumerically("<", readTime+3*time.Second), "seed %d, read in %v", seed, readTime)
+				Expect(len(w.owners)-before).To(Equal(1), "leaderships, seed %d, read in %v", seed, readTime)
+				Expect(w.problems).To(BeEmpty())
+			}
+		}
+	})
+
+	It("is left to another steward where the disk gives no state to begin with", func() {
+		w := grown(1520)
+		w.run(time.Second)
+		w.restartAll()
+		stuck := w.leaderWhile(func(one *node) { one.readTime = time.Hour })
+		w.run(8 * time.Second)
+		Expect(w.owner()).To(BeNil())
+		w.run(4 * time.Second)
+		Expect(w.owner()).NotTo(BeNil())
+		Expect(w.owner()).NotTo(Equal(stuck))
+		Expect(w.problems).To(BeEmpty())
+	})
+
+	It("sends nobody the state it began with where that would take back what a disk holds", func() {
+		w := newWorldBearing(2, 1530, "a", "b", "c", "d", "e")
+		w.run(2 * time.Second)
+		w.bulk = 100 << 10
+		w.work(500 * time.Millisecond)
+		w.bulk = 0
+		w.run(100 * time.Millisecond)
+		owner, others := w.owner(), w.others()
+		behind, ahead := others[0], others[1]
+		w.eats = func(to *node, call peerapi.AppendCall) bool { return to == behind && len(call.Changes) > 0 }
+		w.write()
+		w.run(200 * time.Millisecond)
+		w.eats = func(to *node, call peerapi.AppendCall) bool {
+			return to != ahead && to != owner && len(call.Changes) > 0
+		}
+		w.write()
+		w.run(30 * time.Millisecond)
+		Expect(behind.disk.Shelf.Heads[key].Last.Below(others[2].disk.Shelf.Heads[key].Last)).To(BeTrue())
+		Expect(others[2].disk.Shelf.Heads[key].Last.Below(ahead.disk.Shelf.Heads[key].Last)).To(BeTrue())
+		w.eats = nil
+		w.slowReaders(4 * time.Second)
+		w.restartAll()
+		w.bytesPerMs = 4000
+		w.remove(owner)
+		ahead.kill()
+		w.run(2 * time.Second)
+		ahead.start()
+		w.work(9 * time.Second)
+		w.run(time.Second)
+		Expect(w.owner()).NotTo(BeNil())
+		Expect(w.problems).To(BeEmpty())
+		w.expectAlike()
+	})
+})
--- a/internal/replication/transfer.go
+++ b/internal/replication/transfer.go
@@ -1,6 +1,11 @@
 package replication
 
-import "gannetline/internal/peerapi"
+import (
+	"slices"
+	"time"
+
+	"gannetline/internal/peerapi"
+)
 
 const chunkSize = 256 << 10
 
@@ -59,31 +64,98 @@
 	return chunk.At == b.at && b.count == chunk.Count
 }
 
-// transferFor gives the state that is under way to the follower, or the newest, as long as the tail leads on from it.
+// stateReader reads the state of the own disk for the followers that need all of it, once for all of them.
+type stateReader struct {
+	isReading bool
+	since     time.Duration
+	// from is the index from which on the changes must be kept, so that they lead on from the state that is being read.
+	from uint64
+	// fresh is a state that was read and is not yet under way to anyone.
+	fresh *snapshotTransfer
+}
+
+// needed is the lowest index that the reader asks to be kept, or the given one if that is lower.
+func (r *stateReader) needed(index uint64) uint64 {
+	switch {
+	case r.fresh != nil:
+		return min(index, r.fresh.snapshot.Last.Index)
+	case r.isReading:
+		return min(index, r.from)
+	}
+	return index
+}
+
+// keepOnlyIf lets go of a state that was read but that no follower wants any more.
+func (r *stateReader) keepOnlyIf(isWanted bool) {
+	if !isWanted {
+		r.fresh = nil
+	}
+}
+
+// transferFor gives the state that is under way to the follower, or to another, as long as the tail leads on from it.
+// There is none while the state is still being read.
 func (e *Engine) transferFor(to *follower) *snapshotTransfer {
-	if to.transfer != nil && e.leadsOn(to.transfer) {
+	if e.serves(to.transfer, to) {
 		return to.transfer
 	}
 	to.transfer, to.nextChunk = nil, 0
 	for _, other := range e.inOrder() {
-		if other.transfer != nil && e.leadsOn(other.transfer) {
+		if e.serves(other.transfer, to) {
 			to.transfer = other.transfer
 			return to.transfer
 		}
 	}
-	snapshot, err := e.links.ReadLocal(e.key)
-	if err != nil || snapshot.Last.Epoch != e.epoch {
-		return nil
+	if fresh := e.reader.fresh; e.serves(fresh, to) {
+		to.transfer, e.reader.fresh = fresh, nil
+		return to.transfer
+	}
+	e.readState()
+	return nil
+}
+
+// readState begins to read the state, unless that is under way or the own disk has no change of this epoch yet.
+func (e *Engine) readState() {
+	own := e.followers[e.disk]
+	if e.reader.isReading || own == nil || !own.isKnown || own.acked.Epoch != e.epoch {
+		return
 	}
-	fresh := newSnapshotTransfer(snapshot)
-	if !e.leadsOn(fresh) {
-		return nil
+	e.reader = stateReader{isReading: true, since: e.clock.Steady(), from: own.acked.Index}
+	attempt := e.attempt
+	e.links.ReadLocal(e.key, func(snapshot peerapi.Snapshot, err error) {
+		if e.attempt != attempt {
+			return
+		}
+		e.reader = stateReader{}
+		if err != nil || snapshot.Last.Epoch != e.epoch {
+			return
+		}
+		e.offer(snapshot)
+	})
+}
+
+// offer begins to send a state that was read to the followers that need it.
+func (e *Engine) offer(snapshot peerapi.Snapshot) {
+	if !e.isStateWanted() {
+		return
+	}
+	e.reader.fresh = newSnapshotTransfer(snapshot)
+	for _, to := range e.inOrder() {
+		if to.needsSnapshot {
+			e.send(to, false)
+		}
 	}
-	to.transfer = fresh
-	return to.transfer
 }
 
-func (e *Engine) leadsOn(transfer *snapshotTransfer) bool {
+// isStateWanted tells whether any follower lacks more than the changes that are kept.
+func (e *Engine) isStateWanted() bool {
+	return slices.ContainsFunc(e.inOrder(), func(to *follower) bool { return to.needsSnapshot })
+}
+
+// serves tells whether a transfer may go to a follower: the changes lead on from it, and it is no step back for the disk.
+func (e *Engine) serves(transfer *snapshotTransfer, to *follower) bool {
+	if transfer == nil || transfer.snapshot.Last.Below(to.acked) {
+		return false
+	}
 	_, isThere := e.after(transfer.snapshot.Last)
 	return isThere
 }
--- a/internal/replication/world_test.go
+++ b/internal/replication/world_test.go
@@ -136,10 +136,13 @@
 	isOld    bool
 	late     time.Duration
 	life     int
-	clock    *nodeClock
-	replicas *replication.Replicas
-	engine   *replication.Engine
-	machine  *machine
+	// readTime is how long its processor needs to read the whole state; busyUntil is when its engine's goroutine is free.
+	readTime  time.Duration
+	busyUntil time.Duration
+	clock     *nodeClock
+	replicas  *replication.Replicas
+	engine    *replication.Engine
+	machine   *machine
 }
 
 type letter struct {
@@ -332,10 +335,12 @@
 func carrySized[T any](w *world, from, to *node, bytes int, bytesBack func(T) int, limit time.Duration, serve func(answer func(T)), done func(T, error)) {
 	fromLife, isOver := from.life, false
 	finish := func(value T, err error) {
-		if !isOver && from.isUp && from.life == fromLife {
-			isOver = true
-			done(value, err)
-		}
+		from.onEngine(func() {
+			if !isOver && from.isUp && from.life == fromLife {
+				isOver = true
+				done(value, err)
+			}
+		})
 	}
 	var none T
 	w.post(limit, func() { finish(none, errors.New("no answer in time")) })
@@ -361,6 +366,15 @@
 	}
 }
 
+// onEngine runs something on the goroutine of the node's engine, once that is free.
+func (n *node) onEngine(run func()) {
+	if wait := n.busyUntil - n.world.clock.Steady(); wait > 0 {
+		n.world.post(wait, func() { n.onEngine(run) })
+		return
+	}
+	run()
+}
+
 func (w *world) arrive(from, to *node, run func()) {
 	switch {
 	case w.isCut(from, to) || !to.isUp:
@@ -440,7 +454,17 @@
 	done(r.node.replicas.History(key))
 }
 
-func (r *road) ReadLocal(key string) (peerapi.Snapshot, error) { return r.node.disk.Read(key) }
+func (r *road) ReadLocal(key string, done func(peerapi.Snapshot, error)) {
+	life := r.node.life
+	snapshot, err := r.node.disk.Read(key)
+	r.node.world.post(r.node.readTime, func() {
+		r.node.onEngine(func() {
+			if r.node.isUp && r.node.life == life {
+				done(snapshot, err)
+			}
+		})
+	})
+}
 
 func (w *world) opened(m *machine) {
 	epoch := m.tenure.Epoch()
@@ -489,7 +513,7 @@
 		}
 	}
 	n.replicas.Box().Drain()
-	if now%(25*time.Millisecond) == 0 {
+	if now%(25*time.Millisecond) == 0 && now >= n.busyUntil {
 		n.engine.Tick()
 	}
 }
--- a/internal/stage/node.go
+++ b/internal/stage/node.go
@@ -189,4 +189,7 @@
 	done(r.node.replicas.History(key))
 }
 
-func (r *road) ReadLocal(key string) (peerapi.Snapshot, error) { return r.node.disk.Read(key) }
+func (r *road) ReadLocal(key string, done func(peerapi.Snapshot, error)) {
+	snapshot, err := r.node.disk.Read(key)
+	r.node.stage.Line.After(0, func() { r.node.enter(r.life, func() { done(snapshot, err) }) })
+}
