--- a/internal/membership/compare.go
+++ b/internal/membership/compare.go
@@ -11,23 +11,29 @@
 
 // Answer gives the records of the buckets that differ; a peer of the older form gets them all.
 func (t *Table) Answer(call *peerapi.MembersCall) peerapi.MembersAnswer {
-	t.meet(call.From)
+	t.noteContact(call.From)
 	for _, member := range call.Members {
 		t.Merge(member)
 	}
-	t.heedNews(call.From, call.Digest)
+	t.handleNews(call.From, call.Digest)
 	defer t.Settle()
 	answer := peerapi.MembersAnswer{Digest: t.digestFor(call.From.Role)}
 	if call.Gives {
 		return answer
 	}
 	if call.Digest.OwnerSum != answer.Digest.OwnerSum {
-		answer.Digest.Owners = t.facts()
+		answer.Digest.Owners = t.allFacts()
 	}
 	if len(call.Buckets) != bucketCount {
 		answer.Members = t.All()
 		return answer
 	}
+	t.answerBuckets(call, &answer)
+	return answer
+}
+
+// answerBuckets names the buckets whose sums differ, and gives the records in them.
+func (t *Table) answerBuckets(call *peerapi.MembersCall, answer *peerapi.MembersAnswer) {
 	var isDiffering [bucketCount]bool
 	for bucket, sum := range t.sumsFor(call.From.Role) {
 		if sum != call.Buckets[bucket] {
@@ -36,12 +42,11 @@
 		}
 	}
 	isForLeaf := isLeaf(call.From)
-	t.each(func(known *entry) {
+	t.each(func(known *record) {
 		if isDiffering[known.bucket] && !(isForLeaf && known.member.Role != RoleSteward) {
 			answer.Members = append(answer.Members, known.member)
 		}
 	})
-	return answer
 }
 
 // Take merges an answer; it gives a second call where this table holds what the peer lacks.
@@ -49,7 +54,7 @@
 	for _, member := range answer.Members {
 		t.Merge(member)
 	}
-	t.heedNews(from, answer.Digest)
+	t.handleNews(from, answer.Digest)
 	defer t.Settle()
 	if answer.Digest.MemberSum == 0 {
 		return nil
@@ -64,8 +69,8 @@
 	} else {
 		given.Members = lacking
 	}
-	if t.shownOwnerSum() != answer.Digest.OwnerSum {
-		given.Digest.Owners = t.facts()
+	if t.shownLeaderSum() != answer.Digest.OwnerSum {
+		given.Digest.Owners = t.allFacts()
 	}
 	if len(given.Members) == 0 && len(given.Digest.Owners) == 0 {
 		return nil
@@ -73,10 +78,11 @@
 	return given
 }
 
+// notIn gives the records of the differing buckets that an answer lacks or has in an older form.
 func (t *Table) notIn(answer *peerapi.MembersAnswer) []Member {
-	theirs := map[string]Member{}
+	listed := map[string]Member{}
 	for _, member := range answer.Members {
-		theirs[Name(member)] = member
+		listed[Name(member)] = member
 	}
 	var isDiffering [bucketCount]bool
 	for _, bucket := range answer.Differing {
@@ -85,8 +91,8 @@
 		}
 	}
 	var lacking []Member
-	t.each(func(known *entry) {
-		other, isThere := theirs[Name(known.member)]
+	t.each(func(known *record) {
+		other, isThere := listed[Name(known.member)]
 		isLacking := isThere && isNewer(known.member, other) || !isThere && known.member.State != peerapi.StateGone
 		if isDiffering[known.bucket] && isLacking {
 			lacking = append(lacking, known.member)
@@ -94,15 +100,3 @@
 	})
 	return lacking
 }
-
-// each visits all records in the order of their names, this process's own included unless it is a local-proxy.
-func (t *Table) each(visit func(*entry)) {
-	for _, member := range t.everyone.members {
-		switch name := Name(member); {
-		case name != Name(t.self):
-			visit(t.entries[name])
-		case !isLeaf(t.self):
-			visit(t.me)
-		}
-	}
-}
--- /dev/null
+++ b/internal/membership/datagrams.go
@@ -0,0 +1,153 @@
+package membership
+
+import (
+	"slices"
+
+	"gannetline/internal/peerapi"
+)
+
+// The kinds of datagrams, as they are on the wire.
+const (
+	kindPing = "ping"
+	kindAck  = "ack"
+	// kindAsk asks for an indirect probe: the receiver pings the target and passes its answer on.
+	kindAsk  = "ask"
+	kindNews = "news"
+)
+
+const (
+	// mostNews is how many records a datagram carries at most.
+	mostNews = 5
+	// newsTimes is how often a changed record is sent along.
+	newsTimes = 4
+)
+
+// Hear takes one datagram.
+func (t *Table) Hear(datagram peerapi.Datagram) {
+	from := datagram.From
+	if Name(from) == Name(t.self) {
+		return
+	}
+	t.noteContact(from)
+	for _, member := range datagram.News {
+		t.Merge(member)
+	}
+	t.handleNews(from, datagram.Digest)
+	reply := peerapi.Datagram{Digest: peerapi.Digest{Owners: t.factsMissingAt(datagram.Digest)}}
+	switch datagram.Kind {
+	case kindPing:
+		reply.Kind, reply.Number, reply.News = kindAck, datagram.Number, t.doubtOf(Name(from))
+	case kindAck:
+		t.handleAck(datagram)
+		t.setPingPause(datagram.PauseMs)
+	case kindAsk:
+		t.probeFor(datagram)
+	}
+	if reply.Kind == "" && len(reply.Digest.Owners) > 0 {
+		reply.Kind = kindNews
+	}
+	if reply.Kind != "" {
+		t.send(from, reply)
+	}
+	t.compareSums(from, datagram.Digest)
+	t.Settle()
+}
+
+// noteContact notes that a peer has sent something.
+func (t *Table) noteContact(from Member) {
+	if isLeaf(from) {
+		t.noteLeaf(from)
+		return
+	}
+	t.Merge(from)
+	now := t.clock.Steady()
+	if known := t.records[Name(from)]; known != nil {
+		known.lastContactAt = now
+		t.isPingAnswered = true
+	}
+}
+
+// doubtOf gives the record of a member that is not thought alive, so that it can refute it.
+func (t *Table) doubtOf(name string) []Member {
+	if known := t.records[name]; known != nil && known.member.State != peerapi.StateAlive {
+		return []Member{known.member}
+	}
+	return nil
+}
+
+// send adds this process's record, digest and news to a datagram.
+func (t *Table) send(to Member, datagram peerapi.Datagram) {
+	facts := datagram.Digest.Owners
+	if len(facts) == 0 {
+		facts = t.recentFacts()
+	}
+	if isLeaf(to) {
+		datagram.PauseMs = t.pauseMs()
+		datagram.News = append(datagram.News, t.recordsOf(facts)...)
+	} else {
+		datagram.News = t.withNews(datagram.News)
+	}
+	datagram.From, datagram.Digest = t.self, t.digestFor(to.Role)
+	datagram.Digest.Owners = facts
+	t.events.Send(to.Address, datagram)
+}
+
+// withNews adds records that have changed of late, and counts that they were sent.
+func (t *Table) withNews(news []Member) []Member {
+	for name, timesLeft := range t.newsToSend {
+		if len(news) >= mostNews {
+			break
+		}
+		if known := t.records[name]; known != nil {
+			news = append(news, known.member)
+		}
+		if timesLeft <= 1 {
+			delete(t.newsToSend, name)
+			continue
+		}
+		t.newsToSend[name] = timesLeft - 1
+	}
+	return news
+}
+
+// Spread passes news on to a few others at once.
+func (t *Table) Spread() {
+	if len(t.recentLeaders) == 0 {
+		t.sendNews(t.timing.Fanout)
+		return
+	}
+	t.sendNews(t.timing.OwnerFanout)
+	t.pushToLeaves()
+}
+
+func (t *Table) sendNews(count int) {
+	t.Settle()
+	for _, member := range t.randomMembers(count, "") {
+		t.send(member, peerapi.Datagram{Kind: kindNews})
+	}
+}
+
+// randomMembers draws a few members that are alive, without walking the whole list unless most of it is not.
+func (t *Table) randomMembers(count int, without string) []Member {
+	all := t.everyone.members
+	var chosen []Member
+	take := func(member Member) {
+		name := Name(member)
+		isFit := member.State == peerapi.StateAlive && name != without && name != Name(t.self)
+		if isFit && !slices.ContainsFunc(chosen, func(other Member) bool { return Name(other) == name }) {
+			chosen = append(chosen, member)
+		}
+	}
+	for try := 0; try < 8*count && len(chosen) < count; try++ {
+		take(all[t.draw.IntN(len(all))])
+	}
+	if len(chosen) == count {
+		return chosen
+	}
+	for _, place := range t.draw.Perm(len(all)) {
+		if len(chosen) < count {
+			take(all[place])
+		}
+	}
+	return chosen
+}
--- a/internal/membership/leaves.go
+++ b/internal/membership/leaves.go
@@ -10,8 +10,12 @@
 )
 
 const (
+	// leafTicks lie between two searches for leaves that ping no more.
+	leafTicks = 16
+	// attachments is how many stewards a local-proxy pings.
 	attachments = 3
-	mostLeaves  = 4096
+	// mostLeaves is how many local-proxies a steward pushes news to.
+	mostLeaves = 4096
 	// easyLeaves ping at the usual pace; with more of them each waits longer, so that a steward hears as many pings.
 	easyLeaves   = 160
 	longestPause = 20 * time.Second
@@ -19,13 +23,14 @@
 
 // leaf is a local-proxy that pings this steward.
 type leaf struct {
-	member  Member
-	heardAt time.Duration
+	member        Member
+	lastContactAt time.Duration
 }
 
 func isLeaf(member Member) bool { return member.Role == RoleLocalProxy }
 
-func (t *Table) hearLeaf(member Member) {
+// noteLeaf notes the ping of a local-proxy; only stewards keep them.
+func (t *Table) noteLeaf(member Member) {
 	if t.self.Role != RoleSteward {
 		return
 	}
@@ -36,11 +41,12 @@
 	t.leaves[name] = leaf{member, t.clock.Steady()}
 }
 
+// stretched lengthens a time in proportion to the leaves above easyLeaves.
 func (t *Table) stretched(length time.Duration) time.Duration {
 	return length * time.Duration(max(easyLeaves, len(t.leaves))) / easyLeaves
 }
 
-// pauseMs is 0 while a leaf may ping at the usual pace.
+// pauseMs is how long a leaf waits between pings, in milliseconds; it is 0 while a leaf may ping at the usual pace.
 func (t *Table) pauseMs() int64 {
 	if len(t.leaves) <= easyLeaves {
 		return 0
@@ -50,8 +56,8 @@
 
 func (t *Table) forgetLeaves(now time.Duration) {
 	keep := t.stretched(t.timing.LeafKeep)
-	for name, one := range t.leaves {
-		if now-one.heardAt > keep {
+	for name, known := range t.leaves {
+		if now-known.lastContactAt > keep {
 			delete(t.leaves, name)
 		}
 	}
@@ -59,40 +65,43 @@
 
 // pushToLeaves tells the attached local-proxies of keys that have moved.
 func (t *Table) pushToLeaves() {
-	for _, one := range t.leaves {
-		t.send(one.member, peerapi.Datagram{Kind: kindNews})
+	for _, attached := range t.leaves {
+		t.send(attached.member, peerapi.Datagram{Kind: kindNews})
 	}
 }
 
-// attach chooses the stewards that a local-proxy pings: one of its own domain, and others by rendezvous.
+// attach chooses the stewards that a local-proxy pings: one of its own zone, and others by rendezvous hashing.
 func (t *Table) attach() {
-	fit := slices.DeleteFunc(slices.Clone(t.stewards.members), func(one Member) bool { return one.State == peerapi.StateGone })
-	slices.SortStableFunc(fit, func(one, two Member) int {
-		return cmp.Compare(hashOf(t.self.Name+"/"+one.Name, 0, 0), hashOf(t.self.Name+"/"+two.Name, 0, 0))
+	isGone := func(steward Member) bool { return steward.State == peerapi.StateGone }
+	candidates := slices.DeleteFunc(slices.Clone(t.stewards.members), isGone)
+	slices.SortStableFunc(candidates, func(a, b Member) int {
+		return cmp.Compare(hashOf(t.self.Name+"/"+a.Name, 0, 0), hashOf(t.self.Name+"/"+b.Name, 0, 0))
 	})
-	if near := slices.IndexFunc(fit, func(one Member) bool { return one.Domain == t.self.Domain }); near > 0 {
-		own := fit[near]
-		fit = slices.Insert(slices.Delete(fit, near, near+1), 0, own)
+	isNear := func(steward Member) bool { return steward.Domain == t.self.Domain }
+	if place := slices.IndexFunc(candidates, isNear); place > 0 {
+		near := candidates[place]
+		candidates = slices.Insert(slices.Delete(candidates, place, place+1), 0, near)
 	}
-	t.attached = fit[:min(attachments, len(fit))]
+	t.attached = candidates[:min(attachments, len(candidates))]
 }
 
-// heedPause takes the pace that a steward asks for.
-func (t *Table) heedPause(pauseMs int64) {
-	t.pause = min(max(pulse.Ms(pauseMs), t.timing.LeafPeriod), longestPause)
+// setPingPause takes the pace that a steward asks for.
+func (t *Table) setPingPause(pauseMs int64) {
+	t.pingPause = min(max(pulse.Ms(pauseMs), t.timing.LeafPeriod), longestPause)
 }
 
 // tickLeaf pings the attached stewards in turn, and any other as soon as one does not answer.
 func (t *Table) tickLeaf(now time.Duration) {
-	isUnheard := !t.isHeard && now-t.askedAt >= t.timing.AnswerWait
-	if isUnheard || now-t.askedAt >= t.pause {
-		t.pingSteward(now, isUnheard)
+	isUnanswered := !t.isPingAnswered && now-t.pingedAt >= t.timing.AnswerWait
+	if isUnanswered || now-t.pingedAt >= t.pingPause {
+		t.pingSteward(now, isUnanswered)
 	}
-	if isLonely := !t.isHeard && now-t.silentSince > t.timing.LonelyAfter; isLonely != t.isLonely {
+	if isLonely := !t.isPingAnswered && now-t.silentSince > t.timing.LonelyAfter; isLonely != t.isLonely {
 		t.isLonely, t.isDirty = isLonely, true
 	}
 }
 
+// pingSteward pings the next attached steward, or any at random.
 func (t *Table) pingSteward(now time.Duration, isAnyone bool) {
 	among := t.attached
 	if isAnyone {
@@ -101,15 +110,15 @@
 	if len(among) == 0 {
 		return
 	}
-	t.turn++
-	place := t.turn % len(among)
+	t.pingTurn++
+	place := t.pingTurn % len(among)
 	if isAnyone {
 		place = t.draw.IntN(len(among))
 	}
-	t.number++
-	if t.isHeard {
+	t.lastNumber++
+	if t.isPingAnswered {
 		t.silentSince = now
 	}
-	t.askedAt, t.isHeard = now, false
-	t.send(among[place], peerapi.Datagram{Kind: kindPing, Number: t.number})
+	t.pingedAt, t.isPingAnswered = now, false
+	t.send(among[place], peerapi.Datagram{Kind: kindPing, Number: t.lastNumber})
 }
--- a/internal/membership/membership_suite_test.go
+++ b/internal/membership/membership_suite_test.go
@@ -7,7 +7,7 @@
 	. "github.com/onsi/gomega"
 )
 
-func TestSiblingprobe(t *testing.T) {
+func TestMembership(t *testing.T) {
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "membership")
 }
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -19,10 +19,22 @@
 	"gannetline/internal/span"
 )
 
+const (
+	mailboxRoom = 256
+	// longestDatagram is in bytes.
+	longestDatagram = 16 << 10
+	// joinPause lies between two looks at the view; it is short while no steward is seen.
+	joinPause       = time.Second
+	joinPauseAlone  = 200 * time.Millisecond
+	membersCallWait = 800 * time.Millisecond
+	// seedRounds is after how many pauses a process compares lists with its seeds, even if it sees a steward.
+	seedRounds = 15
+)
+
 // Node runs a table on the machine's internal ports.
 type Node struct {
 	table   *Table
-	box     *mailbox.Mailbox
+	mailbox *mailbox.Mailbox
 	view    atomic.Pointer[View]
 	packets net.PacketConn
 	calls   net.Listener
@@ -30,21 +42,22 @@
 	clock   pulse.Pulse
 	log     logging.Logger
 	seeds   atomic.Pointer[[]string]
-	known   []string
-	onPlan  func(peer Member, version int64)
+	// knownPeers are control addresses from an earlier run.
+	knownPeers  []string
+	onPlanAhead func(peer Member, version int64)
 }
 
 // Option changes how a node is made.
 type Option func(*Node)
 
 // OnPlanAhead names the function to be told of a peer that holds a version of the configuration.
-func OnPlanAhead(heed func(peer Member, version int64)) Option {
-	return func(n *Node) { n.onPlan = heed }
+func OnPlanAhead(handle func(peer Member, version int64)) Option {
+	return func(n *Node) { n.onPlanAhead = handle }
 }
 
 // WithKnownPeers names control addresses from an earlier run, to be asked while no steward is seen.
 func WithKnownPeers(addresses []string) Option {
-	return func(n *Node) { n.known = addresses }
+	return func(n *Node) { n.knownPeers = addresses }
 }
 
 // BindInternal takes the first free port of the range, for TCP and UDP alike.
@@ -68,8 +81,8 @@
 // NewNode makes the membership of this process on the sockets that BindInternal gave. It sends nothing before Run.
 func NewNode(self Member, calls net.Listener, packets net.PacketConn, seeds []string, caller *peerapi.Caller,
 	clock pulse.Pulse, log logging.Logger, options ...Option) *Node {
-	node := &Node{box: mailbox.New(256), packets: packets, calls: calls, caller: caller, clock: clock, log: log,
-		onPlan: func(Member, int64) {}}
+	node := &Node{mailbox: mailbox.New(mailboxRoom), packets: packets, calls: calls, caller: caller, clock: clock, log: log,
+		onPlanAhead: func(Member, int64) {}}
 	node.seeds.Store(&seeds)
 	for _, option := range options {
 		option(node)
@@ -79,7 +92,7 @@
 	node.table = NewTable(self, clock, DefaultTiming, self.Incarnation, Events{
 		Send:      node.send,
 		Show:      func(view *View) { node.view.Store(view) },
-		PlanAhead: func(peer Member, version int64) { node.onPlan(peer, version) },
+		PlanAhead: func(peer Member, version int64) { node.onPlanAhead(peer, version) },
 		Differ:    func(peer Member) { go node.exchange(peer.Address) },
 	})
 	node.table.Settle()
@@ -104,7 +117,7 @@
 	}
 }
 
-// UntilMoved gives a span that ends early if a key is heard to have another owner than the view says.
+// UntilMoved gives a span that ends early once a key has another leader than the view says.
 func UntilMoved(life span.Span, view *View) (span.Span, func()) {
 	life, cancel := span.Cancellable(life)
 	go func() {
@@ -121,15 +134,16 @@
 func (n *Node) Run(life span.Span) error {
 	go n.listen()
 	go n.join(life)
-	n.box.Run(life, n.clock, mailbox.Owner{Every: n.table.timing.Period / 2, Tick: n.table.Tick})
+	n.mailbox.Run(life, n.clock, mailbox.Owner{Every: n.table.timing.Period / 2, Tick: n.table.Tick})
 	n.packets.Close()
 	return nil
 }
 
+// listen hands each datagram to the table, and drops those that come faster than it takes them.
 func (n *Node) listen() {
-	room := make([]byte, 16<<10)
+	buffer := make([]byte, longestDatagram)
 	for {
-		count, _, err := n.packets.ReadFrom(room)
+		count, _, err := n.packets.ReadFrom(buffer)
 		if err != nil {
 			if errors.Is(err, net.ErrClosed) {
 				return
@@ -137,31 +151,33 @@
 			continue
 		}
 		var datagram peerapi.Datagram
-		if err := easyjson.Unmarshal(room[:count], &datagram); err != nil || datagram.From.Name == "" {
+		if err := easyjson.Unmarshal(buffer[:count], &datagram); err != nil || datagram.From.Name == "" {
 			datagramsDropped.With("unreadable").Inc()
 			n.log.V(1).Info("a datagram that can't be read was dropped", "bytes", count)
 			continue
 		}
 		datagramsReceived.With(datagram.Kind).Inc()
 		datagramBytesReceived.With(datagram.Kind).Add(count)
-		if !n.box.TryPost(func() { n.table.Hear(datagram) }) {
+		if !n.mailbox.TryPost(func() { n.table.Hear(datagram) }) {
 			datagramsDropped.With("busy").Inc()
 		}
 	}
 }
 
+// join compares lists with seeds while no steward is seen, and now and then afterwards.
 func (n *Node) join(life span.Span) {
 	for round := 0; ; round++ {
 		view := n.View()
 		isLeaf := isLeaf(view.Self)
-		if !view.SeesSteward() || isLeaf && view.IsLonely || !isLeaf && round%15 == 14 {
+		isSeedTurn := !isLeaf && round%seedRounds == seedRounds-1
+		if !view.SeesSteward() || isLeaf && view.IsLonely || isSeedTurn {
 			for _, address := range n.contacts(view) {
 				n.exchange(address)
 			}
 		}
-		wait := time.Second
+		wait := joinPause
 		if !n.View().SeesSteward() {
-			wait = 200 * time.Millisecond
+			wait = joinPauseAlone
 		}
 		select {
 		case <-life.Done():
@@ -177,7 +193,7 @@
 	if view.SeesSteward() {
 		return contacts
 	}
-	for _, address := range n.known {
+	for _, address := range n.knownPeers {
 		if !slices.Contains(contacts, address) {
 			contacts = append(contacts, address)
 		}
@@ -190,7 +206,7 @@
 	if address == n.View().Self.Control {
 		return
 	}
-	call, err := mailbox.Ask(n.box, span.Root(), func(answer func(peerapi.MembersCall)) { answer(n.table.Ask()) })
+	call, err := mailbox.Ask(n.mailbox, span.Root(), func(answer func(peerapi.MembersCall)) { answer(n.table.Ask()) })
 	if err != nil {
 		return
 	}
@@ -198,8 +214,8 @@
 	if err != nil {
 		return
 	}
-	given, err := mailbox.Ask(n.box, span.Root(), func(tell func(*peerapi.MembersCall)) {
-		tell(n.table.Take(Member{Address: address}, answer))
+	given, err := mailbox.Ask(n.mailbox, span.Root(), func(answerWith func(*peerapi.MembersCall)) {
+		answerWith(n.table.Take(Member{Address: address}, answer))
 	})
 	if err == nil && given != nil {
 		n.callMembers(address, given)
@@ -208,7 +224,7 @@
 
 func (n *Node) callMembers(address string, call *peerapi.MembersCall) (*peerapi.MembersAnswer, error) {
 	answer, err := peerapi.Call[peerapi.MembersCall, peerapi.MembersAnswer](
-		n.caller, span.Root(), address, peerapi.ProcedureMembers, 800*time.Millisecond, call)
+		n.caller, span.Root(), address, peerapi.ProcedureMembers, membersCallWait, call)
 	if err != nil {
 		n.log.V(1).Info("members could not be compared", "peer", address, "why", err.Error())
 	}
@@ -218,14 +234,14 @@
 // Handle lets peers compare their lists with this one.
 func (n *Node) Handle(mux *http.ServeMux) {
 	peerapi.Serve(mux, peerapi.ProcedureMembers, func(life span.Span, call *peerapi.MembersCall) (*peerapi.MembersAnswer, error) {
-		answer, err := mailbox.Ask(n.box, life, func(answer func(peerapi.MembersAnswer)) { answer(n.table.Answer(call)) })
+		answer, err := mailbox.Ask(n.mailbox, life, func(answer func(peerapi.MembersAnswer)) { answer(n.table.Answer(call)) })
 		return &answer, err
 	})
 }
 
-// Announce passes on word of a key's owner; HoldsPlan that of a plan.
+// Announce passes on word of a key's leader.
 func (n *Node) Announce(fact peerapi.LeaderFact) {
-	n.box.Post(func() {
+	n.mailbox.Post(func() {
 		if n.table.MergeOwner(fact) {
 			n.table.Spread()
 		}
@@ -233,4 +249,4 @@
 }
 
 // HoldsPlan spreads the word that this process holds a version of the configuration.
-func (n *Node) HoldsPlan(version int64) { n.box.Post(func() { n.table.HoldsPlan(version) }) }
+func (n *Node) HoldsPlan(version int64) { n.mailbox.Post(func() { n.table.HoldsPlan(version) }) }
--- a/internal/membership/roster.go
+++ b/internal/membership/roster.go
@@ -11,8 +11,8 @@
 	isShown bool
 }
 
-func byName(one, two Member) int {
-	return cmp.Or(cmp.Compare(one.Name, two.Name), cmp.Compare(one.Role, two.Role))
+func byName(a, b Member) int {
+	return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Role, b.Role))
 }
 
 func (r *roster) show() []Member {
@@ -20,14 +20,15 @@
 	return r.members
 }
 
-func (r *roster) own() {
+// makeWritable copies the list if it was shown, as what was shown is never changed.
+func (r *roster) makeWritable() {
 	if r.isShown {
 		r.members, r.isShown = slices.Clone(r.members), false
 	}
 }
 
 func (r *roster) put(member Member) {
-	r.own()
+	r.makeWritable()
 	place, isThere := slices.BinarySearchFunc(r.members, member, byName)
 	if isThere {
 		r.members[place] = member
@@ -38,7 +39,7 @@
 
 func (r *roster) drop(member Member) {
 	if place, isThere := slices.BinarySearchFunc(r.members, member, byName); isThere {
-		r.own()
+		r.makeWritable()
 		r.members = slices.Delete(r.members, place, place+1)
 	}
 }
--- a/internal/membership/sums.go
+++ b/internal/membership/sums.go
@@ -7,6 +7,7 @@
 	"gannetline/internal/peerapi"
 )
 
+// bucketCount is into how many buckets the names are hashed, so that only records of differing buckets are compared.
 const bucketCount = 32
 
 // sums are digests of records by bucket, kept up to date by change.
@@ -16,8 +17,8 @@
 
 func (s *sums) whole() uint32 {
 	var whole uint32
-	for _, one := range s {
-		whole ^= one
+	for _, sum := range s {
+		whole ^= sum
 	}
 	return shown(whole)
 }
@@ -30,6 +31,7 @@
 	return int(sum[0]) % bucketCount
 }
 
+// hashOf is a digest of a name, an incarnation or epoch, and a state.
 func hashOf(name string, version uint64, state int) uint32 {
 	text := append([]byte(name), 0)
 	text = binary.BigEndian.AppendUint64(text, version)
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -6,7 +6,7 @@
 	"gannetline/internal/peerapi"
 )
 
-// View is what the table shows to the rest of the process; it is never changed after it is made.
+// View is what the table publishes to the rest of the process; it is never changed after it is made.
 // Members and Stewards are sorted by name; a local-proxy knows stewards only, and nobody lists local-proxies.
 type View struct {
 	Self     Member
@@ -15,7 +15,7 @@
 	Owners   map[string]peerapi.LeaderFact
 	// IsLonely is set at a local-proxy that no steward has answered for some time.
 	IsLonely bool
-	// Moved is closed once any key has another owner than this view says.
+	// Moved is closed once any key has another leader than this view says.
 	Moved chan struct{}
 }
 
@@ -30,16 +30,16 @@
 
 // StewardOf finds the steward that keeps a disk, a lasting or a makeshift one.
 func (v *View) StewardOf(disk string) (Member, bool) {
-	place := slices.IndexFunc(v.Stewards, func(one Member) bool { return one.Disk == disk || one.Makeshift == disk })
+	place := slices.IndexFunc(v.Stewards, func(steward Member) bool { return steward.Disk == disk || steward.Makeshift == disk })
 	if place < 0 || disk == "" {
 		return Member{}, false
 	}
 	return v.Stewards[place], true
 }
 
-// SeesSteward tells whether any steward that may own keys, but this process, is thought alive.
+// SeesSteward tells whether any steward that may lead keys, except this process, is thought alive.
 func (v *View) SeesSteward() bool {
-	return slices.ContainsFunc(v.Stewards, func(one Member) bool {
-		return one.MayLead() && one.State == peerapi.StateAlive && Name(one) != Name(v.Self)
+	return slices.ContainsFunc(v.Stewards, func(steward Member) bool {
+		return steward.MayLead() && steward.State == peerapi.StateAlive && Name(steward) != Name(v.Self)
 	})
 }
