The local proxy's table is split by job, in standard terms

table.go (619 lines) held the executor's incarnations, its clock, holds, exchanges with the leader and orders. Each has a file now (incarnation, executorclock, holds, exchanges, orders); table.go keeps the type and its start. Told, Held, Compose and Ready are cut into short steps; results and kinds of orders have names; a field that nothing read is gone. Exported and wire names stay, proxy.go is untouched. Behaviour unchanged: the package's tests pass as they were, with -race, and so do those of stage and of the order model, which run this table.

--- /dev/null
+++ b/internal/localproxy/exchanges.go
@@ -0,0 +1,150 @@
+package localproxy
+
+import (
+	"slices"
+	"time"
+
+	"gannetline/internal/peerapi"
+	"gannetline/internal/pulse"
+)
+
+const (
+	// neverHeld stands for the age of the last hold while there is none.
+	neverHeld = time.Hour
+	// idleAfter is how long after its last run an executor counts as idle.
+	idleAfter = 2 * time.Second
+	// runningEvery lies between two lists of running runs to a leader that holds no numbered news.
+	runningEvery = time.Second
+)
+
+// givenAnswer is the executor's answer to an order, until the leader has it.
+type givenAnswer struct {
+	peerapi.OrderAnswer
+	at     time.Duration
+	isSent bool
+}
+
+// Compose makes the next exchange, which may wait at the leader for waitMs; Told takes the answer to it.
+func (t *Table) Compose(waitMs int64) (*peerapi.ExchangeCall, bool) {
+	current := t.current
+	if current == nil {
+		return nil, false
+	}
+	now := t.now()
+	call := &peerapi.ExchangeCall{Key: "pool/" + t.service, Life: current.id, Fence: current.fenceHeld,
+		WaitMs: t.pollWait(current, waitMs), HoldAgeMs: pulse.InMs(t.holdAge(current)), Ends: slices.Clone(current.ends)}
+	current.feed.noteFacts(t.factsOf(current))
+	current.feed.write(call)
+	if current.departsAt > now {
+		call.DepartsMs = pulse.InMs(current.departsAt - now)
+	}
+	current.writeAnswers(call, now)
+	current.writeRuns(call, now)
+	return call, true
+}
+
+func (t *Table) factsOf(executor *incarnation) facts {
+	return facts{proxy: t.name, domain: t.domain, labels: executor.heartbeat.Labels, room: executor.heartbeat.Room,
+		isDraining: executor.isDraining, gone: slices.Clone(t.gone)}
+}
+
+// holdAge is the time since the executor answered a hold; an unresponsive one counts as never held.
+func (t *Table) holdAge(executor *incarnation) time.Duration {
+	if !executor.hasHeld || t.isUnresponsive(executor) {
+		return neverHeld
+	}
+	return t.now() - executor.heldAt
+}
+
+func (i *incarnation) writeAnswers(call *peerapi.ExchangeCall, now time.Duration) {
+	for place := range i.answers {
+		given := &i.answers[place]
+		given.AgeMs, given.isSent = pulse.InMs(now-given.at), true
+		call.Answers = append(call.Answers, given.OrderAnswer)
+	}
+}
+
+// writeRuns adds the complete list of runs that the leader waits for, or now and then the running ones where it holds
+// no numbered news.
+func (i *incarnation) writeRuns(call *peerapi.ExchangeCall, now time.Duration) {
+	if i.listTaken > i.listReported {
+		call.Look, call.Running = i.listTaken, i.listedRuns
+	} else if i.feed.acknowledged == 0 && now-i.runningSentAt > runningEvery {
+		call.Running = slices.Clone(i.running)
+	}
+}
+
+// pollWait is longer while the executor is idle; it stays well below the silence after which a leader places nothing there.
+func (t *Table) pollWait(executor *incarnation, waitMs int64) int64 {
+	if t.now()-executor.lastBusyAt > idleAfter {
+		return 2 * waitMs
+	}
+	return waitMs
+}
+
+// Told takes the leader's answer and gives the orders that are to be carried out. askedAt is when the exchange was
+// sent, on the steady clock: a grant counts from then.
+func (t *Table) Told(call *peerapi.ExchangeCall, askedAt time.Duration, answer *peerapi.ExchangeAnswer) []peerapi.Order {
+	current := t.currentIs(call.Life)
+	if current == nil || answer.Fence < current.fence {
+		return nil
+	}
+	if answer.Fence > current.fence {
+		current.beginFence(answer.Fence)
+	}
+	current.feed.acknowledge(answer)
+	if answer.Again {
+		t.onWork()
+	} else {
+		current.noteDelivered(call, answer.Fence)
+	}
+	if len(call.Running) > 0 {
+		current.runningSentAt = t.now()
+	}
+	t.acknowledgeEnds(current, answer.LastSeen)
+	current.extend(askedAt, answer.GrantMs)
+	current.listWanted = max(current.listWanted, answer.Look)
+	if current.listWanted > current.listTaken {
+		t.onLook()
+	}
+	return t.accept(current, answer.Orders, current.limitOf(askedAt, answer.GrantMs))
+}
+
+// beginFence forgets what the former leader has acknowledged and asked for.
+func (i *incarnation) beginFence(fence uint64) {
+	i.fence, i.lastSeen = fence, 0
+	i.listTaken, i.listReported, i.listWanted = 0, 0, 0
+}
+
+// noteDelivered drops the answers that the leader has taken, and notes the list of runs that it has.
+func (i *incarnation) noteDelivered(call *peerapi.ExchangeCall, fence uint64) {
+	if len(call.Answers) > 0 {
+		i.answers = slices.DeleteFunc(i.answers, func(given givenAnswer) bool { return given.isIn(call.Answers) })
+	}
+	if call.Fence == fence {
+		i.listReported = max(i.listReported, call.Look)
+	}
+}
+
+// acknowledgeEnds drops the ends that the leader has seen.
+func (t *Table) acknowledgeEnds(current *incarnation, lastSeen int64) {
+	current.lastSeen = max(current.lastSeen, lastSeen)
+	if len(current.ends) == 0 {
+		return
+	}
+	current.ends = slices.DeleteFunc(current.ends, func(end peerapi.EndReport) bool { return end.Number <= current.lastSeen })
+	if len(current.ends) == 0 {
+		t.onAck()
+	}
+}
+
+// HasUnsent tells whether an answer of the executor was in no exchange yet.
+func (t *Table) HasUnsent() bool {
+	return t.current != nil && slices.ContainsFunc(t.current.answers, func(given givenAnswer) bool { return !given.isSent })
+}
+
+func (g givenAnswer) isIn(sent []peerapi.OrderAnswer) bool {
+	return slices.ContainsFunc(sent, func(answer peerapi.OrderAnswer) bool {
+		return answer.Task == g.Task && answer.Run == g.Run && answer.Kind == g.Kind && answer.Result == g.Result
+	})
+}
--- a/internal/localproxy/feed.go
+++ b/internal/localproxy/feed.go
@@ -9,12 +9,15 @@
 )
 
 const (
-	stuckAfter  = 1500 * time.Millisecond
-	mostUnseen  = time.Second
+	// stuckAfter is how long a run's progress stands still before the run is reported as stuck.
+	stuckAfter = 1500 * time.Millisecond
+	// mostUnseen is how much of the time between two holds counts at most as standing still.
+	mostUnseen = time.Second
+	// restoreMost is how long a run may take to restore its checkpoint.
 	restoreMost = 3 * time.Second
 )
 
-// facts are what an executor is; they seldom change.
+// facts are what an executor is and where; they seldom change.
 type facts struct {
 	proxy      string
 	domain     string
@@ -29,26 +32,28 @@
 		f.isDraining == other.isDraining && slices.Equal(f.gone, other.gone)
 }
 
-// runNews is what the owner is told of a run: its checkpoint, and whether it stands still.
+// runNews is what the leader is told of a run: its checkpoint, and whether it stands still.
 type runNews struct {
-	told      peerapi.RunReport
+	report    peerapi.RunReport
 	changedAt uint64
 	percent   int
-	still     time.Duration
+	// stillFor is how long the run's progress has been the same.
+	stillFor time.Duration
 }
 
-// feed numbers the changes of what the owner is to know, and remembers the number that the owner holds.
+// feed numbers the changes of what the leader is to know, and remembers the number that the leader has acknowledged.
 type feed struct {
-	session uint64
-	number  uint64
-	held    uint64
-	facts   facts
-	factsAt uint64
-	runs    map[runKey]runNews
+	session      uint64
+	number       uint64
+	acknowledged uint64
+	facts        facts
+	factsAt      uint64
+	runs         map[runKey]runNews
 }
 
 func newFeed(session uint64) *feed { return &feed{session: session, runs: map[runKey]runNews{}} }
 
+// noteFacts takes the facts as they are now; a change gets the next number.
 func (f *feed) noteFacts(now facts) {
 	if f.factsAt == 0 || !f.facts.equals(now) {
 		f.number++
@@ -62,42 +67,44 @@
 	next := f.number + 1
 	for _, report := range running {
 		key := runKey{report.Task, report.Run}
-		one, isThere := f.runs[key]
+		news, isThere := f.runs[key]
 		if isThere {
-			one.move(report.Percent, after)
+			news.noteProgress(report.Percent, after)
 		} else {
-			one = newRunNews(report)
+			news = newRunNews(report)
 		}
-		isStuck := one.still > stuckAfter
-		if one.told.Saved != report.Saved || one.told.Stuck != isStuck {
-			one.told.Saved, one.told.Stuck, one.changedAt, f.number = report.Saved, isStuck, next, next
+		isStuck := news.stillFor > stuckAfter
+		if news.report.Saved != report.Saved || news.report.Stuck != isStuck {
+			news.report.Saved, news.report.Stuck = report.Saved, isStuck
+			news.changedAt, f.number = next, next
 		}
-		kept[key] = one
+		kept[key] = news
 	}
 	f.runs = kept
 }
 
 // newRunNews gives a run that begins from a checkpoint time to restore it.
 func newRunNews(report peerapi.RunReport) runNews {
-	one := runNews{told: peerapi.RunReport{Task: report.Task, Run: report.Run}, percent: report.Percent}
+	news := runNews{report: peerapi.RunReport{Task: report.Task, Run: report.Run}, percent: report.Percent}
 	if report.Saved != "" {
-		one.still = -restoreMost
+		news.stillFor = -restoreMost
 	}
-	return one
+	return news
 }
 
-// move counts how long a run has stood still, and little of a time in which the executor said nothing.
-func (n *runNews) move(percent int, after time.Duration) {
+// noteProgress counts how long a run has stood still, and little of a time in which the executor said nothing.
+func (n *runNews) noteProgress(percent int, after time.Duration) {
 	if percent != n.percent {
-		n.percent, n.still = percent, 0
+		n.percent, n.stillFor = percent, 0
 		return
 	}
-	n.still += min(after, mostUnseen)
+	n.stillFor += min(after, mostUnseen)
 }
 
+// write adds to an exchange what has changed since the number that the leader has acknowledged.
 func (f *feed) write(call *peerapi.ExchangeCall) {
 	if f.session > 0 {
-		call.Session, call.Number, call.Base = f.session, f.number, f.held
+		call.Session, call.Number, call.Base = f.session, f.number, f.acknowledged
 	}
 	if f.factsAt > call.Base {
 		call.Proxy, call.Domain, call.Labels, call.Room = f.facts.proxy, f.facts.domain, f.facts.labels, f.facts.room
@@ -106,19 +113,19 @@
 	if f.session == 0 {
 		return
 	}
-	for _, one := range f.runs {
-		if one.changedAt > call.Base {
-			call.Changed = append(call.Changed, one.told)
+	for _, news := range f.runs {
+		if news.changedAt > call.Base {
+			call.Changed = append(call.Changed, news.report)
 		}
 	}
-	slices.SortFunc(call.Changed, func(one, two peerapi.RunReport) int {
-		return cmp.Or(cmp.Compare(one.Task, two.Task), cmp.Compare(one.Run, two.Run))
+	slices.SortFunc(call.Changed, func(a, b peerapi.RunReport) int {
+		return cmp.Or(cmp.Compare(a.Task, b.Task), cmp.Compare(a.Run, b.Run))
 	})
 }
 
-// told takes note of what the owner holds. Where the owner knows a later session, a new one begins.
-func (f *feed) told(answer *peerapi.ExchangeAnswer) {
-	f.held = answer.Held
+// acknowledge takes note of what the leader holds. Where the leader knows a later session, a new one begins.
+func (f *feed) acknowledge(answer *peerapi.ExchangeAnswer) {
+	f.acknowledged = answer.Held
 	if answer.Again && answer.Session > f.session {
 		f.session = answer.Session + 1
 	}
