--- a/internal/scalerun/children.go
+++ b/internal/scalerun/children.go
@@ -1,25 +1,27 @@
 package scalerun
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
-	"net/http"
 	"os"
 	"os/exec"
 	"time"
 
 	"github.com/juju/errors"
-	"github.com/prometheus/procfs"
 
-	"gannetline/internal/hollow"
-	"gannetline/internal/span"
-	"gannetline/internal/transportmetrics"
+	"gannetline/internal/membership"
 )
 
-const lookLimit = 20 * time.Second
+const (
+	// stopWait is how long a process may take to end once its standard input is closed.
+	stopWait = 5 * time.Second
+	// coresOfRole and coresOfHost are how many processors a process may use at once.
+	coresOfRole = "2"
+	coresOfHost = "4"
+)
 
-// child is one process that this run started; it ends when its standard input is closed.
+// child is a process that this run started; it ends when its standard input is closed. Figures is the address of its page
+// of figures, over gives how it ended.
 type child struct {
 	name    string
 	role    string
@@ -29,6 +31,7 @@
 	over    chan error
 }
 
+// start runs the program with its output in a log file.
 func (r *run) start(name, role, figures, cores string, arguments ...string) (*child, error) {
 	log, err := os.OpenFile(r.logOf(name), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
@@ -45,36 +48,37 @@
 	if err := command.Start(); err != nil {
 		return nil, errors.Annotatef(err, "starting %s", name)
 	}
-	one := &child{name: name, role: role, figures: figures, command: command, input: input, over: make(chan error, 1)}
-	go func() { one.over <- command.Wait() }()
-	return one, nil
+	started := &child{name: name, role: role, figures: figures, command: command, input: input, over: make(chan error, 1)}
+	go func() { started.over <- command.Wait() }()
+	return started, nil
 }
 
-func (r *run) startRole(one seat, role string) error {
-	started, err := r.start(one.name, role, "http://"+one.at(internalPort), "2", "--settings", one.settings, "measured", role)
+func (r *run) startRole(on node, role string) error {
+	started, err := r.start(on.name, role, "http://"+on.at(internalPort), coresOfRole, "--settings", on.settings, "measured", role)
 	if err == nil {
 		r.add(started)
 	}
 	return err
 }
 
+// startAll starts stewards, gates, the processes of hollow workers, and the local proxies that run by themselves.
 func (r *run) startAll() error {
-	for _, seats := range [][]seat{r.layout.stewards, r.layout.gates} {
-		for _, one := range seats {
-			if err := r.startRole(one, one.role); err != nil {
+	for _, nodes := range [][]node{r.layout.stewards, r.layout.gates} {
+		for _, on := range nodes {
+			if err := r.startRole(on, on.role); err != nil {
 				return err
 			}
 		}
 	}
 	for number, spec := range r.layout.hostSpecs {
-		started, err := r.start(fmt.Sprintf("host-%d", number+1), roleHost, "http://"+spec.report, "4", "hollow", "--spec", spec.path)
+		started, err := r.start(fmt.Sprintf("host-%d", number+1), roleHost, "http://"+spec.report, coresOfHost, "hollow", "--spec", spec.path)
 		if err != nil {
 			return err
 		}
 		r.add(started)
 	}
-	for _, one := range r.layout.realSeats() {
-		if err := r.startRole(one, "local-proxy"); err != nil {
+	for _, worker := range r.layout.realProxyNodes() {
+		if err := r.startRole(worker, membership.RoleLocalProxy); err != nil {
 			return err
 		}
 	}
@@ -87,108 +91,29 @@
 	<-c.over
 }
 
+// stopAll ends all children, those that don't end by themselves by force.
 func (r *run) stopAll() {
-	for _, one := range r.all() {
-		one.input.Close()
+	for _, started := range r.all() {
+		started.input.Close()
 	}
-	for _, one := range r.all() {
+	for _, started := range r.all() {
 		select {
-		case <-one.over:
-		case <-time.After(5 * time.Second):
-			one.kill()
+		case <-started.over:
+		case <-time.After(stopWait):
+			started.kill()
 		}
 	}
 }
 
-// died names a child that ended by itself.
-func (r *run) died() error {
-	for _, one := range r.all() {
+// checkChildren fails if a child has ended by itself, with the end of its log.
+func (r *run) checkChildren() error {
+	for _, started := range r.all() {
 		select {
-		case err := <-one.over:
-			one.over <- err
-			return errors.Errorf("%s ended by itself: %v; its last words:\n%s", one.name, err, r.lastWords(one.name))
+		case err := <-started.over:
+			started.over <- err
+			return errors.Errorf("%s ended by itself: %v; the end of its log:\n%s", started.name, err, r.logTail(started.name))
 		default:
 		}
 	}
 	return nil
 }
-
-func (r *run) lastWords(name string) string {
-	text, err := os.ReadFile(r.logOf(name))
-	if err != nil {
-		return err.Error()
-	}
-	return string(text[max(0, len(text)-2000):])
-}
-
-// sample is what a process had used by one moment.
-type sample struct {
-	at       time.Time
-	cpu      float64
-	resident int
-	files    int
-	wire     transportmetrics.Figures
-}
-
-func (r *run) sample(one *child) (sample, error) {
-	process, err := procfs.NewProc(one.command.Process.Pid)
-	if err != nil {
-		return sample{}, errors.Annotatef(err, "looking at %s", one.name)
-	}
-	stat, err := process.Stat()
-	if err != nil {
-		return sample{}, errors.Annotatef(err, "looking at %s", one.name)
-	}
-	files, err := process.FileDescriptorsLen()
-	if err != nil {
-		return sample{}, errors.Annotatef(err, "looking at %s", one.name)
-	}
-	taken := sample{at: time.Now(), cpu: stat.CPUTime(), resident: stat.ResidentMemory(), files: files}
-	return taken, r.fetch(one.figures+hollow.PathFigures, &taken.wire)
-}
-
-func (r *run) fetch(url string, into any) error {
-	life, release := span.Within(r.life, lookLimit)
-	defer release()
-	request, err := http.NewRequestWithContext(life, http.MethodGet, url, nil)
-	if err != nil {
-		return err
-	}
-	response, err := r.client.Do(request)
-	if err != nil {
-		return err
-	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return errors.Errorf("%s answers %d", url, response.StatusCode)
-	}
-	return json.NewDecoder(response.Body).Decode(into)
-}
-
-// pressure is for how many seconds, so far, something on the machine waited for a processor.
-func pressure() float64 {
-	system, err := procfs.NewDefaultFS()
-	if err != nil {
-		return 0
-	}
-	told, err := system.PSIStatsForResource("cpu")
-	if err != nil || told.Some == nil {
-		return 0
-	}
-	return float64(told.Some.Total) / 1e6
-}
-
-// resident is what all children hold now, in bytes.
-func (r *run) resident() int {
-	sum := 0
-	for _, one := range r.all() {
-		process, err := procfs.NewProc(one.command.Process.Pid)
-		if err != nil {
-			continue
-		}
-		if stat, err := process.Stat(); err == nil {
-			sum += stat.ResidentMemory()
-		}
-	}
-	return sum
-}
--- a/internal/scalerun/load.go
+++ b/internal/scalerun/load.go
@@ -20,10 +20,10 @@
 	queueLoad     = "/load/"
 	queueStanding = "/standing/"
 	idleRoutes    = 40
-	handInPause   = 200 * time.Millisecond
-	askPause      = 500 * time.Millisecond
-	patience      = 30 * time.Second
-	callLimit     = 3 * time.Second
+	retryPause    = 200 * time.Millisecond
+	statusPause   = 500 * time.Millisecond
+	retryLimit    = 30 * time.Second
+	callTimeout   = 3 * time.Second
 	standingFor   = time.Hour
 )
 
@@ -38,11 +38,12 @@
 	Tries      int    `json:"tries"`
 }
 
-func (r *run) plan(version int) configuration.Configuration {
-	plan := configuration.Configuration{Version: int64(version), Services: []configuration.Service{{Name: service, ConnCap: 64, Guards: true, Protocol: "h1"}},
+// configuration is the version of this number: the routes of the load, idle ones, and one more for each version.
+func (r *run) configuration(version int) configuration.Configuration {
+	made := configuration.Configuration{Version: int64(version), Services: []configuration.Service{{Name: service, ConnCap: 64, Guards: true, Protocol: "h1"}},
 		Limits: configuration.Limits{HeaderBytes: 16384, BodyBytes: 262144, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15000}}
 	add := func(name, prefix string, priority int) {
-		plan.Entries = append(plan.Entries, configuration.Route{Name: name, Host: host, Prefix: prefix, Kind: "non_idempotent", TimeoutMs: 3000,
+		made.Entries = append(made.Entries, configuration.Route{Name: name, Host: host, Prefix: prefix, Kind: "non_idempotent", TimeoutMs: 3000,
 			TargetMs: 1000, Priority: priority, Service: service, MaxAttempts: 4, Stretch: 2})
 	}
 	add("load", queueLoad, 1)
@@ -53,13 +54,13 @@
 	for number := 2; number <= version; number++ {
 		add(fmt.Sprintf("new-%d", number), newPrefix(number), 1)
 	}
-	return plan
+	return made
 }
 
 func newPrefix(version int) string { return fmt.Sprintf("/new-%d/", version) }
 
 func (r *run) call(method, url string, base int, body []byte) (int, []byte, error) {
-	life, release := span.Within(r.life, callLimit)
+	life, release := span.Within(r.life, callTimeout)
 	defer release()
 	request, err := http.NewRequestWithContext(life, method, url, bytes.NewReader(body))
 	if err != nil {
@@ -88,13 +89,13 @@
 	}
 }
 
-// replacePlan sends a version until it is taken.
-func (r *run) replacePlan(version int) error {
-	body, err := json.Marshal(r.plan(version))
+// replaceConfiguration sends a version until it is taken.
+func (r *run) replaceConfiguration(version int) error {
+	body, err := json.Marshal(r.configuration(version))
 	if err != nil {
 		return err
 	}
-	until := time.Now().Add(patience)
+	until := time.Now().Add(retryLimit)
 	for try := 0; ; try++ {
 		steward := r.layout.stewards[try%len(r.layout.stewards)]
 		status, text, err := r.call(http.MethodPost, "http://"+steward.at(controlPort)+"/v1/configuration/replace", version-1, body)
@@ -105,21 +106,21 @@
 		case err == nil && status < 500 && status != http.StatusRequestTimeout && status != http.StatusTooManyRequests:
 			return errors.Errorf("plan %d was refused with %d: %s", version, status, text)
 		case time.Now().After(until):
-			return errors.Errorf("plan %d was not taken in %v: %d %v", version, patience, status, err)
+			return errors.Errorf("plan %d was not taken in %v: %d %v", version, retryLimit, status, err)
 		}
-		if err := r.died(); err != nil {
+		if err := r.checkChildren(); err != nil {
 			return err
 		}
-		if !r.pause(handInPause) {
+		if !r.pause(retryPause) {
 			return r.life.Err()
 		}
 	}
 }
 
-// applyPlan sends the next version and tells how long after the acknowledgement each gate obeys it.
-func (r *run) applyPlan() ([]time.Duration, error) {
+// changeConfiguration sends the next version and tells how long after the acknowledgement each gate obeys it.
+func (r *run) changeConfiguration() ([]time.Duration, error) {
 	version := r.version + 1
-	if err := r.replacePlan(version); err != nil {
+	if err := r.replaceConfiguration(version); err != nil {
 		return nil, err
 	}
 	acked := time.Now()
@@ -129,7 +130,7 @@
 			for {
 				status, _, err := r.call(http.MethodGet, "http://"+gate.at(frontPort)+newPrefix(version), -1, nil)
 				isObeyed := err == nil && status != http.StatusNotFound
-				if isObeyed || time.Since(acked) > patience || !r.pause(20*time.Millisecond) {
+				if isObeyed || time.Since(acked) > retryLimit || !r.pause(20*time.Millisecond) {
 					waits <- time.Since(acked)
 					return
 				}
@@ -149,7 +150,7 @@
 
 func jobID(size int, kind, number int) string { return fmt.Sprintf("%04x%04x%08x", size, kind, number) }
 
-// handIn sends a job until it is accepted, refused for good, or patience ends.
+// handIn sends a job until it is accepted, refused for good, or retryLimit is over.
 func (r *run) handIn(job *Job, queue string, number int, load hollow.Load) error {
 	body, err := json.Marshal(jobs.Spec{Descriptor: load.Descriptor(),
 		Steps: []jobs.Step{{Tasks: job.Tasks, CPU: load.CPU, Memory: load.MemoryMB, EstimatedMs: load.Length.Milliseconds()}}})
@@ -157,7 +158,7 @@
 		return err
 	}
 	job.SentMs = time.Now().UnixMilli()
-	until := time.Now().Add(patience)
+	until := time.Now().Add(retryLimit)
 	for {
 		job.Tries++
 		status, text, err := r.call(http.MethodPost, r.gate(number+job.Tries-1)+queue+job.ID, -1, body)
@@ -168,9 +169,9 @@
 		case err == nil && status < 500 && status != http.StatusTooManyRequests:
 			return errors.Errorf("job %s was refused with %d: %s", job.ID, status, text)
 		case time.Now().After(until):
-			return errors.Errorf("job %s was not accepted in %v: %d %v", job.ID, patience, status, err)
+			return errors.Errorf("job %s was not accepted in %v: %d %v", job.ID, retryLimit, status, err)
 		}
-		if !r.pause(handInPause) {
+		if !r.pause(retryPause) {
 			return r.life.Err()
 		}
 	}
@@ -190,21 +191,21 @@
 			job.ShownMs = time.Now().UnixMilli()
 			return
 		}
-		if !r.pause(askPause) {
+		if !r.pause(statusPause) {
 			return
 		}
 	}
 }
 
 func (r *run) cancel(job *Job, queue string, number int) error {
-	until := time.Now().Add(patience)
+	until := time.Now().Add(retryLimit)
 	for try := 0; ; try++ {
 		status, _, err := r.call(http.MethodDelete, r.gate(number+try)+queue+job.ID, -1, nil)
 		if err == nil && status == http.StatusOK {
 			job.State = "cancelled"
 			return nil
 		}
-		if time.Now().After(until) || !r.pause(handInPause) {
+		if time.Now().After(until) || !r.pause(retryPause) {
 			return errors.Errorf("job %s could not be cancelled: %d %v", job.ID, status, err)
 		}
 	}
@@ -216,7 +217,7 @@
 }
 
 // offer hands in jobs at an even rate and gives back what became of them; each is followed to its end if it should end.
-func (r *run) offer(count int, perSecond float64, one func(number int) (*Job, error)) ([]*Job, error) {
+func (r *run) offer(count int, perSecond float64, handInOne func(number int) (*Job, error)) ([]*Job, error) {
 	results := make(chan outcome, count)
 	began := time.Now()
 	for number := range count {
@@ -225,7 +226,7 @@
 			return nil, r.life.Err()
 		}
 		go func() {
-			job, err := one(number)
+			job, err := handInOne(number)
 			results <- outcome{job, err}
 		}()
 	}
--- a/internal/scalerun/plot.go
+++ b/internal/scalerun/plot.go
@@ -21,8 +21,8 @@
 // plot draws four figures of every role against the workers, under load.
 func (r *Report) plot(path string) error {
 	var plots [plotRows][]*plot.Plot
-	for place, one := range measures[:plotRows*plotCols] {
-		drawn, err := r.plotOf(one)
+	for place, figure := range measures[:plotRows*plotCols] {
+		drawn, err := r.plotOf(figure)
 		if err != nil {
 			return err
 		}
@@ -44,9 +44,9 @@
 	return err
 }
 
-func (r *Report) plotOf(one measure) (*plot.Plot, error) {
+func (r *Report) plotOf(figure measure) (*plot.Plot, error) {
 	drawn := plot.New()
-	drawn.Title.Text, drawn.X.Label.Text, drawn.Y.Label.Text = one.name+" under load", "workers", one.unit
+	drawn.Title.Text, drawn.X.Label.Text, drawn.Y.Label.Text = figure.name+" under load", "workers", figure.unit
 	drawn.Legend.Top, drawn.Legend.Left = true, true
 	drawn.Y.Min = 0
 	drawn.Add(plotter.NewGrid())
@@ -55,7 +55,7 @@
 		var points plotter.XYs
 		for _, size := range r.Sizes {
 			for _, window := range size.Windows {
-				if value, isThere := window.mean(role, one); isThere && window.Phase == phaseLoad {
+				if value, isThere := window.mean(role, figure); isThere && window.Phase == phaseLoad {
 					points = append(points, plotter.XY{X: float64(size.Workers), Y: value})
 				}
 			}
--- a/internal/scalerun/report.go
+++ b/internal/scalerun/report.go
@@ -16,11 +16,6 @@
 // Aim is the size that users want within two years.
 var Aim = Point{Workers: 1000, Running: 15000, Starts: 620}
 
-const roleHost = "hollow-host"
-
-// Roles are the parts of which slopes are worked out; all but the processes of hollow workers.
-var Roles = []string{"owner", "voter", "bystander", "gate", "local-proxy"}
-
 type measure struct {
 	name  string
 	unit  string
@@ -63,8 +58,8 @@
 	report := &Report{At: time.Now().UTC(), Note: setup.Note, Cores: runtime.NumCPU(), MemoryMB: memory >> 20, Setup: setup, Sizes: sizes}
 	report.Setup.Program, report.Setup.Folder = filepath.Base(setup.Program), ""
 	for _, role := range Roles {
-		for _, one := range measures {
-			points := pointsOf(sizes, role, one)
+		for _, figure := range measures {
+			points := pointsOf(sizes, role, figure)
 			if len(points) == 0 {
 				continue
 			}
@@ -73,17 +68,17 @@
 				report.NoSlopes = err.Error()
 				continue
 			}
-			report.Findings = append(report.Findings, Finding{role, one.name, one.unit, slope, slope.At(Aim)})
+			report.Findings = append(report.Findings, Finding{role, figure.name, figure.unit, slope, slope.At(Aim)})
 		}
 	}
 	return report
 }
 
-func pointsOf(sizes []Size, role string, one measure) []Point {
+func pointsOf(sizes []Size, role string, figure measure) []Point {
 	var points []Point
 	for _, size := range sizes {
 		for _, window := range size.Windows {
-			if value, isThere := window.mean(role, one); isThere && window.Phase != phaseJoining && window.Epochs == 0 {
+			if value, isThere := window.mean(role, figure); isThere && window.Phase != phaseJoining && window.Epochs == 0 {
 				points = append(points, Point{float64(window.Workers), window.Running, window.Starts, value})
 			}
 		}
@@ -91,11 +86,11 @@
 	return points
 }
 
-func (w *Window) mean(role string, one measure) (float64, bool) {
+func (w *Window) mean(role string, figure measure) (float64, bool) {
 	sum, count := 0.0, 0
 	for _, cost := range w.Costs {
 		if cost.Role == role {
-			sum, count = sum+one.value(cost), count+1
+			sum, count = sum+figure.value(cost), count+1
 		}
 	}
 	return sum / float64(max(count, 1)), count > 0
@@ -132,9 +127,9 @@
 	}
 	fmt.Fprintln(table)
 	fmt.Fprintln(table, "role\tfigure\tbase\tper worker\tper running\tper start/s\tr2\tat the aim\tunit\t")
-	for _, one := range r.Findings {
-		fmt.Fprintf(table, "%s\t%s\t%.4g\t%.4g\t%.4g\t%.4g\t%.3f\t%.4g\t%s\t\n", one.Role, one.Figure, one.Slope.Base, one.Slope.PerWorker,
-			one.Slope.PerRunning, one.Slope.PerStart, one.Slope.RSquared, one.AtAim, one.Unit)
+	for _, finding := range r.Findings {
+		fmt.Fprintf(table, "%s\t%s\t%.4g\t%.4g\t%.4g\t%.4g\t%.3f\t%.4g\t%s\t\n", finding.Role, finding.Figure, finding.Slope.Base, finding.Slope.PerWorker,
+			finding.Slope.PerRunning, finding.Slope.PerStart, finding.Slope.RSquared, finding.AtAim, finding.Unit)
 	}
 	if err := table.Flush(); err != nil {
 		return errors.Annotate(err, "printing the tables")
@@ -164,9 +159,9 @@
 		return
 	}
 	fmt.Fprintf(to, "%d\t%s\t%.0f\t%.1f\t%s\t%d\t", w.Workers, w.Phase, w.Running, w.Starts, role, count)
-	for _, one := range measures {
-		value, _ := w.mean(role, one)
-		switch one.name {
+	for _, figure := range measures {
+		value, _ := w.mean(role, figure)
+		switch figure.name {
 		case "processor":
 			fmt.Fprintf(to, "%.4f\t", value)
 		case "memory", "received", "sent":
--- /dev/null
+++ b/internal/scalerun/roles.go
@@ -0,0 +1,83 @@
+package scalerun
+
+import (
+	"slices"
+	"time"
+
+	"gannetline/internal/comparenodes"
+	"gannetline/internal/membership"
+	"gannetline/internal/peerapi"
+)
+
+const (
+	poolKey        = "pool/" + service
+	beliefsTimeout = 5 * time.Second
+)
+
+// The roles of which costs are told apart: a steward by its part in the pool, all other processes by their own.
+const (
+	roleOwner     = "owner"
+	roleVoter     = "voter"
+	roleBystander = "bystander"
+	roleHost      = "hollow-host"
+)
+
+// Roles are the parts of which slopes are worked out; all but the processes of hollow workers.
+var Roles = []string{roleOwner, roleVoter, roleBystander, roleGate, membership.RoleLocalProxy}
+
+// executorsSeen is how many executors the steward knows that knows most of them.
+func (r *run) executorsSeen() int {
+	most := 0
+	for _, answer := range r.beliefs() {
+		most = max(most, len(answer.Executors))
+	}
+	return most
+}
+
+// beliefs asks every steward what it believes; those that don't answer are left out.
+func (r *run) beliefs() []*peerapi.BeliefsAnswer {
+	var all []*peerapi.BeliefsAnswer
+	for _, steward := range r.layout.stewards {
+		if answer, err := comparenodes.Ask(steward.at(internalPort), beliefsTimeout); err == nil {
+			all = append(all, answer)
+		}
+	}
+	return all
+}
+
+// poolRoles gives the part of each voter in the pool, owner or voter, by the name of its steward, and the pool's epoch.
+func (r *run) poolRoles() (map[string]string, uint64) {
+	roles, epoch, owner := map[string]string{}, uint64(0), ""
+	for _, answer := range r.beliefs() {
+		addVoters(roles, answer)
+		for _, fact := range answer.Owners {
+			if fact.Key == poolKey && fact.Epoch > epoch {
+				epoch, owner = fact.Epoch, fact.Name
+			}
+		}
+	}
+	if owner != "" {
+		roles[owner] = roleOwner
+	}
+	return roles, epoch
+}
+
+// addVoters adds the stewards whose disks vote for the pool, by what one steward believes.
+func addVoters(roles map[string]string, answer *peerapi.BeliefsAnswer) {
+	for _, key := range answer.Keys {
+		if key.Key != poolKey {
+			continue
+		}
+		for _, member := range answer.Members {
+			if member.Role == membership.RoleSteward && slices.Contains(key.Set.Now, member.Disk) {
+				roles[member.Name] = roleVoter
+			}
+		}
+	}
+}
+
+// owner gives the place of the pool's leader among the children, or -1.
+func (r *run) owner() int {
+	roles, _ := r.poolRoles()
+	return slices.IndexFunc(r.all(), func(process *child) bool { return roles[process.name] == roleOwner })
+}
--- a/internal/scalerun/verdict.go
+++ b/internal/scalerun/verdict.go
@@ -107,8 +107,8 @@
 }
 
 func (v *Verdict) judgeTask(task string, runs []hollow.RunRecord) {
-	slices.SortFunc(runs, func(one, two hollow.RunRecord) int {
-		return cmp.Or(cmp.Compare(one.StartMs, two.StartMs), cmp.Compare(one.Run, two.Run))
+	slices.SortFunc(runs, func(a, b hollow.RunRecord) int {
+		return cmp.Or(cmp.Compare(a.StartMs, b.StartMs), cmp.Compare(a.Run, b.Run))
 	})
 	for place := 1; place < len(runs); place++ {
 		before, after := runs[place-1], runs[place]
@@ -127,10 +127,10 @@
 		if first == 0 || runs[0].StartMs < first {
 			first = runs[0].StartMs
 		}
-		for _, one := range runs {
-			if one.How == "done" {
+		for _, ended := range runs {
+			if ended.How == "done" {
 				done++
-				last = max(last, one.EndMs)
+				last = max(last, ended.EndMs)
 			}
 		}
 	}
