The stand-in executor and its host speak in standard terms

What a call gives is a result, what is put off a function, a heartbeat a heartbeat; ends, refusals and limits have names; each function that is not plain has a comment. Behaviour unchanged: the package's tests pass as they were but for local names, with -race; a first run with this executor completed its job.

--- a/internal/hollow/executor.go
+++ b/internal/hollow/executor.go
@@ -13,18 +13,40 @@
 )
 
 const (
-	mostEnds   = 500
+	// mostEnds is how many ends one answer lists.
+	mostEnds = 500
+	// mostWaitMs is how long a hold may wait for an end, in milliseconds.
 	mostWaitMs = 2000
-	firstClock = 100_000
+	// firstClockMs is what the clock of an executor shows at its start.
+	firstClockMs = 100_000
+	// mostPercent is the progress that a running task shows at most.
+	mostPercent = 99
 )
 
-// Load is what a task of the scale run asks for; it travels as the task's descriptor.
+// How a run ended, on the wire.
+const (
+	howDone    = "done"
+	howLapsed  = "lapsed"
+	howStopped = "stopped"
+)
+
+// Why an order was refused, on the wire.
+const (
+	reasonFence = "fence"
+	reasonOld   = "old"
+	reasonLate  = "late"
+	reasonRoom  = "room"
+)
+
+// Load is what a task of the scale run asks for; it travels as the task's descriptor. CPU is in
+// thousandths of a core.
 type Load struct {
 	Length   time.Duration
 	CPU      int64
 	MemoryMB int64
 }
 
+// loadForm is that of a descriptor.
 const loadForm = "hollow %d ms, %d cpu-units, %d MB"
 
 // Descriptor writes the load as a task descriptor, from which a hollow executor reads it back.
@@ -50,12 +72,14 @@
 	How     string `json:"how,omitempty"`
 }
 
+// activeRun is a run that goes on; began is by the steady clock.
 type activeRun struct {
 	record RunRecord
 	load   Load
 	began  time.Duration
 }
 
+// waitingHold is a hold that is answered at the next end, or when its wait is over.
 type waitingHold struct {
 	answer func(int, executorapi.Answer)
 }
@@ -72,39 +96,43 @@
 	Pace float64
 }
 
-// Executor has no goroutine of its own; its owner calls it, and later brings letters back to that owner.
+// Executor is a stand-in that keeps to the protocol of executors. It has no goroutine of its own: its owner calls it, and
+// later calls functions back on that owner.
 type Executor struct {
 	shape    Shape
 	clock    pulse.Pulse
-	later    func(wait time.Duration, letter func())
+	later    func(wait time.Duration, run func())
 	begunAt  time.Duration
 	fence    uint64
 	expiryMs int64
-	isTimed  bool
-	active   []*activeRun
-	ends     []executorapi.EndRow
-	lastEnd  int64
+	// isWatched is set while a function waits for the expiry.
+	isWatched bool
+	active    []*activeRun
+	ends      []executorapi.EndRow
+	lastEnd   int64
+	// highest is, by task, the highest run that was ended or stopped here.
 	highest  map[string]int64
 	waiting  []*waitingHold
-	over     []RunRecord
+	ended    []RunRecord
 	sequence int64
 }
 
 // NewExecutor makes an executor that only pretends to work: a run ends after the length that its descriptor names.
-// The clock gives its beats, and later calls a function after a wait, on the goroutine that owns the executor.
+// The clock gives its time, and later calls a function after a wait, on the goroutine that owns the executor.
 func NewExecutor(shape Shape, clock pulse.Pulse, later func(time.Duration, func())) *Executor {
 	return &Executor{shape: shape, clock: clock, later: later, begunAt: clock.Steady(), highest: map[string]int64{}}
 }
 
 // ClockMs is the executor's own steady clock.
 func (e *Executor) ClockMs() int64 {
-	return firstClock + int64(float64(pulse.InMs(e.clock.Steady()-e.begunAt))*e.shape.Pace)
+	return firstClockMs + int64(float64(pulse.InMs(e.clock.Steady()-e.begunAt))*e.shape.Pace)
 }
 
 func (e *Executor) answer(reason string) executorapi.Answer {
 	return executorapi.Answer{ClockMs: e.ClockMs(), Reason: reason}
 }
 
+// raise takes note of a fence; it tells whether an order with it may be carried out.
 func (e *Executor) raise(fence uint64) bool {
 	if fence < e.fence {
 		return false
@@ -113,18 +141,20 @@
 	return true
 }
 
+// extend lengthens the hold to a time of the executor's clock, and by the longest hold at most.
 func (e *Executor) extend(expiryMs int64) {
 	e.expiryMs = max(e.expiryMs, min(expiryMs, e.ClockMs()+pulse.InMs(e.shape.MaxHold)))
-	if !e.isTimed {
+	if !e.isWatched {
 		e.watchExpiry()
 	}
 }
 
+// watchExpiry ends all runs once the hold is over.
 func (e *Executor) watchExpiry() {
 	left := pulse.Ms(int64(float64(e.expiryMs-e.ClockMs())/e.shape.Pace) + 1)
-	e.isTimed = true
+	e.isWatched = true
 	e.later(left, func() {
-		e.isTimed = false
+		e.isWatched = false
 		if len(e.active) == 0 {
 			return
 		}
@@ -132,24 +162,24 @@
 			e.watchExpiry()
 			return
 		}
-		for _, one := range slices.Clone(e.active) {
-			e.end(one, "lapsed")
+		for _, lapsed := range slices.Clone(e.active) {
+			e.end(lapsed, howLapsed)
 		}
 	})
 }
 
 func (e *Executor) hasRoomFor(load Load) bool {
 	cpu, memory := load.CPU, load.MemoryMB
-	for _, one := range e.active {
-		cpu, memory = cpu+one.load.CPU, memory+one.load.MemoryMB
+	for _, active := range e.active {
+		cpu, memory = cpu+active.load.CPU, memory+active.load.MemoryMB
 	}
 	return cpu <= e.shape.Room.CPU && memory <= e.shape.Room.Memory
 }
 
 func (e *Executor) find(task string, run int64) *activeRun {
-	for _, one := range e.active {
-		if one.record.Task == task && one.record.Run == run {
-			return one
+	for _, active := range e.active {
+		if active.record.Task == task && active.record.Run == run {
+			return active
 		}
 	}
 	return nil
@@ -160,7 +190,7 @@
 	load, err := parseLoad(order.Spec)
 	switch {
 	case !e.raise(order.Fence):
-		return 409, e.answer("fence")
+		return 409, e.answer(reasonFence)
 	case err != nil || order.Task == "" || order.Run < 1:
 		return 400, e.answer("")
 	case e.find(order.Task, order.Run) != nil:
@@ -168,39 +198,40 @@
 		return 200, e.answer("")
 	case order.Run <= e.highest[order.Task]:
 		e.extend(order.ExpiryMs)
-		return 409, e.answer("old")
+		return 409, e.answer(reasonOld)
 	case order.ExpiryMs <= e.ClockMs():
-		return 409, e.answer("late")
+		return 409, e.answer(reasonLate)
 	}
 	e.extend(order.ExpiryMs)
 	if !e.hasRoomFor(load) {
-		return 409, e.answer("room")
+		return 409, e.answer(reasonRoom)
 	}
 	e.begin(order, load)
 	return 200, e.answer("")
 }
 
 func (e *Executor) begin(order executorapi.RunStart, load Load) {
-	one := &activeRun{load: load, began: e.clock.Steady(),
+	started := &activeRun{load: load, began: e.clock.Steady(),
 		record: RunRecord{Task: order.Task, Run: order.Run, Node: e.shape.Node, StartMs: e.clock.WallMs()}}
-	e.active = append(e.active, one)
-	if !e.isTimed {
+	e.active = append(e.active, started)
+	if !e.isWatched {
 		e.watchExpiry()
 	}
 	e.later(load.Length, func() {
-		if slices.Contains(e.active, one) {
-			e.end(one, "done")
+		if slices.Contains(e.active, started) {
+			e.end(started, howDone)
 		}
 	})
 }
 
-func (e *Executor) end(one *activeRun, how string) {
-	e.active = slices.DeleteFunc(e.active, func(other *activeRun) bool { return other == one })
-	one.record.EndMs, one.record.How = e.clock.WallMs(), how
-	e.over = append(e.over, one.record)
-	e.highest[one.record.Task] = max(e.highest[one.record.Task], one.record.Run)
+// end ends a run and answers the holds that wait for it.
+func (e *Executor) end(run *activeRun, how string) {
+	e.active = slices.DeleteFunc(e.active, func(other *activeRun) bool { return other == run })
+	run.record.EndMs, run.record.How = e.clock.WallMs(), how
+	e.ended = append(e.ended, run.record)
+	e.highest[run.record.Task] = max(e.highest[run.record.Task], run.record.Run)
 	e.lastEnd++
-	e.ends = append(e.ends, executorapi.EndRow{Number: e.lastEnd, Task: one.record.Task, Run: one.record.Run, How: how})
+	e.ends = append(e.ends, executorapi.EndRow{Number: e.lastEnd, Task: run.record.Task, Run: run.record.Run, How: how})
 	waiting := e.waiting
 	e.waiting = nil
 	for _, hold := range waiting {
@@ -211,13 +242,13 @@
 // Stop is POST /v1/run-stop.
 func (e *Executor) Stop(order executorapi.RunStop) (int, executorapi.Answer) {
 	if !e.raise(order.Fence) {
-		return 409, e.answer("fence")
+		return 409, e.answer(reasonFence)
 	}
 	e.highest[order.Task] = max(e.highest[order.Task], order.Run)
-	if one := e.find(order.Task, order.Run); one != nil {
+	if stopping := e.find(order.Task, order.Run); stopping != nil {
 		e.later(e.shape.StopTimeout/2, func() {
-			if slices.Contains(e.active, one) {
-				e.end(one, "stopped")
+			if slices.Contains(e.active, stopping) {
+				e.end(stopping, howStopped)
 			}
 		})
 	}
@@ -227,7 +258,7 @@
 // Hold is POST /v1/hold; the answer may wait for an end.
 func (e *Executor) Hold(hold executorapi.Hold, answer func(int, executorapi.Answer)) {
 	if !e.raise(hold.Fence) {
-		answer(409, e.answer("fence"))
+		answer(409, e.answer(reasonFence))
 		return
 	}
 	e.ends = slices.DeleteFunc(e.ends, func(end executorapi.EndRow) bool { return end.Number <= hold.LastSeen })
@@ -238,28 +269,29 @@
 		answer(200, e.lists())
 		return
 	}
-	one := &waitingHold{answer: answer}
-	e.waiting = append(e.waiting, one)
+	waiting := &waitingHold{answer: answer}
+	e.waiting = append(e.waiting, waiting)
 	e.later(pulse.Ms(min(hold.WaitMs, mostWaitMs)), func() {
-		if place := slices.Index(e.waiting, one); place >= 0 {
+		if place := slices.Index(e.waiting, waiting); place >= 0 {
 			e.waiting = slices.Delete(e.waiting, place, place+1)
-			one.answer(200, e.lists())
+			waiting.answer(200, e.lists())
 		}
 	})
 }
 
+// lists is an answer with the ends that are not acknowledged and the runs that go on.
 func (e *Executor) lists() executorapi.Answer {
 	answer := e.answer("")
 	answer.Ends = slices.Clone(e.ends[:min(len(e.ends), mostEnds)])
-	for _, one := range e.active {
-		percent := int(100 * (e.clock.Steady() - one.began) / max(one.load.Length, 1))
+	for _, active := range e.active {
+		percent := int(100 * (e.clock.Steady() - active.began) / max(active.load.Length, 1))
 		answer.Running = append(answer.Running,
-			executorapi.RunningRow{Task: one.record.Task, Run: one.record.Run, Percent: min(percent, 99)})
+			executorapi.RunningRow{Task: active.record.Task, Run: active.record.Run, Percent: min(percent, mostPercent)})
 	}
 	return answer
 }
 
-// Beat is the executor's next word of itself.
+// Beat is the executor's next heartbeat.
 func (e *Executor) Beat(service, address, domain string) executorapi.Beat {
 	e.sequence++
 	return executorapi.Beat{Service: service, Address: address, Domain: domain, Version: "v1", Slots: 8, State: "ready",
@@ -274,14 +306,14 @@
 
 // Counts counts the runs of this executor since its start.
 func (e *Executor) Counts() Counts {
-	return Counts{Running: len(e.active), Started: len(e.active) + len(e.over)}
+	return Counts{Running: len(e.active), Started: len(e.active) + len(e.ended)}
 }
 
 // Records are all runs so far, those still running among them.
 func (e *Executor) Records() []RunRecord {
-	records := slices.Clone(e.over)
-	for _, one := range e.active {
-		records = append(records, one.record)
+	records := slices.Clone(e.ended)
+	for _, active := range e.active {
+		records = append(records, active.record)
 	}
 	return records
 }
--- a/internal/hollow/executor_test.go
+++ b/internal/hollow/executor_test.go
@@ -12,14 +12,14 @@
 	"gannetline/internal/pulse"
 )
 
-// world is one executor on a fake clock, with the letters that wait.
+// world is one executor on a fake clock, with the functions that it has put off.
 type world struct {
 	clock    *pulse.Fake
 	executor *hollow.Executor
-	letters  []letter
+	delayed  []delayedCall
 }
 
-type letter struct {
+type delayedCall struct {
 	due time.Duration
 	run func()
 }
@@ -29,20 +29,20 @@
 	w.executor = hollow.NewExecutor(hollow.Shape{Node: "w", ID: "i-w", Room: peerapi.Capacity{CPU: 1000, Memory: 1000},
 		MaxHold: 6 * time.Second, StopTimeout: 400 * time.Millisecond, Pace: 1}, w.clock,
 		func(wait time.Duration, run func()) {
-			w.letters = append(w.letters, letter{w.clock.Steady() + wait, run})
+			w.delayed = append(w.delayed, delayedCall{w.clock.Steady() + wait, run})
 		})
 	return w
 }
 
 func (w *world) pass(length time.Duration) {
 	for until := w.clock.Steady() + length; w.clock.Steady() < until; w.clock.Advance(time.Millisecond) {
-		due := w.letters
-		w.letters = nil
-		for _, one := range due {
-			if one.due <= w.clock.Steady() {
-				one.run()
+		due := w.delayed
+		w.delayed = nil
+		for _, call := range due {
+			if call.due <= w.clock.Steady() {
+				call.run()
 			} else {
-				w.letters = append(w.letters, one)
+				w.delayed = append(w.delayed, call)
 			}
 		}
 	}
--- a/internal/hollow/host.go
+++ b/internal/hollow/host.go
@@ -33,14 +33,19 @@
 	// PathProfile gives the processor profile of the next so many seconds.
 	PathProfile = "/hollow/profile"
 
-	mostCall   = 64 << 10
-	beatLimit  = time.Second
-	beatSpread = 50
+	mailboxRoom = 256
+	// longestCall is in bytes.
+	longestCall      = 64 << 10
+	heartbeatTimeout = time.Second
+	// heartbeatSpread is into how many steps the first heartbeats are spread.
+	heartbeatSpread = 50
+	// retryShare is the part of the interval after which a failed heartbeat is sent again.
+	retryShare = 5
 )
 
 // node is one stand-in executor with the goroutine that owns it.
 type node struct {
-	box      *mailbox.Mailbox
+	mailbox  *mailbox.Mailbox
 	executor *Executor
 	settings *settings.Settings
 	clock    pulse.Pulse
@@ -48,85 +53,93 @@
 }
 
 func newNode(life span.Span, worker Worker, nodeSettings *settings.Settings, clock pulse.Pulse) *node {
-	one := &node{box: mailbox.New(256), settings: nodeSettings, clock: clock, life: life}
+	started := &node{mailbox: mailbox.New(mailboxRoom), settings: nodeSettings, clock: clock, life: life}
 	shape := Shape{Node: nodeSettings.NodeName, ID: "i-" + nodeSettings.NodeName, Room: worker.Room, Labels: worker.Labels,
 		MaxHold: nodeSettings.MaxHold(), StopTimeout: pulse.Ms(nodeSettings.Bounds.StopTimeoutMs), Pace: worker.Pace}
-	one.executor = NewExecutor(shape, clock, one.later)
-	return one
+	started.executor = NewExecutor(shape, clock, started.later)
+	return started
 }
 
-func (n *node) later(wait time.Duration, letter func()) {
+// later runs a function on the goroutine that owns the executor, once the wait is over.
+func (n *node) later(wait time.Duration, run func()) {
 	go func() {
 		select {
 		case <-n.life.Done():
 		case <-n.clock.After(wait):
-			n.box.Post(letter)
+			n.mailbox.Post(run)
 		}
 	}()
 }
 
-type told struct {
+// result is the answer to a call, with its HTTP status.
+type result struct {
 	status int
 	answer executorapi.Answer
 }
 
+// command carries out a call on the goroutine that owns the executor, and gives its result at once or later.
+type command = func(answer func(result))
+
+// ServeHTTP answers the calls that a local proxy makes to its executor.
 func (n *node) ServeHTTP(to http.ResponseWriter, request *http.Request) {
 	if expected := request.Header.Get("X-Expected-Executor"); expected != "" && expected != n.executor.shape.ID {
 		response.Empty(http.StatusMisdirectedRequest).Write(to)
 		return
 	}
-	text, err := io.ReadAll(io.LimitReader(request.Body, mostCall))
+	text, err := io.ReadAll(io.LimitReader(request.Body, longestCall))
 	if err != nil || request.Method != http.MethodPost {
 		response.Empty(http.StatusBadRequest).Write(to)
 		return
 	}
-	command := n.decode(request.URL.Path, text)
-	if command == nil {
+	decoded := n.decode(request.URL.Path, text)
+	if decoded == nil {
 		response.Empty(http.StatusBadRequest).Write(to)
 		return
 	}
-	result, err := mailbox.Ask(n.box, request.Context(), command)
+	done, err := mailbox.Ask(n.mailbox, request.Context(), decoded)
 	if err != nil {
 		return
 	}
-	body, err := easyjson.Marshal(result.answer)
+	body, err := easyjson.Marshal(done.answer)
 	if err != nil {
 		response.Empty(http.StatusInternalServerError).Write(to)
 		return
 	}
-	response.Raw(result.status, body).Write(to)
+	response.Raw(done.status, body).Write(to)
 }
 
 // decode makes a command of a call, or nil if it can't be read.
-func (n *node) decode(path string, text []byte) func(func(told)) {
+func (n *node) decode(path string, text []byte) command {
 	switch path {
 	case "/v1/run-start":
 		var order executorapi.RunStart
-		return commandOf(text, &order, func(answer func(told)) { answer(tell(n.executor.Start(order))) })
+		return commandOf(text, &order, func(answer func(result)) { answer(resultOf(n.executor.Start(order))) })
 	case "/v1/run-stop":
 		var order executorapi.RunStop
-		return commandOf(text, &order, func(answer func(told)) { answer(tell(n.executor.Stop(order))) })
+		return commandOf(text, &order, func(answer func(result)) { answer(resultOf(n.executor.Stop(order))) })
 	case "/v1/hold":
 		var hold executorapi.Hold
-		return commandOf(text, &hold, func(answer func(told)) {
-			n.executor.Hold(hold, func(status int, lists executorapi.Answer) { answer(told{status, lists}) })
+		return commandOf(text, &hold, func(answer func(result)) {
+			n.executor.Hold(hold, func(status int, lists executorapi.Answer) { answer(result{status, lists}) })
 		})
 	}
 	return nil
 }
 
-func commandOf(text []byte, message easyjson.Unmarshaler, command func(func(told))) func(func(told)) {
+// commandOf reads the message that a command uses; it gives nil if it can't be read.
+func commandOf(text []byte, message easyjson.Unmarshaler, carryOut command) command {
 	if easyjson.Unmarshal(text, message) != nil {
 		return nil
 	}
-	return command
+	return carryOut
 }
 
-func tell(status int, answer executorapi.Answer) told { return told{status, answer} }
+func resultOf(status int, answer executorapi.Answer) result { return result{status, answer} }
 
-// beat says that the executor is there, over and over.
-func (n *node) beat(client *http.Client, place int) {
-	wait := pulse.Ms(int64(place%beatSpread) * n.settings.HeartbeatMs / beatSpread)
+// sendHeartbeats reports to the local proxy at the interval of the settings, sooner after a failure. The place among all
+// workers of the process spreads the first heartbeats.
+func (n *node) sendHeartbeats(client *http.Client, place int) {
+	wait := pulse.Ms(int64(place%heartbeatSpread) * n.settings.HeartbeatMs / heartbeatSpread)
 	for {
 		select {
 		case <-n.life.Done():
@@ -134,21 +147,21 @@
 		case <-n.clock.After(wait):
 		}
 		wait = pulse.Ms(n.settings.HeartbeatMs)
-		word, err := mailbox.Ask(n.box, n.life, func(answer func(executorapi.Beat)) {
+		heartbeat, err := mailbox.Ask(n.mailbox, n.life, func(answer func(executorapi.Beat)) {
 			answer(n.executor.Beat(n.settings.Service, n.settings.App, n.settings.Domain))
 		})
-		if err != nil || n.send(client, word) != nil {
-			wait /= 5
+		if err != nil || n.send(client, heartbeat) != nil {
+			wait /= retryShare
 		}
 	}
 }
 
-func (n *node) send(client *http.Client, word executorapi.Beat) error {
-	body, err := easyjson.Marshal(word)
+func (n *node) send(client *http.Client, heartbeat executorapi.Beat) error {
+	body, err := easyjson.Marshal(heartbeat)
 	if err != nil {
 		return err
 	}
-	life, release := span.Within(n.life, beatLimit)
+	life, release := span.Within(n.life, heartbeatTimeout)
 	defer release()
 	url := "http://" + n.settings.Listen.Control + "/v1/executors/" + n.executor.shape.ID + "/heartbeat"
 	request, err := http.NewRequestWithContext(life, http.MethodPost, url, bytes.NewReader(body))
@@ -165,7 +178,8 @@
 	return err
 }
 
-// Run keeps the hollow workers of a spec going until the span or their time ends.
+// Run keeps the hollow workers of a spec going until the span or their time ends. It takes their settings in the order of
+// the spec. An error names the worker that could not be started, or whose local proxy ended.
 func Run(life span.Span, spec *Spec, all []*settings.Settings, log logging.Logger) error {
 	life, release := span.Within(life, pulse.Ms(spec.ForMs))
 	defer release()
@@ -173,19 +187,19 @@
 	if err != nil {
 		return errors.Annotate(err, "field report")
 	}
-	clock, meter, beats := pulse.Real(), &transportmetrics.Meter{}, peerapi.Client(beatLimit, 1)
+	clock, meter, client := pulse.Real(), &transportmetrics.Meter{}, peerapi.Client(heartbeatTimeout, 1)
 	failed := make(chan error, len(all)+1)
 	var nodes []*node
 	for place, nodeSettings := range all {
-		one := newNode(life, spec.Workers[place], nodeSettings, clock)
-		nodes = append(nodes, one)
+		started := newNode(life, spec.Workers[place], nodeSettings, clock)
+		nodes = append(nodes, started)
 		app, err := net.Listen("tcp4", nodeSettings.App)
 		if err != nil {
 			return errors.Annotatef(err, "worker %d: field app", place)
 		}
-		go one.box.Run(life, clock, mailbox.Owner{Every: time.Minute})
-		go serve(life, app, one)
-		go one.beat(beats, place)
+		go started.mailbox.Run(life, clock, mailbox.Owner{Every: time.Minute})
+		go serve(life, app, started)
+		go started.sendHeartbeats(client, place)
 		if spec.Workers[place].IsExecutorOnly {
 			continue
 		}
@@ -205,6 +219,7 @@
 	}
 }
 
+// serve answers calls on a listener until the span ends.
 func serve(life span.Span, listener net.Listener, handler http.Handler) {
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
 	go func() {
@@ -214,6 +229,7 @@
 	server.Serve(listener)
 }
 
+// reports serves the pages that scale-run reads.
 func reports(nodes []*node, meter *transportmetrics.Meter) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc(PathRecords, func(to http.ResponseWriter, request *http.Request) {
@@ -232,9 +248,10 @@
 	return mux
 }
 
+// gather asks each executor on the goroutine that owns it, and gives up at the first that does not answer.
 func gather[T any](nodes []*node, life span.Span, question func(*Executor) T, take func(T)) {
-	for _, one := range nodes {
-		value, err := mailbox.Ask(one.box, life, func(answer func(T)) { answer(question(one.executor)) })
+	for _, asked := range nodes {
+		value, err := mailbox.Ask(asked.mailbox, life, func(answer func(T)) { answer(question(asked.executor)) })
 		if err != nil {
 			return
 		}
--- a/internal/hollow/spec.go
+++ b/internal/hollow/spec.go
@@ -30,7 +30,8 @@
 	IsExecutorOnly bool `json:"executor-only,omitempty"`
 }
 
-// Spec is what one process of hollow workers is told.
+// Spec is what one process of hollow workers is told: the workers, the address of its pages, and after how many
+// milliseconds it ends.
 type Spec struct {
 	Workers []Worker `json:"workers"`
 	Report  string   `json:"report"`
