A pool has a goroutine of its own, and its work no longer delays the lease

Cause: the engine of a pool's key and the pool itself shared one goroutine. Loading the state, placement, and up to 1,024 waiting calls ran before the next heartbeat, and before the answers that renew the lease were looked at. Where that took longer than a lease, the voters promised another steward, which began with the same work.

Change: poolhost.Host is the state machine of the engine and passes openings, ends of commits and closings on to the pool's goroutine, without a bound and before all waiting calls, so that the engine never waits for the pool (mailbox.Outbox). A leadership publishes its lease and the voters' clocks through atomics. The simulated stage runs the same wiring. scheduler.Opener is gone.

The same cause elsewhere: a mailbox also ran questions whose askers had given up, so an owner that had fallen behind spent its time on answers that nobody waited for; they are passed over now (test in internal/mailbox, failed before). The configuration stays on its engine's goroutine: its work is a read of one body and checked calls.

Ruled out: that HasLease on another goroutine could outlast the lease.

--- a/internal/controlkeys/ring.go
+++ b/internal/controlkeys/ring.go
@@ -12,6 +12,7 @@
 	"gannetline/internal/mailbox"
 	"gannetline/internal/membership"
 	"gannetline/internal/peerapi"
+	"gannetline/internal/poolhost"
 	"gannetline/internal/pulse"
 	"gannetline/internal/replication"
 	"gannetline/internal/scheduler"
@@ -26,9 +27,12 @@
 	handOverTime = 400 * time.Millisecond
 )
 
-// holder is one key: its engine, its machine and the goroutine that owns both.
+// holder is one key: its engine with its goroutine, and what lives on the key. The configuration lives on the engine's
+// goroutine, a pool on one of its own.
 type holder struct {
+	// box is the mailbox of the engine's goroutine, calls that of what lives on the key.
 	box    *mailbox.Mailbox
+	calls  *mailbox.Mailbox
 	engine *replication.Engine
 	pool   *scheduler.Pool
 	plan   *configowner.Leader
@@ -140,7 +144,8 @@
 	if r.holders[key] != nil {
 		return
 	}
-	one := &holder{box: mailbox.New(1024)}
+	box := mailbox.New(1024)
+	one := &holder{box: box, calls: box}
 	road := &links{ring: r, box: one.box, life: r.life}
 	options := []replication.Option{replication.WithInitialVoters(birth), replication.WithLog(r.log), replication.WithAnnounce(r.node.Announce),
 		replication.WithMachineLosses(r.losses)}
@@ -151,9 +156,11 @@
 		owner.Tick = one.engine.Tick
 	} else {
 		one.pool = scheduler.New(key, r.clock, r.timing, r.log, r.pool...)
-		one.engine = replication.NewEngine(key, r.disk, r.name, r.clock, road, scheduler.Opener{Pool: one.pool}, r.stewards, options...)
-		owner.Tick = func() { one.engine.Tick(); one.pool.Tick() }
-		owner.Settle = one.pool.Settle
+		host := poolhost.New(key, one.pool, box, r.log)
+		one.calls = host.Box()
+		one.engine = replication.NewEngine(key, r.disk, r.name, r.clock, road, host, r.stewards, options...)
+		owner.Tick, owner.Settle = one.engine.Tick, host.Flush
+		go one.calls.Run(r.life, r.clock, mailbox.Owner{Every: tickEvery, Tick: one.pool.Tick, Settle: one.pool.Settle})
 	}
 	r.holders[key] = one
 	go one.box.Run(r.life, r.clock, owner)
@@ -218,7 +225,7 @@
 	if one == nil {
 		return r.elsewhere(call.Key), nil
 	}
-	answer, err := mailbox.Ask(one.box, life, func(answer func(peerapi.ClientAnswer)) { one.obey(call, answer) })
+	answer, err := mailbox.Ask(one.calls, life, func(answer func(peerapi.ClientAnswer)) { one.obey(call, answer) })
 	if err != nil {
 		return nil, err
 	}
@@ -257,7 +264,7 @@
 	if one == nil || one.pool == nil {
 		return elsewhere, nil
 	}
-	answer, err := mailbox.Ask(one.box, life, func(answer func(peerapi.ExchangeAnswer)) {
+	answer, err := mailbox.Ask(one.calls, life, func(answer func(peerapi.ExchangeAnswer)) {
 		if !one.pool.IsOpen() {
 			answer(peerapi.ExchangeAnswer{Elsewhere: true})
 			return
@@ -409,7 +416,7 @@
 		if whole, err := r.store.Read(key); err == nil {
 			jobs = append(jobs, scheduler.JobsOf(key, whole.Pairs)...)
 		}
-		held, err := mailbox.Ask(one.box, life, func(answer func([]peerapi.ExecutorBelief)) {
+		held, err := mailbox.Ask(one.calls, life, func(answer func([]peerapi.ExecutorBelief)) {
 			if !one.pool.IsOpen() {
 				answer(nil)
 				return
--- a/internal/mailbox/mailbox.go
+++ b/internal/mailbox/mailbox.go
@@ -13,10 +13,14 @@
 // else touches the table, so it needs no lock.
 type Mailbox struct {
 	letters chan func()
+	// first holds functions that go before all others; only an Outbox fills it.
+	first chan func()
 }
 
 // New makes a mailbox in which so many functions may wait.
-func New(room int) *Mailbox { return &Mailbox{letters: make(chan func(), room)} }
+func New(room int) *Mailbox {
+	return &Mailbox{letters: make(chan func(), room), first: make(chan func(), room)}
+}
 
 // Post queues a function; it blocks while the mailbox is full, so the owner itself must not call it.
 func (m *Mailbox) Post(letter func()) { m.letters <- letter }
@@ -51,6 +55,9 @@
 		select {
 		case <-life.Done():
 			return
+		case letter := <-m.first:
+			letter()
+			m.Drain()
 		case letter := <-m.letters:
 			letter()
 			m.Drain()
@@ -69,16 +76,31 @@
 // Drain runs what waits, and no more than the box holds.
 func (m *Mailbox) Drain() {
 	for range cap(m.letters) {
-		select {
-		case letter := <-m.letters:
-			letter()
-		default:
+		if !m.Step() {
 			return
 		}
 	}
 }
 
-// Ask runs the question on the owner's goroutine and waits for its answer.
+// Step runs the next function that waits, and says whether there was one.
+func (m *Mailbox) Step() bool {
+	select {
+	case letter := <-m.first:
+		letter()
+		return true
+	default:
+	}
+	select {
+	case letter := <-m.letters:
+		letter()
+		return true
+	default:
+		return false
+	}
+}
+
+// Ask runs the question on the owner's goroutine and waits for its answer. A question whose asker has given up by the time
+// of its turn is not run, so that an owner that has fallen behind spends no time on answers that nobody waits for.
 func Ask[T any](m *Mailbox, life span.Span, question func(answer func(T))) (T, error) {
 	answers := make(chan T, 1)
 	answer := func(value T) {
@@ -88,8 +110,13 @@
 		}
 	}
 	var none T
+	letter := func() {
+		if life.Err() == nil {
+			question(answer)
+		}
+	}
 	select {
-	case m.letters <- func() { question(answer) }:
+	case m.letters <- letter:
 	case <-life.Done():
 		return none, life.Err()
 	}
--- /dev/null
+++ b/internal/mailbox/mailbox_test.go
@@ -0,0 +1,49 @@
+package mailbox
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gannetline/internal/span"
+)
+
+var _ = Describe("a mailbox", func() {
+	It("does not run a question whose asker has given up by its turn", func() {
+		box, wasRun := New(4), 0
+		question := func(answer func(int)) { wasRun++; answer(wasRun) }
+		life, end := span.Cancellable(span.Root())
+		givenUp := make(chan error)
+		go func() {
+			_, err := Ask(box, life, question)
+			givenUp <- err
+		}()
+		Eventually(func() int { return len(box.letters) }).Should(Equal(1))
+		end()
+		Expect(<-givenUp).To(HaveOccurred())
+		box.Drain()
+		Expect(wasRun).To(BeZero())
+		answered := make(chan int)
+		go func() {
+			answer, _ := Ask(box, span.Root(), question)
+			answered <- answer
+		}()
+		Eventually(func() int { return len(box.letters) }).Should(Equal(1))
+		box.Drain()
+		Expect(<-answered).To(Equal(1))
+	})
+
+	It("runs what an outbox sends before all that waits, in order, and takes as much of it as there is", func() {
+		box := New(2)
+		outbox := NewOutbox(box)
+		var order []string
+		say := func(what string) func() { return func() { order = append(order, what) } }
+		box.Post(say("posted"))
+		for _, what := range []string{"one", "two", "three", "four", "five"} {
+			outbox.Send(say(what))
+		}
+		for box.Step() {
+			outbox.Flush()
+		}
+		Expect(order).To(Equal([]string{"one", "two", "three", "four", "five", "posted"}))
+	})
+})
--- /dev/null
+++ b/internal/poolhost/poolhost.go
@@ -0,0 +1,75 @@
+// Package poolhost runs the pool of a service on a goroutine of its own, beside the goroutine of the engine that elects the
+// pool's leader and replicates its changes. Loading a pool, placement and bursts of exchanges may then take as long as they
+// need: the engine renews its lease meanwhile.
+package poolhost
+
+import (
+	"gannetline/internal/logging"
+	"gannetline/internal/mailbox"
+	"gannetline/internal/peerapi"
+	"gannetline/internal/replication"
+	"gannetline/internal/scheduler"
+)
+
+// mailboxSize is how many calls may wait for the pool's goroutine.
+const mailboxSize = 1024
+
+// Pool is what a host runs; scheduler.Pool is the real one.
+type Pool interface {
+	// Open takes the key over with all its values; an error gives the leadership up.
+	Open(tenure scheduler.Tenure, pairs []peerapi.Op) error
+	// Close ends the leadership.
+	Close()
+}
+
+// Host is the replication.StateMachine of a pool. Its methods run on the engine's goroutine, the pool's on that of Box.
+type Host struct {
+	key    string
+	pool   Pool
+	engine *mailbox.Mailbox
+	box    *mailbox.Mailbox
+	outbox *mailbox.Outbox
+	log    logging.Logger
+}
+
+// New makes the host of a pool whose engine runs on the goroutine of that mailbox.
+func New(key string, pool Pool, engine *mailbox.Mailbox, log logging.Logger) *Host {
+	box := mailbox.New(mailboxSize)
+	return &Host{key: key, pool: pool, engine: engine, box: box, outbox: mailbox.NewOutbox(box), log: log}
+}
+
+// Box is the mailbox of the goroutine that owns the pool.
+func (h *Host) Box() *mailbox.Mailbox { return h.box }
+
+// Flush passes on what the pool's mailbox had no room for; the engine's goroutine calls it after each burst.
+func (h *Host) Flush() { h.outbox.Flush() }
+
+// Open lets the pool load what is committed of the key. Calls that come to the pool's mailbox meanwhile wait there.
+func (h *Host) Open(leadership *replication.Leadership, pairs []peerapi.Op) error {
+	h.outbox.Send(func() {
+		if !leadership.IsOpen() {
+			return
+		}
+		if err := h.pool.Open(&tenure{leadership, h}, pairs); err != nil {
+			h.log.Error(err, "the state of the key could not be taken over", "key", h.key)
+			h.engine.Post(func() { leadership.GiveUp("unreadable state") })
+		}
+	})
+	return nil
+}
+
+// Close ends the leadership for the pool; commits that wait have told it of their end by then.
+func (h *Host) Close() { h.outbox.Send(h.pool.Close) }
+
+// tenure is a leadership as the pool's goroutine uses it.
+type tenure struct {
+	*replication.Leadership
+	host *Host
+}
+
+// Commit makes a change durable on a majority; done runs on the pool's goroutine.
+func (t *tenure) Commit(ops []peerapi.Op, done func(error)) {
+	t.host.engine.Post(func() {
+		t.Leadership.Commit(ops, func(err error) { t.host.outbox.Send(func() { done(err) }) })
+	})
+}
--- /dev/null
+++ b/internal/poolhost/steward_test.go
@@ -0,0 +1,323 @@
+package poolhost_test
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"gannetline/internal/logging"
+	"gannetline/internal/mailbox"
+	"gannetline/internal/peerapi"
+	"gannetline/internal/poolhost"
+	"gannetline/internal/pulse"
+	"gannetline/internal/replication"
+	"gannetline/internal/scheduler"
+	"gannetline/internal/storage"
+)
+
+const (
+	key       = "pool/s"
+	transit   = 2 * time.Millisecond
+	tickEvery = 50 * time.Millisecond
+)
+
+// costs is the time that a slow processor needs for the pool's work.
+type costs struct {
+	record   time.Duration
+	exchange time.Duration
+}
+
+// steward is a candidate with its pool on a slow processor, beside scripted voters that grant all they may.
+type steward struct {
+	clock     *pulse.Fake
+	events    []event
+	engineBox *mailbox.Mailbox
+	engine    *replication.Engine
+	host      *poolhost.Host
+	pool      *scheduler.Pool
+	costs     costs
+	state     peerapi.Snapshot
+	voters    map[string]*voter
+	openings  int
+	// busyUntil is when the pool's goroutine is free again.
+	busyUntil time.Duration
+	// gaps counts the times that a majority of the voters would have promised another candidate.
+	gaps  int
+	isGap bool
+}
+
+type event struct {
+	due time.Duration
+	run func()
+}
+
+// voter is a disk with its steward: what it holds, and until when it promises nobody else.
+type voter struct {
+	last       peerapi.LogPosition
+	promised   uint64
+	leaseUntil time.Duration
+}
+
+func newSteward(costs costs, pairs []peerapi.Op) *steward {
+	s := &steward{clock: pulse.NewFake(1_000_000), engineBox: mailbox.New(1024), costs: costs, voters: map[string]*voter{}}
+	base := peerapi.LogPosition{Epoch: 1, Index: 100}
+	set := peerapi.VoterSet{Now: []string{"a", "b", "c", "d", "e"}}
+	s.state = peerapi.Snapshot{Last: base, Set: set, Pairs: pairs}
+	for _, disk := range set.Now {
+		s.voters[disk] = &voter{last: base, promised: 1}
+	}
+	s.pool = scheduler.New(key, s.clock, scheduler.Timing{Grant: 4800 * time.Millisecond, MaxHold: 6 * time.Second,
+		Resend: 200 * time.Millisecond, ResendMost: time.Second, HoldStale: 2500 * time.Millisecond, SilentAfter: 900 * time.Millisecond,
+		StopTimeout: 400 * time.Millisecond, StuckAfter: 2 * time.Second, KeepEnded: time.Minute, Headroom: scheduler.DefaultHeadroom},
+		logging.Silent())
+	s.host = poolhost.New(key, &slowPool{s.pool, s}, s.engineBox, logging.Silent())
+	s.engine = replication.NewEngine(key, "a", "one", s.clock, &links{s}, s.host, s.members, replication.WithMachineLosses(2))
+	return s
+}
+
+// slowPool needs a time to load, as long as there are records.
+type slowPool struct {
+	*scheduler.Pool
+	steward *steward
+}
+
+func (p *slowPool) Open(tenure scheduler.Tenure, pairs []peerapi.Op) error {
+	p.steward.openings++
+	p.steward.spend(time.Duration(len(pairs)) * p.steward.costs.record)
+	return p.Pool.Open(tenure, pairs)
+}
+
+func (s *steward) members() []peerapi.Member {
+	var all []peerapi.Member
+	for _, disk := range s.state.Set.Now {
+		all = append(all, peerapi.Member{Name: disk, Role: "steward", Disk: disk, State: peerapi.StateAlive})
+	}
+	return all
+}
+
+func (s *steward) spend(length time.Duration) {
+	s.busyUntil = max(s.busyUntil, s.clock.Steady()) + length
+}
+
+func (s *steward) after(wait time.Duration, run func()) {
+	s.events = append(s.events, event{s.clock.Steady() + wait, run})
+}
+
+// run lets time pass in steps of a millisecond.
+func (s *steward) run(length time.Duration) {
+	for range length / time.Millisecond {
+		s.clock.Advance(time.Millisecond)
+		now := s.clock.Steady()
+		due := s.events
+		s.events = nil
+		for _, one := range due {
+			if one.due > now {
+				s.events = append(s.events, one)
+				continue
+			}
+			one.run()
+		}
+		s.runEngine(now)
+		s.runPool(now)
+		s.noteGap(now)
+	}
+}
+
+// runEngine is a turn of the engine's goroutine.
+func (s *steward) runEngine(now time.Duration) {
+	if now%tickEvery == 0 {
+		s.engine.Tick()
+	}
+	s.engineBox.Drain()
+	s.host.Flush()
+}
+
+// runPool is a turn of the pool's goroutine: as much as the processor does in a millisecond.
+func (s *steward) runPool(now time.Duration) {
+	for s.busyUntil <= now {
+		if !s.host.Box().Step() {
+			break
+		}
+	}
+	if s.busyUntil > now {
+		return
+	}
+	if now%tickEvery == 0 {
+		s.pool.Tick()
+	}
+	s.pool.Settle()
+}
+
+func (s *steward) noteGap(now time.Duration) {
+	free := 0
+	for _, one := range s.voters {
+		if one.promised > 1 && now >= one.leaseUntil {
+			free++
+		}
+	}
+	isGap := 2*free > len(s.voters)
+	if isGap && !s.isGap && s.hasLed() {
+		s.gaps++
+	}
+	s.isGap = isGap
+}
+
+// hasLed tells whether any voter has granted a lease so far.
+func (s *steward) hasLed() bool {
+	for _, one := range s.voters {
+		if one.leaseUntil > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// links are those of the steward's engine to the scripted voters.
+type links struct{ s *steward }
+
+func (l *links) back(run func()) { l.s.after(transit, func() { l.s.engineBox.Post(run) }) }
+
+func (l *links) Promise(disk string, call peerapi.PromiseCall, done func(peerapi.PromiseAnswer, error)) {
+	l.s.after(transit, func() {
+		one := l.s.voters[disk]
+		isGranted := call.Epoch > one.promised
+		if isGranted && !call.PreVote {
+			one.promised = call.Epoch
+		}
+		answer := peerapi.PromiseAnswer{Granted: isGranted, Promised: one.promised, Last: one.last, Set: l.s.state.Set, Disk: disk}
+		l.back(func() { done(answer, nil) })
+	})
+}
+
+func (l *links) Append(disk string, call peerapi.AppendCall, done func(peerapi.AppendAnswer, error)) {
+	l.s.after(transit, func() {
+		one := l.s.voters[disk]
+		isTaken := call.Epoch == one.promised && call.Prev == one.last && !call.Release
+		if call.Epoch == one.promised && !call.Release {
+			one.leaseUntil = l.s.clock.Steady() + replication.DefaultTiming.Lease
+		}
+		if isTaken && len(call.Changes) > 0 {
+			one.last = call.Changes[len(call.Changes)-1].Position
+		}
+		answer := peerapi.AppendAnswer{Taken: isTaken, Promised: one.promised, Last: one.last, Disk: disk, DelayUs: 1000, WallMs: l.s.clock.WallMs()}
+		l.back(func() { done(answer, nil) })
+	})
+}
+
+func (l *links) Fetch(_ string, _ peerapi.FetchCall, done func(peerapi.FetchAnswer, error)) {
+	l.back(func() { done(peerapi.FetchAnswer{}, errors.New("not scripted")) })
+}
+
+func (l *links) Status(_ string, done func(replication.ReplicaStatus)) {
+	own := l.s.voters["a"]
+	done(replication.ReplicaStatus{State: storage.ReplicaState{Last: own.last, Set: l.s.state.Set, Promised: own.promised},
+		Promised: own.promised})
+}
+
+func (l *links) History(_ string, done func(replication.History)) {
+	done(replication.History{Base: l.s.voters["a"].last})
+}
+
+func (l *links) ReadLocal(_ string, done func(peerapi.Snapshot, error)) {
+	state := l.s.state
+	state.Last = l.s.voters["a"].last
+	l.back(func() { done(state, nil) })
+}
+
+func (l *links) InstallLocal(call peerapi.AppendCall, done func(peerapi.AppendAnswer, error)) {
+	l.Append("a", call, done)
+}
+
+// proxy is a local proxy that calls until the new leader knows its executor, as often as the real one does.
+type proxy struct {
+	s        *steward
+	number   int
+	fence    uint64
+	look     uint64
+	calls    int
+	isFenced bool
+}
+
+const (
+	callLimit   = 1800 * time.Millisecond
+	failedPause = 300 * time.Millisecond
+)
+
+func (p *proxy) call() {
+	isOver := false
+	finish := func(then func()) {
+		if !isOver {
+			isOver = true
+			then()
+		}
+	}
+	p.calls++
+	p.s.after(callLimit, func() { finish(func() { p.s.after(failedPause, p.call) }) })
+	name := fmt.Sprintf("i-%04d", p.number)
+	ask := &peerapi.ExchangeCall{Key: key, Life: name, Proxy: "side-" + name, Room: peerapi.Capacity{CPU: 4000, Memory: 4000}, Fence: p.fence, Look: p.look}
+	isKnown := p.fence > 0
+	p.post(func() {
+		if !p.s.pool.IsOpen() {
+			p.s.after(transit, func() { finish(func() { p.s.after(failedPause, p.call) }) })
+			return
+		}
+		p.s.spend(p.s.costs.exchange)
+		p.s.pool.Exchange(ask, func(answer peerapi.ExchangeAnswer) {
+			p.s.after(transit, func() { finish(func() { p.take(answer, isKnown) }) })
+		})
+	})
+}
+
+func (p *proxy) post(letter func()) {
+	if !p.s.host.Box().TryPost(letter) {
+		p.s.after(5*time.Millisecond, func() { p.post(letter) })
+	}
+}
+
+func (p *proxy) take(answer peerapi.ExchangeAnswer, isKnown bool) {
+	if isKnown && !answer.Elsewhere && answer.Fence == p.fence {
+		p.isFenced = true
+		return
+	}
+	p.fence, p.look = answer.Fence, answer.Look
+	p.s.after(transit, p.call)
+}
+
+// settled runs until all proxies are known to the new leader, or the limit is reached.
+func (s *steward) settled(proxies []*proxy, limit time.Duration) time.Duration {
+	began := s.clock.Steady()
+	for s.clock.Steady()-began < limit {
+		s.run(10 * time.Millisecond)
+		fenced := 0
+		for _, one := range proxies {
+			if one.isFenced {
+				fenced++
+			}
+		}
+		if fenced == len(proxies) {
+			return s.clock.Steady() - began
+		}
+	}
+	return limit
+}
+
+func crowdOf(s *steward, count int) []*proxy {
+	var all []*proxy
+	for number := range count {
+		one := &proxy{s: s, number: number}
+		all = append(all, one)
+		s.after(time.Duration(number%300)*time.Millisecond, one.call)
+	}
+	return all
+}
+
+// jobs are the records of so many jobs of four tasks each.
+func jobs(count int) []peerapi.Op {
+	var pairs []peerapi.Op
+	for number := range count {
+		id := fmt.Sprintf("%016x", number)
+		spec := `{"task-descriptor":"d","step-list":[{"task-count":4,"cpu-units":8000,"estimated-ms":200}]}`
+		pairs = append(pairs, peerapi.Op{Name: "j/" + id, Value: []byte(`{"entry":"q","terms":{},"accepted":1,"spec":` + spec + `}`)})
+	}
+	return pairs
+}
--- a/internal/replication/commit.go
+++ b/internal/replication/commit.go
@@ -18,6 +18,7 @@
 	e.recentSize += sizeOf(change)
 	if set != nil {
 		e.set, e.setIndex = *set, e.last.Index
+		e.publish()
 	}
 	e.waiting = append(e.waiting, waiter{e.last.Index, done})
 	e.trimRecent()
--- a/internal/replication/election.go
+++ b/internal/replication/election.go
@@ -222,7 +222,7 @@
 			return
 		}
 		e.phase = phaseLeading
-		e.leadership = &Leadership{engine: e, epoch: e.epoch, isOpen: true}
+		e.leadership = newLeadership(e)
 		e.log.Info("owner of key", "key", e.key, "epoch", e.epoch, "step", snapshot.Last.Index)
 		if err := e.machine.Open(e.leadership, snapshot.Pairs); err != nil {
 			e.log.Error(err, "the state of the key could not be taken over", "key", e.key)
--- a/internal/replication/engine.go
+++ b/internal/replication/engine.go
@@ -181,7 +181,7 @@
 	waiters := e.waiting
 	e.waiting, e.recent, e.recentSize = nil, nil, 0
 	if e.leadership != nil {
-		e.leadership.isOpen = false
+		e.leadership.isOver.Store(true)
 		e.leadership = nil
 	}
 	e.backOff()
--- a/internal/replication/followers.go
+++ b/internal/replication/followers.go
@@ -145,7 +145,7 @@
 		}
 		to.isRenewing = false
 		if err == nil && e.isAnswerOf(to, answer) {
-			to.leaseUntil = max(to.leaseUntil, sentAt+e.timing.Lease-leaseMargin)
+			e.renewed(to, sentAt)
 		}
 	})
 }
@@ -170,11 +170,11 @@
 	}
 	now := e.clock.Steady()
 	from.lastContact, from.isLeaving = now, answer.Leaving
-	from.leaseUntil = max(from.leaseUntil, sentAt+e.timing.Lease-leaseMargin)
+	from.wallOffset, from.hasWall = answer.WallMs-pulse.InMs(sentAt+(now-sentAt)/2), true
+	e.renewed(from, sentAt)
 	if len(call.Changes) > 0 && answer.Taken {
 		e.noteDelay(from, answer, now-sentAt)
 	}
-	from.wallOffset, from.hasWall = answer.WallMs-pulse.InMs(sentAt+(now-sentAt)/2), true
 	before := *from
 	e.notePosition(from, call, answer)
 	if answer.Taken || before.isKnown != from.isKnown || before.needsSnapshot != from.needsSnapshot ||
--- a/internal/replication/lease.go
+++ b/internal/replication/lease.go
@@ -1,18 +1,52 @@
 package replication
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // mostReading is how long a leader may read the state of its own disk, lease in hand, before another should try: long
 // enough for slow processors, while a disk that hangs would give nothing for ever.
 const mostReading = 10 * time.Second
 
 // hasLease tells whether a majority of the voters vouches, now, that there is no other leader.
-func (e *Engine) hasLease() bool {
-	now := e.clock.Steady()
-	return Agreed(e.set, func(disk string) bool {
-		voter := e.followers[disk]
-		return voter != nil && now < voter.leaseUntil
-	})
+func (e *Engine) hasLease() bool { return e.clock.Steady() < e.leaseEnd() }
+
+// leaseEnd is until when a majority of the voters vouches that there is no other leader, and a majority of the old ones
+// while those still count.
+func (e *Engine) leaseEnd() time.Duration {
+	end := e.majorityLease(e.set.Now)
+	if len(e.set.Old) > 0 {
+		end = min(end, e.majorityLease(e.set.Old))
+	}
+	return end
+}
+
+func (e *Engine) majorityLease(voters []string) time.Duration {
+	if len(voters) == 0 {
+		return 0
+	}
+	ends := make([]time.Duration, len(voters))
+	for place, disk := range voters {
+		if voter := e.followers[disk]; voter != nil {
+			ends[place] = voter.leaseUntil
+		}
+	}
+	slices.Sort(ends)
+	return ends[(len(ends)-1)/2]
+}
+
+// renewed notes a lease that a follower has granted by its answer to a call that was sent at that moment.
+func (e *Engine) renewed(by *follower, sentAt time.Duration) {
+	by.leaseUntil = max(by.leaseUntil, sentAt+e.timing.Lease-leaseMargin)
+	e.publish()
+}
+
+// publish tells the leadership, if there is one, what has changed of its lease.
+func (e *Engine) publish() {
+	if e.leadership != nil {
+		e.leadership.publish()
+	}
 }
 
 // heartbeat renews the leases, and does what a leader does from time to time.
--- a/internal/replication/voters.go
+++ b/internal/replication/voters.go
@@ -68,6 +68,7 @@
 			continue
 		}
 		delete(e.followers, outsider.disk)
+		e.publish()
 		if outsider.isLeaving {
 			call := e.appendCall()
 			call.Prev, call.VotedOut = outsider.acked, true
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -21,7 +21,6 @@
 	"gannetline/internal/pulse"
 	"gannetline/internal/queuerules"
 	"gannetline/internal/recording"
-	"gannetline/internal/replication"
 	"gannetline/internal/settings"
 )
 
@@ -29,7 +28,8 @@
 type Tenure interface {
 	// Epoch is that of the leadership; orders carry it as their fence.
 	Epoch() uint64
-	// Commit makes a change durable on a majority; done gets an error if the leadership is lost first.
+	// Commit makes a change durable on a majority; done gets an error if the leadership is lost first. It runs on the
+	// pool's goroutine, in the order of the commits.
 	Commit(ops []peerapi.Op, done func(error))
 	// HasLease says whether no other process can lead the key now.
 	HasLease() bool
@@ -135,14 +135,6 @@
 	return pool
 }
 
-// Opener lets an engine hand the key to the pool.
-type Opener struct{ *Pool }
-
-// Open passes the leadership on to the pool.
-func (o Opener) Open(tenure *replication.Leadership, pairs []peerapi.Op) error {
-	return o.Pool.Open(tenure, pairs)
-}
-
 // Open takes the key over with what is committed of it; an error names the record that can't be read.
 func (p *Pool) Open(tenure Tenure, pairs []peerapi.Op) error {
 	p.jobs, p.lives, p.queued = map[string]*job{}, map[string]*life{}, map[string]int{}
--- a/internal/stage/node.go
+++ b/internal/stage/node.go
@@ -7,6 +7,7 @@
 
 	"gannetline/internal/mailbox"
 	"gannetline/internal/peerapi"
+	"gannetline/internal/poolhost"
 	"gannetline/internal/replication"
 	"gannetline/internal/scheduler"
 )
@@ -31,6 +32,8 @@
 	life     int
 	replicas *replication.Replicas
 	engines  map[string]*replication.Engine
+	boxes    map[string]*mailbox.Mailbox
+	hosts    map[string]*poolhost.Host
 	pools    map[string]*scheduler.Pool
 }
 
@@ -44,10 +47,13 @@
 	}
 	n.replicas = replicas
 	n.engines, n.pools = map[string]*replication.Engine{}, map[string]*scheduler.Pool{}
+	n.boxes, n.hosts = map[string]*mailbox.Mailbox{}, map[string]*poolhost.Host{}
 	for _, key := range n.stage.keys {
 		pool := scheduler.New(key, n.stage.Line.Clock, n.stage.timing, n.stage.log, n.stage.pool...)
 		n.pools[key] = pool
-		n.engines[key] = replication.NewEngine(key, n.disk.name, n.Name, n.stage.Line.Clock, &road{n, n.life}, scheduler.Opener{Pool: pool},
+		n.boxes[key] = mailbox.New(4096)
+		n.hosts[key] = poolhost.New(key, pool, n.boxes[key], n.stage.log)
+		n.engines[key] = replication.NewEngine(key, n.disk.name, n.Name, n.stage.Line.Clock, &road{n, n.life}, n.hosts[key],
 			n.stage.members, replication.WithInitialVoters(n.stage.birth()), replication.WithLog(n.stage.log))
 	}
 	n.tick(n.life)
@@ -84,8 +90,21 @@
 	}
 	n.replicas.Box().Drain()
 	for _, key := range n.stage.keys {
-		n.pools[key].Settle()
+		for n.settleKey(key) {
+		}
+	}
+}
+
+// settleKey lets the goroutines of a key's pool and of its engine run what waits, and says whether there was anything.
+func (n *Node) settleKey(key string) (wasBusy bool) {
+	n.pools[key].Settle()
+	for _, box := range []*mailbox.Mailbox{n.boxes[key], n.hosts[key].Box()} {
+		for box.Step() {
+			wasBusy = true
+		}
+		n.hosts[key].Flush()
 	}
+	return wasBusy
 }
 
 func (n *Node) kill() {
