A new disk becomes a voter however many changes are made a second

Cause: a learner counted as caught up only while it lacked 200 changes at most. What it lacks is what is proposed while its answer is under way, so at 2,000 changes a second (starts and ends of tasks, each turn of a pool is a change) a disk whose answers take 100 ms never counted, and a key of five voters without a spare stayed with four for good.

Change: a learner also counts once it holds all that was proposed up to 1.5 s ago, the time after which a silent voter is lost. It is the commit of the joint set that makes a swap safe, as before, however far behind the learner is; the limit only bounds how long commits may wait for it.

The same rule stood where a slow leader looks for a successor: at such a rate it found none. It takes one now that is less than half a lease behind.

Ruled out: that a joint change could not begin with exactly 2f+1 disks, one of them new, or when the leader is frozen, killed, wiped or leaves meanwhile.

--- a/internal/replication/election.go
+++ b/internal/replication/election.go
@@ -193,7 +193,7 @@
 	e.last, e.committed, e.waiting = base, base.Index, nil
 	e.inherit(base, recent)
 	e.setIndex, e.reader = 0, stateReader{isReading: true, since: now, from: base.Index}
-	e.staleSince, e.shortSince, e.isShortNoted = now, now, false
+	e.staleSince, e.shortSince, e.isShortNoted, e.marks = now, now, false, nil
 	e.openedAt, e.worseSince, e.wellSince, e.wasWell = now, now, now, false
 	for _, disk := range disksOf(e.set) {
 		e.send(e.follow(disk), true)
--- a/internal/replication/engine.go
+++ b/internal/replication/engine.go
@@ -108,6 +108,7 @@
 	leaveBy         time.Duration
 	staleSince      time.Duration
 	reader          stateReader
+	marks           progressMarks
 
 	size         int
 	shortSince   time.Duration
--- a/internal/replication/handover.go
+++ b/internal/replication/handover.go
@@ -56,7 +56,7 @@
 	var best *follower
 	for _, disk := range e.set.Now {
 		voter := e.followers[disk]
-		if !e.maySucceed(voter) || !voter.hasDelay || !e.hasCaughtUp(voter) {
+		if !e.maySucceed(voter) || !voter.hasDelay || !e.followsWithin(voter, e.timing.Lease/2) {
 			continue
 		}
 		if best == nil || voter.delay < best.delay {
--- a/internal/replication/lease.go
+++ b/internal/replication/lease.go
@@ -81,6 +81,7 @@
 		return
 	}
 	e.reader.keepOnlyIf(e.isStateWanted())
+	e.marks.note(now, e.last.Index, e.timing.LostAfter)
 	if e.considerLeaving(); e.phase == phaseLeading {
 		e.considerVoters()
 		e.considerHandover()
--- a/internal/replication/voters.go
+++ b/internal/replication/voters.go
@@ -46,10 +46,20 @@
 	e.propose(nil, &peerapi.VoterSet{Old: e.set.Now, Now: next}, func(error) {})
 }
 
-// hasCaughtUp tells whether a learner may become a voter. What it still lacks can only make the change of voters wait, as
-// that counts once a majority of the old voters and one of the new hold it, and with it all changes before it.
+// hasCaughtUp tells whether a learner may become a voter: it lacks little, or follows within the time after which a voter
+// would count as lost, however many changes that is. What it still lacks can only make the change of voters wait, as that
+// counts once a majority of the old voters and one of the new hold it, and with it all changes before it.
 func (e *Engine) hasCaughtUp(learner *follower) bool {
-	return learner.isKnown && learner.acked.Epoch == e.epoch && e.last.Index-learner.acked.Index <= mostBehind
+	return e.followsWithin(learner, e.timing.LostAfter)
+}
+
+// followsWithin tells whether a follower lacks few changes, or none that is older than the given age.
+func (e *Engine) followsWithin(one *follower, age time.Duration) bool {
+	if !one.isKnown || one.acked.Epoch != e.epoch {
+		return false
+	}
+	isNear := e.last.Index-one.acked.Index <= mostBehind
+	return isNear || e.marks.isPast(one.acked.Index, e.clock.Steady()-age)
 }
 
 // finishSwap proposes the new voters alone, once the joint set is committed.
