What a leader keeps for a new disk grows with the state that it sends

Cause: changes made while a whole state is under way are kept up to 6 MB or 20,000, whatever the size of the state. If more were made meanwhile, the state no longer led on to them when it arrived, and the next one was read and sent, without end: the disk never became a voter.

Test that failed before (learner_test.go): five disks, none to spare, 20 MB over a link of 5 MB/s beside 1 MB/s of changes to each follower: no voter in 40 s, the limit of the test.

A leader needs at most three times the state's size in memory for it.

Left: a transfer begins again under another leader, as that one's state is at another position.

--- a/internal/replication/followers.go
+++ b/internal/replication/followers.go
@@ -38,7 +38,9 @@
 
 	transfer  *snapshotTransfer
 	nextChunk int
-	isOld     bool
+	// mayLack is what is kept for it beyond the usual, from the begin of a transfer until it has caught up.
+	mayLack allowance
+	isOld   bool
 
 	// isLeaving tells that its process is about to end.
 	isLeaving bool
@@ -195,6 +197,9 @@
 	switch {
 	case answer.Taken || isNear:
 		from.isKnown, from.needsSnapshot, from.acked, from.transfer = true, false, answer.Last, nil
+		if e.last.Index-from.acked.Index <= mostBehind {
+			from.mayLack = allowance{}
+		}
 	case call.Chunk != nil:
 		e.noteChunkAnswer(from, call, answer)
 	default:
--- a/internal/replication/learner_test.go
+++ b/internal/replication/learner_test.go
@@ -62,4 +62,23 @@
 		Expect(w.untilVoter("disk-fresh", 4*time.Second)).To(Equal(4 * time.Second))
 		Expect(w.problems).To(BeEmpty())
 	})
+
+	It("gets a state of 20 MB although the changes made meanwhile are more than a leader keeps otherwise", func() {
+		w := newWorldBearing(2, 1720, "a", "b", "c", "d", "e")
+		w.run(3 * time.Second)
+		w.bulk = 100 << 10
+		for range 200 {
+			w.write()
+			w.run(15 * time.Millisecond)
+		}
+		w.bulk, w.bytesPerMs = 10<<10, 5000
+		w.others()[1].wipe("disk-fresh")
+		began := w.clock.Steady()
+		for w.clock.Steady()-began < 40*time.Second && !slices.Contains(w.voters(), "disk-fresh") {
+			w.work(50 * time.Millisecond)
+		}
+		AddReportEntry("a voter after", (w.clock.Steady() - began).String())
+		Expect(w.clock.Steady() - began).To(BeNumerically("<", 40*time.Second))
+		Expect(w.problems).To(BeEmpty())
+	})
 })
--- a/internal/replication/recentlog.go
+++ b/internal/replication/recentlog.go
@@ -32,11 +32,12 @@
 		return
 	}
 	needed := min(e.neededByFollowers(), e.committed)
+	most := e.mostKept()
 	drop := 0
 	for drop < len(e.recent) {
 		count, size := len(e.recent)-drop, e.recentSize
 		isOverKept := count > mostHistory/2 || size > mostHistorySize/2
-		isOverMost := count > mostTail || size > mostTailSize
+		isOverMost := count > most.count || size > most.size
 		if !isOverMost && (!isOverKept || e.recent[drop].Position.Index > needed) {
 			break
 		}
@@ -49,6 +50,29 @@
 	}
 }
 
+// timesSnapshot is how many times the size of a state may be kept as changes for a follower that is sent that state. A
+// state takes a time on its way that grows with its size, and so do the changes made meanwhile; with a fixed limit a large
+// one would be too old whenever it arrived, and another would be sent, without end.
+const timesSnapshot = 2
+
+// allowance is how many changes, and of which size, are kept for a follower.
+type allowance struct {
+	count int
+	size  int
+}
+
+// mostKept is what a leader keeps at most for followers in contact.
+func (e *Engine) mostKept() allowance {
+	most := allowance{count: mostTail, size: mostTailSize}
+	for _, to := range e.followers {
+		if e.clock.Steady()-to.lastContact < e.timing.LostAfter {
+			most.count = max(most.count, mostTail+to.mayLack.count)
+			most.size = max(most.size, mostTailSize+to.mayLack.size)
+		}
+	}
+	return most
+}
+
 // neededByFollowers is the index up to which all followers in contact, and the own disk, hold the changes, or the snapshot on its way.
 func (e *Engine) neededByFollowers() uint64 {
 	needed := e.reader.needed(e.last.Index)
--- a/internal/replication/transfer.go
+++ b/internal/replication/transfer.go
@@ -14,6 +14,7 @@
 type snapshotTransfer struct {
 	snapshot peerapi.Snapshot
 	cuts     []int
+	size     int
 }
 
 func newSnapshotTransfer(snapshot peerapi.Snapshot) *snapshotTransfer {
@@ -25,6 +26,7 @@
 			transfer.cuts, size = append(transfer.cuts, place), 0
 		}
 		size += next
+		transfer.size += next
 	}
 	transfer.cuts = append(transfer.cuts, len(snapshot.Pairs))
 	return transfer
@@ -101,18 +103,24 @@
 	to.transfer, to.nextChunk = nil, 0
 	for _, other := range e.inOrder() {
 		if e.serves(other.transfer, to) {
-			to.transfer = other.transfer
-			return to.transfer
+			return to.begin(other.transfer)
 		}
 	}
 	if fresh := e.reader.fresh; e.serves(fresh, to) {
-		to.transfer, e.reader.fresh = fresh, nil
-		return to.transfer
+		e.reader.fresh = nil
+		return to.begin(fresh)
 	}
 	e.readState()
 	return nil
 }
 
+// begin notes a state as under way to the follower.
+func (to *follower) begin(transfer *snapshotTransfer) *snapshotTransfer {
+	to.transfer = transfer
+	to.mayLack = allowance{count: timesSnapshot * len(transfer.snapshot.Pairs), size: timesSnapshot * transfer.size}
+	return transfer
+}
+
 // readState begins to read the state, unless that is under way or the own disk has no change of this epoch yet.
 func (e *Engine) readState() {
 	own := e.followers[e.disk]
