--- a/internal/replication/election.go
+++ b/internal/replication/election.go
@@ -193,7 +193,7 @@
 	e.last, e.committed, e.waiting = base, base.Index, nil
 	e.inherit(base, recent)
 	e.setIndex, e.reader = 0, stateReader{isReading: true, since: now, from: base.Index}
-	e.staleSince, e.shortSince, e.isShortNoted = now, now, false
+	e.staleSince, e.shortSince, e.isShortNoted, e.marks = now, now, false, nil
 	e.openedAt, e.worseSince, e.wellSince, e.wasWell = now, now, now, false
 	for _, disk := range disksOf(e.set) {
 		e.send(e.follow(disk), true)
@@ -222,7 +222,7 @@
 			return
 		}
 		e.phase = phaseLeading
-		e.leadership = &Leadership{engine: e, epoch: e.epoch, isOpen: true}
+		e.leadership = newLeadership(e)
 		e.log.Info("owner of key", "key", e.key, "epoch", e.epoch, "step", snapshot.Last.Index)
 		if err := e.machine.Open(e.leadership, snapshot.Pairs); err != nil {
 			e.log.Error(err, "the state of the key could not be taken over", "key", e.key)
--- a/internal/replication/followers.go
+++ b/internal/replication/followers.go
@@ -38,7 +38,9 @@
 
 	transfer  *snapshotTransfer
 	nextChunk int
-	isOld     bool
+	// mayLack is what is kept for it beyond the usual, from the begin of a transfer until it has caught up.
+	mayLack allowance
+	isOld   bool
 
 	// isLeaving tells that its process is about to end.
 	isLeaving bool
@@ -145,7 +147,7 @@
 		}
 		to.isRenewing = false
 		if err == nil && e.isAnswerOf(to, answer) {
-			to.leaseUntil = max(to.leaseUntil, sentAt+e.timing.Lease-leaseMargin)
+			e.renewed(to, sentAt)
 		}
 	})
 }
@@ -170,11 +172,11 @@
 	}
 	now := e.clock.Steady()
 	from.lastContact, from.isLeaving = now, answer.Leaving
-	from.leaseUntil = max(from.leaseUntil, sentAt+e.timing.Lease-leaseMargin)
+	from.wallOffset, from.hasWall = answer.WallMs-pulse.InMs(sentAt+(now-sentAt)/2), true
+	e.renewed(from, sentAt)
 	if len(call.Changes) > 0 && answer.Taken {
 		e.noteDelay(from, answer, now-sentAt)
 	}
-	from.wallOffset, from.hasWall = answer.WallMs-pulse.InMs(sentAt+(now-sentAt)/2), true
 	before := *from
 	e.notePosition(from, call, answer)
 	if answer.Taken || before.isKnown != from.isKnown || before.needsSnapshot != from.needsSnapshot ||
@@ -195,6 +197,9 @@
 	switch {
 	case answer.Taken || isNear:
 		from.isKnown, from.needsSnapshot, from.acked, from.transfer = true, false, answer.Last, nil
+		if e.last.Index-from.acked.Index <= mostBehind {
+			from.mayLack = allowance{}
+		}
 	case call.Chunk != nil:
 		e.noteChunkAnswer(from, call, answer)
 	default:
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -20,7 +20,6 @@
 	"gannetline/internal/pulse"
 	"gannetline/internal/queuerules"
 	"gannetline/internal/recording"
-	"gannetline/internal/replication"
 	"gannetline/internal/settings"
 )
 
@@ -28,7 +27,8 @@
 type Tenure interface {
 	// Epoch is that of the leadership; orders carry it as their fence.
 	Epoch() uint64
-	// Commit makes a change durable on a majority; done gets an error if the leadership is lost first.
+	// Commit makes a change durable on a majority; done gets an error if the leadership is lost first. It runs on the
+	// pool's goroutine, in the order of the commits.
 	Commit(ops []peerapi.Op, done func(error))
 	// HasLease says whether no other process can lead the key now.
 	HasLease() bool
@@ -135,16 +135,7 @@
 	return pool
 }
 
-// Opener lets an engine hand the key to the pool.
-type Opener struct{ *Pool }
-
-// Open passes the leadership on to the pool, which no record keeps from opening.
-func (o Opener) Open(tenure *replication.Leadership, pairs []peerapi.Op) error {
-	o.Pool.Open(tenure, pairs)
-	return nil
-}
-
-// Open takes the key over with what is committed of it.
+// Open takes the key over with what is committed of it. No record keeps a pool from opening.
 func (p *Pool) Open(tenure Tenure, pairs []peerapi.Op) {
 	p.jobs, p.lives, p.queued = map[string]*job{}, map[string]*life{}, map[string]int{}
 	p.roster, p.open, p.usage = roster{}, newOpenSteps(), map[int]usage{}
