A call goes past stewards that were silent, and back to a slow leader with more time

Cause: the attempts of a call forgot which steward had just been silent. Where the view named a leader that is dark, two of three tries of 450 ms went to it, and the third could hit it as well: a question could use up its 3 s without reaching a steward that knows the new leader. A leader that took longer than 450 ms was cut at each try and never answered, while each try added to its load.

Ruled out: waiting longer for each try, which a dark leader would use up.

Conclusion: a call remembers who was silent and asks the others. The silent leader is asked once more, with twice the time, when two answers still name it. A pause ends when a key is heard to have moved, and a try that is given up for that says nothing against its steward. Pauses grow to 240 ms, so that a call makes no more tries than before in all. A leader that the failure detector has given up is no longer asked first.

--- a/internal/leaderclient/attempts.go
+++ b/internal/leaderclient/attempts.go
@@ -15,17 +15,23 @@
 
 // Attempts decides where a call is sent next and what is known of it; it knows neither goroutines nor sockets.
 type Attempts struct {
-	key     string
-	end     time.Duration
-	hint    string
-	tries   int
-	pick    func(count int) int
-	outcome Outcome
+	key   string
+	end   time.Duration
+	hint  string
+	tries int
+	pick  func(count int) int
+	// last is the address of the latest try.
+	last string
+	// silent counts, for each address, the tries of this call that it left unanswered.
+	silent map[string]int
+	// confirmed counts the answers of others that name a leader which was silent.
+	confirmed int
+	outcome   Outcome
 }
 
 // NewAttempts begins a call that may take until end; pick draws a number below the count that it is given.
 func NewAttempts(key string, end time.Duration, pick func(count int) int) *Attempts {
-	return &Attempts{key: key, end: end, pick: pick}
+	return &Attempts{key: key, end: end, pick: pick, silent: map[string]int{}}
 }
 
 // Try is one sending of the call. Address is empty while nobody is known who could take it.
@@ -34,16 +40,21 @@
 	Limit   time.Duration
 }
 
-// Next gives the next try, or false once the time is over.
+// Next gives the next try, or false once the time is over. A leader that was silent is given twice the time when it is
+// asked again, as it may be slow.
 func (a *Attempts) Next(view *membership.View, now time.Duration) (Try, bool) {
 	left := a.end - now
 	if left <= 0 {
 		return Try{}, false
 	}
-	try := Try{Address: address(view, a.key, a.hint, a.tries, a.pick), Limit: min(perTry, left)}
+	a.last = a.address(view)
+	limit := perTry
+	if a.silent[a.last] > 0 {
+		limit = 2 * perTry
+	}
 	a.hint = ""
 	a.tries++
-	return try, true
+	return Try{Address: a.last, Limit: min(limit, left)}, true
 }
 
 // Answered takes a steward's answer and tells whether it is the last word. A leader that lost the key before its change
@@ -60,13 +71,22 @@
 
 // Failed takes a try without an answer; neverSent says that it certainly reached nobody.
 func (a *Attempts) Failed(neverSent bool) {
+	a.silent[a.last]++
+	a.Interrupted(neverSent)
+}
+
+// Interrupted takes a try that was given up because the leaders have changed; it says nothing against its steward.
+func (a *Attempts) Interrupted(neverSent bool) {
 	a.outcome.MaySee = a.outcome.MaySee || !neverSent
 }
 
 // Pause is how long to wait before the next try.
 func (a *Attempts) Pause(now time.Duration) time.Duration {
-	wait := pauseShort
-	if a.tries > quickTries {
+	wait := pauseLongest
+	switch {
+	case a.tries <= quickTries:
+		wait = pauseShort
+	case a.tries <= 2*quickTries:
 		wait = pauseLong
 	}
 	return min(wait, a.end-now)
@@ -75,23 +95,49 @@
 // Outcome is what is known by now.
 func (a *Attempts) Outcome() Outcome { return a.outcome }
 
-// address prefers the hint, then the known leader, then any steward that may lead keys.
-func address(view *membership.View, key, hint string, try int, pick func(count int) int) string {
-	if hinted, isThere := view.Steward(hint); isThere {
+// address prefers the hint, then the known leader, then any steward that may lead keys and has not been silent.
+func (a *Attempts) address(view *membership.View) string {
+	hinted, isHinted := view.Steward(a.hint)
+	if isHinted && a.silent[hinted.Address] == 0 {
 		return hinted.Address
 	}
-	known, isThere := view.Steward(view.Owners[key].Name)
-	if isThere && try%3 != 2 {
+	if isHinted {
+		a.confirmed++
+	}
+	known, isKnown := view.Steward(view.Owners[a.key].Name)
+	if isKnown && known.State != peerapi.StateGone && a.mayAsk(known.Address) {
+		return known.Address
+	}
+	others := a.others(view)
+	if len(others) == 0 {
 		return known.Address
 	}
-	var others []string
+	return others[a.pick(len(others))]
+}
+
+// mayAsk tells whether it is the turn of the leader that the view names. One that was silent is asked once more, when
+// others still take it for the leader.
+func (a *Attempts) mayAsk(leader string) bool {
+	if a.silent[leader] > 0 {
+		return a.silent[leader] == 1 && a.confirmed >= confirmations
+	}
+	return a.tries%3 != 2
+}
+
+// others are the stewards that may lead keys, but those that were silent, unless all were.
+func (a *Attempts) others(view *membership.View) []string {
+	var all, answering []string
 	for _, member := range view.Stewards {
-		if member.MayLead() && member.State == peerapi.StateAlive {
-			others = append(others, member.Address)
+		if !member.MayLead() || member.State != peerapi.StateAlive {
+			continue
+		}
+		all = append(all, member.Address)
+		if a.silent[member.Address] == 0 {
+			answering = append(answering, member.Address)
 		}
 	}
-	if len(others) > 0 {
-		return others[pick(len(others))]
+	if len(answering) > 0 {
+		return answering
 	}
-	return known.Address
+	return all
 }
--- /dev/null
+++ b/internal/leaderclient/dark_test.go
@@ -0,0 +1,124 @@
+package leaderclient
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gannetline/internal/membership"
+	"gannetline/internal/peerapi"
+)
+
+// darkFleet is five stewards of which some say nothing, or little. Where the key's leader is dark, another takes it over
+// some time later, and the stewards that are there know it at once, while the view of the process that asks does not.
+type darkFleet struct {
+	dark []string
+	// slow leads, and takes slowHop to answer.
+	slow       string
+	slowHop    time.Duration
+	takenOverS float64
+	hop        time.Duration
+	successor  string
+}
+
+const (
+	darkKey    = "pool/s"
+	clientTime = 3*time.Second - 25*time.Millisecond
+)
+
+func (f *darkFleet) view() *membership.View {
+	view := &membership.View{Owners: map[string]peerapi.LeaderFact{darkKey: {Name: "s0"}}}
+	for place := range 5 {
+		name := fmt.Sprint("s", place)
+		view.Stewards = append(view.Stewards, peerapi.Member{Name: name, Role: membership.RoleSteward, Address: name, Disk: "d" + name})
+	}
+	return view
+}
+
+// ask plays one call and gives how long it took, how many tries it made and whether it was answered.
+func (f *darkFleet) ask(draw *rand.Rand) (took time.Duration, tries int, isAnswered bool) {
+	view, now := f.view(), time.Duration(0)
+	attempts := NewAttempts(darkKey, clientTime, draw.IntN)
+	for {
+		try, isLeft := attempts.Next(view, now)
+		if !isLeft {
+			return now, tries, false
+		}
+		tries++
+		isSlow := try.Address == f.slow
+		if isSlow && f.slowHop <= try.Limit {
+			return now + f.slowHop, tries, true
+		}
+		if isSlow || slices.Contains(f.dark, try.Address) {
+			now += try.Limit
+			attempts.Failed(false)
+		} else {
+			now += f.hop
+			isTakenOver := now.Seconds() >= f.takenOverS
+			answer := &peerapi.ClientAnswer{Elsewhere: true, Owner: "s0"}
+			if isTakenOver {
+				answer.Owner = f.successor
+			}
+			if isTakenOver && try.Address == f.successor {
+				answer = &peerapi.ClientAnswer{Status: 200}
+			}
+			if attempts.Answered(answer) {
+				return now, tries, true
+			}
+		}
+		now += attempts.Pause(now)
+	}
+}
+
+var _ = Describe("a question while stewards are dark", func() {
+	DescribeTable("is answered soon after the key has a leader again, though the view still names the one before",
+		func(dark []string, takenOverS float64) {
+			fleet := &darkFleet{dark: dark, takenOverS: takenOverS, hop: 10 * time.Millisecond, successor: "s4"}
+			slowest, most := time.Duration(0), 0
+			for seed := range uint64(500) {
+				took, tries, isAnswered := fleet.ask(rand.New(rand.NewPCG(seed, 1)))
+				Expect(isAnswered).To(BeTrue(), "seed %d", seed)
+				slowest, most = max(slowest, took), max(most, tries)
+			}
+			GinkgoWriter.Println("slowest", slowest, "most tries", most)
+			Expect(slowest.Seconds()).To(BeNumerically("<", takenOverS+1.3))
+			Expect(most).To(BeNumerically("<=", 16))
+		},
+		Entry("one, taken over already", []string{"s0"}, 0.0),
+		Entry("one, taken over after a second", []string{"s0"}, 1.0),
+		Entry("one, taken over after 1.8 s", []string{"s0"}, 1.8),
+		Entry("two, taken over already", []string{"s0", "s1"}, 0.0),
+		Entry("two, taken over after a second", []string{"s0", "s1"}, 1.0),
+		Entry("two, taken over after 1.8 s", []string{"s0", "s1"}, 1.8),
+	)
+
+	It("is answered by a leader that takes longer than a try", func() {
+		fleet := &darkFleet{slow: "s0", slowHop: 700 * time.Millisecond, takenOverS: 100, hop: 10 * time.Millisecond}
+		for seed := range uint64(100) {
+			took, _, isAnswered := fleet.ask(rand.New(rand.NewPCG(seed, 1)))
+			Expect(isAnswered).To(BeTrue(), "seed %d", seed)
+			Expect(took.Seconds()).To(BeNumerically("<", 1.5))
+		}
+	})
+
+	It("is asked of its leader again at once when another key has moved, as that says nothing against it", func() {
+		fleet := &darkFleet{}
+		attempts := NewAttempts(darkKey, clientTime, func(int) int { return 0 })
+		attempts.Next(fleet.view(), 0)
+		attempts.Interrupted(false)
+		try, _ := attempts.Next(fleet.view(), time.Millisecond)
+		Expect(try).To(Equal(Try{Address: "s0", Limit: perTry}))
+		Expect(attempts.Outcome().MaySee).To(BeTrue())
+	})
+
+	It("goes to a steward that is there first where the view has given up the leader", func() {
+		view := (&darkFleet{}).view()
+		view.Stewards[0].State = peerapi.StateGone
+		try, _ := NewAttempts(darkKey, clientTime, func(int) int { return 0 }).Next(view, 0)
+		Expect(try.Address).To(Equal("s1"))
+	})
+})
--- a/internal/leaderclient/leaderclient.go
+++ b/internal/leaderclient/leaderclient.go
@@ -12,10 +12,13 @@
 )
 
 const (
-	perTry     = 450 * time.Millisecond
-	pauseShort = 30 * time.Millisecond
-	pauseLong  = 120 * time.Millisecond
-	quickTries = 3
+	perTry       = 450 * time.Millisecond
+	pauseShort   = 30 * time.Millisecond
+	pauseLong    = 120 * time.Millisecond
+	pauseLongest = 240 * time.Millisecond
+	quickTries   = 3
+	// confirmations is how many answers must name a leader that was silent before it is asked again.
+	confirmations = 2
 )
 
 // Asker sends calls to the leaders of keys.
@@ -39,22 +42,42 @@
 		if !isLeft || life.Err() != nil {
 			return attempts.Outcome()
 		}
-		if try.Address != "" {
-			answer, err := a.askOnce(life, view, try, call)
-			if err != nil {
-				attempts.Failed(peerapi.NeverSent(err))
-			} else if attempts.Answered(answer) {
-				return attempts.Outcome()
-			}
+		if try.Address != "" && a.send(life, view, attempts, try, call) {
+			return attempts.Outcome()
 		}
 		select {
 		case <-life.Done():
 			return attempts.Outcome()
+		case <-view.Moved:
 		case <-a.clock.After(attempts.Pause(a.clock.Steady())):
 		}
 	}
 }
 
+// send makes one try and tells whether its answer is the last word.
+func (a *Asker) send(life span.Span, view *membership.View, attempts *Attempts, try Try, call *peerapi.ClientCall) bool {
+	answer, err := a.askOnce(life, view, try, call)
+	switch {
+	case err == nil:
+		return attempts.Answered(answer)
+	case hasMoved(view):
+		attempts.Interrupted(peerapi.NeverSent(err))
+	default:
+		attempts.Failed(peerapi.NeverSent(err))
+	}
+	return false
+}
+
+// hasMoved tells whether any key is heard to have another leader than the view says.
+func hasMoved(view *membership.View) bool {
+	select {
+	case <-view.Moved:
+		return true
+	default:
+		return false
+	}
+}
+
 // askOnce gives up early if the key is heard to have another leader.
 func (a *Asker) askOnce(life span.Span, view *membership.View, try Try, call *peerapi.ClientCall) (*peerapi.ClientAnswer, error) {
 	patience, release := membership.UntilMoved(life, view)
--- a/internal/leaderclient/leaderclient_test.go
+++ b/internal/leaderclient/leaderclient_test.go
@@ -65,8 +65,11 @@
 	It("passes over stewards that can own nothing", func() {
 		view := &membership.View{Stewards: []peerapi.Member{{Name: "a", Role: "steward", Address: "a:1", Disk: "d"},
 			{Name: "b", Role: "steward", Address: "b:1"}, {Name: "c", Role: "gate", Address: "c:1", Disk: "e"}}}
-		for try := range 30 {
-			Expect(address(view, "plan", "", try, rand.IntN)).To(Equal("a:1"))
+		attempts := NewAttempts("plan", time.Second, rand.IntN)
+		for range 30 {
+			try, _ := attempts.Next(view, 0)
+			Expect(try.Address).To(Equal("a:1"))
+			attempts.Failed(false)
 		}
 	})
 })
