Doc comments of the calls between processes and of the simulated network

Exported methods of unexported types had none; comments said sibling where the term is peer. Type parameters and local names of calls are Request and Answer. No string, wire name or generated line changed. Tests of peerapi and stage pass as they were, with -race.

--- a/internal/peerapi/calls.go
+++ b/internal/peerapi/calls.go
@@ -13,7 +13,7 @@
 	"gannetline/internal/span"
 )
 
-// Prefix is the path below which siblings call each other.
+// Prefix is the path below which peers call each other.
 const Prefix = "/gannetline.v1.Sibling/"
 
 // The paths of the calls between processes; their messages bear the same names.
@@ -29,15 +29,17 @@
 	ProcedureBeliefs  = Prefix + "Beliefs"
 )
 
-// easyCodec counts the bodies it writes and reads.
+// easyCodec is connect's codec of messages with generated JSON code; it counts the bytes of bodies that it writes and reads.
 type easyCodec struct{ sent, received *metrics.Counter }
 
 func codec(procedure, side string) easyCodec {
 	return easyCodec{sentBytes.With(procedure, side), receivedBytes.With(procedure, side)}
 }
 
+// Name is that of the codec in content types.
 func (easyCodec) Name() string { return "easyjson" }
 
+// Marshal writes a message as JSON; an error names a type without generated code.
 func (c easyCodec) Marshal(message any) ([]byte, error) {
 	value, isMessage := message.(easyjson.Marshaler)
 	if !isMessage {
@@ -58,19 +60,20 @@
 	return easyjson.Unmarshal(bytes.Clone(text), value)
 }
 
+// maxMessage is the longest body that is read, in bytes.
 const maxMessage = 16 << 20
 
-// Serve answers one procedure on the mux.
-func Serve[Ask, Tell any](mux *http.ServeMux, procedure string, answer func(span.Span, *Ask) (*Tell, error)) {
+// Serve answers one procedure on the mux. An error of the handler reaches the caller as that of its call.
+func Serve[Request, Answer any](mux *http.ServeMux, procedure string, handle func(span.Span, *Request) (*Answer, error)) {
 	name := procedure[len(Prefix):]
 	calls, failures := calls.With(name, sideServed), callErrors.With(name, sideServed)
-	counted := func(life span.Span, ask *Ask) (*Tell, error) {
+	counted := func(life span.Span, request *Request) (*Answer, error) {
 		calls.Inc()
-		tell, err := answer(life, ask)
+		answer, err := handle(life, request)
 		if err != nil {
 			failures.Inc()
 		}
-		return tell, err
+		return answer, err
 	}
 	mux.Handle(procedure, connect.NewUnaryHandlerSimple(procedure, counted,
 		connect.WithCodec(codec(name, sideServed)), connect.WithReadMaxBytes(maxMessage), connect.WithCompression("gzip", nil, nil)))
@@ -82,19 +85,19 @@
 // NewCaller makes a caller that uses the client, as Client makes it.
 func NewCaller(client *http.Client) *Caller { return &Caller{client} }
 
-// Call asks the sibling at an address; its error names the step and the sibling.
-func Call[Ask, Tell any](caller *Caller, life span.Span, address, procedure string, limit time.Duration, ask *Ask) (*Tell, error) {
+// Call asks the peer at an address, for as long as the limit; its error names the procedure and the peer.
+func Call[Request, Answer any](caller *Caller, life span.Span, address, procedure string, limit time.Duration, request *Request) (*Answer, error) {
 	life, release := span.Within(life, limit)
 	defer release()
-	return callThrough[Ask, Tell](caller.client, life, address, procedure, ask)
+	return callThrough[Request, Answer](caller.client, life, address, procedure, request)
 }
 
-func callThrough[Ask, Tell any](client connect.HTTPClient, life span.Span, address, procedure string, ask *Ask) (*Tell, error) {
+func callThrough[Request, Answer any](client connect.HTTPClient, life span.Span, address, procedure string, request *Request) (*Answer, error) {
 	name := procedure[len(Prefix):]
 	calls.With(name, sideMade).Inc()
-	asker := connect.NewClient[Ask, Tell](client, "http://"+address+procedure,
+	connection := connect.NewClient[Request, Answer](client, "http://"+address+procedure,
 		connect.WithCodec(codec(name, sideMade)), connect.WithReadMaxBytes(maxMessage), connect.WithAcceptCompression("gzip", nil, nil))
-	answer, err := asker.CallUnary(life, connect.NewRequest(ask))
+	answer, err := connection.CallUnary(life, connect.NewRequest(request))
 	if err == nil {
 		err = check(answer.Msg)
 	}
@@ -113,7 +116,7 @@
 	return nil
 }
 
-// NeverSent tells whether a failed call certainly did not reach the sibling.
+// NeverSent tells whether a failed call certainly did not reach the peer.
 func NeverSent(err error) bool {
 	return isDialError(err)
 }
--- a/internal/peerapi/dial.go
+++ b/internal/peerapi/dial.go
@@ -13,12 +13,19 @@
 	"gannetline/internal/span"
 )
 
+const (
+	idleTimeout = 30 * time.Second
+	// bufferBytes is small, as there is a connection to each peer.
+	bufferBytes = 2048
+)
+
+// isDialError tells whether a connection could not be made.
 func isDialError(err error) bool {
 	var failed *net.OpError
 	return stderrors.As(errors.Cause(err), &failed) && failed.Op == "dial" || stderrors.As(err, &failed) && failed.Op == "dial"
 }
 
-// Dialer gives up on silent siblings soon.
+// Dialer gives up a connection whose other side has acknowledged nothing for the time of silence.
 func Dialer(silence time.Duration) *net.Dialer {
 	return &net.Dialer{Timeout: silence, KeepAlive: -1, Control: func(_, _ string, raw syscall.RawConn) error {
 		return raw.Control(func(fd uintptr) {
@@ -37,10 +44,10 @@
 				return dialer.DialContext(life, network, address)
 			},
 			MaxIdleConnsPerHost: idlePerHost,
-			IdleConnTimeout:     30 * time.Second,
+			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
-			ReadBufferSize:      2048,
-			WriteBufferSize:     2048,
+			ReadBufferSize:      bufferBytes,
+			WriteBufferSize:     bufferBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/internal/peerapi/messages.go
+++ b/internal/peerapi/messages.go
@@ -64,7 +64,7 @@
 	Disk     string      `json:"disk"`
 }
 
-// SnapshotChunk is one of Count parts of the state at a stamp; the last one to come lets the state be installed as a whole.
+// SnapshotChunk is one of Count parts of the state at a log position; the last one to come lets the state be installed as a whole.
 type SnapshotChunk struct {
 	At     LogPosition `json:"at"`
 	Set    VoterSet    `json:"set"`
@@ -99,9 +99,9 @@
 	Last     LogPosition `json:"last"`
 	Disk     string      `json:"disk"`
 	WallMs   int64       `json:"wall"`
-	// DelayUs is the time from the call's arrival to this answer, at least 1; 0 is from a sibling of an older form.
+	// DelayUs is the time from the call's arrival to this answer, at least 1; 0 is from a peer of an older form.
 	DelayUs int64 `json:"delay,omitempty"`
-	// Chunks is how many pieces of the state under way are here; a sibling of an older form has none.
+	// Chunks is how many chunks of the snapshot under way are here; a peer of an older form has none.
 	Chunks int `json:"pieces,omitempty"`
 	// Leaving tells that the process has been asked to end, so that its disk should be replaced as a voter.
 	Leaving bool `json:"leaving,omitempty"`
@@ -166,7 +166,7 @@
 }
 
 // Digest carries owners that are news, or missing at the other side; the sums show the rest and are never 0.
-// A sibling of the older form sends no sums, and all of its owners.
+// A peer of the older form sends no sums, and all of its owners.
 type Digest struct {
 	Plan      int64        `json:"p,omitempty"`
 	Owners    []LeaderFact `json:"o,omitempty"`
@@ -204,7 +204,7 @@
 	Differing []int    `json:"differing,omitempty"`
 }
 
-// ConfigurationCall asks for what is newer than Held; a sibling of the older form is always given the whole.
+// ConfigurationCall asks for what is newer than Held; a peer of the older form is always given the whole.
 type ConfigurationCall struct {
 	Held         int64 `json:"held"`
 	TakesChanges bool  `json:"changes,omitempty"`
@@ -215,12 +215,12 @@
 }
 
 // ConfigurationAnswer holds the whole configuration, a chunk of its image, or the changes that lead to it from the
-// version that is held; none of them if the sibling holds nothing newer.
+// version that is held; none of them if the peer holds nothing newer.
 type ConfigurationAnswer struct {
 	Fact    *Configuration        `json:"fact,omitempty"`
 	Changes []*ConfigurationDelta `json:"changes,omitempty"`
 	Chunk   *ConfigurationChunk   `json:"chunk,omitempty"`
-	// Busy says that too many siblings are being answered; another one should be asked.
+	// Busy says that too many peers are being answered; another one should be asked.
 	Busy bool `json:"busy,omitempty"`
 }
 
--- a/internal/peerapi/metrics.go
+++ b/internal/peerapi/metrics.go
@@ -2,6 +2,7 @@
 
 import "gannetline/internal/metrics"
 
+// The sides of a call, as a label of its metrics.
 const (
 	sideMade   = "made"
 	sideServed = "served"
--- a/internal/peerapi/moving.go
+++ b/internal/peerapi/moving.go
@@ -14,7 +14,7 @@
 // ErrStalled is the cause of a call that was given up because nothing came for too long.
 const ErrStalled = errors.ConstError("no byte of the answer came in time")
 
-// mostMoving bounds a call that keeps moving, so that a sibling which sends a byte now and then can't hold it forever.
+// mostMoving bounds a call that keeps moving, so that a peer which sends a byte now and then can't hold it forever.
 const mostMoving = 30 * time.Second
 
 // movingClient reports each part of an answer that arrives.
@@ -23,6 +23,7 @@
 	moved  chan struct{}
 }
 
+// report notes that something came; it never blocks.
 func (m movingClient) report() {
 	select {
 	case m.moved <- struct{}{}:
@@ -41,26 +42,27 @@
 	return response, nil
 }
 
+// movingBody is the body of an answer whose reads are reported.
 type movingBody struct {
 	io.ReadCloser
 	client movingClient
 }
 
 // Read passes on bytes and reports that some came.
-func (b movingBody) Read(room []byte) (int, error) {
-	count, err := b.ReadCloser.Read(room)
+func (b movingBody) Read(buffer []byte) (int, error) {
+	count, err := b.ReadCloser.Read(buffer)
 	if count > 0 {
 		b.client.report()
 	}
 	return count, err
 }
 
-// CallWhileMoving asks the sibling at an address, and gives up only once nothing of the answer has come for as long
+// CallWhileMoving asks the peer at an address, and gives up only once nothing of the answer has come for as long
 // as the patience: a slow link is no reason to end a call, a silent one is. The cause is then ErrStalled.
-func CallWhileMoving[Ask, Tell any](caller *Caller, clock pulse.Pulse, life span.Span, address, procedure string,
-	patience time.Duration, ask *Ask) (*Tell, error) {
+func CallWhileMoving[Request, Answer any](caller *Caller, clock pulse.Pulse, life span.Span, address, procedure string,
+	patience time.Duration, request *Request) (*Answer, error) {
 	type outcome struct {
-		answer *Tell
+		answer *Answer
 		err    error
 	}
 	life, release := span.Within(life, mostMoving)
@@ -69,13 +71,13 @@
 	outcomes := make(chan outcome, 1)
 	stall := clock.After(patience)
 	go func() {
-		answer, err := callThrough[Ask, Tell](moving, life, address, procedure, ask)
+		answer, err := callThrough[Request, Answer](moving, life, address, procedure, request)
 		outcomes <- outcome{answer, err}
 	}()
 	for {
 		select {
-		case got := <-outcomes:
-			return got.answer, got.err
+		case done := <-outcomes:
+			return done.answer, done.err
 		case <-moving.moved:
 			stall = clock.After(patience)
 		case <-stall:
--- a/internal/stage/line.go
+++ b/internal/stage/line.go
@@ -10,20 +10,31 @@
 	"gannetline/internal/pulse"
 )
 
+// event is a function that falls due at a moment; place is its number, which decides among those of one moment.
 type event struct {
 	due   time.Duration
 	place uint64
 	run   func()
 }
 
+// events is a heap (container/heap) with the event that falls due first on top.
 type events []event
 
+// Len is the number of events.
 func (e events) Len() int { return len(e) }
+
+// Less tells whether an event falls due before another one.
 func (e events) Less(i, j int) bool {
 	return e[i].due < e[j].due || e[i].due == e[j].due && e[i].place < e[j].place
 }
+
+// Swap exchanges two events.
 func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(one any) { *e = append(*e, one.(event)) }
+
+// Push appends an event; heap.Push then moves it to its place.
+func (e *events) Push(added any) { *e = append(*e, added.(event)) }
+
+// Pop takes the last event away; heap.Pop has moved the first one there.
 func (e *events) Pop() any {
 	last := (*e)[len(*e)-1]
 	*e = (*e)[:len(*e)-1]
--- a/internal/stage/node.go
+++ b/internal/stage/node.go
@@ -146,16 +146,19 @@
 	return nil, nil
 }
 
+// road carries the calls of a key's leader or candidate to the disks, over the simulated network.
 type road struct {
 	node *Node
 	life int
 }
 
+// Promise asks the steward of a disk for a promise; done gets an error if nothing came within promiseLimit.
 func (r *road) Promise(disk string, ask peerapi.PromiseCall, done func(peerapi.PromiseAnswer, error)) {
 	to, where := r.node.stage.placeOf(disk)
 	call(r.node.stage, r.node.place(), where, promiseLimit, func(answer func(peerapi.PromiseAnswer)) { to.replicas.Promise(ask, answer) }, done)
 }
 
+// Append sends changes to the steward of a disk; done gets an error if nothing came within appendLimit.
 func (r *road) Append(disk string, ask peerapi.AppendCall, done func(peerapi.AppendAnswer, error)) {
 	if disk == r.node.disk.name {
 		r.InstallLocal(ask, done)
@@ -172,6 +175,7 @@
 	})
 }
 
+// Fetch asks the steward of a disk for a part of a key's state; done gets an error if nothing came within appendLimit.
 func (r *road) Fetch(disk string, ask peerapi.FetchCall, done func(peerapi.FetchAnswer, error)) {
 	to, where := r.node.stage.placeOf(disk)
 	call(r.node.stage, r.node.place(), where, appendLimit, func(answer func(peerapi.FetchAnswer)) {
@@ -181,10 +185,12 @@
 	}, done)
 }
 
+// Status gives what this node's own replica of a key holds.
 func (r *road) Status(key string, done func(replication.ReplicaStatus)) {
 	done(r.node.replicas.Status(key))
 }
 
+// History gives the changes that this node's own replica still has one by one.
 func (r *road) History(key string, done func(replication.History)) {
 	done(r.node.replicas.History(key))
 }
