The configuration cache speaks in standard terms

The version in force is current, kept images are an image cache, rests are pauses, what was heard is noted; the check of a chunk has a name of its own; functions that are not plain have a comment. Behaviour unchanged: the package's tests pass as they were, with -race.

--- a/internal/configcache/configcache.go
+++ b/internal/configcache/configcache.go
@@ -1,4 +1,5 @@
-// Package configcache holds the newest committed configuration that a process has heard of, fetches newer ones from peers and serves it to them; it never goes back.
+// Package configcache holds the newest committed configuration that a process knows, fetches newer ones from peers and
+// serves it to them; it never goes back.
 package configcache
 
 import (
@@ -22,56 +23,59 @@
 	version *Version
 }
 
-// Moved gives the services that an entry was sent to before.
-func (p *Snapshot) Moved(entry string) []string {
-	for _, moved := range p.Fact.Moved {
-		if moved.Entry == entry {
+// Moved gives the services that a route led to before.
+func (s *Snapshot) Moved(route string) []string {
+	for _, moved := range s.Fact.Moved {
+		if moved.Entry == route {
 			return moved.Services
 		}
 	}
 	return nil
 }
 
+const mailboxRoom = 64
+
 // Cache holds the newest committed configuration, fetches newer ones from peers and serves it to them.
 type Cache struct {
-	box     *mailbox.Mailbox
-	page    atomic.Pointer[Snapshot]
-	caller  *peerapi.Caller
-	clock   pulse.Pulse
-	log     logging.Logger
-	heed    func(*Snapshot)
-	fetcher *Fetcher
+	mailbox  *mailbox.Mailbox
+	current  atomic.Pointer[Snapshot]
+	caller   *peerapi.Caller
+	clock    pulse.Pulse
+	log      logging.Logger
+	onChange func(*Snapshot)
+	fetcher  *Fetcher
 	// answering has room for the answers that may be under way at once.
 	answering chan struct{}
 }
 
-// New makes a cache; heed is told of each version that comes into force.
-func New(caller *peerapi.Caller, clock pulse.Pulse, log logging.Logger, heed func(*Snapshot)) *Cache {
-	cache := &Cache{box: mailbox.New(64), caller: caller, clock: clock, log: log, heed: heed, answering: make(chan struct{}, mostAnswers)}
+// New makes a cache; onChange is told of each version that comes into force, on the goroutine that owns the cache.
+func New(caller *peerapi.Caller, clock pulse.Pulse, log logging.Logger, onChange func(*Snapshot)) *Cache {
+	cache := &Cache{mailbox: mailbox.New(mailboxRoom), caller: caller, clock: clock, log: log, onChange: onChange,
+		answering: make(chan struct{}, mostAnswers)}
 	cache.fetcher = NewFetcher(clock, log, Actions{Ask: cache.ask, Wake: cache.wake, Use: cache.use})
 	return cache
 }
 
 // Page gives the version in force, nil before the first.
-func (c *Cache) Page() *Snapshot { return c.page.Load() }
+func (c *Cache) Page() *Snapshot { return c.current.Load() }
 
 // Run owns the cache until the span ends.
 func (c *Cache) Run(life span.Span) error {
-	c.box.Run(life, c.clock, mailbox.Owner{Every: time.Minute})
+	c.mailbox.Run(life, c.clock, mailbox.Owner{Every: time.Minute})
 	return nil
 }
 
 // Hold takes a committed configuration.
-func (c *Cache) Hold(fact *peerapi.Configuration) { c.box.Post(func() { c.fetcher.Hold(fact) }) }
+func (c *Cache) Hold(fact *peerapi.Configuration) { c.mailbox.Post(func() { c.fetcher.Hold(fact) }) }
 
 // Ahead fetches a version that a peer holds and this process does not.
 func (c *Cache) Ahead(member peerapi.Member, version int64) {
-	c.box.TryPost(func() { c.fetcher.Hear(member, version) })
+	c.mailbox.TryPost(func() { c.fetcher.Hear(member, version) })
 }
 
 func (c *Cache) version() *Version {
-	if page := c.page.Load(); page != nil {
-		return page.version
+	if current := c.current.Load(); current != nil {
+		return current.version
 	}
 	return nil
 }
@@ -83,27 +87,29 @@
 	if err != nil {
 		return errors.Annotatef(err, "version %d of the plan", fact.Version)
 	}
-	page := &Snapshot{Fact: fact, Matcher: configuration.NewMatcher(plan), version: next}
-	c.page.Store(page)
+	current := &Snapshot{Fact: fact, Matcher: configuration.NewMatcher(plan), version: next}
+	c.current.Store(current)
 	versionsTaken.Inc()
 	versionHeld.Set(float64(fact.Version))
 	c.log.Info("plan in force", "version", fact.Version, "routes", len(plan.Entries))
-	c.heed(page)
+	c.onChange(current)
 	return nil
 }
 
+// ask calls a peer and tells the fetcher of the outcome.
 func (c *Cache) ask(address string, call *peerapi.ConfigurationCall, patience time.Duration) {
 	go func() {
 		answer, err := peerapi.CallWhileMoving[peerapi.ConfigurationCall, peerapi.ConfigurationAnswer](c.caller, c.clock, span.Root(), address,
 			peerapi.ProcedurePlan, patience, call)
-		c.box.Post(func() { c.fetcher.Take(address, call, answer, err) })
+		c.mailbox.Post(func() { c.fetcher.Take(address, call, answer, err) })
 	}()
 }
 
+// wake calls the fetcher after a while.
 func (c *Cache) wake(after time.Duration) {
 	due := c.clock.After(after)
 	go func() {
 		<-due
-		c.box.Post(c.fetcher.Wake)
+		c.mailbox.Post(c.fetcher.Wake)
 	}()
 }
--- a/internal/configcache/delta.go
+++ b/internal/configcache/delta.go
@@ -28,8 +28,8 @@
 // Pieces cuts a configuration around its routes, services and limits; joined they are the same bytes again.
 func Pieces(body []byte) [][]byte {
 	var texts [][]byte
-	for _, one := range cutFrom(body, 0) {
-		texts = append(texts, one.text)
+	for _, piece := range cutFrom(body, 0) {
+		texts = append(texts, piece.text)
 	}
 	return texts
 }
@@ -119,22 +119,23 @@
 	return pieces, nil
 }
 
+// netOf is by how much the depth is greater after the pieces than before them.
 func netOf(pieces []piece) int {
 	net := 0
-	for _, one := range pieces {
-		net += one.net
+	for _, piece := range pieces {
+		net += piece.net
 	}
 	return net
 }
 
 func join(pieces []piece) []byte {
 	length := 0
-	for _, one := range pieces {
-		length += len(one.text)
+	for _, piece := range pieces {
+		length += len(piece.text)
 	}
 	body := make([]byte, 0, length)
-	for _, one := range pieces {
-		body = append(body, one.text...)
+	for _, piece := range pieces {
+		body = append(body, piece.text...)
 	}
 	return body
 }
@@ -173,10 +174,11 @@
 	return change
 }
 
-func isSame(one, two peerapi.MovedRoute) bool {
-	return one.Entry == two.Entry && slices.Equal(one.Services, two.Services)
+func isSame(a, b peerapi.MovedRoute) bool {
+	return a.Entry == b.Entry && slices.Equal(a.Services, b.Services)
 }
 
+// textIn is how many bytes of text a change brings.
 func textIn(change *peerapi.ConfigurationDelta) int {
 	count := 0
 	for _, part := range change.Parts {
@@ -210,9 +212,10 @@
 	return fact, nil
 }
 
+// withMoved replaces the entries of routes that have moved again, and adds the others.
 func withMoved(all, added []peerapi.MovedRoute) []peerapi.MovedRoute {
 	for _, moved := range added {
-		place := slices.IndexFunc(all, func(one peerapi.MovedRoute) bool { return one.Entry == moved.Entry })
+		place := slices.IndexFunc(all, func(known peerapi.MovedRoute) bool { return known.Entry == moved.Entry })
 		if place < 0 {
 			all = append(all, moved)
 			continue
--- a/internal/configcache/fetch.go
+++ b/internal/configcache/fetch.go
@@ -19,10 +19,10 @@
 	patienceFactor = 3
 	// failurePause lies before a peer that failed is asked again, times its failures.
 	failurePause = 100 * time.Millisecond
-	// restFactor times what applying a version took goes by before the next one is fetched, longestRest at most:
+	// pauseFactor times what applying a version took goes by before the next one is fetched, longestPause at most:
 	// in a storm of versions most are passed over, and a slow processor keeps its time for calls.
-	restFactor  = 4
-	longestRest = 400 * time.Millisecond
+	pauseFactor  = 4
+	longestPause = 400 * time.Millisecond
 )
 
 // Actions are what a fetcher has its process do.
@@ -41,15 +41,15 @@
 	log     logging.Logger
 	actions Actions
 
-	held      *Version
+	current   *Version
 	peers     peers
 	transfers transfers
-	shelf     shelf
+	images    imageCache
 
 	patience   time.Duration
 	askedAt    time.Duration
 	isFetching bool
-	isResting  bool
+	isPausing  bool
 }
 
 // NewFetcher makes a fetcher that holds nothing yet.
@@ -59,72 +59,72 @@
 
 // Hold takes a committed configuration.
 func (f *Fetcher) Hold(fact *peerapi.Configuration) {
-	if err := f.turnTo(f.held.Follow(fact)); err != nil {
+	if err := f.adopt(f.current.Follow(fact)); err != nil {
 		f.log.Error(err, "the committed plan was refused", "version", fact.Version)
 	}
 }
 
-// turnTo brings a version into force; an error says that it can't be read, and changes nothing.
-func (f *Fetcher) turnTo(next *Version) error {
-	if next == f.held {
+// adopt brings a version into force; an error says that it can't be read, and changes nothing.
+func (f *Fetcher) adopt(next *Version) error {
+	if next == f.current {
 		return nil
 	}
 	if err := f.actions.Use(next); err != nil {
 		return err
 	}
-	f.held = next
+	f.current = next
 	f.transfers.reached(next.version())
 	return nil
 }
 
 // Hear notes that a peer holds a version, and fetches it if it is newer.
 func (f *Fetcher) Hear(member peerapi.Member, version int64) {
-	if version > f.held.version() {
-		f.peers.hear(member, version)
+	if version > f.current.version() {
+		f.peers.note(member, version)
 		f.fetchNext()
 	}
 }
 
 // Chunk gives a peer a chunk of an image of the whole.
 func (f *Fetcher) Chunk(call *peerapi.ConfigurationCall) (*peerapi.ConfigurationChunk, error) {
-	return f.shelf.chunk(f.held, call)
+	return f.images.chunk(f.current, call)
 }
 
-// Wake goes on after a rest.
+// Wake goes on after a pause.
 func (f *Fetcher) Wake() {
-	f.isResting = false
+	f.isPausing = false
 	f.fetchNext()
 }
 
-func (f *Fetcher) rest(length time.Duration) {
+func (f *Fetcher) pause(length time.Duration) {
 	if length <= 0 {
 		f.fetchNext()
 		return
 	}
-	f.isResting = true
+	f.isPausing = true
 	f.actions.Wake(length)
 }
 
 // fetchNext asks the best peer that is ahead, if there is one and no call is under way.
 func (f *Fetcher) fetchNext() {
-	if f.isFetching || f.isResting {
+	if f.isFetching || f.isPausing {
 		return
 	}
-	if next := f.peers.best(f.held.version()); next != nil {
+	if next := f.peers.best(f.current.version()); next != nil {
 		f.ask(next.address, true)
 	}
 }
 
 func (f *Fetcher) ask(address string, takesChanges bool) {
 	f.isFetching, f.askedAt = true, f.clock.Steady()
-	call := &peerapi.ConfigurationCall{Held: f.held.version(), TakesChanges: takesChanges && f.held != nil, TakesChunks: true}
-	if begun := f.transfers.named(address); begun != nil {
+	call := &peerapi.ConfigurationCall{Held: f.current.version(), TakesChanges: takesChanges && f.current != nil, TakesChunks: true}
+	if begun := f.transfers.next(address); begun != nil {
 		call.Image, call.Offset = begun.image.Name, len(begun.image.data)
 	}
 	f.actions.Ask(address, call, f.patience)
 }
 
-// Take heeds the outcome of a call, and goes on with what is next.
+// Take handles the outcome of a call, and goes on with what is next.
 func (f *Fetcher) Take(address string, call *peerapi.ConfigurationCall, answer *peerapi.ConfigurationAnswer, err error) {
 	f.isFetching = false
 	switch {
@@ -138,13 +138,13 @@
 	default:
 		f.patience = max(shortPatience, min(patienceFactor*(f.clock.Steady()-f.askedAt), longPatience))
 		bodyBytesFetched.Add(bytesOf(answer))
-		f.heed(address, call, answer)
+		f.apply(address, call, answer)
 	}
 }
 
-// heed applies an answer.
-func (f *Fetcher) heed(address string, call *peerapi.ConfigurationCall, answer *peerapi.ConfigurationAnswer) {
-	begun, before := f.clock.Steady(), f.held
+// apply uses an answer, and goes on with the rest of an image or with what is next.
+func (f *Fetcher) apply(address string, call *peerapi.ConfigurationCall, answer *peerapi.ConfigurationAnswer) {
+	begun, before := f.clock.Steady(), f.current
 	next, isWhole, err := f.read(address, answer)
 	switch {
 	case err != nil && call.TakesChanges && len(answer.Changes) > 0:
@@ -159,31 +159,31 @@
 		f.ask(address, call.TakesChanges)
 		return
 	}
-	if err := f.turnTo(next); err != nil {
+	if err := f.adopt(next); err != nil {
 		f.peers.forget(address)
 		f.failed(address, err)
 		return
 	}
-	if f.held == before {
-		if call.Held == f.held.version() {
-			// The peer has nothing newer, whatever was heard.
+	if f.current == before {
+		if call.Held == f.current.version() {
+			// The peer has nothing newer, whatever was said of it.
 			f.peers.forget(address)
 		}
 		f.fetchNext()
 		return
 	}
 	f.peers.answered(address)
-	f.rest(min(restFactor*(f.clock.Steady()-begun), longestRest))
+	f.pause(min(pauseFactor*(f.clock.Steady()-begun), longestPause))
 }
 
 // read makes a version of an answer; it is not whole while chunks of its image are missing.
 func (f *Fetcher) read(address string, answer *peerapi.ConfigurationAnswer) (next *Version, isWhole bool, err error) {
 	if answer.Chunk == nil {
-		next, err = f.held.Take(answer)
+		next, err = f.current.Take(answer)
 		return next, true, err
 	}
-	if answer.Chunk.Version <= f.held.version() {
-		return f.held, true, nil
+	if answer.Chunk.Version <= f.current.version() {
+		return f.current, true, nil
 	}
 	image, err := f.transfers.take(address, answer.Chunk)
 	if err != nil || image == nil {
@@ -193,16 +193,16 @@
 	if err != nil {
 		return nil, false, err
 	}
-	f.shelf.put(image)
-	return f.held.Follow(fact), true, nil
+	f.images.put(image)
+	return f.current.Follow(fact), true, nil
 }
 
 // failed turns to another peer, or after a pause to the same one.
 func (f *Fetcher) failed(address string, why error) {
 	f.log.Info("a plan could not be fetched", "peer", address, "why", why.Error())
 	f.peers.failed(address)
-	if next := f.peers.best(f.held.version()); next != nil {
-		f.rest(time.Duration(next.failures) * failurePause)
+	if next := f.peers.best(f.current.version()); next != nil {
+		f.pause(time.Duration(next.failures) * failurePause)
 	}
 }
 
--- a/internal/configcache/image.go
+++ b/internal/configcache/image.go
@@ -86,35 +86,35 @@
 	return &peerapi.ConfigurationChunk{Version: i.Version, Image: i.Name, Size: len(i.data), Offset: offset, Data: i.data[offset:end]}
 }
 
-// shelf keeps the images whose transfers may be under way, the one that was asked for last at the end.
-type shelf struct{ images []*Image }
+// imageCache keeps the images whose transfers may be under way, the one that was asked for last at the end.
+type imageCache struct{ images []*Image }
 
 const mostImages = 8
 
-func (s *shelf) put(image *Image) {
-	s.images = append(s.images, image)
-	s.images = s.images[max(0, len(s.images)-mostImages):]
+func (c *imageCache) put(image *Image) {
+	c.images = append(c.images, image)
+	c.images = c.images[max(0, len(c.images)-mostImages):]
 }
 
-// ask gives the image that a check finds, and keeps it longest.
-func (s *shelf) ask(isIt func(*Image) bool) *Image {
-	place := slices.IndexFunc(s.images, isIt)
+// use gives the image that a check finds, and keeps it longest.
+func (c *imageCache) use(isIt func(*Image) bool) *Image {
+	place := slices.IndexFunc(c.images, isIt)
 	if place < 0 {
 		return nil
 	}
-	image := s.images[place]
-	s.images = append(slices.Delete(s.images, place, place+1), image)
+	image := c.images[place]
+	c.images = append(slices.Delete(c.images, place, place+1), image)
 	return image
 }
 
 // chunk answers a call from the image that it names, or else from one that changes lead on from, or from a new one. So
 // a transfer goes on to its end while new versions come, and an image is made only where the changes don't reach.
-func (s *shelf) chunk(current *Version, call *peerapi.ConfigurationCall) (*peerapi.ConfigurationChunk, error) {
-	named := s.ask(func(image *Image) bool { return image.Name == call.Image && image.Version > call.Held })
+func (c *imageCache) chunk(current *Version, call *peerapi.ConfigurationCall) (*peerapi.ConfigurationChunk, error) {
+	named := c.use(func(image *Image) bool { return image.Name == call.Image && image.Version > call.Held })
 	if named != nil {
 		return named.chunk(call), nil
 	}
-	recent := s.ask(func(image *Image) bool { return image.Version > call.Held && current.reaches(image.Version) })
+	recent := c.use(func(image *Image) bool { return image.Version > call.Held && current.reaches(image.Version) })
 	if recent != nil {
 		return recent.chunk(call), nil
 	}
@@ -123,7 +123,7 @@
 		return nil, err
 	}
 	imagesPacked.Inc()
-	s.put(image)
+	c.put(image)
 	return image.chunk(call), nil
 }
 
@@ -134,22 +134,30 @@
 	from  string
 }
 
+// left is how many bytes are still missing.
 func (t *transfer) left() int { return t.size - len(t.image.data) }
 
+// fits tells whether a chunk is the next one of this image.
+func (t *transfer) fits(chunk *peerapi.ConfigurationChunk) bool {
+	isSame := chunk.Size == t.size && chunk.Version == t.image.Version
+	isNext := chunk.Offset == len(t.image.data)
+	return isSame && isNext && len(chunk.Data) > 0 && len(chunk.Data) <= t.left()
+}
+
 // transfers keep what came of an image when a peer goes silent; another peer may hold the same image.
 type transfers struct{ open []*transfer }
 
 const mostTransfers = 3
 
-// named is the image to go on with at a peer: one that it sent before, or the one with the least left.
-func (t *transfers) named(address string) *transfer {
+// next is the image to go on with at a peer: one that it sent before, or the one with the least left.
+func (t *transfers) next(address string) *transfer {
 	var best *transfer
-	for _, one := range t.open {
-		if one.from == address {
-			return one
+	for _, begun := range t.open {
+		if begun.from == address {
+			return begun
 		}
-		if best == nil || one.left() < best.left() {
-			best = one
+		if best == nil || begun.left() < best.left() {
+			best = begun
 		}
 	}
 	return best
@@ -157,38 +165,38 @@
 
 // take adds a chunk; it gives the image once it is whole.
 func (t *transfers) take(address string, chunk *peerapi.ConfigurationChunk) (*Image, error) {
-	one := t.find(chunk)
-	if one == nil {
+	begun := t.find(chunk)
+	if begun == nil {
 		if chunk.Offset != 0 || chunk.Size <= 0 || chunk.Size > mostImageBytes {
 			return nil, errors.Errorf("a chunk of an unknown image at %d of %d bytes", chunk.Offset, chunk.Size)
 		}
-		one = t.add(&transfer{image: Image{Version: chunk.Version, Name: chunk.Image}, size: chunk.Size})
+		begun = t.add(&transfer{image: Image{Version: chunk.Version, Name: chunk.Image}, size: chunk.Size})
 	}
-	one.from = address
-	have := len(one.image.data)
-	if chunk.Size != one.size || chunk.Version != one.image.Version || chunk.Offset != have || len(chunk.Data) == 0 || len(chunk.Data) > one.left() {
-		t.drop(one)
-		return nil, errors.Errorf("a chunk of %d bytes at %d of %d, and %d of %d are here", len(chunk.Data), chunk.Offset, chunk.Size, have, one.size)
+	begun.from = address
+	have := len(begun.image.data)
+	if !begun.fits(chunk) {
+		t.drop(begun)
+		return nil, errors.Errorf("a chunk of %d bytes at %d of %d, and %d of %d are here", len(chunk.Data), chunk.Offset, chunk.Size, have, begun.size)
 	}
-	one.image.data = append(one.image.data, chunk.Data...)
-	if one.left() > 0 {
+	begun.image.data = append(begun.image.data, chunk.Data...)
+	if begun.left() > 0 {
 		return nil, nil
 	}
-	t.drop(one)
-	return &one.image, nil
+	t.drop(begun)
+	return &begun.image, nil
 }
 
 func (t *transfers) find(chunk *peerapi.ConfigurationChunk) *transfer {
-	for _, one := range t.open {
-		if one.image.Name == chunk.Image {
-			return one
+	for _, begun := range t.open {
+		if begun.image.Name == chunk.Image {
+			return begun
 		}
 	}
 	return nil
 }
 
 // add makes room by dropping the transfer that has most left.
-func (t *transfers) add(one *transfer) *transfer {
+func (t *transfers) add(begun *transfer) *transfer {
 	if len(t.open) == mostTransfers {
 		most := t.open[0]
 		for _, other := range t.open {
@@ -198,24 +206,24 @@
 		}
 		t.drop(most)
 	}
-	t.open = append(t.open, one)
-	return one
+	t.open = append(t.open, begun)
+	return begun
 }
 
 func (t *transfers) drop(gone *transfer) {
-	t.keep(func(one *transfer) bool { return one != gone })
+	t.keep(func(begun *transfer) bool { return begun != gone })
 }
 
 // reached drops images that a held version makes useless.
 func (t *transfers) reached(version int64) {
-	t.keep(func(one *transfer) bool { return one.image.Version > version })
+	t.keep(func(begun *transfer) bool { return begun.image.Version > version })
 }
 
 func (t *transfers) keep(isKept func(*transfer) bool) {
 	var kept []*transfer
-	for _, one := range t.open {
-		if isKept(one) {
-			kept = append(kept, one)
+	for _, begun := range t.open {
+		if isKept(begun) {
+			kept = append(kept, begun)
 		}
 	}
 	t.open = kept
--- a/internal/configcache/peers.go
+++ b/internal/configcache/peers.go
@@ -8,13 +8,13 @@
 )
 
 const (
-	// mostPeers that are ahead are remembered; mostFailures in a row make one be forgotten until it is heard again.
+	// mostPeers that are ahead are remembered; mostFailures in a row make one be forgotten until it is named again.
 	mostPeers    = 16
 	mostFailures = 3
 	roleSteward  = "steward"
 )
 
-// peer is a peer that was heard to hold a newer version.
+// peer is a process that is said to hold a newer version.
 type peer struct {
 	address   string
 	isSteward bool
@@ -25,8 +25,8 @@
 // peers are the peers that may be asked, in no order.
 type peers struct{ known []*peer }
 
-// hear remembers who holds a version; what failed there before stays counted while others are left to ask.
-func (p *peers) hear(member peerapi.Member, version int64) {
+// note remembers who holds a version; what failed there before stays counted while others are left to ask.
+func (p *peers) note(member peerapi.Member, version int64) {
 	if known := p.find(member.Address); known != nil {
 		known.holds = max(known.holds, version)
 		return
@@ -38,9 +38,9 @@
 }
 
 func (p *peers) find(address string) *peer {
-	for _, one := range p.known {
-		if one.address == address {
-			return one
+	for _, known := range p.known {
+		if known.address == address {
+			return known
 		}
 	}
 	return nil
@@ -48,37 +48,38 @@
 
 // best is the peer to ask: the fewest failures, then stewards, whose links are wider, then the newest version.
 func (p *peers) best(held int64) *peer {
-	p.known = slices.DeleteFunc(p.known, func(one *peer) bool { return one.holds <= held })
+	p.known = slices.DeleteFunc(p.known, func(known *peer) bool { return known.holds <= held })
 	if len(p.known) == 0 {
 		return nil
 	}
-	return slices.MinFunc(p.known, func(one, two *peer) int {
+	return slices.MinFunc(p.known, func(a, b *peer) int {
 		switch {
-		case one.failures != two.failures:
-			return cmp.Compare(one.failures, two.failures)
-		case one.isSteward != two.isSteward && one.isSteward:
+		case a.failures != b.failures:
+			return cmp.Compare(a.failures, b.failures)
+		case a.isSteward != b.isSteward && a.isSteward:
 			return -1
-		case one.isSteward != two.isSteward:
+		case a.isSteward != b.isSteward:
 			return 1
 		}
-		return cmp.Compare(two.holds, one.holds)
+		return cmp.Compare(b.holds, a.holds)
 	})
 }
 
+// failed counts a failure in a row.
 func (p *peers) failed(address string) {
-	if one := p.find(address); one != nil {
-		if one.failures++; one.failures >= mostFailures {
+	if known := p.find(address); known != nil {
+		if known.failures++; known.failures >= mostFailures {
 			p.forget(address)
 		}
 	}
 }
 
 func (p *peers) answered(address string) {
-	if one := p.find(address); one != nil {
-		one.failures = 0
+	if known := p.find(address); known != nil {
+		known.failures = 0
 	}
 }
 
 func (p *peers) forget(address string) {
-	p.known = slices.DeleteFunc(p.known, func(one *peer) bool { return one.address == address })
+	p.known = slices.DeleteFunc(p.known, func(known *peer) bool { return known.address == address })
 }
--- a/internal/configcache/serve.go
+++ b/internal/configcache/serve.go
@@ -31,23 +31,24 @@
 	})
 }
 
+// answer gives changes, or a chunk of an image, which is packed on the goroutine that owns the cache.
 func (c *Cache) answer(life span.Span, call *peerapi.ConfigurationCall) (*peerapi.ConfigurationAnswer, error) {
 	if answer := c.version().Answer(call); answer != nil {
 		return answer, nil
 	}
-	type packed struct {
+	type outcome struct {
 		chunk *peerapi.ConfigurationChunk
 		err   error
 	}
-	got, err := mailbox.Ask(c.box, life, func(answer func(packed)) {
+	packed, err := mailbox.Ask(c.mailbox, life, func(answer func(outcome)) {
 		chunk, err := c.fetcher.Chunk(call)
-		answer(packed{chunk, err})
+		answer(outcome{chunk, err})
 	})
 	switch {
 	case err != nil:
 		return nil, err
-	case got.err != nil:
-		return nil, got.err
+	case packed.err != nil:
+		return nil, packed.err
 	}
-	return &peerapi.ConfigurationAnswer{Chunk: got.chunk}, nil
+	return &peerapi.ConfigurationAnswer{Chunk: packed.chunk}, nil
 }
--- a/internal/configcache/version.go
+++ b/internal/configcache/version.go
@@ -15,7 +15,7 @@
 	mostAnswerText = 16 << 10
 )
 
-// Version is a plan that is held, and the changes that led to it, each on the one before; it is never changed.
+// Version is a committed configuration, and the changes that led to it, each on the one before; it is never changed.
 type Version struct {
 	Fact    *peerapi.Configuration
 	changes []*peerapi.ConfigurationDelta
@@ -43,12 +43,13 @@
 	return &Version{fact, v.with(change)}
 }
 
+// with gives the kept changes and more, without the oldest beyond mostChanges.
 func (v *Version) with(added ...*peerapi.ConfigurationDelta) []*peerapi.ConfigurationDelta {
 	changes := append(slices.Clone(v.changes), added...)
 	return changes[max(0, len(changes)-mostChanges):]
 }
 
-// Take applies a peer's answer; an error says that only the whole plan helps.
+// Take applies a peer's answer; an error says that only the whole configuration helps.
 func (v *Version) Take(answer *peerapi.ConfigurationAnswer) (*Version, error) {
 	if answer.Fact != nil {
 		return v.Follow(answer.Fact), nil
@@ -97,6 +98,7 @@
 	return older == v.version() || len(v.since(older)) > 0
 }
 
+// since gives the changes that lead from an older version to this one; none if they are not all kept, or too long.
 func (v *Version) since(held int64) []*peerapi.ConfigurationDelta {
 	text := 0
 	for place := len(v.changes) - 1; place >= 0; place-- {
