The configuration and its leader speak in standard terms

A proposed, a committed and a decoded configuration were all called plan; entries are routes; the check of services and that of routes are functions of their own. Error texts, their order and wire names stay. Behaviour unchanged: the tests of both packages pass as they were, with -race.

--- a/internal/configowner/configowner.go
+++ b/internal/configowner/configowner.go
@@ -23,7 +23,7 @@
 	mostWaiting = 32
 )
 
-// Tenure is what the plan needs of the ownership of its key.
+// Tenure is what the configuration needs of the leadership of its key.
 type Tenure interface {
 	// Commit makes a change durable on a majority; done gets an error if the leadership is lost first.
 	Commit(ops []peerapi.Op, done func(error))
@@ -35,9 +35,10 @@
 
 // Leader decides on the operator's calls, one after the other in the order in which they come.
 type Leader struct {
-	tenure    Tenure
+	tenure Tenure
+	// fact is what is committed, nil before the first; decoded is its body, once it was read.
 	fact      *peerapi.Configuration
-	plan      *configuration.Configuration
+	decoded   *configuration.Configuration
 	confirmed *confirmed
 	isBusy    bool
 	waiting   []waitingCall
@@ -57,8 +58,8 @@
 }
 
 // Open takes over the key with what is committed of it; an error says that it can't be read.
-func (p *Leader) Open(tenure Tenure, pairs []peerapi.Op) error {
-	p.Close()
+func (l *Leader) Open(tenure Tenure, pairs []peerapi.Op) error {
+	l.Close()
 	var fact *peerapi.Configuration
 	for _, pair := range pairs {
 		if pair.Name == factName {
@@ -72,41 +73,42 @@
 	if err != nil {
 		return err
 	}
-	p.tenure, p.fact, p.confirmed = tenure, fact, confirmed
+	l.tenure, l.fact, l.confirmed = tenure, fact, confirmed
 	if fact != nil {
 		fact.Confirmed = nil
-		p.publish(passedOn(fact))
+		l.publish(passedOn(fact))
 	}
 	return nil
 }
 
-// passedOn leaves out what only the key's owner needs, and the space around the body, which no message carries.
+// passedOn leaves out what only the key's leader needs, and the space around the body, which no message carries.
 func passedOn(fact *peerapi.Configuration) *peerapi.Configuration {
 	return &peerapi.Configuration{Version: fact.Version, Body: bytes.TrimSpace(fact.Body), InitialVoters: fact.InitialVoters, Moved: fact.Moved}
 }
 
 // Close gives up the key; calls that wait were not taken.
-func (p *Leader) Close() {
-	waiting := p.waiting
-	p.tenure, p.fact, p.plan, p.confirmed, p.isBusy, p.waiting = nil, nil, nil, nil, false, nil
-	for _, one := range waiting {
-		one.answer(peerapi.ClientAnswer{Elsewhere: true})
+func (l *Leader) Close() {
+	waiting := l.waiting
+	l.tenure, l.fact, l.decoded, l.confirmed, l.isBusy, l.waiting = nil, nil, nil, nil, false, nil
+	for _, next := range waiting {
+		next.answer(peerapi.ClientAnswer{Elsewhere: true})
 	}
 }
 
 // IsOpen tells whether the key is led here.
-func (p *Leader) IsOpen() bool { return p.tenure != nil }
+func (l *Leader) IsOpen() bool { return l.tenure != nil }
 
+// answerClient takes the answer to a client's call, once.
 type answerClient = func(peerapi.ClientAnswer)
 
 // Replace decides on an operator's change: taken before, on the wrong base, invalid, or committed. While a commit is
 // under way it waits for its turn.
-func (p *Leader) Replace(call *peerapi.ClientCall, answer answerClient) {
+func (l *Leader) Replace(call *peerapi.ClientCall, answer answerClient) {
 	switch {
-	case !p.isBusy:
-		p.decide(call, answer)
-	case len(p.waiting) < mostWaiting:
-		p.waiting = append(p.waiting, waitingCall{call, answer})
+	case !l.isBusy:
+		l.decide(call, answer)
+	case len(l.waiting) < mostWaiting:
+		l.waiting = append(l.waiting, waitingCall{call, answer})
 	default:
 		answer(peerapi.ClientAnswer{Elsewhere: true})
 	}
@@ -115,37 +117,37 @@
 // decide answers at once, or commits. A refusal for the base is final: versions only rise, so a call whose base was
 // passed can't be taken later, and the records tell whether it was taken before. Where they no longer can, the answer
 // is none.
-func (p *Leader) decide(call *peerapi.ClientCall, answer answerClient) {
+func (l *Leader) decide(call *peerapi.ClientCall, answer answerClient) {
 	var current int64
-	if p.fact != nil {
-		current = p.fact.Version
+	if l.fact != nil {
+		current = l.fact.Version
 	}
-	plan, err := configuration.Read(call.Body)
+	proposed, err := configuration.Read(call.Body)
 	switch {
-	case plan != nil && p.confirmed.has(plan.Version, call.Body):
-		p.underLease(answer, peerapi.ClientAnswer{Status: http.StatusOK, Body: versionBody(plan.Version)})
+	case proposed != nil && l.confirmed.has(proposed.Version, call.Body):
+		l.underLease(answer, peerapi.ClientAnswer{Status: http.StatusOK, Body: versionBody(proposed.Version)})
 	case err != nil:
 		answer(peerapi.ClientAnswer{Status: http.StatusBadRequest, Why: err.Error()})
-	case call.Base != current && p.confirmed.isForgotten(plan.Version):
-		p.underLease(answer, peerapi.ClientAnswer{Status: http.StatusServiceUnavailable, RetryAfter: 1,
-			Why: "version " + strconv.FormatInt(plan.Version, 10) + " may have been taken too long ago to tell"})
+	case call.Base != current && l.confirmed.isForgotten(proposed.Version):
+		l.underLease(answer, peerapi.ClientAnswer{Status: http.StatusServiceUnavailable, RetryAfter: 1,
+			Why: "version " + strconv.FormatInt(proposed.Version, 10) + " may have been taken too long ago to tell"})
 	case call.Base != current:
-		p.underLease(answer, peerapi.ClientAnswer{Status: http.StatusPreconditionFailed, Current: current,
+		l.underLease(answer, peerapi.ClientAnswer{Status: http.StatusPreconditionFailed, Current: current,
 			Why: "the current version is " + strconv.FormatInt(current, 10)})
-	case plan.Version <= current:
+	case proposed.Version <= current:
 		answer(peerapi.ClientAnswer{Status: http.StatusBadRequest,
 			Why: "field config-version is not above the current one, " + strconv.FormatInt(current, 10)})
 	default:
-		p.commit(plan, call.Body, answer)
+		l.commit(proposed, call.Body, answer)
 	}
 }
 
 // decideWaiting goes on with the calls that came during a commit, until one of them is committed in turn.
-func (p *Leader) decideWaiting() {
-	for len(p.waiting) > 0 && !p.isBusy && p.IsOpen() {
-		next := p.waiting[0]
-		p.waiting = p.waiting[1:]
-		p.decide(next.call, next.answer)
+func (l *Leader) decideWaiting() {
+	for len(l.waiting) > 0 && !l.isBusy && l.IsOpen() {
+		next := l.waiting[0]
+		l.waiting = l.waiting[1:]
+		l.decide(next.call, next.answer)
 	}
 }
 
@@ -153,84 +155,88 @@
 	return []byte(`{"config-version":` + strconv.FormatInt(version, 10) + `}`)
 }
 
-func (p *Leader) underLease(answer answerClient, what peerapi.ClientAnswer) {
-	if !p.tenure.HasLease() {
+// underLease gives an answer that is only true while no other process leads the key.
+func (l *Leader) underLease(answer answerClient, what peerapi.ClientAnswer) {
+	if !l.tenure.HasLease() {
 		answer(peerapi.ClientAnswer{Elsewhere: true})
 		return
 	}
 	answer(what)
 }
 
-func (p *Leader) commit(plan *configuration.Configuration, body []byte, answer answerClient) {
-	records, err := p.confirmed.with(plan.Version, body)
+// commit writes a configuration and the record of its confirmation, and answers once both are durable.
+func (l *Leader) commit(proposed *configuration.Configuration, body []byte, answer answerClient) {
+	records, err := l.confirmed.with(proposed.Version, body)
 	if err != nil {
-		p.refuseUnwritten(err, plan.Version, answer)
+		l.refuseUnwritten(err, proposed.Version, answer)
 		return
 	}
-	next := p.next(plan, body)
+	next := l.next(proposed, body)
 	next.Forgotten = records.forgotten
 	value, err := easyjson.Marshal(next)
 	if err != nil {
-		p.refuseUnwritten(err, plan.Version, answer)
+		l.refuseUnwritten(err, proposed.Version, answer)
 		return
 	}
-	p.isBusy = true
-	tenure := p.tenure
+	l.isBusy = true
+	tenure := l.tenure
 	tenure.Commit(append([]peerapi.Op{{Name: factName, Value: value}}, records.ops...), func(err error) {
-		if err != nil || p.tenure != tenure {
+		if err != nil || l.tenure != tenure {
 			answer(peerapi.ClientAnswer{Elsewhere: true, Unclear: true})
 			return
 		}
-		p.isBusy = false
-		p.fact, p.plan = next, plan
-		p.confirmed.take(records)
-		p.log.Info("plan committed", "version", next.Version)
-		p.publish(passedOn(next))
+		l.isBusy = false
+		l.fact, l.decoded = next, proposed
+		l.confirmed.take(records)
+		l.log.Info("plan committed", "version", next.Version)
+		l.publish(passedOn(next))
 		answer(peerapi.ClientAnswer{Status: http.StatusOK, Body: versionBody(next.Version)})
-		p.decideWaiting()
+		l.decideWaiting()
 	})
 }
 
-func (p *Leader) refuseUnwritten(err error, version int64, answer answerClient) {
-	p.log.Error(err, "the plan could not be written", "version", version)
+func (l *Leader) refuseUnwritten(err error, version int64, answer answerClient) {
+	l.log.Error(err, "the plan could not be written", "version", version)
 	answer(peerapi.ClientAnswer{Status: http.StatusInternalServerError, Why: "the plan could not be written"})
 }
 
-func (p *Leader) next(plan *configuration.Configuration, body []byte) *peerapi.Configuration {
-	next := &peerapi.Configuration{Version: plan.Version, Body: body}
-	if p.fact != nil {
-		next.InitialVoters, next.Moved = slices.Clone(p.fact.InitialVoters), slices.Clone(p.fact.Moved)
-		if before := p.planInForce(); before != nil {
-			next.Moved = movedRoutes(next.Moved, before, plan)
+// next is the record of a configuration that is to be committed: with the first voters of new services, and the routes
+// that lead elsewhere than before.
+func (l *Leader) next(proposed *configuration.Configuration, body []byte) *peerapi.Configuration {
+	next := &peerapi.Configuration{Version: proposed.Version, Body: body}
+	if l.fact != nil {
+		next.InitialVoters, next.Moved = slices.Clone(l.fact.InitialVoters), slices.Clone(l.fact.Moved)
+		if before := l.inForce(); before != nil {
+			next.Moved = movedRoutes(next.Moved, before, proposed)
 		}
 	}
-	for _, service := range plan.Services {
-		isBorn := slices.ContainsFunc(next.InitialVoters, func(birth peerapi.InitialVoters) bool { return birth.Service == service.Name })
-		if !isBorn {
-			next.InitialVoters = append(next.InitialVoters, peerapi.InitialVoters{Service: service.Name, Voters: p.tenure.Voters()})
+	for _, service := range proposed.Services {
+		hasVoters := slices.ContainsFunc(next.InitialVoters, func(voters peerapi.InitialVoters) bool { return voters.Service == service.Name })
+		if !hasVoters {
+			next.InitialVoters = append(next.InitialVoters, peerapi.InitialVoters{Service: service.Name, Voters: l.tenure.Voters()})
 		}
 	}
 	return next
 }
 
-// planInForce reads the committed configuration once.
-func (p *Leader) planInForce() *configuration.Configuration {
-	if p.plan == nil {
-		plan, err := configuration.Read(p.fact.Body)
+// inForce decodes the committed configuration once.
+func (l *Leader) inForce() *configuration.Configuration {
+	if l.decoded == nil {
+		decoded, err := configuration.Read(l.fact.Body)
 		if err != nil {
-			p.log.Error(err, "the committed plan can't be read", "version", p.fact.Version)
+			l.log.Error(err, "the committed plan can't be read", "version", l.fact.Version)
 			return nil
 		}
-		p.plan = plan
+		l.decoded = decoded
 	}
-	return p.plan
+	return l.decoded
 }
 
-// Retrieve gives back the newest plan, whole.
-func (p *Leader) Retrieve(answer answerClient) {
-	if p.fact == nil {
-		p.underLease(answer, peerapi.ClientAnswer{Status: http.StatusServiceUnavailable, RetryAfter: 1, Why: "there is no plan yet"})
+// Retrieve gives back the newest configuration, whole.
+func (l *Leader) Retrieve(answer answerClient) {
+	if l.fact == nil {
+		l.underLease(answer, peerapi.ClientAnswer{Status: http.StatusServiceUnavailable, RetryAfter: 1, Why: "there is no plan yet"})
 		return
 	}
-	p.underLease(answer, peerapi.ClientAnswer{Status: http.StatusOK, Body: p.fact.Body})
+	l.underLease(answer, peerapi.ClientAnswer{Status: http.StatusOK, Body: l.fact.Body})
 }
--- a/internal/configowner/confirmed.go
+++ b/internal/configowner/confirmed.go
@@ -54,11 +54,11 @@
 		if !strings.HasPrefix(pair.Name, confirmedPrefix) {
 			continue
 		}
-		var one peerapi.ConfirmedVersion
-		if err := easyjson.Unmarshal(pair.Value, &one); err != nil {
+		var record peerapi.ConfirmedVersion
+		if err := easyjson.Unmarshal(pair.Value, &record); err != nil {
 			return nil, errors.Annotatef(err, "reading %s from disk", pair.Name)
 		}
-		read.digests[one.Version] = one.Digest
+		read.digests[record.Version] = record.Digest
 	}
 	if fact != nil {
 		read.forgotten = fact.Forgotten
@@ -71,11 +71,12 @@
 	return read, nil
 }
 
+// takeOlder takes the records of the older form. A full list may have lost the versions before its first.
 func (c *confirmed) takeOlder(older []peerapi.ConfirmedVersion) {
-	for _, one := range older {
-		if c.digests[one.Version] == "" {
-			c.digests[one.Version] = one.Digest
-			c.unwritten = append(c.unwritten, one)
+	for _, record := range older {
+		if c.digests[record.Version] == "" {
+			c.digests[record.Version] = record.Digest
+			c.unwritten = append(c.unwritten, record)
 		}
 	}
 	if len(older) >= mostInFact {
@@ -107,12 +108,12 @@
 		next.dropped = slices.Clone(c.versions[:beyond])
 		next.forgotten = next.dropped[beyond-1]
 	}
-	for _, one := range append(slices.Clone(c.unwritten), next.added) {
-		value, err := easyjson.Marshal(one)
+	for _, record := range append(slices.Clone(c.unwritten), next.added) {
+		value, err := easyjson.Marshal(record)
 		if err != nil {
-			return nil, errors.Annotatef(err, "writing the record of version %d", one.Version)
+			return nil, errors.Annotatef(err, "writing the record of version %d", record.Version)
 		}
-		next.ops = append(next.ops, peerapi.Op{Name: recordName(one.Version), Value: value})
+		next.ops = append(next.ops, peerapi.Op{Name: recordName(record.Version), Value: value})
 	}
 	for _, dropped := range next.dropped {
 		next.ops = append(next.ops, peerapi.Op{Name: recordName(dropped)})
--- a/internal/configowner/moved.go
+++ b/internal/configowner/moved.go
@@ -17,20 +17,20 @@
 
 // movedRoutes adds the routes that the next configuration sends to another service than the one before.
 func movedRoutes(moved []peerapi.MovedRoute, before, next *configuration.Configuration) []peerapi.MovedRoute {
-	old := configuration.NewMatcher(before)
+	former := configuration.NewMatcher(before)
 	places := map[string]int{}
-	for place, one := range moved {
-		places[one.Entry] = place
+	for place, route := range moved {
+		places[route.Entry] = place
 	}
-	for _, entry := range next.Entries {
-		was := old.ByName(entry.Name)
-		if was == nil || was.Service == entry.Service {
+	for _, route := range next.Entries {
+		was := former.ByName(route.Name)
+		if was == nil || was.Service == route.Service {
 			continue
 		}
-		place, isThere := places[entry.Name]
+		place, isThere := places[route.Name]
 		if !isThere {
-			places[entry.Name] = len(moved)
-			moved = append(moved, peerapi.MovedRoute{Entry: entry.Name, Services: []string{was.Service}})
+			places[route.Name] = len(moved)
+			moved = append(moved, peerapi.MovedRoute{Entry: route.Name, Services: []string{was.Service}})
 			continue
 		}
 		moved[place].Services = withService(moved[place].Services, was.Service)
@@ -38,6 +38,7 @@
 	return boundMoved(moved, next)
 }
 
+// withService adds a service to those that a route led to before.
 func withService(services []string, service string) []string {
 	if slices.Contains(services, service) {
 		return services
@@ -46,14 +47,15 @@
 	return services[max(0, len(services)-mostServices):]
 }
 
+// boundMoved drops what is beyond mostMoved, if it is no longer in the configuration.
 func boundMoved(moved []peerapi.MovedRoute, next *configuration.Configuration) []peerapi.MovedRoute {
 	beyond := len(moved) - mostMoved
 	if beyond <= 0 {
 		return moved
 	}
 	inForce := configuration.NewMatcher(next)
-	return slices.DeleteFunc(moved, func(one peerapi.MovedRoute) bool {
-		isDropped := beyond > 0 && inForce.ByName(one.Entry) == nil
+	return slices.DeleteFunc(moved, func(route peerapi.MovedRoute) bool {
+		isDropped := beyond > 0 && inForce.ByName(route.Entry) == nil
 		if isDropped {
 			beyond--
 		}
--- a/internal/configuration/check.go
+++ b/internal/configuration/check.go
@@ -9,88 +9,103 @@
 	"go.uber.org/multierr"
 )
 
-// Read decodes a plan and checks all that can be checked without knowing the current one.
+// Read decodes a configuration and checks all that can be checked without knowing the current one. An error that comes
+// with a configuration names every field at fault; without one, the body can't be read.
 func Read(body []byte) (*Configuration, error) {
-	plan := &Configuration{}
-	if err := easyjson.Unmarshal(body, plan); err != nil {
+	decoded := &Configuration{}
+	if err := easyjson.Unmarshal(body, decoded); err != nil {
 		return nil, errors.Annotate(err, "the plan can't be read whole")
 	}
-	return plan, plan.check()
+	return decoded, decoded.check()
 }
 
-func (p *Configuration) check() error {
-	var found error
-	complain := func(format string, values ...any) {
-		found = multierr.Append(found, errors.Errorf(format, values...))
-	}
-	if p.Version <= 0 {
-		complain("field config-version must be above 0")
+// complaints gathers what is wrong with a configuration.
+type complaints struct{ found error }
+
+func (c *complaints) add(format string, values ...any) {
+	c.found = multierr.Append(c.found, errors.Errorf(format, values...))
+}
+
+func (c *Configuration) check() error {
+	var wrong complaints
+	if c.Version <= 0 {
+		wrong.add("field config-version must be above 0")
 	}
+	c.checkRoutes(&wrong, c.checkServices(&wrong))
+	return wrong.found
+}
+
+// checkServices gives the names of the services.
+func (c *Configuration) checkServices(wrong *complaints) map[string]bool {
 	services := map[string]bool{}
-	for _, service := range p.Services {
+	for _, service := range c.Services {
 		if service.Name == "" {
-			complain("field service-list: a service has no name")
+			wrong.add("field service-list: a service has no name")
 		}
 		if services[service.Name] {
-			complain("field service-list: %q stands twice", service.Name)
+			wrong.add("field service-list: %q stands twice", service.Name)
 		}
 		services[service.Name] = true
 	}
-	places := map[string]string{}
-	for _, entry := range p.Entries {
-		if entry.Name == "" {
-			complain("field route-list: a route has no name")
+	return services
+}
+
+func (c *Configuration) checkRoutes(wrong *complaints, services map[string]bool) {
+	takenBy := map[string]string{}
+	for _, route := range c.Entries {
+		if route.Name == "" {
+			wrong.add("field route-list: a route has no name")
 		}
-		if !services[entry.Service] {
-			complain("route %q: field service names %q, which is unknown", entry.Name, entry.Service)
+		if !services[route.Service] {
+			wrong.add("route %q: field service names %q, which is unknown", route.Name, route.Service)
 		}
-		if entry.TimeoutMs <= 0 {
-			complain("route %q: field timeout-ms must be above 0", entry.Name)
+		if route.TimeoutMs <= 0 {
+			wrong.add("route %q: field timeout-ms must be above 0", route.Name)
 		}
-		if entry.MaxAttempts < 0 || entry.Stretch < 0 || entry.TargetMs < 0 {
-			complain("route %q: a field is negative", entry.Name)
+		if route.MaxAttempts < 0 || route.Stretch < 0 || route.TargetMs < 0 {
+			wrong.add("route %q: a field is negative", route.Name)
 		}
-		place := entry.Host + " " + entry.Prefix
-		if other, isTaken := places[place]; isTaken {
-			complain("route %q: fields host and path-prefix are those of route %q", entry.Name, other)
+		place := route.Host + " " + route.Prefix
+		if other, isTaken := takenBy[place]; isTaken {
+			wrong.add("route %q: fields host and path-prefix are those of route %q", route.Name, other)
 		}
-		places[place] = entry.Name
+		takenBy[place] = route.Name
 	}
-	return found
 }
 
-// Matcher finds the entry of a call: host, then the longest prefix.
+// Matcher finds the route of a request: host, then the longest prefix.
 type Matcher struct {
-	plan   *Configuration
+	configuration *Configuration
+	// byHost and byName hold places in the list of routes, those of a host with the longest prefix first.
 	byHost map[string][]int
 	byName map[string]int
 }
 
 // NewMatcher prepares the look-up of a configuration's routes.
-func NewMatcher(plan *Configuration) *Matcher {
-	matcher := &Matcher{plan: plan, byHost: map[string][]int{}, byName: map[string]int{}}
-	for place, entry := range plan.Entries {
-		host := strings.ToLower(entry.Host)
+func NewMatcher(configuration *Configuration) *Matcher {
+	matcher := &Matcher{configuration: configuration, byHost: map[string][]int{}, byName: map[string]int{}}
+	for place, route := range configuration.Entries {
+		host := strings.ToLower(route.Host)
 		matcher.byHost[host] = append(matcher.byHost[host], place)
-		matcher.byName[entry.Name] = place
+		matcher.byName[route.Name] = place
 	}
 	for _, places := range matcher.byHost {
-		slices.SortFunc(places, func(one, two int) int {
-			return len(plan.Entries[two].Prefix) - len(plan.Entries[one].Prefix)
+		slices.SortFunc(places, func(a, b int) int {
+			return len(configuration.Entries[b].Prefix) - len(configuration.Entries[a].Prefix)
 		})
 	}
 	return matcher
 }
 
-// Plan gives the configuration that is looked up.
-func (m *Matcher) Plan() *Configuration { return m.plan }
+// Plan gives the configuration in which routes are looked up.
+func (m *Matcher) Plan() *Configuration { return m.configuration }
 
 // Match gives the route of a request, nil if there is none.
 func (m *Matcher) Match(host, path string) *Route {
 	host, _, _ = strings.Cut(strings.ToLower(host), ":")
 	for _, place := range m.byHost[host] {
-		if entry := &m.plan.Entries[place]; strings.HasPrefix(path, entry.Prefix) {
-			return entry
+		if route := &m.configuration.Entries[place]; strings.HasPrefix(path, route.Prefix) {
+			return route
 		}
 	}
 	return nil
@@ -99,7 +114,7 @@
 // ByName gives a route by its name, nil if there is none.
 func (m *Matcher) ByName(name string) *Route {
 	if place, isThere := m.byName[name]; isThere {
-		return &m.plan.Entries[place]
+		return &m.configuration.Entries[place]
 	}
 	return nil
 }
--- a/internal/configuration/plan.go
+++ b/internal/configuration/plan.go
@@ -3,7 +3,8 @@
 
 //go:generate go run github.com/mailru/easyjson/easyjson -all plan.go
 
-// Route is a route of the protocol: a queue.
+// Route is a queue: jobs for a host and path prefix go to a service. Priority 0 is the most urgent; MaxAttempts is how
+// often a task may fail; the aim for a job is Stretch times its longest chain of work, plus TargetMs.
 type Route struct {
 	Name        string  `json:"name"`
 	Host        string  `json:"host"`
@@ -17,7 +18,8 @@
 	Stretch     float64 `json:"stretch-factor"`
 }
 
-// Service is a pool of executors.
+// Service is a pool of executors. ConnCap is how many connections each takes; Guards says that they turn away what does
+// not fit.
 type Service struct {
 	Name     string `json:"name"`
 	ConnCap  int    `json:"connection-limit"`
