Executors' messages, comparison and recording: named limits and states, comments

Sizes, states and verbs have names with their units; local names say what they hold. Texts and wire names stay. Behaviour unchanged: tests of executorapi, comparenodes and rehearsal, which reads recordings, pass as they were, with -race; recording has no tests of its own.

--- a/internal/comparenodes/compare.go
+++ b/internal/comparenodes/compare.go
@@ -23,12 +23,12 @@
 
 const unknown = "(unknown)"
 
-// Compare gives the differences only, in a fixed order.
+// Compare gives the differences only, in a fixed order. What the role of a node need not know is not compared.
 func Compare(first, second *peerapi.BeliefsAnswer) []Difference {
 	var all []Difference
-	add := func(kind string, one, two map[string]string) {
-		for _, name := range namesOf(one, two) {
-			left, right := orUnknown(one, name), orUnknown(two, name)
+	add := func(kind string, believedFirst, believedSecond map[string]string) {
+		for _, name := range namesOf(believedFirst, believedSecond) {
+			left, right := orUnknown(believedFirst, name), orUnknown(believedSecond, name)
 			if left != right {
 				all = append(all, Difference{kind, name, left, right})
 			}
@@ -51,13 +51,13 @@
 	return all
 }
 
-func namesOf(one, two map[string]string) []string {
+func namesOf(first, second map[string]string) []string {
 	var names []string
-	for name := range one {
+	for name := range first {
 		names = append(names, name)
 	}
-	for name := range two {
-		if _, isThere := one[name]; !isThere {
+	for name := range second {
+		if _, isThere := first[name]; !isThere {
 			names = append(names, name)
 		}
 	}
@@ -65,8 +65,8 @@
 	return names
 }
 
-func orUnknown(held map[string]string, name string) string {
-	if value, isThere := held[name]; isThere {
+func orUnknown(beliefs map[string]string, name string) string {
+	if value, isThere := beliefs[name]; isThere {
 		return value
 	}
 	return unknown
@@ -74,49 +74,49 @@
 
 func members(answer *peerapi.BeliefsAnswer, isListed func(peerapi.Member) bool) map[string]string {
 	states := map[int]string{peerapi.StateAlive: "alive", peerapi.StateSuspect: "suspect", peerapi.StateGone: "gone"}
-	held := map[string]string{}
+	beliefs := map[string]string{}
 	for _, member := range answer.Members {
 		if !isListed(member) {
 			continue
 		}
-		held[membership.Name(member)] = strings.TrimSpace(states[member.State] + " at " + member.Address + " " + member.Disk)
+		beliefs[membership.Name(member)] = strings.TrimSpace(states[member.State] + " at " + member.Address + " " + member.Disk)
 	}
-	return held
+	return beliefs
 }
 
 func owners(answer *peerapi.BeliefsAnswer) map[string]string {
-	held := map[string]string{}
+	beliefs := map[string]string{}
 	for _, fact := range answer.Owners {
-		held[fact.Key] = fmt.Sprintf("%s, epoch %d", fact.Name, fact.Epoch)
+		beliefs[fact.Key] = fmt.Sprintf("%s, epoch %d", fact.Name, fact.Epoch)
 	}
-	return held
+	return beliefs
 }
 
 func replicas(answer *peerapi.BeliefsAnswer) map[string]string {
-	held := map[string]string{}
+	beliefs := map[string]string{}
 	for _, key := range answer.Keys {
-		held[key.Key] = fmt.Sprintf("promised %d, at %d.%d, voters %s", key.Epoch, key.Last.Epoch, key.Last.Index, strings.Join(key.Set.Now, " "))
+		beliefs[key.Key] = fmt.Sprintf("promised %d, at %d.%d, voters %s", key.Epoch, key.Last.Epoch, key.Last.Index, strings.Join(key.Set.Now, " "))
 	}
-	return held
+	return beliefs
 }
 
 func jobs(answer *peerapi.BeliefsAnswer) map[string]string {
-	held := map[string]string{}
+	beliefs := map[string]string{}
 	for _, job := range answer.Jobs {
-		held[job.Key+"/"+job.ID] = job.State
+		beliefs[job.Key+"/"+job.ID] = job.State
 	}
-	return held
+	return beliefs
 }
 
 func executors(answer *peerapi.BeliefsAnswer) map[string]string {
-	held := map[string]string{}
+	beliefs := map[string]string{}
 	for _, executor := range answer.Executors {
-		held[executor.Key+"/"+executor.Life] = fmt.Sprintf("%s, %d runs", executor.State, executor.Running)
+		beliefs[executor.Key+"/"+executor.Life] = fmt.Sprintf("%s, %d runs", executor.State, executor.Running)
 	}
-	return held
+	return beliefs
 }
 
-// Write shows differences to people, or as JSON.
+// Write shows differences to people, or as JSON; first and second are what the nodes are called there.
 func Write(to io.Writer, first, second string, all []Difference, isJSON bool) error {
 	if isJSON {
 		if all == nil {
@@ -128,9 +128,9 @@
 		_, err := fmt.Fprintf(to, "%s and %s believe the same\n", first, second)
 		return err
 	}
-	slices.SortStableFunc(all, func(one, two Difference) int { return cmp.Compare(one.Kind, two.Kind) })
-	for _, one := range all {
-		if _, err := fmt.Fprintf(to, "%s %s\n  %s: %s\n  %s: %s\n", one.Kind, one.Name, first, one.First, second, one.Second); err != nil {
+	slices.SortStableFunc(all, func(a, b Difference) int { return cmp.Compare(a.Kind, b.Kind) })
+	for _, found := range all {
+		if _, err := fmt.Fprintf(to, "%s %s\n  %s: %s\n  %s: %s\n", found.Kind, found.Name, first, found.First, second, found.Second); err != nil {
 			return err
 		}
 	}
--- a/internal/executorapi/client.go
+++ b/internal/executorapi/client.go
@@ -14,7 +14,8 @@
 	"gannetline/internal/span"
 )
 
-const mostAnswer = 4 << 20
+// longestAnswer is in bytes.
+const longestAnswer = 4 << 20
 
 // Client calls the executor of its own machine.
 type Client struct {
@@ -27,7 +28,8 @@
 	return &Client{http: client, base: "http://" + address}
 }
 
-// Call gives the status and what the executor says; an error means that nobody knows what was done.
+// Call posts a message to the executor, to the incarnation with this ID only, and gives the status and what it says. An
+// error means that nobody knows what was done; it names the path and the executor.
 func (c *Client) Call(life span.Span, path, executor string, limit time.Duration, message easyjson.Marshaler) (int, Answer, error) {
 	status, answer, err := c.call(life, path, executor, limit, message)
 	result := "error"
@@ -57,7 +59,7 @@
 		return 0, answer, errors.Annotatef(err, "%s at executor %s", path, executor)
 	}
 	defer response.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(response.Body, mostAnswer))
+	text, err := io.ReadAll(io.LimitReader(response.Body, longestAnswer))
 	if err != nil {
 		return 0, answer, errors.Annotatef(err, "%s at executor %s", path, executor)
 	}
--- a/internal/executorapi/server.go
+++ b/internal/executorapi/server.go
@@ -11,11 +11,21 @@
 )
 
 const (
-	pathPrefix = "/v1/executors/"
-	mostBeat   = 64 << 10
+	pathPrefix     = "/v1/executors/"
+	verbHeartbeat  = "heartbeat"
+	verbDeregister = "deregister"
+	// longestHeartbeat is in bytes.
+	longestHeartbeat = 64 << 10
 )
 
-// Command is a decoded call of an executor, to be run by the table that owns its state.
+// The states that an executor reports.
+const (
+	stateReady    = "ready"
+	stateDraining = "draining"
+)
+
+// Command is a decoded call of an executor: a heartbeat, or with IsLeave its notice that it leaves. The table that owns the
+// executor's state carries it out.
 type Command struct {
 	Executor string
 	Beat     *Beat
@@ -26,17 +36,17 @@
 func Decode(request *http.Request) (Command, response.Reply) {
 	rest, isExecutor := strings.CutPrefix(request.URL.Path, pathPrefix)
 	id, verb, hasVerb := strings.Cut(rest, "/")
-	if !isExecutor || !hasVerb || id == "" || verb != "heartbeat" && verb != "deregister" {
+	if !isExecutor || !hasVerb || id == "" || verb != verbHeartbeat && verb != verbDeregister {
 		return Command{}, response.Text(http.StatusNotFound, "there is no such call")
 	}
 	if request.Method != http.MethodPost {
 		return Command{}, response.Text(http.StatusMethodNotAllowed, "only POST is taken here")
 	}
-	if verb == "deregister" {
+	if verb == verbDeregister {
 		return Command{Executor: id, IsLeave: true}, response.Reply{}
 	}
-	text, err := io.ReadAll(io.LimitReader(request.Body, mostBeat+1))
-	if err != nil || len(text) > mostBeat {
+	text, err := io.ReadAll(io.LimitReader(request.Body, longestHeartbeat+1))
+	if err != nil || len(text) > longestHeartbeat {
 		return Command{}, response.Text(http.StatusRequestEntityTooLarge, "the beat is too large")
 	}
 	beat := &Beat{}
@@ -49,6 +59,7 @@
 	return Command{Executor: id, Beat: beat}, response.Reply{}
 }
 
+// check gives what is wrong with a heartbeat, or an empty text.
 func (b *Beat) check() string {
 	switch {
 	case b.Service == "":
@@ -57,7 +68,7 @@
 		return "field capacity is negative"
 	case b.DepartsMs < 0:
 		return "field departure-ms is negative"
-	case b.State != "ready" && b.State != "draining":
+	case b.State != stateReady && b.State != stateDraining:
 		return "field executor-state is neither ready nor draining"
 	}
 	return ""
--- a/internal/executorapi/wire.go
+++ b/internal/executorapi/wire.go
@@ -145,6 +145,7 @@
 	out.RawByte(']')
 }
 
+// readRow reads a JSON list element by element; nulls are skipped.
 func readRow(in *jlexer.Lexer, take func(place int)) {
 	in.Delim('[')
 	for place := 0; !in.IsDelim(']') && in.Ok(); place++ {
--- a/internal/recording/read.go
+++ b/internal/recording/read.go
@@ -14,9 +14,11 @@
 	"gannetline/internal/jobs"
 )
 
-const mostLine = 8 << 20
+// longestLine is in bytes.
+const longestLine = 8 << 20
 
-// Day is what was read: events in order of time, and what is missing.
+// Day is what was read: events in order of time, and what is missing. Lost counts the lines that were never written,
+// Skipped those that could not be read.
 type Day struct {
 	Events  []Event
 	Lines   int
@@ -24,7 +26,8 @@
 	Skipped int
 }
 
-// ReadFiles merges the recordings of several nodes into one day; what several of them saw counts once.
+// ReadFiles merges the recordings of several nodes into one day; what several of them saw counts once. A line that can't
+// be read is skipped if the reader is lenient; else the error names the file and the line.
 func ReadFiles(paths []string, isLenient bool) (*Day, error) {
 	day := &Day{}
 	for _, path := range paths {
@@ -44,7 +47,7 @@
 
 func (d *Day) read(from io.Reader, path string, isLenient bool) error {
 	lines := bufio.NewScanner(from)
-	lines.Buffer(make([]byte, 64<<10), mostLine)
+	lines.Buffer(make([]byte, 64<<10), longestLine)
 	var last int64
 	hasHeader := false
 	for number := 1; lines.Scan(); number++ {
@@ -85,6 +88,7 @@
 	return event, errors.Annotate(err, "a broken line")
 }
 
+// check tells what is wrong with an event that follows one of the time last.
 func check(event Event, last int64, hasHeader bool) error {
 	switch {
 	case event.Kind == KindHeader && event.Version != Version:
@@ -122,7 +126,7 @@
 
 // merge sorts by time, and drops what was recorded before by another node or at another try.
 func (d *Day) merge() {
-	slices.SortStableFunc(d.Events, func(one, two Event) int { return cmp.Compare(one.AtMs, two.AtMs) })
+	slices.SortStableFunc(d.Events, func(a, b Event) int { return cmp.Compare(a.AtMs, b.AtMs) })
 	seen := map[string]bool{}
 	d.Events = slices.DeleteFunc(d.Events, func(event Event) bool {
 		var name string
--- a/internal/recording/write.go
+++ b/internal/recording/write.go
@@ -12,30 +12,32 @@
 )
 
 const (
-	room     = 65536
-	mostSize = 24 << 20
+	// mostWaiting is how many events wait for the writer at most.
+	mostWaiting = 65536
+	// longestFile is in bytes; what comes after that is counted as lost.
+	longestFile = 24 << 20
 )
 
 // Writer appends to a file from a goroutine of its own; what it can't keep up with is counted as lost.
 type Writer struct {
-	lines     chan Event
-	lost      chan int64
-	path      string
-	node      string
-	withWords bool
-	size      int64
-	last      int64
-	isBegun   bool
+	lines           chan Event
+	lost            chan int64
+	path            string
+	node            string
+	withDescriptors bool
+	size            int64
+	last            int64
+	hasHeader       bool
 }
 
-// NewWriter makes a writer; without words, task descriptors are left out.
-func NewWriter(path, node string, withWords bool) *Writer {
+// NewWriter makes a writer; without descriptors, those of tasks are left out.
+func NewWriter(path, node string, withDescriptors bool) *Writer {
 	lost := make(chan int64, 1)
 	lost <- 0
-	return &Writer{lines: make(chan Event, room), lost: lost, path: path, node: node, withWords: withWords}
+	return &Writer{lines: make(chan Event, mostWaiting), lost: lost, path: path, node: node, withDescriptors: withDescriptors}
 }
 
-// Record never blocks.
+// Record hands an event to the writer. It never blocks: what doesn't fit is counted as lost.
 func (w *Writer) Record(event Event) {
 	select {
 	case w.lines <- event:
@@ -76,8 +78,8 @@
 	}
 	defer file.Close()
 	out := bufio.NewWriter(file)
-	if !w.isBegun {
-		w.isBegun = true
+	if !w.hasHeader {
+		w.hasHeader = true
 		w.put(out, Event{Kind: KindHeader, AtMs: event.AtMs, Version: Version, Node: w.node})
 	}
 	w.put(out, event)
@@ -91,23 +93,25 @@
 	}
 }
 
+// put writes an event, and before it how many were lost, unless the file is full.
 func (w *Writer) put(out *bufio.Writer, event Event) {
-	if lost := <-w.lost; lost > 0 && w.size < mostSize {
+	if lost := <-w.lost; lost > 0 && w.size < longestFile {
 		w.lost <- 0
 		w.line(out, Event{Kind: KindLost, AtMs: event.AtMs, Count: lost})
 	} else {
 		w.lost <- lost
 	}
-	if w.size >= mostSize {
+	if w.size >= longestFile {
 		w.lost <- <-w.lost + 1
 		return
 	}
-	if event.Kind == KindHandIn && !w.withWords {
-		event.Body = withoutWords(event.Body)
+	if event.Kind == KindHandIn && !w.withDescriptors {
+		event.Body = withoutDescriptor(event.Body)
 	}
 	w.line(out, event)
 }
 
+// line writes one line, whose time is never before that of the line above.
 func (w *Writer) line(out *bufio.Writer, event Event) {
 	w.last = max(w.last, event.AtMs)
 	event.AtMs = w.last
@@ -119,7 +123,7 @@
 	w.size += int64(count)
 }
 
-func withoutWords(body []byte) []byte {
+func withoutDescriptor(body []byte) []byte {
 	spec, err := jobs.Read(body)
 	if err != nil {
 		return body
