The rehearsal is cut into short steps, with names for faults, states and limits

Faults of nodes and of executors, an outcome, the sums of a queue, the options of a play and the check of a queue are functions of their own; units and errors stand in the comments.

--- a/internal/rehearsal/change.go
+++ b/internal/rehearsal/change.go
@@ -26,7 +26,8 @@
 	queuerules.Text `yaml:",inline"`
 }
 
-// Change is a proposed scheduling change.
+// Change is a proposed scheduling change; what it leaves out stays. Times are in milliseconds, the rest are shares from 0
+// to 1.
 type Change struct {
 	GrantMs       *int64           `yaml:"grant-ms"`
 	ResendMs      *int64           `yaml:"resend-ms"`
@@ -52,40 +53,34 @@
 }
 
 func (c *Change) check() error {
-	inRange := func(field string, value *float64, least, most float64) error {
-		if value != nil && (*value < least || *value > most) {
-			return errors.Errorf("field %s: %g is not from %g to %g", field, *value, least, most)
-		}
-		return nil
-	}
-	whole := func(value *int64) *float64 {
-		if value == nil {
-			return nil
-		}
-		number := float64(*value)
-		return &number
-	}
 	for _, err := range []error{
-		inRange("grant-ms", whole(c.GrantMs), 500, 60000), inRange("resend-ms", whole(c.ResendMs), 20, 10000),
+		inRange("grant-ms", number(c.GrantMs), 500, 60000), inRange("resend-ms", number(c.ResendMs), 20, 10000),
 		inRange("most-reserved", c.MostReserved, 0, 1), inRange("always-allowed", c.AlwaysAllowed, 0, 1),
-		inRange("long-work-ms", whole(c.LongWorkMs), 0, 3600000)} {
+		inRange("long-work-ms", number(c.LongWorkMs), 0, 3600000)} {
 		if err != nil {
 			return err
 		}
 	}
 	for name, queue := range c.Queues {
-		for _, err := range []error{
-			inRange("priority", number(queue.Priority), 0, 1000), inRange("max-attempts", number(queue.MaxAttempts), 1, 1000),
-			inRange("stretch-factor", queue.Stretch, 0, 1000), inRange("target-latency-ms", whole(queue.TargetMs), 0, 86400000)} {
-			if err != nil {
-				return errors.Annotatef(err, "queue %s", name)
-			}
+		if err := queue.check(); err != nil {
+			return errors.Annotatef(err, "queue %s", name)
 		}
 	}
 	_, err := c.rules()
 	return err
 }
 
+func (q Queue) check() error {
+	for _, err := range []error{
+		inRange("priority", number(q.Priority), 0, 1000), inRange("max-attempts", number(q.MaxAttempts), 1, 1000),
+		inRange("stretch-factor", q.Stretch, 0, 1000), inRange("target-latency-ms", number(q.TargetMs), 0, 86400000)} {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (c *Change) rules() (*queuerules.Rules, error) {
 	texts := map[string]queuerules.Text{}
 	for name, queue := range c.Queues {
@@ -94,20 +89,31 @@
 	return queuerules.Compile(texts)
 }
 
-func number(value *int) *float64 {
+// inRange fails if a value that the change names is out of its range.
+func inRange(field string, value *float64, least, most float64) error {
+	if value != nil && (*value < least || *value > most) {
+		return errors.Errorf("field %s: %g is not from %g to %g", field, *value, least, most)
+	}
+	return nil
+}
+
+// number makes a whole number one that inRange takes; nil stays nil.
+func number[T int | int64](value *T) *float64 {
 	if value == nil {
 		return nil
 	}
-	float := float64(*value)
-	return &float
+	converted := float64(*value)
+	return &converted
 }
 
+// set takes a value that the change names.
 func set[T any](field *T, value *T) {
 	if value != nil {
 		*field = *value
 	}
 }
 
+// timing is that of a pool under the change.
 func (c *Change) timing(timing scheduler.Timing) scheduler.Timing {
 	setMs := func(field *time.Duration, value *int64) {
 		if value != nil {
--- a/internal/rehearsal/fault.go
+++ b/internal/rehearsal/fault.go
@@ -11,13 +11,29 @@
 	"gannetline/internal/stage"
 )
 
-// Fault is laid over the day: KIND:TARGET:AT-MS[:FOR-MS].
+// Fault is laid over the day, on a steward or an executor's machine: KIND:TARGET:AT-MS[:FOR-MS].
 type Fault struct {
 	Kind, Target string
 	At, Length   time.Duration
 }
 
-var faultKinds = []string{"kill", "cut", "freeze", "wipe", "drain", "slow"}
+// The kinds of faults.
+const (
+	faultKill   = "kill"
+	faultCut    = "cut"
+	faultFreeze = "freeze"
+	faultWipe   = "wipe"
+	faultDrain  = "drain"
+	faultSlow   = "slow"
+)
+
+var faultKinds = []string{faultKill, faultCut, faultFreeze, faultWipe, faultDrain, faultSlow}
+
+const (
+	usualLength = 5 * time.Second
+	// slowFactor is by how much a slow executor's work takes longer.
+	slowFactor = 5
+)
 
 // ParseFault reads KIND:TARGET:AT-MS[:FOR-MS]; without FOR-MS the fault lasts 5 s. The error names the text and what
 // is wrong with it.
@@ -26,7 +42,7 @@
 	if len(parts) < 3 || len(parts) > 4 || !slices.Contains(faultKinds, parts[0]) {
 		return Fault{}, errors.Errorf("fault %q: not KIND:TARGET:AT-MS[:FOR-MS] with a kind of %s", text, strings.Join(faultKinds, ", "))
 	}
-	fault := Fault{Kind: parts[0], Target: parts[1], Length: 5 * time.Second}
+	fault := Fault{Kind: parts[0], Target: parts[1], Length: usualLength}
 	for place, field := range []*time.Duration{&fault.At, &fault.Length} {
 		if len(parts) <= 2+place {
 			break
@@ -42,50 +58,55 @@
 
 // strike sets the fault going; it tells whether the stage has such a target.
 func (f Fault) strike(s *stage.Stage) bool {
-	at := func(wait time.Duration, run func()) { s.Line.After(wait, run) }
 	for _, node := range s.Nodes {
-		if node.Name != f.Target {
-			continue
-		}
-		switch f.Kind {
-		case "kill":
-			at(f.At, func() { s.Kill(node) })
-			at(f.At+f.Length, func() { s.Start(node) })
-		case "freeze":
-			at(f.At, func() { s.Freeze(node, true) })
-			at(f.At+f.Length, func() { s.Freeze(node, false) })
-		case "wipe":
-			at(f.At, func() { s.Wipe(node) })
-		case "cut":
-			f.cut(s, at)
-		default:
-			return false
+		if node.Name == f.Target {
+			return f.strikeNode(s, node)
 		}
-		return true
 	}
 	for _, executor := range s.Executors {
-		if executor.Machine != f.Target {
-			continue
-		}
-		switch f.Kind {
-		case "kill":
-			at(f.At, func() { s.Crash(executor, f.Length) })
-		case "drain":
-			at(f.At, func() { s.Drain(executor) })
-		case "slow":
-			at(f.At, func() { s.Slow(executor, 5) })
-			at(f.At+f.Length, func() { s.Slow(executor, 1) })
-		case "cut":
-			f.cut(s, at)
-		default:
-			return false
+		if executor.Machine == f.Target {
+			return f.strikeExecutor(s, executor)
 		}
-		return true
 	}
 	return false
 }
 
-func (f Fault) cut(s *stage.Stage, at func(time.Duration, func())) {
-	at(f.At, func() { s.Cut(f.Target, true) })
-	at(f.At+f.Length, func() { s.Cut(f.Target, false) })
+func (f Fault) strikeNode(s *stage.Stage, node *stage.Node) bool {
+	switch f.Kind {
+	case faultKill:
+		s.Line.After(f.At, func() { s.Kill(node) })
+		s.Line.After(f.At+f.Length, func() { s.Start(node) })
+	case faultFreeze:
+		s.Line.After(f.At, func() { s.Freeze(node, true) })
+		s.Line.After(f.At+f.Length, func() { s.Freeze(node, false) })
+	case faultWipe:
+		s.Line.After(f.At, func() { s.Wipe(node) })
+	case faultCut:
+		f.cut(s)
+	default:
+		return false
+	}
+	return true
+}
+
+func (f Fault) strikeExecutor(s *stage.Stage, executor *stage.Executor) bool {
+	switch f.Kind {
+	case faultKill:
+		s.Line.After(f.At, func() { s.Crash(executor, f.Length) })
+	case faultDrain:
+		s.Line.After(f.At, func() { s.Drain(executor) })
+	case faultSlow:
+		s.Line.After(f.At, func() { s.Slow(executor, slowFactor) })
+		s.Line.After(f.At+f.Length, func() { s.Slow(executor, 1) })
+	case faultCut:
+		f.cut(s)
+	default:
+		return false
+	}
+	return true
+}
+
+func (f Fault) cut(s *stage.Stage) {
+	s.Line.After(f.At, func() { s.Cut(f.Target, true) })
+	s.Line.After(f.At+f.Length, func() { s.Cut(f.Target, false) })
 }
--- a/internal/rehearsal/play.go
+++ b/internal/rehearsal/play.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"net/http"
 	"slices"
 	"strconv"
 	"time"
@@ -16,12 +17,31 @@
 )
 
 const (
-	warmUp   = 5 * time.Second
-	lookEach = 20 * time.Millisecond
-	guessMs  = 500
+	// warmUp lies before the first event, so that leaders are elected and executors known.
+	warmUp = 5 * time.Second
+	// watchEvery lies between two looks at the states of jobs.
+	watchEvery = 20 * time.Millisecond
+	// guessedLength is that of a task of which nothing was recorded or estimated.
+	guessedLength = 500 * time.Millisecond
+	stewards      = 3
 )
 
-// Setup is everything a rehearsal depends on.
+// How a run ended, as recordings say it.
+const (
+	howDone   = "done"
+	howFailed = "failed"
+)
+
+// The states of a job.
+const (
+	stateOpen      = "open"
+	stateCompleted = "completed"
+	stateFailed    = "failed"
+	stateCancelled = "cancelled"
+)
+
+// Setup is everything a rehearsal depends on. Horizon is how long it goes on after the last event; Record, if there is one,
+// is given what the simulated pools record.
 type Setup struct {
 	Day     *recording.Day
 	Change  *Change
@@ -32,7 +52,8 @@
 	Stage   []stage.Option
 }
 
-// Outcome is what became of one job in one play.
+// Outcome is what became of one job in one play. TookMs counts from its hand-in to the moment it was seen to have ended, 0
+// if it has not; AimMs is the time after which it is late; Twice says that a task ran twice at once.
 type Outcome struct {
 	ID      string `json:"id"`
 	Queue   string `json:"queue"`
@@ -44,26 +65,30 @@
 	Twice   bool   `json:"twice,omitempty"`
 }
 
+// playedJob is a recorded job; times are those of the simulation.
 type playedJob struct {
-	event    recording.Event
-	spec     *jobs.Spec
-	isTaken  bool
-	askedAt  time.Duration
-	endedAt  time.Duration
-	state    string
-	isCancel bool
+	event       recording.Event
+	spec        *jobs.Spec
+	isTaken     bool
+	askedAt     time.Duration
+	endedAt     time.Duration
+	state       string
+	isCancelled bool
 }
 
+// play is one play of a day.
 type play struct {
-	setup   Setup
-	stage   *stage.Stage
+	setup Setup
+	stage *stage.Stage
+	// lengths and ends are those that were recorded, by run and by task.
 	lengths map[string]time.Duration
 	ends    map[string]string
 	jobs    map[string]*playedJob
 	firstMs int64
 }
 
-// Play plays the day once.
+// Play plays the day once, under the change of the setup. It fails if the recording names no executors, or the setup a fault
+// without a target.
 func Play(setup Setup) ([]Outcome, error) {
 	if len(setup.Day.Events) == 0 {
 		return nil, errors.New("the recording holds no events")
@@ -75,16 +100,11 @@
 	if len(places) == 0 {
 		return nil, errors.New("the recording names no executors")
 	}
-	options := append([]stage.Option{stage.WithPlaces(places), stage.WithWork(p.work), stage.WithTiming(setup.Change.timing(stage.DefaultTiming))}, setup.Stage...)
-	rules, err := setup.Change.rules()
+	options, err := p.options(places)
 	if err != nil {
 		return nil, err
 	}
-	options = append(options, stage.WithPool(scheduler.WithRules(rules)))
-	if setup.Record != nil {
-		options = append(options, stage.WithPool(scheduler.WithRecorder(setup.Record)))
-	}
-	p.stage = stage.New(setup.Seed, 3, 0, peerapi.Capacity{}, p.firstMs-warmUp.Milliseconds(), options...)
+	p.stage = stage.New(setup.Seed, stewards, 0, peerapi.Capacity{}, p.firstMs-warmUp.Milliseconds(), options...)
 	for _, fault := range setup.Faults {
 		late := fault
 		late.At += warmUp
@@ -101,16 +121,32 @@
 	return p.outcomes(), nil
 }
 
+// options gives those of the stage: executors, work, timing and rules as the change has them.
+func (p *play) options(places []stage.Place) ([]stage.Option, error) {
+	timing := p.setup.Change.timing(stage.DefaultTiming)
+	options := append([]stage.Option{stage.WithPlaces(places), stage.WithWork(p.work), stage.WithTiming(timing)}, p.setup.Stage...)
+	rules, err := p.setup.Change.rules()
+	if err != nil {
+		return nil, err
+	}
+	options = append(options, stage.WithPool(scheduler.WithRules(rules)))
+	if p.setup.Record != nil {
+		options = append(options, stage.WithPool(scheduler.WithRecorder(p.setup.Record)))
+	}
+	return options, nil
+}
+
+// learnLengths takes how long runs took, and how they ended.
 func (p *play) learnLengths() {
 	for _, event := range p.setup.Day.Events {
 		if event.Kind != recording.KindEnd {
 			continue
 		}
-		if event.How == "done" || event.How == "failed" {
+		if event.How == howDone || event.How == howFailed {
 			name := event.Task + "/" + strconv.FormatInt(event.Run, 10)
 			p.lengths[name], p.ends[name] = time.Duration(event.LengthMs)*time.Millisecond, event.How
 		}
-		if event.How == "done" {
+		if event.How == howDone {
 			p.lengths[event.Task] = time.Duration(event.LengthMs) * time.Millisecond
 		}
 	}
@@ -123,15 +159,16 @@
 		return length, p.ends[name]
 	}
 	if length, isKnown := p.lengths[task]; isKnown {
-		return length, "done"
+		return length, howDone
 	}
 	place, _ := jobs.ParseTask(task)
-	if one := p.jobs[place.ID]; one != nil && one.spec.Steps[place.Step].EstimatedMs > 0 {
-		return time.Duration(one.spec.Steps[place.Step].EstimatedMs) * time.Millisecond, "done"
+	if job := p.jobs[place.ID]; job != nil && job.spec.Steps[place.Step].EstimatedMs > 0 {
+		return time.Duration(job.spec.Steps[place.Step].EstimatedMs) * time.Millisecond, howDone
 	}
-	return guessMs * time.Millisecond, "done"
+	return guessedLength, howDone
 }
 
+// places gives the executors that were recorded, by machine.
 func (p *play) places() []stage.Place {
 	known := map[string]stage.Place{}
 	for _, event := range p.setup.Day.Events {
@@ -148,6 +185,7 @@
 	return places
 }
 
+// schedule lets what was recorded happen at its time.
 func (p *play) schedule() error {
 	for _, event := range p.setup.Day.Events {
 		wait := warmUp + time.Duration(event.AtMs-p.firstMs)*time.Millisecond
@@ -157,9 +195,9 @@
 			if err != nil {
 				return errors.Annotatef(err, "job %s", event.ID)
 			}
-			one := &playedJob{event: event, spec: spec}
-			p.jobs[event.ID] = one
-			p.stage.Line.After(wait, func() { p.handIn(one) })
+			job := &playedJob{event: event, spec: spec}
+			p.jobs[event.ID] = job
+			p.stage.Line.After(wait, func() { p.handIn(job) })
 		case recording.KindCancel:
 			p.stage.Line.After(wait, func() { p.cancel(event.ID) })
 		case recording.KindExecutor:
@@ -171,18 +209,18 @@
 	return nil
 }
 
-func (p *play) handIn(one *playedJob) {
-	one.askedAt = p.stage.Line.Now()
-	terms := p.setup.Change.terms(one.event.Queue, one.event.Terms)
-	p.stage.HandIn(one.event.ID, one.event.Queue, one.event.Body, terms, func(answer peerapi.ClientAnswer) {
-		one.isTaken = one.isTaken || answer.Status == 200
+func (p *play) handIn(job *playedJob) {
+	job.askedAt = p.stage.Line.Now()
+	terms := p.setup.Change.terms(job.event.Queue, job.event.Terms)
+	p.stage.HandIn(job.event.ID, job.event.Queue, job.event.Body, terms, func(answer peerapi.ClientAnswer) {
+		job.isTaken = job.isTaken || answer.Status == http.StatusOK
 	})
 }
 
 func (p *play) cancel(id string) {
-	if one := p.jobs[id]; one != nil {
-		one.isCancel = true
-		p.stage.Ask(peerapi.ClientCall{Verb: "cancel", Entry: one.event.Queue, ID: id}, func(peerapi.ClientAnswer) {})
+	if job := p.jobs[id]; job != nil {
+		job.isCancelled = true
+		p.stage.Ask(peerapi.ClientCall{Verb: "cancel", Entry: job.event.Queue, ID: id}, func(peerapi.ClientAnswer) {})
 	}
 }
 
@@ -200,57 +238,65 @@
 		return
 	}
 	for id, state := range p.stage.States() {
-		one := p.jobs[id]
-		if one != nil && one.endedAt == 0 && (state == "completed" || state == "failed" || state == "cancelled") {
-			one.endedAt, one.state = p.stage.Line.Now(), state
+		job := p.jobs[id]
+		if job != nil && job.endedAt == 0 && isEnd(state) {
+			job.endedAt, job.state = p.stage.Line.Now(), state
 		}
 	}
-	p.stage.Line.After(lookEach, func() { p.watch(until) })
+	p.stage.Line.After(watchEvery, func() { p.watch(until) })
+}
+
+func isEnd(state string) bool {
+	return state == stateCompleted || state == stateFailed || state == stateCancelled
 }
 
 func (p *play) outcomes() []Outcome {
 	var all []Outcome
 	for _, id := range slices.Sorted(maps.Keys(p.jobs)) {
-		one := p.jobs[id]
-		outcome := Outcome{ID: id, Queue: one.event.Queue, State: one.state, AimMs: p.aimMs(one), Twice: p.stage.Judge.Doubled[id] > 0}
-		if outcome.State == "" {
-			outcome.State = "open"
-		}
-		if one.endedAt > 0 {
-			outcome.TookMs = (one.endedAt - one.askedAt).Milliseconds()
-		}
-		isOwed := one.isTaken && !one.isCancel && !one.isLasting()
-		outcome.Missing = isOwed && one.state == ""
-		outcome.Late = isOwed && one.state == "completed" && outcome.TookMs > outcome.AimMs
-		all = append(all, outcome)
+		all = append(all, p.outcomeOf(id, p.jobs[id]))
 	}
 	return all
 }
 
+func (p *play) outcomeOf(id string, job *playedJob) Outcome {
+	outcome := Outcome{ID: id, Queue: job.event.Queue, State: job.state, AimMs: p.aimMs(job), Twice: p.stage.Judge.Doubled[id] > 0}
+	if outcome.State == "" {
+		outcome.State = stateOpen
+	}
+	if job.endedAt > 0 {
+		outcome.TookMs = (job.endedAt - job.askedAt).Milliseconds()
+	}
+	isOwed := job.isTaken && !job.isCancelled && !job.isLasting()
+	outcome.Missing = isOwed && job.state == ""
+	outcome.Late = isOwed && job.state == stateCompleted && outcome.TookMs > outcome.AimMs
+	return outcome
+}
+
+// isLasting tells whether a job goes on until it is cancelled.
 func (j *playedJob) isLasting() bool {
 	return slices.ContainsFunc(j.spec.Steps, func(step jobs.Step) bool { return step.Lasting })
 }
 
 // aimMs counts from the hand-in: the queue's recorded stretch times the longest chain of work, and its target.
-func (p *play) aimMs(one *playedJob) int64 {
-	chain := make([]time.Duration, len(one.spec.Steps))
+func (p *play) aimMs(job *playedJob) int64 {
+	chain := make([]time.Duration, len(job.spec.Steps))
 	var longest time.Duration
-	times := max(1, one.spec.RepeatCount)
-	for number, step := range one.spec.Steps {
+	times := max(1, job.spec.RepeatCount)
+	for number, step := range job.spec.Steps {
 		var before, most time.Duration
 		for _, earlier := range step.DependsOn {
 			before = max(before, chain[earlier])
 		}
 		for index := range step.Tasks {
-			length, _ := p.work(jobs.TaskName(one.event.ID, times-1, number, index), 1, nil)
+			length, _ := p.work(jobs.TaskName(job.event.ID, times-1, number, index), 1, nil)
 			most = max(most, length)
 		}
 		chain[number] = before + most
 		longest = max(longest, chain[number])
 	}
-	aim := int64(max(1, one.event.Terms.Stretch)*float64(longest.Milliseconds())) + one.event.Terms.TargetMs
-	if one.spec.RepeatCount > 0 {
-		aim += max(0, one.spec.FirstRunMs+int64(times-1)*one.spec.PeriodMs-one.event.AtMs)
+	aim := int64(max(1, job.event.Terms.Stretch)*float64(longest.Milliseconds())) + job.event.Terms.TargetMs
+	if job.spec.RepeatCount > 0 {
+		aim += max(0, job.spec.FirstRunMs+int64(times-1)*job.spec.PeriodMs-job.event.AtMs)
 	}
 	return aim
 }
--- a/internal/rehearsal/report.go
+++ b/internal/rehearsal/report.go
@@ -8,9 +8,12 @@
 	"slices"
 
 	"github.com/juju/errors"
+
+	"gannetline/internal/recording"
 )
 
-// QueueSum is one queue in one play.
+// QueueSum is one queue in one play; HalfMs and MostMs are the times within which half and 95 of 100 of its completed jobs
+// ended.
 type QueueSum struct {
 	Jobs    int   `json:"jobs"`
 	Late    int   `json:"late"`
@@ -60,17 +63,18 @@
 	return compare(setup, before, after), nil
 }
 
+// compare sets two plays beside each other; outcomes of the same job are at the same place.
 func compare(setup Setup, before, after []Outcome) *Report {
 	report := &Report{Lines: setup.Day.Lines, Lost: setup.Day.Lost, Skipped: setup.Day.Skipped, Seed: setup.Seed,
 		Queues: map[string]Pair{}, Differences: []JobPair{}, Worse: []string{}}
 	for _, event := range setup.Day.Events {
-		if event.Kind == "end" && event.How == "done" {
+		if event.Kind == recording.KindEnd && event.How == howDone {
 			report.Recorded++
 		}
 	}
-	one, two := sums(before), sums(after)
-	for queue := range one {
-		report.Queues[queue] = Pair{one[queue], two[queue]}
+	sumsBefore, sumsAfter := sums(before), sums(after)
+	for queue := range sumsBefore {
+		report.Queues[queue] = Pair{sumsBefore[queue], sumsAfter[queue]}
 	}
 	for place, was := range before {
 		is := after[place]
@@ -84,22 +88,15 @@
 	return report
 }
 
+// sums adds up outcomes by queue.
 func sums(outcomes []Outcome) map[string]QueueSum {
 	all, took := map[string]QueueSum{}, map[string][]int64{}
-	for _, one := range outcomes {
-		sum := all[one.Queue]
-		sum.Jobs++
-		for _, count := range []struct {
-			isSo  bool
-			field *int
-		}{{one.Late, &sum.Late}, {one.Missing, &sum.Missing}, {one.Twice, &sum.Twice}, {one.State == "failed", &sum.Failed}} {
-			if count.isSo {
-				*count.field++
-			}
-		}
-		all[one.Queue] = sum
-		if one.State == "completed" {
-			took[one.Queue] = append(took[one.Queue], one.TookMs)
+	for _, outcome := range outcomes {
+		sum := all[outcome.Queue]
+		sum.add(outcome)
+		all[outcome.Queue] = sum
+		if outcome.State == stateCompleted {
+			took[outcome.Queue] = append(took[outcome.Queue], outcome.TookMs)
 		}
 	}
 	for queue, lengths := range took {
@@ -111,6 +108,20 @@
 	return all
 }
 
+func (s *QueueSum) add(outcome Outcome) {
+	s.Jobs++
+	countIf(outcome.Late, &s.Late)
+	countIf(outcome.Missing, &s.Missing)
+	countIf(outcome.Twice, &s.Twice)
+	countIf(outcome.State == stateFailed, &s.Failed)
+}
+
+func countIf(isSo bool, count *int) {
+	if isSo {
+		*count++
+	}
+}
+
 // Write shows the report to people, or as JSON.
 func (r *Report) Write(to io.Writer, isJSON bool) error {
 	if isJSON {
@@ -142,17 +153,18 @@
 
 func (o Outcome) words() string {
 	words := fmt.Sprintf("%s after %d ms (aim %d ms)", o.State, o.TookMs, o.AimMs)
-	for _, one := range []struct {
+	for _, mark := range []struct {
 		isSo bool
 		word string
 	}{{o.Late, ", late"}, {o.Missing, ", missing"}, {o.Twice, ", twice"}} {
-		if one.isSo {
-			words += one.word
+		if mark.isSo {
+			words += mark.word
 		}
 	}
 	return words
 }
 
+// printer keeps the first error of its lines.
 type printer struct {
 	to  io.Writer
 	err error
