Model check: a profile of the sizes of a large fleet, and an oracle of stalled jobs

Cause: both models had three to nine machines and a handful of jobs, so nothing that needs 240 executors, wide jobs, waves of trouble or five voters without a spare could show. `--size large` draws such schedules; the order model has 240 executors in racks, streams of wide, long, spread, labelled and gang jobs, and waves of trouble of up to all machines; the control model has just 2f+1 machines, a state of 3.6 MB and disks lost as soon as those before count as back. The oracle STALLED is worded as the rule is and looks only at what executors run; the order model also asks for each accepted job at the end. Files that had grown are split by job. Tests of the models pass, also with the race detector.

--- a/cmd/model-check/main.go
+++ b/cmd/model-check/main.go
@@ -54,6 +54,7 @@
 			&cli.Uint64Flag{Name: "seed", Usage: "decides all schedules", Value: 1},
 			&cli.IntFlag{Name: "schedules", Usage: "how many are run", Value: 10000},
 			&cli.IntFlag{Name: "losses", Usage: "disks that may be lost at once, 1 or 2", Value: 1},
+			&cli.StringFlag{Name: "size", Usage: "small or large: how many machines and jobs", Value: sizeSmall},
 			&cli.StringFlag{Name: "model", Usage: "one of " + strings.Join(modelNames(), ", "), Value: models[0].Name()},
 			&cli.IntFlag{Name: "workers", Usage: "schedules at once; one a core if 0"},
 			&cli.StringFlag{Name: "plant", Usage: "put in a planted fault"},
@@ -87,6 +88,18 @@
 	return nil, cli.Exit(fmt.Sprintf("--model: there is no %q; there are %s", name, strings.Join(modelNames(), ", ")), exitUsage)
 }
 
+const sizeSmall = "small"
+
+func sizeNamed(name string) (modelcheck.Size, error) {
+	switch name {
+	case sizeSmall:
+		return modelcheck.SizeSmall, nil
+	case string(modelcheck.SizeLarge):
+		return modelcheck.SizeLarge, nil
+	}
+	return "", cli.Exit("--size must be small or large", exitUsage)
+}
+
 func check(_ span.Span, flags *cli.Command) error {
 	if flags.Args().Present() {
 		return cli.Exit(fmt.Sprintf("%q is no flag", flags.Args().First()), exitUsage)
@@ -104,7 +117,11 @@
 		}
 		return nil
 	}
-	budget := modelcheck.Budget{Seed: flags.Uint64("seed"), Schedules: flags.Int("schedules"), Losses: flags.Int("losses"),
+	size, err := sizeNamed(flags.String("size"))
+	if err != nil {
+		return err
+	}
+	budget := modelcheck.Budget{Size: size, Seed: flags.Uint64("seed"), Schedules: flags.Int("schedules"), Losses: flags.Int("losses"),
 		Plant: flags.String("plant"), Workers: flags.Int("workers")}
 	if err := checkBudget(model, budget); err != nil {
 		return err
@@ -152,6 +169,9 @@
 
 func hunt(model modelcheck.Model, budget modelcheck.Budget, folder string) error {
 	fmt.Printf("model %s, seed %d, %d schedules, %d losses", model.Name(), budget.Seed, budget.Schedules, budget.Losses)
+	if budget.Size != modelcheck.SizeSmall {
+		fmt.Printf(", size %s", budget.Size)
+	}
 	if budget.Plant != "" {
 		fmt.Printf(", planted: %s", budget.Plant)
 	}
--- a/internal/modelcheck/controlmodel/bulk.go
+++ b/internal/modelcheck/controlmodel/bulk.go
@@ -9,10 +9,11 @@
 	"gannetline/internal/peerapi"
 )
 
-// In a schedule with the step "bulk" each change also writes one of a few large pairs, so that whole states are sent
-// in several chunks, and replicas keep only the last few changes.
+// In a schedule with the step "bulk" each change also writes one of a few large pairs, or of many if the schedule is a
+// large one, so that whole states are sent in several chunks, and replicas keep only the last few changes.
 const (
 	bulkPairs    = 5
+	mostPairs    = 40
 	bulkSize     = 90 << 10
 	bulkVariants = 32
 )
@@ -29,7 +30,7 @@
 }
 
 // bulkState is the variant of each large pair; 0 where there is none.
-type bulkState [bulkPairs]byte
+type bulkState [mostPairs]byte
 
 func bulkName(place int) string { return fmt.Sprintf("bulk-%d", place) }
 
@@ -59,7 +60,7 @@
 	}
 	// The pair follows from the body, so that a change proposed again by another leader leads to the same state.
 	digest := digestOf(fact.Body)
-	place, value := int(digest[0])%bulkPairs, bulkValues[int(digest[1])%bulkVariants]
+	place, value := int(digest[0])%t.world.bulkPairs, bulkValues[int(digest[1])%bulkVariants]
 	next := t.held
 	next[place] = value[0]
 	t.world.record.bulk[digest] = next
--- a/internal/modelcheck/controlmodel/controlmodel_test.go
+++ b/internal/modelcheck/controlmodel/controlmodel_test.go
@@ -67,7 +67,7 @@
 	It("gives the same outcome for a schedule each time, and the same finding for any number of workers", func() {
 		model := controlmodel.New()
 		for number := range uint64(20) {
-			schedule := model.Draw(number, 1)
+			schedule := model.Draw(number, 1, modelcheck.SizeSmall)
 			Expect(model.Run(schedule)).To(Equal(model.Run(schedule)))
 		}
 		budget := modelcheck.Budget{Seed: seed, Schedules: 300, Losses: 1, Plant: "commit-before-majority", Workers: 1}
--- a/internal/modelcheck/controlmodel/draw.go
+++ b/internal/modelcheck/controlmodel/draw.go
@@ -30,8 +30,11 @@
 	endMs  int
 }
 
-func (model) Draw(seed uint64, losses int) modelcheck.Schedule {
+func (model) Draw(seed uint64, losses int, size modelcheck.Size) modelcheck.Schedule {
 	d := &drawing{draw: rand.New(rand.NewPCG(seed, 3)), losses: losses}
+	if size == modelcheck.SizeLarge {
+		return d.large(seed)
+	}
 	d.nodes = 2*losses + 1 + d.draw.IntN(9-2*losses)
 	if d.draw.IntN(2) == 0 {
 		d.nodes = 2*losses + 1 + d.draw.IntN(2)
--- /dev/null
+++ b/internal/modelcheck/controlmodel/drawlarge.go
@@ -0,0 +1,84 @@
+package controlmodel
+
+import (
+	"slices"
+
+	"gannetline/internal/modelcheck"
+)
+
+const (
+	// Large schedules last so long after the first fault.
+	leastLargeMs, mostLargeMs = 3000, 20000
+	// fillMs is how long a storm of changes at the beginning fills the large pairs.
+	fillMs = 1500
+	// nextAtMost is how soon after a disk counts no longer as lost the next one may be.
+	nextAtMost = 400
+	// mostRow is how many times in a row disks are lost.
+	mostRow = 4
+)
+
+// largeHarms are the faults of single machines in large schedules, beside the losses of disks in a row.
+var largeHarms = []string{stepKill, stepPower, stepWipe, stepWipe, stepFreeze, stepSlow, stepStall, stepCut, stepCutOut, stepCutIn,
+	stepReplaceLost, stepRestart, stepPowerOnAck}
+
+// large makes a schedule with just as many machines as the losses ask for, so that each disk is a voter and there is none
+// to spare; a state of several MB; and disks lost as soon as those lost before count as back.
+func (d *drawing) large(seed uint64) modelcheck.Schedule {
+	d.nodes = 2*d.losses + 1
+	d.endMs = growUpMs + leastLargeMs + d.draw.IntN(mostLargeMs-leastLargeMs)
+	d.add(modelcheck.Step{Kind: stepBulk})
+	d.add(modelcheck.Step{AtMs: 1000, Kind: stepStorm, ForMs: fillMs})
+	d.addRow()
+	for at := growUpMs + d.draw.IntN(2000); at < d.endMs; at += 500 + d.draw.IntN(4000) {
+		d.addLargeFault(at)
+	}
+	d.addTraffic()
+	slices.SortStableFunc(d.steps, func(one, two modelcheck.Step) int { return one.AtMs - two.AtMs })
+	return modelcheck.Schedule{Model: Name, Seed: seed, Losses: d.losses, Nodes: d.nodes, Size: modelcheck.SizeLarge, Steps: d.steps}
+}
+
+// addRow lets disks be lost again and again, each time as soon as those before count as back, at times with all machines down.
+func (d *drawing) addRow() {
+	at := growUpMs + d.draw.IntN(2000)
+	for range 1 + d.draw.IntN(mostRow) {
+		if at > d.endMs {
+			return
+		}
+		length := 50 + d.draw.IntN(3000)
+		if d.draw.IntN(3) == 0 {
+			d.addEndOfAll(at)
+		} else {
+			for range 1 + d.draw.IntN(d.losses) {
+				d.addWipe(at+d.draw.IntN(100), length)
+			}
+		}
+		at = d.lastLostUntil() + d.draw.IntN(nextAtMost)
+	}
+}
+
+func (d *drawing) addWipe(at, length int) {
+	span := lossSpan{at, at + length + catchUpMs}
+	if d.isBearable(span, 1) {
+		d.lost = append(d.lost, span)
+		d.add(modelcheck.Step{AtMs: at, Kind: stepWipe, Node: d.place(), ForMs: length})
+	}
+}
+
+func (d *drawing) lastLostUntil() int {
+	last := growUpMs
+	for _, span := range d.lost {
+		last = max(last, span.to)
+	}
+	return last
+}
+
+func (d *drawing) addLargeFault(at int) {
+	switch d.draw.IntN(6) {
+	case 0:
+		d.add(modelcheck.Step{AtMs: at, Kind: stepWeather, ForMs: 300 + d.draw.IntN(2000), Value: d.draw.IntN(1500)})
+	case 1:
+		d.addEndOfAll(at)
+	default:
+		d.addHarm(at, largeHarms[d.draw.IntN(len(largeHarms))])
+	}
+}
--- a/internal/modelcheck/controlmodel/network.go
+++ b/internal/modelcheck/controlmodel/network.go
@@ -5,6 +5,7 @@
 
 	"github.com/juju/errors"
 
+	"gannetline/internal/modelcheck"
 	"gannetline/internal/peerapi"
 	"gannetline/internal/replication"
 )
@@ -17,6 +18,9 @@
 
 	shortestTransit = 300 * time.Microsecond
 	longestTransit  = 4 * time.Millisecond
+
+	shortestChunk = 10 * time.Millisecond
+	longestChunk  = 80 * time.Millisecond
 )
 
 var (
@@ -167,10 +171,26 @@
 		limit = snapshotLimit
 		n.world.cover("snapshot sent")
 	}
+	to := n.byDisk(disk)
+	send := func() { l.append(to, ask, limit, done) }
 	if ask.Chunk != nil {
 		n.world.cover("snapshot chunk sent")
 	}
-	to := n.byDisk(disk)
+	if ask.Chunk == nil || n.world.schedule.Size != modelcheck.SizeLarge {
+		send()
+		return
+	}
+	life := n.life
+	n.world.after(n.world.chunkTime(), func() { n.enter(life, send) })
+}
+
+// chunkTime is how long a chunk takes on the links and processors of a large system, beside all other traffic.
+func (w *world) chunkTime() time.Duration {
+	return shortestChunk + time.Duration(w.draw.Int64N(int64(longestChunk-shortestChunk)))
+}
+
+func (l *links) append(to *node, ask peerapi.AppendCall, limit time.Duration, done func(peerapi.AppendAnswer, error)) {
+	n := l.node
 	call(n, to, limit, func(answer func(peerapi.AppendAnswer)) {
 		arrivedAt := n.world.now
 		to.replicas.Append(ask, func(told peerapi.AppendAnswer) {
--- a/internal/modelcheck/controlmodel/world.go
+++ b/internal/modelcheck/controlmodel/world.go
@@ -43,6 +43,8 @@
 	atOnce int
 	// isBulk is set where changes write large pairs.
 	isBulk bool
+	// bulkPairs is how many large pairs there are.
+	bulkPairs int
 	// trace, if there is one, is told what happens.
 	trace io.Writer
 }
@@ -53,6 +55,10 @@
 	w.plant = plants[schedule.Plant]
 	w.record = newRecord()
 	w.isBulk = slices.ContainsFunc(schedule.Steps, func(step modelcheck.Step) bool { return step.Kind == stepBulk })
+	w.bulkPairs = bulkPairs
+	if schedule.Size == modelcheck.SizeLarge {
+		w.bulkPairs = mostPairs
+	}
 	for range schedule.Nodes {
 		w.slots = append(w.slots, w.addNode())
 	}
--- a/internal/modelcheck/modelcheck.go
+++ b/internal/modelcheck/modelcheck.go
@@ -17,6 +17,16 @@
 	Value int `json:"value,omitempty"`
 }
 
+// Size is how large a system a schedule is drawn for.
+type Size string
+
+const (
+	// SizeSmall has a few machines and jobs, so that very many schedules can be run.
+	SizeSmall Size = ""
+	// SizeLarge has the machines and the load of a large deployment; a schedule takes about a second or more.
+	SizeLarge Size = "large"
+)
+
 // Schedule decides a whole run: the same schedule gives the same outcome, whatever the machine.
 type Schedule struct {
 	Model string `json:"model"`
@@ -24,6 +34,8 @@
 	// Losses is how many disks the system must be able to lose at once.
 	Losses int `json:"losses"`
 	Nodes  int `json:"nodes"`
+	// Size is that of the system; the empty one is small.
+	Size Size `json:"size,omitempty"`
 	// Plant names a planted fault, or is empty.
 	Plant string `json:"plant,omitempty"`
 	Steps []Step `json:"steps"`
@@ -67,8 +79,8 @@
 	Name() string
 	// Plants are the faults that can be put into this model.
 	Plants() []Plant
-	// Draw makes the schedule of a seed.
-	Draw(seed uint64, losses int) Schedule
+	// Draw makes the schedule of a seed, for a system of a size that must bear so many losses of disks at once.
+	Draw(seed uint64, losses int, size Size) Schedule
 	// Run plays a schedule from the beginning; it keeps nothing from one call to the next.
 	Run(schedule Schedule) Outcome
 }
--- a/internal/modelcheck/ordermodel/client.go
+++ b/internal/modelcheck/ordermodel/client.go
@@ -111,8 +111,8 @@
 		w.violate("MODEL", "a job could not be written: %v", err)
 		return
 	}
-	terms := &peerapi.RouteTerms{MaxAttempts: one.maxAttempts, Stretch: 1.5, TargetMs: 250, Priority: one.priority}
-	request := peerapi.ClientCall{Key: poolKey, Entry: route, ID: one.id, Verb: verbHandIn, Body: body, Terms: terms}
+	terms := one.terms
+	request := peerapi.ClientCall{Key: poolKey, Entry: route, ID: one.id, Verb: verbHandIn, Body: body, Terms: &terms}
 	one.openTries++
 	w.request(through, request, func(reply clientReply) {
 		w.oracles.handedIn(one, reply)
--- /dev/null
+++ b/internal/modelcheck/ordermodel/facts.go
@@ -0,0 +1,91 @@
+package ordermodel
+
+import (
+	"time"
+
+	"gannetline/internal/jobs"
+	"gannetline/internal/peerapi"
+)
+
+// job is what a client handed in, and what it was told of it.
+type job struct {
+	id           string
+	spec         *jobs.Spec
+	terms        peerapi.RouteTerms
+	isHandedIn   bool
+	isRefused    bool
+	isUnclear    bool
+	isAccepted   bool
+	isCancelSent bool
+	isCancelled  bool
+	cancelledAt  time.Duration
+	state        string
+	startedRuns  int
+	// running is how many runs of the job are at work or wait for their gang.
+	running int
+	// orderedAt is when orders for a task of this job were last given to a machine, by the machine's number.
+	orderedAt map[int]time.Duration
+	// stalledSince is when the job began to wait without cause; 0 while it doesn't.
+	stalledSince time.Duration
+	// isAnswered is set once the last question for the job's state was answered.
+	isAnswered bool
+	openTries  int
+	handedInAt time.Duration
+	// progressAt is when a run of the job last ended as done.
+	progressAt time.Duration
+}
+
+// isRefusedForGood tells whether every try to hand the job in was turned away.
+func (j *job) isRefusedForGood() bool {
+	return j.isRefused && !j.isUnclear && !j.isAccepted && j.openTries == 0
+}
+
+func (j *job) isOver() bool {
+	return j.state == "completed" || j.state == "failed" || j.state == "cancelled"
+}
+
+func (j *job) isOverAs(state string) bool {
+	return state == "completed" || state == "failed" || state == "cancelled"
+}
+
+// eachTask visits the tasks of all the times of a job.
+func (j *job) eachTask(visit func(name string, step *jobs.Step)) {
+	for time := range max(1, j.spec.RepeatCount) {
+		for number := range j.spec.Steps {
+			for index := range j.spec.Steps[number].Tasks {
+				visit(jobs.TaskName(j.id, time, number, index), &j.spec.Steps[number])
+			}
+		}
+	}
+}
+
+// task is what executors truly did with one.
+type task struct {
+	active     []*execution
+	isDone     bool
+	doneAt     time.Duration
+	notedDone  bool
+	starts     []start
+	failures   []failure
+	saved      map[string]bool
+	highestRun int64
+	highestAt  string
+	fence      uint64
+}
+
+type start struct {
+	at  time.Duration
+	run int64
+}
+
+type failure struct {
+	run     int64
+	at      time.Duration
+	isNoted bool
+}
+
+type lifeRun struct {
+	life string
+	task string
+	run  int64
+}
--- a/internal/modelcheck/ordermodel/leadership.go
+++ b/internal/modelcheck/ordermodel/leadership.go
@@ -214,6 +214,7 @@
 	}
 	k.epoch++
 	k.world.count("election")
+	k.world.oracles.elected()
 	k.world.note("%s leads under epoch %d", next.name, k.epoch)
 	fresh := &leadership{key: k, steward: next, incarnation: next.incarnation, epoch: k.epoch, isOpen: true, contactAt: k.world.queue.now()}
 	k.leader = fresh
--- a/internal/modelcheck/ordermodel/model.go
+++ b/internal/modelcheck/ordermodel/model.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"maps"
 	"slices"
 	"time"
 
@@ -13,12 +12,12 @@
 
 const (
 	modelName = "orders"
-	// settleTime is how long after the last fault jobs may take until they are over.
-	settleTime = 40 * time.Second
-	lookEvery  = 300 * time.Millisecond
 	// After the last fault, a schedule goes on until the longest hold is over, or until late calls can't come any more.
 	holdsOver = 7 * time.Second
 	lateOver  = 13 * time.Second
+	overEvery = 50 * time.Millisecond
+	// answerTime is how long after all faults a client may have to ask for the state of a job until it is answered.
+	answerTime = 4 * time.Second
 )
 
 type model struct{}
@@ -30,7 +29,12 @@
 
 func (model) Plants() []modelcheck.Plant { return slices.Clone(plants) }
 
-func (model) Draw(seed uint64, losses int) modelcheck.Schedule { return draw(seed, losses) }
+func (model) Draw(seed uint64, losses int, size modelcheck.Size) modelcheck.Schedule {
+	if size == modelcheck.SizeLarge {
+		return drawLarge(seed, losses)
+	}
+	return draw(seed, losses)
+}
 
 // Run plays a schedule until all jobs are over and late calls can't come any more, or until the time for that is over.
 func (model) Run(schedule modelcheck.Schedule) modelcheck.Outcome {
@@ -59,27 +63,78 @@
 			quiet = lateOver
 		}
 	}
-	end := pulse.Ms(int64(lastMs)) + settleTime
+	last := pulse.Ms(int64(lastMs))
 	w.queue.after(pulse.Ms(firstStepMs), func() { w.lookRound(0) })
-	quietAt := pulse.Ms(int64(lastMs)) + quiet
-	w.queue.runUntil(end, func() bool {
-		return len(w.oracles.violations) > 0 || w.queue.now() > quietAt && w.isAllOver()
-	})
+	w.queue.after(last+quiet, w.watchEnd)
+	w.queue.runUntil(last+w.profile.settleTime, func() bool { return len(w.oracles.violations) > 0 || w.isDone })
 	if len(w.oracles.violations) == 0 {
 		w.checkProgress()
 	}
+	if len(w.oracles.violations) == 0 {
+		w.askForAll()
+	}
 	return modelcheck.Outcome{Violations: w.oracles.violations, Coverage: w.coverage}
 }
 
+// watchEnd looks again and again whether all jobs are over.
+func (w *world) watchEnd() {
+	if w.isAllOver() {
+		w.isDone = true
+		return
+	}
+	w.queue.after(overEvery, w.watchEnd)
+}
+
 // lookRound asks for the states of all jobs again and again, one job at a time.
 func (w *world) lookRound(number int) {
-	ids := slices.Sorted(maps.Keys(w.oracles.jobs))
-	next := func() { w.queue.after(lookEvery, func() { w.lookRound(number + 1) }) }
-	if len(ids) == 0 {
+	next := func() { w.queue.after(w.profile.lookEvery, func() { w.lookRound(number + 1) }) }
+	if len(w.oracles.order) == 0 {
 		next()
 		return
 	}
-	w.look(w.oracles.jobs[ids[number%len(ids)]], number, next)
+	w.look(w.oracles.nextToAsk(number), number, next)
+}
+
+// nextToAsk is a job that is not over, mostly, and at times any one.
+func (o *oracles) nextToAsk(number int) *job {
+	place := number % len(o.order)
+	if number%oneInAny == 0 {
+		return o.order[place]
+	}
+	for range o.order {
+		o.asked = (o.asked + 1) % len(o.order)
+		if !o.order[o.asked].isOver() {
+			return o.order[o.asked]
+		}
+	}
+	return o.order[place]
+}
+
+// oneInAny questions of clients is for any job, also one that is over.
+const oneInAny = 3
+
+// askForAll asks for each accepted job once all faults are over, again and again until it is answered in time.
+func (w *world) askForAll() {
+	for place, one := range w.oracles.order {
+		one.isAnswered = false
+		if one.isAccepted {
+			w.askUntilAnswered(one, place)
+		}
+	}
+	w.queue.runUntil(w.queue.now()+answerTime, func() bool { return len(w.oracles.violations) > 0 })
+	for _, one := range w.oracles.order {
+		if one.isAccepted && !one.isAnswered {
+			w.violate("UNANSWERED", "%s was accepted, and nobody tells its state in time after all faults", one.id)
+		}
+	}
+}
+
+func (w *world) askUntilAnswered(one *job, through int) {
+	w.look(one, through, func() {
+		if !one.isAnswered {
+			w.queue.after(clientPause, func() { w.askUntilAnswered(one, through+1) })
+		}
+	})
 }
 
 func (w *world) isAllOver() bool {
@@ -94,11 +149,16 @@
 	return true
 }
 
+// isUnderWay tells whether a job may still have work left: only in the large profile, whose waves may leave too few machines
+// for all of it, and only if it goes forward.
+func (w *world) isUnderWay(one *job) bool {
+	return w.profile.progressWithin > 0 && one.progressAt > w.queue.now()-w.profile.progressWithin
+}
+
 // checkProgress looks for accepted jobs that came to nothing though all faults are long over.
 func (w *world) checkProgress() {
-	for _, id := range slices.Sorted(maps.Keys(w.oracles.jobs)) {
-		one := w.oracles.jobs[id]
-		if one.isAccepted && !one.isOver() && !w.oracles.isAtWork(one) {
+	for _, one := range w.oracles.order {
+		if one.isAccepted && !one.isOver() && !w.oracles.isAtWork(one) && !w.isUnderWay(one) {
 			w.violate("LOST", "%s was accepted and is %q long after the last fault", one.id, one.state)
 		}
 	}
--- a/internal/modelcheck/ordermodel/ordermodel_test.go
+++ b/internal/modelcheck/ordermodel/ordermodel_test.go
@@ -27,7 +27,7 @@
 	It("finds nothing in the sound code", func() {
 		covered := modelcheck.Coverage{}
 		for seed := range uint64(sound) {
-			outcome := model.Run(model.Draw(seed, 1+int(seed%2)))
+			outcome := model.Run(model.Draw(seed, 1+int(seed%2), modelcheck.SizeSmall))
 			Expect(outcome.Violations).To(BeEmpty(), fmt.Sprint("seed ", seed))
 			covered.Add(outcome.Coverage)
 		}
@@ -39,7 +39,7 @@
 	})
 
 	It("plays a schedule alike each time", func() {
-		schedule := model.Draw(7, 1)
+		schedule := model.Draw(7, 1, modelcheck.SizeSmall)
 		first := model.Run(schedule)
 		Expect(model.Run(schedule)).To(Equal(first))
 	})
@@ -48,7 +48,7 @@
 		It("finds a planted fault: "+plant.Name, func() {
 			first := firstSeeds[plant.Name]
 			for seed := first; seed < first+most; seed++ {
-				schedule := model.Draw(seed, 1)
+				schedule := model.Draw(seed, 1, modelcheck.SizeSmall)
 				schedule.Plant = plant.Name
 				if outcome := model.Run(schedule); len(outcome.Violations) > 0 {
 					fmt.Fprintln(GinkgoWriter, "seed", seed, outcome.Violations[0])
--- a/internal/modelcheck/ordermodel/plants.go
+++ b/internal/modelcheck/ordermodel/plants.go
@@ -63,6 +63,9 @@
 	{Name: plantLookForgotten, About: "A proxy tells the leader what ran at the hold before the one that was asked for."},
 }
 
+// timing is that of the pool, which some plants change.
+func (p plant) timing(sound scheduler.Timing) scheduler.Timing { return sound }
+
 func (p plant) ignoresLife() bool { return p.name == plantWrongLife }
 
 func (p plant) outcome(outcome leaderclient.Outcome) leaderclient.Outcome {
--- /dev/null
+++ b/internal/modelcheck/ordermodel/schedulelarge.go
@@ -0,0 +1,155 @@
+package ordermodel
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"gannetline/internal/modelcheck"
+)
+
+// The traffic of a large schedule, in milliseconds, jobs a second and jobs.
+const (
+	leastTrafficMs, mostTrafficMs = 4000, 9000
+	leastUrgentPerS               = 4
+	mostUrgentPerS                = 30
+	mostPlainPerS                 = 5
+	mostPatient                   = 4
+	mostBurst                     = 60
+	mostNarrow                    = 1500
+	numbersOfStream               = 10000
+	leastWaves, mostWaves         = 1, 4
+	mostCoreFaults                = 3
+	percentBurst                  = 50
+	percentNarrow                 = 20
+	percentGiveUp                 = 15
+	mostGiveUpPercent             = 25
+	mostGiveUpMs                  = 5000
+)
+
+// wave is one trouble of many machines, one after the other or all at once; machines are a share in percent.
+type wave struct {
+	kind        string
+	least, most int
+	share       int
+	mostGapMs   int
+	mostValue   int
+}
+
+// waves are the troubles that large deployments have with a part of their machines.
+var waves = []wave{
+	{kind: kindCutProxy, least: 1000, most: 6000, share: 18, mostValue: 2},
+	{kind: kindCutProxy, least: 4000, most: 5500, share: 18},
+	{kind: kindKillProxy, least: 100, most: 1500, share: 30, mostGapMs: 150},
+	{kind: kindKillProxy, least: 100, most: 1500, share: 100},
+	{kind: kindFreezeProxy, least: 500, most: 4000, share: 12},
+	{kind: kindCrashExecutor, least: 500, most: 5000, share: 14, mostValue: staysAway},
+	{kind: kindCrashExecutor, least: 500, most: 3000, share: 100},
+	{kind: kindFreezeExecutor, least: 500, most: 4000, share: 12},
+	{kind: kindMuteExecutor, least: 1000, most: 5500, share: 45},
+	{kind: kindLateExecutor, least: 1000, most: 5500, share: 20},
+	{kind: kindBusyExecutor, least: 500, most: 4000, share: 30},
+	{kind: kindRefuseExecutor, least: 500, most: 4000, share: 15},
+	{kind: kindSlowExecutor, least: 3000, most: 7000, share: 18},
+	{kind: kindStuckExecutor, least: 300, most: 2000, share: 8},
+	{kind: kindLateBeats, least: 1000, most: 5000, share: 50},
+	{kind: kindDrainExecutor, least: 1, most: 1, share: 8, mostGapMs: 100},
+	{kind: kindDeregister, least: 1, most: 1, share: 8, mostGapMs: 100},
+}
+
+// coreFaults are the troubles of stewards, gates and the network in large schedules.
+var coreFaults = []fault{
+	{kind: kindKillSteward, weight: 3, least: 100, most: 4000},
+	{kind: kindFreezeSteward, weight: 2, least: 200, most: 5000},
+	{kind: kindCutSteward, weight: 3, least: 500, most: 7000, mostValue: 2},
+	{kind: kindPartition, weight: 2, least: 500, most: 6000, mostValue: 1<<16 - 1},
+	{kind: kindHandOver, weight: 4, least: 1, most: 1},
+	{kind: kindSlowSync, weight: 2, least: 200, most: 3500, mostValue: 400},
+	{kind: kindLosePower, weight: 3, least: 100, most: 1500, mostValue: 5},
+	{kind: kindClockJump, weight: 1, least: 500, most: 6000, mostValue: 4000},
+	{kind: kindCutGate, weight: 1, least: 200, most: 4000, mostValue: 2},
+	{kind: kindLoseMessages, weight: 1, least: 300, most: 3000, mostValue: 20},
+	{kind: kindDoubleMessages, weight: 1, least: 300, most: 3000, mostValue: 20},
+	{kind: kindDelayMessages, weight: 1, least: 300, most: 3000, mostValue: 2000},
+}
+
+// drawLarge makes the schedule of a seed for the large profile: streams of jobs, waves of trouble among the machines, and
+// some trouble of the core.
+func drawLarge(seed uint64, losses int) modelcheck.Schedule {
+	random := rand.New(rand.NewPCG(seed, drawStream))
+	schedule := modelcheck.Schedule{Model: modelName, Seed: seed, Losses: losses, Nodes: 2*max(1, losses) + 1, Size: modelcheck.SizeLarge}
+	plan := largePlan{Schedule: &schedule, random: random, trafficMs: between(random, leastTrafficMs, mostTrafficMs)}
+	plan.addTraffic()
+	for range between(random, leastWaves, mostWaves) {
+		plan.addWave()
+	}
+	for range between(random, 0, mostCoreFaults) {
+		plan.addCoreFault()
+	}
+	slices.SortStableFunc(schedule.Steps, func(one, two modelcheck.Step) int { return one.AtMs - two.AtMs })
+	return schedule
+}
+
+// largePlan is a large schedule that is being drawn.
+type largePlan struct {
+	*modelcheck.Schedule
+	random    *rand.Rand
+	trafficMs int
+	streams   int
+}
+
+func (p *largePlan) chance(percent int) bool { return p.random.IntN(100) < percent }
+
+// somewhere is a time within the traffic.
+func (p *largePlan) somewhere() int { return firstStepMs + p.random.IntN(p.trafficMs) }
+
+// addStream lets so many jobs of a shape come within a time.
+func (p *largePlan) addStream(atMs, forMs, shape, count int) {
+	if count > 0 {
+		p.Steps = append(p.Steps, modelcheck.Step{AtMs: atMs, Kind: kindStream, Node: p.streams * numbersOfStream, Peer: count, ForMs: forMs, Value: shape})
+		p.streams++
+	}
+}
+
+func (p *largePlan) addTraffic() {
+	urgent, plain := between(p.random, leastUrgentPerS, mostUrgentPerS), p.random.IntN(mostPlainPerS+1)
+	for _, shape := range []int{shapeWide, shapeWideChain} {
+		p.addStream(firstStepMs, p.trafficMs, shape, urgent*p.trafficMs/2000)
+	}
+	for _, shape := range []int{shapePlain, shapePlainNear} {
+		p.addStream(firstStepMs, p.trafficMs, shape, plain*p.trafficMs/2000)
+	}
+	for range p.random.IntN(mostPatient + 1) {
+		p.addStream(p.somewhere(), between(p.random, 1, 2000), between(p.random, shapeLong, shapeGang), between(p.random, 1, 3))
+	}
+	p.addStream(p.somewhere(), between(p.random, 1, 2000), between(p.random, shapePlainApart, shapeRepeated), between(p.random, 1, 4))
+	if p.chance(percentBurst) {
+		p.addStream(p.somewhere(), between(p.random, 1, 1500), between(p.random, shapeWide, shapePlain), between(p.random, 1, mostBurst))
+	}
+	if p.chance(percentNarrow) {
+		p.addStream(p.somewhere(), between(p.random, 1000, 5000), shapeNarrow, between(p.random, 100, mostNarrow))
+	}
+	if p.chance(percentGiveUp) {
+		p.Steps = append(p.Steps, modelcheck.Step{AtMs: p.somewhere(), Kind: kindGiveUp, ForMs: p.random.IntN(mostGiveUpMs), Value: 1 + p.random.IntN(mostGiveUpPercent)})
+	}
+}
+
+// addWave lets trouble come to a part of the machines: neighbours, or any.
+func (p *largePlan) addWave() {
+	one := waves[p.random.IntN(len(waves))]
+	count := max(1, largeProfile.executors*between(p.random, 1, one.share)/100)
+	at, length, gap := p.somewhere(), between(p.random, one.least, one.most), p.random.IntN(one.mostGapMs+1)
+	value, areNeighbours, first := p.random.IntN(one.mostValue+1), p.chance(50), p.random.IntN(largeProfile.executors)
+	for number := range count {
+		machine := (first + number) % largeProfile.executors
+		if !areNeighbours {
+			machine = p.random.IntN(largeProfile.executors)
+		}
+		p.Steps = append(p.Steps, modelcheck.Step{AtMs: at + number*gap, Kind: one.kind, Node: machine, ForMs: length, Value: value})
+	}
+}
+
+func (p *largePlan) addCoreFault() {
+	one := drawWeighted(p.random, coreFaults)
+	p.Steps = append(p.Steps, modelcheck.Step{AtMs: p.somewhere(), Kind: one.kind, Node: p.random.IntN(p.Nodes),
+		ForMs: between(p.random, one.least, one.most), Value: p.random.IntN(one.mostValue + 1)})
+}
--- /dev/null
+++ b/internal/modelcheck/ordermodel/shapes.go
@@ -0,0 +1,122 @@
+package ordermodel
+
+import (
+	"fmt"
+
+	"gannetline/internal/jobs"
+	"gannetline/internal/peerapi"
+)
+
+// shape is a kind of job that clients hand in: it fills in the steps and the terms of its queue.
+type shape func(one *job)
+
+// defaultAttempts are the attempts of a queue, where a shape says nothing else.
+const defaultAttempts = 4
+
+// firstRunDelayMs is how long after it was handed in the first time of a repeated job is due.
+const firstRunDelayMs = 800
+
+// smallShapes are the jobs of the small profile.
+var smallShapes = []shape{
+	steps(jobs.Step{Tasks: 3, CPU: 1000, Memory: 100, EstimatedMs: 500}),
+	steps(jobs.Step{Tasks: 1, CPU: 3000, Memory: 100, EstimatedMs: 500}),
+	steps(jobs.Step{Tasks: 8, CPU: 1500, Memory: 100, EstimatedMs: 400}),
+	steps(jobs.Step{Tasks: 2, CPU: 500, EstimatedMs: 300}, jobs.Step{Tasks: 2, CPU: 1000, EstimatedMs: 300, DependsOn: []int{0}}),
+	steps(jobs.Step{Tasks: 3, CPU: 1500, EstimatedMs: 400, Gang: true, Checkpointing: true}),
+	steps(jobs.Step{Tasks: 2, CPU: 1000, EstimatedMs: 300, Redundant: true}, jobs.Step{Tasks: 1, CPU: 500, EstimatedMs: 100, DependsOn: []int{0}}),
+	steps(jobs.Step{Tasks: 2, CPU: 1000, EstimatedMs: 1500, Checkpointing: true}),
+	steps(jobs.Step{Tasks: 2, CPU: 500, Lasting: true}),
+	steps(jobs.Step{Tasks: 3, CPU: 1000, EstimatedMs: longMs}),
+	steps(jobs.Step{Tasks: 3, CPU: 500, EstimatedMs: 800, Apart: 1}),
+	steps(jobs.Step{Tasks: 1, CPU: 500, EstimatedMs: hopelessMs}),
+	steps(jobs.Step{Tasks: 2, CPU: 500, EstimatedMs: 800, Labels: jobs.Words{rackOf(1)}}),
+	repeated(3, 1200, jobs.Step{Tasks: 1, CPU: 500, EstimatedMs: 200}),
+}
+
+// The terms of the queues of the large profile.
+var (
+	urgentTerms = peerapi.RouteTerms{MaxAttempts: 3, Stretch: 1.5, TargetMs: 250, Priority: 0}
+	plainTerms  = peerapi.RouteTerms{MaxAttempts: 4, Stretch: 2.2, TargetMs: 1000, Priority: 1}
+	patientTerm = peerapi.RouteTerms{MaxAttempts: 3, Stretch: 3.2, TargetMs: 3000, Priority: 2}
+)
+
+// Places of shapes in largeShapes that the schedules of the large profile name.
+const (
+	shapeWide = iota
+	shapeWideChain
+	shapeNarrow
+	shapePlain
+	shapePlainNear
+	shapePlainApart
+	shapePlainBig
+	shapeLong
+	shapeLongChain
+	shapeLongApart
+	shapeLongLabel
+	shapeLongBig
+	shapeGang
+	shapeGangRack
+	shapeRedundant
+	shapeLasting
+	shapeRepeated
+)
+
+// largeShapes are the jobs of the large profile: urgent wide jobs of short tasks, plain ones, and patient long ones.
+var largeShapes = []shape{
+	shapeWide: under(urgentTerms, jobs.Step{Tasks: 31, CPU: 12000, Memory: 22000, EstimatedMs: 240}),
+	shapeWideChain: under(urgentTerms, jobs.Step{Tasks: 31, CPU: 12000, Memory: 22000, EstimatedMs: 240},
+		jobs.Step{Tasks: 12, CPU: 8000, Memory: 16000, EstimatedMs: 200, DependsOn: []int{0}}),
+	shapeNarrow:     under(urgentTerms, jobs.Step{Tasks: 2, CPU: 12000, Memory: 22000, EstimatedMs: 240}),
+	shapePlain:      under(plainTerms, jobs.Step{Tasks: 10, CPU: 19000, Memory: 36000, EstimatedMs: 720}),
+	shapePlainNear:  under(plainTerms, jobs.Step{Tasks: 10, CPU: 19000, Memory: 36000, EstimatedMs: 720, Near: jobs.Words{rackOf(3)}}),
+	shapePlainApart: under(plainTerms, jobs.Step{Tasks: 60, CPU: 19000, Memory: 36000, EstimatedMs: 720, Apart: 1}),
+	shapePlainBig:   under(plainTerms, jobs.Step{Tasks: 20, CPU: 50000, Memory: 100000, EstimatedMs: 720}),
+	shapeLong:       under(patientTerm, jobs.Step{Tasks: 100, CPU: 29000, Memory: 29000, EstimatedMs: 4800, Checkpointing: true}),
+	shapeLongChain: under(patientTerm, jobs.Step{Tasks: 20, CPU: 29000, Memory: 29000, EstimatedMs: 2400},
+		jobs.Step{Tasks: 100, CPU: 20000, Memory: 29000, EstimatedMs: 2400, DependsOn: []int{0}}),
+	shapeLongApart: under(patientTerm, jobs.Step{Tasks: 300, CPU: 29000, Memory: 29000, EstimatedMs: 2400, Apart: 1}),
+	shapeLongLabel: under(patientTerm, jobs.Step{Tasks: 40, CPU: 29000, Memory: 29000, EstimatedMs: 2400, Labels: jobs.Words{rackOf(5)}}),
+	shapeLongBig:   under(patientTerm, jobs.Step{Tasks: 60, CPU: 80000, Memory: 80000, EstimatedMs: 4800, Checkpointing: true}),
+	shapeGang:      under(patientTerm, jobs.Step{Tasks: 24, CPU: 29000, Memory: 29000, EstimatedMs: 2400, Gang: true, Checkpointing: true}),
+	shapeGangRack:  under(plainTerms, jobs.Step{Tasks: 12, CPU: 19000, Memory: 29000, EstimatedMs: 720, Gang: true, SameRack: true}),
+	shapeRedundant: under(urgentTerms, jobs.Step{Tasks: 20, CPU: 12000, Memory: 22000, EstimatedMs: 240, Redundant: true}),
+	shapeLasting:   under(plainTerms, jobs.Step{Tasks: 6, CPU: 8000, Memory: 16000, Lasting: true}),
+	shapeRepeated:  timed(under(urgentTerms, jobs.Step{Tasks: 4, CPU: 12000, Memory: 22000, EstimatedMs: 240}), 4, 1500),
+}
+
+func steps(all ...jobs.Step) shape {
+	return func(one *job) { one.spec.Steps = all }
+}
+
+func repeated(count int, periodMs int64, all ...jobs.Step) shape {
+	return timed(steps(all...), count, periodMs)
+}
+
+func timed(inner shape, count int, periodMs int64) shape {
+	return func(one *job) {
+		inner(one)
+		one.spec.RepeatCount, one.spec.PeriodMs = count, periodMs
+	}
+}
+
+func under(terms peerapi.RouteTerms, all ...jobs.Step) shape {
+	return func(one *job) {
+		one.spec.Steps, one.terms = all, terms
+	}
+}
+
+// rackOf is the label of a rack.
+func rackOf(rack int) string { return fmt.Sprintf("rack-%d", rack) }
+
+func jobID(number int) string { return fmt.Sprintf("%016x", number+1) }
+
+// makeJob gives job number of a schedule its shape; a timed one is due a little after it was handed in.
+func (p *profile) makeJob(number, shape int, atMs int64) *job {
+	one := &job{id: jobID(number), spec: &jobs.Spec{Descriptor: fmt.Sprintf("descriptor-%d", number)},
+		terms: peerapi.RouteTerms{MaxAttempts: defaultAttempts, Stretch: 1.5, TargetMs: 250, Priority: number % 2}}
+	p.shapes[shape%len(p.shapes)](one)
+	if one.spec.RepeatCount > 0 {
+		one.spec.FirstRunMs = beginWallMs + atMs + firstRunDelayMs
+	}
+	return one
+}
--- a/internal/modelcheck/ordermodel/steward.go
+++ b/internal/modelcheck/ordermodel/steward.go
@@ -78,7 +78,10 @@
 		answer(peerapi.ExchangeAnswer{Elsewhere: true})
 		return
 	}
-	s.pool.Exchange(call, answer)
+	s.pool.Exchange(call, func(told peerapi.ExchangeAnswer) {
+		s.world.oracles.orderedTo(call, told.Orders)
+		answer(told)
+	})
 	s.settle()
 }
 
--- /dev/null
+++ b/internal/modelcheck/ordermodel/work.go
@@ -0,0 +1,72 @@
+package ordermodel
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"gannetline/internal/jobs"
+	"gannetline/internal/pulse"
+)
+
+const (
+	longMs = 8000
+	// hopelessMs is the estimate of the tasks that fail every time.
+	hopelessMs     = 250
+	percentFailing = 8
+
+	percentFailingLarge = 2
+	// oneInLong runs of the large profile takes several times as long as the others of its step.
+	oneInLong  = 32
+	longFactor = 3
+	slowFactor = 6
+)
+
+// hashOf spreads the names of runs evenly.
+func hashOf(one *execution) uint64 {
+	hash := uint64(14695981039346656037)
+	for _, letter := range []byte(fmt.Sprint(one.task, "/", one.run)) {
+		hash = (hash ^ uint64(letter)) * 1099511628211
+	}
+	return hash ^ hash>>29
+}
+
+// smallWork is the work of the small profile, whatever a step's estimate says.
+func smallWork(one *execution) (time.Duration, string) {
+	hash, how := hashOf(one), howDone
+	if hash%100 < percentFailing || one.step.EstimatedMs == hopelessMs {
+		how = howFailed
+	}
+	length := 50 + (hash/100)%700
+	switch {
+	case one.step.EstimatedMs >= longMs:
+		length += longMs
+	case (hash/70000)%8 == 0:
+		length += 2500
+	}
+	return pulse.Ms(int64(length)), how
+}
+
+// largeWork is from half to one and a half of the estimate, longer away from a step's data and on a slow executor.
+func largeWork(one *execution) (time.Duration, string) {
+	hash, how := hashOf(one), howDone
+	if hash%100 < percentFailingLarge {
+		how = howFailed
+	}
+	length := one.step.EstimatedMs * int64(50+(hash/100)%100) / 100
+	if (hash/70000)%oneInLong == 0 {
+		length *= longFactor
+	}
+	if one.executor.isSlow {
+		length *= slowFactor
+	}
+	if isRemote(one.step, one.executor) {
+		length = int64(float64(length) * one.executor.world.timing.RemoteFactor)
+	}
+	return pulse.Ms(length), how
+}
+
+func isRemote(step *jobs.Step, where *executor) bool {
+	isThere := func(label string) bool { return slices.Contains(where.labels, label) }
+	return len(step.Near) > 0 && !slices.ContainsFunc(step.Near, isThere)
+}
--- a/internal/modelcheck/ordermodel/world.go
+++ b/internal/modelcheck/ordermodel/world.go
@@ -9,7 +9,6 @@
 
 	"gannetline/internal/membership"
 	"gannetline/internal/modelcheck"
-	"gannetline/internal/peerapi"
 	"gannetline/internal/scheduler"
 )
 
@@ -19,22 +18,12 @@
 
 	service = "board"
 	poolKey = "pool/" + service
-
-	executorCount = 3
-	gateCount     = 2
 )
 
-var executorRoom = peerapi.Capacity{CPU: 4000, Memory: 8192}
-
-// timing is that of a deployment with holds of 6 s.
-var timing = scheduler.Timing{Grant: 4800 * time.Millisecond, MaxHold: 6 * time.Second, Resend: 200 * time.Millisecond,
-	ResendMost: time.Second, HoldStale: 2500 * time.Millisecond, SilentAfter: 900 * time.Millisecond,
-	StopTimeout: 400 * time.Millisecond, StuckAfter: 2 * time.Second, KeepEnded: 150 * time.Second, RemoteFactor: 1.5,
-	Headroom: scheduler.DefaultHeadroom}
-
-// world is a whole small system: stewards, gates, local-proxies and executors.
+// world is a whole system: stewards, gates, local-proxies and executors.
 type world struct {
 	queue     *eventQueue
+	profile   *profile
 	timing    scheduler.Timing
 	key       *replicatedKey
 	stewards  []*steward
@@ -51,6 +40,10 @@
 	slowSync  time.Duration
 	// troubledAt is the last time at which anything was wrong.
 	troubledAt time.Duration
+	// coreTroubledAt is the last time at which anything was wrong with stewards, gates or the network as a whole.
+	coreTroubledAt time.Duration
+	// isDone ends the run: all jobs are over, and late calls can't come any more.
+	isDone bool
 	// onCommit is called once, when a leader hears of a commit.
 	onCommit func()
 	// forgotten are records that a plant keeps out of commits.
@@ -59,7 +52,10 @@
 }
 
 func newWorld(schedule modelcheck.Schedule) *world {
-	w := &world{queue: newEventQueue(schedule.Seed), timing: timing, plant: plant{schedule.Plant}, coverage: modelcheck.Coverage{}, forgotten: map[string]bool{}}
+	profile := profileOf(schedule.Size)
+	w := &world{queue: newEventQueue(schedule.Seed), profile: profile, plant: plant{schedule.Plant}, coverage: modelcheck.Coverage{},
+		forgotten: map[string]bool{}}
+	w.timing = w.plant.timing(profile.timing)
 	w.oracles = newOracles(w)
 	w.outside = &process{world: w, name: "outside", isUp: true, isOnce: true}
 	w.key = &replicatedKey{world: w, pairs: map[string][]byte{}}
@@ -67,12 +63,13 @@
 	for number := range schedule.Nodes {
 		w.stewards = append(w.stewards, &steward{process: process{world: w, name: fmt.Sprintf("steward-%d", number)}})
 	}
-	for number := range gateCount {
+	for number := range profile.gates {
 		w.gates = append(w.gates, &gate{process: process{world: w, name: fmt.Sprintf("gate-%d", number), isOnce: true}})
 	}
-	for number := range executorCount {
+	for number := range profile.executors {
 		machine := fmt.Sprintf("side-%d", number)
-		one := &executor{world: w, machine: machine, labels: []string{"zone", rackOf(number)}, isGuarding: number == 0}
+		one := &executor{world: w, machine: machine, number: number, room: profile.room(number),
+			labels: []string{"zone", rackOf(number / profile.rackSize)}, isGuarding: profile.isGuarding(number)}
 		one.proxy = &proxy{process: process{world: w, name: machine}, executor: one}
 		w.executors, w.proxies = append(w.executors, one), append(w.proxies, one.proxy)
 	}
@@ -94,6 +91,7 @@
 		one.start()
 	}
 	w.key.watch()
+	w.watchStalls()
 }
 
 func (w *world) count(what string) { w.coverage[what]++ }
--- a/internal/modelcheck/run.go
+++ b/internal/modelcheck/run.go
@@ -14,6 +14,7 @@
 	Seed      uint64
 	Schedules int
 	Losses    int
+	Size      Size
 	// Plant names the planted fault of all schedules, or is empty.
 	Plant string
 	// Workers is how many schedules run at once; the result doesn't depend on it.
@@ -40,8 +41,18 @@
 	Outcome  Outcome
 }
 
-// perRound is how many schedules are run between two looks at what was found.
-const perRound = 2000
+// Schedules are run in rounds; what was found is looked at between two rounds.
+const (
+	perRound      = 2000
+	perRoundLarge = 16
+)
+
+func (b Budget) perRound() int {
+	if b.Size == SizeLarge {
+		return perRoundLarge
+	}
+	return perRound
+}
 
 // Run plays the schedules of a budget until one breaks an invariant, which it returns with what was run until then.
 // Schedules are handed out in rounds, so that the same one is found whatever the number of workers.
@@ -50,7 +61,7 @@
 	began := clock.Steady()
 	progress := Progress{Coverage: Coverage{}}
 	for progress.Done < budget.Schedules {
-		count := min(perRound, budget.Schedules-progress.Done)
+		count := min(budget.perRound(), budget.Schedules-progress.Done)
 		outcomes := runRound(model, budget, progress.Done, count)
 		for place, outcome := range outcomes {
 			progress.Done++
@@ -108,7 +119,7 @@
 }
 
 func (b Budget) schedule(model Model, number int) Schedule {
-	schedule := model.Draw(mix(b.Seed, uint64(number)), b.Losses)
+	schedule := model.Draw(mix(b.Seed, uint64(number)), b.Losses, b.Size)
 	schedule.Plant = b.Plant
 	return schedule
 }
--- a/internal/modelcheck/shrink.go
+++ b/internal/modelcheck/shrink.go
@@ -2,20 +2,30 @@
 
 import "slices"
 
-// mostShrinkRuns bounds how often a schedule is run again while it is cut down.
-const mostShrinkRuns = 3000
+// How often a schedule is run again at most while it is cut down.
+const (
+	mostShrinkRuns      = 3000
+	mostShrinkRunsLarge = 150
+)
+
+func mostShrinkRunsOf(schedule Schedule) int {
+	if schedule.Size == SizeLarge {
+		return mostShrinkRunsLarge
+	}
+	return mostShrinkRuns
+}
 
 // Shrink removes steps from a failing schedule as long as it goes on breaking the same invariant (delta debugging):
 // first large parts, then ever smaller ones, at last single steps.
 func Shrink(model Model, failing Schedule) (Schedule, Outcome) {
-	best, outcome := failing, model.Run(failing)
+	best, outcome, most := failing, model.Run(failing), mostShrinkRunsOf(failing)
 	if len(outcome.Violations) == 0 {
 		return best, outcome
 	}
 	oracle, runs := outcome.Violations[0].Oracle, 0
-	for size := max(1, len(best.Steps)/2); size >= 1 && runs < mostShrinkRuns; {
+	for size := max(1, len(best.Steps)/2); size >= 1 && runs < most; {
 		isSmaller := false
-		for start := 0; start < len(best.Steps) && runs < mostShrinkRuns; {
+		for start := 0; start < len(best.Steps) && runs < most; {
 			candidate := best
 			candidate.Steps = slices.Delete(slices.Clone(best.Steps), start, min(start+size, len(best.Steps)))
 			runs++
