--- a/internal/poolhost/poolhost_test.go
+++ b/internal/poolhost/poolhost_test.go
@@ -27,10 +27,13 @@
 		Expect(s.pool.IsOpen()).To(BeTrue())
 	})
 
-	It("gives the key up if what is committed of it can't be read", func() {
-		s := newSteward(costs{}, []peerapi.Op{{Name: "j/0000000000000001", Value: []byte("{")}})
+	It("keeps the key though a record of it can't be read, and names the record", func() {
+		const damaged = "j/0000000000000001"
+		s := newSteward(costs{}, []peerapi.Op{{Name: damaged, Value: []byte("{")}})
 		s.run(2 * time.Second)
-		Expect(s.openings).To(BeNumerically(">", 1))
-		Expect(s.pool.IsOpen()).To(BeFalse())
+		Expect(s.gaps).To(BeZero())
+		Expect(s.openings).To(Equal(1))
+		Expect(s.pool.IsOpen()).To(BeTrue())
+		Expect(s.pool.Unreadable()).To(Equal([]string{damaged}))
 	})
 })
