A candidate that gets no changes gives its lease back; heartbeats overlap where answers take long

The lease is now asked for once, again only as changes come, and given back wherever the fetching ends without the state, with the voter that is ahead as successor.

Cause of the second change: beside a call that takes long one heartbeat could be under way. Where an answer takes longer than the pause between two heartbeats, the lease was over before the next one had been answered. Up to three heartbeats are under way now; a call that is answered in time never has more than one beside it.

--- a/internal/replication/engine.go
+++ b/internal/replication/engine.go
@@ -169,7 +169,7 @@
 	case phaseIdle:
 		e.considerCampaign()
 	case phaseFetching:
-		e.holdWhileFetching()
+		e.considerFetching()
 	case phaseLeading, phaseOpening:
 		e.heartbeat()
 	}
--- a/internal/replication/fetch.go
+++ b/internal/replication/fetch.go
@@ -24,26 +24,23 @@
 // that the changes no longer lead to in chunks; chunks are kept across campaigns, and whoever holds that very position
 // may send the next.
 func (e *Engine) fetchFrom(best peerapi.PromiseAnswer, from peerapi.LogPosition) {
-	e.holdWhileFetching()
+	e.holdOthersOff()
 	e.fetchNext(&fetch{best: best, from: from})
 }
 
-// holdWhileFetching renews the lease that the candidate has by its promises while the changes that it lacks come, as these
-// take a few calls. It stops after the length of a lease, and once a whole state is on its way: a voter that does not send
-// what it has, or a transfer that takes long, keeps nobody out.
-func (e *Engine) holdWhileFetching() {
-	now := e.clock.Steady()
-	if now-e.staleSince > mostFetching {
-		e.stepDown("the furthest state does not come")
-		return
-	}
-	if e.fetched.count > 0 || now-e.staleSince > e.timing.Lease {
-		return
-	}
+// holdOthersOff renews the lease that the candidate has by its promises, for the few calls that the changes it lacks take.
+// It is asked for once at first, and again only as changes come: a voter that does not send what it has, or a transfer of a
+// whole state, keeps nobody out for longer than one lease.
+func (e *Engine) holdOthersOff() {
 	for _, disk := range disksOf(e.set) {
-		if to := e.follow(disk); now-to.sentAt >= e.timing.Heartbeat {
-			e.renewLease(to)
-		}
+		e.renewLease(e.follow(disk))
+	}
+}
+
+// considerFetching ends a campaign for which no state comes.
+func (e *Engine) considerFetching() {
+	if e.clock.Steady()-e.staleSince > mostFetching {
+		e.release("the furthest state does not come", "")
 	}
 }
 
@@ -59,6 +56,7 @@
 		case answer.Chunk != nil:
 			e.takeChunk(task, answer.Chunk)
 		case len(answer.Changes) > 0:
+			e.holdOthersOff()
 			call := e.appendCall()
 			call.Prev, call.Changes = task.from, answer.Changes
 			e.installFetched(task, call, answer.Changes[len(answer.Changes)-1].Position)
@@ -71,7 +69,7 @@
 // retryFetch asks again after a call that brought nothing, unless the epoch is lost by now.
 func (e *Engine) retryFetch(task *fetch) {
 	if task.failures++; task.failures >= mostFetchFailures {
-		e.backOff()
+		e.release("the furthest state does not come", "")
 		return
 	}
 	e.continueFetch(task)
@@ -93,7 +91,7 @@
 
 func (e *Engine) takeChunk(task *fetch, chunk *peerapi.SnapshotChunk) {
 	if chunk.At != task.best.Last {
-		e.backOff()
+		e.release("the furthest state is another by now", "")
 		return
 	}
 	before := e.fetched.count
@@ -115,8 +113,7 @@
 // and fetches the state then if nobody leads.
 func (e *Engine) stepAside(task *fetch) {
 	e.hasSteppedAside = true
-	e.log.Info("standing aside for a voter that is ahead", "key", e.key, "epoch", e.epoch, "disk", task.best.Disk)
-	e.backOff()
+	e.release("standing aside for a voter that is ahead", task.best.Disk)
 	e.nextTry = e.clock.Steady() + e.timing.Lease
 }
 
@@ -131,7 +128,7 @@
 // installFetched writes what was fetched to the local disk, and opens the state or fetches what is still missing.
 func (e *Engine) installFetched(task *fetch, call peerapi.AppendCall, reached peerapi.LogPosition) {
 	if task.best.Last.Below(reached) || !task.from.Below(reached) {
-		e.backOff()
+		e.release("what was fetched is not what was asked for", "")
 		return
 	}
 	attempt := e.attempt
@@ -139,11 +136,11 @@
 		switch {
 		case e.attempt != attempt || e.phase != phaseFetching:
 		case err != nil || !answer.Taken:
-			e.backOff()
+			e.release("its own disk does not take what was fetched", "")
 		case reached == task.best.Last:
 			e.openWithHistory(reached)
 		case call.Snapshot != nil:
-			e.backOff()
+			e.release("the furthest state is another by now", "")
 		default:
 			task.from, task.failures = reached, 0
 			e.continueFetch(task)
--- a/internal/replication/followers.go
+++ b/internal/replication/followers.go
@@ -9,6 +9,10 @@
 	"gannetline/internal/pulse"
 )
 
+// mostRenewals is how many heartbeats may be under way to a follower beside a call. Some are needed where an answer takes
+// longer than the pause between two heartbeats; with one alone the lease would end before it can be renewed.
+const mostRenewals = 3
+
 // failuresBeforePause is how many calls in a row a follower may leave without effect before the leader pauses.
 const failuresBeforePause = 2
 
@@ -20,10 +24,10 @@
 	isKnown       bool
 	needsSnapshot bool
 
-	// isBusy tells that a call is under way, isRenewing that a heartbeat is under way beside it.
-	isBusy     bool
-	isRenewing bool
-	sentAt     time.Duration
+	// isBusy tells that a call is under way, renewals how many heartbeats are under way beside it.
+	isBusy   bool
+	renewals int
+	sentAt   time.Duration
 	// failures counts calls in a row that brought the follower no further; before pausedUntil it gets heartbeats only.
 	failures    int
 	pausedUntil time.Duration
@@ -134,10 +138,11 @@
 // renewLease sends a voter a heartbeat beside a call that takes long, as a large one on a slow link or one that waits
 // for a slow disk. Its answer renews the lease and nothing else, as it says nothing about the call.
 func (e *Engine) renewLease(to *follower) {
-	if to.isRenewing || !slices.Contains(disksOf(e.set), to.disk) {
+	if to.renewals >= mostRenewals || !slices.Contains(disksOf(e.set), to.disk) {
 		return
 	}
-	to.isRenewing, to.sentAt = true, e.clock.Steady()
+	to.renewals++
+	to.sentAt = e.clock.Steady()
 	call := e.appendCall()
 	call.Prev = to.acked
 	attempt, sentAt := e.attempt, to.sentAt
@@ -145,7 +150,7 @@
 		if e.attempt != attempt {
 			return
 		}
-		to.isRenewing = false
+		to.renewals--
 		if err == nil && e.isAnswerOf(to, answer) {
 			e.renewed(to, sentAt)
 		}
