--- a/internal/scheduler/fleet_test.go
+++ b/internal/scheduler/fleet_test.go
@@ -34,7 +34,6 @@
 	pool      *scheduler.Pool
 	timing    scheduler.Timing
 	executors []*fleetExecutor
-	states    map[string]string
 }
 
 func newFleet(timing scheduler.Timing) *fleet {
--- a/internal/scheduler/headroom.go
+++ b/internal/scheduler/headroom.go
@@ -39,13 +39,17 @@
 // runs that have ended count as running here until that is told.
 const firstRunShare = 0.6
 
-// limits are the soft limits of a placement now.
+func firstRunCPU(all placement.Room) int64 { return int64(firstRunShare * float64(all.CPU)) }
+
+// limits are the soft limits of a placement now. The share is taken of all executors or of those that are in contact,
+// whichever has more left, as what a lost executor ran is over and still counts here until its hold has lapsed.
 func (p *Pool) limits(now time.Duration) placement.Limits {
 	var used int64
 	for _, one := range p.usage {
 		used += one.room.CPU
 	}
-	return placement.Limits{Left: p.headroom(p.roster.open, now), FirstRuns: int64(firstRunShare*float64(p.roster.all.CPU)) - used}
+	firstRuns := max(firstRunCPU(p.roster.all)-used, p.roster.unused)
+	return placement.Limits{Left: p.headroom(p.roster.open, now), FirstRuns: firstRuns}
 }
 
 // headroom gives each priority what it may still take, so that urgent jobs find room when they come.
--- a/internal/scheduler/stalls_test.go
+++ b/internal/scheduler/stalls_test.go
@@ -89,6 +89,24 @@
 		Expect(f.tasks()).To(HaveLen(14))
 	})
 
+	It("starts though lost executors, whose holds have yet to lapse, count as full", func() {
+		f.handIn(name(0), peerapi.RouteTerms{MaxAttempts: 2}, `{"task-descriptor":"d","step-list":[{"task-count":5,"cpu-units":4000,"long-running":true}]}`)
+		f.pass(200 * time.Millisecond)
+		for _, one := range f.executors {
+			one.isSilent = len(one.running) > 0
+		}
+		f.handIn(name(1), peerapi.RouteTerms{MaxAttempts: 2}, `{"task-descriptor":"d","step-list":[{"task-count":5,"cpu-units":1100,"long-running":true,"anti-affinity":1}]}`)
+		f.pass(200 * time.Millisecond)
+		for number := range 14 {
+			f.handIn(name(2+number), peerapi.RouteTerms{MaxAttempts: 2}, long(4000, ""))
+		}
+		f.pass(200 * time.Millisecond)
+		f.handIn(lateID, peerapi.RouteTerms{Priority: 1, MaxAttempts: 2}, long(500, ""))
+		f.pass(3 * time.Second)
+		Expect(f.executors[0].isSilent).To(BeTrue())
+		Expect(hasStarted(lateID)).To(BeTrue())
+	})
+
 	It("starts, if it is a gang, though room is kept for the urgent", func() {
 		burstOfUrgent()
 		f.handIn(name(1), peerapi.RouteTerms{Priority: 1, MaxAttempts: 2}, lasting(10, 1000))
--- a/internal/scheduler/tick.go
+++ b/internal/scheduler/tick.go
@@ -224,6 +224,19 @@
 	return jobs, executors
 }
 
+// JobsOn names the jobs with runs, as this leader knows, on the executors of a machine.
+func (p *Pool) JobsOn(machine string) []string {
+	found := map[string]bool{}
+	for _, home := range p.lives {
+		if home.proxy == machine {
+			for _, one := range home.runs {
+				found[one.task.job().id] = true
+			}
+		}
+	}
+	return slices.Sorted(maps.Keys(found))
+}
+
 // JobsOf reads what a replica of the pool says of its jobs.
 func JobsOf(key string, pairs []peerapi.Op) []peerapi.JobBelief {
 	states := map[string]string{}
--- a/internal/stage/executor.go
+++ b/internal/stage/executor.go
@@ -36,6 +36,7 @@
 	isLate     bool
 	isRefusing bool
 	isDrain    bool
+	isLossy    bool
 	birth      int
 	begunAt    time.Duration
 	fence      uint64
@@ -145,7 +146,7 @@
 	e.lastEnd++
 	e.endedIn[e.lastEnd] = e.lapses
 	e.ends = append(e.ends, executorapi.EndRow{Number: e.lastEnd, Task: one.task, Run: one.number, How: how})
-	e.stage.Judge.ended(e, one.task, how)
+	e.stage.Judge.ended(e, one.task, one.number, how)
 	waiting := e.waiting
 	e.waiting = nil
 	for _, wake := range waiting {
--- a/internal/stage/judge.go
+++ b/internal/stage/judge.go
@@ -2,14 +2,18 @@
 
 import (
 	"fmt"
+	"maps"
+	"time"
 
 	"gannetline/internal/executorapi"
 	"gannetline/internal/jobs"
+	"gannetline/internal/pulse"
 )
 
 type jobFacts struct {
 	spec        *jobs.Spec
 	maxAttempts int
+	isAccepted  bool
 }
 
 type taskFacts struct {
@@ -18,6 +22,8 @@
 	isNoted bool
 	failed  int
 	starts  int
+	// failedRuns are the runs that ended failed, whether that was told or not.
+	failedRuns map[int64]bool
 }
 
 // Judge sees what executors really do, and says where a rule was broken.
@@ -59,12 +65,18 @@
 	return step
 }
 
+// Estimate is how long the task's step is said to take, and whether it lasts.
+func (j *Judge) Estimate(task string) (length time.Duration, isLasting bool) {
+	step := j.need(task)
+	return pulse.Ms(step.EstimatedMs), step.Lasting
+}
+
 func (j *Judge) isGang(task string) bool { return j.need(task).Gang }
 
 func (j *Judge) of(task string) *taskFacts {
 	facts := j.tasks[task]
 	if facts == nil {
-		facts = &taskFacts{running: map[*Executor]int64{}}
+		facts = &taskFacts{running: map[*Executor]int64{}, failedRuns: map[int64]bool{}}
 		j.tasks[task] = facts
 	}
 	return facts
@@ -108,9 +120,12 @@
 	}
 }
 
-func (j *Judge) ended(executor *Executor, task, how string) {
+func (j *Judge) ended(executor *Executor, task string, run int64, how string) {
 	facts := j.of(task)
 	delete(facts.running, executor)
+	if how == "failed" {
+		facts.failedRuns[run] = true
+	}
 	if how == "done" {
 		facts.isDone = true
 		if step, place := j.step(task); step.Gang {
@@ -121,6 +136,36 @@
 	}
 }
 
+// HasFailed tells whether a task of the job, or a gang, failed as often as it may.
+func (j *Judge) HasFailed(id string) bool {
+	owner := j.jobs[id]
+	for name, facts := range j.tasks {
+		step, place := j.step(name)
+		if place.ID != id || step.Lasting {
+			continue
+		}
+		failed := len(facts.failedRuns)
+		if step.Gang {
+			failed = j.failedGangs(place, step)
+		}
+		if failed >= max(1, owner.maxAttempts) {
+			return true
+		}
+	}
+	return false
+}
+
+// failedGangs counts the runs of a gang in which any member failed.
+func (j *Judge) failedGangs(place jobs.Place, step *jobs.Step) int {
+	runs := map[int64]bool{}
+	for index := range step.Tasks {
+		if facts := j.tasks[jobs.TaskName(place.ID, place.Time, place.Step, index)]; facts != nil {
+			maps.Copy(runs, facts.failedRuns)
+		}
+	}
+	return len(runs)
+}
+
 func (j *Judge) noted(end executorapi.EndRow) {
 	facts := j.of(end.Task)
 	if j.OnNoted != nil {
--- a/internal/stage/proxy.go
+++ b/internal/stage/proxy.go
@@ -202,7 +202,12 @@
 	if !isDue {
 		return
 	}
-	p.ask(executor, 150*time.Millisecond, func(answer func(int, executorapi.Answer)) { answer(p.deliver(work)) },
+	p.ask(executor, 150*time.Millisecond, func(answer func(int, executorapi.Answer)) {
+		status, reply := p.deliver(work)
+		if isLost := p.executor.isLossy && order.Kind == "launch" && p.stage.Line.Draw.IntN(5) == 0; !isLost {
+			answer(status, reply)
+		}
+	},
 		func(status int, answer executorapi.Answer, isAnswered bool) {
 			if isAnswered {
 				p.table.Clock(executor, answer.ClockMs)
--- a/internal/stage/stage.go
+++ b/internal/stage/stage.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"slices"
 	"time"
 
@@ -205,6 +206,9 @@
 // Late makes an executor carry out about half of its calls seconds late, without an answer.
 func (s *Stage) Late(one *Executor, isLate bool) { one.isLate = isLate }
 
+// LoseStarts loses a fifth of the answers to starts on an executor, which has begun the runs.
+func (s *Stage) LoseStarts(one *Executor, isLossy bool) { one.isLossy = isLossy }
+
 func (s *Stage) breakGang(task string, run int64) {
 	_, place := s.Judge.step(task)
 	s.Line.After(10*time.Millisecond, func() {
@@ -255,7 +259,12 @@
 		return err
 	}
 	s.Judge.expect(id, spec, terms.MaxAttempts)
-	s.Ask(peerapi.ClientCall{Verb: "hand-in", Entry: entry, ID: id, Body: body, Terms: &terms}, answer)
+	s.Ask(peerapi.ClientCall{Verb: "hand-in", Entry: entry, ID: id, Body: body, Terms: &terms}, func(told peerapi.ClientAnswer) {
+		if told.Status == http.StatusOK {
+			s.Judge.jobs[id].isAccepted = true
+		}
+		answer(told)
+	})
 	return nil
 }
 
@@ -270,7 +279,7 @@
 		}
 	}
 	for _, one := range s.Executors {
-		one.isLate, one.isRefusing, one.Speed = false, false, 1
+		one.isLate, one.isRefusing, one.isLossy, one.Speed = false, false, false, 1
 	}
 	for _, one := range s.Proxies {
 		if !one.isUp {
