A former pool promises not to take a job before its queue's new pool does

Cause: a hand-in to a queue that moved asks the former pool for the job's state, which binds that pool to nothing; a first try that is still on its way there is then taken as well, and both pools run the job.

Mended: the gate has the former pool renounce the job, which is committed before the answer; later hand-ins under the ID are turned away there. Leaders of older versions answer 400 and are asked for the state as before.

Failed before: renounce_test.go with the state asked for ("Expected <int>: 200 to equal <int>: 503").

--- a/internal/clientapi/clientapi.go
+++ b/internal/clientapi/clientapi.go
@@ -139,14 +139,19 @@
 	return ReplyOf(decision.Call, outcome)
 }
 
-// askFormer looks for the job in the pool that its queue was sent to before.
+// askFormer looks for the job in the pool that its queue was sent to before. Before a hand-in that pool promises not to
+// take the job itself, as an earlier try may still be on its way there; a leader of an older version can only be asked.
 func (g *Gate) askFormer(life span.Span, decision Decision, service string) (response.Reply, bool) {
 	call := *decision.Call
 	call.Key, call.Body, call.Terms = "pool/"+service, nil, nil
 	if call.Verb == "hand-in" {
-		call.Verb = "state"
+		call.Verb = "renounce"
 	}
 	outcome := g.asker.Ask(life, &call, decision.Limit/2)
+	if call.Verb == "renounce" && outcome.Answer != nil && outcome.Answer.Status == http.StatusBadRequest {
+		call.Verb = "state"
+		outcome = g.asker.Ask(life, &call, decision.Limit/2)
+	}
 	if outcome.Answer == nil {
 		return response.Later(http.StatusServiceUnavailable, 1, "the queue's former owner does not answer"), true
 	}
--- /dev/null
+++ b/internal/clientapi/renounce_test.go
@@ -0,0 +1,57 @@
+package clientapi_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gannetline/internal/clientapi"
+	"gannetline/internal/configcache"
+	"gannetline/internal/leaderclient"
+	"gannetline/internal/membership"
+	"gannetline/internal/peerapi"
+	"gannetline/internal/pulse"
+	"gannetline/internal/span"
+)
+
+// directCalls serve calls to peers in the process itself.
+type directCalls struct{ handler http.Handler }
+
+func (d directCalls) RoundTrip(request *http.Request) (*http.Response, error) {
+	answer := httptest.NewRecorder()
+	d.handler.ServeHTTP(answer, request)
+	return answer.Result(), nil
+}
+
+var _ = Describe("a hand-in to a queue that was moved", func() {
+	DescribeTable("is taken only where the former pool will not take it any more", func(known map[string]int, status int, asked ...string) {
+		var verbs []string
+		mux := http.NewServeMux()
+		peerapi.Serve(mux, peerapi.ProcedureClient, func(_ span.Span, call *peerapi.ClientCall) (*peerapi.ClientAnswer, error) {
+			verbs = append(verbs, call.Key+" "+call.Verb)
+			if call.Key == "pool/s" {
+				return &peerapi.ClientAnswer{Status: http.StatusOK}, nil
+			}
+			return &peerapi.ClientAnswer{Status: known[call.Verb], Why: "told so"}, nil
+		})
+		view := &membership.View{Owners: map[string]peerapi.LeaderFact{"pool/s": {Name: "one"}, "pool/former": {Name: "one"}},
+			Stewards: []peerapi.Member{{Name: "one", Role: membership.RoleSteward, Address: "one:1", Disk: "d"}}}
+		moved := page()
+		moved.Fact = &peerapi.Configuration{Moved: []peerapi.MovedRoute{{Entry: "a", Services: []string{"former"}}}}
+		clock := pulse.NewFake(0)
+		asker := leaderclient.New(peerapi.NewCaller(&http.Client{Transport: directCalls{mux}}), clock, func() *membership.View { return view })
+		answer := httptest.NewRecorder()
+		clientapi.New(func() *configcache.Snapshot { return moved }, asker, clock).ServeHTTP(answer,
+			httptest.NewRequest("POST", "http://h.example/q/"+id, strings.NewReader("{}")))
+		Expect(answer.Code).To(Equal(status))
+		Expect(verbs).To(Equal(asked))
+	},
+		Entry("as it promises", map[string]int{"renounce": 410}, 200, "pool/former renounce", "pool/s hand-in"),
+		Entry("as it has the job", map[string]int{"renounce": 200}, 200, "pool/former renounce"),
+		Entry("as its leader, of an older version, has no such job", map[string]int{"renounce": 400, "state": 410}, 200,
+			"pool/former renounce", "pool/former state", "pool/s hand-in"),
+	)
+})
--- a/internal/controlkeys/ring.go
+++ b/internal/controlkeys/ring.go
@@ -235,6 +235,7 @@
 	switch {
 	case h.pool != nil && h.pool.IsOpen():
 		commands["hand-in"], commands["state"], commands["count"], commands["cancel"] = h.pool.HandIn, h.pool.State, h.pool.Count, h.pool.Cancel
+		commands["renounce"] = h.pool.Renounce
 	case h.plan != nil && h.plan.IsOpen():
 		commands["replace"] = h.plan.Replace
 		commands["retrieve"] = func(_ *peerapi.ClientCall, answer func(peerapi.ClientAnswer)) { h.plan.Retrieve(answer) }
--- a/internal/scheduler/clients.go
+++ b/internal/scheduler/clients.go
@@ -35,6 +35,10 @@
 		p.after(accepted)
 		return
 	}
+	if p.renounced.ids[call.ID] {
+		answer(peerapi.ClientAnswer{Status: http.StatusServiceUnavailable, Why: "the job's queue has moved to another service"})
+		return
+	}
 	spec, err := jobs.Read(call.Body)
 	if err != nil {
 		answer(peerapi.ClientAnswer{Status: http.StatusBadRequest, Why: err.Error()})
--- a/internal/scheduler/load.go
+++ b/internal/scheduler/load.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strconv"
@@ -31,6 +32,8 @@
 		p.loadTask(one)
 	}
 	p.loadEach(kept['e'], p.loadExecutor)
+	p.loadEach(kept['m'], p.loadRenounced)
+	slices.SortStableFunc(p.renounced.order, func(one, two renouncedID) int { return cmp.Compare(one.atMs, two.atMs) })
 	for _, id := range slices.Sorted(maps.Keys(p.jobs)) {
 		if one := p.jobs[id]; one.spec != nil {
 			p.reopen(one)
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -89,6 +89,7 @@
 	looks        uint64
 	began        time.Duration
 	needsPlacing bool
+	renounced    renounced
 	unreadable   []string
 	trusts       map[string]*trust
 
@@ -151,7 +152,7 @@
 	p.pending, p.broken, p.ended, p.timesAtMs = map[*run]bool{}, map[*stepState]bool{}, nil, 0
 	p.ops, p.opTasks, p.effects, p.flights, p.opPlaces, p.toRelease = nil, nil, nil, nil, map[string]int{}, map[*life]bool{}
 	p.untimed, p.peaks, p.newest = map[string]*job{}, map[int]*peak{}, map[string]*life{}
-	p.spreads, p.unreadable = map[string]*spread{}, nil
+	p.spreads, p.unreadable, p.renounced = map[string]*spread{}, nil, newRenounced()
 	p.began = p.clock.Steady()
 	p.load(pairs)
 	p.tenure = tenure
--- a/internal/scheduler/records.go
+++ b/internal/scheduler/records.go
@@ -47,6 +47,11 @@
 	Proxy string `json:"p"`
 }
 
+// renouncedRecord tells when the pool promised not to take a job under an ID.
+type renouncedRecord struct {
+	AtMs int64 `json:"at"`
+}
+
 type timeRecord struct {
 	Done bool `json:"d"`
 }
--- a/internal/scheduler/records_easyjson.go
+++ b/internal/scheduler/records_easyjson.go
@@ -443,7 +443,72 @@
 func (v *runRecord) UnmarshalEasyJSON(l *jlexer.Lexer) {
 	easyjsonAf922c28DecodeGannetlineInternalScheduler3(l, v)
 }
-func easyjsonAf922c28DecodeGannetlineInternalScheduler4(in *jlexer.Lexer, out *orderRecord) {
+func easyjsonAf922c28DecodeGannetlineInternalScheduler4(in *jlexer.Lexer, out *renouncedRecord) {
+	isTopLevel := in.IsStart()
+	if in.IsNull() {
+		if isTopLevel {
+			in.Consumed()
+		}
+		in.Skip()
+		return
+	}
+	in.Delim('{')
+	for !in.IsDelim('}') {
+		key := in.UnsafeFieldName(false)
+		in.WantColon()
+		switch key {
+		case "at":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.AtMs = int64(in.Int64())
+			}
+		default:
+			in.SkipRecursive()
+		}
+		in.WantComma()
+	}
+	in.Delim('}')
+	if isTopLevel {
+		in.Consumed()
+	}
+}
+func easyjsonAf922c28EncodeGannetlineInternalScheduler4(out *jwriter.Writer, in renouncedRecord) {
+	out.RawByte('{')
+	first := true
+	_ = first
+	{
+		const prefix string = ",\"at\":"
+		out.RawString(prefix[1:])
+		out.Int64(int64(in.AtMs))
+	}
+	out.RawByte('}')
+}
+
+// MarshalJSON supports json.Marshaler interface
+func (v renouncedRecord) MarshalJSON() ([]byte, error) {
+	w := jwriter.Writer{}
+	easyjsonAf922c28EncodeGannetlineInternalScheduler4(&w, v)
+	return w.Buffer.BuildBytes(), w.Error
+}
+
+// MarshalEasyJSON supports easyjson.Marshaler interface
+func (v renouncedRecord) MarshalEasyJSON(w *jwriter.Writer) {
+	easyjsonAf922c28EncodeGannetlineInternalScheduler4(w, v)
+}
+
+// UnmarshalJSON supports json.Unmarshaler interface
+func (v *renouncedRecord) UnmarshalJSON(data []byte) error {
+	r := jlexer.Lexer{Data: data}
+	easyjsonAf922c28DecodeGannetlineInternalScheduler4(&r, v)
+	return r.Error()
+}
+
+// UnmarshalEasyJSON supports easyjson.Unmarshaler interface
+func (v *renouncedRecord) UnmarshalEasyJSON(l *jlexer.Lexer) {
+	easyjsonAf922c28DecodeGannetlineInternalScheduler4(l, v)
+}
+func easyjsonAf922c28DecodeGannetlineInternalScheduler5(in *jlexer.Lexer, out *orderRecord) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -473,7 +538,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonAf922c28EncodeGannetlineInternalScheduler4(out *jwriter.Writer, in orderRecord) {
+func easyjsonAf922c28EncodeGannetlineInternalScheduler5(out *jwriter.Writer, in orderRecord) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -488,27 +553,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v orderRecord) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjsonAf922c28EncodeGannetlineInternalScheduler4(&w, v)
+	easyjsonAf922c28EncodeGannetlineInternalScheduler5(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v orderRecord) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjsonAf922c28EncodeGannetlineInternalScheduler4(w, v)
+	easyjsonAf922c28EncodeGannetlineInternalScheduler5(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *orderRecord) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjsonAf922c28DecodeGannetlineInternalScheduler4(&r, v)
+	easyjsonAf922c28DecodeGannetlineInternalScheduler5(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *orderRecord) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjsonAf922c28DecodeGannetlineInternalScheduler4(l, v)
+	easyjsonAf922c28DecodeGannetlineInternalScheduler5(l, v)
 }
-func easyjsonAf922c28DecodeGannetlineInternalScheduler5(in *jlexer.Lexer, out *jobRecord) {
+func easyjsonAf922c28DecodeGannetlineInternalScheduler6(in *jlexer.Lexer, out *jobRecord) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -556,7 +621,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonAf922c28EncodeGannetlineInternalScheduler5(out *jwriter.Writer, in jobRecord) {
+func easyjsonAf922c28EncodeGannetlineInternalScheduler6(out *jwriter.Writer, in jobRecord) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -586,27 +651,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v jobRecord) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjsonAf922c28EncodeGannetlineInternalScheduler5(&w, v)
+	easyjsonAf922c28EncodeGannetlineInternalScheduler6(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v jobRecord) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjsonAf922c28EncodeGannetlineInternalScheduler5(w, v)
+	easyjsonAf922c28EncodeGannetlineInternalScheduler6(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *jobRecord) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjsonAf922c28DecodeGannetlineInternalScheduler5(&r, v)
+	easyjsonAf922c28DecodeGannetlineInternalScheduler6(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *jobRecord) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjsonAf922c28DecodeGannetlineInternalScheduler5(l, v)
+	easyjsonAf922c28DecodeGannetlineInternalScheduler6(l, v)
 }
-func easyjsonAf922c28DecodeGannetlineInternalScheduler6(in *jlexer.Lexer, out *executorRecord) {
+func easyjsonAf922c28DecodeGannetlineInternalScheduler7(in *jlexer.Lexer, out *executorRecord) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -636,7 +701,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonAf922c28EncodeGannetlineInternalScheduler6(out *jwriter.Writer, in executorRecord) {
+func easyjsonAf922c28EncodeGannetlineInternalScheduler7(out *jwriter.Writer, in executorRecord) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -651,23 +716,23 @@
 // MarshalJSON supports json.Marshaler interface
 func (v executorRecord) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjsonAf922c28EncodeGannetlineInternalScheduler6(&w, v)
+	easyjsonAf922c28EncodeGannetlineInternalScheduler7(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v executorRecord) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjsonAf922c28EncodeGannetlineInternalScheduler6(w, v)
+	easyjsonAf922c28EncodeGannetlineInternalScheduler7(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *executorRecord) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjsonAf922c28DecodeGannetlineInternalScheduler6(&r, v)
+	easyjsonAf922c28DecodeGannetlineInternalScheduler7(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *executorRecord) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjsonAf922c28DecodeGannetlineInternalScheduler6(l, v)
+	easyjsonAf922c28DecodeGannetlineInternalScheduler7(l, v)
 }
--- /dev/null
+++ b/internal/scheduler/renounce_test.go
@@ -0,0 +1,56 @@
+package scheduler_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gannetline/internal/peerapi"
+)
+
+var _ = Describe("a pool whose queue has moved to another service", func() {
+	const single = `{"task-descriptor":"d","step-list":[{"task-count":1,"cpu-units":1000}]}`
+	var f *fleet
+	ask := func(verb func(*peerapi.ClientCall, func(peerapi.ClientAnswer))) (told peerapi.ClientAnswer) {
+		verb(&peerapi.ClientCall{Entry: "e", ID: id, Terms: &peerapi.RouteTerms{MaxAttempts: 2}, Body: []byte(single)},
+			func(answer peerapi.ClientAnswer) { told = answer })
+		f.settle()
+		return told
+	}
+	BeforeEach(func() {
+		f = newFleet(timing)
+		f.add(2, peerapi.Capacity{CPU: 4000, Memory: 4000}, "a", "r1")
+	})
+
+	It("turns away a hand-in that comes after it promised not to take the job, also under another leader", func() {
+		Expect(ask(f.pool.Renounce).Status).To(Equal(410))
+		Expect(ask(f.pool.HandIn).Status).To(Equal(503))
+		f.takeOver()
+		Expect(ask(f.pool.HandIn).Status).To(Equal(503))
+		f.pass(200 * time.Millisecond)
+		Expect(f.tasks()).To(BeEmpty())
+	})
+
+	It("promises nothing before that is committed", func() {
+		var told []peerapi.ClientAnswer
+		f.pool.Renounce(&peerapi.ClientCall{Entry: "e", ID: id}, func(answer peerapi.ClientAnswer) { told = append(told, answer) })
+		f.pool.Settle()
+		Expect(told).To(BeEmpty())
+		f.pool.Close()
+		Expect(told).To(Equal([]peerapi.ClientAnswer{{Elsewhere: true}}))
+	})
+
+	It("has the job if the hand-in came first", func() {
+		Expect(ask(f.pool.HandIn).Status).To(Equal(200))
+		Expect(ask(f.pool.Renounce).Status).To(Equal(200))
+	})
+
+	It("forgets the promise when no hand-in can be under way any more", func() {
+		Expect(ask(f.pool.Renounce).Status).To(Equal(410))
+		f.clock.Advance(timing.KeepEnded + time.Second)
+		f.pass(100 * time.Millisecond)
+		Expect(f.tenure.has("m/")).To(BeFalse())
+		Expect(ask(f.pool.HandIn).Status).To(Equal(200))
+	})
+})
--- a/internal/scheduler/tick.go
+++ b/internal/scheduler/tick.go
@@ -154,6 +154,7 @@
 		p.drop("s/" + p.ended[0].id)
 		p.ended = p.ended[1:]
 	}
+	p.forgetRenounced(wall)
 }
 
 // noteEnded keeps ended jobs in the order in which they may be forgotten.
