A run whose start becomes known on a leaving executor is moved as well

Cause: what has to leave a draining executor was looked for once, when the drain was first told, among running runs. A start that was answered later, or was in doubt after a change of the leader, left a lasting or long run there to die with the executor, and nothing of the job ran until that was known.

Mended: a run is looked at when its start is known, too.

--- a/internal/scheduler/runs.go
+++ b/internal/scheduler/runs.go
@@ -137,6 +137,7 @@
 	p.putTask(one.task)
 	p.noteStart(one.task.job())
 	p.moveStuck(one)
+	p.evacuateRun(one)
 }
 
 func (p *Pool) noteStart(owner *job) {
--- a/internal/scheduler/tick.go
+++ b/internal/scheduler/tick.go
@@ -137,13 +137,19 @@
 
 // evacuate moves what will not end before a leaving executor is gone.
 func (p *Pool) evacuate(home *life) {
-	now := p.clock.Steady()
 	for _, one := range home.inOrder() {
-		step := one.task.step.step
-		left := pulse.Ms(step.EstimatedMs) - (now - one.startedAt)
-		if one.state == runRunning && (step.Lasting || home.departsAt > 0 && left > home.departsAt-now) {
-			p.stopRun(one)
-		}
+		p.evacuateRun(one)
+	}
+}
+
+func (p *Pool) evacuateRun(one *run) {
+	home, step, now := one.life, one.task.step.step, p.clock.Steady()
+	if one.state != runRunning || !home.isDraining {
+		return
+	}
+	left := pulse.Ms(step.EstimatedMs) - (now - one.startedAt)
+	if step.Lasting || home.departsAt > 0 && left > home.departsAt-now {
+		p.stopRun(one)
 	}
 }
 
