--- a/internal/clientapi/clientapi.go
+++ b/internal/clientapi/clientapi.go
@@ -108,11 +108,12 @@
 
 // The verbs of calls to pools, and the one under which refusals are counted.
 const (
-	verbHandIn  = "hand-in"
-	verbState   = "state"
-	verbCancel  = "cancel"
-	verbCount   = "count"
-	verbRefused = "refused"
+	verbHandIn   = "hand-in"
+	verbRenounce = "renounce"
+	verbState    = "state"
+	verbCancel   = "cancel"
+	verbCount    = "count"
+	verbRefused  = "refused"
 )
 
 // answer reads the request and asks for its answer; the time that the client has left counts from when it began.
@@ -147,11 +148,10 @@
 	return g.find(life, decision, end)
 }
 
-// handIn hands a job in, unless a pool that its queue was sent to before has it or can't be asked.
+// handIn hands a job in, unless a pool that its queue was sent to before has it or does not answer.
 func (g *Gate) handIn(life span.Span, decision Decision, end time.Duration) response.Reply {
 	for _, service := range decision.Former {
-		call := formerCall(decision.Call, service)
-		outcome := g.asker.Ask(life, call, (end-g.clock.Steady())/2)
+		call, outcome := g.renounce(life, decision.Call, service, end)
 		switch {
 		case outcome.Answer == nil:
 			return response.Later(http.StatusServiceUnavailable, 1, "the queue's former owner does not answer")
@@ -163,12 +163,24 @@
 	return ReplyOf(decision.Call, outcome)
 }
 
+// renounce has a former pool of a queue promise not to take the job itself, as an earlier try may still be on its way
+// there. A leader of an older version can only be asked whether it has the job.
+func (g *Gate) renounce(life span.Span, handIn *peerapi.ClientCall, service string, end time.Duration) (*peerapi.ClientCall, leaderclient.Outcome) {
+	call := formerCall(handIn, service, verbRenounce)
+	outcome := g.asker.Ask(life, call, (end-g.clock.Steady())/2)
+	if outcome.Answer != nil && outcome.Answer.Status == http.StatusBadRequest {
+		call = formerCall(handIn, service, verbState)
+		outcome = g.asker.Ask(life, call, (end-g.clock.Steady())/2)
+	}
+	return call, outcome
+}
+
 // find asks the pool of the queue for a job, and then those that the queue was sent to before. A pool that does not
 // answer leaves the jobs of the others alone; only a job that no pool knows is gone.
 func (g *Gate) find(life span.Span, decision Decision, end time.Duration) response.Reply {
 	calls := []*peerapi.ClientCall{decision.Call}
 	for _, service := range decision.Former {
-		calls = append(calls, formerCall(decision.Call, service))
+		calls = append(calls, formerCall(decision.Call, service, decision.Call.Verb))
 	}
 	var gone, unanswered response.Reply
 	for place, call := range calls {
@@ -192,13 +204,10 @@
 	return gone
 }
 
-// formerCall asks a pool that the queue was sent to before for the job; a hand-in only asks whether it is there.
-func formerCall(call *peerapi.ClientCall, service string) *peerapi.ClientCall {
+// formerCall asks something about the job of a call of a pool that the queue was sent to before.
+func formerCall(call *peerapi.ClientCall, service, verb string) *peerapi.ClientCall {
 	former := *call
-	former.Key, former.Body, former.Terms = "pool/"+service, nil, nil
-	if former.Verb == verbHandIn {
-		former.Verb = verbState
-	}
+	former.Key, former.Verb, former.Body, former.Terms = "pool/"+service, verb, nil, nil
 	return &former
 }
 
--- a/internal/scheduler/tick.go
+++ b/internal/scheduler/tick.go
@@ -137,13 +137,19 @@
 
 // evacuate moves what will not end before a leaving executor is gone.
 func (p *Pool) evacuate(home *life) {
-	now := p.clock.Steady()
 	for _, one := range home.inOrder() {
-		step := one.task.step.step
-		left := pulse.Ms(step.EstimatedMs) - (now - one.startedAt)
-		if one.state == runRunning && (step.Lasting || home.departsAt > 0 && left > home.departsAt-now) {
-			p.stopRun(one)
-		}
+		p.evacuateRun(one)
+	}
+}
+
+func (p *Pool) evacuateRun(one *run) {
+	home, step, now := one.life, one.task.step.step, p.clock.Steady()
+	if one.state != runRunning || !home.isDraining {
+		return
+	}
+	left := pulse.Ms(step.EstimatedMs) - (now - one.startedAt)
+	if step.Lasting || home.departsAt > 0 && left > home.departsAt-now {
+		p.stopRun(one)
 	}
 }
 
@@ -154,6 +160,7 @@
 		p.drop("s/" + p.ended[0].id)
 		p.ended = p.ended[1:]
 	}
+	p.forgetRenounced(wall)
 }
 
 // noteEnded keeps ended jobs in the order in which they may be forgotten.
@@ -224,6 +231,19 @@
 	return jobs, executors
 }
 
+// JobsOn names the jobs with runs, as this leader knows, on the executors of a machine.
+func (p *Pool) JobsOn(machine string) []string {
+	found := map[string]bool{}
+	for _, home := range p.lives {
+		if home.proxy == machine {
+			for _, one := range home.runs {
+				found[one.task.job().id] = true
+			}
+		}
+	}
+	return slices.Sorted(maps.Keys(found))
+}
+
 // JobsOf reads what a replica of the pool says of its jobs.
 func JobsOf(key string, pairs []peerapi.Op) []peerapi.JobBelief {
 	states := map[string]string{}
