--- a/internal/modelcheck/controlmodel/controlmodel_test.go
+++ b/internal/modelcheck/controlmodel/controlmodel_test.go
@@ -15,6 +15,8 @@
 	seed = 1
 	// soundSchedules are run for each number of losses without any planted fault.
 	soundSchedules = 600
+	// soundLarge are run with the large profile, for a sound system and for planted faults.
+	soundLarge = 400
 	// plantSchedules is within how many each planted fault must be found, with one loss or with two.
 	plantSchedules = 6000
 	workers        = 2
@@ -41,6 +43,18 @@
 		})
 	}
 
+	It("breaks no invariant at the size of a large fleet, with no disk to spare", func() {
+		finding := run(modelcheck.Budget{Seed: seed, Schedules: soundLarge, Losses: 2, Size: modelcheck.SizeLarge})
+		Expect(finding).To(BeNil(), "%s", describe(finding))
+	})
+
+	for _, plant := range []string{"learner-counted-early", "learner-counted-between-chunks"} {
+		It("finds the planted fault "+plant+" at the size of a large fleet", func() {
+			finding := run(modelcheck.Budget{Seed: seed, Schedules: soundLarge, Losses: 2, Size: modelcheck.SizeLarge, Plant: plant})
+			Expect(finding).NotTo(BeNil())
+		})
+	}
+
 	for _, plant := range controlmodel.New().Plants() {
 		It("finds the planted fault "+plant.Name, func() {
 			finding := run(modelcheck.Budget{Seed: seed, Schedules: plantSchedules, Losses: 1, Plant: plant.Name})
--- a/internal/modelcheck/controlmodel/plantlist.go
+++ b/internal/modelcheck/controlmodel/plantlist.go
@@ -38,6 +38,10 @@
 		disk: func(_ *node, inner *disk) replication.Disk { return &simpleSetDisk{inner} }},
 	"learner-counted-early": {about: "A learner that holds nothing says that it has caught up.",
 		links: func(_ *node, inner *links) replication.Links { return &earlyLearnerLinks{inner} }},
+	"learner-counted-between-chunks": {about: "A learner that has some chunks of a state is counted as if it held the state, and what follows it.",
+		links: func(_ *node, inner *links) replication.Links {
+			return &unfinishedLearnerLinks{inner, map[string]bool{}}
+		}},
 	"old-snapshot-installed": {about: "A replica installs the pairs of an older snapshot at the place of a newer one.",
 		disk: func(_ *node, inner *disk) replication.Disk { return &oldSnapshotDisk{disk: inner} }},
 	"chunk-of-another-snapshot": {about: "A chunk of an earlier snapshot is taken in with those of a newer one.",
@@ -173,6 +177,23 @@
 	})
 }
 
+// unfinishedLearnerLinks reports a learner that is between two chunks as one that has taken all it is sent.
+type unfinishedLearnerLinks struct {
+	*links
+	unfinished map[string]bool
+}
+
+func (l *unfinishedLearnerLinks) Append(disk string, ask peerapi.AppendCall, done func(peerapi.AppendAnswer, error)) {
+	l.links.Append(disk, ask, func(answer peerapi.AppendAnswer, err error) {
+		isPart := err == nil && !answer.Taken && answer.Promised <= ask.Epoch && (ask.Chunk != nil || l.unfinished[disk])
+		if isPart {
+			l.unfinished[disk] = true
+			answer.Taken, answer.Last = true, l.node.engine.Belief().Last
+		}
+		done(answer, err)
+	})
+}
+
 // mixedChunkLinks sends the pairs of an earlier snapshot's chunk in place of a newer one's.
 type mixedChunkLinks struct {
 	*links
--- /dev/null
+++ b/internal/modelcheck/ordermodel/plantsofwaiting.go
@@ -0,0 +1,71 @@
+package ordermodel
+
+import (
+	"slices"
+	"time"
+
+	"gannetline/internal/localproxy"
+	"gannetline/internal/peerapi"
+)
+
+// The plants of this file let jobs wait, or be forgotten, without cause.
+const (
+	forgottenAfter = 2 * time.Second
+	// oneInSkipped ends is left out.
+	oneInSkipped = 5
+	// ticksDozed is how many ticks a dozing leader sleeps.
+	ticksDozed = int(8 * time.Second / tickEvery)
+)
+
+// skippingTable leaves out some ends, and tells the later ones.
+type skippingTable struct{ plantedTable }
+
+func (t *skippingTable) Compose(waitMs int64) (*peerapi.ExchangeCall, bool) {
+	call, isDue := t.Table.Compose(waitMs)
+	if isDue {
+		call.Ends = slices.DeleteFunc(call.Ends, func(end peerapi.EndReport) bool { return end.Number%oneInSkipped == 0 })
+	}
+	return call, isDue
+}
+
+// grudgingTable reports, from the first hold that fails on, that its executor has not been held for long.
+type grudgingTable struct {
+	plantedTable
+	hasFailed bool
+}
+
+const neverHeld = time.Hour
+
+func (t *grudgingTable) HoldFailed(work localproxy.HoldWork, isOtherLife bool) {
+	t.hasFailed = true
+	t.Table.HoldFailed(work, isOtherLife)
+}
+
+func (t *grudgingTable) Compose(waitMs int64) (*peerapi.ExchangeCall, bool) {
+	call, isDue := t.Table.Compose(waitMs)
+	if isDue && t.hasFailed {
+		call.HoldAgeMs = neverHeld.Milliseconds()
+	}
+	return call, isDue
+}
+
+// dozingScheduler does what falls due only at few of its ticks.
+type dozingScheduler struct {
+	poolLeader
+	ticks int
+}
+
+func (s *dozingScheduler) Tick() {
+	if s.ticks++; s.ticks%ticksDozed == 0 {
+		s.poolLeader.Tick()
+	}
+}
+
+// silentScheduler leaves the questions for one job in eight without an answer.
+type silentScheduler struct{ poolLeader }
+
+func (s silentScheduler) State(call *peerapi.ClientCall, answer func(peerapi.ClientAnswer)) {
+	if call.ID[len(call.ID)-1]%8 != 3 {
+		s.poolLeader.State(call, answer)
+	}
+}
--- a/internal/modelcheck/ordermodel/schedule.go
+++ b/internal/modelcheck/ordermodel/schedule.go
@@ -52,7 +52,8 @@
 	kindDelayMessages  = "delay-messages"
 )
 
-// staysAway is the value of a crash after which no executor comes back to the machine.
+// staysAway is the value of a crash after which no executor comes back to the machine, if its number is odd: the others do, so
+// that each rack keeps some.
 const staysAway = 1
 
 // fault is a kind of trouble with the bounds of its length; those with more weight come more often.
--- a/internal/modelcheck/ordermodel/work.go
+++ b/internal/modelcheck/ordermodel/work.go
@@ -20,6 +20,8 @@
 	oneInLong  = 32
 	longFactor = 3
 	slowFactor = 6
+	// mostLargeWork bounds the runs of the large profile, so that all can be over at the end.
+	mostLargeWork = 15 * time.Second
 )
 
 // hashOf spreads the names of runs evenly.
@@ -63,7 +65,7 @@
 	if isRemote(one.step, one.executor) {
 		length = int64(float64(length) * one.executor.world.timing.RemoteFactor)
 	}
-	return pulse.Ms(length), how
+	return min(pulse.Ms(length), mostLargeWork), how
 }
 
 func isRemote(step *jobs.Step, where *executor) bool {
