--- a/internal/httpserver/leave_test.go
+++ b/internal/httpserver/leave_test.go
@@ -190,6 +190,7 @@
 		caller := one.connect()
 		caller.send(plainRequest)
 		caller.answer()
+		Eventually(one.server.tracker.unanswered.Load).Should(BeZero())
 		one.leave()
 		Expect(one.clock.pass(times.Notice+times.Quiet+lookEvery, one.left)).To(BeTrue())
 		_, err := caller.answers.ReadByte()
--- a/internal/modelcheck/ordermodel/executor.go
+++ b/internal/modelcheck/ordermodel/executor.go
@@ -62,9 +62,11 @@
 	// isGuarding is set where starts beyond the room are turned away.
 	isGuarding bool
 	isDraining bool
-	isFrozen   bool
-	departsAt  time.Duration
-	begunAt    time.Duration
+	// isSilent is set once the executor has said farewell; it sends no heartbeats any more.
+	isSilent  bool
+	isFrozen  bool
+	departsAt time.Duration
+	begunAt   time.Duration
 	// slowPercent is how much slower than the world's clock its own is, in hundredths of a percent.
 	slowness int64
 	sequence int64
@@ -87,7 +89,7 @@
 func (e *executor) start() {
 	e.incarnation++
 	e.id = e.machine + "-" + strconv.Itoa(e.incarnation)
-	e.isUp, e.isDraining, e.isFrozen, e.begunAt = true, false, false, e.world.queue.now()
+	e.isUp, e.isDraining, e.isSilent, e.isFrozen, e.begunAt = true, false, false, false, e.world.queue.now()
 	e.slowness = e.world.queue.random.Int64N(201)
 	e.sequence, e.fence, e.expiryMs, e.lapses, e.lastEnd = 0, 0, 0, 0, 0
 	e.active, e.ends, e.endedAt, e.pollers, e.waiting = nil, nil, map[int64]int{}, nil, nil
@@ -131,6 +133,9 @@
 
 // beat tells the proxy of the machine that the executor is there.
 func (e *executor) beat() {
+	if e.isSilent {
+		return
+	}
 	e.sequence++
 	beat := &executorapi.Beat{Service: service, State: "ready", Room: executorRoom, Labels: e.labels,
 		ClockMs: e.clockMs(), Sequence: e.sequence}
@@ -155,16 +160,35 @@
 	}
 	e.isDraining, e.departsAt = true, e.world.queue.now()+pulse.Ms(drainMs)
 	e.later(pulse.Ms(drainMs), func() {
-		id, proxy := e.id, e.proxy
-		proxy.enter(proxy.incarnation, func() { proxy.table.Leave(id) })
-		e.later(100*time.Millisecond, func() {
-			e.crash()
-			e.world.queue.after(e.world.queue.between(200*time.Millisecond, 2*time.Second), func() {
-				if !e.isUp {
-					e.start()
-				}
-			})
-		})
+		e.sayFarewell()
+		e.later(100*time.Millisecond, e.endAndReturn)
+	})
+}
+
+// leaveUnannounced says farewell without a word before, serves on for the time of a drain and some more, and ends.
+func (e *executor) leaveUnannounced(servesOn time.Duration) {
+	if !e.isUp || e.isDraining {
+		return
+	}
+	e.world.count("farewell_unannounced")
+	e.isDraining, e.departsAt = true, e.world.queue.now()+pulse.Ms(drainMs)
+	e.sayFarewell()
+	e.later(pulse.Ms(drainMs)+servesOn, e.endAndReturn)
+}
+
+func (e *executor) sayFarewell() {
+	id, proxy := e.id, e.proxy
+	e.isSilent = true
+	proxy.enter(proxy.incarnation, func() { proxy.table.Leave(id) })
+}
+
+// endAndReturn ends this life and begins another some time after.
+func (e *executor) endAndReturn() {
+	e.crash()
+	e.world.queue.after(e.world.queue.between(200*time.Millisecond, 2*time.Second), func() {
+		if !e.isUp {
+			e.start()
+		}
 	})
 }
 
--- a/internal/modelcheck/ordermodel/ordermodel_test.go
+++ b/internal/modelcheck/ordermodel/ordermodel_test.go
@@ -33,7 +33,7 @@
 		}
 		for _, name := range []string{"election", "commit_unknown_to_leader", "power_lost", "hand_over", "executor_late", "executor_busy",
 			"executor_answer_lost", "message_lost", "message_doubled", "message_late", "start_fenced", "start_old", "lapsed",
-			"end_broken", "end_failed", "cancelled", "hand_in_unclear"} {
+			"end_broken", "end_failed", "cancelled", "hand_in_unclear", "farewell_unannounced"} {
 			Expect(covered[name]).To(BeNumerically(">", 0), name)
 		}
 	})
--- a/internal/modelcheck/ordermodel/schedule.go
+++ b/internal/modelcheck/ordermodel/schedule.go
@@ -53,6 +53,10 @@
 	kindDelayMessages  = "delay-messages"
 )
 
+// drainUnannounced is the value of a drain that begins with the farewell: the executor serves on as long as the step says,
+// beyond the time of a drain.
+const drainUnannounced = 1
+
 // fault is a kind of trouble with the bounds of its length; those with more weight come more often.
 type fault struct {
 	kind          string
@@ -77,7 +81,7 @@
 	{kind: kindCutProxy, weight: 4, least: 200, most: 12000, mostValue: 2, isOfExecutors: true},
 	{kind: kindCrashExecutor, weight: 3, least: 50, most: 4000, isOfExecutors: true},
 	{kind: kindFreezeExecutor, weight: 2, least: 200, most: 9000, isOfExecutors: true},
-	{kind: kindDrainExecutor, weight: 2, least: 1, most: 1, isOfExecutors: true},
+	{kind: kindDrainExecutor, weight: 2, least: 1, most: 10000, mostValue: drainUnannounced, isOfExecutors: true},
 	{kind: kindLateExecutor, weight: 5, least: 500, most: 6000, isOfExecutors: true},
 	{kind: kindMuteExecutor, weight: 4, least: 300, most: 5000, isOfExecutors: true},
 	{kind: kindBusyExecutor, weight: 3, least: 200, most: 4000, isOfExecutors: true},
@@ -323,17 +327,20 @@
 	case kindCutProxy:
 		w.cut(&machine.proxy.process, step.Value, length)
 	default:
-		w.playExecutor(step.Kind, machine, length)
+		w.playExecutor(step, machine, length)
 	}
 }
 
-func (w *world) playExecutor(kind string, one *executor, length time.Duration) {
+func (w *world) playExecutor(step modelcheck.Step, one *executor, length time.Duration) {
+	kind := step.Kind
 	flags := map[string]*bool{kindLateExecutor: &one.isLate, kindMuteExecutor: &one.isMute, kindBusyExecutor: &one.isBusy,
 		kindRefuseExecutor: &one.isRefusing, kindStuckExecutor: &one.isStuck, kindLateBeats: &one.isBeatLate}
 	switch flag := flags[kind]; {
 	case flag != nil:
 		*flag = true
 		w.queue.after(length, func() { *flag = false })
+	case kind == kindDrainExecutor && step.Value == drainUnannounced:
+		one.leaveUnannounced(length)
 	case kind == kindDrainExecutor:
 		one.drain()
 	case kind == kindFreezeExecutor && one.isUp && !one.isFrozen:
