--- a/internal/modelcheck/ordermodel/executor.go
+++ b/internal/modelcheck/ordermodel/executor.go
@@ -43,6 +43,8 @@
 	isDraining bool
 	// isLeaving is set once this life has said farewell without a drain.
 	isLeaving bool
+	// isSilent is set once the executor has said farewell; it sends no heartbeats any more.
+	isSilent  bool
 	isFrozen  bool
 	departsAt time.Duration
 	begunAt   time.Duration
@@ -71,7 +73,8 @@
 func (e *executor) start() {
 	e.incarnation++
 	e.id = e.machine + "-" + strconv.Itoa(e.incarnation)
-	e.isUp, e.isDraining, e.isLeaving, e.isFrozen, e.begunAt = true, false, false, false, e.world.queue.now()
+	e.isUp, e.isFrozen, e.begunAt = true, false, e.world.queue.now()
+	e.isDraining, e.isLeaving, e.isSilent = false, false, false
 	e.slowness = e.world.queue.random.Int64N(201)
 	e.sequence, e.fence, e.expiryMs, e.lapses, e.lastEnd = 0, 0, 0, 0, 0
 	e.active, e.ends, e.endedAt, e.pollers, e.waiting = nil, nil, map[int64]int{}, nil, nil
@@ -116,6 +119,9 @@
 
 // beat tells the proxy of the machine that the executor is there.
 func (e *executor) beat() {
+	if e.isSilent {
+		return
+	}
 	e.sequence++
 	beat := &executorapi.Beat{Service: service, State: "ready", Room: e.room, Labels: e.labels,
 		ClockMs: e.clockMs(), Sequence: e.sequence}
@@ -145,18 +151,21 @@
 	})
 }
 
-// deregister is an end in order that begins with the farewell: the executor serves on for as long as in a drain.
-func (e *executor) deregister() {
+// deregister is an end in order that begins with the farewell: the executor serves on for as long as in a drain, and some
+// more.
+func (e *executor) deregister(servesOn time.Duration) {
 	if !e.isUp || e.isDraining {
 		return
 	}
+	e.world.count("farewell_unannounced")
 	e.isLeaving = true
 	e.sayFarewell()
-	e.later(pulse.Ms(drainMs), e.replace)
+	e.later(pulse.Ms(drainMs)+servesOn, e.replace)
 }
 
 func (e *executor) sayFarewell() {
 	id, proxy := e.id, e.proxy
+	e.isSilent = true
 	proxy.enter(proxy.incarnation, func() { proxy.table.Leave(id) })
 }
 
--- a/internal/modelcheck/ordermodel/plants.go
+++ b/internal/modelcheck/ordermodel/plants.go
@@ -74,7 +74,7 @@
 	{Name: plantStopCounted, About: "A proxy tells the leader of runs that were stopped, lapsed or broken that they failed, which counts as attempts."},
 	{Name: plantForgottenEarly, About: "A leader forgets ended jobs after two seconds."},
 	{Name: plantTicksForgotten, About: "A leader looks only every eight seconds for what waits for a time or was not placed at once."},
-	{Name: plantRoomReserved, About: "All room is reserved for urgent work for as long as any is remembered."},
+	{Name: plantRoomReserved, About: "All room is reserved for urgent work for as long as any is remembered, also from first runs."},
 	{Name: plantStateUnanswered, About: "A leader does not answer questions for the state of some jobs."},
 }
 
@@ -84,7 +84,7 @@
 	case plantForgottenEarly:
 		timing.KeepEnded = forgottenAfter
 	case plantRoomReserved:
-		timing.Headroom.MostReserved, timing.Headroom.AlwaysAllowed = 1, 0
+		timing.Headroom.MostReserved, timing.Headroom.AlwaysAllowed, timing.Headroom.FirstRuns = 1, 0, 0
 	}
 	return timing
 }
--- a/internal/modelcheck/ordermodel/play.go
+++ b/internal/modelcheck/ordermodel/play.go
@@ -117,10 +117,12 @@
 	case flag != nil:
 		*flag = true
 		w.queue.after(length, func() { *flag = false })
+	case kind == kindDrainExecutor && step.Value == drainUnannounced:
+		one.deregister(length)
 	case kind == kindDrainExecutor:
 		one.drain()
 	case kind == kindDeregister:
-		one.deregister()
+		one.deregister(0)
 	case kind == kindFreezeExecutor && one.isUp && !one.isFrozen:
 		one.isFrozen = true
 		incarnation := one.incarnation
--- a/internal/modelcheck/ordermodel/schedule.go
+++ b/internal/modelcheck/ordermodel/schedule.go
@@ -56,6 +56,10 @@
 // that each rack keeps some.
 const staysAway = 1
 
+// drainUnannounced is the value of a drain that begins with the farewell: the executor serves on as long as the step says,
+// beyond the time of a drain.
+const drainUnannounced = 1
+
 // fault is a kind of trouble with the bounds of its length; those with more weight come more often.
 type fault struct {
 	kind          string
@@ -80,7 +84,7 @@
 	{kind: kindCutProxy, weight: 4, least: 200, most: 12000, mostValue: 2, isOfExecutors: true},
 	{kind: kindCrashExecutor, weight: 3, least: 50, most: 4000, isOfExecutors: true},
 	{kind: kindFreezeExecutor, weight: 2, least: 200, most: 9000, isOfExecutors: true},
-	{kind: kindDrainExecutor, weight: 2, least: 1, most: 1, isOfExecutors: true},
+	{kind: kindDrainExecutor, weight: 2, least: 1, most: 10000, mostValue: drainUnannounced, isOfExecutors: true},
 	{kind: kindLateExecutor, weight: 5, least: 500, most: 6000, isOfExecutors: true},
 	{kind: kindMuteExecutor, weight: 4, least: 300, most: 5000, isOfExecutors: true},
 	{kind: kindBusyExecutor, weight: 3, least: 200, most: 4000, isOfExecutors: true},
--- a/internal/scheduler/headroom.go
+++ b/internal/scheduler/headroom.go
@@ -11,16 +11,19 @@
 
 const peakHalfLife = 15 * time.Second
 
-// Headroom is what long work of lower priority leaves to the urgent.
+// Headroom is what long work of lower priority leaves to the urgent: at most MostReserved of all room, and always
+// AlwaysAllowed of it to long work, which is work over LongWork. FirstRuns is the part of all CPU up to which no soft
+// limit keeps a step from its first run.
 type Headroom struct {
 	MostReserved  float64
 	AlwaysAllowed float64
 	LongWork      time.Duration
+	FirstRuns     float64
 }
 
 // DefaultHeadroom keeps at most 60% of the room free for the urgent and always lets long work have 30%; long is over
-// 1.5 s.
-var DefaultHeadroom = Headroom{MostReserved: 0.6, AlwaysAllowed: 0.3, LongWork: 1500 * time.Millisecond}
+// 1.5 s. First runs go past soft limits up to 60%: over half, as runs that have ended count as running until that is told.
+var DefaultHeadroom = Headroom{MostReserved: 0.6, AlwaysAllowed: 0.3, LongWork: 1500 * time.Millisecond, FirstRuns: 0.6}
 
 // peak is the most that a priority asked for lately; it fades.
 type peak struct {
@@ -35,11 +38,10 @@
 
 type demand struct{ asked, used placement.Room }
 
-// firstRunShare is the part of all CPU up to which no soft limit keeps a step from its first run. It is over half, as
-// runs that have ended count as running here until that is told.
-const firstRunShare = 0.6
-
-func firstRunCPU(all placement.Room) int64 { return int64(firstRunShare * float64(all.CPU)) }
+// firstRunCPU is how much CPU may be in use so that a step may take its first run past soft limits.
+func (p *Pool) firstRunCPU(all placement.Room) int64 {
+	return int64(p.timing.Headroom.FirstRuns * float64(all.CPU))
+}
 
 // limits are the soft limits of a placement now. The share is taken of all executors or of those that are in contact,
 // whichever has more left, as what a lost executor ran is over and still counts here until its hold has lapsed.
@@ -48,7 +50,7 @@
 	for _, one := range p.usage {
 		used += one.room.CPU
 	}
-	firstRuns := max(firstRunCPU(p.roster.all)-used, p.roster.unused)
+	firstRuns := max(p.firstRunCPU(p.roster.all)-used, p.roster.unused)
 	return placement.Limits{Left: p.headroom(p.roster.open, now), FirstRuns: firstRuns}
 }
 
--- a/internal/scheduler/roster.go
+++ b/internal/scheduler/roster.go
@@ -85,7 +85,7 @@
 	r := &p.roster
 	old, fresh := &r.executors[home.place], p.executor(home, now)
 	r.open = r.open.Minus(openRoom(old)).Plus(openRoom(&fresh))
-	r.unused += firstRunRoom(&fresh) - firstRunRoom(old)
+	r.unused += p.firstRunRoom(&fresh) - p.firstRunRoom(old)
 	r.all = r.all.Minus(old.Total).Plus(fresh.Total)
 	*old = fresh
 	if now < home.sickUntil {
@@ -97,11 +97,11 @@
 }
 
 // firstRunRoom is how much CPU first runs may take of an executor.
-func firstRunRoom(executor *placement.Executor) int64 {
+func (p *Pool) firstRunRoom(executor *placement.Executor) int64 {
 	if executor.IsClosed {
 		return 0
 	}
-	return firstRunCPU(executor.Total) - executor.Total.CPU + executor.Free.CPU
+	return p.firstRunCPU(executor.Total) - executor.Total.CPU + executor.Free.CPU
 }
 
 func openRoom(executor *placement.Executor) placement.Room {
--- a/internal/scheduler/scratch_test.go
+++ b/internal/scheduler/scratch_test.go
@@ -30,7 +30,7 @@
 		if all = all.Plus(executor.Total); !executor.IsClosed && executor.Most != placement.NoMore {
 			open = open.Plus(executor.Total)
 		}
-		unused += firstRunRoom(&executor)
+		unused += p.firstRunRoom(&executor)
 		compare("place", home.place, place)
 		compare("executor "+home.id, executors[place], p.executor(home, now))
 	}
