--- a/internal/stage/proxy.go
+++ b/internal/stage/proxy.go
@@ -24,7 +24,9 @@
 	sequence  int64
 	reporting bool
 	isDirty   bool
-	guess     int
+	// guess is the steward that is tried after misses, where the one that was said to lead did not answer as the leader.
+	guess  int
+	misses int
 }
 
 func (p *Proxy) start() {
@@ -172,7 +174,11 @@
 		p.stage.Line.After(300*time.Millisecond, func() { p.enter(life, func() { done(true) }) })
 		return
 	}
-	owner := p.stage.Nodes[p.guess%len(p.stage.Nodes)]
+	guess := p.guess
+	owner := p.stage.heardOwner
+	if owner == nil || p.misses > 0 {
+		owner = p.stage.Nodes[guess%len(p.stage.Nodes)]
+	}
 	askedAt := p.stage.Line.Now()
 	call(p.stage, p.place(), owner.place(), pulse.Ms(ask.WaitMs)+1500*time.Millisecond, func(answer func(peerapi.ExchangeAnswer)) {
 		pool := owner.pools[ask.Key]
@@ -183,10 +189,14 @@
 		pool.Exchange(ask, answer)
 	}, func(answer peerapi.ExchangeAnswer, err error) {
 		if err != nil || answer.Elsewhere {
-			p.guess++
+			if p.guess == guess || !p.stage.hasGossip {
+				p.guess++
+			}
+			p.misses = (p.misses + 1) % len(p.stage.Nodes)
 			done(false)
 			return
 		}
+		p.misses = 0
 		answer.GrantMs *= p.stage.grantBy
 		if answer.Fence > 0 {
 			for _, order := range p.table.Told(ask, askedAt, &answer) {
--- a/internal/stage/stage.go
+++ b/internal/stage/stage.go
@@ -32,6 +32,9 @@
 	places    []Place
 	pool      []scheduler.Option
 	grantBy   int64
+	hasGossip bool
+	// heardOwner is the last leader that proxies heard of, if they hear of leaders at all.
+	heardOwner *Node
 }
 
 // Option changes how a stage is set up.
@@ -61,6 +64,9 @@
 // WithGrantsBroken makes proxies hold that many times as long as they were granted, to show that the judge sees it.
 func WithGrantsBroken(factor int64) Option { return func(s *Stage) { s.grantBy = factor } }
 
+// WithGossip tells proxies who leads, as the failure detector does; without it they try one steward after another.
+func WithGossip() Option { return func(s *Stage) { s.hasGossip = true } }
+
 // WithLog gives the simulated processes a logger; without it they log nothing.
 func WithLog(log logging.Logger) Option { return func(s *Stage) { s.log = log } }
 
@@ -100,9 +106,23 @@
 	for _, one := range s.Proxies {
 		one.start()
 	}
+	if s.hasGossip {
+		s.spreadOwner()
+	}
 	return s
 }
 
+// gossipTime is how long word of a new leader takes to all proxies.
+const gossipTime = 200 * time.Millisecond
+
+// spreadOwner stands for the failure detector, which tells proxies who leads.
+func (s *Stage) spreadOwner() {
+	if owner := s.Owner(); owner != nil {
+		s.Line.After(gossipTime, func() { s.heardOwner = owner })
+	}
+	s.Line.After(gossipTime/2, s.spreadOwner)
+}
+
 func evenPlaces(count int, room peerapi.Capacity) []Place {
 	var places []Place
 	for number := range count {
--- a/internal/stage/stalls.go
+++ b/internal/stage/stalls.go
@@ -14,7 +14,7 @@
 	// leader may need to see all executors.
 	stallLooks  = 100 * time.Millisecond
 	mostStalled = 3 * time.Second
-	takeOver    = time.Second
+	takeOver    = 2 * time.Second
 )
 
 // StallWatch looks for jobs of which nothing runs for 3 s, though the turn of one of their tasks has come, there is room
