An executor that should have been heard again is chosen last among equals

Cause: placement took an executor that was about to count as silent for as good as any.

Mended: one that was not heard for one and a half polls weighs as doubtful, less than a rack away from the data does.

Failed before: the new test of trust_test.go.

--- a/internal/scheduler/roster.go
+++ b/internal/scheduler/roster.go
@@ -91,6 +91,9 @@
 	if now < home.sickUntil {
 		r.until = min(r.until, home.sickUntil)
 	}
+	if overdueAt := home.contactAt + overdueIn + 1; now < overdueAt {
+		r.until = min(r.until, overdueAt)
+	}
 	if silentAt := home.contactAt + p.timing.SilentAfter + 1; now < silentAt {
 		r.until = min(r.until, silentAt)
 	}
@@ -113,7 +116,7 @@
 
 func (p *Pool) executor(home *life, now time.Duration) placement.Executor {
 	return placement.Executor{Free: home.room.Minus(home.used), Total: home.room, Labels: home.labels, Rack: home.rack(),
-		Doubt: home.doubt() + home.slowness(), Most: home.most(), IsClosed: !home.isFenced || home.isDraining || home.isBlocked || now < home.sickUntil ||
+		Doubt: home.doubt() + home.slowness() + home.silence(now), Most: home.most(), IsClosed: !home.isFenced || home.isDraining || home.isBlocked || now < home.sickUntil ||
 			now-home.contactAt > p.timing.SilentAfter}
 }
 
--- a/internal/scheduler/trust.go
+++ b/internal/scheduler/trust.go
@@ -16,6 +16,10 @@
 	forgiven      = 0.5
 	trusted       = 64
 	mostHung      = 4
+	// overdueIn is when an executor should have been heard again, as its proxy asks for orders every 300 ms. One that was
+	// not is chosen last among equals, as an order may wait there in vain until it counts as silent.
+	overdueIn     = 450 * time.Millisecond
+	overdueWeight = 0.4
 	// strange weighs a failure of a task that failed on another executor as well.
 	strange = 0.2
 )
@@ -90,6 +94,14 @@
 	return l.atOnce - len(l.runs)
 }
 
+// silence weighs that an executor should have been heard again.
+func (l *life) silence(now time.Duration) float64 {
+	if now-l.contactAt > overdueIn {
+		return overdueWeight
+	}
+	return 0
+}
+
 // penalizeUnlessResting counts the refusals of one moment once.
 func (p *Pool) penalizeUnlessResting(home *life) {
 	if p.clock.Steady() >= home.sickUntil {
--- a/internal/scheduler/trust_test.go
+++ b/internal/scheduler/trust_test.go
@@ -190,4 +190,14 @@
 		exchange("i-9", "side-i-2", nil)
 		Expect(pool.AtOnce("i-9")).To(BeZero())
 	})
+
+	It("chooses an executor last, among equals, that should have been heard again", func() {
+		f := newFleet(timing)
+		f.add(2, peerapi.Capacity{CPU: 4000, Memory: 4000}, "a", "r1")
+		f.executors[0].isSilent = true
+		f.pass(500 * time.Millisecond)
+		f.handIn("5c0e7a21d94b36f8", peerapi.RouteTerms{MaxAttempts: 2}, `{"task-descriptor":"d","step-list":[{"task-count":1,"cpu-units":1000}]}`)
+		f.pass(100 * time.Millisecond)
+		Expect(f.executors[1].running).To(HaveLen(1))
+	})
 })
