First runs go by what runs on executors in order, of the room of all

Cause: the share of the room up to which first runs go past soft limits was taken of all executors with all their runs, or of those in order alone.

Mended: what runs take on executors in order is compared with the room of all that are known.

--- a/internal/scheduler/headroom.go
+++ b/internal/scheduler/headroom.go
@@ -39,16 +39,10 @@
 // runs that have ended count as running here until that is told.
 const firstRunShare = 0.6
 
-func firstRunCPU(all placement.Room) int64 { return int64(firstRunShare * float64(all.CPU)) }
-
-// limits are the soft limits of a placement now. The share is taken of all executors or of those that are in contact,
-// whichever has more left, as what a lost executor ran is over and still counts here until its hold has lapsed.
+// limits are the soft limits of a placement now. The share is that of all known executors, but of what runs take only
+// that on those in order counts: on a lost or leaving one it may be over already, and its room then stands empty.
 func (p *Pool) limits(now time.Duration) placement.Limits {
-	var used int64
-	for _, one := range p.usage {
-		used += one.room.CPU
-	}
-	firstRuns := max(firstRunCPU(p.roster.all)-used, p.roster.unused)
+	firstRuns := int64(firstRunShare*float64(p.roster.all.CPU)) - p.roster.taken
 	return placement.Limits{Left: p.headroom(p.roster.open, now), FirstRuns: firstRuns}
 }
 
--- a/internal/scheduler/roster.go
+++ b/internal/scheduler/roster.go
@@ -15,11 +15,11 @@
 type roster struct {
 	lives     []*life
 	executors []placement.Executor
-	// open is the room of those that may be given runs, unused how much CPU first runs may take of it, and all the room
-	// of those that are known.
+	// open is the room of those that may be given runs, taken the CPU that runs take of those that are in order, and all
+	// the room of those that are known.
 	open    placement.Room
 	all     placement.Room
-	unused  int64
+	taken   int64
 	version uint64
 	isStale bool
 	until   time.Duration
@@ -63,7 +63,7 @@
 func (p *Pool) executors(now time.Duration) []placement.Executor {
 	r := &p.roster
 	if r.isStale || now >= r.until {
-		r.until, r.isStale, r.unused, r.open, r.all = never, false, 0, placement.Room{}, placement.Room{}
+		r.until, r.isStale, r.taken, r.open, r.all = never, false, 0, placement.Room{}, placement.Room{}
 		r.executors = slices.Grow(r.executors[:0], len(r.lives))[:len(r.lives)]
 		clear(r.executors)
 		for _, home := range r.lives {
@@ -85,7 +85,7 @@
 	r := &p.roster
 	old, fresh := &r.executors[home.place], p.executor(home, now)
 	r.open = r.open.Minus(openRoom(old)).Plus(openRoom(&fresh))
-	r.unused += firstRunRoom(&fresh) - firstRunRoom(old)
+	r.taken += takenCPU(&fresh) - takenCPU(old)
 	r.all = r.all.Minus(old.Total).Plus(fresh.Total)
 	*old = fresh
 	if now < home.sickUntil {
@@ -99,12 +99,12 @@
 	}
 }
 
-// firstRunRoom is how much CPU first runs may take of an executor.
-func firstRunRoom(executor *placement.Executor) int64 {
+// takenCPU is what runs take of an executor that is in order.
+func takenCPU(executor *placement.Executor) int64 {
 	if executor.IsClosed {
 		return 0
 	}
-	return firstRunCPU(executor.Total) - executor.Total.CPU + executor.Free.CPU
+	return executor.Total.CPU - executor.Free.CPU
 }
 
 func openRoom(executor *placement.Executor) placement.Room {
--- a/internal/scheduler/scratch_test.go
+++ b/internal/scheduler/scratch_test.go
@@ -24,19 +24,19 @@
 	compare("lives", plain(p.roster.lives), plain(lives))
 	executors := slices.Clone(p.executors(now))
 	var open, all placement.Room
-	var unused int64
+	var taken int64
 	for place, home := range lives {
 		executor := p.executor(home, now)
 		if all = all.Plus(executor.Total); !executor.IsClosed && executor.Most != placement.NoMore {
 			open = open.Plus(executor.Total)
 		}
-		unused += firstRunRoom(&executor)
+		taken += takenCPU(&executor)
 		compare("place", home.place, place)
 		compare("executor "+home.id, executors[place], p.executor(home, now))
 	}
 	compare("open room", p.roster.open, open)
 	compare("all room", p.roster.all, all)
-	compare("unused room", p.roster.unused, unused)
+	compare("taken CPU", p.roster.taken, taken)
 	p.compareRuns(compare, lives)
 	compare("ended", plain(p.ended), p.endedFromNothing())
 	compare("broken", p.brokenAndOpen(), p.brokenFromNothing())
--- a/internal/scheduler/stalls_test.go
+++ b/internal/scheduler/stalls_test.go
@@ -107,6 +107,29 @@
 		Expect(hasStarted(lateID)).To(BeTrue())
 	})
 
+	It("starts though most of the room is on executors that are lost or leaving, and the others are well used", func() {
+		f.handIn(name(0), peerapi.RouteTerms{MaxAttempts: 2}, `{"task-descriptor":"d","step-list":[{"task-count":4,"cpu-units":4000,"long-running":true}]}`)
+		f.pass(200 * time.Millisecond)
+		leaving := 0
+		for _, one := range f.executors {
+			one.isSilent = len(one.running) > 0
+			if !one.isSilent && leaving < 2 {
+				one.Draining = true
+				leaving++
+			}
+		}
+		f.pass(200 * time.Millisecond)
+		f.handIn(name(1), peerapi.RouteTerms{MaxAttempts: 2}, `{"task-descriptor":"d","step-list":[{"task-count":4,"cpu-units":2600,"long-running":true,"anti-affinity":1}]}`)
+		f.pass(200 * time.Millisecond)
+		for number := range 14 {
+			f.handIn(name(2+number), peerapi.RouteTerms{MaxAttempts: 2}, long(4000, ""))
+		}
+		f.pass(200 * time.Millisecond)
+		f.handIn(lateID, peerapi.RouteTerms{Priority: 1, MaxAttempts: 2}, long(500, ""))
+		f.pass(2800 * time.Millisecond)
+		Expect(hasStarted(lateID)).To(BeTrue())
+	})
+
 	It("starts, if it is a gang, though room is kept for the urgent", func() {
 		burstOfUrgent()
 		f.handIn(name(1), peerapi.RouteTerms{Priority: 1, MaxAttempts: 2}, lasting(10, 1000))
