Doc comments on the exported methods of the models' unexported types

Cause: revive's rule for doc comments passes over exported methods of unexported types, so the models' disks, links, tenures and plants had methods whose change to the real code one had to read out of the body. Ruled out: any change of code. The token streams of the files without comments are the same as before; gofmt takes the padding out of one line (disk.Bare), as a comment now stands between it and its neighbour.

--- a/internal/modelcheck/controlmodel/bulk.go
+++ b/internal/modelcheck/controlmodel/bulk.go
@@ -52,6 +52,7 @@
 	held  bulkState
 }
 
+// Commit adds a large pair to a change of the configuration and leaves other changes as they are.
 func (t *bulkTenure) Commit(ops []peerapi.Op, done func(error)) {
 	fact := factOf(ops)
 	if fact == nil {
--- a/internal/modelcheck/controlmodel/disk.go
+++ b/internal/modelcheck/controlmodel/disk.go
@@ -50,15 +50,21 @@
 	return &disk{world: w, name: fmt.Sprintf("disk-%d", w.disks), shelf: stage.NewShelf(), isBare: true, isFileSafe: !w.plant.isFileUnsafe}
 }
 
+// Disk is the name of the disk.
 func (d *disk) Disk() string { return d.name }
-func (d *disk) Bare() bool   { return d.isBare }
 
+// Bare tells whether no process has started on the disk before.
+func (d *disk) Bare() bool { return d.isBare }
+
+// Heads gives a copy of the states of all replicas on the disk, by key; there is never an error.
 func (d *disk) Heads() (map[string]storage.ReplicaState, error) {
 	return maps.Clone(d.shelf.Heads), nil
 }
 
 func (d *disk) Read(key string) (peerapi.Snapshot, error) { return d.shelf.Read(key) }
 
+// Submit queues a write; done gets its outcome after the sync, errFull if the disk is full, and is never called if the
+// process ends before.
 func (d *disk) Submit(write storage.Write, done func(storage.Outcome)) {
 	d.waiting = append(d.waiting, pendingWrite{write, done})
 	d.sync()
--- a/internal/modelcheck/controlmodel/leader.go
+++ b/internal/modelcheck/controlmodel/leader.go
@@ -21,6 +21,8 @@
 // stateMachine is the configuration leader of a machine, with the oracles looking on.
 type stateMachine struct{ node *node }
 
+// Open checks the pairs that a new leader begins with, then opens the configuration leader on them. An error of that one
+// gives the leadership up.
 func (m *stateMachine) Open(tenure *replication.Leadership, pairs []peerapi.Op) error {
 	n := m.node
 	n.tenure = tenure
@@ -36,6 +38,7 @@
 	return n.config.Open(n.world.plant.wrapTenure(n, held), pairs)
 }
 
+// Close notes that the leadership is over, and closes the configuration leader.
 func (m *stateMachine) Close() {
 	m.node.closed()
 	m.node.config.Close()
--- a/internal/modelcheck/controlmodel/model.go
+++ b/internal/modelcheck/controlmodel/model.go
@@ -16,10 +16,13 @@
 // New gives the model of the control side.
 func New() modelcheck.Model { return model{} }
 
+// Name is the constant Name.
 func (model) Name() string { return Name }
 
+// Plants lists the planted faults.
 func (model) Plants() []modelcheck.Plant { return listPlants() }
 
+// Run plays a schedule in a new world.
 func (model) Run(schedule modelcheck.Schedule) modelcheck.Outcome { return newWorld(schedule).play() }
 
 // Trace runs a schedule as Run does, and writes what happens.
--- a/internal/modelcheck/controlmodel/network.go
+++ b/internal/modelcheck/controlmodel/network.go
@@ -142,6 +142,8 @@
 // links carries the calls of a machine's engine over the simulated network.
 type links struct{ node *node }
 
+// Promise asks the replica of a disk for a promise, another machine's within promiseLimit. As with all methods of links, done
+// runs in the process that asked, and not once that has ended.
 func (l *links) Promise(disk string, ask peerapi.PromiseCall, done func(peerapi.PromiseAnswer, error)) {
 	n := l.node
 	if disk == n.disk.name {
@@ -160,6 +162,8 @@
 	}, done)
 }
 
+// Append sends changes, a snapshot, a chunk or a heartbeat to the replica of a disk. In a large system a chunk also takes
+// chunkTime.
 func (l *links) Append(disk string, ask peerapi.AppendCall, done func(peerapi.AppendAnswer, error)) {
 	n := l.node
 	if disk == n.disk.name {
@@ -202,6 +206,7 @@
 	}, done)
 }
 
+// InstallLocal has the machine's own replica take a call as if the leader had sent it.
 func (l *links) InstallLocal(ask peerapi.AppendCall, done func(peerapi.AppendAnswer, error)) {
 	if ask.Snapshot != nil {
 		l.node.world.cover("snapshot installed by a candidate")
@@ -212,6 +217,8 @@
 	})
 }
 
+// Fetch asks another machine for what its replica holds beyond a position; done gets an error if nothing came within
+// snapshotLimit.
 func (l *links) Fetch(disk string, ask peerapi.FetchCall, done func(peerapi.FetchAnswer, error)) {
 	n := l.node
 	n.world.cover("candidate fetched")
@@ -223,14 +230,17 @@
 	}, done)
 }
 
+// Status gives the state of the machine's own replica, within the call.
 func (l *links) Status(key string, done func(replication.ReplicaStatus)) {
 	done(l.node.replicas.Status(key))
 }
 
+// History gives the changes that the machine's own replica still has one by one, within the call.
 func (l *links) History(key string, done func(replication.History)) {
 	done(l.node.replicas.History(key))
 }
 
+// ReadLocal reads the whole state of the machine's own replica from its disk; done is never called within the call.
 func (l *links) ReadLocal(key string, done func(peerapi.Snapshot, error)) {
 	snapshot, err := l.node.disk.Read(key)
 	l.node.post(func() { done(snapshot, err) })
--- a/internal/modelcheck/controlmodel/node.go
+++ b/internal/modelcheck/controlmodel/node.go
@@ -58,10 +58,15 @@
 	jump   int64
 }
 
+// Steady is the simulated time plus an offset that the machine keeps through its restarts.
 func (c *nodeClock) Steady() time.Duration { return c.world.now + c.offset }
+
+// WallMs is the simulated time of day in milliseconds since 1970, with the jumps of this machine.
 func (c *nodeClock) WallMs() int64 {
 	return wallAtStart + int64(c.world.now/time.Millisecond) + c.jump
 }
+
+// After gives a channel on which nothing ever comes: the world itself calls what falls due.
 func (c *nodeClock) After(time.Duration) <-chan time.Time { return nil }
 
 // knownMember is what a machine last heard of another.
--- a/internal/modelcheck/controlmodel/plantlist.go
+++ b/internal/modelcheck/controlmodel/plantlist.go
@@ -62,6 +62,7 @@
 // hastyDisk answers at once, and writes later.
 type hastyDisk struct{ *disk }
 
+// Submit has done called at once with the outcome that the write will have, and writes meanwhile.
 func (d *hastyDisk) Submit(write storage.Write, done func(storage.Outcome)) {
 	head := d.shelf.Heads[write.Key]
 	for _, one := range append(slices.Clone(d.syncing), d.waiting...) {
@@ -82,11 +83,13 @@
 // bareDisk says at each start that it has granted nothing before.
 type bareDisk struct{ *disk }
 
+// Bare is true also for a disk that an earlier process has written to.
 func (bareDisk) Bare() bool { return true }
 
 // simpleSetDisk writes a change of voters as if it were over.
 type simpleSetDisk struct{ *disk }
 
+// Submit leaves the old voters out of the voter sets that are written.
 func (d *simpleSetDisk) Submit(write storage.Write, done func(storage.Outcome)) {
 	write.Changes = slices.Clone(write.Changes)
 	for place, change := range write.Changes {
@@ -103,6 +106,7 @@
 	before *peerapi.Snapshot
 }
 
+// Submit puts the pairs of the snapshot before into each snapshot that is written, at the position of the newer one.
 func (d *oldSnapshotDisk) Submit(write storage.Write, done func(storage.Outcome)) {
 	if write.Snapshot != nil {
 		newest := write.Snapshot
@@ -124,6 +128,8 @@
 	before map[string]peerapi.AppendAnswer
 }
 
+// Append answers a heartbeat at once with the answer to an earlier call of the epoch, if one came that left the log at the
+// same position.
 func (l *repeatingLinks) Append(disk string, ask peerapi.AppendCall, done func(peerapi.AppendAnswer, error)) {
 	earlier, isThere := l.before[disk]
 	isHeartbeat := len(ask.Changes) == 0 && ask.Snapshot == nil && ask.Chunk == nil && !ask.Release
@@ -151,6 +157,7 @@
 	set peerapi.VoterSet
 }
 
+// Append answers changes for a voter of the old set as taken, without sending them, while the set changes.
 func (l *newVotersLinks) Append(disk string, ask peerapi.AppendCall, done func(peerapi.AppendAnswer, error)) {
 	l.set = l.node.engine.Belief().Set
 	isLeaving := len(l.set.Old) > 0 && slices.Contains(l.set.Old, disk)
@@ -167,6 +174,7 @@
 // earlyLearnerLinks reports an empty learner as one that has everything.
 type earlyLearnerLinks struct{ *links }
 
+// Append changes the answer of an empty replica into that of one at the end of the log.
 func (l *earlyLearnerLinks) Append(disk string, ask peerapi.AppendCall, done func(peerapi.AppendAnswer, error)) {
 	l.links.Append(disk, ask, func(answer peerapi.AppendAnswer, err error) {
 		belief := l.node.engine.Belief()
@@ -183,6 +191,7 @@
 	unfinished map[string]bool
 }
 
+// Append changes the answers of a learner that has had a chunk, but not the last, into those of one at the end of the log.
 func (l *unfinishedLearnerLinks) Append(disk string, ask peerapi.AppendCall, done func(peerapi.AppendAnswer, error)) {
 	l.links.Append(disk, ask, func(answer peerapi.AppendAnswer, err error) {
 		isPart := err == nil && !answer.Taken && answer.Promised <= ask.Epoch && (ask.Chunk != nil || l.unfinished[disk])
@@ -200,6 +209,7 @@
 	first map[int][]peerapi.Op
 }
 
+// Append sends, for each number of a chunk, the pairs of the first chunk that ever had this number.
 func (l *mixedChunkLinks) Append(disk string, ask peerapi.AppendCall, done func(peerapi.AppendAnswer, error)) {
 	if ask.Chunk != nil {
 		if pairs, isThere := l.first[ask.Chunk.Number]; isThere {
@@ -215,11 +225,13 @@
 
 type carelessTenure struct{ configowner.Tenure }
 
+// HasLease is always true.
 func (carelessTenure) HasLease() bool { return true }
 
 // hastyTenure says that a change is committed as soon as it is proposed.
 type hastyTenure struct{ configowner.Tenure }
 
+// Commit proposes the change and calls done without an error at once, whatever becomes of the change.
 func (t hastyTenure) Commit(ops []peerapi.Op, done func(error)) {
 	t.Tenure.Commit(ops, func(error) {})
 	done(nil)
@@ -228,6 +240,7 @@
 // forgetfulMachine opens without the list of confirmed changes.
 type forgetfulMachine struct{ replication.StateMachine }
 
+// Open passes the pairs on without those that list confirmed changes.
 func (m forgetfulMachine) Open(tenure *replication.Leadership, pairs []peerapi.Op) error {
 	isRecord := func(pair peerapi.Op) bool { return strings.HasPrefix(pair.Name, confirmedPrefix) }
 	pairs = slices.DeleteFunc(slices.Clone(pairs), isRecord)
--- a/internal/modelcheck/ordermodel/leadership.go
+++ b/internal/modelcheck/ordermodel/leadership.go
@@ -50,6 +50,7 @@
 	dropped     []func(error)
 }
 
+// Epoch is the fence that the orders of this leadership carry.
 func (l *leadership) Epoch() uint64 { return l.epoch }
 
 // HasLease is true for a while after a majority was last reached.
--- a/internal/modelcheck/ordermodel/model.go
+++ b/internal/modelcheck/ordermodel/model.go
@@ -25,10 +25,13 @@
 // New gives the model of the order path.
 func New() modelcheck.Model { return model{} }
 
+// Name is "orders".
 func (model) Name() string { return modelName }
 
+// Plants gives a copy of the list of planted faults.
 func (model) Plants() []modelcheck.Plant { return slices.Clone(plants) }
 
+// Draw makes the schedule of a seed; the same arguments give the same schedule.
 func (model) Draw(seed uint64, losses int, size modelcheck.Size) modelcheck.Schedule {
 	if size == modelcheck.SizeLarge {
 		return drawLarge(seed, losses)
--- a/internal/modelcheck/ordermodel/plants.go
+++ b/internal/modelcheck/ordermodel/plants.go
@@ -113,6 +113,8 @@
 // forgetfulTenure leaves out the end of cancelled jobs from what it commits, so that the next leader goes on with them.
 type forgetfulTenure struct{ *leadership }
 
+// Commit leaves out the records that say that a job was cancelled, and those that remove such a job; done gets the outcome
+// of the rest.
 func (t forgetfulTenure) Commit(ops []peerapi.Op, done func(error)) {
 	var kept []peerapi.Op
 	for _, op := range ops {
@@ -130,6 +132,7 @@
 
 type hastyTenure struct{ *leadership }
 
+// Commit proposes the change and has done called without an error at once, whatever becomes of the change.
 func (t hastyTenure) Commit(ops []peerapi.Op, done func(error)) {
 	t.leadership.Commit(ops, func(error) {})
 	t.steward.later(0, func() {
@@ -140,6 +143,7 @@
 
 type boldTenure struct{ *leadership }
 
+// HasLease is true until the leadership ends, also when its lease has run out.
 func (t boldTenure) HasLease() bool { return t.isOpen }
 
 func (p plant) scheduler(pool poolLeader) poolLeader {
@@ -157,6 +161,7 @@
 // hastyScheduler acknowledges whatever ends a call brings.
 type hastyScheduler struct{ poolLeader }
 
+// Exchange answers a call that brings ends twice: at once, acknowledging them all, and when the real pool does.
 func (s hastyScheduler) Exchange(call *peerapi.ExchangeCall, answer func(peerapi.ExchangeAnswer)) {
 	seen := int64(0)
 	if len(call.Ends) > 0 {
@@ -220,6 +225,7 @@
 	tries map[string]int64
 }
 
+// Ready adds to the run number of a launch how many orders for its task went unanswered.
 func (t *renumberingTable) Ready(life string, order peerapi.Order) (localproxy.OrderWork, bool) {
 	work, isDue := t.Table.Ready(life, order)
 	if isDue && order.Kind == "launch" {
@@ -228,6 +234,7 @@
 	return work, isDue
 }
 
+// Unanswered counts the try against the task, and passes it on to the real table.
 func (t *renumberingTable) Unanswered(work localproxy.OrderWork) {
 	t.tries[work.Order.Task]++
 	t.Table.Unanswered(work)
@@ -235,6 +242,7 @@
 
 type ungrantedTable struct{ plantedTable }
 
+// NextHold extends the expiry of a hold that has one by the longest time that a hold may last.
 func (t *ungrantedTable) NextHold(isLook bool) (localproxy.HoldWork, bool) {
 	work, isDue := t.Table.NextHold(isLook)
 	if work.Hold.ExpiryMs > 0 {
@@ -245,6 +253,7 @@
 
 type lateGrantTable struct{ plantedTable }
 
+// Told passes the time of the answer on to the real table as if the exchange had been sent then.
 func (t *lateGrantTable) Told(call *peerapi.ExchangeCall, _ time.Duration, answer *peerapi.ExchangeAnswer) []peerapi.Order {
 	return t.Table.Told(call, t.proxy.world.queue.now(), answer)
 }
@@ -258,6 +267,7 @@
 
 const formerOrders = 8
 
+// Told adds, to the orders of the first answer under a higher fence, the last launches that were ordered before.
 func (t *unfencedTable) Told(call *peerapi.ExchangeCall, askedAt time.Duration, answer *peerapi.ExchangeAnswer) []peerapi.Order {
 	orders := t.Table.Told(call, askedAt, answer)
 	if answer.Fence > t.fence {
@@ -275,6 +285,7 @@
 
 type stoppingTable struct{ plantedTable }
 
+// Carried passes a stop without an answer on to the real table as carried out.
 func (t *stoppingTable) Carried(work localproxy.OrderWork, result string) {
 	if work.Order.Kind == "stop" && result == "timeout" {
 		result = "ok"
@@ -284,8 +295,10 @@
 
 type forgetfulTable struct{ plantedTable }
 
+// Unanswered drops the news that an order may yet be carried out.
 func (t *forgetfulTable) Unanswered(localproxy.OrderWork) {}
 
+// Carried passes a launch without an answer on to the real table as certainly not carried out.
 func (t *forgetfulTable) Carried(work localproxy.OrderWork, result string) {
 	if work.Order.Kind == "launch" && result == "timeout" {
 		result = "not-run"
@@ -296,6 +309,7 @@
 // trustingTable takes each heartbeat for an answer of the life that it names.
 type trustingTable struct{ plantedTable }
 
+// Beat takes a heartbeat that the real table accepts for the answer to a hold as well.
 func (t *trustingTable) Beat(id string, beat *executorapi.Beat) (int, string) {
 	status, why := t.Table.Beat(id, beat)
 	if status == http.StatusOK {
@@ -310,6 +324,7 @@
 	saved string
 }
 
+// Ready replaces the checkpoint of an order by that of the order before it that had one.
 func (t *mixingTable) Ready(life string, order peerapi.Order) (localproxy.OrderWork, bool) {
 	work, isDue := t.Table.Ready(life, order)
 	saved := t.saved
@@ -324,6 +339,7 @@
 
 type boastingTable struct{ plantedTable }
 
+// Compose doubles the CPU in the room that the real table reports.
 func (t *boastingTable) Compose(waitMs int64) (*peerapi.ExchangeCall, bool) {
 	call, isDue := t.Table.Compose(waitMs)
 	if isDue {
@@ -339,6 +355,7 @@
 	told string
 }
 
+// Held changes how runs ended in the answer to a hold, and passes it on to the real table.
 func (t *lyingTable) Held(work localproxy.HoldWork, answer executorapi.Answer) {
 	for place := range answer.Ends {
 		if slices.Contains(t.hows, answer.Ends[place].How) {
@@ -354,6 +371,7 @@
 	running []executorapi.RunningRow
 }
 
+// Held exchanges the list of runs in the answer for that of the answer before, and passes it on to the real table.
 func (t *oldLookTable) Held(work localproxy.HoldWork, answer executorapi.Answer) {
 	answer.Running, t.running = t.running, answer.Running
 	t.Table.Held(work, answer)
--- a/internal/modelcheck/ordermodel/plantsofwaiting.go
+++ b/internal/modelcheck/ordermodel/plantsofwaiting.go
@@ -20,6 +20,7 @@
 // skippingTable leaves out some ends, and tells the later ones.
 type skippingTable struct{ plantedTable }
 
+// Compose leaves every fifth end out of the exchange that the real table makes.
 func (t *skippingTable) Compose(waitMs int64) (*peerapi.ExchangeCall, bool) {
 	call, isDue := t.Table.Compose(waitMs)
 	if isDue {
@@ -36,11 +37,13 @@
 
 const neverHeld = time.Hour
 
+// HoldFailed notes the failure for all later exchanges, and passes it on to the real table.
 func (t *grudgingTable) HoldFailed(work localproxy.HoldWork, isOtherLife bool) {
 	t.hasFailed = true
 	t.Table.HoldFailed(work, isOtherLife)
 }
 
+// Compose reports the age of the last hold as neverHeld once a hold has failed.
 func (t *grudgingTable) Compose(waitMs int64) (*peerapi.ExchangeCall, bool) {
 	call, isDue := t.Table.Compose(waitMs)
 	if isDue && t.hasFailed {
@@ -55,6 +58,7 @@
 	ticks int
 }
 
+// Tick passes on one tick in ticksDozed and drops the others.
 func (s *dozingScheduler) Tick() {
 	if s.ticks++; s.ticks%ticksDozed == 0 {
 		s.poolLeader.Tick()
@@ -64,6 +68,7 @@
 // silentScheduler leaves the questions for one job in eight without an answer.
 type silentScheduler struct{ poolLeader }
 
+// State drops the question, by the last byte of the job's ID, or passes it on to the real pool.
 func (s silentScheduler) State(call *peerapi.ClientCall, answer func(peerapi.ClientAnswer)) {
 	if call.ID[len(call.ID)-1]%8 != 3 {
 		s.poolLeader.State(call, answer)
--- a/internal/modelcheck/ordermodel/steward.go
+++ b/internal/modelcheck/ordermodel/steward.go
@@ -31,6 +31,7 @@
 	steward *steward
 }
 
+// WallMs is the world's time of day in milliseconds since 1970, moved by the steward's jumps so far.
 func (c jumpingClock) WallMs() int64 { return c.Fake.WallMs() + c.steward.wallJumpMs }
 
 // steward runs the real pool while it leads the key.
