--- a/internal/controlkeys/links.go
+++ b/internal/controlkeys/links.go
@@ -30,6 +30,8 @@
 	life span.Span
 }
 
+// Promise asks the replica of a disk for a promise, the local one straight away, another within promiseLimit. As with all
+// methods of links, the engine's goroutine calls it and runs done later.
 func (l *links) Promise(disk string, call peerapi.PromiseCall, done func(peerapi.PromiseAnswer, error)) {
 	if disk == l.ring.disk {
 		l.ring.replicas.Box().Post(func() {
@@ -40,6 +42,8 @@
 	remote(l, disk, peerapi.ProcedurePromise, promiseLimit, call, done)
 }
 
+// Append sends changes, a snapshot, a chunk or a heartbeat to the replica of a disk; the time limit grows with the bytes of
+// the call (limitFor).
 func (l *links) Append(disk string, call peerapi.AppendCall, done func(peerapi.AppendAnswer, error)) {
 	if disk == l.ring.disk {
 		l.InstallLocal(call, done)
@@ -71,16 +75,19 @@
 	return bytes
 }
 
+// InstallLocal has the local replica take a call as if the leader had sent it. It has no time limit and done gets no error.
 func (l *links) InstallLocal(call peerapi.AppendCall, done func(peerapi.AppendAnswer, error)) {
 	l.ring.replicas.Box().Post(func() {
 		l.ring.replicas.Append(call, func(answer peerapi.AppendAnswer) { l.box.Post(func() { done(answer, nil) }) })
 	})
 }
 
+// Fetch asks another steward for what the replica on its disk holds beyond a position, within fetchLimit.
 func (l *links) Fetch(disk string, call peerapi.FetchCall, done func(peerapi.FetchAnswer, error)) {
 	remote(l, disk, peerapi.ProcedureFetch, fetchLimit, call, done)
 }
 
+// Status reads the state of the local replica on the goroutine of the replicas.
 func (l *links) Status(key string, done func(replication.ReplicaStatus)) {
 	l.ring.replicas.Box().Post(func() {
 		standing := l.ring.replicas.Status(key)
@@ -88,6 +95,7 @@
 	})
 }
 
+// History reads the changes that the local replica still has one by one, on the goroutine of the replicas.
 func (l *links) History(key string, done func(replication.History)) {
 	l.ring.replicas.Box().Post(func() {
 		held := l.ring.replicas.History(key)
@@ -95,6 +103,8 @@
 	})
 }
 
+// ReadLocal reads the whole state of the local replica from the store, on a goroutine of its own, as that takes long for a
+// large key.
 func (l *links) ReadLocal(key string, done func(peerapi.Snapshot, error)) {
 	go func() {
 		snapshot, err := l.ring.store.Read(key)
--- a/internal/controlkeys/ring.go
+++ b/internal/controlkeys/ring.go
@@ -168,6 +168,7 @@
 
 type planMachine struct{ *configowner.Leader }
 
+// Open passes a leadership on as the narrower configowner.Tenure; it runs on the goroutine of the key's engine.
 func (m planMachine) Open(tenure *replication.Leadership, pairs []peerapi.Op) error {
 	return m.Leader.Open(tenure, pairs)
 }
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -75,7 +75,8 @@
 	return server
 }
 
-// Serve takes connections until Leave stops accepting them; then it returns nil, while requests may be under way.
+// Serve takes connections until Leave stops accepting them; then it returns nil, while requests may be under way. An error is
+// one of the listener. It must be called once.
 func (s *Server) Serve() error {
 	err := s.inner.Serve(s.listener)
 	if errors.Is(err, net.ErrClosed) || errors.Is(err, http.ErrServerClosed) {
@@ -97,7 +98,8 @@
 }
 
 // Leave answers what was read and closes the server. From its call on every answer ends its connection. It returns once
-// all is answered and nothing new arrives, at the latest at the time to close. It must be called once.
+// all is answered and nothing new arrives, at the latest at the time to close. It must be called once, on another goroutine than
+// that of Serve.
 func (s *Server) Leave(times LeaveTimes) {
 	defer s.inner.Close()
 	defer s.endCalls()
--- a/internal/mailbox/mailbox.go
+++ b/internal/mailbox/mailbox.go
@@ -10,7 +10,8 @@
 )
 
 // Mailbox is a bounded queue of functions that one goroutine, the owner of a table, runs one after another. Nothing
-// else touches the table, so it needs no lock.
+// else touches the table, so it needs no lock. Any goroutine may call TryPost, and any but the owner Post and Ask; Run, Drain
+// and Step are for the owner alone.
 type Mailbox struct {
 	letters chan func()
 	// first holds functions that go before all others; only an Outbox fills it.
--- a/internal/placement/reserve.go
+++ b/internal/placement/reserve.go
@@ -25,8 +25,12 @@
 func (s *size) Len() int               { return len(s.places) }
 func (s *size) Less(one, two int) bool { return s.places[one].isBefore(s.places[two]) }
 func (s *size) Swap(one, two int)      { s.places[one], s.places[two] = s.places[two], s.places[one] }
-func (s *size) Push(any)               {}
-func (s *size) Pop() any               { return nil }
+
+// Push does nothing; heap.Interface asks for it, but executors are only put in before heap.Init.
+func (s *size) Push(any) {}
+
+// Pop leaves the last executor where heap.Remove has moved it; take cuts it off.
+func (s *size) Pop() any { return nil }
 
 func (s *size) suits(need Room) bool {
 	isLarge := 3*need.CPU > s.total.CPU || 3*need.Memory > s.total.Memory
--- a/internal/poolhost/poolhost.go
+++ b/internal/poolhost/poolhost.go
@@ -13,7 +13,7 @@
 // mailboxSize is how many calls may wait for the pool's goroutine.
 const mailboxSize = 1024
 
-// Pool is what a host runs; scheduler.Pool is the real one.
+// Pool is what a host runs; scheduler.Pool is the real one. Its methods run on the goroutine of the host's Box.
 type Pool interface {
 	// Open takes the key over with all its values.
 	Open(tenure scheduler.Tenure, pairs []peerapi.Op)
--- a/internal/pulse/pulse.go
+++ b/internal/pulse/pulse.go
@@ -18,8 +18,13 @@
 // Real is the clock of the machine.
 func Real() Pulse { return realPulse{begin: time.Now()} }
 
-func (p realPulse) Steady() time.Duration                     { return time.Since(p.begin) }
-func (p realPulse) WallMs() int64                             { return time.Now().UnixMilli() }
+// Steady is the time since Real was called, on the monotonic clock of the machine.
+func (p realPulse) Steady() time.Duration { return time.Since(p.begin) }
+
+// WallMs is the time of day of the machine, in milliseconds since 1970.
+func (p realPulse) WallMs() int64 { return time.Now().UnixMilli() }
+
+// After is time.After.
 func (p realPulse) After(wait time.Duration) <-chan time.Time { return time.After(wait) }
 
 // Ms converts milliseconds to a duration.
--- a/internal/queuerules/queuerules.go
+++ b/internal/queuerules/queuerules.go
@@ -82,6 +82,8 @@
 
 type callFinder struct{ isFound bool }
 
+// Visit implements ast.Visitor: it notes whether a node is a call, a builtin or a loop. The compiler calls it for each node of
+// a rule; it changes none.
 func (f *callFinder) Visit(node *ast.Node) {
 	switch (*node).(type) {
 	case *ast.CallNode, *ast.BuiltinNode, *ast.PredicateNode:
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -113,6 +113,7 @@
 
 type silentRecorder struct{}
 
+// Record drops the event; it is what a pool records to if it was made without WithRecorder.
 func (silentRecorder) Record(recording.Event) {}
 
 // Option changes how a pool is made.
--- a/internal/scheduler/waiting.go
+++ b/internal/scheduler/waiting.go
@@ -163,10 +163,14 @@
 	t.steps[one], t.steps[two] = t.steps[two], t.steps[one]
 	t.steps[one].waits.inTimes, t.steps[two].waits.inTimes = one+1, two+1
 }
+
+// Push appends a *stepState for package heap, and notes its place plus one in the step; heap.Push calls it.
 func (t *stepTimes) Push(step any) {
 	t.steps = append(t.steps, step.(*stepState))
 	t.steps[len(t.steps)-1].waits.inTimes = len(t.steps)
 }
+
+// Pop removes the last step for package heap and notes in it that it is in no heap; heap.Remove calls it.
 func (t *stepTimes) Pop() any {
 	last := t.steps[len(t.steps)-1]
 	t.steps, last.waits.inTimes = t.steps[:len(t.steps)-1], 0
--- a/internal/stage/node.go
+++ b/internal/stage/node.go
@@ -214,6 +214,8 @@
 	done(r.node.replicas.History(key))
 }
 
+// ReadLocal reads the whole state of this node's own replica from its disk; done runs later, never within the call, and not
+// once the process that asked has ended.
 func (r *road) ReadLocal(key string, done func(peerapi.Snapshot, error)) {
 	snapshot, err := r.node.disk.Read(key)
 	r.node.stage.Line.After(0, func() { r.node.enter(r.life, func() { done(snapshot, err) }) })
--- a/internal/storage/files.go
+++ b/internal/storage/files.go
@@ -24,13 +24,16 @@
 
 type osFiles struct{}
 
+// Exists is false also if the path can't be looked up.
 func (osFiles) Exists(path string) bool {
 	_, err := os.Stat(path)
 	return err == nil
 }
 
+// MakeFolder is os.Mkdir with mode 0755.
 func (osFiles) MakeFolder(path string) error { return os.Mkdir(path, 0o755) }
 
+// SyncFolder opens the folder and syncs it. The errors are those of os, so that makeFolders can tell a lack of permission.
 func (osFiles) SyncFolder(path string) error {
 	folder, err := os.Open(path)
 	if err != nil {
@@ -40,6 +43,7 @@
 	return folder.Sync()
 }
 
+// OpenFile is os.OpenFile.
 func (osFiles) OpenFile(path string, flag int, mode os.FileMode) (*os.File, error) {
 	return os.OpenFile(path, flag, mode)
 }
--- a/internal/transportmetrics/transportmetrics.go
+++ b/internal/transportmetrics/transportmetrics.go
@@ -54,6 +54,7 @@
 	meter *Meter
 }
 
+// Accept waits for the next connection and wraps it so that its bytes are counted.
 func (l countedListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
 	if err != nil {
@@ -75,6 +76,7 @@
 	meter *Meter
 }
 
+// ReadFrom counts a datagram and the bytes of its payload unless the reading failed.
 func (p countedPackets) ReadFrom(room []byte) (int, net.Addr, error) {
 	count, from, err := p.PacketConn.ReadFrom(room)
 	if err == nil {
@@ -84,6 +86,7 @@
 	return count, from, err
 }
 
+// WriteTo counts a datagram and the bytes of its payload once it was handed to the system.
 func (p countedPackets) WriteTo(text []byte, to net.Addr) (int, error) {
 	count, err := p.PacketConn.WriteTo(text, to)
 	if err == nil {
@@ -106,6 +109,7 @@
 	meter *Meter
 }
 
+// RoundTrip counts a call before it is made, so that calls that fail count as well.
 func (t countedTrips) RoundTrip(request *http.Request) (*http.Response, error) {
 	t.meter.made.Add(1)
 	return t.RoundTripper.RoundTrip(request)
