--- a/internal/modelcheck/controlmodel/bulk.go
+++ b/internal/modelcheck/controlmodel/bulk.go
@@ -52,6 +52,7 @@
 	held  bulkState
 }
 
+// Commit proposes the change with the large pair that belongs to it.
 func (t *bulkTenure) Commit(ops []peerapi.Op, done func(error)) {
 	fact := factOf(ops)
 	if fact == nil {
--- a/internal/modelcheck/controlmodel/disk.go
+++ b/internal/modelcheck/controlmodel/disk.go
@@ -50,15 +50,21 @@
 	return &disk{world: w, name: fmt.Sprintf("disk-%d", w.disks), shelf: stage.NewShelf(), isBare: true, isFileSafe: !w.plant.isFileUnsafe}
 }
 
+// Disk is the name that an empty disk gave itself.
 func (d *disk) Disk() string { return d.name }
-func (d *disk) Bare() bool   { return d.isBare }
 
+// Bare tells whether nothing was ever kept here.
+func (d *disk) Bare() bool { return d.isBare }
+
+// Heads are the states of the replicas that were synced.
 func (d *disk) Heads() (map[string]storage.ReplicaState, error) {
 	return maps.Clone(d.shelf.Heads), nil
 }
 
+// Read gives the synced state of a key.
 func (d *disk) Read(key string) (peerapi.Snapshot, error) { return d.shelf.Read(key) }
 
+// Submit queues a write; done is told what became of it once it was synced.
 func (d *disk) Submit(write storage.Write, done func(storage.Outcome)) {
 	d.waiting = append(d.waiting, pendingWrite{write, done})
 	d.sync()
--- a/internal/modelcheck/controlmodel/draw.go
+++ b/internal/modelcheck/controlmodel/draw.go
@@ -30,6 +30,7 @@
 	endMs  int
 }
 
+// Draw makes the schedule of a seed within the losses that must be borne.
 func (model) Draw(seed uint64, losses int, size modelcheck.Size) modelcheck.Schedule {
 	d := &drawing{draw: rand.New(rand.NewPCG(seed, 3)), losses: losses}
 	if size == modelcheck.SizeLarge {
--- a/internal/modelcheck/controlmodel/leader.go
+++ b/internal/modelcheck/controlmodel/leader.go
@@ -21,6 +21,7 @@
 // stateMachine is the configuration leader of a machine, with the oracles looking on.
 type stateMachine struct{ node *node }
 
+// Open takes the configuration over under a new leadership.
 func (m *stateMachine) Open(tenure *replication.Leadership, pairs []peerapi.Op) error {
 	n := m.node
 	n.tenure = tenure
@@ -36,6 +37,7 @@
 	return n.config.Open(n.world.plant.wrapTenure(n, held), pairs)
 }
 
+// Close gives the configuration up.
 func (m *stateMachine) Close() {
 	m.node.closed()
 	m.node.config.Close()
--- a/internal/modelcheck/controlmodel/model.go
+++ b/internal/modelcheck/controlmodel/model.go
@@ -16,10 +16,13 @@
 // New gives the model of the control side.
 func New() modelcheck.Model { return model{} }
 
+// Name is that of the model in schedules and on the command line.
 func (model) Name() string { return Name }
 
+// Plants are the planted faults by name.
 func (model) Plants() []modelcheck.Plant { return listPlants() }
 
+// Run plays a schedule from the beginning.
 func (model) Run(schedule modelcheck.Schedule) modelcheck.Outcome { return newWorld(schedule).play() }
 
 // Trace runs a schedule as Run does, and writes what happens.
--- a/internal/modelcheck/controlmodel/network.go
+++ b/internal/modelcheck/controlmodel/network.go
@@ -11,10 +11,11 @@
 )
 
 const (
-	promiseLimit  = 500 * time.Millisecond
-	appendLimit   = 1500 * time.Millisecond
-	snapshotLimit = 4 * time.Second
-	fetchLimit    = 4 * time.Second
+	promiseLimit = 500 * time.Millisecond
+	appendLimit  = 1500 * time.Millisecond
+	// silence is after how long the daemon gives up a connection whose other side acknowledges nothing, which is sooner than
+	// the limits of its calls with chunks and snapshots.
+	silence = 2 * time.Second
 
 	shortestTransit = 300 * time.Microsecond
 	longestTransit  = 4 * time.Millisecond
@@ -142,6 +143,7 @@
 // links carries the calls of a machine's engine over the simulated network.
 type links struct{ node *node }
 
+// Promise asks a disk for a promise of an epoch.
 func (l *links) Promise(disk string, ask peerapi.PromiseCall, done func(peerapi.PromiseAnswer, error)) {
 	n := l.node
 	if disk == n.disk.name {
@@ -160,6 +162,7 @@
 	}, done)
 }
 
+// Append sends changes, a snapshot or a chunk of one to a disk.
 func (l *links) Append(disk string, ask peerapi.AppendCall, done func(peerapi.AppendAnswer, error)) {
 	n := l.node
 	if disk == n.disk.name {
@@ -168,12 +171,13 @@
 	}
 	limit := appendLimit
 	if ask.Snapshot != nil {
-		limit = snapshotLimit
+		limit = silence
 		n.world.cover("snapshot sent")
 	}
 	to := n.byDisk(disk)
 	send := func() { l.append(to, ask, limit, done) }
 	if ask.Chunk != nil {
+		limit = silence
 		n.world.cover("snapshot chunk sent")
 	}
 	if ask.Chunk == nil || n.world.schedule.Size != modelcheck.SizeLarge {
@@ -202,6 +206,7 @@
 	}, done)
 }
 
+// InstallLocal appends to the own disk.
 func (l *links) InstallLocal(ask peerapi.AppendCall, done func(peerapi.AppendAnswer, error)) {
 	if ask.Snapshot != nil {
 		l.node.world.cover("snapshot installed by a candidate")
@@ -212,23 +217,27 @@
 	})
 }
 
+// Fetch asks a disk for the changes or the state that the own one lacks.
 func (l *links) Fetch(disk string, ask peerapi.FetchCall, done func(peerapi.FetchAnswer, error)) {
 	n := l.node
 	n.world.cover("candidate fetched")
 	to := n.byDisk(disk)
-	call(n, to, snapshotLimit, func(answer func(peerapi.FetchAnswer)) {
+	call(n, to, silence, func(answer func(peerapi.FetchAnswer)) {
 		if whole, err := to.replicas.Fetch(to.replicas.History(ask.Key), ask); err == nil {
 			answer(whole)
 		}
 	}, done)
 }
 
+// Status is what the own replica knows of a key.
 func (l *links) Status(key string, done func(replication.ReplicaStatus)) {
 	done(l.node.replicas.Status(key))
 }
 
+// History is what the own replica still has of a key's changes one by one.
 func (l *links) History(key string, done func(replication.History)) {
 	done(l.node.replicas.History(key))
 }
 
+// ReadLocal reads the own disk's state of a key.
 func (l *links) ReadLocal(key string) (peerapi.Snapshot, error) { return l.node.disk.Read(key) }
--- a/internal/modelcheck/controlmodel/node.go
+++ b/internal/modelcheck/controlmodel/node.go
@@ -58,10 +58,15 @@
 	jump   int64
 }
 
+// Steady is the steady time of the machine; it never jumps.
 func (c *nodeClock) Steady() time.Duration { return c.world.now + c.offset }
+
+// WallMs is the machine's time of day in milliseconds, which a fault may set.
 func (c *nodeClock) WallMs() int64 {
 	return wallAtStart + int64(c.world.now/time.Millisecond) + c.jump
 }
+
+// After is not used by what the model runs, and never fires.
 func (c *nodeClock) After(time.Duration) <-chan time.Time { return nil }
 
 // knownMember is what a machine last heard of another.
--- a/internal/modelcheck/controlmodel/plantlist.go
+++ b/internal/modelcheck/controlmodel/plantlist.go
@@ -62,6 +62,7 @@
 // hastyDisk answers at once, and writes later.
 type hastyDisk struct{ *disk }
 
+// Submit answers at once with what the write will come to.
 func (d *hastyDisk) Submit(write storage.Write, done func(storage.Outcome)) {
 	head := d.shelf.Heads[write.Key]
 	for _, one := range append(slices.Clone(d.syncing), d.waiting...) {
@@ -82,11 +83,13 @@
 // bareDisk says at each start that it has granted nothing before.
 type bareDisk struct{ *disk }
 
+// Bare says that nothing was ever kept here.
 func (bareDisk) Bare() bool { return true }
 
 // simpleSetDisk writes a change of voters as if it were over.
 type simpleSetDisk struct{ *disk }
 
+// Submit writes each set of voters without the one that it replaces.
 func (d *simpleSetDisk) Submit(write storage.Write, done func(storage.Outcome)) {
 	write.Changes = slices.Clone(write.Changes)
 	for place, change := range write.Changes {
@@ -103,6 +106,7 @@
 	before *peerapi.Snapshot
 }
 
+// Submit installs the snapshot before in place of the newest.
 func (d *oldSnapshotDisk) Submit(write storage.Write, done func(storage.Outcome)) {
 	if write.Snapshot != nil {
 		newest := write.Snapshot
@@ -124,6 +128,7 @@
 	before map[string]peerapi.AppendAnswer
 }
 
+// Append answers heartbeats with the answer before.
 func (l *repeatingLinks) Append(disk string, ask peerapi.AppendCall, done func(peerapi.AppendAnswer, error)) {
 	earlier, isThere := l.before[disk]
 	isHeartbeat := len(ask.Changes) == 0 && ask.Snapshot == nil && ask.Chunk == nil && !ask.Release
@@ -151,6 +156,7 @@
 	set peerapi.VoterSet
 }
 
+// Append answers changes in the name of a voter that is to go.
 func (l *newVotersLinks) Append(disk string, ask peerapi.AppendCall, done func(peerapi.AppendAnswer, error)) {
 	l.set = l.node.engine.Belief().Set
 	isLeaving := len(l.set.Old) > 0 && slices.Contains(l.set.Old, disk)
@@ -167,6 +173,7 @@
 // earlyLearnerLinks reports an empty learner as one that has everything.
 type earlyLearnerLinks struct{ *links }
 
+// Append says of an empty disk that it has taken everything.
 func (l *earlyLearnerLinks) Append(disk string, ask peerapi.AppendCall, done func(peerapi.AppendAnswer, error)) {
 	l.links.Append(disk, ask, func(answer peerapi.AppendAnswer, err error) {
 		belief := l.node.engine.Belief()
@@ -183,6 +190,7 @@
 	unfinished map[string]bool
 }
 
+// Append says of a disk between two chunks that it has taken everything.
 func (l *unfinishedLearnerLinks) Append(disk string, ask peerapi.AppendCall, done func(peerapi.AppendAnswer, error)) {
 	l.links.Append(disk, ask, func(answer peerapi.AppendAnswer, err error) {
 		isPart := err == nil && !answer.Taken && answer.Promised <= ask.Epoch && (ask.Chunk != nil || l.unfinished[disk])
@@ -200,6 +208,7 @@
 	first map[int][]peerapi.Op
 }
 
+// Append sends the first pairs ever sent under the number of a chunk.
 func (l *mixedChunkLinks) Append(disk string, ask peerapi.AppendCall, done func(peerapi.AppendAnswer, error)) {
 	if ask.Chunk != nil {
 		if pairs, isThere := l.first[ask.Chunk.Number]; isThere {
@@ -215,11 +224,13 @@
 
 type carelessTenure struct{ configowner.Tenure }
 
+// HasLease is always true.
 func (carelessTenure) HasLease() bool { return true }
 
 // hastyTenure says that a change is committed as soon as it is proposed.
 type hastyTenure struct{ configowner.Tenure }
 
+// Commit reports success before the change is committed.
 func (t hastyTenure) Commit(ops []peerapi.Op, done func(error)) {
 	t.Tenure.Commit(ops, func(error) {})
 	done(nil)
@@ -228,6 +239,7 @@
 // forgetfulMachine opens without the list of confirmed changes.
 type forgetfulMachine struct{ replication.StateMachine }
 
+// Open leaves the records of confirmed changes out.
 func (m forgetfulMachine) Open(tenure *replication.Leadership, pairs []peerapi.Op) error {
 	isRecord := func(pair peerapi.Op) bool { return strings.HasPrefix(pair.Name, confirmedPrefix) }
 	pairs = slices.DeleteFunc(slices.Clone(pairs), isRecord)
--- a/internal/modelcheck/ordermodel/leadership.go
+++ b/internal/modelcheck/ordermodel/leadership.go
@@ -50,6 +50,7 @@
 	dropped     []func(error)
 }
 
+// Epoch is that of this leadership.
 func (l *leadership) Epoch() uint64 { return l.epoch }
 
 // HasLease is true for a while after a majority was last reached.
--- a/internal/modelcheck/ordermodel/model.go
+++ b/internal/modelcheck/ordermodel/model.go
@@ -25,10 +25,13 @@
 // New gives the model of the order path.
 func New() modelcheck.Model { return model{} }
 
+// Name is that of the model in schedules and on the command line.
 func (model) Name() string { return modelName }
 
+// Plants are the planted faults in the order of their list.
 func (model) Plants() []modelcheck.Plant { return slices.Clone(plants) }
 
+// Draw makes the schedule of a seed.
 func (model) Draw(seed uint64, losses int, size modelcheck.Size) modelcheck.Schedule {
 	if size == modelcheck.SizeLarge {
 		return drawLarge(seed, losses)
--- /dev/null
+++ b/internal/modelcheck/ordermodel/plantedleaders.go
@@ -0,0 +1,62 @@
+package ordermodel
+
+import (
+	"bytes"
+
+	"gannetline/internal/peerapi"
+)
+
+// forgetfulTenure leaves out the end of cancelled jobs from what it commits, so that the next leader goes on with them.
+type forgetfulTenure struct{ *leadership }
+
+// Commit leaves out the ends of cancelled jobs.
+func (t forgetfulTenure) Commit(ops []peerapi.Op, done func(error)) {
+	var kept []peerapi.Op
+	for _, op := range ops {
+		isEnd := op.Name[0] == 's' && bytes.Contains(op.Value, []byte(`"cancelled"`))
+		if isEnd {
+			t.key.world.forgotten["j/"+op.Name[2:]] = true
+		}
+		isForgetting := len(op.Value) == 0 && t.key.world.forgotten[op.Name]
+		if !isEnd && !isForgetting {
+			kept = append(kept, op)
+		}
+	}
+	t.leadership.Commit(kept, done)
+}
+
+type hastyTenure struct{ *leadership }
+
+// Commit reports success before the change is durable.
+func (t hastyTenure) Commit(ops []peerapi.Op, done func(error)) {
+	t.leadership.Commit(ops, func(error) {})
+	t.steward.later(0, func() {
+		done(nil)
+		t.steward.settle()
+	})
+}
+
+type boldTenure struct{ *leadership }
+
+// HasLease is true for as long as the leader believes in itself.
+func (t boldTenure) HasLease() bool { return t.isOpen }
+
+// hastyScheduler acknowledges whatever ends a call brings.
+type hastyScheduler struct{ poolLeader }
+
+// Exchange acknowledges all ends of the call at once.
+func (s hastyScheduler) Exchange(call *peerapi.ExchangeCall, answer func(peerapi.ExchangeAnswer)) {
+	seen := int64(0)
+	if len(call.Ends) > 0 {
+		seen = call.Ends[len(call.Ends)-1].Number
+	}
+	s.poolLeader.Exchange(call, func(told peerapi.ExchangeAnswer) {
+		if told.Fence > 0 && !told.Elsewhere {
+			told.LastSeen = max(told.LastSeen, seen)
+		}
+		answer(told)
+	})
+	if seen > 0 {
+		answer(peerapi.ExchangeAnswer{Fence: call.Fence, LastSeen: seen, Held: call.Base})
+	}
+}
--- a/internal/modelcheck/ordermodel/plantsofwaiting.go
+++ b/internal/modelcheck/ordermodel/plantedstalls.go
@@ -20,6 +20,7 @@
 // skippingTable leaves out some ends, and tells the later ones.
 type skippingTable struct{ plantedTable }
 
+// Compose leaves out each fifth end.
 func (t *skippingTable) Compose(waitMs int64) (*peerapi.ExchangeCall, bool) {
 	call, isDue := t.Table.Compose(waitMs)
 	if isDue {
@@ -36,11 +37,13 @@
 
 const neverHeld = time.Hour
 
+// HoldFailed remembers the failure for ever.
 func (t *grudgingTable) HoldFailed(work localproxy.HoldWork, isOtherLife bool) {
 	t.hasFailed = true
 	t.Table.HoldFailed(work, isOtherLife)
 }
 
+// Compose reports no hold once one has failed.
 func (t *grudgingTable) Compose(waitMs int64) (*peerapi.ExchangeCall, bool) {
 	call, isDue := t.Table.Compose(waitMs)
 	if isDue && t.hasFailed {
@@ -55,6 +58,7 @@
 	ticks int
 }
 
+// Tick does nothing most of the time.
 func (s *dozingScheduler) Tick() {
 	if s.ticks++; s.ticks%ticksDozed == 0 {
 		s.poolLeader.Tick()
@@ -64,6 +68,7 @@
 // silentScheduler leaves the questions for one job in eight without an answer.
 type silentScheduler struct{ poolLeader }
 
+// State answers for all jobs but those whose ID ends with certain digits.
 func (s silentScheduler) State(call *peerapi.ClientCall, answer func(peerapi.ClientAnswer)) {
 	if call.ID[len(call.ID)-1]%8 != 3 {
 		s.poolLeader.State(call, answer)
--- /dev/null
+++ b/internal/modelcheck/ordermodel/plantedtables.go
@@ -0,0 +1,173 @@
+package ordermodel
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"gannetline/internal/executorapi"
+	"gannetline/internal/localproxy"
+	"gannetline/internal/peerapi"
+)
+
+type plantedTable struct {
+	*localproxy.Table
+	proxy *proxy
+}
+
+type renumberingTable struct {
+	plantedTable
+	tries map[string]int64
+}
+
+// Ready gives a start that was tried before the next run-id.
+func (t *renumberingTable) Ready(life string, order peerapi.Order) (localproxy.OrderWork, bool) {
+	work, isDue := t.Table.Ready(life, order)
+	if isDue && order.Kind == "launch" {
+		work.Order.Run += t.tries[order.Task]
+	}
+	return work, isDue
+}
+
+// Unanswered counts the try.
+func (t *renumberingTable) Unanswered(work localproxy.OrderWork) {
+	t.tries[work.Order.Task]++
+	t.Table.Unanswered(work)
+}
+
+type ungrantedTable struct{ plantedTable }
+
+// NextHold extends the hold further than was granted.
+func (t *ungrantedTable) NextHold(isLook bool) (localproxy.HoldWork, bool) {
+	work, isDue := t.Table.NextHold(isLook)
+	if work.Hold.ExpiryMs > 0 {
+		work.Hold.ExpiryMs += int64(t.proxy.world.timing.MaxHold / time.Millisecond)
+	}
+	return work, isDue
+}
+
+type lateGrantTable struct{ plantedTable }
+
+// Told counts a grant from now.
+func (t *lateGrantTable) Told(call *peerapi.ExchangeCall, _ time.Duration, answer *peerapi.ExchangeAnswer) []peerapi.Order {
+	return t.Table.Told(call, t.proxy.world.queue.now(), answer)
+}
+
+// unfencedTable carries out, under the fence of a new leader, what the former one ordered last.
+type unfencedTable struct {
+	plantedTable
+	fence  uint64
+	former []peerapi.Order
+}
+
+const formerOrders = 8
+
+// Told adds the orders of the former leader to the first of a new one.
+func (t *unfencedTable) Told(call *peerapi.ExchangeCall, askedAt time.Duration, answer *peerapi.ExchangeAnswer) []peerapi.Order {
+	orders := t.Table.Told(call, askedAt, answer)
+	if answer.Fence > t.fence {
+		t.fence = answer.Fence
+		orders = append(orders, t.former...)
+	}
+	for _, order := range orders {
+		if order.Kind == "launch" {
+			t.former = append(t.former, order)
+		}
+	}
+	t.former = t.former[max(0, len(t.former)-formerOrders):]
+	return orders
+}
+
+type stoppingTable struct{ plantedTable }
+
+// Carried reports a stop without an answer as done.
+func (t *stoppingTable) Carried(work localproxy.OrderWork, result string) {
+	if work.Order.Kind == "stop" && result == "timeout" {
+		result = "ok"
+	}
+	t.Table.Carried(work, result)
+}
+
+type forgetfulTable struct{ plantedTable }
+
+// Unanswered forgets that the start may yet be carried out.
+func (t *forgetfulTable) Unanswered(localproxy.OrderWork) {}
+
+// Carried reports a start without an answer as not carried out.
+func (t *forgetfulTable) Carried(work localproxy.OrderWork, result string) {
+	if work.Order.Kind == "launch" && result == "timeout" {
+		result = "not-run"
+	}
+	t.Table.Carried(work, result)
+}
+
+// trustingTable takes each heartbeat for an answer of the life that it names.
+type trustingTable struct{ plantedTable }
+
+// Beat takes the heartbeat for the answer to a hold.
+func (t *trustingTable) Beat(id string, beat *executorapi.Beat) (int, string) {
+	status, why := t.Table.Beat(id, beat)
+	if status == http.StatusOK {
+		t.Table.Held(localproxy.HoldWork{Life: id, BegunAt: t.proxy.world.queue.now()}, executorapi.Answer{ClockMs: beat.ClockMs})
+	}
+	return status, why
+}
+
+// mixingTable starts each task from the checkpoint that came last.
+type mixingTable struct {
+	plantedTable
+	saved string
+}
+
+// Ready puts the checkpoint of the order before into a start.
+func (t *mixingTable) Ready(life string, order peerapi.Order) (localproxy.OrderWork, bool) {
+	work, isDue := t.Table.Ready(life, order)
+	saved := t.saved
+	if work.Order.Saved != "" {
+		t.saved = work.Order.Saved
+	}
+	if saved != "" {
+		work.Order.Saved = saved
+	}
+	return work, isDue
+}
+
+type boastingTable struct{ plantedTable }
+
+// Compose doubles the room.
+func (t *boastingTable) Compose(waitMs int64) (*peerapi.ExchangeCall, bool) {
+	call, isDue := t.Table.Compose(waitMs)
+	if isDue {
+		call.Room.CPU *= 2
+	}
+	return call, isDue
+}
+
+// lyingTable tells of runs that ended in some ways that they ended in another.
+type lyingTable struct {
+	plantedTable
+	hows []string
+	told string
+}
+
+// Held changes how runs ended.
+func (t *lyingTable) Held(work localproxy.HoldWork, answer executorapi.Answer) {
+	for place := range answer.Ends {
+		if slices.Contains(t.hows, answer.Ends[place].How) {
+			answer.Ends[place].How = t.told
+		}
+	}
+	t.Table.Held(work, answer)
+}
+
+// oldLookTable answers a hold with the list that the hold before it brought.
+type oldLookTable struct {
+	plantedTable
+	running []executorapi.RunningRow
+}
+
+// Held replaces the list of runs by the one before.
+func (t *oldLookTable) Held(work localproxy.HoldWork, answer executorapi.Answer) {
+	answer.Running, t.running = t.running, answer.Running
+	t.Table.Held(work, answer)
+}
--- a/internal/modelcheck/ordermodel/plants.go
+++ b/internal/modelcheck/ordermodel/plants.go
@@ -1,16 +1,11 @@
 package ordermodel
 
 import (
-	"bytes"
 	"net/http"
-	"slices"
-	"time"
 
-	"gannetline/internal/executorapi"
 	"gannetline/internal/leaderclient"
 	"gannetline/internal/localproxy"
 	"gannetline/internal/modelcheck"
-	"gannetline/internal/peerapi"
 	"gannetline/internal/scheduler"
 )
 
@@ -110,38 +105,6 @@
 	return fresh
 }
 
-// forgetfulTenure leaves out the end of cancelled jobs from what it commits, so that the next leader goes on with them.
-type forgetfulTenure struct{ *leadership }
-
-func (t forgetfulTenure) Commit(ops []peerapi.Op, done func(error)) {
-	var kept []peerapi.Op
-	for _, op := range ops {
-		isEnd := op.Name[0] == 's' && bytes.Contains(op.Value, []byte(`"cancelled"`))
-		if isEnd {
-			t.key.world.forgotten["j/"+op.Name[2:]] = true
-		}
-		isForgetting := len(op.Value) == 0 && t.key.world.forgotten[op.Name]
-		if !isEnd && !isForgetting {
-			kept = append(kept, op)
-		}
-	}
-	t.leadership.Commit(kept, done)
-}
-
-type hastyTenure struct{ *leadership }
-
-func (t hastyTenure) Commit(ops []peerapi.Op, done func(error)) {
-	t.leadership.Commit(ops, func(error) {})
-	t.steward.later(0, func() {
-		done(nil)
-		t.steward.settle()
-	})
-}
-
-type boldTenure struct{ *leadership }
-
-func (t boldTenure) HasLease() bool { return t.isOpen }
-
 func (p plant) scheduler(pool poolLeader) poolLeader {
 	switch p.name {
 	case plantLastSeenEarly:
@@ -154,25 +117,6 @@
 	return pool
 }
 
-// hastyScheduler acknowledges whatever ends a call brings.
-type hastyScheduler struct{ poolLeader }
-
-func (s hastyScheduler) Exchange(call *peerapi.ExchangeCall, answer func(peerapi.ExchangeAnswer)) {
-	seen := int64(0)
-	if len(call.Ends) > 0 {
-		seen = call.Ends[len(call.Ends)-1].Number
-	}
-	s.poolLeader.Exchange(call, func(told peerapi.ExchangeAnswer) {
-		if told.Fence > 0 && !told.Elsewhere {
-			told.LastSeen = max(told.LastSeen, seen)
-		}
-		answer(told)
-	})
-	if seen > 0 {
-		answer(peerapi.ExchangeAnswer{Fence: call.Fence, LastSeen: seen, Held: call.Base})
-	}
-}
-
 func (p plant) table(owner *proxy, table *localproxy.Table) proxyTable {
 	one := plantedTable{Table: table, proxy: owner}
 	switch p.name {
@@ -210,155 +154,6 @@
 	return table
 }
 
-type plantedTable struct {
-	*localproxy.Table
-	proxy *proxy
-}
-
-type renumberingTable struct {
-	plantedTable
-	tries map[string]int64
-}
-
-func (t *renumberingTable) Ready(life string, order peerapi.Order) (localproxy.OrderWork, bool) {
-	work, isDue := t.Table.Ready(life, order)
-	if isDue && order.Kind == "launch" {
-		work.Order.Run += t.tries[order.Task]
-	}
-	return work, isDue
-}
-
-func (t *renumberingTable) Unanswered(work localproxy.OrderWork) {
-	t.tries[work.Order.Task]++
-	t.Table.Unanswered(work)
-}
-
-type ungrantedTable struct{ plantedTable }
-
-func (t *ungrantedTable) NextHold(isLook bool) (localproxy.HoldWork, bool) {
-	work, isDue := t.Table.NextHold(isLook)
-	if work.Hold.ExpiryMs > 0 {
-		work.Hold.ExpiryMs += int64(t.proxy.world.timing.MaxHold / time.Millisecond)
-	}
-	return work, isDue
-}
-
-type lateGrantTable struct{ plantedTable }
-
-func (t *lateGrantTable) Told(call *peerapi.ExchangeCall, _ time.Duration, answer *peerapi.ExchangeAnswer) []peerapi.Order {
-	return t.Table.Told(call, t.proxy.world.queue.now(), answer)
-}
-
-// unfencedTable carries out, under the fence of a new leader, what the former one ordered last.
-type unfencedTable struct {
-	plantedTable
-	fence  uint64
-	former []peerapi.Order
-}
-
-const formerOrders = 8
-
-func (t *unfencedTable) Told(call *peerapi.ExchangeCall, askedAt time.Duration, answer *peerapi.ExchangeAnswer) []peerapi.Order {
-	orders := t.Table.Told(call, askedAt, answer)
-	if answer.Fence > t.fence {
-		t.fence = answer.Fence
-		orders = append(orders, t.former...)
-	}
-	for _, order := range orders {
-		if order.Kind == "launch" {
-			t.former = append(t.former, order)
-		}
-	}
-	t.former = t.former[max(0, len(t.former)-formerOrders):]
-	return orders
-}
-
-type stoppingTable struct{ plantedTable }
-
-func (t *stoppingTable) Carried(work localproxy.OrderWork, result string) {
-	if work.Order.Kind == "stop" && result == "timeout" {
-		result = "ok"
-	}
-	t.Table.Carried(work, result)
-}
-
-type forgetfulTable struct{ plantedTable }
-
-func (t *forgetfulTable) Unanswered(localproxy.OrderWork) {}
-
-func (t *forgetfulTable) Carried(work localproxy.OrderWork, result string) {
-	if work.Order.Kind == "launch" && result == "timeout" {
-		result = "not-run"
-	}
-	t.Table.Carried(work, result)
-}
-
-// trustingTable takes each heartbeat for an answer of the life that it names.
-type trustingTable struct{ plantedTable }
-
-func (t *trustingTable) Beat(id string, beat *executorapi.Beat) (int, string) {
-	status, why := t.Table.Beat(id, beat)
-	if status == http.StatusOK {
-		t.Table.Held(localproxy.HoldWork{Life: id, BegunAt: t.proxy.world.queue.now()}, executorapi.Answer{ClockMs: beat.ClockMs})
-	}
-	return status, why
-}
-
-// mixingTable starts each task from the checkpoint that came last.
-type mixingTable struct {
-	plantedTable
-	saved string
-}
-
-func (t *mixingTable) Ready(life string, order peerapi.Order) (localproxy.OrderWork, bool) {
-	work, isDue := t.Table.Ready(life, order)
-	saved := t.saved
-	if work.Order.Saved != "" {
-		t.saved = work.Order.Saved
-	}
-	if saved != "" {
-		work.Order.Saved = saved
-	}
-	return work, isDue
-}
-
-type boastingTable struct{ plantedTable }
-
-func (t *boastingTable) Compose(waitMs int64) (*peerapi.ExchangeCall, bool) {
-	call, isDue := t.Table.Compose(waitMs)
-	if isDue {
-		call.Room.CPU *= 2
-	}
-	return call, isDue
-}
-
-// lyingTable tells of runs that ended in some ways that they ended in another.
-type lyingTable struct {
-	plantedTable
-	hows []string
-	told string
-}
-
-func (t *lyingTable) Held(work localproxy.HoldWork, answer executorapi.Answer) {
-	for place := range answer.Ends {
-		if slices.Contains(t.hows, answer.Ends[place].How) {
-			answer.Ends[place].How = t.told
-		}
-	}
-	t.Table.Held(work, answer)
-}
-
-// oldLookTable answers a hold with the list that the hold before it brought.
-type oldLookTable struct {
-	plantedTable
-	running []executorapi.RunningRow
-}
-
-func (t *oldLookTable) Held(work localproxy.HoldWork, answer executorapi.Answer) {
-	answer.Running, t.running = t.running, answer.Running
-	t.Table.Held(work, answer)
-}
-
 // answers lets a proxy take an executor's answers in the order of its calls, whichever call they belong to.
 func (p plant) answers(owner *proxy, request executorRequest, finish func(executorReply)) func(executorReply) {
 	if p.name != plantAnswerByPlace || request.hold != nil {
--- a/internal/modelcheck/ordermodel/steward.go
+++ b/internal/modelcheck/ordermodel/steward.go
@@ -30,6 +30,7 @@
 	steward *steward
 }
 
+// WallMs is the steward's time of day in milliseconds.
 func (c jumpingClock) WallMs() int64 { return c.Fake.WallMs() + c.steward.wallJumpMs }
 
 // steward runs the real pool while it leads the key.
