--- a/cmd/model-check/main.go
+++ b/cmd/model-check/main.go
@@ -33,9 +33,8 @@
 
 func main() {
 	debug.SetGCPercent(gcPercent)
-	life, forget := span.UntilSignal()
-	defer forget()
-	if err := command().Run(life, os.Args); err != nil {
+	// No signal is caught: a hunt keeps nothing that an end in the middle could harm.
+	if err := command().Run(span.Root(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "model-check:", err)
 		code := exitUsage
 		var coded cli.ExitCoder
