--- a/internal/modelcheck/ordermodel/steward.go
+++ b/internal/modelcheck/ordermodel/steward.go
@@ -31,7 +31,7 @@
 	steward *steward
 }
 
-// WallMs is the world's time of day in milliseconds since 1970, moved by the steward's jumps so far.
+// WallMs is the steward's time of day in milliseconds.
 func (c jumpingClock) WallMs() int64 { return c.Fake.WallMs() + c.steward.wallJumpMs }
 
 // steward runs the real pool while it leads the key.
