The schedules that the large profile broke are tests, as their causes are mended; outbox before all else at every wake

A mailbox that woke to a call and to what its engine had sent took one of them at random first. Two schedules stay open, see docs/model-check/README.md.

--- a/internal/mailbox/mailbox.go
+++ b/internal/mailbox/mailbox.go
@@ -60,9 +60,11 @@
 			letter()
 			m.Drain()
 		case letter := <-m.letters:
+			m.drainFirst()
 			letter()
 			m.Drain()
 		case <-ring:
+			m.drainFirst()
 			if owner.Tick != nil {
 				owner.Tick()
 			}
@@ -74,6 +76,18 @@
 	}
 }
 
+// drainFirst runs what an outbox has sent and that waits.
+func (m *Mailbox) drainFirst() {
+	for {
+		select {
+		case letter := <-m.first:
+			letter()
+		default:
+			return
+		}
+	}
+}
+
 // Drain runs what waits, and no more than the box holds.
 func (m *Mailbox) Drain() {
 	for range cap(m.letters) {
--- a/internal/mailbox/mailbox_test.go
+++ b/internal/mailbox/mailbox_test.go
@@ -1,9 +1,12 @@
 package mailbox
 
 import (
+	"time"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"gannetline/internal/pulse"
 	"gannetline/internal/span"
 )
 
@@ -46,4 +49,19 @@
 		}
 		Expect(order).To(Equal([]string{"one", "two", "three", "four", "five", "posted"}))
 	})
+
+	It("does so too when its owner wakes to several at once", func() {
+		for range 50 {
+			box, ended := New(4), make(chan struct{})
+			var order []string
+			box.Post(func() { order = append(order, "posted") })
+			box.Post(func() { close(ended) })
+			NewOutbox(box).Send(func() { order = append(order, "sent") })
+			life, end := span.Cancellable(span.Root())
+			go box.Run(life, pulse.NewFake(0), Owner{Every: time.Second})
+			<-ended
+			end()
+			Expect(order).To(Equal([]string{"sent", "posted"}))
+		}
+	})
 })
--- a/internal/modelcheck/controlmodel/controlmodel_test.go
+++ b/internal/modelcheck/controlmodel/controlmodel_test.go
@@ -76,6 +76,8 @@
 		Entry("a leader that spins, as its own replica is behind", "leader-spins-when-its-own-replica-is-behind.json"),
 		Entry("a voter gone during the change that replaces it", "leaver-goes-during-joint-change.json"),
 		Entry("a leader without a vote of its own", "leader-voted-out.json"),
+		Entry("voters replaced more slowly than disks may be lost", "voters-not-replaced-in-time.json"),
+		Entry("two more disks lost while a voter leaves in order", "two-disks-lost-beside-a-leaver.json"),
 	)
 
 	It("gives the same outcome for a schedule each time, and the same finding for any number of workers", func() {
--- a/internal/modelcheck/ordermodel/ordermodel_test.go
+++ b/internal/modelcheck/ordermodel/ordermodel_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"path/filepath"
 	"slices"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -15,9 +16,9 @@
 	// sound is how many schedules are played without a planted fault.
 	sound = 300
 	// soundLarge is how many schedules of the large profile are played without a planted fault.
-	soundLarge = 8
-	// firstLarge is the first of their seeds: seed 0 shows docs/model-check/gang-stopped-by-one-refusal.json, which is open.
-	firstLarge = uint64(1)
+	soundLarge = 9
+	// firstLarge is the first of their seeds.
+	firstLarge = uint64(0)
 	// mostLarge is how many schedules of the large profile a planted fault may stay hidden.
 	mostLarge = 12
 	// most is how many schedules a planted fault may stay hidden.
@@ -74,6 +75,18 @@
 		Expect(covered["start"]).To(BeNumerically(">", 20000))
 	})
 
+	DescribeTable("breaks no invariant under a schedule that once did", func(file string) {
+		schedule, err := modelcheck.Load(filepath.Join("testdata", file))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(model.Run(schedule).Violations).To(BeEmpty())
+	},
+		Entry("a gang that is stopped for ever after the loss of a member", "gang-stopped-for-ever.json"),
+		Entry("the same after an executor refused calls for a while", "gang-stopped-by-one-refusal.json"),
+		Entry("long work that waits for reserved room", "long-work-held-back.json"),
+		Entry("the same while machines are silent", "long-work-held-back-by-silent-machines.json"),
+		Entry("an executor that lost trust and is given one run at a time", "mistrusted-executor-kept-to-one-run.json"),
+	)
+
 	for _, size := range []modelcheck.Size{modelcheck.SizeSmall, modelcheck.SizeLarge} {
 		It("plays a schedule alike each time, size "+string(size), func() {
 			schedule := model.Draw(7, 1, size)
