--- a/internal/platform/metrics/metrics.go
+++ b/internal/platform/metrics/metrics.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	maxLabels = 2
+	maxLabels = 3
 	maxSeries = 256
 	// Path is where a process shows its metrics, at its internal address.
 	Path = "/metrics"
@@ -55,7 +55,7 @@
 
 type labelValues [maxLabels]string
 
-// Vector is the series of one name, told apart by the values of at most two labels.
+// Vector is the series of one name, told apart by the values of at most three labels.
 type Vector[T any] struct {
 	name   string
 	labels []string
@@ -69,17 +69,17 @@
 	return vector
 }
 
-// NewCounters makes a family of counters told apart by the values of at most two labels.
+// NewCounters makes a family of counters told apart by the values of at most three labels.
 func NewCounters(name string, labels ...string) *Vector[*Counter] {
 	return newVector(registry.GetOrCreateCounter, name, labels)
 }
 
-// NewGauges makes a family of gauges told apart by the values of at most two labels.
+// NewGauges makes a family of gauges told apart by the values of at most three labels.
 func NewGauges(name string, labels ...string) *Vector[*Gauge] {
 	return newVector(func(name string) *Gauge { return registry.GetOrCreateGauge(name, nil) }, name, labels)
 }
 
-// NewHistograms makes a family of histograms told apart by the values of at most two labels.
+// NewHistograms makes a family of histograms told apart by the values of at most three labels.
 func NewHistograms(name string, labels ...string) *Vector[Histogram] {
 	return newVector(NewHistogram, name, labels)
 }
@@ -100,7 +100,7 @@
 	for {
 		current := v.held.Load()
 		if len(*current) >= maxSeries {
-			key = labelValues{"other", "other"}
+			key = labelValues{"other", "other", "other"}
 		}
 		if metric, isThere := (*current)[key]; isThere {
 			return metric
--- a/internal/scheduling/placement/group.go
+++ b/internal/scheduling/placement/group.go
@@ -61,6 +61,12 @@
 	Expired
 )
 
+// deadlineClassNames are the classes as operators see them.
+var deadlineClassNames = [...]string{OnTime: "on_time", Late: "late", Expired: "expired"}
+
+// String is the class as metrics and logs name it.
+func (c DeadlineClass) String() string { return deadlineClassNames[c] }
+
 // Placement is one start: the number of the group and the index of the executor.
 type Placement struct{ Group, Executor int }
 
--- a/internal/scheduling/scheduler/completion.go
+++ b/internal/scheduling/scheduler/completion.go
@@ -154,6 +154,7 @@
 		return
 	}
 	job.completedOccurrences[occurrence.number] = true
+	p.countOccurrence(occurrence)
 	if len(job.completedOccurrences) == job.occurrenceCount() {
 		p.end(job, jobCompleted, "")
 		return
--- a/internal/scheduling/scheduler/metrics.go
+++ b/internal/scheduling/scheduler/metrics.go
@@ -32,6 +32,11 @@
 	executors       = metrics.NewGauges("gannetline_pool_executors", "key", "state")
 	tickSeconds     = metrics.NewHistograms("gannetline_pool_tick_seconds", "key")
 	placeSeconds    = metrics.NewHistograms("gannetline_pool_placement_seconds", "key")
+	waitingCPU      = metrics.NewGauges("gannetline_pool_waiting_cpu", "key", "priority", "deadline")
+	allocatedCPU    = metrics.NewGauges("gannetline_pool_allocated_cpu", "key", "priority")
+	longWorkCPU     = metrics.NewGauges("gannetline_pool_long_work_allowance_cpu", "key", "priority")
+	capacityCPU     = metrics.NewGauges("gannetline_pool_capacity_cpu", "key", "state")
+	occurrences     = metrics.NewCounters("gannetline_pool_occurrences_total", "key", "queue", "deadline")
 )
 
 // poolMetrics are the series of one pool, found once.
@@ -40,12 +45,14 @@
 	submissions, placements, starts, stops, speculativeRuns, commits, changes *metrics.Counter
 	tickSeconds, placeSeconds                                                 metrics.Histogram
 	shownAt                                                                   time.Duration
+	// shownPriorities have series of their own, which show 0 once nothing of them is left.
+	shownPriorities map[int]bool
 }
 
 func newPoolMetrics(key string) poolMetrics {
 	return poolMetrics{key: key, submissions: submissions.With(key), placements: placements.With(key), starts: starts.With(key),
 		stops: stops.With(key), speculativeRuns: speculativeRuns.With(key), commits: commits.With(key), changes: changes.With(key),
-		tickSeconds: tickSeconds.With(key), placeSeconds: placeSeconds.With(key)}
+		tickSeconds: tickSeconds.With(key), placeSeconds: placeSeconds.With(key), shownPriorities: map[int]bool{}}
 }
 
 // sent counts an order as sent, and as sent again from the second time on.
@@ -60,7 +67,7 @@
 	}
 }
 
-// show sets what is there now, once a second.
+// show sets what is there now, once a second, and has late work logged.
 func (m *poolMetrics) show(p *Pool, now time.Duration) {
 	if now-m.shownAt < metricsInterval {
 		return
@@ -73,9 +80,16 @@
 		running += len(executor.runs)
 	}
 	m.set(len(p.open.steps), running, counts)
+	current := p.loadByPriority()
+	m.showLoad(current)
+	p.reportLateWork(current, now)
 }
 
-func (m *poolMetrics) clear() { m.set(0, 0, nil) }
+// clear shows nothing any more, as the key is led elsewhere.
+func (m *poolMetrics) clear() {
+	m.set(0, 0, nil)
+	m.showLoad(load{})
+}
 
 func (m *poolMetrics) set(open, running int, counts map[string]int) {
 	stepsOpen.With(m.key).Set(float64(open))
--- a/internal/scheduling/scheduler/pool.go
+++ b/internal/scheduling/scheduler/pool.go
@@ -62,6 +62,8 @@
 	recorder Recorder
 	rules    *queuerules.Rules
 	metrics  poolMetrics
+	// nextLateWorkReport is when late work may be logged again.
+	nextLateWorkReport time.Duration
 }
 
 // jobTable holds all jobs that the pool knows, under way and ended.
--- a/internal/scheduling/scheduler/reservedcapacity.go
+++ b/internal/scheduling/scheduler/reservedcapacity.go
@@ -30,6 +30,8 @@
 	// allocations are of all runs that are not closed, by priority; a priority without runs has no entry.
 	allocations   map[int]allocation
 	recentDemands map[int]*recentDemand
+	// longWorkRemaining is what long work of a priority could still take at the last placement.
+	longWorkRemaining map[int]placement.Resources
 }
 
 func newCapacityUse() capacityUse {
@@ -53,7 +55,8 @@
 // that on those in order counts: on a lost or leaving one it may be over already, and its capacity then stands empty.
 func (p *Pool) limits(now time.Duration) placement.Limits {
 	firstRuns := int64(p.timing.ReservedCapacity.FirstRunShare*float64(p.table.totalCapacity.CPU)) - p.table.usedCPU
-	return placement.Limits{Remaining: p.remainingByPriority(p.table.openCapacity, now), FirstRunCPU: firstRuns}
+	p.longWorkRemaining = p.remainingByPriority(p.table.openCapacity, now)
+	return placement.Limits{Remaining: maps.Clone(p.longWorkRemaining), FirstRunCPU: firstRuns}
 }
 
 // remainingByPriority gives each priority what it may still take, so that urgent jobs find capacity when they come.
