--- /dev/null
+++ b/internal/scheduling/scheduler/overload_test.go
@@ -0,0 +1,206 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gannetline/internal/cluster/peerapi/wire"
+	"gannetline/internal/scheduling/scheduler"
+)
+
+// pressedQueue is a queue of a pressed fleet: each job is so many steps, one after another, of equal tasks.
+type pressedQueue struct {
+	name      string
+	terms     wire.RouteTerms
+	perSecond float64
+	steps     int
+	tasks     int
+	cpu       int
+	length    time.Duration
+}
+
+// The queues of a pressed fleet, which usually ask for about two thirds of its capacity together: much urgent work, a little that is less urgent,
+// and long work that can wait.
+var (
+	urgentQueue = pressedQueue{name: "urgent", terms: wire.RouteTerms{MaxAttempts: 3, Priority: 0, Stretch: 1.5, TargetMs: 300}, perSecond: 6.7, steps: 2, tasks: 20, cpu: 2000, length: 250 * time.Millisecond}
+	usualQueue  = pressedQueue{name: "usual", terms: wire.RouteTerms{MaxAttempts: 3, Priority: 1, Stretch: 2.2, TargetMs: 1000}, perSecond: 2.2, steps: 1, tasks: 6, cpu: 4000, length: 700 * time.Millisecond}
+	longQueue   = pressedQueue{name: "long", terms: wire.RouteTerms{MaxAttempts: 3, Priority: 2, Stretch: 3.2, TargetMs: 3000}, perSecond: 0.25, steps: 1, tasks: 10, cpu: 6000, length: 5 * time.Second}
+)
+
+const (
+	pressedExecutors = 24
+	pressedCPU       = 16000
+)
+
+// pressedJob is a job and when it was submitted and completed.
+type pressedJob struct {
+	queue       *pressedQueue
+	submittedAt time.Duration
+	completedAt time.Duration
+	remaining   int
+}
+
+// target is how long the job may take to be on time.
+func (j *pressedJob) target() time.Duration {
+	chain := time.Duration(j.queue.steps) * j.queue.length
+	return time.Duration(j.queue.terms.Stretch*float64(chain)) + time.Duration(j.queue.terms.TargetMs)*time.Millisecond
+}
+
+func (j *pressedJob) isOnTime() bool {
+	return j.completedAt > 0 && j.completedAt-j.submittedAt <= j.target()
+}
+
+// pressedFleet submits jobs of several queues to a fleet, and plays the runs.
+type pressedFleet struct {
+	*fleet
+	draw *rand.Rand
+	jobs map[string]*pressedJob
+	next map[string]float64
+	ends map[string]time.Duration
+}
+
+func newPressedFleet(seed uint64) *pressedFleet {
+	timing := timing
+	timing.ReservedCapacity = scheduler.DefaultReservedCapacity
+	c := &pressedFleet{fleet: newFleet(timing), draw: rand.New(rand.NewPCG(seed, 3)), jobs: map[string]*pressedJob{}, next: map[string]float64{}, ends: map[string]time.Duration{}}
+	for number := range pressedExecutors {
+		c.add(1, wire.Capacity{CPU: pressedCPU, Memory: 64000}, "a", fmt.Sprintf("r%d", number/6))
+	}
+	return c
+}
+
+// submit brings one job of a queue.
+func (c *pressedFleet) submit(queue *pressedQueue) string {
+	name := fmt.Sprintf("%016x", len(c.jobs)+1)
+	var steps []string
+	for number := range queue.steps {
+		after := ""
+		if number > 0 {
+			after = fmt.Sprintf(`,"depends-on":[%d]`, number-1)
+		}
+		steps = append(steps, fmt.Sprintf(`{"task-count":%d,"cpu-units":%d,"memory-req-mb":500,"estimated-ms":%d%s}`, queue.tasks, queue.cpu, queue.length.Milliseconds(), after))
+	}
+	c.jobs[name] = &pressedJob{queue: queue, submittedAt: c.clock.Monotonic(), remaining: queue.steps * queue.tasks}
+	c.handIn(name, queue.terms, `{"task-descriptor":"d","step-list":[`+strings.Join(steps, ",")+`]}`)
+	return name
+}
+
+// lengthOf is how long a task runs: within a third of its queue's length, and the same in every play of a seed.
+func (c *pressedFleet) lengthOf(task string) time.Duration {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(task))
+	return c.jobs[task[:16]].queue.length * time.Duration(67+hash.Sum64()%66) / 100
+}
+
+// work ends the runs that are due.
+func (c *pressedFleet) work() {
+	now := c.clock.Monotonic()
+	for _, executor := range c.executors {
+		for _, order := range slices.Clone(executor.running) {
+			run := fmt.Sprint(order.Task, "/", order.Run)
+			if c.ends[run] == 0 {
+				c.ends[run] = now + c.lengthOf(order.Task)
+			}
+			if now < c.ends[run] {
+				continue
+			}
+			executor.end(order.Task, "done")
+			job := c.jobs[order.Task[:16]]
+			job.remaining--
+			if job.remaining == 0 {
+				job.completedAt = now
+			}
+		}
+	}
+}
+
+// play submits jobs at a multiple of the usual rate of each queue for so long.
+func (c *pressedFleet) play(length time.Duration, factor float64, queues ...*pressedQueue) {
+	for end := c.clock.Monotonic() + length; c.clock.Monotonic() < end; {
+		for _, queue := range queues {
+			for c.next[queue.name] += queue.perSecond * factor * fleetTick.Seconds(); c.next[queue.name] >= 1; {
+				c.next[queue.name] -= c.draw.ExpFloat64()
+				c.submit(queue)
+			}
+		}
+		c.work()
+		c.pass(fleetTick)
+	}
+}
+
+// onTime is the share of a queue's jobs that were on time, of those submitted between two moments.
+func (c *pressedFleet) onTime(queue *pressedQueue, from, to time.Duration) float64 {
+	var all, inTime float64
+	for _, job := range c.jobs {
+		if job.queue != queue || job.submittedAt < from || job.submittedAt >= to {
+			continue
+		}
+		all++
+		if job.isOnTime() {
+			inTime++
+		}
+	}
+	Expect(all).NotTo(BeZero())
+	return inTime / all
+}
+
+var _ = Describe("more work than there is capacity for", func() {
+	all := []*pressedQueue{&urgentQueue, &usualQueue, &longQueue}
+
+	It("is not what a usual day brings: nearly all jobs are on time", func() {
+		c := newPressedFleet(1)
+		c.play(30*time.Second, 1, all...)
+		end := c.clock.Monotonic()
+		c.play(10*time.Second, 1, all...)
+		Expect(c.onTime(&urgentQueue, 0, end)).To(BeNumerically(">", 0.95))
+		Expect(c.onTime(&usualQueue, 0, end)).To(BeNumerically(">", 0.95))
+	})
+
+	It("lets each queue have part of its jobs on time, while all ask for two and a half times as much as usual", func() {
+		c := newPressedFleet(1)
+		c.play(8*time.Second, 1, all...)
+		begin := c.clock.Monotonic()
+		c.play(26*time.Second, 2.5, all...)
+		end := c.clock.Monotonic()
+		c.play(8*time.Second, 1, all...)
+		fmt.Fprintln(GinkgoWriter, "on time under overload:", c.onTime(&urgentQueue, begin, end), c.onTime(&usualQueue, begin, end), c.onTime(&longQueue, begin, end))
+		Expect(c.onTime(&urgentQueue, begin, end)).To(BeNumerically(">", 0.5))
+		Expect(c.onTime(&usualQueue, begin, end)).To(BeNumerically(">", 0.5))
+	})
+
+	It("serves what comes after it as on any other day", func() {
+		c := newPressedFleet(2)
+		c.play(8*time.Second, 1, all...)
+		c.play(26*time.Second, 2.5, all...)
+		c.play(3*time.Second, 1, all...)
+		begin := c.clock.Monotonic()
+		c.play(30*time.Second, 1, all...)
+		end := c.clock.Monotonic()
+		c.play(6*time.Second, 1, all...)
+		fmt.Fprintln(GinkgoWriter, "on time after overload:", c.onTime(&urgentQueue, begin, end), c.onTime(&usualQueue, begin, end))
+		Expect(c.onTime(&urgentQueue, begin, end)).To(BeNumerically(">", 0.9))
+		Expect(c.onTime(&usualQueue, begin, end)).To(BeNumerically(">", 0.9))
+	})
+
+	It("keeps some capacity for less urgent work that is on time, though the urgent alone could take all", func() {
+		c := newPressedFleet(3)
+		c.play(4*time.Second, 1, all...)
+		begin := c.clock.Monotonic()
+		for range 100 {
+			c.play(100*time.Millisecond, 1, &usualQueue)
+			c.play(100*time.Millisecond, 8, &urgentQueue)
+		}
+		end := c.clock.Monotonic()
+		c.play(4*time.Second, 1, &usualQueue)
+		fmt.Fprintln(GinkgoWriter, "on time beside a flood:", c.onTime(&urgentQueue, begin, end), c.onTime(&usualQueue, begin, end))
+		Expect(c.onTime(&usualQueue, begin, end)).To(BeNumerically(">", 0.6))
+		Expect(c.onTime(&urgentQueue, begin, end)).To(BeNumerically(">", 0.2))
+	})
+})
--- a/internal/scheduling/scheduler/scheduler_suite_test.go
+++ b/internal/scheduling/scheduler/scheduler_suite_test.go
@@ -7,7 +7,7 @@
 	. "github.com/onsi/gomega"
 )
 
-func TestPoolowner(t *testing.T) {
+func TestScheduler(t *testing.T) {
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "scheduler")
 }
