Overload: what is on time before what is late, expired work for good last, shares for the less urgent

Ruled out: the leader's processor (turns of the pool in time at 163,000 waiting cores), the clock (occurrences open in time).

--- a/internal/platform/queuerules/queuerules.go
+++ b/internal/platform/queuerules/queuerules.go
@@ -104,6 +104,9 @@
 // HasUse tells whether a queue has a rule of that kind.
 func (r *Rules) HasUse(queue string) bool { return r != nil && r.queues[queue].use != nil }
 
+// HasOrder tells whether a queue has a rule that orders its steps.
+func (r *Rules) HasOrder(queue string) bool { return r != nil && r.queues[queue].order != nil }
+
 // Order gives the place of a step among those of its priority; lower goes first.
 func (r *Rules) Order(queue string, step Step) int64 {
 	if r == nil || r.queues[queue].order == nil {
--- a/internal/scheduling/placement/gang.go
+++ b/internal/scheduling/placement/gang.go
@@ -17,7 +17,7 @@
 		taken = t.findGang(group, withoutSoftLimits)
 	}
 	for _, candidate := range taken {
-		t.placed = append(t.placed, Placement{number, candidate.index})
+		t.note(number, candidate, allowance)
 	}
 	allowance.spend(group.Need.Times(float64(len(taken))))
 }
--- a/internal/scheduling/placement/group.go
+++ b/internal/scheduling/placement/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 )
 
 // Executor is what placement knows of an executor: its free and total capacity, its labels and rack. IsUnschedulable takes no
@@ -45,11 +46,13 @@
 	IsIdle   bool
 	Priority int
 	Deadline DeadlineClass
-	Due      int64
+	// RemainingTenths is how much of the job is left to be done, in tenths of its work: what has been begun is finished first.
+	RemainingTenths int
+	Due             int64
 }
 
-// DeadlineClass is what a group's job can still earn. Within a priority what may be in time goes before what is late, and
-// what comes too late for anything goes after all others.
+// DeadlineClass is what a group's job can still earn. Work that is on time goes before work that is late, and what comes too late for
+// anything goes after all others.
 type DeadlineClass int
 
 const (
@@ -67,8 +70,11 @@
 // String is the class as metrics and logs name it.
 func (c DeadlineClass) String() string { return deadlineClassNames[c] }
 
-// Placement is one start: the number of the group and the index of the executor.
-type Placement struct{ Group, Executor int }
+// Placement is one start: the number of the group and the index of the executor. IsFromShare tells that a share was used for it.
+type Placement struct {
+	Group, Executor int
+	IsFromShare     bool
+}
 
 // Queue is groups in the order of CompareGroups, the speculative ones after them, and resources that none needs less than.
 // The speculative groups are numbered on from the others.
@@ -78,30 +84,30 @@
 	MinNeed     Resources
 }
 
-// Limits are the soft limits of a placement. Remaining is what long work of a priority may still take of all capacity
-// together; a priority without an entry may take all there is. As long as less CPU than FirstRunCPU has been given out,
-// Remaining, reservations and the run limits of executors keep no step from its first run.
+// Limits are the soft limits of a placement. Remaining is what long work of a priority, and expired work as Background, may still
+// take of all capacity together; a priority without an entry may take all there is. As long as less CPU than FirstRunCPU has been given out,
+// Remaining, reservations and the run limits of executors keep no step from its first run. Shares go first.
 type Limits struct {
 	Remaining   map[int]Resources
 	FirstRunCPU int64
+	Shares      []Share
 }
 
-// CompareGroups orders the groups of a queue: what is too late after all others, then by priority, by what can be in
-// time, and by what is due.
-func CompareGroups(a, b *Group) int {
-	if a.isTooLate() != b.isTooLate() {
-		if b.isTooLate() {
-			return -1
-		}
-		return 1
-	}
-	if a.Priority != b.Priority {
-		return cmp.Compare(a.Priority, b.Priority)
-	}
-	if a.Deadline != b.Deadline {
-		return cmp.Compare(a.Deadline, b.Deadline)
-	}
-	return cmp.Compare(a.Due, b.Due)
+// Share is capacity that a part of the queue may take before the order of the queue decides: the groups of one priority and
+// deadline class, or all expired groups, whatever their priority. Its last run may go beyond Resources, so that a large task gets its
+// turn, and so many executors may be reserved for such tasks.
+type Share struct {
+	Priority     int
+	Deadline     DeadlineClass
+	Resources    Resources
+	Reservations int
 }
 
-func (g *Group) isTooLate() bool { return g.Deadline == Expired }
+// Background is the priority that the expired work of all priorities counts as in Remaining: it leaves alone what any of them may
+// need, as its runs can't be pushed aside.
+const Background = math.MaxInt
+
+// CompareGroups orders the groups of a queue by their section, then what has been begun first, and then by what is due.
+func CompareGroups(a, b *Group) int {
+	return cmp.Or(compareSections(sectionOf(a), sectionOf(b)), cmp.Compare(a.RemainingTenths, b.RemainingTenths), cmp.Compare(a.Due, b.Due))
+}
--- a/internal/scheduling/placement/place.go
+++ b/internal/scheduling/placement/place.go
@@ -5,45 +5,88 @@
 	"maps"
 )
 
-// Place gives the starts that fit, in the order of the queue.
+// Place gives the starts that fit: first what shares are kept for, then all others in the order of the queue.
 func Place(executors []Executor, queue Queue, limits Limits) []Placement {
 	if len(queue.Groups)+len(queue.Speculative) == 0 {
 		return nil
 	}
 	turn := newTurn(executors, queue.MinNeed, limits.FirstRunCPU)
+	turn.placeShares(queue.Groups, limits)
 	turn.placeAll(queue.Groups, 0, limits.Remaining)
 	turn.placeAll(queue.Speculative, len(queue.Groups), limits.Remaining)
 	return turn.placed
 }
 
-// placeAll places groups of the same priority in their order, within what their limits still allow.
+// placeAll places groups in their order, within what their limits still allow.
 func (t *turn) placeAll(groups []*Group, number int, remaining map[int]Resources) {
 	for index, group := range groups {
 		if t.isOver {
 			return
 		}
-		allowance := allowanceOf(remaining, group)
-		if group.IsGang {
-			t.placeGang(group, number+index, allowance)
-			continue
+		t.placeGroup(group, number+index, allowanceOf(remaining, group))
+	}
+}
+
+// placeGroup places what is left of a group.
+func (t *turn) placeGroup(group *Group, number int, allowance allowance) {
+	switch {
+	case !group.IsGang:
+		t.placeSingles(group, number, allowance)
+	case t.placedOf[number] == 0:
+		t.placeGang(group, number, allowance)
+	}
+}
+
+// placeShares gives parts of the queue what is kept for them, whatever stands before them in the queue.
+func (t *turn) placeShares(groups []*Group, limits Limits) {
+	for _, share := range limits.Shares {
+		open := &openShare{Share: share}
+		for _, section := range share.sections() {
+			from, to := indicesOf(groups, section)
+			t.placeShare(groups[:to], from, limits.Remaining, open)
 		}
-		t.placeSingles(group, number+index, allowance)
 	}
 }
 
-// allowance is what one priority may still take.
+// maxShareFailures bounds how many groups of a share are tried in vain in one turn.
+const maxShareFailures = 8
+
+// openShare is what is left of a share, and how many of its groups found no executor.
+type openShare struct {
+	Share
+	failures int
+}
+
+// isSpent tells whether nothing is left of a share, or nothing of it finds an executor.
+func (s *openShare) isSpent() bool {
+	return s.Resources.CPU <= 0 || s.Resources.Memory <= 0 || s.failures >= maxShareFailures
+}
+
+// placeShare places groups from an index on, until the share is spent, which is the only limit here.
+func (t *turn) placeShare(groups []*Group, from int, remaining map[int]Resources, share *openShare) {
+	for index := from; index < len(groups) && !t.isOver && !share.isSpent(); index++ {
+		allowance := allowanceOf(remaining, groups[index])
+		allowance.share, allowance.isBound = share, false
+		t.placeGroup(groups[index], index, allowance)
+	}
+}
+
+// allowance is what one priority may still take, and, while shares are given out, what is left of the share.
 type allowance struct {
 	remaining map[int]Resources
 	priority  int
 	isBound   bool
+	// share is nil where the order of the queue decides.
+	share *openShare
 }
 
 func allowanceOf(remaining map[int]Resources, group *Group) allowance {
-	if !group.IsLong {
-		return allowance{remaining: remaining, priority: group.Priority}
+	priority, isLimited := group.Priority, group.IsLong
+	if group.Deadline == Expired {
+		priority, isLimited = Background, true
 	}
-	_, isBound := remaining[group.Priority]
-	return allowance{remaining, group.Priority, isBound}
+	_, isBound := remaining[priority]
+	return allowance{remaining: remaining, priority: priority, isBound: isBound && isLimited}
 }
 
 func (a allowance) covers(need Resources) bool {
@@ -54,13 +97,41 @@
 	return need.CPU <= capacity.CPU && need.Memory <= capacity.Memory
 }
 
-// spend counts against this priority and all below it.
+// spend counts against this priority and all below it, and against the share.
 func (a allowance) spend(need Resources) {
 	for priority, capacity := range a.remaining {
 		if priority >= a.priority {
 			a.remaining[priority] = capacity.Minus(need)
 		}
 	}
+	a.spendShare(need)
+}
+
+// spendShare counts against the share alone.
+func (a allowance) spendShare(need Resources) {
+	if a.share != nil {
+		a.share.Resources = a.share.Resources.Minus(need)
+	}
+}
+
+// isShareSpent tells whether a share is used up; where the order of the queue decides, it never is.
+func (a allowance) isShareSpent() bool { return a.share != nil && a.share.isSpent() }
+
+// fail counts a group that found no executor: its need is spent all the same, so that the share does not go through the whole queue.
+func (a allowance) fail(need Resources) {
+	if a.share != nil {
+		a.share.failures++
+		a.spendShare(need)
+	}
+}
+
+// mayReserve tells whether an executor may be reserved for a large task that found none, and counts the reservation.
+func (a allowance) mayReserve() bool {
+	if a.share == nil {
+		return true
+	}
+	a.share.Reservations--
+	return a.share.Reservations >= 0
 }
 
 // turn is one placement under way. Capacity only shrinks while it lasts, so what found none once finds none later,
@@ -79,6 +150,8 @@
 	firstRunCPU        int64
 	smallestTotal      Resources
 	placed             []Placement
+	// placedOf counts what was placed of the groups that have had part of a share, by their number.
+	placedOf map[int]int
 }
 
 // candidateState is an executor that had capacity when the turn began, and what it has now.
@@ -149,32 +222,70 @@
 	}
 }
 
-// placeSingles places a group's tasks one by one until one finds no executor.
+// placeSingles places what is left of a group's tasks one by one, until one finds no executor or the share is spent.
 func (t *turn) placeSingles(group *Group, number int, allowance allowance) {
-	runs := group.RunsByExecutor
-	if group.AntiAffinity > 0 {
-		runs = runsOn(group)
-	}
-	for count := range group.Count {
+	var runs map[int]int
+	for count := t.placedOf[number]; count < group.Count && !allowance.isShareSpent(); count++ {
 		mayExceedLimits := count == 0 && t.mayExceedLimits(group)
 		if !mayExceedLimits && !allowance.covers(group.Need) {
 			return
 		}
 		var best *candidateState
-		if !t.fitsNowhere(group) {
-			best = t.choose(search{group: group, runs: runs, limits: withSoftLimits})
-		}
-		if best == nil && mayExceedLimits {
-			best = t.chooseAny(group, runs)
+		if mayExceedLimits || !t.fitsNowhere(group) {
+			runs = t.runsWithin(group, number, runs)
+			best = t.chooseFor(group, runs, mayExceedLimits)
 		}
 		if best == nil {
-			t.handleFailure(group)
+			t.handleFailure(group, allowance)
+			allowance.fail(group.Need)
 			return
 		}
 		t.take(group, runs, best)
 		allowance.spend(group.Need)
-		t.placed = append(t.placed, Placement{number, best.index})
+		t.note(number, best, allowance)
+	}
+}
+
+// note records a placement.
+func (t *turn) note(number int, candidate *candidateState, allowance allowance) {
+	isFromShare := allowance.share != nil
+	t.placed = append(t.placed, Placement{number, candidate.index, isFromShare})
+	if !isFromShare {
+		return
+	}
+	if t.placedOf == nil {
+		t.placedOf = map[int]int{}
 	}
+	t.placedOf[number]++
+}
+
+// chooseFor gives the best executor for the next task of a group, past soft limits if it may exceed them.
+func (t *turn) chooseFor(group *Group, runs map[int]int, mayExceedLimits bool) *candidateState {
+	var best *candidateState
+	if !t.fitsNowhere(group) {
+		best = t.choose(search{group: group, runs: runs, limits: withSoftLimits})
+	}
+	if best == nil && mayExceedLimits {
+		best = t.chooseAny(group, runs)
+	}
+	return best
+}
+
+// runsWithin counts the runs of a group by executor, those that a share has brought in this turn included; runs is what it gave before.
+func (t *turn) runsWithin(group *Group, number int, runs map[int]int) map[int]int {
+	if group.AntiAffinity == 0 || runs != nil {
+		return runs
+	}
+	runs = runsOn(group)
+	if t.placedOf[number] == 0 {
+		return runs
+	}
+	for _, placed := range t.placed {
+		if placed.Group == number {
+			runs[placed.Executor]++
+		}
+	}
+	return runs
 }
 
 // chooseAny gives the best executor for a first run, past all soft limits.
@@ -189,11 +300,12 @@
 	return best
 }
 
-func (t *turn) handleFailure(group *Group) {
+// handleFailure remembers that a task found no executor, and reserves one for it if it is large.
+func (t *turn) handleFailure(group *Group, allowance allowance) {
 	if !t.fitsNowhere(group) {
 		t.noteFailure(group)
 	}
-	if !group.IsSpeculative && !group.IsLocalityRequired && t.openCount > 0 && !t.isOver {
+	if !group.IsSpeculative && !group.IsLocalityRequired && t.openCount > 0 && !t.isOver && t.isLarge(group) && allowance.mayReserve() {
 		t.reserve(group)
 	}
 }
--- a/internal/scheduling/placement/reserve.go
+++ b/internal/scheduling/placement/reserve.go
@@ -81,12 +81,14 @@
 	return s.emptiestFor(group, executors)
 }
 
+// isLarge tells whether a group's tasks may be too large to find room between small ones.
+func (t *turn) isLarge(group *Group) bool {
+	return 3*group.Need.CPU > t.smallestTotal.CPU || 3*group.Need.Memory > t.smallestTotal.Memory
+}
+
 // reserve keeps the emptiest executor for a large task, so that it does not starve behind small later ones. One that
 // the task can't use is left to others.
 func (t *turn) reserve(group *Group) {
-	if 3*group.Need.CPU <= t.smallestTotal.CPU && 3*group.Need.Memory <= t.smallestTotal.Memory {
-		return
-	}
 	if t.sizeClasses == nil {
 		t.sizeClasses = t.bySizeClass()
 	}
--- a/internal/scheduling/placement/resources.go
+++ b/internal/scheduling/placement/resources.go
@@ -33,6 +33,18 @@
 	return Resources{min(r.CPU, other.CPU), min(r.Memory, other.Memory), min(r.GPU, other.GPU)}
 }
 
+// PartOf is the part that these are of a total, in the resource of which they are the larger part; 0 if there is none of it.
+func (r Resources) PartOf(total Resources) float64 {
+	part := 0.0
+	if total.CPU > 0 {
+		part = float64(r.CPU) / float64(total.CPU)
+	}
+	if total.Memory > 0 {
+		part = max(part, float64(r.Memory)/float64(total.Memory))
+	}
+	return part
+}
+
 // slots is how often a need fits, counted no further than most.
 func (r Resources) slots(need Resources, limit int64) int64 {
 	if !r.Fits(need) {
--- a/internal/scheduling/scheduler/consistency_test.go
+++ b/internal/scheduling/scheduler/consistency_test.go
@@ -66,7 +66,9 @@
 		for index, request := range list.requests {
 			compare("group in its place", list.groups[index] == request.group, true)
 			compare("least need", request.group.Need.Fits(list.minNeed), true)
-			asked[request.group.Priority] = asked[request.group.Priority].with(asks(request.group), 1)
+			if request.group.Deadline == placement.OnTime {
+				asked[request.group.Priority] = asked[request.group.Priority].with(asks(request.group), 1)
+			}
 		}
 		compare("asked", list.demand, asked)
 	}
@@ -92,6 +94,9 @@
 		var used placement.Resources
 		for _, run := range executor.runs {
 			need, priority := run.task.step.need(), run.task.step.priority()
+			if run.isExpired {
+				priority = placement.Background
+			}
 			used = used.Plus(need)
 			taken[priority] = taken[priority].with(need, 1)
 			if run.phase != runRunning {
--- a/internal/scheduling/scheduler/deadline.go
+++ b/internal/scheduling/scheduler/deadline.go
@@ -8,13 +8,6 @@
 	"gannetline/internal/scheduling/placement"
 )
 
-// What is too late for anything waits behind all else, but not for ever: after a while it counts as late again, and
-// after a longer one it goes first.
-const (
-	lateAgainMs  = 6000
-	firstAgainMs = 20000
-)
-
 // computeRemainingPaths works out how long the chain from each step to the job's end is, as far as it is known beforehand.
 func (t *occurrence) computeRemainingPaths() {
 	for _, step := range slices.Backward(t.steps) {
@@ -25,25 +18,21 @@
 	}
 }
 
-// deadlineTurns are the times of day, in ms, from which on a step is late, too late, late again, and first.
-func (s *stepState) deadlineTurns() [4]int64 {
-	last := s.occurrence.expiryMs - s.remainingPathMs
-	return [4]int64{s.occurrence.targetMs - s.remainingPathMs, last, last + lateAgainMs, last + firstAgainMs}
-}
+// lateFrom and expiredFrom are the times of day, in ms, from which on a step can't be on time any more, and can't be of use.
+func (s *stepState) lateFrom() int64    { return s.occurrence.targetMs - s.remainingPathMs }
+func (s *stepState) expiredFrom() int64 { return s.occurrence.expiryMs - s.remainingPathMs }
 
-// deadlineClass tells how near a step is to its deadline; a long-running step has none.
+// deadlineClass tells how near a step is to its deadline; a long-running step has none. The class only ever gets worse: what has
+// expired has a share of the capacity (shares), and must not come back in front of work that is still of use.
 func (p *Pool) deadlineClass(step *stepState) placement.DeadlineClass {
-	if step.spec.LongRunning {
+	now := p.leadership.WallMs()
+	switch {
+	case step.spec.LongRunning || now < step.lateFrom():
 		return placement.OnTime
+	case now < step.expiredFrom():
+		return placement.Late
 	}
-	classes := [4]placement.DeadlineClass{placement.Late, placement.Expired, placement.Late, placement.OnTime}
-	now, class := p.leadership.WallMs(), placement.OnTime
-	for index, turn := range step.deadlineTurns() {
-		if now >= turn {
-			class = classes[index]
-		}
-	}
-	return class
+	return placement.Expired
 }
 
 // nextDeadlineChange is when the deadline class of a step changes next.
@@ -52,7 +41,7 @@
 		return never
 	}
 	nowMs := p.leadership.WallMs()
-	for _, turn := range step.deadlineTurns() {
+	for _, turn := range []int64{step.lateFrom(), step.expiredFrom()} {
 		if nowMs < turn {
 			return now + clock.Milliseconds(turn-nowMs)
 		}
--- a/internal/scheduling/scheduler/loadreport.go
+++ b/internal/scheduling/scheduler/loadreport.go
@@ -60,8 +60,10 @@
 	for _, group := range p.open.first.groups {
 		result.of(group.Priority).waiting[group.Deadline] += asks(group).CPU
 	}
-	for priority, remaining := range p.longWorkRemaining {
-		result.of(priority).allowance, result.of(priority).isBound = remaining.CPU, true
+	for priority, current := range result.priorities {
+		if remaining, isBound := p.longWorkRemaining[priority]; isBound {
+			current.allowance, current.isBound = remaining.CPU, true
+		}
 	}
 	return result
 }
@@ -74,7 +76,7 @@
 		m.shownPriorities[priority] = true
 	}
 	for priority := range m.shownPriorities {
-		current, name := l.priorities[priority], strconv.Itoa(priority)
+		current, name := l.priorities[priority], priorityName(priority)
 		if current == nil {
 			current = &priorityLoad{}
 		}
@@ -86,6 +88,14 @@
 	}
 }
 
+// priorityName is a priority as operators see it.
+func priorityName(priority int) string {
+	if priority == placement.Background {
+		return "background"
+	}
+	return strconv.Itoa(priority)
+}
+
 // reportLateWork logs, now and then, what each priority has and waits for, as long as anything waits that is late already.
 func (p *Pool) reportLateWork(current load, now time.Duration) {
 	if now < p.nextLateWorkReport || !current.hasLateWork() {
@@ -100,7 +110,7 @@
 // logPriority writes what one priority has and waits for.
 func (p *Pool) logPriority(current load, priority int) {
 	of := current.priorities[priority]
-	values := []any{"key", p.key, "priority", priority, "allocated_cpu", of.allocated, "open_cpu", current.open,
+	values := []any{"key", p.key, "priority", priorityName(priority), "allocated_cpu", of.allocated, "open_cpu", current.open,
 		"on_time_cpu", of.waiting[placement.OnTime], "late_cpu", of.waiting[placement.Late], "expired_cpu", of.waiting[placement.Expired]}
 	if of.isBound {
 		values = append(values, "long_work_allowance_cpu", of.allowance)
--- a/internal/scheduling/scheduler/place.go
+++ b/internal/scheduling/scheduler/place.go
@@ -21,14 +21,16 @@
 	executors := p.placementView(now)
 	placed := placement.Place(executors, p.open.queue(), p.limits(now))
 	for _, start := range p.starts(placed) {
-		p.launch(start.task, start.executor, start.number)
+		p.launch(start)
 	}
 }
 
+// start is a run that was placed.
 type start struct {
-	task     *taskState
-	executor *executorState
-	number   int64
+	task        *taskState
+	executor    *executorState
+	number      int64
+	isFromShare bool
 }
 
 // starts gives each placement its task and the number of its run; all of a gang have one number.
@@ -49,7 +51,7 @@
 			}
 			number = gangRun[assignment.Group]
 		}
-		starts[index] = start{task, p.table.sorted[assignment.Executor], number}
+		starts[index] = start{task, p.table.sorted[assignment.Executor], number, assignment.IsFromShare}
 	}
 	return starts
 }
--- a/internal/scheduling/scheduler/pool.go
+++ b/internal/scheduling/scheduler/pool.go
@@ -56,6 +56,7 @@
 	// let a request be placed.
 	open         openSteps
 	needsPlacing bool
+	overload     overloadWatch
 	// spreads tell how uneven the durations of a route's tasks are, by route.
 	spreads map[string]*durationSpread
 
@@ -142,7 +143,7 @@
 func (p *Pool) Open(leadership Leadership, pairs []wire.Op) {
 	p.jobTable, p.changeSet, p.orderWatch, p.capacityUse = newJobTable(), newChangeSet(), newOrderWatch(), newCapacityUse()
 	p.executors, p.newestOnMachine, p.table = map[string]*executorState{}, map[string]*executorState{}, executorTable{}
-	p.open, p.spreads = newOpenSteps(), map[string]*durationSpread{}
+	p.open, p.overload, p.spreads = newOpenSteps(), newOverloadWatch(), map[string]*durationSpread{}
 	p.openedAt = p.clock.Monotonic()
 	p.load(pairs)
 	p.leadership = leadership
--- a/internal/scheduling/scheduler/refresh.go
+++ b/internal/scheduling/scheduler/refresh.go
@@ -14,10 +14,12 @@
 // maxIdleWait is how long soft limits may keep a step that runs nothing from its first run.
 const maxIdleWait = time.Second
 
-// markChanged notes that something of a task has changed which placement may see.
+// markChanged notes that something of a task has changed which placement may see, also in the other steps of its job.
 func (p *Pool) markChanged(task *taskState) {
 	task.step.classify(task)
-	p.open.markStale(task.step)
+	for _, step := range task.step.occurrence.steps {
+		p.open.markStale(step)
+	}
 }
 
 // refreshAll works out anew what may have changed since the last placement.
@@ -36,7 +38,10 @@
 		o.refreshTimes.set(step, never)
 		o.markStale(step)
 	}
-	for _, step := range o.stale {
+	p.endOverloads(now)
+	// A step that turns late may make others stale, so that the list grows on the way.
+	for index := 0; index < len(o.stale); index++ {
+		step := o.stale[index]
 		step.requests.isStale = false
 		if o.steps[step] {
 			p.refresh(step, now)
@@ -59,6 +64,7 @@
 	if len(ready) > 0 {
 		group = p.group(step, ready)
 	}
+	p.noteChange(&step.requests.group, &group, now)
 	p.open.first.change(&step.requests.first, ready, group)
 	candidates, candidatesNext := p.tasksToSpeculate(step, now)
 	p.refreshSpeculative(step, candidates)
@@ -127,7 +133,7 @@
 	group := placement.Group{Excluded: p.excludedByRule(step), Need: step.need(), Count: len(ready), IsGang: step.spec.Gang, IsIdle: p.clock.Monotonic() >= p.idleFrom(step),
 		SameRack: step.spec.SameRack, Labels: step.spec.Labels, Locality: step.spec.Affinity, AntiAffinity: step.spec.AntiAffinity,
 		IsLong:   step.spec.LongRunning || clock.Milliseconds(step.spec.EstimatedMs) > p.timing.ReservedCapacity.LongWork,
-		Priority: job.record.Terms.Priority, Deadline: p.deadlineClass(step), Due: p.orderKey(step, len(ready))}
+		Priority: job.record.Terms.Priority, Deadline: p.deadlineClass(step), RemainingTenths: p.remainingTenths(step), Due: p.orderKey(step, len(ready))}
 	group.IsLocalityRequired = p.clock.Monotonic() < p.localityWaitUntil(step) && p.hasLocalExecutor(step)
 	if group.AntiAffinity > 0 {
 		group.RunsByExecutor = step.runsByExecutor()
@@ -147,10 +153,31 @@
 }
 
 func (p *Pool) orderKey(step *stepState, tasks int) int64 {
+	if !p.rules.HasOrder(step.queue()) {
+		return p.dueKey(step)
+	}
 	return p.rules.Order(step.queue(), queuerules.Step{Due: int(step.occurrence.targetMs), Tasks: tasks,
 		CPU: int(step.spec.CPU), Memory: int(step.spec.Memory), Estimate: int(step.spec.EstimatedMs)})
 }
 
+// wholeJob is the tenths that are left of a job of which nothing has been started.
+const wholeJob = 10
+
+// remainingTenths is how much of the work of a step's occurrence is yet to be started, by the estimates. A queue whose rule orders its
+// steps goes by that rule alone, and what has expired by its age alone, so that each has its turn.
+func (p *Pool) remainingTenths(step *stepState) int {
+	if p.rules.HasOrder(step.queue()) || p.deadlineClass(step) == placement.Expired {
+		return wholeJob
+	}
+	var whole, remaining int64
+	for _, part := range step.occurrence.steps {
+		weight := max(1, part.spec.CPU) * max(1, part.spec.EstimatedMs)
+		whole += weight * int64(len(part.tasks))
+		remaining += weight * int64(len(part.idle))
+	}
+	return int(remaining * wholeJob / whole)
+}
+
 // runsByExecutor counts the runs of a step by the index of their executor.
 func (s *stepState) runsByExecutor() map[int]int {
 	runs := map[int]int{}
--- a/internal/scheduling/scheduler/requests.go
+++ b/internal/scheduling/scheduler/requests.go
@@ -26,8 +26,8 @@
 	group *placement.Group
 }
 
-// requests are kept in the order in which they are placed, with what they ask for by priority, and resources that none
-// needs less than.
+// requests are kept in the order in which they are placed, with what those that are on time ask for by priority, and resources that
+// none needs less than.
 type requests struct {
 	requests []*placementRequest
 	groups   []*placement.Group
@@ -65,19 +65,26 @@
 	r.count(&group, 1)
 }
 
-// count adds a group's demand to that of its priority, or takes it out with a negative count.
+// count adds a group's demand to that of its priority, or takes it out with a negative count. A backlog of late work is no demand
+// that capacity is to be reserved for.
 func (r *requests) count(group *placement.Group, count int) {
 	if group.Count == 0 {
 		return
 	}
+	if group.Deadline == placement.OnTime {
+		r.countDemand(group, count)
+	}
+	if count > 0 {
+		r.minNeed = r.minNeed.Min(group.Need)
+	}
+}
+
+func (r *requests) countDemand(group *placement.Group, count int) {
 	taken := r.demand[group.Priority].with(asks(group), count)
 	r.demand[group.Priority] = taken
 	if taken.count == 0 {
 		delete(r.demand, group.Priority)
 	}
-	if count > 0 {
-		r.minNeed = r.minNeed.Min(group.Need)
-	}
 }
 
 func asks(group *placement.Group) placement.Resources { return group.Need.Times(float64(group.Count)) }
--- a/internal/scheduling/scheduler/reservedcapacity.go
+++ b/internal/scheduling/scheduler/reservedcapacity.go
@@ -9,43 +9,51 @@
 	"gannetline/internal/scheduling/placement"
 )
 
-const demandHalfLife = 15 * time.Second
-
 // ReservedCapacity is what long work of lower priority leaves to the urgent: at most MaxReserved of all capacity, and always
 // AlwaysAllowed of it to long work, which is work over LongWork. FirstRunShare is the part of all CPU up to which no soft
-// limit keeps a step from its first run.
+// limit keeps a step from its first run. DemandHalfLife is how fast it is forgotten what the urgent asked for; 0 forgets it at once.
 type ReservedCapacity struct {
-	MaxReserved   float64
-	AlwaysAllowed float64
-	LongWork      time.Duration
-	FirstRunShare float64
+	MaxReserved    float64
+	AlwaysAllowed  float64
+	LongWork       time.Duration
+	FirstRunShare  float64
+	DemandHalfLife time.Duration
+	// LowerShare is kept for what is on time of the second priority, and half as much for each one after the one before it;
+	// ExpiredShare is kept for what is of no use any more.
+	LowerShare   float64
+	ExpiredShare float64
 }
 
 // DefaultReservedCapacity keeps at most 60% of the capacity free for the urgent and always lets long work have 30%; long is over
 // 1.5 s. First runs go past soft limits up to 60%: over half, as runs that have ended count as running until that is reported.
-var DefaultReservedCapacity = ReservedCapacity{MaxReserved: 0.6, AlwaysAllowed: 0.3, LongWork: 1500 * time.Millisecond, FirstRunShare: 0.6}
+var DefaultReservedCapacity = ReservedCapacity{MaxReserved: 0.6, AlwaysAllowed: 0.3, LongWork: 1500 * time.Millisecond, FirstRunShare: 0.6,
+	DemandHalfLife: 15 * time.Second, LowerShare: 0.15, ExpiredShare: 0.05}
 
 // capacityUse is what the runs of each priority take, and what each priority asked for at its peak.
 type capacityUse struct {
-	// allocations are of all runs that are not closed, by priority; a priority without runs has no entry.
+	// allocations are of all runs that are not closed, by the priority that they count as; a priority without runs has no entry.
 	allocations   map[int]allocation
 	recentDemands map[int]*recentDemand
+	shareAccounts shareAccounts
 	// longWorkRemaining is what long work of a priority could still take at the last placement.
 	longWorkRemaining map[int]placement.Resources
 }
 
 func newCapacityUse() capacityUse {
-	return capacityUse{allocations: map[int]allocation{}, recentDemands: map[int]*recentDemand{}}
+	return capacityUse{allocations: map[int]allocation{}, recentDemands: map[int]*recentDemand{}, shareAccounts: shareAccounts{}}
 }
 
-// recentDemand is the most that a priority asked for lately; it fades.
+// recentDemand is the most that a priority asked for lately, of what there is; it fades.
 type recentDemand struct {
 	cpu, memory float64
 	at          time.Duration
 }
 
-func (k *recentDemand) raise(cpu, memory float64, now time.Duration) {
-	fade := math.Exp2(-float64(now-k.at) / float64(demandHalfLife))
+func (k *recentDemand) raise(cpu, memory float64, now, halfLife time.Duration) {
+	fade := 0.0
+	if halfLife > 0 {
+		fade = math.Exp2(-float64(now-k.at) / float64(halfLife))
+	}
 	k.cpu, k.memory, k.at = max(cpu, k.cpu*fade), max(memory, k.memory*fade), now
 }
 
@@ -56,7 +64,7 @@
 func (p *Pool) limits(now time.Duration) placement.Limits {
 	firstRuns := int64(p.timing.ReservedCapacity.FirstRunShare*float64(p.table.totalCapacity.CPU)) - p.table.usedCPU
 	p.longWorkRemaining = p.remainingByPriority(p.table.openCapacity, now)
-	return placement.Limits{Remaining: maps.Clone(p.longWorkRemaining), FirstRunCPU: firstRuns}
+	return placement.Limits{Remaining: maps.Clone(p.longWorkRemaining), FirstRunCPU: firstRuns, Shares: p.shares(now)}
 }
 
 // remainingByPriority gives each priority what it may still take, so that urgent jobs find capacity when they come.
@@ -74,10 +82,11 @@
 		if p.recentDemands[priority] == nil {
 			p.recentDemands[priority] = &recentDemand{}
 		}
-		p.recentDemands[priority].raise(float64(demand.wanted.CPU), float64(demand.wanted.Memory), now)
+		wanted := demand.wanted.Min(total)
+		p.recentDemands[priority].raise(float64(wanted.CPU), float64(wanted.Memory), now, p.timing.ReservedCapacity.DemandHalfLife)
 		if index > 0 {
 			free := total.Minus(used).Minus(kept)
-			minimum := total.Times(p.timing.ReservedCapacity.AlwaysAllowed).Minus(used.Minus(above))
+			minimum := total.Times(p.alwaysAllowed(priority)).Minus(used.Minus(above))
 			remaining[priority] = free.Max(minimum)
 		}
 		kept = kept.Plus(p.recentDemands[priority].unused(demand.allocated, total.Times(p.timing.ReservedCapacity.MaxReserved)))
@@ -86,6 +95,19 @@
 	return remaining
 }
 
+// alwaysAllowed is the part of the capacity that long work of a priority and all below it may take whatever is reserved. While a more
+// urgent priority is overloaded it is no more than the share of one priority.
+func (p *Pool) alwaysAllowed(priority int) float64 {
+	reserved := &p.timing.ReservedCapacity
+	switch {
+	case priority == placement.Background:
+		return min(reserved.AlwaysAllowed, reserved.ExpiredShare)
+	case p.overload.isAnyOverloaded(priority):
+		return min(reserved.AlwaysAllowed, reserved.LowerShare)
+	}
+	return reserved.AlwaysAllowed
+}
+
 func (k *recentDemand) unused(used, limit placement.Resources) placement.Resources {
 	return placement.Resources{CPU: max(0, min(int64(k.cpu), limit.CPU)-used.CPU), Memory: max(0, min(int64(k.memory), limit.Memory)-used.Memory)}
 }
@@ -104,21 +126,32 @@
 }
 
 // allocate counts a run that takes resources.
-func (c *capacityUse) allocate(priority int, need placement.Resources) {
-	c.allocations[priority] = c.allocations[priority].with(need, 1)
-}
+func (c *capacityUse) allocate(run *runState) { c.countRun(run, 1) }
 
 // deallocate is the end of what allocate counted.
-func (c *capacityUse) deallocate(priority int, need placement.Resources) {
-	c.allocations[priority] = c.allocations[priority].with(need, -1)
+func (c *capacityUse) deallocate(run *runState) { c.countRun(run, -1) }
+
+func (c *capacityUse) countRun(run *runState, count int) {
+	priority := run.countedPriority()
+	c.allocations[priority] = c.allocations[priority].with(run.task.step.need(), count)
 	if c.allocations[priority].count == 0 {
 		delete(c.allocations, priority)
 	}
+	c.shareAccounts.countRun(run, int64(count))
+}
+
+// countedPriority is the priority that a run's allocation counts as: what had expired when it was placed is background work.
+func (r *runState) countedPriority() int {
+	if r.isExpired {
+		return placement.Background
+	}
+	return r.task.step.priority()
 }
 
-// demands returns by priority what runs hold and what they and the open requests want together.
+// demands returns by priority what runs hold and what they and the open requests want together. Background work, which wants nothing
+// more, is always among them, so that it is limited from its first run on.
 func (p *Pool) demands() map[int]demand {
-	demands := map[int]demand{}
+	demands := map[int]demand{placement.Background: {}}
 	for priority, allocation := range p.allocations {
 		demands[priority] = demand{allocation.resources, allocation.resources}
 	}
--- a/internal/scheduling/scheduler/runs.go
+++ b/internal/scheduling/scheduler/runs.go
@@ -1,19 +1,23 @@
 package scheduler
 
 import (
-	"gannetline/internal/cluster/peerapi/wire"
 	"slices"
+
+	"gannetline/internal/cluster/peerapi/wire"
+	"gannetline/internal/scheduling/placement"
 )
 
 // launch records the placement and its order in this turn's change; the order leaves after the commit.
-func (p *Pool) launch(task *taskState, executor *executorState, number int64) {
+func (p *Pool) launch(start start) {
 	p.metrics.placements.Inc()
-	run := &runState{task: task, number: number, executor: executor, phase: runLaunching, orderedAt: p.clock.Monotonic()}
-	task.lastRun = number
+	task := start.task
+	run := &runState{task: task, number: start.number, executor: start.executor, phase: runLaunching, orderedAt: p.clock.Monotonic(),
+		isExpired: p.deadlineClass(task.step) == placement.Expired, isFromShare: start.isFromShare}
+	task.lastRun = run.number
 	p.endGangWatch(task.step)
-	p.recordExecutor(executor)
+	p.recordExecutor(run.executor)
 	p.addRun(run)
-	p.putRecord(orderName(task, number, wire.OrderLaunch), orderRecord{Executor: executor.id})
+	p.putRecord(orderName(task, run.number, wire.OrderLaunch), orderRecord{Executor: run.executor.id})
 	p.putTask(task)
 	p.afterCommit(func(err error) {
 		run.isCommitted = true
@@ -30,7 +34,7 @@
 	executor.runs[run.key()] = run
 	executor.allocated = executor.allocated.Plus(need)
 	task.owner().runCount++
-	p.allocate(task.step.priority(), need)
+	p.allocate(run)
 	if run.phase != runRunning {
 		p.pendingRuns[run] = true
 	}
@@ -91,7 +95,7 @@
 	delete(p.pendingRuns, run)
 	executor.allocated = executor.allocated.Minus(task.step.need())
 	task.runs = slices.DeleteFunc(task.runs, func(other *runState) bool { return other == run })
-	p.deallocate(task.step.priority(), task.step.need())
+	p.deallocate(run)
 	p.markRunChanged(run)
 	p.watchBrokenGang(task.step)
 	switch run.phase {
--- a/internal/scheduling/scheduler/task.go
+++ b/internal/scheduling/scheduler/task.go
@@ -48,6 +48,9 @@
 	isAnswered  bool
 	awaitedList uint64
 	isStuck     bool
+	// isExpired tells that the run was of no use any more when it was placed, isFromShare that a share was used for it.
+	isExpired   bool
+	isFromShare bool
 }
 
 func (r *runState) key() runKey { return runKey{r.task.name, r.number} }
--- a/internal/simulation/modelcheck/ordermodel/injectedfaults.go
+++ b/internal/simulation/modelcheck/ordermodel/injectedfaults.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"gannetline/internal/cluster/leaderclient"
 	"gannetline/internal/cluster/peerapi/wire"
@@ -81,6 +82,8 @@
 		timing.KeepEnded = forgottenAfter
 	case faultCapacityReserved:
 		timing.ReservedCapacity.MaxReserved, timing.ReservedCapacity.AlwaysAllowed, timing.ReservedCapacity.FirstRunShare = 1, 0, 0
+		timing.ReservedCapacity.DemandHalfLife = time.Hour
+		timing.ReservedCapacity.LowerShare, timing.ReservedCapacity.ExpiredShare = 0, 0
 	}
 	return timing
 }
--- a/internal/simulation/rehearsal/rehearsal_test.go
+++ b/internal/simulation/rehearsal/rehearsal_test.go
@@ -123,7 +123,7 @@
 	It("shows that a queue starves", func() {
 		day, err := read(crowdedDay(), false)
 		Expect(err).NotTo(HaveOccurred())
-		proposal, err := change("queues:\n  urgent: {priority: 9}\n")
+		proposal, err := change("queues:\n  urgent: {priority: 9, stretch-factor: 1, target-latency-ms: 1}\n")
 		Expect(err).NotTo(HaveOccurred())
 		report, err := rehearsal.Rehearse(rehearsal.Setup{Day: day, Change: proposal, Seed: 1, Horizon: 5 * time.Second})
 		Expect(err).NotTo(HaveOccurred())
@@ -133,6 +133,17 @@
 		Expect(report.Worse).NotTo(BeEmpty())
 	})
 
+	It("shows that a queue that is put last, and whose work is still on time, does not starve", func() {
+		day, err := read(crowdedDay(), false)
+		Expect(err).NotTo(HaveOccurred())
+		proposal, err := change("queues:\n  urgent: {priority: 9}\n")
+		Expect(err).NotTo(HaveOccurred())
+		report, err := rehearsal.Rehearse(rehearsal.Setup{Day: day, Change: proposal, Seed: 1, Horizon: 5 * time.Second})
+		Expect(err).NotTo(HaveOccurred())
+		urgent := report.Queues["urgent"]
+		Expect(urgent.Changed.Late + urgent.Changed.Missing).To(BeZero())
+	})
+
 	It("rehearses rules of queues, which order work and leave none undone", func() {
 		report := rehearse("queues:\n  week-rebuild: {use: '\"r2\" in labels', order: 'due - estimate'}\n  rota-check: {use: 'cpu > 99000'}\n")
 		for queue, pair := range report.Queues {
