--- a/internal/scheduling/placement/group.go
+++ b/internal/scheduling/placement/group.go
@@ -46,7 +46,9 @@
 	IsIdle   bool
 	Priority int
 	Deadline DeadlineClass
-	// RemainingTenths is how much of the job is left to be done, in tenths of its work: what has been begun is finished first.
+	// CanWait tells that the group may still be started a good while later and be on time; shares pass it over.
+	CanWait bool
+	// RemainingTenths is how much of the job is yet to be started, in tenths of its work: what has been begun is finished first.
 	RemainingTenths int
 	Due             int64
 }
@@ -94,7 +96,7 @@
 }
 
 // Share is capacity that a part of the queue may take before the order of the queue decides: the groups of one priority and
-// deadline class, or all expired groups, whatever their priority. Its last run may go beyond Resources, so that a large task gets its
+// deadline class that can't wait, or all expired groups, whatever their priority. Its last run may go beyond Resources, so that a large task gets its
 // turn, and so many executors may be reserved for such tasks.
 type Share struct {
 	Priority     int
--- a/internal/scheduling/placement/place.go
+++ b/internal/scheduling/placement/place.go
@@ -62,9 +62,12 @@
 	return s.Resources.CPU <= 0 || s.Resources.Memory <= 0 || s.failures >= maxShareFailures
 }
 
-// placeShare places groups from an index on, until the share is spent, which is the only limit here.
+// placeShare places groups from an index on that can't wait, until the share is spent, which is the only limit here.
 func (t *turn) placeShare(groups []*Group, from int, remaining map[int]Resources, share *openShare) {
 	for index := from; index < len(groups) && !t.isOver && !share.isSpent(); index++ {
+		if groups[index].CanWait {
+			continue
+		}
 		allowance := allowanceOf(remaining, groups[index])
 		allowance.share, allowance.isBound = share, false
 		t.placeGroup(groups[index], index, allowance)
--- a/internal/scheduling/placement/section_test.go
+++ b/internal/scheduling/placement/section_test.go
@@ -69,6 +69,14 @@
 		}
 	})
 
+	It("passes over what can wait", func() {
+		patient, pressed := lower(1, 10), lower(1, 10)
+		patient.CanWait, pressed.Due = true, 2
+		placed := placement.PlaceInAnyOrder(executors(1, 10), []*placement.Group{urgent(), patient, pressed}, placement.Limits{Shares: []placement.Share{share}})
+		Expect(placed).To(HaveLen(1))
+		Expect(placed[0].Group).To(Equal(2))
+	})
+
 	It("reserves an executor for a large task that finds none, and no more than it may", func() {
 		all := executors(3, 10)
 		for index := range all {
--- a/internal/scheduling/scheduler/refresh.go
+++ b/internal/scheduling/scheduler/refresh.go
@@ -133,7 +133,7 @@
 	group := placement.Group{Excluded: p.excludedByRule(step), Need: step.need(), Count: len(ready), IsGang: step.spec.Gang, IsIdle: p.clock.Monotonic() >= p.idleFrom(step),
 		SameRack: step.spec.SameRack, Labels: step.spec.Labels, Locality: step.spec.Affinity, AntiAffinity: step.spec.AntiAffinity,
 		IsLong:   step.spec.LongRunning || clock.Milliseconds(step.spec.EstimatedMs) > p.timing.ReservedCapacity.LongWork,
-		Priority: job.record.Terms.Priority, Deadline: p.deadlineClass(step), RemainingTenths: p.remainingTenths(step), Due: p.orderKey(step, len(ready))}
+		Priority: job.record.Terms.Priority, Deadline: p.deadlineClass(step), CanWait: p.canWait(step), RemainingTenths: p.remainingTenths(step), Due: p.orderKey(step, len(ready))}
 	group.IsLocalityRequired = p.clock.Monotonic() < p.localityWaitUntil(step) && p.hasLocalExecutor(step)
 	if group.AntiAffinity > 0 {
 		group.RunsByExecutor = step.runsByExecutor()
