--- a/internal/cluster/configuration/check.go
+++ b/internal/cluster/configuration/check.go
@@ -49,6 +49,7 @@
 		problems.add("", "field config-version must be above 0")
 	}
 	c.checkRoutes(&problems, c.checkServices(&problems))
+	c.checkTenants(&problems)
 	return problems.err
 }
 
@@ -97,11 +98,14 @@
 	// byHost and byName hold places in the list of routes, those of a host with the longest prefix first.
 	byHost map[string][]int
 	byName map[string]int
+
+	tenants tenantIndex
 }
 
-// NewMatcher prepares the look-up of a configuration's routes.
+// NewMatcher prepares the look-up of a configuration's routes and tenants.
 func NewMatcher(configuration *Configuration) *Matcher {
-	matcher := &Matcher{configuration: configuration, byHost: map[string][]int{}, byName: map[string]int{}}
+	matcher := &Matcher{configuration: configuration, byHost: map[string][]int{}, byName: map[string]int{},
+		tenants: newTenantIndex(configuration.Tenants)}
 	for index, route := range configuration.Routes {
 		host := strings.ToLower(route.Host)
 		matcher.byHost[host] = append(matcher.byHost[host], index)
--- a/internal/cluster/configuration/configuration.go
+++ b/internal/cluster/configuration/configuration.go
@@ -16,6 +16,17 @@
 	Service         string  `json:"service"`
 	MaxAttempts     int     `json:"max-attempts"`
 	StretchFactor   float64 `json:"stretch-factor"`
+	// IsPublic lets calls through that bear no key, also where the configuration has tenants.
+	IsPublic bool `json:"public,omitempty"`
+}
+
+// Tenant is a team that hands jobs in under its keys. Weight is its share once everything is full, and the jobs a second that it may
+// expect to be done; Limit is what it may have running at once over all executors.
+type Tenant struct {
+	Name   string     `json:"name"`
+	Keys   []string   `json:"api-keys"`
+	Weight float64    `json:"weight"`
+	Limit  UpperLimit `json:"upper-limit"`
 }
 
 // Service is a pool of executors. ConnectionLimit is how many connections each takes; Guards says that they turn away what does
@@ -41,4 +52,6 @@
 	Routes   []Route   `json:"route-list"`
 	Services []Service `json:"service-list"`
 	Limits   Limits    `json:"limits"`
+	// Tenants is nil where the configuration has none; then no call needs a key.
+	Tenants []Tenant `json:"tenant-list,omitempty"`
 }
--- a/internal/cluster/configuration/configuration_easyjson.go
+++ b/internal/cluster/configuration/configuration_easyjson.go
@@ -17,7 +17,137 @@
 	_ easyjson.Marshaler
 )
 
-func easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration(in *jlexer.Lexer, out *Service) {
+func easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration(in *jlexer.Lexer, out *Tenant) {
+	isTopLevel := in.IsStart()
+	if in.IsNull() {
+		if isTopLevel {
+			in.Consumed()
+		}
+		in.Skip()
+		return
+	}
+	in.Delim('{')
+	for !in.IsDelim('}') {
+		key := in.UnsafeFieldName(false)
+		in.WantColon()
+		switch key {
+		case "name":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Name = string(in.String())
+			}
+		case "api-keys":
+			if in.IsNull() {
+				in.Skip()
+				out.Keys = nil
+			} else {
+				in.Delim('[')
+				if out.Keys == nil {
+					if !in.IsDelim(']') {
+						out.Keys = make([]string, 0, 4)
+					} else {
+						out.Keys = []string{}
+					}
+				} else {
+					out.Keys = (out.Keys)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v1 string
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						v1 = string(in.String())
+					}
+					out.Keys = append(out.Keys, v1)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
+		case "weight":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Weight = float64(in.Float64())
+			}
+		case "upper-limit":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				(out.Limit).UnmarshalEasyJSON(in)
+			}
+		default:
+			in.SkipRecursive()
+		}
+		in.WantComma()
+	}
+	in.Delim('}')
+	if isTopLevel {
+		in.Consumed()
+	}
+}
+func easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration(out *jwriter.Writer, in Tenant) {
+	out.RawByte('{')
+	first := true
+	_ = first
+	{
+		const prefix string = ",\"name\":"
+		out.RawString(prefix[1:])
+		out.String(string(in.Name))
+	}
+	{
+		const prefix string = ",\"api-keys\":"
+		out.RawString(prefix)
+		if in.Keys == nil && (out.Flags&jwriter.NilSliceAsEmpty) == 0 {
+			out.RawString("null")
+		} else {
+			out.RawByte('[')
+			for v2, v3 := range in.Keys {
+				if v2 > 0 {
+					out.RawByte(',')
+				}
+				out.String(string(v3))
+			}
+			out.RawByte(']')
+		}
+	}
+	{
+		const prefix string = ",\"weight\":"
+		out.RawString(prefix)
+		out.Float64(float64(in.Weight))
+	}
+	{
+		const prefix string = ",\"upper-limit\":"
+		out.RawString(prefix)
+		(in.Limit).MarshalEasyJSON(out)
+	}
+	out.RawByte('}')
+}
+
+// MarshalJSON supports json.Marshaler interface
+func (v Tenant) MarshalJSON() ([]byte, error) {
+	w := jwriter.Writer{}
+	easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration(&w, v)
+	return w.Buffer.BuildBytes(), w.Error
+}
+
+// MarshalEasyJSON supports easyjson.Marshaler interface
+func (v Tenant) MarshalEasyJSON(w *jwriter.Writer) {
+	easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration(w, v)
+}
+
+// UnmarshalJSON supports json.Unmarshaler interface
+func (v *Tenant) UnmarshalJSON(data []byte) error {
+	r := jlexer.Lexer{Data: data}
+	easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration(&r, v)
+	return r.Error()
+}
+
+// UnmarshalEasyJSON supports easyjson.Unmarshaler interface
+func (v *Tenant) UnmarshalEasyJSON(l *jlexer.Lexer) {
+	easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration(l, v)
+}
+func easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration1(in *jlexer.Lexer, out *Service) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -65,7 +195,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration(out *jwriter.Writer, in Service) {
+func easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration1(out *jwriter.Writer, in Service) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -95,27 +225,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Service) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration(&w, v)
+	easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration1(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Service) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration(w, v)
+	easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration1(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Service) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration(&r, v)
+	easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration1(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Service) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration(l, v)
+	easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration1(l, v)
 }
-func easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration1(in *jlexer.Lexer, out *Route) {
+func easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration2(in *jlexer.Lexer, out *Route) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -189,6 +319,12 @@
 			} else {
 				out.StretchFactor = float64(in.Float64())
 			}
+		case "public":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.IsPublic = bool(in.Bool())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -199,7 +335,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration1(out *jwriter.Writer, in Route) {
+func easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration2(out *jwriter.Writer, in Route) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -253,33 +389,38 @@
 		out.RawString(prefix)
 		out.Float64(float64(in.StretchFactor))
 	}
+	if in.IsPublic {
+		const prefix string = ",\"public\":"
+		out.RawString(prefix)
+		out.Bool(bool(in.IsPublic))
+	}
 	out.RawByte('}')
 }
 
 // MarshalJSON supports json.Marshaler interface
 func (v Route) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration1(&w, v)
+	easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration2(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Route) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration1(w, v)
+	easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration2(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Route) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration1(&r, v)
+	easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration2(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Route) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration1(l, v)
+	easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration2(l, v)
 }
-func easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration2(in *jlexer.Lexer, out *Limits) {
+func easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration3(in *jlexer.Lexer, out *Limits) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -327,7 +468,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration2(out *jwriter.Writer, in Limits) {
+func easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration3(out *jwriter.Writer, in Limits) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -357,27 +498,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Limits) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration2(&w, v)
+	easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration3(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Limits) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration2(w, v)
+	easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration3(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Limits) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration2(&r, v)
+	easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration3(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Limits) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration2(l, v)
+	easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration3(l, v)
 }
-func easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration3(in *jlexer.Lexer, out *Configuration) {
+func easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration4(in *jlexer.Lexer, out *Configuration) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -413,13 +554,13 @@
 					out.Routes = (out.Routes)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v1 Route
+					var v4 Route
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v1).UnmarshalEasyJSON(in)
+						(v4).UnmarshalEasyJSON(in)
 					}
-					out.Routes = append(out.Routes, v1)
+					out.Routes = append(out.Routes, v4)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -440,13 +581,13 @@
 					out.Services = (out.Services)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v2 Service
+					var v5 Service
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v2).UnmarshalEasyJSON(in)
+						(v5).UnmarshalEasyJSON(in)
 					}
-					out.Services = append(out.Services, v2)
+					out.Services = append(out.Services, v5)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -457,6 +598,33 @@
 			} else {
 				(out.Limits).UnmarshalEasyJSON(in)
 			}
+		case "tenant-list":
+			if in.IsNull() {
+				in.Skip()
+				out.Tenants = nil
+			} else {
+				in.Delim('[')
+				if out.Tenants == nil {
+					if !in.IsDelim(']') {
+						out.Tenants = make([]Tenant, 0, 0)
+					} else {
+						out.Tenants = []Tenant{}
+					}
+				} else {
+					out.Tenants = (out.Tenants)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v6 Tenant
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						(v6).UnmarshalEasyJSON(in)
+					}
+					out.Tenants = append(out.Tenants, v6)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -467,7 +635,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration3(out *jwriter.Writer, in Configuration) {
+func easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration4(out *jwriter.Writer, in Configuration) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -483,11 +651,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v3, v4 := range in.Routes {
-				if v3 > 0 {
+			for v7, v8 := range in.Routes {
+				if v7 > 0 {
 					out.RawByte(',')
 				}
-				(v4).MarshalEasyJSON(out)
+				(v8).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -499,11 +667,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v5, v6 := range in.Services {
-				if v5 > 0 {
+			for v9, v10 := range in.Services {
+				if v9 > 0 {
 					out.RawByte(',')
 				}
-				(v6).MarshalEasyJSON(out)
+				(v10).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -513,29 +681,43 @@
 		out.RawString(prefix)
 		(in.Limits).MarshalEasyJSON(out)
 	}
+	if len(in.Tenants) != 0 {
+		const prefix string = ",\"tenant-list\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('[')
+			for v11, v12 := range in.Tenants {
+				if v11 > 0 {
+					out.RawByte(',')
+				}
+				(v12).MarshalEasyJSON(out)
+			}
+			out.RawByte(']')
+		}
+	}
 	out.RawByte('}')
 }
 
 // MarshalJSON supports json.Marshaler interface
 func (v Configuration) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration3(&w, v)
+	easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration4(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Configuration) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration3(w, v)
+	easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration4(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Configuration) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration3(&r, v)
+	easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration4(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Configuration) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration3(l, v)
+	easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration4(l, v)
 }
--- a/internal/cluster/configuration/configuration_test.go
+++ b/internal/cluster/configuration/configuration_test.go
@@ -32,6 +32,40 @@
 		Entry("a service without a name", `{"name":"s"}`, `{"name":"s"},{}`, "service-list"),
 	)
 
+	DescribeTable("is refused for its tenants with a text that names the field, and never a key", func(tenants, field string) {
+		_, err := configuration.Read([]byte(strings.Replace(sound, `"service-list"`, `"tenant-list":[`+tenants+`],"service-list"`, 1)))
+		Expect(err).To(MatchError(ContainSubstring(field)))
+		Expect(err).NotTo(MatchError(ContainSubstring("secret")))
+	},
+		Entry("no name", `{"api-keys":["secret"]}`, "tenant-list"),
+		Entry("a name twice", `{"name":"t"},{"name":"t"}`, "tenant-list"),
+		Entry("a shared key", `{"name":"t","api-keys":["secret"]},{"name":"u","api-keys":["other","secret"]}`, "api-keys"),
+		Entry("an empty key", `{"name":"t","api-keys":[""]}`, "api-keys"),
+		Entry("a negative weight", `{"name":"t","weight":-1}`, "weight"),
+		Entry("a negative limit", `{"name":"t","upper-limit":{"cpu-units":-1}}`, "upper-limit"),
+		Entry("an unknown unit", `{"name":"t","upper-limit":{"cpu-units":1,"bricks":2}}`, "bricks"),
+	)
+
+	It("finds tenants by their keys and names, and lets public routes and configurations without tenants go without", func() {
+		tenants := `"tenant-list":[{"name":"t","api-keys":["k1","k2","k2"],"weight":2.5,"priority":1,"upper-limit":{"cpu-units":5,"gpu-count":0}},{"name":"u","upper-limit":7}],"service-list"`
+		text := strings.Replace(strings.Replace(sound, `"service-list"`, tenants, 1), `"new-field"`, `"public":true,"new-field"`, 1)
+		decoded, err := configuration.Read([]byte(text))
+		Expect(err).NotTo(HaveOccurred())
+		matcher := configuration.NewMatcher(decoded)
+		Expect(matcher.TenantOfKey("k2").Name).To(Equal("t"))
+		Expect(matcher.TenantOfKey("k3")).To(BeNil())
+		Expect(matcher.TenantOfKey("")).To(BeNil())
+		Expect(matcher.Tenant("t").Limit).To(Equal(configuration.UpperLimit{CPU: 5}))
+		Expect(matcher.Tenant("u").Limit).To(Equal(configuration.UpperLimit{}))
+		Expect(matcher.Tenant("v")).To(BeNil())
+		Expect(matcher.NeedsKey(matcher.ByName("a"))).To(BeTrue())
+		Expect(matcher.NeedsKey(matcher.ByName("b"))).To(BeFalse())
+		without, err := configuration.Read([]byte(sound))
+		Expect(err).NotTo(HaveOccurred())
+		matcher = configuration.NewMatcher(without)
+		Expect(matcher.NeedsKey(matcher.ByName("a"))).To(BeFalse())
+	})
+
 	It("matches host, then the longest prefix", func() {
 		decoded, _ := configuration.Read([]byte(sound))
 		matcher := configuration.NewMatcher(decoded)
--- a/internal/cluster/configuration/golden_test.go
+++ b/internal/cluster/configuration/golden_test.go
@@ -14,6 +14,7 @@
 	},
 	Entry("route", "route", &configuration.Route{}),
 	Entry("service", "service", &configuration.Service{}),
+	Entry("tenant", "tenant", &configuration.Tenant{}),
 	Entry("limits", "limits", &configuration.Limits{}),
 	Entry("configuration", "configuration", &configuration.Configuration{}),
 )
--- a/internal/cluster/peerapi/wire/client.go
+++ b/internal/cluster/peerapi/wire/client.go
@@ -38,6 +38,8 @@
 	Terms       *RouteTerms         `json:"terms,omitempty"`
 	Body        easyjson.RawMessage `json:"body,omitempty"`
 	RemainingMs int64               `json:"left,omitempty"`
+	// Tenant is the name of the tenant whose key the client bears; empty where it needs none.
+	Tenant string `json:"tenant,omitempty"`
 }
 
 // RouteTerms are what a job's route says of it: its priority, how many attempts a task has, and the target for its
--- a/internal/cluster/peerapi/wire/client_easyjson.go
+++ b/internal/cluster/peerapi/wire/client_easyjson.go
@@ -201,6 +201,12 @@
 			} else {
 				out.RemainingMs = int64(in.Int64())
 			}
+		case "tenant":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Tenant = string(in.String())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -255,6 +261,11 @@
 		out.RawString(prefix)
 		out.Int64(int64(in.RemainingMs))
 	}
+	if in.Tenant != "" {
+		const prefix string = ",\"tenant\":"
+		out.RawString(prefix)
+		out.String(string(in.Tenant))
+	}
 	out.RawByte('}')
 }
 
--- a/internal/control/controlkeys/keyrunner.go
+++ b/internal/control/controlkeys/keyrunner.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"gannetline/internal/cluster/peerapi/wire"
@@ -48,7 +49,8 @@
 		runner.configuration = configleader.New(m.Log, func(committed *wire.Configuration) { m.Configurations.Hold(committed) })
 		runner.engine = newEngine(configurationMachine{runner.configuration})
 	} else {
-		runner.pool = scheduler.New(key, m.Clock, m.Timing, m.Log, m.PoolOptions...)
+		options := append(slices.Clone(m.PoolOptions), scheduler.WithTenants(m.tenantTerms))
+		runner.pool = scheduler.New(key, m.Clock, m.Timing, m.Log, options...)
 		host := poolhost.New(runner.pool, engineMailbox)
 		runner.stateMailbox = host.Mailbox()
 		runner.engine = newEngine(host)
--- a/internal/gate/clientapi/clientapi.go
+++ b/internal/gate/clientapi/clientapi.go
@@ -44,6 +44,10 @@
 	if route == nil {
 		return refuse(http.StatusNotFound, "there is no such queue")
 	}
+	tenant, isKnown := tenantOf(snapshot, route, request)
+	if !isKnown {
+		return Decision{Refusal: response.Unauthorized("the queue needs the key of a tenant, and the key is none")}
+	}
 	limit, isSane := headerrules.TimeLeft(request.Header, time.Duration(route.TimeoutMs)*time.Millisecond)
 	if !isSane {
 		return refuse(http.StatusBadRequest, "header X-Time-Remaining is no count of milliseconds")
@@ -51,7 +55,7 @@
 	if limit > 4*answerGap {
 		limit -= answerGap
 	}
-	call := &wire.ClientCall{Key: "pool/" + route.Service, Route: route.Name, ID: strings.ToLower(request.URL.Path[len(route.PathPrefix):])}
+	call := &wire.ClientCall{Key: "pool/" + route.Service, Route: route.Name, ID: strings.ToLower(request.URL.Path[len(route.PathPrefix):]), Tenant: tenant}
 	decision := Decision{Call: call, Former: snapshot.FormerServices(route.Name), Limit: limit}
 	if call.ID == "" {
 		if request.Method != http.MethodGet {
@@ -66,6 +70,23 @@
 	return decideJob(decision, route, request, body)
 }
 
+// tenantOf gives the name of the tenant whose key a request bears, empty where it needs none; isKnown is false if it bears no key of
+// the configuration and needs one.
+func tenantOf(snapshot *configcache.Snapshot, route *configuration.Route, request *http.Request) (name string, isKnown bool) {
+	if !snapshot.Matcher.NeedsKey(route) {
+		return "", true
+	}
+	key := headerrules.Key(request.Header)
+	if key == "" {
+		return "", false
+	}
+	tenant := snapshot.Matcher.TenantOfKey(key)
+	if tenant == nil {
+		return "", false
+	}
+	return tenant.Name, true
+}
+
 // decideJob decides a request for a job by its method: to submit, ask for or cancel it.
 func decideJob(decision Decision, route *configuration.Route, request *http.Request, body []byte) Decision {
 	call := decision.Call
--- a/internal/gate/clientapi/clientapi_test.go
+++ b/internal/gate/clientapi/clientapi_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -65,6 +66,30 @@
 		Entry("a wrong method on a queue", "POST", "/q/", "{}", 405),
 	)
 
+	It("asks for the key of a tenant, and passes the tenant's name on and never the key", func() {
+		text := strings.Replace(body, `"service-list"`, `"tenant-list":[{"name":"t","api-keys":["k1"]}],"service-list"`, 1)
+		plan, err := configuration.Read([]byte(text))
+		Expect(err).NotTo(HaveOccurred())
+		snapshot := &configcache.Snapshot{Committed: &wire.Configuration{Version: 7}, Matcher: configuration.NewMatcher(plan)}
+		decide := func(authorization string) clientapi.Decision {
+			one := request("POST", "/q/"+id)
+			one.Header.Set("Authorization", authorization)
+			return clientapi.Decide(snapshot, one, []byte(`{}`))
+		}
+		for _, authorization := range []string{"", "Bearer", "Bearer ", "Bearer k2", "Basic k1", "k1"} {
+			refused := decide(authorization)
+			Expect(refused.Call).To(BeNil(), authorization)
+			Expect(refused.Refusal.Status).To(Equal(401), authorization)
+			Expect(refused.Refusal.Challenge).To(Equal("Bearer"))
+		}
+		for _, authorization := range []string{"Bearer k1", "bearer k1"} {
+			Expect(decide(authorization).Call.Tenant).To(Equal("t"), authorization)
+		}
+		Expect(clientapi.Decide(page(), request("GET", "/q/"+id), nil).Call.Tenant).To(BeEmpty())
+		unknown := request("GET", "/other/")
+		Expect(clientapi.Decide(snapshot, unknown, nil).Refusal.Status).To(Equal(404))
+	})
+
 	It("counts calls by verb and status, and how long they took", func() {
 		clock := clock.NewFake(0)
 		view := func() *membership.View { return &membership.View{} }
--- a/internal/gate/headerrules/headerrules.go
+++ b/internal/gate/headerrules/headerrules.go
@@ -4,6 +4,7 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -26,7 +27,7 @@
 	{"Content-Type", actionRead},
 	{"Content-Length", actionRead},
 	{"X-Request-Id", actionEcho},
-	{"Authorization", actionDrop},
+	{"Authorization", actionRead},
 	{"Cookie", actionDrop},
 	{"X-Forwarded-For", actionDrop},
 }
@@ -43,6 +44,18 @@
 	}
 }
 
+// bearerScheme begins the header that bears a client's key; its case doesn't matter.
+const bearerScheme = "Bearer "
+
+// Key gives the key that a client bears, empty if it bears none.
+func Key(headers http.Header) string {
+	text := headers.Get("Authorization")
+	if len(text) <= len(bearerScheme) || !strings.EqualFold(text[:len(bearerScheme)], bearerScheme) {
+		return ""
+	}
+	return strings.TrimSpace(text[len(bearerScheme):])
+}
+
 // TimeLeft is how long the client still waits; isSane is false for what is no count.
 func TimeLeft(headers http.Header, limit time.Duration) (left time.Duration, isSane bool) {
 	text := headers.Get("X-Time-Remaining")
--- a/internal/platform/response/response.go
+++ b/internal/platform/response/response.go
@@ -29,6 +29,8 @@
 	Body []byte
 	// RetryAfter is the header of that name, in seconds; 0 leaves it out.
 	RetryAfter int
+	// Challenge is the header WWW-Authenticate, which goes with 401; empty leaves it out.
+	Challenge string
 }
 
 // Empty is an answer without a body.
@@ -43,6 +45,13 @@
 	return Reply{Status: status, Body: body}
 }
 
+// Unauthorized is the answer to a caller without a known key.
+func Unauthorized(why string) Reply {
+	answer := Text(http.StatusUnauthorized, why)
+	answer.Challenge = "Bearer"
+	return answer
+}
+
 // Raw is an answer whose body is JSON text already.
 func Raw(status int, body []byte) Reply { return Reply{Status: status, Body: body} }
 
@@ -70,6 +79,9 @@
 	if r.RetryAfter > 0 {
 		to.Header().Set("Retry-After", strconv.Itoa(r.RetryAfter))
 	}
+	if r.Challenge != "" {
+		to.Header().Set("WWW-Authenticate", r.Challenge)
+	}
 	to.Header().Set("Content-Length", strconv.Itoa(len(r.Body)))
 	to.WriteHeader(r.Status)
 	if len(r.Body) > 0 {
--- a/internal/platform/settings/settings.go
+++ b/internal/platform/settings/settings.go
@@ -45,25 +45,6 @@
 	MachineLosses int `yaml:"machine-losses"`
 }
 
-// Bounds are the figures of the protocol, in milliseconds or seconds as their names say. RemoteFactor multiplies the
-// length of a task that runs away from its data.
-type Bounds struct {
-	ContactWindowMs     int64   `yaml:"contact-window-ms"`
-	AckTimeoutMs        int64   `yaml:"ack-timeout-ms"`
-	CatchUpS            float64 `yaml:"catch-up-s"`
-	DrainTimeoutMs      int64   `yaml:"drain-timeout-ms"`
-	GracePeriodS        float64 `yaml:"grace-period-s"`
-	ConfigApplyMs       int64   `yaml:"config-apply-ms"`
-	MaxHoldMs           int64   `yaml:"max-hold-ms"`
-	StopTimeoutMs       int64   `yaml:"stop-timeout-ms"`
-	GangWaitMs          int64   `yaml:"gang-wait-ms"`
-	EarlyMs             int64   `yaml:"early_ms"`
-	StatusS             float64 `yaml:"status_s"`
-	RemoteFactor        float64 `yaml:"remote-factor"`
-	CheckpointIntervalS float64 `yaml:"checkpoint-interval-s"`
-	RestoreTimeMs       int64   `yaml:"restore-time-ms"`
-}
-
 // Settings is the settings file of a process. Fields that it does not know are ignored, and missing bounds get
 // defaults.
 type Settings struct {
@@ -157,6 +138,8 @@
 	setDefault(&s.Bounds.RemoteFactor, 1.5)
 	setDefault(&s.Bounds.CheckpointIntervalS, 2)
 	setDefault(&s.Bounds.RestoreTimeMs, 600)
+	setDefault(&s.Bounds.RevokeTimeoutMs, 5000)
+	setDefault(&s.Bounds.QuotaWindowS, 5)
 	setDefault(&s.HeartbeatMs, 1500)
 	setDefault(&s.OrderList, "invocation")
 	setDefault(&s.Limits.MemoryMB, 256)
@@ -223,7 +206,7 @@
 func (s *Settings) checkRanges(problems *fieldProblems) {
 	for field, value := range map[string]int64{"max-hold-ms": s.Bounds.MaxHoldMs, "contact-window-ms": s.Bounds.ContactWindowMs,
 		"stop-timeout-ms": s.Bounds.StopTimeoutMs, "gang-wait-ms": s.Bounds.GangWaitMs, "early_ms": s.Bounds.EarlyMs,
-		"drain-timeout-ms": s.Bounds.DrainTimeoutMs, "heartbeat-interval-ms": s.HeartbeatMs, "limits.memory-mb": s.Limits.MemoryMB} {
+		"drain-timeout-ms": s.Bounds.DrainTimeoutMs, "revoke-timeout-ms": s.Bounds.RevokeTimeoutMs, "heartbeat-interval-ms": s.HeartbeatMs, "limits.memory-mb": s.Limits.MemoryMB} {
 		if value < 0 {
 			problems.add(field, "is negative")
 		}
@@ -231,6 +214,9 @@
 	if !(s.MetricsLogS == 0 || s.MetricsLogS >= minMetricsLogS && s.MetricsLogS <= maxMetricsLogS) {
 		problems.add("metrics-log-s", "is neither 0 nor from 1 to 86400 seconds")
 	}
+	if s.Bounds.QuotaOverrun < 0 || s.Bounds.QuotaWindowS < 0 {
+		problems.add("quota-overrun or quota-window-s", "is negative")
+	}
 	if s.Bounds.RemoteFactor < 1 {
 		problems.add("remote-factor", "is below 1")
 	}
--- a/internal/roles/common.go
+++ b/internal/roles/common.go
@@ -69,6 +69,9 @@
 		return nil, err
 	}
 	b.path, b.hangups = path, hangups
+	for _, bound := range nodeSettings.Bounds.Unknown {
+		b.log.Info("unknown protocol bound ignored", "bound", bound)
+	}
 	b.tree.Add("settings", b.watchSettings)
 	return b, nil
 }
--- a/internal/scheduling/placement/gang.go
+++ b/internal/scheduling/placement/gang.go
@@ -9,7 +9,7 @@
 // placeGang places all members of a gang or none of them.
 func (t *turn) placeGang(group *Group, number int, allowance allowance) {
 	gang, mayExceedLimits := group.Need.Times(float64(group.Count)), t.mayExceedLimits(group)
-	if !mayExceedLimits && !allowance.covers(gang) {
+	if !mayExceedLimits && !allowance.covers(gang) || t.isTenantAtLimit(group, group.Count) {
 		return
 	}
 	taken := t.findGang(group, withSoftLimits)
@@ -72,6 +72,7 @@
 				candidate.free = candidate.free.Plus(group.Need)
 				candidate.added--
 				t.firstRunCPU += group.Need.CPU
+				t.countForTenant(group, -1)
 			}
 			return nil
 		}
--- a/internal/scheduling/placement/group.go
+++ b/internal/scheduling/placement/group.go
@@ -47,7 +47,9 @@
 	// IsLasting tells that the tasks are to run at every moment: their first run in a turn may go past soft limits however much is in use.
 	IsLasting bool
 	Priority  int
-	Deadline  DeadlineClass
+	// Tenant is the index in Limits.Tenants of the tenant that the work belongs to; 0 is none.
+	Tenant   int
+	Deadline DeadlineClass
 	// CanWait tells that the group may still be started a good while later and be on time; shares pass it over.
 	CanWait bool
 	// RemainingTenths is how much of the job is yet to be started, in tenths of its work: what has been begun is finished first.
@@ -95,6 +97,8 @@
 	Remaining   map[int]Resources
 	FirstRunCPU int64
 	Shares      []Share
+	// Tenants are hard limits: nothing goes past them. The first one stands for work without a tenant.
+	Tenants []Tenant
 }
 
 // Share is capacity that a part of the queue may take before the order of the queue decides: the groups of one priority and
--- a/internal/scheduling/placement/place.go
+++ b/internal/scheduling/placement/place.go
@@ -10,20 +10,40 @@
 	if len(queue.Groups)+len(queue.Speculative) == 0 {
 		return nil
 	}
-	turn := newTurn(executors, queue, limits.FirstRunCPU)
+	turn := newTurn(executors, queue, limits)
 	turn.placeShares(queue.Groups, limits)
+	if turn.hasTenantAboveShare() {
+		turn.placeWithinShares(queue.Groups, limits.Remaining)
+	}
 	turn.placeAll(queue.Groups, 0, limits.Remaining)
 	turn.placeAll(queue.Speculative, len(queue.Groups), limits.Remaining)
 	return turn.placed
 }
 
+// placeWithinShares places what tenants may have without going beyond their shares; what is left over then goes by the order of the
+// queue alone.
+func (t *turn) placeWithinShares(groups []*Group, remaining map[int]Resources) {
+	t.isWithinShares, t.countsPlaced, t.hasFailed = true, true, map[int]bool{}
+	t.placeAll(groups, 0, remaining)
+	t.isWithinShares = false
+}
+
+// noteFailed remembers a group that found no executor, as it finds none later in the turn either.
+func (t *turn) noteFailed(number int) {
+	if t.isWithinShares {
+		t.hasFailed[number] = true
+	}
+}
+
 // placeAll places groups in their order, within what their limits still allow.
 func (t *turn) placeAll(groups []*Group, number int, remaining map[int]Resources) {
 	for index, group := range groups {
 		if t.isOver {
 			return
 		}
-		t.placeGroup(group, number+index, allowanceOf(remaining, group))
+		if !t.hasFailed[number+index] {
+			t.placeGroup(group, number+index, allowanceOf(remaining, group))
+		}
 	}
 }
 
@@ -41,6 +61,9 @@
 func (t *turn) placeSingles(group *Group, number int, allowance allowance) {
 	var runs map[int]int
 	for count := t.placedOf[number]; count < group.Count && !allowance.isShareSpent(); count++ {
+		if t.isTenantAtLimit(group, 1) {
+			return
+		}
 		mayExceedLimits := count == 0 && t.mayExceedLimits(group)
 		if !mayExceedLimits && !allowance.covers(group.Need) {
 			return
@@ -51,6 +74,7 @@
 			best = t.chooseFor(group, runs, mayExceedLimits)
 		}
 		if best == nil {
+			t.noteFailed(number)
 			t.handleFailure(group, allowance)
 			allowance.fail(group.Need)
 			return
@@ -65,7 +89,7 @@
 func (t *turn) note(number int, candidate *candidateState, allowance allowance) {
 	isFromShare := allowance.share != nil
 	t.placed = append(t.placed, Placement{number, candidate.index, isFromShare})
-	if !isFromShare {
+	if !isFromShare && !t.countsPlaced {
 		return
 	}
 	if t.placedOf == nil {
@@ -138,6 +162,7 @@
 	candidate.free = candidate.free.Minus(group.Need)
 	candidate.added++
 	t.firstRunCPU -= group.Need.CPU
+	t.countForTenant(group, 1)
 	t.isLargestFreeStale = true
 	if group.AntiAffinity > 0 {
 		runs[candidate.index]++
--- /dev/null
+++ b/internal/scheduling/placement/tenant_test.go
@@ -0,0 +1,121 @@
+package placement_test
+
+import (
+	"math/rand/v2"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gannetline/internal/scheduling/placement"
+)
+
+var _ = Describe("tenants", func() {
+	capacity := placement.Resources{CPU: 16000, Memory: 16000}
+	one := placement.Resources{CPU: 1000, Memory: 1000}
+	executors := func(count int) []placement.Executor {
+		list := make([]placement.Executor, count)
+		for index := range list {
+			list[index] = placement.Executor{Free: capacity, Total: capacity}
+		}
+		return list
+	}
+	limited := func(cpu int64) placement.Tenant {
+		limit := placement.NoLimit
+		limit.CPU = cpu
+		return placement.Tenant{Limit: limit, LongLimit: placement.NoLimit, Share: placement.NoLimit}
+	}
+	// startsOf counts the starts of each tenant.
+	startsOf := func(groups []*placement.Group, placed []placement.Placement) map[int]int {
+		counts := map[int]int{}
+		for _, start := range placed {
+			counts[groups[start.Group].Tenant]++
+		}
+		return counts
+	}
+	place := func(groups []*placement.Group, tenants ...placement.Tenant) map[int]int {
+		limits := placement.Limits{FirstRunCPU: 1 << 40, Tenants: append([]placement.Tenant{{}}, tenants...)}
+		return startsOf(groups, placement.PlaceInAnyOrder(executors(2), groups, limits))
+	}
+
+	It("have no more running than their limit, with room free, and leave the rest to others", func() {
+		groups := []*placement.Group{{Need: one, Count: 20, Tenant: 1, IsIdle: true}, {Need: one, Count: 20, Tenant: 2, Due: 1}, {Need: one, Count: 3, Due: 2}}
+		Expect(place(groups, limited(4000), limited(6500))).To(Equal(map[int]int{1: 4, 2: 6, 0: 3}))
+	})
+
+	It("reach beyond the limit with the last task only where nobody else starts under it", func() {
+		sole := limited(4500)
+		sole.MayOverhang = true
+		groups := []*placement.Group{{Need: one, Count: 20, Tenant: 1}}
+		Expect(place(groups, sole)).To(Equal(map[int]int{1: 5}))
+		tiny := limited(500)
+		Expect(place(groups, tiny)).To(BeEmpty())
+		tiny.MayOverhang = true
+		Expect(place(groups, tiny)).To(Equal(map[int]int{1: 1}))
+	})
+
+	It("start a gang whole within the limit or not at all", func() {
+		gang := []*placement.Group{{Need: one, Count: 5, IsGang: true, Tenant: 1, IsIdle: true}}
+		Expect(place(gang, limited(4000))).To(BeEmpty())
+		Expect(place(gang, limited(5000))).To(Equal(map[int]int{1: 5}))
+	})
+
+	It("give back what a gang took that found no room", func() {
+		groups := []*placement.Group{{Need: one, Count: 3, IsGang: true, AntiAffinity: 1, Tenant: 1}, {Need: one, Count: 9, Tenant: 1, Due: 1}}
+		Expect(place(groups, limited(4000))).To(Equal(map[int]int{1: 4}))
+	})
+
+	It("leave room within their limit for urgent work, unless nothing of the long work runs", func() {
+		tenant := limited(10000)
+		tenant.Allocated, tenant.LongAllocated = one.Times(4), one.Times(4)
+		tenant.LongLimit.CPU = 6000
+		long := []*placement.Group{{Need: one, Count: 20, Tenant: 1, IsLong: true, Priority: 2}}
+		Expect(place(long, tenant)).To(Equal(map[int]int{1: 2}))
+		tenant.Allocated, tenant.LongAllocated = placement.Resources{}, placement.Resources{}
+		gang := []*placement.Group{{Need: one, Count: 9, IsGang: true, Tenant: 1, IsLong: true, Priority: 2}}
+		Expect(place(gang, tenant)).To(Equal(map[int]int{1: 9}))
+	})
+
+	It("that have more than their share come after the others, and take what is left over", func() {
+		loud, quiet := limited(placement.Unlimited), limited(placement.Unlimited)
+		loud.Share, quiet.Share = one.Times(16), one.Times(16)
+		loud.Allocated, loud.IsAboveShare = one.Times(20), true
+		groups := []*placement.Group{{Need: one, Count: 40, Tenant: 1}, {Need: one, Count: 10, Tenant: 2, Due: 1}}
+		Expect(place(groups, loud, quiet)).To(Equal(map[int]int{2: 10, 1: 22}))
+	})
+
+	It("are never past a limit and never kept from room that they may use, whatever the fleet", func() {
+		random := rand.New(rand.NewPCG(19, 1))
+		for range 300 {
+			var groups []*placement.Group
+			for index := range 1 + random.IntN(8) {
+				groups = append(groups, &placement.Group{Need: one.Times(float64(1 + random.IntN(3))), Count: 1 + random.IntN(12), Tenant: random.IntN(4),
+					IsGang: random.IntN(4) == 0, Due: int64(index), IsIdle: random.IntN(2) == 0})
+			}
+			tenants := []placement.Tenant{limited(1000 * int64(random.IntN(20))), limited(1000 * int64(random.IntN(20))), limited(placement.Unlimited)}
+			for index := range tenants {
+				tenants[index].IsAboveShare = random.IntN(2) == 0
+			}
+			fleet, limits := executors(1+random.IntN(3)), placement.Limits{FirstRunCPU: 1 << 40, Tenants: append([]placement.Tenant{{}}, tenants...)}
+			placed := placement.PlaceInAnyOrder(fleet, groups, limits)
+			taken, started := map[int]int64{}, map[int]int{}
+			var used int64
+			for _, start := range placed {
+				group := groups[start.Group]
+				taken[group.Tenant] += group.Need.CPU
+				started[start.Group]++
+				used += group.Need.CPU
+			}
+			for index, tenant := range tenants {
+				Expect(taken[index+1]).To(BeNumerically("<=", tenant.Limit.CPU))
+			}
+			for number, group := range groups {
+				Expect(started[number]).To(BeNumerically("<=", group.Count))
+				isLimited := group.Tenant > 0 && taken[group.Tenant]+group.Need.CPU > tenants[group.Tenant-1].Limit.CPU
+				hasRoom := used+int64(len(fleet))*group.Need.CPU <= int64(len(fleet))*capacity.CPU
+				if !group.IsGang && !isLimited && hasRoom {
+					Expect(started[number]).To(Equal(group.Count))
+				}
+			}
+		}
+	})
+})
--- a/internal/scheduling/placement/turn.go
+++ b/internal/scheduling/placement/turn.go
@@ -16,10 +16,17 @@
 	misses             misses
 	missesPastLimits   misses
 	firstRunCPU        int64
-	hasLasting         bool
-	smallestTotal      Resources
-	placed             []Placement
-	// placedOf counts what was placed of the groups that have had part of a share, by their number.
+	tenants            []Tenant
+	// isWithinShares keeps tenants to their shares while others may want what is left.
+	isWithinShares bool
+	// countsPlaced has placedOf count all that is placed, as the queue is gone through once more.
+	countsPlaced bool
+	// hasFailed are the numbers of the groups that found no executor within shares.
+	hasFailed     map[int]bool
+	hasLasting    bool
+	smallestTotal Resources
+	placed        []Placement
+	// placedOf counts, by their number, what was placed of the groups that the turn comes back to.
 	placedOf map[int]int
 }
 
@@ -32,8 +39,8 @@
 }
 
 // newTurn gathers the executors that can still take a run.
-func newTurn(executors []Executor, queue Queue, firstRunCPU int64) *turn {
-	t := &turn{executors: executors, minNeed: queue.MinNeed, firstRunCPU: firstRunCPU}
+func newTurn(executors []Executor, queue Queue, limits Limits) *turn {
+	t := &turn{executors: executors, minNeed: queue.MinNeed, firstRunCPU: limits.FirstRunCPU, tenants: slices.Clone(limits.Tenants)}
 	t.hasLasting = slices.ContainsFunc(queue.Groups, func(group *Group) bool { return group.IsLasting })
 	for index := range executors {
 		executor := &executors[index]
--- a/internal/scheduling/scheduler/clients.go
+++ b/internal/scheduling/scheduler/clients.go
@@ -32,7 +32,7 @@
 		answer(wire.ClientAnswer{Status: http.StatusOK})
 	}
 	if known := p.jobs[call.ID]; known != nil {
-		if known.record.Route != call.Route {
+		if known.record.Route != call.Route || !known.isVisibleTo(call.Tenant) {
 			answer(wire.ClientAnswer{Status: http.StatusConflict, Reason: "the ID belongs to a job of another queue"})
 			return
 		}
@@ -51,7 +51,9 @@
 	p.metrics.submissions.Inc()
 	job := newJobState(call.ID)
 	job.spec = spec
-	job.record = jobRecord{Route: call.Route, AcceptedMs: p.leadership.WallMs(), Spec: call.Body}
+	job.tenant = p.tenantOf(call.Tenant)
+	job.record = jobRecord{Route: call.Route, AcceptedMs: p.leadership.WallMs(), Spec: call.Body, Tenant: call.Tenant,
+		IsSurplus: !p.isWithinRate(job.tenant)}
 	if call.Terms != nil {
 		job.record.Terms = *call.Terms
 	}
@@ -77,9 +79,22 @@
 	})
 }
 
+// jobFor gives the job that a call asks about, nil if there is none that its tenant may know of.
+func (p *Pool) jobFor(call *wire.ClientCall) *jobState {
+	if job := p.jobs[call.ID]; job != nil && job.isVisibleTo(call.Tenant) {
+		return job
+	}
+	return nil
+}
+
+// isVisibleTo tells whether a tenant may know of the job: its own one, and everybody if the job belongs to none or the call needs no key.
+func (j *jobState) isVisibleTo(tenant string) bool {
+	return j.record.Tenant == "" || tenant == "" || j.record.Tenant == tenant
+}
+
 // State answers with the state of a job.
 func (p *Pool) State(call *wire.ClientCall, answer answerClient) {
-	job := p.jobs[call.ID]
+	job := p.jobFor(call)
 	p.answerUnderLease(answer, func() wire.ClientAnswer {
 		switch {
 		case job == nil:
@@ -108,7 +123,7 @@
 
 // Cancel ends a job and answers once that is committed; a job that has ended stays as it is.
 func (p *Pool) Cancel(call *wire.ClientCall, answer answerClient) {
-	job := p.jobs[call.ID]
+	job := p.jobFor(call)
 	if job != nil && job.isOpen() {
 		p.recorder.Record(recording.Event{Kind: recording.KindCancel, AtMs: p.leadership.WallMs(), ID: call.ID})
 		p.end(job, jobCancelled, "cancelled by its client")
--- a/internal/scheduling/scheduler/deadline.go
+++ b/internal/scheduling/scheduler/deadline.go
@@ -37,10 +37,13 @@
 }
 
 // deadlineClass tells how near a step is to its deadline; a long-running step has none. The class only ever gets worse: what has
-// expired has a share of the capacity (shares), and must not come back in front of work that is still of use.
+// expired has a share of the capacity (shares), and must not come back in front of work that is still of use. What a tenant sends beyond
+// its rate is of no use from the beginning: it comes after all that is owed to anybody.
 func (p *Pool) deadlineClass(step *stepState) placement.DeadlineClass {
 	now := p.leadership.WallMs()
 	switch {
+	case step.occurrence.job.record.IsSurplus && !step.spec.LongRunning:
+		return placement.Expired
 	case step.spec.LongRunning || now < step.lateFrom():
 		return placement.OnTime
 	case now < step.expiredFrom():
--- a/internal/scheduling/scheduler/endedjobs.go
+++ b/internal/scheduling/scheduler/endedjobs.go
@@ -13,7 +13,7 @@
 		p.queued[job.record.Route]--
 	}
 	job.phase, job.endedMs = phase, p.leadership.WallMs()
-	p.putRecord(prefixState+job.id, stateRecord{Route: job.record.Route, State: string(phase), Reason: reason, EndedMs: job.endedMs})
+	p.putRecord(prefixState+job.id, stateRecord{Route: job.record.Route, State: string(phase), Reason: reason, EndedMs: job.endedMs, Tenant: job.record.Tenant})
 	if phase != jobCompleted {
 		p.log.V(1).Info("job ended", "job", job.id, "state", phase, "reason", reason)
 	}
--- a/internal/scheduling/scheduler/job.go
+++ b/internal/scheduling/scheduler/job.go
@@ -23,6 +23,7 @@
 type jobState struct {
 	id                   string
 	record               jobRecord
+	tenant               *tenantState
 	spec                 *jobs.Spec
 	phase                jobPhase
 	endedMs              int64
--- a/internal/scheduling/scheduler/load.go
+++ b/internal/scheduling/scheduler/load.go
@@ -71,12 +71,13 @@
 // loadJob reads the stored record of a submitted job. A record that can't be read is set aside, not dropped.
 func (p *Pool) loadJob(id string, value []byte) error {
 	job := newJobState(id)
-	p.jobs[id], p.awaitingRelease[id] = job, job
+	p.jobs[id], p.awaitingRelease[id], job.tenant = job, job, p.tenantOf("")
 	if err := easyjson.Unmarshal(value, &job.record); err != nil {
 		p.setAside(job)
 		return err
 	}
 	p.queued[job.record.Route]++
+	job.tenant = p.tenantOf(job.record.Tenant)
 	spec, err := jobs.Restore(job.record.Spec)
 	if err != nil {
 		p.setAside(job)
@@ -110,6 +111,7 @@
 		p.queued[job.record.Route]--
 	}
 	job.phase, job.endedMs, job.record.Route = jobPhase(record.State), record.EndedMs, record.Route
+	job.record.Tenant = record.Tenant
 	return nil
 }
 
--- a/internal/scheduling/scheduler/pool.go
+++ b/internal/scheduling/scheduler/pool.go
@@ -59,6 +59,8 @@
 	overload     overloadWatch
 	// spreads tell how uneven the durations of a route's tasks are, by route.
 	spreads map[string]*durationSpread
+	tenants tenantTable
+	termsOf TenantTermsOf
 
 	recorder Recorder
 	rules    *queuerules.Rules
@@ -131,7 +133,7 @@
 
 // New makes a pool that is closed until Open.
 func New(key string, clock clock.Clock, timing Timing, log logging.Logger, options ...Option) *Pool {
-	pool := &Pool{key: key, clock: clock, timing: timing, log: log, recorder: silentRecorder{}, metrics: newPoolMetrics(key)}
+	pool := &Pool{key: key, clock: clock, timing: timing, log: log, recorder: silentRecorder{}, termsOf: noTenantTerms, metrics: newPoolMetrics(key)}
 	pool.health = map[string]*machineHealth{}
 	for _, option := range options {
 		option(pool)
@@ -144,6 +146,7 @@
 	p.jobTable, p.changeSet, p.orderWatch, p.capacityUse = newJobTable(), newChangeSet(), newOrderWatch(), newCapacityUse()
 	p.executors, p.newestOnMachine, p.table = map[string]*executorState{}, map[string]*executorState{}, executorTable{}
 	p.open, p.overload, p.spreads = newOpenSteps(), newOverloadWatch(), map[string]*durationSpread{}
+	p.tenants = newTenantTable()
 	p.openedAt = p.clock.Monotonic()
 	p.load(pairs)
 	p.leadership = leadership
@@ -161,6 +164,7 @@
 	uncommitted := p.takeCallbacks()
 	p.jobTable, p.changeSet, p.orderWatch, p.capacityUse = jobTable{}, changeSet{}, orderWatch{}, capacityUse{}
 	p.executors, p.table, p.open = nil, executorTable{}, openSteps{}
+	p.tenants = tenantTable{}
 	for _, callback := range uncommitted {
 		callback(errClosed)
 	}
--- a/internal/scheduling/scheduler/queue.go
+++ b/internal/scheduling/scheduler/queue.go
@@ -24,6 +24,7 @@
 func (o *openSteps) add(step *stepState) {
 	if !o.steps[step] {
 		o.steps[step] = true
+		step.tenant().openSteps++
 		step.requests.first = placementRequest{step: step, group: &step.requests.group}
 		o.markStale(step)
 	}
@@ -41,6 +42,7 @@
 	step.requests.speculative = nil
 	o.refreshTimes.set(step, never)
 	delete(o.steps, step)
+	step.tenant().openSteps--
 }
 
 func (o *openSteps) markStale(step *stepState) {
--- a/internal/scheduling/scheduler/records.go
+++ b/internal/scheduling/scheduler/records.go
@@ -24,6 +24,10 @@
 	Terms      wire.RouteTerms     `json:"terms"`
 	AcceptedMs int64               `json:"accepted"`
 	Spec       easyjson.RawMessage `json:"spec"`
+	// Tenant is the name of the tenant that the job belongs to, empty for none.
+	Tenant string `json:"tenant,omitempty"`
+	// IsSurplus marks a job beyond those that the tenant may expect to be done.
+	IsSurplus bool `json:"surplus,omitempty"`
 }
 
 type stateRecord struct {
@@ -31,6 +35,7 @@
 	State   string `json:"state"`
 	Reason  string `json:"why,omitempty"`
 	EndedMs int64  `json:"ended"`
+	Tenant  string `json:"tenant,omitempty"`
 }
 
 type runRecord struct {
--- a/internal/scheduling/scheduler/records_easyjson.go
+++ b/internal/scheduling/scheduler/records_easyjson.go
@@ -296,6 +296,12 @@
 			} else {
 				out.EndedMs = int64(in.Int64())
 			}
+		case "tenant":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Tenant = string(in.String())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -330,6 +336,11 @@
 		out.RawString(prefix)
 		out.Int64(int64(in.EndedMs))
 	}
+	if in.Tenant != "" {
+		const prefix string = ",\"tenant\":"
+		out.RawString(prefix)
+		out.String(string(in.Tenant))
+	}
 	out.RawByte('}')
 }
 
@@ -611,6 +622,18 @@
 			} else {
 				(out.Spec).UnmarshalEasyJSON(in)
 			}
+		case "tenant":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Tenant = string(in.String())
+			}
+		case "surplus":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.IsSurplus = bool(in.Bool())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -645,6 +668,16 @@
 		out.RawString(prefix)
 		(in.Spec).MarshalEasyJSON(out)
 	}
+	if in.Tenant != "" {
+		const prefix string = ",\"tenant\":"
+		out.RawString(prefix)
+		out.String(string(in.Tenant))
+	}
+	if in.IsSurplus {
+		const prefix string = ",\"surplus\":"
+		out.RawString(prefix)
+		out.Bool(bool(in.IsSurplus))
+	}
 	out.RawByte('}')
 }
 
--- a/internal/scheduling/scheduler/refresh.go
+++ b/internal/scheduling/scheduler/refresh.go
@@ -132,8 +132,8 @@
 	job := step.occurrence.job
 	group := placement.Group{Excluded: p.excludedByRule(step), Need: step.need(), Count: len(ready), IsGang: step.spec.Gang, IsIdle: p.clock.Monotonic() >= p.idleFrom(step), IsLasting: step.spec.LongRunning,
 		SameRack: step.spec.SameRack, Labels: step.spec.Labels, Locality: step.spec.Affinity, AntiAffinity: step.spec.AntiAffinity,
-		IsLong:   step.spec.LongRunning || clock.Milliseconds(step.spec.EstimatedMs) > p.timing.ReservedCapacity.LongWork,
-		Priority: job.record.Terms.Priority, Deadline: p.deadlineClass(step), CanWait: p.canWait(step), RemainingTenths: p.remainingTenths(step), Due: p.orderKey(step, len(ready))}
+		IsLong:   p.isLong(step),
+		Priority: job.record.Terms.Priority, Tenant: job.tenant.index, Deadline: p.deadlineClass(step), CanWait: p.canWait(step), RemainingTenths: p.remainingTenths(step), Due: p.orderKey(step, len(ready))}
 	group.IsLocalityRequired = p.clock.Monotonic() < p.localityWaitUntil(step) && p.hasLocalExecutor(step)
 	if group.AntiAffinity > 0 {
 		group.RunsByExecutor = step.runsByExecutor()
@@ -144,6 +144,11 @@
 	return group
 }
 
+// isLong tells whether a step's tasks hold what they take for long.
+func (p *Pool) isLong(step *stepState) bool {
+	return step.spec.LongRunning || clock.Milliseconds(step.spec.EstimatedMs) > p.timing.ReservedCapacity.LongWork
+}
+
 // idleFrom is when a step that runs nothing goes past soft limits. One whose tasks last does so at once, whatever of it runs: each of
 // them is to run at every moment.
 func (p *Pool) idleFrom(step *stepState) time.Duration {
--- a/internal/scheduling/scheduler/requests.go
+++ b/internal/scheduling/scheduler/requests.go
@@ -32,11 +32,13 @@
 	requests []*placementRequest
 	groups   []*placement.Group
 	demand   map[int]allocation
-	minNeed  placement.Resources
+	// tenantDemand is what is on time and no long work, by the index of the tenant.
+	tenantDemand map[int]allocation
+	minNeed      placement.Resources
 }
 
 func newRequests() requests {
-	r := requests{demand: map[int]allocation{}}
+	r := requests{demand: map[int]allocation{}, tenantDemand: map[int]allocation{}}
 	r.findMinNeed()
 	return r
 }
@@ -80,10 +82,18 @@
 }
 
 func (r *requests) countDemand(group *placement.Group, count int) {
-	taken := r.demand[group.Priority].with(asks(group), count)
-	r.demand[group.Priority] = taken
-	if taken.count == 0 {
-		delete(r.demand, group.Priority)
+	addDemand(r.demand, group.Priority, asks(group), count)
+	if !group.LeavesRoom() {
+		addDemand(r.tenantDemand, group.Tenant, asks(group), count)
+	}
+}
+
+// addDemand counts a group in, or out with a negative count; what nothing is left of has no entry.
+func addDemand(demands map[int]allocation, key int, asked placement.Resources, count int) {
+	demand := demands[key].with(asked, count)
+	demands[key] = demand
+	if demand.count == 0 {
+		delete(demands, key)
 	}
 }
 
--- a/internal/scheduling/scheduler/reservedcapacity.go
+++ b/internal/scheduling/scheduler/reservedcapacity.go
@@ -69,7 +69,7 @@
 // limits are the soft limits of a placement now.
 func (p *Pool) limits(now time.Duration) placement.Limits {
 	p.longWorkRemaining = p.remainingByPriority(p.table.openCapacity, now)
-	return placement.Limits{Remaining: maps.Clone(p.longWorkRemaining), FirstRunCPU: p.firstRunCPU(now), Shares: p.shares(now)}
+	return placement.Limits{Remaining: maps.Clone(p.longWorkRemaining), FirstRunCPU: p.firstRunCPU(now), Shares: p.shares(now), Tenants: p.tenantLimits(now)}
 }
 
 // firstRunCPU is how much CPU first runs may take past soft limits: up to their share of all known executors, once less than that has
--- a/internal/scheduling/scheduler/runs.go
+++ b/internal/scheduling/scheduler/runs.go
@@ -35,6 +35,7 @@
 	executor.allocated = executor.allocated.Plus(need)
 	task.owner().runCount++
 	p.allocate(run)
+	p.countTenantRun(run, 1)
 	if run.phase != runRunning {
 		p.pendingRuns[run] = true
 	}
@@ -96,6 +97,7 @@
 	executor.allocated = executor.allocated.Minus(task.step.need())
 	task.runs = slices.DeleteFunc(task.runs, func(other *runState) bool { return other == run })
 	p.deallocate(run)
+	p.countTenantRun(run, -1)
 	p.markRunChanged(run)
 	p.watchBrokenGang(task.step)
 	switch run.phase {
--- a/internal/scheduling/scheduler/step.go
+++ b/internal/scheduling/scheduler/step.go
@@ -35,6 +35,9 @@
 
 func (s *stepState) priority() int { return s.occurrence.job.record.Terms.Priority }
 
+// tenant is that of the step's job.
+func (s *stepState) tenant() *tenantState { return s.occurrence.job.tenant }
+
 func (s *stepState) need() placement.Resources {
 	return placement.Resources{CPU: s.spec.CPU, Memory: s.spec.Memory, GPU: s.spec.GPU}
 }
--- /dev/null
+++ b/internal/scheduling/scheduler/tenants.go
@@ -0,0 +1,167 @@
+package scheduler
+
+import (
+	"time"
+
+	"gannetline/internal/scheduling/placement"
+)
+
+// TenantTerms are what the configuration in force grants a tenant.
+type TenantTerms struct {
+	// Weight is the tenant's share once everything is full, and the jobs a second that it may expect to be done; 0 counts as 1.
+	Weight float64
+	// Limit is what the tenant may have running over all pools; placement.Unlimited where there is no limit.
+	Limit placement.Resources
+}
+
+// TenantTermsOf finds the terms of a tenant in the configuration in force; false if it isn't there. Any goroutine may call it.
+type TenantTermsOf func(tenant string) (TenantTerms, bool)
+
+// WithTenants gives a pool the terms of tenants. Without it no tenant is limited.
+func WithTenants(termsOf TenantTermsOf) Option { return func(p *Pool) { p.termsOf = termsOf } }
+
+func noTenantTerms(string) (TenantTerms, bool) { return TenantTerms{}, false }
+
+// tenantTable holds what the pool knows of each tenant that has had jobs here. It is made anew with each leadership.
+type tenantTable struct {
+	byName map[string]*tenantState
+	// sorted has them by their index, which a tenant keeps; the first stands for jobs without a tenant.
+	sorted []*tenantState
+}
+
+// tenantState is what one tenant has in this pool.
+type tenantState struct {
+	name  string
+	index int
+	// terms are the last that a configuration had for it; a tenant that was taken out keeps them until its jobs are over.
+	terms TenantTerms
+	// allocated is what its runs take, until each has certainly ended or can't start any more.
+	allocated allocation
+	// longAllocated is the part of it that long work takes which has to leave room for urgent work.
+	longAllocated allocation
+	// urgentDemand is what its other work asked for at its peak; it fades.
+	urgentDemand recentDemand
+	// openSteps counts its steps in the queue, so that shares are divided among those who have work.
+	openSteps int
+	rate      submissionRate
+}
+
+func newTenantTable() tenantTable {
+	none := &tenantState{terms: unlimitedTerms}
+	return tenantTable{byName: map[string]*tenantState{"": none}, sorted: []*tenantState{none}}
+}
+
+// unlimitedTerms are those of a tenant of which no configuration has said anything.
+var unlimitedTerms = TenantTerms{Weight: 1, Limit: placement.NoLimit}
+
+// tenantOf gives the state of a tenant, and makes it at its first job.
+func (p *Pool) tenantOf(name string) *tenantState {
+	tenant := p.tenants.byName[name]
+	if tenant == nil {
+		tenant = &tenantState{name: name, index: len(p.tenants.sorted), terms: unlimitedTerms}
+		p.tenants.byName[name] = tenant
+		p.tenants.sorted = append(p.tenants.sorted, tenant)
+		p.updateTerms(tenant)
+	}
+	return tenant
+}
+
+// atLimitPart is the part of its limit from which on a tenant counts as being at it: most tasks need less than the rest.
+const atLimitPart = 0.9
+
+// isAtLimit tells whether a tenant has, as good as, all that it may have, so that it waits for itself and not for the fleet.
+func (t *tenantTable) isAtLimit(index int) bool {
+	tenant := t.sorted[index]
+	return tenant.terms.Limit != placement.NoLimit && tenant.allocated.resources.PartOf(tenant.terms.Limit) >= atLimitPart
+}
+
+// updateTerms takes the terms of the configuration in force, if it has any.
+func (p *Pool) updateTerms(tenant *tenantState) {
+	if terms, exists := p.termsOf(tenant.name); exists {
+		if terms.Weight <= 0 {
+			terms.Weight = 1
+		}
+		tenant.terms = terms
+	}
+}
+
+// countTenantRun adds a run to what its tenant has, or takes it out with a negative count. A run counts from before its order leaves
+// until it has certainly ended or can't start any more, so that what executors run is never more than what is counted.
+func (p *Pool) countTenantRun(run *runState, count int) {
+	tenant := run.task.step.tenant()
+	tenant.allocated = tenant.allocated.with(run.task.step.need(), count)
+	if p.leavesRoom(run.task.step) {
+		tenant.longAllocated = tenant.longAllocated.with(run.task.step.need(), count)
+	}
+}
+
+// leavesRoom tells whether a step is long work that has to leave room for what is more urgent.
+func (p *Pool) leavesRoom(step *stepState) bool {
+	group := placement.Group{IsLong: p.isLong(step), IsLasting: step.spec.LongRunning, Priority: step.priority()}
+	return group.LeavesRoom()
+}
+
+// maxUrgentRoom is the part of a tenant's limit that its long work leaves to its other work at the most.
+const maxUrgentRoom = 0.4
+
+// longLimit is what long work of a tenant may take: its limit less what its other work has lately asked for.
+func (p *Pool) longLimit(tenant *tenantState, now time.Duration) placement.Resources {
+	asked := p.open.first.tenantDemand[tenant.index].resources.Plus(tenant.allocated.resources).Minus(tenant.longAllocated.resources)
+	tenant.urgentDemand.raise(float64(asked.CPU), float64(asked.Memory), now, p.timing.ReservedCapacity.DemandHalfLife)
+	limit := tenant.terms.Limit
+	most := limit.Times(maxUrgentRoom)
+	return limit.Minus(placement.Resources{CPU: min(most.CPU, int64(tenant.urgentDemand.cpu)), Memory: min(most.Memory, int64(tenant.urgentDemand.memory))})
+}
+
+// tenantLimits gives what each tenant has and may have, by its index.
+func (p *Pool) tenantLimits(now time.Duration) []placement.Tenant {
+	limits := make([]placement.Tenant, len(p.tenants.sorted))
+	weights := 0.0
+	for _, tenant := range p.tenants.sorted[1:] {
+		p.updateTerms(tenant)
+		if tenant.hasWork() {
+			weights += tenant.terms.Weight
+		}
+	}
+	for index, tenant := range p.tenants.sorted {
+		limits[index] = placement.Tenant{Allocated: tenant.allocated.resources, Limit: tenant.terms.Limit, MayOverhang: true,
+			LongAllocated: tenant.longAllocated.resources, LongLimit: p.longLimit(tenant, now)}
+		if index == 0 || !tenant.hasWork() {
+			limits[index].Share = placement.NoLimit
+			continue
+		}
+		limits[index].Share = p.table.openCapacity.Times(tenant.terms.Weight / weights)
+		limits[index].IsAboveShare = !limits[index].Share.Fits(limits[index].Allocated)
+	}
+	return limits
+}
+
+// hasWork tells whether the tenant has anything that runs or waits.
+func (t *tenantState) hasWork() bool { return t.openSteps > 0 || t.allocated.count > 0 }
+
+// isWithinRate counts a job that a tenant hands in, and tells whether it is among those that the tenant may expect to be done.
+func (p *Pool) isWithinRate(tenant *tenantState) bool {
+	p.updateTerms(tenant)
+	return tenant.index == 0 || tenant.rate.take(tenant.terms.Weight, p.clock.Monotonic())
+}
+
+// submissionRate tells which of a tenant's jobs are beyond its weight a second: a token bucket that holds one second's worth.
+type submissionRate struct {
+	tokens float64
+	at     time.Duration
+	isSeen bool
+}
+
+// take counts a job that comes now, and tells whether it is within the rate, in jobs a second.
+func (r *submissionRate) take(perSecond float64, now time.Duration) bool {
+	burst := max(1, perSecond)
+	if !r.isSeen {
+		r.tokens, r.isSeen = burst, true
+	}
+	r.tokens, r.at = min(burst, r.tokens+(now-r.at).Seconds()*perSecond), now
+	if r.tokens < 1 {
+		return false
+	}
+	r.tokens--
+	return true
+}
--- /dev/null
+++ b/internal/scheduling/scheduler/tenants_test.go
@@ -0,0 +1,175 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gannetline/internal/cluster/peerapi/wire"
+	"gannetline/internal/platform/logging"
+	"gannetline/internal/scheduling/placement"
+	"gannetline/internal/scheduling/scheduler"
+)
+
+// tenantFleet is a fleet whose pool knows the terms of tenants, which a test changes as it likes.
+type tenantFleet struct {
+	*fleet
+	terms map[string]scheduler.TenantTerms
+	last  int
+}
+
+func newTenantFleet(terms map[string]scheduler.TenantTerms) *tenantFleet {
+	timing := timing
+	timing.ReservedCapacity = scheduler.DefaultReservedCapacity
+	f := &tenantFleet{fleet: newFleet(timing), terms: terms}
+	f.takeOverWithTenants()
+	return f
+}
+
+// takeOverWithTenants gives the pool to another leader, which knows the terms and what is committed.
+func (f *tenantFleet) takeOverWithTenants() {
+	f.leadership.epoch++
+	f.pool = scheduler.New("pool/s", f.clock, f.timing, logging.Silent(), scheduler.WithTenants(func(tenant string) (scheduler.TenantTerms, bool) {
+		terms, exists := f.terms[tenant]
+		return terms, exists
+	}))
+	f.pool.Open(f.leadership, f.leadership.pairs())
+	f.settle()
+}
+
+// submitFor hands a job of one step in for a tenant, and gives its ID and the answer's status.
+func (f *tenantFleet) submitFor(tenant string, priority, tasks int, more string) (id string, status int) {
+	f.last++
+	id = fmt.Sprintf("%016x", f.last)
+	terms := wire.RouteTerms{MaxAttempts: 2, Stretch: 1, TargetMs: 60000, Priority: priority}
+	body := fmt.Sprintf(`{"task-descriptor":"d","step-list":[{"task-count":%d,"cpu-units":1000%s}]}`, tasks, more)
+	f.pool.Submit(&wire.ClientCall{Route: "e", ID: id, Tenant: tenant, Terms: &terms, Body: []byte(body)},
+		func(answer wire.ClientAnswer) { status = answer.Status })
+	f.settle()
+	return id, status
+}
+
+// running counts the runs of a job.
+func (f *tenantFleet) running(id string) (count int) {
+	for _, task := range f.tasks() {
+		if strings.HasPrefix(task, id) {
+			count++
+		}
+	}
+	return count
+}
+
+func cpuLimit(units int64) scheduler.TenantTerms {
+	return scheduler.TenantTerms{Weight: 100, Limit: placement.Resources{CPU: units, Memory: placement.Unlimited, GPU: placement.Unlimited}}
+}
+
+var _ = Describe("the tenants of a pool", func() {
+	var f *tenantFleet
+	BeforeEach(func() {
+		f = newTenantFleet(map[string]scheduler.TenantTerms{"a": cpuLimit(3000), "b": cpuLimit(8000), "free": {Weight: 100, Limit: placement.NoLimit}})
+		f.add(4, wire.Capacity{CPU: 4000, Memory: 64000}, "x", "r1")
+	})
+
+	It("run no more than their limit, also under the next leader, and go on when the limit is raised", func() {
+		first, _ := f.submitFor("a", 0, 6, "")
+		f.pass(time.Second)
+		Expect(f.running(first)).To(Equal(3))
+		f.takeOverWithTenants()
+		f.pass(3 * time.Second)
+		Expect(f.running(first)).To(Equal(3))
+		f.terms["a"] = cpuLimit(5000)
+		f.pass(time.Second)
+		Expect(f.running(first)).To(Equal(5))
+		f.terms["a"] = cpuLimit(2000)
+		f.endAll("done")
+		f.pass(time.Second)
+		Expect(f.running(first)).To(Equal(1))
+	})
+
+	It("count a run until it has certainly ended", func() {
+		first, _ := f.submitFor("a", 0, 6, "")
+		f.pass(time.Second)
+		for _, executor := range f.executors {
+			executor.isSilent = true
+		}
+		for _, executor := range f.add(4, wire.Capacity{CPU: 4000, Memory: 64000}, "x", "r2") {
+			Expect(executor.starts).To(BeZero())
+		}
+		f.pass(2 * time.Second)
+		Expect(f.starts()).To(Equal(3))
+		f.pass(8 * time.Second)
+		Expect(f.starts()).To(Equal(6))
+		Expect(first).NotTo(BeEmpty())
+	})
+
+	It("go on under their last terms when the configuration no longer has them", func() {
+		first, _ := f.submitFor("a", 0, 6, "")
+		delete(f.terms, "a")
+		f.pass(time.Second)
+		Expect(f.running(first)).To(Equal(3))
+	})
+
+	It("see nothing of one another's jobs", func() {
+		id, _ := f.submitFor("a", 0, 1, "")
+		ask := func(verb func(*wire.ClientCall, func(wire.ClientAnswer)), tenant string) (status int) {
+			verb(&wire.ClientCall{Route: "e", ID: id, Tenant: tenant}, func(answer wire.ClientAnswer) { status = answer.Status })
+			f.settle()
+			return status
+		}
+		Expect(ask(f.pool.State, "b")).To(Equal(410))
+		Expect(ask(f.pool.Cancel, "b")).To(Equal(410))
+		Expect(ask(f.pool.State, "a")).To(Equal(200))
+		Expect(ask(f.pool.State, "")).To(Equal(200))
+		f.endAll("done")
+		f.pass(time.Second)
+		f.takeOverWithTenants()
+		Expect(ask(f.pool.State, "b")).To(Equal(410))
+		Expect(ask(f.pool.State, "a")).To(Equal(200))
+	})
+
+	It("leave room within their limit for their urgent work once they have had some", func() {
+		urgent, _ := f.submitFor("b", 0, 4, `,"estimated-ms":100`)
+		f.pass(200 * time.Millisecond)
+		Expect(f.running(urgent)).To(Equal(4))
+		f.endAll("done")
+		f.pass(200 * time.Millisecond)
+		long, _ := f.submitFor("b", 2, 8, `,"estimated-ms":60000`)
+		f.pass(500 * time.Millisecond)
+		Expect(f.running(long)).To(BeNumerically("~", 5, 1))
+		later, _ := f.submitFor("b", 0, 2, `,"estimated-ms":100`)
+		f.pass(200 * time.Millisecond)
+		Expect(f.running(later)).To(Equal(2))
+	})
+
+	It("that flood the pool delay nobody else: what is beyond their rate comes last", func() {
+		f.terms["free"] = scheduler.TenantTerms{Weight: 2, Limit: placement.NoLimit}
+		var flood []string
+		for range 40 {
+			id, _ := f.submitFor("free", 0, 4, `,"estimated-ms":500`)
+			flood = append(flood, id)
+		}
+		f.pass(200 * time.Millisecond)
+		quiet, _ := f.submitFor("b", 0, 4, `,"estimated-ms":500`)
+		f.endAll("done")
+		f.pass(200 * time.Millisecond)
+		Expect(f.running(quiet)).To(Equal(4))
+		Expect(flood).To(HaveLen(40))
+	})
+
+	It("are overloaded by themselves when they are at their limit, and the others keep their order", func() {
+		for range 3 {
+			f.submitFor("a", 0, 3, `,"estimated-ms":1000`)
+			f.pass(100 * time.Millisecond)
+		}
+		f.pass(70 * time.Second)
+		first, _ := f.submitFor("b", 0, 8, `,"estimated-ms":1000`)
+		f.pass(100 * time.Millisecond)
+		second, _ := f.submitFor("b", 0, 8, `,"estimated-ms":1000`)
+		f.pass(100 * time.Millisecond)
+		Expect(f.running(first)).To(Equal(8))
+		Expect(f.running(second)).To(BeZero())
+	})
+})
--- a/internal/testsupport/golden/fields.go
+++ b/internal/testsupport/golden/fields.go
@@ -16,6 +16,9 @@
 func writeFields(lines *strings.Builder, kind reflect.Type, tag, prefix string) {
 	for index := range kind.NumField() {
 		field := kind.Field(index)
+		if field.Tag.Get(tag) == "-" {
+			continue
+		}
 		name := prefix + field.Tag.Get(tag)
 		lines.WriteString(name + " " + field.Type.Kind().String() + "\n")
 		inner := field.Type
