--- a/cmd/gannetline/main.go
+++ b/cmd/gannetline/main.go
@@ -41,6 +41,7 @@
 			checkCommand(),
 			rehearseCommand(),
 			metricsCommand(),
+			tenantsCommand(),
 			hollowCommand(),
 		},
 		Action: func(_ context.Context, command *cli.Command) error {
--- a/internal/cluster/peerapi/calls.go
+++ b/internal/cluster/peerapi/calls.go
@@ -30,6 +30,7 @@
 	ProcedureClient   = Prefix + "Client"
 	ProcedureExchange = Prefix + "Exchange"
 	ProcedureBeliefs  = Prefix + "Beliefs"
+	ProcedureTenants  = Prefix + "Tenants"
 )
 
 // ErrNotMessage tells that a type has no generated JSON code.
--- a/internal/cluster/peerapi/wire/client.go
+++ b/internal/cluster/peerapi/wire/client.go
@@ -10,7 +10,8 @@
 // Verb is what a client or an operator wants.
 type Verb string
 
-// The verbs: those of clients go to the key of a pool, those of operators to the key of the configuration.
+// The verbs: those of clients go to the key of a pool, those of operators to the key of the configuration, and those of pools to the key
+// of a count part.
 const (
 	// VerbSubmit submits a job under an ID that the client has chosen.
 	VerbSubmit Verb = "hand-in"
@@ -22,6 +23,10 @@
 	VerbCancel Verb = "cancel"
 	// VerbCount asks how many jobs of a route are waiting.
 	VerbCount Verb = "count"
+	// VerbGrant asks a part of the tenants' count for allowances.
+	VerbGrant Verb = "grant"
+	// VerbTenants asks a pool, or a part of the count, for what it knows of its tenants.
+	VerbTenants Verb = "tenants"
 	// VerbReplace replaces the configuration.
 	VerbReplace Verb = "replace"
 	// VerbRetrieve asks for the configuration.
--- a/internal/cluster/peerapi/wire/configuration.go
+++ b/internal/cluster/peerapi/wire/configuration.go
@@ -71,10 +71,12 @@
 	Services []string `json:"services"`
 }
 
-// InitialVoters are the disks that a service's pool starts with.
+// InitialVoters are the disks that a service's pool starts with, or the key that is named.
 type InitialVoters struct {
 	Service string   `json:"service"`
 	Voters  []string `json:"voters"`
+	// Key is empty for the pool of the service.
+	Key string `json:"key,omitempty"`
 }
 
 // ConfirmedVersion says which body was confirmed under a version: Digest is its sha256 in hexadecimal, or from an
--- a/internal/cluster/peerapi/wire/configuration_easyjson.go
+++ b/internal/cluster/peerapi/wire/configuration_easyjson.go
@@ -172,6 +172,12 @@
 				}
 				in.Delim(']')
 			}
+		case "key":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Key = string(in.String())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -207,6 +213,11 @@
 			out.RawByte(']')
 		}
 	}
+	if in.Key != "" {
+		const prefix string = ",\"key\":"
+		out.RawString(prefix)
+		out.String(string(in.Key))
+	}
 	out.RawByte('}')
 }
 
--- a/internal/cluster/peerapi/wire/golden_test.go
+++ b/internal/cluster/peerapi/wire/golden_test.go
@@ -54,6 +54,15 @@
 	"job-belief":           &wire.JobBelief{},
 	"executor-belief":      &wire.ExecutorBelief{},
 	"beliefs-answer":       &wire.BeliefsAnswer{},
+	"grant-call":           &wire.GrantCall{},
+	"tenant-demand":        &wire.TenantDemand{},
+	"grant-answer":         &wire.GrantAnswer{},
+	"tenant-grant":         &wire.TenantGrant{},
+	"tenants-call":         &wire.TenantsCall{},
+	"tenants-answer":       &wire.TenantsAnswer{},
+	"tenant-count-report":  &wire.TenantCountReport{},
+	"tenant-usage":         &wire.TenantUsage{},
+	"tenant-share":         &wire.TenantShare{},
 }
 
 var _ = Describe("the form of messages between peers", func() {
--- /dev/null
+++ b/internal/cluster/tenantview/tenantview.go
@@ -0,0 +1,144 @@
+// Package tenantview joins what pools and the parts of the tenants' count tell into one row a tenant, for an operator to read.
+package tenantview
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/juju/errors"
+
+	"gannetline/internal/cluster/peerapi/wire"
+)
+
+// Row is one tenant over all pools. Amounts are in thousandths of a core, MB and GPUs; a Limit of 0 is none.
+type Row struct {
+	Tenant string  `json:"tenant"`
+	Weight float64 `json:"weight"`
+	// Part is the key that counts the tenant, empty if its leader did not answer.
+	Part        string             `json:"part,omitempty"`
+	Limit       wire.Capacity      `json:"limit"`
+	Granted     wire.Capacity      `json:"granted"`
+	Running     wire.Capacity      `json:"running"`
+	Waiting     wire.Capacity      `json:"waiting"`
+	Runs        int                `json:"runs"`
+	WaitingJobs int                `json:"waiting-jobs"`
+	SurplusJobs int                `json:"surplus-jobs"`
+	Share       float64            `json:"share"`
+	Pools       []wire.TenantShare `json:"pools,omitempty"`
+}
+
+// View is all tenants, in the order of their names.
+type View struct {
+	// Version is the newest configuration that any of those who answered goes by.
+	Version int64 `json:"config-version"`
+	Tenants []Row `json:"tenants"`
+}
+
+// Join makes the view of all reports. Two leaders may both tell of a key while it changes hands; the later report then counts.
+func Join(reports []wire.TenantCountReport) View {
+	newest := map[string]wire.TenantCountReport{}
+	view := View{Tenants: []Row{}}
+	for _, report := range reports {
+		view.Version = max(view.Version, report.Version)
+		if report.Version >= newest[report.Key].Version {
+			newest[report.Key] = report
+		}
+	}
+	rows := map[string]*Row{}
+	for _, key := range slices.Sorted(maps.Keys(newest)) {
+		for _, usage := range newest[key].Tenants {
+			if rows[usage.Tenant] == nil {
+				rows[usage.Tenant] = &Row{Tenant: usage.Tenant}
+			}
+			rows[usage.Tenant].add(key, usage)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(rows)) {
+		view.Tenants = append(view.Tenants, *rows[name])
+	}
+	return view
+}
+
+// add counts in what one key knows of the tenant.
+func (r *Row) add(key string, usage wire.TenantUsage) {
+	r.Weight, r.Share = max(r.Weight, usage.Weight), max(r.Share, usage.Share)
+	r.Runs += usage.Runs
+	r.WaitingJobs += usage.WaitingJobs
+	r.SurplusJobs += usage.Surplus
+	r.Running = plus(r.Running, usage.Running)
+	r.Waiting = plus(r.Waiting, usage.Waiting)
+	if usage.Limit != nil {
+		r.Part, r.Limit = key, *usage.Limit
+	}
+	for _, grant := range usage.Grants {
+		r.Pools = append(r.Pools, grant)
+		r.Granted = plus(r.Granted, &grant.Granted)
+	}
+}
+
+func plus(sum wire.Capacity, added *wire.Capacity) wire.Capacity {
+	if added == nil {
+		return sum
+	}
+	return wire.Capacity{CPU: sum.CPU + added.CPU, Memory: sum.Memory + added.Memory, GPU: sum.GPU + added.GPU}
+}
+
+// WriteJSON writes the view as one JSON object.
+func (v View) WriteJSON(to io.Writer) error {
+	encoder := json.NewEncoder(to)
+	encoder.SetIndent("", "  ")
+	return errors.Annotate(encoder.Encode(v), "writing the tenants")
+}
+
+// WriteTable writes a line a tenant, those that have and wait for most first; with byPool also a line for each pool's grant.
+func (v View) WriteTable(to io.Writer, byPool bool) error {
+	rows := slices.Clone(v.Tenants)
+	slices.SortStableFunc(rows, func(a, b Row) int { return cmp.Compare(b.Running.CPU+b.Waiting.CPU, a.Running.CPU+a.Waiting.CPU) })
+	table := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
+	lines := []string{"tenant\tweight\tshare\tlimit\tgranted\trunning\truns\twaiting\twaiting jobs\tsurplus\tpart"}
+	for _, row := range rows {
+		lines = append(lines, fmt.Sprintf("%s\t%g\t%.3f\t%s\t%s\t%s\t%d\t%s\t%d\t%d\t%s", row.Tenant, row.Weight, row.Share, limitText(row.Limit),
+			amountText(row.Granted), amountText(row.Running), row.Runs, amountText(row.Waiting), row.WaitingJobs, row.SurplusJobs, cmp.Or(row.Part, "-")))
+		for _, pool := range row.Pools {
+			if byPool {
+				lines = append(lines, fmt.Sprintf("  %s\t\t\t\t%s\twants %s\t\t\t\t\t", pool.Asker, amountText(pool.Granted), amountText(pool.Wants)))
+			}
+		}
+	}
+	_, err := fmt.Fprintln(table, strings.Join(lines, "\n"))
+	return errors.Annotate(cmp.Or(err, table.Flush()), "writing the tenants")
+}
+
+// amountText is cores/MB, and /GPUs if there are any.
+func amountText(amount wire.Capacity) string {
+	text := fmt.Sprintf("%g/%d", float64(amount.CPU)/1000, amount.Memory)
+	if amount.GPU > 0 {
+		text += fmt.Sprintf("/%d", amount.GPU)
+	}
+	return text
+}
+
+// limitText is amountText with "-" for a resource without a limit.
+func limitText(limit wire.Capacity) string {
+	if limit == (wire.Capacity{}) {
+		return "-"
+	}
+	cpu, memory := "-", "-"
+	if limit.CPU > 0 {
+		cpu = fmt.Sprintf("%g", float64(limit.CPU)/1000)
+	}
+	if limit.Memory > 0 {
+		memory = fmt.Sprint(limit.Memory)
+	}
+	text := cpu + "/" + memory
+	if limit.GPU > 0 {
+		text += fmt.Sprintf("/%d", limit.GPU)
+	}
+	return text
+}
--- a/internal/control/configleader/configleader.go
+++ b/internal/control/configleader/configleader.go
@@ -18,6 +18,7 @@
 	"gannetline/internal/cluster/configuration"
 	"gannetline/internal/cluster/peerapi/wire"
 	"gannetline/internal/platform/logging"
+	"gannetline/internal/scheduling/tenantcount"
 )
 
 const (
@@ -231,8 +232,8 @@
 	answer(wire.ClientAnswer{Status: http.StatusInternalServerError, Reason: "the configuration could not be written"})
 }
 
-// next is the record of a configuration that is to be committed: with the initial voters of new services' pools, and the
-// routes that lead to another service than before.
+// next is the record of a configuration that is to be committed: with the initial voters of new services' pools and of
+// the parts of the tenants' count, and the routes that lead to another service than before.
 func (l *Leader) next(proposed *configuration.Configuration, body []byte) *wire.Configuration {
 	next := &wire.Configuration{Version: proposed.Version, Body: body}
 	if l.committed != nil {
@@ -242,14 +243,27 @@
 		}
 	}
 	for _, service := range proposed.Services {
-		hasVoters := slices.ContainsFunc(next.InitialVoters, func(voters wire.InitialVoters) bool { return voters.Service == service.Name })
-		if !hasVoters {
-			next.InitialVoters = append(next.InitialVoters, wire.InitialVoters{Service: service.Name, Voters: l.leadership.Voters()})
+		l.addInitialVoters(next, wire.InitialVoters{Service: service.Name})
+	}
+	if len(proposed.Tenants) > 0 {
+		for part := range tenantcount.Parts {
+			l.addInitialVoters(next, wire.InitialVoters{Key: tenantcount.KeyOf(part)})
 		}
 	}
 	return next
 }
 
+// addInitialVoters gives a key its first voters, unless it has them already.
+func (l *Leader) addInitialVoters(next *wire.Configuration, wanted wire.InitialVoters) {
+	hasVoters := slices.ContainsFunc(next.InitialVoters, func(voters wire.InitialVoters) bool {
+		return voters.Service == wanted.Service && voters.Key == wanted.Key
+	})
+	if !hasVoters {
+		wanted.Voters = l.leadership.Voters()
+		next.InitialVoters = append(next.InitialVoters, wanted)
+	}
+}
+
 // inForce decodes the committed configuration once; it is nil if that can't be read.
 func (l *Leader) inForce() *configuration.Configuration {
 	if l.decodedCommitted == nil {
--- a/internal/control/configleader/configleader_test.go
+++ b/internal/control/configleader/configleader_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -9,6 +10,7 @@
 	"gannetline/internal/cluster/peerapi/wire"
 	"gannetline/internal/control/configleader"
 	"gannetline/internal/platform/logging"
+	"gannetline/internal/scheduling/tenantcount"
 )
 
 type scriptedLeadership struct {
@@ -53,6 +55,25 @@
 	return pairs
 }
 
+var _ = It("gives the parts of the tenants' count their first voters with the first configuration that has tenants", func() {
+	leadership, kept := &scriptedLeadership{hasLease: true}, map[string][]byte{}
+	var published *wire.Configuration
+	leader := configleader.New(logging.Silent(), func(committed *wire.Configuration) { published = committed })
+	Expect(leader.Open(leadership, nil)).To(Succeed())
+	replace := func(version, base int64, tenants string) {
+		body := strings.Replace(string(configurationBody(int(version), "s")), `"service-list"`, tenants+`"service-list"`, 1)
+		leader.Replace(&wire.ClientCall{Base: base, Body: []byte(body)}, func(answer wire.ClientAnswer) { Expect(answer.Status).To(Equal(200)) })
+		leadership.commitInto(kept)
+	}
+	replace(1, 0, "")
+	Expect(published.InitialVoters).To(HaveLen(1))
+	for version := int64(2); version < 4; version++ {
+		replace(version, version-1, `"tenant-list":[{"name":"t"}],`)
+		Expect(published.InitialVoters).To(HaveLen(1 + tenantcount.Parts))
+		Expect(published.InitialVoters[1]).To(Equal(wire.InitialVoters{Key: "count/0", Voters: []string{"a", "b", "c"}}))
+	}
+})
+
 func configurationBody(version int, service string) []byte {
 	return []byte(fmt.Sprintf(`{"config-version":%d,"route-list":[{"name":"r","host":"h","path-prefix":"/","timeout-ms":1,"service":"%s"}],"service-list":[{"name":"%s"}]}`,
 		version, service, service))
--- a/internal/control/controlkeys/keyrunner.go
+++ b/internal/control/controlkeys/keyrunner.go
@@ -7,10 +7,12 @@
 
 	"gannetline/internal/cluster/peerapi/wire"
 	"gannetline/internal/control/configleader"
+	"gannetline/internal/control/countleader"
 	"gannetline/internal/control/poolhost"
 	"gannetline/internal/control/replication"
 	"gannetline/internal/platform/mailbox"
 	"gannetline/internal/scheduling/scheduler"
+	"gannetline/internal/scheduling/tenantcount"
 )
 
 // engineMailboxSize is how many calls may wait for an engine's goroutine.
@@ -20,15 +22,24 @@
 // a call to each follower; each start waits for it about twice, which is little against the shortest tasks.
 const poolPause = 8 * time.Millisecond
 
-// keyRunner is one key: its engine with its goroutine, and the state machine that lives on the key, either a pool or the
-// configuration. The configuration lives on the engine's goroutine, a pool on one of its own.
+// keyRunner is one key: its engine with its goroutine, and the state machine that lives on the key: a pool, which lives on a goroutine
+// of its own, or the configuration or a part of the tenants' count, which live on the engine's.
 type keyRunner struct {
 	engineMailbox *mailbox.Mailbox
 	// stateMailbox is that of the goroutine on which the state machine lives.
-	stateMailbox  *mailbox.Mailbox
-	engine        *replication.Engine
-	pool          *scheduler.Pool
-	configuration *configleader.Leader
+	stateMailbox *mailbox.Mailbox
+	engine       *replication.Engine
+	machine      stateMachine
+	// pool is the state machine of a pool's key, and nil for all other keys.
+	pool *scheduler.Pool
+}
+
+// stateMachine is what lives on a key, as callers see it. Its methods belong to the goroutine on which it lives.
+type stateMachine interface {
+	// IsOpen tells whether the key is led here.
+	IsOpen() bool
+	// commandFor gives the command of a verb, or nil if there is none.
+	commandFor(verb wire.Verb) command
 }
 
 // startKey starts the runner of a key, if there is none yet.
@@ -45,78 +56,49 @@
 			replication.WithMachineLosses(m.MachineLosses))
 	}
 	owner := mailbox.Owner{Every: tickInterval}
-	if key == configleader.Key {
-		runner.configuration = configleader.New(m.Log, func(committed *wire.Configuration) { m.Configurations.Hold(committed) })
-		runner.engine = newEngine(configurationMachine{runner.configuration})
-	} else {
-		options := append(slices.Clone(m.PoolOptions), scheduler.WithTenants(m.tenantTerms))
-		runner.pool = scheduler.New(key, m.Clock, m.Timing, m.Log, options...)
-		host := poolhost.New(runner.pool, engineMailbox)
-		runner.stateMailbox = host.Mailbox()
+	switch {
+	case key == configleader.Key:
+		machine := configurationMachine{configleader.New(m.Log, func(committed *wire.Configuration) { m.Configurations.Hold(committed) })}
+		runner.machine, runner.engine = machine, newEngine(machine)
+	case tenantcount.IsKey(key):
+		machine := countMachine{countleader.New(key, m.Clock, m.Log, m.countPolicy)}
+		runner.machine, runner.engine = machine, newEngine(machine)
+	default:
+		host := m.startPool(key, runner)
 		runner.engine = newEngine(host)
 		owner.Settle = host.Flush
-		go runner.stateMailbox.Run(m.ctx, m.Clock, mailbox.Owner{Every: tickInterval, Tick: runner.pool.Tick, Settle: runner.pool.Flush, Pause: poolPause})
 	}
 	owner.Tick = runner.engine.Tick
 	m.runners[key] = runner
 	go engineMailbox.Run(m.ctx, m.Clock, owner)
 }
 
-// configurationMachine is the replication.StateMachine of the configuration.
-type configurationMachine struct{ *configleader.Leader }
-
-// Open passes a leadership on as the narrower configleader.Leadership; it runs on the goroutine of the key's engine.
-func (c configurationMachine) Open(leadership *replication.Leadership, pairs []wire.Op) error {
-	return c.Leader.Open(leadership, pairs)
+// startPool makes the pool of a key and runs it on a goroutine of its own.
+func (m *Manager) startPool(key string, runner *keyRunner) *poolhost.Host {
+	counter := &countCaller{manager: m, ctx: m.ctx}
+	options := append(slices.Clone(m.PoolOptions), scheduler.WithTenants(m.tenantPolicy), scheduler.WithCounter(counter))
+	runner.pool = scheduler.New(key, m.Clock, m.Timing, m.Log, options...)
+	runner.machine = poolMachine{runner.pool}
+	host := poolhost.New(runner.pool, runner.engineMailbox)
+	runner.stateMailbox = host.Mailbox()
+	counter.mailbox = runner.stateMailbox
+	go runner.stateMailbox.Run(m.ctx, m.Clock, mailbox.Owner{Every: tickInterval, Tick: runner.pool.Tick, Settle: runner.pool.Flush, Pause: poolPause})
+	return host
 }
 
-// command is what a state machine does for a client or an operator; it answers once.
+// command is what a state machine does for a client, an operator or a pool; it answers once.
 type command func(*wire.ClientCall, func(wire.ClientAnswer))
 
 // execute runs a command on the state machine. It must run on the state machine's goroutine.
 func (r *keyRunner) execute(call *wire.ClientCall, answer func(wire.ClientAnswer)) {
-	if !r.isOpen() {
+	if !r.machine.IsOpen() {
 		answer(wire.ClientAnswer{NotLeader: true})
 		return
 	}
-	command := r.commandFor(call.Verb)
+	command := r.machine.commandFor(call.Verb)
 	if command == nil {
 		answer(wire.ClientAnswer{Status: http.StatusBadRequest, Reason: "unknown verb " + string(call.Verb)})
 		return
 	}
 	command(call, answer)
 }
-
-// isOpen tells whether the key is led here. It must run on the state machine's goroutine.
-func (r *keyRunner) isOpen() bool {
-	if r.pool != nil {
-		return r.pool.IsOpen()
-	}
-	return r.configuration.IsOpen()
-}
-
-// commandFor gives the command of a verb, or nil if the state machine of this key has no such command.
-func (r *keyRunner) commandFor(verb wire.Verb) command {
-	if r.pool == nil {
-		switch verb {
-		case wire.VerbReplace:
-			return r.configuration.Replace
-		case wire.VerbRetrieve:
-			return func(_ *wire.ClientCall, answer func(wire.ClientAnswer)) { r.configuration.Retrieve(answer) }
-		}
-		return nil
-	}
-	switch verb {
-	case wire.VerbSubmit:
-		return r.pool.Submit
-	case wire.VerbState:
-		return r.pool.State
-	case wire.VerbCount:
-		return r.pool.Count
-	case wire.VerbCancel:
-		return r.pool.Cancel
-	case wire.VerbRenounce:
-		return r.pool.Renounce
-	}
-	return nil
-}
--- /dev/null
+++ b/internal/control/controlkeys/machines.go
@@ -0,0 +1,66 @@
+package controlkeys
+
+import (
+	"gannetline/internal/cluster/peerapi/wire"
+	"gannetline/internal/control/configleader"
+	"gannetline/internal/control/countleader"
+	"gannetline/internal/control/replication"
+	"gannetline/internal/scheduling/scheduler"
+)
+
+// configurationMachine is the replication.StateMachine of the configuration.
+type configurationMachine struct{ *configleader.Leader }
+
+// Open passes a leadership on as the narrower configleader.Leadership; it runs on the goroutine of the key's engine.
+func (c configurationMachine) Open(leadership *replication.Leadership, pairs []wire.Op) error {
+	return c.Leader.Open(leadership, pairs)
+}
+
+func (c configurationMachine) commandFor(verb wire.Verb) command {
+	switch verb {
+	case wire.VerbReplace:
+		return c.Replace
+	case wire.VerbRetrieve:
+		return func(_ *wire.ClientCall, answer func(wire.ClientAnswer)) { c.Retrieve(answer) }
+	}
+	return nil
+}
+
+// countMachine is the replication.StateMachine of a part of the tenants' count.
+type countMachine struct{ *countleader.Leader }
+
+// Open passes a leadership on as the narrower countleader.Leadership; it runs on the goroutine of the key's engine.
+func (c countMachine) Open(leadership *replication.Leadership, pairs []wire.Op) error {
+	return c.Leader.Open(leadership, pairs)
+}
+
+func (c countMachine) commandFor(verb wire.Verb) command {
+	switch verb {
+	case wire.VerbGrant:
+		return c.Grant
+	case wire.VerbTenants:
+		return c.Tenants
+	}
+	return nil
+}
+
+// poolMachine is a pool as callers see it; poolhost.Host is its replication.StateMachine.
+type poolMachine struct{ *scheduler.Pool }
+
+func (p poolMachine) commandFor(verb wire.Verb) command {
+	switch verb {
+	case wire.VerbSubmit:
+		return p.Submit
+	case wire.VerbState:
+		return p.State
+	case wire.VerbCount:
+		return p.Count
+	case wire.VerbCancel:
+		return p.Cancel
+	case wire.VerbRenounce:
+		return p.Renounce
+	case wire.VerbTenants:
+		return p.Tenants
+	}
+	return nil
+}
--- a/internal/control/controlkeys/manager.go
+++ b/internal/control/controlkeys/manager.go
@@ -1,14 +1,16 @@
-// Package controlkeys runs an engine of package replication for each key that this steward may lead: the configuration, and a
-// pool for each service. A Manager keeps one keyRunner for each key that the configuration asks for; it serves the calls of
+// Package controlkeys runs an engine of package replication for each key that this steward may lead: the configuration, a pool for
+// each service, and the parts of the tenants' count. A Manager keeps one keyRunner for each key that the configuration asks for; it serves the calls of
 // other processes to those keys, and hands the keys on when the process leaves.
 package controlkeys
 
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"gannetline/internal/cluster/configcache"
+	"gannetline/internal/cluster/leaderclient"
 	"gannetline/internal/cluster/membership"
 	"gannetline/internal/cluster/peerapi"
 	"gannetline/internal/cluster/peerapi/wire"
@@ -48,6 +50,8 @@
 	Timing         scheduler.Timing
 	Replicas       *replication.Replicas
 	PoolOptions    []scheduler.Option
+	// LeaderClient carries the calls of pools to the parts of the tenants' count.
+	LeaderClient *leaderclient.Client
 }
 
 // Manager keeps a runner for each key that is wanted. Its tables belong to the goroutine of Run; all methods may be called from
@@ -66,6 +70,9 @@
 	// hasConfigurationReplica tells that the disk holds a replica of the configuration's key.
 	hasConfigurationReplica bool
 	isLeaving               bool
+
+	// policies holds what the newest configuration says of tenants.
+	policies atomic.Pointer[cachedPolicy]
 }
 
 // New makes a manager without runners; Run starts them.
@@ -117,8 +124,12 @@
 	if snapshot == nil {
 		return
 	}
-	for _, pool := range snapshot.Committed.InitialVoters {
-		m.startKey(poolPrefix+pool.Service, pool.Voters)
+	for _, initial := range snapshot.Committed.InitialVoters {
+		key := initial.Key
+		if key == "" {
+			key = poolPrefix + initial.Service
+		}
+		m.startKey(key, initial.Voters)
 	}
 }
 
--- a/internal/control/controlkeys/serve.go
+++ b/internal/control/controlkeys/serve.go
@@ -19,6 +19,7 @@
 	})
 	peerapi.Serve(mux, peerapi.ProcedureClient, m.Client)
 	peerapi.Serve(mux, peerapi.ProcedureExchange, m.Exchange)
+	peerapi.Serve(mux, peerapi.ProcedureTenants, m.Tenants)
 }
 
 // identity names this steward's disk.
@@ -74,7 +75,7 @@
 		return &wire.ExchangeAnswer{NotLeader: true, Leader: m.otherLeader(call.Key)}, nil
 	}
 	answer, err := mailbox.Ask(ctx, runner.stateMailbox, func(answer func(wire.ExchangeAnswer)) {
-		if !runner.isOpen() {
+		if !runner.pool.IsOpen() {
 			answer(wire.ExchangeAnswer{NotLeader: true})
 			return
 		}
--- a/internal/control/controlkeys/tenants.go
+++ b/internal/control/controlkeys/tenants.go
@@ -1,22 +1,77 @@
 package controlkeys
 
 import (
+	"context"
+	"maps"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/mailru/easyjson"
+
+	"gannetline/internal/cluster/configcache"
 	"gannetline/internal/cluster/configuration"
+	"gannetline/internal/cluster/peerapi/wire"
+	"gannetline/internal/control/countleader"
+	"gannetline/internal/platform/mailbox"
 	"gannetline/internal/scheduling/placement"
 	"gannetline/internal/scheduling/scheduler"
+	"gannetline/internal/scheduling/tenantcount"
 )
 
-// tenantTerms finds what the configuration in force grants a tenant. Any goroutine may call it.
-func (m *Manager) tenantTerms(name string) (scheduler.TenantTerms, bool) {
+// grantTimeout is how long a pool waits for a part of the tenants' count.
+const grantTimeout = time.Second
+
+// cachedPolicy is what a snapshot of the configuration says of tenants, worked out once.
+type cachedPolicy struct {
+	snapshot *configcache.Snapshot
+	policy   scheduler.TenantPolicy
+}
+
+// tenantPolicy is what the configuration in force says of tenants. Any goroutine may call it.
+func (m *Manager) tenantPolicy() scheduler.TenantPolicy {
 	snapshot := m.Configurations.Current()
 	if snapshot == nil {
-		return scheduler.TenantTerms{}, false
+		return scheduler.TenantPolicy{}
+	}
+	cached := m.policies.Load()
+	if cached == nil || cached.snapshot != snapshot {
+		cached = &cachedPolicy{snapshot, policyOf(snapshot)}
+		m.policies.Store(cached)
+	}
+	return cached.policy
+}
+
+// policyOf works out what a snapshot says of tenants.
+func policyOf(snapshot *configcache.Snapshot) scheduler.TenantPolicy {
+	tenants := snapshot.Matcher.Configuration().Tenants
+	policy := scheduler.TenantPolicy{Version: snapshot.Committed.Version, Terms: make(map[string]scheduler.TenantTerms, len(tenants))}
+	for _, tenant := range tenants {
+		policy.Terms[tenant.Name] = scheduler.TenantTerms{Weight: tenant.Weight, Limit: limitOf(tenant.Limit)}
 	}
-	tenant := snapshot.Matcher.Tenant(name)
-	if tenant == nil {
-		return scheduler.TenantTerms{}, false
+	pools := 0
+	for _, initial := range snapshot.Committed.InitialVoters {
+		if initial.Key == "" {
+			pools++
+		}
 	}
-	return scheduler.TenantTerms{Weight: tenant.Weight, Limit: limitOf(tenant.Limit)}, true
+	policy.HasOtherPools = pools > 1
+	return policy
+}
+
+// countPolicy is what the configuration in force says to the parts of the tenants' count. Any goroutine may call it.
+func (m *Manager) countPolicy() countleader.Policy {
+	snapshot := m.Configurations.Current()
+	if snapshot == nil {
+		return countleader.Policy{Limits: func(string) (placement.Resources, bool) { return placement.Resources{}, false }}
+	}
+	return countleader.Policy{Version: snapshot.Committed.Version, Limits: func(name string) (placement.Resources, bool) {
+		tenant := snapshot.Matcher.Tenant(name)
+		if tenant == nil {
+			return placement.Resources{}, false
+		}
+		return limitOf(tenant.Limit), true
+	}}
 }
 
 // limitOf says a limit as placement counts, where 0 is nothing and not everything.
@@ -30,3 +85,81 @@
 	}
 	return limit
 }
+
+// countCaller carries the calls of a pool to the leaders of the parts, and the answers to the pool's goroutine.
+type countCaller struct {
+	manager *Manager
+	mailbox *mailbox.Mailbox
+	ctx     context.Context
+}
+
+// Ask calls the leader of a part; answer runs later on the pool's goroutine, with nil if no leader has decided.
+func (c *countCaller) Ask(part int, call *wire.GrantCall, answer func(*wire.GrantAnswer)) {
+	go func() {
+		given := c.ask(part, call)
+		c.mailbox.Post(func() { answer(given) })
+	}()
+}
+
+func (c *countCaller) ask(part int, call *wire.GrantCall) *wire.GrantAnswer {
+	body, err := easyjson.Marshal(call)
+	if err != nil {
+		c.manager.Log.Error(err, "call not written", "key", tenantcount.KeyOf(part))
+		return nil
+	}
+	outcome := c.manager.askLeader(c.ctx, &wire.ClientCall{Key: tenantcount.KeyOf(part), Verb: wire.VerbGrant, Body: body})
+	if outcome == nil || outcome.Status != http.StatusOK {
+		return nil
+	}
+	given := &wire.GrantAnswer{}
+	if err := easyjson.Unmarshal(outcome.Body, given); err != nil {
+		c.manager.Log.Error(err, "answer not read", "key", tenantcount.KeyOf(part))
+		return nil
+	}
+	return given
+}
+
+// askLeader asks the leader of a key, which may be this process; nil if nobody answers as its leader.
+func (m *Manager) askLeader(ctx context.Context, call *wire.ClientCall) *wire.ClientAnswer {
+	ctx, cancel := context.WithTimeout(ctx, grantTimeout)
+	defer cancel()
+	if answer, err := m.Client(ctx, call); err == nil && !answer.NotLeader {
+		return answer
+	}
+	if m.LeaderClient == nil {
+		return nil
+	}
+	return m.LeaderClient.Ask(ctx, call, grantTimeout).Answer
+}
+
+// Tenants gathers what the keys that are led here know of tenants. What can't be had before ctx is done is left out.
+func (m *Manager) Tenants(ctx context.Context, _ *wire.TenantsCall) (*wire.TenantsAnswer, error) {
+	answer := &wire.TenantsAnswer{}
+	if !m.hasDisk() {
+		return answer, nil
+	}
+	runners, err := mailbox.Ask(ctx, m.mailbox, func(answer func(map[string]*keyRunner)) { answer(maps.Clone(m.runners)) })
+	if err != nil {
+		return answer, nil
+	}
+	for _, key := range slices.Sorted(maps.Keys(runners)) {
+		if report := runners[key].tenantReport(ctx, key); report != nil {
+			answer.Reports = append(answer.Reports, *report)
+		}
+	}
+	return answer, nil
+}
+
+// tenantReport asks the state machine of a key, which gives nil where it knows nothing of tenants or the key is led elsewhere.
+func (r *keyRunner) tenantReport(ctx context.Context, key string) *wire.TenantCountReport {
+	call := &wire.ClientCall{Key: key, Verb: wire.VerbTenants}
+	told, err := mailbox.Ask(ctx, r.stateMailbox, func(answer func(wire.ClientAnswer)) { r.execute(call, answer) })
+	if err != nil || told.Status != http.StatusOK {
+		return nil
+	}
+	report := &wire.TenantCountReport{}
+	if err := easyjson.Unmarshal(told.Body, report); err != nil {
+		return nil
+	}
+	return report
+}
--- /dev/null
+++ b/internal/control/countleader/countleader_test.go
@@ -0,0 +1,108 @@
+package countleader_test
+
+import (
+	"github.com/juju/errors"
+	"github.com/mailru/easyjson"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gannetline/internal/cluster/peerapi/wire"
+	"gannetline/internal/control/countleader"
+	"gannetline/internal/platform/clock"
+	"gannetline/internal/platform/logging"
+	"gannetline/internal/scheduling/placement"
+)
+
+// scriptedLeadership is a leadership whose commits the test finishes.
+type scriptedLeadership struct {
+	hasLease bool
+	ops      []wire.Op
+	pending  []func(error)
+}
+
+func (s *scriptedLeadership) Epoch() uint64  { return 3 }
+func (s *scriptedLeadership) HasLease() bool { return s.hasLease }
+
+func (s *scriptedLeadership) Commit(ops []wire.Op, done func(error)) {
+	s.ops, s.pending = append(s.ops, ops...), append(s.pending, done)
+}
+
+func (s *scriptedLeadership) settle(err error) {
+	pending := s.pending
+	s.pending = nil
+	for _, done := range pending {
+		done(err)
+	}
+}
+
+var _ = Describe("the leader of a part of the tenants' count", func() {
+	var leadership *scriptedLeadership
+	var leader *countleader.Leader
+	var answers []wire.ClientAnswer
+	ask := func(asker string, number uint64, wants int64) {
+		body, err := easyjson.Marshal(&wire.GrantCall{Asker: asker, Epoch: 1, Number: number,
+			Tenants: []wire.TenantDemand{{Tenant: "t", Wants: wire.Capacity{CPU: wants}}}})
+		Expect(err).NotTo(HaveOccurred())
+		leader.Grant(&wire.ClientCall{Body: body}, func(answer wire.ClientAnswer) { answers = append(answers, answer) })
+	}
+	granted := func(answer wire.ClientAnswer) int64 {
+		var given wire.GrantAnswer
+		Expect(easyjson.Unmarshal(answer.Body, &given)).To(Succeed())
+		Expect(given.Version).To(Equal(int64(9)))
+		return given.Tenants[0].Granted.CPU
+	}
+	BeforeEach(func() {
+		leadership, answers = &scriptedLeadership{hasLease: true}, nil
+		leader = countleader.New("count/0", clock.NewFake(0), logging.Silent(), func() countleader.Policy {
+			return countleader.Policy{Version: 9, Limits: func(string) (placement.Resources, bool) {
+				return placement.Resources{CPU: 100, Memory: placement.Unlimited, GPU: placement.Unlimited}, true
+			}}
+		})
+		Expect(leader.Open(leadership, nil)).To(Succeed())
+	})
+
+	It("answers once its decision is committed, and decides on the next call meanwhile", func() {
+		ask("x", 1, 500)
+		ask("y", 1, 500)
+		Expect(answers).To(HaveLen(1), "nothing is left to grant, so that nothing has to be committed")
+		Expect(granted(answers[0])).To(BeZero())
+		leadership.settle(nil)
+		Expect(answers).To(HaveLen(2))
+		Expect(granted(answers[1])).To(Equal(int64(100)))
+	})
+
+	It("tells nothing once the leadership is lost, or its lease is over", func() {
+		ask("x", 1, 500)
+		leadership.settle(errors.New("lost"))
+		Expect(answers[0].NotLeader).To(BeTrue())
+		ask("x", 2, 500)
+		leadership.hasLease = false
+		leadership.settle(nil)
+		Expect(answers[1].NotLeader).To(BeTrue())
+		ask("x", 3, 500)
+		leader.Close()
+		leadership.settle(nil)
+		Expect(answers[2].NotLeader).To(BeTrue())
+		Expect(leader.IsOpen()).To(BeFalse())
+	})
+
+	It("refuses a call after a later one, and a text that is no call", func() {
+		ask("x", 2, 1)
+		leadership.settle(nil)
+		ask("x", 1, 1)
+		Expect(answers[1].Status).To(Equal(409))
+		leader.Grant(&wire.ClientCall{Body: []byte("[")}, func(answer wire.ClientAnswer) { answers = append(answers, answer) })
+		Expect(answers[2].Status).To(Equal(400))
+	})
+
+	It("goes on with what the leader before has committed, and tells operators of it", func() {
+		ask("x", 1, 500)
+		leadership.settle(nil)
+		Expect(leader.Open(leadership, leadership.ops)).To(Succeed())
+		leader.Tenants(nil, func(answer wire.ClientAnswer) { answers = append(answers, answer) })
+		Expect(string(answers[1].Body)).To(MatchJSON(`{"key":"count/0","version":9,"tenants":[{"tenant":"t",
+			"limit":{"cpu-units":100,"memory-req-mb":0,"gpu-count":0},
+			"grants":[{"asker":"x","granted":{"cpu-units":100,"memory-req-mb":0,"gpu-count":0},"wants":{"cpu-units":100,"memory-req-mb":0,"gpu-count":0}}]}]}`))
+		Expect(leader.Open(leadership, []wire.Op{{Name: "g/t/x", Value: []byte("[")}})).To(MatchError(ContainSubstring("g/t/x")))
+	})
+})
--- a/internal/roles/steward.go
+++ b/internal/roles/steward.go
@@ -54,13 +54,14 @@
 		b.tree.Add("recording", writer.Run)
 		pool = append(pool, scheduler.WithRecorder(writer))
 	}
+	asker := leaderclient.New(b.caller, b.clock, b.node.View)
 	manager := controlkeys.New(controlkeys.Config{Clock: b.clock, Log: b.log, Store: kept.store, IsDiskTemporary: kept.isTemporary,
 		MachineLosses: b.settings.FaultTolerance.MachineLosses, Name: b.settings.NodeName, Caller: b.caller, Node: b.node, Configurations: configurations,
-		Timing: scheduler.TimingFrom(b.settings), Replicas: kept.replicas, PoolOptions: pool})
+		Timing: scheduler.TimingFrom(b.settings), Replicas: kept.replicas, PoolOptions: pool, LeaderClient: asker})
 	manager.Handle(b.inner)
 	comparenodes.Handle(b.inner, comparenodes.Sources{View: b.node.View, Configuration: configurations.Current, Keys: manager.Beliefs})
 	outer := http.NewServeMux()
-	outer.Handle("/v1/configuration/", controlapi.Handler(leaderclient.New(b.caller, b.clock, b.node.View)))
+	outer.Handle("/v1/configuration/", controlapi.Handler(asker))
 	outer.Handle(peerapi.Prefix, b.inner)
 	if kept.store != nil {
 		b.tree.Add("known-peers", b.savePeers(kept.store, knownPeers))
--- a/internal/scheduling/placement/tenant.go
+++ b/internal/scheduling/placement/tenant.go
@@ -9,9 +9,9 @@
 type Tenant struct {
 	// Allocated is what its runs take, also those that are being stopped or whose start is in doubt.
 	Allocated Resources
-	// Limit is what it may have running at once. It is never exceeded but by the last task, and that only with MayOverhang.
+	// Limit is what it may have running at once.
 	Limit Resources
-	// MayOverhang tells that nobody else starts anything under the same limit, so that one task may reach beyond it.
+	// MayOverhang tells that nobody else starts anything under the same limit, so that one task that is too large may reach beyond it.
 	MayOverhang bool
 	// LongAllocated is what its long work takes, and LongLimit a soft limit of that, so that its urgent work finds room within Limit.
 	LongAllocated, LongLimit Resources
@@ -24,11 +24,19 @@
 // NoLimit is the limit of a tenant that has none.
 var NoLimit = Resources{CPU: Unlimited, Memory: Unlimited, GPU: Unlimited}
 
-// admits tells whether the tenant may have so many more runs of a need: up to its limit, or with all but a part of the last run
-// below it.
-func (t *Tenant) admits(need Resources, count int) bool {
-	before, after := t.Allocated.Plus(need.Times(float64(count-1))), t.Allocated.Plus(need.Times(float64(count)))
-	return admitsAll(need, before, after, t.Limit, t.MayOverhang)
+// Admits tells whether the tenant may have so many more runs of a need: all within its limit, or with MayOverhang one run that is too
+// large for what is left of it while no more than half of it is taken. More than this one run never reaches beyond the limit: runs may
+// start in another order than they were placed in, and a small one that starts last must not be the one that is too much.
+func (t *Tenant) Admits(need Resources, count int) bool {
+	if fitsLimit(need, t.Allocated.Plus(need.Times(float64(count))), t.Limit) {
+		return true
+	}
+	return count == 1 && t.MayOverhang && fitsLimit(need, t.Allocated.Plus(t.Allocated), t.Limit)
+}
+
+// fitsLimit tells whether an amount is within a limit in each resource that is needed.
+func fitsLimit(need, amount, limit Resources) bool {
+	return (need.CPU <= 0 || amount.CPU <= limit.CPU) && (need.Memory <= 0 || amount.Memory <= limit.Memory) && (need.GPU <= 0 || amount.GPU <= limit.GPU)
 }
 
 // LeavesRoom tells whether the group is long work that has to leave room for what is more urgent. Work that lasts doesn't, as it is to
@@ -40,19 +48,8 @@
 	if t.LongAllocated == (Resources{}) {
 		return true
 	}
-	before, after := t.LongAllocated.Plus(need.Times(float64(count-1))), t.LongAllocated.Plus(need.Times(float64(count)))
-	return admitsAll(need, before, after, t.LongLimit, true)
-}
-
-func admitsAll(need, before, after, limit Resources, mayOverhang bool) bool {
-	return admits(need.CPU, before.CPU, after.CPU, limit.CPU, mayOverhang) &&
-		admits(need.Memory, before.Memory, after.Memory, limit.Memory, mayOverhang) &&
-		admits(need.GPU, before.GPU, after.GPU, limit.GPU, mayOverhang)
-}
-
-// admits judges one resource: before and after are what is taken without and with the last run.
-func admits(need, before, after, limit int64, mayOverhang bool) bool {
-	return need <= 0 || after <= limit || mayOverhang && before < limit
+	before := t.LongAllocated.Plus(need.Times(float64(count - 1)))
+	return fitsLimit(need, before, t.LongLimit)
 }
 
 // isWithinShare tells whether one more run of a need leaves the tenant within its share of each resource, or begins from nothing.
@@ -76,7 +73,7 @@
 	switch {
 	case tenant == nil:
 		return false
-	case !tenant.admits(group.Need, count):
+	case !tenant.Admits(group.Need, count):
 		return true
 	case group.LeavesRoom() && !t.mayExceedLimits(group) && !tenant.admitsLong(group.Need, count):
 		return true
--- a/internal/scheduling/scheduler/load.go
+++ b/internal/scheduling/scheduler/load.go
@@ -12,6 +12,7 @@
 
 	"gannetline/internal/cluster/peerapi/wire"
 	"gannetline/internal/scheduling/jobs"
+	"gannetline/internal/scheduling/tenantcount"
 )
 
 // prefixLength is that of all prefixes of records' names.
@@ -22,7 +23,7 @@
 
 // load rebuilds the tables from the committed records. No record keeps the key from being taken over, as the next
 // leader would find the same one: a job with a record that can't be read is set aside, and all others go on.
-func (p *Pool) load(pairs []wire.Op) {
+func (p *Pool) load(leadership Leadership, pairs []wire.Op) {
 	records := map[string][]wire.Op{}
 	for _, pair := range pairs {
 		if len(pair.Name) > prefixLength {
@@ -30,6 +31,8 @@
 			records[prefix] = append(records[prefix], pair)
 		}
 	}
+	p.openLedger(leadership, records[tenantcount.AccountPrefix])
+	p.updateTerms()
 	p.loadEach(records[prefixJob], p.loadJob)
 	p.loadEach(records[prefixState], p.loadState)
 	p.loadEach(records[prefixOccurrence], p.loadOccurrence)
--- a/internal/scheduling/scheduler/metrics.go
+++ b/internal/scheduling/scheduler/metrics.go
@@ -47,12 +47,13 @@
 	shownAt                                                                   time.Duration
 	// shownPriorities have series of their own, which show 0 once nothing of them is left.
 	shownPriorities map[int]bool
+	shownTenants    map[string]bool
 }
 
 func newPoolMetrics(key string) poolMetrics {
 	return poolMetrics{key: key, submissions: submissions.With(key), placements: placements.With(key), starts: starts.With(key),
 		stops: stops.With(key), speculativeRuns: speculativeRuns.With(key), commits: commits.With(key), changes: changes.With(key),
-		tickSeconds: tickSeconds.With(key), placeSeconds: placeSeconds.With(key), shownPriorities: map[int]bool{}}
+		tickSeconds: tickSeconds.With(key), placeSeconds: placeSeconds.With(key), shownPriorities: map[int]bool{}, shownTenants: map[string]bool{}}
 }
 
 // sent counts an order as sent, and as sent again from the second time on.
@@ -82,6 +83,7 @@
 	m.set(len(p.open.steps), running, counts)
 	current := p.loadByPriority()
 	m.showLoad(current)
+	m.showTenants(p.tenantLoads())
 	p.reportLateWork(current, now)
 }
 
@@ -89,6 +91,7 @@
 func (m *poolMetrics) clear() {
 	m.set(0, 0, nil)
 	m.showLoad(load{})
+	m.showTenants(nil)
 }
 
 func (m *poolMetrics) set(open, running int, counts map[string]int) {
--- a/internal/scheduling/scheduler/pool.go
+++ b/internal/scheduling/scheduler/pool.go
@@ -22,6 +22,7 @@
 	"gannetline/internal/platform/queuerules"
 	"gannetline/internal/scheduling/placement"
 	"gannetline/internal/scheduling/recording"
+	"gannetline/internal/scheduling/tenantcount"
 )
 
 // Leadership is what a pool needs of the leadership of its key.
@@ -60,7 +61,11 @@
 	// spreads tell how uneven the durations of a route's tasks are, by route.
 	spreads map[string]*durationSpread
 	tenants tenantTable
-	termsOf TenantTermsOf
+	// policyInForce is what the newest configuration says of tenants.
+	policyInForce func() TenantPolicy
+	// counter is nil where the pool is the only one; ledger then is, too.
+	counter Counter
+	ledger  *tenantcount.Ledger
 
 	recorder Recorder
 	rules    *queuerules.Rules
@@ -133,7 +138,7 @@
 
 // New makes a pool that is closed until Open.
 func New(key string, clock clock.Clock, timing Timing, log logging.Logger, options ...Option) *Pool {
-	pool := &Pool{key: key, clock: clock, timing: timing, log: log, recorder: silentRecorder{}, termsOf: noTenantTerms, metrics: newPoolMetrics(key)}
+	pool := &Pool{key: key, clock: clock, timing: timing, log: log, recorder: silentRecorder{}, policyInForce: noTenantPolicy, metrics: newPoolMetrics(key)}
 	pool.health = map[string]*machineHealth{}
 	for _, option := range options {
 		option(pool)
@@ -148,7 +153,7 @@
 	p.open, p.overload, p.spreads = newOpenSteps(), newOverloadWatch(), map[string]*durationSpread{}
 	p.tenants = newTenantTable()
 	p.openedAt = p.clock.Monotonic()
-	p.load(pairs)
+	p.load(leadership, pairs)
 	p.leadership = leadership
 	p.needsPlacing = true
 	p.Flush()
@@ -164,7 +169,7 @@
 	uncommitted := p.takeCallbacks()
 	p.jobTable, p.changeSet, p.orderWatch, p.capacityUse = jobTable{}, changeSet{}, orderWatch{}, capacityUse{}
 	p.executors, p.table, p.open = nil, executorTable{}, openSteps{}
-	p.tenants = tenantTable{}
+	p.tenants, p.ledger = tenantTable{}, nil
 	for _, callback := range uncommitted {
 		callback(errClosed)
 	}
--- a/internal/scheduling/scheduler/requests.go
+++ b/internal/scheduling/scheduler/requests.go
@@ -32,13 +32,14 @@
 	requests []*placementRequest
 	groups   []*placement.Group
 	demand   map[int]allocation
-	// tenantDemand is what is on time and no long work, by the index of the tenant.
+	// tenantDemand is all, and urgentDemand what is on time and no long work, by the index of the tenant.
 	tenantDemand map[int]allocation
+	urgentDemand map[int]allocation
 	minNeed      placement.Resources
 }
 
 func newRequests() requests {
-	r := requests{demand: map[int]allocation{}, tenantDemand: map[int]allocation{}}
+	r := requests{demand: map[int]allocation{}, tenantDemand: map[int]allocation{}, urgentDemand: map[int]allocation{}}
 	r.findMinNeed()
 	return r
 }
@@ -73,6 +74,7 @@
 	if group.Count == 0 {
 		return
 	}
+	addDemand(r.tenantDemand, group.Tenant, asks(group), count)
 	if group.Deadline == placement.OnTime {
 		r.countDemand(group, count)
 	}
@@ -84,7 +86,7 @@
 func (r *requests) countDemand(group *placement.Group, count int) {
 	addDemand(r.demand, group.Priority, asks(group), count)
 	if !group.LeavesRoom() {
-		addDemand(r.tenantDemand, group.Tenant, asks(group), count)
+		addDemand(r.urgentDemand, group.Tenant, asks(group), count)
 	}
 }
 
--- /dev/null
+++ b/internal/scheduling/scheduler/tenantcount.go
@@ -0,0 +1,174 @@
+package scheduler
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/mailru/easyjson"
+
+	"gannetline/internal/cluster/peerapi/wire"
+	"gannetline/internal/scheduling/placement"
+	"gannetline/internal/scheduling/tenantcount"
+)
+
+// Counter carries a pool's calls to the leaders of the parts of the tenants' count. The answer runs on the pool's goroutine, with nil
+// if nobody decided.
+type Counter interface {
+	Ask(part int, call *wire.GrantCall, answer func(*wire.GrantAnswer))
+}
+
+// WithCounter has a pool start runs only within what it was granted of tenants' limits, so that the limits hold over all pools. Without
+// it the pool is taken to be the only one.
+func WithCounter(counter Counter) Option { return func(p *Pool) { p.counter = counter } }
+
+// openLedger reads the accounts of the pool, if it counts with others.
+func (p *Pool) openLedger(leadership Leadership, pairs []wire.Op) {
+	p.ledger = nil
+	if p.counter == nil {
+		return
+	}
+	ledger, err := tenantcount.NewLedger(p.key, leadership.Epoch(), pairs)
+	if err != nil {
+		p.log.Error(err, "unreadable record", "key", p.key)
+	}
+	p.ledger = ledger
+	for _, name := range ledger.Tenants() {
+		p.tenantOf(name).terms.Limit = limitByAccount(ledger.Held(name))
+	}
+}
+
+// limitByAccount is the limit of a tenant that the configuration has no more: what the pool was granted while it had it. Of a resource
+// that nothing was granted of, nothing was counted.
+func limitByAccount(allowance placement.Resources) placement.Resources {
+	for _, field := range []*int64{&allowance.CPU, &allowance.Memory, &allowance.GPU} {
+		if *field == 0 {
+			*field = placement.Unlimited
+		}
+	}
+	return allowance
+}
+
+// tickCount gives back what of its accounts the pool should not keep, and asks for what it needs.
+func (p *Pool) tickCount(now time.Duration) {
+	p.updateTerms()
+	if p.ledger == nil {
+		return
+	}
+	policy := p.countPolicy()
+	demands := p.tenantDemands()
+	for name, demand := range demands {
+		if lowered := p.ledger.Lower(name, demand); lowered != nil {
+			p.commitAccounts(*lowered)
+		}
+	}
+	for part := range tenantcount.Parts {
+		if call := p.ledger.Next(part, demands, policy, now); call != nil {
+			p.askPart(part, call)
+		}
+	}
+}
+
+// countPolicy is what the configuration whose terms the tenants have says to the ledger.
+func (p *Pool) countPolicy() tenantcount.Policy {
+	return tenantcount.Policy{Version: p.tenants.version, IsShared: p.tenants.hasOtherPools}
+}
+
+// tenantDemands is what each tenant uses and wants that has a limit or an account.
+func (p *Pool) tenantDemands() map[string]tenantcount.Demand {
+	demands := make(map[string]tenantcount.Demand, len(p.tenants.sorted))
+	for _, tenant := range p.tenants.sorted[1:] {
+		if tenant.terms.Limit == placement.NoLimit && p.ledger.Held(tenant.name) == (placement.Resources{}) {
+			continue
+		}
+		used := tenant.allocated.resources
+		wants := used.Plus(p.open.first.tenantDemand[tenant.index].resources).Plus(p.open.speculative.tenantDemand[tenant.index].resources)
+		demands[tenant.name] = tenantcount.Demand{Used: used, Wants: wants, Limit: tenant.terms.Limit}
+	}
+	return demands
+}
+
+// askPart calls a part. Its answer counts only in this leadership: the next one has a ledger of its own.
+func (p *Pool) askPart(part int, call *wire.GrantCall) {
+	ledger := p.ledger
+	p.counter.Ask(part, call, func(answer *wire.GrantAnswer) {
+		if p.ledger == ledger && p.IsOpen() {
+			p.commitAccounts(ledger.Answered(part, call.Number, answer, p.clock.Monotonic())...)
+		}
+	})
+}
+
+// commitAccounts writes changed accounts; what they allow more may be used once that is committed.
+func (p *Pool) commitAccounts(changes ...tenantcount.Change) {
+	if len(changes) == 0 {
+		return
+	}
+	ledger := p.ledger
+	for _, change := range changes {
+		p.record(change.Op, nil)
+	}
+	p.afterCommit(func(err error) {
+		if err != nil {
+			return
+		}
+		for _, change := range changes {
+			ledger.Committed(change.Tenant)
+		}
+		p.needsPlacing = true
+	})
+}
+
+// Tenants answers an operator with what each tenant has, may have and waits for in this pool.
+func (p *Pool) Tenants(_ *wire.ClientCall, answer answerClient) {
+	p.answerUnderLease(answer, func() wire.ClientAnswer {
+		body, err := easyjson.Marshal(&wire.TenantCountReport{Key: p.key, Version: p.tenants.version, Tenants: p.tenantUsage()})
+		if err != nil {
+			p.log.Error(err, "answer not written", "key", p.key)
+			return wire.ClientAnswer{Status: http.StatusInternalServerError, Reason: "the answer could not be written"}
+		}
+		return wire.ClientAnswer{Status: http.StatusOK, Body: body}
+	})
+}
+
+// tenantUsage has a row for each tenant, in the order in which the pool came to know them.
+func (p *Pool) tenantUsage() []wire.TenantUsage {
+	waitingJobs, surplus := map[*tenantState]int{}, map[*tenantState]int{}
+	for _, job := range p.jobs {
+		if !job.isOpen() || job.tenant == nil {
+			continue
+		}
+		if job.shownState() == jobQueued {
+			waitingJobs[job.tenant]++
+		}
+		if job.record.IsSurplus {
+			surplus[job.tenant]++
+		}
+	}
+	weights := p.weightsOfWork()
+	rows := make([]wire.TenantUsage, 0, len(p.tenants.sorted))
+	for _, tenant := range p.tenants.sorted[1:] {
+		running, waiting := capacityOf(tenant.allocated.resources), capacityOf(p.open.first.tenantDemand[tenant.index].resources)
+		allowance, _ := p.limitOf(tenant)
+		shown := capacityOf(shownLimit(allowance))
+		row := wire.TenantUsage{Tenant: tenant.name, Weight: tenant.terms.Weight, Running: &running, Runs: tenant.allocated.count, Waiting: &waiting,
+			WaitingJobs: waitingJobs[tenant], Surplus: surplus[tenant], Allowance: &shown}
+		if tenant.hasWork() {
+			row.Share = tenant.terms.Weight / weights
+		}
+		rows = append(rows, row)
+	}
+	return rows
+}
+
+func capacityOf(resources placement.Resources) wire.Capacity {
+	return wire.Capacity{CPU: resources.CPU, Memory: resources.Memory, GPU: resources.GPU}
+}
+
+// shownLimit says a limit as configurations do, where 0 is no limit.
+func shownLimit(limit placement.Resources) placement.Resources {
+	for _, field := range []*int64{&limit.CPU, &limit.Memory, &limit.GPU} {
+		if *field == placement.Unlimited {
+			*field = 0
+		}
+	}
+	return limit
+}
--- /dev/null
+++ b/internal/scheduling/scheduler/tenantcount_test.go
@@ -0,0 +1,140 @@
+package scheduler_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gannetline/internal/cluster/peerapi/wire"
+	"gannetline/internal/platform/logging"
+	"gannetline/internal/scheduling/placement"
+	"gannetline/internal/scheduling/scheduler"
+	"gannetline/internal/scheduling/tenantcount"
+)
+
+// scriptedCounter is the parts of the count, whose answers the test lets through.
+type scriptedCounter struct {
+	parts   []*tenantcount.Part
+	limits  tenantcount.Limits
+	version int64
+	isAway  bool
+	calls   int
+}
+
+func newScriptedCounter(limits tenantcount.Limits) *scriptedCounter {
+	counter := &scriptedCounter{limits: limits, version: 1}
+	for range tenantcount.Parts {
+		part, err := tenantcount.NewPart(nil, 0)
+		Expect(err).NotTo(HaveOccurred())
+		counter.parts = append(counter.parts, part)
+	}
+	return counter
+}
+
+func (s *scriptedCounter) Ask(part int, call *wire.GrantCall, answer func(*wire.GrantAnswer)) {
+	s.calls++
+	if s.isAway {
+		answer(nil)
+		return
+	}
+	given, _, err := s.parts[part].Ask(call, s.limits, 0)
+	Expect(err).NotTo(HaveOccurred())
+	given.Version = s.version
+	answer(&given)
+}
+
+var _ = Describe("a pool that counts with others", func() {
+	var f *tenantFleet
+	var counter *scriptedCounter
+	var hasOtherPools bool
+	takeOver := func() {
+		f.leadership.epoch++
+		f.pool = scheduler.New("pool/s", f.clock, f.timing, logging.Silent(), scheduler.WithCounter(counter), scheduler.WithTenants(func() scheduler.TenantPolicy {
+			return scheduler.TenantPolicy{Version: f.version, Terms: f.terms, HasOtherPools: hasOtherPools}
+		}))
+		f.pool.Open(f.leadership, f.leadership.pairs())
+		f.settle()
+	}
+	other := func(has, wants int64) (granted int64) {
+		counter.parts[tenantcount.PartOf("a")].Ask(&wire.GrantCall{Asker: "pool/other", Epoch: 1, Number: uint64(f.clock.Monotonic()),
+			Tenants: []wire.TenantDemand{{Tenant: "a", Has: wire.Capacity{CPU: has}, Wants: wire.Capacity{CPU: wants}}}}, counter.limits, 0)
+		for _, row := range counter.parts[tenantcount.PartOf("a")].Report(counter.limits) {
+			for _, grant := range row.Grants {
+				if grant.Asker == "pool/other" {
+					granted = grant.Granted.CPU
+				}
+			}
+		}
+		return granted
+	}
+	BeforeEach(func() {
+		hasOtherPools = false
+		f = newTenantFleet(map[string]scheduler.TenantTerms{"a": cpuLimit(4000), "free": {Weight: 100, Limit: placement.NoLimit}})
+		counter = newScriptedCounter(func(tenant string) (placement.Resources, bool) {
+			terms, exists := f.terms[tenant]
+			return terms.Limit, exists
+		})
+	})
+
+	It("starts nothing of a limited tenant before it was granted, and all else at once", func() {
+		counter.isAway = true
+		takeOver()
+		f.add(4, wire.Capacity{CPU: 4000, Memory: 64000}, "x", "r1")
+		limited, _ := f.submitFor("a", 0, 6, "")
+		free, _ := f.submitFor("free", 0, 2, "")
+		f.pass(time.Second)
+		Expect(f.running(limited)).To(BeZero())
+		Expect(f.running(free)).To(Equal(2))
+		counter.isAway = false
+		f.pass(time.Second)
+		Expect(f.running(limited)).To(Equal(4))
+	})
+
+	It("goes on with its account under the next leader, also while no part answers", func() {
+		takeOver()
+		f.add(4, wire.Capacity{CPU: 4000, Memory: 64000}, "x", "r1")
+		counter.isAway = true
+		takeOver()
+		f.pass(2 * time.Second)
+		id, _ := f.submitFor("a", 0, 6, "")
+		f.pass(time.Second)
+		Expect(f.running(id)).To(Equal(4))
+	})
+
+	It("asks next to nothing as long as it is the only pool", func() {
+		takeOver()
+		f.add(4, wire.Capacity{CPU: 4000, Memory: 64000}, "x", "r1")
+		f.submitFor("a", 0, 40, "")
+		f.pass(30 * time.Second)
+		Expect(counter.calls).To(BeNumerically("<=", 3))
+	})
+
+	It("gives back what another pool wants, and never uses more than it holds", func() {
+		hasOtherPools = true
+		takeOver()
+		f.add(4, wire.Capacity{CPU: 4000, Memory: 64000}, "x", "r1")
+		id, _ := f.submitFor("a", 0, 40, "")
+		f.pass(time.Second)
+		Expect(f.running(id)).To(Equal(4))
+		Expect(other(0, 9000)).To(BeZero())
+		f.pass(2 * time.Second)
+		Expect(other(0, 9000)).To(BeZero(), "all of it is in use")
+		f.endAll("done")
+		f.pass(2 * time.Second)
+		Expect(f.running(id)).To(Equal(2))
+		Expect(other(0, 9000)).To(Equal(int64(2000)))
+	})
+
+	It("tells operators what each tenant has", func() {
+		takeOver()
+		f.add(4, wire.Capacity{CPU: 4000, Memory: 64000}, "x", "r1")
+		f.submitFor("a", 0, 6, "")
+		f.pass(time.Second)
+		var body string
+		f.pool.Tenants(nil, func(answer wire.ClientAnswer) { body = string(answer.Body) })
+		f.settle()
+		Expect(body).To(ContainSubstring(`{"tenant":"a","weight":100,"running":{"cpu-units":4000,"memory-req-mb":0,"gpu-count":0},"runs":4,` +
+			`"waiting":{"cpu-units":2000,"memory-req-mb":0,"gpu-count":0},"share":1,"allowance":{"cpu-units":4000,"memory-req-mb":0,"gpu-count":0}}`))
+	})
+})
--- /dev/null
+++ b/internal/scheduling/scheduler/tenantmetrics.go
@@ -0,0 +1,62 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+
+	"gannetline/internal/platform/metrics"
+)
+
+const (
+	// maxShownTenants have series of their own; all others together are shown as otherTenants.
+	maxShownTenants = 20
+	otherTenants    = "(others)"
+)
+
+var (
+	tenantRunningCPU   = metrics.NewGauges("gannetline_pool_tenant_running_cpu", "key", "tenant")
+	tenantWaitingCPU   = metrics.NewGauges("gannetline_pool_tenant_waiting_cpu", "key", "tenant")
+	tenantAllowanceCPU = metrics.NewGauges("gannetline_pool_tenant_allowance_cpu", "key", "tenant")
+)
+
+// tenantLoad is what the metrics show of one tenant, in thousandths of a core; allowance is 0 where nothing is limited.
+type tenantLoad struct {
+	name                        string
+	running, waiting, allowance int64
+}
+
+// tenantLoads has the largest tenants by what they have and wait for, and the rest in one row.
+func (p *Pool) tenantLoads() []tenantLoad {
+	loads := make([]tenantLoad, 0, len(p.tenants.sorted))
+	for _, tenant := range p.tenants.sorted[1:] {
+		limit, _ := p.limitOf(tenant)
+		loads = append(loads, tenantLoad{tenant.name, tenant.allocated.resources.CPU, p.open.first.tenantDemand[tenant.index].resources.CPU, shownLimit(limit).CPU})
+	}
+	slices.SortStableFunc(loads, func(a, b tenantLoad) int { return cmp.Compare(b.running+b.waiting, a.running+a.waiting) })
+	if len(loads) <= maxShownTenants {
+		return loads
+	}
+	others := tenantLoad{name: otherTenants}
+	for _, load := range loads[maxShownTenants:] {
+		others.running += load.running
+		others.waiting += load.waiting
+		others.allowance += load.allowance
+	}
+	return append(loads[:maxShownTenants], others)
+}
+
+// showTenants sets the gauges of tenants. The series of a tenant that is no longer among the largest show 0; there are never more than
+// there have been tenants.
+func (m *poolMetrics) showTenants(loads []tenantLoad) {
+	shown := map[string]tenantLoad{}
+	for _, load := range loads {
+		shown[load.name] = load
+		m.shownTenants[load.name] = true
+	}
+	for name := range m.shownTenants {
+		load := shown[name]
+		tenantRunningCPU.With(m.key, name).Set(float64(load.running))
+		tenantWaitingCPU.With(m.key, name).Set(float64(load.waiting))
+		tenantAllowanceCPU.With(m.key, name).Set(float64(load.allowance))
+	}
+}
--- a/internal/scheduling/scheduler/tenants.go
+++ b/internal/scheduling/scheduler/tenants.go
@@ -1,12 +1,23 @@
 package scheduler
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"gannetline/internal/scheduling/placement"
 )
 
-// TenantTerms are what the configuration in force grants a tenant.
+// TenantPolicy is what a version of the configuration says of tenants; it is never changed after it was made.
+type TenantPolicy struct {
+	Version int64
+	// Terms are those of each tenant, by its name.
+	Terms map[string]TenantTerms
+	// HasOtherPools tells that other pools may run work of the same tenants.
+	HasOtherPools bool
+}
+
+// TenantTerms are what a configuration grants a tenant.
 type TenantTerms struct {
 	// Weight is the tenant's share once everything is full, and the jobs a second that it may expect to be done; 0 counts as 1.
 	Weight float64
@@ -14,19 +25,21 @@
 	Limit placement.Resources
 }
 
-// TenantTermsOf finds the terms of a tenant in the configuration in force; false if it isn't there. Any goroutine may call it.
-type TenantTermsOf func(tenant string) (TenantTerms, bool)
-
-// WithTenants gives a pool the terms of tenants. Without it no tenant is limited.
-func WithTenants(termsOf TenantTermsOf) Option { return func(p *Pool) { p.termsOf = termsOf } }
+// WithTenants gives a pool what the configuration in force says of tenants. Without it no tenant is limited.
+func WithTenants(policy func() TenantPolicy) Option {
+	return func(p *Pool) { p.policyInForce = policy }
+}
 
-func noTenantTerms(string) (TenantTerms, bool) { return TenantTerms{}, false }
+func noTenantPolicy() TenantPolicy { return TenantPolicy{} }
 
-// tenantTable holds what the pool knows of each tenant that has had jobs here. It is made anew with each leadership.
+// tenantTable holds what the pool knows of each tenant. It is made anew with each leadership.
 type tenantTable struct {
 	byName map[string]*tenantState
 	// sorted has them by their index, which a tenant keeps; the first stands for jobs without a tenant.
 	sorted []*tenantState
+	// version is that of the configuration whose terms the tenants have.
+	version       int64
+	hasOtherPools bool
 }
 
 // tenantState is what one tenant has in this pool.
@@ -51,21 +64,38 @@
 	return tenantTable{byName: map[string]*tenantState{"": none}, sorted: []*tenantState{none}}
 }
 
-// unlimitedTerms are those of a tenant of which no configuration has said anything.
+// unlimitedTerms are those of a tenant of which nothing is known.
 var unlimitedTerms = TenantTerms{Weight: 1, Limit: placement.NoLimit}
 
-// tenantOf gives the state of a tenant, and makes it at its first job.
+// tenantOf gives the state of a tenant, and makes it at its first job or with the first configuration that has it.
 func (p *Pool) tenantOf(name string) *tenantState {
 	tenant := p.tenants.byName[name]
 	if tenant == nil {
 		tenant = &tenantState{name: name, index: len(p.tenants.sorted), terms: unlimitedTerms}
 		p.tenants.byName[name] = tenant
 		p.tenants.sorted = append(p.tenants.sorted, tenant)
-		p.updateTerms(tenant)
 	}
 	return tenant
 }
 
+// updateTerms takes the terms of the configuration in force, if it is another one than before. A tenant that no configuration had
+// since this leader took over may use what the pool was granted for it, and no more.
+func (p *Pool) updateTerms() {
+	policy := p.policyInForce()
+	if policy.Version == p.tenants.version {
+		return
+	}
+	p.tenants.version, p.tenants.hasOtherPools = policy.Version, policy.HasOtherPools
+	for _, name := range slices.Sorted(maps.Keys(policy.Terms)) {
+		terms := policy.Terms[name]
+		if terms.Weight <= 0 {
+			terms.Weight = 1
+		}
+		p.tenantOf(name).terms = terms
+	}
+	p.needsPlacing = true
+}
+
 // atLimitPart is the part of its limit from which on a tenant counts as being at it: most tasks need less than the rest.
 const atLimitPart = 0.9
 
@@ -75,16 +105,6 @@
 	return tenant.terms.Limit != placement.NoLimit && tenant.allocated.resources.PartOf(tenant.terms.Limit) >= atLimitPart
 }
 
-// updateTerms takes the terms of the configuration in force, if it has any.
-func (p *Pool) updateTerms(tenant *tenantState) {
-	if terms, exists := p.termsOf(tenant.name); exists {
-		if terms.Weight <= 0 {
-			terms.Weight = 1
-		}
-		tenant.terms = terms
-	}
-}
-
 // countTenantRun adds a run to what its tenant has, or takes it out with a negative count. A run counts from before its order leaves
 // until it has certainly ended or can't start any more, so that what executors run is never more than what is counted.
 func (p *Pool) countTenantRun(run *runState, count int) {
@@ -105,35 +125,63 @@
 const maxUrgentRoom = 0.4
 
 // longLimit is what long work of a tenant may take: its limit less what its other work has lately asked for.
-func (p *Pool) longLimit(tenant *tenantState, now time.Duration) placement.Resources {
-	asked := p.open.first.tenantDemand[tenant.index].resources.Plus(tenant.allocated.resources).Minus(tenant.longAllocated.resources)
+func (p *Pool) longLimit(tenant *tenantState, limit placement.Resources, now time.Duration) placement.Resources {
+	asked := p.open.first.urgentDemand[tenant.index].resources.Plus(tenant.allocated.resources).Minus(tenant.longAllocated.resources)
 	tenant.urgentDemand.raise(float64(asked.CPU), float64(asked.Memory), now, p.timing.ReservedCapacity.DemandHalfLife)
-	limit := tenant.terms.Limit
 	most := limit.Times(maxUrgentRoom)
 	return limit.Minus(placement.Resources{CPU: min(most.CPU, int64(tenant.urgentDemand.cpu)), Memory: min(most.Memory, int64(tenant.urgentDemand.memory))})
 }
 
 // tenantLimits gives what each tenant has and may have, by its index.
 func (p *Pool) tenantLimits(now time.Duration) []placement.Tenant {
+	p.updateTerms()
 	limits := make([]placement.Tenant, len(p.tenants.sorted))
+	weights := p.weightsOfWork()
+	for index, tenant := range p.tenants.sorted {
+		limit, mayOverhang := p.limitOf(tenant)
+		limits[index] = placement.Tenant{Allocated: tenant.allocated.resources, Limit: limit, MayOverhang: mayOverhang,
+			LongAllocated: tenant.longAllocated.resources, LongLimit: p.longLimit(tenant, limit, now), Share: placement.NoLimit}
+		if index > 0 && tenant.hasWork() {
+			limits[index].Share = p.table.openCapacity.Times(tenant.terms.Weight / weights)
+			limits[index].IsAboveShare = !limits[index].Share.Fits(limits[index].Allocated)
+		}
+	}
+	return limits
+}
+
+// limitOf is what a tenant may have running here, and whether its last run may reach beyond that: only where no other pool starts
+// anything under the same limit.
+func (p *Pool) limitOf(tenant *tenantState) (limit placement.Resources, mayOverhang bool) {
+	if p.ledger == nil || tenant.index == 0 {
+		return tenant.terms.Limit, true
+	}
+	allowance, isWhole := p.ledger.Allowance(tenant.name, p.countPolicy())
+	return allowedOf(tenant.terms.Limit, allowance), isWhole
+}
+
+// allowedOf is what is allowed of a limit: nothing is counted, and all is allowed, of a resource without one.
+func allowedOf(limit, allowance placement.Resources) placement.Resources {
+	if limit.CPU != placement.Unlimited {
+		limit.CPU = min(limit.CPU, allowance.CPU)
+	}
+	if limit.Memory != placement.Unlimited {
+		limit.Memory = min(limit.Memory, allowance.Memory)
+	}
+	if limit.GPU != placement.Unlimited {
+		limit.GPU = min(limit.GPU, allowance.GPU)
+	}
+	return limit
+}
+
+// weightsOfWork is the sum of the weights of all tenants that have work.
+func (p *Pool) weightsOfWork() float64 {
 	weights := 0.0
 	for _, tenant := range p.tenants.sorted[1:] {
-		p.updateTerms(tenant)
 		if tenant.hasWork() {
 			weights += tenant.terms.Weight
 		}
 	}
-	for index, tenant := range p.tenants.sorted {
-		limits[index] = placement.Tenant{Allocated: tenant.allocated.resources, Limit: tenant.terms.Limit, MayOverhang: true,
-			LongAllocated: tenant.longAllocated.resources, LongLimit: p.longLimit(tenant, now)}
-		if index == 0 || !tenant.hasWork() {
-			limits[index].Share = placement.NoLimit
-			continue
-		}
-		limits[index].Share = p.table.openCapacity.Times(tenant.terms.Weight / weights)
-		limits[index].IsAboveShare = !limits[index].Share.Fits(limits[index].Allocated)
-	}
-	return limits
+	return weights
 }
 
 // hasWork tells whether the tenant has anything that runs or waits.
@@ -141,7 +189,6 @@
 
 // isWithinRate counts a job that a tenant hands in, and tells whether it is among those that the tenant may expect to be done.
 func (p *Pool) isWithinRate(tenant *tenantState) bool {
-	p.updateTerms(tenant)
 	return tenant.index == 0 || tenant.rate.take(tenant.terms.Weight, p.clock.Monotonic())
 }
 
--- /dev/null
+++ b/internal/scheduling/tenantcount/records.go
@@ -0,0 +1,44 @@
+package tenantcount
+
+import (
+	"gannetline/internal/cluster/peerapi/wire"
+	"gannetline/internal/scheduling/placement"
+)
+
+// amountRecord is an amount as it is stored.
+type amountRecord struct {
+	CPU    int64 `json:"c,omitempty"`
+	Memory int64 `json:"m,omitempty"`
+	GPU    int64 `json:"g,omitempty"`
+}
+
+// grantRecord is what a part keeps of a grant: Epoch and Number are those of the call that last raised it.
+type grantRecord struct {
+	Tenant string       `json:"tenant"`
+	Asker  string       `json:"asker"`
+	Amount amountRecord `json:"amount"`
+	Epoch  uint64       `json:"epoch"`
+	Number uint64       `json:"number"`
+}
+
+// accountRecord is what a pool keeps of its allowance.
+type accountRecord struct {
+	Amount  amountRecord `json:"amount"`
+	IsWhole bool         `json:"whole,omitempty"`
+}
+
+func amountOf(amount placement.Resources) amountRecord {
+	return amountRecord{CPU: amount.CPU, Memory: amount.Memory, GPU: amount.GPU}
+}
+
+func (a amountRecord) resources() placement.Resources {
+	return placement.Resources{CPU: a.CPU, Memory: a.Memory, GPU: a.GPU}
+}
+
+func resourcesOf(capacity wire.Capacity) placement.Resources {
+	return placement.Resources{CPU: capacity.CPU, Memory: capacity.Memory, GPU: capacity.GPU}
+}
+
+func capacityOf(resources placement.Resources) wire.Capacity {
+	return wire.Capacity{CPU: resources.CPU, Memory: resources.Memory, GPU: resources.GPU}
+}
--- /dev/null
+++ b/internal/scheduling/tenantcount/tenantcount_test.go
@@ -0,0 +1,317 @@
+package tenantcount
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gannetline/internal/cluster/peerapi/wire"
+	"gannetline/internal/scheduling/placement"
+	"gannetline/internal/testsupport/golden"
+)
+
+var _ = DescribeTable("the form of records of the count is kept",
+	func(name string, empty golden.Message) {
+		Expect(golden.CheckMessage(name, empty)).To(Succeed())
+	},
+	Entry("grant", "grant-record", &grantRecord{}),
+	Entry("account", "account-record", &accountRecord{}),
+)
+
+// cpu is an amount of one resource; the others have no limit in these tests.
+func cpu(units int64) placement.Resources { return placement.Resources{CPU: units} }
+
+// escrow is a part and the ledgers of pools, whose commits succeed when the test says so.
+type escrow struct {
+	part    *Part
+	records map[string][]byte
+	limit   int64
+	version int64
+	now     time.Duration
+	ledgers map[string]*Ledger
+	kept    map[string]map[string][]byte
+	epoch   uint64
+}
+
+func newEscrow(limit int64, pools ...string) *escrow {
+	e := &escrow{records: map[string][]byte{}, limit: limit, version: 1, now: time.Second, ledgers: map[string]*Ledger{}, kept: map[string]map[string][]byte{}}
+	for _, pool := range pools {
+		e.kept[pool] = map[string][]byte{}
+		e.takeOverPool(pool)
+	}
+	e.takeOverPart()
+	return e
+}
+
+func pairsOf(records map[string][]byte) (pairs []wire.Op) {
+	for name, value := range records {
+		pairs = append(pairs, wire.Op{Name: name, Value: value})
+	}
+	return pairs
+}
+
+func keep(records map[string][]byte, ops ...wire.Op) {
+	for _, op := range ops {
+		records[op.Name] = op.Value
+		if len(op.Value) == 0 {
+			delete(records, op.Name)
+		}
+	}
+}
+
+// takeOverPart gives the part to another leader, which knows what is committed.
+func (e *escrow) takeOverPart() {
+	part, err := NewPart(pairsOf(e.records), e.now)
+	Expect(err).NotTo(HaveOccurred())
+	e.part = part
+}
+
+func (e *escrow) takeOverPool(pool string) {
+	e.epoch++
+	ledger, err := NewLedger(pool, e.epoch, pairsOf(e.kept[pool]))
+	Expect(err).NotTo(HaveOccurred())
+	e.ledgers[pool] = ledger
+}
+
+func (e *escrow) limits(string) (placement.Resources, bool) {
+	limit := placement.NoLimit
+	limit.CPU = e.limit
+	return limit, true
+}
+
+func (e *escrow) policy() Policy { return Policy{Version: e.version, IsShared: len(e.ledgers) > 1} }
+
+func (e *escrow) demand(used, wants int64) map[string]Demand {
+	limit, _ := e.limits("t")
+	return map[string]Demand{"t": {Used: cpu(used), Wants: cpu(wants), Limit: limit}}
+}
+
+// call gives the call that a pool makes now, nil if none is due.
+func (e *escrow) call(pool string, used, wants int64) *wire.GrantCall {
+	e.now += raiseInterval
+	return e.ledgers[pool].Next(PartOf("t"), e.demand(used, wants), e.policy(), e.now)
+}
+
+// answer has the part decide, and commits that.
+func (e *escrow) answer(call *wire.GrantCall) *wire.GrantAnswer {
+	given, ops, err := e.part.Ask(call, e.limits, e.now)
+	Expect(err).NotTo(HaveOccurred())
+	keep(e.records, ops...)
+	given.Version = e.version
+	return &given
+}
+
+// take gives a pool an answer, and commits what follows.
+func (e *escrow) take(pool string, call *wire.GrantCall, answer *wire.GrantAnswer) {
+	for _, change := range e.ledgers[pool].Answered(PartOf("t"), call.Number, answer, e.now) {
+		keep(e.kept[pool], change.Op)
+		e.ledgers[pool].Committed(change.Tenant)
+	}
+}
+
+// round lets a pool give back, ask and get its answer; it gives what it may use then.
+func (e *escrow) round(pool string, used, wants int64) int64 {
+	if lowered := e.ledgers[pool].Lower("t", e.demand(used, wants)["t"]); lowered != nil {
+		keep(e.kept[pool], lowered.Op)
+		e.ledgers[pool].Committed("t")
+	}
+	if call := e.call(pool, used, wants); call != nil {
+		e.take(pool, call, e.answer(call))
+	}
+	return e.allowance(pool)
+}
+
+func (e *escrow) allowance(pool string) int64 {
+	allowance, _ := e.ledgers[pool].Allowance("t", e.policy())
+	return allowance.CPU
+}
+
+// held is what all pools' committed accounts hold together.
+func (e *escrow) held() (sum int64) {
+	for pool, records := range e.kept {
+		ledger, err := NewLedger(pool, 0, pairsOf(records))
+		Expect(err).NotTo(HaveOccurred())
+		sum += ledger.Held("t").CPU
+	}
+	return sum
+}
+
+var _ = Describe("the count of a tenant", func() {
+	It("gives a single pool all of the limit at once, and asks no more", func() {
+		e := newEscrow(100, "x")
+		Expect(e.allowance("x")).To(BeZero())
+		Expect(e.round("x", 0, 0)).To(Equal(int64(100)))
+		_, isWhole := e.ledgers["x"].Allowance("t", e.policy())
+		Expect(isWhole).To(BeTrue())
+		e.now += time.Hour
+		Expect(e.call("x", 100, 500)).To(BeNil())
+		e.limit, e.version = 150, 2
+		Expect(e.round("x", 100, 500)).To(Equal(int64(150)))
+		e.limit, e.version = 60, 3
+		e.round("x", 100, 500)
+		Expect(e.held()).To(Equal(int64(100)))
+		Expect(e.round("x", 20, 500)).To(Equal(int64(60)))
+	})
+
+	It("divides a limit by what pools want, and never gives more than it", func() {
+		e := newEscrow(100, "x", "y")
+		e.round("x", 0, 0)
+		Expect(e.allowance("x")).To(Equal(int64(100)))
+		Expect(e.round("y", 0, 500)).To(BeZero())
+		for range 12 {
+			e.round("x", 0, 30)
+			e.round("y", 0, 500)
+			Expect(e.held()).To(BeNumerically("<=", 100))
+		}
+		Expect(e.allowance("x")).To(Equal(int64(30)))
+		Expect(e.allowance("y")).To(Equal(int64(70)))
+		for range 12 {
+			e.round("x", 0, 500)
+			e.round("y", 70, 500)
+		}
+		Expect(e.allowance("x")).To(Equal(int64(30)))
+		for range 12 {
+			e.round("y", 10, 500)
+			e.round("x", 0, 500)
+		}
+		Expect(e.allowance("x")).To(Equal(int64(50)))
+		Expect(e.allowance("y")).To(Equal(int64(50)))
+	})
+
+	It("counts a call that comes again once, and refuses one that comes after a later one", func() {
+		e := newEscrow(100, "x", "y")
+		first := e.call("x", 0, 40)
+		answer := e.answer(first)
+		Expect(e.answer(first).Tenants).To(Equal(answer.Tenants))
+		Expect(e.ledgers["x"].Answered(PartOf("t"), first.Number, nil, e.now)).To(BeEmpty())
+		e.now += unansweredInterval
+		second := e.call("x", 0, 40)
+		e.take("x", second, e.answer(second))
+		Expect(e.allowance("x")).To(Equal(int64(100)))
+		_, _, err := e.part.Ask(first, e.limits, e.now)
+		Expect(err).To(MatchError(ErrStale))
+		e.takeOverPart()
+		_, _, err = e.part.Ask(first, e.limits, e.now)
+		Expect(err).To(MatchError(ErrStale))
+	})
+
+	It("drops the answer to a call that was given up", func() {
+		e := newEscrow(100, "x", "y")
+		first := e.call("x", 0, 40)
+		late := e.answer(first)
+		e.ledgers["x"].Answered(PartOf("t"), first.Number, nil, e.now)
+		e.now += unansweredInterval
+		second := e.call("x", 0, 40)
+		Expect(e.ledgers["x"].Answered(PartOf("t"), first.Number, late, e.now)).To(BeEmpty())
+		Expect(second.Number).To(BeNumerically(">", first.Number))
+		Expect(e.allowance("x")).To(BeZero())
+	})
+
+	It("is kept over a change of the part's leader, and of the pool's", func() {
+		e := newEscrow(100, "x", "y")
+		e.round("x", 0, 500)
+		e.takeOverPart()
+		Expect(e.round("y", 0, 500)).To(BeZero())
+		e.takeOverPool("x")
+		Expect(e.ledgers["x"].Held("t")).To(Equal(cpu(100)))
+		Expect(e.allowance("x")).To(BeZero(), "until the part has answered under this leader's configuration")
+		for range 12 {
+			e.round("x", 0, 500)
+			e.round("y", 0, 500)
+			Expect(e.held()).To(BeNumerically("<=", 100))
+		}
+		Expect(e.allowance("y")).To(Equal(int64(50)))
+	})
+
+	It("frees nothing by silence", func() {
+		e := newEscrow(100, "x", "y")
+		e.round("x", 100, 500)
+		e.now += time.Hour
+		for range 5 {
+			Expect(e.round("y", 0, 500)).To(BeZero())
+		}
+	})
+
+	It("lets nobody start under a lowered limit until the returns are in", func() {
+		e := newEscrow(100, "x", "y")
+		for range 12 {
+			e.round("x", 50, 500)
+			e.round("y", 0, 500)
+		}
+		Expect(e.allowance("y")).To(Equal(int64(50)))
+		e.limit, e.version = 40, 2
+		Expect(e.allowance("y")).To(BeZero())
+		Expect(e.round("y", 0, 500)).To(BeZero(), "the other one still holds more than the limit")
+		for range 12 {
+			e.round("x", 10, 500)
+			e.round("y", 0, 500)
+		}
+		Expect(e.allowance("x") + e.allowance("y")).To(Equal(int64(40)))
+	})
+
+	It("uses a raised account only after the commit, and a lowered one less before it", func() {
+		e := newEscrow(100, "x")
+		call := e.call("x", 0, 50)
+		ledger := e.ledgers["x"]
+		changes := ledger.Answered(PartOf("t"), call.Number, e.answer(call), e.now)
+		Expect(changes).To(HaveLen(1))
+		Expect(e.allowance("x")).To(BeZero())
+		Expect(e.call("x", 0, 50)).To(BeNil(), "what it says might be undone")
+		ledger.Committed("t")
+		Expect(e.allowance("x")).To(Equal(int64(100)))
+		e.limit, e.version = 30, 2
+		Expect(ledger.Lower("t", e.demand(0, 0)["t"])).NotTo(BeNil())
+		Expect(e.allowance("x")).To(Equal(int64(30)))
+		Expect(ledger.Lower("t", e.demand(0, 0)["t"])).To(BeNil(), "one change at a time")
+	})
+
+	It("counts what runs of a pool that holds less, as after a limit has appeared", func() {
+		e := newEscrow(100, "x", "y")
+		call := e.call("x", 60, 60)
+		e.take("x", call, e.answer(call))
+		Expect(e.round("y", 0, 500)).To(BeNumerically("<=", 40))
+	})
+
+	It("counts nothing of a resource without a limit", func() {
+		e := newEscrow(placement.Unlimited, "x")
+		e.round("x", 70, 90)
+		Expect(e.records).To(BeEmpty())
+	})
+
+	It("reads what it can, and names what it can't", func() {
+		_, err := NewPart([]wire.Op{{Name: "g/t/x", Value: []byte("{")}}, 0)
+		Expect(err).To(MatchError(ContainSubstring("g/t/x")))
+		ledger, err := NewLedger("x", 1, []wire.Op{{Name: "a/t", Value: []byte("{")}, {Name: "a/u", Value: []byte(`{"amount":{"c":5}}`)}})
+		Expect(err).To(MatchError(ContainSubstring("a/t")))
+		Expect(ledger.Held("u")).To(Equal(cpu(5)))
+		Expect(ledger.Tenants()).To(Equal([]string{"u"}))
+	})
+
+	DescribeTable("is divided by max-min fairness", func(limit, own int64, others []int64, part int64) {
+		wants := []placement.Resources{cpu(own)}
+		for _, other := range others {
+			wants = append(wants, cpu(other))
+		}
+		Expect(fairPart(limit, own, wants, func(r placement.Resources) int64 { return r.CPU })).To(Equal(part))
+	},
+		Entry("alone", int64(10), int64(0), nil, int64(10)),
+		Entry("alone and wanting more", int64(10), int64(50), nil, int64(10)),
+		Entry("all want more", int64(12), int64(50), []int64{50, 50}, int64(4)),
+		Entry("one wants little", int64(12), int64(50), []int64{2, 50}, int64(5)),
+		Entry("it is the one that wants little", int64(12), int64(2), []int64{50, 50}, int64(2)),
+		Entry("nobody wants all", int64(12), int64(2), []int64{4}, int64(5)),
+		Entry("no limit is counted", int64(0), int64(2), []int64{4}, int64(0)),
+	)
+
+	It("forgets an asker that holds nothing and is silent", func() {
+		e := newEscrow(100, "x", "y")
+		e.round("y", 0, 0)
+		for range 6 {
+			e.round("y", 0, 0)
+			e.round("x", 0, 500)
+		}
+		e.ledgers["y"].Lower("t", Demand{})
+		Expect(e.allowance("x")).To(BeNumerically(">", 0))
+	})
+})
--- /dev/null
+++ b/internal/simulation/modelcheck/countmodel/pool.go
@@ -0,0 +1,214 @@
+package countmodel
+
+import (
+	"fmt"
+
+	"gannetline/internal/cluster/peerapi/wire"
+	"gannetline/internal/scheduling/placement"
+	"gannetline/internal/scheduling/tenantcount"
+)
+
+// runPrefix begins the records of runs: r/TENANT/NUMBER.
+const runPrefix = "r/"
+
+// modelPool is a pool: its key, its present leader, and what its executors run.
+type modelPool struct {
+	cluster *simCluster
+	number  int
+	key     *replicatedKey
+	version int
+	// demand is how many tasks of each tenant it wants to run at once.
+	demand map[string]int
+	// ledger is nil while nobody leads; used counts the leader's runs, the ones that are being committed too.
+	ledger  *tenantcount.Ledger
+	used    map[string]int
+	nextRun int
+	// executing are the runs at executors, which outlive leaders; running names them.
+	executing map[string]int
+	running   map[string]bool
+}
+
+func newModelPool(cluster *simCluster, number int) *modelPool {
+	return &modelPool{cluster: cluster, number: number, key: newKey(cluster), demand: map[string]int{}, executing: map[string]int{}, running: map[string]bool{}}
+}
+
+// open makes a leader from what is committed. Runs whose order never left start now.
+func (p *modelPool) open() {
+	ledger, err := tenantcount.NewLedger(p.name(), p.key.epoch, p.key.pairs(tenantcount.AccountPrefix))
+	if err != nil {
+		p.cluster.violate("RECORD", "%v", err)
+		return
+	}
+	p.ledger, p.used = ledger, map[string]int{}
+	for _, pair := range p.key.pairs(runPrefix) {
+		tenant := pair.Name[len(runPrefix) : len(runPrefix)+1]
+		p.used[tenant]++
+		if !p.running[pair.Name] {
+			p.launch(pair.Name, tenant)
+		}
+	}
+}
+
+func (p *modelPool) name() string { return fmt.Sprintf("pool/%d", p.number) }
+
+// kill ends the leadership; another leader follows after a while.
+func (p *modelPool) kill() {
+	if p.ledger == nil {
+		return
+	}
+	p.ledger = nil
+	p.key.endEpoch()
+	p.cluster.queue.After(p.cluster.between(100, 1500), p.open)
+}
+
+func (p *modelPool) tickForEver() {
+	if p.ledger != nil {
+		p.tick()
+	}
+	p.cluster.checkAccounts(p)
+	p.cluster.queue.After(tickInterval, p.tickForEver)
+}
+
+func (p *modelPool) policy() tenantcount.Policy {
+	return tenantcount.Policy{Version: int64(p.version), IsShared: len(p.cluster.pools) > 1}
+}
+
+// tick gives back, asks, and starts what may start, as the real pool does.
+func (p *modelPool) tick() {
+	demands := map[string]tenantcount.Demand{}
+	for _, tenant := range tenants {
+		demands[tenant] = tenantcount.Demand{Used: tasks(p.used[tenant]), Wants: tasks(max(p.used[tenant], p.demand[tenant])), Limit: p.cluster.limitOf(p.version, tenant)}
+		if lowered := p.ledger.Lower(tenant, demands[tenant]); lowered != nil {
+			p.commitAccounts(*lowered)
+		}
+	}
+	for part := range partCount {
+		if call := p.ledger.Next(part, demands, p.policy(), p.cluster.queue.Now()); call != nil {
+			p.ask(part, call)
+		}
+	}
+	for _, tenant := range tenants {
+		p.startAll(tenant)
+	}
+}
+
+// ask sends a call; without an answer it is given up after a second, as in the real pool.
+func (p *modelPool) ask(part int, call *wire.GrantCall) {
+	ledger, cluster := p.ledger, p.cluster
+	take := func(answer *wire.GrantAnswer) {
+		if p.ledger == ledger {
+			p.commitAccounts(ledger.Answered(part, call.Number, answer, cluster.queue.Now())...)
+		}
+	}
+	cluster.send(p.number, part, func() {
+		cluster.parts[part].take(call, func(answer wire.GrantAnswer) {
+			cluster.send(p.number, part, func() { p.deliver(part, call, answer, take) })
+		})
+	})
+	cluster.queue.After(cluster.between(1000, 1000), func() { take(nil) })
+}
+
+func (p *modelPool) deliver(part int, call *wire.GrantCall, answer wire.GrantAnswer, take func(*wire.GrantAnswer)) {
+	if p.cluster.fault == faultLateAnswer && p.ledger != nil {
+		// The answer counts for whatever call is under way.
+		for number := call.Number; number < call.Number+20; number++ {
+			p.commitAccounts(p.ledger.Answered(part, number, &answer, p.cluster.queue.Now())...)
+		}
+		return
+	}
+	take(&answer)
+}
+
+func (p *modelPool) commitAccounts(changes ...tenantcount.Change) {
+	for _, change := range changes {
+		ledger := p.ledger
+		if p.cluster.fault == faultRaiseBeforeCommit {
+			ledger.Committed(change.Tenant)
+		}
+		if p.cluster.fault == faultLowerNotCommitted && isLower(p.key.records[change.Op.Name], change.Op.Value) {
+			ledger.Committed(change.Tenant)
+			continue
+		}
+		p.key.propose([]wire.Op{change.Op}, func(error) {
+			ledger.Committed(change.Tenant)
+			p.cluster.checkAccounts(p)
+		})
+	}
+	if len(changes) > 0 {
+		p.cluster.checkAccounts(p)
+	}
+}
+
+// isLower tells whether a record of an account holds less than another one; the shorter text of two numbers is the lower one.
+func isLower(before, after []byte) bool {
+	return len(after) < len(before) || len(after) == len(before) && string(after) < string(before)
+}
+
+// startAll starts what is wanted of a tenant and allowed.
+func (p *modelPool) startAll(tenant string) {
+	for p.used[tenant] < p.demand[tenant] && p.admits(tenant) {
+		p.start(tenant)
+	}
+}
+
+func (p *modelPool) admits(tenant string) bool {
+	policy := p.policy()
+	if p.cluster.fault == faultStartUnsettled {
+		policy = tenantcount.Policy{}
+	}
+	allowance, _ := p.ledger.Allowance(tenant, policy)
+	limit := p.cluster.limitOf(p.version, tenant)
+	limit.CPU = min(limit.CPU, allowance.CPU)
+	// All tasks fit the limits, so that no run may reach beyond one here.
+	state := placement.Tenant{Allocated: tasks(p.used[tenant]), Limit: limit}
+	return state.Admits(tasks(1), 1)
+}
+
+// start commits a run, and has it begin at an executor after that.
+func (p *modelPool) start(tenant string) {
+	p.nextRun++
+	name := fmt.Sprintf("%s%s/%d", runPrefix, tenant, p.nextRun)
+	p.used[tenant]++
+	ledger := p.ledger
+	p.key.propose([]wire.Op{{Name: name, Value: []byte{1}}}, func(error) {
+		if p.ledger == ledger {
+			p.launch(name, tenant)
+		}
+	})
+}
+
+// launch has the executor begin a run a moment later, and end it after a while.
+func (p *modelPool) launch(name, tenant string) {
+	p.running[name] = true
+	p.cluster.queue.After(p.cluster.between(1, 40), func() {
+		p.cluster.coverage["start"]++
+		p.executing[tenant]++
+		p.cluster.note("pool %d starts %s", p.number, name)
+		p.cluster.checkStart(tenant)
+		p.cluster.queue.After(p.cluster.between(50, 900), func() {
+			p.executing[tenant]--
+			p.reportEnd(name, tenant)
+		})
+	})
+}
+
+// reportEnd tells the leader of an end, again until it is committed.
+func (p *modelPool) reportEnd(name, tenant string) {
+	if p.key.records[name] == nil {
+		return
+	}
+	if ledger := p.ledger; ledger != nil {
+		p.used[tenant]--
+		p.key.propose([]wire.Op{{Name: name}}, func(error) {})
+	} else {
+		p.cluster.queue.After(tickInterval, func() { p.reportEnd(name, tenant) })
+		return
+	}
+	// The leader may be killed before the commit: the next one counts the run again and is told again.
+	epoch := p.key.epoch
+	p.cluster.queue.After(tickInterval, func() {
+		if p.key.epoch != epoch {
+			p.reportEnd(name, tenant)
+		}
+	})
+}
--- /dev/null
+++ b/internal/simulation/modelcheck/countmodel/schedule.go
@@ -0,0 +1,65 @@
+package countmodel
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"gannetline/internal/simulation/modelcheck"
+)
+
+const (
+	drawStream           = 19
+	minFaults, maxFaults = 2, 9
+	firstStepMs          = 1000
+	lastStepMs           = 12000
+	maxFaultMs           = 3000
+	demandPercent        = 40
+)
+
+// Kinds of steps. Node is a pool or a part, Peer a part or a tenant, and Value a figure, as the kind says.
+const (
+	// kindKillPool and kindKillPart end the leadership of a pool or a part, with commits under way.
+	kindKillPool = "kill-pool"
+	kindKillPart = "kill-part"
+	// kindCut cuts a pool from a part for a time.
+	kindCut = "cut"
+	// kindLoseMessages loses Value of a hundred messages, kindLateMessages doubles as many and delays them by seconds.
+	kindLoseMessages = "lose-messages"
+	kindLateMessages = "late-messages"
+	// kindLimit sets the limit of the tenant Peer to Value tasks' worth; configurations reach each process at a moment of its own.
+	kindLimit = "limit"
+	// kindDemand has the pool Node want so many tasks of the tenant Peer.
+	kindDemand = "demand"
+)
+
+var faultKinds = []string{kindKillPool, kindKillPart, kindCut, kindLoseMessages, kindLateMessages, kindLimit, kindLimit}
+
+func draw(seed uint64, losses int) modelcheck.Schedule {
+	random := rand.New(rand.NewPCG(seed, drawStream))
+	schedule := modelcheck.Schedule{Model: modelName, Seed: seed, Losses: losses, Nodes: 1 + random.IntN(maxPools)}
+	for range minFaults + random.IntN(maxFaults-minFaults+1) {
+		schedule.Steps = append(schedule.Steps, drawStep(random, schedule.Nodes))
+	}
+	slices.SortStableFunc(schedule.Steps, func(a, b modelcheck.Step) int { return a.AtMs - b.AtMs })
+	return schedule
+}
+
+func drawStep(random *rand.Rand, pools int) modelcheck.Step {
+	step := modelcheck.Step{AtMs: firstStepMs + random.IntN(lastStepMs-firstStepMs), Node: random.IntN(pools)}
+	if random.IntN(100) < demandPercent {
+		step.Kind, step.Peer, step.Value = kindDemand, random.IntN(len(tenants)), random.IntN(2*maxLimit)
+		return step
+	}
+	step.Kind = faultKinds[random.IntN(len(faultKinds))]
+	switch step.Kind {
+	case kindKillPart:
+		step.Node = random.IntN(partCount)
+	case kindCut:
+		step.Peer, step.ForMs = random.IntN(partCount), 100+random.IntN(maxFaultMs)
+	case kindLoseMessages, kindLateMessages:
+		step.Value, step.ForMs = 10+random.IntN(60), 100+random.IntN(maxFaultMs)
+	case kindLimit:
+		step.Peer, step.Value = random.IntN(len(tenants)), 1+random.IntN(maxLimit)
+	}
+	return step
+}
