--- a/internal/cluster/configcache/configcache.go
+++ b/internal/cluster/configcache/configcache.go
@@ -60,6 +60,9 @@
 // Current gives the version in force, nil before the first.
 func (c *Cache) Current() *Snapshot { return c.current.Load() }
 
+// Version is the number of the version in force, 0 before the first. Any goroutine may ask.
+func (c *Cache) Version() int64 { return c.version().version() }
+
 // Run owns the cache until ctx is done.
 func (c *Cache) Run(ctx context.Context) error {
 	c.mailbox.Run(ctx, c.clock, mailbox.Owner{Every: time.Minute})
--- a/internal/cluster/peerapi/wire/client.go
+++ b/internal/cluster/peerapi/wire/client.go
@@ -31,6 +31,8 @@
 	VerbReplace Verb = "replace"
 	// VerbRetrieve asks for the configuration.
 	VerbRetrieve Verb = "retrieve"
+	// VerbVersion asks for the number of the configuration alone.
+	VerbVersion Verb = "version"
 )
 
 // ClientCall is a command of a client or operator on the way to the leader of a key.
--- a/internal/control/configleader/configleader.go
+++ b/internal/control/configleader/configleader.go
@@ -277,6 +277,15 @@
 	return l.decodedCommitted
 }
 
+// Version tells the number of the newest configuration, as the answer to a change that confirms it does.
+func (l *Leader) Version(answer answerClient) {
+	if l.committed == nil {
+		l.answerUnderLease(answer, refusalOf(ErrNoConfiguration))
+		return
+	}
+	l.answerUnderLease(answer, confirmationOf(l.committed.Version))
+}
+
 // Retrieve gives back the newest configuration, as the operator sent it.
 func (l *Leader) Retrieve(answer answerClient) {
 	if l.committed == nil {
--- a/internal/control/controlkeys/machines.go
+++ b/internal/control/controlkeys/machines.go
@@ -22,6 +22,8 @@
 		return c.Replace
 	case wire.VerbRetrieve:
 		return func(_ *wire.ClientCall, answer func(wire.ClientAnswer)) { c.Retrieve(answer) }
+	case wire.VerbVersion:
+		return func(_ *wire.ClientCall, answer func(wire.ClientAnswer)) { c.Version(answer) }
 	}
 	return nil
 }
--- a/internal/gate/clientapi/clientapi.go
+++ b/internal/gate/clientapi/clientapi.go
@@ -112,11 +112,25 @@
 	snapshot     func() *configcache.Snapshot
 	leaderClient *leaderclient.Client
 	clock        clock.Clock
+	// areKeysFresh tells whether the keys of the configuration may be trusted now.
+	areKeysFresh func() bool
+}
+
+// Option changes how a gate is made.
+type Option func(*Gate)
+
+// WithKeyFreshness has the gate refuse calls that need a key while the keys that it knows may have been taken away too long ago.
+func WithKeyFreshness(areKeysFresh func() bool) Option {
+	return func(g *Gate) { g.areKeysFresh = areKeysFresh }
 }
 
 // New makes a gate that decides by the newest configuration and asks the leaders of the pools.
-func New(snapshot func() *configcache.Snapshot, leaderClient *leaderclient.Client, clock clock.Clock) *Gate {
-	return &Gate{snapshot: snapshot, leaderClient: leaderClient, clock: clock}
+func New(snapshot func() *configcache.Snapshot, leaderClient *leaderclient.Client, clock clock.Clock, options ...Option) *Gate {
+	gate := &Gate{snapshot: snapshot, leaderClient: leaderClient, clock: clock, areKeysFresh: func() bool { return true }}
+	for _, option := range options {
+		option(gate)
+	}
+	return gate
 }
 
 // ServeHTTP answers one request of a client.
@@ -150,6 +164,9 @@
 	if decision.Call == nil {
 		return verbRefused, decision.Refusal
 	}
+	if decision.Call.Tenant != "" && !g.areKeysFresh() {
+		return verbRefused, response.Later(http.StatusServiceUnavailable, 1, "this node can't be sure of the keys")
+	}
 	decision.Limit -= g.clock.Monotonic() - began
 	return decision.Call.Verb, g.ask(request.Context(), decision)
 }
--- a/internal/gate/clientapi/clientapi_test.go
+++ b/internal/gate/clientapi/clientapi_test.go
@@ -90,6 +90,35 @@
 		Expect(clientapi.Decide(snapshot, unknown, nil).Refusal.Status).To(Equal(404))
 	})
 
+	It("answers 503 to a call with a key while it can't be sure of the keys, and serves what needs none", func() {
+		text := strings.Replace(body, `"service-list"`, `"tenant-list":[{"name":"t","api-keys":["k1"]}],"service-list"`, 1)
+		isFresh := false
+		ask := func(text, authorization string) int {
+			plan, err := configuration.Read([]byte(text))
+			Expect(err).NotTo(HaveOccurred())
+			snapshot := &configcache.Snapshot{Committed: &wire.Configuration{Version: 7}, Matcher: configuration.NewMatcher(plan)}
+			clock := clock.NewFake(0)
+			gate := clientapi.New(func() *configcache.Snapshot { return snapshot }, leaderclient.New(peerapi.NewCaller(http.DefaultClient), clock,
+				func() *membership.View { return &membership.View{} }), clock, clientapi.WithKeyFreshness(func() bool { return isFresh }))
+			ctx, end := context.WithCancel(context.Background())
+			end()
+			one := request("GET", "/q/"+id).WithContext(ctx)
+			one.Header.Set("Authorization", authorization)
+			answer := httptest.NewRecorder()
+			gate.ServeHTTP(answer, one)
+			Expect(answer.Body.String()).NotTo(ContainSubstring("k1"))
+			if strings.Contains(answer.Body.String(), "sure of the keys") {
+				return -answer.Code
+			}
+			return answer.Code
+		}
+		Expect(ask(text, "Bearer k1")).To(Equal(-503))
+		Expect(ask(text, "Bearer k2")).To(Equal(401))
+		Expect(ask(body, "")).To(Equal(503), "nobody leads here")
+		isFresh = true
+		Expect(ask(text, "Bearer k1")).To(Equal(503), "nobody leads here")
+	})
+
 	It("counts calls by verb and status, and how long they took", func() {
 		clock := clock.NewFake(0)
 		view := func() *membership.View { return &membership.View{} }
--- a/internal/roles/gate.go
+++ b/internal/roles/gate.go
@@ -12,6 +12,8 @@
 	"gannetline/internal/cluster/membership"
 	"gannetline/internal/cluster/peerapi/wire"
 	"gannetline/internal/gate/clientapi"
+	"gannetline/internal/gate/keyfreshness"
+	"gannetline/internal/platform/clock"
 	"gannetline/internal/platform/httpserver"
 	"gannetline/internal/platform/response"
 )
@@ -45,7 +47,8 @@
 	comparenodes.Handle(b.inner, comparenodes.Sources{View: b.node.View, Configuration: configurations.Current})
 	var isLeaving atomic.Bool
 	asker := leaderclient.New(b.caller, b.clock, b.node.View)
-	server := httpserver.New(front, b.meter.Handler(clientapi.New(configurations.Current, asker, b.clock)), b.clock, b.log,
+	api := clientapi.New(configurations.Current, asker, b.clock, b.keyOptions(asker, configurations)...)
+	server := httpserver.New(front, b.meter.Handler(api), b.clock, b.log,
 		httpserver.WithMaxConnections(maxClientConnections(b.settings.Limits.FileDescriptors)))
 	b.tree.Add("plan", configurations.Run)
 	b.tree.Add("clients", func(context.Context) error { return server.Serve() })
@@ -58,6 +61,17 @@
 	})
 }
 
+// keyOptions has a gate watch its configuration where keys that were taken away must be of no use anywhere after a while.
+func (b *base) keyOptions(asker *leaderclient.Client, configurations *configcache.Cache) []clientapi.Option {
+	bounds := b.settings.Bounds
+	if !bounds.RevocationClosed {
+		return nil
+	}
+	watch := keyfreshness.New(asker, b.clock, clock.Milliseconds(bounds.RevokeTimeoutMs), configurations.Version)
+	b.tree.Add("key-freshness", watch.Run)
+	return []clientapi.Option{clientapi.WithKeyFreshness(watch.IsFresh)}
+}
+
 // clientLeave says how a gate leaves within the grace period: calls to leaders that are away are ended while there is
 // time left to write all their answers on a slow machine and link.
 func clientLeave(gracePeriod time.Duration) httpserver.LeaveTimes {
--- a/internal/scheduling/scheduler/clients.go
+++ b/internal/scheduling/scheduler/clients.go
@@ -48,12 +48,20 @@
 		answer(wire.ClientAnswer{Status: http.StatusBadRequest, Reason: err.Error()})
 		return
 	}
+	tenant := p.tenantOf(call.Tenant)
+	isSurplus := !p.isWithinRate(tenant)
+	if isSurplus && tenant.isFlooding() {
+		p.metrics.refusals.Inc()
+		answer(wire.ClientAnswer{Status: http.StatusTooManyRequests, RetryAfterS: 1, Reason: "the tenant has too many jobs under way beyond its rate"})
+		return
+	}
 	p.metrics.submissions.Inc()
 	job := newJobState(call.ID)
-	job.spec = spec
-	job.tenant = p.tenantOf(call.Tenant)
-	job.record = jobRecord{Route: call.Route, AcceptedMs: p.leadership.WallMs(), Spec: call.Body, Tenant: call.Tenant,
-		IsSurplus: !p.isWithinRate(job.tenant)}
+	job.spec, job.tenant = spec, tenant
+	job.record = jobRecord{Route: call.Route, AcceptedMs: p.leadership.WallMs(), Spec: call.Body, Tenant: call.Tenant, IsSurplus: isSurplus}
+	if isSurplus {
+		tenant.surplusJobs++
+	}
 	if call.Terms != nil {
 		job.record.Terms = *call.Terms
 	}
--- a/internal/scheduling/scheduler/endedjobs.go
+++ b/internal/scheduling/scheduler/endedjobs.go
@@ -12,6 +12,9 @@
 	if job.phase == jobQueued {
 		p.queued[job.record.Route]--
 	}
+	if job.record.IsSurplus {
+		job.tenant.surplusJobs--
+	}
 	job.phase, job.endedMs = phase, p.leadership.WallMs()
 	p.putRecord(prefixState+job.id, stateRecord{Route: job.record.Route, State: string(phase), Reason: reason, EndedMs: job.endedMs, Tenant: job.record.Tenant})
 	if phase != jobCompleted {
--- a/internal/scheduling/scheduler/load.go
+++ b/internal/scheduling/scheduler/load.go
@@ -46,6 +46,9 @@
 	slices.SortStableFunc(p.renounced.order, func(a, b renouncedID) int { return cmp.Compare(a.atMs, b.atMs) })
 	for _, id := range slices.Sorted(maps.Keys(p.jobs)) {
 		if job := p.jobs[id]; job.spec != nil {
+			if job.isOpen() && job.record.IsSurplus {
+				job.tenant.surplusJobs++
+			}
 			p.reopen(job)
 		} else {
 			p.insertEnded(job)
--- a/internal/scheduling/scheduler/metrics.go
+++ b/internal/scheduling/scheduler/metrics.go
@@ -18,6 +18,7 @@
 
 var (
 	submissions     = metrics.NewCounters("gannetline_pool_hand_ins_total", "key")
+	refusals        = metrics.NewCounters("gannetline_pool_refused_hand_ins_total", "key")
 	placements      = metrics.NewCounters("gannetline_pool_placements_total", "key")
 	starts          = metrics.NewCounters("gannetline_pool_starts_total", "key")
 	ends            = metrics.NewCounters("gannetline_pool_ends_total", "key", "how")
@@ -41,17 +42,17 @@
 
 // poolMetrics are the series of one pool, found once.
 type poolMetrics struct {
-	key                                                                       string
-	submissions, placements, starts, stops, speculativeRuns, commits, changes *metrics.Counter
-	tickSeconds, placeSeconds                                                 metrics.Histogram
-	shownAt                                                                   time.Duration
+	key                                                                                 string
+	submissions, refusals, placements, starts, stops, speculativeRuns, commits, changes *metrics.Counter
+	tickSeconds, placeSeconds                                                           metrics.Histogram
+	shownAt                                                                             time.Duration
 	// shownPriorities have series of their own, which show 0 once nothing of them is left.
 	shownPriorities map[int]bool
 	shownTenants    map[string]bool
 }
 
 func newPoolMetrics(key string) poolMetrics {
-	return poolMetrics{key: key, submissions: submissions.With(key), placements: placements.With(key), starts: starts.With(key),
+	return poolMetrics{key: key, submissions: submissions.With(key), refusals: refusals.With(key), placements: placements.With(key), starts: starts.With(key),
 		stops: stops.With(key), speculativeRuns: speculativeRuns.With(key), commits: commits.With(key), changes: changes.With(key),
 		tickSeconds: tickSeconds.With(key), placeSeconds: placeSeconds.With(key), shownPriorities: map[int]bool{}, shownTenants: map[string]bool{}}
 }
--- a/internal/scheduling/scheduler/tenantcount.go
+++ b/internal/scheduling/scheduler/tenantcount.go
@@ -146,9 +146,9 @@
 	weights := p.weightsOfWork()
 	rows := make([]wire.TenantUsage, 0, len(p.tenants.sorted))
 	for _, tenant := range p.tenants.sorted[1:] {
-		running, waiting := capacityOf(tenant.allocated.resources), capacityOf(p.open.first.tenantDemand[tenant.index].resources)
+		running, waiting := tenantcount.CapacityOf(tenant.allocated.resources), tenantcount.CapacityOf(p.open.first.tenantDemand[tenant.index].resources)
 		allowance, _ := p.limitOf(tenant)
-		shown := capacityOf(shownLimit(allowance))
+		shown := tenantcount.CapacityOf(tenantcount.ShownLimit(allowance))
 		row := wire.TenantUsage{Tenant: tenant.name, Weight: tenant.terms.Weight, Running: &running, Runs: tenant.allocated.count, Waiting: &waiting,
 			WaitingJobs: waitingJobs[tenant], Surplus: surplus[tenant], Allowance: &shown}
 		if tenant.hasWork() {
@@ -158,17 +158,3 @@
 	}
 	return rows
 }
-
-func capacityOf(resources placement.Resources) wire.Capacity {
-	return wire.Capacity{CPU: resources.CPU, Memory: resources.Memory, GPU: resources.GPU}
-}
-
-// shownLimit says a limit as configurations do, where 0 is no limit.
-func shownLimit(limit placement.Resources) placement.Resources {
-	for _, field := range []*int64{&limit.CPU, &limit.Memory, &limit.GPU} {
-		if *field == placement.Unlimited {
-			*field = 0
-		}
-	}
-	return limit
-}
--- a/internal/scheduling/scheduler/tenantmetrics.go
+++ b/internal/scheduling/scheduler/tenantmetrics.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"gannetline/internal/platform/metrics"
+	"gannetline/internal/scheduling/tenantcount"
 )
 
 const (
@@ -30,7 +31,7 @@
 	loads := make([]tenantLoad, 0, len(p.tenants.sorted))
 	for _, tenant := range p.tenants.sorted[1:] {
 		limit, _ := p.limitOf(tenant)
-		loads = append(loads, tenantLoad{tenant.name, tenant.allocated.resources.CPU, p.open.first.tenantDemand[tenant.index].resources.CPU, shownLimit(limit).CPU})
+		loads = append(loads, tenantLoad{tenant.name, tenant.allocated.resources.CPU, p.open.first.tenantDemand[tenant.index].resources.CPU, tenantcount.ShownLimit(limit).CPU})
 	}
 	slices.SortStableFunc(loads, func(a, b tenantLoad) int { return cmp.Compare(b.running+b.waiting, a.running+a.waiting) })
 	if len(loads) <= maxShownTenants {
--- a/internal/scheduling/scheduler/tenants.go
+++ b/internal/scheduling/scheduler/tenants.go
@@ -57,6 +57,8 @@
 	// openSteps counts its steps in the queue, so that shares are divided among those who have work.
 	openSteps int
 	rate      submissionRate
+	// surplusJobs counts its jobs under way that are beyond its rate.
+	surplusJobs int
 }
 
 func newTenantTable() tenantTable {
@@ -192,6 +194,17 @@
 	return tenant.index == 0 || tenant.rate.take(tenant.terms.Weight, p.clock.Monotonic())
 }
 
+// A tenant may have surplusSeconds' worth of jobs under way that are beyond its rate, and minSurplusJobs at least.
+const (
+	surplusSeconds = 4
+	minSurplusJobs = 8
+)
+
+// isFlooding tells whether a tenant has so many jobs beyond its rate that no more of them are taken.
+func (t *tenantState) isFlooding() bool {
+	return t.index > 0 && t.surplusJobs >= max(minSurplusJobs, int(surplusSeconds*t.terms.Weight))
+}
+
 // submissionRate tells which of a tenant's jobs are beyond its weight a second: a token bucket that holds one second's worth.
 type submissionRate struct {
 	tokens float64
--- a/internal/scheduling/tenantcount/ledger.go
+++ b/internal/scheduling/tenantcount/ledger.go
@@ -125,7 +125,7 @@
 		if demand := demands[tenant]; PartOf(tenant) == part && l.accountOf(tenant).isDue(demand, policy, now) {
 			account := l.accountOf(tenant)
 			account.askedAt, account.known = now, account.claimed
-			asked = append(asked, wire.TenantDemand{Tenant: tenant, Has: capacityOf(account.claimed), Used: capacityOf(demand.Used), Wants: capacityOf(demand.Wants)})
+			asked = append(asked, wire.TenantDemand{Tenant: tenant, Has: CapacityOf(account.claimed), Used: CapacityOf(demand.Used), Wants: CapacityOf(demand.Wants)})
 		}
 	}
 	if len(asked) == 0 && !(policy.IsShared && now >= calls.nextPollAt) {
--- a/internal/scheduling/tenantcount/part.go
+++ b/internal/scheduling/tenantcount/part.go
@@ -172,7 +172,7 @@
 	if !has.Fits(held.amount) {
 		held.raisedBy = place
 	}
-	given := wire.TenantGrant{Tenant: demand.Tenant, Granted: capacityOf(held.amount), Target: capacityOf(target),
+	given := wire.TenantGrant{Tenant: demand.Tenant, Granted: CapacityOf(held.amount), Target: CapacityOf(target),
 		IsWhole: isKnown && p.isWhole(demand.Tenant, asker, limit), IsSettled: isKnown && p.isSettled(demand.Tenant, limit)}
 	if held.amount == before && held.raisedBy == wasRaisedBy {
 		return given, nil
@@ -218,7 +218,7 @@
 			continue
 		}
 		if target := p.target(tenant, asker, limit, now); !target.Fits(held.amount) {
-			recalled = append(recalled, wire.TenantGrant{Tenant: tenant, Granted: capacityOf(held.amount), Target: capacityOf(target),
+			recalled = append(recalled, wire.TenantGrant{Tenant: tenant, Granted: CapacityOf(held.amount), Target: CapacityOf(target),
 				IsSettled: p.isSettled(tenant, limit)})
 		}
 	}
@@ -246,20 +246,20 @@
 	for _, tenant := range slices.Sorted(maps.Keys(p.tenants)) {
 		row := wire.TenantUsage{Tenant: tenant}
 		if limit, isKnown := limits(tenant); isKnown {
-			shown := capacityOf(shownLimit(limit))
+			shown := CapacityOf(ShownLimit(limit))
 			row.Limit = &shown
 		}
 		for _, asker := range slices.Sorted(maps.Keys(p.tenants[tenant])) {
 			held := p.tenants[tenant][asker]
-			row.Grants = append(row.Grants, wire.TenantShare{Asker: asker, Granted: capacityOf(held.amount), Wants: capacityOf(held.wants)})
+			row.Grants = append(row.Grants, wire.TenantShare{Asker: asker, Granted: CapacityOf(held.amount), Wants: CapacityOf(held.wants)})
 		}
 		rows = append(rows, row)
 	}
 	return rows
 }
 
-// shownLimit says a limit as configurations do, where 0 is no limit.
-func shownLimit(limit placement.Resources) placement.Resources {
+// ShownLimit says a limit as configurations do, where 0 is no limit.
+func ShownLimit(limit placement.Resources) placement.Resources {
 	shown := limit
 	for _, field := range []*int64{&shown.CPU, &shown.Memory, &shown.GPU} {
 		if *field == placement.Unlimited {
--- a/internal/scheduling/tenantcount/records.go
+++ b/internal/scheduling/tenantcount/records.go
@@ -39,6 +39,7 @@
 	return placement.Resources{CPU: capacity.CPU, Memory: capacity.Memory, GPU: capacity.GPU}
 }
 
-func capacityOf(resources placement.Resources) wire.Capacity {
+// CapacityOf says an amount as it is sent.
+func CapacityOf(resources placement.Resources) wire.Capacity {
 	return wire.Capacity{CPU: resources.CPU, Memory: resources.Memory, GPU: resources.GPU}
 }
