--- a/internal/scheduling/tenantcount/account.go
+++ b/internal/scheduling/tenantcount/account.go
@@ -29,6 +29,8 @@
 	askedAt    time.Duration
 	// known is what the part holds for this pool as far as the pool knows: what it was told last, or what it answered since.
 	known placement.Resources
+	// toldWants is what the last call said that the pool wants, of what the limit allows.
+	toldWants placement.Resources
 }
 
 // Change is a record of the pool that must be committed; Ledger.Committed follows the commit.
--- a/internal/scheduling/tenantcount/ledger.go
+++ b/internal/scheduling/tenantcount/ledger.go
@@ -34,6 +34,9 @@
 // Demand is what a pool needs of a tenant now. Limit is that of the configuration which the pool knows.
 type Demand struct{ Used, Wants, Limit placement.Resources }
 
+// wanted is what of the demand the limit allows, in the resources that have one.
+func (d Demand) wanted() placement.Resources { return bounded(d.Wants.Min(d.Limit), d.Limit) }
+
 // Ledger is the half of the escrow that the leader of a pool keeps: its accounts, and its calls to the parts. It is made anew with each
 // leadership. One goroutine calls it; it knows neither clock nor network.
 type Ledger struct {
@@ -124,7 +127,7 @@
 	for _, tenant := range slices.Sorted(maps.Keys(demands)) {
 		if demand := demands[tenant]; PartOf(tenant) == part && l.accountOf(tenant).isDue(demand, policy, now) {
 			account := l.accountOf(tenant)
-			account.askedAt, account.known = now, account.claimed
+			account.askedAt, account.known, account.toldWants = now, account.claimed, demand.wanted()
 			asked = append(asked, wire.TenantDemand{Tenant: tenant, Has: CapacityOf(account.claimed), Used: CapacityOf(demand.Used), Wants: CapacityOf(demand.Wants)})
 		}
 	}
@@ -136,14 +139,17 @@
 	return &wire.GrantCall{Asker: l.asker, Epoch: l.epoch, Number: l.number, Tenants: asked}
 }
 
-// isDue tells whether the part has to be asked: it has not answered under this configuration, more is wanted than may be used, or less
-// is claimed than the part holds. While a change of the account is being committed, what a call says might be undone.
+// isDue tells whether the part has to be asked: it has not answered under this configuration, more is wanted than may be used, less is
+// claimed than the part holds, or, where others share the limit, something else is wanted than the part was told. While a change of the account is being committed, what a call says might be undone.
 func (a *account) isDue(demand Demand, policy Policy, now time.Duration) bool {
 	if a.pending != nil {
 		return false
 	}
 	canWait := now-a.askedAt < raiseInterval && a.isAnswered
-	isStarved := !a.allowance().Fits(bounded(demand.Wants.Min(demand.Limit), demand.Limit))
+	isStarved := !a.allowance().Fits(demand.wanted())
+	if policy.IsShared && now-a.askedAt >= pollInterval && a.toldWants != demand.wanted() {
+		return true
+	}
 	return !a.isAnswered || a.known != a.claimed || !canWait && (a.version < policy.Version || isStarved || policy.IsShared && !a.isSettled)
 }
 
--- a/internal/simulation/modelcheck/countmodel/pool.go
+++ b/internal/simulation/modelcheck/countmodel/pool.go
@@ -95,6 +95,7 @@
 // ask sends a call; without an answer it is given up after a second, as in the real pool.
 func (p *modelPool) ask(part int, call *wire.GrantCall) {
 	ledger, cluster := p.ledger, p.cluster
+	cluster.coverage["call"]++
 	take := func(answer *wire.GrantAnswer) {
 		if p.ledger == ledger {
 			p.commitAccounts(ledger.Answered(part, call.Number, answer, cluster.queue.Now())...)
