--- a/internal/scheduling/scheduler/tenants.go
+++ b/internal/scheduling/scheduler/tenants.go
@@ -191,13 +191,13 @@
 
 // isWithinRate counts a job that a tenant hands in, and tells whether it is among those that the tenant may expect to be done.
 func (p *Pool) isWithinRate(tenant *tenantState) bool {
-	return tenant.index == 0 || tenant.rate.take(tenant.terms.Weight, p.clock.Monotonic())
+	return tenant.index == 0 || tenant.rate.take(tenant.terms.Weight, p.timing.RateWindow, p.clock.Monotonic())
 }
 
 // A tenant may have surplusSeconds' worth of jobs under way that are beyond its rate, and minSurplusJobs at least.
 const (
-	surplusSeconds = 4
-	minSurplusJobs = 8
+	surplusSeconds = 10
+	minSurplusJobs = 20
 )
 
 // isFlooding tells whether a tenant has so many jobs beyond its rate that no more of them are taken.
@@ -205,16 +205,17 @@
 	return t.index > 0 && t.surplusJobs >= max(minSurplusJobs, int(surplusSeconds*t.terms.Weight))
 }
 
-// submissionRate tells which of a tenant's jobs are beyond its weight a second: a token bucket that holds one second's worth.
+// submissionRate tells which of a tenant's jobs are beyond its weight a second: a token bucket that holds what it may send in
+// a window of time.
 type submissionRate struct {
 	tokens float64
 	at     time.Duration
 	isSeen bool
 }
 
-// take counts a job that comes now, and tells whether it is within the rate, in jobs a second.
-func (r *submissionRate) take(perSecond float64, now time.Duration) bool {
-	burst := max(1, perSecond)
+// take counts a job that comes now, and tells whether it is within the rate, in jobs a second over a window.
+func (r *submissionRate) take(perSecond float64, window, now time.Duration) bool {
+	burst := max(1, perSecond*window.Seconds())
 	if !r.isSeen {
 		r.tokens, r.isSeen = burst, true
 	}
--- a/internal/scheduling/scheduler/timing.go
+++ b/internal/scheduling/scheduler/timing.go
@@ -22,6 +22,8 @@
 	StopTimeout time.Duration
 	StuckAfter  time.Duration
 	KeepEnded   time.Duration
+	// RateWindow is the time over which it is counted what a tenant sends.
+	RateWindow time.Duration
 	// RemoteFactor is how many times as long a task takes away from its data.
 	RemoteFactor     float64
 	ReservedCapacity ReservedCapacity
@@ -33,6 +35,7 @@
 	return Timing{Grant: min(hold*8/10, 5*time.Second), MaxHold: hold, Resend: 200 * time.Millisecond,
 		MaxResend: time.Second, HoldStale: 2500 * time.Millisecond, SilentAfter: 900 * time.Millisecond,
 		StopTimeout: clock.Milliseconds(nodeSettings.Bounds.StopTimeoutMs), StuckAfter: 2 * time.Second,
+		RateWindow:       time.Duration(nodeSettings.Bounds.QuotaWindowS * float64(time.Second)),
 		KeepEnded:        time.Duration(nodeSettings.Bounds.StatusS*float64(time.Second)) + 30*time.Second,
 		ReservedCapacity: DefaultReservedCapacity, RemoteFactor: nodeSettings.Bounds.RemoteFactor}
 }
