--- a/internal/scheduling/tenantcount/account.go
+++ b/internal/scheduling/tenantcount/account.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/mailru/easyjson"
-
 	"gannetline/internal/cluster/peerapi/wire"
 	"gannetline/internal/scheduling/placement"
 )
@@ -65,12 +63,7 @@
 	if r.Amount == (amountRecord{}) {
 		return nil
 	}
-	value, err := easyjson.Marshal(r)
-	if err != nil {
-		// All fields are numbers and truth values: there is nothing that could fail.
-		panic(err)
-	}
-	return value
+	return encode(r)
 }
 
 // committed makes the change under way the state of the account.
--- a/internal/scheduling/tenantcount/part.go
+++ b/internal/scheduling/tenantcount/part.go
@@ -231,12 +231,7 @@
 	if held.amount == (placement.Resources{}) {
 		return op
 	}
-	value, err := easyjson.Marshal(grantRecord{Tenant: tenant, Asker: asker, Amount: amountOf(held.amount), Epoch: held.raisedBy.epoch, Number: held.raisedBy.number})
-	if err != nil {
-		// All fields are numbers and texts: there is nothing that could fail.
-		panic(err)
-	}
-	op.Value = value
+	op.Value = encode(grantRecord{Tenant: tenant, Asker: asker, Amount: amountOf(held.amount), Epoch: held.raisedBy.epoch, Number: held.raisedBy.number})
 	return op
 }
 
--- a/internal/scheduling/tenantcount/records.go
+++ b/internal/scheduling/tenantcount/records.go
@@ -1,6 +1,9 @@
 package tenantcount
 
 import (
+	"github.com/mailru/easyjson"
+	"github.com/mailru/easyjson/jwriter"
+
 	"gannetline/internal/cluster/peerapi/wire"
 	"gannetline/internal/scheduling/placement"
 )
@@ -27,6 +30,13 @@
 	IsWhole bool         `json:"whole,omitempty"`
 }
 
+// encode is the text of a record, which holds nothing that could fail to be written: numbers, texts and truth values.
+func encode(record easyjson.Marshaler) []byte {
+	var writer jwriter.Writer
+	record.MarshalEasyJSON(&writer)
+	return writer.Buffer.BuildBytes()
+}
+
 func amountOf(amount placement.Resources) amountRecord {
 	return amountRecord{CPU: amount.CPU, Memory: amount.Memory, GPU: amount.GPU}
 }
