--- a/internal/simulation/modelcheck/countmodel/pool.go
+++ b/internal/simulation/modelcheck/countmodel/pool.go
@@ -8,6 +8,9 @@
 	"gannetline/internal/scheduling/tenantcount"
 )
 
+// ticksPerCheck is how often the accounts are looked at beside the moments at which they change.
+const ticksPerCheck = 10
+
 // runPrefix begins the records of runs: r/TENANT/NUMBER.
 const runPrefix = "r/"
 
@@ -23,6 +26,7 @@
 	ledger  *tenantcount.Ledger
 	used    map[string]int
 	nextRun int
+	ticks   int
 	// executing are the runs at executors, which outlive leaders; running names them.
 	executing map[string]int
 	running   map[string]bool
@@ -65,7 +69,9 @@
 	if p.ledger != nil {
 		p.tick()
 	}
-	p.cluster.checkAccounts(p)
+	if p.ticks++; p.ticks%ticksPerCheck == 0 {
+		p.cluster.checkAccounts(p)
+	}
 	p.cluster.queue.After(tickInterval, p.tickForEver)
 }
 
