--- /dev/null
+++ b/internal/scheduling/tenantcount/cost_test.go
@@ -0,0 +1,96 @@
+package tenantcount
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gannetline/internal/cluster/peerapi/wire"
+	"gannetline/internal/scheduling/placement"
+)
+
+// The size that is aimed at: so many teams, and pools that share their limits.
+const (
+	costTenants = 110
+	costPools   = 5
+)
+
+func costName(number int) string { return fmt.Sprintf("team-%03d", number) }
+
+func costLimits(string) (placement.Resources, bool) {
+	return placement.Resources{CPU: 1_000_000, Memory: 2_000_000, GPU: placement.Unlimited}, true
+}
+
+// costCall has each tenant of a part want a little more or less than before.
+func costCall(part, pool int, number uint64) *wire.GrantCall {
+	call := &wire.GrantCall{Asker: fmt.Sprintf("pool/%d", pool), Epoch: 1, Number: number}
+	for tenant := range costTenants {
+		if PartOf(costName(tenant)) != part {
+			continue
+		}
+		amount := wire.Capacity{CPU: 100_000 + int64(number%7)*1000, Memory: 200_000}
+		call.Tenants = append(call.Tenants, wire.TenantDemand{Tenant: costName(tenant), Has: amount, Used: amount, Wants: amount})
+	}
+	return call
+}
+
+// BenchmarkAsk is a part's decision on one call of a pool for all tenants of the part.
+func BenchmarkAsk(b *testing.B) {
+	part, err := NewPart(nil, 0)
+	if err != nil {
+		b.Fatal(err)
+	}
+	var records, bytes int
+	for index := range b.N {
+		_, ops, err := part.Ask(costCall(0, index%costPools, uint64(index/costPools)+1), costLimits, time.Duration(index)*time.Millisecond)
+		if err != nil {
+			b.Fatal(err)
+		}
+		for _, op := range ops {
+			records++
+			bytes += len(op.Name) + len(op.Value)
+		}
+	}
+	if records > 0 {
+		b.ReportMetric(float64(bytes)/float64(records), "bytes/record")
+	}
+}
+
+// BenchmarkIdleTick is what a pool that is alone with all tenants looks at in each tick when nothing is due.
+func BenchmarkIdleTick(b *testing.B) {
+	ledger, err := NewLedger("pool/0", 1, nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	demands := map[string]Demand{}
+	limit, _ := costLimits("")
+	for tenant := range costTenants {
+		demands[costName(tenant)] = Demand{Used: cpu(1000), Wants: cpu(2000), Limit: limit}
+	}
+	policy, now := Policy{Version: 1}, time.Second
+	for part := range Parts {
+		call := ledger.Next(part, demands, policy, now)
+		answer := &wire.GrantAnswer{Number: call.Number, Version: 1}
+		for _, demand := range call.Tenants {
+			answer.Tenants = append(answer.Tenants, wire.TenantGrant{Tenant: demand.Tenant, Granted: CapacityOf(bounded(limit, limit)),
+				Target: CapacityOf(bounded(limit, limit)), IsWhole: true, IsSettled: true})
+		}
+		for _, change := range ledger.Answered(part, call.Number, answer, now) {
+			ledger.Committed(change.Tenant)
+		}
+	}
+	b.ResetTimer()
+	for index := range b.N {
+		now = time.Second + time.Duration(index)*50*time.Millisecond
+		for tenant, demand := range demands {
+			if ledger.Lower(tenant, demand) != nil {
+				b.Fatal("nothing is to be given back")
+			}
+		}
+		for part := range Parts {
+			if ledger.Next(part, demands, policy, now) != nil {
+				b.Fatal("nothing is due")
+			}
+		}
+	}
+}
