--- a/internal/scheduling/scheduler/tenantcount.go
+++ b/internal/scheduling/scheduler/tenantcount.go
@@ -131,17 +131,11 @@
 
 // tenantUsage has a row for each tenant, in the order in which the pool came to know them.
 func (p *Pool) tenantUsage() []wire.TenantUsage {
-	waitingJobs, surplus := map[*tenantState]int{}, map[*tenantState]int{}
+	waitingJobs := map[*tenantState]int{}
 	for _, job := range p.jobs {
-		if !job.isOpen() || job.tenant == nil {
-			continue
-		}
 		if job.shownState() == jobQueued {
 			waitingJobs[job.tenant]++
 		}
-		if job.record.IsSurplus {
-			surplus[job.tenant]++
-		}
 	}
 	weights := p.weightsOfWork()
 	rows := make([]wire.TenantUsage, 0, len(p.tenants.sorted))
@@ -150,7 +144,7 @@
 		allowance, _ := p.limitOf(tenant)
 		shown := tenantcount.CapacityOf(tenantcount.ShownLimit(allowance))
 		row := wire.TenantUsage{Tenant: tenant.name, Weight: tenant.terms.Weight, Running: &running, Runs: tenant.allocated.count, Waiting: &waiting,
-			WaitingJobs: waitingJobs[tenant], Surplus: surplus[tenant], Allowance: &shown}
+			WaitingJobs: waitingJobs[tenant], Surplus: tenant.surplusJobs, Allowance: &shown}
 		if tenant.hasWork() {
 			row.Share = tenant.terms.Weight / weights
 		}
--- a/internal/scheduling/tenantcount/ledger.go
+++ b/internal/scheduling/tenantcount/ledger.go
@@ -1,6 +1,7 @@
 package tenantcount
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -51,6 +52,8 @@
 type partCalls struct {
 	// number is that of the call under way, 0 if there is none.
 	number uint64
+	// isPoll tells that the call under way asks for no allowance.
+	isPoll bool
 	// nextAt is when the next call may be made, and nextPollAt when it is due even without a demand.
 	nextAt, nextPollAt time.Duration
 }
@@ -124,23 +127,29 @@
 		return nil
 	}
 	var asked []wire.TenantDemand
-	for _, tenant := range slices.Sorted(maps.Keys(demands)) {
-		if demand := demands[tenant]; PartOf(tenant) == part && l.accountOf(tenant).isDue(demand, policy, now) {
-			account := l.accountOf(tenant)
-			account.askedAt, account.known, account.toldWants = now, account.claimed, demand.wanted()
-			asked = append(asked, wire.TenantDemand{Tenant: tenant, Has: CapacityOf(account.claimed), Used: CapacityOf(demand.Used), Wants: CapacityOf(demand.Wants)})
+	for tenant, demand := range demands {
+		if PartOf(tenant) != part {
+			continue
+		}
+		account := l.accountOf(tenant)
+		if !account.isDue(demand, policy, now) {
+			continue
 		}
+		account.askedAt, account.known, account.toldWants = now, account.claimed, demand.wanted()
+		asked = append(asked, wire.TenantDemand{Tenant: tenant, Has: CapacityOf(account.claimed), Used: CapacityOf(demand.Used), Wants: CapacityOf(demand.Wants)})
 	}
 	if len(asked) == 0 && !(policy.IsShared && now >= calls.nextPollAt) {
 		return nil
 	}
+	slices.SortFunc(asked, func(a, b wire.TenantDemand) int { return cmp.Compare(a.Tenant, b.Tenant) })
 	l.number++
-	calls.number, calls.nextPollAt = l.number, now+pollInterval
+	calls.number, calls.isPoll, calls.nextPollAt = l.number, len(asked) == 0, now+pollInterval
 	return &wire.GrantCall{Asker: l.asker, Epoch: l.epoch, Number: l.number, Tenants: asked}
 }
 
 // isDue tells whether the part has to be asked: it has not answered under this configuration, more is wanted than may be used, less is
-// claimed than the part holds, or, where others share the limit, something else is wanted than the part was told. While a change of the account is being committed, what a call says might be undone.
+// claimed than the part holds, or, where others share the limit, something else is wanted than the part was told. While a change of the
+// account is being committed, what a call says might be undone.
 func (a *account) isDue(demand Demand, policy Policy, now time.Duration) bool {
 	if a.pending != nil {
 		return false
@@ -153,7 +162,8 @@
 	return !a.isAnswered || a.known != a.claimed || !canWait && (a.version < policy.Version || isStarved || policy.IsShared && !a.isSettled)
 }
 
-// Answered takes the answer to a call to a part, nil if none came. Only the answer to the call under way counts.
+// Answered takes the answer to a call to a part, nil if none came. Only the answer to the call under way counts. That to a poll raises no
+// account: the grant that it tells of may not be durable yet.
 func (l *Ledger) Answered(part int, number uint64, answer *wire.GrantAnswer, now time.Duration) []Change {
 	calls := &l.parts[part]
 	if calls.number != number {
@@ -166,6 +176,9 @@
 	}
 	var changes []Change
 	for _, given := range answer.Tenants {
+		if calls.isPoll {
+			given.Granted = CapacityOf(resourcesOf(given.Granted).Min(l.accountOf(given.Tenant).claimed))
+		}
 		if change := l.take(given, answer.Version); change != nil {
 			changes = append(changes, *change)
 		}
--- a/internal/scheduling/tenantcount/part.go
+++ b/internal/scheduling/tenantcount/part.go
@@ -145,7 +145,9 @@
 	return answer, ops, nil
 }
 
-// decide settles what an asker holds of one tenant's limit. The record is nil if nothing changed that must be committed.
+// decide settles what an asker holds of one tenant's limit. The record is nil if nothing must be committed. An answer by which the asker
+// may use more than it has is always committed with the record, also where a call comes again before the change that it brought is
+// durable: else the second answer would overtake that commit.
 func (p *Part) decide(asker string, place callPlace, demand wire.TenantDemand, limits Limits, now time.Duration) (wire.TenantGrant, *wire.Op) {
 	askers := p.askersOf(demand.Tenant)
 	held := askers[asker]
@@ -174,7 +176,7 @@
 	}
 	given := wire.TenantGrant{Tenant: demand.Tenant, Granted: CapacityOf(held.amount), Target: CapacityOf(target),
 		IsWhole: isKnown && p.isWhole(demand.Tenant, asker, limit), IsSettled: isKnown && p.isSettled(demand.Tenant, limit)}
-	if held.amount == before && held.raisedBy == wasRaisedBy {
+	if held.amount == before && held.raisedBy == wasRaisedBy && has.Fits(held.amount) {
 		return given, nil
 	}
 	return given, p.recordOf(demand.Tenant, asker, held)
--- a/internal/scheduling/tenantcount/tenantcount_test.go
+++ b/internal/scheduling/tenantcount/tenantcount_test.go
@@ -196,6 +196,34 @@
 		Expect(err).To(MatchError(ErrStale))
 	})
 
+	It("commits an answer that raises an account also where its call comes again before the first commit", func() {
+		e := newEscrow(100, "x", "y")
+		call := e.call("x", 0, 40)
+		_, ops, err := e.part.Ask(call, e.limits, e.now)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(ops).NotTo(BeEmpty())
+		given, again, err := e.part.Ask(call, e.limits, e.now)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(given.Tenants[0].Granted.CPU).To(BeNumerically(">", 0))
+		Expect(again).To(Equal(ops))
+	})
+
+	It("raises no account by the answer to a poll, which may tell of a grant that is not durable", func() {
+		e := newEscrow(100, "x", "y")
+		e.round("x", 0, 0)
+		e.now += time.Hour
+		poll := e.ledgers["x"].Next(PartOf("t"), nil, e.policy(), e.now)
+		Expect(poll.Tenants).To(BeEmpty())
+		changes := e.ledgers["x"].Answered(PartOf("t"), poll.Number, &wire.GrantAnswer{Number: poll.Number, Version: 1, Tenants: []wire.TenantGrant{
+			{Tenant: "t", Granted: wire.Capacity{CPU: 900}, Target: wire.Capacity{CPU: 50}, IsSettled: true}}}, e.now)
+		for _, change := range changes {
+			keep(e.kept["x"], change.Op)
+			e.ledgers["x"].Committed(change.Tenant)
+		}
+		Expect(e.ledgers["x"].Held("t").CPU).To(BeNumerically("<=", 100))
+		Expect(e.allowance("x")).To(BeNumerically("<=", 50))
+	})
+
 	It("drops the answer to a call that was given up", func() {
 		e := newEscrow(100, "x", "y")
 		first := e.call("x", 0, 40)
--- a/internal/simulation/modelcheck/countmodel/pool.go
+++ b/internal/simulation/modelcheck/countmodel/pool.go
@@ -204,13 +204,12 @@
 	if p.key.records[name] == nil {
 		return
 	}
-	if ledger := p.ledger; ledger != nil {
-		p.used[tenant]--
-		p.key.propose([]wire.Op{{Name: name}}, func(error) {})
-	} else {
+	if p.ledger == nil {
 		p.cluster.queue.After(tickInterval, func() { p.reportEnd(name, tenant) })
 		return
 	}
+	p.used[tenant]--
+	p.key.propose([]wire.Op{{Name: name}}, func(error) {})
 	// The leader may be killed before the commit: the next one counts the run again and is told again.
 	epoch := p.key.epoch
 	p.cluster.queue.After(tickInterval, func() {
