Storage: losses of power on the real file; a sync before pages are used again; traces of commits and ends

Found and mended, each too rare to be what was seen: after a sync that failed, the next transaction could use pages of the last durable state before its meta was covered by a sync; addresses of peers were written beside that check; a first opening cut by a loss of power left a file that can't be opened.

--- a/internal/control/replication/commit.go
+++ b/internal/control/replication/commit.go
@@ -57,6 +57,7 @@
 	if index <= e.commits.index {
 		return
 	}
+	e.logCommit(e.commits.index, index)
 	e.commits.index = index
 	generation := e.generation
 	for _, commit := range e.commits.takeUpTo(index) {
--- a/internal/control/replication/replicas.go
+++ b/internal/control/replication/replicas.go
@@ -9,6 +9,7 @@
 	"gannetline/internal/control/replication/quorum"
 	"gannetline/internal/control/storage"
 	"gannetline/internal/platform/clock"
+	"gannetline/internal/platform/logging"
 	"gannetline/internal/platform/mailbox"
 )
 
@@ -69,18 +70,29 @@
 	promisesBlockedUntil time.Duration
 	keys                 map[string]*localReplica
 	isLeaving            bool
+	log                  logging.Logger
 }
 
+// ReplicasOption changes how a table of replicas is made.
+type ReplicasOption func(*Replicas)
+
+// WithReplicasLog gives the table a logger; without it, it logs nothing.
+func WithReplicasLog(log logging.Logger) ReplicasOption { return func(r *Replicas) { r.log = log } }
+
 // NewReplicas makes the table of a disk's replicas; a disk that was used before promises nothing for a lease. The error is
 // that of reading the disk.
-func NewReplicas(inbox *mailbox.Mailbox, disk Disk, clock clock.Clock, lease time.Duration) (*Replicas, error) {
+func NewReplicas(inbox *mailbox.Mailbox, disk Disk, clock clock.Clock, lease time.Duration, options ...ReplicasOption) (*Replicas, error) {
 	states, err := disk.ReplicaStates()
 	if err != nil {
 		return nil, err
 	}
-	table := &Replicas{mailbox: inbox, disk: disk, clock: clock, lease: lease, keys: map[string]*localReplica{}}
+	table := &Replicas{mailbox: inbox, disk: disk, clock: clock, lease: lease, keys: map[string]*localReplica{}, log: logging.Silent()}
+	for _, option := range options {
+		option(table)
+	}
 	for key, state := range states {
 		table.keys[key] = &localReplica{state: state, promised: state.Promised}
+		table.logOpened(key, state)
 	}
 	if !disk.IsNew() {
 		table.promisesBlockedUntil = clock.Monotonic() + lease
@@ -119,6 +131,7 @@
 	r.disk.Submit(storage.Write{Key: call.Key, Epoch: call.Epoch, Promise: true}, func(outcome storage.Outcome) {
 		r.mailbox.Post(func() {
 			replica.applyOutcome(outcome)
+			r.logPromise(call, outcome)
 			answer(r.promiseAnswer(outcome.State, call.Epoch, outcome.Taken))
 		})
 	})
--- /dev/null
+++ b/internal/control/replication/tracelog.go
@@ -0,0 +1,59 @@
+package replication
+
+import (
+	"slices"
+
+	"gannetline/internal/cluster/peerapi/wire"
+	"gannetline/internal/control/storage"
+	"gannetline/internal/platform/logging"
+)
+
+// traceVerbosity is that of the lines that follow each change from its commit to the next take-over. They are many, and only meant
+// for the search for a change that was lost.
+const traceVerbosity = 2
+
+// logCommit tells which changes are being committed, beyond one index and up to another, and which disks hold the last of them.
+func (e *Engine) logCommit(above, upTo uint64) {
+	log := e.log.V(traceVerbosity)
+	if !log.Enabled() {
+		return
+	}
+	var holders []string
+	for _, follower := range e.sortedFollowers() {
+		if follower.isPositionKnown && follower.acked.Epoch == e.epoch && follower.acked.Index >= upTo {
+			holders = append(holders, follower.disk)
+		}
+	}
+	log.Info("changes committed", "key", e.key, "epoch", e.epoch, "index", upTo, "disks", holders, "voters", e.voters.set,
+		"records", recordNames(e.changes.entries, above, upTo))
+}
+
+// recordNames are the names of the records that the changes write, above one index and up to another.
+func recordNames(changes []wire.Change, above, upTo uint64) []string {
+	var names []string
+	for _, change := range changes {
+		if change.Position.Index <= above || change.Position.Index > upTo {
+			continue
+		}
+		for _, op := range change.Ops {
+			names = append(names, op.Name)
+		}
+	}
+	return slices.Compact(names)
+}
+
+// logOpened tells what a replica held when the process started.
+func (r *Replicas) logOpened(key string, state storage.ReplicaState) {
+	logState(r.log, "replica opened", key, state, "disk", r.disk.Disk())
+}
+
+// logPromise tells what a candidate was answered, and by which state.
+func (r *Replicas) logPromise(call wire.PromiseCall, outcome storage.Outcome) {
+	logState(r.log, "promise answered", call.Key, outcome.State, "disk", r.disk.Disk(), "candidate", call.Disk, "granted", outcome.Taken)
+}
+
+func logState(log logging.Logger, message, key string, state storage.ReplicaState, more ...any) {
+	if log := log.V(traceVerbosity); log.Enabled() {
+		log.Info(message, append([]any{"key", key, "last", state.Last, "promised", state.Promised, "voters", state.Voters}, more...)...)
+	}
+}
--- a/internal/control/storage/export_test.go
+++ b/internal/control/storage/export_test.go
@@ -8,3 +8,11 @@
 		s.update = func(transaction func(tx *bolt.Tx) error) error { return update(s.db.Update, transaction) }
 	}
 }
+
+// WithSync lets a test stand between the store and the syncs that are no part of a transaction.
+func WithSync(sync func(run func() error) error) Option {
+	return func(s *Store) { s.sync = func() error { return sync(s.db.Sync) } }
+}
+
+// WithInitialMap maps so much of the file at once, so that a small one already grows.
+func WithInitialMap(bytes int) Option { return func(s *Store) { s.initialMapBytes = bytes } }
--- a/internal/control/storage/files.go
+++ b/internal/control/storage/files.go
@@ -18,6 +18,10 @@
 	SyncFolder(path string) error
 	// OpenFile is os.OpenFile.
 	OpenFile(path string, flag int, mode os.FileMode) (*os.File, error)
+	// Size is that of a file in bytes, or below zero if there is no such file.
+	Size(path string) (int64, error)
+	// Remove is os.Remove.
+	Remove(path string) error
 }
 
 type osFiles struct{}
@@ -46,6 +50,42 @@
 	return os.OpenFile(path, flag, mode)
 }
 
+// Size looks the path up.
+func (osFiles) Size(path string) (int64, error) {
+	info, err := os.Stat(path)
+	switch {
+	case os.IsNotExist(err):
+		return noFile, nil
+	case err != nil:
+		return noFile, err
+	}
+	return info.Size(), nil
+}
+
+// Remove is os.Remove.
+func (osFiles) Remove(path string) error { return os.Remove(path) }
+
+const (
+	// noFile is the size of a file that isn't there.
+	noFile = -1
+	// initialPages are the pages that bbolt writes into a new file, before the first transaction makes the file larger.
+	initialPages = 4
+)
+
+// discardUnused removes a data file that no transaction was ever committed to: a first transaction makes the file larger, with a sync,
+// before it writes anything. Such a file may be the torn remains of a first opening that ended with a loss of power, which bbolt
+// can't read; nothing was ever answered from it.
+func discardUnused(files Files, path string) error {
+	size, err := files.Size(path)
+	if err != nil {
+		return errors.Annotatef(err, "looking at %s", dataFile)
+	}
+	if size == noFile || size > initialPages*int64(os.Getpagesize()) {
+		return nil
+	}
+	return errors.Annotatef(files.Remove(path), "removing an unused %s", dataFile)
+}
+
 // makeFolders makes a folder and its missing parents, the uppermost first, and syncs what holds each of them. What
 // holds the lowest one that was there is synced as well: an earlier process may have made it and ended before the sync.
 func makeFolders(files Files, folder string) error {
--- a/internal/control/storage/files_test.go
+++ b/internal/control/storage/files_test.go
@@ -70,6 +70,21 @@
 	return os.OpenFile(path, flag, mode)
 }
 
+func (f *losingFiles) Size(path string) (int64, error) {
+	info, err := os.Stat(path)
+	if os.IsNotExist(err) {
+		return -1, nil
+	}
+	return info.Size(), err
+}
+
+func (f *losingFiles) Remove(path string) error {
+	if err := f.countOperation(); err != nil {
+		return err
+	}
+	return os.Remove(path)
+}
+
 // losePower takes away what was not synced.
 func (f *losingFiles) losePower() {
 	for _, entry := range f.unsynced {
--- a/internal/control/storage/metrics.go
+++ b/internal/control/storage/metrics.go
@@ -18,7 +18,7 @@
 	total := 0
 	for index, queued := range batch {
 		if outcomes[index].Taken {
-			total += queued.write.recordBytes()
+			total += queued.recordBytes
 		}
 	}
 	return total
--- a/internal/control/storage/peers.go
+++ b/internal/control/storage/peers.go
@@ -9,10 +9,13 @@
 
 // SavePeers keeps the control addresses of other stewards, the best known first; it returns after the sync.
 func (s *Store) SavePeers(addresses []string) error {
-	err := s.db.Update(func(tx *bolt.Tx) error {
-		return tx.Bucket(bucketMeta).Put(recordPeers, []byte(strings.Join(addresses, "\n")))
-	})
-	return errors.Annotate(err, "keeping the addresses of peers")
+	outcomes := make(chan Outcome, 1)
+	put := func(tx *bolt.Tx) (Outcome, error) {
+		return Outcome{Taken: true}, tx.Bucket(bucketMeta).Put(recordPeers, []byte(strings.Join(addresses, "\n")))
+	}
+	s.queue <- queuedWrite{apply: put, done: func(outcome Outcome) { outcomes <- outcome }}
+	outcome := <-outcomes
+	return errors.Annotate(outcome.Err, "keeping the addresses of peers")
 }
 
 // Peers gives the addresses that were saved last; there are none on a new disk.
--- a/internal/control/storage/storage.go
+++ b/internal/control/storage/storage.go
@@ -52,10 +52,13 @@
 
 	clock clock.Clock
 	files Files
-	// update runs a transaction of the file.
+	// update runs a transaction of the file, sync makes all that was written to it durable.
 	update func(func(tx *bolt.Tx) error) error
+	sync   func() error
 	// isUnclear is set while a transaction has failed that may nevertheless be in the file; only the store's goroutine uses it.
 	isUnclear bool
+	// initialMapBytes is how much of the file is mapped at once.
+	initialMapBytes int
 }
 
 // Option changes how a store is opened.
@@ -67,7 +70,8 @@
 // Open makes the folder's file if there is none, and names the disk at random then. When it returns, the file, its
 // folder and all folders that were made for it outlast a loss of power. Errors name the step and the folder.
 func Open(folder string, options ...Option) (*Store, error) {
-	store := &Store{queue: make(chan queuedWrite, maxQueuedWrites), closed: make(chan struct{}), clock: clock.System(), files: osFiles{}}
+	store := &Store{queue: make(chan queuedWrite, maxQueuedWrites), closed: make(chan struct{}), clock: clock.System(), files: osFiles{},
+		initialMapBytes: initialMapBytes}
 	for _, option := range options {
 		option(store)
 	}
@@ -88,8 +92,12 @@
 	if err := makeFolders(s.files, folder); err != nil {
 		return err
 	}
-	s.db, err = bolt.Open(filepath.Join(folder, dataFile), 0o600, &bolt.Options{NoFreelistSync: true,
-		FreelistType: bolt.FreelistMapType, InitialMmapSize: initialMapBytes, Timeout: fileLockTimeout, OpenFile: s.files.OpenFile})
+	path := filepath.Join(folder, dataFile)
+	if err := discardUnused(s.files, path); err != nil {
+		return err
+	}
+	s.db, err = bolt.Open(path, 0o600, &bolt.Options{NoFreelistSync: true,
+		FreelistType: bolt.FreelistMapType, InitialMmapSize: s.initialMapBytes, Timeout: fileLockTimeout, OpenFile: s.files.OpenFile})
 	if err != nil {
 		return errors.Annotatef(err, "opening %s", dataFile)
 	}
@@ -97,6 +105,9 @@
 	if s.update == nil {
 		s.update = s.db.Update
 	}
+	if s.sync == nil {
+		s.sync = s.db.Sync
+	}
 	if err = s.prepare(); err != nil {
 		err = errors.Annotatef(err, "preparing %s", dataFile)
 	} else {
@@ -108,9 +119,10 @@
 	return err
 }
 
-// prepare makes the buckets, and reads the disk's name or makes one.
+// prepare makes the buckets, and reads the disk's name or makes one. Where all of it is there, the transaction writes no pages, so that
+// its first sync makes durable whatever an earlier process left unsynced, before any page is used again.
 func (s *Store) prepare() error {
-	return s.db.Update(func(tx *bolt.Tx) error {
+	return s.update(func(tx *bolt.Tx) error {
 		meta, err := tx.CreateBucketIfNotExists(bucketMeta)
 		if err != nil {
 			return err
--- a/internal/control/storage/write.go
+++ b/internal/control/storage/write.go
@@ -33,15 +33,18 @@
 	Err   error
 }
 
-// queuedWrite is a write that waits for the store's goroutine.
+// queuedWrite is a write that waits for the store's goroutine: apply carries it out in a transaction, whose error undoes the whole
+// transaction.
 type queuedWrite struct {
-	write Write
-	done  func(Outcome)
+	apply       func(tx *bolt.Tx) (Outcome, error)
+	recordBytes int
+	done        func(Outcome)
 }
 
 // Submit queues a write; done is called from the store's goroutine after the sync.
 func (s *Store) Submit(write Write, done func(Outcome)) {
-	s.queue <- queuedWrite{write, done}
+	apply := func(tx *bolt.Tx) (Outcome, error) { return apply(tx, write) }
+	s.queue <- queuedWrite{apply, write.recordBytes(), done}
 }
 
 // run commits what is queued until Close.
@@ -96,11 +99,15 @@
 }
 
 // resolveUnclear makes sure, after a failed transaction, that whatever of it is in the file is durable before anything is
-// answered on top of it: one more transaction has to succeed.
+// answered on top of it: one more transaction has to succeed. The sync comes before that transaction writes its pages, as these may
+// be pages of the last durable state, which the failed transaction has set free.
 func (s *Store) resolveUnclear() error {
 	if !s.isUnclear {
 		return nil
 	}
+	if err := s.sync(); err != nil {
+		return err
+	}
 	return s.update(func(tx *bolt.Tx) error {
 		meta := tx.Bucket(bucketMeta)
 		return meta.Put(recordDisk, bytes.Clone(meta.Get(recordDisk)))
@@ -110,7 +117,7 @@
 // applyAll applies the writes of a batch in one transaction; an error undoes them all.
 func applyAll(tx *bolt.Tx, batch []queuedWrite, outcomes []Outcome) error {
 	for index, queued := range batch {
-		outcome, err := apply(tx, queued.write)
+		outcome, err := queued.apply(tx)
 		if err != nil {
 			return err
 		}
--- a/internal/roles/storage.go
+++ b/internal/roles/storage.go
@@ -37,7 +37,7 @@
 		return kept, nil
 	}
 	var err error
-	kept.replicas, err = replication.NewReplicas(mailbox.New(4096), kept.store, b.clock, replication.DefaultTiming.Lease)
+	kept.replicas, err = replication.NewReplicas(mailbox.New(4096), kept.store, b.clock, replication.DefaultTiming.Lease, replication.WithReplicasLog(b.log))
 	return kept, err
 }
 
--- a/internal/scheduling/scheduler/load.go
+++ b/internal/scheduling/scheduler/load.go
@@ -197,6 +197,9 @@
 	for _, former := range record.Runs {
 		p.adopt(task, former)
 	}
+	if log := p.log.V(traceVerbosity); log.Enabled() {
+		log.Info("task loaded", "task", loaded.name, "done", task.isDone, "run", record.LastRun, "runs", record.Runs)
+	}
 }
 
 func (p *Pool) adopt(task *taskState, former runRecord) {
--- a/internal/scheduling/scheduler/reports.go
+++ b/internal/scheduling/scheduler/reports.go
@@ -67,12 +67,30 @@
 	taken := executor.takenEnd
 	p.afterCommit(func(err error) {
 		if err == nil && taken > executor.lastSeen {
+			p.logAcknowledged(executor, ends, taken)
 			executor.lastSeen = taken
 		}
 	})
 	return true
 }
 
+// traceVerbosity is that of the lines that follow each end from its acknowledgement to the next take-over.
+const traceVerbosity = 2
+
+// logAcknowledged tells which ends are about to be acknowledged to an executor, those above its lastSeen and up to the taken one.
+func (p *Pool) logAcknowledged(executor *executorState, ends []wire.EndReport, taken int64) {
+	log := p.log.V(traceVerbosity)
+	if !log.Enabled() {
+		return
+	}
+	for _, end := range ends {
+		if end.Number > executor.lastSeen && end.Number <= taken {
+			log.Info("end acknowledged", "key", p.key, "epoch", p.leadership.Epoch(), "executor", executor.id, "number", end.Number,
+				"task", end.Task, "run", end.Run, "outcome", end.Outcome)
+		}
+	}
+}
+
 // handleChangedRuns takes checkpoints, and whether runs are stuck.
 func (p *Pool) handleChangedRuns(executor *executorState, changed []wire.RunReport) {
 	for _, report := range changed {
