--- a/internal/node/executorapi/wire.go
+++ b/internal/node/executorapi/wire.go
@@ -52,6 +52,9 @@
 	Fence uint64 `json:"fence-number"`
 }
 
+// MaxEndsPerAnswer is how many ends an answer to a hold lists at most; those beyond are listed once these are acknowledged.
+const MaxEndsPerAnswer = 500
+
 // Hold extends all runs of the executor until ExpiryMs on its clock, acknowledges its ends up to LastSeen, and waits
 // up to WaitMs for an end.
 //
--- a/internal/node/localproxy/exchanges.go
+++ b/internal/node/localproxy/exchanges.go
@@ -132,8 +132,13 @@
 		return
 	}
 	current.ends = slices.DeleteFunc(current.ends, func(end wire.EndReport) bool { return end.Number <= current.lastSeen })
-	if len(current.ends) == 0 {
-		t.onAckDue()
+	if len(current.ends) > 0 {
+		return
+	}
+	t.onAckDue()
+	if current.listWanted > current.listTaken {
+		// The last answer may have been full of ends, and so no complete list.
+		t.onListDue()
 	}
 }
 
--- a/internal/node/localproxy/holds.go
+++ b/internal/node/localproxy/holds.go
@@ -90,7 +90,7 @@
 	if len(current.running) > 0 {
 		current.lastBusyAt = t.now()
 	}
-	if current.keepList(work) || hasEnds {
+	if current.keepList(work, answer) || hasEnds {
 		t.onReportDue()
 	}
 }
@@ -115,9 +115,10 @@
 }
 
 // keepList keeps the running runs as the complete list that the leader asked for, if the hold was sent after that; it
-// tells whether it did.
-func (e *executorState) keepList(work HoldWork) bool {
-	if work.ListNumber <= e.listTaken || work.Hold.Fence != e.fence {
+// tells whether it did. An answer with as many ends as one can hold may lack others: a run that is neither running nor among
+// its ends may have ended all the same, so that it says nothing about runs that are missing.
+func (e *executorState) keepList(work HoldWork, answer executorapi.Answer) bool {
+	if work.ListNumber <= e.listTaken || work.Hold.Fence != e.fence || len(answer.Ends) >= executorapi.MaxEndsPerAnswer {
 		return false
 	}
 	e.listTaken, e.listedRuns = work.ListNumber, slices.Clone(e.running)
--- a/internal/node/localproxy/localproxy_test.go
+++ b/internal/node/localproxy/localproxy_test.go
@@ -184,6 +184,49 @@
 		Expect(work.Hold.LastSeen).To(Equal(int64(1)))
 	})
 
+	It("takes an answer that is full of ends for no complete list of runs, as a run that it lacks may have ended", func() {
+		told(wire.ExchangeAnswer{Fence: 1, WantedList: 1})
+		full := make([]executorapi.EndRow, executorapi.MaxEndsPerAnswer)
+		for index := range full {
+			full[index] = executorapi.EndRow{Number: int64(index + 1), Task: "t", Run: int64(index + 1), Outcome: "done"}
+		}
+		work, _ := table.NextHold(true)
+		table.HandleHold(work, executorapi.Answer{ClockMs: 1000, Ends: full})
+		call, _ := table.Compose(0)
+		Expect(call.ListNumber).To(BeZero())
+		Expect(call.Ends).To(HaveLen(len(full)))
+
+		told(wire.ExchangeAnswer{Fence: 1, LastSeen: int64(len(full)), WantedList: 1})
+		work, isDue := table.NextHold(true)
+		Expect(isDue).To(BeTrue())
+		rest := []executorapi.EndRow{{Number: int64(len(full) + 1), Task: "t", Run: 501, Outcome: "done"}}
+		table.HandleHold(work, executorapi.Answer{ClockMs: 1000, Ends: rest})
+		call, _ = table.Compose(0)
+		Expect(call.ListNumber).To(Equal(uint64(1)))
+		Expect(call.Ends).To(HaveLen(1))
+	})
+
+	It("tells every end, in their order, where the answers of two holds overtake each other", func() {
+		told(wire.ExchangeAnswer{Fence: 1, WantedList: 1})
+		first, _ := table.NextHold(false)
+		second, _ := table.NextHold(true)
+		ends := []executorapi.EndRow{{Number: 1, Task: "a", Run: 1, Outcome: "done"}, {Number: 2, Task: "b", Run: 1, Outcome: "done"}}
+		table.HandleHold(second, executorapi.Answer{ClockMs: 1000, Ends: ends})
+		table.HandleHold(first, executorapi.Answer{ClockMs: 1000, Ends: ends[:1]})
+		call, _ := table.Compose(0)
+		Expect(call.Ends).To(HaveExactElements(HaveField("Number", int64(1)), HaveField("Number", int64(2))))
+	})
+
+	It("acknowledges nothing to the executor that only a former leader has acknowledged", func() {
+		told(wire.ExchangeAnswer{Fence: 1, LastSeen: 7})
+		told(wire.ExchangeAnswer{Fence: 2})
+		work, _ := table.NextHold(false)
+		Expect(work.Hold).To(Equal(executorapi.Hold{Fence: 2, WaitMs: work.Hold.WaitMs}))
+		told(wire.ExchangeAnswer{Fence: 1, LastSeen: 9})
+		work, _ = table.NextHold(false)
+		Expect(work.Hold.LastSeen).To(BeZero())
+	})
+
 	It("tells a look of a new fence, even while an exchange of the old one is under way", func() {
 		told(wire.ExchangeAnswer{Fence: 1, WantedList: 9})
 		work, _ := table.NextHold(true)
--- a/internal/simulation/simcluster/proxy.go
+++ b/internal/simulation/simcluster/proxy.go
@@ -186,6 +186,9 @@
 		leader = p.cluster.Nodes[guess%len(p.cluster.Nodes)]
 	}
 	askedAt := p.cluster.Events.Now()
+	if count := len(ask.Ends); p.cluster.acksEarly && count > 0 {
+		p.table.HandleAnswer(ask, askedAt, &wire.ExchangeAnswer{Fence: ask.Fence, LastSeen: ask.Ends[count-1].Number})
+	}
 	call(p.cluster, p.address(), leader.address(), clock.Milliseconds(ask.WaitMs)+1500*time.Millisecond, func(answer func(wire.ExchangeAnswer)) {
 		pool := leader.pools[ask.Key]
 		if pool == nil || !pool.IsOpen() {
--- a/internal/simulation/simcluster/simcluster.go
+++ b/internal/simulation/simcluster/simcluster.go
@@ -32,6 +32,7 @@
 	places    []Site
 	pool      []scheduler.Option
 	grantBy   int64
+	acksEarly bool
 	hasGossip bool
 	// leaderKnown is the last leader that proxies heard of, if they hear of leaders at all.
 	leaderKnown *Node
@@ -64,6 +65,9 @@
 // WithGrantsBroken makes proxies hold that many times as long as they were granted, to show that the judge sees it.
 func WithGrantsBroken(factor int64) Option { return func(s *Cluster) { s.grantBy = factor } }
 
+// WithEarlyAcks makes proxies acknowledge ends to their executors as soon as they report them, to show that the judge sees it.
+func WithEarlyAcks() Option { return func(s *Cluster) { s.acksEarly = true } }
+
 // WithGossip tells proxies who leads, as the failure detector does; without it they try one steward after another.
 func WithGossip() Option { return func(s *Cluster) { s.hasGossip = true } }
 
