--- a/cmd/gannetline/main.go
+++ b/cmd/gannetline/main.go
@@ -36,6 +36,7 @@
 		Commands: []*cli.Command{
 			roleCommand("gate", "serve clients on an edge machine", roles.Gate),
 			roleCommand("steward", "keep control keys and schedule the pools they name", roles.Steward),
+			roleCommand("storage", "keep lots on a storage machine and have their items run", roles.Storage),
 			roleCommand("local-proxy", "stand before the executor of a side machine", roles.LocalProxy),
 			compareCommand(),
 			checkCommand(),
--- a/internal/cluster/configuration/check.go
+++ b/internal/cluster/configuration/check.go
@@ -75,9 +75,7 @@
 		if route.Name == "" {
 			problems.add("", "field route-list: a route has no name")
 		}
-		if !services[route.Service] {
-			problems.add(route.Name, "field service names %q, which is unknown", route.Service)
-		}
+		route.checkServices(problems, services)
 		if route.TimeoutMs <= 0 {
 			problems.add(route.Name, "field timeout-ms must be above 0")
 		}
@@ -92,6 +90,29 @@
 	}
 }
 
+// checkServices checks the service of a route, or those that share it.
+func (r *Route) checkServices(problems *problems, services map[string]bool) {
+	if len(r.Split) == 0 {
+		if !services[r.Service] {
+			problems.add(r.Name, "field service names %q, which is unknown", r.Service)
+		}
+		return
+	}
+	total := 0.0
+	for _, share := range r.Split {
+		if !services[share.Service] {
+			problems.add(r.Name, "field weighted-split names %q, which is unknown", share.Service)
+		}
+		if share.Weight < 0 {
+			problems.add(r.Name, "field weighted-split has a negative weight")
+		}
+		total += share.Weight
+	}
+	if total <= 0 {
+		problems.add(r.Name, "field weighted-split has weights whose sum is 0")
+	}
+}
+
 // Matcher finds the route of a request: host, then the longest prefix.
 type Matcher struct {
 	configuration *Configuration
--- a/internal/cluster/configuration/configuration.go
+++ b/internal/cluster/configuration/configuration.go
@@ -1,8 +1,30 @@
 // Package configuration reads and checks the operator's configurations.
 package configuration
 
+import (
+	"strconv"
+
+	"github.com/mailru/easyjson"
+)
+
 //go:generate go run github.com/mailru/easyjson/easyjson -all configuration.go
 
+// The types of routes.
+const (
+	// RouteStreaming answers with a series of events, as they come.
+	RouteStreaming = "streaming"
+	// RouteBatch takes lots of requests, which are run later.
+	RouteBatch = "batch"
+	// RouteIdempotent takes requests that may run more than once.
+	RouteIdempotent = "idempotent"
+)
+
+// WeightedService is one of the services that share the requests of a route by their weights.
+type WeightedService struct {
+	Service string  `json:"service"`
+	Weight  float64 `json:"weight"`
+}
+
 // Route is a queue: jobs for a host and path prefix go to a service. Priority 0 is the most urgent; MaxAttempts is how
 // often a task may fail; the aim for a job is Stretch times its longest chain of work, plus TargetLatencyMs.
 type Route struct {
@@ -18,6 +40,16 @@
 	StretchFactor   float64 `json:"stretch-factor"`
 	// IsPublic lets calls through that bear no key, also where the configuration has tenants.
 	IsPublic bool `json:"public,omitempty"`
+	// Split names services in place of Service.
+	Split []WeightedService `json:"weighted-split,omitempty"`
+	// IsResumable tells that a stream may go on at another executor after its last event.
+	IsResumable bool `json:"resumable,omitempty"`
+	// MaxQueueS is how many seconds an item of a lot may wait before it may be given up.
+	MaxQueueS float64 `json:"max-queue-s,omitempty"`
+	// ResultDeadlineMs is how long after a lot was sent its results are due.
+	ResultDeadlineMs int64 `json:"result-deadline-ms,omitempty"`
+	// UpperLimit is how many tokens a tenant may have waiting in lots of the route, as a number; TokenLimit reads it.
+	UpperLimit easyjson.RawMessage `json:"upper-limit,omitempty"`
 }
 
 // Tenant is a team that hands jobs in under its keys. Weight is its share once everything is full, and the jobs a second that it may
@@ -55,3 +87,33 @@
 	// Tenants is nil where the configuration has none; then no call needs a key.
 	Tenants []Tenant `json:"tenant-list,omitempty"`
 }
+
+// TokenLimit is how many tokens a tenant may have waiting in lots of the route; 0 is no limit.
+func (r *Route) TokenLimit() int64 {
+	limit, err := strconv.ParseFloat(string(r.UpperLimit), 64)
+	if err != nil {
+		return 0
+	}
+	return int64(limit)
+}
+
+// RunsJobs tells whether the route is a queue of jobs: its type is none of those that pass requests on.
+func (r *Route) RunsJobs() bool { return r.Type != RouteStreaming && r.Type != RouteBatch }
+
+// ServiceFor gives the service of a request: the only one, or one of those that share the route by weight; draw is evenly
+// distributed between 0 and 1.
+func (r *Route) ServiceFor(draw float64) string {
+	total := 0.0
+	for _, share := range r.Split {
+		total += share.Weight
+	}
+	for _, share := range r.Split {
+		if draw -= share.Weight / total; draw < 0 {
+			return share.Service
+		}
+	}
+	if len(r.Split) > 0 {
+		return r.Split[len(r.Split)-1].Service
+	}
+	return r.Service
+}
--- a/internal/cluster/configuration/configuration_easyjson.go
+++ b/internal/cluster/configuration/configuration_easyjson.go
@@ -17,7 +17,83 @@
 	_ easyjson.Marshaler
 )
 
-func easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration(in *jlexer.Lexer, out *Tenant) {
+func easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration(in *jlexer.Lexer, out *WeightedService) {
+	isTopLevel := in.IsStart()
+	if in.IsNull() {
+		if isTopLevel {
+			in.Consumed()
+		}
+		in.Skip()
+		return
+	}
+	in.Delim('{')
+	for !in.IsDelim('}') {
+		key := in.UnsafeFieldName(false)
+		in.WantColon()
+		switch key {
+		case "service":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Service = string(in.String())
+			}
+		case "weight":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Weight = float64(in.Float64())
+			}
+		default:
+			in.SkipRecursive()
+		}
+		in.WantComma()
+	}
+	in.Delim('}')
+	if isTopLevel {
+		in.Consumed()
+	}
+}
+func easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration(out *jwriter.Writer, in WeightedService) {
+	out.RawByte('{')
+	first := true
+	_ = first
+	{
+		const prefix string = ",\"service\":"
+		out.RawString(prefix[1:])
+		out.String(string(in.Service))
+	}
+	{
+		const prefix string = ",\"weight\":"
+		out.RawString(prefix)
+		out.Float64(float64(in.Weight))
+	}
+	out.RawByte('}')
+}
+
+// MarshalJSON supports json.Marshaler interface
+func (v WeightedService) MarshalJSON() ([]byte, error) {
+	w := jwriter.Writer{}
+	easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration(&w, v)
+	return w.Buffer.BuildBytes(), w.Error
+}
+
+// MarshalEasyJSON supports easyjson.Marshaler interface
+func (v WeightedService) MarshalEasyJSON(w *jwriter.Writer) {
+	easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration(w, v)
+}
+
+// UnmarshalJSON supports json.Unmarshaler interface
+func (v *WeightedService) UnmarshalJSON(data []byte) error {
+	r := jlexer.Lexer{Data: data}
+	easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration(&r, v)
+	return r.Error()
+}
+
+// UnmarshalEasyJSON supports easyjson.Unmarshaler interface
+func (v *WeightedService) UnmarshalEasyJSON(l *jlexer.Lexer) {
+	easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration(l, v)
+}
+func easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration1(in *jlexer.Lexer, out *Tenant) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -86,7 +162,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration(out *jwriter.Writer, in Tenant) {
+func easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration1(out *jwriter.Writer, in Tenant) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -127,27 +203,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Tenant) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration(&w, v)
+	easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration1(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Tenant) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration(w, v)
+	easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration1(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Tenant) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration(&r, v)
+	easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration1(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Tenant) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration(l, v)
+	easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration1(l, v)
 }
-func easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration1(in *jlexer.Lexer, out *Service) {
+func easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration2(in *jlexer.Lexer, out *Service) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -195,7 +271,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration1(out *jwriter.Writer, in Service) {
+func easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration2(out *jwriter.Writer, in Service) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -225,27 +301,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Service) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration1(&w, v)
+	easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration2(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Service) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration1(w, v)
+	easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration2(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Service) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration1(&r, v)
+	easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration2(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Service) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration1(l, v)
+	easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration2(l, v)
 }
-func easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration2(in *jlexer.Lexer, out *Route) {
+func easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration3(in *jlexer.Lexer, out *Route) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -325,6 +401,57 @@
 			} else {
 				out.IsPublic = bool(in.Bool())
 			}
+		case "weighted-split":
+			if in.IsNull() {
+				in.Skip()
+				out.Split = nil
+			} else {
+				in.Delim('[')
+				if out.Split == nil {
+					if !in.IsDelim(']') {
+						out.Split = make([]WeightedService, 0, 2)
+					} else {
+						out.Split = []WeightedService{}
+					}
+				} else {
+					out.Split = (out.Split)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v4 WeightedService
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						(v4).UnmarshalEasyJSON(in)
+					}
+					out.Split = append(out.Split, v4)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
+		case "resumable":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.IsResumable = bool(in.Bool())
+			}
+		case "max-queue-s":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.MaxQueueS = float64(in.Float64())
+			}
+		case "result-deadline-ms":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.ResultDeadlineMs = int64(in.Int64())
+			}
+		case "upper-limit":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				(out.UpperLimit).UnmarshalEasyJSON(in)
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -335,7 +462,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration2(out *jwriter.Writer, in Route) {
+func easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration3(out *jwriter.Writer, in Route) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -394,33 +521,67 @@
 		out.RawString(prefix)
 		out.Bool(bool(in.IsPublic))
 	}
+	if len(in.Split) != 0 {
+		const prefix string = ",\"weighted-split\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('[')
+			for v5, v6 := range in.Split {
+				if v5 > 0 {
+					out.RawByte(',')
+				}
+				(v6).MarshalEasyJSON(out)
+			}
+			out.RawByte(']')
+		}
+	}
+	if in.IsResumable {
+		const prefix string = ",\"resumable\":"
+		out.RawString(prefix)
+		out.Bool(bool(in.IsResumable))
+	}
+	if in.MaxQueueS != 0 {
+		const prefix string = ",\"max-queue-s\":"
+		out.RawString(prefix)
+		out.Float64(float64(in.MaxQueueS))
+	}
+	if in.ResultDeadlineMs != 0 {
+		const prefix string = ",\"result-deadline-ms\":"
+		out.RawString(prefix)
+		out.Int64(int64(in.ResultDeadlineMs))
+	}
+	if (in.UpperLimit).IsDefined() {
+		const prefix string = ",\"upper-limit\":"
+		out.RawString(prefix)
+		(in.UpperLimit).MarshalEasyJSON(out)
+	}
 	out.RawByte('}')
 }
 
 // MarshalJSON supports json.Marshaler interface
 func (v Route) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration2(&w, v)
+	easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration3(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Route) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration2(w, v)
+	easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration3(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Route) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration2(&r, v)
+	easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration3(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Route) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration2(l, v)
+	easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration3(l, v)
 }
-func easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration3(in *jlexer.Lexer, out *Limits) {
+func easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration4(in *jlexer.Lexer, out *Limits) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -468,7 +629,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration3(out *jwriter.Writer, in Limits) {
+func easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration4(out *jwriter.Writer, in Limits) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -498,27 +659,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Limits) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration3(&w, v)
+	easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration4(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Limits) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration3(w, v)
+	easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration4(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Limits) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration3(&r, v)
+	easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration4(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Limits) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration3(l, v)
+	easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration4(l, v)
 }
-func easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration4(in *jlexer.Lexer, out *Configuration) {
+func easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration5(in *jlexer.Lexer, out *Configuration) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -554,13 +715,13 @@
 					out.Routes = (out.Routes)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v4 Route
+					var v7 Route
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v4).UnmarshalEasyJSON(in)
+						(v7).UnmarshalEasyJSON(in)
 					}
-					out.Routes = append(out.Routes, v4)
+					out.Routes = append(out.Routes, v7)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -581,13 +742,13 @@
 					out.Services = (out.Services)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v5 Service
+					var v8 Service
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v5).UnmarshalEasyJSON(in)
+						(v8).UnmarshalEasyJSON(in)
 					}
-					out.Services = append(out.Services, v5)
+					out.Services = append(out.Services, v8)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -614,13 +775,13 @@
 					out.Tenants = (out.Tenants)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v6 Tenant
+					var v9 Tenant
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v6).UnmarshalEasyJSON(in)
+						(v9).UnmarshalEasyJSON(in)
 					}
-					out.Tenants = append(out.Tenants, v6)
+					out.Tenants = append(out.Tenants, v9)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -635,7 +796,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration4(out *jwriter.Writer, in Configuration) {
+func easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration5(out *jwriter.Writer, in Configuration) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -651,11 +812,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v7, v8 := range in.Routes {
-				if v7 > 0 {
+			for v10, v11 := range in.Routes {
+				if v10 > 0 {
 					out.RawByte(',')
 				}
-				(v8).MarshalEasyJSON(out)
+				(v11).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -667,11 +828,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v9, v10 := range in.Services {
-				if v9 > 0 {
+			for v12, v13 := range in.Services {
+				if v12 > 0 {
 					out.RawByte(',')
 				}
-				(v10).MarshalEasyJSON(out)
+				(v13).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -686,11 +847,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v11, v12 := range in.Tenants {
-				if v11 > 0 {
+			for v14, v15 := range in.Tenants {
+				if v14 > 0 {
 					out.RawByte(',')
 				}
-				(v12).MarshalEasyJSON(out)
+				(v15).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -701,23 +862,23 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Configuration) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration4(&w, v)
+	easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration5(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Configuration) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration4(w, v)
+	easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration5(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Configuration) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration4(&r, v)
+	easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration5(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Configuration) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration4(l, v)
+	easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration5(l, v)
 }
--- a/internal/cluster/peerapi/calls.go
+++ b/internal/cluster/peerapi/calls.go
@@ -31,6 +31,8 @@
 	ProcedureExchange = Prefix + "Exchange"
 	ProcedureBeliefs  = Prefix + "Beliefs"
 	ProcedureTenants  = Prefix + "Tenants"
+	// ProcedureExecutors asks for the list of executors.
+	ProcedureExecutors = Prefix + "Executors"
 )
 
 // ErrNotMessage tells that a type has no generated JSON code.
--- a/internal/cluster/peerapi/wire/client.go
+++ b/internal/cluster/peerapi/wire/client.go
@@ -31,10 +31,24 @@
 	VerbReplace Verb = "replace"
 	// VerbRetrieve asks for the configuration.
 	VerbRetrieve Verb = "retrieve"
+	// VerbSubmitLot hands in a lot of requests, under an ID that the client has chosen.
+	VerbSubmitLot Verb = "lot"
+	// VerbLotResults asks for the results of a lot from the position Base on; the answer may wait for RemainingMs until there is one.
+	VerbLotResults Verb = "lot-results"
+	// VerbLotItem asks for the body of the item of a lot that Item names; the answer's body is the JSON text of its bytes in base64.
+	VerbLotItem Verb = "lot-item"
+	// VerbEndLot ends a lot.
+	VerbEndLot Verb = "lot-end"
 	// VerbVersion asks for the number of the configuration alone.
 	VerbVersion Verb = "version"
 )
 
+// LotsKeyPrefix begins the names of the keys that hold lots; LotsKey is that of the first part, which holds all lots so far.
+const (
+	LotsKeyPrefix = "lots/"
+	LotsKey       = LotsKeyPrefix + "0"
+)
+
 // ClientCall is a command of a client or operator on the way to the leader of a key.
 type ClientCall struct {
 	Key         string              `json:"key"`
@@ -47,6 +61,8 @@
 	RemainingMs int64               `json:"left,omitempty"`
 	// Tenant is the name of the tenant whose key the client bears; empty where it needs none.
 	Tenant string `json:"tenant,omitempty"`
+	// Item is the ID of an item of a lot.
+	Item string `json:"item,omitempty"`
 }
 
 // RouteTerms are what a job's route says of it: its priority, how many attempts a task has, and the target for its
--- a/internal/cluster/peerapi/wire/client_easyjson.go
+++ b/internal/cluster/peerapi/wire/client_easyjson.go
@@ -207,6 +207,12 @@
 			} else {
 				out.Tenant = string(in.String())
 			}
+		case "item":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Item = string(in.String())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -266,6 +272,11 @@
 		out.RawString(prefix)
 		out.String(string(in.Tenant))
 	}
+	if in.Item != "" {
+		const prefix string = ",\"item\":"
+		out.RawString(prefix)
+		out.String(string(in.Item))
+	}
 	out.RawByte('}')
 }
 
--- a/internal/control/configleader/configleader.go
+++ b/internal/control/configleader/configleader.go
@@ -53,6 +53,17 @@
 	queued       []queuedCall
 	publish      func(*wire.Configuration)
 	log          logging.Logger
+	// storageDisks are the disks on which lots may be kept; the first lotVoters of them begin.
+	storageDisks func() []string
+	lotVoters    int
+}
+
+// Option changes how a leader is made.
+type Option func(*Leader)
+
+// WithStorageDisks tells on which disks lots may be kept, and on how many of them they begin.
+func WithStorageDisks(disks func() []string, voters int) Option {
+	return func(l *Leader) { l.storageDisks, l.lotVoters = disks, voters }
 }
 
 // queuedCall came while a commit was under way.
@@ -65,8 +76,12 @@
 type answerClient = func(wire.ClientAnswer)
 
 // New makes a leader without a leadership; publish gets each committed configuration.
-func New(log logging.Logger, publish func(*wire.Configuration)) *Leader {
-	return &Leader{publish: publish, log: log}
+func New(log logging.Logger, publish func(*wire.Configuration), options ...Option) *Leader {
+	leader := &Leader{publish: publish, log: log, storageDisks: func() []string { return nil }}
+	for _, option := range options {
+		option(leader)
+	}
+	return leader
 }
 
 // Open takes over the key with what is committed of it; an error names the record that can't be read.
@@ -243,7 +258,12 @@
 		}
 	}
 	for _, service := range proposed.Services {
-		l.addInitialVoters(next, wire.InitialVoters{Service: service.Name})
+		if runsJobs(proposed, service.Name) {
+			l.addInitialVoters(next, wire.InitialVoters{Service: service.Name})
+		}
+	}
+	if hasLots(proposed) {
+		l.addLotVoters(next)
 	}
 	if len(proposed.Tenants) > 0 {
 		for part := range tenantcount.Parts {
@@ -253,13 +273,47 @@
 	return next
 }
 
-// addInitialVoters gives a key its first voters, unless it has them already.
+// runsJobs tells whether a service may be sent jobs: unless all routes that lead to it pass requests on.
+func runsJobs(proposed *configuration.Configuration, service string) bool {
+	passesOn := false
+	for _, route := range proposed.Routes {
+		leadsThere := route.Service == service || slices.ContainsFunc(route.Split, func(share configuration.WeightedService) bool { return share.Service == service })
+		switch {
+		case leadsThere && route.RunsJobs():
+			return true
+		case leadsThere:
+			passesOn = true
+		}
+	}
+	return !passesOn
+}
+
+func hasLots(proposed *configuration.Configuration) bool {
+	return slices.ContainsFunc(proposed.Routes, func(route configuration.Route) bool { return route.Type == configuration.RouteBatch })
+}
+
+// addLotVoters gives the key of lots its first voters once there are disks to keep them on. Until then lots are refused.
+func (l *Leader) addLotVoters(next *wire.Configuration) {
+	disks := l.storageDisks()
+	if len(disks) == 0 {
+		l.log.Info("no disks to keep lots on", "version", next.Version)
+		return
+	}
+	addVoters(next, wire.InitialVoters{Key: wire.LotsKey, Voters: disks[:min(l.lotVoters, len(disks))]})
+}
+
+// addInitialVoters gives a key the voters of the configuration's key as its first ones, unless it has voters already.
 func (l *Leader) addInitialVoters(next *wire.Configuration, wanted wire.InitialVoters) {
+	wanted.Voters = l.leadership.Voters()
+	addVoters(next, wanted)
+}
+
+// addVoters gives a key its first voters, unless it has them already.
+func addVoters(next *wire.Configuration, wanted wire.InitialVoters) {
 	hasVoters := slices.ContainsFunc(next.InitialVoters, func(voters wire.InitialVoters) bool {
 		return voters.Service == wanted.Service && voters.Key == wanted.Key
 	})
 	if !hasVoters {
-		wanted.Voters = l.leadership.Voters()
 		next.InitialVoters = append(next.InitialVoters, wanted)
 	}
 }
--- a/internal/control/controlkeys/keyrunner.go
+++ b/internal/control/controlkeys/keyrunner.go
@@ -5,9 +5,12 @@
 	"slices"
 	"time"
 
+	"gannetline/internal/cluster/configuration"
 	"gannetline/internal/cluster/peerapi/wire"
 	"gannetline/internal/control/configleader"
 	"gannetline/internal/control/countleader"
+	"gannetline/internal/control/itemrunner"
+	"gannetline/internal/control/lots"
 	"gannetline/internal/control/poolhost"
 	"gannetline/internal/control/replication"
 	"gannetline/internal/platform/mailbox"
@@ -58,11 +61,17 @@
 	owner := mailbox.Owner{Every: tickInterval}
 	switch {
 	case key == configleader.Key:
-		machine := configurationMachine{configleader.New(m.Log, func(committed *wire.Configuration) { m.Configurations.Hold(committed) })}
+		leader := configleader.New(m.Log, func(committed *wire.Configuration) { m.Configurations.Hold(committed) },
+			configleader.WithStorageDisks(m.storageDisks, 2*max(1, m.MachineLosses)+1))
+		machine := configurationMachine{leader}
 		runner.machine, runner.engine = machine, newEngine(machine)
 	case tenantcount.IsKey(key):
 		machine := countMachine{countleader.New(key, m.Clock, m.Log, m.countPolicy)}
 		runner.machine, runner.engine = machine, newEngine(machine)
+	case lots.IsKey(key):
+		host := m.startLots(key, runner)
+		runner.engine = newEngine(host)
+		owner.Settle = host.Flush
 	default:
 		host := m.startPool(key, runner)
 		runner.engine = newEngine(host)
@@ -86,6 +95,30 @@
 	return host
 }
 
+// startLots makes the part of a key with lots and runs it on a goroutine of its own.
+func (m *Manager) startLots(key string, runner *keyRunner) *poolhost.Host {
+	runItems := &lateRunner{}
+	part := lots.New(key, lots.Surroundings{Clock: m.Clock, Log: m.Log, Runner: runItems, Route: m.routeOf, Executors: m.Lots.Executors,
+		Retention: m.Lots.Retention})
+	runner.machine = lotsMachine{part}
+	host := poolhost.New(part, runner.engineMailbox)
+	runner.stateMailbox = host.Mailbox()
+	runItems.Runner = itemrunner.New(m.ctx, m.Lots.Client, runner.stateMailbox)
+	go runner.stateMailbox.Run(m.ctx, m.Clock, mailbox.Owner{Every: tickInterval, Tick: part.Tick, Settle: part.Flush, Pause: poolPause})
+	return host
+}
+
+// lateRunner is set once the mailbox to which its outcomes go is made, before anything is run.
+type lateRunner struct{ *itemrunner.Runner }
+
+// routeOf gives a route of the configuration in force, nil if there is none of that name.
+func (m *Manager) routeOf(name string) *configuration.Route {
+	if snapshot := m.Configurations.Current(); snapshot != nil {
+		return snapshot.Matcher.ByName(name)
+	}
+	return nil
+}
+
 // command is what a state machine does for a client, an operator or a pool; it answers once.
 type command func(*wire.ClientCall, func(wire.ClientAnswer))
 
--- a/internal/control/controlkeys/machines.go
+++ b/internal/control/controlkeys/machines.go
@@ -4,6 +4,7 @@
 	"gannetline/internal/cluster/peerapi/wire"
 	"gannetline/internal/control/configleader"
 	"gannetline/internal/control/countleader"
+	"gannetline/internal/control/lots"
 	"gannetline/internal/control/replication"
 	"gannetline/internal/scheduling/scheduler"
 )
@@ -66,3 +67,8 @@
 	}
 	return nil
 }
+
+// lotsMachine is a part with lots as callers see it; poolhost.Host is its replication.StateMachine.
+type lotsMachine struct{ *lots.Part }
+
+func (l lotsMachine) commandFor(verb wire.Verb) command { return l.CommandFor(verb) }
--- a/internal/control/controlkeys/manager.go
+++ b/internal/control/controlkeys/manager.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"maps"
+	"net/http"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -15,6 +17,7 @@
 	"gannetline/internal/cluster/peerapi"
 	"gannetline/internal/cluster/peerapi/wire"
 	"gannetline/internal/control/configleader"
+	"gannetline/internal/control/lots"
 	"gannetline/internal/control/replication"
 	"gannetline/internal/control/storage"
 	"gannetline/internal/platform/clock"
@@ -52,6 +55,17 @@
 	PoolOptions    []scheduler.Option
 	// LeaderClient carries the calls of pools to the parts of the tenants' count.
 	LeaderClient *leaderclient.Client
+	// Lots is what the parts with lots need; it is nil on a process that keeps none. A process keeps either lots or all other keys.
+	Lots *LotSurroundings
+}
+
+// LotSurroundings are what parts with lots need beyond their keys.
+type LotSurroundings struct {
+	// Executors gives the executors of a service, Client calls them.
+	Executors func(service string) []wire.ExecutorRecord
+	Client    *http.Client
+	// Retention is how long a lot is kept after it was accepted.
+	Retention time.Duration
 }
 
 // Manager keeps a runner for each key that is wanted. Its tables belong to the goroutine of Run; all methods may be called from
@@ -129,7 +143,9 @@
 		if key == "" {
 			key = poolPrefix + initial.Service
 		}
-		m.startKey(key, initial.Voters)
+		if lots.IsKey(key) == (m.Lots != nil) {
+			m.startKey(key, initial.Voters)
+		}
 	}
 }
 
@@ -156,8 +172,43 @@
 	return runner
 }
 
-// disksInCluster are the members that an engine may choose voters from.
-func (m *Manager) disksInCluster() []wire.Member { return withDisks(m.Node.View().Stewards) }
+// disksInCluster are the members that an engine may choose voters from: those that keep the same kind of keys.
+func (m *Manager) disksInCluster() []wire.Member {
+	return withDisks(membersFor(m.Node.View().Stewards, m.Lots != nil))
+}
+
+// membersFor lists the stewards that keep lots, which serve no operators, or those that keep all other keys.
+func membersFor(stewards []wire.Member, keepsLots bool) []wire.Member {
+	var members []wire.Member
+	for _, steward := range stewards {
+		if (steward.Control == "") == keepsLots {
+			members = append(members, steward)
+		}
+	}
+	return members
+}
+
+// storageDisks are the disks on which lots may be kept, one of each failure domain in turn.
+func (m *Manager) storageDisks() []string {
+	byDomain := map[string][]string{}
+	for _, member := range withDisks(membersFor(m.Node.View().Stewards, true)) {
+		if member.State == wire.StateAlive {
+			byDomain[member.Domain] = append(byDomain[member.Domain], member.Disk)
+		}
+	}
+	var disks []string
+	for turn := 0; ; turn++ {
+		count := len(disks)
+		for _, domain := range slices.Sorted(maps.Keys(byDomain)) {
+			if turn < len(byDomain[domain]) {
+				disks = append(disks, byDomain[domain][turn])
+			}
+		}
+		if len(disks) == count {
+			return disks
+		}
+	}
+}
 
 // withDisks lists the members that have a disk; temporary ones count only if there is no other.
 func withDisks(members []wire.Member) []wire.Member {
--- /dev/null
+++ b/internal/control/lots/running.go
@@ -0,0 +1,233 @@
+package lots
+
+import (
+	"cmp"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/mailru/easyjson"
+
+	"gannetline/internal/cluster/configuration"
+	"gannetline/internal/cluster/peerapi/wire"
+	"gannetline/internal/platform/clock"
+)
+
+const (
+	// slotShare is the part of an executor's slots that items may take; the rest is for requests that people wait for.
+	slotShare = 0.5
+	// brokenPause and refusedPause lie before the next run of an item that broke off or was refused.
+	brokenPause  = 100 * time.Millisecond
+	refusedPause = 300 * time.Millisecond
+)
+
+// enqueue lets the items of a lot run that have no result.
+func (p *Part) enqueue(lot *lot) {
+	if lot.isOver() {
+		return
+	}
+	for _, item := range lot.items {
+		if !item.isListed && !item.isRunning {
+			p.queue = append(p.queue, item)
+		}
+	}
+	p.sortQueue()
+}
+
+// sortQueue puts the items that are due first in front.
+func (p *Part) sortQueue() {
+	slices.SortStableFunc(p.queue, func(a, b *item) int { return cmp.Compare(a.lot.record.AcceptedMs, b.lot.record.AcceptedMs) })
+}
+
+// startItems starts as many items as there is room for.
+func (p *Part) startItems() {
+	if len(p.queue) == 0 {
+		return
+	}
+	now := p.Clock.Monotonic()
+	rooms := map[string]*serviceRoom{}
+	p.queue = slices.DeleteFunc(p.queue, func(item *item) bool {
+		if item.lot.isEnded || item.isListed {
+			return true
+		}
+		route := p.Route(item.lot.record.Route)
+		if route == nil || now < item.notBefore {
+			return false
+		}
+		service := route.ServiceFor(item.draw())
+		room := rooms[service]
+		if room == nil {
+			room = p.roomOf(service)
+			rooms[service] = room
+		}
+		executor := room.take()
+		if executor == nil {
+			return false
+		}
+		p.start(item, route, *executor)
+		return true
+	})
+}
+
+// serviceRoom is what the executors of a service can take now.
+type serviceRoom struct {
+	executors []wire.ExecutorRecord
+	taken     []int
+}
+
+func (p *Part) roomOf(service string) *serviceRoom {
+	room := &serviceRoom{}
+	for _, executor := range p.Executors(service) {
+		if !executor.IsDraining {
+			room.executors = append(room.executors, executor)
+			room.taken = append(room.taken, p.running[executor.ID])
+		}
+	}
+	return room
+}
+
+// take gives the executor with the most room, or nil if there is none left.
+func (r *serviceRoom) take() *wire.ExecutorRecord {
+	best := -1
+	for index := range r.executors {
+		limit := max(1, int(float64(r.executors[index].Slots)*slotShare))
+		if r.taken[index] < limit && (best < 0 || r.taken[index] < r.taken[best]) {
+			best = index
+		}
+	}
+	if best < 0 {
+		return nil
+	}
+	r.taken[best]++
+	return &r.executors[best]
+}
+
+// start has an item run at an executor.
+func (p *Part) start(item *item, route *configuration.Route, executor wire.ExecutorRecord) {
+	item.isRunning = true
+	p.running[executor.ID]++
+	record, generation := item.record(), p.generation
+	run := Run{Executor: executor, ItemID: record.ID, Host: route.Host, Path: record.Path, Tenant: item.lot.record.Tenant,
+		Headers: record.Headers, Body: item.body, Progress: item.progress}
+	p.Runner.Start(run, func(outcome Outcome, progress Progress) {
+		if p.IsOpen() && p.generation == generation {
+			p.runEnded(item, executor.ID, outcome, progress)
+		}
+	})
+}
+
+// runEnded takes how a run ended: the item gets its result, or waits for another run.
+func (p *Part) runEnded(item *item, executor string, outcome Outcome, progress Progress) {
+	item.isRunning = false
+	if p.running[executor]--; p.running[executor] == 0 {
+		delete(p.running, executor)
+	}
+	if item.lot.isEnded || item.isListed {
+		return
+	}
+	now := p.Clock.Monotonic()
+	switch outcome {
+	case OutcomeCompleted:
+		p.list(item, stateCompleted, joined(progress.Texts))
+		return
+	case OutcomeImpossible:
+		p.list(item, stateDeadLetter, "")
+		return
+	case OutcomeFailed:
+		item.failures++
+		item.progress, item.notBefore = Progress{}, now+brokenPause
+		if route := p.Route(item.lot.record.Route); route != nil && item.failures >= max(1, route.MaxAttempts) {
+			p.list(item, stateDeadLetter, "")
+			return
+		}
+	case OutcomeRefused:
+		item.notBefore = now + refusedPause
+	default:
+		item.progress, item.notBefore = progress, now+brokenPause
+	}
+	p.queue = append(p.queue, item)
+	p.sortQueue()
+}
+
+// joined puts the data of events together, separated by line feeds.
+func joined(texts []string) string {
+	size := 0
+	for _, text := range texts {
+		size += len(text) + 1
+	}
+	whole := make([]byte, 0, size)
+	for index, text := range texts {
+		if index > 0 {
+			whole = append(whole, '\n')
+		}
+		whole = append(whole, text...)
+	}
+	return string(whole)
+}
+
+// list gives an item the next position of its lot; it is shown once that is committed.
+func (p *Part) list(item *item, state, text string) {
+	lot := item.lot
+	result := resultRecord{Index: item.index, State: state, Text: text}
+	value, err := easyjson.Marshal(result)
+	if err != nil {
+		p.Log.Error(err, "record not written", "lot", lot.id, "item", item.record().ID)
+		return
+	}
+	position := len(lot.results)
+	lot.results = append(lot.results, result)
+	item.isListed, item.progress = true, Progress{}
+	results.With(state).Inc()
+	p.changes.put(nameOf(prefixResult, lot.id, position), value)
+	p.changes.drop(nameOf(prefixBody, lot.id, item.index))
+	p.changes.afterCommit(func(err error) {
+		if err == nil {
+			lot.readable = position + 1
+			item.body = nil
+			p.answerReaders(lot)
+		}
+	})
+}
+
+// giveUpItems lists the items as dead that have waited for longer than their route says.
+func (p *Part) giveUpItems() {
+	nowMs := p.leadership.WallMs()
+	for _, item := range slices.Clone(p.queue) {
+		route := p.Route(item.lot.record.Route)
+		if route == nil || route.MaxQueueS <= 0 || item.isListed || item.lot.isEnded {
+			continue
+		}
+		if nowMs-item.lot.record.AcceptedMs > clock.Milliseconds(int64(route.MaxQueueS*1000)).Milliseconds()+giveUpMargin.Milliseconds() {
+			p.list(item, stateDeadLetter, "")
+		}
+	}
+}
+
+// giveUpMargin is how much longer than its route says an item waits, as the time of day is only known by and by.
+const giveUpMargin = time.Second
+
+// CommandFor gives the command of a verb, or nil if there is none.
+func (p *Part) CommandFor(verb wire.Verb) func(*wire.ClientCall, func(wire.ClientAnswer)) {
+	switch verb {
+	case wire.VerbSubmitLot:
+		return p.Submit
+	case wire.VerbLotResults:
+		return p.Results
+	case wire.VerbLotItem:
+		return p.Item
+	case wire.VerbEndLot:
+		return p.End
+	}
+	return nil
+}
+
+// StatusOutcome is what the status of an executor's answer says of a run, if it is no success.
+func StatusOutcome(status int) Outcome {
+	switch status {
+	case http.StatusUnprocessableEntity:
+		return OutcomeImpossible
+	case http.StatusInternalServerError:
+		return OutcomeFailed
+	}
+	return OutcomeBroken
+}
--- /dev/null
+++ b/internal/gate/forwarding/metrics.go
@@ -0,0 +1,6 @@
+package forwarding
+
+import "gannetline/internal/platform/metrics"
+
+// refusals counts requests that no executor had room for.
+var refusals = metrics.NewCounter("gannetline_forward_refusals_total")
--- a/internal/gate/headerrules/headerrules.go
+++ b/internal/gate/headerrules/headerrules.go
@@ -3,6 +3,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -68,3 +69,37 @@
 	}
 	return min(limit, time.Duration(min(count, 1<<31))*time.Millisecond), true
 }
+
+// connectionHeaders concern one connection only.
+var connectionHeaders = []string{"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade"}
+
+// unforwarded are headers of a client that an executor is not shown: the key, and what this system tells executors itself.
+var unforwarded = []string{"Authorization", "X-Tenant", "X-Expected-Executor", "Content-Length", "Host"}
+
+// Forward copies the headers of a client's request that an executor gets.
+func Forward(from, to http.Header) {
+	copyBut(from, to, append(namedIn(from), unforwarded...))
+}
+
+// Return copies the headers of an executor's answer that a client gets.
+func Return(from, to http.Header) { copyBut(from, to, namedIn(from)) }
+
+// namedIn are the headers that concern one connection, with those that the header Connection names.
+func namedIn(headers http.Header) []string {
+	names := slices.Clone(connectionHeaders)
+	for _, value := range headers.Values("Connection") {
+		for name := range strings.SplitSeq(value, ",") {
+			names = append(names, http.CanonicalHeaderKey(strings.TrimSpace(name)))
+		}
+	}
+	return names
+}
+
+func copyBut(from, to http.Header, left []string) {
+	for name, values := range from {
+		if !slices.Contains(left, name) {
+			to[name] = slices.Clone(values)
+		}
+	}
+}
--- /dev/null
+++ b/internal/gate/servingapi/lots.go
@@ -0,0 +1,115 @@
+package servingapi
+
+import (
+	"encoding/base64"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"gannetline/internal/cluster/leaderclient"
+	"gannetline/internal/cluster/peerapi/wire"
+	"gannetline/internal/platform/response"
+)
+
+const (
+	headerWait = "X-Wait-Time"
+	// maxWait is how long a reader waits at the leader at most, so that a call whose leader is gone is known for that in time.
+	maxWait = 300 * time.Millisecond
+	// lotCallLimit is how long a call about a lot may take; clients wait 1.5 s beyond what they ask for.
+	lotCallLimit = 1400 * time.Millisecond
+)
+
+// decideLotCall decides on a call about a lot by its path; isAboutLots is false for any other request.
+func decideLotCall(request *http.Request) (decision Decision, isAboutLots bool) {
+	path, method := request.URL.Path, request.Method
+	switch {
+	case strings.HasPrefix(path, prefixLots) && method == http.MethodGet:
+		if _, isSane := positionOf(request.URL.Query().Get("depends-on")); !isSane {
+			return refuse(response.Text(http.StatusBadRequest, "depends-on is no position")), true
+		}
+		return Decision{Kind: kindReadLot, Limit: lotCallLimit}, true
+	case strings.HasPrefix(path, prefixLots) && method == http.MethodDelete:
+		return Decision{Kind: kindEndLot, Limit: lotCallLimit}, true
+	case strings.HasPrefix(path, prefixItems) && method == http.MethodGet:
+		return Decision{Kind: kindReadItem, Limit: lotCallLimit}, true
+	case strings.HasPrefix(path, prefixLots) || strings.HasPrefix(path, prefixItems):
+		return refuse(response.Text(http.StatusMethodNotAllowed, "a lot is read by GET and ended by DELETE, an item read by GET")), true
+	}
+	return Decision{}, false
+}
+
+// askAboutLot asks the leader of a lot's part.
+func (g *Gate) askAboutLot(request *http.Request, decision Decision, body []byte) response.Reply {
+	call, refusal := callOf(request, decision, body)
+	if refusal.Status != 0 {
+		return refusal
+	}
+	ctx, cancel := contextFor(request, decision.Limit)
+	defer cancel()
+	return replyOf(call, g.leaderClient.Ask(ctx, call, decision.Limit))
+}
+
+// callOf makes the call to the leader.
+func callOf(request *http.Request, decision Decision, body []byte) (*wire.ClientCall, response.Reply) {
+	call := &wire.ClientCall{Key: wire.LotsKey, Tenant: decision.Tenant}
+	switch decision.Kind {
+	case kindSubmitLot:
+		if !json.Valid(body) {
+			return nil, response.Text(http.StatusBadRequest, "the lot can't be read: no whole JSON")
+		}
+		call.Verb, call.ID, call.Route, call.Body = wire.VerbSubmitLot, request.Header.Get(headerID), decision.Route.Name, body
+	case kindReadLot:
+		call.Verb, call.ID = wire.VerbLotResults, strings.TrimPrefix(request.URL.Path, prefixLots)
+		call.Base, _ = positionOf(request.URL.Query().Get("depends-on"))
+		call.RemainingMs = waitOf(request).Milliseconds()
+	case kindReadItem:
+		call.Verb, call.ID = wire.VerbLotItem, strings.TrimPrefix(request.URL.Path, prefixItems)
+		call.Item = request.URL.Query().Get("executor-id")
+	default:
+		call.Verb, call.ID = wire.VerbEndLot, strings.TrimPrefix(request.URL.Path, prefixLots)
+	}
+	return call, response.Reply{}
+}
+
+// waitOf is how long a reader may be kept waiting.
+func waitOf(request *http.Request) time.Duration {
+	count, err := strconv.ParseInt(request.Header.Get(headerWait), 10, 64)
+	if err != nil || count < 0 {
+		return 0
+	}
+	return min(time.Duration(count)*time.Millisecond, maxWait)
+}
+
+// replyOf is the answer to a client. A lot is only refused if no process can have taken it.
+func replyOf(call *wire.ClientCall, outcome leaderclient.Outcome) response.Reply {
+	answer := outcome.Answer
+	isSubmission := call.Verb == wire.VerbSubmitLot
+	switch {
+	case answer == nil && outcome.MayHaveRun && isSubmission:
+		return response.Text(http.StatusGatewayTimeout, "nobody knows yet whether the lot was taken; hand it in again")
+	case answer == nil:
+		return response.Later(http.StatusServiceUnavailable, 1, "the leader of the lots does not answer")
+	case outcome.MayHaveRun && isSubmission && answer.Status != http.StatusAccepted:
+		return response.Text(http.StatusGatewayTimeout, "nobody knows yet whether the lot was taken; hand it in again")
+	case answer.Reason != "":
+		return response.Later(answer.Status, answer.RetryAfterS, answer.Reason)
+	case call.Verb == wire.VerbLotItem:
+		return itemReply(answer)
+	}
+	return response.Raw(answer.Status, answer.Body)
+}
+
+// itemReply gives the bytes of an item's body.
+func itemReply(answer *wire.ClientAnswer) response.Reply {
+	var text string
+	if err := json.Unmarshal(answer.Body, &text); err != nil {
+		return response.Text(http.StatusBadGateway, "the body of the item can't be read")
+	}
+	body, err := base64.StdEncoding.DecodeString(text)
+	if err != nil {
+		return response.Text(http.StatusBadGateway, "the body of the item can't be read")
+	}
+	return response.Raw(answer.Status, body)
+}
--- /dev/null
+++ b/internal/gate/servingapi/metrics.go
@@ -0,0 +1,6 @@
+package servingapi
+
+import "gannetline/internal/platform/metrics"
+
+// requests counts clients' requests by what they are.
+var requests = metrics.NewCounters("gannetline_serving_requests_total", "kind")
--- /dev/null
+++ b/internal/gate/servingapi/servingapi.go
@@ -0,0 +1,193 @@
+// Package servingapi serves clients whose requests executors answer: it passes requests on (package forwarding), and brings lots to the
+// leader of their part. Decide is asked about every request; the gate obeys.
+package servingapi
+
+import (
+	"context"
+	"hash/fnv"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"gannetline/internal/cluster/configcache"
+	"gannetline/internal/cluster/configuration"
+	"gannetline/internal/cluster/leaderclient"
+	"gannetline/internal/gate/forwarding"
+	"gannetline/internal/gate/headerrules"
+	"gannetline/internal/platform/clock"
+	"gannetline/internal/platform/response"
+)
+
+const (
+	defaultMaxBody = 4 << 20
+	// prefixLots and prefixItems begin the paths of calls about lots.
+	prefixLots  = "/v1/lots/"
+	prefixItems = "/v1/items/"
+	headerID    = "X-Request-Id"
+	// headerPrompt names the parts of a prompt, as ID:TOKENS separated by commas.
+	headerPrompt = "X-Prompt-Prefix"
+)
+
+// kind is what a request is.
+type kind string
+
+const (
+	kindRefused   kind = "refused"
+	kindForward   kind = "forward"
+	kindSubmitLot kind = "lot"
+	kindReadLot   kind = "lot-results"
+	kindReadItem  kind = "lot-item"
+	kindEndLot    kind = "lot-end"
+)
+
+// Decision is what should become of a request: refused at once, passed on to an executor, or asked of the leader of a part.
+type Decision struct {
+	Kind    kind
+	Refusal response.Reply
+	Route   *configuration.Route
+	Tenant  string
+	// Limit is how long the answer may take.
+	Limit time.Duration
+}
+
+func refuse(reply response.Reply) Decision { return Decision{Kind: kindRefused, Refusal: reply} }
+
+// Decide tells what should become of a request; it does no work of its own.
+func Decide(snapshot *configcache.Snapshot, request *http.Request) Decision {
+	if snapshot == nil {
+		return refuse(response.Later(http.StatusServiceUnavailable, 1, "there is no configuration yet"))
+	}
+	if decision, isAboutLots := decideLotCall(request); isAboutLots {
+		return decision
+	}
+	route := snapshot.Matcher.Match(request.Host, request.URL.Path)
+	if route == nil {
+		return refuse(response.Text(http.StatusNotFound, "there is no such route"))
+	}
+	tenant, isKnown := tenantOf(snapshot, route, request)
+	if !isKnown {
+		return refuse(response.Unauthorized("the route needs the key of a tenant, and the key is none"))
+	}
+	limit, isSane := headerrules.TimeLeft(request.Header, clock.Milliseconds(route.TimeoutMs))
+	if !isSane {
+		return refuse(response.Text(http.StatusBadRequest, "header X-Time-Remaining is no count of milliseconds"))
+	}
+	if route.Type != configuration.RouteBatch {
+		return Decision{Kind: kindForward, Route: route, Tenant: tenant, Limit: limit}
+	}
+	if request.Method != http.MethodPost {
+		return refuse(response.Text(http.StatusMethodNotAllowed, "a lot is handed in by POST"))
+	}
+	if request.Header.Get(headerID) == "" {
+		return refuse(response.Text(http.StatusBadRequest, "header X-Request-Id is missing; it is the lot's ID"))
+	}
+	return Decision{Kind: kindSubmitLot, Route: route, Tenant: tenant, Limit: limit}
+}
+
+// tenantOf gives the name of the tenant whose key a request bears, empty where it needs none; isKnown is false if it bears no key of
+// the configuration and needs one.
+func tenantOf(snapshot *configcache.Snapshot, route *configuration.Route, request *http.Request) (name string, isKnown bool) {
+	if !snapshot.Matcher.NeedsKey(route) {
+		return "", true
+	}
+	tenant := snapshot.Matcher.TenantOfKey(headerrules.Key(request.Header))
+	if tenant == nil {
+		return "", false
+	}
+	return tenant.Name, true
+}
+
+// Gate obeys decisions.
+type Gate struct {
+	snapshot     func() *configcache.Snapshot
+	leaderClient *leaderclient.Client
+	forwarder    *forwarding.Forwarder
+	clock        clock.Clock
+}
+
+// New makes a gate that decides by the newest configuration.
+func New(snapshot func() *configcache.Snapshot, leaderClient *leaderclient.Client, forwarder *forwarding.Forwarder, clock clock.Clock) *Gate {
+	return &Gate{snapshot: snapshot, leaderClient: leaderClient, forwarder: forwarder, clock: clock}
+}
+
+// ServeHTTP answers one request of a client.
+func (g *Gate) ServeHTTP(to http.ResponseWriter, request *http.Request) {
+	began := g.clock.Monotonic()
+	snapshot := g.snapshot()
+	body, refusal := readBody(snapshot, request)
+	decision := refuse(refusal)
+	if refusal.Status == 0 {
+		// The configuration may have changed while the body came.
+		decision = Decide(g.snapshot(), request)
+	}
+	decision.Limit -= g.clock.Monotonic() - began
+	requests.With(string(decision.Kind)).Inc()
+	if decision.Kind == kindForward {
+		g.forward(request, to, decision, body)
+		return
+	}
+	headerrules.Echo(request.Header, to.Header())
+	if decision.Kind == kindRefused {
+		decision.Refusal.Write(to)
+		return
+	}
+	g.askAboutLot(request, decision, body).Write(to)
+}
+
+// readBody reads a whole body, within the limit of the configuration; a refusal says why it did not.
+func readBody(snapshot *configcache.Snapshot, request *http.Request) ([]byte, response.Reply) {
+	limit := int64(defaultMaxBody)
+	if snapshot != nil && snapshot.Matcher.Configuration().Limits.BodyBytes > 0 {
+		limit = snapshot.Matcher.Configuration().Limits.BodyBytes
+	}
+	body, err := io.ReadAll(io.LimitReader(request.Body, limit+1))
+	switch {
+	case err != nil:
+		return nil, response.Text(http.StatusBadRequest, "the body ended early")
+	case int64(len(body)) > limit:
+		return nil, response.Text(http.StatusRequestEntityTooLarge, "the body is too large")
+	}
+	return body, response.Reply{}
+}
+
+// forward passes a request on.
+func (g *Gate) forward(request *http.Request, to http.ResponseWriter, decision Decision, body []byte) {
+	route := decision.Route
+	id := request.Header.Get(headerID)
+	g.forwarder.Serve(request.Context(), to, &forwarding.Request{Service: route.ServiceFor(drawOf(id)), Affinity: affinityOf(request.Header),
+		Method: request.Method, Path: request.URL.RequestURI(), Host: request.Host, Header: request.Header, Body: body, Tenant: decision.Tenant,
+		MaxAttempts: max(1, route.MaxAttempts), IsIdempotent: route.Type == configuration.RouteIdempotent, IsResumable: route.IsResumable,
+		TimeRemaining: decision.Limit})
+}
+
+// drawOf is a number between 0 and 1 that an ID decides.
+func drawOf(id string) float64 {
+	sum := fnv.New32a()
+	sum.Write([]byte(id))
+	return float64(sum.Sum32()) / (1 << 32)
+}
+
+// affinityOf gives the IDs of the parts of a prompt that are shared, all but the last; a prompt of one part has that one.
+func affinityOf(headers http.Header) string {
+	prompt := headers.Get(headerPrompt)
+	if end := strings.LastIndexByte(prompt, ','); end >= 0 {
+		return prompt[:end]
+	}
+	return prompt
+}
+
+// contextFor ends with the request, at the latest at the limit of the decision.
+func contextFor(request *http.Request, limit time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(request.Context(), max(0, limit))
+}
+
+// positionOf reads a position; one that is left out is the first.
+func positionOf(text string) (int64, bool) {
+	if text == "" {
+		return 0, true
+	}
+	position, err := strconv.ParseInt(text, 10, 64)
+	return position, err == nil && position >= 0
+}
--- a/internal/platform/settings/bounds.go
+++ b/internal/platform/settings/bounds.go
@@ -46,6 +46,7 @@
 var unneededBounds = []string{
 	"seed-delay-s", "address-reuse-s", "loss-slack-ms", "downgrade-slack-ms", "max-stretch-ms", "recovery-time-s", "quota-slack",
 	"cancel_ms", "visible_ms", "finish_s", "cancel-timeout-ms", "visibility-timeout-ms", "completion-s",
+	"pass_ms", "again_s", "settle-time-ms",
 }
 
 // knownBounds has the fields of Bounds without its reading.
--- a/internal/platform/settings/settings.go
+++ b/internal/platform/settings/settings.go
@@ -4,6 +4,7 @@
 import (
 	"net"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -45,6 +46,30 @@
 	MachineLosses int `yaml:"machine-losses"`
 }
 
+// PlatformAPI is where the platform lists the executors, IP:PORT, and how many calls a second it takes from all processes together.
+// The address is empty where the system keeps its own list.
+type PlatformAPI struct {
+	Address  string  `yaml:"address"`
+	RatePerS float64 `yaml:"rate-per-s"`
+}
+
+// UnmarshalYAML takes a field that is no mapping for one that is left out, as deployments without the platform may have it empty.
+func (p *PlatformAPI) UnmarshalYAML(node *yaml.Node) error {
+	type fields PlatformAPI
+	if node.Kind != yaml.MappingNode {
+		return nil
+	}
+	return node.Decode((*fields)(p))
+}
+
+// The parts of the rules that decide what a gate serves.
+const (
+	// ContractStreams has gates pass requests on to executors.
+	ContractStreams = "stream"
+	// ContractLots has gates take lots of requests that are run later.
+	ContractLots = "batch"
+)
+
 // Settings is the settings file of a process. Fields that it does not know are ignored, and missing bounds get
 // defaults.
 type Settings struct {
@@ -73,7 +98,10 @@
 	HeartbeatMs    int64          `yaml:"heartbeat-interval-ms"`
 	FaultTolerance FaultTolerance `yaml:"fault-tolerance"`
 	Bounds         Bounds         `yaml:"protocol-bounds"`
-	OrderList      string         `yaml:"order-list"`
+	// Contracts names the parts of the rules that are in force.
+	Contracts []string    `yaml:"active-contracts"`
+	Platform  PlatformAPI `yaml:"platform-api"`
+	OrderList string      `yaml:"order-list"`
 	// App is the address of the executor beside a local proxy, and Service the service that it belongs to.
 	App         string `yaml:"app"`
 	Service     string `yaml:"service"`
@@ -195,7 +223,8 @@
 		}
 	}
 	for field, address := range map[string]string{"listen-addresses.front-plain": s.Listen.Front,
-		"listen-addresses.readiness": s.Listen.Readiness, "listen-addresses.control-plane": s.Listen.Control, "app": s.App} {
+		"listen-addresses.readiness": s.Listen.Readiness, "listen-addresses.control-plane": s.Listen.Control, "app": s.App,
+		"platform-api.address": s.Platform.Address} {
 		if address != "" && !isAddress(address) {
 			problems.add(field, "is not ip:port")
 		}
@@ -227,6 +256,7 @@
 	needs := map[string]map[string]string{
 		"gate":        {"listen-addresses.front-plain": s.Listen.Front, "listen-addresses.readiness": s.Listen.Readiness},
 		"steward":     {"listen-addresses.control-plane": s.Listen.Control},
+		"storage":     {"data-directory": s.DataDirectory},
 		"local-proxy": {"listen-addresses.control-plane": s.Listen.Control, "app": s.App, "service": s.Service},
 	}
 	for field, value := range needs[role] {
@@ -237,6 +267,11 @@
 	return nil
 }
 
+// ServesRequests tells whether gates pass requests on to executors, or take lots of them, in place of jobs.
+func (s *Settings) ServesRequests() bool {
+	return slices.Contains(s.Contracts, ContractStreams) || slices.Contains(s.Contracts, ContractLots)
+}
+
 func isAddress(text string) bool {
 	host, port, err := net.SplitHostPort(text)
 	return err == nil && net.ParseIP(host) != nil && port != ""
--- a/internal/roles/gate.go
+++ b/internal/roles/gate.go
@@ -8,11 +8,15 @@
 
 	"gannetline/internal/cluster/comparenodes"
 	"gannetline/internal/cluster/configcache"
+	"gannetline/internal/cluster/executorlist"
 	"gannetline/internal/cluster/leaderclient"
 	"gannetline/internal/cluster/membership"
 	"gannetline/internal/cluster/peerapi/wire"
+	"gannetline/internal/gate/balancer"
 	"gannetline/internal/gate/clientapi"
+	"gannetline/internal/gate/forwarding"
 	"gannetline/internal/gate/keyfreshness"
+	"gannetline/internal/gate/servingapi"
 	"gannetline/internal/platform/clock"
 	"gannetline/internal/platform/httpserver"
 	"gannetline/internal/platform/response"
@@ -47,13 +51,13 @@
 	comparenodes.Handle(b.inner, comparenodes.Sources{View: b.node.View, Configuration: configurations.Current})
 	var isLeaving atomic.Bool
 	asker := leaderclient.New(b.caller, b.clock, b.node.View)
-	api := clientapi.New(configurations.Current, asker, b.clock, b.keyOptions(asker, configurations)...)
+	api, hasExecutors := b.clientHandler(asker, configurations)
 	server := httpserver.New(front, b.meter.Handler(api), b.clock, b.log,
 		httpserver.WithMaxConnections(maxClientConnections(b.settings.Limits.FileDescriptors)))
 	b.tree.Add("plan", configurations.Run)
 	b.tree.Add("clients", func(context.Context) error { return server.Serve() })
 	b.tree.Add("readiness", b.serving(ready, readiness(func() bool {
-		return !isLeaving.Load() && configurations.Current() != nil && b.node.View().SeesSteward()
+		return !isLeaving.Load() && configurations.Current() != nil && b.node.View().SeesSteward() && hasExecutors()
 	}), internalLeave))
 	return b.run(func() {
 		isLeaving.Store(true)
@@ -61,6 +65,18 @@
 	})
 }
 
+// clientHandler serves clients as the contracts in force say: jobs, or requests that executors answer. hasExecutors tells whether there
+// is anything to pass requests on to.
+func (b *base) clientHandler(asker *leaderclient.Client, configurations *configcache.Cache) (handler http.Handler, hasExecutors func() bool) {
+	if !b.settings.ServesRequests() {
+		return clientapi.New(configurations.Current, asker, b.clock, b.keyOptions(asker, configurations)...), func() bool { return true }
+	}
+	executors := balancer.New(b.settings.Domain, b.clock)
+	b.followExecutors(executorlist.NearSteward, func(list *executorlist.List) { executors.Update(list.Executors) })
+	forwarder := forwarding.New(executorClient(), executors, b.clock)
+	return servingapi.New(configurations.Current, asker, forwarder, b.clock), executors.HasExecutors
+}
+
 // keyOptions has a gate watch its configuration where keys that were taken away must be of no use anywhere after a while.
 func (b *base) keyOptions(asker *leaderclient.Client, configurations *configcache.Cache) []clientapi.Option {
 	bounds := b.settings.Bounds
--- a/internal/roles/steward.go
+++ b/internal/roles/steward.go
@@ -60,6 +60,7 @@
 		Timing: scheduler.TimingFrom(b.settings), Replicas: kept.replicas, PoolOptions: pool, LeaderClient: asker})
 	manager.Handle(b.inner)
 	comparenodes.Handle(b.inner, comparenodes.Sources{View: b.node.View, Configuration: configurations.Current, Keys: manager.Beliefs})
+	b.serveExecutors()
 	outer := http.NewServeMux()
 	outer.Handle("/v1/configuration/", controlapi.Handler(asker))
 	outer.Handle(peerapi.Prefix, b.inner)
--- /dev/null
+++ b/internal/roles/storagemachine.go
@@ -0,0 +1,48 @@
+package roles
+
+import (
+	"context"
+	"time"
+
+	"gannetline/internal/cluster/comparenodes"
+	"gannetline/internal/cluster/configcache"
+	"gannetline/internal/cluster/executorlist"
+	"gannetline/internal/cluster/membership"
+	"gannetline/internal/control/controlkeys"
+	"gannetline/internal/platform/gcpacing"
+	"gannetline/internal/platform/mailbox"
+)
+
+// Storage keeps lots and has their items run, until SIGTERM. It is a steward that serves no operators and keeps no other keys.
+func Storage(path string, options ...Option) error {
+	b, err := newBase(path, "storage", options...)
+	if err != nil {
+		return err
+	}
+	kept, err := openStorage(b)
+	if err != nil {
+		return err
+	}
+	defer kept.close()
+	configurations := configcache.New(b.caller, b.clock, b.log, func(snapshot *configcache.Snapshot) { b.node.HoldsConfiguration(snapshot.Committed.Version) })
+	configurations.Handle(b.inner)
+	knownPeers := kept.peers(b.log)
+	b.join(kept.member(""), membership.OnConfigurationAhead(configurations.FetchFrom), membership.WithKnownPeers(knownPeers))
+	executors := b.followExecutors(executorlist.NearSteward, func(*executorlist.List) {})
+	retention := time.Duration(b.settings.Bounds.StatusS * float64(time.Second))
+	manager := controlkeys.New(controlkeys.Config{Clock: b.clock, Log: b.log, Store: kept.store,
+		MachineLosses: b.settings.FaultTolerance.MachineLosses, Name: b.settings.NodeName, Caller: b.caller, Node: b.node,
+		Configurations: configurations, Replicas: kept.replicas,
+		Lots: &controlkeys.LotSurroundings{Executors: executors.OfService, Client: executorClient(), Retention: retention}})
+	manager.Handle(b.inner)
+	comparenodes.Handle(b.inner, comparenodes.Sources{View: b.node.View, Configuration: configurations.Current, Keys: manager.Beliefs})
+	b.tree.Add("known-peers", b.savePeers(kept.store, knownPeers))
+	b.tree.Add("replicas", func(ctx context.Context) error {
+		kept.replicas.Mailbox().Run(ctx, b.clock, mailbox.Owner{Every: time.Minute})
+		return nil
+	})
+	b.tree.Add("garbage-collector", func(ctx context.Context) error { return gcpacing.Run(ctx, b.clock) })
+	b.tree.Add("plan", configurations.Run)
+	b.tree.Add("keys", manager.Run)
+	return b.run(func() { manager.Leave(b.settings.GracePeriod() / leaveShareOfGrace) })
+}
