Lots: bodies are JSON records, as all records travel in JSON messages

Cause: a record with raw bytes made the leader's messages unreadable, so that the first lot ended each leadership of the key.

--- a/internal/control/lots/clients.go
+++ b/internal/control/lots/clients.go
@@ -119,11 +119,14 @@
 	p.changes.put(prefixLot+lot.id, text)
 	for _, item := range lot.items {
 		if len(item.body) > 0 {
-			p.changes.put(nameOf(prefixBody, lot.id, item.index), item.body)
+			p.changes.put(nameOf(prefixBody, lot.id, item.index), bodyText(item.body))
 		}
 	}
 }
 
+// bodyText is a body as JSON text, in base64: records are JSON, as they travel in messages.
+func bodyText(body []byte) []byte { return []byte(`"` + base64.StdEncoding.EncodeToString(body) + `"`) }
+
 // waitingTokens are those that a tenant has waiting on a route.
 func (p *Part) waitingTokens(tenant, route string) int64 {
 	var tokens int64
@@ -228,12 +231,7 @@
 		p.answerUnderLease(answer, refusal(http.StatusNotFound, "the lot has no such item that waits"))
 		return
 	}
-	text, err := json.Marshal(base64.StdEncoding.EncodeToString(item.body))
-	if err != nil {
-		answer(refusal(http.StatusInternalServerError, "the body can't be written"))
-		return
-	}
-	p.answerUnderLease(answer, wire.ClientAnswer{Status: http.StatusOK, Body: text})
+	p.answerUnderLease(answer, wire.ClientAnswer{Status: http.StatusOK, Body: bodyText(item.body)})
 }
 
 // isReadable tells whether the result of an item is shown.
@@ -266,8 +264,7 @@
 	if err != nil || index < 0 || index >= len(l.items) {
 		return errors.Errorf("no item has the number %s", number)
 	}
-	l.items[index].body = value
-	return nil
+	return json.Unmarshal(value, &l.items[index].body)
 }
 
 func (l *lot) loadResult(number string, value []byte) error {
--- a/internal/control/lots/records.go
+++ b/internal/control/lots/records.go
@@ -8,7 +8,7 @@
 const (
 	// prefixLot: l/LOT is a lotRecord.
 	prefixLot = "l/"
-	// prefixBody: b/LOT/INDEX is the body of an item.
+	// prefixBody: b/LOT/INDEX is the body of an item, a JSON text in base64.
 	prefixBody = "b/"
 	// prefixResult: r/LOT/POSITION is a resultRecord.
 	prefixResult = "r/"
