Storage machines are emptied on request; losses of power in tests without waiting for a real disk

A machine that is to be emptied says so in each answer to a leader, as one that leaves does, keeps that on its disk, and is empty once its disk votes on nothing.

--- a/internal/cluster/peerapi/calls.go
+++ b/internal/cluster/peerapi/calls.go
@@ -33,6 +33,8 @@
 	ProcedureTenants  = Prefix + "Tenants"
 	// ProcedureExecutors asks for the list of executors.
 	ProcedureExecutors = Prefix + "Executors"
+	// ProcedureRetire has a storage machine be emptied.
+	ProcedureRetire = Prefix + "Retire"
 )
 
 // ErrNotMessage tells that a type has no generated JSON code.
--- a/internal/cluster/peerapi/wire/golden_test.go
+++ b/internal/cluster/peerapi/wire/golden_test.go
@@ -11,6 +11,8 @@
 // goldenMessages are all messages between peers, and what they hold, by the names of their golden files.
 var goldenMessages = map[string]golden.Message{
 	"log-position":          &wire.LogPosition{},
+	"retire-call":           &wire.RetireCall{},
+	"retire-answer":         &wire.RetireAnswer{},
 	"executor-record":       &wire.ExecutorRecord{},
 	"executor-list-version": &wire.ExecutorListVersion{},
 	"executors-call":        &wire.ExecutorsCall{},
--- a/internal/control/controlkeys/leave.go
+++ b/internal/control/controlkeys/leave.go
@@ -25,13 +25,7 @@
 		return
 	}
 	deadline := m.Clock.Monotonic() + limit
-	m.Replicas.Mailbox().Post(m.Replicas.Leave)
-	m.mailbox.Post(func() {
-		m.isLeaving = true
-		for _, runner := range m.runners {
-			runner.engineMailbox.Post(runner.engine.Leave)
-		}
-	})
+	m.beginLeave()
 	<-m.Clock.After(releaseNoticeTime)
 	for {
 		replaceable, others := m.votingKeys()
@@ -43,6 +37,17 @@
 	}
 }
 
+// beginLeave hands over the keys that are led here, and has each answer to a leader say that this disk should be replaced.
+func (m *Manager) beginLeave() {
+	m.Replicas.Mailbox().Post(m.Replicas.Leave)
+	m.mailbox.Post(func() {
+		m.isLeaving = true
+		for _, runner := range m.runners {
+			runner.engineMailbox.Post(runner.engine.Leave)
+		}
+	})
+}
+
 // votingKeys lists the keys in which this disk is still a voter: those for which another live disk could take its place, and
 // the others.
 func (m *Manager) votingKeys() (replaceable, others []string) {
@@ -65,6 +70,14 @@
 	return replaceable, others
 }
 
+// votesOnNothing tells whether this disk is a voter of no key, as far as it knows.
+func (m *Manager) votesOnNothing() (bool, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), votingKeysTimeout)
+	defer cancel()
+	sets, err := mailbox.Ask(ctx, m.Replicas.Mailbox(), func(answer func(map[string]wire.VoterSet)) { answer(m.Replicas.VotingKeys()) })
+	return err == nil && len(sets) == 0, err
+}
+
 // IsReplaceable tells whether a voter that leaves should wait: a live disk could take its place, or one is about to and
 // the change still needs the leaving voter's agreement.
 func IsReplaceable(members []wire.Member, leaving string, set wire.VoterSet) bool {
--- a/internal/control/controlkeys/manager.go
+++ b/internal/control/controlkeys/manager.go
@@ -108,6 +108,9 @@
 		return nil
 	}
 	m.ctx = ctx
+	if m.Lots != nil {
+		m.resumeRetiring()
+	}
 	m.mailbox.Run(ctx, m.Clock, mailbox.Owner{Every: reconcileInterval, Tick: m.reconcile})
 	return nil
 }
--- a/internal/control/storage/export_test.go
+++ b/internal/control/storage/export_test.go
@@ -14,5 +14,16 @@
 	return func(s *Store) { s.sync = func() error { return sync(s.db.Sync) } }
 }
 
+// WithoutRealSyncs has transactions not wait for the disk of the machine that runs a test which plays the syncs itself.
+func WithoutRealSyncs() Option {
+	return func(s *Store) {
+		update := s.update
+		s.update = func(transaction func(tx *bolt.Tx) error) error {
+			s.db.NoSync = true
+			return update(transaction)
+		}
+	}
+}
+
 // WithInitialMap maps so much of the file at once, so that a small one already grows.
 func WithInitialMap(bytes int) Option { return func(s *Store) { s.initialMapBytes = bytes } }
--- a/internal/control/storage/peers.go
+++ b/internal/control/storage/peers.go
@@ -9,13 +9,18 @@
 
 // SavePeers keeps the control addresses of other stewards, the best known first; it returns after the sync.
 func (s *Store) SavePeers(addresses []string) error {
+	return errors.Annotate(s.putMeta(recordPeers, []byte(strings.Join(addresses, "\n"))), "keeping the addresses of peers")
+}
+
+// putMeta writes a record that belongs to no key; it returns after the sync.
+func (s *Store) putMeta(record, value []byte) error {
 	outcomes := make(chan Outcome, 1)
 	put := func(tx *bolt.Tx) (Outcome, error) {
-		return Outcome{Taken: true}, tx.Bucket(bucketMeta).Put(recordPeers, []byte(strings.Join(addresses, "\n")))
+		return Outcome{Taken: true}, tx.Bucket(bucketMeta).Put(record, value)
 	}
 	s.queue <- queuedWrite{apply: put, done: func(outcome Outcome) { outcomes <- outcome }}
 	outcome := <-outcomes
-	return errors.Annotate(outcome.Err, "keeping the addresses of peers")
+	return outcome.Err
 }
 
 // Peers gives the addresses that were saved last; there are none on a new disk.
--- a/internal/control/storage/powerloss_test.go
+++ b/internal/control/storage/powerloss_test.go
@@ -82,7 +82,8 @@
 		}
 	}
 	process := &lossProcess{world: w, folder: folder, endsAt: w.draw.IntN(12), moment: commitMoment(w.draw.IntN(int(commitMoments)))}
-	store, err := storage.Open(folder, storage.WithUpdate(process.update), storage.WithSync(process.sync), storage.WithInitialMap(pageBytes))
+	store, err := storage.Open(folder, storage.WithUpdate(process.update), storage.WithoutRealSyncs(),
+		storage.WithSync(process.sync), storage.WithInitialMap(pageBytes))
 	if process.hasEnded || errors.Is(err, errSyncFailed) {
 		return nil
 	}
--- a/internal/control/storage/storage.go
+++ b/internal/control/storage/storage.go
@@ -27,6 +27,7 @@
 	bucketPairs         = []byte("pairs")
 	recordDisk          = []byte("disk")
 	recordPeers         = []byte("peers")
+	recordRetiring      = []byte("retiring")
 )
 
 const (
--- a/internal/roles/steward.go
+++ b/internal/roles/steward.go
@@ -63,6 +63,7 @@
 	b.serveExecutors()
 	outer := http.NewServeMux()
 	outer.Handle("/v1/configuration/", controlapi.Handler(asker))
+	outer.Handle(controlapi.PrefixRetire, controlapi.NewRetire(b.caller, b.node.View, b.settings.FaultTolerance.MachineLosses))
 	outer.Handle(peerapi.Prefix, b.inner)
 	if kept.store != nil {
 		b.tree.Add("known-peers", b.savePeers(kept.store, knownPeers))
