--- /dev/null
+++ b/internal/gate/balancer/balancer_test.go
@@ -0,0 +1,104 @@
+package balancer_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gannetline/internal/cluster/peerapi/wire"
+	"gannetline/internal/gate/balancer"
+	"gannetline/internal/platform/clock"
+)
+
+const service = "s"
+
+func executors(count int, zones ...string) []wire.ExecutorRecord {
+	var all []wire.ExecutorRecord
+	for number := range count {
+		all = append(all, wire.ExecutorRecord{ID: fmt.Sprintf("i-%02d", number), Service: service, Address: "a", Zone: zones[number%len(zones)], Slots: 4})
+	}
+	return all
+}
+
+var _ = Describe("the choice of an executor", func() {
+	var now *clock.Fake
+	var choice *balancer.Balancer
+	BeforeEach(func() {
+		now = clock.NewFake(1_000_000)
+		now.Advance(time.Minute)
+		choice = balancer.New("near", now)
+	})
+
+	It("is the same pair for one shared prompt, at every gate, and spreads over all for many", func() {
+		other := balancer.New("near", now)
+		choice.Update(executors(12, "near"))
+		other.Update(executors(12, "near"))
+		chosen := map[string]int{}
+		for number := range 600 {
+			affinity := fmt.Sprintf("%08x:300", number*2654435761)
+			first := choice.Choose(service, affinity, nil)
+			Expect(other.Choose(service, affinity, nil).ID).To(Equal(first.ID))
+			chosen[first.ID]++
+		}
+		Expect(chosen).To(HaveLen(12))
+		for id, count := range chosen {
+			Expect(count).To(BeNumerically("<", 120), id)
+		}
+	})
+
+	It("goes to the less loaded of the pair, by its own requests and by what executors tell for a while", func() {
+		choice.Update(executors(8, "near"))
+		first := choice.Choose(service, "p", nil)
+		first.Begin()
+		second := choice.Choose(service, "p", nil)
+		Expect(second.ID).NotTo(Equal(first.ID))
+		first.End()
+		Expect(choice.Choose(service, "p", nil).ID).To(Equal(first.ID))
+		first.Report(3, 0, now.Monotonic())
+		Expect(choice.Choose(service, "p", nil).ID).To(Equal(second.ID))
+		now.Advance(time.Second)
+		Expect(choice.Choose(service, "p", nil).ID).To(Equal(first.ID))
+	})
+
+	It("prefers the own zone until its candidates are full, and takes the least loaded of all where every candidate is", func() {
+		choice.Update(executors(8, "near", "far"))
+		for range 2 {
+			executor := choice.Choose(service, "p", nil)
+			Expect(executor.Zone).To(Equal("near"))
+			executor.Report(4, 0, now.Monotonic())
+		}
+		Expect(choice.Choose(service, "p", nil).Zone).To(Equal("far"))
+	})
+
+	It("leaves out draining and excluded executors, and those that failed again and again unless there is no other", func() {
+		records := executors(3, "near")
+		records[0].IsDraining = true
+		choice.Update(records)
+		Expect(choice.Choose(service, "p", []string{"i-01"}).ID).To(Equal("i-02"))
+		failing := choice.Choose(service, "p", []string{"i-01"})
+		for range 3 {
+			failing.Failed(now.Monotonic())
+		}
+		Expect(choice.Choose(service, "p", nil).ID).To(Equal("i-01"))
+		Expect(choice.Choose(service, "p", []string{"i-01"}).ID).To(Equal("i-02"))
+		now.Advance(3 * time.Second)
+		failing.Succeeded()
+		other := choice.Choose(service, "p", []string{"i-02"})
+		other.Begin()
+		Expect(choice.Choose(service, "p", nil).ID).To(Equal("i-02"))
+		Expect(choice.Choose("unknown", "p", nil)).To(BeNil())
+	})
+
+	It("keeps what it knows of executors that stay in the list", func() {
+		choice.Update(executors(2, "near"))
+		busy := choice.Choose(service, "p", nil)
+		busy.Begin()
+		choice.Update(executors(4, "near"))
+		Expect(choice.Choose(service, "p", nil).ID).NotTo(Equal(busy.ID))
+		Expect(choice.HasExecutors()).To(BeTrue())
+		choice.Update(nil)
+		Expect(choice.HasExecutors()).To(BeFalse())
+	})
+})
--- /dev/null
+++ b/internal/gate/servingapi/servingapi_suite_test.go
@@ -0,0 +1,13 @@
+package servingapi_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestServingapi(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "servingapi")
+}
