--- a/internal/cluster/configuration/configuration_test.go
+++ b/internal/cluster/configuration/configuration_test.go
@@ -32,6 +32,40 @@
 		Entry("a service without a name", `{"name":"s"}`, `{"name":"s"},{}`, "service-list"),
 	)
 
+	DescribeTable("is refused for a route that services share", func(split, field string) {
+		_, err := configuration.Read([]byte(strings.Replace(sound, `"service":"s"`, `"weighted-split":[`+split+`]`, 1)))
+		Expect(err).To(MatchError(ContainSubstring(field)))
+	},
+		Entry("an unknown one", `{"service":"s","weight":1},{"service":"x","weight":1}`, `"x"`),
+		Entry("no weight", `{"service":"s","weight":0}`, "sum is 0"),
+		Entry("a negative weight", `{"service":"s","weight":2},{"service":"s","weight":-1}`, "negative"),
+	)
+
+	It("shares the requests of a route among services by their weights", func() {
+		shared := strings.Replace(strings.Replace(sound, `"service":"s"`, `"weighted-split":[{"service":"s","weight":90},{"service":"t","weight":10}]`, 1),
+			`"service-list":[`, `"service-list":[{"name":"t"},`, 1)
+		decoded, err := configuration.Read([]byte(shared))
+		Expect(err).NotTo(HaveOccurred())
+		counts := map[string]int{}
+		for number := range 100 {
+			counts[decoded.Routes[0].ServiceFor(float64(number)/100)]++
+		}
+		Expect(counts).To(Equal(map[string]int{"s": 90, "t": 10}))
+		Expect(decoded.Routes[1].ServiceFor(0.99)).To(Equal("s"))
+	})
+
+	DescribeTable("reads how many tokens may wait on a route", func(limit string, tokens int64) {
+		decoded, err := configuration.Read([]byte(strings.Replace(sound, `"new-field"`, `"route-type":"batch","upper-limit":`+limit+`,"new-field"`, 1)))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(decoded.Routes[1].TokenLimit()).To(Equal(tokens))
+		Expect(decoded.Routes[1].RunsJobs()).To(BeFalse())
+		Expect(decoded.Routes[0].RunsJobs()).To(BeTrue())
+	},
+		Entry("a number", "1400000", int64(1400000)),
+		Entry("none", "0", int64(0)),
+		Entry("anything else is no limit", `{"cpu-units":5}`, int64(0)),
+	)
+
 	DescribeTable("is refused for its tenants with a text that names the field, and never a key", func(tenants, field string) {
 		_, err := configuration.Read([]byte(strings.Replace(sound, `"service-list"`, `"tenant-list":[`+tenants+`],"service-list"`, 1)))
 		Expect(err).To(MatchError(ContainSubstring(field)))
--- a/internal/control/configleader/configleader_test.go
+++ b/internal/control/configleader/configleader_test.go
@@ -152,3 +152,30 @@
 		Expect(replace(0, configurationBody(9, "s")).NotLeader).To(BeTrue())
 	})
 })
+
+var _ = Describe("the keys that a configuration begins", func() {
+	const services = `"service-list":[{"name":"jobs"},{"name":"model"}],`
+	keysOf := func(disks []string, routes string) []wire.InitialVoters {
+		leadership := &scriptedLeadership{hasLease: true}
+		var published *wire.Configuration
+		leader := configleader.New(logging.Silent(), func(committed *wire.Configuration) { published = committed },
+			configleader.WithStorageDisks(func() []string { return disks }, 3))
+		Expect(leader.Open(leadership, nil)).To(Succeed())
+		leader.Replace(&wire.ClientCall{Body: []byte(`{"config-version":1,` + services + `"route-list":[` + routes + `]}`)}, func(wire.ClientAnswer) {})
+		leadership.commitAll()
+		return published.InitialVoters
+	}
+	route := func(name, kind, service string) string {
+		return fmt.Sprintf(`{"name":%q,"host":"h","path-prefix":"/%s/","route-type":%q,"timeout-ms":9,"service":%q}`, name, name, kind, service)
+	}
+
+	It("are no pools for services whose routes only pass requests on, and one for lots on storage disks", func() {
+		Expect(keysOf([]string{"x", "y", "z", "w"}, route("a", "non_idempotent", "jobs")+","+route("b", "streaming", "model")+","+route("c", "batch", "model"))).To(Equal(
+			[]wire.InitialVoters{{Service: "jobs", Voters: []string{"a", "b", "c"}}, {Key: wire.LotsKey, Voters: []string{"x", "y", "z"}}}))
+	})
+
+	It("are none for lots while there is no disk to keep them on, nor without a route that takes them", func() {
+		Expect(keysOf(nil, route("c", "batch", "model"))).To(Equal([]wire.InitialVoters{{Service: "jobs", Voters: []string{"a", "b", "c"}}}))
+		Expect(keysOf([]string{"x"}, route("b", "streaming", "model"))).To(HaveLen(1))
+	})
+})
--- /dev/null
+++ b/internal/control/controlapi/retire_test.go
@@ -0,0 +1,67 @@
+package controlapi_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gannetline/internal/cluster/membership"
+	"gannetline/internal/cluster/peerapi"
+	"gannetline/internal/cluster/peerapi/wire"
+	"gannetline/internal/control/controlapi"
+)
+
+var _ = Describe("the order to empty a storage machine", func() {
+	var state wire.RetireAnswer
+	var view *membership.View
+	var machine *httptest.Server
+	BeforeEach(func() {
+		state = wire.RetireAnswer{}
+		mux := http.NewServeMux()
+		peerapi.Serve(mux, peerapi.ProcedureRetire, func(_ context.Context, call *wire.RetireCall) (*wire.RetireAnswer, error) {
+			state.IsRetiring = state.IsRetiring || call.Begin
+			answer := state
+			return &answer, nil
+		})
+		machine = httptest.NewServer(mux)
+		DeferCleanup(machine.CloseClientConnections)
+		address := machine.Listener.Addr().String()
+		view = &membership.View{Stewards: []wire.Member{{Name: "edge", Role: "steward", Disk: "e", Control: "c", Address: address},
+			{Name: "store-1", Role: "steward", Disk: "1", Address: address}, {Name: "store-2", Role: "steward", Disk: "2"},
+			{Name: "store-3", Role: "steward", Disk: "3"}, {Name: "store-4", Role: "steward", Disk: "4"}}}
+	})
+	ask := func(method, path string) *httptest.ResponseRecorder {
+		retire := controlapi.NewRetire(peerapi.NewCaller(peerapi.Client(time.Second, 1)), func() *membership.View { return view }, 1)
+		answer := httptest.NewRecorder()
+		retire.ServeHTTP(answer, httptest.NewRequest(method, path, nil))
+		return answer
+	}
+
+	It("is carried out by the machine itself, and its state is what the machine says", func() {
+		Expect(ask("GET", "/v1/retire/store-1/retrieve").Code).To(Equal(404))
+		Expect(ask("POST", "/v1/retire/store-1/initiate").Code).To(Equal(200))
+		Expect(ask("POST", "/v1/retire/store-1/initiate").Code).To(Equal(200))
+		Expect(ask("GET", "/v1/retire/store-1/retrieve").Body.String()).To(Equal(`{"executor-state":"active"}`))
+		state.IsEmpty = true
+		Expect(ask("GET", "/v1/retire/store-1/retrieve").Body.String()).To(Equal(`{"executor-state":"completed"}`))
+	})
+
+	It("is refused for an unknown machine, one that keeps no lots, and where too few would remain", func() {
+		Expect(ask("POST", "/v1/retire/store-9/initiate").Code).To(Equal(404))
+		Expect(ask("POST", "/v1/retire/edge/initiate").Code).To(Equal(404))
+		Expect(ask("POST", "/v1/retire/store-1/other").Code).To(Equal(404))
+		Expect(ask("GET", "/v1/retire/store-1/initiate").Code).To(Equal(405))
+		view.Stewards = view.Stewards[:4]
+		Expect(ask("POST", "/v1/retire/store-1/initiate").Code).To(Equal(409))
+		Expect(state.IsRetiring).To(BeFalse())
+	})
+
+	It("is 503 while the machine does not answer", func() {
+		machine.Close()
+		Expect(ask("POST", "/v1/retire/store-1/initiate").Code).To(Equal(503))
+	})
+})
--- a/internal/control/controlkeys/controlkeys_test.go
+++ b/internal/control/controlkeys/controlkeys_test.go
@@ -187,3 +187,40 @@
 		}
 	})
 })
+
+var _ = Describe("a storage machine that is emptied", func() {
+	It("says so on its disk first, goes on after a restart, and is empty once it votes on nothing", func() {
+		store := openStore()
+		vote := func(index uint64, voters ...string) {
+			taken := make(chan struct{})
+			change := wire.Change{Position: wire.LogPosition{Epoch: 1, Index: index}, Voters: &wire.VoterSet{Current: voters}}
+			prev := wire.LogPosition{}
+			if index > 1 {
+				prev = wire.LogPosition{Epoch: 1, Index: index - 1}
+			}
+			store.Submit(storage.Write{Key: wire.LotsKey, Epoch: 1, Prev: prev, Changes: []wire.Change{change}}, func(storage.Outcome) { close(taken) })
+			Eventually(taken).Should(BeClosed())
+		}
+		retire := func(begins bool) wire.RetireAnswer {
+			manager, _ := newManager(store, false)
+			manager.Clock = clock.System()
+			replicas, err := replication.NewReplicas(mailbox.New(64), store, manager.Clock, time.Second)
+			Expect(err).NotTo(HaveOccurred())
+			manager.Replicas = replicas
+			ctx, end := context.WithCancel(context.Background())
+			defer end()
+			go replicas.Mailbox().Run(ctx, manager.Clock, mailbox.Owner{Every: time.Minute})
+			go manager.mailbox.Run(ctx, manager.Clock, mailbox.Owner{Every: time.Minute})
+			answer, err := manager.Retire(ctx, &wire.RetireCall{Begin: begins})
+			Expect(err).NotTo(HaveOccurred())
+			return *answer
+		}
+		vote(1, store.Disk(), "b", "c")
+		Expect(retire(false)).To(Equal(wire.RetireAnswer{}))
+		Expect(retire(true)).To(Equal(wire.RetireAnswer{IsRetiring: true}))
+		Expect(store.IsRetiring()).To(BeTrue())
+		Expect(retire(false)).To(Equal(wire.RetireAnswer{IsRetiring: true}))
+		vote(2, "b", "c", "d")
+		Expect(retire(false)).To(Equal(wire.RetireAnswer{IsRetiring: true, IsEmpty: true}))
+	})
+})
--- /dev/null
+++ b/internal/gate/servingapi/servingapi_test.go
@@ -0,0 +1,77 @@
+package servingapi_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gannetline/internal/cluster/configcache"
+	"gannetline/internal/cluster/configuration"
+	"gannetline/internal/gate/servingapi"
+)
+
+const text = `{"config-version":1,"service-list":[{"name":"s"}],"route-list":[
+	{"name":"ask","host":"h","path-prefix":"/a/","route-type":"streaming","timeout-ms":2000,"service":"s"},
+	{"name":"open","host":"h","path-prefix":"/o/","route-type":"streaming","timeout-ms":2000,"service":"s","public":true},
+	{"name":"lots","host":"h","path-prefix":"/l/","route-type":"batch","timeout-ms":6000,"service":"s"}],
+	"tenant-list":[{"name":"team","api-keys":["key"]}]}`
+
+func snapshot() *configcache.Snapshot {
+	read, err := configuration.Read([]byte(text))
+	Expect(err).NotTo(HaveOccurred())
+	return &configcache.Snapshot{Matcher: configuration.NewMatcher(read)}
+}
+
+func request(method, path string, headers ...string) *http.Request {
+	made := httptest.NewRequest(method, path, nil)
+	made.Host = "h"
+	for index := 0; index < len(headers); index += 2 {
+		made.Header.Set(headers[index], headers[index+1])
+	}
+	return made
+}
+
+var _ = Describe("what becomes of a request", func() {
+	const bearer = "Bearer key"
+
+	DescribeTable("that is taken", func(made *http.Request, kind, tenant string) {
+		decision := servingapi.Decide(snapshot(), made)
+		Expect(string(decision.Kind)).To(Equal(kind))
+		Expect(decision.Tenant).To(Equal(tenant))
+	},
+		Entry("a stream", request("POST", "/a/1", "Authorization", bearer), "forward", "team"),
+		Entry("a stream of a public route", request("POST", "/o/1"), "forward", ""),
+		Entry("a lot", request("POST", "/l/1", "Authorization", bearer, "X-Request-Id", "7c41e09b52d6a3f8"), "lot", "team"),
+		Entry("a reader of a lot", request("GET", "/v1/lots/7c41?depends-on=12"), "lot-results", ""),
+		Entry("the end of a lot", request("DELETE", "/v1/lots/7c41"), "lot-end", ""),
+		Entry("an item", request("GET", "/v1/items/7c41?executor-id=1"), "lot-item", ""),
+	)
+
+	DescribeTable("that is refused", func(made *http.Request, status int) {
+		decision := servingapi.Decide(snapshot(), made)
+		Expect(decision.Refusal.Status).To(Equal(status))
+	},
+		Entry("no route", request("POST", "/x/1", "Authorization", bearer), 404),
+		Entry("no key", request("POST", "/a/1"), 401),
+		Entry("an unknown key", request("POST", "/a/1", "Authorization", "Bearer other"), 401),
+		Entry("no time", request("POST", "/a/1", "Authorization", bearer, "X-Time-Remaining", "soon"), 400),
+		Entry("a lot without an ID", request("POST", "/l/1", "Authorization", bearer), 400),
+		Entry("a lot by another method", request("GET", "/l/1", "Authorization", bearer), 405),
+		Entry("no position", request("GET", "/v1/lots/7c41?depends-on=-1"), 400),
+		Entry("an item by another method", request("DELETE", "/v1/items/7c41"), 405),
+	)
+
+	It("is 503 before the first configuration", func() {
+		Expect(servingapi.Decide(nil, request("POST", "/a/1")).Refusal.Status).To(Equal(503))
+	})
+
+	It("takes the shorter of the client's time and the route's", func() {
+		made := request("POST", "/o/1", "X-Time-Remaining", "700")
+		Expect(servingapi.Decide(snapshot(), made).Limit).To(Equal(700 * time.Millisecond))
+		made.Header.Set("X-Time-Remaining", "70000")
+		Expect(servingapi.Decide(snapshot(), made).Limit).To(Equal(2 * time.Second))
+	})
+})
