--- a/internal/cluster/executorlist/poller.go
+++ b/internal/cluster/executorlist/poller.go
@@ -94,7 +94,7 @@
 			break
 		}
 	}
-	slices.SortFunc(all, func(a, b wire.ExecutorRecord) int { return compareRecords(a, b) })
+	slices.SortFunc(all, compareRecords)
 	return slices.CompactFunc(all, func(a, b wire.ExecutorRecord) bool { return a.ID == b.ID }), nil
 }
 
--- a/internal/control/lots/lots.go
+++ b/internal/control/lots/lots.go
@@ -41,15 +41,15 @@
 type Outcome int
 
 const (
-	// OutcomeCompleted: the item has brought its whole output.
+	// OutcomeCompleted tells that the item has brought its whole output.
 	OutcomeCompleted Outcome = iota
-	// OutcomeBroken: the executor broke off, or answered nothing of use; the item may go on elsewhere.
+	// OutcomeBroken tells that the executor broke off, or answered nothing of use; the item may go on elsewhere.
 	OutcomeBroken
-	// OutcomeRefused: the executor had no room.
+	// OutcomeRefused tells that the executor had no room.
 	OutcomeRefused
-	// OutcomeFailed: the executor failed (500).
+	// OutcomeFailed tells that the executor failed (500).
 	OutcomeFailed
-	// OutcomeImpossible: the item can never be done (422).
+	// OutcomeImpossible tells that the item can never be done (422).
 	OutcomeImpossible
 )
 
--- a/internal/gate/forwarding/forwarding_test.go
+++ b/internal/gate/forwarding/forwarding_test.go
@@ -84,7 +84,7 @@
 
 // streaming answers with the events of these numbers and then breaks off, if it should.
 func streaming(first, last int, breaksOff bool) http.HandlerFunc {
-	return func(to http.ResponseWriter, call *http.Request) {
+	return func(to http.ResponseWriter, _ *http.Request) {
 		begin(to, "text/event-stream")
 		for number := first; number <= last; number++ {
 			fmt.Fprintf(to, "id: %d\ndata: piece %d\n\n", number, number)
