--- a/internal/platform/httpserver/leave_test.go
+++ b/internal/platform/httpserver/leave_test.go
@@ -147,6 +147,16 @@
 		Expect(one.clock.pass(times.Close, one.left)).To(BeTrue())
 	})
 
+	It("refuses what comes after its calls were ended, and gives back what the refusal should bear", func() {
+		one := serve(ok, WithMarkedRefusals(func(from, to http.Header) { to.Set("X-Request-Id", from.Get("X-Request-Id")) }))
+		caller := one.connect()
+		one.server.isEnding.Store(true)
+		caller.send("GET / HTTP/1.1\r\nHost: h\r\nX-Request-Id: 9c41\r\n\r\n")
+		answer := caller.answer()
+		Expect(answer.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(answer.Header.Get("X-Request-Id")).To(Equal("9c41"))
+	})
+
 	It("answers a request that arrives on a kept connection, and ends the connection with it", func() {
 		one := serve(ok)
 		caller := one.connect()
--- a/internal/platform/httpserver/server.go
+++ b/internal/platform/httpserver/server.go
@@ -40,6 +40,8 @@
 	calls        context.Context
 	tracker      tracker
 	maxKeptBytes int64
+	// markRefusal copies from a request that is refused what its answer gives back.
+	markRefusal func(from, to http.Header)
 }
 
 // Option changes how a server is made.
@@ -54,9 +56,14 @@
 	}
 }
 
+// WithMarkedRefusals has the refusals of a server that leaves give back what the function copies from their requests.
+func WithMarkedRefusals(mark func(from, to http.Header)) Option {
+	return func(s *Server) { s.markRefusal = mark }
+}
+
 // New makes a server for a listener. It takes no connection before Serve.
 func New(listener net.Listener, handler http.Handler, clock clock.Clock, log logging.Logger, options ...Option) *Server {
-	server := &Server{handler: handler, clock: clock, log: log}
+	server := &Server{handler: handler, clock: clock, log: log, markRefusal: func(http.Header, http.Header) {}}
 	server.tracker.clock = clock
 	server.listener = newTrackingListener(listener, &server.tracker)
 	server.calls, server.endCalls = context.WithCancel(context.Background())
@@ -135,6 +142,7 @@
 	defer s.finish(answer, request)
 	defer s.recoverPanic(answer)
 	if s.isEnding.Load() {
+		s.markRefusal(request.Header, answer.Header())
 		response.Later(http.StatusServiceUnavailable, retryAfterS, "this process is leaving").Write(answer)
 		return
 	}
--- a/internal/roles/common.go
+++ b/internal/roles/common.go
@@ -45,6 +45,10 @@
 	node     *membership.Node
 	meter    *transportmetrics.Meter
 	hangups  chan os.Signal
+	// asked ends once the process is told to end, forget stops listening for that; both are there from the start of the process, since a
+	// signal that nobody listens for would end it at once.
+	asked  context.Context
+	forget context.CancelFunc
 }
 
 // Option adds to a role what only a measured process has.
@@ -56,6 +60,7 @@
 // newBase loads the settings, checks that they suit the role, and assembles what all roles have.
 func newBase(path, role string, options ...Option) (*base, error) {
 	hangups := noticeHangups()
+	asked, forget := supervise.UntilSignal()
 	nodeSettings, err := settings.Load(path)
 	if err != nil {
 		return nil, err
@@ -68,7 +73,7 @@
 	if err != nil {
 		return nil, err
 	}
-	b.path, b.hangups = path, hangups
+	b.path, b.hangups, b.asked, b.forget = path, hangups, asked, forget
 	for _, bound := range nodeSettings.Bounds.Unknown {
 		b.log.Info("unknown protocol bound ignored", "bound", bound)
 	}
@@ -183,8 +188,7 @@
 // run keeps the parts going until SIGTERM, then calls leave, and ends the parts once that is done. Further signals of
 // the kind change nothing.
 func (b *base) run(leave func()) error {
-	asked, forget := supervise.UntilSignal()
-	defer forget()
+	defer b.forget()
 	ctx, end := context.WithCancel(context.Background())
 	defer end()
 	over := make(chan error, 1)
@@ -192,7 +196,7 @@
 	select {
 	case err := <-over:
 		return err
-	case <-asked.Done():
+	case <-b.asked.Done():
 		b.log.Info("shutting down")
 		if b.settings.MetricsLog() > 0 {
 			metrics.Log(b.log)
--- a/internal/roles/gate.go
+++ b/internal/roles/gate.go
@@ -15,6 +15,7 @@
 	"gannetline/internal/gate/balancer"
 	"gannetline/internal/gate/clientapi"
 	"gannetline/internal/gate/forwarding"
+	"gannetline/internal/gate/headerrules"
 	"gannetline/internal/gate/keyfreshness"
 	"gannetline/internal/gate/servingapi"
 	"gannetline/internal/platform/clock"
@@ -53,7 +54,7 @@
 	asker := leaderclient.New(b.caller, b.clock, b.node.View)
 	api, hasExecutors := b.clientHandler(asker, configurations)
 	server := httpserver.New(front, b.meter.Handler(api), b.clock, b.log,
-		httpserver.WithMaxConnections(maxClientConnections(b.settings.Limits.FileDescriptors)))
+		httpserver.WithMaxConnections(maxClientConnections(b.settings.Limits.FileDescriptors)), httpserver.WithMarkedRefusals(headerrules.Echo))
 	b.tree.Add("plan", configurations.Run)
 	b.tree.Add("clients", func(context.Context) error { return server.Serve() })
 	b.tree.Add("readiness", b.serving(ready, readiness(func() bool {
