One piece of code for what stood twice: a request's tenant, the draw among services, who did not answer a command

A forwarded request's time ends by the forwarder's clock, so that its test needs no real time: it failed once beside load, as 80 ms were over before the request was sent.

--- a/cmd/gannetline/askall.go
+++ b/cmd/gannetline/askall.go
@@ -1,5 +1,12 @@
 package main
 
+import (
+	"strings"
+
+	"github.com/juju/errors"
+	"github.com/urfave/cli/v3"
+)
+
 // outcome is what one process answered, or why it did not.
 type outcome[Answer any] struct {
 	answer Answer
@@ -22,3 +29,19 @@
 	}
 	return outcomes
 }
+
+// eachAnswer runs a function on each process that answered, with its answer, and gives an exit that names those that did not, or nil.
+func eachAnswer[Answer any](asked []process, outcomes []outcome[Answer], take func(process, Answer)) error {
+	var silent []string
+	for place, from := range asked {
+		if err := outcomes[place].err; err != nil {
+			silent = append(silent, errors.Annotate(err, from.address).Error())
+			continue
+		}
+		take(from, outcomes[place].answer)
+	}
+	if len(silent) > 0 {
+		return cli.Exit("no answer: "+strings.Join(silent, "; "), exitSilent)
+	}
+	return nil
+}
--- a/cmd/gannetline/metrics.go
+++ b/cmd/gannetline/metrics.go
@@ -5,7 +5,6 @@
 	"context"
 	"net"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -36,10 +35,7 @@
 			if err := metrics.NewTable(columns, command.String("match")).Write(command.Root().Writer, command.Bool("json")); err != nil {
 				return err
 			}
-			if len(silent) > 0 {
-				return cli.Exit("no answer: "+strings.Join(silent, "; "), exitSilent)
-			}
-			return nil
+			return silent
 		},
 	}
 }
@@ -93,23 +89,19 @@
 	return asked, nil
 }
 
-// askMetrics asks all at once; processes of one column are summed.
-func askMetrics(asked []process, limit time.Duration) (columns []metrics.Column, silent []string) {
+// askMetrics asks all at once; processes of one column are summed. The error is an exit that names those that did not answer.
+func askMetrics(asked []process, limit time.Duration) (columns []metrics.Column, silent error) {
 	client := peerapi.Client(limit, 1)
 	outcomes := askAll(asked, func(from process) (metrics.Samples, error) {
 		return metrics.Fetch(client, from.address, limit)
 	})
 	sums := map[string]metrics.Samples{}
-	for place, from := range asked {
-		if err := outcomes[place].err; err != nil {
-			silent = append(silent, err.Error())
-			continue
-		}
+	silent = eachAnswer(asked, outcomes, func(from process, answer metrics.Samples) {
 		if sums[from.column] == nil {
 			sums[from.column] = metrics.Samples{}
 			columns = append(columns, metrics.Column{Name: from.column, Samples: sums[from.column]})
 		}
-		sums[from.column].Add(outcomes[place].answer)
-	}
+		sums[from.column].Add(answer)
+	})
 	return columns, silent
 }
--- a/cmd/gannetline/tenants.go
+++ b/cmd/gannetline/tenants.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"fmt"
-	"strings"
 	"time"
 
-	"github.com/juju/errors"
 	"github.com/urfave/cli/v3"
 
 	"gannetline/internal/cluster/membership"
@@ -76,21 +74,11 @@
 		return peerapi.Call[wire.TenantsCall, wire.TenantsAnswer](context.Background(), caller, steward.address, peerapi.ProcedureTenants, timeout, &wire.TenantsCall{})
 	})
 	var reports []wire.TenantCountReport
-	var silent []string
-	for place, outcome := range outcomes {
-		if outcome.err != nil {
-			silent = append(silent, errors.Annotate(outcome.err, stewards[place].address).Error())
-			continue
-		}
-		reports = append(reports, outcome.answer.Reports...)
-	}
+	silent := eachAnswer(stewards, outcomes, func(_ process, answer *wire.TenantsAnswer) { reports = append(reports, answer.Reports...) })
 	if err := writeTenants(command, tenantview.Join(reports)); err != nil {
 		return err
 	}
-	if len(silent) > 0 {
-		return cli.Exit("no answer: "+strings.Join(silent, "; "), exitSilent)
-	}
-	return nil
+	return silent
 }
 
 func writeTenants(command *cli.Command, view tenantview.View) error {
--- a/internal/cluster/configuration/configuration.go
+++ b/internal/cluster/configuration/configuration.go
@@ -2,6 +2,7 @@
 package configuration
 
 import (
+	"hash/fnv"
 	"strconv"
 
 	"github.com/mailru/easyjson"
@@ -100,20 +101,28 @@
 // RunsJobs tells whether the route is a queue of jobs: its type is none of those that pass requests on.
 func (r *Route) RunsJobs() bool { return r.Type != RouteStreaming && r.Type != RouteBatch }
 
-// ServiceFor gives the service of a request: the only one, or one of those that share the route by weight; draw is evenly
-// distributed between 0 and 1.
-func (r *Route) ServiceFor(draw float64) string {
+// ServiceFor gives the service of a request by its ID: the only one, or one of those that share the route by weight. It is the same for
+// an ID at every process.
+func (r *Route) ServiceFor(id string) string {
+	if len(r.Split) == 0 {
+		return r.Service
+	}
 	total := 0.0
 	for _, share := range r.Split {
 		total += share.Weight
 	}
+	left := drawOf(id) * total
 	for _, share := range r.Split {
-		if draw -= share.Weight / total; draw < 0 {
+		if left -= share.Weight; left < 0 {
 			return share.Service
 		}
 	}
-	if len(r.Split) > 0 {
-		return r.Split[len(r.Split)-1].Service
-	}
-	return r.Service
+	return r.Split[len(r.Split)-1].Service
+}
+
+// drawOf is a number from 0 on and below 1 that an ID decides.
+func drawOf(id string) float64 {
+	sum := fnv.New32a()
+	sum.Write([]byte(id))
+	return float64(sum.Sum32()) / (1 << 32)
 }
--- a/internal/control/lots/lot.go
+++ b/internal/control/lots/lot.go
@@ -1,7 +1,6 @@
 package lots
 
 import (
-	"hash/fnv"
 	"strconv"
 	"time"
 )
@@ -53,13 +52,6 @@
 
 func (i *item) record() *itemRecord { return &i.lot.record.Items[i.index] }
 
-// draw is a number between 0 and 1 that is the same for each run of the item.
-func (i *item) draw() float64 {
-	sum := fnv.New32a()
-	sum.Write([]byte(i.record().ID))
-	return float64(sum.Sum32()) / (1 << 32)
-}
-
 // open is how many items have no result yet.
 func (l *lot) open() int { return len(l.items) - len(l.results) }
 
--- a/internal/control/lots/running.go
+++ b/internal/control/lots/running.go
@@ -54,7 +54,7 @@
 		if route == nil || now < item.notBefore {
 			return false
 		}
-		service := route.ServiceFor(item.draw())
+		service := route.ServiceFor(item.record().ID)
 		room := rooms[service]
 		if room == nil {
 			room = p.roomOf(service)
--- a/internal/gate/clientapi/clientapi.go
+++ b/internal/gate/clientapi/clientapi.go
@@ -44,7 +44,7 @@
 	if route == nil {
 		return refuse(http.StatusNotFound, "there is no such queue")
 	}
-	tenant, isKnown := tenantOf(snapshot, route, request)
+	tenant, isKnown := TenantOf(snapshot, route, request)
 	if !isKnown {
 		return Decision{Refusal: response.Unauthorized("the queue needs the key of a tenant, and the key is none")}
 	}
@@ -70,9 +70,9 @@
 	return decideJob(decision, route, request, body)
 }
 
-// tenantOf gives the name of the tenant whose key a request bears, empty where it needs none; isKnown is false if it bears no key of
+// TenantOf gives the name of the tenant whose key a request bears, empty where it needs none; isKnown is false if it bears no key of
 // the configuration and needs one.
-func tenantOf(snapshot *configcache.Snapshot, route *configuration.Route, request *http.Request) (name string, isKnown bool) {
+func TenantOf(snapshot *configcache.Snapshot, route *configuration.Route, request *http.Request) (name string, isKnown bool) {
 	if !snapshot.Matcher.NeedsKey(route) {
 		return "", true
 	}
--- a/internal/gate/forwarding/forwarding.go
+++ b/internal/gate/forwarding/forwarding.go
@@ -51,8 +51,9 @@
 
 // Serve answers a request. It panics with http.ErrAbortHandler where an answer that has begun can't be ended.
 func (f *Forwarder) Serve(ctx context.Context, to http.ResponseWriter, request *Request) {
-	deadline := f.clock.Monotonic() + request.TimeRemaining - deadlineGap
-	ctx, cancel := context.WithTimeout(ctx, request.TimeRemaining-deadlineGap)
+	limit := request.TimeRemaining - deadlineGap
+	deadline := f.clock.Monotonic() + limit
+	ctx, cancel := f.until(ctx, limit)
 	defer cancel()
 	relay := &relay{to: to, request: request}
 	var excluded []string
@@ -77,6 +78,20 @@
 	f.giveUp(ctx, relay, runs)
 }
 
+// until gives a context that ends after a limit on the forwarder's clock, or by the function, which must be called in the end.
+func (f *Forwarder) until(ctx context.Context, limit time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	due := f.clock.After(limit)
+	go func() {
+		select {
+		case <-due:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
+
 // giveUp ends a request that got no answer: by a promise that it has not run, if that is so.
 func (f *Forwarder) giveUp(ctx context.Context, relay *relay, runs int) {
 	switch {
--- a/internal/gate/servingapi/servingapi.go
+++ b/internal/gate/servingapi/servingapi.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"io"
 	"net/http"
 	"strconv"
@@ -14,6 +13,7 @@
 	"gannetline/internal/cluster/configcache"
 	"gannetline/internal/cluster/configuration"
 	"gannetline/internal/cluster/leaderclient"
+	"gannetline/internal/gate/clientapi"
 	"gannetline/internal/gate/forwarding"
 	"gannetline/internal/gate/headerrules"
 	"gannetline/internal/platform/clock"
@@ -66,7 +66,7 @@
 	if route == nil {
 		return refuse(response.Text(http.StatusNotFound, "there is no such route"))
 	}
-	tenant, isKnown := tenantOf(snapshot, route, request)
+	tenant, isKnown := clientapi.TenantOf(snapshot, route, request)
 	if !isKnown {
 		return refuse(response.Unauthorized("the route needs the key of a tenant, and the key is none"))
 	}
@@ -86,19 +86,6 @@
 	return Decision{Kind: kindSubmitLot, Route: route, Tenant: tenant, Limit: limit}
 }
 
-// tenantOf gives the name of the tenant whose key a request bears, empty where it needs none; isKnown is false if it bears no key of
-// the configuration and needs one.
-func tenantOf(snapshot *configcache.Snapshot, route *configuration.Route, request *http.Request) (name string, isKnown bool) {
-	if !snapshot.Matcher.NeedsKey(route) {
-		return "", true
-	}
-	tenant := snapshot.Matcher.TenantOfKey(headerrules.Key(request.Header))
-	if tenant == nil {
-		return "", false
-	}
-	return tenant.Name, true
-}
-
 // Gate obeys decisions.
 type Gate struct {
 	snapshot     func() *configcache.Snapshot
@@ -156,19 +143,12 @@
 func (g *Gate) forward(request *http.Request, to http.ResponseWriter, decision Decision, body []byte) {
 	route := decision.Route
 	id := request.Header.Get(headerID)
-	g.forwarder.Serve(request.Context(), to, &forwarding.Request{Service: route.ServiceFor(drawOf(id)), Affinity: affinityOf(request.Header),
+	g.forwarder.Serve(request.Context(), to, &forwarding.Request{Service: route.ServiceFor(id), Affinity: affinityOf(request.Header),
 		Method: request.Method, Path: request.URL.RequestURI(), Host: request.Host, Header: request.Header, Body: body, Tenant: decision.Tenant,
 		MaxAttempts: max(1, route.MaxAttempts), IsIdempotent: route.Type == configuration.RouteIdempotent, IsResumable: route.IsResumable,
 		TimeRemaining: decision.Limit})
 }
 
-// drawOf is a number between 0 and 1 that an ID decides.
-func drawOf(id string) float64 {
-	sum := fnv.New32a()
-	sum.Write([]byte(id))
-	return float64(sum.Sum32()) / (1 << 32)
-}
-
 // affinityOf gives the IDs of the parts of a prompt that are shared, all but the last; a prompt of one part has that one.
 func affinityOf(headers http.Header) string {
 	prompt := headers.Get(headerPrompt)
