--- a/internal/control/lots/lots.go
+++ b/internal/control/lots/lots.go
@@ -175,9 +175,9 @@
 	}
 	now := p.Clock.Monotonic()
 	p.answerDueReaders(now)
-	p.giveUpItems()
 	if now >= p.nextCleanUp {
 		p.nextCleanUp = now + time.Second
+		p.giveUpItems()
 		p.forgetOldLots()
 		p.forgetExecutors(now)
 	}
