--- a/internal/cluster/executorlist/executorlist_test.go
+++ b/internal/cluster/executorlist/executorlist_test.go
@@ -81,15 +81,17 @@
 		}))
 		DeferCleanup(platform.Close)
 		var isDue atomic.Bool
+		changed := make(chan struct{})
 		holder := newHolder(func(*executorlist.List) {})
 		poller := executorlist.NewPoller(&http.Client{}, platform.Listener.Addr().String(), holder, clock.System(), logging.Silent(),
-			func() (uint64, bool) { return 7, isDue.Load() })
+			func() executorlist.Turn { return executorlist.Turn{IsDue: isDue.Load(), Epoch: 7, Changed: changed} })
 		over, cancel := context.WithCancel(context.Background())
 		cancel()
 		Expect(poller.Run(over)).To(Succeed())
 		Expect(calls.Load()).To(BeZero())
-		isDue.Store(true)
 		running(poller.Run)
+		isDue.Store(true)
+		changed <- struct{}{}
 		Eventually(func() wire.ExecutorListVersion { return holder.Current().Version }, "3s").Should(Equal(version(7, 1)))
 		Expect(holder.Current().Executors).To(HaveExactElements(
 			wire.ExecutorRecord{ID: "a0", Service: "s", IsDraining: true}, wire.ExecutorRecord{ID: "a1", Service: "s", IsDraining: true},
--- a/internal/cluster/executorlist/poller.go
+++ b/internal/cluster/executorlist/poller.go
@@ -26,6 +26,15 @@
 // ErrPlatformRefused tells that the platform answered with another status than 200.
 const ErrPlatformRefused = errors.ConstError("the platform refused to list the executors")
 
+// Turn tells whether this process should read the list now.
+type Turn struct {
+	IsDue bool
+	// Epoch is that of the leadership by which it should.
+	Epoch uint64
+	// Changed is closed once that may be otherwise.
+	Changed <-chan struct{}
+}
+
 // Poller reads the list from the platform while this process is the one that should.
 type Poller struct {
 	client  *http.Client
@@ -33,8 +42,7 @@
 	holder  *Holder
 	clock   clock.Clock
 	log     logging.Logger
-	// epoch is that of the leadership by which this process should read the list; false if another should.
-	epoch func() (epoch uint64, isDue bool)
+	turn    func() Turn
 	// last is the newest list that was read, under lastEpoch, with its number.
 	last      []wire.ExecutorRecord
 	lastEpoch uint64
@@ -42,19 +50,21 @@
 }
 
 // NewPoller makes a poller of the platform at an address.
-func NewPoller(client *http.Client, address string, holder *Holder, clock clock.Clock, log logging.Logger, epoch func() (uint64, bool)) *Poller {
-	return &Poller{client: client, address: address, holder: holder, clock: clock, log: log, epoch: epoch}
+func NewPoller(client *http.Client, address string, holder *Holder, clock clock.Clock, log logging.Logger, turn func() Turn) *Poller {
+	return &Poller{client: client, address: address, holder: holder, clock: clock, log: log, turn: turn}
 }
 
-// Run reads the list again and again until ctx is done.
+// Run reads the list again and again until ctx is done, and at once when it is this process's turn.
 func (p *Poller) Run(ctx context.Context) error {
 	for {
-		if epoch, isDue := p.epoch(); isDue {
-			p.poll(ctx, epoch)
+		turn := p.turn()
+		if turn.IsDue {
+			p.poll(ctx, turn.Epoch)
 		}
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-turn.Changed:
 		case <-p.clock.After(pollInterval):
 		}
 	}
--- a/internal/roles/executors.go
+++ b/internal/roles/executors.go
@@ -60,9 +60,10 @@
 	holder := b.followExecutors(executorlist.LeaderOf(configleader.Key), func(*executorlist.List) {})
 	holder.Handle(b.inner)
 	client := peerapi.Client(platformTimeout, 1)
-	poller := executorlist.NewPoller(client, b.settings.Platform.Address, holder, b.clock, b.log, func() (uint64, bool) {
-		leader := b.node.View().Leaders[configleader.Key]
-		return leader.Epoch, leader.Name == b.settings.NodeName
+	poller := executorlist.NewPoller(client, b.settings.Platform.Address, holder, b.clock, b.log, func() executorlist.Turn {
+		view := b.node.View()
+		leader := view.Leaders[configleader.Key]
+		return executorlist.Turn{IsDue: leader.Name == b.settings.NodeName, Epoch: leader.Epoch, Changed: view.LeaderMoved}
 	})
 	b.tree.Add("executor-poller", poller.Run)
 }
