--- a/internal/cluster/leaderclient/attempts.go
+++ b/internal/cluster/leaderclient/attempts.go
@@ -20,6 +20,8 @@
 	hint     string
 	count    int
 	pick     func(count int) int
+	// wait is how long a leader may keep its answer back beyond what an attempt may take.
+	wait time.Duration
 	// lastAddress is the address of the latest try.
 	lastAddress string
 	// silent counts, for each address, the tries of this call that it left unanswered.
@@ -54,7 +56,7 @@
 	}
 	a.hint = ""
 	a.count++
-	return Attempt{Address: a.lastAddress, Limit: min(limit, remaining)}, true
+	return Attempt{Address: a.lastAddress, Limit: min(limit+a.wait, remaining)}, true
 }
 
 // HandleAnswer takes a steward's answer and tells whether it is the last word. A leader that lost the key before its change
--- a/internal/cluster/leaderclient/leaderclient.go
+++ b/internal/cluster/leaderclient/leaderclient.go
@@ -36,7 +36,13 @@
 
 // Ask gives an answer of the leader, or none once the limit is over or ctx is done.
 func (c *Client) Ask(ctx context.Context, call *wire.ClientCall, limit time.Duration) Outcome {
+	return c.AskWaiting(ctx, call, limit, 0)
+}
+
+// AskWaiting is Ask for a call whose answer the leader may keep back for a wait, within the limit.
+func (c *Client) AskWaiting(ctx context.Context, call *wire.ClientCall, limit, wait time.Duration) Outcome {
 	attempts := NewAttempts(call.Key, c.clock.Monotonic()+limit, rand.IntN)
+	attempts.wait = wait
 	for {
 		view := c.view()
 		attempt, isTimeLeft := attempts.Next(view, c.clock.Monotonic())
--- a/internal/cluster/leaderclient/leaderclient_test.go
+++ b/internal/cluster/leaderclient/leaderclient_test.go
@@ -92,6 +92,14 @@
 		Expect(isTimeLeft).To(BeFalse())
 	})
 
+	It("give a leader the time for which it may keep its answer back", func() {
+		attempts.wait = 300 * time.Millisecond
+		attempt, _ := attempts.Next(view, 0)
+		Expect(attempt.Limit).To(Equal(attemptTimeout + 300*time.Millisecond))
+		attempt, _ = attempts.Next(view, 900*time.Millisecond)
+		Expect(attempt.Limit).To(Equal(100 * time.Millisecond))
+	})
+
 	DescribeTable("know whether some leader may have taken the call", func(happen func(), maySee bool) {
 		happen()
 		Expect(attempts.Outcome().MayHaveRun).To(Equal(maySee))
--- a/internal/cluster/peerapi/wire/client.go
+++ b/internal/cluster/peerapi/wire/client.go
@@ -41,6 +41,20 @@
 	VerbEndLot Verb = "lot-end"
 	// VerbVersion asks for the number of the configuration alone.
 	VerbVersion Verb = "version"
+	// VerbAcquire, VerbRenew and VerbRelease are about the lock that ID names; the body is a LockCall.
+	VerbAcquire Verb = "lock-acquire"
+	VerbRenew   Verb = "lock-renew"
+	VerbRelease Verb = "lock-release"
+	// VerbTakeNumber takes the next number under the name ID.
+	VerbTakeNumber Verb = "number"
+	// VerbPut puts a value into the cell that ID names; the body is a PutCall. VerbGet reads the cell.
+	VerbPut Verb = "cell-put"
+	VerbGet Verb = "cell-get"
+	// VerbWatch asks for the puts above the revision Base in the group of cells that ID names; the answer may wait for RemainingMs
+	// until there is one.
+	VerbWatch Verb = "watch"
+	// VerbCoordination asks a part with locks, numbers and cells for its CoordinationReport.
+	VerbCoordination Verb = "coordination"
 )
 
 // LotsKeyPrefix begins the names of the keys that hold lots; LotsKey is that of the first part, which holds all lots so far.
--- a/internal/cluster/peerapi/wire/golden_test.go
+++ b/internal/cluster/peerapi/wire/golden_test.go
@@ -69,6 +69,15 @@
 	"tenant-count-report":   &wire.TenantCountReport{},
 	"tenant-usage":          &wire.TenantUsage{},
 	"tenant-share":          &wire.TenantShare{},
+	"lock-call":             &wire.LockCall{},
+	"lock-answer":           &wire.LockAnswer{},
+	"number-answer":         &wire.NumberAnswer{},
+	"put-call":              &wire.PutCall{},
+	"revision-answer":       &wire.RevisionAnswer{},
+	"cell-answer":           &wire.CellAnswer{},
+	"watch-answer":          &wire.WatchAnswer{},
+	"coordination-call":     &wire.CoordinationCall{},
+	"coordination-reports":  &wire.CoordinationReports{},
 }
 
 var _ = Describe("the form of messages between peers", func() {
--- a/internal/control/configleader/configleader.go
+++ b/internal/control/configleader/configleader.go
@@ -56,6 +56,8 @@
 	// storageDisks are the disks on which lots may be kept; the first lotVoters of them begin.
 	storageDisks func() []string
 	lotVoters    int
+	// standingKeys are keys that there are with every configuration, whatever it says.
+	standingKeys []string
 }
 
 // Option changes how a leader is made.
@@ -66,6 +68,11 @@
 	return func(l *Leader) { l.storageDisks, l.lotVoters = disks, voters }
 }
 
+// WithStandingKeys names keys that get their first voters with the next configuration, whatever it says.
+func WithStandingKeys(keys []string) Option {
+	return func(l *Leader) { l.standingKeys = keys }
+}
+
 // queuedCall came while a commit was under way.
 type queuedCall struct {
 	call   *wire.ClientCall
@@ -247,8 +254,8 @@
 	answer(wire.ClientAnswer{Status: http.StatusInternalServerError, Reason: "the configuration could not be written"})
 }
 
-// next is the record of a configuration that is to be committed: with the initial voters of new services' pools and of
-// the parts of the tenants' count, and the routes that lead to another service than before.
+// next is the record of a configuration that is to be committed: with the initial voters of new services' pools, of the
+// parts of the tenants' count and of standing keys, and the routes that lead to another service than before.
 func (l *Leader) next(proposed *configuration.Configuration, body []byte) *wire.Configuration {
 	next := &wire.Configuration{Version: proposed.Version, Body: body}
 	if l.committed != nil {
@@ -270,6 +277,9 @@
 			l.addInitialVoters(next, wire.InitialVoters{Key: tenantcount.KeyOf(part)})
 		}
 	}
+	for _, key := range l.standingKeys {
+		l.addInitialVoters(next, wire.InitialVoters{Key: key})
+	}
 	return next
 }
 
--- a/internal/control/configleader/configleader_test.go
+++ b/internal/control/configleader/configleader_test.go
@@ -178,4 +178,18 @@
 		Expect(keysOf(nil, route("c", "batch", "model"))).To(Equal([]wire.InitialVoters{{Service: "jobs", Voters: []string{"a", "b", "c"}}}))
 		Expect(keysOf([]string{"x"}, route("b", "streaming", "model"))).To(HaveLen(1))
 	})
+
+	It("are those of standing keys with any configuration", func() {
+		leadership := &scriptedLeadership{hasLease: true}
+		var published *wire.Configuration
+		leader := configleader.New(logging.Silent(), func(committed *wire.Configuration) { published = committed },
+			configleader.WithStandingKeys([]string{"coordination/0"}))
+		Expect(leader.Open(leadership, nil)).To(Succeed())
+		for version := 1; version <= 2; version++ {
+			leader.Replace(&wire.ClientCall{Base: int64(version - 1), Body: fmt.Appendf(nil, `{"config-version":%d}`, version)}, func(wire.ClientAnswer) {})
+			leadership.commitAll()
+			Expect(published.Version).To(Equal(int64(version)))
+			Expect(published.InitialVoters).To(Equal([]wire.InitialVoters{{Key: "coordination/0", Voters: []string{"a", "b", "c"}}}))
+		}
+	})
 })
--- a/internal/control/controlkeys/keyrunner.go
+++ b/internal/control/controlkeys/keyrunner.go
@@ -8,6 +8,7 @@
 	"gannetline/internal/cluster/configuration"
 	"gannetline/internal/cluster/peerapi/wire"
 	"gannetline/internal/control/configleader"
+	"gannetline/internal/control/coordination"
 	"gannetline/internal/control/countleader"
 	"gannetline/internal/control/itemrunner"
 	"gannetline/internal/control/lots"
@@ -26,7 +27,7 @@
 const poolPause = 8 * time.Millisecond
 
 // keyRunner is one key: its engine with its goroutine, and the state machine that lives on the key: a pool, which lives on a goroutine
-// of its own, or the configuration or a part of the tenants' count, which live on the engine's.
+// of its own, or the configuration, a part of the tenants' count or a part with locks, which live on the engine's.
 type keyRunner struct {
 	engineMailbox *mailbox.Mailbox
 	// stateMailbox is that of the goroutine on which the state machine lives.
@@ -59,15 +60,19 @@
 			replication.WithMachineLosses(m.MachineLosses))
 	}
 	owner := mailbox.Owner{Every: tickInterval}
+	var tickMachine func()
 	switch {
 	case key == configleader.Key:
 		leader := configleader.New(m.Log, func(committed *wire.Configuration) { m.Configurations.Hold(committed) },
-			configleader.WithStorageDisks(m.storageDisks, 2*max(1, m.MachineLosses)+1))
+			configleader.WithStorageDisks(m.storageDisks, 2*max(1, m.MachineLosses)+1), configleader.WithStandingKeys(m.standingKeys()))
 		machine := configurationMachine{leader}
 		runner.machine, runner.engine = machine, newEngine(machine)
 	case tenantcount.IsKey(key):
 		machine := countMachine{countleader.New(key, m.Clock, m.Log, m.countPolicy)}
 		runner.machine, runner.engine = machine, newEngine(machine)
+	case coordination.IsKey(key):
+		machine := coordinationMachine{coordination.New(key, m.coordinationSurroundings())}
+		runner.machine, runner.engine, tickMachine = machine, newEngine(machine), machine.Tick
 	case lots.IsKey(key):
 		host := m.startLots(key, runner)
 		runner.engine = newEngine(host)
@@ -78,6 +83,9 @@
 		owner.Settle = host.Flush
 	}
 	owner.Tick = runner.engine.Tick
+	if tickMachine != nil {
+		owner.Tick = func() { runner.engine.Tick(); tickMachine() }
+	}
 	m.runners[key] = runner
 	go engineMailbox.Run(m.ctx, m.Clock, owner)
 }
--- a/internal/control/controlkeys/machines.go
+++ b/internal/control/controlkeys/machines.go
@@ -3,6 +3,7 @@
 import (
 	"gannetline/internal/cluster/peerapi/wire"
 	"gannetline/internal/control/configleader"
+	"gannetline/internal/control/coordination"
 	"gannetline/internal/control/countleader"
 	"gannetline/internal/control/lots"
 	"gannetline/internal/control/replication"
@@ -47,6 +48,16 @@
 	return nil
 }
 
+// coordinationMachine is the replication.StateMachine of a part with locks, numbers and cells.
+type coordinationMachine struct{ *coordination.Part }
+
+// Open passes a leadership on as the narrower coordination.Leadership; it runs on the goroutine of the key's engine.
+func (c coordinationMachine) Open(leadership *replication.Leadership, pairs []wire.Op) error {
+	return c.Part.Open(leadership, pairs)
+}
+
+func (c coordinationMachine) commandFor(verb wire.Verb) command { return c.CommandFor(verb) }
+
 // poolMachine is a pool as callers see it; poolhost.Host is its replication.StateMachine.
 type poolMachine struct{ *scheduler.Pool }
 
--- a/internal/control/controlkeys/manager.go
+++ b/internal/control/controlkeys/manager.go
@@ -1,5 +1,5 @@
 // Package controlkeys runs an engine of package replication for each key that this steward may lead: the configuration, a pool for
-// each service, and the parts of the tenants' count. A Manager keeps one keyRunner for each key that the configuration asks for; it serves the calls of
+// each service, the parts of the tenants' count, and those with locks, numbers and cells of applications. A Manager keeps one keyRunner for each key that the configuration asks for; it serves the calls of
 // other processes to those keys, and hands the keys on when the process leaves.
 package controlkeys
 
@@ -17,6 +17,7 @@
 	"gannetline/internal/cluster/peerapi"
 	"gannetline/internal/cluster/peerapi/wire"
 	"gannetline/internal/control/configleader"
+	"gannetline/internal/control/coordination"
 	"gannetline/internal/control/lots"
 	"gannetline/internal/control/replication"
 	"gannetline/internal/control/storage"
@@ -57,6 +58,15 @@
 	LeaderClient *leaderclient.Client
 	// Lots is what the parts with lots need; it is nil on a process that keeps none. A process keeps either lots or all other keys.
 	Lots *LotSurroundings
+	// Coordination is what locks, numbers and cells of applications need; it is nil where they are not kept.
+	Coordination *CoordinationTimes
+}
+
+// CoordinationTimes are the bounds of the parts with locks, numbers and cells.
+type CoordinationTimes struct {
+	// History is how long a revision that a watcher was given stays good, Release how long after its holder's time a lock may still
+	// be refused to others.
+	History, Release time.Duration
 }
 
 // LotSurroundings are what parts with lots need beyond their keys.
@@ -146,12 +156,20 @@
 		if key == "" {
 			key = poolPrefix + initial.Service
 		}
-		if lots.IsKey(key) == (m.Lots != nil) {
+		if m.keeps(key) {
 			m.startKey(key, initial.Voters)
 		}
 	}
 }
 
+// keeps tells whether this process keeps keys of that kind.
+func (m *Manager) keeps(key string) bool {
+	if coordination.IsKey(key) && m.Coordination == nil {
+		return false
+	}
+	return lots.IsKey(key) == (m.Lots != nil)
+}
+
 // checkConfigurationReplica notes when this disk holds a replica of the configuration's key.
 func (m *Manager) checkConfigurationReplica() {
 	if m.hasConfigurationReplica {
--- a/internal/control/controlkeys/tenants.go
+++ b/internal/control/controlkeys/tenants.go
@@ -107,31 +107,18 @@
 		c.manager.Log.Error(err, "call not written", "key", tenantcount.KeyOf(part))
 		return nil
 	}
-	outcome := c.manager.askLeader(c.ctx, &wire.ClientCall{Key: tenantcount.KeyOf(part), Verb: wire.VerbGrant, Body: body})
-	if outcome == nil || outcome.Status != http.StatusOK {
+	outcome := c.manager.AskLeader(c.ctx, &wire.ClientCall{Key: tenantcount.KeyOf(part), Verb: wire.VerbGrant, Body: body}, grantTimeout, 0)
+	if outcome.Answer == nil || outcome.Answer.Status != http.StatusOK {
 		return nil
 	}
 	given := &wire.GrantAnswer{}
-	if err := easyjson.Unmarshal(outcome.Body, given); err != nil {
+	if err := easyjson.Unmarshal(outcome.Answer.Body, given); err != nil {
 		c.manager.Log.Error(err, "answer not read", "key", tenantcount.KeyOf(part))
 		return nil
 	}
 	return given
 }
 
-// askLeader asks the leader of a key, which may be this process; nil if nobody answers as its leader.
-func (m *Manager) askLeader(ctx context.Context, call *wire.ClientCall) *wire.ClientAnswer {
-	ctx, cancel := context.WithTimeout(ctx, grantTimeout)
-	defer cancel()
-	if answer, err := m.Client(ctx, call); err == nil && !answer.NotLeader {
-		return answer
-	}
-	if m.LeaderClient == nil {
-		return nil
-	}
-	return m.LeaderClient.Ask(ctx, call, grantTimeout).Answer
-}
-
 // Tenants gathers what the keys that are led here know of tenants. What can't be had before ctx is done is left out.
 func (m *Manager) Tenants(ctx context.Context, _ *wire.TenantsCall) (*wire.TenantsAnswer, error) {
 	answer := &wire.TenantsAnswer{}
--- a/internal/platform/settings/bounds.go
+++ b/internal/platform/settings/bounds.go
@@ -31,6 +31,10 @@
 	// exceeded.
 	QuotaWindowS float64 `yaml:"quota-window-s"`
 	QuotaOverrun float64 `yaml:"quota-overrun"`
+	// HistoryS is how long a revision that a watcher of cells was given stays good, in seconds; ReleaseMs is how long after its holder's
+	// time a lock may still be refused to others.
+	HistoryS  float64 `yaml:"history-s"`
+	ReleaseMs int64   `yaml:"release-ms"`
 	// Unknown names the bounds of the file that this program neither reads nor knows to be of no concern to it.
 	Unknown []string `yaml:"-"`
 }
@@ -56,7 +60,7 @@
 var neededBounds = []string{
 	"contact-window-ms", "ack-timeout-ms", "catch-up-s", "drain-timeout-ms", "grace-period-s", "config-apply-ms", "max-hold-ms",
 	"stop-timeout-ms", "gang-wait-ms", "early_ms", "status_s", "remote-factor", "checkpoint-interval-s", "restore-time-ms",
-	"revoke-timeout-ms", "revocation-closed", "quota-window-s", "quota-overrun",
+	"revoke-timeout-ms", "revocation-closed", "quota-window-s", "quota-overrun", "history-s", "release-ms",
 }
 
 // UnmarshalYAML reads bounds under their newer and their earlier names, and notes those that it doesn't know. Of a bound that
--- a/internal/platform/settings/settings.go
+++ b/internal/platform/settings/settings.go
@@ -62,12 +62,14 @@
 	return node.Decode((*fields)(p))
 }
 
-// The parts of the rules that decide what a gate serves.
+// The parts of the rules that decide what gates and stewards serve.
 const (
 	// ContractStreams has gates pass requests on to executors.
 	ContractStreams = "stream"
 	// ContractLots has gates take lots of requests that are run later.
 	ContractLots = "batch"
+	// ContractCoordination has stewards keep locks, numbers and cells of applications.
+	ContractCoordination = "coord"
 )
 
 // Settings is the settings file of a process. Fields that it does not know are ignored, and missing bounds get
@@ -168,6 +170,8 @@
 	setDefault(&s.Bounds.RestoreTimeMs, 600)
 	setDefault(&s.Bounds.RevokeTimeoutMs, 5000)
 	setDefault(&s.Bounds.QuotaWindowS, 5)
+	setDefault(&s.Bounds.HistoryS, 20)
+	setDefault(&s.Bounds.ReleaseMs, 1500)
 	setDefault(&s.HeartbeatMs, 1500)
 	setDefault(&s.OrderList, "invocation")
 	setDefault(&s.Limits.MemoryMB, 256)
@@ -235,7 +239,8 @@
 func (s *Settings) checkRanges(problems *fieldProblems) {
 	for field, value := range map[string]int64{"max-hold-ms": s.Bounds.MaxHoldMs, "contact-window-ms": s.Bounds.ContactWindowMs,
 		"stop-timeout-ms": s.Bounds.StopTimeoutMs, "gang-wait-ms": s.Bounds.GangWaitMs, "early_ms": s.Bounds.EarlyMs,
-		"drain-timeout-ms": s.Bounds.DrainTimeoutMs, "revoke-timeout-ms": s.Bounds.RevokeTimeoutMs, "heartbeat-interval-ms": s.HeartbeatMs, "limits.memory-mb": s.Limits.MemoryMB} {
+		"drain-timeout-ms": s.Bounds.DrainTimeoutMs, "revoke-timeout-ms": s.Bounds.RevokeTimeoutMs,
+		"release-ms": s.Bounds.ReleaseMs, "heartbeat-interval-ms": s.HeartbeatMs, "limits.memory-mb": s.Limits.MemoryMB} {
 		if value < 0 {
 			problems.add(field, "is negative")
 		}
@@ -246,6 +251,9 @@
 	if s.Bounds.QuotaOverrun < 0 || s.Bounds.QuotaWindowS < 0 {
 		problems.add("quota-overrun or quota-window-s", "is negative")
 	}
+	if s.Bounds.HistoryS < 0 {
+		problems.add("history-s", "is negative")
+	}
 	if s.Bounds.RemoteFactor < 1 {
 		problems.add("remote-factor", "is below 1")
 	}
@@ -272,6 +280,11 @@
 	return slices.Contains(s.Contracts, ContractStreams) || slices.Contains(s.Contracts, ContractLots)
 }
 
+// ServesCoordination tells whether stewards keep locks, numbers and cells of applications.
+func (s *Settings) ServesCoordination() bool {
+	return slices.Contains(s.Contracts, ContractCoordination)
+}
+
 func isAddress(text string) bool {
 	host, port, err := net.SplitHostPort(text)
 	return err == nil && net.ParseIP(host) != nil && port != ""
@@ -287,5 +300,13 @@
 	return time.Duration(s.MetricsLogS * float64(time.Second))
 }
 
+// History is how long a revision that a watcher of cells was given stays good.
+func (s *Settings) History() time.Duration {
+	return time.Duration(s.Bounds.HistoryS * float64(time.Second))
+}
+
+// Release is how long after its holder's time a lock may still be refused to others.
+func (s *Settings) Release() time.Duration { return clock.Milliseconds(s.Bounds.ReleaseMs) }
+
 // MaxHold is the longest time for which an executor holds its runs without a renewal.
 func (s *Settings) MaxHold() time.Duration { return clock.Milliseconds(s.Bounds.MaxHoldMs) }
--- a/internal/roles/steward.go
+++ b/internal/roles/steward.go
@@ -15,9 +15,11 @@
 	"gannetline/internal/cluster/peerapi"
 	"gannetline/internal/control/controlapi"
 	"gannetline/internal/control/controlkeys"
+	"gannetline/internal/control/coordinationapi"
 	"gannetline/internal/platform/gcpacing"
 	"gannetline/internal/platform/mailbox"
 	"gannetline/internal/platform/queuerules"
+	"gannetline/internal/platform/settings"
 	"gannetline/internal/scheduling/recording"
 	"gannetline/internal/scheduling/scheduler"
 )
@@ -57,13 +59,17 @@
 	asker := leaderclient.New(b.caller, b.clock, b.node.View)
 	manager := controlkeys.New(controlkeys.Config{Clock: b.clock, Log: b.log, Store: kept.store, IsDiskTemporary: kept.isTemporary,
 		MachineLosses: b.settings.FaultTolerance.MachineLosses, Name: b.settings.NodeName, Caller: b.caller, Node: b.node, Configurations: configurations,
-		Timing: scheduler.TimingFrom(b.settings), Replicas: kept.replicas, PoolOptions: pool, LeaderClient: asker})
+		Timing: scheduler.TimingFrom(b.settings), Replicas: kept.replicas, PoolOptions: pool, LeaderClient: asker,
+		Coordination: coordinationTimes(b.settings)})
 	manager.Handle(b.inner)
 	comparenodes.Handle(b.inner, comparenodes.Sources{View: b.node.View, Configuration: configurations.Current, Keys: manager.Beliefs})
 	b.serveExecutors()
 	outer := http.NewServeMux()
 	outer.Handle("/v1/configuration/", controlapi.Handler(asker))
 	outer.Handle(controlapi.PrefixRetire, controlapi.NewRetire(b.caller, b.node.View, b.settings.FaultTolerance.MachineLosses))
+	if b.settings.ServesCoordination() {
+		coordinationapi.NewHandler(manager.AskLeader, b.clock, b.log, b.asked).Register(outer)
+	}
 	outer.Handle(peerapi.Prefix, b.inner)
 	if kept.store != nil {
 		b.tree.Add("known-peers", b.savePeers(kept.store, knownPeers))
@@ -81,3 +87,11 @@
 	}
 	return b.run(func() { manager.Leave(b.settings.GracePeriod() / leaveShareOfGrace) })
 }
+
+// coordinationTimes are the bounds of locks, numbers and cells, or nil where stewards keep none.
+func coordinationTimes(nodeSettings *settings.Settings) *controlkeys.CoordinationTimes {
+	if !nodeSettings.ServesCoordination() {
+		return nil
+	}
+	return &controlkeys.CoordinationTimes{History: nodeSettings.History(), Release: nodeSettings.Release()}
+}
