--- a/cmd/gannetline/askall.go
+++ b/cmd/gannetline/askall.go
@@ -1,12 +1,77 @@
 package main
 
 import (
+	"context"
+	"fmt"
 	"strings"
+	"time"
 
 	"github.com/juju/errors"
 	"github.com/urfave/cli/v3"
+
+	"gannetline/internal/cluster/membership"
+	"gannetline/internal/cluster/peerapi"
+	"gannetline/internal/platform/clock"
 )
 
+// minWatch is the shortest time between two looks, so that a watch costs the stewards little.
+const minWatch = 200 * time.Millisecond
+
+// showFlags are those of commands that show what all stewards tell.
+func showFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "of", Usage: "ask all stewards that the process at `ADDRESS`, ip:port, knows"},
+		&cli.BoolFlag{Name: "json", Usage: "print JSON"},
+		&cli.DurationFlag{Name: "watch", Usage: "show them again every `DURATION`, until Ctrl-C"},
+		&cli.DurationFlag{Name: "timeout", Usage: "how long a process may take", Value: 3 * time.Second},
+	}
+}
+
+// showAgain shows what all stewards tell, once or every --watch; an error names the flag that is wrong.
+func showAgain(ctx context.Context, command *cli.Command, show func(command *cli.Command, known string, timeout time.Duration) error) error {
+	known, watch, timeout := command.String("of"), command.Duration("watch"), command.Duration("timeout")
+	switch {
+	case command.Args().Len() > 0:
+		return cli.Exit(command.Name+" takes no arguments", exitUsage)
+	case !isAddress(known):
+		return cli.Exit(fmt.Sprintf("--of %q is not ip:port", known), exitUsage)
+	case timeout <= 0:
+		return cli.Exit("--timeout must be above 0", exitUsage)
+	case command.IsSet("watch") && watch < minWatch:
+		return cli.Exit(fmt.Sprintf("--watch must be at least %s", minWatch), exitUsage)
+	}
+	for {
+		if err := show(command, known, timeout); err != nil || watch == 0 {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-clock.System().After(watch):
+		}
+	}
+}
+
+// askStewards makes a call to all stewards that a process knows; take gets each answer, and silent is an exit that names those that
+// gave none.
+func askStewards[Asked, Answer any](known, procedure string, timeout time.Duration, asked *Asked, take func(*Answer)) (silent, err error) {
+	members, err := membersOf(known, timeout)
+	if err != nil {
+		return nil, err
+	}
+	var stewards []process
+	for _, member := range members {
+		if member.column == membership.RoleSteward {
+			stewards = append(stewards, member)
+		}
+	}
+	caller := peerapi.NewCaller(peerapi.Client(timeout, 1))
+	outcomes := askAll(stewards, func(steward process) (*Answer, error) {
+		return peerapi.Call[Asked, Answer](context.Background(), caller, steward.address, procedure, timeout, asked)
+	})
+	return eachAnswer(stewards, outcomes, func(_ process, answer *Answer) { take(answer) }), nil
+}
+
 // outcome is what one process answered, or why it did not.
 type outcome[Answer any] struct {
 	answer Answer
--- a/cmd/gannetline/main.go
+++ b/cmd/gannetline/main.go
@@ -19,6 +19,8 @@
 	exitUsage   = 2
 	exitDiffers = 3
 	exitSilent  = 4
+	exitLost    = 5
+	exitNotFree = 6
 )
 
 func main() {
@@ -43,6 +45,11 @@
 			rehearseCommand(),
 			metricsCommand(),
 			tenantsCommand(),
+			lockCommand(),
+			electCommand(),
+			locksCommand(),
+			numberCommand(),
+			keyCommand(),
 			hollowCommand(),
 		},
 		Action: func(_ context.Context, command *cli.Command) error {
--- a/internal/cluster/peerapi/calls.go
+++ b/internal/cluster/peerapi/calls.go
@@ -31,6 +31,8 @@
 	ProcedureExchange = Prefix + "Exchange"
 	ProcedureBeliefs  = Prefix + "Beliefs"
 	ProcedureTenants  = Prefix + "Tenants"
+	// ProcedureCoordination asks for locks, numbers and cells of the keys that are led there.
+	ProcedureCoordination = Prefix + "Coordination"
 	// ProcedureExecutors asks for the list of executors.
 	ProcedureExecutors = Prefix + "Executors"
 	// ProcedureRetire has a storage machine be emptied.
--- a/internal/control/controlkeys/coordination.go
+++ b/internal/control/controlkeys/coordination.go
@@ -1,8 +1,10 @@
 package controlkeys
 
 import (
+	"context"
 	"time"
 
+	"gannetline/internal/cluster/peerapi/wire"
 	"gannetline/internal/control/coordination"
 )
 
@@ -24,3 +26,8 @@
 	return coordination.Surroundings{Clock: m.Clock, Log: m.Log, HistoryTime: m.Coordination.History + historyMargin,
 		ReleaseTime: m.Coordination.Release}
 }
+
+// CoordinationReports gathers what the parts that are led here hold.
+func (m *Manager) CoordinationReports(ctx context.Context, _ *wire.CoordinationCall) (*wire.CoordinationReports, error) {
+	return &wire.CoordinationReports{Reports: gatherReports[wire.CoordinationReport](ctx, m, wire.VerbCoordination)}, nil
+}
--- a/internal/control/controlkeys/tenants.go
+++ b/internal/control/controlkeys/tenants.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"maps"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/mailru/easyjson"
@@ -121,32 +119,5 @@
 
 // Tenants gathers what the keys that are led here know of tenants. What can't be had before ctx is done is left out.
 func (m *Manager) Tenants(ctx context.Context, _ *wire.TenantsCall) (*wire.TenantsAnswer, error) {
-	answer := &wire.TenantsAnswer{}
-	if !m.hasDisk() {
-		return answer, nil
-	}
-	runners, err := mailbox.Ask(ctx, m.mailbox, func(answer func(map[string]*keyRunner)) { answer(maps.Clone(m.runners)) })
-	if err != nil {
-		return answer, nil
-	}
-	for _, key := range slices.Sorted(maps.Keys(runners)) {
-		if report := runners[key].tenantReport(ctx, key); report != nil {
-			answer.Reports = append(answer.Reports, *report)
-		}
-	}
-	return answer, nil
-}
-
-// tenantReport asks the state machine of a key, which gives nil where it knows nothing of tenants or the key is led elsewhere.
-func (r *keyRunner) tenantReport(ctx context.Context, key string) *wire.TenantCountReport {
-	call := &wire.ClientCall{Key: key, Verb: wire.VerbTenants}
-	told, err := mailbox.Ask(ctx, r.stateMailbox, func(answer func(wire.ClientAnswer)) { r.execute(call, answer) })
-	if err != nil || told.Status != http.StatusOK {
-		return nil
-	}
-	report := &wire.TenantCountReport{}
-	if err := easyjson.Unmarshal(told.Body, report); err != nil {
-		return nil
-	}
-	return report
+	return &wire.TenantsAnswer{Reports: gatherReports[wire.TenantCountReport](ctx, m, wire.VerbTenants)}, nil
 }
