--- a/internal/control/controlkeys/keyrunner.go
+++ b/internal/control/controlkeys/keyrunner.go
@@ -53,11 +53,11 @@
 	}
 	engineMailbox := mailbox.New(engineMailboxSize)
 	runner := &keyRunner{engineMailbox: engineMailbox, stateMailbox: engineMailbox}
-	newEngine := func(machine replication.StateMachine) *replication.Engine {
+	newEngine := func(machine replication.StateMachine, options ...replication.Option) *replication.Engine {
 		transport := &peerTransport{manager: m, engineMailbox: engineMailbox, ctx: m.ctx}
-		return replication.NewEngine(key, m.disk, m.Name, m.Clock, transport, machine, m.disksInCluster,
-			replication.WithInitialVoters(initialVoters), replication.WithLog(m.Log), replication.WithAnnounce(m.Node.Announce),
-			replication.WithMachineLosses(m.MachineLosses))
+		options = append(options, replication.WithInitialVoters(initialVoters), replication.WithLog(m.Log),
+			replication.WithAnnounce(m.Node.Announce), replication.WithMachineLosses(m.MachineLosses))
+		return replication.NewEngine(key, m.disk, m.Name, m.Clock, transport, machine, m.disksInCluster, options...)
 	}
 	owner := mailbox.Owner{Every: tickInterval}
 	var tickMachine func()
@@ -69,10 +69,10 @@
 		runner.machine, runner.engine = machine, newEngine(machine)
 	case tenantcount.IsKey(key):
 		machine := countMachine{countleader.New(key, m.Clock, m.Log, m.countPolicy)}
-		runner.machine, runner.engine = machine, newEngine(machine)
+		runner.machine, runner.engine = machine, newEngine(machine, replication.WithPreferredLeader())
 	case coordination.IsKey(key):
 		machine := coordinationMachine{coordination.New(key, m.coordinationSurroundings())}
-		runner.machine, runner.engine, tickMachine = machine, newEngine(machine), machine.Tick
+		runner.machine, runner.engine, tickMachine = machine, newEngine(machine, replication.WithPreferredLeader()), machine.Tick
 	case lots.IsKey(key):
 		host := m.startLots(key, runner)
 		runner.engine = newEngine(host)
--- a/internal/control/coordination/names.go
+++ b/internal/control/coordination/names.go
@@ -8,8 +8,9 @@
 	"gannetline/internal/cluster/peerapi/wire"
 )
 
-// Parts is how many keys the names are divided among. It must not change while any of them holds state.
-const Parts = 1
+// Parts is how many keys the names are divided among. It must not change while any of them holds state. As many as there are stewards in
+// a small deployment: the loss of one stops the calls about few names, and a key costs little (docs/design/coordination.md).
+const Parts = 8
 
 // groupSeparator ends the name of a group within that of a cell; the group's name has it, too.
 const groupSeparator = "."
--- a/internal/control/replication/append.go
+++ b/internal/control/replication/append.go
@@ -154,6 +154,7 @@
 		e.noteFailure(follower)
 	}
 	e.advanceCommit()
+	e.maybeMoveToPreferred()
 	if e.phase == phaseLeading || e.phase == phaseOpening {
 		e.sendAppend(follower, false)
 	}
--- a/internal/control/replication/engine.go
+++ b/internal/control/replication/engine.go
@@ -78,6 +78,7 @@
 	progress    progressHistory
 	slowness    slownessWatch
 	shortage    shortageWatch
+	preferred   preferredWatch
 
 	leaving leaveRequest
 }
--- a/internal/control/replication/lease.go
+++ b/internal/control/replication/lease.go
@@ -63,6 +63,7 @@
 		e.maybeChangeVoters()
 		e.maybeTransferLeadership()
 	}
+	e.maybeMoveToPreferred()
 }
 
 // releaseIfUnfit gives the key up if this process can't go on leading it for reasons of its own.
--- a/internal/control/replication/options.go
+++ b/internal/control/replication/options.go
@@ -34,6 +34,8 @@
 	timing    Timing
 	log       logging.Logger
 	announce  func(wire.KeyLeader)
+	// hasPreferredLeader has the first voter in the key's own order lead, whenever it is fit to.
+	hasPreferredLeader bool
 }
 
 func defaultOptions() options {
@@ -51,6 +53,10 @@
 	return func(o *options) { o.voterGoal = 2*max(1, losses) + 1 }
 }
 
+// WithPreferredLeader has the key move to the first voter in the key's own order once that has been fit to lead for a while. It suits keys
+// of which there are many, and whose state is soon read.
+func WithPreferredLeader() Option { return func(o *options) { o.hasPreferredLeader = true } }
+
 // WithLog gives the engine a logger; without it, it logs nothing.
 func WithLog(log logging.Logger) Option { return func(o *options) { o.log = log } }
 
--- a/internal/control/replication/takeover.go
+++ b/internal/control/replication/takeover.go
@@ -50,6 +50,7 @@
 	e.progress = nil
 	e.slowness = newSlownessWatch(now)
 	e.shortage = shortageWatch{since: now}
+	e.preferred = preferredWatch{}
 }
 
 // commitOpening commits a first change under the new epoch, and then hands the state to the machine. With that change all
--- a/internal/simulation/modelcheck/controlmodel/coordination.go
+++ b/internal/simulation/modelcheck/controlmodel/coordination.go
@@ -8,6 +8,7 @@
 	"gannetline/internal/cluster/peerapi/wire"
 	"gannetline/internal/control/coordination"
 	"gannetline/internal/control/coordinationapi"
+	"gannetline/internal/control/replication"
 	"gannetline/internal/platform/clock"
 	"gannetline/internal/platform/logging"
 	"gannetline/internal/platform/response"
@@ -26,8 +27,10 @@
 	// Few names, so that callers meet at them.
 	lockCount, numberCount, groupCount, cellCount = 2, 2, 2, 3
 	watcherCount                                  = 2
+	// moveTime is when the key has surely gone to its preferred leader, with which the time of locks begins anew.
+	moveTime = 18 * time.Second
 	// holdersTime is when all locks must be free after the callers have ended, also those whose holders died.
-	holdersTime = 3*maxHoldMs*time.Millisecond + modelRelease
+	holdersTime = moveTime + 3*maxHoldMs*time.Millisecond + modelRelease
 )
 
 // coordinationService is a part with locks, numbers and cells, and the applications that use it.
@@ -47,6 +50,10 @@
 
 func (s *coordinationService) key() string { return coordination.KeyOf(0) }
 
+func (s *coordinationService) engineOptions() []replication.Option {
+	return []replication.Option{replication.WithPreferredLeader()}
+}
+
 func (s *coordinationService) machineOf(n *simNode) keyMachine {
 	part := coordination.New(s.key(), coordination.Surroundings{Clock: &n.clock, Log: logging.Silent(), HistoryTime: keptHistory, ReleaseTime: modelRelease})
 	return n.cluster.fault.wrapPart(&coordinationMachine{part})
@@ -83,7 +90,7 @@
 	command.Call.Key = s.key()
 	command.Call.RemainingMs = command.Wait.Milliseconds()
 	reply := func(outcome leaderclient.Outcome) response.Reply { return coordinationapi.Reply(command, outcome) }
-	s.cluster.operate(via, request{call: &command.Call, wait: command.Wait, reply: reply}, func(answer *response.Reply) {
+	s.cluster.operate(via, request{call: &command.Call, wait: command.Wait, reply: reply, arrivesOnce: true}, func(answer *response.Reply) {
 		if answer != nil {
 			s.cluster.tell("%s %s %s at %d: %d %s", command.Call.Verb, command.Call.ID, command.Call.Body, command.Call.Base, answer.Status, answer.Body)
 			s.cluster.cover(fmt.Sprintf("%s %d", command.Call.Verb, answer.Status))
--- a/internal/simulation/modelcheck/controlmodel/coordinationoracles.go
+++ b/internal/simulation/modelcheck/controlmodel/coordinationoracles.go
@@ -278,6 +278,7 @@
 // never: one that nobody ever saw is left out.
 func (s *coordinationService) judge() {
 	for _, group := range s.groups {
+		undecided := group.attributeRevisions()
 		histories := map[string][]porcupine.Operation{}
 		add := func(name string, output any, begun, ended time.Duration) {
 			histories[name] = append(histories[name], porcupine.Operation{ClientId: len(histories[name]), Output: output, Call: int64(begun), Return: int64(ended)})
@@ -296,11 +297,39 @@
 			}
 		}
 		for name, operations := range histories {
+			if undecided[name] {
+				s.cluster.cover("history left undecided")
+				continue
+			}
 			s.judgeCell(name, operations)
 		}
 	}
 }
 
+// attributeRevisions finds the puts of revisions that are known from refusals alone: such a revision belongs to a put without a clear
+// answer. Where several may have it, the cell is left undecided.
+func (g *groupHistory) attributeRevisions() (undecided map[string]bool) {
+	undecided = map[string]bool{}
+	for _, refused := range g.puts {
+		if !refused.isRefused || refused.refusedFor == 0 || g.shown[refused.refusedFor] != nil {
+			continue
+		}
+		var candidates []*modelPut
+		for _, put := range g.puts {
+			if put.name == refused.name && put.isOpen && put.ended == 0 && put.revision == 0 {
+				candidates = append(candidates, put)
+			}
+		}
+		if len(candidates) != 1 {
+			undecided[refused.name] = true
+			continue
+		}
+		candidates[0].revision = refused.refusedFor
+		g.shown[refused.refusedFor] = candidates[0]
+	}
+	return undecided
+}
+
 func (s *coordinationService) judgeCell(name string, operations []porcupine.Operation) {
 	if len(operations) > maxOperations {
 		s.cluster.cover("history too long for porcupine")
--- a/internal/simulation/modelcheck/controlmodel/leader.go
+++ b/internal/simulation/modelcheck/controlmodel/leader.go
@@ -9,6 +9,7 @@
 
 	"gannetline/internal/cluster/peerapi/wire"
 	"gannetline/internal/control/configleader"
+	"gannetline/internal/control/replication"
 	"gannetline/internal/platform/logging"
 	"gannetline/internal/simulation/modelcheck"
 )
@@ -24,6 +25,8 @@
 
 func (s *configurationService) key() string { return configleader.Key }
 
+func (s *configurationService) engineOptions() []replication.Option { return nil }
+
 func (s *configurationService) machineOf(n *simNode) keyMachine {
 	leader := configleader.New(logging.Silent(), func(committed *wire.Configuration) { s.cluster.noteInForce(digestOf(committed.Body)) })
 	return &configurationMachine{leader, n}
--- a/internal/simulation/modelcheck/controlmodel/node.go
+++ b/internal/simulation/modelcheck/controlmodel/node.go
@@ -108,10 +108,10 @@
 	n.known, n.hint = nil, leaderHint{}
 	n.cluster.tell("%s starts, disk %s", n.name, n.disk.name)
 	n.machine = n.cluster.service.machineOf(n)
+	options := append(n.cluster.service.engineOptions(), replication.WithInitialVoters(n.cluster.voters),
+		replication.WithMachineLosses(n.cluster.schedule.Losses), replication.WithLog(n.cluster.logOf(n)))
 	n.engine = replication.NewEngine(n.cluster.service.key(), n.disk.name, n.name, &n.clock, n.cluster.fault.wrapLinks(n, &links{n}),
-		n.cluster.fault.wrapMachine(n, &stateMachine{n}), n.members,
-		replication.WithInitialVoters(n.cluster.voters), replication.WithMachineLosses(n.cluster.schedule.Losses),
-		replication.WithLog(n.cluster.logOf(n)))
+		n.cluster.fault.wrapMachine(n, &stateMachine{n}), n.members, options...)
 	incarnation := n.incarnation
 	n.disk.answered = func() { n.enter(incarnation, n.drain) }
 	n.cluster.after(time.Duration(n.cluster.draw.Int64N(int64(tickEvery))), func() { n.tick(incarnation) })
--- a/internal/simulation/modelcheck/controlmodel/service.go
+++ b/internal/simulation/modelcheck/controlmodel/service.go
@@ -12,6 +12,8 @@
 type service interface {
 	// key is that of the service.
 	key() string
+	// engineOptions are those of the key's engines beyond the usual.
+	engineOptions() []replication.Option
 	// machineOf makes the state machine of a process that starts.
 	machineOf(n *simNode) keyMachine
 	// act plays a step of the callers.
