--- a/internal/simulation/modelcheck/controlmodel/coordination.go
+++ b/internal/simulation/modelcheck/controlmodel/coordination.go
@@ -12,6 +12,7 @@
 	"gannetline/internal/platform/clock"
 	"gannetline/internal/platform/logging"
 	"gannetline/internal/platform/response"
+	"gannetline/internal/simulation/coordinationcheck"
 	"gannetline/internal/simulation/modelcheck"
 )
 
@@ -35,17 +36,17 @@
 
 // coordinationService is a part with locks, numbers and cells, and the applications that use it.
 type coordinationService struct {
-	cluster *simCluster
-	locks   map[string]*lockHistory
-	numbers map[string]*numberHistory
-	groups  map[string]*groupHistory
+	cluster  *simCluster
+	history  coordinationcheck.History
+	callers  []*modelCaller
+	watchers []*modelWatcher
 	// callersEnd is when the applications stop calling.
 	callersEnd time.Duration
 	drawnValue int
 }
 
 func newCoordinationService(w *simCluster) *coordinationService {
-	return &coordinationService{cluster: w, locks: map[string]*lockHistory{}, numbers: map[string]*numberHistory{}, groups: map[string]*groupHistory{}}
+	return &coordinationService{cluster: w}
 }
 
 func (s *coordinationService) key() string { return coordination.KeyOf(0) }
@@ -77,10 +78,12 @@
 	for index := range step.Node {
 		caller := &modelCaller{service: s, holder: fmt.Sprintf("a%d", index), via: index, pause: clock.Milliseconds(int64(max(1, step.Value))),
 			known: map[string]uint64{}}
+		s.callers = append(s.callers, caller)
 		caller.rest()
 	}
 	for index := range watcherCount {
 		watcher := &modelWatcher{service: s, group: groupName(index % groupCount), via: index}
+		s.watchers = append(s.watchers, watcher)
 		watcher.watch()
 	}
 }
@@ -120,6 +123,9 @@
 		}
 	})
 	s.cluster.after(holdersTime, func() {
+		for _, watcher := range s.watchers {
+			watcher.ask(0, func(status int) { s.mustBe(status, "a watch that goes on", 200, 410) })
+		}
 		for index := range lockCount {
 			caller.acquire(lockName(index), modelRelease, func(status int) { s.mustBe(status, "a lock", 200) })
 		}
@@ -136,3 +142,18 @@
 	}
 	s.cluster.violated("settled", "%s is answered %d once all is settled", what, status)
 }
+
+// judge has the oracles look at all that the applications saw.
+func (s *coordinationService) judge() {
+	for _, caller := range s.callers {
+		caller.letGo()
+	}
+	violations, undecided := coordinationcheck.Judge(&s.history, modelHistory)
+	for _, violation := range violations {
+		s.cluster.problems = append(s.cluster.problems, modelcheck.Violation{Oracle: violation.Oracle, AtMs: int(violation.At.Milliseconds()), Detail: violation.Text})
+	}
+	s.cluster.coverage["history left undecided"] += undecided
+	if undecided == 0 {
+		s.cluster.cover("history linearizable")
+	}
+}
