--- /dev/null
+++ b/internal/simulation/soak/application.go
@@ -0,0 +1,248 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/dghubble/sling"
+
+	"gannetline/internal/cluster/peerapi/wire"
+	check "gannetline/internal/simulation/coordinationcheck"
+)
+
+const (
+	applicationStream = 2000
+	// applicationCount make a call at a time each, and as many watch a group of cells each.
+	applicationCount = 4
+	// Few names, so that applications meet at them.
+	lockCount, numberCount, groupCount, cellCount = 4, 2, 2, 4
+	// meanCallPause lies between two calls of an application.
+	meanCallPause = 120 * time.Millisecond
+	// coordinationLimit is how long a call may take until another steward is asked.
+	coordinationLimit = time.Second
+	// putTime is how long a put without a clear answer is sent again, and putPause lies between two times.
+	putTime  = 5 * time.Second
+	putPause = 80 * time.Millisecond
+	// The times for which locks are held, and how often they are renewed at most.
+	minHold, maxHold = 400 * time.Millisecond, 4 * time.Second
+	maxRenewals      = 5
+	// Of a hundred holders, so many sleep beyond their time and so many die.
+	sleepPercent, diePercent = 10, 10
+	watchWait                = 2 * time.Second
+	// historySeconds is how long a revision stays good, as the settings say.
+	historySeconds = 20
+)
+
+// application calls the stewards for locks, numbers and cells, as applications of users do.
+type application struct {
+	*soak
+	name   string
+	client *http.Client
+	draw   *rand.Rand
+	values int
+	known  map[string]uint64
+}
+
+func newApplication(s *soak, number int) *application {
+	return &application{soak: s, name: fmt.Sprintf("a%d", number), client: &http.Client{Timeout: coordinationLimit + watchWait},
+		draw: rand.New(rand.NewPCG(s.options.Seed, uint64(applicationStream+number))), known: map[string]uint64{}}
+}
+
+// startApplications starts those who call and those who watch, until ctx is done.
+func (s *soak) startApplications(ctx context.Context, running *sync.WaitGroup) {
+	for number := range applicationCount {
+		running.Go(func() { newApplication(s, number).run(ctx) })
+		running.Go(func() { newApplication(s, applicationCount+number).watch(ctx, groupName(number%groupCount)) })
+	}
+}
+
+func groupName(number int) string { return fmt.Sprintf("g%d.", number) }
+
+// note writes into the history of applications.
+func (a *application) note(change func(*check.History)) {
+	a.recorder.write(func(h *History) { change(&h.Applications) })
+}
+
+// run makes one call after the other.
+func (a *application) run(ctx context.Context) {
+	for pause(ctx, time.Duration(a.draw.ExpFloat64()*float64(meanCallPause))) {
+		cell := groupName(a.draw.IntN(groupCount)) + strconv.Itoa(a.draw.IntN(cellCount))
+		switch luck := a.draw.IntN(100); {
+		case luck < 40:
+			a.hold(ctx, fmt.Sprintf("l%d", a.draw.IntN(lockCount)))
+		case luck < 55:
+			a.takeNumber(ctx, fmt.Sprintf("n%d", a.draw.IntN(numberCount)))
+		case luck < 85:
+			a.put(ctx, cell)
+		default:
+			a.get(ctx, cell)
+		}
+	}
+}
+
+// call asks a steward drawn by lot; the status is 0 if there was no whole answer.
+func (a *application) call(ctx context.Context, path string, body, into any) int {
+	making := sling.New().Base(a.drawSteward())
+	if body == nil {
+		making = making.Get(path)
+	} else {
+		making = making.Post(path).BodyJSON(body)
+	}
+	request, err := making.Request()
+	if err != nil {
+		return 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, coordinationLimit)
+	defer cancel()
+	response, err := making.Client(a.client).Do(request.WithContext(ctx), into, into)
+	if response == nil || err != nil && into != nil {
+		return 0
+	}
+	return response.StatusCode
+}
+
+func (a *application) drawSteward() string {
+	stewards := a.cluster.stewards()
+	if len(stewards) == 0 {
+		return "http://" + endpoint(a.layout.Stewards[0].IP, controlPort)
+	}
+	return "http://" + endpoint(stewards[a.draw.IntN(len(stewards))].node.IP, controlPort)
+}
+
+// hold takes a lock, renews it some times, and gives it back, sleeps beyond its time, or forgets it.
+func (a *application) hold(ctx context.Context, lock string) {
+	length := minHold + time.Duration(a.draw.Int64N(int64(maxHold-minHold)))
+	path, sentAt := "/v1/locks/"+lock, a.recorder.now()
+	var granted wire.LockAnswer
+	if a.call(ctx, path+"/initiate", &wire.LockCall{Holder: a.name, HoldMs: length.Milliseconds()}, &granted) != http.StatusOK {
+		return
+	}
+	held := &check.Hold{Lock: lock, Holder: a.name, Fence: granted.Fence, SentAt: sentAt, From: a.recorder.now(), To: sentAt + length}
+	renewals, luck := a.draw.IntN(maxRenewals+1), a.draw.IntN(100)
+	for range renewals {
+		if !pause(ctx, time.Duration(a.draw.Int64N(int64(length)))) || !a.renew(ctx, held, length) {
+			break
+		}
+	}
+	if luck < sleepPercent {
+		pause(ctx, 2*length)
+	}
+	// The hold is over before its release is sent.
+	held.To = min(held.To, a.recorder.now())
+	a.note(func(h *check.History) { h.Holds = append(h.Holds, *held) })
+	if luck >= sleepPercent+diePercent {
+		a.call(ctx, path+"/terminate", &wire.LockCall{Holder: a.name, Fence: held.Fence}, nil)
+	}
+}
+
+// renew asks for more time; it is false once the lock is lost. An answer that comes after the holder's time has no effect.
+func (a *application) renew(ctx context.Context, held *check.Hold, length time.Duration) bool {
+	sentAt := a.recorder.now()
+	body := &wire.LockCall{Holder: a.name, Fence: held.Fence, HoldMs: length.Milliseconds()}
+	status := a.call(ctx, "/v1/locks/"+held.Lock+"/heartbeat", body, nil)
+	now := a.recorder.now()
+	switch {
+	case status == http.StatusOK && now < held.To:
+		held.To = max(held.To, sentAt+length)
+	case status == http.StatusConflict:
+		held.To = min(held.To, now)
+		return false
+	}
+	return now < held.To
+}
+
+func (a *application) takeNumber(ctx context.Context, name string) {
+	sentAt := a.recorder.now()
+	var given wire.NumberAnswer
+	if a.call(ctx, "/v1/numbers/"+name, struct{}{}, &given) == http.StatusOK {
+		number := check.Number{Name: name, Value: given.Value, SentAt: sentAt, At: a.recorder.now()}
+		a.note(func(h *check.History) { h.Numbers = append(h.Numbers, number) })
+	}
+}
+
+// put puts a new value into a cell, again until there is a clear answer.
+func (a *application) put(ctx context.Context, name string) {
+	a.values++
+	put := &check.Put{Name: name, Value: fmt.Sprintf("%s.%d", a.name, a.values), Expected: a.known[name], SentAt: a.recorder.now()}
+	defer func() { a.note(func(h *check.History) { h.Puts = append(h.Puts, put) }) }()
+	for isFirst := true; isFirst || a.recorder.now()-put.SentAt < putTime && pause(ctx, putPause); isFirst = false {
+		var at wire.RevisionAnswer
+		status := a.call(ctx, "/v1/cells/"+name+"/replace", &wire.PutCall{Value: put.Value, Expected: put.Expected}, &at)
+		switch status {
+		case http.StatusOK, http.StatusPreconditionFailed:
+			a.known[name] = at.Revision
+			put.Answers = append(put.Answers, check.PutAnswer{At: a.recorder.now(), IsTaken: status == http.StatusOK, Revision: at.Revision})
+			return
+		case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+			if !put.IsOpen && a.draw.IntN(2) == 0 {
+				put.IsGivenUp = true
+				return
+			}
+		default:
+			put.IsOpen = true
+		}
+	}
+	put.IsOpen = true
+}
+
+func (a *application) get(ctx context.Context, name string) {
+	sentAt := a.recorder.now()
+	var held wire.CellAnswer
+	status := a.call(ctx, "/v1/cells/"+name+"/retrieve", nil, &held)
+	if status != http.StatusOK && status != http.StatusNotFound {
+		return
+	}
+	a.known[name] = held.Revision
+	read := check.Read{Name: name, Value: held.Value, Revision: held.Revision, SentAt: sentAt, At: a.recorder.now()}
+	a.note(func(h *check.History) { h.Reads = append(h.Reads, read) })
+}
+
+// watch follows a group of cells.
+func (a *application) watch(ctx context.Context, group string) {
+	var above uint64
+	var givenAt time.Duration
+	for pause(ctx, time.Duration(a.draw.ExpFloat64()*float64(putPause))) {
+		sentAt := a.recorder.now()
+		var seen wire.WatchAnswer
+		path := fmt.Sprintf("/v1/watch/%s?depends-on=%d&wait-time-ms=%d", group, above, watchWait.Milliseconds())
+		switch a.callWaiting(ctx, path, &seen) {
+		case http.StatusOK:
+			watch := check.Watch{Group: group, Above: above, Events: seen.Events, Revision: seen.Revision, SentAt: sentAt, At: a.recorder.now()}
+			a.note(func(h *check.History) { h.Watches = append(h.Watches, watch) })
+			above, givenAt = seen.Revision, a.recorder.now()
+		case http.StatusGone:
+			gone := check.Gone{Group: group, Above: above, GivenAt: givenAt, SentAt: sentAt}
+			a.note(func(h *check.History) { h.Gone = append(h.Gone, gone) })
+			above = 0
+		}
+	}
+}
+
+// callWaiting is call for an answer that may be kept back.
+func (a *application) callWaiting(ctx context.Context, path string, into any) int {
+	making := sling.New().Base(a.drawSteward()).Get(path)
+	request, err := making.Request()
+	if err != nil {
+		return 0
+	}
+	response, err := making.Client(a.client).Do(request.WithContext(ctx), into, into)
+	if response == nil || err != nil {
+		return 0
+	}
+	return response.StatusCode
+}
+
+// coordinationFaults are the oracles of locks, numbers and cells.
+func coordinationFaults(h *History) []Violation {
+	found, _ := check.Judge(&h.Applications, historySeconds*time.Second)
+	violations := make([]Violation, 0, len(found))
+	for _, violation := range found {
+		violations = append(violations, Violation{Oracle: OracleCoordination, At: violation.At, Text: violation.Oracle + ": " + violation.Text})
+	}
+	return violations
+}
--- a/internal/simulation/soak/client.go
+++ b/internal/simulation/soak/client.go
@@ -41,7 +41,7 @@
 	calls int
 }
 
-// startClients starts the clients, the operator, and those who look at the processes, until ctx is done.
+// startClients starts the clients, the applications, the operator, and those who look at the processes, until ctx is done.
 func (s *soak) startClients(ctx context.Context) *sync.WaitGroup {
 	running := &sync.WaitGroup{}
 	for gateNumber, gate := range s.layout.Gates {
@@ -52,6 +52,7 @@
 			running.Go(func() { c.run(ctx, place == idleClient) })
 		}
 	}
+	s.startApplications(ctx, running)
 	running.Go(func() { newOperator(s).run(ctx) })
 	running.Go(func() { s.sample(ctx) })
 	running.Go(func() { s.recorder.watchStalls(ctx) })
--- a/internal/simulation/soak/history.go
+++ b/internal/simulation/soak/history.go
@@ -8,6 +8,7 @@
 
 	"gannetline/internal/platform/clock"
 	"gannetline/internal/platform/mailbox"
+	check "gannetline/internal/simulation/coordinationcheck"
 	"gannetline/internal/simulation/hollow"
 )
 
@@ -120,6 +121,8 @@
 	Probes           []Probe
 	ReadBacks        []ReadBack
 	Samples          []Sample
+	// Applications is what those saw who use locks, numbers and cells.
+	Applications check.History
 	// Runs are those that the executors tell of, with the time of day in ms; Start is that of the clients' start.
 	Runs    []hollow.RunRecord
 	StartMs int64
--- a/internal/simulation/soak/injectedfaults.go
+++ b/internal/simulation/soak/injectedfaults.go
@@ -24,11 +24,12 @@
 	InjectFence         InjectedFault = "fence"
 	InjectConfiguration InjectedFault = "configuration"
 	InjectExit          InjectedFault = "exit"
+	InjectCoordination  InjectedFault = "coordination"
 	InjectGrowth        InjectedFault = "growth"
 )
 
 // AllInjectedFaults are all that can be injected.
-var AllInjectedFaults = []InjectedFault{InjectLost, InjectTwice, InjectWrong, InjectShown, InjectCut, InjectCancelled, InjectFence, InjectConfiguration, InjectExit, InjectGrowth}
+var AllInjectedFaults = []InjectedFault{InjectLost, InjectTwice, InjectWrong, InjectShown, InjectCut, InjectCancelled, InjectFence, InjectConfiguration, InjectExit, InjectCoordination, InjectGrowth}
 
 func (p InjectedFault) isKnown() bool {
 	return p == InjectNothing || slices.Contains(AllInjectedFaults, p)
@@ -85,6 +86,8 @@
 		h.ReadBacks = append(h.ReadBacks, ReadBack{Steward: "planted", SentAt: last(), Version: version - 1})
 	case InjectExit:
 		h.Exits = append(h.Exits, Exit{Process: "planted", At: last(), Code: 2})
+	case InjectCoordination:
+		h.Applications.Numbers = append(h.Applications.Numbers, h.Applications.Numbers[0])
 	case InjectGrowth:
 		for at := range 2 * minSamples {
 			h.Samples = append(h.Samples, Sample{Process: "planted", At: warmUp + time.Duration(at)*sampleEvery, Memory: float64((20 + 4*at) << 20)})
--- a/internal/simulation/soak/layout.go
+++ b/internal/simulation/soak/layout.go
@@ -5,6 +5,8 @@
 	"path/filepath"
 
 	"go.yaml.in/yaml/v3"
+
+	"gannetline/internal/platform/settings"
 )
 
 // Role is a subcommand of the program.
@@ -129,6 +131,7 @@
 	DataDirectory  string            `yaml:"data-directory,omitempty"`
 	FaultTolerance map[string]int    `yaml:"fault-tolerance"`
 	Bounds         map[string]int    `yaml:"protocol-bounds"`
+	Contracts      []string          `yaml:"active-contracts"`
 	App            string            `yaml:"app,omitempty"`
 	Service        string            `yaml:"service,omitempty"`
 }
@@ -138,7 +141,8 @@
 	fields := settingsFields{Name: node.Name, Role: node.Role, IP: node.IP, Zone: "zone-1", Initial: isInitial, Seeds: seeds,
 		InternalPorts: []int{internalPort, internalPort + internalPorts - 1}, HeartbeatMs: heartbeatMs,
 		FaultTolerance: map[string]int{"machine-losses": l.Losses},
-		Bounds:         map[string]int{"grace-period-s": graceSeconds, "config-apply-ms": configApplyMs, "status_s": statusSeconds}}
+		Bounds:         map[string]int{"grace-period-s": graceSeconds, "config-apply-ms": configApplyMs, "status_s": statusSeconds, "history-s": historySeconds},
+		Contracts:      []string{settings.ContractCoordination}}
 	switch node.Role {
 	case RoleSteward:
 		fields.Listen = map[string]string{"control-plane": endpoint(node.IP, controlPort)}
--- a/internal/simulation/soak/oracles.go
+++ b/internal/simulation/soak/oracles.go
@@ -37,6 +37,9 @@
 	OracleConfiguration Oracle = "configuration"
 	// OracleExit: a process ends though nobody asked, with a code that tells of a failure, or not in time after SIGTERM.
 	OracleExit Oracle = "exit"
+	// OracleCoordination: a lock with two holders, a number or a revision given twice, a stale read, a watch with a gap, and all else that
+	// package coordinationcheck names.
+	OracleCoordination Oracle = "coordination"
 	// OracleGrowth: memory, goroutines, descriptors or bytes on disk grow with time.
 	OracleGrowth Oracle = "growth"
 )
@@ -50,7 +53,7 @@
 
 // oracles are all of them, each a function of the history.
 var oracles = []func(*History) []Violation{lostJobs, repeatedRuns, wrongAnswers, falseCompletions, cutRequests, lateStarts, repeatedFences,
-	staleConfigurations, badExits, growth}
+	staleConfigurations, badExits, coordinationFaults, growth}
 
 // Judge has all oracles read a history, and gives what they find by time.
 func Judge(history *History) []Violation {
--- a/internal/simulation/soak/oracles_test.go
+++ b/internal/simulation/soak/oracles_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	check "gannetline/internal/simulation/coordinationcheck"
 	"gannetline/internal/simulation/hollow"
 )
 
@@ -33,6 +34,7 @@
 	for at := range 2 * minSamples {
 		h.Samples = append(h.Samples, Sample{Process: "steward-1", At: time.Duration(at) * sampleEvery, Memory: float64((30 + at%3) << 20), Goroutines: 100})
 	}
+	h.Applications.Numbers = []check.Number{{Name: "n0", Value: 1, SentAt: time.Second, At: 2 * time.Second}}
 	return h
 }
 
@@ -58,7 +60,8 @@
 		Expect(oraclesOf(h)).To(Equal([]Oracle{Oracle(plant)}))
 	}, Entry("a lost job", InjectLost), Entry("a task run twice", InjectTwice), Entry("a job shown as completed too early", InjectShown),
 		Entry("a start after a cancel", InjectCancelled), Entry("a refused fence that is used on", InjectFence),
-		Entry("an older configuration", InjectConfiguration), Entry("an end that nobody asked for", InjectExit), Entry("memory that grows", InjectGrowth))
+		Entry("an older configuration", InjectConfiguration), Entry("an end that nobody asked for", InjectExit), Entry("memory that grows", InjectGrowth),
+		Entry("a number given twice", InjectCoordination))
 
 	DescribeTable("find one thing each", func(oracle Oracle, change func(*History)) {
 		h := sound()
--- a/internal/simulation/soak/summary.go
+++ b/internal/simulation/soak/summary.go
@@ -30,9 +30,11 @@
 	Versions      int               `json:"versions"`
 	Exits         int               `json:"exits"`
 	Stalls        int               `json:"stalls"`
-	Slopes        []Slope           `json:"slopes,omitempty"`
-	Violations    []Violation       `json:"violations"`
-	ByOracle      map[Oracle]int    `json:"by-oracle"`
+	// Applications counts what applications saw, by kind.
+	Applications map[string]int `json:"applications"`
+	Slopes       []Slope        `json:"slopes,omitempty"`
+	Violations   []Violation    `json:"violations"`
+	ByOracle     map[Oracle]int `json:"by-oracle"`
 }
 
 const (
@@ -44,7 +46,7 @@
 func newSummary(options Options, schedule *Schedule, h *History, violations []Violation) *Summary {
 	report := &Summary{Schedule: schedule, InjectedFault: options.InjectedFault, Struck: map[FaultKind]int{}, Calls: map[string]int{}, States: map[string]int{},
 		ByOracle: map[Oracle]int{}, Runs: len(h.Runs), Versions: len(h.Acknowledgements), Exits: len(h.Exits), Stalls: len(h.Stalls),
-		Slopes: slopes(h), Violations: violations, Jobs: len(acceptedJobs(h))}
+		Applications: applicationCounts(h), Slopes: slopes(h), Violations: violations, Jobs: len(acceptedJobs(h))}
 	latency := hdrhistogram.New(1, maxLatencyMs, latencyDigits)
 	for index := range h.Calls {
 		call := &h.Calls[index]
@@ -67,6 +69,13 @@
 	return report
 }
 
+// applicationCounts counts what applications saw.
+func applicationCounts(h *History) map[string]int {
+	seen := &h.Applications
+	return map[string]int{"holds": len(seen.Holds), "numbers": len(seen.Numbers), "puts": len(seen.Puts), "reads": len(seen.Reads),
+		"watches": len(seen.Watches)}
+}
+
 // maxShown is how many violations the table shows.
 const maxShown = 12
 
@@ -77,6 +86,7 @@
 	fmt.Fprintf(to, "  struck %v, exits %d, stalls of this machine %d\n", r.Struck, r.Exits, r.Stalls)
 	fmt.Fprintf(to, "  answers, ms: half %d, 95 of 100 %d, 99 of 100 %d, worst %d; jobs at last %v\n", r.Latency.P50, r.Latency.P95, r.Latency.P99,
 		r.Latency.Worst, r.States)
+	fmt.Fprintf(to, "  applications: %v\n", r.Applications)
 	for _, violation := range r.Violations[:min(maxShown, len(r.Violations))] {
 		fmt.Fprintf(to, "  %s at %v: %s\n", violation.Oracle, violation.At.Round(time.Millisecond), violation.Text)
 	}
