--- a/internal/cluster/membership/digest.go
+++ b/internal/cluster/membership/digest.go
@@ -32,7 +32,8 @@
 }
 
 func (t *Table) digestFor(role string) wire.Digest {
-	return wire.Digest{ConfigVersion: t.configVersion, MemberSum: t.sumsFor(role).total(), LeaderSum: t.publishedLeaderSum()}
+	return wire.Digest{ConfigVersion: t.configVersion, MemberSum: t.sumsFor(role).total(), LeaderSum: t.publishedLeaderSum(),
+		Evacuations: t.evacuations}
 }
 
 // handleDigest takes what a digest says outright.
@@ -41,6 +42,7 @@
 	for _, leader := range digest.Leaders {
 		isNew = t.MergeLeader(leader) || isNew
 	}
+	t.mergeEvacuations(digest.Evacuations)
 	if digest.ConfigVersion > t.configVersion {
 		t.events.ConfigurationAhead(from, digest.ConfigVersion)
 	}
--- a/internal/cluster/membership/node.go
+++ b/internal/cluster/membership/node.go
@@ -257,3 +257,8 @@
 func (n *Node) HoldsConfiguration(version int64) {
 	n.mailbox.Post(func() { n.table.HoldsConfiguration(version) })
 }
+
+// HoldsEvacuations announces a committed list of evacuations.
+func (n *Node) HoldsEvacuations(evacuations *wire.Evacuations) {
+	n.mailbox.Post(func() { n.table.HoldsEvacuations(evacuations) })
+}
--- a/internal/cluster/membership/probe_test.go
+++ b/internal/cluster/membership/probe_test.go
@@ -123,6 +123,24 @@
 		Expect(t.tables["n5"].MergeLeader(wire.KeyLeader{Key: "plan", Epoch: 3, Name: "n9"})).To(BeFalse())
 	})
 
+	It("spreads evacuations to all, with whom starts later, and never goes back", func() {
+		t := newPairNetwork(20)
+		emptied := &wire.Evacuations{Number: 2, Zones: []wire.EvacuatedZone{{Zone: "z", SinceMs: 5}}}
+		t.tables["n0"].HoldsEvacuations(emptied)
+		t.run(3 * time.Second)
+		for name, view := range t.views {
+			Expect(view.Evacuations.Has("z")).To(BeTrue(), name)
+			Expect(view.EvacuationsAt).To(BeNumerically("<", 3*time.Second), name)
+		}
+		t.tables["n3"].HoldsEvacuations(&wire.Evacuations{Number: 1})
+		t.tables["n4"].HoldsEvacuations(&wire.Evacuations{Number: 3})
+		t.run(3 * time.Second)
+		for name, view := range t.views {
+			Expect(view.Evacuations.Number).To(Equal(int64(3)), name)
+			Expect(view.Evacuations.Has("z")).To(BeFalse(), name)
+		}
+	})
+
 	It("tells who waits on a leader that the key has moved", func() {
 		t := newPairNetwork(3)
 		old := t.views["n1"]
--- a/internal/cluster/membership/table.go
+++ b/internal/cluster/membership/table.go
@@ -53,6 +53,7 @@
 	memberList
 	leaderList
 	configurationNotice
+	evacuationNotice
 	prober
 	leafServer
 	leafClient
@@ -96,7 +97,7 @@
 // configurationNotice is what others are told of the configuration.
 type configurationNotice struct {
 	configVersion int64
-	// versionRounds counts the ticks in which the configuration's version is still announced to others.
+	// versionRounds counts the ticks in which the configuration's version, or a new list of evacuations, is still announced to others.
 	versionRounds int
 }
 
@@ -198,7 +199,7 @@
 	}
 	t.areLeadersPublished = true
 	t.events.Publish(&View{Self: t.self, Members: t.members.publish(), Stewards: t.stewards.publish(), Leaders: t.leaders,
-		IsIsolated: t.isIsolated, LeaderMoved: t.leaderMovedSignal})
+		IsIsolated: t.isIsolated, LeaderMoved: t.leaderMovedSignal, Evacuations: t.evacuations, EvacuationsAt: t.evacuationsAt})
 	if t.hasLeaderMoved {
 		t.hasLeaderMoved = false
 		close(formerMoved)
--- a/internal/cluster/membership/view.go
+++ b/internal/cluster/membership/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"gannetline/internal/cluster/peerapi/wire"
 )
@@ -15,6 +16,10 @@
 	Leaders  map[string]wire.KeyLeader
 	// IsIsolated is set at a local-proxy that no steward has answered for some time.
 	IsIsolated bool
+	// Evacuations are the zones that nothing new is to be sent to, nil if there never were any.
+	Evacuations *wire.Evacuations
+	// EvacuationsAt is when this process learned of them, on its monotonic clock.
+	EvacuationsAt time.Duration
 	// LeaderMoved is closed once any key has another leader than this view says.
 	LeaderMoved chan struct{}
 }
--- a/internal/cluster/peerapi/wire/client.go
+++ b/internal/cluster/peerapi/wire/client.go
@@ -31,6 +31,10 @@
 	VerbReplace Verb = "replace"
 	// VerbRetrieve asks for the configuration.
 	VerbRetrieve Verb = "retrieve"
+	// VerbEvacuate orders the zone that ID names to be emptied, VerbEndEvacuation takes that back, VerbEvacuations asks for all such zones.
+	VerbEvacuate      Verb = "evacuate"
+	VerbEndEvacuation Verb = "evacuation-end"
+	VerbEvacuations   Verb = "evacuations"
 	// VerbSubmitLot hands in a lot of requests, under an ID that the client has chosen.
 	VerbSubmitLot Verb = "lot"
 	// VerbLotResults asks for the results of a lot from the position Base on; the answer may wait for RemainingMs until there is one.
--- /dev/null
+++ b/internal/cluster/peerapi/wire/evacuation.go
@@ -0,0 +1,35 @@
+package wire
+
+import "slices"
+
+//go:generate go run github.com/mailru/easyjson/easyjson -all evacuation.go
+
+// Evacuations are the zones that operators have ordered to be emptied. Number rises with each change of the list, so that of two lists
+// the one with the higher number is the newer; 0 is before the first change.
+type Evacuations struct {
+	Number int64           `json:"n"`
+	Zones  []EvacuatedZone `json:"z,omitempty"`
+}
+
+// EvacuatedZone is a zone that nothing new is sent to. SinceMs is the time of day of the order, in milliseconds since 1970.
+type EvacuatedZone struct {
+	Zone    string `json:"z"`
+	SinceMs int64  `json:"t"`
+}
+
+// Has tells whether a zone is to be emptied. A nil list has none.
+func (e *Evacuations) Has(zone string) bool {
+	return e != nil && slices.ContainsFunc(e.Zones, func(evacuated EvacuatedZone) bool { return evacuated.Zone == zone })
+}
+
+// IsNewerThan compares two lists; nil is before the first change.
+func (e *Evacuations) IsNewerThan(other *Evacuations) bool {
+	return e.number() > other.number()
+}
+
+func (e *Evacuations) number() int64 {
+	if e == nil {
+		return 0
+	}
+	return e.Number
+}
--- a/internal/cluster/peerapi/wire/golden_test.go
+++ b/internal/cluster/peerapi/wire/golden_test.go
@@ -69,6 +69,7 @@
 	"tenant-count-report":   &wire.TenantCountReport{},
 	"tenant-usage":          &wire.TenantUsage{},
 	"tenant-share":          &wire.TenantShare{},
+	"evacuations":           &wire.Evacuations{},
 	"lock-call":             &wire.LockCall{},
 	"lock-answer":           &wire.LockAnswer{},
 	"number-answer":         &wire.NumberAnswer{},
--- a/internal/cluster/peerapi/wire/membership.go
+++ b/internal/cluster/peerapi/wire/membership.go
@@ -40,13 +40,16 @@
 	Name  string `json:"n"`
 }
 
-// Digest carries leaders that are new, or missing at the other side; the sums show the rest and are never 0.
+// Digest carries leaders that are new, or missing at the other side; the sums show the rest and are never 0. Evacuations are the newest
+// that the sender knows, nil if there never were any.
 // A peer of an earlier version sends no sums, and all leaders that it knows.
 type Digest struct {
 	ConfigVersion int64       `json:"p,omitempty"`
 	Leaders       []KeyLeader `json:"o,omitempty"`
 	MemberSum     uint32      `json:"s,omitempty"`
 	LeaderSum     uint32      `json:"h,omitempty"`
+
+	Evacuations *Evacuations `json:"v,omitempty"`
 }
 
 // Datagram is one message of the failure detector, over UDP. Number joins an answer to its probe; Target is whom a
--- a/internal/cluster/peerapi/wire/membership_easyjson.go
+++ b/internal/cluster/peerapi/wire/membership_easyjson.go
@@ -679,6 +679,20 @@
 			} else {
 				out.LeaderSum = uint32(in.Uint32())
 			}
+		case "v":
+			if in.IsNull() {
+				in.Skip()
+				out.Evacuations = nil
+			} else {
+				if out.Evacuations == nil {
+					out.Evacuations = new(Evacuations)
+				}
+				if in.IsNull() {
+					in.Skip()
+				} else {
+					(*out.Evacuations).UnmarshalEasyJSON(in)
+				}
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -738,6 +752,16 @@
 		}
 		out.Uint32(uint32(in.LeaderSum))
 	}
+	if in.Evacuations != nil {
+		const prefix string = ",\"v\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		(*in.Evacuations).MarshalEasyJSON(out)
+	}
 	out.RawByte('}')
 }
 
--- a/internal/control/configleader/configleader.go
+++ b/internal/control/configleader/configleader.go
@@ -38,6 +38,8 @@
 	HasLease() bool
 	// Voters are the disks that vote on the key now.
 	Voters() []string
+	// WallMs is the time of day that the voters agree on, in milliseconds since 1970.
+	WallMs() int64
 }
 
 // Leader decides on the operator's calls, one after the other in the order in which they come.
@@ -48,14 +50,17 @@
 	committed        *wire.Configuration
 	decodedCommitted *configuration.Configuration
 	confirmed        *confirmedVersions
+	// evacuations are the zones that operators have ordered to be emptied, nil before the first order.
+	evacuations *wire.Evacuations
 	// queued are the calls that came while a commit was under way; there are none unless isCommitting.
 	isCommitting bool
 	queued       []queuedCall
 	publish      func(*wire.Configuration)
 	log          logging.Logger
 	// storageDisks are the disks on which lots may be kept; the first lotVoters of them begin.
-	storageDisks func() []string
-	lotVoters    int
+	storageDisks       func() []string
+	lotVoters          int
+	publishEvacuations func(*wire.Evacuations)
 	// standingKeys are keys that there are with every configuration, whatever it says.
 	standingKeys []string
 }
@@ -73,9 +78,14 @@
 	return func(l *Leader) { l.standingKeys = keys }
 }
 
-// queuedCall came while a commit was under way.
+// WithEvacuations names the function that gets each committed list of evacuations.
+func WithEvacuations(publish func(*wire.Evacuations)) Option {
+	return func(l *Leader) { l.publishEvacuations = publish }
+}
+
+// queuedCall came while a commit was under way; decide answers it or commits.
 type queuedCall struct {
-	call   *wire.ClientCall
+	decide func()
 	answer answerClient
 }
 
@@ -84,7 +94,7 @@
 
 // New makes a leader without a leadership; publish gets each committed configuration.
 func New(log logging.Logger, publish func(*wire.Configuration), options ...Option) *Leader {
-	leader := &Leader{publish: publish, log: log, storageDisks: func() []string { return nil }}
+	leader := &Leader{publish: publish, log: log, storageDisks: func() []string { return nil }, publishEvacuations: func(*wire.Evacuations) {}}
 	for _, option := range options {
 		option(leader)
 	}
@@ -102,7 +112,14 @@
 	if err != nil {
 		return err
 	}
-	l.leadership, l.committed, l.confirmed = leadership, committed, confirmed
+	evacuations, err := readEvacuations(pairs)
+	if err != nil {
+		return err
+	}
+	l.leadership, l.committed, l.confirmed, l.evacuations = leadership, committed, confirmed, evacuations
+	if evacuations != nil {
+		l.publishEvacuations(evacuations)
+	}
 	if committed != nil {
 		committed.Confirmed = nil
 		l.publish(published(committed))
@@ -132,7 +149,8 @@
 // Close gives up the key; calls that are queued were not taken.
 func (l *Leader) Close() {
 	queued := l.queued
-	l.leadership, l.committed, l.decodedCommitted, l.confirmed, l.isCommitting, l.queued = nil, nil, nil, nil, false, nil
+	l.leadership, l.committed, l.decodedCommitted, l.confirmed, l.evacuations = nil, nil, nil, nil, nil
+	l.isCommitting, l.queued = false, nil
 	for _, next := range queued {
 		next.answer(wire.ClientAnswer{NotLeader: true})
 	}
@@ -144,11 +162,16 @@
 // Replace decides on an operator's change: confirmed before, on the wrong base, invalid, or committed. While a commit is
 // under way it waits for its turn.
 func (l *Leader) Replace(call *wire.ClientCall, answer answerClient) {
+	l.inTurn(answer, func() { l.decide(call, answer) })
+}
+
+// inTurn decides on a call at once, or after the commit that is under way.
+func (l *Leader) inTurn(answer answerClient, decide func()) {
 	switch {
 	case !l.isCommitting:
-		l.decide(call, answer)
+		decide()
 	case len(l.queued) < maxQueued:
-		l.queued = append(l.queued, queuedCall{call, answer})
+		l.queued = append(l.queued, queuedCall{decide, answer})
 	default:
 		answer(wire.ClientAnswer{NotLeader: true})
 	}
@@ -198,7 +221,7 @@
 	for len(l.queued) > 0 && !l.isCommitting && l.IsOpen() {
 		next := l.queued[0]
 		l.queued = l.queued[1:]
-		l.decide(next.call, next.answer)
+		next.decide()
 	}
 }
 
--- a/internal/control/configleader/configleader_test.go
+++ b/internal/control/configleader/configleader_test.go
@@ -24,6 +24,7 @@
 }
 func (s *scriptedLeadership) HasLease() bool   { return s.hasLease }
 func (s *scriptedLeadership) Voters() []string { return []string{"a", "b", "c"} }
+func (s *scriptedLeadership) WallMs() int64    { return 1000 }
 
 func (s *scriptedLeadership) commitAll() {
 	waiting := s.pending
--- a/internal/control/controlkeys/keyrunner.go
+++ b/internal/control/controlkeys/keyrunner.go
@@ -64,7 +64,8 @@
 	switch {
 	case key == configleader.Key:
 		leader := configleader.New(m.Log, func(committed *wire.Configuration) { m.Configurations.Hold(committed) },
-			configleader.WithStorageDisks(m.storageDisks, 2*max(1, m.MachineLosses)+1), configleader.WithStandingKeys(m.standingKeys()))
+			configleader.WithStorageDisks(m.storageDisks, 2*max(1, m.MachineLosses)+1), configleader.WithStandingKeys(m.standingKeys()),
+			configleader.WithEvacuations(m.Node.HoldsEvacuations))
 		machine := configurationMachine{leader}
 		runner.machine, runner.engine = machine, newEngine(machine)
 	case tenantcount.IsKey(key):
@@ -93,7 +94,8 @@
 // startPool makes the pool of a key and runs it on a goroutine of its own.
 func (m *Manager) startPool(key string, runner *keyRunner) *poolhost.Host {
 	counter := &countCaller{manager: m, ctx: m.ctx}
-	options := append(slices.Clone(m.PoolOptions), scheduler.WithTenants(m.tenantPolicy), scheduler.WithCounter(counter))
+	options := append(slices.Clone(m.PoolOptions), scheduler.WithTenants(m.tenantPolicy), scheduler.WithCounter(counter),
+		scheduler.WithEvacuations(m.isEvacuated))
 	runner.pool = scheduler.New(key, m.Clock, m.Timing, m.Log, options...)
 	runner.machine = poolMachine{runner.pool}
 	host := poolhost.New(runner.pool, runner.engineMailbox)
@@ -103,6 +105,9 @@
 	return host
 }
 
+// isEvacuated tells whether nothing new may be sent to the executors of a zone, as far as this process knows.
+func (m *Manager) isEvacuated(zone string) bool { return m.Node.View().Evacuations.Has(zone) }
+
 // startLots makes the part of a key with lots and runs it on a goroutine of its own.
 func (m *Manager) startLots(key string, runner *keyRunner) *poolhost.Host {
 	runItems := &lateRunner{}
--- a/internal/control/controlkeys/machines.go
+++ b/internal/control/controlkeys/machines.go
@@ -24,6 +24,12 @@
 		return c.Replace
 	case wire.VerbRetrieve:
 		return func(_ *wire.ClientCall, answer func(wire.ClientAnswer)) { c.Retrieve(answer) }
+	case wire.VerbEvacuate:
+		return c.Evacuate
+	case wire.VerbEndEvacuation:
+		return c.EndEvacuation
+	case wire.VerbEvacuations:
+		return func(_ *wire.ClientCall, answer func(wire.ClientAnswer)) { c.Evacuations(answer) }
 	case wire.VerbVersion:
 		return func(_ *wire.ClientCall, answer func(wire.ClientAnswer)) { c.Version(answer) }
 	}
--- a/internal/gate/balancer/balancer.go
+++ b/internal/gate/balancer/balancer.go
@@ -92,12 +92,25 @@
 	clock    clock.Clock
 	services atomic.Pointer[map[string][]*Executor]
 	known    map[string]*Executor
+	// isEvacuated tells whether nothing new may be sent to a zone.
+	isEvacuated func(zone string) bool
+}
+
+// Option changes how a balancer is made.
+type Option func(*Balancer)
+
+// WithEvacuations names the function that tells whether nothing new may be sent to a zone.
+func WithEvacuations(isEvacuated func(zone string) bool) Option {
+	return func(b *Balancer) { b.isEvacuated = isEvacuated }
 }
 
 // New makes a balancer without executors; those of the zone are preferred.
-func New(zone string, clock clock.Clock) *Balancer {
-	balancer := &Balancer{zone: zone, clock: clock, known: map[string]*Executor{}}
+func New(zone string, clock clock.Clock, options ...Option) *Balancer {
+	balancer := &Balancer{zone: zone, clock: clock, known: map[string]*Executor{}, isEvacuated: func(string) bool { return false }}
 	balancer.services.Store(&map[string][]*Executor{})
+	for _, option := range options {
+		option(balancer)
+	}
 	return balancer
 }
 
@@ -138,14 +151,14 @@
 }
 
 // Choose gives the executor of a service for a request with an affinity; excluded ones are left out. It is nil if there is none.
-// Draining executors are never chosen, ejected ones only where there is no other. Executors of the own zone go first; where the
+// Draining executors and those of evacuated zones are never chosen, ejected ones only where there is no other. Executors of the own zone go first; where the
 // candidates are full, the least loaded of all is chosen.
 func (b *Balancer) Choose(service, affinity string, excluded []string) *Executor {
 	now := b.clock.Monotonic()
 	var near, far, ejected []*Executor
 	for _, executor := range (*b.services.Load())[service] {
 		switch {
-		case executor.IsDraining || slices.Contains(excluded, executor.ID):
+		case executor.IsDraining || slices.Contains(excluded, executor.ID) || b.isEvacuated(executor.Zone):
 		case executor.isEjected(now):
 			ejected = append(ejected, executor)
 		case executor.Zone == b.zone:
--- a/internal/gate/balancer/balancer_test.go
+++ b/internal/gate/balancer/balancer_test.go
@@ -22,6 +22,16 @@
 	return all
 }
 
+var _ = It("chooses no executor of a zone that is to be emptied", func() {
+	evacuated := "near"
+	choice := balancer.New("near", clock.NewFake(0), balancer.WithEvacuations(func(zone string) bool { return zone == evacuated }))
+	choice.Update([]wire.ExecutorRecord{{ID: "n", Service: "s", Zone: "near", Slots: 1}, {ID: "f", Service: "s", Zone: "far", Slots: 1}})
+	Expect(choice.Choose("s", "", nil).ID).To(Equal("f"))
+	Expect(choice.Choose("s", "", []string{"f"})).To(BeNil())
+	evacuated = ""
+	Expect(choice.Choose("s", "", nil).ID).To(Equal("n"))
+})
+
 var _ = Describe("the choice of an executor", func() {
 	var now *clock.Fake
 	var choice *balancer.Balancer
--- a/internal/node/localproxy/localproxy_test.go
+++ b/internal/node/localproxy/localproxy_test.go
@@ -122,6 +122,29 @@
 		Expect(call.Answers).To(ConsistOf(wire.OrderAnswer{Task: "t.0.0.0", Run: 1, Kind: "launch", Result: "not-run"}))
 	})
 
+	It("starts nothing in a zone that is to be emptied, but what was placed a moment before", func() {
+		var since time.Duration
+		isOrdered := false
+		table = localproxy.NewTable(fakeClock, logging.Silent(), "s", "d", "side-1", nothing, nothing, nothing,
+			localproxy.WithEvacuation(func() (time.Duration, bool) { return since, isOrdered }))
+		heartbeat("i-1", "ready", 1)
+		told(wire.ExchangeAnswer{Fence: 3, GrantMs: 6000})
+		isReady := func() bool {
+			_, isDue := table.Ready("i-1", launch)
+			return isDue
+		}
+		Expect(isReady()).To(BeTrue())
+		isOrdered, since = true, fakeClock.Monotonic()
+		fakeClock.Advance(1900 * time.Millisecond)
+		Expect(isReady()).To(BeTrue(), "gangs may complete their start")
+		fakeClock.Advance(100 * time.Millisecond)
+		Expect(isReady()).To(BeFalse())
+		call, _ := table.Compose(0)
+		Expect(call.Answers).To(ConsistOf(wire.OrderAnswer{Task: "t.0.0.0", Run: 1, Kind: "launch", Result: "not-run"}))
+		isOrdered = false
+		Expect(isReady()).To(BeTrue())
+	})
+
 	It("heeds no leader of an older epoch", func() {
 		told(wire.ExchangeAnswer{Fence: 5})
 		Expect(told(wire.ExchangeAnswer{Fence: 4, Orders: []wire.Order{launch}})).To(BeEmpty())
--- a/internal/node/localproxy/orders.go
+++ b/internal/node/localproxy/orders.go
@@ -58,7 +58,7 @@
 	ExpiryMs int64
 }
 
-// Ready is the last check before an executor: incarnation, leader, drain and grant. An order that waited here while the
+// Ready is the last check before an executor: incarnation, leader, drain, evacuation and grant. An order that waited here while the
 // pool changed its leader is carried out only if the new one gave it, too.
 func (t *Table) Ready(executorID string, order wire.Order) (OrderWork, bool) {
 	current := t.currentIs(executorID)
@@ -95,7 +95,7 @@
 // isStartReady tells whether a start may be sent; if not, the leader gets the reason, or gives it again.
 func (t *Table) isStartReady(current *executorState, work OrderWork) bool {
 	switch {
-	case current.isDraining:
+	case current.isDraining || t.isEvacuated():
 		t.HandleOrderResult(work, wire.ResultNotRun)
 	case t.isUnresponsive(current):
 		t.HandleOrderResult(work, current.resultWhileUnresponsive(work.Order))
--- a/internal/node/localproxy/table.go
+++ b/internal/node/localproxy/table.go
@@ -31,6 +31,8 @@
 	onAckDue     func()
 	onRunStarted func()
 	session      uint64
+	// evacuation tells whether, and since when, the zone is to be emptied.
+	evacuation func() (since time.Duration, isOrdered bool)
 }
 
 // TableOption changes how a table is made.
@@ -50,7 +52,7 @@
 // acknowledged. They must not block.
 func NewTable(clock clock.Clock, log logging.Logger, service, domain, name string, onReportDue, onListDue, onAckDue func(), options ...TableOption) *Table {
 	table := &Table{clock: clock, log: log, service: service, domain: domain, name: name, onReportDue: onReportDue, onListDue: onListDue, onAckDue: onAckDue,
-		onRunStarted: onReportDue, drainTime: defaultDrainTime}
+		onRunStarted: onReportDue, drainTime: defaultDrainTime, evacuation: noEvacuation}
 	for _, option := range options {
 		option(table)
 	}
--- a/internal/platform/settings/settings.go
+++ b/internal/platform/settings/settings.go
@@ -285,6 +285,12 @@
 	return slices.Contains(s.Contracts, ContractCoordination)
 }
 
+// HasZone tells whether a zone is this machine's own, or one of those that the settings list.
+func (s *Settings) HasZone(zone string) bool {
+	_, isListed := s.Domains[zone]
+	return isListed || zone == s.Domain
+}
+
 func isAddress(text string) bool {
 	host, port, err := net.SplitHostPort(text)
 	return err == nil && net.ParseIP(host) != nil && port != ""
--- a/internal/roles/steward.go
+++ b/internal/roles/steward.go
@@ -20,6 +20,7 @@
 	"gannetline/internal/platform/mailbox"
 	"gannetline/internal/platform/queuerules"
 	"gannetline/internal/platform/settings"
+	"gannetline/internal/platform/stallwatch"
 	"gannetline/internal/scheduling/recording"
 	"gannetline/internal/scheduling/scheduler"
 )
@@ -66,6 +67,9 @@
 	b.serveExecutors()
 	outer := http.NewServeMux()
 	outer.Handle("/v1/configuration/", controlapi.Handler(asker))
+	stalls := stallwatch.New(b.clock)
+	b.tree.Add("stalls", stalls.Run)
+	outer.Handle(controlapi.PrefixEvacuation, controlapi.NewEvacuation(asker, b.settings.HasZone, stalls.MayHaveWaited))
 	outer.Handle(controlapi.PrefixRetire, controlapi.NewRetire(b.caller, b.node.View, b.settings.FaultTolerance.MachineLosses))
 	if b.settings.ServesCoordination() {
 		coordinationapi.NewHandler(manager.AskLeader, b.clock, b.log, b.asked).Register(outer)
--- a/internal/roles/storagemachine.go
+++ b/internal/roles/storagemachine.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"gannetline/internal/cluster/comparenodes"
 	"gannetline/internal/cluster/configcache"
 	"gannetline/internal/cluster/executorlist"
 	"gannetline/internal/cluster/membership"
+	"gannetline/internal/cluster/peerapi/wire"
 	"gannetline/internal/control/controlkeys"
 	"gannetline/internal/platform/gcpacing"
 	"gannetline/internal/platform/mailbox"
@@ -29,11 +31,14 @@
 	knownPeers := kept.peers(b.log)
 	b.join(kept.member(""), membership.OnConfigurationAhead(configurations.FetchFrom), membership.WithKnownPeers(knownPeers))
 	executors := b.followExecutors(executorlist.NearSteward, func(*executorlist.List) {})
+	openExecutors := func(service string) []wire.ExecutorRecord {
+		return slices.DeleteFunc(slices.Clone(executors.OfService(service)), func(executor wire.ExecutorRecord) bool { return b.isEvacuated(executor.Zone) })
+	}
 	retention := time.Duration(b.settings.Bounds.StatusS * float64(time.Second))
 	manager := controlkeys.New(controlkeys.Config{Clock: b.clock, Log: b.log, Store: kept.store,
 		MachineLosses: b.settings.FaultTolerance.MachineLosses, Name: b.settings.NodeName, Caller: b.caller, Node: b.node,
 		Configurations: configurations, Replicas: kept.replicas,
-		Lots: &controlkeys.LotSurroundings{Executors: executors.OfService, Client: executorClient(), Retention: retention}})
+		Lots: &controlkeys.LotSurroundings{Executors: openExecutors, Client: executorClient(), Retention: retention}})
 	manager.Handle(b.inner)
 	comparenodes.Handle(b.inner, comparenodes.Sources{View: b.node.View, Configuration: configurations.Current, Keys: manager.Beliefs})
 	b.tree.Add("known-peers", b.savePeers(kept.store, knownPeers))
--- a/internal/scheduling/scheduler/executortable.go
+++ b/internal/scheduling/scheduler/executortable.go
@@ -118,8 +118,13 @@
 
 func (p *Pool) viewOf(executor *executorState, now time.Duration) placement.Executor {
 	return placement.Executor{Free: executor.capacity.Minus(executor.allocated), Total: executor.capacity, Labels: executor.labels, Rack: executor.rack(),
-		Penalty: executor.penaltyScore() + executor.slownessPenalty() + executor.overduePenalty(now), RunLimit: executor.remainingRuns(), IsUnschedulable: !executor.isFenced || executor.isDraining || executor.isUnschedulable || now < executor.ejectedUntil ||
-			now-executor.contactAt > p.timing.SilentAfter}
+		Penalty: executor.penaltyScore() + executor.slownessPenalty() + executor.overduePenalty(now), RunLimit: executor.remainingRuns(), IsUnschedulable: p.isOutOfUse(executor, now)}
+}
+
+// isOutOfUse tells whether no new run goes to an executor now.
+func (p *Pool) isOutOfUse(executor *executorState, now time.Duration) bool {
+	isAway := executor.isUnschedulable || now < executor.ejectedUntil || now-executor.contactAt > p.timing.SilentAfter
+	return !executor.isFenced || executor.isDraining || isAway || p.isEvacuated(executor.domain)
 }
 
 func (p *Pool) removeExecutor(executor *executorState) {
--- a/internal/scheduling/scheduler/pool.go
+++ b/internal/scheduling/scheduler/pool.go
@@ -63,6 +63,8 @@
 	tenants tenantTable
 	// policyInForce is what the newest configuration says of tenants.
 	policyInForce func() TenantPolicy
+	// isEvacuated tells whether nothing new may be sent to the executors of a zone.
+	isEvacuated func(zone string) bool
 	// counter is nil where the pool is the only one; ledger then is, too.
 	counter Counter
 	ledger  *tenantcount.Ledger
@@ -138,7 +140,8 @@
 
 // New makes a pool that is closed until Open.
 func New(key string, clock clock.Clock, timing Timing, log logging.Logger, options ...Option) *Pool {
-	pool := &Pool{key: key, clock: clock, timing: timing, log: log, recorder: silentRecorder{}, policyInForce: noTenantPolicy, metrics: newPoolMetrics(key)}
+	pool := &Pool{key: key, clock: clock, timing: timing, log: log, recorder: silentRecorder{}, policyInForce: noTenantPolicy, isEvacuated: noEvacuations,
+		metrics: newPoolMetrics(key)}
 	pool.health = map[string]*machineHealth{}
 	for _, option := range options {
 		option(pool)
--- a/internal/simulation/modelcheck/controlmodel/service.go
+++ b/internal/simulation/modelcheck/controlmodel/service.go
@@ -44,6 +44,7 @@
 	Commit(ops []wire.Op, done func(error))
 	HasLease() bool
 	Voters() []string
+	WallMs() int64
 }
 
 // serviceOf makes the service that a model is about.
