--- a/internal/control/coordination/cells.go
+++ b/internal/control/coordination/cells.go
@@ -172,8 +172,8 @@
 // dropOldEvents forgets the puts that became durable at a moment or before; more than one change may drop remain for the next time.
 func (t *cellTable) dropOldEvents(before time.Duration) []wire.Op {
 	var ops []wire.Op
-	for _, group := range t.groups {
-		dropped := 0
+	for _, name := range slices.Sorted(maps.Keys(t.groups)) {
+		group, dropped := t.groups[name], 0
 		for dropped < len(group.events) && len(ops) < maxDropsPerCommit {
 			oldest := &group.events[dropped]
 			if oldest.revision > group.committed || oldest.committedAt > before {
--- a/internal/control/coordination/locks.go
+++ b/internal/control/coordination/locks.go
@@ -1,7 +1,9 @@
 package coordination
 
 import (
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/mailru/easyjson"
@@ -91,8 +93,8 @@
 // dropExpired forgets locks whose time is over; else a new leader would begin their time anew.
 func (t *lockTable) dropExpired(now time.Duration) []wire.Op {
 	var ops []wire.Op
-	for name, lock := range t.byName {
-		if now >= lock.until && len(ops) < maxDropsPerCommit {
+	for _, name := range slices.Sorted(maps.Keys(t.byName)) {
+		if now >= t.byName[name].until && len(ops) < maxDropsPerCommit {
 			delete(t.byName, name)
 			ops = append(ops, dropping(recordName(recordLock, name)))
 		}
--- a/internal/control/coordination/watches.go
+++ b/internal/control/coordination/watches.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"maps"
 	"net/http"
 	"slices"
 	"time"
@@ -72,7 +73,7 @@
 
 // answerDueWatchers gives nothing to the watchers that have waited long enough.
 func (p *Part) answerDueWatchers(now time.Duration) {
-	for _, group := range p.cells.watched {
+	for _, group := range p.cells.watchedInOrder() {
 		p.takeWatchers(group, func(watcher *watcher) bool { return now >= watcher.until })
 	}
 }
@@ -96,10 +97,19 @@
 	}
 }
 
+// watchedInOrder gives the groups at which a watcher waits in the order of their names, so that a run can be repeated.
+func (t *cellTable) watchedInOrder() []*group {
+	groups := make([]*group, 0, len(t.watched))
+	for _, name := range slices.Sorted(maps.Keys(t.watched)) {
+		groups = append(groups, t.watched[name])
+	}
+	return groups
+}
+
 // takeWatchers takes all watchers away.
 func (t *cellTable) takeWatchers() []*watcher {
 	var all []*watcher
-	for _, group := range t.watched {
+	for _, group := range t.watchedInOrder() {
 		all = append(all, group.watchers...)
 		group.watchers = nil
 	}
--- a/internal/simulation/modelcheck/controlmodel/coordination_test.go
+++ b/internal/simulation/modelcheck/controlmodel/coordination_test.go
@@ -35,6 +35,13 @@
 		}
 	})
 
+	It("plays a schedule alike each time", func() {
+		for schedule := range uint64(20) {
+			drawn := model.Draw(schedule, 2, modelcheck.SizeSmall)
+			Expect(model.Run(drawn)).To(Equal(model.Run(drawn)))
+		}
+	})
+
 	// Each fault must be found by an oracle of what callers saw.
 	oracles := map[string][]string{
 		"commit-before-majority": {check.OracleStale, check.OracleRevisions, check.OracleLinearizable, check.OracleNumbers, check.OracleOneHolder},
--- a/internal/simulation/modelcheck/controlmodel/draw.go
+++ b/internal/simulation/modelcheck/controlmodel/draw.go
@@ -46,6 +46,9 @@
 	}
 	d.addFaults()
 	m.addTraffic(d)
+	if m.name == Name {
+		d.addEvacuations(seed)
+	}
 	slices.SortStableFunc(d.steps, func(a, b modelcheck.Step) int { return a.AtMs - b.AtMs })
 	return modelcheck.Schedule{Model: m.name, Seed: seed, Losses: losses, Nodes: d.nodes, Steps: d.steps}
 }
--- a/internal/simulation/modelcheck/controlmodel/faultlist.go
+++ b/internal/simulation/modelcheck/controlmodel/faultlist.go
@@ -24,6 +24,10 @@
 		links: func(_ *simNode, inner *links) replication.Transport {
 			return &repeatingLinks{inner, map[string]wire.AppendAnswer{}}
 		}},
+	"evacuations-forgotten": {about: "A new leader opens without the zones that were ordered to be emptied.",
+		machine: func(_ *simNode, inner replication.StateMachine) replication.StateMachine {
+			return unevacuatedMachine{inner}
+		}},
 	"lease-not-looked-at": {about: "A leader answers without looking whether it still has its lease.",
 		leadership: func(_ *simNode, inner keyLeadership) keyLeadership {
 			return carelessLeadership{inner}
@@ -246,6 +250,15 @@
 	return m.StateMachine.Open(leadership, pairs)
 }
 
+// unevacuatedMachine opens without the list of evacuations.
+type unevacuatedMachine struct{ replication.StateMachine }
+
+// Open leaves the record of evacuations out.
+func (m unevacuatedMachine) Open(leadership *replication.Leadership, pairs []wire.Op) error {
+	isRecord := func(pair wire.Op) bool { return pair.Name == recordEvacuations }
+	return m.StateMachine.Open(leadership, slices.DeleteFunc(slices.Clone(pairs), isRecord))
+}
+
 func confirmNumber(n *simNode, ask *wire.ClientCall, answer wire.ClientAnswer) wire.ClientAnswer {
 	plan, err := configuration.Read(ask.Body)
 	if ask.Verb == verbReplace && answer.Status == http.StatusPreconditionFailed && err == nil && plan.Version == n.cluster.record.top {
--- a/internal/simulation/modelcheck/controlmodel/leader.go
+++ b/internal/simulation/modelcheck/controlmodel/leader.go
@@ -28,7 +28,8 @@
 func (s *configurationService) engineOptions() []replication.Option { return nil }
 
 func (s *configurationService) machineOf(n *simNode) keyMachine {
-	leader := configleader.New(logging.Silent(), func(committed *wire.Configuration) { s.cluster.noteInForce(digestOf(committed.Body)) })
+	leader := configleader.New(logging.Silent(), func(committed *wire.Configuration) { s.cluster.noteInForce(digestOf(committed.Body)) },
+		configleader.WithEvacuations(s.cluster.notePublished))
 	return &configurationMachine{leader, n}
 }
 
@@ -61,11 +62,16 @@
 func (m *configurationMachine) Tick() {}
 
 func (m *configurationMachine) execute(call *wire.ClientCall, answer func(wire.ClientAnswer)) {
-	if call.Verb == verbReplace {
+	switch call.Verb {
+	case verbReplace:
 		m.Replace(call, answer)
-		return
+	case wire.VerbEvacuate:
+		m.Evacuate(call, answer)
+	case wire.VerbEndEvacuation:
+		m.EndEvacuation(call, answer)
+	default:
+		m.Retrieve(answer)
 	}
-	m.Retrieve(answer)
 }
 
 // announce lets the others hear of a leader, as their membership does.
--- a/internal/simulation/modelcheck/controlmodel/operators.go
+++ b/internal/simulation/modelcheck/controlmodel/operators.go
@@ -228,7 +228,8 @@
 	call(a.from, to, attempt.Limit, serve,
 		func(answer wire.ClientAnswer, err error) {
 			if err != nil {
-				a.attempts.HandleFailure(errors.Is(err, errRefused))
+				// A second copy of a message that finds the process gone is no connection that was refused.
+				a.attempts.HandleFailure(errors.Is(err, errRefused) && !hasArrived)
 			} else if a.attempts.HandleAnswer(&answer) {
 				a.end()
 				return
--- a/internal/simulation/modelcheck/controlmodel/oracles.go
+++ b/internal/simulation/modelcheck/controlmodel/oracles.go
@@ -36,16 +36,17 @@
 	confirmed map[int64]string
 	top       int64
 	// inForce are the bodies that some leader has held.
-	inForce map[string]bool
-	history []*observation
-	epochs  map[uint64]string
+	inForce     map[string]bool
+	history     []*observation
+	epochs      map[uint64]string
+	evacuations evacuationRecord
 	// bulk is the large pairs' state after each change, by the digest of its body.
 	bulk map[string]bulkState
 }
 
 func newRecord() record {
 	return record{byDigest: map[string]*modelOrder{}, confirmed: map[int64]string{}, inForce: map[string]bool{}, epochs: map[uint64]string{},
-		bulk: map[string]bulkState{}}
+		bulk: map[string]bulkState{}, evacuations: evacuationRecord{byNumber: map[int64]string{}}}
 }
 
 // checkLeases is an oracle: at most one node holds a lease at any moment.
@@ -73,6 +74,7 @@
 		w.noteInForce(record.Digest)
 	}
 	w.checkBulk(n, pairs, committed)
+	w.checkEvacuations(n, pairs)
 	if !n.leadership.HasLease() || w.record.top == 0 {
 		return
 	}
--- a/internal/simulation/modelcheck/controlmodel/steps.go
+++ b/internal/simulation/modelcheck/controlmodel/steps.go
@@ -16,6 +16,7 @@
 	stepStorm          = "storm"
 	stepRead           = "read"
 	stepCallers        = "callers"
+	stepEvacuate       = "evacuate"
 	stepKill           = "kill"
 	stepPower          = "power"
 	stepWipe           = "wipe"
@@ -72,7 +73,7 @@
 	n := w.at(step.Node)
 	w.tell("step %s of %s for %d ms, peer %d, value %d", step.Kind, n.name, step.ForMs, step.Peer, step.Value)
 	switch step.Kind {
-	case stepOrder, stepRace, stepResend, stepBurst, stepStorm, stepRead, stepCallers:
+	case stepOrder, stepRace, stepResend, stepBurst, stepStorm, stepRead, stepCallers, stepEvacuate:
 		w.service.act(step)
 	case stepKill:
 		n.kill()
@@ -239,6 +240,8 @@
 	switch step.Kind {
 	case stepRead:
 		w.read(step.Node, ignore)
+	case stepEvacuate:
+		w.sendEvacuation(step, step.Node, evacuationAttempts)
 	case stepOrder:
 		w.send(w.newOrder(t.newest, t.newest+1+int64(step.Value)), step.Node)
 	case stepRace:
--- a/internal/simulation/modelcheck/ordermodel/injectedfaults.go
+++ b/internal/simulation/modelcheck/ordermodel/injectedfaults.go
@@ -44,6 +44,7 @@
 	faultTicksForgotten           = "placement-put-off"
 	faultCapacityReserved         = "room-reserved-for-ever"
 	faultStateUnanswered          = "state-not-told"
+	faultEvacuationIgnored        = "evacuation-not-heeded"
 )
 
 var injectedFaults = []modelcheck.InjectedFault{
@@ -73,6 +74,7 @@
 	{Name: faultTicksForgotten, About: "A leader looks only every eight seconds for what waits for a time or was not placed at once."},
 	{Name: faultCapacityReserved, About: "All room is reserved for urgent work for as long as any is remembered, also from first runs."},
 	{Name: faultStateUnanswered, About: "A leader does not answer questions for the state of some jobs."},
+	{Name: faultEvacuationIgnored, About: "Leaders and proxies go on sending work to a zone that was evacuated."},
 }
 
 // timing is that of the pool, which some plants change.
@@ -88,6 +90,8 @@
 	return timing
 }
 
+func (p injectedFault) heedsEvacuations() bool { return p.name != faultEvacuationIgnored }
+
 func (p injectedFault) ignoresIncarnation() bool { return p.name == faultWrongIncarnation }
 
 func (p injectedFault) outcome(outcome leaderclient.Outcome) leaderclient.Outcome {
--- a/internal/simulation/modelcheck/ordermodel/network.go
+++ b/internal/simulation/modelcheck/ordermodel/network.go
@@ -51,8 +51,9 @@
 	group int
 	// leaderHint is the steward that this process last heard of as the key's leader; patience is what gives calls to
 	// another one up once it hears of a new leader.
-	leaderHint int
-	patience   map[uint64]func()
+	leaderHint  int
+	patience    map[uint64]func()
+	evacuations knownEvacuations
 }
 
 // untilMoved gives a call up once this process hears of another leader; the result ends that.
@@ -84,6 +85,8 @@
 func (p *modelProcess) boot() {
 	p.isUp, p.isFrozen, p.waiting, p.patience = true, false, nil, map[uint64]func(){}
 	p.incarnation++
+	p.evacuations = knownEvacuations{}
+	p.cluster.tellEvacuations(p)
 }
 
 func (p *modelProcess) wake() {
--- a/internal/simulation/modelcheck/ordermodel/play.go
+++ b/internal/simulation/modelcheck/ordermodel/play.go
@@ -14,6 +14,10 @@
 	if w.playJob(step) {
 		return
 	}
+	if step.Kind == kindEvacuate {
+		w.evacuate(step)
+		return
+	}
 	w.trouble(step.ForMs)
 	length := clock.Milliseconds(int64(step.ForMs))
 	switch step.Kind {
--- a/internal/simulation/modelcheck/ordermodel/proxy.go
+++ b/internal/simulation/modelcheck/ordermodel/proxy.go
@@ -87,8 +87,12 @@
 	notify := func(signal *timerSignal) func() { return func() { p.later(0, signal.strike) } }
 	// A session is the time of day at which the process began.
 	session := uint64(p.cluster.queue.clock.WallMs())
-	p.table = p.cluster.fault.table(p, localproxy.NewTable(p.cluster.queue.clock, logging.Silent(), service, "zone", p.name, notify(&p.work), notify(&p.looks),
-		notify(&p.acks), localproxy.WithSession(session), localproxy.WithStartSignal(notify(&p.starts))))
+	zone := zoneOf(p.executor.number)
+	isEvacuated := func() (time.Duration, bool) {
+		return p.evacuations.at, p.cluster.fault.heedsEvacuations() && p.evacuations.list.Has(zone)
+	}
+	p.table = p.cluster.fault.table(p, localproxy.NewTable(p.cluster.queue.clock, logging.Silent(), service, zone, p.name, notify(&p.work), notify(&p.looks),
+		notify(&p.acks), localproxy.WithSession(session), localproxy.WithStartSignal(notify(&p.starts)), localproxy.WithEvacuation(isEvacuated)))
 	p.holdLoop()
 	p.listLoop()
 	p.pollLoop()
@@ -279,6 +283,7 @@
 		p.carried()
 		return
 	}
+	p.cluster.oracles.checkLaunch(p.executor, order)
 	p.ask(work.Executor, orderLimit, requestOf(work), func(reply executorReply) {
 		switch {
 		case reply.err == nil:
--- a/internal/simulation/modelcheck/ordermodel/schedule.go
+++ b/internal/simulation/modelcheck/ordermodel/schedule.go
@@ -50,6 +50,7 @@
 	kindLoseMessages       = "lose-messages"
 	kindDoubleMessages     = "double-messages"
 	kindDelayMessages      = "delay-messages"
+	kindEvacuate           = "evacuate"
 )
 
 // staysAway is the value of a crash after which no executor comes back to the machine, if its number is odd: the others do, so
@@ -153,6 +154,7 @@
 	for range between(random, minFaults, maxFaults) {
 		plan.addFault()
 	}
+	plan.addEvacuation(seed)
 	slices.SortStableFunc(schedule.Steps, func(a, b modelcheck.Step) int { return a.AtMs - b.AtMs })
 	return schedule
 }
--- a/internal/simulation/modelcheck/ordermodel/simcluster.go
+++ b/internal/simulation/modelcheck/ordermodel/simcluster.go
@@ -32,6 +32,7 @@
 	trace    io.Writer
 	processes
 	conditions
+	evacuations evacuationOrders
 	// calls counts the calls between processes, which number them.
 	calls uint64
 	// isDone ends the run: all jobs are over, and late calls can't come any more.
--- a/internal/simulation/modelcheck/ordermodel/steward.go
+++ b/internal/simulation/modelcheck/ordermodel/steward.go
@@ -46,7 +46,9 @@
 func (s *modelSteward) start() {
 	s.boot()
 	s.leads = nil
-	s.pool = s.cluster.fault.scheduler(scheduler.New(poolKey, jumpingClock{s.cluster.queue.clock, s}, s.cluster.timing, logging.Silent()))
+	isEvacuated := func(zone string) bool { return s.cluster.fault.heedsEvacuations() && s.evacuations.list.Has(zone) }
+	s.pool = s.cluster.fault.scheduler(scheduler.New(poolKey, jumpingClock{s.cluster.queue.clock, s}, s.cluster.timing, logging.Silent(),
+		scheduler.WithEvacuations(isEvacuated)))
 	s.tick()
 }
 
