--- a/check.sh
+++ b/check.sh
@@ -11,7 +11,7 @@
 }
 formatted() {
   local loose
-  loose=$(gofmt -l cmd internal tools)
+  loose=$(gofmt -l client cmd internal tools)
   [ -z "$loose" ] || { echo "not gofmt-ed: $loose"; return 1; }
 }
 # The generators run in a copy of the tree, so that nothing that builds meanwhile takes half-made sources.
@@ -20,7 +20,7 @@
   copy=$(mktemp -d)
   tar --exclude=./.git --exclude=./target --exclude=./journal -cf - . | tar -C "$copy" -xf - || status=1
   go -C "$copy" generate ./... || status=1
-  diff -rq internal "$copy/internal" && diff -rq cmd "$copy/cmd" ||
+  diff -rq internal "$copy/internal" && diff -rq cmd "$copy/cmd" && diff -rq client "$copy/client" ||
     { echo "what differs is not what its generator makes"; status=1; }
   rm -rf "$copy"
   return $status
--- a/client/cells.go
+++ b/client/cells.go
@@ -37,7 +37,7 @@
 
 // Number draws a number that is above all that were drawn under the name.
 func (c *Client) Number(ctx context.Context, name string) (uint64, error) {
-	given, err := c.ask(ctx, call{method: http.MethodPost, path: pathOf("/v1/numbers/", name, ""), body: emptyCall{}})
+	given, err := c.ask(ctx, call{method: http.MethodPost, path: pathOf(prefixNumbers, name, ""), body: emptyCall{}})
 	if err != nil {
 		return 0, err
 	}
@@ -48,7 +48,7 @@
 
 // Get reads a cell, or returns ErrNoCell.
 func (c *Client) Get(ctx context.Context, name string) (Cell, error) {
-	given, err := c.ask(ctx, call{method: http.MethodGet, path: pathOf("/v1/cells/", name, "/retrieve")})
+	given, err := c.ask(ctx, call{method: http.MethodGet, path: pathOf(prefixCells, name, suffixRetrieve)})
 	if err != nil {
 		return Cell{}, err
 	}
@@ -64,7 +64,7 @@
 // *ConflictError says that the cell is at another one. Give ctx no more than some seconds: a put that comes again after more than
 // history-s may be refused although it was taken.
 func (c *Client) Put(ctx context.Context, name, value string, expected uint64) (uint64, error) {
-	given, err := c.ask(ctx, call{method: http.MethodPost, path: pathOf("/v1/cells/", name, "/replace"),
+	given, err := c.ask(ctx, call{method: http.MethodPost, path: pathOf(prefixCells, name, suffixReplace),
 		body: &wire.PutCall{Value: value, Expected: expected}})
 	if err != nil {
 		return 0, err
@@ -105,7 +105,7 @@
 }
 
 func (c *Client) watch(ctx context.Context, group string, above uint64, wait time.Duration) ([]Event, uint64, error) {
-	given, err := c.ask(ctx, call{method: http.MethodGet, path: pathOf("/v1/watch/", group, ""),
+	given, err := c.ask(ctx, call{method: http.MethodGet, path: pathOf(prefixWatch, group, ""),
 		query: &watchQuery{Above: above, WaitMs: wait.Milliseconds()}, wait: wait})
 	if err != nil {
 		return nil, 0, err
--- a/client/client.go
+++ b/client/client.go
@@ -36,6 +36,21 @@
 	holderBytes    = 8
 )
 
+// The paths of calls: a prefix, a name, and for some a suffix that tells what is to be done.
+const (
+	prefixLocks      = "/v1/locks/"
+	prefixNumbers    = "/v1/numbers/"
+	prefixCells      = "/v1/cells/"
+	prefixWatch      = "/v1/watch/"
+	prefixEvacuation = "/v1/evacuation/"
+
+	suffixInitiate  = "/initiate"
+	suffixHeartbeat = "/heartbeat"
+	suffixTerminate = "/terminate"
+	suffixReplace   = "/replace"
+	suffixRetrieve  = "/retrieve"
+)
+
 // ErrNoAnswer ends a call whose context was done before any steward gave a clear answer: it may have been carried out or not.
 const ErrNoAnswer = errors.ConstError("no clear answer in time")
 
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -163,6 +163,26 @@
 		Expect(s.clock.pass()).To(Equal(hold / pollDivisor))
 		Expect((<-got).Fence()).To(Equal(uint64(42)))
 	})
+
+	It("is waited for no longer than the caller says, asked for once at least, and kept beyond that time", func() {
+		s.answers(scriptedAnswer{status: 409}, scriptedAnswer{status: 409}, scriptedAnswer{status: 409})
+		given := make(chan error)
+		go func() {
+			_, err := s.client.AcquireWithin(ctx, "a", hold, 3*hold/pollDivisor/2)
+			given <- err
+		}()
+		Expect(s.clock.pass()).To(Equal(hold / pollDivisor))
+		Expect(s.clock.pass()).To(Equal(hold / pollDivisor / 2))
+		Expect(<-given).To(MatchError(ErrHeld))
+		s.answers(silent)
+		_, err := s.client.AcquireWithin(ctx, "a", hold, 0)
+		Expect(err).To(MatchError(ErrNoAnswer))
+		s.answers(scriptedAnswer{200, `{"fence-number":42}`}, fine)
+		lock, err := s.client.AcquireWithin(ctx, "a", hold, time.Millisecond)
+		Expect(err).NotTo(HaveOccurred())
+		s.clock.pass()
+		Expect(lock.Context().Err()).NotTo(HaveOccurred())
+	})
 })
 
 var _ = Describe("a call", func() {
@@ -209,6 +229,15 @@
 		Expect(err).To(MatchError("Method Not Allowed"))
 	})
 
+	It("orders a zone to be emptied and takes that back, and names why an order can't be taken", func() {
+		s.answers(scriptedAnswer{status: 503}, scriptedAnswer{status: 200}, scriptedAnswer{status: 200}, scriptedAnswer{404, `{"error-text":"there is no zone of that name"}`})
+		Expect(s.client.Evacuate(ctx, "north")).To(Succeed())
+		Expect(s.client.EndEvacuation(ctx, "north")).To(Succeed())
+		Expect(s.client.Evacuate(ctx, "nowhere")).To(MatchError("there is no zone of that name"))
+		Expect([]string{<-s.calls, <-s.calls, <-s.calls}).To(Equal([]string{"POST /v1/evacuation/north/initiate", "POST /v1/evacuation/north/initiate",
+			"POST /v1/evacuation/north/terminate"}))
+	})
+
 	It("reads, puts and follows cells", func() {
 		s.answers(scriptedAnswer{200, `{"value":"v","revision":3}`}, scriptedAnswer{200, `{"revision":4}`}, scriptedAnswer{200, `{"events":[],"revision":4}`},
 			scriptedAnswer{200, `{"events":[],"revision":4}`}, scriptedAnswer{200, `{"events":[{"name":"g.a","value":"w","revision":5}],"revision":5}`})
--- a/client/locks.go
+++ b/client/locks.go
@@ -57,9 +57,14 @@
 // TryAcquire takes a lock, or returns ErrHeld if another holds it. The lock goes to another at the earliest a hold time after the last
 // call that renewed it; it is renewed until ctx is done, Release is called, or it is lost.
 func (c *Client) TryAcquire(ctx context.Context, name string, hold time.Duration) (*Lock, error) {
+	return c.tryAcquire(ctx, name, hold, 0)
+}
+
+// tryAcquire is TryAcquire that gives up once there was no clear answer until then, unless that is 0; it asks once at least.
+func (c *Client) tryAcquire(ctx context.Context, name string, hold, until time.Duration) (*Lock, error) {
 	sentAt := c.clock.Monotonic()
-	given, err := c.ask(ctx, call{method: http.MethodPost, path: pathOf("/v1/locks/", name, "/initiate"),
-		body: &wire.LockCall{Holder: c.holder, HoldMs: hold.Milliseconds()}})
+	given, err := c.ask(ctx, call{method: http.MethodPost, path: pathOf(prefixLocks, name, suffixInitiate),
+		body: &wire.LockCall{Holder: c.holder, HoldMs: hold.Milliseconds()}, until: until})
 	if err != nil {
 		return nil, err
 	}
@@ -76,18 +81,29 @@
 	return lock, nil
 }
 
-// Acquire waits until the lock is free and takes it.
+// Acquire waits until the lock is free and takes it. As with TryAcquire, ctx ends the lock too.
 func (c *Client) Acquire(ctx context.Context, name string, hold time.Duration) (*Lock, error) {
+	return c.acquire(ctx, name, hold, 0)
+}
+
+// AcquireWithin is Acquire that waits for so long at most, and returns ErrHeld or ErrNoAnswer then; it asks once at least. The lock is
+// kept beyond that time, until ctx is done.
+func (c *Client) AcquireWithin(ctx context.Context, name string, hold, wait time.Duration) (*Lock, error) {
+	return c.acquire(ctx, name, hold, max(c.clock.Monotonic()+wait, 1))
+}
+
+// acquire waits for the lock until a moment, or without end if that is 0.
+func (c *Client) acquire(ctx context.Context, name string, hold, until time.Duration) (*Lock, error) {
 	pause := min(max(hold/pollDivisor, minPollPause), maxPollPause)
 	for {
-		lock, err := c.TryAcquire(ctx, name, hold)
-		if !errors.Is(err, ErrHeld) {
+		lock, err := c.tryAcquire(ctx, name, hold, until)
+		if !errors.Is(err, ErrHeld) || until > 0 && c.clock.Monotonic() >= until {
 			return lock, err
 		}
 		select {
 		case <-ctx.Done():
 			return nil, err
-		case <-c.clock.After(pause):
+		case <-c.clock.After(c.pauseWithin(pause, until)):
 		}
 	}
 }
@@ -128,7 +144,7 @@
 func (l *Lock) renew(now, until time.Duration) int {
 	ctx, cancel := context.WithTimeout(l.ctx, until-now)
 	defer cancel()
-	given, err := l.client.ask(ctx, call{method: http.MethodPost, path: pathOf("/v1/locks/", l.name, "/heartbeat"),
+	given, err := l.client.ask(ctx, call{method: http.MethodPost, path: pathOf(prefixLocks, l.name, suffixHeartbeat),
 		body: &wire.LockCall{Holder: l.client.holder, Fence: l.fence, HoldMs: l.hold.Milliseconds()}, until: until})
 	if err != nil {
 		return 0
@@ -140,7 +156,7 @@
 func (l *Lock) Release(ctx context.Context) error {
 	l.end(ErrReleased)
 	<-l.kept
-	given, err := l.client.ask(ctx, call{method: http.MethodPost, path: pathOf("/v1/locks/", l.name, "/terminate"),
+	given, err := l.client.ask(ctx, call{method: http.MethodPost, path: pathOf(prefixLocks, l.name, suffixTerminate),
 		body: &wire.LockCall{Holder: l.client.holder, Fence: l.fence}})
 	if err != nil {
 		return err
--- /dev/null
+++ b/cmd/gannetline/evacuations_test.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gannetline/internal/cluster/comparenodes"
+	"gannetline/internal/cluster/evacuationview"
+	"gannetline/internal/cluster/membership"
+	"gannetline/internal/cluster/peerapi/wire"
+)
+
+var _ = Describe("the commands for evacuations", func() {
+	It("show zones with what runs there, and who knows of the newest order", func() {
+		var members []wire.Member
+		process := func(name, role string, known *wire.Evacuations, loads ...wire.ZoneLoad) string {
+			address, mux := scriptedProcess("")
+			view := func() *membership.View {
+				return &membership.View{Self: wire.Member{Name: name, Role: role}, Members: members, Evacuations: known}
+			}
+			comparenodes.Handle(mux, comparenodes.Sources{View: view})
+			evacuationview.Handle(mux, view, func(context.Context) []wire.ZoneLoad { return loads })
+			members = append(members, wire.Member{Name: name, Role: role, Address: address, State: wire.StateAlive})
+			return address
+		}
+		newest := &wire.Evacuations{Number: 2, Zones: []wire.EvacuatedZone{{Zone: "north", SinceMs: 0}}}
+		steward := process("s", membership.RoleSteward, newest, wire.ZoneLoad{Key: "pool/x", Zone: "north", Executors: 3, Runs: 4})
+		process("g", "gate", &wire.Evacuations{Number: 1})
+		shown, code := runCommand("evacuations", "--of", steward)
+		Expect(code).To(Equal(0))
+		Expect(shown).To(MatchRegexp(`north +emptying +1970-01-01T00:00:00Z +3 +4\norder 2 is known to 1 processes, not yet to g\n`))
+		shown, _ = runCommand("evacuations", "--of", steward, "--json")
+		Expect(shown).To(ContainSubstring(`"evacuation-number": 2`))
+		members = append(members, wire.Member{Name: "h", Role: "gate", Address: deadAddress(), State: wire.StateAlive})
+		shown, code = runCommand("evacuations", "--of", steward)
+		Expect(code).To(Equal(exitSilent))
+		Expect(shown).To(ContainSubstring("emptying"))
+	})
+
+	It("give orders, and tell why one can't be taken", func() {
+		server := httptest.NewServer(http.HandlerFunc(func(to http.ResponseWriter, request *http.Request) {
+			if !strings.HasPrefix(request.URL.Path, "/v1/evacuation/north/") {
+				to.WriteHeader(http.StatusNotFound)
+				to.Write([]byte(`{"error-text":"there is no zone of that name"}`))
+			}
+		}))
+		DeferCleanup(server.Close)
+		at := "--at=" + strings.TrimPrefix(server.URL, "http://")
+		for _, asked := range []struct {
+			arguments []string
+			shown     string
+			code      int
+		}{
+			{[]string{"north"}, "nothing new is sent to zone north\n", 0},
+			{[]string{"--end", "north"}, "zone north is open\n", 0},
+			{[]string{"nowhere"}, "there is no zone of that name", exitFailed},
+			{[]string{"--end", "nowhere"}, "there is no zone of that name", exitFailed},
+			{nil, "evacuate takes ZONE", exitUsage},
+		} {
+			shown, code := runCommand(append([]string{"evacuate", at}, asked.arguments...)...)
+			Expect(shown).To(Equal(asked.shown))
+			Expect(code).To(Equal(asked.code))
+		}
+		_, code := runCommand("evacuate", "--at="+deadAddress(), "--timeout=100ms", "north")
+		Expect(code).To(Equal(exitSilent))
+	})
+})
--- a/cmd/gannetline/lock.go
+++ b/cmd/gannetline/lock.go
@@ -115,12 +115,13 @@
 const releaseTimeout = 5 * time.Second
 
 func (h *holding) acquire(ctx context.Context, wait time.Duration) (*client.Lock, error) {
-	waiting, cancel := ctx, context.CancelFunc(func() {})
+	var lock *client.Lock
+	var err error
 	if wait > 0 {
-		waiting, cancel = context.WithTimeout(ctx, wait)
+		lock, err = h.client.AcquireWithin(ctx, h.name, h.hold, wait)
+	} else {
+		lock, err = h.client.Acquire(ctx, h.name, h.hold)
 	}
-	defer cancel()
-	lock, err := h.client.Acquire(waiting, h.name, h.hold)
 	switch {
 	case errors.Is(err, client.ErrHeld), errors.Is(err, client.ErrNoAnswer):
 		return nil, cli.Exit("the lock "+h.name+" was not free in time: "+err.Error(), exitNotFree)
--- a/cmd/gannetline/main.go
+++ b/cmd/gannetline/main.go
@@ -45,6 +45,8 @@
 			rehearseCommand(),
 			metricsCommand(),
 			tenantsCommand(),
+			evacuationsCommand(),
+			evacuateCommand(),
 			lockCommand(),
 			electCommand(),
 			locksCommand(),
--- /dev/null
+++ b/internal/cluster/evacuationview/view.go
@@ -0,0 +1,138 @@
+package evacuationview
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/juju/errors"
+
+	"gannetline/internal/cluster/peerapi/wire"
+)
+
+// Zone is one zone that has executors or is to be emptied.
+type Zone struct {
+	Name string `json:"zone"`
+	// IsEvacuated tells that nothing new is to be sent there, since SinceMs in milliseconds since 1970.
+	IsEvacuated bool  `json:"evacuated"`
+	SinceMs     int64 `json:"since-ms,omitempty"`
+	Executors   int   `json:"executors"`
+	// Runs are those that were sent to its executors and have not ended.
+	Runs int `json:"runs"`
+}
+
+// View is what all processes know together.
+type View struct {
+	// Number is that of the newest list of evacuated zones that any process knows; 0 is before the first order.
+	Number int64  `json:"evacuation-number"`
+	Zones  []Zone `json:"zones"`
+	// InformedCount is how many processes know that list; Behind names those that answered and know an older one.
+	InformedCount int      `json:"informed"`
+	Behind        []string `json:"behind"`
+}
+
+// Join makes the view of all answers. Two leaders may both tell of a pool while it changes hands; the one that knows more executors
+// in a zone then counts for that zone, as the other has only begun to meet them or no longer does.
+func Join(answers []wire.EvacuationsAnswer) View {
+	var newest *wire.Evacuations
+	for _, answer := range answers {
+		if answer.Evacuations.IsNewerThan(newest) {
+			newest = answer.Evacuations
+		}
+	}
+	view := View{Zones: []Zone{}, Behind: []string{}}
+	if newest != nil {
+		view.Number = newest.Number
+	}
+	for _, answer := range answers {
+		if newest.IsNewerThan(answer.Evacuations) {
+			view.Behind = append(view.Behind, answer.Name)
+		} else {
+			view.InformedCount++
+		}
+	}
+	slices.Sort(view.Behind)
+	zones := joinLoads(answers)
+	if newest != nil {
+		for _, evacuated := range newest.Zones {
+			zone := zones[evacuated.Zone]
+			zone.IsEvacuated, zone.SinceMs = true, evacuated.SinceMs
+			zones[evacuated.Zone] = zone
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(zones)) {
+		zone := zones[name]
+		zone.Name = name
+		view.Zones = append(view.Zones, zone)
+	}
+	return view
+}
+
+// joinLoads adds up what runs in each zone over all pools.
+func joinLoads(answers []wire.EvacuationsAnswer) map[string]Zone {
+	type poolInZone struct{ key, zone string }
+	loads := map[poolInZone]wire.ZoneLoad{}
+	for _, answer := range answers {
+		for _, load := range answer.Loads {
+			place := poolInZone{load.Key, load.Zone}
+			if other, isKnown := loads[place]; !isKnown || load.Executors > other.Executors {
+				loads[place] = load
+			}
+		}
+	}
+	zones := map[string]Zone{}
+	for place, load := range loads {
+		zone := zones[place.zone]
+		zone.Executors += load.Executors
+		zone.Runs += load.Runs
+		zones[place.zone] = zone
+	}
+	return zones
+}
+
+// WriteJSON writes the view as one JSON object.
+func (v View) WriteJSON(to io.Writer) error {
+	encoder := json.NewEncoder(to)
+	encoder.SetIndent("", "  ")
+	return errors.Annotate(encoder.Encode(v), "writing the evacuations")
+}
+
+// WriteTable writes a line a zone, and one that tells who knows of the newest order.
+func (v View) WriteTable(to io.Writer) error {
+	table := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "zone\tstate\tsince\texecutors\truns")
+	for _, zone := range v.Zones {
+		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%d\n", zone.Name, zone.state(), zone.since(), zone.Executors, zone.Runs)
+	}
+	if err := table.Flush(); err != nil {
+		return errors.Annotate(err, "writing the evacuations")
+	}
+	line := fmt.Sprintf("order %d is known to %d processes", v.Number, v.InformedCount)
+	if len(v.Behind) > 0 {
+		line += ", not yet to " + strings.Join(v.Behind, ", ")
+	}
+	_, err := fmt.Fprintln(to, line)
+	return errors.Annotate(err, "writing the evacuations")
+}
+
+func (z Zone) state() string {
+	switch {
+	case !z.IsEvacuated:
+		return "open"
+	case z.Runs == 0:
+		return "empty"
+	}
+	return "emptying"
+}
+
+func (z Zone) since() string {
+	if !z.IsEvacuated {
+		return "-"
+	}
+	return time.UnixMilli(z.SinceMs).UTC().Format(time.RFC3339)
+}
--- a/internal/cluster/peerapi/calls.go
+++ b/internal/cluster/peerapi/calls.go
@@ -33,6 +33,8 @@
 	ProcedureTenants  = Prefix + "Tenants"
 	// ProcedureCoordination asks for locks, numbers and cells of the keys that are led there.
 	ProcedureCoordination = Prefix + "Coordination"
+	// ProcedureEvacuations asks which zones are to be emptied as far as the process knows, and what still runs there.
+	ProcedureEvacuations = Prefix + "Evacuations"
 	// ProcedureExecutors asks for the list of executors.
 	ProcedureExecutors = Prefix + "Executors"
 	// ProcedureRetire has a storage machine be emptied.
--- a/internal/cluster/peerapi/wire/evacuation.go
+++ b/internal/cluster/peerapi/wire/evacuation.go
@@ -33,3 +33,22 @@
 	}
 	return e.Number
 }
+
+// EvacuationsCall asks a process which zones it sends nothing new to, and what still runs there as far as it leads pools.
+type EvacuationsCall struct{}
+
+// EvacuationsAnswer is what one process knows. Evacuations is nil if it never heard of any.
+type EvacuationsAnswer struct {
+	Name        string       `json:"name"`
+	Role        string       `json:"role"`
+	Evacuations *Evacuations `json:"evacuations,omitempty"`
+	Loads       []ZoneLoad   `json:"loads,omitempty"`
+}
+
+// ZoneLoad is what the leader of a pool knows of one zone: its executors, and the runs that were sent to them and have not ended.
+type ZoneLoad struct {
+	Key       string `json:"key"`
+	Zone      string `json:"zone"`
+	Executors int    `json:"executors"`
+	Runs      int    `json:"runs"`
+}
--- a/internal/cluster/peerapi/wire/evacuation_easyjson.go
+++ b/internal/cluster/peerapi/wire/evacuation_easyjson.go
@@ -17,7 +17,295 @@
 	_ easyjson.Marshaler
 )
 
-func easyjsonD54f114dDecodeGannetlineInternalClusterPeerapiWire(in *jlexer.Lexer, out *Evacuations) {
+func easyjsonD54f114dDecodeGannetlineInternalClusterPeerapiWire(in *jlexer.Lexer, out *ZoneLoad) {
+	isTopLevel := in.IsStart()
+	if in.IsNull() {
+		if isTopLevel {
+			in.Consumed()
+		}
+		in.Skip()
+		return
+	}
+	in.Delim('{')
+	for !in.IsDelim('}') {
+		key := in.UnsafeFieldName(false)
+		in.WantColon()
+		switch key {
+		case "key":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Key = string(in.String())
+			}
+		case "zone":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Zone = string(in.String())
+			}
+		case "executors":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Executors = int(in.Int())
+			}
+		case "runs":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Runs = int(in.Int())
+			}
+		default:
+			in.SkipRecursive()
+		}
+		in.WantComma()
+	}
+	in.Delim('}')
+	if isTopLevel {
+		in.Consumed()
+	}
+}
+func easyjsonD54f114dEncodeGannetlineInternalClusterPeerapiWire(out *jwriter.Writer, in ZoneLoad) {
+	out.RawByte('{')
+	first := true
+	_ = first
+	{
+		const prefix string = ",\"key\":"
+		out.RawString(prefix[1:])
+		out.String(string(in.Key))
+	}
+	{
+		const prefix string = ",\"zone\":"
+		out.RawString(prefix)
+		out.String(string(in.Zone))
+	}
+	{
+		const prefix string = ",\"executors\":"
+		out.RawString(prefix)
+		out.Int(int(in.Executors))
+	}
+	{
+		const prefix string = ",\"runs\":"
+		out.RawString(prefix)
+		out.Int(int(in.Runs))
+	}
+	out.RawByte('}')
+}
+
+// MarshalJSON supports json.Marshaler interface
+func (v ZoneLoad) MarshalJSON() ([]byte, error) {
+	w := jwriter.Writer{}
+	easyjsonD54f114dEncodeGannetlineInternalClusterPeerapiWire(&w, v)
+	return w.Buffer.BuildBytes(), w.Error
+}
+
+// MarshalEasyJSON supports easyjson.Marshaler interface
+func (v ZoneLoad) MarshalEasyJSON(w *jwriter.Writer) {
+	easyjsonD54f114dEncodeGannetlineInternalClusterPeerapiWire(w, v)
+}
+
+// UnmarshalJSON supports json.Unmarshaler interface
+func (v *ZoneLoad) UnmarshalJSON(data []byte) error {
+	r := jlexer.Lexer{Data: data}
+	easyjsonD54f114dDecodeGannetlineInternalClusterPeerapiWire(&r, v)
+	return r.Error()
+}
+
+// UnmarshalEasyJSON supports easyjson.Unmarshaler interface
+func (v *ZoneLoad) UnmarshalEasyJSON(l *jlexer.Lexer) {
+	easyjsonD54f114dDecodeGannetlineInternalClusterPeerapiWire(l, v)
+}
+func easyjsonD54f114dDecodeGannetlineInternalClusterPeerapiWire1(in *jlexer.Lexer, out *EvacuationsCall) {
+	isTopLevel := in.IsStart()
+	if in.IsNull() {
+		if isTopLevel {
+			in.Consumed()
+		}
+		in.Skip()
+		return
+	}
+	in.Delim('{')
+	for !in.IsDelim('}') {
+		key := in.UnsafeFieldName(false)
+		in.WantColon()
+		switch key {
+		default:
+			in.SkipRecursive()
+		}
+		in.WantComma()
+	}
+	in.Delim('}')
+	if isTopLevel {
+		in.Consumed()
+	}
+}
+func easyjsonD54f114dEncodeGannetlineInternalClusterPeerapiWire1(out *jwriter.Writer, in EvacuationsCall) {
+	out.RawByte('{')
+	first := true
+	_ = first
+	out.RawByte('}')
+}
+
+// MarshalJSON supports json.Marshaler interface
+func (v EvacuationsCall) MarshalJSON() ([]byte, error) {
+	w := jwriter.Writer{}
+	easyjsonD54f114dEncodeGannetlineInternalClusterPeerapiWire1(&w, v)
+	return w.Buffer.BuildBytes(), w.Error
+}
+
+// MarshalEasyJSON supports easyjson.Marshaler interface
+func (v EvacuationsCall) MarshalEasyJSON(w *jwriter.Writer) {
+	easyjsonD54f114dEncodeGannetlineInternalClusterPeerapiWire1(w, v)
+}
+
+// UnmarshalJSON supports json.Unmarshaler interface
+func (v *EvacuationsCall) UnmarshalJSON(data []byte) error {
+	r := jlexer.Lexer{Data: data}
+	easyjsonD54f114dDecodeGannetlineInternalClusterPeerapiWire1(&r, v)
+	return r.Error()
+}
+
+// UnmarshalEasyJSON supports easyjson.Unmarshaler interface
+func (v *EvacuationsCall) UnmarshalEasyJSON(l *jlexer.Lexer) {
+	easyjsonD54f114dDecodeGannetlineInternalClusterPeerapiWire1(l, v)
+}
+func easyjsonD54f114dDecodeGannetlineInternalClusterPeerapiWire2(in *jlexer.Lexer, out *EvacuationsAnswer) {
+	isTopLevel := in.IsStart()
+	if in.IsNull() {
+		if isTopLevel {
+			in.Consumed()
+		}
+		in.Skip()
+		return
+	}
+	in.Delim('{')
+	for !in.IsDelim('}') {
+		key := in.UnsafeFieldName(false)
+		in.WantColon()
+		switch key {
+		case "name":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Name = string(in.String())
+			}
+		case "role":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Role = string(in.String())
+			}
+		case "evacuations":
+			if in.IsNull() {
+				in.Skip()
+				out.Evacuations = nil
+			} else {
+				if out.Evacuations == nil {
+					out.Evacuations = new(Evacuations)
+				}
+				if in.IsNull() {
+					in.Skip()
+				} else {
+					(*out.Evacuations).UnmarshalEasyJSON(in)
+				}
+			}
+		case "loads":
+			if in.IsNull() {
+				in.Skip()
+				out.Loads = nil
+			} else {
+				in.Delim('[')
+				if out.Loads == nil {
+					if !in.IsDelim(']') {
+						out.Loads = make([]ZoneLoad, 0, 1)
+					} else {
+						out.Loads = []ZoneLoad{}
+					}
+				} else {
+					out.Loads = (out.Loads)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v1 ZoneLoad
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						(v1).UnmarshalEasyJSON(in)
+					}
+					out.Loads = append(out.Loads, v1)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
+		default:
+			in.SkipRecursive()
+		}
+		in.WantComma()
+	}
+	in.Delim('}')
+	if isTopLevel {
+		in.Consumed()
+	}
+}
+func easyjsonD54f114dEncodeGannetlineInternalClusterPeerapiWire2(out *jwriter.Writer, in EvacuationsAnswer) {
+	out.RawByte('{')
+	first := true
+	_ = first
+	{
+		const prefix string = ",\"name\":"
+		out.RawString(prefix[1:])
+		out.String(string(in.Name))
+	}
+	{
+		const prefix string = ",\"role\":"
+		out.RawString(prefix)
+		out.String(string(in.Role))
+	}
+	if in.Evacuations != nil {
+		const prefix string = ",\"evacuations\":"
+		out.RawString(prefix)
+		(*in.Evacuations).MarshalEasyJSON(out)
+	}
+	if len(in.Loads) != 0 {
+		const prefix string = ",\"loads\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('[')
+			for v2, v3 := range in.Loads {
+				if v2 > 0 {
+					out.RawByte(',')
+				}
+				(v3).MarshalEasyJSON(out)
+			}
+			out.RawByte(']')
+		}
+	}
+	out.RawByte('}')
+}
+
+// MarshalJSON supports json.Marshaler interface
+func (v EvacuationsAnswer) MarshalJSON() ([]byte, error) {
+	w := jwriter.Writer{}
+	easyjsonD54f114dEncodeGannetlineInternalClusterPeerapiWire2(&w, v)
+	return w.Buffer.BuildBytes(), w.Error
+}
+
+// MarshalEasyJSON supports easyjson.Marshaler interface
+func (v EvacuationsAnswer) MarshalEasyJSON(w *jwriter.Writer) {
+	easyjsonD54f114dEncodeGannetlineInternalClusterPeerapiWire2(w, v)
+}
+
+// UnmarshalJSON supports json.Unmarshaler interface
+func (v *EvacuationsAnswer) UnmarshalJSON(data []byte) error {
+	r := jlexer.Lexer{Data: data}
+	easyjsonD54f114dDecodeGannetlineInternalClusterPeerapiWire2(&r, v)
+	return r.Error()
+}
+
+// UnmarshalEasyJSON supports easyjson.Unmarshaler interface
+func (v *EvacuationsAnswer) UnmarshalEasyJSON(l *jlexer.Lexer) {
+	easyjsonD54f114dDecodeGannetlineInternalClusterPeerapiWire2(l, v)
+}
+func easyjsonD54f114dDecodeGannetlineInternalClusterPeerapiWire3(in *jlexer.Lexer, out *Evacuations) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -53,13 +341,13 @@
 					out.Zones = (out.Zones)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v1 EvacuatedZone
+					var v4 EvacuatedZone
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v1).UnmarshalEasyJSON(in)
+						(v4).UnmarshalEasyJSON(in)
 					}
-					out.Zones = append(out.Zones, v1)
+					out.Zones = append(out.Zones, v4)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -74,7 +362,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonD54f114dEncodeGannetlineInternalClusterPeerapiWire(out *jwriter.Writer, in Evacuations) {
+func easyjsonD54f114dEncodeGannetlineInternalClusterPeerapiWire3(out *jwriter.Writer, in Evacuations) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -88,11 +376,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v2, v3 := range in.Zones {
-				if v2 > 0 {
+			for v5, v6 := range in.Zones {
+				if v5 > 0 {
 					out.RawByte(',')
 				}
-				(v3).MarshalEasyJSON(out)
+				(v6).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -103,27 +391,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Evacuations) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjsonD54f114dEncodeGannetlineInternalClusterPeerapiWire(&w, v)
+	easyjsonD54f114dEncodeGannetlineInternalClusterPeerapiWire3(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Evacuations) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjsonD54f114dEncodeGannetlineInternalClusterPeerapiWire(w, v)
+	easyjsonD54f114dEncodeGannetlineInternalClusterPeerapiWire3(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Evacuations) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjsonD54f114dDecodeGannetlineInternalClusterPeerapiWire(&r, v)
+	easyjsonD54f114dDecodeGannetlineInternalClusterPeerapiWire3(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Evacuations) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjsonD54f114dDecodeGannetlineInternalClusterPeerapiWire(l, v)
+	easyjsonD54f114dDecodeGannetlineInternalClusterPeerapiWire3(l, v)
 }
-func easyjsonD54f114dDecodeGannetlineInternalClusterPeerapiWire1(in *jlexer.Lexer, out *EvacuatedZone) {
+func easyjsonD54f114dDecodeGannetlineInternalClusterPeerapiWire4(in *jlexer.Lexer, out *EvacuatedZone) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -159,7 +447,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonD54f114dEncodeGannetlineInternalClusterPeerapiWire1(out *jwriter.Writer, in EvacuatedZone) {
+func easyjsonD54f114dEncodeGannetlineInternalClusterPeerapiWire4(out *jwriter.Writer, in EvacuatedZone) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -179,23 +467,23 @@
 // MarshalJSON supports json.Marshaler interface
 func (v EvacuatedZone) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjsonD54f114dEncodeGannetlineInternalClusterPeerapiWire1(&w, v)
+	easyjsonD54f114dEncodeGannetlineInternalClusterPeerapiWire4(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v EvacuatedZone) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjsonD54f114dEncodeGannetlineInternalClusterPeerapiWire1(w, v)
+	easyjsonD54f114dEncodeGannetlineInternalClusterPeerapiWire4(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *EvacuatedZone) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjsonD54f114dDecodeGannetlineInternalClusterPeerapiWire1(&r, v)
+	easyjsonD54f114dDecodeGannetlineInternalClusterPeerapiWire4(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *EvacuatedZone) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjsonD54f114dDecodeGannetlineInternalClusterPeerapiWire1(l, v)
+	easyjsonD54f114dDecodeGannetlineInternalClusterPeerapiWire4(l, v)
 }
--- a/internal/cluster/peerapi/wire/golden_test.go
+++ b/internal/cluster/peerapi/wire/golden_test.go
@@ -70,6 +70,8 @@
 	"tenant-usage":          &wire.TenantUsage{},
 	"tenant-share":          &wire.TenantShare{},
 	"evacuations":           &wire.Evacuations{},
+	"evacuations-call":      &wire.EvacuationsCall{},
+	"evacuations-answer":    &wire.EvacuationsAnswer{},
 	"lock-call":             &wire.LockCall{},
 	"lock-answer":           &wire.LockAnswer{},
 	"number-answer":         &wire.NumberAnswer{},
--- a/internal/control/controlkeys/beliefs.go
+++ b/internal/control/controlkeys/beliefs.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"strings"
 
 	"gannetline/internal/cluster/peerapi/wire"
@@ -54,6 +55,32 @@
 	return executors
 }
 
+// ZoneLoads tells what runs in each zone by the pools that are led here. What can't be had before ctx is done is left out.
+func (m *Manager) ZoneLoads(ctx context.Context) []wire.ZoneLoad {
+	var loads []wire.ZoneLoad
+	runners, err := mailbox.Ask(ctx, m.mailbox, func(answer func(map[string]*keyRunner)) { answer(maps.Clone(m.runners)) })
+	if err != nil {
+		return nil
+	}
+	for _, key := range slices.Sorted(maps.Keys(runners)) {
+		if !strings.HasPrefix(key, poolPrefix) {
+			continue
+		}
+		runner := runners[key]
+		ofPool, err := mailbox.Ask(ctx, runner.stateMailbox, func(answer func([]wire.ZoneLoad)) {
+			if !runner.pool.IsOpen() {
+				answer(nil)
+				return
+			}
+			answer(runner.pool.ZoneLoads())
+		})
+		if err == nil {
+			loads = append(loads, ofPool...)
+		}
+	}
+	return loads
+}
+
 // replicaBeliefs is what the replicas of this disk hold. It must run on their goroutine.
 func (m *Manager) replicaBeliefs() []wire.KeyBelief {
 	var keys []wire.KeyBelief
--- a/internal/roles/gate.go
+++ b/internal/roles/gate.go
@@ -8,6 +8,7 @@
 
 	"gannetline/internal/cluster/comparenodes"
 	"gannetline/internal/cluster/configcache"
+	"gannetline/internal/cluster/evacuationview"
 	"gannetline/internal/cluster/executorlist"
 	"gannetline/internal/cluster/leaderclient"
 	"gannetline/internal/cluster/membership"
@@ -50,6 +51,7 @@
 	configurations.Handle(b.inner)
 	b.join(wire.Member{Role: "gate"}, membership.OnConfigurationAhead(configurations.FetchFrom))
 	comparenodes.Handle(b.inner, comparenodes.Sources{View: b.node.View, Configuration: configurations.Current})
+	evacuationview.Handle(b.inner, b.node.View, nil)
 	var isLeaving atomic.Bool
 	asker := leaderclient.New(b.caller, b.clock, b.node.View)
 	api, hasExecutors := b.clientHandler(asker, configurations)
--- a/internal/roles/steward.go
+++ b/internal/roles/steward.go
@@ -10,6 +10,7 @@
 
 	"gannetline/internal/cluster/comparenodes"
 	"gannetline/internal/cluster/configcache"
+	"gannetline/internal/cluster/evacuationview"
 	"gannetline/internal/cluster/leaderclient"
 	"gannetline/internal/cluster/membership"
 	"gannetline/internal/cluster/peerapi"
@@ -64,6 +65,7 @@
 		Coordination: coordinationTimes(b.settings)})
 	manager.Handle(b.inner)
 	comparenodes.Handle(b.inner, comparenodes.Sources{View: b.node.View, Configuration: configurations.Current, Keys: manager.Beliefs})
+	evacuationview.Handle(b.inner, b.node.View, manager.ZoneLoads)
 	b.serveExecutors()
 	outer := http.NewServeMux()
 	outer.Handle("/v1/configuration/", controlapi.Handler(asker))
--- a/internal/roles/storagemachine.go
+++ b/internal/roles/storagemachine.go
@@ -7,6 +7,7 @@
 
 	"gannetline/internal/cluster/comparenodes"
 	"gannetline/internal/cluster/configcache"
+	"gannetline/internal/cluster/evacuationview"
 	"gannetline/internal/cluster/executorlist"
 	"gannetline/internal/cluster/membership"
 	"gannetline/internal/cluster/peerapi/wire"
@@ -41,6 +42,7 @@
 		Lots: &controlkeys.LotSurroundings{Executors: openExecutors, Client: executorClient(), Retention: retention}})
 	manager.Handle(b.inner)
 	comparenodes.Handle(b.inner, comparenodes.Sources{View: b.node.View, Configuration: configurations.Current, Keys: manager.Beliefs})
+	evacuationview.Handle(b.inner, b.node.View, nil)
 	b.tree.Add("known-peers", b.savePeers(kept.store, knownPeers))
 	b.tree.Add("replicas", func(ctx context.Context) error {
 		kept.replicas.Mailbox().Run(ctx, b.clock, mailbox.Owner{Every: time.Minute})
--- a/internal/scheduling/scheduler/beliefs.go
+++ b/internal/scheduling/scheduler/beliefs.go
@@ -23,6 +23,25 @@
 	return jobs, executors
 }
 
+// ZoneLoads tells what runs in each zone, in the order of the zones' names.
+func (p *Pool) ZoneLoads() []wire.ZoneLoad {
+	loads := map[string]*wire.ZoneLoad{}
+	for _, executor := range p.executors {
+		load := loads[executor.domain]
+		if load == nil {
+			load = &wire.ZoneLoad{Key: p.key, Zone: executor.domain}
+			loads[executor.domain] = load
+		}
+		load.Executors++
+		load.Runs += len(executor.runs)
+	}
+	sorted := make([]wire.ZoneLoad, 0, len(loads))
+	for _, zone := range slices.Sorted(maps.Keys(loads)) {
+		sorted = append(sorted, *loads[zone])
+	}
+	return sorted
+}
+
 // JobsOn names the jobs with runs, as this leader knows, on the executors of a machine.
 func (p *Pool) JobsOn(machine string) []string {
 	jobIDs := map[string]bool{}
--- a/internal/scheduling/scheduler/evacuation_test.go
+++ b/internal/scheduling/scheduler/evacuation_test.go
@@ -56,6 +56,7 @@
 		delete(evacuated, "a")
 		inA, _ = tick()
 		Expect(inA).To(HaveLen(2))
+		Expect(pool.ZoneLoads()).To(Equal([]wire.ZoneLoad{{Key: "pool/s", Zone: "a", Executors: 1, Runs: 2}, {Key: "pool/s", Zone: "b", Executors: 1, Runs: 2}}))
 	})
 
 	It("may be every zone: work waits then", func() {
