--- a/internal/control/replication/resend_test.go
+++ b/internal/control/replication/resend_test.go
@@ -57,7 +57,7 @@
 	})
 
 	It("is waited for while nothing else is answered", func() {
-		c.drops = func(to *testNode, call wire.AppendCall) bool { return to == follower }
+		c.drops = func(to *testNode, _ wire.AppendCall) bool { return to == follower }
 		write()
 		before := c.appendCount
 		c.run(900 * time.Millisecond)
