One queue of commits for pools, lots and coordination, in place of three (readable code)

platform/commitqueue: what follows a commit runs in the order of the proposals; a commit of an earlier leadership runs nothing. A part of coordination now ends calls whose changes are not committed when it is closed, as pools and lots do.

--- a/internal/control/coordination/answers.go
+++ b/internal/control/coordination/answers.go
@@ -59,7 +59,7 @@
 // answerUnderLease gives a response that rests on all that was proposed so far, and is only true while no other process leads the key.
 // The lease is asked for at the end, since the process may have been frozen before.
 func (p *Part) answerUnderLease(response wire.ClientAnswer, answer answerClient) {
-	p.afterCommits(func(err error) {
+	p.commits.AfterAll(func(err error) {
 		if err != nil {
 			answer(notLeader)
 			return
--- a/internal/control/coordination/cells.go
+++ b/internal/control/coordination/cells.go
@@ -218,7 +218,7 @@
 		return
 	}
 	switch {
-	case p.commits.isFull():
+	case p.isFull():
 		answer(overload(http.StatusServiceUnavailable, "too many changes are waiting"))
 	case !p.cells.hasRoom(group, put):
 		answer(overload(http.StatusTooManyRequests, "no room for the value"))
--- a/internal/control/coordination/locks.go
+++ b/internal/control/coordination/locks.go
@@ -128,7 +128,7 @@
 	case held != nil && held.holder != asked.Holder:
 		p.answerUnderLease(refusal(http.StatusConflict, "another holds the lock"), answer)
 		return
-	case p.commits.isFull():
+	case p.isFull():
 		answer(overload(http.StatusServiceUnavailable, "too many changes are waiting"))
 		return
 	case held == nil && p.locks.byName[call.ID] == nil && len(p.locks.byName) >= maxLocks:
@@ -166,7 +166,7 @@
 	case hold <= held.hold:
 		held.extend(now, hold, p.ReleaseTime)
 		p.answerUnderLease(wire.ClientAnswer{Status: http.StatusOK}, answer)
-	case p.commits.isFull():
+	case p.isFull():
 		answer(overload(http.StatusServiceUnavailable, "too many changes are waiting"))
 	default:
 		held.extend(now, hold, p.ReleaseTime)
@@ -189,7 +189,7 @@
 		p.answerUnderLease(wire.ClientAnswer{Status: http.StatusOK}, answer)
 		return
 	}
-	if p.commits.isFull() {
+	if p.isFull() {
 		answer(overload(http.StatusServiceUnavailable, "too many changes are waiting"))
 		return
 	}
--- a/internal/control/coordination/numbers.go
+++ b/internal/control/coordination/numbers.go
@@ -43,7 +43,7 @@
 	case taken == nil && len(p.numbers.byName) >= maxNumberNames:
 		answer(overload(http.StatusTooManyRequests, "too many names have numbers"))
 		return
-	case isExhausted && p.commits.isFull():
+	case isExhausted && p.isFull():
 		answer(overload(http.StatusServiceUnavailable, "too many changes are waiting"))
 		return
 	case taken == nil:
--- a/internal/control/coordination/part.go
+++ b/internal/control/coordination/part.go
@@ -21,6 +21,7 @@
 
 	"gannetline/internal/cluster/peerapi/wire"
 	"gannetline/internal/platform/clock"
+	"gannetline/internal/platform/commitqueue"
 	"gannetline/internal/platform/logging"
 )
 
@@ -57,7 +58,7 @@
 	key string
 	// leadership is nil while the key is led elsewhere; everything below is empty then.
 	leadership Leadership
-	commits    commitQueue
+	commits    commitqueue.Queue
 	locks      lockTable
 	numbers    numberTable
 	cells      cellTable
@@ -105,17 +106,24 @@
 	return nil
 }
 
-// Close gives up the key; commits that were pending have ended by then, and waiting watches are sent to the next leader.
+// Close gives up the key: calls whose changes are not committed end with an unknown outcome, and waiting watches are sent to the
+// next leader.
 func (p *Part) Close() {
-	watchers := p.cells.takeWatchers()
+	uncommitted, watchers := p.commits.TakeCallbacks(), p.cells.takeWatchers()
 	p.clear()
+	for _, callback := range uncommitted {
+		callback(errClosed)
+	}
 	for _, watcher := range watchers {
 		watcher.answer(notLeader)
 	}
 }
 
+// errClosed ends what was not committed when the leadership ended.
+const errClosed = errors.ConstError("the part is led elsewhere")
+
 func (p *Part) clear() {
-	p.leadership, p.commits = nil, commitQueue{}
+	p.leadership, p.commits = nil, commitqueue.Queue{}
 	p.locks, p.numbers, p.cells = newLockTable(), newNumberTable(), newCellTable()
 }
 
--- a/internal/control/lots/lots.go
+++ b/internal/control/lots/lots.go
@@ -189,18 +189,11 @@
 		return
 	}
 	p.startItems()
-	commit := p.changes.begin()
+	commit, ops := p.changes.begin()
 	if commit == nil {
 		return
 	}
-	p.leadership.Commit(commit.ops, func(err error) {
-		if p.changes.isFirst(commit) {
-			p.changes.finish()
-			for _, callback := range commit.callbacks {
-				callback(err)
-			}
-		}
-	})
+	p.leadership.Commit(ops, func(err error) { p.changes.pending.End(commit, err) })
 }
 
 // forgetOldLots drops the lots that nobody reads any more.
--- a/internal/scheduling/scheduler/changeset.go
+++ b/internal/scheduling/scheduler/changeset.go
@@ -9,6 +9,7 @@
 	"github.com/mailru/easyjson"
 
 	"gannetline/internal/cluster/peerapi/wire"
+	"gannetline/internal/platform/commitqueue"
 )
 
 // changeSet gathers the records that a burst of calls writes, until Flush commits them as one change.
@@ -20,13 +21,10 @@
 	opTasks []*taskState
 	// callbacks run once all that was recorded so far is committed.
 	callbacks []func(error)
-	// pendingCommits are the commits under way, in their order.
-	pendingCommits []*pendingCommit
+	// pendingCommits are the commits under way.
+	pendingCommits commitqueue.Queue
 }
 
-// pendingCommit is a change that was proposed, with what follows its commit.
-type pendingCommit struct{ callbacks []func(error) }
-
 func newChangeSet() changeSet { return changeSet{opIndex: map[string]int{}} }
 
 // record writes a record, in place of one of the same name; an empty value drops the record.
@@ -50,19 +48,14 @@
 
 // takeCallbacks gives all callbacks, those of commits under way first.
 func (c *changeSet) takeCallbacks() []func(error) {
-	var all []func(error)
-	for _, commit := range c.pendingCommits {
-		all = append(all, commit.callbacks...)
-	}
-	return append(all, c.callbacks...)
+	return append(c.pendingCommits.TakeCallbacks(), c.callbacks...)
 }
 
 // begin makes a commit of the change set, and leaves the set empty.
-func (c *changeSet) begin() (*pendingCommit, []wire.Op) {
-	commit, ops := &pendingCommit{callbacks: c.callbacks}, c.ops
+func (c *changeSet) begin() (*commitqueue.Commit, []wire.Op) {
+	commit, ops := c.pendingCommits.Add(c.callbacks...), c.ops
 	c.ops, c.opTasks, c.callbacks = nil, c.opTasks[:0], nil
 	clear(c.opIndex)
-	c.pendingCommits = append(c.pendingCommits, commit)
 	return commit, ops
 }
 
@@ -71,14 +64,7 @@
 func (c *changeSet) flushReads() {
 	callbacks := c.callbacks
 	c.callbacks = nil
-	if len(c.pendingCommits) > 0 {
-		last := c.pendingCommits[len(c.pendingCommits)-1]
-		last.callbacks = append(last.callbacks, callbacks...)
-		return
-	}
-	for _, callback := range callbacks {
-		callback(nil)
-	}
+	c.pendingCommits.AfterAll(callbacks...)
 }
 
 // putRecord writes a record.
@@ -107,11 +93,7 @@
 	p.metrics.commits.Inc()
 	p.metrics.changes.Add(len(ops))
 	p.leadership.Commit(ops, func(err error) {
-		if len(p.pendingCommits) > 0 && p.pendingCommits[0] == commit {
-			p.pendingCommits = p.pendingCommits[1:]
-			for _, callback := range commit.callbacks {
-				callback(err)
-			}
+		if p.pendingCommits.End(commit, err) {
 			p.sendAllOrders()
 		}
 	})
