--- a/internal/cluster/executorlist/executorlist.go
+++ b/internal/cluster/executorlist/executorlist.go
@@ -67,8 +67,8 @@
 // HasList tells whether any list has come yet.
 func (h *Holder) HasList() bool { return h.Current().Version != wire.ExecutorListVersion{} }
 
-// Hold takes a list, unless a newer one is held.
-func (h *Holder) Hold(version wire.ExecutorListVersion, executors []wire.ExecutorRecord) {
+// Update takes a list, unless a newer one is known.
+func (h *Holder) Update(version wire.ExecutorListVersion, executors []wire.ExecutorRecord) {
 	h.mailbox.Post(func() { h.replace(version, executors) })
 }
 
@@ -86,12 +86,12 @@
 }
 
 // After waits until there is a list that is newer than a version, for as long as the limit or until ctx is done, and gives the list
-// that is held then.
-func (h *Holder) After(ctx context.Context, held wire.ExecutorListVersion, limit time.Duration) *List {
+// that is known then.
+func (h *Holder) After(ctx context.Context, known wire.ExecutorListVersion, limit time.Duration) *List {
 	deadline := h.clock.After(limit)
 	for {
 		list := h.Current()
-		if held.Below(list.Version) {
+		if known.Below(list.Version) {
 			return list
 		}
 		select {
--- a/internal/cluster/executorlist/follower.go
+++ b/internal/cluster/executorlist/follower.go
@@ -65,15 +65,15 @@
 
 // askOnce waits at one steward, and tells whether it answered.
 func (f *Follower) askOnce(ctx context.Context, address string) bool {
-	held := f.holder.Current().Version
+	known := f.holder.Current().Version
 	answer, err := peerapi.Call[wire.ExecutorsCall, wire.ExecutorsAnswer](ctx, f.caller, address, peerapi.ProcedureExecutors,
-		followWait+followSlack, &wire.ExecutorsCall{Held: held, WaitMs: followWait.Milliseconds()})
+		followWait+followSlack, &wire.ExecutorsCall{Held: known, WaitMs: followWait.Milliseconds()})
 	if err != nil {
 		return false
 	}
 	if answer.HasList {
-		f.holder.Hold(answer.Version, answer.Executors)
-		f.holder.After(ctx, held, followPause)
+		f.holder.Update(answer.Version, answer.Executors)
+		f.holder.After(ctx, known, followPause)
 	}
 	return true
 }
--- a/internal/cluster/executorlist/poller.go
+++ b/internal/cluster/executorlist/poller.go
@@ -85,7 +85,7 @@
 	}
 	p.number++
 	p.last = executors
-	p.holder.Hold(wire.ExecutorListVersion{Epoch: epoch, Number: p.number}, executors)
+	p.holder.Update(wire.ExecutorListVersion{Epoch: epoch, Number: p.number}, executors)
 }
 
 // read reads all pages.
--- a/internal/control/controlapi/controlapi.go
+++ b/internal/control/controlapi/controlapi.go
@@ -12,6 +12,7 @@
 	"gannetline/internal/cluster/leaderclient"
 	"gannetline/internal/cluster/peerapi/wire"
 	"gannetline/internal/control/configleader"
+	"gannetline/internal/platform/headers"
 	"gannetline/internal/platform/response"
 )
 
@@ -41,7 +42,7 @@
 	if request.Method != http.MethodPost {
 		return nil, response.Text(http.StatusMethodNotAllowed, "only POST is taken here")
 	}
-	base, err := strconv.ParseInt(request.Header.Get("X-Base-Version"), 10, 64)
+	base, err := strconv.ParseInt(request.Header.Get(headers.BaseVersion), 10, 64)
 	if err != nil || base < 0 {
 		return nil, response.Text(http.StatusBadRequest, "header X-Base-Version is no version")
 	}
--- a/internal/control/controlapi/retire.go
+++ b/internal/control/controlapi/retire.go
@@ -9,6 +9,7 @@
 	"gannetline/internal/cluster/membership"
 	"gannetline/internal/cluster/peerapi"
 	"gannetline/internal/cluster/peerapi/wire"
+	"gannetline/internal/control/replication/quorum"
 	"gannetline/internal/platform/response"
 )
 
@@ -30,7 +31,7 @@
 
 // NewRetire makes a handler; the loss of so many machines at once must still be borne afterwards.
 func NewRetire(caller *peerapi.Caller, view func() *membership.View, machineLosses int) *Retire {
-	return &Retire{caller: caller, view: view, least: 2*max(1, machineLosses) + 1}
+	return &Retire{caller: caller, view: view, least: quorum.VotersFor(machineLosses)}
 }
 
 // ServeHTTP answers POST /v1/retire/NODE/initiate and GET /v1/retire/NODE/retrieve.
--- a/internal/control/controlkeys/keyrunner.go
+++ b/internal/control/controlkeys/keyrunner.go
@@ -14,6 +14,7 @@
 	"gannetline/internal/control/lots"
 	"gannetline/internal/control/poolhost"
 	"gannetline/internal/control/replication"
+	"gannetline/internal/control/replication/quorum"
 	"gannetline/internal/platform/mailbox"
 	"gannetline/internal/scheduling/scheduler"
 	"gannetline/internal/scheduling/tenantcount"
@@ -64,7 +65,7 @@
 	switch {
 	case key == configleader.Key:
 		leader := configleader.New(m.Log, func(committed *wire.Configuration) { m.Configurations.Hold(committed) },
-			configleader.WithStorageDisks(m.storageDisks, 2*max(1, m.MachineLosses)+1), configleader.WithStandingKeys(m.standingKeys()),
+			configleader.WithStorageDisks(m.storageDisks, quorum.VotersFor(m.MachineLosses)), configleader.WithStandingKeys(m.standingKeys()),
 			configleader.WithEvacuations(m.Node.HoldsEvacuations))
 		machine := configurationMachine{leader}
 		runner.machine, runner.engine = machine, newEngine(machine)
--- a/internal/control/coordination/part_test.go
+++ b/internal/control/coordination/part_test.go
@@ -218,6 +218,17 @@
 		Expect(s.leadership.waiting).To(HaveLen(maxPendingCommits))
 	})
 
+	It("have an unknown outcome, once, if the part is closed while they wait for the quorum", func() {
+		s.sendPut("g.a", "v", 0)
+		late := s.leadership.waiting
+		s.leadership.waiting = nil
+		s.takeOver()
+		Expect(s.answers).To(HaveLen(1))
+		Expect(told(s.answers[0])).To(Equal("unknown"))
+		late[0].done(nil)
+		Expect(s.answers).To(HaveLen(1))
+	})
+
 	It("name a record that can't be read", func() {
 		for _, name := range []string{"f", "l/a", "n/a", "c/g.a", "e/g./1"} {
 			Expect(s.part.Open(s.leadership, []wire.Op{{Name: name, Value: []byte("[")}})).To(MatchError(ContainSubstring(name)))
--- a/internal/control/itemrunner/itemrunner.go
+++ b/internal/control/itemrunner/itemrunner.go
@@ -15,6 +15,7 @@
 
 	"gannetline/internal/control/lots"
 	"gannetline/internal/platform/eventstream"
+	"gannetline/internal/platform/headers"
 	"gannetline/internal/platform/mailbox"
 )
 
@@ -27,16 +28,6 @@
 	maxRefusalBody = 4096
 )
 
-// The headers of calls to executors.
-const (
-	headerRequestID        = "X-Request-Id"
-	headerExpectedExecutor = "X-Expected-Executor"
-	headerTenant           = "X-Tenant"
-	headerLastEventID      = "Last-Event-Id"
-	headerNotExecuted      = "X-Not-Executed"
-	headerPriority         = "Priority"
-)
-
 // Runner runs items, and posts their outcomes to a mailbox.
 type Runner struct {
 	ctx     context.Context
@@ -71,10 +62,10 @@
 	}
 	defer answer.Body.Close()
 	switch {
-	case answer.Header.Get(headerNotExecuted) != "" || answer.StatusCode == http.StatusMisdirectedRequest:
+	case answer.Header.Get(headers.NotExecuted) != "" || answer.StatusCode == http.StatusMisdirectedRequest:
 		io.CopyN(io.Discard, answer.Body, maxRefusalBody)
 		return lots.OutcomeRefused, run.Progress
-	case answer.Header.Get(headerRequestID) != run.ItemID:
+	case answer.Header.Get(headers.RequestID) != run.ItemID:
 		return lots.OutcomeBroken, run.Progress
 	case answer.StatusCode != http.StatusOK:
 		io.CopyN(io.Discard, answer.Body, maxRefusalBody)
@@ -95,14 +86,14 @@
 		call.Header.Set(name, value)
 	}
 	call.Host, call.GetBody = run.Host, nil
-	call.Header.Set(headerRequestID, run.ItemID)
-	call.Header.Set(headerExpectedExecutor, run.Executor.ID)
-	call.Header.Set(headerPriority, itemPriority)
+	call.Header.Set(headers.RequestID, run.ItemID)
+	call.Header.Set(headers.ExpectedExecutor, run.Executor.ID)
+	call.Header.Set(headers.Priority, itemPriority)
 	if run.Tenant != "" {
-		call.Header.Set(headerTenant, run.Tenant)
+		call.Header.Set(headers.Tenant, run.Tenant)
 	}
 	if run.Progress.LastEventID != "" {
-		call.Header.Set(headerLastEventID, run.Progress.LastEventID)
+		call.Header.Set(headers.LastEventID, run.Progress.LastEventID)
 	}
 	return call, nil
 }
--- a/internal/control/replication/options.go
+++ b/internal/control/replication/options.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"gannetline/internal/cluster/peerapi/wire"
+	"gannetline/internal/control/replication/quorum"
 	"gannetline/internal/platform/logging"
 )
 
@@ -50,7 +51,7 @@
 
 // WithMachineLosses sets how many disks a key must be able to lose at once; its voters grow to twice that and one.
 func WithMachineLosses(losses int) Option {
-	return func(o *options) { o.voterGoal = 2*max(1, losses) + 1 }
+	return func(o *options) { o.voterGoal = quorum.VotersFor(losses) }
 }
 
 // WithPreferredLeader has the key move to the first voter in the key's own order once that has been fit to lead for a while. It suits keys
--- a/internal/control/replication/quorum/quorum.go
+++ b/internal/control/replication/quorum/quorum.go
@@ -10,6 +10,9 @@
 	"gannetline/internal/cluster/peerapi/wire"
 )
 
+// VotersFor is how many voters a key needs to bear the loss of so many disks at once. At least one loss is always borne.
+func VotersFor(losses int) int { return 2*max(1, losses) + 1 }
+
 // Reached tells whether the disks for which has is true are a quorum of the set. An empty set has no quorum.
 func Reached(set wire.VoterSet, has func(disk string) bool) bool {
 	return len(set.Current) > 0 && isMajority(set.Current, has) && (!IsJoint(set) || isMajority(set.Old, has))
--- a/internal/control/replication/tracelog.go
+++ b/internal/control/replication/tracelog.go
@@ -8,13 +8,9 @@
 	"gannetline/internal/platform/logging"
 )
 
-// traceVerbosity is that of the lines that follow each change from its commit to the next take-over. They are many, and only meant
-// for the search for a change that was lost.
-const traceVerbosity = 2
-
 // logCommit tells which changes are being committed, beyond one index and up to another, and which disks hold the last of them.
 func (e *Engine) logCommit(above, upTo uint64) {
-	log := e.log.V(traceVerbosity)
+	log := e.log.V(logging.TraceVerbosity)
 	if !log.Enabled() {
 		return
 	}
@@ -53,7 +49,7 @@
 }
 
 func logState(log logging.Logger, message, key string, state storage.ReplicaState, more ...any) {
-	if log := log.V(traceVerbosity); log.Enabled() {
+	if log := log.V(logging.TraceVerbosity); log.Enabled() {
 		log.Info(message, append([]any{"key", key, "last", state.Last, "promised", state.Promised, "voters", state.Voters}, more...)...)
 	}
 }
--- /dev/null
+++ b/internal/gate/clientapi/body.go
@@ -0,0 +1,26 @@
+package clientapi
+
+import (
+	"io"
+	"net/http"
+
+	"gannetline/internal/cluster/configcache"
+	"gannetline/internal/platform/response"
+)
+
+// ReadBody reads the whole body of a client's request; a refusal says why it did not. The limit is that of the configuration, or
+// defaultLimit bytes where there is none.
+func ReadBody(snapshot *configcache.Snapshot, request *http.Request, defaultLimit int64) ([]byte, response.Reply) {
+	limit := defaultLimit
+	if snapshot != nil && snapshot.Matcher.Configuration().Limits.BodyBytes > 0 {
+		limit = snapshot.Matcher.Configuration().Limits.BodyBytes
+	}
+	body, err := io.ReadAll(io.LimitReader(request.Body, limit+1))
+	switch {
+	case err != nil:
+		return nil, response.Text(http.StatusBadRequest, "the body ended early")
+	case int64(len(body)) > limit:
+		return nil, response.Text(http.StatusRequestEntityTooLarge, "the body is too large")
+	}
+	return body, response.Reply{}
+}
--- a/internal/gate/clientapi/clientapi.go
+++ b/internal/gate/clientapi/clientapi.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -147,18 +146,10 @@
 
 // answer reads the request and asks for its answer; the time that the client has left counts from when it began.
 func (g *Gate) answer(to http.ResponseWriter, request *http.Request, began time.Duration) (wire.Verb, response.Reply) {
-	snapshot := g.snapshot()
-	limit := int64(defaultMaxBody)
-	if snapshot != nil && snapshot.Matcher.Configuration().Limits.BodyBytes > 0 {
-		limit = snapshot.Matcher.Configuration().Limits.BodyBytes
-	}
-	body, err := io.ReadAll(io.LimitReader(request.Body, limit+1))
+	body, refusal := ReadBody(g.snapshot(), request, defaultMaxBody)
 	headerrules.Echo(request.Header, to.Header())
-	switch {
-	case err != nil:
-		return verbRefused, response.Text(http.StatusBadRequest, "the body ended early")
-	case int64(len(body)) > limit:
-		return verbRefused, response.Text(http.StatusRequestEntityTooLarge, "the body is too large")
+	if refusal.Status != 0 {
+		return verbRefused, refusal
 	}
 	decision := Decide(g.snapshot(), request, body)
 	if decision.Call == nil {
--- a/internal/gate/forwarding/offer.go
+++ b/internal/gate/forwarding/offer.go
@@ -12,17 +12,7 @@
 	"gannetline/internal/cluster/peerapi"
 	"gannetline/internal/gate/balancer"
 	"gannetline/internal/gate/headerrules"
-)
-
-// The headers of calls to executors.
-const (
-	headerRequestID        = "X-Request-Id"
-	headerExpectedExecutor = "X-Expected-Executor"
-	headerTimeRemaining    = "X-Time-Remaining"
-	headerTenant           = "X-Tenant"
-	headerLastEventID      = "Last-Event-Id"
-	headerNotExecuted      = "X-Not-Executed"
-	headerLoad             = "X-Executor-Load"
+	"gannetline/internal/platform/headers"
 )
 
 // offerResult is what became of a request at one executor.
@@ -62,11 +52,11 @@
 		executor.Report(running, waiting, now)
 	}
 	switch {
-	case answer.Header.Get(headerNotExecuted) != "" || answer.StatusCode == http.StatusMisdirectedRequest:
+	case answer.Header.Get(headers.NotExecuted) != "" || answer.StatusCode == http.StatusMisdirectedRequest:
 		// The body of a refusal is short; reading it keeps the connection.
 		io.CopyN(io.Discard, answer.Body, maxRefusalBody)
 		return offerNotRun
-	case answer.Header.Get(headerRequestID) != relay.request.Header.Get(headerRequestID):
+	case answer.Header.Get(headers.RequestID) != relay.request.Header.Get(headers.RequestID):
 		executor.Unreachable(now)
 		return offerUnknown
 	}
@@ -96,13 +86,13 @@
 	}
 	headerrules.Forward(request.Header, call.Header)
 	call.Host = request.Host
-	call.Header.Set(headerExpectedExecutor, executor.ID)
-	call.Header.Set(headerTimeRemaining, strconv.FormatInt(max(1, (deadline-f.clock.Monotonic()).Milliseconds()), 10))
+	call.Header.Set(headers.ExpectedExecutor, executor.ID)
+	call.Header.Set(headers.TimeRemaining, strconv.FormatInt(max(1, (deadline-f.clock.Monotonic()).Milliseconds()), 10))
 	if request.Tenant != "" {
-		call.Header.Set(headerTenant, request.Tenant)
+		call.Header.Set(headers.Tenant, request.Tenant)
 	}
 	if relay.lastEventID != "" {
-		call.Header.Set(headerLastEventID, relay.lastEventID)
+		call.Header.Set(headers.LastEventID, relay.lastEventID)
 	}
 	// A call that was sent on a kept connection is sent again by the client only if it certainly was not read.
 	call.GetBody = nil
@@ -111,7 +101,7 @@
 
 // loadOf reads what an executor tells of its load: requests running, requests waiting, slots.
 func loadOf(header http.Header) (running, waiting int64, isTold bool) {
-	parts := strings.Split(header.Get(headerLoad), ",")
+	parts := strings.Split(header.Get(headers.ExecutorLoad), ",")
 	if len(parts) != 3 {
 		return 0, 0, false
 	}
--- a/internal/gate/headerrules/headerrules.go
+++ b/internal/gate/headerrules/headerrules.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"gannetline/internal/platform/headers"
 )
 
 type action int
@@ -23,12 +25,12 @@
 }
 
 var rules = []rule{
-	{"X-Time-Remaining", actionRead},
+	{headers.TimeRemaining, actionRead},
 	{"Host", actionRead},
 	{"Content-Type", actionRead},
 	{"Content-Length", actionRead},
-	{"X-Request-Id", actionEcho},
-	{"Authorization", actionRead},
+	{headers.RequestID, actionEcho},
+	{headers.Authorization, actionRead},
 	{"Cookie", actionDrop},
 	{"X-Forwarded-For", actionDrop},
 }
@@ -49,8 +51,8 @@
 const bearerScheme = "Bearer "
 
 // Key gives the key that a client bears, empty if it bears none.
-func Key(headers http.Header) string {
-	text := headers.Get("Authorization")
+func Key(from http.Header) string {
+	text := from.Get(headers.Authorization)
 	if len(text) <= len(bearerScheme) || !strings.EqualFold(text[:len(bearerScheme)], bearerScheme) {
 		return ""
 	}
@@ -58,8 +60,8 @@
 }
 
 // TimeLeft is how long the client still waits; isSane is false for what is no count.
-func TimeLeft(headers http.Header, limit time.Duration) (left time.Duration, isSane bool) {
-	text := headers.Get("X-Time-Remaining")
+func TimeLeft(from http.Header, limit time.Duration) (left time.Duration, isSane bool) {
+	text := from.Get(headers.TimeRemaining)
 	if text == "" {
 		return limit, true
 	}
@@ -75,7 +77,7 @@
 	"Transfer-Encoding", "Upgrade"}
 
 // unforwarded are headers of a client that an executor is not shown: the key, and what this system tells executors itself.
-var unforwarded = []string{"Authorization", "X-Tenant", "X-Expected-Executor", "Content-Length", "Host"}
+var unforwarded = []string{headers.Authorization, headers.Tenant, headers.ExpectedExecutor, "Content-Length", "Host"}
 
 // Forward copies the headers of a client's request that an executor gets.
 func Forward(from, to http.Header) {
--- a/internal/gate/servingapi/lots.go
+++ b/internal/gate/servingapi/lots.go
@@ -10,11 +10,11 @@
 
 	"gannetline/internal/cluster/leaderclient"
 	"gannetline/internal/cluster/peerapi/wire"
+	"gannetline/internal/platform/headers"
 	"gannetline/internal/platform/response"
 )
 
 const (
-	headerWait = "X-Wait-Time"
 	// maxWait is how long a reader waits at the leader at most, so that a call whose leader is gone is known for that in time.
 	maxWait = 300 * time.Millisecond
 	// lotCallLimit is how long a call about a lot may take; clients wait 1.5 s beyond what they ask for.
@@ -59,7 +59,7 @@
 		if !json.Valid(body) {
 			return nil, response.Text(http.StatusBadRequest, "the lot can't be read: no whole JSON")
 		}
-		call.Verb, call.ID, call.Route, call.Body = wire.VerbSubmitLot, request.Header.Get(headerID), decision.Route.Name, body
+		call.Verb, call.ID, call.Route, call.Body = wire.VerbSubmitLot, request.Header.Get(headers.RequestID), decision.Route.Name, body
 	case kindReadLot:
 		call.Verb, call.ID = wire.VerbLotResults, strings.TrimPrefix(request.URL.Path, prefixLots)
 		call.Base, _ = positionOf(request.URL.Query().Get("depends-on"))
@@ -75,7 +75,7 @@
 
 // waitOf is how long a reader may be kept waiting.
 func waitOf(request *http.Request) time.Duration {
-	count, err := strconv.ParseInt(request.Header.Get(headerWait), 10, 64)
+	count, err := strconv.ParseInt(request.Header.Get(headers.WaitTime), 10, 64)
 	if err != nil || count < 0 {
 		return 0
 	}
--- a/internal/gate/servingapi/servingapi.go
+++ b/internal/gate/servingapi/servingapi.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -17,17 +16,16 @@
 	"gannetline/internal/gate/forwarding"
 	"gannetline/internal/gate/headerrules"
 	"gannetline/internal/platform/clock"
+	"gannetline/internal/platform/headers"
 	"gannetline/internal/platform/response"
 )
 
 const (
+	// defaultMaxBody is how many bytes a body may have while no configuration says.
 	defaultMaxBody = 4 << 20
 	// prefixLots and prefixItems begin the paths of calls about lots.
 	prefixLots  = "/v1/lots/"
 	prefixItems = "/v1/items/"
-	headerID    = "X-Request-Id"
-	// headerPrompt names the parts of a prompt, as ID:TOKENS separated by commas.
-	headerPrompt = "X-Prompt-Prefix"
 )
 
 // kind is what a request is.
@@ -80,7 +78,7 @@
 	if request.Method != http.MethodPost {
 		return refuse(response.Text(http.StatusMethodNotAllowed, "a lot is handed in by POST"))
 	}
-	if request.Header.Get(headerID) == "" {
+	if request.Header.Get(headers.RequestID) == "" {
 		return refuse(response.Text(http.StatusBadRequest, "header X-Request-Id is missing; it is the lot's ID"))
 	}
 	return Decision{Kind: kindSubmitLot, Route: route, Tenant: tenant, Limit: limit}
@@ -102,8 +100,7 @@
 // ServeHTTP answers one request of a client.
 func (g *Gate) ServeHTTP(to http.ResponseWriter, request *http.Request) {
 	began := g.clock.Monotonic()
-	snapshot := g.snapshot()
-	body, refusal := readBody(snapshot, request)
+	body, refusal := clientapi.ReadBody(g.snapshot(), request, defaultMaxBody)
 	decision := refuse(refusal)
 	if refusal.Status == 0 {
 		// The configuration may have changed while the body came.
@@ -123,26 +120,10 @@
 	g.askAboutLot(request, decision, body).Write(to)
 }
 
-// readBody reads a whole body, within the limit of the configuration; a refusal says why it did not.
-func readBody(snapshot *configcache.Snapshot, request *http.Request) ([]byte, response.Reply) {
-	limit := int64(defaultMaxBody)
-	if snapshot != nil && snapshot.Matcher.Configuration().Limits.BodyBytes > 0 {
-		limit = snapshot.Matcher.Configuration().Limits.BodyBytes
-	}
-	body, err := io.ReadAll(io.LimitReader(request.Body, limit+1))
-	switch {
-	case err != nil:
-		return nil, response.Text(http.StatusBadRequest, "the body ended early")
-	case int64(len(body)) > limit:
-		return nil, response.Text(http.StatusRequestEntityTooLarge, "the body is too large")
-	}
-	return body, response.Reply{}
-}
-
 // forward passes a request on.
 func (g *Gate) forward(request *http.Request, to http.ResponseWriter, decision Decision, body []byte) {
 	route := decision.Route
-	id := request.Header.Get(headerID)
+	id := request.Header.Get(headers.RequestID)
 	g.forwarder.Serve(request.Context(), to, &forwarding.Request{Service: route.ServiceFor(id), Affinity: affinityOf(request.Header),
 		Method: request.Method, Path: request.URL.RequestURI(), Host: request.Host, Header: request.Header, Body: body, Tenant: decision.Tenant,
 		MaxAttempts: max(1, route.MaxAttempts), IsIdempotent: route.Type == configuration.RouteIdempotent, IsResumable: route.IsResumable,
@@ -150,8 +131,8 @@
 }
 
 // affinityOf gives the IDs of the parts of a prompt that are shared, all but the last; a prompt of one part has that one.
-func affinityOf(headers http.Header) string {
-	prompt := headers.Get(headerPrompt)
+func affinityOf(from http.Header) string {
+	prompt := from.Get(headers.PromptPrefix)
 	if end := strings.LastIndexByte(prompt, ','); end >= 0 {
 		return prompt[:end]
 	}
--- a/internal/node/executorapi/client.go
+++ b/internal/node/executorapi/client.go
@@ -11,6 +11,8 @@
 	"github.com/dghubble/sling"
 	"github.com/juju/errors"
 	"github.com/mailru/easyjson"
+
+	"gannetline/internal/platform/headers"
 )
 
 // maxAnswerBytes is in bytes.
@@ -48,7 +50,7 @@
 		return 0, answer, errors.Annotate(err, "writing a call")
 	}
 	request, err := sling.New().Base(c.base).Post(path).Body(bytes.NewReader(body)).
-		Set("Content-Type", "application/json").Set("X-Expected-Executor", executor).Request()
+		Set("Content-Type", "application/json").Set(headers.ExpectedExecutor, executor).Request()
 	if err != nil {
 		return 0, answer, errors.Annotate(err, "making a call")
 	}
--- a/internal/platform/logging/logging.go
+++ b/internal/platform/logging/logging.go
@@ -19,5 +19,9 @@
 		funcr.Options{Verbosity: level, LogTimestamp: true, TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
 }
 
+// TraceVerbosity is that of lines that follow single changes and ends of runs from their acknowledgement to the next take-over. They are
+// many, and only meant for plays that look for something that was lost.
+const TraceVerbosity = 2
+
 // Silent is a logger that writes nothing, for tests and tools.
 func Silent() Logger { return logr.Discard() }
--- a/internal/scheduling/scheduler/load.go
+++ b/internal/scheduling/scheduler/load.go
@@ -11,6 +11,7 @@
 	"github.com/mailru/easyjson"
 
 	"gannetline/internal/cluster/peerapi/wire"
+	"gannetline/internal/platform/logging"
 	"gannetline/internal/scheduling/jobs"
 	"gannetline/internal/scheduling/tenantcount"
 )
@@ -197,7 +198,7 @@
 	for _, former := range record.Runs {
 		p.adopt(task, former)
 	}
-	if log := p.log.V(traceVerbosity); log.Enabled() {
+	if log := p.log.V(logging.TraceVerbosity); log.Enabled() {
 		log.Info("task loaded", "task", loaded.name, "done", task.isDone, "run", record.LastRun, "runs", record.Runs)
 	}
 }
--- a/internal/scheduling/scheduler/reports.go
+++ b/internal/scheduling/scheduler/reports.go
@@ -5,6 +5,7 @@
 
 	"gannetline/internal/cluster/peerapi/wire"
 	"gannetline/internal/platform/clock"
+	"gannetline/internal/platform/logging"
 )
 
 // handleOrderAnswer takes what an executor answered to an order. A refused launch is closed at once only if it was sent
@@ -74,12 +75,9 @@
 	return true
 }
 
-// traceVerbosity is that of the lines that follow each end from its acknowledgement to the next take-over.
-const traceVerbosity = 2
-
 // logAcknowledged tells which ends are about to be acknowledged to an executor, those above its lastSeen and up to the taken one.
 func (p *Pool) logAcknowledged(executor *executorState, ends []wire.EndReport, taken int64) {
-	log := p.log.V(traceVerbosity)
+	log := p.log.V(logging.TraceVerbosity)
 	if !log.Enabled() {
 		return
 	}
--- a/internal/simulation/modelcheck/ordermodel/schedule.go
+++ b/internal/simulation/modelcheck/ordermodel/schedule.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"slices"
 
+	"gannetline/internal/control/replication/quorum"
 	"gannetline/internal/simulation/modelcheck"
 )
 
@@ -142,7 +143,7 @@
 // draw makes the schedule of a seed: jobs, their cancels, and faults; in half of them all gather about one time.
 func draw(seed uint64, losses int) modelcheck.Schedule {
 	random := rand.New(rand.NewPCG(seed, drawStream))
-	schedule := modelcheck.Schedule{Model: modelName, Seed: seed, Losses: losses, Nodes: 2*max(1, losses) + 1}
+	schedule := modelcheck.Schedule{Model: modelName, Seed: seed, Losses: losses, Nodes: quorum.VotersFor(losses)}
 	plan := plan{Schedule: &schedule, random: random, centre: between(random, firstStepMs, lastStepMs), machine: random.IntN(smallProfile.executors),
 		isFocused: random.IntN(2) == 0}
 	if which := random.IntN(len(themes) + 2); which < len(themes) {
--- a/internal/simulation/modelcheck/ordermodel/schedulelarge.go
+++ b/internal/simulation/modelcheck/ordermodel/schedulelarge.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"slices"
 
+	"gannetline/internal/control/replication/quorum"
 	"gannetline/internal/simulation/modelcheck"
 )
 
@@ -76,7 +77,7 @@
 // some trouble of the core.
 func drawLarge(seed uint64, losses int) modelcheck.Schedule {
 	random := rand.New(rand.NewPCG(seed, drawStream))
-	schedule := modelcheck.Schedule{Model: modelName, Seed: seed, Losses: losses, Nodes: 2*max(1, losses) + 1, Size: modelcheck.SizeLarge}
+	schedule := modelcheck.Schedule{Model: modelName, Seed: seed, Losses: losses, Nodes: quorum.VotersFor(losses), Size: modelcheck.SizeLarge}
 	plan := largePlan{Schedule: &schedule, random: random, trafficMs: between(random, minTrafficMs, maxTrafficMs)}
 	plan.addTraffic()
 	for range between(random, minWaves, maxWaves) {
--- a/internal/simulation/soak/layout.go
+++ b/internal/simulation/soak/layout.go
@@ -6,6 +6,7 @@
 
 	"go.yaml.in/yaml/v3"
 
+	"gannetline/internal/control/replication/quorum"
 	"gannetline/internal/platform/settings"
 )
 
@@ -72,7 +73,7 @@
 	if processes >= processesForLosses {
 		layout.Losses = 2
 	}
-	stewards := 2*layout.Losses + 1
+	stewards := quorum.VotersFor(layout.Losses)
 	others := processes - stewards - 1
 	gates := max(2, others/3)
 	for number := range stewards {
