--- a/check.sh
+++ b/check.sh
@@ -52,6 +52,7 @@
 step "errname" linter_is_clean errname
 step "unparam" linter_is_clean unparam
 step "gocritic" linter_is_clean gocritic check
+step "tests without the race detector" go run ./internal/checktests -count=1 ./internal/control/storage
 step "tests" go run ./internal/checktests -race -count=1 -timeout 40m ./...
 if [ "$failed" -ne 0 ]; then
   echo "the checks failed"
--- a/internal/control/coordinationapi/handler.go
+++ b/internal/control/coordinationapi/handler.go
@@ -41,7 +41,7 @@
 }
 
 // NewHandler makes a handler; once leaving is done, waiting watches are sent to another steward.
-func NewHandler(ask AskLeader, clock clock.Clock, log logging.Logger, leaving context.Context) *Handler {
+func NewHandler(leaving context.Context, ask AskLeader, clock clock.Clock, log logging.Logger) *Handler {
 	return &Handler{ask: ask, clock: clock, log: log.V(callVerbosity), leaving: leaving}
 }
 
--- a/internal/roles/steward.go
+++ b/internal/roles/steward.go
@@ -74,7 +74,7 @@
 	outer.Handle(controlapi.PrefixEvacuation, controlapi.NewEvacuation(asker, b.settings.HasZone, stalls.MayHaveWaited))
 	outer.Handle(controlapi.PrefixRetire, controlapi.NewRetire(b.caller, b.node.View, b.settings.FaultTolerance.MachineLosses))
 	if b.settings.ServesCoordination() {
-		coordinationapi.NewHandler(manager.AskLeader, b.clock, b.log, b.asked).Register(outer)
+		coordinationapi.NewHandler(b.asked, manager.AskLeader, b.clock, b.log).Register(outer)
 	}
 	outer.Handle(peerapi.Prefix, b.inner)
 	if kept.store != nil {
