--- a/internal/cluster/configcache/configcache.go
+++ b/internal/cluster/configcache/configcache.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -24,14 +25,27 @@
 	version   *Version
 }
 
-// FormerServices gives the services that a route led to before.
-func (s *Snapshot) FormerServices(route string) []string {
+// OtherServices gives all services but the given one whose pools may have jobs of a route: those that the route led to before, and those
+// of the versions that a rollout under way divides its jobs between.
+func (s *Snapshot) OtherServices(route, service string) []string {
+	var others []string
+	add := func(other string) {
+		if other != service && !slices.Contains(others, other) {
+			others = append(others, other)
+		}
+	}
 	for _, moved := range s.Committed.Moved {
 		if moved.Route == route {
-			return moved.Services
+			for _, former := range moved.Services {
+				add(former)
+			}
 		}
 	}
-	return nil
+	if rollout := s.Matcher.Rollout(route); rollout != nil {
+		add(rollout.From)
+		add(rollout.To)
+	}
+	return others
 }
 
 const mailboxSize = 64
--- a/internal/cluster/configuration/check.go
+++ b/internal/cluster/configuration/check.go
@@ -22,18 +22,21 @@
 
 // FieldError tells what is wrong with a field of a configuration.
 type FieldError struct {
-	// Route is the name of the route, or empty for a field of the configuration itself.
-	Route string
+	// Route is the name of the route and Rollout that of the rollout; both are empty for a field of the configuration itself.
+	Route, Rollout string
 	// Problem names the field and says what is wrong with it.
 	Problem string
 }
 
 // Error names the route and the field.
 func (e *FieldError) Error() string {
-	if e.Route == "" {
-		return e.Problem
+	switch {
+	case e.Route != "":
+		return fmt.Sprintf("route %q: %s", e.Route, e.Problem)
+	case e.Rollout != "":
+		return fmt.Sprintf("rollout %q: %s", e.Rollout, e.Problem)
 	}
-	return fmt.Sprintf("route %q: %s", e.Route, e.Problem)
+	return e.Problem
 }
 
 // problems gathers all that is wrong with a configuration.
@@ -43,12 +46,18 @@
 	p.err = multierr.Append(p.err, &FieldError{Route: route, Problem: fmt.Sprintf(format, values...)})
 }
 
+func (p *problems) addRollout(rollout, format string, values ...any) {
+	p.err = multierr.Append(p.err, &FieldError{Rollout: rollout, Problem: fmt.Sprintf(format, values...)})
+}
+
 func (c *Configuration) check() error {
 	var problems problems
 	if c.Version <= 0 {
 		problems.add("", "field config-version must be above 0")
 	}
-	c.checkRoutes(&problems, c.checkServices(&problems))
+	services := c.checkServices(&problems)
+	c.checkRoutes(&problems, services)
+	c.checkRollouts(&problems, services)
 	c.checkTenants(&problems)
 	return problems.err
 }
@@ -121,12 +130,19 @@
 	byName map[string]int
 
 	tenants tenantIndex
+	// rollouts holds, by route, the place of the rollout that decides on its jobs.
+	rollouts map[string]int
 }
 
 // NewMatcher prepares the look-up of a configuration's routes and tenants.
 func NewMatcher(configuration *Configuration) *Matcher {
 	matcher := &Matcher{configuration: configuration, byHost: map[string][]int{}, byName: map[string]int{},
-		tenants: newTenantIndex(configuration.Tenants)}
+		tenants: newTenantIndex(configuration.Tenants), rollouts: map[string]int{}}
+	for index, rollout := range configuration.Rollouts {
+		if !rollout.IsOver() {
+			matcher.rollouts[rollout.Route] = index
+		}
+	}
 	for index, route := range configuration.Routes {
 		host := strings.ToLower(route.Host)
 		matcher.byHost[host] = append(matcher.byHost[host], index)
@@ -154,6 +170,22 @@
 	return nil
 }
 
+// Rollout gives the rollout that is under way for a route, nil if there is none.
+func (m *Matcher) Rollout(route string) *Rollout {
+	if index, exists := m.rollouts[route]; exists {
+		return &m.configuration.Rollouts[index]
+	}
+	return nil
+}
+
+// ServiceFor gives the service that runs the job of an ID: that of its route, or the version that a rollout under way decides on.
+func (m *Matcher) ServiceFor(route *Route, id string) string {
+	if rollout := m.Rollout(route.Name); rollout != nil {
+		return rollout.ServiceFor(id)
+	}
+	return route.Service
+}
+
 // ByName gives a route by its name, nil if there is none.
 func (m *Matcher) ByName(name string) *Route {
 	if index, exists := m.byName[name]; exists {
--- a/internal/cluster/configuration/configuration.go
+++ b/internal/cluster/configuration/configuration.go
@@ -8,7 +8,7 @@
 	"github.com/mailru/easyjson"
 )
 
-//go:generate go run github.com/mailru/easyjson/easyjson -all configuration.go
+//go:generate go run github.com/mailru/easyjson/easyjson -all configuration.go rollouts.go
 
 // The types of routes.
 const (
@@ -87,6 +87,8 @@
 	Limits   Limits    `json:"limits"`
 	// Tenants is nil where the configuration has none; then no call needs a key.
 	Tenants []Tenant `json:"tenant-list,omitempty"`
+	// Rollouts bring new versions of services to routes step by step.
+	Rollouts []Rollout `json:"rollout-list,omitempty"`
 }
 
 // TokenLimit is how many tokens a tenant may have waiting in lots of the route; 0 is no limit.
--- a/internal/cluster/configuration/configuration_easyjson.go
+++ b/internal/cluster/configuration/configuration_easyjson.go
@@ -786,6 +786,29 @@
 				}
 				in.Delim(']')
 			}
+		case "rollout-list":
+			if in.IsNull() {
+				in.Skip()
+				out.Rollouts = nil
+			} else {
+				in.Delim('[')
+				if out.Rollouts == nil {
+					if !in.IsDelim(']') {
+						out.Rollouts = make([]Rollout, 0, 0)
+					} else {
+						out.Rollouts = []Rollout{}
+					}
+				} else {
+					out.Rollouts = (out.Rollouts)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v10 Rollout
+					easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration6(in, &v10)
+					out.Rollouts = append(out.Rollouts, v10)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -812,11 +835,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v10, v11 := range in.Routes {
-				if v10 > 0 {
+			for v11, v12 := range in.Routes {
+				if v11 > 0 {
 					out.RawByte(',')
 				}
-				(v11).MarshalEasyJSON(out)
+				(v12).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -828,11 +851,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v12, v13 := range in.Services {
-				if v12 > 0 {
+			for v13, v14 := range in.Services {
+				if v13 > 0 {
 					out.RawByte(',')
 				}
-				(v13).MarshalEasyJSON(out)
+				(v14).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -847,11 +870,25 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v14, v15 := range in.Tenants {
-				if v14 > 0 {
+			for v15, v16 := range in.Tenants {
+				if v15 > 0 {
+					out.RawByte(',')
+				}
+				(v16).MarshalEasyJSON(out)
+			}
+			out.RawByte(']')
+		}
+	}
+	if len(in.Rollouts) != 0 {
+		const prefix string = ",\"rollout-list\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('[')
+			for v17, v18 := range in.Rollouts {
+				if v17 > 0 {
 					out.RawByte(',')
 				}
-				(v15).MarshalEasyJSON(out)
+				easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration6(out, v18)
 			}
 			out.RawByte(']')
 		}
@@ -882,3 +919,380 @@
 func (v *Configuration) UnmarshalEasyJSON(l *jlexer.Lexer) {
 	easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration5(l, v)
 }
+func easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration6(in *jlexer.Lexer, out *Rollout) {
+	isTopLevel := in.IsStart()
+	if in.IsNull() {
+		if isTopLevel {
+			in.Consumed()
+		}
+		in.Skip()
+		return
+	}
+	in.Delim('{')
+	for !in.IsDelim('}') {
+		key := in.UnsafeFieldName(false)
+		in.WantColon()
+		switch key {
+		case "name":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Name = string(in.String())
+			}
+		case "route":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Route = string(in.String())
+			}
+		case "from-service":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.From = string(in.String())
+			}
+		case "to-service":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.To = string(in.String())
+			}
+		case "steps":
+			if in.IsNull() {
+				in.Skip()
+				out.Steps = nil
+			} else {
+				in.Delim('[')
+				if out.Steps == nil {
+					if !in.IsDelim(']') {
+						out.Steps = make([]RolloutStep, 0, 2)
+					} else {
+						out.Steps = []RolloutStep{}
+					}
+				} else {
+					out.Steps = (out.Steps)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v19 RolloutStep
+					easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration7(in, &v19)
+					out.Steps = append(out.Steps, v19)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
+		case "agreed":
+			easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration8(in, &out.Bounds)
+		case "on-turn-back":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.OnTurnBack = string(in.String())
+			}
+		case "requested-by":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.RequestedBy = string(in.String())
+			}
+		case "state":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.State = RolloutState(in.String())
+			}
+		case "step":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Step = int(in.Int())
+			}
+		case "begun-ms":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.BegunMs = int64(in.Int64())
+			}
+		case "step-begun-ms":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.StepBegunMs = int64(in.Int64())
+			}
+		case "step-jobs":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.StepJobs = int64(in.Int64())
+			}
+		case "reason":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Reason = string(in.String())
+			}
+		default:
+			in.SkipRecursive()
+		}
+		in.WantComma()
+	}
+	in.Delim('}')
+	if isTopLevel {
+		in.Consumed()
+	}
+}
+func easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration6(out *jwriter.Writer, in Rollout) {
+	out.RawByte('{')
+	first := true
+	_ = first
+	{
+		const prefix string = ",\"name\":"
+		out.RawString(prefix[1:])
+		out.String(string(in.Name))
+	}
+	{
+		const prefix string = ",\"route\":"
+		out.RawString(prefix)
+		out.String(string(in.Route))
+	}
+	{
+		const prefix string = ",\"from-service\":"
+		out.RawString(prefix)
+		out.String(string(in.From))
+	}
+	{
+		const prefix string = ",\"to-service\":"
+		out.RawString(prefix)
+		out.String(string(in.To))
+	}
+	{
+		const prefix string = ",\"steps\":"
+		out.RawString(prefix)
+		if in.Steps == nil && (out.Flags&jwriter.NilSliceAsEmpty) == 0 {
+			out.RawString("null")
+		} else {
+			out.RawByte('[')
+			for v20, v21 := range in.Steps {
+				if v20 > 0 {
+					out.RawByte(',')
+				}
+				easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration7(out, v21)
+			}
+			out.RawByte(']')
+		}
+	}
+	{
+		const prefix string = ",\"agreed\":"
+		out.RawString(prefix)
+		easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration8(out, in.Bounds)
+	}
+	if in.OnTurnBack != "" {
+		const prefix string = ",\"on-turn-back\":"
+		out.RawString(prefix)
+		out.String(string(in.OnTurnBack))
+	}
+	if in.RequestedBy != "" {
+		const prefix string = ",\"requested-by\":"
+		out.RawString(prefix)
+		out.String(string(in.RequestedBy))
+	}
+	if in.State != "" {
+		const prefix string = ",\"state\":"
+		out.RawString(prefix)
+		out.String(string(in.State))
+	}
+	if in.Step != 0 {
+		const prefix string = ",\"step\":"
+		out.RawString(prefix)
+		out.Int(int(in.Step))
+	}
+	if in.BegunMs != 0 {
+		const prefix string = ",\"begun-ms\":"
+		out.RawString(prefix)
+		out.Int64(int64(in.BegunMs))
+	}
+	if in.StepBegunMs != 0 {
+		const prefix string = ",\"step-begun-ms\":"
+		out.RawString(prefix)
+		out.Int64(int64(in.StepBegunMs))
+	}
+	if in.StepJobs != 0 {
+		const prefix string = ",\"step-jobs\":"
+		out.RawString(prefix)
+		out.Int64(int64(in.StepJobs))
+	}
+	if in.Reason != "" {
+		const prefix string = ",\"reason\":"
+		out.RawString(prefix)
+		out.String(string(in.Reason))
+	}
+	out.RawByte('}')
+}
+func easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration8(in *jlexer.Lexer, out *RolloutBounds) {
+	isTopLevel := in.IsStart()
+	if in.IsNull() {
+		if isTopLevel {
+			in.Consumed()
+		}
+		in.Skip()
+		return
+	}
+	in.Delim('{')
+	for !in.IsDelim('}') {
+		key := in.UnsafeFieldName(false)
+		in.WantColon()
+		switch key {
+		case "failures":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Failures = float64(in.Float64())
+			}
+		case "late":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Late = float64(in.Float64())
+			}
+		case "run-time-factor":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.RunTimeFactor = float64(in.Float64())
+			}
+		case "false-alarm":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.FalseAlarm = float64(in.Float64())
+			}
+		case "min-jobs":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.MinJobs = int64(in.Int64())
+			}
+		default:
+			in.SkipRecursive()
+		}
+		in.WantComma()
+	}
+	in.Delim('}')
+	if isTopLevel {
+		in.Consumed()
+	}
+}
+func easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration8(out *jwriter.Writer, in RolloutBounds) {
+	out.RawByte('{')
+	first := true
+	_ = first
+	if in.Failures != 0 {
+		const prefix string = ",\"failures\":"
+		first = false
+		out.RawString(prefix[1:])
+		out.Float64(float64(in.Failures))
+	}
+	if in.Late != 0 {
+		const prefix string = ",\"late\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		out.Float64(float64(in.Late))
+	}
+	if in.RunTimeFactor != 0 {
+		const prefix string = ",\"run-time-factor\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		out.Float64(float64(in.RunTimeFactor))
+	}
+	if in.FalseAlarm != 0 {
+		const prefix string = ",\"false-alarm\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		out.Float64(float64(in.FalseAlarm))
+	}
+	if in.MinJobs != 0 {
+		const prefix string = ",\"min-jobs\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		out.Int64(int64(in.MinJobs))
+	}
+	out.RawByte('}')
+}
+func easyjsonA0a30a08DecodeGannetlineInternalClusterConfiguration7(in *jlexer.Lexer, out *RolloutStep) {
+	isTopLevel := in.IsStart()
+	if in.IsNull() {
+		if isTopLevel {
+			in.Consumed()
+		}
+		in.Skip()
+		return
+	}
+	in.Delim('{')
+	for !in.IsDelim('}') {
+		key := in.UnsafeFieldName(false)
+		in.WantColon()
+		switch key {
+		case "share":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Share = float64(in.Float64())
+			}
+		case "min-time-s":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.MinTimeS = float64(in.Float64())
+			}
+		case "min-jobs":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.MinJobs = int64(in.Int64())
+			}
+		default:
+			in.SkipRecursive()
+		}
+		in.WantComma()
+	}
+	in.Delim('}')
+	if isTopLevel {
+		in.Consumed()
+	}
+}
+func easyjsonA0a30a08EncodeGannetlineInternalClusterConfiguration7(out *jwriter.Writer, in RolloutStep) {
+	out.RawByte('{')
+	first := true
+	_ = first
+	{
+		const prefix string = ",\"share\":"
+		out.RawString(prefix[1:])
+		out.Float64(float64(in.Share))
+	}
+	if in.MinTimeS != 0 {
+		const prefix string = ",\"min-time-s\":"
+		out.RawString(prefix)
+		out.Float64(float64(in.MinTimeS))
+	}
+	if in.MinJobs != 0 {
+		const prefix string = ",\"min-jobs\":"
+		out.RawString(prefix)
+		out.Int64(int64(in.MinJobs))
+	}
+	out.RawByte('}')
+}
--- a/internal/cluster/peerapi/wire/client.go
+++ b/internal/cluster/peerapi/wire/client.go
@@ -17,6 +17,10 @@
 	VerbSubmit Verb = "hand-in"
 	// VerbRenounce asks a pool never to take a job under an ID, so that another pool may.
 	VerbRenounce Verb = "renounce"
+	// VerbTransfer gives a pool a job that another one had accepted; the body is a TransferCall.
+	VerbTransfer Verb = "transfer"
+	// VerbRollouts asks a pool for its RolloutReport, and the leader of the configuration for how its rollouts stand.
+	VerbRollouts Verb = "rollouts"
 	// VerbState asks for the state of a job.
 	VerbState Verb = "state"
 	// VerbCancel cancels a job.
@@ -81,6 +85,8 @@
 	Tenant string `json:"tenant,omitempty"`
 	// Item is the ID of an item of a lot.
 	Item string `json:"item,omitempty"`
+	// Version is that of the configuration by which a gate chose the pool; older gates leave it out.
+	Version int64 `json:"version,omitempty"`
 }
 
 // RouteTerms are what a job's route says of it: its priority, how many attempts a task has, and the target for its
@@ -102,6 +108,10 @@
 	RetryAfterS    int                 `json:"retry,omitempty"`
 	Reason         string              `json:"why,omitempty"`
 	Body           easyjson.RawMessage `json:"body,omitempty"`
+	// MovedTo is the service whose pool a job was transferred to, with a Status that says that it isn't here.
+	MovedTo string `json:"moved,omitempty"`
+	// WallMs is the time of day that the voters agree on, with the configuration in force, in milliseconds since 1970.
+	WallMs int64 `json:"wall,omitempty"`
 	// Current is the version in force with a refused configuration.
 	Current int64 `json:"current,omitempty"`
 }
--- a/internal/cluster/peerapi/wire/client_easyjson.go
+++ b/internal/cluster/peerapi/wire/client_easyjson.go
@@ -213,6 +213,12 @@
 			} else {
 				out.Item = string(in.String())
 			}
+		case "version":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Version = int64(in.Int64())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -277,6 +283,11 @@
 		out.RawString(prefix)
 		out.String(string(in.Item))
 	}
+	if in.Version != 0 {
+		const prefix string = ",\"version\":"
+		out.RawString(prefix)
+		out.Int64(int64(in.Version))
+	}
 	out.RawByte('}')
 }
 
@@ -359,6 +370,18 @@
 			} else {
 				(out.Body).UnmarshalEasyJSON(in)
 			}
+		case "moved":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.MovedTo = string(in.String())
+			}
+		case "wall":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.WallMs = int64(in.Int64())
+			}
 		case "current":
 			if in.IsNull() {
 				in.Skip()
@@ -445,6 +468,26 @@
 		}
 		(in.Body).MarshalEasyJSON(out)
 	}
+	if in.MovedTo != "" {
+		const prefix string = ",\"moved\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		out.String(string(in.MovedTo))
+	}
+	if in.WallMs != 0 {
+		const prefix string = ",\"wall\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		out.Int64(int64(in.WallMs))
+	}
 	if in.Current != 0 {
 		const prefix string = ",\"current\":"
 		if first {
--- a/internal/control/configleader/configleader.go
+++ b/internal/control/configleader/configleader.go
@@ -379,5 +379,5 @@
 		l.answerUnderLease(answer, refusalOf(ErrNoConfiguration))
 		return
 	}
-	l.answerUnderLease(answer, wire.ClientAnswer{Status: http.StatusOK, Body: l.committed.Body})
+	l.answerUnderLease(answer, wire.ClientAnswer{Status: http.StatusOK, Body: l.committed.Body, WallMs: l.leadership.WallMs()})
 }
--- a/internal/control/configleader/moved.go
+++ b/internal/control/configleader/moved.go
@@ -15,25 +15,33 @@
 	maxFormerServices = 16
 )
 
-// movedRoutes adds the routes that the next configuration sends to another service than the one before.
+// movedRoutes adds the routes that the next configuration sends to another service than the one before, and those whose jobs a rollout
+// may divide between two: the jobs of either version stay where they were accepted.
 func movedRoutes(moved []wire.MovedRoute, before, next *configuration.Configuration) []wire.MovedRoute {
 	former := configuration.NewMatcher(before)
 	positions := map[string]int{}
 	for position, route := range moved {
 		positions[route.Route] = position
 	}
+	add := func(route, service string) {
+		position, isKnown := positions[route]
+		if !isKnown {
+			positions[route] = len(moved)
+			moved = append(moved, wire.MovedRoute{Route: route, Services: []string{service}})
+			return
+		}
+		moved[position].Services = withService(moved[position].Services, service)
+	}
 	for _, route := range next.Routes {
-		formerRoute := former.ByName(route.Name)
-		if formerRoute == nil || formerRoute.Service == route.Service {
-			continue
+		if formerRoute := former.ByName(route.Name); formerRoute != nil && formerRoute.Service != route.Service {
+			add(route.Name, formerRoute.Service)
 		}
-		position, isKnown := positions[route.Name]
-		if !isKnown {
-			positions[route.Name] = len(moved)
-			moved = append(moved, wire.MovedRoute{Route: route.Name, Services: []string{formerRoute.Service}})
-			continue
+	}
+	for _, rollout := range next.Rollouts {
+		if rollout.BegunMs > 0 {
+			add(rollout.Route, rollout.From)
+			add(rollout.Route, rollout.To)
 		}
-		moved[position].Services = withService(moved[position].Services, formerRoute.Service)
 	}
 	return boundMoved(moved, next)
 }
--- a/internal/control/controlkeys/keyrunner.go
+++ b/internal/control/controlkeys/keyrunner.go
@@ -67,7 +67,7 @@
 		leader := configleader.New(m.Log, func(committed *wire.Configuration) { m.Configurations.Hold(committed) },
 			configleader.WithStorageDisks(m.storageDisks, quorum.VotersFor(m.MachineLosses)), configleader.WithStandingKeys(m.standingKeys()),
 			configleader.WithEvacuations(m.Node.HoldsEvacuations))
-		machine := configurationMachine{leader}
+		machine := configurationMachine{leader, m.rollouts}
 		runner.machine, runner.engine = machine, newEngine(machine)
 	case tenantcount.IsKey(key):
 		machine := countMachine{countleader.New(key, m.Clock, m.Log, m.countPolicy)}
@@ -95,13 +95,14 @@
 // startPool makes the pool of a key and runs it on a goroutine of its own.
 func (m *Manager) startPool(key string, runner *keyRunner) *poolhost.Host {
 	counter := &countCaller{manager: m, ctx: m.ctx}
+	transfers := &transferSender{manager: m, ctx: m.ctx}
 	options := append(slices.Clone(m.PoolOptions), scheduler.WithTenants(m.tenantPolicy), scheduler.WithCounter(counter),
-		scheduler.WithEvacuations(m.isEvacuated))
+		scheduler.WithEvacuations(m.isEvacuated), scheduler.WithRollouts(m.rolloutPolicy(key)), scheduler.WithTransfers(transfers))
 	runner.pool = scheduler.New(key, m.Clock, m.Timing, m.Log, options...)
 	runner.machine = poolMachine{runner.pool}
 	host := poolhost.New(runner.pool, runner.engineMailbox)
 	runner.stateMailbox = host.Mailbox()
-	counter.mailbox = runner.stateMailbox
+	counter.mailbox, transfers.mailbox = runner.stateMailbox, runner.stateMailbox
 	go runner.stateMailbox.Run(m.ctx, m.Clock, mailbox.Owner{Every: tickInterval, Tick: runner.pool.Tick, Settle: runner.pool.Flush, Pause: poolPause})
 	return host
 }
--- a/internal/control/controlkeys/machines.go
+++ b/internal/control/controlkeys/machines.go
@@ -7,11 +7,15 @@
 	"gannetline/internal/control/countleader"
 	"gannetline/internal/control/lots"
 	"gannetline/internal/control/replication"
+	"gannetline/internal/control/rollouts"
 	"gannetline/internal/scheduling/scheduler"
 )
 
 // configurationMachine is the replication.StateMachine of the configuration.
-type configurationMachine struct{ *configleader.Leader }
+type configurationMachine struct {
+	*configleader.Leader
+	rollouts *rollouts.Controller
+}
 
 // Open passes a leadership on as the narrower configleader.Leadership; it runs on the goroutine of the key's engine.
 func (c configurationMachine) Open(leadership *replication.Leadership, pairs []wire.Op) error {
@@ -30,6 +34,8 @@
 		return c.EndEvacuation
 	case wire.VerbEvacuations:
 		return func(_ *wire.ClientCall, answer func(wire.ClientAnswer)) { c.Evacuations(answer) }
+	case wire.VerbRollouts:
+		return func(_ *wire.ClientCall, answer func(wire.ClientAnswer)) { answer(c.rollouts.StatusAnswer()) }
 	case wire.VerbVersion:
 		return func(_ *wire.ClientCall, answer func(wire.ClientAnswer)) { c.Version(answer) }
 	}
@@ -79,6 +85,10 @@
 		return p.Cancel
 	case wire.VerbRenounce:
 		return p.Renounce
+	case wire.VerbTransfer:
+		return p.Transfer
+	case wire.VerbRollouts:
+		return p.Rollouts
 	case wire.VerbTenants:
 		return p.Tenants
 	}
--- a/internal/control/controlkeys/manager.go
+++ b/internal/control/controlkeys/manager.go
@@ -20,6 +20,7 @@
 	"gannetline/internal/control/coordination"
 	"gannetline/internal/control/lots"
 	"gannetline/internal/control/replication"
+	"gannetline/internal/control/rollouts"
 	"gannetline/internal/control/storage"
 	"gannetline/internal/platform/clock"
 	"gannetline/internal/platform/logging"
@@ -95,6 +96,9 @@
 	hasConfigurationReplica bool
 	isLeaving               bool
 
+	// rollouts carries out the rollouts of the configuration while that is led here.
+	rollouts *rollouts.Controller
+
 	// policies holds what the newest configuration says of tenants.
 	policies atomic.Pointer[cachedPolicy]
 }
@@ -105,6 +109,7 @@
 	if config.Store != nil {
 		manager.disk = config.Store.Disk()
 	}
+	manager.rollouts = manager.newRollouts()
 	return manager
 }
 
@@ -125,6 +130,15 @@
 	return nil
 }
 
+// RunRollouts carries out the rollouts of the configuration until ctx is done. A process that keeps lots or no keys has none to carry out.
+func (m *Manager) RunRollouts(ctx context.Context) error {
+	if !m.hasDisk() || m.Lots != nil {
+		<-ctx.Done()
+		return nil
+	}
+	return m.rollouts.Run(ctx)
+}
+
 // Bootstrap sets the initial voters of the configuration's key, once the seeds have named their disks.
 func (m *Manager) Bootstrap(voters []string) {
 	m.mailbox.Post(func() {
--- /dev/null
+++ b/internal/control/controlkeys/rollouts.go
@@ -0,0 +1,108 @@
+package controlkeys
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/mailru/easyjson"
+
+	"gannetline/internal/cluster/configcache"
+	"gannetline/internal/cluster/configuration"
+	"gannetline/internal/cluster/peerapi/wire"
+	"gannetline/internal/control/configleader"
+	"gannetline/internal/control/rollouts"
+	"gannetline/internal/platform/mailbox"
+	"gannetline/internal/scheduling/scheduler"
+)
+
+const (
+	// transferTimeout is how long a pool waits for the answer to a job that it sends to another pool.
+	transferTimeout = time.Second
+	// reportTimeout is how long a pool may take to tell what it has counted.
+	reportTimeout = 400 * time.Millisecond
+)
+
+// newRollouts makes the controller of the rollouts, which works while the configuration is led here.
+func (m *Manager) newRollouts() *rollouts.Controller {
+	return rollouts.New(rollouts.Surroundings{Clock: m.Clock, Log: m.Log, HasRollouts: m.hasRollouts, Report: m.rolloutReport,
+		Execute: func(ctx context.Context, call *wire.ClientCall) (*wire.ClientAnswer, error) {
+			call.Key = configleader.Key
+			return m.Client(ctx, call)
+		}})
+}
+
+// hasRollouts tells whether the newest configuration known here names rollouts.
+func (m *Manager) hasRollouts() bool {
+	snapshot := m.Configurations.Current()
+	return snapshot != nil && len(snapshot.Matcher.Configuration().Rollouts) > 0
+}
+
+// rolloutReport asks the pool of a service what it has counted; nil if nobody answers in time.
+func (m *Manager) rolloutReport(ctx context.Context, service string) *wire.RolloutReport {
+	outcome := m.AskLeader(ctx, &wire.ClientCall{Key: poolPrefix + service, Verb: wire.VerbRollouts}, reportTimeout, 0)
+	if outcome.Answer == nil || outcome.Answer.Status != http.StatusOK {
+		return nil
+	}
+	report := &wire.RolloutReport{}
+	if err := easyjson.Unmarshal(outcome.Answer.Body, report); err != nil {
+		m.Log.Error(err, "answer not read", "service", service)
+		return nil
+	}
+	return report
+}
+
+// rolloutPolicy gives what the configuration in force says of the rollouts in which a pool's service is a version. The function that it
+// returns belongs to the pool's goroutine.
+func (m *Manager) rolloutPolicy(key string) func() scheduler.RolloutPolicy {
+	service := strings.TrimPrefix(key, poolPrefix)
+	var known *configcache.Snapshot
+	var policy scheduler.RolloutPolicy
+	return func() scheduler.RolloutPolicy {
+		if snapshot := m.Configurations.Current(); snapshot != nil && snapshot != known {
+			known, policy = snapshot, rolloutPolicyOf(snapshot.Committed.Version, snapshot.Matcher, service)
+		}
+		return policy
+	}
+}
+
+// rolloutPolicyOf works out what a configuration says of the rollouts in which a service is a version. A rollout that was turned back
+// returns no jobs where its route leads to the new version by now, or another rollout brings it there.
+func rolloutPolicyOf(version int64, matcher *configuration.Matcher, service string) scheduler.RolloutPolicy {
+	policy := scheduler.RolloutPolicy{Version: version}
+	for _, one := range matcher.Configuration().Rollouts {
+		terms := scheduler.RolloutTerms{Name: one.Name, BegunMs: one.BegunMs, Route: one.Route}
+		route := matcher.ByName(one.Route)
+		switch {
+		case one.BegunMs == 0 || route == nil || service != one.From && service != one.To:
+			continue
+		case one.State == configuration.RolloutTurnedBack:
+			underWay := matcher.Rollout(one.Route)
+			if service != one.To || route.Service == service || underWay != nil && underWay.To == service {
+				continue
+			}
+			terms.ReturnTo, terms.StopsRuns, terms.IsRepeatable = one.From, one.StopsRuns(), route.Type == configuration.RouteIdempotent
+		case one.IsOver():
+			continue
+		}
+		policy.Rollouts = append(policy.Rollouts, terms)
+	}
+	return policy
+}
+
+// transferSender carries the jobs of a pool to other pools, and the answers to the pool's goroutine.
+type transferSender struct {
+	manager *Manager
+	mailbox *mailbox.Mailbox
+	ctx     context.Context
+}
+
+// Send gives a job to the leader of a service's pool; answer runs later on the sending pool's goroutine.
+func (s *transferSender) Send(service string, call *wire.ClientCall, answer func(*wire.ClientAnswer)) {
+	call.Key = poolPrefix + service
+	go func() {
+		outcome := s.manager.AskLeader(s.ctx, call, transferTimeout, 0)
+		s.mailbox.Post(func() { answer(outcome.Answer) })
+	}()
+}
--- /dev/null
+++ b/internal/control/rollouts/controller.go
@@ -0,0 +1,226 @@
+// Package rollouts carries out the rollouts that the configuration names. It runs on each steward, and does something only where the
+// configuration is led: it asks the pools of both versions what they have counted, has package scheduling/rollout decide, and makes each
+// step an ordinary change of the configuration on the version that it was decided on. So a change by an operator in between wins, a step is
+// never taken twice, and a new leader goes on from what is committed.
+package rollouts
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/mailru/easyjson"
+
+	"gannetline/internal/cluster/configuration"
+	"gannetline/internal/cluster/peerapi/wire"
+	"gannetline/internal/platform/clock"
+	"gannetline/internal/platform/logging"
+	"gannetline/internal/scheduling/rollout"
+)
+
+const (
+	// lookInterval is how often rollouts under way are looked at.
+	lookInterval = 500 * time.Millisecond
+	// changeTimeout is how long a change of the configuration may take before its outcome counts as unknown; the next look sees what came of it.
+	changeTimeout = 2 * time.Second
+)
+
+// Surroundings are what a controller stands on.
+type Surroundings struct {
+	Clock clock.Clock
+	Log   logging.Logger
+	// HasRollouts tells whether the newest configuration that this process knows names any.
+	HasRollouts func() bool
+	// Execute runs a command on the key of the configuration; its answer says so if that is not led here.
+	Execute func(ctx context.Context, call *wire.ClientCall) (*wire.ClientAnswer, error)
+	// Report asks the pool of a service for its counts; nil stands for no answer.
+	Report func(ctx context.Context, service string) *wire.RolloutReport
+}
+
+// Controller carries out rollouts while the configuration is led here.
+type Controller struct {
+	Surroundings
+	// judges watch the rollouts under way, by name; they belong to the goroutine of Run.
+	judges map[string]*watchedRollout
+	status atomic.Pointer[wire.RolloutsStatus]
+}
+
+// watchedRollout is the judge of one rollout; one that begins anew under the same name gets another.
+type watchedRollout struct {
+	judge   *rollout.Judge
+	begunMs int64
+	// reason is the last that was logged.
+	reason rollout.Reason
+}
+
+// New makes a controller.
+func New(surroundings Surroundings) *Controller {
+	return &Controller{Surroundings: surroundings, judges: map[string]*watchedRollout{}}
+}
+
+// Run looks at the rollouts again and again until ctx is done.
+func (c *Controller) Run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-c.Clock.After(lookInterval):
+			c.Look(ctx)
+		}
+	}
+}
+
+// Status is how the rollouts stand, nil where the configuration is not led here or was not looked at yet. Any goroutine may ask.
+func (c *Controller) Status() *wire.RolloutsStatus { return c.status.Load() }
+
+// Look judges all rollouts once, and makes at most one change.
+func (c *Controller) Look(ctx context.Context) {
+	if !c.HasRollouts() {
+		c.forget()
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	current, err := c.Execute(ctx, &wire.ClientCall{Verb: wire.VerbRetrieve})
+	if err != nil || current.NotLeader || current.Status != http.StatusOK {
+		c.forget()
+		return
+	}
+	decoded, err := configuration.Read(current.Body)
+	if err != nil {
+		c.Log.Error(err, "configuration not read")
+		return
+	}
+	c.lookAt(ctx, decoded, current)
+}
+
+// forget drops all judges: the next leader of the configuration has its own, and this one begins anew if it leads again.
+func (c *Controller) forget() {
+	c.judges = map[string]*watchedRollout{}
+	c.status.Store(nil)
+}
+
+// lookAt judges the rollouts of the configuration in force.
+func (c *Controller) lookAt(ctx context.Context, decoded *configuration.Configuration, current *wire.ClientAnswer) {
+	reports := map[string]*wire.RolloutReport{}
+	report := func(service string) *wire.RolloutReport {
+		if _, isKnown := reports[service]; !isKnown {
+			reports[service] = c.Report(ctx, service)
+		}
+		return reports[service]
+	}
+	status := &wire.RolloutsStatus{Version: decoded.Version}
+	isChanged := false
+	for index := range decoded.Rollouts {
+		one := &decoded.Rollouts[index]
+		if one.IsOver() {
+			status.Rollouts = append(status.Rollouts, statusOf(one, rollout.Evidence{}, rollout.Decision{}))
+			continue
+		}
+		evidence := rollout.Evidence{Old: versionOf(report(one.From), one), New: versionOf(report(one.To), one)}
+		watched := c.watched(one)
+		decision := watched.judge.Decide(one, evidence, current.WallMs)
+		c.tell(one, watched, decision)
+		status.Rollouts = append(status.Rollouts, statusOf(one, evidence, decision))
+		if !isChanged && decision.Action != rollout.Hold {
+			isChanged = true
+			c.change(ctx, one, evidence, decision, current)
+		}
+	}
+	c.status.Store(status)
+	showMetrics(status)
+}
+
+// watched gives the judge of a rollout.
+func (c *Controller) watched(one *configuration.Rollout) *watchedRollout {
+	watched := c.judges[one.Name]
+	if watched == nil || watched.begunMs != one.BegunMs {
+		watched = &watchedRollout{judge: &rollout.Judge{}, begunMs: one.BegunMs}
+		c.judges[one.Name] = watched
+	}
+	return watched
+}
+
+func versionOf(report *wire.RolloutReport, one *configuration.Rollout) rollout.Version {
+	if report == nil {
+		return rollout.Version{}
+	}
+	return rollout.VersionFrom(report, one.Name, one.BegunMs)
+}
+
+// tell logs a decision with its figures, once for each reason.
+func (c *Controller) tell(one *configuration.Rollout, watched *watchedRollout, decision rollout.Decision) {
+	if decision.Reason == watched.reason && decision.Action == rollout.Hold {
+		return
+	}
+	watched.reason = decision.Reason
+	fields := []any{"rollout", one.Name, "route", one.Route, "action", decision.Action, "reason", decision.Reason, "step", one.Step, "share", one.Share()}
+	if decision.Decisive != nil {
+		fields = append(fields, "verdict", decision.Decisive.String())
+	}
+	c.Log.Info("rollout judged", fields...)
+}
+
+// change makes a decision a change of the configuration. What came of it, if that is not clear, the next look sees.
+func (c *Controller) change(ctx context.Context, one *configuration.Rollout, evidence rollout.Evidence, decision rollout.Decision, current *wire.ClientAnswer) {
+	amendment := configuration.Amend(current.Body).SetProgress(one.Name, progressAfter(one, evidence, decision, current.WallMs))
+	body, err := amendment.Body()
+	if err != nil {
+		c.Log.Error(err, "rollout not changed", "rollout", one.Name)
+		return
+	}
+	answer, err := c.Execute(ctx, &wire.ClientCall{Verb: wire.VerbReplace, Base: amendment.Base(), Body: body})
+	switch {
+	case err != nil:
+		c.Log.Error(errors.Annotate(err, "changing the configuration"), "rollout not changed", "rollout", one.Name)
+	case answer.NotLeader:
+	case answer.Status != http.StatusOK:
+		c.Log.Info("rollout not changed", "rollout", one.Name, "status", answer.Status, "reason", answer.Reason)
+	default:
+		decisions.With(one.Name, string(decision.Action)).Inc()
+		c.Log.Info("rollout changed", "rollout", one.Name, "route", one.Route, "action", decision.Action, "reason", decision.Reason,
+			"version", amendment.Base()+1)
+	}
+}
+
+// progressAfter is how far a rollout is after a decision.
+func progressAfter(one *configuration.Rollout, evidence rollout.Evidence, decision rollout.Decision, nowMs int64) configuration.RolloutProgress {
+	progress := one.Progress()
+	progress.Reason = ""
+	switch decision.Action {
+	case rollout.Begin:
+		progress = configuration.RolloutProgress{State: configuration.RolloutWidening, BegunMs: nowMs, StepBegunMs: nowMs}
+	case rollout.Widen:
+		jobs := evidence.New.Counts.Jobs
+		progress.Step, progress.StepBegunMs, progress.StepJobs = one.Step+1, nowMs, jobs.Completed+jobs.Failed
+	case rollout.Finish:
+		progress.State = configuration.RolloutFinished
+	case rollout.TurnBack:
+		progress.State, progress.Reason = configuration.RolloutTurnedBack, reasonText(decision)
+	}
+	return progress
+}
+
+// reasonText says why a version was turned back, with the figures.
+func reasonText(decision rollout.Decision) string {
+	if decision.Decisive == nil {
+		return string(decision.Reason)
+	}
+	return string(decision.Reason) + ": " + decision.Decisive.String()
+}
+
+// StatusAnswer is the answer to a question how the rollouts stand.
+func (c *Controller) StatusAnswer() wire.ClientAnswer {
+	status := c.Status()
+	if status == nil {
+		status = &wire.RolloutsStatus{Rollouts: []wire.RolloutStatus{}}
+	}
+	body, err := easyjson.Marshal(status)
+	if err != nil {
+		c.Log.Error(err, "answer not written")
+		return wire.ClientAnswer{Status: http.StatusInternalServerError, Reason: "the answer could not be written"}
+	}
+	return wire.ClientAnswer{Status: http.StatusOK, Body: body}
+}
--- /dev/null
+++ b/internal/control/rollouts/controller_test.go
@@ -0,0 +1,236 @@
+package rollouts_test
+
+import (
+	"context"
+	"strings"
+
+	"github.com/mailru/easyjson"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gannetline/internal/cluster/configuration"
+	"gannetline/internal/cluster/peerapi/wire"
+	"gannetline/internal/control/configleader"
+	"gannetline/internal/control/rollouts"
+	"gannetline/internal/platform/clock"
+	"gannetline/internal/platform/logging"
+)
+
+const text = `{"config-version":3,"route-list":[{"name":"a","host":"h","path-prefix":"/a/","timeout-ms":1,"service":"v1"},
+ {"name":"b","host":"h","path-prefix":"/b/","timeout-ms":1,"service":"w1"}],
+ "service-list":[{"name":"v1"},{"name":"v2"},{"name":"w1"},{"name":"w2"}],"rollout-list":[
+ {"name":"r","route":"a","from-service":"v1","to-service":"v2","steps":[{"share":0.1,"min-jobs":5},{"share":1,"min-jobs":5}],"agreed":{"failures":0.05}},
+ {"name":"s","route":"b","from-service":"w1","to-service":"w2","steps":[{"share":0.1,"min-jobs":5},{"share":1,"min-jobs":5}],"agreed":{"failures":0.05}}]}`
+
+// memoryLeadership commits at once, until it is lost.
+type memoryLeadership struct {
+	clock  *clock.Fake
+	pairs  map[string][]byte
+	isLost bool
+}
+
+func (l *memoryLeadership) HasLease() bool   { return !l.isLost }
+func (l *memoryLeadership) Voters() []string { return []string{"d"} }
+func (l *memoryLeadership) WallMs() int64    { return l.clock.WallMs() }
+func (l *memoryLeadership) Commit(ops []wire.Op, done func(error)) {
+	for _, op := range ops {
+		l.pairs[op.Name] = op.Value
+	}
+	done(nil)
+}
+
+// system is a leader of the configuration, its controller and the counts of the pools.
+type system struct {
+	clock      *clock.Fake
+	leadership *memoryLeadership
+	leader     *configleader.Leader
+	controller *rollouts.Controller
+	reports    map[string]*wire.RolloutReport
+	// refuses lets no change be taken, as if the leadership was lost on the way.
+	refuses bool
+	// onReport runs when a pool is asked.
+	onReport func()
+}
+
+func newSystem() *system {
+	s := &system{clock: clock.NewFake(1_000_000), reports: map[string]*wire.RolloutReport{}, onReport: func() {}}
+	s.leadership = &memoryLeadership{clock: s.clock, pairs: map[string][]byte{}}
+	for _, service := range []string{"v1", "v2", "w1", "w2"} {
+		s.reports[service] = &wire.RolloutReport{Executors: 3, Capacity: 1000}
+	}
+	s.takeOver()
+	Expect(s.replace(0, text).Status).To(Equal(200))
+	return s
+}
+
+// takeOver makes a new leader, with a controller of its own, from what is committed.
+func (s *system) takeOver() {
+	s.leader = configleader.New(logging.Silent(), func(*wire.Configuration) {})
+	var pairs []wire.Op
+	for name, value := range s.leadership.pairs {
+		pairs = append(pairs, wire.Op{Name: name, Value: value})
+	}
+	Expect(s.leader.Open(s.leadership, pairs)).To(Succeed())
+	s.controller = rollouts.New(rollouts.Surroundings{Clock: s.clock, Log: logging.Silent(), HasRollouts: func() bool { return true },
+		Execute: func(_ context.Context, call *wire.ClientCall) (*wire.ClientAnswer, error) {
+			var reported wire.ClientAnswer
+			take := func(answer wire.ClientAnswer) { reported = answer }
+			switch {
+			case s.leadership.isLost || s.refuses && call.Verb == wire.VerbReplace:
+				reported.NotLeader = true
+			case call.Verb == wire.VerbRetrieve:
+				s.leader.Retrieve(take)
+			default:
+				s.leader.Replace(call, take)
+			}
+			return &reported, nil
+		},
+		Report: func(_ context.Context, service string) *wire.RolloutReport { s.onReport(); return s.reports[service] }})
+}
+
+func (s *system) replace(base int64, body string) (reported wire.ClientAnswer) {
+	s.leader.Replace(&wire.ClientCall{Base: base, Body: []byte(body)}, func(answer wire.ClientAnswer) { reported = answer })
+	return reported
+}
+
+func (s *system) current() *configuration.Configuration {
+	var reported wire.ClientAnswer
+	s.leader.Retrieve(func(answer wire.ClientAnswer) { reported = answer })
+	decoded, err := configuration.Read(reported.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return decoded
+}
+
+func (s *system) body() string {
+	var reported wire.ClientAnswer
+	s.leader.Retrieve(func(answer wire.ClientAnswer) { reported = answer })
+	return string(reported.Body)
+}
+
+// ended has a pool count so many jobs for a rollout.
+func (s *system) ended(service, rollout string, completed, failed int64) {
+	begunMs := int64(0)
+	for _, one := range s.current().Rollouts {
+		if one.Name == rollout {
+			begunMs = one.BegunMs
+		}
+	}
+	s.reports[service].Rollouts = []wire.RolloutCounts{{Rollout: rollout, BegunMs: begunMs, Jobs: wire.JobCounts{Completed: completed, Failed: failed}}}
+}
+
+func (s *system) look() { s.controller.Look(context.Background()) }
+
+var _ = Describe("the controller of rollouts", func() {
+	var s *system
+	BeforeEach(func() { s = newSystem() })
+	// begin lets both rollouts begin; each look makes one change.
+	begin := func() {
+		s.look()
+		s.look()
+	}
+
+	It("begins, widens and finishes by changes of the configuration, one at a time", func() {
+		begin()
+		Expect(s.current().Version).To(Equal(int64(5)))
+		Expect(s.current().Rollouts[0].Share()).To(Equal(0.1))
+		s.ended("v2", "r", 5, 0)
+		s.look()
+		Expect(s.current().Rollouts[0].Share()).To(Equal(1.0))
+		Expect(s.current().Rollouts[0].StepJobs).To(Equal(int64(5)))
+		s.look()
+		Expect(s.current().Version).To(Equal(int64(6)), "a version without further traffic never goes on")
+		s.ended("v2", "r", 10, 0)
+		s.look()
+		Expect(s.current().Rollouts[0].State).To(Equal(configuration.RolloutFinished))
+		Expect(s.current().Routes[0].Service).To(Equal("v2"))
+		Expect(s.current().Routes[1].Service).To(Equal("w1"))
+	})
+
+	It("turns one of two back, with the figures, and leaves the other alone", func() {
+		begin()
+		s.ended("v2", "r", 10, 10)
+		s.ended("w2", "s", 4, 0)
+		s.look()
+		s.look()
+		Expect(s.current().Rollouts[0].State).To(Equal(configuration.RolloutTurnedBack))
+		Expect(s.current().Rollouts[0].Reason).To(ContainSubstring("more failures than agreed: failures of all jobs: 10 of 20, agreed 0.050"))
+		Expect(s.current().Rollouts[1].State).To(Equal(configuration.RolloutWidening))
+		Expect(s.current().Routes[0].Service).To(Equal("v1"))
+	})
+
+	It("goes on under a new leader where the last one was, and takes no step twice", func() {
+		begin()
+		s.ended("v2", "r", 5, 0)
+		s.look()
+		s.takeOver()
+		s.look()
+		Expect(s.current().Version).To(Equal(int64(6)))
+		Expect(s.current().Rollouts[0].Step).To(Equal(1))
+	})
+
+	It("takes a step that a lost leadership left open under the next one", func() {
+		begin()
+		s.ended("v2", "r", 20, 20)
+		s.refuses = true
+		s.look()
+		Expect(s.current().Rollouts[0].State).To(Equal(configuration.RolloutWidening))
+		s.refuses = false
+		s.takeOver()
+		s.look()
+		Expect(s.current().Rollouts[0].State).To(Equal(configuration.RolloutTurnedBack))
+	})
+
+	It("lets an operator win who changes the configuration in between", func() {
+		begin()
+		s.ended("v2", "r", 20, 20)
+		s.onReport = func() {
+			s.onReport = func() {}
+			changed := strings.Replace(s.body(), `"config-version":5`, `"config-version":90`, 1)
+			Expect(s.replace(5, strings.Replace(changed, `"state":"widening"`, `"state":"paused"`, 1)).Status).To(Equal(200))
+		}
+		s.look()
+		Expect(s.current().Version).To(Equal(int64(90)))
+		Expect(s.current().Rollouts[0].State).To(Equal(configuration.RolloutPaused))
+		s.look()
+		Expect(s.current().Rollouts[0].State).To(Equal(configuration.RolloutTurnedBack), "a paused version is judged all the same")
+	})
+
+	It("leaves alone what an operator paused, gave up, or took out", func() {
+		begin()
+		s.ended("v2", "r", 20, 0)
+		Expect(s.replace(5, strings.Replace(strings.Replace(s.body(), `"config-version":5`, `"config-version":6`, 1), `"state":"widening"`, `"state":"paused"`, 1)).Status).To(Equal(200))
+		s.look()
+		Expect(s.current().Version).To(Equal(int64(6)))
+		Expect(s.replace(6, strings.Replace(strings.Replace(s.body(), `"config-version":6`, `"config-version":7`, 1), `"state":"paused"`, `"state":"turned-back"`, 1)).Status).To(Equal(200))
+		s.look()
+		Expect(s.current().Version).To(Equal(int64(7)))
+		without := text[:strings.Index(text, `,"rollout-list"`)] + "}"
+		Expect(s.replace(7, strings.Replace(without, `"config-version":3`, `"config-version":8`, 1)).Status).To(Equal(200))
+		s.look()
+		Expect(s.controller.Status().Rollouts).To(BeEmpty())
+	})
+
+	It("changes nothing while a pool does not answer, and nothing where the configuration is led elsewhere", func() {
+		begin()
+		s.ended("v2", "r", 20, 20)
+		delete(s.reports, "v1")
+		s.look()
+		Expect(s.current().Version).To(Equal(int64(5)))
+		Expect(s.controller.Status().Rollouts[0].ActionWhy).To(Equal("a pool of the two versions does not answer"))
+		s.leadership.isLost = true
+		s.look()
+		Expect(s.controller.Status()).To(BeNil())
+	})
+
+	It("tells how all stand, with the figures", func() {
+		begin()
+		s.ended("v2", "r", 3, 1)
+		s.look()
+		var status wire.RolloutsStatus
+		Expect(easyjson.Unmarshal(s.controller.StatusAnswer().Body, &status)).To(Succeed())
+		Expect(status.Version).To(Equal(int64(5)))
+		Expect(status.Rollouts[0].State).To(Equal("widening"))
+		Expect(status.Rollouts[0].New.Jobs).To(Equal(wire.JobCounts{Completed: 3, Failed: 1}))
+		Expect(status.Rollouts[0].Verdicts[0].Bad).To(Equal(int64(1)))
+	})
+})
--- /dev/null
+++ b/internal/control/rollouts/status.go
@@ -0,0 +1,57 @@
+package rollouts
+
+import (
+	"gannetline/internal/cluster/configuration"
+	"gannetline/internal/cluster/peerapi/wire"
+	"gannetline/internal/platform/metrics"
+	"gannetline/internal/scheduling/rollout"
+)
+
+var (
+	decisions = metrics.NewCounters("gannetline_rollout_decisions_total", "rollout", "action")
+	shares    = metrics.NewGauges("gannetline_rollout_share", "rollout")
+	jobsEnded = metrics.NewGauges("gannetline_rollout_jobs", "rollout", "version", "end")
+)
+
+// The names of the versions in metrics.
+const (
+	versionOld = "old"
+	versionNew = "new"
+)
+
+// showMetrics sets the gauges of all rollouts.
+func showMetrics(status *wire.RolloutsStatus) {
+	for _, one := range status.Rollouts {
+		shares.With(one.Name).Set(one.Share)
+		for version, counted := range map[string]wire.VersionStatus{versionOld: one.Old, versionNew: one.New} {
+			for end, count := range map[string]int64{"completed": counted.Jobs.Completed, "failed": counted.Jobs.Failed, "late": counted.Jobs.Late,
+				"overdue": counted.Overdue} {
+				jobsEnded.With(one.Name, version, end).Set(float64(count))
+			}
+		}
+	}
+}
+
+// statusOf is how a rollout stands after a look.
+func statusOf(one *configuration.Rollout, evidence rollout.Evidence, decision rollout.Decision) wire.RolloutStatus {
+	status := wire.RolloutStatus{Name: one.Name, Route: one.Route, From: one.From, To: one.To, State: stateText(one.State), Step: one.Step,
+		Steps: len(one.Steps), Share: one.Share(), Reason: one.Reason, Action: string(decision.Action), ActionWhy: string(decision.Reason),
+		Old: versionStatus(&evidence.Old), New: versionStatus(&evidence.New)}
+	for _, verdict := range decision.Verdicts {
+		status.Verdicts = append(status.Verdicts, wire.RolloutVerdict{Kind: string(verdict.Kind), Stratum: verdict.Stratum, Total: verdict.Total,
+			Bad: verdict.Bad, Bound: verdict.Bound, Baseline: verdict.Baseline, Evidence: verdict.Evidence, Level: verdict.Level})
+	}
+	return status
+}
+
+func stateText(state configuration.RolloutState) string {
+	if state == configuration.RolloutRequested {
+		return "requested"
+	}
+	return string(state)
+}
+
+func versionStatus(version *rollout.Version) wire.VersionStatus {
+	return wire.VersionStatus{Jobs: version.Counts.Jobs, Open: version.Counts.Open, Overdue: version.Counts.Overdue, Executors: version.Executors,
+		Capacity: version.Capacity, Allocated: version.Allocated}
+}
--- a/internal/gate/clientapi/clientapi.go
+++ b/internal/gate/clientapi/clientapi.go
@@ -54,13 +54,18 @@
 	if limit > 4*answerGap {
 		limit -= answerGap
 	}
-	call := &wire.ClientCall{Key: "pool/" + route.Service, Route: route.Name, ID: strings.ToLower(request.URL.Path[len(route.PathPrefix):]), Tenant: tenant}
-	decision := Decision{Call: call, Former: snapshot.FormerServices(route.Name), Limit: limit}
+	id := strings.ToLower(request.URL.Path[len(route.PathPrefix):])
+	service := snapshot.Matcher.ServiceFor(route, id)
+	call := &wire.ClientCall{Key: keyOf(service), Route: route.Name, ID: id, Tenant: tenant, Version: snapshot.Committed.Version}
+	decision := Decision{Call: call, Former: snapshot.OtherServices(route.Name, service), Limit: limit}
 	if call.ID == "" {
 		if request.Method != http.MethodGet {
 			return refuse(http.StatusMethodNotAllowed, "a queue is only asked for its count")
 		}
-		call.Verb, decision.Former = wire.VerbCount, nil
+		call.Verb, call.Key, decision.Former = wire.VerbCount, keyOf(route.Service), nil
+		if rollout := snapshot.Matcher.Rollout(route.Name); rollout != nil {
+			decision.Former = []string{rollout.To}
+		}
 		return decision
 	}
 	if !jobs.IsID(call.ID) {
@@ -165,12 +170,41 @@
 // ask spends the time of the decision on all pools that it has to ask.
 func (g *Gate) ask(ctx context.Context, decision Decision) response.Reply {
 	end := g.clock.Monotonic() + decision.Limit
-	if decision.Call.Verb == wire.VerbSubmit {
+	switch decision.Call.Verb {
+	case wire.VerbSubmit:
 		return g.submit(ctx, decision, end)
+	case wire.VerbCount:
+		return g.count(ctx, decision, end)
 	}
 	return g.findJob(ctx, decision, end)
 }
 
+// waitingCount is the answer to a question how many jobs wait in a queue.
+type waitingCount struct {
+	Count int64 `json:"waiting-count"`
+}
+
+// count adds up how many jobs wait in the pools of all versions that run the queue's jobs.
+func (g *Gate) count(ctx context.Context, decision Decision, end time.Duration) response.Reply {
+	outcome := g.leaderClient.Ask(ctx, decision.Call, (end-g.clock.Monotonic())/time.Duration(1+len(decision.Former)))
+	if len(decision.Former) == 0 {
+		return ResponseOf(decision.Call, outcome)
+	}
+	outcomes := []leaderclient.Outcome{outcome}
+	for _, service := range decision.Former {
+		outcomes = append(outcomes, g.leaderClient.Ask(ctx, callToFormer(decision.Call, service, wire.VerbCount), end-g.clock.Monotonic()))
+	}
+	var total waitingCount
+	for _, outcome := range outcomes {
+		var counted waitingCount
+		if outcome.Answer == nil || outcome.Answer.Status != http.StatusOK || json.Unmarshal(outcome.Answer.Body, &counted) != nil {
+			return ResponseOf(decision.Call, outcome)
+		}
+		total.Count += counted.Count
+	}
+	return response.Raw(http.StatusOK, []byte(`{"waiting-count":`+strconv.FormatInt(total.Count, 10)+`}`))
+}
+
 // submit hands a job in, unless a pool that its queue was sent to before has it or does not answer.
 func (g *Gate) submit(ctx context.Context, decision Decision, end time.Duration) response.Reply {
 	for _, service := range decision.Former {
@@ -198,16 +232,18 @@
 	return call, outcome
 }
 
-// findJob asks the pool of the queue for a job, and then those that the queue was sent to before. A pool that does not
-// answer leaves the jobs of the others alone; only a job that no pool knows is gone.
+// findJob asks the pool of the queue for a job, and then those that the queue was sent to before or that run another version. A pool
+// that does not answer leaves the jobs of the others alone; only a job that no pool knows is gone. A pool that has transferred the job
+// names where to; it may have done so after that pool was asked, so that one is asked once more.
 func (g *Gate) findJob(ctx context.Context, decision Decision, end time.Duration) response.Reply {
 	calls := []*wire.ClientCall{decision.Call}
 	for _, service := range decision.Former {
 		calls = append(calls, callToFormer(decision.Call, service, decision.Call.Verb))
 	}
 	var gone, unanswered response.Reply
-	for index, call := range calls {
-		limit := end - g.clock.Monotonic()
+	hasMoved := false
+	for index := 0; index < len(calls); index++ {
+		call, limit := calls[index], end-g.clock.Monotonic()
 		if isLast := index == len(calls)-1; !isLast {
 			limit /= 2
 		}
@@ -217,10 +253,16 @@
 			unanswered = ResponseOf(call, outcome)
 		case outcome.Answer.Status != http.StatusGone:
 			return ResponseOf(call, outcome)
+		case outcome.Answer.MovedTo != "" && !hasMoved:
+			hasMoved = true
+			calls = append(calls, callToFormer(decision.Call, outcome.Answer.MovedTo, decision.Call.Verb))
 		default:
 			gone = ResponseOf(call, outcome)
 		}
 	}
+	if hasMoved {
+		return response.Later(http.StatusServiceUnavailable, 1, "the job is on its way to another pool")
+	}
 	if unanswered.Status != 0 {
 		return unanswered
 	}
@@ -230,10 +272,13 @@
 // callToFormer asks something about the job of a call of a pool that the queue was sent to before.
 func callToFormer(call *wire.ClientCall, service string, verb wire.Verb) *wire.ClientCall {
 	former := *call
-	former.Key, former.Verb, former.Body, former.Terms = "pool/"+service, verb, nil, nil
+	former.Key, former.Verb, former.Body, former.Terms = keyOf(service), verb, nil, nil
 	return &former
 }
 
+// keyOf is the key of the pool of a service.
+func keyOf(service string) string { return "pool/" + service }
+
 // ResponseOf is the answer to a client. A submission is only refused if no steward can have taken it.
 func ResponseOf(call *wire.ClientCall, outcome leaderclient.Outcome) response.Reply {
 	answer := outcome.Answer
--- a/internal/roles/steward.go
+++ b/internal/roles/steward.go
@@ -72,6 +72,7 @@
 	stalls := stallwatch.New(b.clock)
 	b.tree.Add("stalls", stalls.Run)
 	outer.Handle(controlapi.PrefixEvacuation, controlapi.NewEvacuation(asker, b.settings.HasZone, stalls.MayHaveWaited))
+	outer.Handle(controlapi.PathRollouts, controlapi.NewRollouts(asker))
 	outer.Handle(controlapi.PrefixRetire, controlapi.NewRetire(b.caller, b.node.View, b.settings.FaultTolerance.MachineLosses))
 	if b.settings.ServesCoordination() {
 		coordinationapi.NewHandler(b.asked, manager.AskLeader, b.clock, b.log).Register(outer)
@@ -87,6 +88,7 @@
 	b.tree.Add("garbage-collector", func(ctx context.Context) error { return gcpacing.Run(ctx, b.clock) })
 	b.tree.Add("plan", configurations.Run)
 	b.tree.Add("keys", manager.Run)
+	b.tree.Add("rollouts", manager.RunRollouts)
 	b.tree.Add("control-calls", b.serving(control, outer, operatorLeave))
 	if b.settings.InitialStart && kept.store != nil && kept.store.IsNew() {
 		b.tree.Add("first-voters", func(ctx context.Context) error { manager.BootstrapFromSeeds(ctx, b.settings.Seeds); return nil })
--- a/internal/scheduling/scheduler/changeset.go
+++ b/internal/scheduling/scheduler/changeset.go
@@ -84,6 +84,7 @@
 	}
 	p.place()
 	p.sendAllOrders()
+	p.writeRollouts()
 	if len(p.ops) == 0 {
 		p.flushReads()
 		return
--- a/internal/scheduling/scheduler/clients.go
+++ b/internal/scheduling/scheduler/clients.go
@@ -22,6 +22,11 @@
 	return wire.ClientAnswer{Status: http.StatusGone, Reason: "there is no such job"}
 }
 
+// movedJobAnswer says that another pool has the job.
+func movedJobAnswer(job *jobState) wire.ClientAnswer {
+	return wire.ClientAnswer{Status: http.StatusGone, Reason: "the job was moved to another pool", MovedTo: job.movedTo}
+}
+
 // Submit accepts a job once it is committed; the same ID again is the same job.
 func (p *Pool) Submit(call *wire.ClientCall, answer answerClient) {
 	accepted := func(err error) {
@@ -39,7 +44,7 @@
 		p.afterCommit(accepted)
 		return
 	}
-	if p.renounced.ids[call.ID] {
+	if p.renounced.binds(call.ID, call.Version) {
 		answer(wire.ClientAnswer{Status: http.StatusServiceUnavailable, Reason: "the job's queue has moved to another service"})
 		return
 	}
@@ -56,25 +61,32 @@
 		return
 	}
 	p.metrics.submissions.Inc()
-	job := newJobState(call.ID)
-	job.spec, job.tenant = spec, tenant
-	job.record = jobRecord{Route: call.Route, AcceptedMs: p.leadership.WallMs(), Spec: call.Body, Tenant: call.Tenant, IsSurplus: isSurplus}
-	if isSurplus {
-		tenant.surplusJobs++
-	}
+	p.releaseRenounced(call.ID)
+	record := jobRecord{Route: call.Route, AcceptedMs: p.leadership.WallMs(), Spec: call.Body, Tenant: call.Tenant, IsSurplus: isSurplus}
 	if call.Terms != nil {
-		job.record.Terms = *call.Terms
+		record.Terms = *call.Terms
 	}
-	p.jobs[call.ID], p.awaitingRelease[call.ID] = job, job
-	p.queued[call.Route]++
-	p.putRecord(prefixJob+call.ID, job.record)
-	job.record.Spec = nil
+	job := p.addJob(call.ID, record, spec)
 	p.releaseDueOf(job, p.leadership.WallMs())
 	p.recorder.Record(recording.Event{Kind: recording.KindSubmit, AtMs: job.record.AcceptedMs, Queue: call.Route, ID: call.ID,
 		Terms: job.record.Terms, Body: call.Body})
 	p.afterCommit(accepted)
 }
 
+// addJob takes a job into the tables, and records it.
+func (p *Pool) addJob(id string, record jobRecord, spec *jobs.Spec) *jobState {
+	job := newJobState(id)
+	job.spec, job.tenant, job.record = spec, p.tenantOf(record.Tenant), record
+	if record.IsSurplus {
+		job.tenant.surplusJobs++
+	}
+	p.jobs[id], p.awaitingRelease[id] = job, job
+	p.queued[record.Route]++
+	p.putRecord(prefixJob+id, record)
+	job.record.Spec = nil
+	return job
+}
+
 // answerUnderLease answers once all that was decided so far is committed, with what is true at that moment, and only under a
 // lease, which is checked then.
 func (p *Pool) answerUnderLease(answer answerClient, response func() wire.ClientAnswer) {
@@ -107,6 +119,8 @@
 		switch {
 		case job == nil:
 			return unknownJobAnswer()
+		case job.phase == jobMoved:
+			return movedJobAnswer(job)
 		case job.isUnreadable && job.isOpen():
 			return wire.ClientAnswer{Status: http.StatusServiceUnavailable, Reason: "the job's record can't be read by this version"}
 		}
@@ -132,13 +146,20 @@
 // Cancel ends a job and answers once that is committed; a job that has ended stays as it is.
 func (p *Pool) Cancel(call *wire.ClientCall, answer answerClient) {
 	job := p.jobFor(call)
+	if job != nil && job.transfer != nil {
+		answer(wire.ClientAnswer{Status: http.StatusServiceUnavailable, RetryAfterS: 1, Reason: "the job is on its way to another pool"})
+		return
+	}
 	if job != nil && job.isOpen() {
 		p.recorder.Record(recording.Event{Kind: recording.KindCancel, AtMs: p.leadership.WallMs(), ID: call.ID})
 		p.end(job, jobCancelled, "cancelled by its client")
 	}
 	p.answerUnderLease(answer, func() wire.ClientAnswer {
-		if job == nil {
+		switch {
+		case job == nil:
 			return unknownJobAnswer()
+		case job.phase == jobMoved:
+			return movedJobAnswer(job)
 		}
 		return wire.ClientAnswer{Status: http.StatusOK, Body: []byte(`{}`)}
 	})
--- a/internal/scheduling/scheduler/completion.go
+++ b/internal/scheduling/scheduler/completion.go
@@ -28,6 +28,9 @@
 	p.recordStart(task.owner())
 	p.recorder.Record(recording.Event{Kind: recording.KindEnd, AtMs: p.leadership.WallMs(), Task: end.Task, Run: end.Run, How: string(end.Outcome),
 		LengthMs: (now - run.startedAt).Milliseconds()})
+	if end.Outcome == wire.OutcomeDone || end.Outcome == wire.OutcomeFailed {
+		p.countRunEnd(run, end.Outcome, now)
+	}
 	switch end.Outcome {
 	case wire.OutcomeDone:
 		executor.successes++
@@ -45,10 +48,11 @@
 	}
 }
 
-// handleAbandonedEnd believes a run that was abandoned and came to its end all the same: its task must not start again.
+// handleAbandonedEnd believes a run that was abandoned and came to its end all the same: its task must not start again. Of a job that is on
+// its way to another pool it comes too late, as that pool may have started the task already.
 func (p *Pool) handleAbandonedEnd(end wire.EndReport) {
 	task := p.find(end.Task)
-	if end.Outcome != wire.OutcomeDone || task == nil || task.isDone || end.Run > task.lastRun {
+	if end.Outcome != wire.OutcomeDone || task == nil || task.isDone || end.Run > task.lastRun || task.owner().transfer != nil {
 		return
 	}
 	p.log.Info("abandoned run completed its task", "task", end.Task, "run", end.Run)
@@ -155,6 +159,7 @@
 	}
 	job.completedOccurrences[occurrence.number] = true
 	p.countOccurrence(occurrence)
+	p.countOccurrenceEnd(occurrence)
 	if len(job.completedOccurrences) == job.occurrenceCount() {
 		p.end(job, jobCompleted, "")
 		return
--- a/internal/scheduling/scheduler/endedjobs.go
+++ b/internal/scheduling/scheduler/endedjobs.go
@@ -16,7 +16,16 @@
 		job.tenant.surplusJobs--
 	}
 	job.phase, job.endedMs = phase, p.leadership.WallMs()
-	p.putRecord(prefixState+job.id, stateRecord{Route: job.record.Route, State: string(phase), Reason: reason, EndedMs: job.endedMs, Tenant: job.record.Tenant})
+	if job.transfer != nil {
+		job.movedTo, job.transfer = job.transfer.to, nil
+		delete(p.rollouts.inTransfer, job.id)
+		p.dropRecord(prefixTransfer + job.id)
+	}
+	p.putRecord(prefixState+job.id, stateRecord{Route: job.record.Route, State: string(phase), Reason: reason, EndedMs: job.endedMs, Tenant: job.record.Tenant,
+		MovedTo: job.movedTo})
+	if phase == jobFailed {
+		p.countJobFailure(job)
+	}
 	if phase != jobCompleted {
 		p.log.V(1).Info("job ended", "job", job.id, "state", phase, "reason", reason)
 	}
--- a/internal/scheduling/scheduler/fleet_test.go
+++ b/internal/scheduling/scheduler/fleet_test.go
@@ -34,11 +34,12 @@
 	pool       *scheduler.Pool
 	timing     scheduler.Timing
 	executors  []*fleetExecutor
+	options    []scheduler.Option
 }
 
-func newFleet(timing scheduler.Timing) *fleet {
+func newFleet(timing scheduler.Timing, options ...scheduler.Option) *fleet {
 	clock := clock.NewFake(1_000_000)
-	f := &fleet{clock: clock, timing: timing, leadership: &scriptedLeadership{clock: clock, hasLease: true, kept: map[string][]byte{}}}
+	f := &fleet{clock: clock, timing: timing, options: options, leadership: &scriptedLeadership{clock: clock, hasLease: true, kept: map[string][]byte{}}}
 	f.takeOver()
 	return f
 }
@@ -46,7 +47,7 @@
 // takeOver gives the pool to another leader, which knows only what is committed.
 func (f *fleet) takeOver() {
 	f.leadership.epoch++
-	f.pool = scheduler.New("pool/s", f.clock, f.timing, logging.Silent())
+	f.pool = scheduler.New("pool/s", f.clock, f.timing, logging.Silent(), f.options...)
 	f.pool.Open(f.leadership, f.leadership.pairs())
 	f.settle()
 }
--- a/internal/scheduling/scheduler/golden_test.go
+++ b/internal/scheduling/scheduler/golden_test.go
@@ -18,5 +18,7 @@
 	Entry("order-record", "order-record", &orderRecord{}),
 	Entry("executor-record", "executor-record", &executorRecord{}),
 	Entry("renounced-record", "renounced-record", &renouncedRecord{}),
+	Entry("transfer-record", "transfer-record", &transferRecord{}),
+	Entry("rollout-record", "rollout-record", &rolloutRecord{}),
 	Entry("time-record", "time-record", &timeRecord{}),
 )
--- a/internal/scheduling/scheduler/job.go
+++ b/internal/scheduling/scheduler/job.go
@@ -32,7 +32,15 @@
 	nextOccurrence       int
 	hasStarted           bool
 	// isUnreadable is set if a record of the job can't be read: it is known and not run.
-	isUnreadable   bool
+	isUnreadable bool
+	// transfer is set while the job is on its way to another pool, movedTo is the service of the pool that has it now.
+	transfer *transfer
+	movedTo  string
+	// isWithheld keeps everything of the job from starting, holdsReleases keeps its later occurrences from opening; isKept tells that the
+	// other pool can't take it.
+	isWithheld     bool
+	holdsReleases  bool
+	isKept         bool
 	runCount       int
 	criticalPathMs int64
 }
--- a/internal/scheduling/scheduler/load.go
+++ b/internal/scheduling/scheduler/load.go
@@ -37,6 +37,9 @@
 	p.loadEach(records[prefixJob], p.loadJob)
 	p.loadEach(records[prefixState], p.loadState)
 	p.loadEach(records[prefixOccurrence], p.loadOccurrence)
+	p.loadEach(records[prefixTransfer], p.loadTransfer)
+	p.loadEach(records[prefixRollout], p.loadRollout)
+	p.updateRollouts()
 	tasks := p.readTasks(records[prefixTask])
 	p.releaseDue()
 	for _, loaded := range tasks {
@@ -118,7 +121,7 @@
 		p.queued[job.record.Route]--
 	}
 	job.phase, job.endedMs, job.record.Route = jobPhase(record.State), record.EndedMs, record.Route
-	job.record.Tenant = record.Tenant
+	job.record.Tenant, job.movedTo = record.Tenant, record.MovedTo
 	return nil
 }
 
--- a/internal/scheduling/scheduler/pool.go
+++ b/internal/scheduling/scheduler/pool.go
@@ -63,6 +63,11 @@
 	tenants tenantTable
 	// policyInForce is what the newest configuration says of tenants.
 	policyInForce func() TenantPolicy
+	// rollouts are those of the configuration that this pool runs a version of; rolloutPolicy is what the newest configuration says of them.
+	rollouts      rolloutTable
+	rolloutPolicy func() RolloutPolicy
+	// transfers carries jobs to other pools; it is nil where none can go there.
+	transfers TransferSender
 	// isEvacuated tells whether nothing new may be sent to the executors of a zone.
 	isEvacuated func(zone string) bool
 	// counter is nil where the pool is the only one; ledger then is, too.
@@ -140,7 +145,7 @@
 
 // New makes a pool that is closed until Open.
 func New(key string, clock clock.Clock, timing Timing, log logging.Logger, options ...Option) *Pool {
-	pool := &Pool{key: key, clock: clock, timing: timing, log: log, recorder: silentRecorder{}, policyInForce: noTenantPolicy, isEvacuated: noEvacuations,
+	pool := &Pool{key: key, clock: clock, timing: timing, log: log, recorder: silentRecorder{}, policyInForce: noTenantPolicy, rolloutPolicy: noRolloutPolicy, isEvacuated: noEvacuations,
 		metrics: newPoolMetrics(key)}
 	pool.health = map[string]*machineHealth{}
 	for _, option := range options {
@@ -154,7 +159,7 @@
 	p.jobTable, p.changeSet, p.orderWatch, p.capacityUse = newJobTable(), newChangeSet(), newOrderWatch(), newCapacityUse()
 	p.executors, p.newestOnMachine, p.table = map[string]*executorState{}, map[string]*executorState{}, executorTable{}
 	p.open, p.overload, p.spreads = newOpenSteps(), newOverloadWatch(), map[string]*durationSpread{}
-	p.tenants = newTenantTable()
+	p.tenants, p.rollouts = newTenantTable(), newRolloutTable()
 	p.openedAt = p.clock.Monotonic()
 	p.load(leadership, pairs)
 	p.leadership = leadership
@@ -172,7 +177,7 @@
 	uncommitted := p.takeCallbacks()
 	p.jobTable, p.changeSet, p.orderWatch, p.capacityUse = jobTable{}, changeSet{}, orderWatch{}, capacityUse{}
 	p.executors, p.table, p.open = nil, executorTable{}, openSteps{}
-	p.tenants, p.ledger = tenantTable{}, nil
+	p.tenants, p.ledger, p.rollouts = tenantTable{}, nil, rolloutTable{}
 	for _, callback := range uncommitted {
 		callback(errClosed)
 	}
--- a/internal/scheduling/scheduler/records.go
+++ b/internal/scheduling/scheduler/records.go
@@ -15,6 +15,8 @@
 	prefixOrder      = "o/"
 	prefixExecutor   = "e/"
 	prefixRenounced  = "m/"
+	prefixTransfer   = "v/"
+	prefixRollout    = "w/"
 )
 
 //go:generate go run github.com/mailru/easyjson/easyjson -all records.go
@@ -36,6 +38,8 @@
 	Reason  string `json:"why,omitempty"`
 	EndedMs int64  `json:"ended"`
 	Tenant  string `json:"tenant,omitempty"`
+	// MovedTo is the service whose pool has the job now, in the state moved.
+	MovedTo string `json:"moved,omitempty"`
 }
 
 type runRecord struct {
@@ -66,6 +70,18 @@
 // renouncedRecord tells when the pool promised not to take a job under an ID.
 type renouncedRecord struct {
 	AtMs int64 `json:"at"`
+	// Version is that of the newest configuration by which it was asked for; 0 stands for a gate that named none.
+	Version int64 `json:"v,omitempty"`
+}
+
+// transferRecord tells that a job is on its way to the pool of another service; nothing of it starts here any more.
+type transferRecord struct {
+	To string `json:"to"`
+}
+
+// rolloutRecord is what the pool has counted for a rollout.
+type rolloutRecord struct {
+	Counts wire.RolloutCounts `json:"c"`
 }
 
 type timeRecord struct {
--- a/internal/scheduling/scheduler/records_easyjson.go
+++ b/internal/scheduling/scheduler/records_easyjson.go
@@ -17,7 +17,72 @@
 	_ easyjson.Marshaler
 )
 
-func easyjsonAf922c28DecodeGannetlineInternalSchedulingScheduler(in *jlexer.Lexer, out *timeRecord) {
+func easyjsonAf922c28DecodeGannetlineInternalSchedulingScheduler(in *jlexer.Lexer, out *transferRecord) {
+	isTopLevel := in.IsStart()
+	if in.IsNull() {
+		if isTopLevel {
+			in.Consumed()
+		}
+		in.Skip()
+		return
+	}
+	in.Delim('{')
+	for !in.IsDelim('}') {
+		key := in.UnsafeFieldName(false)
+		in.WantColon()
+		switch key {
+		case "to":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.To = string(in.String())
+			}
+		default:
+			in.SkipRecursive()
+		}
+		in.WantComma()
+	}
+	in.Delim('}')
+	if isTopLevel {
+		in.Consumed()
+	}
+}
+func easyjsonAf922c28EncodeGannetlineInternalSchedulingScheduler(out *jwriter.Writer, in transferRecord) {
+	out.RawByte('{')
+	first := true
+	_ = first
+	{
+		const prefix string = ",\"to\":"
+		out.RawString(prefix[1:])
+		out.String(string(in.To))
+	}
+	out.RawByte('}')
+}
+
+// MarshalJSON supports json.Marshaler interface
+func (v transferRecord) MarshalJSON() ([]byte, error) {
+	w := jwriter.Writer{}
+	easyjsonAf922c28EncodeGannetlineInternalSchedulingScheduler(&w, v)
+	return w.Buffer.BuildBytes(), w.Error
+}
+
+// MarshalEasyJSON supports easyjson.Marshaler interface
+func (v transferRecord) MarshalEasyJSON(w *jwriter.Writer) {
+	easyjsonAf922c28EncodeGannetlineInternalSchedulingScheduler(w, v)
+}
+
+// UnmarshalJSON supports json.Unmarshaler interface
+func (v *transferRecord) UnmarshalJSON(data []byte) error {
+	r := jlexer.Lexer{Data: data}
+	easyjsonAf922c28DecodeGannetlineInternalSchedulingScheduler(&r, v)
+	return r.Error()
+}
+
+// UnmarshalEasyJSON supports easyjson.Unmarshaler interface
+func (v *transferRecord) UnmarshalEasyJSON(l *jlexer.Lexer) {
+	easyjsonAf922c28DecodeGannetlineInternalSchedulingScheduler(l, v)
+}
+func easyjsonAf922c28DecodeGannetlineInternalSchedulingScheduler1(in *jlexer.Lexer, out *timeRecord) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -47,7 +112,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonAf922c28EncodeGannetlineInternalSchedulingScheduler(out *jwriter.Writer, in timeRecord) {
+func easyjsonAf922c28EncodeGannetlineInternalSchedulingScheduler1(out *jwriter.Writer, in timeRecord) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -62,27 +127,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v timeRecord) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjsonAf922c28EncodeGannetlineInternalSchedulingScheduler(&w, v)
+	easyjsonAf922c28EncodeGannetlineInternalSchedulingScheduler1(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v timeRecord) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjsonAf922c28EncodeGannetlineInternalSchedulingScheduler(w, v)
+	easyjsonAf922c28EncodeGannetlineInternalSchedulingScheduler1(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *timeRecord) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjsonAf922c28DecodeGannetlineInternalSchedulingScheduler(&r, v)
+	easyjsonAf922c28DecodeGannetlineInternalSchedulingScheduler1(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *timeRecord) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjsonAf922c28DecodeGannetlineInternalSchedulingScheduler(l, v)
+	easyjsonAf922c28DecodeGannetlineInternalSchedulingScheduler1(l, v)
 }
-func easyjsonAf922c28DecodeGannetlineInternalSchedulingScheduler1(in *jlexer.Lexer, out *taskRecord) {
+func easyjsonAf922c28DecodeGannetlineInternalSchedulingScheduler2(in *jlexer.Lexer, out *taskRecord) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -163,7 +228,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonAf922c28EncodeGannetlineInternalSchedulingScheduler1(out *jwriter.Writer, in taskRecord) {
+func easyjsonAf922c28EncodeGannetlineInternalSchedulingScheduler2(out *jwriter.Writer, in taskRecord) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -238,27 +303,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v taskRecord) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjsonAf922c28EncodeGannetlineInternalSchedulingScheduler1(&w, v)
+	easyjsonAf922c28EncodeGannetlineInternalSchedulingScheduler2(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v taskRecord) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjsonAf922c28EncodeGannetlineInternalSchedulingScheduler1(w, v)
+	easyjsonAf922c28EncodeGannetlineInternalSchedulingScheduler2(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *taskRecord) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjsonAf922c28DecodeGannetlineInternalSchedulingScheduler1(&r, v)
+	easyjsonAf922c28DecodeGannetlineInternalSchedulingScheduler2(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *taskRecord) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjsonAf922c28DecodeGannetlineInternalSchedulingScheduler1(l, v)
+	easyjsonAf922c28DecodeGannetlineInternalSchedulingScheduler2(l, v)
 }
-func easyjsonAf922c28DecodeGannetlineInternalSchedulingScheduler2(in *jlexer.Lexer, out *stateRecord) {
+func easyjsonAf922c28DecodeGannetlineInternalSchedulingScheduler3(in *jlexer.Lexer, out *stateRecord) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -302,6 +367,12 @@
 			} else {
 				out.Tenant = string(in.String())
 			}
+		case "moved":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.MovedTo = string(in.String())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -312,7 +383,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonAf922c28EncodeGannetlineInternalSchedulingScheduler2(out *jwriter.Writer, in stateRecord) {
+func easyjsonAf922c28EncodeGannetlineInternalSchedulingScheduler3(out *jwriter.Writer, in stateRecord) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -341,33 +412,38 @@
 		out.RawString(prefix)
 		out.String(string(in.Tenant))
 	}
+	if in.MovedTo != "" {
+		const prefix string = ",\"moved\":"
+		out.RawString(prefix)
+		out.String(string(in.MovedTo))
+	}
 	out.RawByte('}')
 }
 
 // MarshalJSON supports json.Marshaler interface
 func (v stateRecord) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjsonAf922c28EncodeGannetlineInternalSchedulingScheduler2(&w, v)
+	easyjsonAf922c28EncodeGannetlineInternalSchedulingScheduler3(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v stateRecord) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjsonAf922c28EncodeGannetlineInternalSchedulingScheduler2(w, v)
+	easyjsonAf922c28EncodeGannetlineInternalSchedulingScheduler3(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *stateRecord) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjsonAf922c28DecodeGannetlineInternalSchedulingScheduler2(&r, v)
+	easyjsonAf922c28DecodeGannetlineInternalSchedulingScheduler3(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *stateRecord) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjsonAf922c28DecodeGannetlineInternalSchedulingScheduler2(l, v)
+	easyjsonAf922c28DecodeGannetlineInternalSchedulingScheduler3(l, v)
 }
-func easyjsonAf922c28DecodeGannetlineInternalSchedulingScheduler3(in *jlexer.Lexer, out *runRecord) {
+func easyjsonAf922c28DecodeGannetlineInternalSchedulingScheduler4(in *jlexer.Lexer, out *runRecord) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -409,7 +485,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonAf922c28EncodeGannetlineInternalSchedulingScheduler3(out *jwriter.Writer, in runRecord) {
+func easyjsonAf922c28EncodeGannetlineInternalSchedulingScheduler4(out *jwriter.Writer, in runRecord) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -434,27 +510,92 @@
 // MarshalJSON supports json.Marshaler interface
 func (v runRecord) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjsonAf922c28EncodeGannetlineInternalSchedulingScheduler3(&w, v)
+	easyjsonAf922c28EncodeGannetlineInternalSchedulingScheduler4(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v runRecord) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjsonAf922c28EncodeGannetlineInternalSchedulingScheduler3(w, v)
+	easyjsonAf922c28EncodeGannetlineInternalSchedulingScheduler4(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *runRecord) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjsonAf922c28DecodeGannetlineInternalSchedulingScheduler3(&r, v)
+	easyjsonAf922c28DecodeGannetlineInternalSchedulingScheduler4(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *runRecord) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjsonAf922c28DecodeGannetlineInternalSchedulingScheduler3(l, v)
+	easyjsonAf922c28DecodeGannetlineInternalSchedulingScheduler4(l, v)
+}
+func easyjsonAf922c28DecodeGannetlineInternalSchedulingScheduler5(in *jlexer.Lexer, out *rolloutRecord) {
+	isTopLevel := in.IsStart()
+	if in.IsNull() {
+		if isTopLevel {
+			in.Consumed()
+		}
+		in.Skip()
+		return
+	}
+	in.Delim('{')
+	for !in.IsDelim('}') {
+		key := in.UnsafeFieldName(false)
+		in.WantColon()
+		switch key {
+		case "c":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				(out.Counts).UnmarshalEasyJSON(in)
+			}
+		default:
+			in.SkipRecursive()
+		}
+		in.WantComma()
+	}
+	in.Delim('}')
+	if isTopLevel {
+		in.Consumed()
+	}
+}
+func easyjsonAf922c28EncodeGannetlineInternalSchedulingScheduler5(out *jwriter.Writer, in rolloutRecord) {
+	out.RawByte('{')
+	first := true
+	_ = first
+	{
+		const prefix string = ",\"c\":"
+		out.RawString(prefix[1:])
+		(in.Counts).MarshalEasyJSON(out)
+	}
+	out.RawByte('}')
+}
+
+// MarshalJSON supports json.Marshaler interface
+func (v rolloutRecord) MarshalJSON() ([]byte, error) {
+	w := jwriter.Writer{}
+	easyjsonAf922c28EncodeGannetlineInternalSchedulingScheduler5(&w, v)
+	return w.Buffer.BuildBytes(), w.Error
+}
+
+// MarshalEasyJSON supports easyjson.Marshaler interface
+func (v rolloutRecord) MarshalEasyJSON(w *jwriter.Writer) {
+	easyjsonAf922c28EncodeGannetlineInternalSchedulingScheduler5(w, v)
+}
+
+// UnmarshalJSON supports json.Unmarshaler interface
+func (v *rolloutRecord) UnmarshalJSON(data []byte) error {
+	r := jlexer.Lexer{Data: data}
+	easyjsonAf922c28DecodeGannetlineInternalSchedulingScheduler5(&r, v)
+	return r.Error()
 }
-func easyjsonAf922c28DecodeGannetlineInternalSchedulingScheduler4(in *jlexer.Lexer, out *renouncedRecord) {
+
+// UnmarshalEasyJSON supports easyjson.Unmarshaler interface
+func (v *rolloutRecord) UnmarshalEasyJSON(l *jlexer.Lexer) {
+	easyjsonAf922c28DecodeGannetlineInternalSchedulingScheduler5(l, v)
+}
+func easyjsonAf922c28DecodeGannetlineInternalSchedulingScheduler6(in *jlexer.Lexer, out *renouncedRecord) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -474,6 +615,12 @@
 			} else {
 				out.AtMs = int64(in.Int64())
 			}
+		case "v":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Version = int64(in.Int64())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -484,7 +631,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonAf922c28EncodeGannetlineInternalSchedulingScheduler4(out *jwriter.Writer, in renouncedRecord) {
+func easyjsonAf922c28EncodeGannetlineInternalSchedulingScheduler6(out *jwriter.Writer, in renouncedRecord) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -493,33 +640,38 @@
 		out.RawString(prefix[1:])
 		out.Int64(int64(in.AtMs))
 	}
+	if in.Version != 0 {
+		const prefix string = ",\"v\":"
+		out.RawString(prefix)
+		out.Int64(int64(in.Version))
+	}
 	out.RawByte('}')
 }
 
 // MarshalJSON supports json.Marshaler interface
 func (v renouncedRecord) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjsonAf922c28EncodeGannetlineInternalSchedulingScheduler4(&w, v)
+	easyjsonAf922c28EncodeGannetlineInternalSchedulingScheduler6(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v renouncedRecord) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjsonAf922c28EncodeGannetlineInternalSchedulingScheduler4(w, v)
+	easyjsonAf922c28EncodeGannetlineInternalSchedulingScheduler6(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *renouncedRecord) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjsonAf922c28DecodeGannetlineInternalSchedulingScheduler4(&r, v)
+	easyjsonAf922c28DecodeGannetlineInternalSchedulingScheduler6(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *renouncedRecord) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjsonAf922c28DecodeGannetlineInternalSchedulingScheduler4(l, v)
+	easyjsonAf922c28DecodeGannetlineInternalSchedulingScheduler6(l, v)
 }
-func easyjsonAf922c28DecodeGannetlineInternalSchedulingScheduler5(in *jlexer.Lexer, out *orderRecord) {
+func easyjsonAf922c28DecodeGannetlineInternalSchedulingScheduler7(in *jlexer.Lexer, out *orderRecord) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -549,7 +701,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonAf922c28EncodeGannetlineInternalSchedulingScheduler5(out *jwriter.Writer, in orderRecord) {
+func easyjsonAf922c28EncodeGannetlineInternalSchedulingScheduler7(out *jwriter.Writer, in orderRecord) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -564,27 +716,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v orderRecord) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjsonAf922c28EncodeGannetlineInternalSchedulingScheduler5(&w, v)
+	easyjsonAf922c28EncodeGannetlineInternalSchedulingScheduler7(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v orderRecord) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjsonAf922c28EncodeGannetlineInternalSchedulingScheduler5(w, v)
+	easyjsonAf922c28EncodeGannetlineInternalSchedulingScheduler7(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *orderRecord) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjsonAf922c28DecodeGannetlineInternalSchedulingScheduler5(&r, v)
+	easyjsonAf922c28DecodeGannetlineInternalSchedulingScheduler7(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *orderRecord) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjsonAf922c28DecodeGannetlineInternalSchedulingScheduler5(l, v)
+	easyjsonAf922c28DecodeGannetlineInternalSchedulingScheduler7(l, v)
 }
-func easyjsonAf922c28DecodeGannetlineInternalSchedulingScheduler6(in *jlexer.Lexer, out *jobRecord) {
+func easyjsonAf922c28DecodeGannetlineInternalSchedulingScheduler8(in *jlexer.Lexer, out *jobRecord) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -644,7 +796,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonAf922c28EncodeGannetlineInternalSchedulingScheduler6(out *jwriter.Writer, in jobRecord) {
+func easyjsonAf922c28EncodeGannetlineInternalSchedulingScheduler8(out *jwriter.Writer, in jobRecord) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -684,27 +836,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v jobRecord) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjsonAf922c28EncodeGannetlineInternalSchedulingScheduler6(&w, v)
+	easyjsonAf922c28EncodeGannetlineInternalSchedulingScheduler8(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v jobRecord) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjsonAf922c28EncodeGannetlineInternalSchedulingScheduler6(w, v)
+	easyjsonAf922c28EncodeGannetlineInternalSchedulingScheduler8(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *jobRecord) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjsonAf922c28DecodeGannetlineInternalSchedulingScheduler6(&r, v)
+	easyjsonAf922c28DecodeGannetlineInternalSchedulingScheduler8(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *jobRecord) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjsonAf922c28DecodeGannetlineInternalSchedulingScheduler6(l, v)
+	easyjsonAf922c28DecodeGannetlineInternalSchedulingScheduler8(l, v)
 }
-func easyjsonAf922c28DecodeGannetlineInternalSchedulingScheduler7(in *jlexer.Lexer, out *executorRecord) {
+func easyjsonAf922c28DecodeGannetlineInternalSchedulingScheduler9(in *jlexer.Lexer, out *executorRecord) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -734,7 +886,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonAf922c28EncodeGannetlineInternalSchedulingScheduler7(out *jwriter.Writer, in executorRecord) {
+func easyjsonAf922c28EncodeGannetlineInternalSchedulingScheduler9(out *jwriter.Writer, in executorRecord) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -749,23 +901,23 @@
 // MarshalJSON supports json.Marshaler interface
 func (v executorRecord) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjsonAf922c28EncodeGannetlineInternalSchedulingScheduler7(&w, v)
+	easyjsonAf922c28EncodeGannetlineInternalSchedulingScheduler9(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v executorRecord) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjsonAf922c28EncodeGannetlineInternalSchedulingScheduler7(w, v)
+	easyjsonAf922c28EncodeGannetlineInternalSchedulingScheduler9(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *executorRecord) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjsonAf922c28DecodeGannetlineInternalSchedulingScheduler7(&r, v)
+	easyjsonAf922c28DecodeGannetlineInternalSchedulingScheduler9(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *executorRecord) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjsonAf922c28DecodeGannetlineInternalSchedulingScheduler7(l, v)
+	easyjsonAf922c28DecodeGannetlineInternalSchedulingScheduler9(l, v)
 }
--- a/internal/scheduling/scheduler/release.go
+++ b/internal/scheduling/scheduler/release.go
@@ -44,7 +44,7 @@
 
 // releaseDueOf opens the occurrences of a job that are due, and notes when the next one is.
 func (p *Pool) releaseDueOf(job *jobState, nowMs int64) {
-	for job.isOpen() && job.nextOccurrence < job.occurrenceCount() && job.releaseMs(job.nextOccurrence) <= nowMs {
+	for job.isOpen() && !job.holdsReleases && job.nextOccurrence < job.occurrenceCount() && job.releaseMs(job.nextOccurrence) <= nowMs {
 		if number := job.nextOccurrence; !job.completedOccurrences[number] {
 			p.openReadySteps(p.occurrenceOf(job, number))
 		}
@@ -54,7 +54,9 @@
 		delete(p.awaitingRelease, job.id)
 		return
 	}
-	p.nextReleaseMs = min(p.nextReleaseMs, job.releaseMs(job.nextOccurrence))
+	if !job.holdsReleases {
+		p.nextReleaseMs = min(p.nextReleaseMs, job.releaseMs(job.nextOccurrence))
+	}
 }
 
 // openReadySteps opens the steps of an occurrence whose dependencies are complete.
@@ -69,7 +71,9 @@
 		}
 		if isReady {
 			step.isOpen, step.openedAt, step.lastProgressAt = true, p.clock.Monotonic(), p.clock.Monotonic()
-			p.open.add(step)
+			if !occurrence.job.isWithheld {
+				p.open.add(step)
+			}
 			p.needsPlacing = true
 		}
 	}
--- a/internal/scheduling/scheduler/renounce_test.go
+++ b/internal/scheduling/scheduler/renounce_test.go
@@ -32,6 +32,24 @@
 		Expect(f.tasks()).To(BeEmpty())
 	})
 
+	It("takes a job again by a newer configuration than that of the promise, and none by an older one", func() {
+		by := func(version int64, verb func(*wire.ClientCall, func(wire.ClientAnswer))) (reported wire.ClientAnswer) {
+			verb(&wire.ClientCall{Route: "e", ID: id, Version: version, Body: []byte(single)}, func(answer wire.ClientAnswer) { reported = answer })
+			f.settle()
+			return reported
+		}
+		Expect(by(5, f.pool.Renounce).Status).To(Equal(410))
+		Expect(by(4, f.pool.Renounce).Status).To(Equal(410))
+		for _, version := range []int64{0, 4, 5} {
+			Expect(by(version, f.pool.Submit).Status).To(Equal(503), "version %d", version)
+		}
+		f.takeOver()
+		Expect(by(5, f.pool.Submit).Status).To(Equal(503))
+		Expect(by(6, f.pool.Submit).Status).To(Equal(200))
+		Expect(f.leadership.has("m/")).To(BeFalse())
+		Expect(by(7, f.pool.Renounce).Status).To(Equal(200), "it has the job now")
+	})
+
 	It("promises nothing before that is committed", func() {
 		var reported []wire.ClientAnswer
 		f.pool.Renounce(&wire.ClientCall{Route: "e", ID: id}, func(answer wire.ClientAnswer) { reported = append(reported, answer) })
--- a/internal/scheduling/scheduler/tick.go
+++ b/internal/scheduling/scheduler/tick.go
@@ -23,6 +23,7 @@
 	defer func() { p.metrics.tickSeconds.Observe(p.clock.Monotonic() - now) }()
 	p.releaseDue()
 	p.tickCount(now)
+	p.tickReturns(now)
 	for _, executor := range slices.Clone(p.table.sorted) {
 		p.tickExecutor(executor, now)
 	}
