--- a/client/client.go
+++ b/client/client.go
@@ -9,6 +9,7 @@
 package client
 
 import (
+	"bytes"
 	"context"
 	"crypto/rand"
 	"encoding/hex"
@@ -119,6 +120,9 @@
 	path   string
 	query  any
 	body   any
+	// text is sent as it is, in place of body; header goes with it.
+	text   []byte
+	header map[string]string
 	// wait is how long a steward may keep its answer back.
 	wait time.Duration
 	// until is when the call is given up on the client's clock; 0 is never.
@@ -172,11 +176,17 @@
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout+asked.wait)
 	defer cancel()
 	making := sling.New().Base("http://" + address)
-	if asked.method == http.MethodPost {
+	switch {
+	case asked.text != nil:
+		making = making.Post(asked.path).Body(bytes.NewReader(asked.text))
+	case asked.method == http.MethodPost:
 		making = making.Post(asked.path).BodyJSON(asked.body)
-	} else {
+	default:
 		making = making.Get(asked.path).QueryStruct(asked.query)
 	}
+	for name, value := range asked.header {
+		making = making.Set(name, value)
+	}
 	request, err := making.Request()
 	if err != nil {
 		return nil, errors.Annotate(err, address)
--- a/cmd/gannetline/main.go
+++ b/cmd/gannetline/main.go
@@ -47,6 +47,7 @@
 			tenantsCommand(),
 			evacuationsCommand(),
 			evacuateCommand(),
+			rolloutCommand(),
 			lockCommand(),
 			electCommand(),
 			locksCommand(),
--- a/internal/cluster/configuration/rollouts_test.go
+++ b/internal/cluster/configuration/rollouts_test.go
@@ -64,7 +64,7 @@
 					Expect(before[number]).To(BeFalse())
 				}
 			}
-			Expect(float64(count)/ids).To(BeNumerically("~", share, 0.01))
+			Expect(float64(count) / ids).To(BeNumerically("~", share, 0.01))
 			before = now
 		}
 	})
--- a/internal/scheduling/scheduler/rollouts_test.go
+++ b/internal/scheduling/scheduler/rollouts_test.go
@@ -315,7 +315,9 @@
 		})
 
 		It("counts the attempts that were used up before", func() {
-			Expect(transferred(func(moved *wire.TransferCall) { moved.Tasks = []wire.TransferredTask{{Failed: 1}, {Step: 7, Failed: 1}} }).Status).To(Equal(200))
+			Expect(transferred(func(moved *wire.TransferCall) {
+				moved.Tasks = []wire.TransferredTask{{Failed: 1}, {Step: 7, Failed: 1}}
+			}).Status).To(Equal(200))
 			f.takeOver()
 			f.pass(300 * time.Millisecond)
 			f.endAll("failed")
