--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -56,6 +56,7 @@
 			&cli.FloatFlag{Name: "seconds", Usage: "how long clients and faults go on", Value: 30},
 			&cli.IntFlag{Name: "processes", Usage: "8 to 200, of all roles together", Value: 10},
 			&cli.StringFlag{Name: "faults", Usage: "kinds to draw from, with commas; none for a calm soak", Value: joined(soak.AllFaults)},
+			&cli.BoolFlag{Name: "rollouts", Usage: "roll out a bad version of the service, and a good one after it"},
 			&cli.StringFlag{Name: "keep", Usage: "`FOLDER` for settings, logs and data, which stays"},
 			&cli.StringFlag{Name: "json", Usage: "`FILE` for the report"},
 			&cli.StringFlag{Name: "schedule", Usage: "play the schedule in `FILE`, as --print-schedule or a report gives it"},
@@ -86,6 +87,7 @@
 func optionsOf(command *cli.Command) (soak.Options, error) {
 	options := soak.Options{Seed: command.Uint64("seed"), Length: time.Duration(command.Float("seconds") * float64(time.Second)),
 		Processes: command.Int("processes"), Keep: command.String("keep"), Program: command.String("program"), Network: command.String("network"),
+		Rollouts:      command.Bool("rollouts"),
 		InjectedFault: soak.InjectedFault(command.String("plant"))}
 	if command.Args().Len() > 0 {
 		return options, errors.Errorf("%q is no option", command.Args().First())
--- a/internal/simulation/hollow/executor.go
+++ b/internal/simulation/hollow/executor.go
@@ -26,6 +26,7 @@
 // How a run ended, on the wire.
 const (
 	outcomeDone    = "done"
+	outcomeFailed  = "failed"
 	outcomeLapsed  = "lapsed"
 	outcomeStopped = "stopped"
 )
@@ -94,6 +95,8 @@
 	StopTimeout time.Duration
 	// ClockRate is how fast its clock goes, 0.98 to 1.
 	ClockRate float64
+	// FailsFirstRuns has the first run of each task fail.
+	FailsFirstRuns bool
 }
 
 // Executor is a stand-in that keeps to the protocol of executors. It has no goroutine of its own: all calls come on
@@ -239,11 +242,19 @@
 	}
 	e.later(load.Length, func() {
 		if slices.Contains(e.active, started) {
-			e.end(started, outcomeDone)
+			e.end(started, e.outcomeOf(order))
 		}
 	})
 }
 
+// outcomeOf is how a run ends that is let end.
+func (e *Executor) outcomeOf(order executorapi.RunStart) string {
+	if e.config.FailsFirstRuns && order.Run == 1 {
+		return outcomeFailed
+	}
+	return outcomeDone
+}
+
 // end ends a run and answers the holds that wait for it.
 func (e *Executor) end(run *activeRun, how string) {
 	e.active = slices.DeleteFunc(e.active, func(other *activeRun) bool { return other == run })
--- a/internal/simulation/hollow/host.go
+++ b/internal/simulation/hollow/host.go
@@ -53,7 +53,8 @@
 func newNode(ctx context.Context, worker Worker, nodeSettings *settings.Settings, timeSource clock.Clock) *node {
 	started := &node{mailbox: mailbox.New(mailboxSize), settings: nodeSettings, clock: timeSource, ctx: ctx}
 	shape := ExecutorConfig{Node: nodeSettings.NodeName, ID: "i-" + nodeSettings.NodeName, Capacity: worker.Capacity, Labels: worker.Labels,
-		MaxHold: nodeSettings.MaxHold(), StopTimeout: clock.Milliseconds(nodeSettings.Bounds.StopTimeoutMs), ClockRate: worker.ClockRate}
+		MaxHold: nodeSettings.MaxHold(), StopTimeout: clock.Milliseconds(nodeSettings.Bounds.StopTimeoutMs), ClockRate: worker.ClockRate,
+		FailsFirstRuns: worker.FailsFirstRuns}
 	started.executor = NewExecutor(shape, timeSource, started.later)
 	return started
 }
--- a/internal/simulation/hollow/spec.go
+++ b/internal/simulation/hollow/spec.go
@@ -28,6 +28,8 @@
 	ClockRate float64       `json:"pace"`
 	// IsExecutorOnly leaves the local-proxy to another process.
 	IsExecutorOnly bool `json:"executor-only,omitempty"`
+	// FailsFirstRuns has the first run of each task fail, as under a version with a fault.
+	FailsFirstRuns bool `json:"fails-first-runs,omitempty"`
 }
 
 // Spec describes one process of hollow workers: the workers, the address of its report, and after how many milliseconds
--- a/internal/simulation/soak/cluster.go
+++ b/internal/simulation/soak/cluster.go
@@ -138,7 +138,8 @@
 	spec := hollow.Spec{Report: c.layout.reportAddress(), ForMs: hollow.MaxRunTime.Milliseconds()}
 	for _, node := range c.layout.Proxies {
 		spec.Workers = append(spec.Workers, hollow.Worker{Settings: settingsPath(c.folder, node), Labels: []string{"a"}, ClockRate: 1,
-			Capacity: wire.Capacity{CPU: executorCPU, Memory: executorMemoryMB}, IsExecutorOnly: true})
+			Capacity: wire.Capacity{CPU: executorCPU, Memory: executorMemoryMB}, IsExecutorOnly: true,
+			FailsFirstRuns: c.layout.serviceOf(node) == badServiceName})
 	}
 	text, err := json.Marshal(spec)
 	if err != nil {
--- a/internal/simulation/soak/history.go
+++ b/internal/simulation/soak/history.go
@@ -120,7 +120,9 @@
 	Acknowledgements []Acknowledgement
 	Probes           []Probe
 	ReadBacks        []ReadBack
-	Samples          []Sample
+	// Rollouts are how rollouts stood, each time the operator looked.
+	Rollouts []RolloutSeen
+	Samples  []Sample
 	// Applications is what those saw who use locks, numbers and cells.
 	Applications check.History
 	// Runs are those that the executors tell of, with the time of day in ms; Start is that of the clients' start.
--- a/internal/simulation/soak/injectedfaults.go
+++ b/internal/simulation/soak/injectedfaults.go
@@ -25,11 +25,12 @@
 	InjectConfiguration InjectedFault = "configuration"
 	InjectExit          InjectedFault = "exit"
 	InjectCoordination  InjectedFault = "coordination"
+	InjectRollout       InjectedFault = "rollout"
 	InjectGrowth        InjectedFault = "growth"
 )
 
 // AllInjectedFaults are all that can be injected.
-var AllInjectedFaults = []InjectedFault{InjectLost, InjectTwice, InjectWrong, InjectShown, InjectCut, InjectCancelled, InjectFence, InjectConfiguration, InjectExit, InjectCoordination, InjectGrowth}
+var AllInjectedFaults = []InjectedFault{InjectLost, InjectTwice, InjectWrong, InjectShown, InjectCut, InjectCancelled, InjectFence, InjectConfiguration, InjectExit, InjectCoordination, InjectRollout, InjectGrowth}
 
 func (p InjectedFault) isKnown() bool {
 	return p == InjectNothing || slices.Contains(AllInjectedFaults, p)
@@ -72,6 +73,8 @@
 		h.Runs = append(h.Runs, again)
 	case InjectShown:
 		h.Calls = append(h.Calls, Call{Verb: verbState, Job: "0000000000000991", Outcome: answered, Status: 200, State: "completed"})
+	case InjectRollout:
+		h.Rollouts = append(h.Rollouts, RolloutSeen{Name: badRollout, BegunMs: 1, At: time.Second}, RolloutSeen{Name: badRollout, BegunMs: 1, At: time.Minute})
 	case InjectCancelled:
 		for index := range h.Calls {
 			if h.Calls[index].isAccepted() {
--- a/internal/simulation/soak/layout.go
+++ b/internal/simulation/soak/layout.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"path/filepath"
+	"slices"
 
 	"go.yaml.in/yaml/v3"
 
@@ -65,6 +66,8 @@
 	Stewards []Node
 	Gates    []Node
 	Proxies  []Node
+	// HasVersions divides the local proxies between the versions of a service.
+	HasVersions bool
 }
 
 // NewLayout spreads processes over the roles; one of them holds the executors.
@@ -152,10 +155,18 @@
 		fields.Listen = map[string]string{"front-plain": endpoint(node.IP, frontPort), "readiness": endpoint(node.IP, readinessPort)}
 	case RoleProxy:
 		fields.Listen = map[string]string{"control-plane": endpoint(node.IP, controlPort)}
-		fields.App, fields.Service = endpoint(node.IP, executorPort), serviceName
+		fields.App, fields.Service = endpoint(node.IP, executorPort), l.serviceOf(node)
 	}
 	return yaml.Marshal(fields)
 }
 
+// serviceOf is the service whose executor stands beside a local proxy.
+func (l *Layout) serviceOf(node Node) string {
+	if !l.HasVersions {
+		return serviceName
+	}
+	return versionOf(slices.Index(l.Proxies, node))
+}
+
 func dataFolder(folder string, node Node) string   { return filepath.Join(folder, node.Name+".data") }
 func settingsPath(folder string, node Node) string { return filepath.Join(folder, node.Name+".yaml") }
--- a/internal/simulation/soak/operator.go
+++ b/internal/simulation/soak/operator.go
@@ -35,6 +35,9 @@
 	return &operator{soak: s, client: &http.Client{Timeout: operatorLimit}, draw: rand.New(rand.NewPCG(s.options.Seed, operatorStream)), version: firstVersion}
 }
 
+// jobsRoute is the name of the clients' queue.
+const jobsRoute = "jobs"
+
 // firstVersion is the configuration that a soak begins with.
 const firstVersion = 1
 
@@ -56,6 +59,10 @@
 
 // change posts the next version, the same again until it is acknowledged.
 func (o *operator) change(ctx context.Context) {
+	if o.options.Rollouts {
+		o.changeAmongRollouts(ctx)
+		return
+	}
 	next := o.version + 1
 	for ctx.Err() == nil {
 		if o.post(ctx, next) {
@@ -68,10 +75,31 @@
 	}
 }
 
+// changeAmongRollouts makes one change on the configuration in force, which the leader of the configuration may change as well.
+func (o *operator) changeAmongRollouts(ctx context.Context) {
+	for ctx.Err() == nil {
+		if current := o.current(ctx); current != nil {
+			next := o.nextConfiguration(current)
+			if o.send(ctx, current.Version, next) {
+				at := o.recorder.now()
+				o.version = next.Version
+				o.recorder.write(func(h *History) { h.Acknowledgements = append(h.Acknowledgements, Acknowledgement{next.Version, at}) })
+				return
+			}
+		}
+		pause(ctx, probeEvery)
+	}
+}
+
 // post offers a version to a steward; it is false as long as it is not acknowledged.
 func (o *operator) post(ctx context.Context, version int64) bool {
+	return o.send(ctx, version-1, o.configurationOf(version))
+}
+
+// send offers a configuration that builds on a version.
+func (o *operator) send(ctx context.Context, base int64, next configuration.Configuration) bool {
 	status := o.ask(ctx, sling.New().Post(o.stewardURL("/v1/configuration/replace")).
-		Set("X-Base-Version", strconv.FormatInt(version-1, 10)).BodyJSON(configurationOf(version)), nil)
+		Set("X-Base-Version", strconv.FormatInt(base, 10)).BodyJSON(next), nil)
 	return status/100 == 2
 }
 
@@ -135,11 +163,16 @@
 func probePrefix(version int64) string { return fmt.Sprintf("/version-%d/", version) }
 
 // configurationOf is a version: the queue of the clients, and one each for this version and the newest before it.
-func configurationOf(version int64) configuration.Configuration {
+func (o *operator) configurationOf(version int64) configuration.Configuration {
 	result := configuration.Configuration{Version: version,
 		Services: []configuration.Service{{Name: serviceName, ConnectionLimit: 64, Protocol: "h1", GuardsCapacity: true}},
 		Limits:   configuration.Limits{HeaderBytes: 16384, BodyBytes: 262144, HeaderTimeoutMs: 3000, IdleTimeoutMs: time.Minute.Milliseconds()},
-		Routes:   []configuration.Route{routeOf("jobs", jobsPrefix)}}
+		Routes:   []configuration.Route{routeOf(jobsRoute, jobsPrefix)}}
+	if o.options.Rollouts {
+		for _, name := range []string{badServiceName, goodServiceName} {
+			result.Services = append(result.Services, configuration.Service{Name: name, ConnectionLimit: 64, Protocol: "h1", GuardsCapacity: true})
+		}
+	}
 	for older := max(firstVersion, version-keptProbes+1); older <= version; older++ {
 		result.Routes = append(result.Routes, routeOf(fmt.Sprintf("version-%d", older), probePrefix(older)))
 	}
--- a/internal/simulation/soak/options.go
+++ b/internal/simulation/soak/options.go
@@ -35,6 +35,8 @@
 	Network string
 	// InjectedFault is put into what is observed, to see that an oracle finds it.
 	InjectedFault InjectedFault
+	// Rollouts has a bad version of the service rolled out, and a good one after it.
+	Rollouts bool
 	// Schedule is played in place of a drawn one.
 	Schedule *Schedule
 }
@@ -62,6 +64,9 @@
 	if ip := net.ParseIP(o.Network + ".0.1").To4(); ip == nil || !ip.IsLoopback() {
 		refuse("--network: %q is not the first two octets of loopback addresses", o.Network)
 	}
+	if o.Rollouts && len(NewLayout(o.Processes, o.Network).Proxies) < proxiesForRollouts {
+		refuse("--rollouts needs more --processes, so that there are %d local proxies", proxiesForRollouts)
+	}
 	if _, err := os.Stat(o.Program); err != nil {
 		refuse("--program: %v", err)
 	}
--- a/internal/simulation/soak/oracles.go
+++ b/internal/simulation/soak/oracles.go
@@ -40,6 +40,8 @@
 	// OracleCoordination: a lock with two holders, a number or a revision given twice, a stale read, a watch with a gap, and all else that
 	// package coordinationcheck names.
 	OracleCoordination Oracle = "coordination"
+	// OracleRollout: a bad version of the service gets all jobs, or is not turned back in time.
+	OracleRollout Oracle = "rollout"
 	// OracleGrowth: memory, goroutines, descriptors or bytes on disk grow with time.
 	OracleGrowth Oracle = "growth"
 )
@@ -53,7 +55,7 @@
 
 // oracles are all of them, each a function of the history.
 var oracles = []func(*History) []Violation{lostJobs, repeatedRuns, wrongAnswers, falseCompletions, cutRequests, lateStarts, repeatedFences,
-	staleConfigurations, badExits, coordinationFaults, growth}
+	staleConfigurations, badExits, coordinationFaults, badRollouts, growth}
 
 // Judge has all oracles read a history, and gives what they find by time.
 func Judge(history *History) []Violation {
--- a/internal/simulation/soak/soak.go
+++ b/internal/simulation/soak/soak.go
@@ -30,6 +30,7 @@
 // Run plays one soak and judges it. An error says why it could not be played; what the oracles found is in the report.
 func Run(ctx context.Context, options Options, log logging.Logger) (*Summary, error) {
 	layout := NewLayout(options.Processes, options.Network)
+	layout.HasVersions = options.Rollouts
 	schedule := options.Schedule
 	if schedule == nil {
 		schedule = Draw(options, layout)
--- a/internal/simulation/soak/summary.go
+++ b/internal/simulation/soak/summary.go
@@ -30,6 +30,8 @@
 	Versions      int               `json:"versions"`
 	Exits         int               `json:"exits"`
 	Stalls        int               `json:"stalls"`
+	// Rollouts has the states in which rollouts were seen last, by name.
+	Rollouts map[string]string `json:"rollouts,omitempty"`
 	// Applications counts what applications saw, by kind.
 	Applications map[string]int `json:"applications"`
 	Slopes       []Slope        `json:"slopes,omitempty"`
@@ -57,6 +59,12 @@
 		}
 	}
 	report.Latency = Latency{latency.ValueAtQuantile(50), latency.ValueAtQuantile(95), latency.ValueAtQuantile(99), latency.Max()}
+	for _, seen := range h.Rollouts {
+		if report.Rollouts == nil {
+			report.Rollouts = map[string]string{}
+		}
+		report.Rollouts[seen.Name] = fmt.Sprintf("%s at %g %s", seen.State, seen.Share, seen.Reason)
+	}
 	for _, trouble := range h.Troubles {
 		report.Struck[trouble.Kind]++
 	}
