--- a/cmd/gannetline/rehearse.go
+++ b/cmd/gannetline/rehearse.go
@@ -5,7 +5,9 @@
 	"os"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/urfave/cli/v3"
+	"go.uber.org/multierr"
 
 	"gannetline/internal/scheduling/recording"
 	"gannetline/internal/simulation/rehearsal"
@@ -17,6 +19,8 @@
 		Description: "Exit codes: 0 nothing is worse under the change, 2 bad input, 3 a job comes late, goes missing or lands twice.",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "change", Usage: "the proposed change, a YAML `FILE`"},
+			&cli.StringFlag{Name: "rollout", Usage: "a rollout of a new version, a YAML `FILE`"},
+			&cli.StringFlag{Name: "plot", Usage: "`FILE` for a picture (SVG) of how the rollout went"},
 			&cli.StringSliceFlag{Name: "fault", Usage: "a fault over the day, `KIND:TARGET:AT-MS[:FOR-MS]` (kill, cut, freeze, wipe, drain, slow)"},
 			&cli.Uint64Flag{Name: "seed", Usage: "what is drawn by lot", Value: 1},
 			&cli.DurationFlag{Name: "horizon", Usage: "how long after the last event a job may still end", Value: time.Minute},
@@ -35,6 +39,9 @@
 			if err := report.Write(os.Stdout, command.Bool("json")); err != nil {
 				return err
 			}
+			if err := writePlot(command.String("plot"), report.Rollout); err != nil {
+				return err
+			}
 			if len(report.Worse) > 0 {
 				return cli.Exit("", exitDiffers)
 			}
@@ -43,6 +50,20 @@
 	}
 }
 
+// writePlot draws how a rollout went into a file, if one is named.
+func writePlot(path string, samples []rehearsal.RolloutSample) (err error) {
+	if path == "" {
+		return nil
+	}
+	file, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	defer func() { err = multierr.Append(err, file.Close()) }()
+	rehearsal.WritePlot(file, samples)
+	return nil
+}
+
 func rehearsalSetup(command *cli.Command) (rehearsal.Setup, error) {
 	setup := rehearsal.Setup{Change: &rehearsal.Change{}, Seed: command.Uint64("seed"), Horizon: command.Duration("horizon")}
 	if command.Args().Len() == 0 {
@@ -54,6 +75,14 @@
 			return setup, err
 		}
 	}
+	if path := command.String("rollout"); path != "" {
+		if setup.Rollout, err = rehearsal.LoadRollout(path); err != nil {
+			return setup, err
+		}
+	}
+	if command.String("plot") != "" && setup.Rollout == nil {
+		return setup, errors.New("--plot needs --rollout")
+	}
 	for _, text := range command.StringSlice("fault") {
 		fault, err := rehearsal.ParseFault(text)
 		if err != nil {
--- a/internal/simulation/rehearsal/play.go
+++ b/internal/simulation/rehearsal/play.go
@@ -50,6 +50,10 @@
 	Horizon        time.Duration
 	Record         scheduler.Recorder
 	ClusterOptions []simcluster.Option
+	// Rollout, if there is one, is played together with the change.
+	Rollout *Rollout
+	// Watch, if there is one, is told how the rollout stands every second.
+	Watch func(RolloutSample)
 }
 
 // Outcome is what became of one job in one play. DurationMs counts from its submission to the moment it was seen to have ended, 0
@@ -85,6 +89,8 @@
 	ends    map[string]string
 	jobs    map[string]*playedJob
 	firstMs int64
+	// rollout divides the jobs of a queue; it is nil if none is played.
+	rollout *playedRollout
 }
 
 // Play plays the day once, under the change of the setup. It fails if the recording names no executors, or the setup a fault
@@ -104,7 +110,14 @@
 	if err != nil {
 		return nil, err
 	}
+	if setup.Rollout != nil {
+		p.rollout = newPlayedRollout(p, *setup.Rollout)
+		options = append(options, simcluster.WithPool(p.rollout.poolOptions(versionOld)...))
+	}
 	p.cluster = simcluster.New(setup.Seed, stewards, 0, wire.Capacity{}, p.firstMs-warmUp.Milliseconds(), options...)
+	if p.rollout != nil {
+		p.rollout.start(sites)
+	}
 	for _, fault := range setup.Faults {
 		late := fault
 		late.At += warmUp
@@ -212,7 +225,7 @@
 func (p *play) submit(job *playedJob) {
 	job.submittedAt = p.cluster.Events.Now()
 	terms := p.setup.Change.terms(job.event.Queue, job.event.Terms)
-	p.cluster.Submit(job.event.ID, job.event.Queue, job.event.Body, terms, func(answer wire.ClientAnswer) {
+	p.clusterFor(job).Submit(job.event.ID, job.event.Queue, job.event.Body, terms, func(answer wire.ClientAnswer) {
 		job.isAccepted = job.isAccepted || answer.Status == http.StatusOK
 	})
 }
@@ -220,8 +233,26 @@
 func (p *play) cancel(id string) {
 	if job := p.jobs[id]; job != nil {
 		job.isCancelled = true
-		p.cluster.Ask(wire.ClientCall{Verb: "cancel", Route: job.event.Queue, ID: id}, func(wire.ClientAnswer) {})
+		for _, cluster := range p.clusters() {
+			cluster.Ask(wire.ClientCall{Verb: "cancel", Route: job.event.Queue, ID: id}, func(wire.ClientAnswer) {})
+		}
+	}
+}
+
+// clusters are those that may have jobs: that of the new version beside the other one, if a rollout is played.
+func (p *play) clusters() []*simcluster.Cluster {
+	if p.rollout == nil {
+		return []*simcluster.Cluster{p.cluster}
 	}
+	return []*simcluster.Cluster{p.cluster, p.rollout.cluster}
+}
+
+// clusterFor is the one that a job goes to.
+func (p *play) clusterFor(job *playedJob) *simcluster.Cluster {
+	if p.rollout != nil && p.rollout.takes(job) {
+		return p.rollout.cluster
+	}
+	return p.cluster
 }
 
 func (p *play) drain(machine string) {
@@ -237,10 +268,12 @@
 	if p.cluster.Events.Now() > until {
 		return
 	}
-	for id, state := range p.cluster.States() {
-		job := p.jobs[id]
-		if job != nil && job.endedAt == 0 && isEnd(state) {
-			job.endedAt, job.state = p.cluster.Events.Now(), state
+	for _, cluster := range p.clusters() {
+		for id, state := range cluster.States() {
+			job := p.jobs[id]
+			if job != nil && job.endedAt == 0 && isEnd(state) {
+				job.endedAt, job.state = p.cluster.Events.Now(), state
+			}
 		}
 	}
 	p.cluster.Events.After(watchEvery, func() { p.watch(until) })
--- a/internal/simulation/rehearsal/report.go
+++ b/internal/simulation/rehearsal/report.go
@@ -46,21 +46,27 @@
 	Queues      map[string]Pair `json:"queues"`
 	Differences []JobPair       `json:"differences"`
 	Worse       []string        `json:"worse"`
+	// Rollout is how a rollout stood, second by second.
+	Rollout []RolloutSample `json:"rollout,omitempty"`
 }
 
 // Rehearse plays the day as things are and under the change.
 func Rehearse(setup Setup) (*Report, error) {
 	asIs := setup
-	asIs.Change = &Change{}
+	asIs.Change, asIs.Rollout, asIs.Watch = &Change{}, nil, nil
 	before, err := Play(asIs)
 	if err != nil {
 		return nil, err
 	}
+	var samples []RolloutSample
+	setup.Watch = func(sample RolloutSample) { samples = append(samples, sample) }
 	after, err := Play(setup)
 	if err != nil {
 		return nil, errors.Annotate(err, "under the change")
 	}
-	return compare(setup, before, after), nil
+	report := compare(setup, before, after)
+	report.Rollout = samples
+	return report, nil
 }
 
 // compare sets two plays beside each other; outcomes of the same job are at the same place.
@@ -140,6 +146,7 @@
 		out.sum(queue, "as is", r.Queues[queue].AsIs)
 		out.sum("", "changed", r.Queues[queue].Changed)
 	}
+	out.samples(r.Rollout)
 	for _, pair := range r.Differences {
 		out.writeLine("job %s of %s: %s -> %s", pair.AsIs.ID, pair.AsIs.Queue, pair.AsIs.text(), pair.Changed.text())
 	}
--- /dev/null
+++ b/internal/simulation/rehearsal/rolloutplot.go
@@ -0,0 +1,120 @@
+package rehearsal
+
+import (
+	"fmt"
+	"io"
+	"strings"
+
+	svg "github.com/ajstarks/svgo"
+
+	"gannetline/internal/cluster/configuration"
+)
+
+// The size of a plot and of its panels, in pixels.
+const (
+	plotWidth   = 800
+	panelHeight = 140
+	panelGap    = 40
+	plotMargin  = 60
+)
+
+// panel is one line chart of a plot: its values over time.
+type panel struct {
+	title  string
+	curves []curve
+}
+
+type curve struct {
+	name, colour string
+	value        func(*RolloutSample) float64
+}
+
+// panels are the share, the jobs that failed, and the jobs that wait beyond their target, of both versions.
+var panels = []panel{
+	{"share of the new version, percent", []curve{{"share", "steelblue", func(s *RolloutSample) float64 { return 100 * s.Share }}}},
+	{"jobs failed", []curve{{"old version", "grey", func(s *RolloutSample) float64 { return float64(s.OldFailed) }},
+		{"new version", "firebrick", func(s *RolloutSample) float64 { return float64(s.NewFailed) }}}},
+	{"jobs waiting beyond their target", []curve{{"old version", "grey", func(s *RolloutSample) float64 { return float64(s.OldWaiting) }},
+		{"new version", "firebrick", func(s *RolloutSample) float64 { return float64(s.NewWaiting) }}}},
+}
+
+// WritePlot draws how a rollout went as SVG, with a line where it was turned back or finished.
+func WritePlot(to io.Writer, samples []RolloutSample) {
+	canvas := svg.New(to)
+	height := 2*plotMargin + len(panels)*(panelHeight+panelGap)
+	canvas.Start(plotWidth, height)
+	canvas.Rect(0, 0, plotWidth, height, "fill:white")
+	for number, drawn := range panels {
+		drawPanel(canvas, drawn, samples, plotMargin+number*(panelHeight+panelGap))
+	}
+	if end := endOf(samples); end != nil {
+		position := across(samples, end)
+		canvas.Line(position, plotMargin, position, height-plotMargin, "stroke:black;stroke-dasharray:4")
+		canvas.Text(plotMargin, height-plotMargin/2, fmt.Sprintf("%s after %.0f s: %s", end.State, end.AtS, end.Reason), "font-size:12px")
+	}
+	canvas.End()
+}
+
+// endOf is the first sample at which the rollout was over, nil if it never was.
+func endOf(samples []RolloutSample) *RolloutSample {
+	for index := range samples {
+		switch configuration.RolloutState(samples[index].State) {
+		case configuration.RolloutTurnedBack, configuration.RolloutFinished:
+			return &samples[index]
+		}
+	}
+	return nil
+}
+
+// across is where a sample stands, from left to right.
+func across(samples []RolloutSample, sample *RolloutSample) int {
+	last := samples[len(samples)-1].at()
+	return plotMargin + int(float64(plotWidth-2*plotMargin)*sample.at().Seconds()/max(1, last.Seconds()))
+}
+
+// drawPanel draws the curves of a panel whose top is so far down.
+func drawPanel(canvas *svg.SVG, drawn panel, samples []RolloutSample, top int) {
+	highest := 1.0
+	for _, curve := range drawn.curves {
+		for index := range samples {
+			highest = max(highest, curve.value(&samples[index]))
+		}
+	}
+	canvas.Text(plotMargin, top-8, drawn.title, "font-size:12px")
+	canvas.Rect(plotMargin, top, plotWidth-2*plotMargin, panelHeight, "fill:none;stroke:lightgrey")
+	canvas.Text(plotMargin-8, top+10, fmt.Sprintf("%.0f", highest), "font-size:10px;text-anchor:end")
+	canvas.Text(plotMargin-8, top+panelHeight, "0", "font-size:10px;text-anchor:end")
+	for number, curve := range drawn.curves {
+		var xs, ys []int
+		for index := range samples {
+			xs = append(xs, across(samples, &samples[index]))
+			ys = append(ys, top+panelHeight-int(panelHeight*curve.value(&samples[index])/highest))
+		}
+		canvas.Polyline(xs, ys, "fill:none;stroke-width:2;stroke:"+curve.colour)
+		canvas.Text(plotWidth-plotMargin-100*(number+1), top-8, curve.name, "font-size:10px;fill:"+curve.colour)
+	}
+}
+
+// sampleMarks is how many marks stand for all jobs.
+const sampleMarks = 20
+
+// samples writes a line for each second in which anything about a rollout changed.
+func (p *printer) samples(samples []RolloutSample) {
+	if len(samples) == 0 {
+		return
+	}
+	p.writeLine("%8s  %-12s %-22s %9s %9s %9s %9s %9s %9s", "second", "rollout", "share of new version", "old ended", "failed", "overdue", "new ended", "failed", "overdue")
+	var before RolloutSample
+	for _, sample := range samples {
+		if sample.State == before.State && sample.Share == before.Share && sample.NewFailed == before.NewFailed && sample.NewWaiting == before.NewWaiting {
+			continue
+		}
+		marks := int(sample.Share*sampleMarks + 0.5)
+		p.writeLine("%8.0f  %-12s [%s] %9d %9d %9d %9d %9d %9d", sample.AtS, sample.State, strings.Repeat("#", marks)+strings.Repeat(".", sampleMarks-marks),
+			sample.OldEnded, sample.OldFailed, sample.OldWaiting, sample.NewEnded, sample.NewFailed, sample.NewWaiting)
+		before = sample
+	}
+	if before.Reason != "" {
+		p.writeLine("          %s", before.Reason)
+	}
+}
--- a/internal/simulation/simcluster/simcluster.go
+++ b/internal/simulation/simcluster/simcluster.go
@@ -41,6 +41,17 @@
 // Option changes how a cluster is set up.
 type Option func(*Cluster)
 
+// WithPeer lets a cluster run another service beside one that there is: with the same clock, and one judge of what the executors of both do.
+func WithPeer(peer *Cluster, service string) Option {
+	return func(s *Cluster) {
+		s.Events, s.Judge = peer.Events, peer.Judge
+		s.serve(service)
+	}
+}
+
+// serve names the service whose pool the cluster runs.
+func (s *Cluster) serve(service string) { s.service, s.keys = service, []string{"pool/" + service} }
+
 // WithTiming replaces DefaultTiming.
 func WithTiming(timing scheduler.Timing) Option { return func(s *Cluster) { s.timing = timing } }
 
@@ -85,15 +96,18 @@
 
 // New sets up stewards and executors and starts them all.
 func New(seed uint64, stewards, executors int, capacity wire.Capacity, wallMs int64, options ...Option) *Cluster {
-	events := NewEventQueue(wallMs, seed)
-	s := &Cluster{Events: events, Judge: newJudge(events), service: "board", keys: []string{"pool/board"}, timing: DefaultTiming,
-		log: logging.Silent(), cut: map[string]bool{}, Work: evenWork, grantBy: 1}
+	s := &Cluster{timing: DefaultTiming, log: logging.Silent(), cut: map[string]bool{}, Work: evenWork, grantBy: 1}
+	s.serve("board")
 	for _, option := range options {
 		option(s)
 	}
+	if s.Events == nil {
+		s.Events = NewEventQueue(wallMs, seed)
+		s.Judge = newJudge(s.Events)
+	}
 	for number := range stewards {
 		name := fmt.Sprintf("steward-%d", number+1)
-		s.Nodes = append(s.Nodes, &Node{cluster: s, Name: name, disk: NewDisk(events, "disk-"+name, syncTime)})
+		s.Nodes = append(s.Nodes, &Node{cluster: s, Name: name, disk: NewDisk(s.Events, "disk-"+name, syncTime)})
 	}
 	if s.places == nil {
 		s.places = evenPlaces(executors, capacity)
@@ -266,7 +280,8 @@
 			return
 		}
 		commands := map[wire.Verb]func(*wire.ClientCall, func(wire.ClientAnswer)){
-			wire.VerbSubmit: pool.Submit, wire.VerbState: pool.State, wire.VerbCancel: pool.Cancel, wire.VerbCount: pool.Count}
+			wire.VerbSubmit: pool.Submit, wire.VerbState: pool.State, wire.VerbCancel: pool.Cancel, wire.VerbCount: pool.Count,
+			wire.VerbTransfer: pool.Transfer, wire.VerbRollouts: pool.Rollouts}
 		commands[ask.Verb](ask, answer)
 	}, func(response wire.ClientAnswer, err error) {
 		if err == nil && !response.NotLeader {
