--- a/internal/scheduling/scheduler/rollouts_test.go
+++ b/internal/scheduling/scheduler/rollouts_test.go
@@ -183,6 +183,18 @@
 			Expect(sender.sent).NotTo(BeEmpty())
 		})
 
+		It("stops a run whose start was not answered yet", func() {
+			f.executors[0].isSilent, f.executors[1].isSilent = true, true
+			f.handIn(jobID(0), terms, singleTask)
+			f.pass(200 * time.Millisecond)
+			turnBack(nil)
+			f.pass(300 * time.Millisecond)
+			f.executors[0].isSilent, f.executors[1].isSilent = false, false
+			f.pass(time.Second)
+			Expect(f.starts()).To(BeZero())
+			Expect(sender.sent).NotTo(BeEmpty())
+		})
+
 		It("sends nothing before it is committed that nothing starts here", func() {
 			f.executors[0].isSilent, f.executors[1].isSilent = true, true
 			f.pass(9 * time.Second)
--- a/internal/scheduling/scheduler/transfer.go
+++ b/internal/scheduling/scheduler/transfer.go
@@ -70,17 +70,31 @@
 	return open
 }
 
-// returnJob lets nothing of a job start here any more, and begins its transfer once nothing of it runs. Runs are let end, or stopped where
-// that was agreed and their tasks may run again; lasting ones, which never end, are stopped in any case. What is done stays done.
+// returnJob lets nothing of a job start here any more, and begins its transfer once nothing of it runs. Runs that have begun are let end, or
+// stopped where that was agreed and their tasks may run again; lasting ones, which never end, and those whose start was not answered yet are
+// stopped in any case. What is done stays done.
 func (p *Pool) returnJob(job *jobState, terms RolloutTerms) {
 	job.holdsReleases = true
 	p.withhold(job)
-	switch {
-	case job.runCount == 0:
+	if job.runCount > 0 {
+		p.stopRunsOf(job, terms.StopsRuns && terms.IsRepeatable || job.isLasting())
+	}
+	if job.runCount == 0 {
 		p.beginTransfer(job, terms.ReturnTo)
-	case terms.StopsRuns && terms.IsRepeatable || job.isLasting():
-		for _, occurrence := range job.sortedOccurrences() {
-			p.stopOccurrence(occurrence)
+	}
+}
+
+// stopRunsOf stops the runs of a job: all of them, or only those that have not begun as far as is known here.
+func (p *Pool) stopRunsOf(job *jobState, all bool) {
+	for _, occurrence := range job.sortedOccurrences() {
+		for _, step := range occurrence.steps {
+			for _, task := range slices.Clone(step.busy) {
+				for _, run := range slices.Clone(task.runs) {
+					if all || run.phase == runLaunching {
+						p.stopRun(run)
+					}
+				}
+			}
 		}
 	}
 }
--- a/internal/simulation/modelcheck/rolloutmodel/oracles.go
+++ b/internal/simulation/modelcheck/rolloutmodel/oracles.go
@@ -13,7 +13,7 @@
 	// cancelBound is how long after the acknowledgement of a cancel a task may still be started.
 	cancelBound = 3 * time.Second
 	// returnBound is how long after a version was turned back its pool may start runs: the configuration spreads, and orders that were committed
-	// before are under way, also over a change of the leader.
+	// before are under way, also over a change of the leader. Executors that say nothing learn of it later.
 	returnBound = (spreadTimeMs + 1500) * time.Millisecond
 )
 
@@ -74,7 +74,7 @@
 	if decoded == nil || leadsTo(decoded, serviceOf(pool.number)) {
 		return
 	}
-	since := c.queue.Now() - c.control.closedAt[serviceOf(pool.number)]
+	since := c.queue.Now() - max(pool.silentUntil, c.control.closedAt[serviceOf(pool.number)])
 	for _, rollout := range decoded.Rollouts {
 		if rollout.State == configuration.RolloutTurnedBack && rollout.To == serviceOf(pool.number) && since > returnBound {
 			c.violate("TURNED BACK", "%s is started in %s, %v after that was turned back", order.Task, pool.name(), since)
--- a/internal/simulation/modelcheck/rolloutmodel/pool.go
+++ b/internal/simulation/modelcheck/rolloutmodel/pool.go
@@ -40,6 +40,8 @@
 	report *wire.RolloutReport
 	// isSilent has the executors say nothing, isBad lets runs fail.
 	isSilent, isBad bool
+	// silentUntil is until when the executors say nothing, as far as is planned.
+	silentUntil time.Duration
 }
 
 func newModelPool(c *simCluster, number int) *modelPool {
--- a/internal/simulation/modelcheck/rolloutmodel/simcluster.go
+++ b/internal/simulation/modelcheck/rolloutmodel/simcluster.go
@@ -117,6 +117,7 @@
 	case kindSilence:
 		pool := c.pools[step.Node]
 		pool.isSilent = true
+		pool.silentUntil = max(pool.silentUntil, c.queue.Now()+during)
 		c.queue.After(during, func() { pool.isSilent = false })
 	default:
 		c.control.order(step)
