--- a/client/client.go
+++ b/client/client.go
@@ -65,6 +65,9 @@
 // Error gives the steward's text.
 func (e *RefusedError) Error() string { return e.Reason }
 
+// IsOff tells that the stewards don't offer what was asked for: their settings leave it out.
+func (e *RefusedError) IsOff() bool { return e.Status == http.StatusNotImplemented }
+
 // Client makes calls to the stewards. Any goroutine may use it.
 type Client struct {
 	addresses []string
@@ -168,7 +171,7 @@
 }
 
 func (a *answer) isClear() bool {
-	return a.status < http.StatusInternalServerError && a.status != http.StatusTooManyRequests && a.status != http.StatusRequestTimeout
+	return a.status == http.StatusNotImplemented || a.status < http.StatusInternalServerError && a.status != http.StatusTooManyRequests && a.status != http.StatusRequestTimeout
 }
 
 // askOnce makes one attempt.
--- a/cmd/gannetline/askall.go
+++ b/cmd/gannetline/askall.go
@@ -20,7 +20,8 @@
 // showFlags are those of commands that show what all stewards tell.
 func showFlags() []cli.Flag {
 	return []cli.Flag{
-		&cli.StringFlag{Name: "of", Usage: "ask all stewards that the process at `ADDRESS`, ip:port, knows"},
+		&cli.StringFlag{Name: "of", Aliases: []string{"at"}, Sources: cli.EnvVars(stewardVariable),
+			Usage: "ask all stewards that the process at `ADDRESS`, ip:port, knows. Left out: a seed of the settings file"},
 		&cli.BoolFlag{Name: "json", Usage: "print JSON"},
 		&cli.DurationFlag{Name: "watch", Usage: "show them again every `DURATION`, until Ctrl-C"},
 		&cli.DurationFlag{Name: "timeout", Usage: "how long a process may take", Value: 3 * time.Second},
@@ -30,6 +31,9 @@
 // showAgain shows what all stewards tell, once or every --watch; an error names the flag that is wrong.
 func showAgain(ctx context.Context, command *cli.Command, show func(command *cli.Command, known string, timeout time.Duration) error) error {
 	known, watch, timeout := command.String("of"), command.Duration("watch"), command.Duration("timeout")
+	if seeds := seedsOf(command); known == "" && len(seeds) > 0 {
+		known = seeds[0]
+	}
 	switch {
 	case command.Args().Len() > 0:
 		return cli.Exit(command.Name+" takes no arguments", exitUsage)
--- a/cmd/gannetline/cells.go
+++ b/cmd/gannetline/cells.go
@@ -10,11 +10,25 @@
 	"github.com/urfave/cli/v3"
 
 	"gannetline/client"
+	"gannetline/internal/platform/settings"
 )
 
+// stewardVariable is the environment variable with the address of a steward, for commands that are given none.
+const stewardVariable = "GANNETLINE_STEWARD"
+
 // callFlags are those of all commands that make calls as applications do.
 func callFlags() []cli.Flag {
-	return []cli.Flag{&cli.StringSliceFlag{Name: "at", Usage: "the control plane of a steward, `ADDRESS` ip:port; may be repeated"}}
+	return []cli.Flag{&cli.StringSliceFlag{Name: "at", Aliases: []string{"of"}, Sources: cli.EnvVars(stewardVariable),
+		Usage: "the control plane of a steward, `ADDRESS` ip:port; may be repeated. Left out: a seed of the settings file"}}
+}
+
+// seedsOf are the seeds of the settings file that a command names, none if there is no such file.
+func seedsOf(command *cli.Command) []string {
+	known, err := settings.Load(command.Root().String("settings"))
+	if err != nil {
+		return nil
+	}
+	return known.Seeds
 }
 
 // timeoutFlag bounds a command that makes one call.
@@ -31,7 +45,10 @@
 		}
 	}
 	if len(addresses) == 0 {
-		return nil, cli.Exit("--at must name a steward", exitUsage)
+		addresses = seedsOf(command)
+	}
+	if len(addresses) == 0 {
+		return nil, cli.Exit("--at must name a steward, or "+stewardVariable+", or --settings a file with seed-nodes", exitUsage)
 	}
 	return client.New(addresses)
 }
@@ -63,7 +80,7 @@
 func numberCommand() *cli.Command {
 	return &cli.Command{
 		Name: "number", Usage: "draw a number above all that were drawn under a name", ArgsUsage: "NAME",
-		Description: "Exit codes: 0 drawn and printed, 1 refused, 2 bad usage, 4 no clear answer (a number may be lost; that is a gap).",
+		Description: "Exit codes: 0 drawn and printed, 1 refused, 2 bad usage, 4 no clear answer (a number may be lost; that is a gap), 7 the stewards keep no numbers.",
 		Flags:       append(callFlags(), timeoutFlag()),
 		Action: withCall(1, func(ctx context.Context, caller *client.Client, command *cli.Command) error {
 			number, err := caller.Number(ctx, command.Args().First())
@@ -82,14 +99,14 @@
 		Commands: []*cli.Command{
 			{
 				Name: "get", Usage: "print the value of a key", ArgsUsage: "NAME",
-				Description: "Exit codes: 0 printed, 1 there is no such key or it was refused, 2 bad usage, 4 no clear answer.",
+				Description: "Exit codes: 0 printed, 1 there is no such key or it was refused, 2 bad usage, 4 no clear answer, 7 the stewards keep no keys.",
 				Flags:       append(callFlags(), timeoutFlag(), &cli.BoolFlag{Name: "json", Usage: "print value and revision as JSON"}),
 				Action:      withCall(1, getKey),
 			},
 			{
 				Name: "put", Usage: "put a value into a key that is at a revision", ArgsUsage: "NAME VALUE",
 				Description: "Prints the new revision. Exit codes: 0 put, 1 refused, 2 bad usage, 3 the key is at another revision (named in the error), " +
-					"4 no clear answer: it may have been put or not.",
+					"4 no clear answer: it may have been put or not, 7 the stewards keep no keys.",
 				Flags:  append(callFlags(), timeoutFlag(), &cli.Uint64Flag{Name: "revision", Usage: "the revision that the key must have; 0: there must be none"}),
 				Action: withCall(2, putKey),
 			},
--- a/cmd/gannetline/cells_test.go
+++ b/cmd/gannetline/cells_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -75,11 +74,7 @@
 	if err == nil {
 		return shown.String(), 0
 	}
-	var coded cli.ExitCoder
-	if !errors.As(err, &coded) {
-		return shown.String() + err.Error(), exitFailed
-	}
-	return shown.String() + err.Error(), coded.ExitCode()
+	return shown.String() + err.Error(), exitCodeOf(err)
 }
 
 var _ = Describe("the commands for locks, numbers and keys", func() {
--- a/cmd/gannetline/lock.go
+++ b/cmd/gannetline/lock.go
@@ -27,7 +27,7 @@
 		Name: "lock", Usage: "run a command while holding a lock", ArgsUsage: "NAME -- COMMAND [ARGUMENT...]",
 		Description: "Waits for the lock, runs the command, renews the lock meanwhile, and gives it back when the command has ended. " + lockEnvironment +
 			"If the lock is lost, the command is told to end (SIGTERM), and after --grace killed.\n" +
-			"Exit codes: that of the command, 2 bad usage, 5 the lock was lost, 6 it was not free within --wait.",
+			"Exit codes: that of the command, 2 bad usage, 5 the lock was lost, 6 it was not free within --wait, 7 the stewards keep no locks.",
 		Flags: append(callFlags(),
 			&cli.DurationFlag{Name: "hold", Usage: "how long others wait at least if this process dies", Value: 10 * time.Second},
 			&cli.DurationFlag{Name: "wait", Usage: "how long to wait for the lock; 0 is without end"},
@@ -46,7 +46,7 @@
 	return &cli.Command{
 		Name: "elect", Usage: "run a command while being the leader among all that do so", ArgsUsage: "NAME -- COMMAND [ARGUMENT...]",
 		Description: "Like lock, but waits again where leadership is lost, until the command ends by itself. " + lockEnvironment +
-			"Exit codes: that of the command, 2 bad usage.",
+			"Exit codes: that of the command, 2 bad usage, 7 the stewards keep no locks.",
 		Flags: append(callFlags(),
 			&cli.DurationFlag{Name: "hold", Usage: "how long a leader that dies is not replaced", Value: 10 * time.Second},
 			&cli.DurationFlag{Name: "grace", Usage: "how long the command may take to end once leadership is lost", Value: 5 * time.Second}),
--- a/cmd/gannetline/locks.go
+++ b/cmd/gannetline/locks.go
@@ -14,13 +14,14 @@
 
 	"gannetline/internal/cluster/peerapi"
 	"gannetline/internal/cluster/peerapi/wire"
+	"gannetline/internal/control/coordinationapi"
 )
 
 func locksCommand() *cli.Command {
 	return &cli.Command{
 		Name: "locks", Usage: "show who holds which lock, and what the parts with locks, numbers and keys hold",
 		Description: "A lock is held for as long as `held` says, or longer if another steward has taken its part over since; unless it is renewed, it is free " +
-			"after `remaining`.\nExit codes: 0 all stewards answered, 2 bad usage, 4 one did not answer (the others are shown all the same).",
+			"after `remaining`.\nExit codes: 0 all stewards answered, 2 bad usage, 4 one did not answer (the others are shown all the same), 7 the stewards keep no locks.",
 		Flags: append(showFlags(), &cli.BoolFlag{Name: "parts", Usage: "show the parts in place of the locks"}),
 		Action: func(ctx context.Context, command *cli.Command) error {
 			return showAgain(ctx, command, showLocksOnce)
@@ -31,11 +32,18 @@
 // showLocksOnce asks all stewards and prints what they tell; it exits with exitSilent if one of them doesn't answer.
 func showLocksOnce(command *cli.Command, known string, timeout time.Duration) error {
 	var reports []wire.CoordinationReport
+	isOff := false
 	silent, err := askStewards(known, peerapi.ProcedureCoordination, timeout, &wire.CoordinationCall{},
-		func(answer *wire.CoordinationReports) { reports = append(reports, answer.Reports...) })
+		func(answer *wire.CoordinationReports) {
+			reports = append(reports, answer.Reports...)
+			isOff = isOff || answer.IsOff
+		})
 	if err != nil {
 		return err
 	}
+	if isOff && len(reports) == 0 {
+		return cli.Exit(coordinationapi.TextOff, exitOff)
+	}
 	reports = newestReports(reports)
 	out := command.Root().Writer
 	switch {
--- a/cmd/gannetline/main.go
+++ b/cmd/gannetline/main.go
@@ -9,6 +9,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"gannetline/client"
 	"gannetline/internal/platform/settings"
 	"gannetline/internal/roles"
 )
@@ -21,6 +22,7 @@
 	exitSilent  = 4
 	exitLost    = 5
 	exitNotFree = 6
+	exitOff     = 7
 )
 
 func main() {
@@ -70,10 +72,19 @@
 	if err.Error() != "" {
 		fmt.Fprintln(os.Stderr, "gannetline:", err)
 	}
+	return exitCodeOf(err)
+}
+
+// exitCodeOf is the exit code for an error.
+func exitCodeOf(err error) int {
 	var coded cli.ExitCoder
 	if errors.As(err, &coded) {
 		return coded.ExitCode()
 	}
+	var refused *client.RefusedError
+	if errors.As(err, &refused) && refused.IsOff() {
+		return exitOff
+	}
 	return exitFailed
 }
 
--- a/internal/cluster/peerapi/wire/coordination.go
+++ b/internal/cluster/peerapi/wire/coordination.go
@@ -59,6 +59,8 @@
 // CoordinationReports has a report of each such key that the steward leads.
 type CoordinationReports struct {
 	Reports []CoordinationReport `json:"reports,omitempty"`
+	// IsOff tells that this process keeps no locks, numbers and cells.
+	IsOff bool `json:"off,omitempty"`
 }
 
 // CoordinationReport is what the leader of a key with locks, numbers and cells tells an operator of it.
--- a/internal/cluster/peerapi/wire/coordination_easyjson.go
+++ b/internal/cluster/peerapi/wire/coordination_easyjson.go
@@ -633,6 +633,12 @@
 				}
 				in.Delim(']')
 			}
+		case "off":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.IsOff = bool(in.Bool())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -662,6 +668,16 @@
 			out.RawByte(']')
 		}
 	}
+	if in.IsOff {
+		const prefix string = ",\"off\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		out.Bool(bool(in.IsOff))
+	}
 	out.RawByte('}')
 }
 
--- a/internal/control/controlkeys/coordination.go
+++ b/internal/control/controlkeys/coordination.go
@@ -29,5 +29,8 @@
 
 // CoordinationReports gathers what the parts that are led here hold.
 func (m *Manager) CoordinationReports(ctx context.Context, _ *wire.CoordinationCall) (*wire.CoordinationReports, error) {
+	if m.Coordination == nil {
+		return &wire.CoordinationReports{IsOff: true}, nil
+	}
 	return &wire.CoordinationReports{Reports: gatherReports[wire.CoordinationReport](ctx, m, wire.VerbCoordination)}, nil
 }
--- a/internal/control/controlkeys/serve.go
+++ b/internal/control/controlkeys/serve.go
@@ -20,9 +20,7 @@
 	peerapi.Serve(mux, peerapi.ProcedureClient, m.Client)
 	peerapi.Serve(mux, peerapi.ProcedureExchange, m.Exchange)
 	peerapi.Serve(mux, peerapi.ProcedureTenants, m.Tenants)
-	if m.Coordination != nil {
-		peerapi.Serve(mux, peerapi.ProcedureCoordination, m.CoordinationReports)
-	}
+	peerapi.Serve(mux, peerapi.ProcedureCoordination, m.CoordinationReports)
 	if m.Lots != nil {
 		peerapi.Serve(mux, peerapi.ProcedureRetire, m.Retire)
 	}
--- a/internal/control/coordinationapi/handler.go
+++ b/internal/control/coordinationapi/handler.go
@@ -16,6 +16,7 @@
 	"gannetline/internal/platform/clock"
 	"gannetline/internal/platform/logging"
 	"gannetline/internal/platform/response"
+	"gannetline/internal/platform/settings"
 )
 
 const (
@@ -52,6 +53,17 @@
 	}
 }
 
+// RegisterOff answers all calls of applications on a mux where stewards keep no locks, numbers and cells.
+func RegisterOff(mux *http.ServeMux) {
+	off := http.HandlerFunc(func(to http.ResponseWriter, _ *http.Request) { response.Text(http.StatusNotImplemented, TextOff).Write(to) })
+	for _, prefix := range []string{PrefixLocks, PrefixNumbers, PrefixCells, PrefixWatch} {
+		mux.Handle(prefix, off)
+	}
+}
+
+// TextOff says why there are no locks, numbers and cells, and how to have them.
+const TextOff = "locks, numbers and keys are off: field active-contracts of the stewards' settings does not name " + settings.ContractCoordination
+
 // ServeHTTP answers one call.
 func (h *Handler) ServeHTTP(to http.ResponseWriter, request *http.Request) {
 	arrivedAt := h.clock.Monotonic()
--- a/internal/roles/steward.go
+++ b/internal/roles/steward.go
@@ -76,6 +76,8 @@
 	outer.Handle(controlapi.PrefixRetire, controlapi.NewRetire(b.caller, b.node.View, b.settings.FaultTolerance.MachineLosses))
 	if b.settings.ServesCoordination() {
 		coordinationapi.NewHandler(b.asked, manager.AskLeader, b.clock, b.log).Register(outer)
+	} else {
+		coordinationapi.RegisterOff(outer)
 	}
 	outer.Handle(peerapi.Prefix, b.inner)
 	if kept.store != nil {
--- a/tools/first-run.sh
+++ b/tools/first-run.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # A first run on one machine: builds gannetline, starts a steward, a gate, a local proxy and a stand-in executor on
-# loopback addresses, posts a configuration, hands a job in and prints its state until it is completed.
+# loopback addresses, posts a configuration, hands a job in and prints its state until it is completed; then it draws a number, changes a
+# key, runs a command under a lock, and shows how rollouts stand.
 # Everything is in a temporary folder; all of it ends with this script, also on Ctrl-C.
 #
 #   tools/first-run.sh          # ends once the job is completed
@@ -133,7 +134,7 @@
 
 mkdir "$folder/data"
 write_settings steward-1 steward "$steward" "listen-addresses: {control-plane: \"$steward:$control_port\"}" \
-  "data-directory: $folder/data" "fault-tolerance: {machine-losses: 0}"
+  "data-directory: $folder/data" "fault-tolerance: {machine-losses: 0}" "active-contracts: [coord]"
 write_settings gate-1 gate "$gate" \
   "listen-addresses: {front-plain: \"$gate:$front_port\", readiness: \"$gate:$readiness_port\"}"
 write_settings worker-1 local-proxy "$worker" "listen-addresses: {control-plane: \"$worker:$control_port\"}" \
@@ -157,6 +158,19 @@
 until_answered "the gate is ready" GET "$gate" $readiness_port /v1/readiness
 until_answered "the job is handed in" POST "$gate" $front_port $prefix$job_id "$job"
 watch_job
+
+# tool WHAT ARGUMENTS...: runs a command of the program against the steward, and prints what it says.
+tool() {
+  local what=$1 said
+  shift
+  said=$(GANNETLINE_STEWARD=$steward:$control_port target/gannetline "$@" 2>&1) || fail "$what: $said"
+  echo "$what: $said"
+}
+tool "a number is drawn" number invoices
+tool "a key is put, at revision" key put shop.open yes
+tool "the key is read" key get shop.open
+tool "a command runs under a lock" lock nightly -- sh -c 'echo "with the fencing token $GANNETLINE_FENCE"'
+tool "rollouts" rollout status
 [ $stays = yes ] || exit 0
 
 trap 'exit 0' INT TERM HUP
@@ -165,6 +179,11 @@
   curl -H 'Host: $host' -H 'Content-Type: application/json' --data @JOB.json http://$gate:$front_port${prefix}ID
   curl -H 'Host: $host' http://$gate:$front_port${prefix}ID               # its state
   curl -H 'Host: $host' -X DELETE http://$gate:$front_port${prefix}ID     # cancel it
+  export GANNETLINE_STEWARD=$steward:$control_port
+  target/gannetline number invoices                    # a number above all that were drawn under the name
+  target/gannetline lock nightly -- COMMAND            # run a command that runs nowhere else meanwhile
+  target/gannetline key put shop.open no --revision 1  # a small key; see docs/locks.md
+  target/gannetline rollout status                     # see docs/rollouts.md
   target/gannetline metrics --of $steward:$control_port --match pool_     # what the processes count
 TEXT
 while sleep 1; do check_processes; done
