--- a/cmd/gannetline/cells_test.go
+++ b/cmd/gannetline/cells_test.go
@@ -10,7 +10,6 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
-	"github.com/urfave/cli/v3"
 
 	"gannetline/internal/cluster/comparenodes"
 	"gannetline/internal/cluster/leaderclient"
