--- a/tools/first-run.sh
+++ b/tools/first-run.sh
@@ -169,7 +169,12 @@
 tool "a number is drawn" number invoices
 tool "a key is put, at revision" key put shop.open yes
 tool "the key is read" key get shop.open
+tool "the key is put again, at revision" key put --revision 1 shop.open no
+tool "the key with its revision" key get --json shop.open
+tool "a leader is elected" elect board-writer -- sh -c 'echo "and has done its work"'
 tool "a command runs under a lock" lock nightly -- sh -c 'echo "with the fencing token $GANNETLINE_FENCE"'
+tool "locks" locks --parts
+tool "evacuations" evacuations
 tool "rollouts" rollout status
 [ $stays = yes ] || exit 0
 
