--- a/internal/cluster/configuration/rollouts_test.go
+++ b/internal/cluster/configuration/rollouts_test.go
@@ -94,7 +94,8 @@
 		})
 
 		It("by adding one, also to a configuration without any", func() {
-			bare := rolloutText[:strings.Index(rolloutText, `, "of-the`)] + "}"
+			beforeRollouts, _, _ := strings.Cut(rolloutText, `, "of-the`)
+			bare := beforeRollouts + "}"
 			rollout := read(rolloutText).Rollouts[0]
 			body, err := configuration.Amend([]byte(bare)).AddRollout(&rollout).Body()
 			Expect(err).NotTo(HaveOccurred())
--- a/internal/control/rollouts/controller_test.go
+++ b/internal/control/rollouts/controller_test.go
@@ -204,7 +204,8 @@
 		Expect(s.replace(6, strings.Replace(strings.Replace(s.body(), `"config-version":6`, `"config-version":7`, 1), `"state":"paused"`, `"state":"turned-back"`, 1)).Status).To(Equal(200))
 		s.look()
 		Expect(s.current().Version).To(Equal(int64(7)))
-		without := text[:strings.Index(text, `,"rollout-list"`)] + "}"
+		beforeRollouts, _, _ := strings.Cut(text, `,"rollout-list"`)
+		without := beforeRollouts + "}"
 		Expect(s.replace(7, strings.Replace(without, `"config-version":3`, `"config-version":8`, 1)).Status).To(Equal(200))
 		s.look()
 		Expect(s.controller.Status().Rollouts).To(BeEmpty())
--- a/internal/simulation/modelcheck/rolloutmodel/control.go
+++ b/internal/simulation/modelcheck/rolloutmodel/control.go
@@ -58,9 +58,14 @@
 	epoch   uint64
 }
 
-func (l *controlLeadership) HasLease() bool   { return l.control.key.Epoch == l.epoch }
+// HasLease is true until the leadership is over.
+func (l *controlLeadership) HasLease() bool { return l.control.key.Epoch == l.epoch }
+
+// Voters are the disks that vote on the key.
 func (l *controlLeadership) Voters() []string { return []string{"d"} }
-func (l *controlLeadership) WallMs() int64    { return l.control.cluster.queue.Clock.WallMs() }
+
+// WallMs is the time of day.
+func (l *controlLeadership) WallMs() int64 { return l.control.cluster.queue.Clock.WallMs() }
 
 // Commit makes a change durable.
 func (l *controlLeadership) Commit(ops []wire.Op, done func(error)) {
