--- a/cmd/gannetline/askall.go
+++ b/cmd/gannetline/askall.go
@@ -44,14 +44,19 @@
 	case command.IsSet("watch") && watch < minWatch:
 		return cli.Exit(fmt.Sprintf("--watch must be at least %s", minWatch), exitUsage)
 	}
+	return repeat(ctx, watch, func() error { return show(command, known, timeout) })
+}
+
+// repeat shows something once, or again and again with a pause in between until ctx is done or it fails.
+func repeat(ctx context.Context, pause time.Duration, show func() error) error {
 	for {
-		if err := show(command, known, timeout); err != nil || watch == 0 {
+		if err := show(); err != nil || pause == 0 {
 			return err
 		}
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-clock.System().After(watch):
+		case <-clock.System().After(pause):
 		}
 	}
 }
--- /dev/null
+++ b/cmd/gannetline/rolloutstate.go
@@ -0,0 +1,99 @@
+package main
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/juju/errors"
+	"github.com/urfave/cli/v3"
+
+	"gannetline/client"
+	"gannetline/internal/cluster/configuration"
+)
+
+// rolloutStateCommand is a command that changes the state of a rollout.
+func rolloutStateCommand(name, usage string, change func(progress *configuration.RolloutProgress, by string) error) *cli.Command {
+	return &cli.Command{
+		Name: name, Usage: usage, ArgsUsage: "NAME", Description: rolloutExitCodes,
+		Flags: append(callFlags(), timeoutFlag(), &cli.StringFlag{Name: "by", Usage: "who asks for it", DefaultText: "the user's name"}),
+		Action: withCall(1, func(ctx context.Context, caller *client.Client, command *cli.Command) error {
+			rollout := command.Args().First()
+			err := changeConfiguration(ctx, caller, func(amendment *configuration.Amendment, _ *configuration.Configuration) error {
+				known := amendment.Rollout(rollout)
+				if known == nil {
+					return errors.Annotatef(configuration.ErrNoRollout, "%q", rollout)
+				}
+				progress := known.Progress()
+				if err := change(&progress, requester(command)); err != nil {
+					return err
+				}
+				amendment.SetProgress(rollout, progress)
+				return nil
+			})
+			if err == nil {
+				fmt.Fprintf(command.Root().Writer, "rollout %s: %s\n", rollout, name)
+			}
+			return err
+		}),
+	}
+}
+
+// errRolloutOver refuses a change of what is over.
+const errRolloutOver = errors.ConstError("the rollout is over")
+
+func isOver(progress *configuration.RolloutProgress) bool {
+	return progress.State == configuration.RolloutTurnedBack || progress.State == configuration.RolloutFinished
+}
+
+func pauseRollout(progress *configuration.RolloutProgress, by string) error {
+	if progress.State != configuration.RolloutWidening {
+		return errors.Errorf("only a rollout that widens can be paused, this one is %q", progress.State)
+	}
+	progress.State, progress.Reason = configuration.RolloutPaused, "paused by "+by
+	return nil
+}
+
+func resumeRollout(progress *configuration.RolloutProgress, _ string) error {
+	if progress.State != configuration.RolloutPaused {
+		return errors.Errorf("only a paused rollout can be resumed, this one is %q", progress.State)
+	}
+	progress.State, progress.Reason = configuration.RolloutWidening, ""
+	return nil
+}
+
+func abortRollout(progress *configuration.RolloutProgress, by string) error {
+	if isOver(progress) {
+		return errRolloutOver
+	}
+	progress.State, progress.Reason = configuration.RolloutTurnedBack, "aborted by "+by
+	return nil
+}
+
+// maxChangeAttempts is how often a change is made anew because the configuration was changed by others meanwhile.
+const maxChangeAttempts = 5
+
+// changeConfiguration changes the configuration in force, again on the newer one if another operator, or the leader, was faster.
+func changeConfiguration(ctx context.Context, caller *client.Client, change func(*configuration.Amendment, *configuration.Configuration) error) error {
+	for attempt := 1; ; attempt++ {
+		current, err := caller.Configuration(ctx)
+		if err != nil {
+			return err
+		}
+		decoded, err := configuration.Read(current)
+		if err != nil {
+			return err
+		}
+		amendment := configuration.Amend(current)
+		if err := change(amendment, decoded); err != nil {
+			return err
+		}
+		body, err := amendment.Body()
+		if err != nil {
+			return err
+		}
+		err = caller.ReplaceConfiguration(ctx, amendment.Base(), body)
+		if !errors.Is(err, client.ErrVersionConflict) || attempt == maxChangeAttempts {
+			return err
+		}
+	}
+}
