--- a/internal/control/coordinationapi/handler.go
+++ b/internal/control/coordinationapi/handler.go
@@ -55,7 +55,9 @@
 
 // RegisterOff answers all calls of applications on a mux where stewards keep no locks, numbers and cells.
 func RegisterOff(mux *http.ServeMux) {
-	off := http.HandlerFunc(func(to http.ResponseWriter, _ *http.Request) { response.Text(http.StatusNotImplemented, TextOff).Write(to) })
+	off := http.HandlerFunc(func(to http.ResponseWriter, _ *http.Request) {
+		response.Text(http.StatusNotImplemented, TextOff).Write(to)
+	})
 	for _, prefix := range []string{PrefixLocks, PrefixNumbers, PrefixCells, PrefixWatch} {
 		mux.Handle(prefix, off)
 	}
