Soak: a connection that a leaving gate refuses counts as refused, not as cut

Cause: the relay takes a client's connection before it has one to the gate. Where the gate had closed its listener, the request was sent whole into the relay and reset 0.25 s or more later on a starved machine, which the oracle took for a cut. Ruled out: the gates' closing times, which lie 1.4 s apart; kills, which are passed over. The relay notes refused connections now; the oracle passes over them only where something was done to that gate, and finds those of a calm gate.

--- a/internal/simulation/soak/client.go
+++ b/internal/simulation/soak/client.go
@@ -191,6 +191,7 @@
 func (c *client) exchange(link *connection, q *request, call *Call) {
 	isSent, sentAt := link.send(q)
 	call.SentAt = sentAt.Sub(c.recorder.began)
+	call.Connection = link.raw.LocalAddr().String()
 	if !isSent {
 		c.hangUp()
 		return
--- a/internal/simulation/soak/history.go
+++ b/internal/simulation/soak/history.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"net"
 	"slices"
 	"time"
 
@@ -54,6 +55,8 @@
 	State    string
 	// IsKept tells that the connection had answered a call before.
 	IsKept bool
+	// Connection is the client's address of the connection that the request was sent on; empty where there was none.
+	Connection string
 }
 
 // isAccepted tells whether the answer says that a job is kept.
@@ -134,6 +137,16 @@
 	FinalStates map[string]string
 	// Stalls are the times at which the soak itself was not given a processor for a while: bounds of time say nothing there.
 	Stalls []Stall
+	// RefusedConnections are those that relays could not connect with their gate.
+	RefusedConnections []RefusedConnection
+}
+
+// RefusedConnection is a connection of a client that a relay took, and that the gate behind the relay refused: nothing that was
+// sent on it reached the gate.
+type RefusedConnection struct {
+	Gate       string
+	Connection string
+	At         time.Duration
 }
 
 // Stall is a time in which the soak stood still.
@@ -193,6 +206,14 @@
 	return counts
 }
 
+// refusals gives what writes the connections into the history that a gate refused.
+func (r *recorder) refusals(gate string) func(client net.Addr) {
+	return func(client net.Addr) {
+		refused := RefusedConnection{gate, client.String(), r.now()}
+		r.write(func(h *History) { h.RefusedConnections = append(h.RefusedConnections, refused) })
+	}
+}
+
 // watchStalls notes when this process itself is not run for a while, until ctx is done.
 func (r *recorder) watchStalls(ctx context.Context) {
 	const every, isStall = 20 * time.Millisecond, 250 * time.Millisecond
--- a/internal/simulation/soak/oracles.go
+++ b/internal/simulation/soak/oracles.go
@@ -237,6 +237,16 @@
 	return slices.ContainsFunc(h.Stalls, func(stall Stall) bool { return stall.From <= to && stall.To >= from })
 }
 
+// isRefused tells whether the connection of a call was refused by a gate to which something had been done. A relay takes connections
+// also while its gate has none listening, and a request on one is sent whole but reaches nobody.
+func (h *History) isRefused(call *Call) bool {
+	isRefused := slices.ContainsFunc(h.RefusedConnections, func(refused RefusedConnection) bool {
+		return refused.Gate == call.Gate && refused.Connection == call.Connection && refused.At <= call.EndedAt &&
+			refused.At >= call.EndedAt-contactWindow
+	})
+	return isRefused && !call.IsKept && h.isTroubled(call.Gate, call.SentAt-contactWindow, call.EndedAt)
+}
+
 // cutRequests looks for requests that a gate left without an answer though it was not killed, nor its connections cut: a gate that
 // leaves in order answers what it has read. A request that crosses the close was not read.
 func cutRequests(h *History) []Violation {
@@ -247,7 +257,7 @@
 			continue
 		}
 		if h.isTroubled(call.Gate, call.SentAt-contactWindow, call.EndedAt, FaultKill, FaultFreeze, FaultCut, FaultStall) ||
-			h.isStalled(call.SentAt, call.EndedAt) {
+			h.isStalled(call.SentAt, call.EndedAt) || h.isRefused(call) {
 			continue
 		}
 		violations = append(violations, Violation{OracleCut, call.EndedAt, fmt.Sprintf("%s of client %d at %s, sent at %v, was left without an answer", call.Verb,
--- a/internal/simulation/soak/oracles_test.go
+++ b/internal/simulation/soak/oracles_test.go
@@ -88,6 +88,14 @@
 		Entry("a process that ends badly after SIGTERM", OracleExit, func(h *History) { h.Exits[1].Code = 2 }),
 	)
 
+	It("find a request on a connection that a calm gate refused, or that another gate refused", func() {
+		for _, gates := range [][2]string{{"gate-2", "gate-2"}, {"gate-1", "gate-2"}} {
+			h := sound()
+			refuse(h, gates[0], gates[1])
+			Expect(Judge(h)).To(ContainElement(HaveField("Oracle", OracleCut)))
+		}
+	})
+
 	DescribeTable("pass over what a fault explains", func(change func(*History)) {
 		h := sound()
 		change(h)
@@ -108,9 +116,18 @@
 		Entry("a refusal of a gate that leaves, which has no ID", func(h *History) {
 			h.Calls = append(h.Calls, Call{Gate: "gate-1", Verb: verbState, Outcome: answered, Status: 503, RequestID: "asked"})
 		}),
+		Entry("a request whose connection a gate refused that was told to end", func(h *History) { refuse(h, "gate-1", "gate-1") }),
 		Entry("a time in which the soak stood still", func(h *History) {
 			h.Calls = append(h.Calls, Call{Gate: "gate-1", Verb: verbState, Outcome: closed, SentAt: 40 * time.Second, EndedAt: 42 * time.Second})
 			h.Stalls = append(h.Stalls, Stall{41 * time.Second, 42 * time.Second})
 		}),
 	)
 })
+
+// refuse adds a request to a gate, and the refusal of its connection by a gate. Only gate-1 is told to end shortly before.
+func refuse(h *History, asked, refusing string) {
+	const sentAt, endedAt = 40 * time.Second, 41 * time.Second
+	h.Troubles = append(h.Troubles, Trouble{"gate-1", FaultTerminate, sentAt - time.Second, endedAt + time.Second})
+	h.Calls = append(h.Calls, Call{Gate: asked, Verb: verbState, Outcome: closed, SentAt: sentAt, EndedAt: endedAt, Connection: "127.0.0.1:1"})
+	h.RefusedConnections = append(h.RefusedConnections, RefusedConnection{refusing, "127.0.0.1:1", endedAt})
+}
--- a/internal/simulation/soak/phases.go
+++ b/internal/simulation/soak/phases.go
@@ -30,7 +30,7 @@
 func (s *soak) start(ctx context.Context) error {
 	s.relays = map[string]*relay{}
 	for number, gate := range s.layout.Gates {
-		r, err := newRelay(s.recorder.ctx, s.layout.relayAddress(number), endpoint(gate.IP, frontPort), s.options.InjectedFault)
+		r, err := newRelay(s.recorder.ctx, s.layout.relayAddress(number), endpoint(gate.IP, frontPort), s.options.InjectedFault, s.recorder.refusals(gate.Name))
 		if err != nil {
 			return err
 		}
--- a/internal/simulation/soak/relay.go
+++ b/internal/simulation/soak/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -25,6 +26,8 @@
 	listener net.Listener
 	gate     string
 	injected InjectedFault
+	// noteRefused is told of each client whose connection the gate refused.
+	noteRefused func(client net.Addr)
 
 	connections map[net.Conn]net.Conn
 	isCut       bool
@@ -35,12 +38,13 @@
 	last    []byte
 }
 
-func newRelay(ctx context.Context, address, gate string, injected InjectedFault) (*relay, error) {
+func newRelay(ctx context.Context, address, gate string, injected InjectedFault, noteRefused func(client net.Addr)) (*relay, error) {
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, errors.Annotate(err, "relay")
 	}
-	r := &relay{mailbox: mailbox.New(relayMailboxSize), ctx: ctx, listener: listener, gate: gate, injected: injected, connections: map[net.Conn]net.Conn{}}
+	r := &relay{mailbox: mailbox.New(relayMailboxSize), ctx: ctx, listener: listener, gate: gate, injected: injected,
+		noteRefused: noteRefused, connections: map[net.Conn]net.Conn{}}
 	go r.mailbox.Run(ctx, clock.System(), mailbox.Owner{Every: time.Minute})
 	go r.accept()
 	return r, nil
@@ -65,6 +69,10 @@
 func (r *relay) serve(client net.Conn) {
 	gate, err := net.DialTimeout("tcp4", r.gate, dialLimit)
 	if err != nil {
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			// Noted before the reset, so that the history has it when the client's call ends.
+			r.noteRefused(client.RemoteAddr())
+		}
 		reset(client)
 		return
 	}
