--- a/internal/simulation/soak/relay_test.go
+++ b/internal/simulation/soak/relay_test.go
@@ -27,7 +27,9 @@
 	note func(step string)
 }
 
-func (c *scriptedClient) RemoteAddr() net.Addr { return &net.TCPAddr{IP: net.IPv4(127, 0, 0, 9), Port: 7} }
+func (c *scriptedClient) RemoteAddr() net.Addr {
+	return &net.TCPAddr{IP: net.IPv4(127, 0, 0, 9), Port: 7}
+}
 
 func (c *scriptedClient) Close() error {
 	c.note("closed")
