--- a/internal/simulation/modelcheck/countmodel/model.go
+++ b/internal/simulation/modelcheck/countmodel/model.go
@@ -4,9 +4,6 @@
 package countmodel
 
 import (
-	"fmt"
-	"io"
-	"slices"
 	"time"
 
 	"gannetline/internal/platform/clock"
@@ -19,41 +16,16 @@
 	settleTime = 12 * time.Second
 )
 
-type model struct{}
-
 // New gives the model of the tenants' count.
-func New() modelcheck.Model { return model{} }
-
-// Name is that of the model in schedules and on the command line.
-func (model) Name() string { return modelName }
-
-// InjectedFaults are the faults that can be injected in the order of their list.
-func (model) InjectedFaults() []modelcheck.InjectedFault { return slices.Clone(injectedFaults) }
-
-// Draw makes the schedule of a seed. The model has one size.
-func (model) Draw(seed uint64, losses int, _ modelcheck.Size) modelcheck.Schedule {
-	return draw(seed, losses)
+func New() modelcheck.Model {
+	return modelcheck.SimulatedModel{ModelName: modelName, Faults: injectedFaults, DrawSchedule: draw,
+		NewSimulation: func(schedule modelcheck.Schedule) modelcheck.Simulation { return newSimCluster(schedule) }}
 }
 
-// Run plays a schedule until all faults are over and what was held back is free again.
-func (model) Run(schedule modelcheck.Schedule) modelcheck.Outcome {
-	return newSimCluster(schedule).run(schedule)
-}
+func (c *simCluster) note(format string, values ...any) { c.Note(c.queue.Now(), format, values...) }
 
-// Trace plays a schedule and writes down what pools and parts do.
-func (model) Trace(schedule modelcheck.Schedule, to io.Writer) modelcheck.Outcome {
-	c := newSimCluster(schedule)
-	c.trace = to
-	return c.run(schedule)
-}
-
-func (c *simCluster) note(format string, values ...any) {
-	if c.trace != nil {
-		fmt.Fprintf(c.trace, "%8d ms  "+format+"\n", append([]any{c.queue.Now().Milliseconds()}, values...)...)
-	}
-}
-
-func (c *simCluster) run(schedule modelcheck.Schedule) modelcheck.Outcome {
+// Run plays a schedule until all faults are over and what was held back is free again.
+func (c *simCluster) Run(schedule modelcheck.Schedule) modelcheck.Outcome {
 	c.start()
 	lastMs := 0
 	for _, step := range schedule.Steps {
@@ -73,5 +45,3 @@
 		c.queue.RunUntil(min(end, c.queue.Now()+tickInterval))
 	}
 }
-
-var _ modelcheck.Tracer = model{}
--- a/internal/simulation/modelcheck/countmodel/schedule.go
+++ b/internal/simulation/modelcheck/countmodel/schedule.go
@@ -34,7 +34,7 @@
 
 var faultKinds = []string{kindKillPool, kindKillPart, kindCut, kindLoseMessages, kindLateMessages, kindLimit, kindLimit}
 
-func draw(seed uint64, losses int) modelcheck.Schedule {
+func draw(seed uint64, losses int, _ modelcheck.Size) modelcheck.Schedule {
 	random := rand.New(rand.NewPCG(seed, drawStream))
 	schedule := modelcheck.Schedule{Model: modelName, Seed: seed, Losses: losses, Nodes: 1 + random.IntN(maxPools)}
 	for range minFaults + random.IntN(maxFaults-minFaults+1) {
--- a/internal/simulation/modelcheck/countmodel/simcluster.go
+++ b/internal/simulation/modelcheck/countmodel/simcluster.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"time"
 
 	"gannetline/internal/platform/clock"
@@ -39,7 +38,7 @@
 	network
 	coverage   modelcheck.Coverage
 	violations []modelcheck.Violation
-	trace      io.Writer
+	modelcheck.Trace
 }
 
 // version is a configuration: the limit of each tenant in tasks. It is in force from the moment that anybody may have it.
--- a/internal/simulation/modelcheck/ordermodel/model.go
+++ b/internal/simulation/modelcheck/ordermodel/model.go
@@ -1,9 +1,6 @@
 package ordermodel
 
 import (
-	"fmt"
-	"io"
-	"slices"
 	"time"
 
 	"gannetline/internal/platform/clock"
@@ -20,44 +17,24 @@
 	answerTime = 4 * time.Second
 )
 
-type model struct{}
-
 // New gives the model of the order path.
-func New() modelcheck.Model { return model{} }
-
-// Name is that of the model in schedules and on the command line.
-func (model) Name() string { return modelName }
-
-// InjectedFaults are the faults that can be injected in the order of their list.
-func (model) InjectedFaults() []modelcheck.InjectedFault { return slices.Clone(injectedFaults) }
+func New() modelcheck.Model {
+	return modelcheck.SimulatedModel{ModelName: modelName, Faults: injectedFaults, DrawSchedule: drawSized,
+		NewSimulation: func(schedule modelcheck.Schedule) modelcheck.Simulation { return newSimCluster(schedule) }}
+}
 
-// Draw makes the schedule of a seed.
-func (model) Draw(seed uint64, losses int, size modelcheck.Size) modelcheck.Schedule {
+// drawSized makes the schedule of a seed for a system of a size.
+func drawSized(seed uint64, losses int, size modelcheck.Size) modelcheck.Schedule {
 	if size == modelcheck.SizeLarge {
 		return drawLarge(seed, losses)
 	}
 	return draw(seed, losses)
 }
 
-// Run plays a schedule until all jobs are over and late calls can't come any more, or until the time for that is over.
-func (model) Run(schedule modelcheck.Schedule) modelcheck.Outcome {
-	return newSimCluster(schedule).run(schedule)
-}
+func (w *simCluster) note(format string, values ...any) { w.Note(w.queue.now(), format, values...) }
 
-// Trace plays a schedule and writes down what executors and leaders do.
-func (model) Trace(schedule modelcheck.Schedule, to io.Writer) modelcheck.Outcome {
-	w := newSimCluster(schedule)
-	w.trace = to
-	return w.run(schedule)
-}
-
-func (w *simCluster) note(format string, values ...any) {
-	if w.trace != nil {
-		fmt.Fprintf(w.trace, "%8d ms  "+format+"\n", append([]any{w.queue.now().Milliseconds()}, values...)...)
-	}
-}
-
-func (w *simCluster) run(schedule modelcheck.Schedule) modelcheck.Outcome {
+// Run plays a schedule until all jobs are over and late calls can't come any more, or until the time for that is over.
+func (w *simCluster) Run(schedule modelcheck.Schedule) modelcheck.Outcome {
 	lastMs, quiet := 0, holdsOver
 	for _, step := range schedule.Steps {
 		w.queue.after(clock.Milliseconds(int64(step.AtMs)), func() { w.play(step) })
@@ -166,5 +143,3 @@
 		}
 	}
 }
-
-var _ modelcheck.Tracer = model{}
--- a/internal/simulation/modelcheck/ordermodel/simcluster.go
+++ b/internal/simulation/modelcheck/ordermodel/simcluster.go
@@ -4,7 +4,6 @@
 
 import (
 	"fmt"
-	"io"
 	"time"
 
 	"gannetline/internal/cluster/membership"
@@ -29,7 +28,7 @@
 	oracles  *oracles
 	fault    injectedFault
 	coverage modelcheck.Coverage
-	trace    io.Writer
+	modelcheck.Trace
 	processes
 	conditions
 	evacuations evacuationOrders
--- a/internal/simulation/modelcheck/rolloutmodel/schedule.go
+++ b/internal/simulation/modelcheck/rolloutmodel/schedule.go
@@ -61,7 +61,7 @@
 func between(random *rand.Rand, least, most int) int { return least + random.IntN(most-least+1) }
 
 // draw makes the schedule of a seed: a rollout or a move near the beginning, more orders after it, jobs all the time, and faults.
-func draw(seed uint64, losses int) modelcheck.Schedule {
+func draw(seed uint64, losses int, _ modelcheck.Size) modelcheck.Schedule {
 	random := rand.New(rand.NewPCG(seed, drawStream))
 	schedule := modelcheck.Schedule{Model: modelName, Seed: seed, Losses: losses, Nodes: gateCount}
 	add := func(step modelcheck.Step) { schedule.Steps = append(schedule.Steps, step) }
--- a/internal/simulation/modelcheck/rolloutmodel/simcluster.go
+++ b/internal/simulation/modelcheck/rolloutmodel/simcluster.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"time"
 
 	"gannetline/internal/cluster/configcache"
@@ -43,7 +42,7 @@
 	network
 	coverage   modelcheck.Coverage
 	violations []modelcheck.Violation
-	trace      io.Writer
+	modelcheck.Trace
 }
 
 // network is how messages fare, and what happens with them; cutUntil is until when half of the gates learn of no configuration.
