Rollouts: the step that follows a decision, final states and the bar of a share stand once

Cause: the rehearsal wrote the step of the controller again, the command line the test for a final state, and both views the bar. rollout.ProgressAfter, RolloutState.IsOver and Label, and rolloutview.Bar serve all. Behaviour is as before: the rehearsal still shows the decisive verdict alone as its reason.

--- a/cmd/gannetline/rolloutstate.go
+++ b/cmd/gannetline/rolloutstate.go
@@ -41,10 +41,6 @@
 // errRolloutOver refuses a change of what is over.
 const errRolloutOver = errors.ConstError("the rollout is over")
 
-func isOver(progress *configuration.RolloutProgress) bool {
-	return progress.State == configuration.RolloutTurnedBack || progress.State == configuration.RolloutFinished
-}
-
 func pauseRollout(progress *configuration.RolloutProgress, by string) error {
 	if progress.State != configuration.RolloutWidening {
 		return errors.Errorf("only a rollout that widens can be paused, this one is %q", progress.State)
@@ -62,7 +58,7 @@
 }
 
 func abortRollout(progress *configuration.RolloutProgress, by string) error {
-	if isOver(progress) {
+	if progress.State.IsOver() {
 		return errRolloutOver
 	}
 	progress.State, progress.Reason = configuration.RolloutTurnedBack, "aborted by "+by
--- a/internal/cluster/configuration/amend.go
+++ b/internal/cluster/configuration/amend.go
@@ -88,6 +88,12 @@
 	return RolloutProgress{State: r.State, Step: r.Step, BegunMs: r.BegunMs, StepBegunMs: r.StepBegunMs, StepJobs: r.StepJobs, Reason: r.Reason}
 }
 
+// SetProgress takes down how far the rollout is.
+func (r *Rollout) SetProgress(progress RolloutProgress) {
+	r.State, r.Step, r.BegunMs, r.StepBegunMs = progress.State, progress.Step, progress.BegunMs, progress.StepBegunMs
+	r.StepJobs, r.Reason = progress.StepJobs, progress.Reason
+}
+
 // SetProgress writes how far a rollout is. One that is finished leads its route to the new version.
 func (a *Amendment) SetProgress(name string, progress RolloutProgress) *Amendment {
 	index := a.indexOf(name)
--- a/internal/cluster/configuration/rollouts.go
+++ b/internal/cluster/configuration/rollouts.go
@@ -16,6 +16,17 @@
 	RolloutFinished   RolloutState = "finished"
 )
 
+// IsOver tells whether the state is final.
+func (s RolloutState) IsOver() bool { return s == RolloutTurnedBack || s == RolloutFinished }
+
+// Label is the state as operators read it; the one without a text has a name there.
+func (s RolloutState) Label() string {
+	if s == RolloutRequested {
+		return "requested"
+	}
+	return string(s)
+}
+
 // What becomes of the runs of the new version once it was turned back.
 const (
 	// TurnBackFinish lets tasks that run end; it is the default.
@@ -79,7 +90,7 @@
 }
 
 // IsOver tells whether the state is final.
-func (r *Rollout) IsOver() bool { return r.State == RolloutTurnedBack || r.State == RolloutFinished }
+func (r *Rollout) IsOver() bool { return r.State.IsOver() }
 
 // Share is the share of the route's jobs that the new version gets now.
 func (r *Rollout) Share() float64 {
--- a/internal/cluster/rolloutview/rolloutview.go
+++ b/internal/cluster/rolloutview/rolloutview.go
@@ -47,7 +47,7 @@
 }
 
 func writeRollout(to io.Writer, rollout *wire.RolloutStatus) error {
-	fmt.Fprintf(to, "%s  %s  route %s  [%s] %.4g%%  step %d of %d\n", rollout.Name, rollout.State, rollout.Route, bar(rollout.Share), 100*rollout.Share,
+	fmt.Fprintf(to, "%s  %s  route %s  [%s] %.4g%%  step %d of %d\n", rollout.Name, rollout.State, rollout.Route, Bar(rollout.Share), 100*rollout.Share,
 		rollout.Step+1, rollout.Steps)
 	if rollout.Reason != "" {
 		fmt.Fprintf(to, "  %s\n", rollout.Reason)
@@ -75,8 +75,8 @@
 	return table.Flush()
 }
 
-// bar is a share as so many marks.
-func bar(share float64) string {
+// Bar is a share from 0 to 1 as so many marks.
+func Bar(share float64) string {
 	marks := min(barWidth, int(share*barWidth+0.5))
 	return strings.Repeat("#", marks) + strings.Repeat(".", barWidth-marks)
 }
--- a/internal/control/rollouts/controller.go
+++ b/internal/control/rollouts/controller.go
@@ -165,7 +165,7 @@
 
 // change makes a decision a change of the configuration. What came of it, if that is not clear, the next look sees.
 func (c *Controller) change(ctx context.Context, one *configuration.Rollout, evidence rollout.Evidence, decision rollout.Decision, current *wire.ClientAnswer) {
-	amendment := configuration.Amend(current.Body).SetProgress(one.Name, progressAfter(one, evidence, decision, current.WallMs))
+	amendment := configuration.Amend(current.Body).SetProgress(one.Name, rollout.ProgressAfter(one, evidence, decision, current.WallMs))
 	body, err := amendment.Body()
 	if err != nil {
 		c.Log.Error(err, "rollout not changed", "rollout", one.Name)
@@ -185,32 +185,6 @@
 	}
 }
 
-// progressAfter is how far a rollout is after a decision.
-func progressAfter(one *configuration.Rollout, evidence rollout.Evidence, decision rollout.Decision, nowMs int64) configuration.RolloutProgress {
-	progress := one.Progress()
-	progress.Reason = ""
-	switch decision.Action {
-	case rollout.Begin:
-		progress = configuration.RolloutProgress{State: configuration.RolloutWidening, BegunMs: nowMs, StepBegunMs: nowMs}
-	case rollout.Widen:
-		jobs := evidence.New.Counts.Jobs
-		progress.Step, progress.StepBegunMs, progress.StepJobs = one.Step+1, nowMs, jobs.Completed+jobs.Failed
-	case rollout.Finish:
-		progress.State = configuration.RolloutFinished
-	case rollout.TurnBack:
-		progress.State, progress.Reason = configuration.RolloutTurnedBack, reasonText(decision)
-	}
-	return progress
-}
-
-// reasonText says why a version was turned back, with the figures.
-func reasonText(decision rollout.Decision) string {
-	if decision.Decisive == nil {
-		return string(decision.Reason)
-	}
-	return string(decision.Reason) + ": " + decision.Decisive.String()
-}
-
 // StatusAnswer is the answer to a question how the rollouts stand.
 func (c *Controller) StatusAnswer() wire.ClientAnswer {
 	status := c.Status()
--- a/internal/control/rollouts/status.go
+++ b/internal/control/rollouts/status.go
@@ -34,7 +34,7 @@
 
 // statusOf is how a rollout stands after a look.
 func statusOf(one *configuration.Rollout, evidence rollout.Evidence, decision rollout.Decision) wire.RolloutStatus {
-	status := wire.RolloutStatus{Name: one.Name, Route: one.Route, From: one.From, To: one.To, State: stateText(one.State), Step: one.Step,
+	status := wire.RolloutStatus{Name: one.Name, Route: one.Route, From: one.From, To: one.To, State: one.State.Label(), Step: one.Step,
 		Steps: len(one.Steps), Share: one.Share(), Reason: one.Reason, Action: string(decision.Action), ActionWhy: string(decision.Reason),
 		Old: versionStatus(&evidence.Old), New: versionStatus(&evidence.New)}
 	for _, verdict := range decision.Verdicts {
@@ -44,13 +44,6 @@
 	return status
 }
 
-func stateText(state configuration.RolloutState) string {
-	if state == configuration.RolloutRequested {
-		return "requested"
-	}
-	return string(state)
-}
-
 func versionStatus(version *rollout.Version) wire.VersionStatus {
 	return wire.VersionStatus{Jobs: version.Counts.Jobs, Open: version.Counts.Open, Overdue: version.Counts.Overdue, Executors: version.Executors,
 		Capacity: version.Capacity, Allocated: version.Allocated}
--- a/internal/simulation/rehearsal/rolloutplay.go
+++ b/internal/simulation/rehearsal/rolloutplay.go
@@ -113,22 +113,14 @@
 	r.play.cluster.Events.After(lookEvery, r.look)
 }
 
-// change takes a step, as the leader of the configuration writes it.
+// change takes a step, as the leader of the configuration writes it; the reason is the decisive verdict alone.
 func (r *playedRollout) change(decision rollout.Decision, nowMs int64) {
-	one := &r.rollout
-	switch decision.Action {
-	case rollout.Begin:
-		one.State, one.BegunMs, one.StepBegunMs, r.begunAt = configuration.RolloutWidening, nowMs, nowMs, r.play.cluster.Events.Now()
-	case rollout.Widen:
-		jobs := r.evidence.New.Counts.Jobs
-		one.Step, one.StepBegunMs, one.StepJobs = one.Step+1, nowMs, jobs.Completed+jobs.Failed
-	case rollout.Finish:
-		one.State = configuration.RolloutFinished
-	case rollout.TurnBack:
-		one.State, one.Reason = configuration.RolloutTurnedBack, string(decision.Reason)
-		if decision.Decisive != nil {
-			one.Reason = decision.Decisive.String()
-		}
+	r.rollout.SetProgress(rollout.ProgressAfter(&r.rollout, r.evidence, decision, nowMs))
+	if decision.Decisive != nil {
+		r.rollout.Reason = decision.Decisive.String()
+	}
+	if decision.Action == rollout.Begin {
+		r.begunAt = r.play.cluster.Events.Now()
 	}
 }
 
@@ -146,11 +138,7 @@
 func (r *playedRollout) sample() {
 	if r.play.setup.Watch != nil {
 		old, next := r.evidence.Old.Counts, r.evidence.New.Counts
-		state := string(r.rollout.State)
-		if r.rollout.State == configuration.RolloutRequested {
-			state = "requested"
-		}
-		r.play.setup.Watch(RolloutSample{AtS: (r.play.cluster.Events.Now() - warmUp).Seconds(), State: state, Share: r.rollout.Share(),
+		r.play.setup.Watch(RolloutSample{AtS: (r.play.cluster.Events.Now() - warmUp).Seconds(), State: r.rollout.State.Label(), Share: r.rollout.Share(),
 			OldEnded: old.Jobs.Completed + old.Jobs.Failed, OldFailed: old.Jobs.Failed, OldWaiting: old.Overdue,
 			NewEnded: next.Jobs.Completed + next.Jobs.Failed, NewFailed: next.Jobs.Failed, NewWaiting: next.Overdue, Reason: r.rollout.Reason})
 	}
--- a/internal/simulation/rehearsal/rolloutplot.go
+++ b/internal/simulation/rehearsal/rolloutplot.go
@@ -3,11 +3,11 @@
 import (
 	"fmt"
 	"io"
-	"strings"
 
 	svg "github.com/ajstarks/svgo"
 
 	"gannetline/internal/cluster/configuration"
+	"gannetline/internal/cluster/rolloutview"
 )
 
 // The size of a plot and of its panels, in pixels.
@@ -58,8 +58,7 @@
 // endOf is the first sample at which the rollout was over, nil if it never was.
 func endOf(samples []RolloutSample) *RolloutSample {
 	for index := range samples {
-		switch configuration.RolloutState(samples[index].State) {
-		case configuration.RolloutTurnedBack, configuration.RolloutFinished:
+		if configuration.RolloutState(samples[index].State).IsOver() {
 			return &samples[index]
 		}
 	}
@@ -95,9 +94,6 @@
 	}
 }
 
-// sampleMarks is how many marks stand for all jobs.
-const sampleMarks = 20
-
 // samples writes a line for each second in which anything about a rollout changed.
 func (p *printer) samples(samples []RolloutSample) {
 	if len(samples) == 0 {
@@ -109,9 +105,7 @@
 		if sample.State == before.State && sample.Share == before.Share && sample.NewFailed == before.NewFailed && sample.NewWaiting == before.NewWaiting {
 			continue
 		}
-		marks := int(sample.Share*sampleMarks + 0.5)
-		p.writeLine("%8.0f  %-12s [%s] %9d %9d %9d %9d %9d %9d", sample.AtS, sample.State, strings.Repeat("#", marks)+strings.Repeat(".", sampleMarks-marks),
-			sample.OldEnded, sample.OldFailed, sample.OldWaiting, sample.NewEnded, sample.NewFailed, sample.NewWaiting)
+		p.writeLine("%8.0f  %-12s [%s] %9d %9d %9d %9d %9d %9d", sample.AtS, sample.State, rolloutview.Bar(sample.Share), sample.OldEnded, sample.OldFailed, sample.OldWaiting, sample.NewEnded, sample.NewFailed, sample.NewWaiting)
 		before = sample
 	}
 	if before.Reason != "" {
