Keys of pools, the job of a task, evacuated zones and a header's name stand once

Cause: the change wrote "pool/", the ID of a task's job, the look-up of evacuated zones and X-Base-Version at several places each, and the soak's applications had two nearly equal calls. wire.PoolKey, jobs.JobOf, Node.IsEvacuated and headers.BaseVersion serve all; the call that may be kept back is the core of the other. Behaviour is as before.

--- a/client/configuration.go
+++ b/client/configuration.go
@@ -6,6 +6,8 @@
 	"strconv"
 
 	"github.com/juju/errors"
+
+	"gannetline/internal/platform/headers"
 )
 
 // The paths of calls about the configuration and its rollouts.
@@ -13,8 +15,6 @@
 	pathConfiguration        = "/v1/configuration" + suffixRetrieve
 	pathReplaceConfiguration = "/v1/configuration" + suffixReplace
 	pathRollouts             = "/v1/rollout" + suffixRetrieve
-
-	headerBaseVersion = "X-Base-Version"
 )
 
 // ErrVersionConflict tells that another version of the configuration is in force than the one that a change builds on. Read the
@@ -43,7 +43,7 @@
 // ErrVersionConflict if another version is in force, and a *RefusedError that names the field if something is wrong with the configuration.
 func (c *Client) ReplaceConfiguration(ctx context.Context, base int64, configuration []byte) error {
 	given, err := c.ask(ctx, call{method: http.MethodPost, path: pathReplaceConfiguration, text: configuration,
-		header: map[string]string{headerBaseVersion: strconv.FormatInt(base, 10), "Content-Type": "application/json"}})
+		header: map[string]string{headers.BaseVersion: strconv.FormatInt(base, 10), "Content-Type": "application/json"}})
 	switch {
 	case err != nil:
 		return err
--- a/internal/cluster/membership/evacuations.go
+++ b/internal/cluster/membership/evacuations.go
@@ -16,6 +16,9 @@
 // HoldsEvacuations takes note of a committed list of evacuations, and spreads it if it is new.
 func (t *Table) HoldsEvacuations(evacuations *wire.Evacuations) { t.mergeEvacuations(evacuations) }
 
+// IsEvacuated tells whether nothing new may be sent to the executors of a zone, as far as this process knows. Any goroutine may ask.
+func (n *Node) IsEvacuated(zone string) bool { return n.View().Evacuations.Has(zone) }
+
 // mergeEvacuations takes a list that is newer than the one that is known. Each datagram carries the newest, so that a process which missed
 // the announcement learns of it with its next probe.
 func (t *Table) mergeEvacuations(evacuations *wire.Evacuations) {
--- a/internal/cluster/peerapi/wire/client.go
+++ b/internal/cluster/peerapi/wire/client.go
@@ -71,6 +71,12 @@
 	LotsKey       = LotsKeyPrefix + "0"
 )
 
+// PoolPrefix begins the keys of pools; the rest is the service.
+const PoolPrefix = "pool/"
+
+// PoolKey is the key of the pool of a service.
+func PoolKey(service string) string { return PoolPrefix + service }
+
 // ClientCall is a command of a client or operator on the way to the leader of a key.
 type ClientCall struct {
 	Key         string              `json:"key"`
--- a/internal/control/controlkeys/beliefs.go
+++ b/internal/control/controlkeys/beliefs.go
@@ -28,7 +28,7 @@
 	var jobs []wire.JobBelief
 	var executors []wire.ExecutorBelief
 	for key, runner := range runners {
-		if !strings.HasPrefix(key, poolPrefix) {
+		if !strings.HasPrefix(key, wire.PoolPrefix) {
 			continue
 		}
 		if snapshot, err := m.Store.Read(key); err == nil {
@@ -63,7 +63,7 @@
 		return nil
 	}
 	for _, key := range slices.Sorted(maps.Keys(runners)) {
-		if !strings.HasPrefix(key, poolPrefix) {
+		if !strings.HasPrefix(key, wire.PoolPrefix) {
 			continue
 		}
 		runner := runners[key]
--- a/internal/control/controlkeys/keyrunner.go
+++ b/internal/control/controlkeys/keyrunner.go
@@ -97,7 +97,7 @@
 	counter := &countCaller{manager: m, ctx: m.ctx}
 	transfers := &transferSender{manager: m, ctx: m.ctx}
 	options := append(slices.Clone(m.PoolOptions), scheduler.WithTenants(m.tenantPolicy), scheduler.WithCounter(counter),
-		scheduler.WithEvacuations(m.isEvacuated), scheduler.WithRollouts(m.rolloutPolicy(key)), scheduler.WithTransfers(transfers))
+		scheduler.WithEvacuations(m.Node.IsEvacuated), scheduler.WithRollouts(m.rolloutPolicy(key)), scheduler.WithTransfers(transfers))
 	runner.pool = scheduler.New(key, m.Clock, m.Timing, m.Log, options...)
 	runner.machine = poolMachine{runner.pool}
 	host := poolhost.New(runner.pool, runner.engineMailbox)
@@ -107,9 +107,6 @@
 	return host
 }
 
-// isEvacuated tells whether nothing new may be sent to the executors of a zone, as far as this process knows.
-func (m *Manager) isEvacuated(zone string) bool { return m.Node.View().Evacuations.Has(zone) }
-
 // startLots makes the part of a key with lots and runs it on a goroutine of its own.
 func (m *Manager) startLots(key string, runner *keyRunner) *poolhost.Host {
 	runItems := &lateRunner{}
--- a/internal/control/controlkeys/manager.go
+++ b/internal/control/controlkeys/manager.go
@@ -29,8 +29,6 @@
 )
 
 const (
-	// poolPrefix begins the names of pools' keys; the rest is the service.
-	poolPrefix = "pool/"
 	// tickInterval is how often engines and pools do what falls due.
 	tickInterval = 50 * time.Millisecond
 	// reconcileInterval is how often the manager compares the keys there should be with those that run.
@@ -168,7 +166,7 @@
 	for _, initial := range snapshot.Committed.InitialVoters {
 		key := initial.Key
 		if key == "" {
-			key = poolPrefix + initial.Service
+			key = wire.PoolKey(initial.Service)
 		}
 		if m.keeps(key) {
 			m.startKey(key, initial.Voters)
--- a/internal/control/controlkeys/rollouts.go
+++ b/internal/control/controlkeys/rollouts.go
@@ -40,7 +40,7 @@
 
 // rolloutReport asks the pool of a service what it has counted; nil if nobody answers in time.
 func (m *Manager) rolloutReport(ctx context.Context, service string) *wire.RolloutReport {
-	outcome := m.AskLeader(ctx, &wire.ClientCall{Key: poolPrefix + service, Verb: wire.VerbRollouts}, reportTimeout, 0)
+	outcome := m.AskLeader(ctx, &wire.ClientCall{Key: wire.PoolKey(service), Verb: wire.VerbRollouts}, reportTimeout, 0)
 	if outcome.Answer == nil || outcome.Answer.Status != http.StatusOK {
 		return nil
 	}
@@ -55,7 +55,7 @@
 // rolloutPolicy gives what the configuration in force says of the rollouts in which a pool's service is a version. The function that it
 // returns belongs to the pool's goroutine.
 func (m *Manager) rolloutPolicy(key string) func() scheduler.RolloutPolicy {
-	service := strings.TrimPrefix(key, poolPrefix)
+	service := strings.TrimPrefix(key, wire.PoolPrefix)
 	var known *configcache.Snapshot
 	var policy scheduler.RolloutPolicy
 	return func() scheduler.RolloutPolicy {
@@ -75,7 +75,7 @@
 
 // Send gives a job to the leader of a service's pool; answer runs later on the sending pool's goroutine.
 func (s *transferSender) Send(service string, call *wire.ClientCall, answer func(*wire.ClientAnswer)) {
-	call.Key = poolPrefix + service
+	call.Key = wire.PoolKey(service)
 	go func() {
 		outcome := s.manager.AskLeader(s.ctx, call, transferTimeout, 0)
 		s.mailbox.Post(func() { answer(outcome.Answer) })
--- a/internal/gate/clientapi/clientapi.go
+++ b/internal/gate/clientapi/clientapi.go
@@ -56,13 +56,13 @@
 	}
 	id := strings.ToLower(request.URL.Path[len(route.PathPrefix):])
 	service := snapshot.Matcher.ServiceFor(route, id)
-	call := &wire.ClientCall{Key: keyOf(service), Route: route.Name, ID: id, Tenant: tenant, Version: snapshot.Committed.Version}
+	call := &wire.ClientCall{Key: wire.PoolKey(service), Route: route.Name, ID: id, Tenant: tenant, Version: snapshot.Committed.Version}
 	decision := Decision{Call: call, Former: snapshot.OtherServices(route.Name, service), Limit: limit}
 	if call.ID == "" {
 		if request.Method != http.MethodGet {
 			return refuse(http.StatusMethodNotAllowed, "a queue is only asked for its count")
 		}
-		call.Verb, call.Key, decision.Former = wire.VerbCount, keyOf(route.Service), nil
+		call.Verb, call.Key, decision.Former = wire.VerbCount, wire.PoolKey(route.Service), nil
 		if rollout := snapshot.Matcher.Rollout(route.Name); rollout != nil {
 			decision.Former = []string{rollout.To}
 		}
@@ -272,13 +272,10 @@
 // callToFormer asks something about the job of a call of a pool that the queue was sent to before.
 func callToFormer(call *wire.ClientCall, service string, verb wire.Verb) *wire.ClientCall {
 	former := *call
-	former.Key, former.Verb, former.Body, former.Terms = keyOf(service), verb, nil, nil
+	former.Key, former.Verb, former.Body, former.Terms = wire.PoolKey(service), verb, nil, nil
 	return &former
 }
 
-// keyOf is the key of the pool of a service.
-func keyOf(service string) string { return "pool/" + service }
-
 // ResponseOf is the answer to a client. A submission is only refused if no steward can have taken it.
 func ResponseOf(call *wire.ClientCall, outcome leaderclient.Outcome) response.Reply {
 	answer := outcome.Answer
--- a/internal/node/localproxy/exchanges.go
+++ b/internal/node/localproxy/exchanges.go
@@ -30,7 +30,7 @@
 		return nil, false
 	}
 	now := t.now()
-	call := &wire.ExchangeCall{Key: "pool/" + t.service, Executor: current.id, Fence: current.fenceAtExecutor,
+	call := &wire.ExchangeCall{Key: wire.PoolKey(t.service), Executor: current.id, Fence: current.fenceAtExecutor,
 		WaitMs: t.pollWait(current, waitMs), HoldAgeMs: t.holdAge(current).Milliseconds(), Ends: slices.Clone(current.ends)}
 	current.feed.updateFacts(t.factsOf(current))
 	current.feed.write(call)
--- a/internal/roles/common.go
+++ b/internal/roles/common.go
@@ -138,9 +138,6 @@
 	}
 }
 
-// isEvacuated tells whether nothing new may be sent to the executors of a zone, as far as this process knows.
-func (b *base) isEvacuated(zone string) bool { return b.node.View().Evacuations.Has(zone) }
-
 func (b *base) listen(field, address string) (net.Listener, error) {
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
--- a/internal/roles/gate.go
+++ b/internal/roles/gate.go
@@ -74,7 +74,7 @@
 	if !b.settings.ServesRequests() {
 		return clientapi.New(configurations.Current, asker, b.clock, b.keyOptions(asker, configurations)...), func() bool { return true }
 	}
-	executors := balancer.New(b.settings.Domain, b.clock, balancer.WithEvacuations(b.isEvacuated))
+	executors := balancer.New(b.settings.Domain, b.clock, balancer.WithEvacuations(b.node.IsEvacuated))
 	b.followExecutors(executorlist.NearSteward, func(list *executorlist.List) { executors.Update(list.Executors) })
 	forwarder := forwarding.New(executorClient(), executors, b.clock)
 	return servingapi.New(configurations.Current, asker, forwarder, b.clock), executors.HasExecutors
--- a/internal/roles/storagemachine.go
+++ b/internal/roles/storagemachine.go
@@ -33,7 +33,7 @@
 	b.join(kept.member(""), membership.OnConfigurationAhead(configurations.FetchFrom), membership.WithKnownPeers(knownPeers))
 	executors := b.followExecutors(executorlist.NearSteward, func(*executorlist.List) {})
 	openExecutors := func(service string) []wire.ExecutorRecord {
-		return slices.DeleteFunc(slices.Clone(executors.OfService(service)), func(executor wire.ExecutorRecord) bool { return b.isEvacuated(executor.Zone) })
+		return slices.DeleteFunc(slices.Clone(executors.OfService(service)), func(executor wire.ExecutorRecord) bool { return b.node.IsEvacuated(executor.Zone) })
 	}
 	retention := time.Duration(b.settings.Bounds.StatusS * float64(time.Second))
 	manager := controlkeys.New(controlkeys.Config{Clock: b.clock, Log: b.log, Store: kept.store,
--- a/internal/scheduling/jobs/read.go
+++ b/internal/scheduling/jobs/read.go
@@ -158,6 +158,12 @@
 	Time, Step, Index int
 }
 
+// JobOf gives the ID of the job that a task belongs to, empty for what is no name of a task.
+func JobOf(task string) string {
+	place, _ := ParseTask(task)
+	return place.ID
+}
+
 // ParseTask takes a name apart that TaskName made; false means that it is not one.
 func ParseTask(name string) (Place, bool) {
 	parts := strings.Split(name, ".")
--- a/internal/simulation/modelcheck/rolloutmodel/executor.go
+++ b/internal/simulation/modelcheck/rolloutmodel/executor.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"gannetline/internal/cluster/peerapi/wire"
-	"gannetline/internal/scheduling/jobs"
 )
 
 const (
@@ -97,9 +96,3 @@
 	e.Ends = append(e.Ends, wire.EndReport{Number: e.lastEnd, Task: order.Task, Run: order.Run, Outcome: outcome})
 	e.pool.cluster.noteEnd(order.Task, outcome)
 }
-
-// jobOf is the ID of the job that a task belongs to.
-func jobOf(task string) string {
-	place, _ := jobs.ParseTask(task)
-	return place.ID
-}
--- a/internal/simulation/modelcheck/rolloutmodel/gate.go
+++ b/internal/simulation/modelcheck/rolloutmodel/gate.go
@@ -51,11 +51,9 @@
 		g.submit(decision.Call, decision.Former, deadline, done)
 		return
 	}
-	g.find(decision.Call, append([]string{decision.Call.Key[len(poolPrefix):]}, decision.Former...), deadline, findState{}, done)
+	g.find(decision.Call, append([]string{decision.Call.Key[len(wire.PoolPrefix):]}, decision.Former...), deadline, findState{}, done)
 }
 
-const poolPrefix = "pool/"
-
 // submit has all former pools renounce a job, and then gives it to the one that runs it now.
 func (g *modelGate) submit(call *wire.ClientCall, former []string, deadline time.Duration, done func(int)) {
 	if len(former) == 0 || g.cluster.fault == faultRenounceSkipped {
@@ -108,7 +106,7 @@
 
 func callTo(call *wire.ClientCall, service string, verb wire.Verb) *wire.ClientCall {
 	copied := *call
-	copied.Key, copied.Verb = poolPrefix+service, verb
+	copied.Key, copied.Verb = wire.PoolKey(service), verb
 	if verb != wire.VerbSubmit {
 		copied.Body, copied.Terms = nil, nil
 	}
@@ -117,7 +115,7 @@
 
 // ask calls the leader of a pool again and again until it answers or the time is over.
 func (g *modelGate) ask(call *wire.ClientCall, deadline time.Duration, done func(leaderclient.Outcome)) {
-	c, pool := g.cluster, g.cluster.poolOf(call.Key[len(poolPrefix):])
+	c, pool := g.cluster, g.cluster.poolOf(call.Key[len(wire.PoolPrefix):])
 	var outcome leaderclient.Outcome
 	var attempt func()
 	again := func() { c.queue.After(attemptPause, attempt) }
--- a/internal/simulation/modelcheck/rolloutmodel/injectedfaults.go
+++ b/internal/simulation/modelcheck/rolloutmodel/injectedfaults.go
@@ -52,7 +52,7 @@
 // disturbDecision changes what a gate decides.
 func (c *simCluster) disturbDecision(gate *modelGate, call *wire.ClientCall) {
 	if rollout := gate.snapshot.Matcher.Rollout(queueName); c.fault == faultShareIgnored && rollout != nil && rollout.Share() > 0 {
-		call.Key = poolPrefix + rollout.To
+		call.Key = wire.PoolKey(rollout.To)
 	}
 }
 
--- a/internal/simulation/modelcheck/rolloutmodel/oracles.go
+++ b/internal/simulation/modelcheck/rolloutmodel/oracles.go
@@ -7,6 +7,7 @@
 
 	"gannetline/internal/cluster/configuration"
 	"gannetline/internal/cluster/peerapi/wire"
+	"gannetline/internal/scheduling/jobs"
 )
 
 const (
@@ -47,7 +48,7 @@
 // refused or cancelled starts, and nothing starts in a version that was turned back.
 func (c *simCluster) noteStart(executor *modelExecutor, order wire.Order) {
 	c.coverage["start"]++
-	facts, job := c.factsOf(order.Task), c.jobByID(jobOf(order.Task))
+	facts, job := c.factsOf(order.Task), c.jobByID(jobs.JobOf(order.Task))
 	c.note("%s run %d starts on %s", order.Task, order.Run, executor.Executor)
 	switch {
 	case job == nil:
@@ -174,7 +175,7 @@
 // hasUsedAttempts tells whether a task of a job, or its gang, has failed as often as it may.
 func (c *simCluster) hasUsedAttempts(job *modelJob) bool {
 	for name, facts := range c.tasks {
-		if jobOf(name) == job.id && facts.failedCount >= 1 && (facts.failedCount >= maxAttempts || strings.Contains(job.body, "gang")) {
+		if jobs.JobOf(name) == job.id && facts.failedCount >= 1 && (facts.failedCount >= maxAttempts || strings.Contains(job.body, "gang")) {
 			return true
 		}
 	}
--- a/internal/simulation/modelcheck/rolloutmodel/pool.go
+++ b/internal/simulation/modelcheck/rolloutmodel/pool.go
@@ -52,7 +52,7 @@
 	return pool
 }
 
-func (p *modelPool) name() string { return "pool/" + serviceOf(p.number) }
+func (p *modelPool) name() string { return wire.PoolKey(serviceOf(p.number)) }
 
 // leadership is the right of one leader to change the key of the pool.
 type leadership struct {
--- a/internal/simulation/simcluster/simcluster.go
+++ b/internal/simulation/simcluster/simcluster.go
@@ -50,7 +50,7 @@
 }
 
 // serve names the service whose pool the cluster runs.
-func (s *Cluster) serve(service string) { s.service, s.keys = service, []string{"pool/" + service} }
+func (s *Cluster) serve(service string) { s.service, s.keys = service, []string{wire.PoolKey(service)} }
 
 // WithTiming replaces DefaultTiming.
 func WithTiming(timing scheduler.Timing) Option { return func(s *Cluster) { s.timing = timing } }
--- a/internal/simulation/soak/application.go
+++ b/internal/simulation/soak/application.go
@@ -85,8 +85,15 @@
 	}
 }
 
-// call asks a steward drawn by lot; the status is 0 if there was no whole answer.
+// call asks a steward drawn by lot; the status is 0 if there was no whole answer in time.
 func (a *application) call(ctx context.Context, path string, body, into any) int {
+	ctx, cancel := context.WithTimeout(ctx, coordinationLimit)
+	defer cancel()
+	return a.callWaiting(ctx, path, body, into)
+}
+
+// callWaiting is call for an answer that may be kept back.
+func (a *application) callWaiting(ctx context.Context, path string, body, into any) int {
 	making := sling.New().Base(a.drawSteward())
 	if body == nil {
 		making = making.Get(path)
@@ -97,8 +104,6 @@
 	if err != nil {
 		return 0
 	}
-	ctx, cancel := context.WithTimeout(ctx, coordinationLimit)
-	defer cancel()
 	response, err := making.Client(a.client).Do(request.WithContext(ctx), into, into)
 	if response == nil || err != nil && into != nil {
 		return 0
@@ -210,7 +215,7 @@
 		sentAt := a.recorder.now()
 		var seen wire.WatchAnswer
 		path := fmt.Sprintf("/v1/watch/%s?depends-on=%d&wait-time-ms=%d", group, above, watchWait.Milliseconds())
-		switch a.callWaiting(ctx, path, &seen) {
+		switch a.callWaiting(ctx, path, nil, &seen) {
 		case http.StatusOK:
 			watch := check.Watch{Group: group, Above: above, Events: seen.Events, Revision: seen.Revision, SentAt: sentAt, At: a.recorder.now()}
 			a.note(func(h *check.History) { h.Watches = append(h.Watches, watch) })
@@ -223,20 +228,6 @@
 	}
 }
 
-// callWaiting is call for an answer that may be kept back.
-func (a *application) callWaiting(ctx context.Context, path string, into any) int {
-	making := sling.New().Base(a.drawSteward()).Get(path)
-	request, err := making.Request()
-	if err != nil {
-		return 0
-	}
-	response, err := making.Client(a.client).Do(request.WithContext(ctx), into, into)
-	if response == nil || err != nil {
-		return 0
-	}
-	return response.StatusCode
-}
-
 // coordinationFaults are the oracles of locks, numbers and cells.
 func coordinationFaults(h *History) []Violation {
 	found, _ := check.Judge(&h.Applications, historySeconds*time.Second)
--- a/internal/simulation/soak/operator.go
+++ b/internal/simulation/soak/operator.go
@@ -11,6 +11,7 @@
 	"github.com/dghubble/sling"
 
 	"gannetline/internal/cluster/configuration"
+	"gannetline/internal/platform/headers"
 )
 
 const (
@@ -99,7 +100,7 @@
 // send offers a configuration that builds on a version.
 func (o *operator) send(ctx context.Context, base int64, next configuration.Configuration) bool {
 	status := o.ask(ctx, sling.New().Post(o.stewardURL("/v1/configuration/replace")).
-		Set("X-Base-Version", strconv.FormatInt(base, 10)).BodyJSON(next), nil)
+		Set(headers.BaseVersion, strconv.FormatInt(base, 10)).BodyJSON(next), nil)
 	return status/100 == 2
 }
 
--- a/internal/simulation/soak/oracles.go
+++ b/internal/simulation/soak/oracles.go
@@ -199,7 +199,7 @@
 		if run.Outcome != outcomeDone {
 			continue
 		}
-		job := jobOf(run.Task)
+		job := jobs.JobOf(run.Task)
 		lastDone[job] = max(lastDone[job], h.sinceStart(run.EndMs))
 		if done[job] == nil {
 			done[job] = map[string]bool{}
@@ -218,13 +218,6 @@
 	return violations
 }
 
-// jobOf gives the ID of the job that a task belongs to.
-func jobOf(task string) string {
-	// Executors record tasks by the names that the pool gave them.
-	place, _ := jobs.ParseTask(task)
-	return place.ID
-}
-
 // isTroubled tells whether anything was done to a process, or to the connections of its clients, within a time.
 func (h *History) isTroubled(target string, from, to time.Duration, kinds ...FaultKind) bool {
 	return slices.ContainsFunc(h.Troubles, func(trouble Trouble) bool {
@@ -270,7 +263,7 @@
 	var violations []Violation
 	accepted := acceptedJobs(h)
 	for _, run := range h.Runs {
-		job, startedAt := accepted[jobOf(run.Task)], h.sinceStart(run.StartMs)
+		job, startedAt := accepted[jobs.JobOf(run.Task)], h.sinceStart(run.StartMs)
 		if job != nil && job.isCancelled && startedAt > job.cancelledAt+cancelBound {
 			violations = append(violations, Violation{OracleCancelled, startedAt, fmt.Sprintf("task %s started %v after its job's cancel was acknowledged", run.Task,
 				startedAt-job.cancelledAt)})
