Scheduler, configuration leader, views: what stood twice stands once

Cause: two reports of a pool, two acceptances of a job, two ends of a transfer, two commits of the configuration's leader and six writers of indented JSON were each the same code. answerWith, acceptance, endTransfer, commitOps and indentedjson.Write serve them. A pool looks through its jobs for those to be released only where jobs were being returned, and no longer with each version of the configuration.

--- a/cmd/gannetline/locks.go
+++ b/cmd/gannetline/locks.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"slices"
@@ -15,6 +14,7 @@
 	"gannetline/internal/cluster/peerapi"
 	"gannetline/internal/cluster/peerapi/wire"
 	"gannetline/internal/control/coordinationapi"
+	"gannetline/internal/platform/indentedjson"
 )
 
 func locksCommand() *cli.Command {
@@ -69,9 +69,7 @@
 }
 
 func writeReportsJSON(out io.Writer, reports []wire.CoordinationReport) error {
-	text := json.NewEncoder(out)
-	text.SetIndent("", "  ")
-	return text.Encode(map[string]any{"parts": reports})
+	return indentedjson.Write(out, map[string]any{"parts": reports})
 }
 
 func writeLocks(out io.Writer, reports []wire.CoordinationReport) error {
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -3,9 +3,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"os"
 	"path/filepath"
 	"strings"
@@ -15,6 +13,7 @@
 	"github.com/urfave/cli/v3"
 	"go.uber.org/multierr"
 
+	"gannetline/internal/platform/indentedjson"
 	"gannetline/internal/platform/logging"
 	"gannetline/internal/platform/supervise"
 	"gannetline/internal/simulation/soak"
@@ -155,7 +154,7 @@
 }
 
 // printJSON prints a value as JSON.
-func printJSON(value any) error { return writeJSON(os.Stdout, value) }
+func printJSON(value any) error { return indentedjson.Write(os.Stdout, value) }
 
 // writeFile writes a value as JSON into a file.
 func writeFile(path string, value any) error {
@@ -163,13 +162,6 @@
 	if err != nil {
 		return errors.Annotate(err, "--json")
 	}
-	err = writeJSON(file, value)
+	err = indentedjson.Write(file, value)
 	return errors.Annotate(multierr.Append(err, file.Close()), "--json")
 }
-
-// writeJSON writes a value as indented JSON.
-func writeJSON(to io.Writer, value any) error {
-	encoder := json.NewEncoder(to)
-	encoder.SetIndent("", "  ")
-	return encoder.Encode(value)
-}
--- a/internal/cluster/evacuationview/view.go
+++ b/internal/cluster/evacuationview/view.go
@@ -1,7 +1,6 @@
 package evacuationview
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"maps"
@@ -13,6 +12,7 @@
 	"github.com/juju/errors"
 
 	"gannetline/internal/cluster/peerapi/wire"
+	"gannetline/internal/platform/indentedjson"
 )
 
 // Zone is one zone that has executors or is to be emptied.
@@ -97,9 +97,7 @@
 
 // WriteJSON writes the view as one JSON object.
 func (v View) WriteJSON(to io.Writer) error {
-	encoder := json.NewEncoder(to)
-	encoder.SetIndent("", "  ")
-	return errors.Annotate(encoder.Encode(v), "writing the evacuations")
+	return errors.Annotate(indentedjson.Write(to, v), "writing the evacuations")
 }
 
 // WriteTable writes a line a zone, and one that tells who knows of the newest order.
--- a/internal/cluster/rolloutview/rolloutview.go
+++ b/internal/cluster/rolloutview/rolloutview.go
@@ -2,13 +2,13 @@
 package rolloutview
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"strings"
 	"text/tabwriter"
 
 	"gannetline/internal/cluster/peerapi/wire"
+	"gannetline/internal/platform/indentedjson"
 )
 
 // barWidth is how many marks stand for a share of 1.
@@ -27,9 +27,7 @@
 
 // WriteJSON writes all that is known, indented.
 func WriteJSON(to io.Writer, status *wire.RolloutsStatus) error {
-	encoder := json.NewEncoder(to)
-	encoder.SetIndent("", "  ")
-	return encoder.Encode(status)
+	return indentedjson.Write(to, status)
 }
 
 // WriteTable writes a block for each rollout: its share as a bar, what keeps it, a line a version, and a line an aspect it is judged by.
--- a/internal/cluster/tenantview/tenantview.go
+++ b/internal/cluster/tenantview/tenantview.go
@@ -3,7 +3,6 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"fmt"
 	"io"
 	"maps"
@@ -14,6 +13,7 @@
 	"github.com/juju/errors"
 
 	"gannetline/internal/cluster/peerapi/wire"
+	"gannetline/internal/platform/indentedjson"
 )
 
 // Row is one tenant over all pools. Amounts are in thousandths of a core, MB and GPUs; a Limit of 0 is none.
@@ -91,9 +91,7 @@
 
 // WriteJSON writes the view as one JSON object.
 func (v View) WriteJSON(to io.Writer) error {
-	encoder := json.NewEncoder(to)
-	encoder.SetIndent("", "  ")
-	return errors.Annotate(encoder.Encode(v), "writing the tenants")
+	return errors.Annotate(indentedjson.Write(to, v), "writing the tenants")
 }
 
 // WriteTable writes a line a tenant, those that have and wait for most first; with byPool also a line for each pool's grant.
--- a/internal/control/configleader/configleader.go
+++ b/internal/control/configleader/configleader.go
@@ -254,20 +254,28 @@
 		l.refuseUnwritten(err, proposed.Version, answer)
 		return
 	}
+	ops := append([]wire.Op{{Name: recordConfiguration, Value: value}}, confirmation.ops...)
+	l.commitOps(ops, answer, func() wire.ClientAnswer {
+		l.committed, l.decodedCommitted = next, proposed
+		l.confirmed.apply(confirmation)
+		l.log.Info("configuration committed", "version", next.Version)
+		l.publish(published(next))
+		return confirmationOf(next.Version)
+	})
+}
+
+// commitOps commits records while further calls wait for their turn. Once they are durable it takes them over by apply, which gives the
+// answer. It must not be called during a commit.
+func (l *Leader) commitOps(ops []wire.Op, answer answerClient, apply func() wire.ClientAnswer) {
 	l.isCommitting = true
 	leadership := l.leadership
-	ops := append([]wire.Op{{Name: recordConfiguration, Value: value}}, confirmation.ops...)
 	leadership.Commit(ops, func(err error) {
 		if err != nil || l.leadership != leadership {
 			answer(wire.ClientAnswer{NotLeader: true, OutcomeUnknown: true})
 			return
 		}
 		l.isCommitting = false
-		l.committed, l.decodedCommitted = next, proposed
-		l.confirmed.apply(confirmation)
-		l.log.Info("configuration committed", "version", next.Version)
-		l.publish(published(next))
-		answer(confirmationOf(next.Version))
+		answer(apply())
 		l.decideQueued()
 	})
 }
--- a/internal/control/configleader/evacuations.go
+++ b/internal/control/configleader/evacuations.go
@@ -62,8 +62,7 @@
 	}
 	body, err := easyjson.Marshal(evacuations)
 	if err != nil {
-		l.log.Error(err, "the evacuations can't be written")
-		answer(wire.ClientAnswer{Status: http.StatusInternalServerError, Reason: "the evacuations could not be written"})
+		l.refuseUnwrittenEvacuations(err, answer)
 		return
 	}
 	l.answerUnderLease(answer, wire.ClientAnswer{Status: http.StatusOK, Body: body})
@@ -81,22 +80,18 @@
 func (l *Leader) commitEvacuations(next *wire.Evacuations, answer answerClient) {
 	value, err := easyjson.Marshal(next)
 	if err != nil {
-		l.log.Error(err, "the evacuations can't be written")
-		answer(wire.ClientAnswer{Status: http.StatusInternalServerError, Reason: "the evacuations could not be written"})
+		l.refuseUnwrittenEvacuations(err, answer)
 		return
 	}
-	l.isCommitting = true
-	leadership := l.leadership
-	leadership.Commit([]wire.Op{{Name: recordEvacuations, Value: value}}, func(err error) {
-		if err != nil || l.leadership != leadership {
-			answer(wire.ClientAnswer{NotLeader: true, OutcomeUnknown: true})
-			return
-		}
-		l.isCommitting = false
+	l.commitOps([]wire.Op{{Name: recordEvacuations, Value: value}}, answer, func() wire.ClientAnswer {
 		l.evacuations = next
 		l.log.Info("evacuations committed", "number", next.Number, "zones", next.Zones)
 		l.publishEvacuations(next)
-		answer(wire.ClientAnswer{Status: http.StatusOK})
-		l.decideQueued()
+		return wire.ClientAnswer{Status: http.StatusOK}
 	})
 }
+
+func (l *Leader) refuseUnwrittenEvacuations(err error, answer answerClient) {
+	l.log.Error(err, "the evacuations can't be written")
+	answer(wire.ClientAnswer{Status: http.StatusInternalServerError, Reason: "the evacuations could not be written"})
+}
--- a/internal/scheduling/scheduler/clients.go
+++ b/internal/scheduling/scheduler/clients.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"strconv"
 
+	"github.com/mailru/easyjson"
+
 	"gannetline/internal/cluster/peerapi/wire"
 	"gannetline/internal/scheduling/jobs"
 	"gannetline/internal/scheduling/recording"
@@ -27,15 +29,20 @@
 	return wire.ClientAnswer{Status: http.StatusGone, Reason: "the job was moved to another pool", MovedTo: job.movedTo}
 }
 
-// Submit accepts a job once it is committed; the same ID again is the same job.
-func (p *Pool) Submit(call *wire.ClientCall, answer answerClient) {
-	accepted := func(err error) {
+// acceptance gives what answers for a job once it is committed, or can't be known to be.
+func acceptance(answer answerClient) func(error) {
+	return func(err error) {
 		if err != nil {
 			answer(outcomeUnknownAnswer())
 			return
 		}
 		answer(wire.ClientAnswer{Status: http.StatusOK})
 	}
+}
+
+// Submit accepts a job once it is committed; the same ID again is the same job.
+func (p *Pool) Submit(call *wire.ClientCall, answer answerClient) {
+	accepted := acceptance(answer)
 	if known := p.jobs[call.ID]; known != nil {
 		if known.record.Route != call.Route || !known.isVisibleTo(call.Tenant) {
 			answer(wire.ClientAnswer{Status: http.StatusConflict, Reason: "the ID belongs to a job of another queue"})
@@ -90,6 +97,18 @@
 	return job
 }
 
+// answerWith is answerUnderLease with a report as the body.
+func (p *Pool) answerWith(answer answerClient, report func() easyjson.Marshaler) {
+	p.answerUnderLease(answer, func() wire.ClientAnswer {
+		body, err := easyjson.Marshal(report())
+		if err != nil {
+			p.log.Error(err, "answer not written", "key", p.key)
+			return wire.ClientAnswer{Status: http.StatusInternalServerError, Reason: "the answer could not be written"}
+		}
+		return wire.ClientAnswer{Status: http.StatusOK, Body: body}
+	})
+}
+
 // answerUnderLease answers once all that was decided so far is committed, with what is true at that moment, and only under a
 // lease, which is checked then.
 func (p *Pool) answerUnderLease(answer answerClient, response func() wire.ClientAnswer) {
--- a/internal/scheduling/scheduler/endedjobs.go
+++ b/internal/scheduling/scheduler/endedjobs.go
@@ -17,9 +17,8 @@
 	}
 	job.phase, job.endedMs = phase, p.leadership.WallMs()
 	if job.transfer != nil {
-		job.movedTo, job.transfer = job.transfer.to, nil
-		delete(p.rollouts.inTransfer, job.id)
-		p.dropRecord(prefixTransfer + job.id)
+		job.movedTo = job.transfer.to
+		p.endTransfer(job)
 	}
 	p.putRecord(prefixState+job.id, stateRecord{Route: job.record.Route, State: string(phase), Reason: reason, EndedMs: job.endedMs, Tenant: job.record.Tenant,
 		MovedTo: job.movedTo})
--- a/internal/scheduling/scheduler/rollouts.go
+++ b/internal/scheduling/scheduler/rollouts.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"net/http"
 	"slices"
 	"time"
 
@@ -76,8 +75,10 @@
 		return
 	}
 	p.rollouts.version = policy.Version
+	if len(p.rollouts.returning) > 0 {
+		p.releaseReturning()
+	}
 	p.rollouts.byRoute, p.rollouts.returning = map[string]*versionCounts{}, nil
-	p.releaseReturning()
 	named := map[string]bool{}
 	for _, terms := range policy.Rollouts {
 		named[terms.Name] = true
@@ -176,14 +177,7 @@
 
 // Rollouts answers the leader of the configuration with what this pool has counted.
 func (p *Pool) Rollouts(_ *wire.ClientCall, answer answerClient) {
-	p.answerUnderLease(answer, func() wire.ClientAnswer {
-		body, err := easyjson.Marshal(p.rolloutReport())
-		if err != nil {
-			p.log.Error(err, "answer not written", "key", p.key)
-			return wire.ClientAnswer{Status: http.StatusInternalServerError, Reason: "the answer could not be written"}
-		}
-		return wire.ClientAnswer{Status: http.StatusOK, Body: body}
-	})
+	p.answerWith(answer, func() easyjson.Marshaler { return p.rolloutReport() })
 }
 
 func (p *Pool) rolloutReport() *wire.RolloutReport {
--- a/internal/scheduling/scheduler/tenantcount.go
+++ b/internal/scheduling/scheduler/tenantcount.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"net/http"
 	"time"
 
 	"github.com/mailru/easyjson"
@@ -119,13 +118,8 @@
 
 // Tenants answers an operator with what each tenant has, may have and waits for in this pool.
 func (p *Pool) Tenants(_ *wire.ClientCall, answer answerClient) {
-	p.answerUnderLease(answer, func() wire.ClientAnswer {
-		body, err := easyjson.Marshal(&wire.TenantCountReport{Key: p.key, Version: p.tenants.version, Tenants: p.tenantUsage()})
-		if err != nil {
-			p.log.Error(err, "answer not written", "key", p.key)
-			return wire.ClientAnswer{Status: http.StatusInternalServerError, Reason: "the answer could not be written"}
-		}
-		return wire.ClientAnswer{Status: http.StatusOK, Body: body}
+	p.answerWith(answer, func() easyjson.Marshaler {
+		return &wire.TenantCountReport{Key: p.key, Version: p.tenants.version, Tenants: p.tenantUsage()}
 	})
 }
 
--- a/internal/scheduling/scheduler/transfer.go
+++ b/internal/scheduling/scheduler/transfer.go
@@ -219,23 +219,23 @@
 		p.end(job, jobMoved, "the new version was turned back")
 	default:
 		p.log.Info("job stays with the new version", "job", job.id, "status", answer.Status, "reason", answer.Reason)
-		p.dropRecord(prefixTransfer + job.id)
-		delete(p.rollouts.inTransfer, job.id)
-		job.transfer, job.isKept, job.holdsReleases, p.nextReleaseMs = nil, true, false, 0
+		p.endTransfer(job)
+		job.isKept, job.holdsReleases, p.nextReleaseMs = true, false, 0
 		p.releaseWithheld(job)
 	}
 }
 
+// endTransfer takes a job off its way to another pool.
+func (p *Pool) endTransfer(job *jobState) {
+	job.transfer = nil
+	delete(p.rollouts.inTransfer, job.id)
+	p.dropRecord(prefixTransfer + job.id)
+}
+
 // Transfer takes over a job that another pool had accepted, and answers once that is committed. It is never refused for load, as its client
 // was told that it is accepted; a promise not to take it is void, since the other pool has it no more.
 func (p *Pool) Transfer(call *wire.ClientCall, answer answerClient) {
-	accepted := func(err error) {
-		if err != nil {
-			answer(outcomeUnknownAnswer())
-			return
-		}
-		answer(wire.ClientAnswer{Status: http.StatusOK})
-	}
+	accepted := acceptance(answer)
 	if known := p.jobs[call.ID]; known != nil {
 		if known.record.Route != call.Route {
 			answer(wire.ClientAnswer{Status: http.StatusConflict, Reason: "the ID belongs to a job of another queue"})
--- a/internal/simulation/rehearsal/report.go
+++ b/internal/simulation/rehearsal/report.go
@@ -1,7 +1,6 @@
 package rehearsal
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"maps"
@@ -9,6 +8,7 @@
 
 	"github.com/juju/errors"
 
+	"gannetline/internal/platform/indentedjson"
 	"gannetline/internal/scheduling/recording"
 )
 
@@ -131,9 +131,7 @@
 // Write shows the report to people, or as JSON.
 func (r *Report) Write(to io.Writer, isJSON bool) error {
 	if isJSON {
-		lines := json.NewEncoder(to)
-		lines.SetIndent("", "  ")
-		return lines.Encode(r)
+		return indentedjson.Write(to, r)
 	}
 	out := &printer{to: to}
 	out.writeLine("recording: %d lines, %d lost, %d skipped; seed %d", r.Lines, r.Lost, r.Skipped, r.Seed)
