--- a/internal/control/rollouts/controller.go
+++ b/internal/control/rollouts/controller.go
@@ -21,9 +21,9 @@
 )
 
 const (
-	// lookInterval is how often rollouts under way are looked at.
-	lookInterval = 500 * time.Millisecond
-	// changeTimeout is how long a change of the configuration may take before its outcome counts as unknown; the next look sees what came of it.
+	// reconcileInterval is how often rollouts under way are judged.
+	reconcileInterval = 500 * time.Millisecond
+	// changeTimeout is how long a change of the configuration may take before its outcome counts as unknown; the next judgement sees what came of it.
 	changeTimeout = 2 * time.Second
 )
 
@@ -60,23 +60,23 @@
 	return &Controller{Surroundings: surroundings, judges: map[string]*watchedRollout{}}
 }
 
-// Run looks at the rollouts again and again until ctx is done.
+// Run judges the rollouts again and again until ctx is done.
 func (c *Controller) Run(ctx context.Context) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-c.Clock.After(lookInterval):
-			c.Look(ctx)
+		case <-c.Clock.After(reconcileInterval):
+			c.Reconcile(ctx)
 		}
 	}
 }
 
-// Status is how the rollouts stand, nil where the configuration is not led here or was not looked at yet. Any goroutine may ask.
+// Status is how the rollouts stand, nil where the configuration is not led here or was not judged yet. Any goroutine may ask.
 func (c *Controller) Status() *wire.RolloutsStatus { return c.status.Load() }
 
-// Look judges all rollouts once, and makes at most one change.
-func (c *Controller) Look(ctx context.Context) {
+// Reconcile judges all rollouts once, and makes at most one change.
+func (c *Controller) Reconcile(ctx context.Context) {
 	if !c.HasRollouts() {
 		c.forget()
 		return
@@ -93,7 +93,7 @@
 		c.Log.Error(err, "configuration not read")
 		return
 	}
-	c.lookAt(ctx, decoded, current)
+	c.judgeAll(ctx, decoded, current)
 }
 
 // forget drops all judges: the next leader of the configuration has its own, and this one begins anew if it leads again.
@@ -102,8 +102,8 @@
 	c.status.Store(nil)
 }
 
-// lookAt judges the rollouts of the configuration in force.
-func (c *Controller) lookAt(ctx context.Context, decoded *configuration.Configuration, current *wire.ClientAnswer) {
+// judgeAll judges the rollouts of the configuration in force.
+func (c *Controller) judgeAll(ctx context.Context, decoded *configuration.Configuration, current *wire.ClientAnswer) {
 	reports := map[string]*wire.RolloutReport{}
 	report := func(service string) *wire.RolloutReport {
 		if _, isKnown := reports[service]; !isKnown {
@@ -114,19 +114,19 @@
 	status := &wire.RolloutsStatus{Version: decoded.Version}
 	isChanged := false
 	for index := range decoded.Rollouts {
-		one := &decoded.Rollouts[index]
-		if one.IsOver() {
-			status.Rollouts = append(status.Rollouts, statusOf(one, rollout.Evidence{}, rollout.Decision{}))
+		configured := &decoded.Rollouts[index]
+		if configured.IsOver() {
+			status.Rollouts = append(status.Rollouts, statusOf(configured, rollout.Evidence{}, rollout.Decision{}))
 			continue
 		}
-		evidence := rollout.Evidence{Old: versionOf(report(one.From), one), New: versionOf(report(one.To), one)}
-		watched := c.watched(one)
-		decision := watched.judge.Decide(one, evidence, current.WallMs)
-		c.tell(one, watched, decision)
-		status.Rollouts = append(status.Rollouts, statusOf(one, evidence, decision))
+		evidence := rollout.Evidence{Old: versionOf(report(configured.From), configured), New: versionOf(report(configured.To), configured)}
+		watched := c.watched(configured)
+		decision := watched.judge.Decide(configured, evidence, current.WallMs)
+		c.logDecision(configured, watched, decision)
+		status.Rollouts = append(status.Rollouts, statusOf(configured, evidence, decision))
 		if !isChanged && decision.Action != rollout.Hold {
 			isChanged = true
-			c.change(ctx, one, evidence, decision, current)
+			c.change(ctx, configured, evidence, decision, current)
 		}
 	}
 	c.status.Store(status)
@@ -134,53 +134,53 @@
 }
 
 // watched gives the judge of a rollout.
-func (c *Controller) watched(one *configuration.Rollout) *watchedRollout {
-	watched := c.judges[one.Name]
-	if watched == nil || watched.begunMs != one.BegunMs {
-		watched = &watchedRollout{judge: &rollout.Judge{}, begunMs: one.BegunMs}
-		c.judges[one.Name] = watched
+func (c *Controller) watched(configured *configuration.Rollout) *watchedRollout {
+	watched := c.judges[configured.Name]
+	if watched == nil || watched.begunMs != configured.BegunMs {
+		watched = &watchedRollout{judge: &rollout.Judge{}, begunMs: configured.BegunMs}
+		c.judges[configured.Name] = watched
 	}
 	return watched
 }
 
-func versionOf(report *wire.RolloutReport, one *configuration.Rollout) rollout.Version {
+func versionOf(report *wire.RolloutReport, configured *configuration.Rollout) rollout.Version {
 	if report == nil {
 		return rollout.Version{}
 	}
-	return rollout.VersionFrom(report, one.Name, one.BegunMs)
+	return rollout.VersionFrom(report, configured.Name, configured.BegunMs)
 }
 
-// tell logs a decision with its figures, once for each reason.
-func (c *Controller) tell(one *configuration.Rollout, watched *watchedRollout, decision rollout.Decision) {
+// logDecision logs a decision with its figures, once for each reason.
+func (c *Controller) logDecision(configured *configuration.Rollout, watched *watchedRollout, decision rollout.Decision) {
 	if decision.Reason == watched.reason && decision.Action == rollout.Hold {
 		return
 	}
 	watched.reason = decision.Reason
-	fields := []any{"rollout", one.Name, "route", one.Route, "action", decision.Action, "reason", decision.Reason, "step", one.Step, "share", one.Share()}
+	fields := []any{"rollout", configured.Name, "route", configured.Route, "action", decision.Action, "reason", decision.Reason, "step", configured.Step, "share", configured.Share()}
 	if decision.Decisive != nil {
 		fields = append(fields, "verdict", decision.Decisive.String())
 	}
 	c.Log.Info("rollout judged", fields...)
 }
 
-// change makes a decision a change of the configuration. What came of it, if that is not clear, the next look sees.
-func (c *Controller) change(ctx context.Context, one *configuration.Rollout, evidence rollout.Evidence, decision rollout.Decision, current *wire.ClientAnswer) {
-	amendment := configuration.Amend(current.Body).SetProgress(one.Name, rollout.ProgressAfter(one, evidence, decision, current.WallMs))
+// change makes a decision a change of the configuration. What came of it, if that is not clear, the next judgement sees.
+func (c *Controller) change(ctx context.Context, configured *configuration.Rollout, evidence rollout.Evidence, decision rollout.Decision, current *wire.ClientAnswer) {
+	amendment := configuration.Amend(current.Body).SetProgress(configured.Name, rollout.ProgressAfter(configured, evidence, decision, current.WallMs))
 	body, err := amendment.Body()
 	if err != nil {
-		c.Log.Error(err, "rollout not changed", "rollout", one.Name)
+		c.Log.Error(err, "rollout not changed", "rollout", configured.Name)
 		return
 	}
 	answer, err := c.Execute(ctx, &wire.ClientCall{Verb: wire.VerbReplace, Base: amendment.Base(), Body: body})
 	switch {
 	case err != nil:
-		c.Log.Error(errors.Annotate(err, "changing the configuration"), "rollout not changed", "rollout", one.Name)
+		c.Log.Error(errors.Annotate(err, "changing the configuration"), "rollout not changed", "rollout", configured.Name)
 	case answer.NotLeader:
 	case answer.Status != http.StatusOK:
-		c.Log.Info("rollout not changed", "rollout", one.Name, "status", answer.Status, "reason", answer.Reason)
+		c.Log.Info("rollout not changed", "rollout", configured.Name, "status", answer.Status, "reason", answer.Reason)
 	default:
-		decisions.With(one.Name, string(decision.Action)).Inc()
-		c.Log.Info("rollout changed", "rollout", one.Name, "route", one.Route, "action", decision.Action, "reason", decision.Reason,
+		decisions.With(configured.Name, string(decision.Action)).Inc()
+		c.Log.Info("rollout changed", "rollout", configured.Name, "route", configured.Route, "action", decision.Action, "reason", decision.Reason,
 			"version", amendment.Base()+1)
 	}
 }
--- a/internal/control/rollouts/controller_test.go
+++ b/internal/control/rollouts/controller_test.go
@@ -110,23 +110,23 @@
 // ended has a pool count so many jobs for a rollout.
 func (s *system) ended(service, rollout string, completed, failed int64) {
 	begunMs := int64(0)
-	for _, one := range s.current().Rollouts {
-		if one.Name == rollout {
-			begunMs = one.BegunMs
+	for _, known := range s.current().Rollouts {
+		if known.Name == rollout {
+			begunMs = known.BegunMs
 		}
 	}
 	s.reports[service].Rollouts = []wire.RolloutCounts{{Rollout: rollout, BegunMs: begunMs, Jobs: wire.JobCounts{Completed: completed, Failed: failed}}}
 }
 
-func (s *system) look() { s.controller.Look(context.Background()) }
+func (s *system) reconcile() { s.controller.Reconcile(context.Background()) }
 
 var _ = Describe("the controller of rollouts", func() {
 	var s *system
 	BeforeEach(func() { s = newSystem() })
-	// begin lets both rollouts begin; each look makes one change.
+	// begin lets both rollouts begin; each time makes one change.
 	begin := func() {
-		s.look()
-		s.look()
+		s.reconcile()
+		s.reconcile()
 	}
 
 	It("begins, widens and finishes by changes of the configuration, one at a time", func() {
@@ -134,13 +134,13 @@
 		Expect(s.current().Version).To(Equal(int64(5)))
 		Expect(s.current().Rollouts[0].Share()).To(Equal(0.1))
 		s.ended("v2", "r", 5, 0)
-		s.look()
+		s.reconcile()
 		Expect(s.current().Rollouts[0].Share()).To(Equal(1.0))
 		Expect(s.current().Rollouts[0].StepJobs).To(Equal(int64(5)))
-		s.look()
+		s.reconcile()
 		Expect(s.current().Version).To(Equal(int64(6)), "a version without further traffic never goes on")
 		s.ended("v2", "r", 10, 0)
-		s.look()
+		s.reconcile()
 		Expect(s.current().Rollouts[0].State).To(Equal(configuration.RolloutFinished))
 		Expect(s.current().Routes[0].Service).To(Equal("v2"))
 		Expect(s.current().Routes[1].Service).To(Equal("w1"))
@@ -150,8 +150,8 @@
 		begin()
 		s.ended("v2", "r", 10, 10)
 		s.ended("w2", "s", 4, 0)
-		s.look()
-		s.look()
+		s.reconcile()
+		s.reconcile()
 		Expect(s.current().Rollouts[0].State).To(Equal(configuration.RolloutTurnedBack))
 		Expect(s.current().Rollouts[0].Reason).To(ContainSubstring("more failures than agreed: failures of all jobs: 10 of 20, agreed 0.050"))
 		Expect(s.current().Rollouts[1].State).To(Equal(configuration.RolloutWidening))
@@ -161,9 +161,9 @@
 	It("goes on under a new leader where the last one was, and takes no step twice", func() {
 		begin()
 		s.ended("v2", "r", 5, 0)
-		s.look()
+		s.reconcile()
 		s.takeOver()
-		s.look()
+		s.reconcile()
 		Expect(s.current().Version).To(Equal(int64(6)))
 		Expect(s.current().Rollouts[0].Step).To(Equal(1))
 	})
@@ -172,11 +172,11 @@
 		begin()
 		s.ended("v2", "r", 20, 20)
 		s.refuses = true
-		s.look()
+		s.reconcile()
 		Expect(s.current().Rollouts[0].State).To(Equal(configuration.RolloutWidening))
 		s.refuses = false
 		s.takeOver()
-		s.look()
+		s.reconcile()
 		Expect(s.current().Rollouts[0].State).To(Equal(configuration.RolloutTurnedBack))
 	})
 
@@ -188,10 +188,10 @@
 			changed := strings.Replace(s.body(), `"config-version":5`, `"config-version":90`, 1)
 			Expect(s.replace(5, strings.Replace(changed, `"state":"widening"`, `"state":"paused"`, 1)).Status).To(Equal(200))
 		}
-		s.look()
+		s.reconcile()
 		Expect(s.current().Version).To(Equal(int64(90)))
 		Expect(s.current().Rollouts[0].State).To(Equal(configuration.RolloutPaused))
-		s.look()
+		s.reconcile()
 		Expect(s.current().Rollouts[0].State).To(Equal(configuration.RolloutTurnedBack), "a paused version is judged all the same")
 	})
 
@@ -199,15 +199,15 @@
 		begin()
 		s.ended("v2", "r", 20, 0)
 		Expect(s.replace(5, strings.Replace(strings.Replace(s.body(), `"config-version":5`, `"config-version":6`, 1), `"state":"widening"`, `"state":"paused"`, 1)).Status).To(Equal(200))
-		s.look()
+		s.reconcile()
 		Expect(s.current().Version).To(Equal(int64(6)))
 		Expect(s.replace(6, strings.Replace(strings.Replace(s.body(), `"config-version":6`, `"config-version":7`, 1), `"state":"paused"`, `"state":"turned-back"`, 1)).Status).To(Equal(200))
-		s.look()
+		s.reconcile()
 		Expect(s.current().Version).To(Equal(int64(7)))
 		beforeRollouts, _, _ := strings.Cut(text, `,"rollout-list"`)
 		without := beforeRollouts + "}"
 		Expect(s.replace(7, strings.Replace(without, `"config-version":3`, `"config-version":8`, 1)).Status).To(Equal(200))
-		s.look()
+		s.reconcile()
 		Expect(s.controller.Status().Rollouts).To(BeEmpty())
 	})
 
@@ -215,18 +215,18 @@
 		begin()
 		s.ended("v2", "r", 20, 20)
 		delete(s.reports, "v1")
-		s.look()
+		s.reconcile()
 		Expect(s.current().Version).To(Equal(int64(5)))
 		Expect(s.controller.Status().Rollouts[0].ActionWhy).To(Equal("a pool of the two versions does not answer"))
 		s.leadership.isLost = true
-		s.look()
+		s.reconcile()
 		Expect(s.controller.Status()).To(BeNil())
 	})
 
 	It("tells how all stand, with the figures", func() {
 		begin()
 		s.ended("v2", "r", 3, 1)
-		s.look()
+		s.reconcile()
 		var status wire.RolloutsStatus
 		Expect(easyjson.Unmarshal(s.controller.StatusAnswer().Body, &status)).To(Succeed())
 		Expect(status.Version).To(Equal(int64(5)))
--- a/internal/control/rollouts/policy.go
+++ b/internal/control/rollouts/policy.go
@@ -9,19 +9,19 @@
 // returns no jobs where its route leads to the new version by now, or another rollout brings it there.
 func PolicyFor(version int64, matcher *configuration.Matcher, service string) scheduler.RolloutPolicy {
 	policy := scheduler.RolloutPolicy{Version: version}
-	for _, one := range matcher.Configuration().Rollouts {
-		terms := scheduler.RolloutTerms{Name: one.Name, BegunMs: one.BegunMs, Route: one.Route}
-		route := matcher.ByName(one.Route)
+	for _, configured := range matcher.Configuration().Rollouts {
+		terms := scheduler.RolloutTerms{Name: configured.Name, BegunMs: configured.BegunMs, Route: configured.Route}
+		route := matcher.ByName(configured.Route)
 		switch {
-		case one.BegunMs == 0 || route == nil || service != one.From && service != one.To:
+		case configured.BegunMs == 0 || route == nil || service != configured.From && service != configured.To:
 			continue
-		case one.State == configuration.RolloutTurnedBack:
-			underWay := matcher.Rollout(one.Route)
-			if service != one.To || route.Service == service || underWay != nil && underWay.To == service {
+		case configured.State == configuration.RolloutTurnedBack:
+			underWay := matcher.Rollout(configured.Route)
+			if service != configured.To || route.Service == service || underWay != nil && underWay.To == service {
 				continue
 			}
-			terms.ReturnTo, terms.StopsRuns, terms.IsRepeatable = one.From, one.StopsRuns(), route.Type == configuration.RouteIdempotent
-		case one.IsOver():
+			terms.ReturnTo, terms.StopsRuns, terms.IsRepeatable = configured.From, configured.StopsRuns(), route.Type == configuration.RouteIdempotent
+		case configured.IsOver():
 			continue
 		}
 		policy.Rollouts = append(policy.Rollouts, terms)
--- a/internal/control/rollouts/status.go
+++ b/internal/control/rollouts/status.go
@@ -21,21 +21,21 @@
 
 // showMetrics sets the gauges of all rollouts.
 func showMetrics(status *wire.RolloutsStatus) {
-	for _, one := range status.Rollouts {
-		shares.With(one.Name).Set(one.Share)
-		for version, counted := range map[string]wire.VersionStatus{versionOld: one.Old, versionNew: one.New} {
+	for _, configured := range status.Rollouts {
+		shares.With(configured.Name).Set(configured.Share)
+		for version, counted := range map[string]wire.VersionStatus{versionOld: configured.Old, versionNew: configured.New} {
 			for end, count := range map[string]int64{"completed": counted.Jobs.Completed, "failed": counted.Jobs.Failed, "late": counted.Jobs.Late,
 				"overdue": counted.Overdue} {
-				jobsEnded.With(one.Name, version, end).Set(float64(count))
+				jobsEnded.With(configured.Name, version, end).Set(float64(count))
 			}
 		}
 	}
 }
 
-// statusOf is how a rollout stands after a look.
-func statusOf(one *configuration.Rollout, evidence rollout.Evidence, decision rollout.Decision) wire.RolloutStatus {
-	status := wire.RolloutStatus{Name: one.Name, Route: one.Route, From: one.From, To: one.To, State: one.State.Label(), Step: one.Step,
-		Steps: len(one.Steps), Share: one.Share(), Reason: one.Reason, Action: string(decision.Action), ActionWhy: string(decision.Reason),
+// statusOf is how a rollout stands after it was judged.
+func statusOf(configured *configuration.Rollout, evidence rollout.Evidence, decision rollout.Decision) wire.RolloutStatus {
+	status := wire.RolloutStatus{Name: configured.Name, Route: configured.Route, From: configured.From, To: configured.To, State: configured.State.Label(), Step: configured.Step,
+		Steps: len(configured.Steps), Share: configured.Share(), Reason: configured.Reason, Action: string(decision.Action), ActionWhy: string(decision.Reason),
 		Old: versionStatus(&evidence.Old), New: versionStatus(&evidence.New)}
 	for _, verdict := range decision.Verdicts {
 		status.Verdicts = append(status.Verdicts, wire.RolloutVerdict{Kind: string(verdict.Kind), Stratum: verdict.Stratum, Total: verdict.Total,
--- a/internal/platform/stallwatch/stallwatch_test.go
+++ b/internal/platform/stallwatch/stallwatch_test.go
@@ -22,16 +22,16 @@
 		Expect(watch.MayHaveWaited()).To(BeFalse())
 		for range 20 {
 			now.Advance(interval)
-			watch.look()
+			watch.check()
 			Expect(watch.MayHaveWaited()).To(BeFalse())
 		}
 		now.Advance(3 * time.Second)
 		Expect(watch.MayHaveWaited()).To(BeTrue())
-		watch.look()
+		watch.check()
 		Expect(watch.MayHaveWaited()).To(BeTrue())
 		for range suspicion / interval {
 			now.Advance(interval)
-			watch.look()
+			watch.check()
 		}
 		Expect(watch.MayHaveWaited()).To(BeFalse())
 	})
--- a/internal/scheduling/rollout/judge.go
+++ b/internal/scheduling/rollout/judge.go
@@ -27,19 +27,19 @@
 
 // The reasons.
 const (
-	ReasonBehaves      Reason = "the new version behaves"
-	ReasonFailures     Reason = "more failures than agreed"
-	ReasonLate         Reason = "more late jobs than agreed"
-	ReasonRunTime      Reason = "runs take longer than agreed"
-	ReasonNoExecutors  Reason = "the new version has no executors"
-	ReasonSilent       Reason = "a pool of the two versions does not answer"
-	ReasonPaused       Reason = "paused by an operator"
-	ReasonMinTime      Reason = "the step has not lasted long enough"
-	ReasonMinJobs      Reason = "too few jobs of the new version have ended in the step"
-	ReasonUnclear      Reason = "the new version is worse than agreed, which is not certain yet"
-	ReasonNoRoomForOld Reason = "the old version would not have room for all jobs again"
-	ReasonNoRoomForNew Reason = "the new version has no room for the next share"
-	ReasonOver         Reason = "the rollout is over"
+	ReasonBehaves       Reason = "the new version behaves"
+	ReasonFailures      Reason = "more failures than agreed"
+	ReasonLate          Reason = "more late jobs than agreed"
+	ReasonRunTime       Reason = "runs take longer than agreed"
+	ReasonNoExecutors   Reason = "the new version has no executors"
+	ReasonSilent        Reason = "a pool of the two versions does not answer"
+	ReasonPaused        Reason = "paused by an operator"
+	ReasonMinTime       Reason = "the step has not lasted long enough"
+	ReasonMinJobs       Reason = "too few jobs of the new version have ended in the step"
+	ReasonUnclear       Reason = "the new version is worse than agreed, which is not certain yet"
+	ReasonNoCapacityOld Reason = "the old version would not have room for all jobs again"
+	ReasonNoCapacityNew Reason = "the new version has no room for the next share"
+	ReasonOver          Reason = "the rollout is over"
 )
 
 // Kind is what a verdict is about.
@@ -150,12 +150,12 @@
 	return decision
 }
 
-// begin lets the new version have its first share once it has executors and the old one has room.
+// begin lets the new version have its first share once it has executors and the old one has capacity.
 func begin(rollout *configuration.Rollout, evidence Evidence) Decision {
 	if evidence.New.Executors == 0 {
 		return Decision{Action: Hold, Reason: ReasonNoExecutors}
 	}
-	if reason, hasRoom := hasRoomFor(rollout.Steps[0].Share, evidence); !hasRoom {
+	if reason, hasCapacity := hasCapacityFor(rollout.Steps[0].Share, evidence); !hasCapacity {
 		return Decision{Action: Hold, Reason: reason}
 	}
 	return Decision{Action: Begin, Reason: ReasonBehaves}
@@ -189,21 +189,21 @@
 	case isLast:
 		return Finish, ReasonBehaves
 	}
-	if reason, hasRoom := hasRoomFor(rollout.Steps[rollout.Step+1].Share, evidence); !hasRoom {
+	if reason, hasCapacity := hasCapacityFor(rollout.Steps[rollout.Step+1].Share, evidence); !hasCapacity {
 		return Hold, reason
 	}
 	return Widen, ReasonBehaves
 }
 
-// hasRoomFor tells whether the new version has room for a share of all that runs, and the old one for all of it once more, so that the new
+// hasCapacityFor tells whether the new version has capacity for a share of all that runs, and the old one for all of it once more, so that the new
 // one can be turned back at any time.
-func hasRoomFor(share float64, evidence Evidence) (Reason, bool) {
+func hasCapacityFor(share float64, evidence Evidence) (Reason, bool) {
 	load := evidence.Old.Allocated + evidence.New.Allocated
 	switch {
 	case load > evidence.Old.Capacity:
-		return ReasonNoRoomForOld, false
+		return ReasonNoCapacityOld, false
 	case share*float64(load) > float64(evidence.New.Capacity):
-		return ReasonNoRoomForNew, false
+		return ReasonNoCapacityNew, false
 	}
 	return "", true
 }
@@ -213,11 +213,11 @@
 	j.openWindow(rollout, evidence, nowMs)
 	hasFloor := evidence.New.judged() >= minJobsOf(rollout)
 	for index, window := range j.windows {
-		found := judgeWindow(rollout, window, evidence)
+		judged := judgeWindow(rollout, window, evidence)
 		if index == 0 {
-			verdicts = found
+			verdicts = judged
 		}
-		for _, verdict := range found {
+		for _, verdict := range judged {
 			if hasFloor && decisive == nil && verdict.isProved() {
 				decisive = &verdict
 			}
--- a/internal/scheduling/rollout/judge_test.go
+++ b/internal/scheduling/rollout/judge_test.go
@@ -206,8 +206,8 @@
 		Entry("while the step is young", func(t *trial) { t.rollout.StepBegunMs = t.nowMs }, rollout.ReasonMinTime),
 		Entry("while it is paused", func(t *trial) { t.rollout.State = configuration.RolloutPaused }, rollout.ReasonPaused),
 		Entry("while a pool is silent", func(t *trial) { t.evidence.Old.IsKnown = false }, rollout.ReasonSilent),
-		Entry("a step that would leave the old version without room", func(t *trial) { t.evidence.Old.Capacity = 1000 }, rollout.ReasonNoRoomForOld),
-		Entry("a step that the new version has no room for", func(t *trial) { t.evidence.New.Capacity = 100 }, rollout.ReasonNoRoomForNew),
+		Entry("a step that would leave the old version without room", func(t *trial) { t.evidence.Old.Capacity = 1000 }, rollout.ReasonNoCapacityOld),
+		Entry("a step that the new version has no room for", func(t *trial) { t.evidence.New.Capacity = 100 }, rollout.ReasonNoCapacityNew),
 		Entry("what is over", func(t *trial) { t.rollout.State = configuration.RolloutTurnedBack }, rollout.ReasonOver),
 		Entry("what was requested while the new version has no executors", func(t *trial) {
 			t.rollout.State, t.evidence.New.Executors = configuration.RolloutRequested, 0
--- a/internal/simulation/modelcheck/rolloutmodel/control.go
+++ b/internal/simulation/modelcheck/rolloutmodel/control.go
@@ -19,11 +19,11 @@
 )
 
 const (
-	statusOK    = http.StatusOK
-	queueHost   = "h.example"
-	queuePrefix = "/q/"
-	queueName   = "q"
-	lookEvery   = 500 * time.Millisecond
+	statusOK          = http.StatusOK
+	queueHost         = "h.example"
+	queuePrefix       = "/q/"
+	queueName         = "q"
+	reconcileInterval = 500 * time.Millisecond
 	// maxAttempts is how often a task may fail.
 	maxAttempts = 4
 )
@@ -43,8 +43,8 @@
 	closedAt map[string]time.Duration
 	isOpen   map[string]bool
 	drawn    int
-	// duringLook are orders that come while the controller looks, between its reading of the configuration and its change.
-	duringLook []modelcheck.Step
+	// duringReconcile are orders that come while the controller judges, between its reading of the configuration and its change.
+	duringReconcile []modelcheck.Step
 }
 
 func newModelControl(c *simCluster) *modelControl {
@@ -101,8 +101,8 @@
 
 // report is what a pool has told last. Orders that come meanwhile are carried out first.
 func (m *modelControl) report(_ context.Context, service string) *wire.RolloutReport {
-	orders := m.duringLook
-	m.duringLook = nil
+	orders := m.duringReconcile
+	m.duringReconcile = nil
 	for _, step := range orders {
 		m.cluster.coverage["order_during_look"]++
 		m.carryOut(step)
@@ -136,10 +136,10 @@
 	return given
 }
 
-// lookForEver lets the controller look again and again.
-func (m *modelControl) lookForEver() {
-	m.controller.Look(context.Background())
-	m.cluster.queue.After(lookEvery, m.lookForEver)
+// reconcileForEver lets the controller judge the rollouts again and again.
+func (m *modelControl) reconcileForEver() {
+	m.controller.Reconcile(context.Background())
+	m.cluster.queue.After(reconcileInterval, m.reconcileForEver)
 }
 
 // bootstrap brings the first configuration.
@@ -166,11 +166,11 @@
 	return decoded, given.Body
 }
 
-// order has an operator's order come now, or while the controller looks at a rollout.
+// order has an operator's order come now, or while the controller judges a rollout.
 func (m *modelControl) order(step modelcheck.Step) {
 	decoded, _ := m.current()
 	if decoded != nil && configuration.NewMatcher(decoded).Rollout(queueName) != nil && m.cluster.queue.Draw.IntN(2) == 0 {
-		m.duringLook = append(m.duringLook, step)
+		m.duringReconcile = append(m.duringReconcile, step)
 		return
 	}
 	m.carryOut(step)
--- a/internal/simulation/modelcheck/rolloutmodel/schedule.go
+++ b/internal/simulation/modelcheck/rolloutmodel/schedule.go
@@ -49,16 +49,18 @@
 	// kindLoseMessages loses Value of a hundred messages, kindLateMessages doubles as many and delays the copies.
 	kindLoseMessages = "lose-messages"
 	kindLateMessages = "late-messages"
-	// kindSilence lets the executors of a pool say nothing.
-	kindSilence = "silence"
+	// kindSilentExecutors lets the executors of a pool say nothing.
+	kindSilentExecutors = "silence"
 )
 
 var (
 	orderKinds = []string{kindRollout, kindRollout, kindRollout, kindMove, kindPause, kindResume, kindAbort, kindPostOver}
-	faultKinds = []string{kindKillPool, kindKillAtPromise, kindKillAtPromise, kindKillAtTransfer, kindKillAtTransfer, kindKillControl, kindCutGates, kindLoseMessages, kindLateMessages, kindLateMessages, kindSilence}
+	faultKinds = []string{kindKillPool, kindKillAtPromise, kindKillAtPromise, kindKillAtTransfer, kindKillAtTransfer, kindKillControl, kindCutGates, kindLoseMessages, kindLateMessages, kindLateMessages, kindSilentExecutors}
 )
 
-func between(random *rand.Rand, least, most int) int { return least + random.IntN(most-least+1) }
+func between(random *rand.Rand, minimum, maximum int) int {
+	return minimum + random.IntN(maximum-minimum+1)
+}
 
 // draw makes the schedule of a seed: a rollout or a move near the beginning, more orders after it, jobs all the time, and faults.
 func draw(seed uint64, losses int, _ modelcheck.Size) modelcheck.Schedule {
--- a/internal/simulation/modelcheck/rolloutmodel/simcluster.go
+++ b/internal/simulation/modelcheck/rolloutmodel/simcluster.go
@@ -76,7 +76,7 @@
 	}
 	c.control.open()
 	c.control.bootstrap()
-	c.control.lookForEver()
+	c.control.reconcileForEver()
 }
 
 // after runs something after a count of milliseconds drawn between two.
@@ -113,7 +113,7 @@
 	case kindLateMessages:
 		c.latePercent = step.Value
 		c.queue.After(during, func() { c.latePercent = 0 })
-	case kindSilence:
+	case kindSilentExecutors:
 		pool := c.pools[step.Node]
 		pool.isSilent = true
 		pool.silentUntil = max(pool.silentUntil, c.queue.Now()+during)
--- a/internal/simulation/rehearsal/rolloutplay.go
+++ b/internal/simulation/rehearsal/rolloutplay.go
@@ -14,10 +14,10 @@
 	"gannetline/internal/simulation/simcluster"
 )
 
-// lookEvery is how often the rollout is judged, sampleEvery how often it is told how it stands.
+// reconcileInterval is how often the rollout is judged, sampleEvery how often it is told how it stands.
 const (
-	lookEvery   = 500 * time.Millisecond
-	sampleEvery = time.Second
+	reconcileInterval = 500 * time.Millisecond
+	sampleEvery       = time.Second
 )
 
 // playedRollout is a rollout in a play: the pool of the new version beside that of the day, real counts, transfers and judge.
@@ -47,7 +47,7 @@
 	}
 	r.cluster = simcluster.New(r.play.setup.Seed, stewards, 0, wire.Capacity{}, 0, simcluster.WithPeer(r.play.cluster, versionNew),
 		simcluster.WithPlaces(places), simcluster.WithWork(r.work), simcluster.WithPool(r.poolOptions(versionNew)...))
-	r.play.cluster.Events.After(warmUp+time.Duration(r.spec.AtS*float64(time.Second)), r.look)
+	r.play.cluster.Events.After(warmUp+time.Duration(r.spec.AtS*float64(time.Second)), r.reconcile)
 	r.play.cluster.Events.After(warmUp, r.sample)
 }
 
@@ -62,14 +62,14 @@
 	if r.begunAt == 0 || r.play.cluster.Events.Now()-r.begunAt < time.Duration(r.spec.New.FromS*float64(time.Second)) {
 		return length, outcome
 	}
-	if chanceOf(task, run) < r.spec.New.Fails {
+	if drawOf(task, run) < r.spec.New.Fails {
 		outcome = outcomeFailed
 	}
 	return time.Duration(r.spec.New.RunTimeFactor * float64(length)), outcome
 }
 
-// chanceOf is a number from 0 on and below 1 that a run decides.
-func chanceOf(task string, run int64) float64 {
+// drawOf is a number from 0 on and below 1 that a run decides.
+func drawOf(task string, run int64) float64 {
 	sum := fnv.New32a()
 	sum.Write([]byte(task))
 	sum.Write([]byte{byte(run)})
@@ -100,8 +100,8 @@
 	r.play.cluster.Ask(*call, func(given wire.ClientAnswer) { answer(&given) })
 }
 
-// look judges the rollout, and changes it at once as the decision says.
-func (r *playedRollout) look() {
+// reconcile judges the rollout, and changes it at once as the decision says.
+func (r *playedRollout) reconcile() {
 	r.gather(r.play.cluster, &r.evidence.Old)
 	r.gather(r.cluster, &r.evidence.New)
 	nowMs := r.play.cluster.Events.Clock.WallMs()
@@ -110,7 +110,7 @@
 		r.version++
 		r.change(decision, nowMs)
 	}
-	r.play.cluster.Events.After(lookEvery, r.look)
+	r.play.cluster.Events.After(reconcileInterval, r.reconcile)
 }
 
 // change takes a step, as the leader of the configuration writes it; the reason is the decisive verdict alone.
@@ -124,7 +124,7 @@
 	}
 }
 
-// gather asks the pool of a version what it has counted; the answer counts at the next look.
+// gather asks the pool of a version what it has counted; the answer counts at the next judgement.
 func (r *playedRollout) gather(cluster *simcluster.Cluster, version *rollout.Version) {
 	cluster.Ask(wire.ClientCall{Verb: wire.VerbRollouts}, func(answer wire.ClientAnswer) {
 		report := &wire.RolloutReport{}
