Gates that take jobs and pass requests on; keys of tenants for lots; the time of an evacuation by zone and bound

Where both contracts are in force, a gate served requests only and answered every job 400 or passed it on. Calls about lots needed no key and were answered for any tenant; keys taken away stayed good for requests. A local proxy counted the time of an evacuation from the newest order for any zone, and launched for 2 s whatever evacuation-ms says: now from the zone's own order, and for two fifths of the bound at most.

--- a/internal/cluster/configuration/check.go
+++ b/internal/cluster/configuration/check.go
@@ -159,10 +159,15 @@
 // Configuration gives the configuration in which routes are looked up.
 func (m *Matcher) Configuration() *Configuration { return m.configuration }
 
+// hostName is a Host header as routes are looked up by it: without a port.
+func hostName(host string) string {
+	name, _, _ := strings.Cut(strings.ToLower(host), ":")
+	return name
+}
+
 // Match gives the route of a request, nil if there is none.
 func (m *Matcher) Match(host, path string) *Route {
-	host, _, _ = strings.Cut(strings.ToLower(host), ":")
-	for _, index := range m.byHost[host] {
+	for _, index := range m.byHost[hostName(host)] {
 		if route := &m.configuration.Routes[index]; strings.HasPrefix(path, route.PathPrefix) {
 			return route
 		}
--- a/internal/cluster/configuration/tenants.go
+++ b/internal/cluster/configuration/tenants.go
@@ -112,6 +112,23 @@
 	return m.configuration.Tenants != nil && !route.IsPublic
 }
 
+// NeedsKeyForLots tells whether a call about a lot of a host has to bear the key of a tenant: unless the host has a public route for lots,
+// or none at all.
+func (m *Matcher) NeedsKeyForLots(host string) bool {
+	hasLots := false
+	for _, index := range m.byHost[hostName(host)] {
+		route := &m.configuration.Routes[index]
+		if route.Type != RouteBatch {
+			continue
+		}
+		if !m.NeedsKey(route) {
+			return false
+		}
+		hasLots = true
+	}
+	return hasLots
+}
+
 // TenantOfKey gives the tenant that holds a key, nil if none does.
 func (m *Matcher) TenantOfKey(key string) *Tenant {
 	if place, exists := m.tenants.byKey[sha256.Sum256([]byte(key))]; exists {
--- a/internal/cluster/membership/probe_test.go
+++ b/internal/cluster/membership/probe_test.go
@@ -130,7 +130,7 @@
 		t.run(3 * time.Second)
 		for name, view := range t.views {
 			Expect(view.Evacuations.Has("z")).To(BeTrue(), name)
-			Expect(view.EvacuationsAt).To(BeNumerically("<", 3*time.Second), name)
+			Expect(view.EvacuatedAt["z"]).To(BeNumerically("<", 3*time.Second), name)
 		}
 		t.tables["n3"].HoldsEvacuations(&wire.Evacuations{Number: 1})
 		t.tables["n4"].HoldsEvacuations(&wire.Evacuations{Number: 3})
@@ -141,6 +141,23 @@
 		}
 	})
 
+	It("counts the time of an evacuation from its own order, whatever is ordered for other zones", func() {
+		t := newPairNetwork(3)
+		first := wire.EvacuatedZone{Zone: "z", SinceMs: 5}
+		t.tables["n0"].HoldsEvacuations(&wire.Evacuations{Number: 1, Zones: []wire.EvacuatedZone{first}})
+		t.run(2 * time.Second)
+		learned := t.views["n1"].EvacuatedAt["z"]
+		t.run(2 * time.Second)
+		t.tables["n0"].HoldsEvacuations(&wire.Evacuations{Number: 2, Zones: []wire.EvacuatedZone{first, {Zone: "y", SinceMs: 4000}}})
+		t.run(2 * time.Second)
+		Expect(t.views["n1"].EvacuatedAt["z"]).To(Equal(learned))
+		Expect(t.views["n1"].EvacuatedAt["y"]).To(BeNumerically(">", learned))
+		t.tables["n0"].HoldsEvacuations(&wire.Evacuations{Number: 3, Zones: []wire.EvacuatedZone{{Zone: "z", SinceMs: 6000}}})
+		t.run(2 * time.Second)
+		Expect(t.views["n1"].EvacuatedAt["z"]).To(BeNumerically(">", learned), "ordered again")
+		Expect(t.views["n1"].EvacuatedAt).NotTo(HaveKey("y"))
+	})
+
 	It("tells who waits on a leader that the key has moved", func() {
 		t := newPairNetwork(3)
 		old := t.views["n1"]
--- a/internal/cluster/membership/table.go
+++ b/internal/cluster/membership/table.go
@@ -199,7 +199,7 @@
 	}
 	t.areLeadersPublished = true
 	t.events.Publish(&View{Self: t.self, Members: t.members.publish(), Stewards: t.stewards.publish(), Leaders: t.leaders,
-		IsIsolated: t.isIsolated, LeaderMoved: t.leaderMovedSignal, Evacuations: t.evacuations, EvacuationsAt: t.evacuationsAt})
+		IsIsolated: t.isIsolated, LeaderMoved: t.leaderMovedSignal, Evacuations: t.evacuations, EvacuatedAt: t.evacuatedAt})
 	if t.hasLeaderMoved {
 		t.hasLeaderMoved = false
 		close(formerMoved)
--- a/internal/cluster/membership/view.go
+++ b/internal/cluster/membership/view.go
@@ -18,8 +18,8 @@
 	IsIsolated bool
 	// Evacuations are the zones that nothing new is to be sent to, nil if there never were any.
 	Evacuations *wire.Evacuations
-	// EvacuationsAt is when this process learned of them, on its monotonic clock.
-	EvacuationsAt time.Duration
+	// EvacuatedAt is when this process learned of the order for each of these zones, on its monotonic clock.
+	EvacuatedAt map[string]time.Duration
 	// LeaderMoved is closed once any key has another leader than this view says.
 	LeaderMoved chan struct{}
 }
--- a/internal/cluster/peerapi/wire/evacuation.go
+++ b/internal/cluster/peerapi/wire/evacuation.go
@@ -22,6 +22,11 @@
 	return e != nil && slices.ContainsFunc(e.Zones, func(evacuated EvacuatedZone) bool { return evacuated.Zone == zone })
 }
 
+// HasOrder tells whether a zone is to be emptied by the very order. A nil list has none.
+func (e *Evacuations) HasOrder(order EvacuatedZone) bool {
+	return e != nil && slices.Contains(e.Zones, order)
+}
+
 // IsNewerThan compares two lists; nil is before the first change.
 func (e *Evacuations) IsNewerThan(other *Evacuations) bool {
 	return e.number() > other.number()
--- a/internal/control/lots/clients.go
+++ b/internal/control/lots/clients.go
@@ -138,13 +138,19 @@
 	return tokens
 }
 
+// mayUse tells whether a call may be about a lot: those of one tenant are not there for another. Calls of routes without keys bear no tenant.
+func (l *lot) mayUse(call *wire.ClientCall) bool {
+	return call.Tenant == "" || l.record.Tenant == "" || call.Tenant == l.record.Tenant
+}
+
 // lotOf gives the lot of a call if it is durable; else it answers. That a lot does not exist is only said under a lease.
 func (p *Part) lotOf(call *wire.ClientCall, answer answerClient) *lot {
 	lot := p.lots[call.ID]
-	if lot != nil && lot.isCommitted {
+	isThere := lot != nil && lot.mayUse(call)
+	if isThere && lot.isCommitted {
 		return lot
 	}
-	if lot != nil {
+	if isThere {
 		answer(refusal(http.StatusServiceUnavailable, "the lot is being taken"))
 		return nil
 	}
--- a/internal/control/lots/lots_test.go
+++ b/internal/control/lots/lots_test.go
@@ -336,6 +336,16 @@
 		Expect(w.call(wire.VerbLotItem, wire.ClientCall{Item: lotID + "-1"}).Status).To(Equal(http.StatusNotFound))
 	})
 
+	It("is not there for another tenant", func() {
+		w.submit(lotID, 1)
+		for _, verb := range []wire.Verb{wire.VerbLotResults, wire.VerbLotItem, wire.VerbEndLot} {
+			asked := wire.ClientCall{Item: lotID + "-0", Tenant: "others"}
+			Expect(w.call(verb, asked).Status).To(Equal(http.StatusNotFound), string(verb))
+		}
+		Expect(w.call(wire.VerbLotItem, wire.ClientCall{Item: lotID + "-0", Tenant: "team"}).Status).To(Equal(http.StatusOK))
+		Expect(w.call(wire.VerbLotResults, wire.ClientCall{}).Status).To(Equal(http.StatusOK), "a route that needs no key")
+	})
+
 	It("has readers wait for a result, for as long as they allow", func() {
 		w.submit(lotID, 2)
 		var answers []wire.ClientAnswer
--- a/internal/gate/servingapi/lots.go
+++ b/internal/gate/servingapi/lots.go
@@ -8,8 +8,10 @@
 	"strings"
 	"time"
 
+	"gannetline/internal/cluster/configcache"
 	"gannetline/internal/cluster/leaderclient"
 	"gannetline/internal/cluster/peerapi/wire"
+	"gannetline/internal/gate/headerrules"
 	"gannetline/internal/platform/headers"
 	"gannetline/internal/platform/response"
 )
@@ -21,23 +23,48 @@
 	lotCallLimit = 1400 * time.Millisecond
 )
 
-// decideLotCall decides on a call about a lot by its path; isAboutLots is false for any other request.
-func decideLotCall(request *http.Request) (decision Decision, isAboutLots bool) {
-	path, method := request.URL.Path, request.Method
+// IsAboutLots tells by its path whether a request is about a lot that was handed in, or about an item of one.
+func IsAboutLots(path string) bool {
+	return strings.HasPrefix(path, prefixLots) || strings.HasPrefix(path, prefixItems)
+}
+
+// decideLotCall decides on a call about a lot.
+func decideLotCall(snapshot *configcache.Snapshot, request *http.Request) Decision {
+	kind, refusal := lotKindOf(request)
+	if refusal.Status != 0 {
+		return refuse(refusal)
+	}
+	tenant, isKnown := tenantOfLotCall(snapshot, request)
+	if !isKnown {
+		return refuse(response.Unauthorized("lots need the key of a tenant, and the key is none"))
+	}
+	return Decision{Kind: kind, Tenant: tenant, Limit: lotCallLimit}
+}
+
+// lotKindOf tells what is asked about a lot by path and method; the refusal says why that can't be.
+func lotKindOf(request *http.Request) (kind, response.Reply) {
+	isLot := strings.HasPrefix(request.URL.Path, prefixLots)
 	switch {
-	case strings.HasPrefix(path, prefixLots) && method == http.MethodGet:
+	case !isLot && request.Method == http.MethodGet:
+		return kindReadItem, response.Reply{}
+	case isLot && request.Method == http.MethodDelete:
+		return kindEndLot, response.Reply{}
+	case isLot && request.Method == http.MethodGet:
 		if _, isSane := positionOf(request.URL.Query().Get("depends-on")); !isSane {
-			return refuse(response.Text(http.StatusBadRequest, "depends-on is no position")), true
+			return kindRefused, response.Text(http.StatusBadRequest, "depends-on is no position")
 		}
-		return Decision{Kind: kindReadLot, Limit: lotCallLimit}, true
-	case strings.HasPrefix(path, prefixLots) && method == http.MethodDelete:
-		return Decision{Kind: kindEndLot, Limit: lotCallLimit}, true
-	case strings.HasPrefix(path, prefixItems) && method == http.MethodGet:
-		return Decision{Kind: kindReadItem, Limit: lotCallLimit}, true
-	case strings.HasPrefix(path, prefixLots) || strings.HasPrefix(path, prefixItems):
-		return refuse(response.Text(http.StatusMethodNotAllowed, "a lot is read by GET and ended by DELETE, an item read by GET")), true
+		return kindReadLot, response.Reply{}
+	}
+	return kindRefused, response.Text(http.StatusMethodNotAllowed, "a lot is read by GET and ended by DELETE, an item read by GET")
+}
+
+// tenantOfLotCall gives the tenant whose key a call about a lot bears, empty where it bears none and needs none; isKnown is false if it
+// needs one and has none.
+func tenantOfLotCall(snapshot *configcache.Snapshot, request *http.Request) (name string, isKnown bool) {
+	if tenant := snapshot.Matcher.TenantOfKey(headerrules.Key(request.Header)); tenant != nil {
+		return tenant.Name, true
 	}
-	return Decision{}, false
+	return "", !snapshot.Matcher.NeedsKeyForLots(request.Host)
 }
 
 // askAboutLot asks the leader of a lot's part.
--- a/internal/gate/servingapi/servingapi.go
+++ b/internal/gate/servingapi/servingapi.go
@@ -57,8 +57,8 @@
 	if snapshot == nil {
 		return refuse(response.Later(http.StatusServiceUnavailable, 1, "there is no configuration yet"))
 	}
-	if decision, isAboutLots := decideLotCall(request); isAboutLots {
-		return decision
+	if IsAboutLots(request.URL.Path) {
+		return decideLotCall(snapshot, request)
 	}
 	route := snapshot.Matcher.Match(request.Host, request.URL.Path)
 	if route == nil {
@@ -90,11 +90,34 @@
 	leaderClient *leaderclient.Client
 	forwarder    *forwarding.Forwarder
 	clock        clock.Clock
+	// areKeysFresh tells whether the keys of the configuration may be trusted now.
+	areKeysFresh func() bool
+}
+
+// Option changes how a gate is made.
+type Option func(*Gate)
+
+// WithKeyFreshness has the gate refuse requests that need a key while the keys that it knows may have been taken away too long ago.
+func WithKeyFreshness(areKeysFresh func() bool) Option {
+	return func(g *Gate) { g.areKeysFresh = areKeysFresh }
 }
 
 // New makes a gate that decides by the newest configuration.
-func New(snapshot func() *configcache.Snapshot, leaderClient *leaderclient.Client, forwarder *forwarding.Forwarder, clock clock.Clock) *Gate {
-	return &Gate{snapshot: snapshot, leaderClient: leaderClient, forwarder: forwarder, clock: clock}
+func New(snapshot func() *configcache.Snapshot, leaderClient *leaderclient.Client, forwarder *forwarding.Forwarder, clock clock.Clock, options ...Option) *Gate {
+	gate := &Gate{snapshot: snapshot, leaderClient: leaderClient, forwarder: forwarder, clock: clock, areKeysFresh: func() bool { return true }}
+	for _, option := range options {
+		option(gate)
+	}
+	return gate
+}
+
+// decide tells what should become of a request as this gate stands now.
+func (g *Gate) decide(request *http.Request) Decision {
+	decision := Decide(g.snapshot(), request)
+	if decision.Tenant != "" && !g.areKeysFresh() {
+		return refuse(response.Later(http.StatusServiceUnavailable, 1, "this node can't be sure of the keys"))
+	}
+	return decision
 }
 
 // ServeHTTP answers one request of a client.
@@ -104,7 +127,7 @@
 	decision := refuse(refusal)
 	if refusal.Status == 0 {
 		// The configuration may have changed while the body came.
-		decision = Decide(g.snapshot(), request)
+		decision = g.decide(request)
 	}
 	decision.Limit -= g.clock.Monotonic() - began
 	requests.With(string(decision.Kind)).Inc()
--- a/internal/gate/servingapi/servingapi_test.go
+++ b/internal/gate/servingapi/servingapi_test.go
@@ -11,12 +11,14 @@
 	"gannetline/internal/cluster/configcache"
 	"gannetline/internal/cluster/configuration"
 	"gannetline/internal/gate/servingapi"
+	"gannetline/internal/platform/clock"
 )
 
 const text = `{"config-version":1,"service-list":[{"name":"s"}],"route-list":[
 	{"name":"ask","host":"h","path-prefix":"/a/","route-type":"streaming","timeout-ms":2000,"service":"s"},
 	{"name":"open","host":"h","path-prefix":"/o/","route-type":"streaming","timeout-ms":2000,"service":"s","public":true},
-	{"name":"lots","host":"h","path-prefix":"/l/","route-type":"batch","timeout-ms":6000,"service":"s"}],
+	{"name":"lots","host":"h","path-prefix":"/l/","route-type":"batch","timeout-ms":6000,"service":"s"},
+	{"name":"public-lots","host":"public","path-prefix":"/l/","route-type":"batch","timeout-ms":6000,"service":"s","public":true}],
 	"tenant-list":[{"name":"team","api-keys":["key"]}]}`
 
 func snapshot() *configcache.Snapshot {
@@ -34,6 +36,12 @@
 	return made
 }
 
+// at sends a request to another host.
+func at(host string, made *http.Request) *http.Request {
+	made.Host = host
+	return made
+}
+
 var _ = Describe("what becomes of a request", func() {
 	const bearer = "Bearer key"
 
@@ -45,9 +53,12 @@
 		Entry("a stream", request("POST", "/a/1", "Authorization", bearer), "forward", "team"),
 		Entry("a stream of a public route", request("POST", "/o/1"), "forward", ""),
 		Entry("a lot", request("POST", "/l/1", "Authorization", bearer, "X-Request-Id", "7c41e09b52d6a3f8"), "lot", "team"),
-		Entry("a reader of a lot", request("GET", "/v1/lots/7c41?depends-on=12"), "lot-results", ""),
-		Entry("the end of a lot", request("DELETE", "/v1/lots/7c41"), "lot-end", ""),
-		Entry("an item", request("GET", "/v1/items/7c41?executor-id=1"), "lot-item", ""),
+		Entry("a reader of a lot", request("GET", "/v1/lots/7c41?depends-on=12", "Authorization", bearer), "lot-results", "team"),
+		Entry("the end of a lot", request("DELETE", "/v1/lots/7c41", "Authorization", bearer), "lot-end", "team"),
+		Entry("an item", request("GET", "/v1/items/7c41?executor-id=1", "Authorization", bearer), "lot-item", "team"),
+		Entry("a reader where lots are public", at("public", request("GET", "/v1/lots/7c41")), "lot-results", ""),
+		Entry("a reader where lots are public, with a key", at("public", request("GET", "/v1/lots/7c41", "Authorization", bearer)), "lot-results", "team"),
+		Entry("a reader of a lot whose route is gone", at("other", request("GET", "/v1/lots/7c41")), "lot-results", ""),
 	)
 
 	DescribeTable("that is refused", func(made *http.Request, status int) {
@@ -61,9 +72,27 @@
 		Entry("a lot without an ID", request("POST", "/l/1", "Authorization", bearer), 400),
 		Entry("a lot by another method", request("GET", "/l/1", "Authorization", bearer), 405),
 		Entry("no position", request("GET", "/v1/lots/7c41?depends-on=-1"), 400),
+		Entry("a reader without a key", request("GET", "/v1/lots/7c41"), 401),
+		Entry("a reader with an unknown key", request("GET", "/v1/lots/7c41", "Authorization", "Bearer other"), 401),
+		Entry("an item without a key", request("GET", "/v1/items/7c41?executor-id=1"), 401),
 		Entry("an item by another method", request("DELETE", "/v1/items/7c41"), 405),
 	)
 
+	It("refuses a request with a key, and none without, while it can't be sure of the keys", func() {
+		areKeysFresh := false
+		gate := servingapi.New(snapshot, nil, nil, clock.NewFake(0), servingapi.WithKeyFreshness(func() bool { return areKeysFresh }))
+		status := func(made *http.Request) int {
+			answer := httptest.NewRecorder()
+			gate.ServeHTTP(answer, made)
+			return answer.Code
+		}
+		stream := request("POST", "/a/1", "Authorization", bearer)
+		Expect(status(stream)).To(Equal(http.StatusServiceUnavailable))
+		Expect(status(request("GET", "/v1/lots/7c41", "Authorization", bearer))).To(Equal(http.StatusServiceUnavailable))
+		Expect(status(request("POST", "/a/1"))).To(Equal(http.StatusUnauthorized))
+		Expect(servingapi.Decide(snapshot(), stream).Refusal.Status).To(BeZero())
+	})
+
 	It("is 503 before the first configuration", func() {
 		Expect(servingapi.Decide(nil, request("POST", "/a/1")).Refusal.Status).To(Equal(503))
 	})
--- a/internal/node/localproxy/evacuation.go
+++ b/internal/node/localproxy/evacuation.go
@@ -2,14 +2,24 @@
 
 import "time"
 
-// evacuationGrace is for how long after this process has learned of an evacuation a launch is still carried out: gangs and others that
-// were placed before may complete their start. It is well within the time in which an evacuation must be in force.
-const evacuationGrace = 2 * time.Second
+const (
+	// maxEvacuationGrace is for how long at most, after this process has learned of an evacuation, a launch is still carried out: gangs and
+	// others that were placed before may complete their start.
+	maxEvacuationGrace = 2 * time.Second
+	// evacuationGraceShare is the part of the time in which an evacuation must be in force that launches may still take; the rest is for
+	// the order to spread.
+	evacuationGraceShare = 0.4
+)
 
-// WithEvacuation names the function that tells whether the zone of this machine is to be emptied, and since when this process knows that,
-// on the table's clock.
-func WithEvacuation(isOrdered func() (since time.Duration, isOrdered bool)) TableOption {
-	return func(t *Table) { t.evacuation = isOrdered }
+// evacuationGraceOf is for how long launches are still carried out where an evacuation must be in force after a time.
+func evacuationGraceOf(inForceAfter time.Duration) time.Duration {
+	return min(maxEvacuationGrace, time.Duration(evacuationGraceShare*float64(inForceAfter)))
+}
+
+// WithEvacuation names the time after which an evacuation must be in force, and the function that tells whether the zone of this machine is
+// to be emptied, and since when this process knows that, on the table's clock.
+func WithEvacuation(inForceAfter time.Duration, isOrdered func() (since time.Duration, isOrdered bool)) TableOption {
+	return func(t *Table) { t.evacuation, t.evacuationGrace = isOrdered, evacuationGraceOf(inForceAfter) }
 }
 
 func noEvacuation() (time.Duration, bool) { return 0, false }
@@ -18,5 +28,5 @@
 // again.
 func (t *Table) isEvacuated() bool {
 	since, isOrdered := t.evacuation()
-	return isOrdered && t.now()-since >= evacuationGrace
+	return isOrdered && t.now()-since >= t.evacuationGrace
 }
--- a/internal/node/localproxy/localproxy_test.go
+++ b/internal/node/localproxy/localproxy_test.go
@@ -122,11 +122,11 @@
 		Expect(call.Answers).To(ConsistOf(wire.OrderAnswer{Task: "t.0.0.0", Run: 1, Kind: "launch", Result: "not-run"}))
 	})
 
-	It("starts nothing in a zone that is to be emptied, but what was placed a moment before", func() {
+	DescribeTable("starts nothing in a zone that is to be emptied, but what was placed a moment before", func(inForceAfter, grace time.Duration) {
 		var since time.Duration
 		isOrdered := false
 		table = localproxy.NewTable(fakeClock, logging.Silent(), "s", "d", "side-1", nothing, nothing, nothing,
-			localproxy.WithEvacuation(func() (time.Duration, bool) { return since, isOrdered }))
+			localproxy.WithEvacuation(inForceAfter, func() (time.Duration, bool) { return since, isOrdered }))
 		heartbeat("i-1", "ready", 1)
 		told(wire.ExchangeAnswer{Fence: 3, GrantMs: 6000})
 		isReady := func() bool {
@@ -135,7 +135,7 @@
 		}
 		Expect(isReady()).To(BeTrue())
 		isOrdered, since = true, fakeClock.Monotonic()
-		fakeClock.Advance(1900 * time.Millisecond)
+		fakeClock.Advance(grace - 100*time.Millisecond)
 		Expect(isReady()).To(BeTrue(), "gangs may complete their start")
 		fakeClock.Advance(100 * time.Millisecond)
 		Expect(isReady()).To(BeFalse())
@@ -143,7 +143,11 @@
 		Expect(call.Answers).To(ConsistOf(wire.OrderAnswer{Task: "t.0.0.0", Run: 1, Kind: "launch", Result: "not-run"}))
 		isOrdered = false
 		Expect(isReady()).To(BeTrue())
-	})
+	},
+		Entry("where the order must be in force soon", 2*time.Second, 800*time.Millisecond),
+		Entry("where there is more time", 5*time.Second, 2*time.Second),
+		Entry("where there is much time", time.Minute, 2*time.Second),
+	)
 
 	It("heeds no leader of an older epoch", func() {
 		told(wire.ExchangeAnswer{Fence: 5})
--- a/internal/node/localproxy/table.go
+++ b/internal/node/localproxy/table.go
@@ -33,6 +33,8 @@
 	session      uint64
 	// evacuation tells whether, and since when, the zone is to be emptied.
 	evacuation func() (since time.Duration, isOrdered bool)
+	// evacuationGrace is for how long after that launches are still carried out.
+	evacuationGrace time.Duration
 }
 
 // TableOption changes how a table is made.
--- a/internal/platform/settings/bounds.go
+++ b/internal/platform/settings/bounds.go
@@ -35,6 +35,8 @@
 	// time a lock may still be refused to others.
 	HistoryS  float64 `yaml:"history-s"`
 	ReleaseMs int64   `yaml:"release-ms"`
+	// EvacuationMs is how long after an evacuation was acknowledged nothing may be started in its zone any more.
+	EvacuationMs int64 `yaml:"evacuation-ms"`
 	// Unknown names the bounds of the file that this program neither reads nor knows to be of no concern to it.
 	Unknown []string `yaml:"-"`
 }
@@ -50,7 +52,7 @@
 var unneededBounds = []string{
 	"seed-delay-s", "address-reuse-s", "loss-slack-ms", "downgrade-slack-ms", "max-stretch-ms", "recovery-time-s", "quota-slack",
 	"cancel_ms", "visible_ms", "finish_s", "cancel-timeout-ms", "visibility-timeout-ms", "completion-s",
-	"pass_ms", "again_s", "settle-time-ms",
+	"pass_ms", "again_s", "settle-time-ms", "cold-overrun", "cold-slack",
 }
 
 // knownBounds has the fields of Bounds without its reading.
@@ -60,7 +62,7 @@
 var neededBounds = []string{
 	"contact-window-ms", "ack-timeout-ms", "catch-up-s", "drain-timeout-ms", "grace-period-s", "config-apply-ms", "max-hold-ms",
 	"stop-timeout-ms", "gang-wait-ms", "early_ms", "status_s", "remote-factor", "checkpoint-interval-s", "restore-time-ms",
-	"revoke-timeout-ms", "revocation-closed", "quota-window-s", "quota-overrun", "history-s", "release-ms",
+	"revoke-timeout-ms", "revocation-closed", "quota-window-s", "quota-overrun", "history-s", "release-ms", "evacuation-ms",
 }
 
 // UnmarshalYAML reads bounds under their newer and their earlier names, and notes those that it doesn't know. Of a bound that
--- a/internal/platform/settings/settings.go
+++ b/internal/platform/settings/settings.go
@@ -64,6 +64,8 @@
 
 // The parts of the rules that decide what gates and stewards serve.
 const (
+	// ContractJobs has gates take jobs, also where they pass requests on.
+	ContractJobs = "sched"
 	// ContractStreams has gates pass requests on to executors.
 	ContractStreams = "stream"
 	// ContractLots has gates take lots of requests that are run later.
@@ -172,6 +174,7 @@
 	setDefault(&s.Bounds.QuotaWindowS, 5)
 	setDefault(&s.Bounds.HistoryS, 20)
 	setDefault(&s.Bounds.ReleaseMs, 1500)
+	setDefault(&s.Bounds.EvacuationMs, 5000)
 	setDefault(&s.HeartbeatMs, 1500)
 	setDefault(&s.OrderList, "invocation")
 	setDefault(&s.Limits.MemoryMB, 256)
@@ -240,7 +243,7 @@
 	for field, value := range map[string]int64{"max-hold-ms": s.Bounds.MaxHoldMs, "contact-window-ms": s.Bounds.ContactWindowMs,
 		"stop-timeout-ms": s.Bounds.StopTimeoutMs, "gang-wait-ms": s.Bounds.GangWaitMs, "early_ms": s.Bounds.EarlyMs,
 		"drain-timeout-ms": s.Bounds.DrainTimeoutMs, "revoke-timeout-ms": s.Bounds.RevokeTimeoutMs,
-		"release-ms": s.Bounds.ReleaseMs, "heartbeat-interval-ms": s.HeartbeatMs, "limits.memory-mb": s.Limits.MemoryMB} {
+		"release-ms": s.Bounds.ReleaseMs, "evacuation-ms": s.Bounds.EvacuationMs, "heartbeat-interval-ms": s.HeartbeatMs, "limits.memory-mb": s.Limits.MemoryMB} {
 		if value < 0 {
 			problems.add(field, "is negative")
 		}
@@ -275,7 +278,12 @@
 	return nil
 }
 
-// ServesRequests tells whether gates pass requests on to executors, or take lots of them, in place of jobs.
+// ServesJobs tells whether gates take jobs: where they are told so, and where they are told of nothing else to serve.
+func (s *Settings) ServesJobs() bool {
+	return slices.Contains(s.Contracts, ContractJobs) || !s.ServesRequests()
+}
+
+// ServesRequests tells whether gates pass requests on to executors, or take lots of them.
 func (s *Settings) ServesRequests() bool {
 	return slices.Contains(s.Contracts, ContractStreams) || slices.Contains(s.Contracts, ContractLots)
 }
--- a/internal/roles/gate.go
+++ b/internal/roles/gate.go
@@ -18,6 +18,7 @@
 	"gannetline/internal/gate/forwarding"
 	"gannetline/internal/gate/headerrules"
 	"gannetline/internal/gate/keyfreshness"
+	"gannetline/internal/gate/routekind"
 	"gannetline/internal/gate/servingapi"
 	"gannetline/internal/platform/clock"
 	"gannetline/internal/platform/httpserver"
@@ -54,13 +55,13 @@
 	evacuationview.Handle(b.inner, b.node.View, nil)
 	var isLeaving atomic.Bool
 	asker := leaderclient.New(b.caller, b.clock, b.node.View)
-	api, hasExecutors := b.clientHandler(asker, configurations)
+	api, canServe := b.clientHandler(asker, configurations)
 	server := httpserver.New(front, b.meter.Handler(api), b.clock, b.log,
 		httpserver.WithMaxConnections(maxClientConnections(b.settings.Limits.FileDescriptors)), httpserver.WithMarkedRefusals(headerrules.Echo))
 	b.tree.Add("plan", configurations.Run)
 	b.tree.Add("clients", func(context.Context) error { return server.Serve() })
 	b.tree.Add("readiness", b.serving(ready, readiness(func() bool {
-		return !isLeaving.Load() && configurations.Current() != nil && b.node.View().SeesSteward() && hasExecutors()
+		return !isLeaving.Load() && configurations.Current() != nil && b.node.View().SeesSteward() && canServe()
 	}), internalLeave))
 	return b.run(func() {
 		isLeaving.Store(true)
@@ -68,27 +69,35 @@
 	})
 }
 
-// clientHandler serves clients as the contracts in force say: jobs, or requests that executors answer. hasExecutors tells whether there
-// is anything to pass requests on to.
-func (b *base) clientHandler(asker *leaderclient.Client, configurations *configcache.Cache) (handler http.Handler, hasExecutors func() bool) {
+// clientHandler serves clients as the contracts in force say: jobs, requests that executors answer, or both. canServe tells whether there
+// is anything to pass requests on to, where nothing else is served.
+func (b *base) clientHandler(asker *leaderclient.Client, configurations *configcache.Cache) (handler http.Handler, canServe func() bool) {
+	areKeysFresh := b.keyFreshness(asker, configurations)
+	always := func() bool { return true }
 	if !b.settings.ServesRequests() {
-		return clientapi.New(configurations.Current, asker, b.clock, b.keyOptions(asker, configurations)...), func() bool { return true }
+		return clientapi.New(configurations.Current, asker, b.clock, clientapi.WithKeyFreshness(areKeysFresh)), always
 	}
 	executors := balancer.New(b.settings.Domain, b.clock, balancer.WithEvacuations(b.node.IsEvacuated))
 	b.followExecutors(executorlist.NearSteward, func(list *executorlist.List) { executors.Update(list.Executors) })
 	forwarder := forwarding.New(executorClient(), executors, b.clock)
-	return servingapi.New(configurations.Current, asker, forwarder, b.clock), executors.HasExecutors
+	requests := servingapi.New(configurations.Current, asker, forwarder, b.clock, servingapi.WithKeyFreshness(areKeysFresh))
+	if !b.settings.ServesJobs() {
+		return requests, executors.HasExecutors
+	}
+	jobs := clientapi.New(configurations.Current, asker, b.clock, clientapi.WithKeyFreshness(areKeysFresh))
+	return routekind.New(configurations.Current, jobs, requests), always
 }
 
-// keyOptions has a gate watch its configuration where keys that were taken away must be of no use anywhere after a while.
-func (b *base) keyOptions(asker *leaderclient.Client, configurations *configcache.Cache) []clientapi.Option {
+// keyFreshness tells whether the keys of the configuration may be trusted. A gate watches its configuration for that where keys that were
+// taken away must be of no use anywhere after a while.
+func (b *base) keyFreshness(asker *leaderclient.Client, configurations *configcache.Cache) func() bool {
 	bounds := b.settings.Bounds
 	if !bounds.RevocationClosed {
-		return nil
+		return func() bool { return true }
 	}
 	watch := keyfreshness.New(asker, b.clock, clock.Milliseconds(bounds.RevokeTimeoutMs), configurations.Version)
 	b.tree.Add("key-freshness", watch.Run)
-	return []clientapi.Option{clientapi.WithKeyFreshness(watch.IsFresh)}
+	return watch.IsFresh
 }
 
 // clientLeave says how a gate leaves within the grace period: calls to leaders that are away are ended while there is
--- a/internal/roles/localproxy.go
+++ b/internal/roles/localproxy.go
@@ -51,11 +51,11 @@
 	comparenodes.Handle(b.inner, comparenodes.Sources{View: b.node.View})
 	executor := executorapi.NewClient(b.meter.Client(peerapi.Client(peerTimeout, 8)), b.settings.App)
 	isEvacuated := func() (time.Duration, bool) {
-		view := b.node.View()
-		return view.EvacuationsAt, view.Evacuations.Has(b.settings.Domain)
+		since, isOrdered := b.node.View().EvacuatedAt[b.settings.Domain]
+		return since, isOrdered
 	}
 	proxy := localproxy.New(b.settings.Service, b.settings.Domain, b.settings.NodeName, b.clock, b.log, executor, b.caller, b.node.View,
-		localproxy.WithDrainTime(clock.Milliseconds(b.settings.Bounds.DrainTimeoutMs)), localproxy.WithEvacuation(isEvacuated))
+		localproxy.WithDrainTime(clock.Milliseconds(b.settings.Bounds.DrainTimeoutMs)), localproxy.WithEvacuation(clock.Milliseconds(b.settings.Bounds.EvacuationMs), isEvacuated))
 	b.tree.Add("proxy", proxy.Run)
 	b.tree.Add("executor-calls", b.serving(control, proxy, executorLeave))
 	return nil
--- a/internal/simulation/modelcheck/ordermodel/proxy.go
+++ b/internal/simulation/modelcheck/ordermodel/proxy.go
@@ -92,7 +92,7 @@
 		return p.evacuations.at, p.cluster.fault.heedsEvacuations() && p.evacuations.list.Has(zone)
 	}
 	p.table = p.cluster.fault.table(p, localproxy.NewTable(p.cluster.queue.clock, logging.Silent(), service, zone, p.name, notify(&p.work), notify(&p.looks),
-		notify(&p.acks), localproxy.WithSession(session), localproxy.WithStartSignal(notify(&p.starts)), localproxy.WithEvacuation(isEvacuated)))
+		notify(&p.acks), localproxy.WithSession(session), localproxy.WithStartSignal(notify(&p.starts)), localproxy.WithEvacuation(evacuationBound, isEvacuated)))
 	p.holdLoop()
 	p.listLoop()
 	p.pollLoop()
