Total power loss: gates serve by the saved configuration at once; silent executors give items up

A steward now keeps on disk the configuration that was in force, and reads the list of executors for itself while it knows of no leader. An item at an executor that had gone dark stayed there for 30 s, as nothing is unacknowledged; now for 2.5 s, twice as long each time.

--- a/internal/control/controlkeys/keyrunner.go
+++ b/internal/control/controlkeys/keyrunner.go
@@ -115,7 +115,7 @@
 	runner.machine = lotsMachine{part}
 	host := poolhost.New(part, runner.engineMailbox)
 	runner.stateMailbox = host.Mailbox()
-	runItems.Runner = itemrunner.New(m.ctx, m.Lots.Client, runner.stateMailbox)
+	runItems.Runner = itemrunner.New(m.ctx, m.Clock, m.Lots.Client, runner.stateMailbox)
 	go runner.stateMailbox.Run(m.ctx, m.Clock, mailbox.Owner{Every: tickInterval, Tick: part.Tick, Settle: part.Flush, Pause: poolPause})
 	return host
 }
--- a/internal/control/itemrunner/itemrunner.go
+++ b/internal/control/itemrunner/itemrunner.go
@@ -14,6 +14,7 @@
 	"github.com/juju/errors"
 
 	"gannetline/internal/control/lots"
+	"gannetline/internal/platform/clock"
 	"gannetline/internal/platform/eventstream"
 	"gannetline/internal/platform/headers"
 	"gannetline/internal/platform/mailbox"
@@ -31,13 +32,14 @@
 // Runner runs items, and posts their outcomes to a mailbox.
 type Runner struct {
 	ctx     context.Context
+	clock   clock.Clock
 	client  *http.Client
 	mailbox *mailbox.Mailbox
 }
 
 // New makes a runner whose runs end with ctx and whose outcomes go to a mailbox.
-func New(ctx context.Context, client *http.Client, mailbox *mailbox.Mailbox) *Runner {
-	return &Runner{ctx: ctx, client: client, mailbox: mailbox}
+func New(ctx context.Context, clock clock.Clock, client *http.Client, mailbox *mailbox.Mailbox) *Runner {
+	return &Runner{ctx: ctx, clock: clock, client: client, mailbox: mailbox}
 }
 
 // Start begins a run; done is called on the goroutine of the mailbox.
@@ -48,10 +50,21 @@
 	}()
 }
 
-// run carries one item to its executor and reads the answer.
+// run carries one item to its executor, and ends that once the executor is silent for too long.
 func (r *Runner) run(run lots.Run) (lots.Outcome, lots.Progress) {
 	ctx, cancel := context.WithTimeout(r.ctx, runTimeout)
 	defer cancel()
+	watch := newSilenceWatch(r.clock, run.MaxSilence)
+	go watch.run(ctx, cancel)
+	outcome, progress := r.carry(ctx, run, watch)
+	if outcome == lots.OutcomeBroken && watch.hasEnded() {
+		return lots.OutcomeSilent, progress
+	}
+	return outcome, progress
+}
+
+// carry calls the executor and reads its answer.
+func (r *Runner) carry(ctx context.Context, run lots.Run, watch *silenceWatch) (lots.Outcome, lots.Progress) {
 	call, err := callOf(ctx, run)
 	if err != nil {
 		return lots.OutcomeImpossible, run.Progress
@@ -73,7 +86,7 @@
 	case !strings.HasPrefix(answer.Header.Get("Content-Type"), eventstream.MediaType):
 		return lots.OutcomeBroken, run.Progress
 	}
-	return gather(answer, run.Progress)
+	return gather(answer, run.Progress, watch)
 }
 
 // callOf makes the call of a run.
@@ -99,7 +112,7 @@
 }
 
 // gather reads the events of an answer behind those of earlier runs. An answer whose length nothing tells can't be known to be whole.
-func gather(answer *http.Response, progress lots.Progress) (lots.Outcome, lots.Progress) {
+func gather(answer *http.Response, progress lots.Progress, watch *silenceWatch) (lots.Outcome, lots.Progress) {
 	progress.Texts = slices.Clone(progress.Texts)
 	isFramed := answer.ContentLength >= 0 || slices.Contains(answer.TransferEncoding, "chunked")
 	events := eventstream.NewReader(answer.Body)
@@ -111,6 +124,7 @@
 		if err != nil {
 			return lots.OutcomeBroken, progress
 		}
+		watch.noteEvent()
 		if event.HasData {
 			progress.Texts = append(progress.Texts, string(event.Data))
 		}
--- a/internal/control/itemrunner/itemrunner_test.go
+++ b/internal/control/itemrunner/itemrunner_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -13,6 +14,7 @@
 	"gannetline/internal/cluster/peerapi/wire"
 	"gannetline/internal/control/itemrunner"
 	"gannetline/internal/control/lots"
+	"gannetline/internal/platform/clock"
 	"gannetline/internal/platform/mailbox"
 )
 
@@ -25,7 +27,7 @@
 	run.Executor = wire.ExecutorRecord{ID: "i-1", Address: executor.Listener.Addr().String()}
 	run.ItemID, run.Host, run.Path = itemID, "nony24.example", "/p/3"
 	inbox := mailbox.New(1)
-	runner := itemrunner.New(context.Background(), &http.Client{}, inbox)
+	runner := itemrunner.New(context.Background(), clock.System(), &http.Client{}, inbox)
 	isOver := false
 	runner.Start(run, func(given lots.Outcome, reached lots.Progress) { outcome, progress, isOver = given, reached, true })
 	Eventually(inbox.Step, "5s").Should(BeTrue())
@@ -98,6 +100,20 @@
 		Expect(outcome).To(Equal(lots.OutcomeBroken))
 	})
 
+	It("ends where the executor is silent for too long, with what it has brought", func() {
+		outcome, progress := play(lots.Run{MaxSilence: 20 * time.Millisecond}, func(to http.ResponseWriter, call *http.Request) {
+			events(1, 2, false)(to, call)
+			<-call.Context().Done()
+		})
+		Expect(outcome).To(Equal(lots.OutcomeSilent))
+		Expect(progress).To(Equal(lots.Progress{LastEventID: "2", Texts: []string{"piece 1", "piece 2"}}))
+	})
+
+	It("ends where the executor is silent from the beginning", func() {
+		outcome, _ := play(lots.Run{MaxSilence: 20 * time.Millisecond}, func(_ http.ResponseWriter, call *http.Request) { <-call.Context().Done() })
+		Expect(outcome).To(Equal(lots.OutcomeSilent))
+	})
+
 	DescribeTable("ends without output", func(script http.HandlerFunc, expected lots.Outcome) {
 		outcome, _ := play(lots.Run{}, script)
 		Expect(outcome).To(Equal(expected))
--- a/internal/control/lots/lot.go
+++ b/internal/control/lots/lot.go
@@ -38,6 +38,8 @@
 	// failures counts answers of 500; notBefore is when it may run again.
 	failures  int
 	notBefore time.Duration
+	// silences counts runs that were ended since their executor brought nothing.
+	silences int
 	// failedAt is the executor at which the last run failed, empty if it ended otherwise.
 	failedAt string
 	// progress is what runs that broke off have brought so far.
@@ -50,6 +52,15 @@
 	Texts       []string
 }
 
+// maxSilence is for how long the next run may bring nothing.
+func (i *item) maxSilence() time.Duration {
+	limit := firstSilence
+	for range i.silences {
+		limit = min(2*limit, maxSilence)
+	}
+	return limit
+}
+
 func (i *item) record() *itemRecord { return &i.lot.record.Items[i.index] }
 
 // open is how many items have no result yet.
--- a/internal/control/lots/lots_test.go
+++ b/internal/control/lots/lots_test.go
@@ -262,6 +262,25 @@
 		Expect(w.read(0).Results[0].State).To(Equal("dead_letter"))
 	})
 
+	It("goes on elsewhere where an executor is silent, and has more patience each time", func() {
+		w.executors = append(w.executors, wire.ExecutorRecord{ID: "i-3", Service: "s", Address: "a:3", Slots: 4})
+		w.submit(lotID, 1)
+		var patience []time.Duration
+		at := map[string]bool{}
+		for range 5 {
+			run := w.runs[0]
+			patience = append(patience, run.MaxSilence)
+			w.end(lotID+"-0", lots.OutcomeSilent, texts("a"))
+			Expect(w.runs).To(HaveLen(1))
+			Expect(w.runs[0].Executor.ID).NotTo(Equal(run.Executor.ID))
+			Expect(w.runs[0].Progress).To(Equal(texts("a")))
+			at[run.Executor.ID] = true
+			w.clock.Advance(time.Second)
+		}
+		Expect(patience).To(Equal([]time.Duration{2500 * time.Millisecond, 5 * time.Second, 10 * time.Second, 10 * time.Second, 10 * time.Second}))
+		Expect(len(at)).To(BeNumerically(">", 1))
+	})
+
 	It("goes elsewhere after a failure, and an executor that fails again and again is left out for a while", func() {
 		w.submit(lotID, 4)
 		at := func(executor string) (items []string) {
--- a/internal/control/lots/running.go
+++ b/internal/control/lots/running.go
@@ -19,6 +19,10 @@
 	// brokenPause and refusedPause lie before the next run of an item that broke off or was refused.
 	brokenPause  = 100 * time.Millisecond
 	refusedPause = 300 * time.Millisecond
+	// firstSilence is for how long an executor may bring nothing of an item before another one goes on with it. An executor that is busy
+	// with more urgent requests is silent, too, so each silence doubles the next one, up to maxSilence.
+	firstSilence = 2500 * time.Millisecond
+	maxSilence   = 10 * time.Second
 )
 
 // enqueue lets the items of a lot run that have no result.
@@ -123,7 +127,7 @@
 	health.running++
 	record, generation := item.record(), p.generation
 	run := Run{Executor: executor, ItemID: record.ID, Host: route.Host, Path: record.Path, Tenant: item.lot.record.Tenant,
-		Headers: record.Headers, Body: item.body, Progress: item.progress}
+		Headers: record.Headers, Body: item.body, Progress: item.progress, MaxSilence: item.maxSilence()}
 	p.Runner.Start(run, func(outcome Outcome, progress Progress) {
 		if p.IsOpen() && p.generation == generation {
 			p.runEnded(item, executor.ID, outcome, progress)
@@ -158,6 +162,10 @@
 		}
 	case OutcomeRefused:
 		item.notBefore = now + refusedPause
+	case OutcomeSilent:
+		item.silences++
+		item.failedAt = executor
+		item.progress, item.notBefore = progress, now
 	default:
 		item.progress, item.notBefore = progress, now+brokenPause
 	}
--- a/internal/control/storage/storage.go
+++ b/internal/control/storage/storage.go
@@ -1,6 +1,6 @@
 // Package storage keeps the replicas of keys on a disk, in one bbolt file. The file has these buckets:
 //
-//   - meta: the random name of the disk, and the addresses of peers
+//   - meta: the random name of the disk, the addresses of peers, and the configuration that was last in force here
 //   - heads: the ReplicaState of each replica, by key
 //   - pairs: a bucket for each key, with the values by their names
 //
@@ -27,6 +27,7 @@
 	bucketPairs         = []byte("pairs")
 	recordDisk          = []byte("disk")
 	recordPeers         = []byte("peers")
+	recordConfiguration = []byte("configuration")
 	recordRetiring      = []byte("retiring")
 )
 
--- a/internal/roles/executors.go
+++ b/internal/roles/executors.go
@@ -51,8 +51,8 @@
 	return holder
 }
 
-// serveExecutors has a steward read the list of executors from the platform while it leads the configuration's key, follow that
-// leader's list else, and serve it to others.
+// serveExecutors has a steward read the list of executors from the platform while it leads the configuration's key or knows of no leader,
+// follow that leader's list else, and serve it to others.
 func (b *base) serveExecutors() {
 	if b.settings.Platform.Address == "" {
 		return
@@ -62,8 +62,9 @@
 	client := peerapi.Client(platformTimeout, 1)
 	poller := executorlist.NewPoller(client, b.settings.Platform.Address, holder, b.clock, b.log, func() executorlist.Turn {
 		view := b.node.View()
-		leader := view.Leaders[configleader.Key]
-		return executorlist.Turn{IsDue: leader.Name == b.settings.NodeName, Epoch: leader.Epoch, Changed: view.LeaderMoved}
+		leader, isKnown := view.Leaders[configleader.Key]
+		// Before any leader is known, as after a loss of all power, each steward reads the list for itself, below the epoch of any leader.
+		return executorlist.Turn{IsDue: !isKnown || leader.Name == b.settings.NodeName, Epoch: leader.Epoch, Changed: view.LeaderMoved}
 	})
 	b.tree.Add("executor-poller", poller.Run)
 }
--- a/internal/roles/steward.go
+++ b/internal/roles/steward.go
@@ -82,6 +82,8 @@
 	outer.Handle(peerapi.Prefix, b.inner)
 	if kept.store != nil {
 		b.tree.Add("known-peers", b.savePeers(kept.store, knownPeers))
+		savedVersion := b.restoreConfiguration(kept.store, configurations)
+		b.tree.Add("saved-configuration", b.saveConfiguration(kept.store, configurations, savedVersion))
 		b.tree.Add("replicas", func(ctx context.Context) error {
 			kept.replicas.Mailbox().Run(ctx, b.clock, mailbox.Owner{Every: time.Minute})
 			return nil
