--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -56,6 +56,8 @@
 			&cli.IntFlag{Name: "processes", Usage: "8 to 200, of all roles together", Value: 10},
 			&cli.StringFlag{Name: "faults", Usage: "kinds to draw from, with commas; none for a calm soak", Value: joined(soak.AllFaults)},
 			&cli.BoolFlag{Name: "rollouts", Usage: "roll out a bad version of the service, and a good one after it"},
+			&cli.Uint64Flag{Name: "mix", Usage: "play a deployment whose contracts, zones and bounds are drawn by this `SEED`; 16 seeds in a row have all combinations"},
+			&cli.StringFlag{Name: "wrong-settings", Usage: "give all processes settings with a mistake: " + joined(soak.AllSettingsFaults)},
 			&cli.StringFlag{Name: "keep", Usage: "`FOLDER` for settings, logs and data, which stays"},
 			&cli.StringFlag{Name: "json", Usage: "`FILE` for the report"},
 			&cli.StringFlag{Name: "schedule", Usage: "play the schedule in `FILE`, as --print-schedule or a report gives it"},
@@ -87,7 +89,10 @@
 	options := soak.Options{Seed: command.Uint64("seed"), Length: time.Duration(command.Float("seconds") * float64(time.Second)),
 		Processes: command.Int("processes"), Keep: command.String("keep"), Program: command.String("program"), Network: command.String("network"),
 		Rollouts:      command.Bool("rollouts"),
-		InjectedFault: soak.InjectedFault(command.String("plant"))}
+		InjectedFault: soak.InjectedFault(command.String("plant")), SettingsFault: soak.SettingsFault(command.String("wrong-settings"))}
+	if command.IsSet("mix") {
+		options.Mix = soak.DrawMix(command.Uint64("mix"))
+	}
 	if command.Args().Len() > 0 {
 		return options, errors.Errorf("%q is no option", command.Args().First())
 	}
@@ -118,7 +123,7 @@
 		return cli.Exit(err.Error(), exitUsage)
 	}
 	if command.Bool("print-schedule") {
-		return printJSON(soak.Draw(options, soak.NewLayout(options.Processes, options.Network)))
+		return printJSON(soak.Draw(options, options.Layout()))
 	}
 	log := logging.New(os.Stderr, command.Int("log-level"))
 	report, err := soak.Run(ctx, options, log)
--- a/internal/simulation/soak/client.go
+++ b/internal/simulation/soak/client.go
@@ -52,8 +52,14 @@
 			running.Go(func() { c.run(ctx, place == idleClient) })
 		}
 	}
-	s.startApplications(ctx, running)
+	if s.layout.Mix.Has(FeatureLocks) {
+		s.startApplications(ctx, running)
+	}
+	s.startTierClients(ctx, running.Go)
 	running.Go(func() { newOperator(s).run(ctx) })
+	if s.layout.Mix.Has(FeatureEvacuations) {
+		running.Go(func() { newOperator(s).evacuate(ctx) })
+	}
 	running.Go(func() { s.sample(ctx) })
 	running.Go(func() { s.recorder.watchStalls(ctx) })
 	return running
@@ -160,7 +166,7 @@
 // request makes the request of a call; each has an ID of its own.
 func (c *client) request(asked verb, id, body string) *request {
 	c.calls++
-	return &request{method: methods[asked], host: frontHost, path: jobsPrefix + id, id: fmt.Sprintf("c%d-%d", c.number, c.calls), body: body, limit: callLimit}
+	return &request{method: methods[asked], host: frontHost, path: jobsPrefix + id, id: fmt.Sprintf("c%d-%d", c.number, c.calls), body: body, key: c.layout.keyOf(c.number), limit: callLimit}
 }
 
 // call asks once and records what came of it.
--- a/internal/simulation/soak/cluster.go
+++ b/internal/simulation/soak/cluster.go
@@ -70,7 +70,7 @@
 // startAll starts every process of the layout.
 func (c *cluster) startAll() error {
 	return c.do(func() error {
-		for _, role := range []Role{RoleSteward, RoleGate, RoleProxy} {
+		for _, role := range []Role{RoleSteward, RoleStorage, RoleGate, RoleProxy} {
 			for _, node := range c.layout.nodes(role) {
 				if err := c.add(node); err != nil {
 					return err
@@ -116,11 +116,11 @@
 	for _, steward := range c.layout.Stewards[:min(3, len(c.layout.Stewards))] {
 		seeds = append(seeds, endpoint(steward.IP, controlPort))
 	}
-	text, err := c.layout.settingsOf(node, c.folder, seeds, c.initial)
+	text, err := c.layout.settingsOf(node, c.folder, seeds, c.initial, c.options.SettingsFault)
 	if err != nil {
 		return errors.Annotatef(err, "settings of %s", node.Name)
 	}
-	if node.Role == RoleSteward {
+	if node.Role == RoleSteward || node.Role == RoleStorage {
 		if err := os.MkdirAll(dataFolder(c.folder, node), 0o755); err != nil {
 			return errors.Annotatef(err, "data folder of %s", node.Name)
 		}
--- a/internal/simulation/soak/connection.go
+++ b/internal/simulation/soak/connection.go
@@ -24,12 +24,17 @@
 // request is what is asked, in HTTP/1.1.
 type request struct {
 	method, host, path, id, body string
-	limit                        time.Duration
+	// key is that of a tenant, empty for none.
+	key   string
+	limit time.Duration
 }
 
 func (q *request) text() string {
 	head := []string{q.method + " " + q.path + " HTTP/1.1", "Host: " + q.host, "X-Request-Id: " + q.id,
 		fmt.Sprintf("X-Time-Remaining: %d", q.limit.Milliseconds())}
+	if q.key != "" {
+		head = append(head, "Authorization: Bearer "+q.key)
+	}
 	if q.body != "" {
 		head = append(head, "Content-Type: application/json", fmt.Sprintf("Content-Length: %d", len(q.body)))
 	}
--- a/internal/simulation/soak/fault.go
+++ b/internal/simulation/soak/fault.go
@@ -45,7 +45,7 @@
 	case FaultCut, FaultStall, FaultWave:
 		return []Role{RoleGate}
 	}
-	return []Role{RoleSteward, RoleGate, RoleProxy}
+	return []Role{RoleSteward, RoleGate, RoleProxy, RoleStorage}
 }
 
 // takesAway tells whether the process is gone or silent for a while, so that a steward counts as lost.
--- a/internal/simulation/soak/history.go
+++ b/internal/simulation/soak/history.go
@@ -137,6 +137,16 @@
 	FinalStates map[string]string
 	// Stalls are the times at which the soak itself was not given a processor for a while: bounds of time say nothing there.
 	Stalls []Stall
+	// Mix is nil where none was asked for. Zones holds the zone of each process by its name, Stewards the names of stewards.
+	Mix      *Mix
+	Zones    map[string]string
+	Stewards map[string]bool
+	// Evacuations, KeyProbes, Streams, Lots and LotRefusals are there where the mix has their features.
+	Evacuations []Evacuation
+	KeyProbes   []KeyProbe
+	Streams     []StreamCall
+	Lots        []Lot
+	LotRefusals []Violation
 	// RefusedConnections are those that relays could not connect with their gate.
 	RefusedConnections []RefusedConnection
 }
--- a/internal/simulation/soak/layout.go
+++ b/internal/simulation/soak/layout.go
@@ -2,13 +2,13 @@
 
 import (
 	"fmt"
+	"maps"
 	"path/filepath"
 	"slices"
 
 	"go.yaml.in/yaml/v3"
 
 	"gannetline/internal/control/replication/quorum"
-	"gannetline/internal/platform/settings"
 )
 
 // Role is a subcommand of the program.
@@ -19,6 +19,8 @@
 	RoleSteward Role = "steward"
 	RoleGate    Role = "gate"
 	RoleProxy   Role = "local-proxy"
+	// RoleStorage is started only where the mix has a tier.
+	RoleStorage Role = "storage"
 )
 
 // The ports are alike on all addresses.
@@ -38,6 +40,8 @@
 	stewardOctet = 2
 	workerOctet  = 3
 	relayOctet   = 4
+	engineOctet  = 5
+	storageOctet = 6
 )
 
 // The bounds that the settings name, in the units of the settings file. What has ended is known for longer than any soak.
@@ -49,6 +53,7 @@
 	executorCPU        = 4000
 	executorMemoryMB   = 4096
 	processesForLosses = 16
+	maxStewardNames    = 100
 	serviceName        = "soak"
 )
 
@@ -66,13 +71,16 @@
 	Stewards []Node
 	Gates    []Node
 	Proxies  []Node
+	// Storages are there only where the mix has a tier; they come on top of the processes that are asked for.
+	Storages []Node
+	Mix      *Mix
 	// HasVersions divides the local proxies between the versions of a service.
 	HasVersions bool
 }
 
 // NewLayout spreads processes over the roles; one of them holds the executors.
 func NewLayout(processes int, network string) *Layout {
-	layout := &Layout{Network: network, Losses: 1}
+	layout := &Layout{Network: network, Losses: 1, Mix: usualMix()}
 	if processes >= processesForLosses {
 		layout.Losses = 2
 	}
@@ -91,6 +99,63 @@
 	return layout
 }
 
+// NewMixedLayout spreads processes over the roles of a mix.
+func NewMixedLayout(processes int, network string, mix *Mix) *Layout {
+	layout := NewLayout(processes, network)
+	layout.Mix = mix
+	if mix.Has(FeatureTier) {
+		for number := range quorum.VotersFor(layout.Losses) {
+			layout.Storages = append(layout.Storages, Node{fmt.Sprintf("storage-%d", number+1), RoleStorage, layout.address(storageOctet, number)})
+		}
+	}
+	return layout
+}
+
+// zoneName is the zone of a number.
+func zoneName(number int) string { return fmt.Sprintf("zone-%d", number+1) }
+
+// zoneOf spreads the nodes of each role over the zones.
+func (l *Layout) zoneOf(node Node) string {
+	number := slices.Index(l.nodes(node.Role), node)
+	if number < 0 {
+		// A replacement of a steward comes after those of the layout.
+		number = len(l.Stewards)
+	}
+	return zoneName(number % l.Mix.Zones)
+}
+
+// zones maps the name of each node to its zone.
+func (l *Layout) zones() map[string]string {
+	all := map[string]string{}
+	for _, role := range []Role{RoleSteward, RoleGate, RoleProxy, RoleStorage} {
+		for _, node := range l.nodes(role) {
+			all[node.Name] = l.zoneOf(node)
+		}
+	}
+	return all
+}
+
+// region is the one region of all zones.
+const region = "region-1"
+
+// stewardNames are the names of the stewards, the first ones and some that may replace them.
+func (l *Layout) stewardNames() map[string]bool {
+	names := map[string]bool{}
+	for number := range maxStewardNames {
+		names[l.steward(number).Name] = true
+	}
+	return names
+}
+
+// zoneList maps each zone to its region.
+func (l *Layout) zoneList() map[string]string {
+	all := map[string]string{}
+	for number := range l.Mix.Zones {
+		all[zoneName(number)] = region
+	}
+	return all
+}
+
 // steward is the steward of a number; those beyond the first are replacements.
 func (l *Layout) steward(number int) Node {
 	return Node{fmt.Sprintf("steward-%d", number+1), RoleSteward, l.address(stewardOctet, number)}
@@ -115,6 +180,8 @@
 		return l.Stewards
 	case RoleGate:
 		return l.Gates
+	case RoleStorage:
+		return l.Storages
 	}
 	return l.Proxies
 }
@@ -127,6 +194,8 @@
 	Role           Role              `yaml:"node-role"`
 	IP             string            `yaml:"ip-address"`
 	Zone           string            `yaml:"zone"`
+	Region         string            `yaml:"region"`
+	Zones          map[string]string `yaml:"zones"`
 	Initial        bool              `yaml:"initial-start"`
 	Seeds          []string          `yaml:"seed-nodes"`
 	InternalPorts  []int             `yaml:"internal-port-range"`
@@ -136,27 +205,36 @@
 	FaultTolerance map[string]int    `yaml:"fault-tolerance"`
 	Bounds         map[string]int    `yaml:"protocol-bounds"`
 	Contracts      []string          `yaml:"active-contracts"`
+	OrderList      string            `yaml:"order-list"`
+	Platform       map[string]string `yaml:"platform-api,omitempty"`
 	App            string            `yaml:"app,omitempty"`
 	Service        string            `yaml:"service,omitempty"`
 }
 
 // settingsOf makes the settings file of a node. seeds are addresses of stewards; isInitial is true at the first start of all.
-func (l *Layout) settingsOf(node Node, folder string, seeds []string, isInitial bool) ([]byte, error) {
-	fields := settingsFields{Name: node.Name, Role: node.Role, IP: node.IP, Zone: "zone-1", Initial: isInitial, Seeds: seeds,
-		InternalPorts: []int{internalPort, internalPort + internalPorts - 1}, HeartbeatMs: heartbeatMs,
+func (l *Layout) settingsOf(node Node, folder string, seeds []string, isInitial bool, fault SettingsFault) ([]byte, error) {
+	fields := settingsFields{Name: node.Name, Role: node.Role, IP: node.IP, Zone: l.zoneOf(node), Region: region, Zones: l.zoneList(), Initial: isInitial, Seeds: seeds,
+		InternalPorts: []int{internalPort, internalPort + internalPorts - 1}, HeartbeatMs: l.Mix.HeartbeatMs, OrderList: l.Mix.OrderList,
 		FaultTolerance: map[string]int{"machine-losses": l.Losses},
 		Bounds:         map[string]int{"grace-period-s": graceSeconds, "config-apply-ms": configApplyMs, "status_s": statusSeconds, "history-s": historySeconds},
-		Contracts:      []string{settings.ContractCoordination}}
+		Contracts:      l.Mix.contracts()}
+	maps.Copy(fields.Bounds, l.Mix.bounds())
+	if address := l.platformAddress(); address != "" {
+		fields.Platform = map[string]string{"address": address}
+	}
 	switch node.Role {
 	case RoleSteward:
 		fields.Listen = map[string]string{"control-plane": endpoint(node.IP, controlPort)}
 		fields.DataDirectory = dataFolder(folder, node)
+	case RoleStorage:
+		fields.DataDirectory = dataFolder(folder, node)
 	case RoleGate:
 		fields.Listen = map[string]string{"front-plain": endpoint(node.IP, frontPort), "readiness": endpoint(node.IP, readinessPort)}
 	case RoleProxy:
 		fields.Listen = map[string]string{"control-plane": endpoint(node.IP, controlPort)}
 		fields.App, fields.Service = endpoint(node.IP, executorPort), l.serviceOf(node)
 	}
+	fault.disturb(&fields, l.Mix)
 	return yaml.Marshal(fields)
 }
 
--- /dev/null
+++ b/internal/simulation/soak/lots.go
@@ -0,0 +1,182 @@
+package soak
+
+import (
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	lotDeadline  = 8 * time.Second
+	meanLotPause = 700 * time.Millisecond
+	maxLotItems  = 12
+	// lotClientNumber sets the random numbers of the client of lots apart from those of streams.
+	lotClientNumber = 900
+	lotsPath        = "/v1/lots/"
+)
+
+// LotResult is a result of a lot at its position.
+type LotResult struct {
+	Item  string `json:"executor-id"`
+	State string `json:"executor-state"`
+	Text  string `json:"text"`
+}
+
+// LotRead is what a gate told of a lot's results from a position on.
+type LotRead struct {
+	From    int
+	At      time.Duration
+	Results []LotResult
+}
+
+// Lot is a lot that was accepted, and all that was read of it. Last is what it was at last, from its start.
+type Lot struct {
+	ID         string
+	Items      int
+	AcceptedAt time.Duration
+	Reads      []LotRead
+	Last       []LotResult
+}
+
+// item is the ID of an item.
+func (l *Lot) item(number int) string { return fmt.Sprintf("%s%04d", l.ID[:12], number) }
+
+// expectedText is what the executors answer to an item.
+func expectedText(item string) string {
+	var lines []string
+	for number := 1; number <= engineEvents; number++ {
+		lines = append(lines, eventData(item, number))
+	}
+	return strings.Join(lines, "\n")
+}
+
+// lotClient hands in lots at any gate, and reads what comes of them.
+type lotClient struct {
+	*streamClient
+	open []*Lot
+}
+
+func newLotClient(s *soak) *lotClient {
+	return &lotClient{streamClient: newTierClient(s, lotClientNumber, s.layout.Gates[0])}
+}
+
+// run hands in lots and reads them until ctx is done, and then reads each until it is whole.
+func (c *lotClient) run(ctx context.Context) {
+	for pause(ctx, time.Duration(c.draw.ExpFloat64()*float64(meanLotPause))) {
+		c.submit(ctx, &Lot{ID: fmt.Sprintf("%016x", c.draw.Uint64()), Items: 1 + c.draw.IntN(maxLotItems)})
+		for _, lot := range c.open {
+			c.read(ctx, lot, c.draw.IntN(len(lot.Last)+1))
+		}
+	}
+	limited, release := context.WithTimeout(context.WithoutCancel(ctx), settleLimit)
+	defer release()
+	for _, lot := range c.open {
+		for len(lot.Last) < lot.Items && c.read(limited, lot, 0) {
+		}
+		settled := *lot
+		c.recorder.write(func(h *History) { h.Lots = append(h.Lots, settled) })
+	}
+}
+
+func (c *lotClient) anyGate() Node { return c.layout.Gates[c.draw.IntN(len(c.layout.Gates))] }
+
+// submit hands a lot in, again at another gate after each answer but a clear refusal.
+func (c *lotClient) submit(ctx context.Context, lot *Lot) {
+	var items []string
+	for number := range lot.Items {
+		items = append(items, fmt.Sprintf(`{"executor-id":%q,"path":%q,"header-list":{"X-Model-Name":"m"},"body":%q,"token-count":50}`,
+			lot.item(number), draftsPrefix+"item", base64.StdEncoding.EncodeToString([]byte(lot.item(number)))))
+	}
+	body := `{"item-list":[` + strings.Join(items, ",") + `]}`
+	for range maxTries {
+		status, text := c.call(ctx, http.MethodPost, draftsPrefix+lot.ID, lot.ID, body)
+		switch {
+		case status == http.StatusAccepted:
+			lot.AcceptedAt = c.recorder.now()
+			c.open = append(c.open, lot)
+			return
+		case status/100 == 4 && status != http.StatusTooManyRequests:
+			at := c.recorder.now()
+			c.recorder.write(func(h *History) {
+				h.LotRefusals = append(h.LotRefusals, Violation{OracleLot, at, fmt.Sprintf("lot refused by %d %s", status, text)})
+			})
+			return
+		}
+		if !pause(ctx, retryPause) {
+			return
+		}
+	}
+}
+
+// call makes one call at any gate; the status is 0 if no whole answer came.
+func (c *lotClient) call(ctx context.Context, method, path, id, body string) (status int, text string) {
+	answer, err := c.client.Do(c.tierRequest(ctx, method, c.anyGate(), path, id, body))
+	if err != nil {
+		return 0, ""
+	}
+	defer answer.Body.Close()
+	read, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return 0, ""
+	}
+	return answer.StatusCode, string(read)
+}
+
+// read reads the results of a lot from a position on, and is false once ctx is done.
+func (c *lotClient) read(ctx context.Context, lot *Lot, from int) bool {
+	status, text := c.call(ctx, http.MethodGet, fmt.Sprintf("%s%s?depends-on=%d", lotsPath, lot.ID, from), lot.ID, "")
+	var page struct {
+		Results []LotResult `json:"result-list"`
+	}
+	switch {
+	case status == http.StatusNotFound:
+		lot.Reads = append(lot.Reads, LotRead{From: -1, At: c.recorder.now()})
+	case status == http.StatusOK && json.Unmarshal([]byte(text), &page) == nil:
+		lot.Reads = append(lot.Reads, LotRead{From: from, At: c.recorder.now(), Results: page.Results})
+		if from+len(page.Results) > len(lot.Last) {
+			lot.Last = append(slices.Clone(lot.Last[:from]), page.Results...)
+		}
+	}
+	return pause(ctx, retryPause)
+}
+
+// badLots looks for accepted lots that are not known, not whole at last, or whose results changed their positions or contents.
+func badLots(h *History) []Violation {
+	violations := slices.Clone(h.LotRefusals)
+	for index := range h.Lots {
+		lot := &h.Lots[index]
+		if text := lot.problem(); text != "" {
+			violations = append(violations, Violation{OracleLot, lot.AcceptedAt, fmt.Sprintf("lot %s: %s", lot.ID, text)})
+		}
+	}
+	return violations
+}
+
+// problem tells what is wrong with a lot; it is empty if nothing is.
+func (l *Lot) problem() string {
+	if len(l.Last) != l.Items {
+		return fmt.Sprintf("has %d results at last, of %d items", len(l.Last), l.Items)
+	}
+	seen := map[string]bool{}
+	for _, result := range l.Last {
+		if seen[result.Item] || result.State != "completed" || result.Text != expectedText(result.Item) {
+			return fmt.Sprintf("item %s is %s with %q, or has two positions", result.Item, result.State, result.Text)
+		}
+		seen[result.Item] = true
+	}
+	for _, read := range l.Reads {
+		if read.From < 0 {
+			return fmt.Sprintf("is not known at %v", read.At)
+		}
+		if !slices.Equal(read.Results, l.Last[read.From:read.From+len(read.Results)]) {
+			return fmt.Sprintf("the results from position %d on, read at %v, are others at last", read.From, read.At)
+		}
+	}
+	return ""
+}
--- a/internal/simulation/soak/operator.go
+++ b/internal/simulation/soak/operator.go
@@ -140,6 +140,10 @@
 		return
 	}
 	request.Host = frontHost
+	if key := o.layout.keyOf(0); key != "" {
+		request.Header.Set("Authorization", "Bearer "+key)
+		defer o.probeKey(ctx, gate)
+	}
 	response, err := o.client.Do(request.WithContext(ctx))
 	if err != nil {
 		return
@@ -168,7 +172,10 @@
 	result := configuration.Configuration{Version: version,
 		Services: []configuration.Service{{Name: serviceName, ConnectionLimit: 64, Protocol: "h1", GuardsCapacity: true}},
 		Limits:   configuration.Limits{HeaderBytes: 16384, BodyBytes: 262144, HeaderTimeoutMs: 3000, IdleTimeoutMs: time.Minute.Milliseconds()},
-		Routes:   []configuration.Route{routeOf(jobsRoute, jobsPrefix)}}
+		Routes:   append([]configuration.Route{routeOf(jobsRoute, jobsPrefix)}, o.layout.tierRoutes()...), Tenants: o.layout.tenants()}
+	if o.layout.Mix.Has(FeatureTier) {
+		result.Services = append(result.Services, configuration.Service{Name: assistantService, ConnectionLimit: 64, Protocol: "h1"})
+	}
 	if o.options.Rollouts {
 		for _, name := range []string{badServiceName, goodServiceName} {
 			result.Services = append(result.Services, configuration.Service{Name: name, ConnectionLimit: 64, Protocol: "h1", GuardsCapacity: true})
--- a/internal/simulation/soak/options.go
+++ b/internal/simulation/soak/options.go
@@ -37,10 +37,22 @@
 	InjectedFault InjectedFault
 	// Rollouts has a bad version of the service rolled out, and a good one after it.
 	Rollouts bool
+	// Mix is what the deployment has switched on; nil is the usual one.
+	Mix *Mix
+	// SettingsFault is a mistake in the settings, to see that an oracle finds what comes of it.
+	SettingsFault SettingsFault
 	// Schedule is played in place of a drawn one.
 	Schedule *Schedule
 }
 
+// Layout is which processes the soak has.
+func (o *Options) Layout() *Layout {
+	if o.Mix == nil {
+		return NewLayout(o.Processes, o.Network)
+	}
+	return NewMixedLayout(o.Processes, o.Network, o.Mix)
+}
+
 // Check tells what is wrong with the options, by the names of their flags.
 func (o *Options) Check() error {
 	var problems error
@@ -61,6 +73,15 @@
 	if !o.InjectedFault.isKnown() {
 		refuse("--plant: there is no injected fault %q; there are %v", o.InjectedFault, AllInjectedFaults)
 	}
+	if !o.SettingsFault.isKnown() {
+		refuse("--wrong-settings: there is no fault %q; there are %v", o.SettingsFault, AllSettingsFaults)
+	}
+	if o.SettingsFault == ForgetContracts && (o.Mix == nil || len(o.Mix.Features) == 0) {
+		refuse("--wrong-settings %s needs a --mix with a feature", o.SettingsFault)
+	}
+	if o.Mix != nil && o.Rollouts {
+		refuse("--mix and --rollouts can't be played together")
+	}
 	if ip := net.ParseIP(o.Network + ".0.1").To4(); ip == nil || !ip.IsLoopback() {
 		refuse("--network: %q is not the first two octets of loopback addresses", o.Network)
 	}
--- a/internal/simulation/soak/oracles.go
+++ b/internal/simulation/soak/oracles.go
@@ -42,6 +42,18 @@
 	OracleCoordination Oracle = "coordination"
 	// OracleRollout: a bad version of the service gets all jobs, or is not turned back in time.
 	OracleRollout Oracle = "rollout"
+	// OracleEvacuation: a task is started in a zone after its evacuation had to be in force.
+	OracleEvacuation Oracle = "evacuation"
+	// OracleQuota: a tenant has more running than it may.
+	OracleQuota Oracle = "quota"
+	// OracleKey: a call with a key that no tenant has is answered as if it had one.
+	OracleKey Oracle = "key"
+	// OracleStream: an answer that is no stream of its request, or a stream that a gate breaks off though nothing was done to it.
+	OracleStream Oracle = "stream"
+	// OracleLot: an accepted lot is not known, not whole at last, or its results change.
+	OracleLot Oracle = "lot"
+	// OracleServed: nothing was served of a feature that the deployment has switched on.
+	OracleServed Oracle = "served"
 	// OracleGrowth: memory, goroutines, descriptors or bytes on disk grow with time.
 	OracleGrowth Oracle = "growth"
 )
@@ -55,7 +67,7 @@
 
 // oracles are all of them, each a function of the history.
 var oracles = []func(*History) []Violation{lostJobs, repeatedRuns, wrongAnswers, falseCompletions, cutRequests, lateStarts, repeatedFences,
-	staleConfigurations, badExits, coordinationFaults, badRollouts, growth}
+	staleConfigurations, badExits, coordinationFaults, badRollouts, startsInEvacuatedZones, exceededLimits, unknownKeys, badStreams, badLots, unservedFeatures, growth}
 
 // Judge has all oracles read a history, and gives what they find by time.
 func Judge(history *History) []Violation {
--- a/internal/simulation/soak/schedule.go
+++ b/internal/simulation/soak/schedule.go
@@ -98,7 +98,7 @@
 	if kind == FaultWave {
 		return event, true
 	}
-	roles := kind.roles()
+	roles := slices.DeleteFunc(kind.roles(), func(role Role) bool { return len(d.layout.nodes(role)) == 0 })
 	role := roles[d.draw.IntN(len(roles))]
 	nodes := d.layout.nodes(role)
 	if role == RoleSteward {
--- /dev/null
+++ b/internal/simulation/soak/served.go
@@ -0,0 +1,50 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+)
+
+// mix is that of the history, the usual one where none is named.
+func (h *History) mix() *Mix {
+	if h.Mix == nil {
+		return usualMix()
+	}
+	return h.Mix
+}
+
+// unservedFeatures looks for features of the mix of which nothing was served.
+func unservedFeatures(h *History) []Violation {
+	if h.Mix == nil {
+		return nil
+	}
+	var violations []Violation
+	demand := func(isServed bool, what string) {
+		if !isServed {
+			violations = append(violations, Violation{Oracle: OracleServed, Text: fmt.Sprintf("no %s, with the features %v", what, h.Mix.Features)})
+		}
+	}
+	completed := 0
+	for _, state := range h.FinalStates {
+		if state == "completed" {
+			completed++
+		}
+	}
+	demand(completed > 0, "job was completed")
+	demand(len(h.Acknowledgements) > 0, "configuration was acknowledged")
+	for _, feature := range h.Mix.Features {
+		switch feature {
+		case FeatureTenants:
+			demand(slices.ContainsFunc(h.KeyProbes, func(probe KeyProbe) bool { return probe.Status == http.StatusUnauthorized }), "unknown key was refused")
+		case FeatureEvacuations:
+			demand(len(h.Evacuations) > 0, "evacuation was acknowledged")
+		case FeatureLocks:
+			demand(len(h.Applications.Holds) > 0, "lock was taken")
+		case FeatureTier:
+			demand(slices.ContainsFunc(h.Streams, func(call StreamCall) bool { return call.isWhole() }), "stream was served")
+			demand(len(h.Lots) > 0, "lot was accepted")
+		}
+	}
+	return violations
+}
--- a/internal/simulation/soak/soak.go
+++ b/internal/simulation/soak/soak.go
@@ -29,7 +29,7 @@
 
 // Run plays one soak and judges it. An error says why it could not be played; what the oracles found is in the report.
 func Run(ctx context.Context, options Options, log logging.Logger) (*Summary, error) {
-	layout := NewLayout(options.Processes, options.Network)
+	layout := options.Layout()
 	layout.HasVersions = options.Rollouts
 	schedule := options.Schedule
 	if schedule == nil {
@@ -82,6 +82,12 @@
 	s.recorder = newRecorder(partsCtx)
 	s.cluster = newCluster(partsCtx, s)
 	defer s.cluster.killAll()
+	s.recorder.write(func(h *History) {
+		h.Mix, h.Zones, h.Stewards = s.options.Mix, s.layout.zones(), s.layout.stewardNames()
+	})
+	if err := s.startTier(partsCtx); err != nil {
+		return nil, err
+	}
 	if err := s.start(ctx); err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/simulation/soak/streams.go
@@ -0,0 +1,154 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"gannetline/internal/cluster/configuration"
+	"gannetline/internal/platform/headers"
+)
+
+const (
+	streamStream    = 3000
+	meanStreamPause = 100 * time.Millisecond
+	// The prefixes of the routes of the tier: streams that may not run again, streams that can be resumed, and lots.
+	askPrefix     = "/ask/"
+	explainPrefix = "/explain/"
+	draftsPrefix  = "/drafts/"
+)
+
+// StreamCall is a request for a series of events as its client saw it. The status is 0 if no head of an answer came.
+type StreamCall struct {
+	Gate    string
+	Prefix  string
+	ID      string
+	SentAt  time.Duration
+	EndedAt time.Duration
+	Status  int
+	Body    string
+	// IsBroken tells that the answer ended before its end.
+	IsBroken bool
+}
+
+// isWhole tells whether all events came, each once and in order.
+func (c *StreamCall) isWhole() bool {
+	var expected strings.Builder
+	for number := 1; number <= engineEvents; number++ {
+		fmt.Fprintf(&expected, "id: %d\ndata: %s\n\n", number, eventData(c.ID, number))
+	}
+	return c.Status == http.StatusOK && !c.IsBroken && c.Body == expected.String()
+}
+
+// tierRoutes are the routes of the tier, none where the mix has no tier.
+func (l *Layout) tierRoutes() []configuration.Route {
+	if !l.Mix.Has(FeatureTier) {
+		return nil
+	}
+	route := func(name, prefix, kind string) configuration.Route {
+		return configuration.Route{Name: name, Host: frontHost, PathPrefix: prefix, Type: kind, TimeoutMs: callLimit.Milliseconds(),
+			TargetLatencyMs: 300, Service: assistantService, MaxAttempts: 2}
+	}
+	explain, drafts := route("explain", explainPrefix, configuration.RouteStreaming), route("drafts", draftsPrefix, configuration.RouteBatch)
+	explain.IsResumable = true
+	drafts.ResultDeadlineMs, drafts.MaxQueueS = lotDeadline.Milliseconds(), settleLimit.Seconds()
+	return []configuration.Route{route("ask", askPrefix, configuration.RouteStreaming), explain, drafts}
+}
+
+// streamClient asks one gate for streams, each over a connection of its own.
+type streamClient struct {
+	*soak
+	number int
+	gate   Node
+	client *http.Client
+	draw   *rand.Rand
+	calls  int
+}
+
+// newTierClient makes a client of the tier.
+func newTierClient(s *soak, number int, gate Node) *streamClient {
+	return &streamClient{soak: s, number: number, gate: gate, draw: rand.New(rand.NewPCG(s.options.Seed, uint64(streamStream+number))),
+		client: &http.Client{Timeout: callLimit, Transport: &http.Transport{DisableKeepAlives: true}}}
+}
+
+// startTierClients starts the clients of streams and of lots until ctx is done, where the mix has a tier.
+func (s *soak) startTierClients(ctx context.Context, start func(func())) {
+	if !s.layout.Mix.Has(FeatureTier) {
+		return
+	}
+	for number, gate := range s.layout.Gates {
+		start(func() { newTierClient(s, number, gate).run(ctx) })
+	}
+	start(func() { newLotClient(s).run(ctx) })
+}
+
+// run asks for one stream after the other.
+func (c *streamClient) run(ctx context.Context) {
+	for pause(ctx, time.Duration(c.draw.ExpFloat64()*float64(meanStreamPause))) {
+		prefix := askPrefix
+		if c.draw.IntN(2) == 0 {
+			prefix = explainPrefix
+		}
+		c.ask(ctx, prefix)
+	}
+}
+
+// ask makes one request and records what came of it, unless the soak ended meanwhile.
+func (c *streamClient) ask(ctx context.Context, prefix string) {
+	c.calls++
+	call := StreamCall{Gate: c.gate.Name, Prefix: prefix, ID: fmt.Sprintf("s%d-%d", c.number, c.calls), SentAt: c.recorder.now()}
+	answer, err := c.client.Do(c.tierRequest(ctx, http.MethodPost, c.gate, prefix+call.ID, call.ID, "prompt"))
+	if err == nil {
+		body, readErr := io.ReadAll(answer.Body)
+		answer.Body.Close()
+		call.Status, call.Body, call.IsBroken = answer.StatusCode, string(body), readErr != nil
+	}
+	call.EndedAt = c.recorder.now()
+	if ctx.Err() == nil {
+		c.recorder.write(func(h *History) { h.Streams = append(h.Streams, call) })
+	}
+}
+
+// tierRequest makes a request of a client of the tier; it bears the key of a tenant where there are any.
+func (c *streamClient) tierRequest(ctx context.Context, method string, gate Node, path, id, body string) *http.Request {
+	made, err := http.NewRequestWithContext(ctx, method, "http://"+endpoint(gate.IP, frontPort)+path, strings.NewReader(body))
+	if err != nil {
+		panic(err) // the address and the path are those of the layout
+	}
+	made.Host = frontHost
+	made.Header.Set(headers.RequestID, id)
+	made.Header.Set("X-Model-Name", "m")
+	made.Header.Set("X-Token-Usage", "100,10")
+	made.Header.Set(headers.PromptPrefix, "5c1e:80,"+id+":20")
+	made.Header.Set(headers.TimeRemaining, fmt.Sprint(callLimit.Milliseconds()))
+	if key := c.layout.keyOf(0); key != "" {
+		made.Header.Set("Authorization", "Bearer "+key)
+	}
+	return made
+}
+
+// badStreams looks for answers that are no stream of their request, for refusals of proper requests, and for streams that a gate to which
+// nothing was done broke off.
+func badStreams(h *History) []Violation {
+	var violations []Violation
+	note := func(call *StreamCall, text string) {
+		violations = append(violations, Violation{OracleStream, call.EndedAt, fmt.Sprintf("%s%s at %s: %s", call.Prefix, call.ID, call.Gate, text)})
+	}
+	for index := range h.Streams {
+		call := &h.Streams[index]
+		isCalm := !h.isTroubled(call.Gate, call.SentAt-contactWindow, call.EndedAt) && !h.isStalled(call.SentAt, call.EndedAt)
+		switch {
+		case call.Status == http.StatusOK && !call.IsBroken && !call.isWhole():
+			note(call, fmt.Sprintf("answered by %q", call.Body))
+		case call.Status/100 == 4 && call.Status != http.StatusTooManyRequests && call.Status != http.StatusRequestTimeout:
+			note(call, fmt.Sprintf("refused by %d %s", call.Status, call.Body))
+		case call.Status == http.StatusOK && call.IsBroken && isCalm:
+			note(call, "broken off")
+		}
+	}
+	return violations
+}
--- a/internal/simulation/soak/summary.go
+++ b/internal/simulation/soak/summary.go
@@ -21,6 +21,10 @@
 type Summary struct {
 	Schedule      *Schedule         `json:"schedule"`
 	InjectedFault InjectedFault     `json:"plant,omitempty"`
+	Mix           *Mix              `json:"mix,omitempty"`
+	Streams       int               `json:"streams,omitempty"`
+	Lots          int               `json:"lots,omitempty"`
+	Evacuations   int               `json:"evacuations,omitempty"`
 	Struck        map[FaultKind]int `json:"struck"`
 	Calls         map[string]int    `json:"calls"`
 	Latency       Latency           `json:"latency-ms"`
@@ -46,7 +50,8 @@
 )
 
 func newSummary(options Options, schedule *Schedule, h *History, violations []Violation) *Summary {
-	report := &Summary{Schedule: schedule, InjectedFault: options.InjectedFault, Struck: map[FaultKind]int{}, Calls: map[string]int{}, States: map[string]int{},
+	report := &Summary{Schedule: schedule, InjectedFault: options.InjectedFault, Mix: options.Mix, Streams: len(h.Streams), Lots: len(h.Lots),
+		Evacuations: len(h.Evacuations), Struck: map[FaultKind]int{}, Calls: map[string]int{}, States: map[string]int{},
 		ByOracle: map[Oracle]int{}, Runs: len(h.Runs), Versions: len(h.Acknowledgements), Exits: len(h.Exits), Stalls: len(h.Stalls),
 		Applications: applicationCounts(h), Slopes: slopes(h), Violations: violations, Jobs: len(acceptedJobs(h))}
 	latency := hdrhistogram.New(1, maxLatencyMs, latencyDigits)
--- /dev/null
+++ b/internal/simulation/soak/tenants.go
@@ -0,0 +1,124 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"gannetline/internal/cluster/configuration"
+	"gannetline/internal/scheduling/jobs"
+)
+
+const (
+	// tenantCount tenants share the clients; the first has a limit.
+	tenantCount = 2
+	// tenantLimitTasks is how many tasks the first tenant may have running; tenantOverrun is by which part more it may be for a while.
+	tenantLimitTasks = 6
+	tenantOverrun    = 0.1
+	unknownKey       = "nobodys-key"
+)
+
+// KeyProbe is a call with a key that no tenant has, and what the gate answered; the status is 0 if no answer came.
+type KeyProbe struct {
+	Gate   string
+	SentAt time.Duration
+	Status int
+}
+
+// keyOf is the key of a client, empty where there are no tenants.
+func (l *Layout) keyOf(client int) string {
+	if !l.Mix.Has(FeatureTenants) {
+		return ""
+	}
+	return keyOfTenant(client % tenantCount)
+}
+
+func keyOfTenant(number int) string { return fmt.Sprintf("key-of-tenant-%d", number) }
+
+// tenantsOf is the list of tenants of a configuration, nil where there are none.
+func (l *Layout) tenants() []configuration.Tenant {
+	if !l.Mix.Has(FeatureTenants) {
+		return nil
+	}
+	var all []configuration.Tenant
+	for number := range tenantCount {
+		tenant := configuration.Tenant{Name: fmt.Sprintf("tenant-%d", number), Keys: []string{keyOfTenant(number)}, Weight: 1}
+		if number == 0 {
+			tenant.Limit = configuration.UpperLimit{CPU: tenantLimitTasks * taskCPU}
+		}
+		all = append(all, tenant)
+	}
+	return all
+}
+
+// probeKey asks a gate for a queue with a key that nobody has.
+func (o *operator) probeKey(ctx context.Context, gate Node) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+endpoint(gate.IP, frontPort)+jobsPrefix, nil)
+	if err != nil {
+		return
+	}
+	request.Host = frontHost
+	request.Header.Set("Authorization", "Bearer "+unknownKey)
+	probe := KeyProbe{Gate: gate.Name, SentAt: o.recorder.now()}
+	if response, err := o.client.Do(request); err == nil {
+		response.Body.Close()
+		probe.Status = response.StatusCode
+	}
+	o.recorder.write(func(h *History) { h.KeyProbes = append(h.KeyProbes, probe) })
+}
+
+// unknownKeys looks for calls with a key that nobody has that were answered as if they had one.
+func unknownKeys(h *History) []Violation {
+	var violations []Violation
+	for _, probe := range h.KeyProbes {
+		if probe.Status != 0 && probe.Status != http.StatusUnauthorized && probe.Status/100 != 5 {
+			violations = append(violations, Violation{OracleKey, probe.SentAt, fmt.Sprintf("%s answered %d to a key that nobody has", probe.Gate, probe.Status)})
+		}
+	}
+	return violations
+}
+
+// exceededLimits looks for times in which the first tenant has more tasks running than it may, and one more.
+func exceededLimits(h *History) []Violation {
+	if !h.mix().Has(FeatureTenants) {
+		return nil
+	}
+	limited := map[string]bool{}
+	for index := range h.Calls {
+		if call := &h.Calls[index]; call.Verb == verbSubmit && call.Client%tenantCount == 0 {
+			limited[call.Job] = true
+		}
+	}
+	type change struct {
+		atMs int64
+		by   int
+	}
+	var changes []change
+	for _, run := range h.Runs {
+		if !limited[jobs.JobOf(run.Task)] {
+			continue
+		}
+		changes = append(changes, change{run.StartMs, 1})
+		if run.EndMs > 0 {
+			changes = append(changes, change{run.EndMs, -1})
+		}
+	}
+	// Of what happens in the same millisecond, ends go first: which was first can't be known.
+	slices.SortFunc(changes, func(a, b change) int {
+		if a.atMs != b.atMs {
+			return int(a.atMs - b.atMs)
+		}
+		return a.by - b.by
+	})
+	const most = tenantLimitTasks*(1+tenantOverrun) + 1
+	running := 0
+	for _, change := range changes {
+		running += change.by
+		if change.by > 0 && float64(running) > most {
+			return []Violation{{OracleQuota, h.sinceStart(change.atMs), fmt.Sprintf("a tenant has %d tasks running, and may have %d", running, tenantLimitTasks)}}
+		}
+	}
+	return nil
+}
