Rollouts: the configuration is read once a version and counts once a judgement; rehearsals go by the pools' own policy; lots tidied

The controller read the whole configuration twice a second and once more for a change; the judge counted the same samples for each window. A rehearsal never stopped runs on a turn back, as its own policy left out whether jobs may run again: a rehearsed queue says so by 'repeatable'. The queue of items is kept in order by insertion in place of a sort at every run that ends.

--- a/internal/cluster/configuration/amend.go
+++ b/internal/cluster/configuration/amend.go
@@ -22,10 +22,16 @@
 // Amend begins the change of a configuration; the result has the number after the current one.
 func Amend(body []byte) *Amendment {
 	decoded, err := Read(body)
-	amendment := &Amendment{decoded: decoded, body: body, err: err}
-	if err == nil {
-		amendment.set("config-version", strconv.FormatInt(decoded.Version+1, 10))
+	if err != nil {
+		return &Amendment{body: body, err: err}
 	}
+	return AmendDecoded(decoded, body)
+}
+
+// AmendDecoded is Amend for a text that was read already; what was read of it is not changed.
+func AmendDecoded(decoded *Configuration, body []byte) *Amendment {
+	amendment := &Amendment{decoded: decoded, body: body}
+	amendment.set("config-version", strconv.FormatInt(decoded.Version+1, 10))
 	return amendment
 }
 
--- a/internal/control/lots/clients.go
+++ b/internal/control/lots/clients.go
@@ -260,7 +260,6 @@
 			answer(wire.ClientAnswer{NotLeader: true, OutcomeUnknown: true})
 			return
 		}
-		lot.endCommitted = true
 		answer(wire.ClientAnswer{Status: http.StatusOK})
 	})
 }
--- a/internal/control/lots/lot.go
+++ b/internal/control/lots/lot.go
@@ -19,10 +19,9 @@
 	// results are those that have a position, in the order of positions; readable is how many of them are committed.
 	results  []resultRecord
 	readable int
-	// isCommitted tells that the lot itself is durable; isEnded that its client has ended it, endCommitted that this is durable.
-	isCommitted  bool
-	isEnded      bool
-	endCommitted bool
+	// isCommitted tells that the lot itself is durable; isEnded that its client has ended it.
+	isCommitted bool
+	isEnded     bool
 	// readers wait for a result at a position.
 	readers []*reader
 }
--- a/internal/control/lots/lots.go
+++ b/internal/control/lots/lots.go
@@ -135,7 +135,7 @@
 	}
 	switch prefix {
 	case prefixEnd:
-		lot.isEnded, lot.endCommitted = true, true
+		lot.isEnded = true
 		return nil
 	case prefixBody:
 		return lot.loadBody(number, pair.Value)
--- a/internal/control/lots/running.go
+++ b/internal/control/lots/running.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/mailru/easyjson"
@@ -30,17 +31,21 @@
 	if lot.isOver() {
 		return
 	}
+	var waiting []*item
 	for _, item := range lot.items {
 		if !item.isListed && !item.isRunning {
-			p.queue = append(p.queue, item)
+			waiting = append(waiting, item)
 		}
 	}
-	p.sortQueue()
+	p.insert(lot, waiting...)
 }
 
-// sortQueue puts the items that are due first in front.
-func (p *Part) sortQueue() {
-	slices.SortStableFunc(p.queue, func(a, b *item) int { return cmp.Compare(a.lot.record.AcceptedMs, b.lot.record.AcceptedMs) })
+// insert puts items of a lot into the queue, behind those of the lot and of lots that were accepted before.
+func (p *Part) insert(lot *lot, items ...*item) {
+	place, _ := slices.BinarySearchFunc(p.queue, lot.record.AcceptedMs+1, func(queued *item, acceptedMs int64) int {
+		return cmp.Compare(queued.lot.record.AcceptedMs, acceptedMs)
+	})
+	p.queue = slices.Insert(p.queue, place, items...)
 }
 
 // startItems starts as many items as there is room for.
@@ -147,7 +152,7 @@
 	item.failedAt = ""
 	switch outcome {
 	case OutcomeCompleted:
-		p.list(item, stateCompleted, joined(progress.Texts))
+		p.list(item, stateCompleted, strings.Join(progress.Texts, "\n"))
 		return
 	case OutcomeImpossible:
 		p.list(item, stateDeadLetter, "")
@@ -169,24 +174,7 @@
 	default:
 		item.progress, item.notBefore = progress, now+brokenPause
 	}
-	p.queue = append(p.queue, item)
-	p.sortQueue()
-}
-
-// joined puts the data of events together, separated by line feeds.
-func joined(texts []string) string {
-	size := 0
-	for _, text := range texts {
-		size += len(text) + 1
-	}
-	whole := make([]byte, 0, size)
-	for index, text := range texts {
-		if index > 0 {
-			whole = append(whole, '\n')
-		}
-		whole = append(whole, text...)
-	}
-	return string(whole)
+	p.insert(item.lot, item)
 }
 
 // list gives an item the next position of its lot; it is shown once that is committed.
@@ -221,7 +209,8 @@
 		if route == nil || route.MaxQueueS <= 0 || item.isListed || item.lot.isEnded {
 			continue
 		}
-		if nowMs-item.lot.record.AcceptedMs > clock.Milliseconds(int64(route.MaxQueueS*1000)).Milliseconds()+giveUpMargin.Milliseconds() {
+		waited := clock.Milliseconds(nowMs - item.lot.record.AcceptedMs)
+		if waited > time.Duration(route.MaxQueueS*float64(time.Second))+giveUpMargin {
 			p.list(item, stateDeadLetter, "")
 		}
 	}
--- a/internal/control/rollouts/controller.go
+++ b/internal/control/rollouts/controller.go
@@ -5,6 +5,7 @@
 package rollouts
 
 import (
+	"bytes"
 	"context"
 	"net/http"
 	"sync/atomic"
@@ -44,7 +45,10 @@
 	Surroundings
 	// judges watch the rollouts under way, by name; they belong to the goroutine of Run.
 	judges map[string]*watchedRollout
-	status atomic.Pointer[wire.RolloutsStatus]
+	// known is the configuration that was read last, of the text knownBody; both belong to the goroutine of Run.
+	known     *configuration.Configuration
+	knownBody []byte
+	status    atomic.Pointer[wire.RolloutsStatus]
 }
 
 // watchedRollout is the judge of one rollout; one that begins anew under the same name gets another.
@@ -88,12 +92,24 @@
 		c.forget()
 		return
 	}
-	decoded, err := configuration.Read(current.Body)
-	if err != nil {
+	if err := c.read(current.Body); err != nil {
 		c.Log.Error(err, "configuration not read")
 		return
 	}
-	c.judgeAll(ctx, decoded, current)
+	c.judgeAll(ctx, c.known, current)
+}
+
+// read reads the text of a configuration, unless it is the one that was read last.
+func (c *Controller) read(body []byte) error {
+	if c.known != nil && bytes.Equal(c.knownBody, body) {
+		return nil
+	}
+	decoded, err := configuration.Read(body)
+	if err != nil {
+		return err
+	}
+	c.known, c.knownBody = decoded, body
+	return nil
 }
 
 // forget drops all judges: the next leader of the configuration has its own, and this one begins anew if it leads again.
@@ -165,7 +181,7 @@
 
 // change makes a decision a change of the configuration. What came of it, if that is not clear, the next judgement sees.
 func (c *Controller) change(ctx context.Context, configured *configuration.Rollout, evidence rollout.Evidence, decision rollout.Decision, current *wire.ClientAnswer) {
-	amendment := configuration.Amend(current.Body).SetProgress(configured.Name, rollout.ProgressAfter(configured, evidence, decision, current.WallMs))
+	amendment := configuration.AmendDecoded(c.known, current.Body).SetProgress(configured.Name, rollout.ProgressAfter(configured, evidence, decision, current.WallMs))
 	body, err := amendment.Body()
 	if err != nil {
 		c.Log.Error(err, "rollout not changed", "rollout", configured.Name)
--- a/internal/scheduling/rollout/judge.go
+++ b/internal/scheduling/rollout/judge.go
@@ -212,8 +212,9 @@
 func (j *Judge) judge(rollout *configuration.Rollout, evidence Evidence, nowMs int64) (verdicts []Verdict, decisive *Verdict) {
 	j.openWindow(rollout, evidence, nowMs)
 	hasFloor := evidence.New.judged() >= minJobsOf(rollout)
+	now := samplesOf(evidence, slowLimit(rollout, evidence))
 	for index, window := range j.windows {
-		judged := judgeWindow(rollout, window, evidence)
+		judged := judgeWindow(rollout, window, now)
 		if index == 0 {
 			verdicts = judged
 		}
@@ -256,24 +257,32 @@
 	}
 }
 
+// samples are the counts of both versions by all aspects, with the run time from which on a run counts as slow.
+type samples struct {
+	old, new sample
+	slowFrom int64
+}
+
+func samplesOf(evidence Evidence, slowFrom int64) samples {
+	return samples{old: sampleOf(&evidence.Old, slowFrom), new: sampleOf(&evidence.New, slowFrom), slowFrom: slowFrom}
+}
+
 // judgeWindow judges all aspects that something was agreed on by what was counted since a window began.
-func judgeWindow(rollout *configuration.Rollout, window window, evidence Evidence) []Verdict {
+func judgeWindow(rollout *configuration.Rollout, window window, now samples) []Verdict {
 	falseAlarm := rollout.Bounds.FalseAlarm
 	if falseAlarm == 0 {
 		falseAlarm = configuration.DefaultFalseAlarm
 	}
-	slowFrom := slowLimit(rollout, evidence)
-	newNow, newBefore := sampleOf(&evidence.New, slowFrom), sampleOf(&window.begun.New, slowFrom)
-	oldNow, oldBefore := sampleOf(&evidence.Old, slowFrom), sampleOf(&window.begun.Old, slowFrom)
-	level := alarmLevel(falseAlarm, len(newNow), window.number)
+	before := samplesOf(window.begun, now.slowFrom)
+	level := alarmLevel(falseAlarm, len(now.new), window.number)
 	var verdicts []Verdict
-	for _, aspect := range newNow.aspects() {
+	for _, aspect := range now.new.aspects() {
 		agreed, isJudged := agreedOn(rollout.Bounds, aspect.kind)
 		if !isJudged {
 			continue
 		}
-		counted := newNow[aspect].minus(newBefore[aspect])
-		baseline := baselineRate(oldNow[aspect].minus(oldBefore[aspect]), oldNow[aspect], oldNow[aspect.overall()])
+		counted := now.new[aspect].minus(before.new[aspect])
+		baseline := baselineRate(now.old[aspect].minus(before.old[aspect]), now.old[aspect], now.old[aspect.overall()])
 		if aspect.kind == RunTime {
 			baseline = slowShare
 		}
--- a/internal/simulation/rehearsal/rollout.go
+++ b/internal/simulation/rehearsal/rollout.go
@@ -54,7 +54,9 @@
 	Steps      []RolloutStep    `yaml:"steps"`
 	Agreed     RolloutAgreement `yaml:"agreed"`
 	OnTurnBack string           `yaml:"on-turn-back"`
-	New        Behaviour        `yaml:"new-version"`
+	// IsRepeatable tells that the queue's jobs may run more than once, so that a turn back may stop their runs.
+	IsRepeatable bool      `yaml:"repeatable"`
+	New          Behaviour `yaml:"new-version"`
 }
 
 // LoadRollout reads a rollout; an unknown field or a value out of range is an error that names it.
@@ -89,7 +91,7 @@
 	// All else is checked as the configuration's leader does.
 	text, err := json.Marshal(configuration.Configuration{Version: 1, Rollouts: []configuration.Rollout{r.asConfigured()},
 		Services: []configuration.Service{{Name: versionOld}, {Name: versionNew}},
-		Routes:   []configuration.Route{{Name: r.Queue, Host: "rehearsal", TimeoutMs: 1, Service: versionOld}}})
+		Routes:   []configuration.Route{{Name: r.Queue, Host: rehearsalHost, TimeoutMs: 1, Service: versionOld}}})
 	if err != nil {
 		return err
 	}
@@ -97,6 +99,17 @@
 	return err
 }
 
+// rehearsalHost is the host of the queue in a rehearsal.
+const rehearsalHost = "rehearsal"
+
+// routeType is that of the queue.
+func (r *Rollout) routeType() string {
+	if r.IsRepeatable {
+		return configuration.RouteIdempotent
+	}
+	return ""
+}
+
 // asConfigured is the rollout as it stands in a configuration.
 func (r *Rollout) asConfigured() configuration.Rollout {
 	rollout := configuration.Rollout{Name: "rehearsed", Route: r.Queue, From: versionOld, To: versionNew, OnTurnBack: r.OnTurnBack,
--- a/internal/simulation/rehearsal/rolloutplay.go
+++ b/internal/simulation/rehearsal/rolloutplay.go
@@ -9,6 +9,7 @@
 
 	"gannetline/internal/cluster/configuration"
 	"gannetline/internal/cluster/peerapi/wire"
+	"gannetline/internal/control/rollouts"
 	"gannetline/internal/scheduling/rollout"
 	"gannetline/internal/scheduling/scheduler"
 	"gannetline/internal/simulation/simcluster"
@@ -81,18 +82,11 @@
 	return []scheduler.Option{scheduler.WithRollouts(func() scheduler.RolloutPolicy { return r.policy(service) }), scheduler.WithTransfers(r)}
 }
 
-// policy is what the pools know of the rollout.
+// policy is what the pools know of the rollout: what a configuration with the queue and the rollout says.
 func (r *playedRollout) policy(service string) scheduler.RolloutPolicy {
-	policy := scheduler.RolloutPolicy{Version: r.version}
-	if r.rollout.BegunMs == 0 {
-		return policy
-	}
-	terms := scheduler.RolloutTerms{Name: r.rollout.Name, BegunMs: r.rollout.BegunMs, Route: r.rollout.Route, StopsRuns: r.rollout.StopsRuns()}
-	if r.rollout.State == configuration.RolloutTurnedBack && service == versionNew {
-		terms.ReturnTo = versionOld
-	}
-	policy.Rollouts = []scheduler.RolloutTerms{terms}
-	return policy
+	route := configuration.Route{Name: r.rollout.Route, Host: rehearsalHost, Service: versionOld, Type: r.spec.routeType()}
+	matcher := configuration.NewMatcher(&configuration.Configuration{Routes: []configuration.Route{route}, Rollouts: []configuration.Rollout{r.rollout}})
+	return rollouts.PolicyFor(r.version, matcher, service)
 }
 
 // Send carries a job back to the pool of the old version.
@@ -100,8 +94,12 @@
 	r.play.cluster.Ask(*call, func(given wire.ClientAnswer) { answer(&given) })
 }
 
-// reconcile judges the rollout, and changes it at once as the decision says.
+// reconcile judges the rollout until it is over, and changes it at once as the decision says. The pools forget the counts of one that is
+// over, so what was counted last stays.
 func (r *playedRollout) reconcile() {
+	if r.rollout.IsOver() {
+		return
+	}
 	r.gather(r.play.cluster, &r.evidence.Old)
 	r.gather(r.cluster, &r.evidence.New)
 	nowMs := r.play.cluster.Events.Clock.WallMs()
@@ -128,7 +126,7 @@
 func (r *playedRollout) gather(cluster *simcluster.Cluster, version *rollout.Version) {
 	cluster.Ask(wire.ClientCall{Verb: wire.VerbRollouts}, func(answer wire.ClientAnswer) {
 		report := &wire.RolloutReport{}
-		if easyjson.Unmarshal(answer.Body, report) == nil {
+		if easyjson.Unmarshal(answer.Body, report) == nil && !r.rollout.IsOver() {
 			*version = rollout.VersionFrom(report, r.rollout.Name, r.rollout.BegunMs)
 		}
 	})
