--- a/internal/cluster/peerapi/wire/grants.go
+++ b/internal/cluster/peerapi/wire/grants.go
@@ -35,8 +35,8 @@
 	Tenant  string   `json:"tenant"`
 	Granted Capacity `json:"granted"`
 	Target  Capacity `json:"target"`
-	// IsWhole tells that the pool holds all of the limit, so that nobody else may start anything under it.
-	IsWhole bool `json:"whole,omitempty"`
+	// HasWholeLimit tells that the pool holds all of the limit, so that nobody else may start anything under it.
+	HasWholeLimit bool `json:"whole,omitempty"`
 	// IsSettled tells that all pools together hold no more than the limit of the configuration by which the part decided.
 	IsSettled bool `json:"settled,omitempty"`
 }
--- a/internal/cluster/peerapi/wire/grants_easyjson.go
+++ b/internal/cluster/peerapi/wire/grants_easyjson.go
@@ -527,7 +527,7 @@
 			if in.IsNull() {
 				in.Skip()
 			} else {
-				out.IsWhole = bool(in.Bool())
+				out.HasWholeLimit = bool(in.Bool())
 			}
 		case "settled":
 			if in.IsNull() {
@@ -564,10 +564,10 @@
 		out.RawString(prefix)
 		(in.Target).MarshalEasyJSON(out)
 	}
-	if in.IsWhole {
+	if in.HasWholeLimit {
 		const prefix string = ",\"whole\":"
 		out.RawString(prefix)
-		out.Bool(bool(in.IsWhole))
+		out.Bool(bool(in.HasWholeLimit))
 	}
 	if in.IsSettled {
 		const prefix string = ",\"settled\":"
--- a/internal/control/itemrunner/itemrunner.go
+++ b/internal/control/itemrunner/itemrunner.go
@@ -54,17 +54,17 @@
 func (r *Runner) run(run lots.Run) (lots.Outcome, lots.Progress) {
 	ctx, cancel := context.WithTimeout(r.ctx, runTimeout)
 	defer cancel()
-	watch := newSilenceWatch(r.clock, run.MaxSilence)
-	go watch.run(ctx, cancel)
-	outcome, progress := r.carry(ctx, run, watch)
-	if outcome == lots.OutcomeBroken && watch.hasEnded() {
-		return lots.OutcomeSilent, progress
+	timer := newIdleTimer(r.clock, run.IdleTimeout)
+	go timer.run(ctx, cancel)
+	outcome, progress := r.carry(ctx, run, timer)
+	if outcome == lots.OutcomeBroken && timer.hasExpired() {
+		return lots.OutcomeTimedOut, progress
 	}
 	return outcome, progress
 }
 
 // carry calls the executor and reads its answer.
-func (r *Runner) carry(ctx context.Context, run lots.Run, watch *silenceWatch) (lots.Outcome, lots.Progress) {
+func (r *Runner) carry(ctx context.Context, run lots.Run, timer *idleTimer) (lots.Outcome, lots.Progress) {
 	call, err := callOf(ctx, run)
 	if err != nil {
 		return lots.OutcomeImpossible, run.Progress
@@ -86,7 +86,7 @@
 	case !strings.HasPrefix(answer.Header.Get("Content-Type"), eventstream.MediaType):
 		return lots.OutcomeBroken, run.Progress
 	}
-	return gather(answer, run.Progress, watch)
+	return gather(answer, run.Progress, timer)
 }
 
 // callOf makes the call of a run.
@@ -112,7 +112,7 @@
 }
 
 // gather reads the events of an answer behind those of earlier runs. An answer whose length nothing tells can't be known to be whole.
-func gather(answer *http.Response, progress lots.Progress, watch *silenceWatch) (lots.Outcome, lots.Progress) {
+func gather(answer *http.Response, progress lots.Progress, timer *idleTimer) (lots.Outcome, lots.Progress) {
 	progress.Texts = slices.Clone(progress.Texts)
 	isFramed := answer.ContentLength >= 0 || slices.Contains(answer.TransferEncoding, "chunked")
 	events := eventstream.NewReader(answer.Body)
@@ -124,7 +124,7 @@
 		if err != nil {
 			return lots.OutcomeBroken, progress
 		}
-		watch.noteEvent()
+		timer.noteEvent()
 		if event.HasData {
 			progress.Texts = append(progress.Texts, string(event.Data))
 		}
--- a/internal/control/lots/clients.go
+++ b/internal/control/lots/clients.go
@@ -18,8 +18,8 @@
 const (
 	// maxItems is how many items a lot has at most.
 	maxItems = 200
-	// maxPageBytes is how many bytes of texts an answer to a reader has at most, unless one result alone is larger.
-	maxPageBytes = 900 << 10
+	// maxListBytes is how many bytes of texts an answer to a reader has at most, unless one result alone is larger.
+	maxListBytes = 900 << 10
 	// retryAfterS is how long a client whose lot does not fit should wait.
 	retryAfterS = 1
 )
@@ -184,11 +184,11 @@
 
 // show answers a reader with what there is.
 func (p *Part) show(lot *lot, reader *reader) {
-	page := &resultPage{Total: len(lot.items), Next: reader.position, Results: []shownResult{}}
+	page := &resultList{Total: len(lot.items), Next: reader.position, Results: []shownResult{}}
 	size := 0
 	for position := reader.position; position < lot.readable; position++ {
 		result := &lot.results[position]
-		if size += len(result.Text); size > maxPageBytes && len(page.Results) > 0 {
+		if size += len(result.Text); size > maxListBytes && len(page.Results) > 0 {
 			break
 		}
 		page.Results = append(page.Results, shownResult{ID: lot.record.Items[result.Index].ID, State: result.State, Text: result.Text})
--- a/internal/control/lots/health.go
+++ b/internal/control/lots/health.go
@@ -28,7 +28,7 @@
 			h.ejectedUntil = max(h.ejectedUntil, now+ejectionTime)
 			h.failures = failuresToEject - 1
 		}
-	case OutcomeBroken, OutcomeSilent:
+	case OutcomeBroken, OutcomeTimedOut:
 		h.ejectedUntil = max(h.ejectedUntil, now+brokenEjection)
 	}
 }
--- a/internal/control/lots/lot.go
+++ b/internal/control/lots/lot.go
@@ -37,8 +37,8 @@
 	// failures counts answers of 500; notBefore is when it may run again.
 	failures  int
 	notBefore time.Duration
-	// silences counts runs that were ended since their executor brought nothing.
-	silences int
+	// timeouts counts runs that were ended as their executor brought nothing.
+	timeouts int
 	// failedAt is the executor at which the last run failed, empty if it ended otherwise.
 	failedAt string
 	// progress is what runs that broke off have brought so far.
@@ -51,11 +51,11 @@
 	Texts       []string
 }
 
-// maxSilence is for how long the next run may bring nothing.
-func (i *item) maxSilence() time.Duration {
-	limit := firstSilence
-	for range i.silences {
-		limit = min(2*limit, maxSilence)
+// idleTimeout is for how long the next run may bring nothing.
+func (i *item) idleTimeout() time.Duration {
+	limit := minIdleTimeout
+	for range i.timeouts {
+		limit = min(2*limit, maxIdleTimeout)
 	}
 	return limit
 }
--- a/internal/control/lots/lots.go
+++ b/internal/control/lots/lots.go
@@ -35,8 +35,8 @@
 	Headers  map[string]string
 	Body     []byte
 	Progress Progress
-	// MaxSilence is for how long the executor may bring nothing.
-	MaxSilence time.Duration
+	// IdleTimeout is for how long the executor may bring nothing.
+	IdleTimeout time.Duration
 }
 
 // Outcome is how a run ended.
@@ -47,8 +47,8 @@
 	OutcomeCompleted Outcome = iota
 	// OutcomeBroken tells that the executor broke off, or answered nothing of use; the item may go on elsewhere.
 	OutcomeBroken
-	// OutcomeSilent tells that the executor brought nothing for as long as it might; the item may go on elsewhere.
-	OutcomeSilent
+	// OutcomeTimedOut tells that the executor brought nothing for as long as it might; the item may go on elsewhere.
+	OutcomeTimedOut
 	// OutcomeRefused tells that the executor had no room.
 	OutcomeRefused
 	// OutcomeFailed tells that the executor failed (500).
--- a/internal/control/lots/lots_test.go
+++ b/internal/control/lots/lots_test.go
@@ -269,8 +269,8 @@
 		at := map[string]bool{}
 		for range 5 {
 			run := w.runs[0]
-			patience = append(patience, run.MaxSilence)
-			w.end(lotID+"-0", lots.OutcomeSilent, texts("a"))
+			patience = append(patience, run.IdleTimeout)
+			w.end(lotID+"-0", lots.OutcomeTimedOut, texts("a"))
 			Expect(w.runs).To(HaveLen(1))
 			Expect(w.runs[0].Executor.ID).NotTo(Equal(run.Executor.ID))
 			Expect(w.runs[0].Progress).To(Equal(texts("a")))
--- a/internal/control/lots/records.go
+++ b/internal/control/lots/records.go
@@ -53,8 +53,8 @@
 	Tokens  int64             `json:"token-count"`
 }
 
-// resultPage answers a reader.
-type resultPage struct {
+// resultList answers a reader.
+type resultList struct {
 	Total   int           `json:"total"`
 	Next    int           `json:"next-token"`
 	Results []shownResult `json:"result-list"`
@@ -67,4 +67,4 @@
 	Text  string `json:"text"`
 }
 
-var _ easyjson.Marshaler = (*resultPage)(nil)
+var _ easyjson.Marshaler = (*resultList)(nil)
--- a/internal/control/lots/records_easyjson.go
+++ b/internal/control/lots/records_easyjson.go
@@ -428,7 +428,7 @@
 func (v *resultRecord) UnmarshalEasyJSON(l *jlexer.Lexer) {
 	easyjsonAf922c28DecodeGannetlineInternalControlLots3(l, v)
 }
-func easyjsonAf922c28DecodeGannetlineInternalControlLots4(in *jlexer.Lexer, out *resultPage) {
+func easyjsonAf922c28DecodeGannetlineInternalControlLots4(in *jlexer.Lexer, out *resultList) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -491,7 +491,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonAf922c28EncodeGannetlineInternalControlLots4(out *jwriter.Writer, in resultPage) {
+func easyjsonAf922c28EncodeGannetlineInternalControlLots4(out *jwriter.Writer, in resultList) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -525,26 +525,26 @@
 }
 
 // MarshalJSON supports json.Marshaler interface
-func (v resultPage) MarshalJSON() ([]byte, error) {
+func (v resultList) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
 	easyjsonAf922c28EncodeGannetlineInternalControlLots4(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
-func (v resultPage) MarshalEasyJSON(w *jwriter.Writer) {
+func (v resultList) MarshalEasyJSON(w *jwriter.Writer) {
 	easyjsonAf922c28EncodeGannetlineInternalControlLots4(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
-func (v *resultPage) UnmarshalJSON(data []byte) error {
+func (v *resultList) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
 	easyjsonAf922c28DecodeGannetlineInternalControlLots4(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
-func (v *resultPage) UnmarshalEasyJSON(l *jlexer.Lexer) {
+func (v *resultList) UnmarshalEasyJSON(l *jlexer.Lexer) {
 	easyjsonAf922c28DecodeGannetlineInternalControlLots4(l, v)
 }
 func easyjsonAf922c28DecodeGannetlineInternalControlLots5(in *jlexer.Lexer, out *lotRecord) {
--- a/internal/control/lots/running.go
+++ b/internal/control/lots/running.go
@@ -20,10 +20,10 @@
 	// brokenPause and refusedPause lie before the next run of an item that broke off or was refused.
 	brokenPause  = 100 * time.Millisecond
 	refusedPause = 300 * time.Millisecond
-	// firstSilence is for how long an executor may bring nothing of an item before another one goes on with it. An executor that is busy
-	// with more urgent requests is silent, too, so each silence doubles the next one, up to maxSilence.
-	firstSilence = 2500 * time.Millisecond
-	maxSilence   = 10 * time.Second
+	// minIdleTimeout is for how long an executor may bring nothing of an item before another one goes on with it. An executor that is busy
+	// with more urgent requests brings nothing, too, so each time-out doubles the next one, up to maxIdleTimeout.
+	minIdleTimeout = 2500 * time.Millisecond
+	maxIdleTimeout = 10 * time.Second
 )
 
 // enqueue lets the items of a lot run that have no result.
@@ -48,13 +48,13 @@
 	p.queue = slices.Insert(p.queue, place, items...)
 }
 
-// startItems starts as many items as there is room for.
+// startItems starts as many items as there is capacity for.
 func (p *Part) startItems() {
 	if len(p.queue) == 0 {
 		return
 	}
 	now := p.Clock.Monotonic()
-	rooms := map[string]*serviceRoom{}
+	capacities := map[string]*serviceCapacity{}
 	p.queue = slices.DeleteFunc(p.queue, func(item *item) bool {
 		if item.lot.isEnded || item.isListed {
 			return true
@@ -64,12 +64,12 @@
 			return false
 		}
 		service := route.ServiceFor(item.record().ID)
-		room := rooms[service]
-		if room == nil {
-			room = p.roomOf(service)
-			rooms[service] = room
+		capacity := capacities[service]
+		if capacity == nil {
+			capacity = p.capacityOf(service)
+			capacities[service] = capacity
 		}
-		executor := room.take(item.failedAt)
+		executor := capacity.take(item.failedAt)
 		if executor == nil {
 			return false
 		}
@@ -78,32 +78,32 @@
 	})
 }
 
-// serviceRoom is what the executors of a service can take now.
-type serviceRoom struct {
+// serviceCapacity is what the executors of a service can take now.
+type serviceCapacity struct {
 	executors []wire.ExecutorRecord
 	taken     []int
 }
 
-func (p *Part) roomOf(service string) *serviceRoom {
-	room := &serviceRoom{}
+func (p *Part) capacityOf(service string) *serviceCapacity {
+	capacity := &serviceCapacity{}
 	now := p.Clock.Monotonic()
 	for _, executor := range p.Executors(service) {
 		health := p.executors[executor.ID]
 		if executor.IsDraining || health != nil && now < health.ejectedUntil {
 			continue
 		}
-		room.executors = append(room.executors, executor)
+		capacity.executors = append(capacity.executors, executor)
 		running := 0
 		if health != nil {
 			running = health.running
 		}
-		room.taken = append(room.taken, running)
+		capacity.taken = append(capacity.taken, running)
 	}
-	return room
+	return capacity
 }
 
-// take gives the executor with the most room, or nil if there is none left; the one where the item failed last only if it is the only one.
-func (r *serviceRoom) take(failedAt string) *wire.ExecutorRecord {
+// take gives the executor with the most capacity, or nil if there is none left; the one where the item failed last only if it is the only one.
+func (r *serviceCapacity) take(failedAt string) *wire.ExecutorRecord {
 	best := -1
 	for index := range r.executors {
 		limit := max(1, int(float64(r.executors[index].Slots)*slotShare))
@@ -132,7 +132,7 @@
 	health.running++
 	record, generation := item.record(), p.generation
 	run := Run{Executor: executor, ItemID: record.ID, Host: route.Host, Path: record.Path, Tenant: item.lot.record.Tenant,
-		Headers: record.Headers, Body: item.body, Progress: item.progress, MaxSilence: item.maxSilence()}
+		Headers: record.Headers, Body: item.body, Progress: item.progress, IdleTimeout: item.idleTimeout()}
 	p.Runner.Start(run, func(outcome Outcome, progress Progress) {
 		if p.IsOpen() && p.generation == generation {
 			p.runEnded(item, executor.ID, outcome, progress)
@@ -167,8 +167,8 @@
 		}
 	case OutcomeRefused:
 		item.notBefore = now + refusedPause
-	case OutcomeSilent:
-		item.silences++
+	case OutcomeTimedOut:
+		item.timeouts++
 		item.failedAt = executor
 		item.progress, item.notBefore = progress, now
 	default:
--- a/internal/scheduling/scheduler/load.go
+++ b/internal/scheduling/scheduler/load.go
@@ -32,7 +32,7 @@
 			records[prefix] = append(records[prefix], pair)
 		}
 	}
-	p.openLedger(leadership, records[tenantcount.AccountPrefix])
+	p.openAccounts(leadership, records[tenantcount.AccountPrefix])
 	p.updateTerms()
 	p.loadEach(records[prefixJob], p.loadJob)
 	p.loadEach(records[prefixState], p.loadState)
--- a/internal/scheduling/scheduler/pool.go
+++ b/internal/scheduling/scheduler/pool.go
@@ -70,9 +70,9 @@
 	transfers TransferSender
 	// isEvacuated tells whether nothing new may be sent to the executors of a zone.
 	isEvacuated func(zone string) bool
-	// counter is nil where the pool is the only one; ledger then is, too.
-	counter Counter
-	ledger  *tenantcount.Ledger
+	// counter is nil where the pool is the only one; accounts then is, too.
+	counter  Counter
+	accounts *tenantcount.Accounts
 
 	recorder Recorder
 	rules    *queuerules.Rules
@@ -177,7 +177,7 @@
 	uncommitted := p.takeCallbacks()
 	p.jobTable, p.changeSet, p.orderWatch, p.capacityUse = jobTable{}, changeSet{}, orderWatch{}, capacityUse{}
 	p.executors, p.table, p.open = nil, executorTable{}, openSteps{}
-	p.tenants, p.ledger, p.rollouts = tenantTable{}, nil, rolloutTable{}
+	p.tenants, p.accounts, p.rollouts = tenantTable{}, nil, rolloutTable{}
 	for _, callback := range uncommitted {
 		callback(errClosed)
 	}
--- a/internal/scheduling/scheduler/tenantcount.go
+++ b/internal/scheduling/scheduler/tenantcount.go
@@ -20,19 +20,19 @@
 // it the pool is taken to be the only one.
 func WithCounter(counter Counter) Option { return func(p *Pool) { p.counter = counter } }
 
-// openLedger reads the accounts of the pool, if it counts with others.
-func (p *Pool) openLedger(leadership Leadership, pairs []wire.Op) {
-	p.ledger = nil
+// openAccounts reads the accounts of the pool, if it counts with others.
+func (p *Pool) openAccounts(leadership Leadership, pairs []wire.Op) {
+	p.accounts = nil
 	if p.counter == nil {
 		return
 	}
-	ledger, err := tenantcount.NewLedger(p.key, leadership.Epoch(), pairs)
+	accounts, err := tenantcount.NewAccounts(p.key, leadership.Epoch(), pairs)
 	if err != nil {
 		p.log.Error(err, "unreadable record", "key", p.key)
 	}
-	p.ledger = ledger
-	for _, name := range ledger.Tenants() {
-		p.tenantOf(name).terms.Limit = limitByAccount(ledger.Held(name))
+	p.accounts = accounts
+	for _, name := range accounts.Tenants() {
+		p.tenantOf(name).terms.Limit = limitByAccount(accounts.Balance(name))
 	}
 }
 
@@ -50,24 +50,24 @@
 // tickCount gives back what of its accounts the pool should not keep, and asks for what it needs.
 func (p *Pool) tickCount(now time.Duration) {
 	p.updateTerms()
-	if p.ledger == nil {
+	if p.accounts == nil {
 		return
 	}
 	policy := p.countPolicy()
 	demands := p.tenantDemands()
 	for name, demand := range demands {
-		if lowered := p.ledger.Lower(name, demand); lowered != nil {
+		if lowered := p.accounts.Lower(name, demand); lowered != nil {
 			p.commitAccounts(*lowered)
 		}
 	}
 	for part := range tenantcount.Parts {
-		if call := p.ledger.Next(part, demands, policy, now); call != nil {
+		if call := p.accounts.Next(part, demands, policy, now); call != nil {
 			p.askPart(part, call)
 		}
 	}
 }
 
-// countPolicy is what the configuration whose terms the tenants have says to the ledger.
+// countPolicy is what the configuration whose terms the tenants have says to the accounts.
 func (p *Pool) countPolicy() tenantcount.Policy {
 	return tenantcount.Policy{Version: p.tenants.version, IsShared: p.tenants.hasOtherPools}
 }
@@ -76,7 +76,7 @@
 func (p *Pool) tenantDemands() map[string]tenantcount.Demand {
 	demands := make(map[string]tenantcount.Demand, len(p.tenants.sorted))
 	for _, tenant := range p.tenants.sorted[1:] {
-		if tenant.terms.Limit == placement.NoLimit && p.ledger.Held(tenant.name) == (placement.Resources{}) {
+		if tenant.terms.Limit == placement.NoLimit && p.accounts.Balance(tenant.name) == (placement.Resources{}) {
 			continue
 		}
 		used := tenant.allocated.resources
@@ -86,12 +86,12 @@
 	return demands
 }
 
-// askPart calls a part. Its answer counts only in this leadership: the next one has a ledger of its own.
+// askPart calls a part. Its answer counts only in this leadership: the next one has a accounts of its own.
 func (p *Pool) askPart(part int, call *wire.GrantCall) {
-	ledger := p.ledger
+	accounts := p.accounts
 	p.counter.Ask(part, call, func(answer *wire.GrantAnswer) {
-		if p.ledger == ledger && p.IsOpen() {
-			p.commitAccounts(ledger.Answered(part, call.Number, answer, p.clock.Monotonic())...)
+		if p.accounts == accounts && p.IsOpen() {
+			p.commitAccounts(accounts.Answered(part, call.Number, answer, p.clock.Monotonic())...)
 		}
 	})
 }
@@ -101,7 +101,7 @@
 	if len(changes) == 0 {
 		return
 	}
-	ledger := p.ledger
+	accounts := p.accounts
 	for _, change := range changes {
 		p.record(change.Op, nil)
 	}
@@ -110,7 +110,7 @@
 			return
 		}
 		for _, change := range changes {
-			ledger.Committed(change.Tenant)
+			accounts.Committed(change.Tenant)
 		}
 		p.needsPlacing = true
 	})
--- a/internal/scheduling/scheduler/tenants.go
+++ b/internal/scheduling/scheduler/tenants.go
@@ -154,11 +154,11 @@
 // limitOf is what a tenant may have running here, and whether its last run may reach beyond that: only where no other pool starts
 // anything under the same limit.
 func (p *Pool) limitOf(tenant *tenantState) (limit placement.Resources, mayOverhang bool) {
-	if p.ledger == nil || tenant.index == 0 {
+	if p.accounts == nil || tenant.index == 0 {
 		return tenant.terms.Limit, true
 	}
-	allowance, isWhole := p.ledger.Allowance(tenant.name, p.countPolicy())
-	return allowedOf(tenant.terms.Limit, allowance), isWhole
+	allowance, hasWholeLimit := p.accounts.Allowance(tenant.name, p.countPolicy())
+	return allowedOf(tenant.terms.Limit, allowance), hasWholeLimit
 }
 
 // allowedOf is what is allowed of a limit: nothing is counted, and all is allowed, of a resource without one.
--- a/internal/scheduling/tenantcount/account.go
+++ b/internal/scheduling/tenantcount/account.go
@@ -14,8 +14,8 @@
 	// claimed is the most that the records may hold: it is above spendable while a change is being committed. A call never says less.
 	claimed placement.Resources
 	// pending is what claimed and spendable become with the commit under way.
-	pending *accountRecord
-	isWhole bool
+	pending       *accountRecord
+	hasWholeLimit bool
 	// target is how much the part wants the pool to keep; with isAboveTarget it holds more, and starts nothing beyond the target.
 	target        placement.Resources
 	isAboveTarget bool
@@ -31,7 +31,7 @@
 	toldWants placement.Resources
 }
 
-// Change is a record of the pool that must be committed; Ledger.Committed follows the commit.
+// Change is a record of the pool that must be committed; Accounts.Committed follows the commit.
 type Change struct {
 	Tenant string
 	Op     wire.Op
@@ -39,14 +39,14 @@
 
 // change begins to make the account another; the record is nil if it is that already, or another change is under way. What gets
 // less can be used no more from now on, and what gets more only after the commit.
-func (a *account) change(tenant string, amount placement.Resources, isWhole bool) *Change {
-	if a.pending != nil || amount == a.claimed && isWhole == a.isWhole {
+func (a *account) change(tenant string, amount placement.Resources, hasWholeLimit bool) *Change {
+	if a.pending != nil || amount == a.claimed && hasWholeLimit == a.hasWholeLimit {
 		return nil
 	}
-	a.pending = &accountRecord{Amount: amountOf(amount), IsWhole: isWhole}
+	a.pending = &accountRecord{Amount: amountOf(amount), HasWholeLimit: hasWholeLimit}
 	a.spendable = a.spendable.Min(amount)
 	a.claimed = a.claimed.Max(amount)
-	a.isWhole = a.isWhole && isWhole
+	a.hasWholeLimit = a.hasWholeLimit && hasWholeLimit
 	return &Change{Tenant: tenant, Op: wire.Op{Name: AccountPrefix + tenant, Value: a.pending.encode()}}
 }
 
@@ -72,5 +72,5 @@
 		return
 	}
 	a.spendable = a.pending.Amount.resources()
-	a.claimed, a.isWhole, a.pending = a.spendable, a.pending.IsWhole, nil
+	a.claimed, a.hasWholeLimit, a.pending = a.spendable, a.pending.HasWholeLimit, nil
 }
--- a/internal/scheduling/tenantcount/ledger.go
+++ b/internal/scheduling/tenantcount/accounts.go
@@ -38,13 +38,13 @@
 // wanted is what of the demand the limit allows, in the resources that have one.
 func (d Demand) wanted() placement.Resources { return bounded(d.Wants.Min(d.Limit), d.Limit) }
 
-// Ledger is the half of the escrow that the leader of a pool keeps: its accounts, and its calls to the parts. It is made anew with each
+// Accounts is the half of the escrow that the leader of a pool keeps: its accounts, and its calls to the parts. It is made anew with each
 // leadership. One goroutine calls it; it knows neither clock nor network.
-type Ledger struct {
+type Accounts struct {
 	asker    string
 	epoch    uint64
 	number   uint64
-	accounts map[string]*account
+	byTenant map[string]*account
 	parts    [Parts]partCalls
 }
 
@@ -58,10 +58,10 @@
 	nextAt, nextPollAt time.Duration
 }
 
-// NewLedger makes the ledger of a pool under one epoch from the pool's committed records. A record that can't be read counts as an
+// NewAccounts makes the accounts of a pool under one epoch from the pool's committed records. A record that can't be read counts as an
 // account of nothing and is named by the error: what was granted for it comes back to the part with the first call.
-func NewLedger(asker string, epoch uint64, pairs []wire.Op) (*Ledger, error) {
-	ledger := &Ledger{asker: asker, epoch: epoch, accounts: map[string]*account{}}
+func NewAccounts(asker string, epoch uint64, pairs []wire.Op) (*Accounts, error) {
+	accounts := &Accounts{asker: asker, epoch: epoch, byTenant: map[string]*account{}}
 	var unreadable error
 	for _, pair := range pairs {
 		var record accountRecord
@@ -70,45 +70,45 @@
 			continue
 		}
 		amount := record.Amount.resources()
-		ledger.accounts[pair.Name[len(AccountPrefix):]] = &account{spendable: amount, claimed: amount, isWhole: record.IsWhole, target: amount}
+		accounts.byTenant[pair.Name[len(AccountPrefix):]] = &account{spendable: amount, claimed: amount, hasWholeLimit: record.HasWholeLimit, target: amount}
 	}
-	return ledger, unreadable
+	return accounts, unreadable
 }
 
 // Allowance is what the pool may use of a tenant's limit, and whether that is all of it, so that one run may reach beyond. Where pools
 // share their tenants it is nothing until the part has answered under the configuration that the pool knows: others may have been
 // granted more under one in between, which the pool has never seen.
-func (l *Ledger) Allowance(tenant string, policy Policy) (allowance placement.Resources, isWhole bool) {
-	account := l.accounts[tenant]
+func (a *Accounts) Allowance(tenant string, policy Policy) (allowance placement.Resources, hasWholeLimit bool) {
+	account := a.byTenant[tenant]
 	if account == nil || policy.IsShared && (account.version < policy.Version || !account.isSettled) {
 		return placement.Resources{}, false
 	}
-	return account.allowance(), account.isWhole && !account.isAboveTarget
+	return account.allowance(), account.hasWholeLimit && !account.isAboveTarget
 }
 
-// Held is what the pool's account of a tenant holds, whether it may be used now or not.
-func (l *Ledger) Held(tenant string) placement.Resources {
-	if account := l.accounts[tenant]; account != nil {
+// Balance is what the pool's account of a tenant holds, whether it may be used now or not.
+func (a *Accounts) Balance(tenant string) placement.Resources {
+	if account := a.byTenant[tenant]; account != nil {
 		return account.spendable
 	}
 	return placement.Resources{}
 }
 
 // Tenants are those that have an account, in the order of their names.
-func (l *Ledger) Tenants() []string { return slices.Sorted(maps.Keys(l.accounts)) }
+func (a *Accounts) Tenants() []string { return slices.Sorted(maps.Keys(a.byTenant)) }
 
 // accountOf gives the account of a tenant, and opens it with the first demand.
-func (l *Ledger) accountOf(tenant string) *account {
-	if l.accounts[tenant] == nil {
-		l.accounts[tenant] = &account{}
+func (a *Accounts) accountOf(tenant string) *account {
+	if a.byTenant[tenant] == nil {
+		a.byTenant[tenant] = &account{}
 	}
-	return l.accounts[tenant]
+	return a.byTenant[tenant]
 }
 
 // Lower begins to give back what a tenant's account should not keep and its runs don't use: more than the part's target, or than the
 // limit of the configuration. It returns nil if there is nothing to commit.
-func (l *Ledger) Lower(tenant string, demand Demand) *Change {
-	account := l.accountOf(tenant)
+func (a *Accounts) Lower(tenant string, demand Demand) *Change {
+	account := a.accountOf(tenant)
 	keep := account.claimed.Min(demand.Limit)
 	if account.isAboveTarget {
 		keep = keep.Min(account.target)
@@ -121,8 +121,8 @@
 }
 
 // Next gives the call that is due to a part, nil if none is.
-func (l *Ledger) Next(part int, demands map[string]Demand, policy Policy, now time.Duration) *wire.GrantCall {
-	calls := &l.parts[part]
+func (a *Accounts) Next(part int, demands map[string]Demand, policy Policy, now time.Duration) *wire.GrantCall {
+	calls := &a.parts[part]
 	if calls.number != 0 || now < calls.nextAt {
 		return nil
 	}
@@ -131,7 +131,7 @@
 		if PartOf(tenant) != part {
 			continue
 		}
-		account := l.accountOf(tenant)
+		account := a.accountOf(tenant)
 		if !account.isDue(demand, policy, now) {
 			continue
 		}
@@ -142,9 +142,9 @@
 		return nil
 	}
 	slices.SortFunc(asked, func(a, b wire.TenantDemand) int { return cmp.Compare(a.Tenant, b.Tenant) })
-	l.number++
-	calls.number, calls.isPoll, calls.nextPollAt = l.number, len(asked) == 0, now+pollInterval
-	return &wire.GrantCall{Asker: l.asker, Epoch: l.epoch, Number: l.number, Tenants: asked}
+	a.number++
+	calls.number, calls.isPoll, calls.nextPollAt = a.number, len(asked) == 0, now+pollInterval
+	return &wire.GrantCall{Asker: a.asker, Epoch: a.epoch, Number: a.number, Tenants: asked}
 }
 
 // isDue tells whether the part has to be asked: it has not answered under this configuration, more is wanted than may be used, less is
@@ -164,8 +164,8 @@
 
 // Answered takes the answer to a call to a part, nil if none came. Only the answer to the call under way counts. That to a poll raises no
 // account: the grant that it tells of may not be durable yet.
-func (l *Ledger) Answered(part int, number uint64, answer *wire.GrantAnswer, now time.Duration) []Change {
-	calls := &l.parts[part]
+func (a *Accounts) Answered(part int, number uint64, answer *wire.GrantAnswer, now time.Duration) []Change {
+	calls := &a.parts[part]
 	if calls.number != number {
 		return nil
 	}
@@ -177,9 +177,9 @@
 	var changes []Change
 	for _, given := range answer.Tenants {
 		if calls.isPoll {
-			given.Granted = CapacityOf(resourcesOf(given.Granted).Min(l.accountOf(given.Tenant).claimed))
+			given.Granted = CapacityOf(resourcesOf(given.Granted).Min(a.accountOf(given.Tenant).claimed))
 		}
-		if change := l.take(given, answer.Version); change != nil {
+		if change := a.take(given, answer.Version); change != nil {
 			changes = append(changes, *change)
 		}
 	}
@@ -187,20 +187,20 @@
 }
 
 // take takes what a part decided for one tenant.
-func (l *Ledger) take(given wire.TenantGrant, version int64) *Change {
-	account, granted := l.accountOf(given.Tenant), resourcesOf(given.Granted)
+func (a *Accounts) take(given wire.TenantGrant, version int64) *Change {
+	account, granted := a.accountOf(given.Tenant), resourcesOf(given.Granted)
 	account.target, account.known = resourcesOf(given.Target), granted
 	account.isAboveTarget = !account.target.Fits(granted)
 	account.version, account.isAnswered, account.isSettled = max(account.version, version), true, given.IsSettled
 	if account.pending != nil {
 		return nil
 	}
-	return account.change(given.Tenant, granted, given.IsWhole)
+	return account.change(given.Tenant, granted, given.HasWholeLimit)
 }
 
 // Committed tells that the change of a tenant's account is durable.
-func (l *Ledger) Committed(tenant string) {
-	if account := l.accounts[tenant]; account != nil {
+func (a *Accounts) Committed(tenant string) {
+	if account := a.byTenant[tenant]; account != nil {
 		account.committed()
 	}
 }
--- a/internal/scheduling/tenantcount/cost_test.go
+++ b/internal/scheduling/tenantcount/cost_test.go
@@ -58,7 +58,7 @@
 
 // BenchmarkIdleTick is what a pool that is alone with all tenants looks at in each tick when nothing is due.
 func BenchmarkIdleTick(b *testing.B) {
-	ledger, err := NewLedger("pool/0", 1, nil)
+	accounts, err := NewAccounts("pool/0", 1, nil)
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -69,26 +69,26 @@
 	}
 	policy, now := Policy{Version: 1}, time.Second
 	for part := range Parts {
-		call := ledger.Next(part, demands, policy, now)
+		call := accounts.Next(part, demands, policy, now)
 		answer := &wire.GrantAnswer{Number: call.Number, Version: 1}
 		for _, demand := range call.Tenants {
 			answer.Tenants = append(answer.Tenants, wire.TenantGrant{Tenant: demand.Tenant, Granted: CapacityOf(bounded(limit, limit)),
-				Target: CapacityOf(bounded(limit, limit)), IsWhole: true, IsSettled: true})
+				Target: CapacityOf(bounded(limit, limit)), HasWholeLimit: true, IsSettled: true})
 		}
-		for _, change := range ledger.Answered(part, call.Number, answer, now) {
-			ledger.Committed(change.Tenant)
+		for _, change := range accounts.Answered(part, call.Number, answer, now) {
+			accounts.Committed(change.Tenant)
 		}
 	}
 	b.ResetTimer()
 	for index := range b.N {
 		now = time.Second + time.Duration(index)*50*time.Millisecond
 		for tenant, demand := range demands {
-			if ledger.Lower(tenant, demand) != nil {
+			if accounts.Lower(tenant, demand) != nil {
 				b.Fatal("nothing is to be given back")
 			}
 		}
 		for part := range Parts {
-			if ledger.Next(part, demands, policy, now) != nil {
+			if accounts.Next(part, demands, policy, now) != nil {
 				b.Fatal("nothing is due")
 			}
 		}
--- a/internal/scheduling/tenantcount/part.go
+++ b/internal/scheduling/tenantcount/part.go
@@ -150,49 +150,49 @@
 // durable: else the second answer would overtake that commit.
 func (p *Part) decide(asker string, place callPlace, demand wire.TenantDemand, limits Limits, now time.Duration) (wire.TenantGrant, *wire.Op) {
 	askers := p.askersOf(demand.Tenant)
-	held := askers[asker]
-	if held == nil {
-		held = &grant{}
-		askers[asker] = held
+	granted := askers[asker]
+	if granted == nil {
+		granted = &grant{}
+		askers[asker] = granted
 	}
-	before, wasRaisedBy := held.amount, held.raisedBy
-	held.wants, held.at = resourcesOf(demand.Wants), now
+	before, wasRaisedBy := granted.amount, granted.raisedBy
+	granted.wants, granted.at = resourcesOf(demand.Wants), now
 	limit, isKnown := limits(demand.Tenant)
 	has := resourcesOf(demand.Has)
 	// A call that was answered before, and comes again, says of the pool what it was before that answer.
-	if held.raisedBy != place {
-		held.amount = held.amount.Min(has)
+	if granted.raisedBy != place {
+		granted.amount = granted.amount.Min(has)
 		if isKnown {
-			held.amount = held.amount.Max(bounded(resourcesOf(demand.Used), limit))
+			granted.amount = granted.amount.Max(bounded(resourcesOf(demand.Used), limit))
 		}
 	}
-	target := held.amount
+	target := granted.amount
 	if isKnown {
 		target = p.target(demand.Tenant, asker, limit, now)
-		held.amount = held.amount.Plus(p.raise(demand.Tenant, held, target, limit))
+		granted.amount = granted.amount.Plus(p.raise(demand.Tenant, granted, target, limit))
 	}
-	if !has.Fits(held.amount) {
-		held.raisedBy = place
+	if !has.Fits(granted.amount) {
+		granted.raisedBy = place
 	}
-	given := wire.TenantGrant{Tenant: demand.Tenant, Granted: CapacityOf(held.amount), Target: CapacityOf(target),
-		IsWhole: isKnown && p.isWhole(demand.Tenant, asker, limit), IsSettled: isKnown && p.isSettled(demand.Tenant, limit)}
-	if held.amount == before && held.raisedBy == wasRaisedBy && has.Fits(held.amount) {
+	given := wire.TenantGrant{Tenant: demand.Tenant, Granted: CapacityOf(granted.amount), Target: CapacityOf(target),
+		HasWholeLimit: isKnown && p.hasWholeLimit(demand.Tenant, asker, limit), IsSettled: isKnown && p.isSettled(demand.Tenant, limit)}
+	if granted.amount == before && granted.raisedBy == wasRaisedBy && has.Fits(granted.amount) {
 		return given, nil
 	}
-	return given, p.recordOf(demand.Tenant, asker, held)
+	return given, p.recordOf(demand.Tenant, asker, granted)
 }
 
 // raise is by how much a grant may grow: up to its target, if the asker wants more than it holds, and never by more than is free.
-func (p *Part) raise(tenant string, held *grant, target, limit placement.Resources) placement.Resources {
+func (p *Part) raise(tenant string, granted *grant, target, limit placement.Resources) placement.Resources {
 	free := limit
 	for _, other := range p.tenants[tenant] {
 		free = free.Minus(other.amount)
 	}
-	return target.Minus(held.amount).Min(free).Max(placement.Resources{})
+	return target.Minus(granted.amount).Min(free).Max(placement.Resources{})
 }
 
-// isWhole tells whether one asker holds all of a limit, and the others nothing.
-func (p *Part) isWhole(tenant, asker string, limit placement.Resources) bool {
+// hasWholeLimit tells whether one asker holds all of a limit, and the others nothing.
+func (p *Part) hasWholeLimit(tenant, asker string, limit placement.Resources) bool {
 	for name, other := range p.tenants[tenant] {
 		if name != asker && other.amount != (placement.Resources{}) {
 			return false
@@ -203,24 +203,24 @@
 
 // isSettled tells whether all askers together hold no more than a limit. After it was lowered they may hold more for a while.
 func (p *Part) isSettled(tenant string, limit placement.Resources) bool {
-	var held placement.Resources
+	var granted placement.Resources
 	for _, other := range p.tenants[tenant] {
-		held = held.Plus(bounded(other.amount, limit))
+		granted = granted.Plus(bounded(other.amount, limit))
 	}
-	return limit.Fits(held)
+	return limit.Fits(granted)
 }
 
 // recalls lists the tenants of which an asker holds more than it should keep.
 func (p *Part) recalls(asker string, limits Limits, now time.Duration) []wire.TenantGrant {
 	var recalled []wire.TenantGrant
 	for _, tenant := range slices.Sorted(maps.Keys(p.tenants)) {
-		held := p.tenants[tenant][asker]
+		granted := p.tenants[tenant][asker]
 		limit, isKnown := limits(tenant)
-		if held == nil || !isKnown {
+		if granted == nil || !isKnown {
 			continue
 		}
-		if target := p.target(tenant, asker, limit, now); !target.Fits(held.amount) {
-			recalled = append(recalled, wire.TenantGrant{Tenant: tenant, Granted: CapacityOf(held.amount), Target: CapacityOf(target),
+		if target := p.target(tenant, asker, limit, now); !target.Fits(granted.amount) {
+			recalled = append(recalled, wire.TenantGrant{Tenant: tenant, Granted: CapacityOf(granted.amount), Target: CapacityOf(target),
 				IsSettled: p.isSettled(tenant, limit)})
 		}
 	}
@@ -228,12 +228,12 @@
 }
 
 // recordOf is the record of a grant; a grant of nothing has none.
-func (p *Part) recordOf(tenant, asker string, held *grant) *wire.Op {
+func (p *Part) recordOf(tenant, asker string, granted *grant) *wire.Op {
 	op := &wire.Op{Name: grantPrefix + tenant + "/" + asker}
-	if held.amount == (placement.Resources{}) {
+	if granted.amount == (placement.Resources{}) {
 		return op
 	}
-	op.Value = encode(grantRecord{Tenant: tenant, Asker: asker, Amount: amountOf(held.amount), Epoch: held.raisedBy.epoch, Number: held.raisedBy.number})
+	op.Value = encode(grantRecord{Tenant: tenant, Asker: asker, Amount: amountOf(granted.amount), Epoch: granted.raisedBy.epoch, Number: granted.raisedBy.number})
 	return op
 }
 
@@ -247,8 +247,8 @@
 			row.Limit = &shown
 		}
 		for _, asker := range slices.Sorted(maps.Keys(p.tenants[tenant])) {
-			held := p.tenants[tenant][asker]
-			row.Grants = append(row.Grants, wire.TenantShare{Asker: asker, Granted: CapacityOf(held.amount), Wants: CapacityOf(held.wants)})
+			granted := p.tenants[tenant][asker]
+			row.Grants = append(row.Grants, wire.TenantShare{Asker: asker, Granted: CapacityOf(granted.amount), Wants: CapacityOf(granted.wants)})
 		}
 		rows = append(rows, row)
 	}
--- a/internal/scheduling/tenantcount/records.go
+++ b/internal/scheduling/tenantcount/records.go
@@ -26,8 +26,8 @@
 
 // accountRecord is what a pool keeps of its allowance.
 type accountRecord struct {
-	Amount  amountRecord `json:"amount"`
-	IsWhole bool         `json:"whole,omitempty"`
+	Amount        amountRecord `json:"amount"`
+	HasWholeLimit bool         `json:"whole,omitempty"`
 }
 
 // encode is the text of a record, which holds nothing that could fail to be written: numbers, texts and truth values.
--- a/internal/scheduling/tenantcount/records_easyjson.go
+++ b/internal/scheduling/tenantcount/records_easyjson.go
@@ -248,7 +248,7 @@
 			if in.IsNull() {
 				in.Skip()
 			} else {
-				out.IsWhole = bool(in.Bool())
+				out.HasWholeLimit = bool(in.Bool())
 			}
 		default:
 			in.SkipRecursive()
@@ -269,10 +269,10 @@
 		out.RawString(prefix[1:])
 		(in.Amount).MarshalEasyJSON(out)
 	}
-	if in.IsWhole {
+	if in.HasWholeLimit {
 		const prefix string = ",\"whole\":"
 		out.RawString(prefix)
-		out.Bool(bool(in.IsWhole))
+		out.Bool(bool(in.HasWholeLimit))
 	}
 	out.RawByte('}')
 }
--- a/internal/scheduling/tenantcount/tenantcount_test.go
+++ b/internal/scheduling/tenantcount/tenantcount_test.go
@@ -22,20 +22,20 @@
 // cpu is an amount of one resource; the others have no limit in these tests.
 func cpu(units int64) placement.Resources { return placement.Resources{CPU: units} }
 
-// escrow is a part and the ledgers of pools, whose commits succeed when the test says so.
+// escrow is a part and the accounts of pools, whose commits succeed when the test says so.
 type escrow struct {
-	part    *Part
-	records map[string][]byte
-	limit   int64
-	version int64
-	now     time.Duration
-	ledgers map[string]*Ledger
-	kept    map[string]map[string][]byte
-	epoch   uint64
+	part     *Part
+	records  map[string][]byte
+	limit    int64
+	version  int64
+	now      time.Duration
+	accounts map[string]*Accounts
+	kept     map[string]map[string][]byte
+	epoch    uint64
 }
 
 func newEscrow(limit int64, pools ...string) *escrow {
-	e := &escrow{records: map[string][]byte{}, limit: limit, version: 1, now: time.Second, ledgers: map[string]*Ledger{}, kept: map[string]map[string][]byte{}}
+	e := &escrow{records: map[string][]byte{}, limit: limit, version: 1, now: time.Second, accounts: map[string]*Accounts{}, kept: map[string]map[string][]byte{}}
 	for _, pool := range pools {
 		e.kept[pool] = map[string][]byte{}
 		e.takeOverPool(pool)
@@ -69,9 +69,9 @@
 
 func (e *escrow) takeOverPool(pool string) {
 	e.epoch++
-	ledger, err := NewLedger(pool, e.epoch, pairsOf(e.kept[pool]))
+	accounts, err := NewAccounts(pool, e.epoch, pairsOf(e.kept[pool]))
 	Expect(err).NotTo(HaveOccurred())
-	e.ledgers[pool] = ledger
+	e.accounts[pool] = accounts
 }
 
 func (e *escrow) limits(string) (placement.Resources, bool) {
@@ -80,7 +80,7 @@
 	return limit, true
 }
 
-func (e *escrow) policy() Policy { return Policy{Version: e.version, IsShared: len(e.ledgers) > 1} }
+func (e *escrow) policy() Policy { return Policy{Version: e.version, IsShared: len(e.accounts) > 1} }
 
 func (e *escrow) demand(used, wants int64) map[string]Demand {
 	limit, _ := e.limits("t")
@@ -90,7 +90,7 @@
 // call gives the call that a pool makes now, nil if none is due.
 func (e *escrow) call(pool string, used, wants int64) *wire.GrantCall {
 	e.now += raiseInterval
-	return e.ledgers[pool].Next(PartOf("t"), e.demand(used, wants), e.policy(), e.now)
+	return e.accounts[pool].Next(PartOf("t"), e.demand(used, wants), e.policy(), e.now)
 }
 
 // answer has the part decide, and commits that.
@@ -104,17 +104,17 @@
 
 // take gives a pool an answer, and commits what follows.
 func (e *escrow) take(pool string, call *wire.GrantCall, answer *wire.GrantAnswer) {
-	for _, change := range e.ledgers[pool].Answered(PartOf("t"), call.Number, answer, e.now) {
+	for _, change := range e.accounts[pool].Answered(PartOf("t"), call.Number, answer, e.now) {
 		keep(e.kept[pool], change.Op)
-		e.ledgers[pool].Committed(change.Tenant)
+		e.accounts[pool].Committed(change.Tenant)
 	}
 }
 
 // round lets a pool give back, ask and get its answer; it gives what it may use then.
 func (e *escrow) round(pool string, used, wants int64) int64 {
-	if lowered := e.ledgers[pool].Lower("t", e.demand(used, wants)["t"]); lowered != nil {
+	if lowered := e.accounts[pool].Lower("t", e.demand(used, wants)["t"]); lowered != nil {
 		keep(e.kept[pool], lowered.Op)
-		e.ledgers[pool].Committed("t")
+		e.accounts[pool].Committed("t")
 	}
 	if call := e.call(pool, used, wants); call != nil {
 		e.take(pool, call, e.answer(call))
@@ -123,16 +123,16 @@
 }
 
 func (e *escrow) allowance(pool string) int64 {
-	allowance, _ := e.ledgers[pool].Allowance("t", e.policy())
+	allowance, _ := e.accounts[pool].Allowance("t", e.policy())
 	return allowance.CPU
 }
 
 // held is what all pools' committed accounts hold together.
 func (e *escrow) held() (sum int64) {
 	for pool, records := range e.kept {
-		ledger, err := NewLedger(pool, 0, pairsOf(records))
+		accounts, err := NewAccounts(pool, 0, pairsOf(records))
 		Expect(err).NotTo(HaveOccurred())
-		sum += ledger.Held("t").CPU
+		sum += accounts.Balance("t").CPU
 	}
 	return sum
 }
@@ -142,8 +142,8 @@
 		e := newEscrow(100, "x")
 		Expect(e.allowance("x")).To(BeZero())
 		Expect(e.round("x", 0, 0)).To(Equal(int64(100)))
-		_, isWhole := e.ledgers["x"].Allowance("t", e.policy())
-		Expect(isWhole).To(BeTrue())
+		_, hasWholeLimit := e.accounts["x"].Allowance("t", e.policy())
+		Expect(hasWholeLimit).To(BeTrue())
 		e.now += time.Hour
 		Expect(e.call("x", 100, 500)).To(BeNil())
 		e.limit, e.version = 150, 2
@@ -184,7 +184,7 @@
 		first := e.call("x", 0, 40)
 		answer := e.answer(first)
 		Expect(e.answer(first).Tenants).To(Equal(answer.Tenants))
-		Expect(e.ledgers["x"].Answered(PartOf("t"), first.Number, nil, e.now)).To(BeEmpty())
+		Expect(e.accounts["x"].Answered(PartOf("t"), first.Number, nil, e.now)).To(BeEmpty())
 		e.now += unansweredInterval
 		second := e.call("x", 0, 40)
 		e.take("x", second, e.answer(second))
@@ -212,15 +212,15 @@
 		e := newEscrow(100, "x", "y")
 		e.round("x", 0, 0)
 		e.now += time.Hour
-		poll := e.ledgers["x"].Next(PartOf("t"), nil, e.policy(), e.now)
+		poll := e.accounts["x"].Next(PartOf("t"), nil, e.policy(), e.now)
 		Expect(poll.Tenants).To(BeEmpty())
-		changes := e.ledgers["x"].Answered(PartOf("t"), poll.Number, &wire.GrantAnswer{Number: poll.Number, Version: 1, Tenants: []wire.TenantGrant{
+		changes := e.accounts["x"].Answered(PartOf("t"), poll.Number, &wire.GrantAnswer{Number: poll.Number, Version: 1, Tenants: []wire.TenantGrant{
 			{Tenant: "t", Granted: wire.Capacity{CPU: 900}, Target: wire.Capacity{CPU: 50}, IsSettled: true}}}, e.now)
 		for _, change := range changes {
 			keep(e.kept["x"], change.Op)
-			e.ledgers["x"].Committed(change.Tenant)
+			e.accounts["x"].Committed(change.Tenant)
 		}
-		Expect(e.ledgers["x"].Held("t").CPU).To(BeNumerically("<=", 100))
+		Expect(e.accounts["x"].Balance("t").CPU).To(BeNumerically("<=", 100))
 		Expect(e.allowance("x")).To(BeNumerically("<=", 50))
 	})
 
@@ -228,10 +228,10 @@
 		e := newEscrow(100, "x", "y")
 		first := e.call("x", 0, 40)
 		late := e.answer(first)
-		e.ledgers["x"].Answered(PartOf("t"), first.Number, nil, e.now)
+		e.accounts["x"].Answered(PartOf("t"), first.Number, nil, e.now)
 		e.now += unansweredInterval
 		second := e.call("x", 0, 40)
-		Expect(e.ledgers["x"].Answered(PartOf("t"), first.Number, late, e.now)).To(BeEmpty())
+		Expect(e.accounts["x"].Answered(PartOf("t"), first.Number, late, e.now)).To(BeEmpty())
 		Expect(second.Number).To(BeNumerically(">", first.Number))
 		Expect(e.allowance("x")).To(BeZero())
 	})
@@ -242,7 +242,7 @@
 		e.takeOverPart()
 		Expect(e.round("y", 0, 500)).To(BeZero())
 		e.takeOverPool("x")
-		Expect(e.ledgers["x"].Held("t")).To(Equal(cpu(100)))
+		Expect(e.accounts["x"].Balance("t")).To(Equal(cpu(100)))
 		Expect(e.allowance("x")).To(BeZero(), "until the part has answered under this leader's configuration")
 		for range 12 {
 			e.round("x", 0, 500)
@@ -281,17 +281,17 @@
 	It("uses a raised account only after the commit, and a lowered one less before it", func() {
 		e := newEscrow(100, "x")
 		call := e.call("x", 0, 50)
-		ledger := e.ledgers["x"]
-		changes := ledger.Answered(PartOf("t"), call.Number, e.answer(call), e.now)
+		accounts := e.accounts["x"]
+		changes := accounts.Answered(PartOf("t"), call.Number, e.answer(call), e.now)
 		Expect(changes).To(HaveLen(1))
 		Expect(e.allowance("x")).To(BeZero())
 		Expect(e.call("x", 0, 50)).To(BeNil(), "what it says might be undone")
-		ledger.Committed("t")
+		accounts.Committed("t")
 		Expect(e.allowance("x")).To(Equal(int64(100)))
 		e.limit, e.version = 30, 2
-		Expect(ledger.Lower("t", e.demand(0, 0)["t"])).NotTo(BeNil())
+		Expect(accounts.Lower("t", e.demand(0, 0)["t"])).NotTo(BeNil())
 		Expect(e.allowance("x")).To(Equal(int64(30)))
-		Expect(ledger.Lower("t", e.demand(0, 0)["t"])).To(BeNil(), "one change at a time")
+		Expect(accounts.Lower("t", e.demand(0, 0)["t"])).To(BeNil(), "one change at a time")
 	})
 
 	It("counts what runs of a pool that holds less, as after a limit has appeared", func() {
@@ -310,10 +310,10 @@
 	It("reads what it can, and names what it can't", func() {
 		_, err := NewPart([]wire.Op{{Name: "g/t/x", Value: []byte("{")}}, 0)
 		Expect(err).To(MatchError(ContainSubstring("g/t/x")))
-		ledger, err := NewLedger("x", 1, []wire.Op{{Name: "a/t", Value: []byte("{")}, {Name: "a/u", Value: []byte(`{"amount":{"c":5}}`)}})
+		accounts, err := NewAccounts("x", 1, []wire.Op{{Name: "a/t", Value: []byte("{")}, {Name: "a/u", Value: []byte(`{"amount":{"c":5}}`)}})
 		Expect(err).To(MatchError(ContainSubstring("a/t")))
-		Expect(ledger.Held("u")).To(Equal(cpu(5)))
-		Expect(ledger.Tenants()).To(Equal([]string{"u"}))
+		Expect(accounts.Balance("u")).To(Equal(cpu(5)))
+		Expect(accounts.Tenants()).To(Equal([]string{"u"}))
 	})
 
 	DescribeTable("is divided by max-min fairness", func(limit, own int64, others []int64, part int64) {
@@ -339,7 +339,7 @@
 			e.round("y", 0, 0)
 			e.round("x", 0, 500)
 		}
-		e.ledgers["y"].Lower("t", Demand{})
+		e.accounts["y"].Lower("t", Demand{})
 		Expect(e.allowance("x")).To(BeNumerically(">", 0))
 	})
 })
--- a/internal/simulation/modelcheck/countmodel/model.go
+++ b/internal/simulation/modelcheck/countmodel/model.go
@@ -1,4 +1,4 @@
-// Package countmodel runs the real halves of the tenants' count, tenantcount.Part and tenantcount.Ledger, against each other on a fake
+// Package countmodel runs the real halves of the tenants' count, tenantcount.Part and tenantcount.Accounts, against each other on a fake
 // clock and a simulated network, under schedules of faults: leaders that are killed with commits under way, calls and answers that are
 // lost, doubled or late, pools that are cut off, limits that are lowered and raised, and demand that moves from pool to pool.
 package countmodel
--- a/internal/simulation/modelcheck/countmodel/oracles.go
+++ b/internal/simulation/modelcheck/countmodel/oracles.go
@@ -7,15 +7,15 @@
 // checkAccounts is the oracle of the escrow's inequalities, asked again and again: what a pool may use is no more than its committed
 // account, and that no more than what its part has committed as granted.
 func (c *simCluster) checkAccounts(pool *modelPool) {
-	committed, err := tenantcount.NewLedger(pool.name(), pool.key.Epoch, pool.key.Pairs(tenantcount.AccountPrefix))
+	committed, err := tenantcount.NewAccounts(pool.name(), pool.key.Epoch, pool.key.Pairs(tenantcount.AccountPrefix))
 	if err != nil {
 		c.violate("RECORD", "%v", err)
 		return
 	}
 	for _, tenant := range tenants {
-		account := committed.Held(tenant).CPU
-		if pool.ledger != nil && pool.ledger.Held(tenant).CPU > account {
-			c.violate("ACCOUNT", "pool %d uses %d of tenant %s, and %d is committed", pool.number, pool.ledger.Held(tenant).CPU, tenant, account)
+		account := committed.Balance(tenant).CPU
+		if pool.accounts != nil && pool.accounts.Balance(tenant).CPU > account {
+			c.violate("ACCOUNT", "pool %d uses %d of tenant %s, and %d is committed", pool.number, pool.accounts.Balance(tenant).CPU, tenant, account)
 		}
 		if granted := c.parts[tenantcount.PartOf(tenant)].granted(tenant, pool.name()); account > granted {
 			c.violate("GRANT", "pool %d holds %d of tenant %s, and its part has committed %d", pool.number, account, tenant, granted)
@@ -60,8 +60,8 @@
 	for _, tenant := range tenants {
 		var held int64
 		for _, pool := range c.pools {
-			held += pool.ledger.Held(tenant).CPU
-			if pool.ledger.Held(tenant).CPU == 0 && c.versions[len(c.versions)-1].limits[tenant] >= len(c.pools) {
+			held += pool.accounts.Balance(tenant).CPU
+			if pool.accounts.Balance(tenant).CPU == 0 && c.versions[len(c.versions)-1].limits[tenant] >= len(c.pools) {
 				c.violate("STARVED", "pool %d has nothing of tenant %s long after the last fault", pool.number, tenant)
 			}
 		}
--- a/internal/simulation/modelcheck/countmodel/pool.go
+++ b/internal/simulation/modelcheck/countmodel/pool.go
@@ -23,11 +23,11 @@
 	version int
 	// demand is how many tasks of each tenant it wants to run at once.
 	demand map[string]int
-	// ledger is nil while nobody leads; used counts the leader's runs, the ones that are being committed too.
-	ledger  *tenantcount.Ledger
-	used    map[string]int
-	nextRun int
-	ticks   int
+	// accounts is nil while nobody leads; used counts the leader's runs, the ones that are being committed too.
+	accounts *tenantcount.Accounts
+	used     map[string]int
+	nextRun  int
+	ticks    int
 	// executing are the runs at executors, which outlive leaders; running names them.
 	executing map[string]int
 	running   map[string]bool
@@ -39,12 +39,12 @@
 
 // open makes a leader from what is committed. Runs whose order never left start now.
 func (p *modelPool) open() {
-	ledger, err := tenantcount.NewLedger(p.name(), p.key.Epoch, p.key.Pairs(tenantcount.AccountPrefix))
+	accounts, err := tenantcount.NewAccounts(p.name(), p.key.Epoch, p.key.Pairs(tenantcount.AccountPrefix))
 	if err != nil {
 		p.cluster.violate("RECORD", "%v", err)
 		return
 	}
-	p.ledger, p.used = ledger, map[string]int{}
+	p.accounts, p.used = accounts, map[string]int{}
 	for _, pair := range p.key.Pairs(runPrefix) {
 		tenant := pair.Name[len(runPrefix) : len(runPrefix)+1]
 		p.used[tenant]++
@@ -58,16 +58,16 @@
 
 // kill ends the leadership; another leader follows after a while.
 func (p *modelPool) kill() {
-	if p.ledger == nil {
+	if p.accounts == nil {
 		return
 	}
-	p.ledger = nil
+	p.accounts = nil
 	p.key.EndEpoch()
 	p.cluster.queue.After(p.cluster.between(100, 1500), p.open)
 }
 
 func (p *modelPool) tickForEver() {
-	if p.ledger != nil {
+	if p.accounts != nil {
 		p.tick()
 	}
 	if p.ticks++; p.ticks%ticksPerCheck == 0 {
@@ -85,12 +85,12 @@
 	demands := map[string]tenantcount.Demand{}
 	for _, tenant := range tenants {
 		demands[tenant] = tenantcount.Demand{Used: tasks(p.used[tenant]), Wants: tasks(max(p.used[tenant], p.demand[tenant])), Limit: p.cluster.limitOf(p.version, tenant)}
-		if lowered := p.ledger.Lower(tenant, demands[tenant]); lowered != nil {
+		if lowered := p.accounts.Lower(tenant, demands[tenant]); lowered != nil {
 			p.commitAccounts(*lowered)
 		}
 	}
 	for part := range partCount {
-		if call := p.ledger.Next(part, demands, p.policy(), p.cluster.queue.Now()); call != nil {
+		if call := p.accounts.Next(part, demands, p.policy(), p.cluster.queue.Now()); call != nil {
 			p.ask(part, call)
 		}
 	}
@@ -101,11 +101,11 @@
 
 // ask sends a call; without an answer it is given up after a second, as in the real pool.
 func (p *modelPool) ask(part int, call *wire.GrantCall) {
-	ledger, cluster := p.ledger, p.cluster
+	accounts, cluster := p.accounts, p.cluster
 	cluster.coverage["call"]++
 	take := func(answer *wire.GrantAnswer) {
-		if p.ledger == ledger {
-			p.commitAccounts(ledger.Answered(part, call.Number, answer, cluster.queue.Now())...)
+		if p.accounts == accounts {
+			p.commitAccounts(accounts.Answered(part, call.Number, answer, cluster.queue.Now())...)
 		}
 	}
 	cluster.send(p.number, part, func() {
@@ -117,10 +117,10 @@
 }
 
 func (p *modelPool) deliver(part int, call *wire.GrantCall, answer wire.GrantAnswer, take func(*wire.GrantAnswer)) {
-	if p.cluster.fault == faultLateAnswer && p.ledger != nil {
+	if p.cluster.fault == faultLateAnswer && p.accounts != nil {
 		// The answer counts for whatever call is under way.
 		for number := call.Number; number < call.Number+20; number++ {
-			p.commitAccounts(p.ledger.Answered(part, number, &answer, p.cluster.queue.Now())...)
+			p.commitAccounts(p.accounts.Answered(part, number, &answer, p.cluster.queue.Now())...)
 		}
 		return
 	}
@@ -129,16 +129,16 @@
 
 func (p *modelPool) commitAccounts(changes ...tenantcount.Change) {
 	for _, change := range changes {
-		ledger := p.ledger
+		accounts := p.accounts
 		if p.cluster.fault == faultRaiseBeforeCommit {
-			ledger.Committed(change.Tenant)
+			accounts.Committed(change.Tenant)
 		}
 		if p.cluster.fault == faultLowerNotCommitted && isLower(p.key.Records[change.Op.Name], change.Op.Value) {
-			ledger.Committed(change.Tenant)
+			accounts.Committed(change.Tenant)
 			continue
 		}
 		p.key.Propose([]wire.Op{change.Op}, func(error) {
-			ledger.Committed(change.Tenant)
+			accounts.Committed(change.Tenant)
 			p.cluster.checkAccounts(p)
 		})
 	}
@@ -164,7 +164,7 @@
 	if p.cluster.fault == faultStartUnsettled {
 		policy = tenantcount.Policy{}
 	}
-	allowance, _ := p.ledger.Allowance(tenant, policy)
+	allowance, _ := p.accounts.Allowance(tenant, policy)
 	limit := p.cluster.limitOf(p.version, tenant)
 	limit.CPU = min(limit.CPU, allowance.CPU)
 	// All tasks fit the limits, so that no run may reach beyond one here.
@@ -177,9 +177,9 @@
 	p.nextRun++
 	name := fmt.Sprintf("%s%s/%d", runPrefix, tenant, p.nextRun)
 	p.used[tenant]++
-	ledger := p.ledger
+	accounts := p.accounts
 	p.key.Propose([]wire.Op{{Name: name, Value: []byte{1}}}, func(error) {
-		if p.ledger == ledger {
+		if p.accounts == accounts {
 			p.launch(name, tenant)
 		}
 	})
@@ -205,7 +205,7 @@
 	if p.key.Records[name] == nil {
 		return
 	}
-	if p.ledger == nil {
+	if p.accounts == nil {
 		p.cluster.queue.After(tickInterval, func() { p.reportEnd(name, tenant) })
 		return
 	}
--- a/internal/simulation/modelcheck/countmodel/weigh_test.go
+++ b/internal/simulation/modelcheck/countmodel/weigh_test.go
@@ -121,7 +121,7 @@
 	return result
 }
 
-// playEscrow plays the real parts and ledgers on the same demand; a part's leader is lost at the same moment.
+// playEscrow plays the real parts and accounts on the same demand; a part's leader is lost at the same moment.
 func playEscrow(pools int) weighed {
 	schedule := modelcheck.Schedule{Model: modelName, Seed: 19, Losses: 1, Nodes: pools}
 	for shift := time.Duration(0); shift < weighFor; shift += weighShift {
