--- a/internal/simulation/soak/injectedfaults.go
+++ b/internal/simulation/soak/injectedfaults.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"net/http"
 	"slices"
 	"time"
 
@@ -27,10 +28,17 @@
 	InjectCoordination  InjectedFault = "coordination"
 	InjectRollout       InjectedFault = "rollout"
 	InjectGrowth        InjectedFault = "growth"
+	InjectEvacuation    InjectedFault = "evacuation"
+	InjectQuota         InjectedFault = "quota"
+	InjectKey           InjectedFault = "key"
+	InjectStream        InjectedFault = "stream"
+	InjectLot           InjectedFault = "lot"
+	InjectServed        InjectedFault = "served"
 )
 
 // AllInjectedFaults are all that can be injected.
-var AllInjectedFaults = []InjectedFault{InjectLost, InjectTwice, InjectWrong, InjectShown, InjectCut, InjectCancelled, InjectFence, InjectConfiguration, InjectExit, InjectCoordination, InjectRollout, InjectGrowth}
+var AllInjectedFaults = []InjectedFault{InjectLost, InjectTwice, InjectWrong, InjectShown, InjectCut, InjectCancelled, InjectFence, InjectConfiguration, InjectExit, InjectCoordination, InjectRollout, InjectGrowth,
+	InjectEvacuation, InjectQuota, InjectKey, InjectStream, InjectLot, InjectServed}
 
 func (p InjectedFault) isKnown() bool {
 	return p == InjectNothing || slices.Contains(AllInjectedFaults, p)
@@ -91,6 +99,8 @@
 		h.Exits = append(h.Exits, Exit{Process: "planted", At: last(), Code: 2})
 	case InjectCoordination:
 		h.Applications.Numbers = append(h.Applications.Numbers, h.Applications.Numbers[0])
+	case InjectEvacuation, InjectQuota, InjectKey, InjectStream, InjectLot, InjectServed:
+		p.disturbMix(h)
 	case InjectGrowth:
 		for at := range 2 * minSamples {
 			h.Samples = append(h.Samples, Sample{Process: "planted", At: warmUp + time.Duration(at)*sampleEvery, Memory: float64((20 + 4*at) << 20)})
@@ -98,6 +108,39 @@
 	}
 }
 
+// disturbMix puts a fault into what only mixes have.
+func (p InjectedFault) disturbMix(h *History) {
+	switch p {
+	case InjectEvacuation:
+		run := h.Runs[0]
+		from := h.sinceStart(run.StartMs) - h.mix().evacuationInForce() - time.Second
+		h.Zones = map[string]string{run.Node: "planted"}
+		h.Evacuations = append(h.Evacuations, Evacuation{Zone: "planted", AcknowledgedAt: from, TerminateSentAt: from + time.Hour})
+	case InjectQuota:
+		h.injectQuota()
+	case InjectKey:
+		h.KeyProbes = append(h.KeyProbes, KeyProbe{Gate: "planted", Status: http.StatusOK})
+	case InjectStream:
+		h.Streams = append(h.Streams, StreamCall{Gate: "planted", ID: "s", Status: http.StatusOK, Body: "id: 1\ndata: of another\n\n"})
+	case InjectLot:
+		h.Lots = append(h.Lots, Lot{ID: "0000000000000001", Items: 1})
+	case InjectServed:
+		h.Mix = &Mix{Features: []Feature{FeatureTier}, Zones: 1}
+	}
+}
+
+// injectQuota has the tenant with a limit run more tasks at once than it may.
+func (h *History) injectQuota() {
+	const id = "0000000000000991"
+	h.Mix = &Mix{Features: []Feature{FeatureTenants}, Zones: 1}
+	h.KeyProbes = append(h.KeyProbes, KeyProbe{Gate: "planted", Status: http.StatusUnauthorized})
+	h.Calls = append(h.Calls, Call{Verb: verbSubmit, Job: id, Outcome: closed})
+	for number := range 2 * tenantLimitTasks {
+		h.Runs = append(h.Runs, hollow.RunRecord{Task: jobs.TaskName(id, 0, number, 2*tenantLimitTasks), Run: 1, Node: "planted", StartMs: h.StartMs + 1,
+			EndMs: h.StartMs + 1000, Outcome: "stopped"})
+	}
+}
+
 // injectCancelled cancels a job long before one of its tasks starts.
 func (h *History) injectCancelled(id string) {
 	h.Calls = append(h.Calls, Call{Verb: verbCancel, Job: id, Outcome: answered, Status: 200})
--- a/internal/simulation/soak/lots.go
+++ b/internal/simulation/soak/lots.go
@@ -77,13 +77,21 @@
 	limited, release := context.WithTimeout(context.WithoutCancel(ctx), settleLimit)
 	defer release()
 	for _, lot := range c.open {
-		for len(lot.Last) < lot.Items && c.read(limited, lot, 0) {
-		}
+		c.readWhole(limited, lot)
 		settled := *lot
 		c.recorder.write(func(h *History) { h.Lots = append(h.Lots, settled) })
 	}
 }
 
+// readWhole reads a lot from its start until it has all results, or ctx is done.
+func (c *lotClient) readWhole(ctx context.Context, lot *Lot) {
+	for len(lot.Last) < lot.Items {
+		if !c.read(ctx, lot, 0) {
+			return
+		}
+	}
+}
+
 func (c *lotClient) anyGate() Node { return c.layout.Gates[c.draw.IntN(len(c.layout.Gates))] }
 
 // submit hands a lot in, again at another gate after each answer but a clear refusal.
--- a/internal/simulation/soak/oracles_test.go
+++ b/internal/simulation/soak/oracles_test.go
@@ -61,7 +61,10 @@
 	}, Entry("a lost job", InjectLost), Entry("a task run twice", InjectTwice), Entry("a job shown as completed too early", InjectShown),
 		Entry("a start after a cancel", InjectCancelled), Entry("a refused fence that is used on", InjectFence),
 		Entry("an older configuration", InjectConfiguration), Entry("an end that nobody asked for", InjectExit), Entry("memory that grows", InjectGrowth),
-		Entry("a number given twice", InjectCoordination))
+		Entry("a number given twice", InjectCoordination), Entry("a start in an evacuated zone", InjectEvacuation),
+		Entry("more running than a tenant may have", InjectQuota), Entry("a key that nobody has", InjectKey),
+		Entry("the stream of another request", InjectStream), Entry("a lot without its results", InjectLot),
+		Entry("a feature of which nothing is served", InjectServed))
 
 	DescribeTable("find one thing each", func(oracle Oracle, change func(*History)) {
 		h := sound()
