--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -68,7 +68,8 @@
 			&cli.StringFlag{Name: "program", Usage: "the gannetline `PROGRAM`; beside this one if left out"},
 			&cli.IntFlag{Name: "log-level", Usage: "0 shows progress, 1 each fault as well"},
 		},
-		Action: play,
+		Commands: []*cli.Command{pairsCommand()},
+		Action:   play,
 		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
 			return cli.Exit(err.Error(), exitUsage)
 		},
--- a/internal/simulation/soak/application.go
+++ b/internal/simulation/soak/application.go
@@ -70,7 +70,7 @@
 
 // run makes one call after the other.
 func (a *application) run(ctx context.Context) {
-	for pause(ctx, time.Duration(a.draw.ExpFloat64()*float64(meanCallPause))) {
+	for pause(ctx, time.Duration(a.draw.ExpFloat64()*float64(meanCallPause)/a.options.pace())) {
 		cell := groupName(a.draw.IntN(groupCount)) + strconv.Itoa(a.draw.IntN(cellCount))
 		switch luck := a.draw.IntN(100); {
 		case luck < 40:
--- a/internal/simulation/soak/client.go
+++ b/internal/simulation/soak/client.go
@@ -45,19 +45,23 @@
 func (s *soak) startClients(ctx context.Context) *sync.WaitGroup {
 	running := &sync.WaitGroup{}
 	for gateNumber, gate := range s.layout.Gates {
-		for place := range clientsPerGate {
+		for place := range s.options.jobClients() {
 			number := gateNumber*clientsPerGate + place
 			c := &client{soak: s, number: number, gate: gate, address: s.layout.relayAddress(gateNumber),
 				draw: rand.New(rand.NewPCG(s.options.Seed, uint64(clientStream+number)))}
 			running.Go(func() { c.run(ctx, place == idleClient) })
 		}
 	}
-	if s.layout.Mix.Has(FeatureLocks) {
+	if s.layout.Mix.Has(FeatureLocks) && s.options.isBusy(PartLocks) {
 		s.startApplications(ctx, running)
 	}
-	s.startTierClients(ctx, running.Go)
-	running.Go(func() { newOperator(s).run(ctx) })
-	if s.layout.Mix.Has(FeatureEvacuations) {
+	if s.options.isBusy(PartTier) {
+		s.startTierClients(ctx, running.Go)
+	}
+	if s.options.isBusy(PartConfigurations) {
+		running.Go(func() { newOperator(s).run(ctx) })
+	}
+	if s.layout.Mix.Has(FeatureEvacuations) && s.options.isBusy(PartEvacuations) {
 		running.Go(func() { newOperator(s).evacuate(ctx) })
 	}
 	running.Go(func() { s.sample(ctx) })
@@ -119,7 +123,7 @@
 	if isIdle {
 		mean = meanIdlePause
 	}
-	return pause(ctx, time.Duration(c.draw.ExpFloat64()*float64(mean)))
+	return pause(ctx, time.Duration(c.draw.ExpFloat64()*float64(mean)/c.options.pace()))
 }
 
 func (c *client) anyJob() string { return c.jobs[c.draw.IntN(len(c.jobs))] }
--- a/internal/simulation/soak/history.go
+++ b/internal/simulation/soak/history.go
@@ -147,6 +147,8 @@
 	Streams     []StreamCall
 	Lots        []Lot
 	LotRefusals []Violation
+	// Loads is what processes used a second while the clients went on.
+	Loads []ProcessLoad
 	// RefusedConnections are those that relays could not connect with their gate.
 	RefusedConnections []RefusedConnection
 }
--- a/internal/simulation/soak/layout.go
+++ b/internal/simulation/soak/layout.go
@@ -74,6 +74,8 @@
 	// Storages are there only where the mix has a tier; they come on top of the processes that are asked for.
 	Storages []Node
 	Mix      *Mix
+	// LeavesOutTenants has configurations name no tenants, though the contracts allow it.
+	LeavesOutTenants bool
 	// HasVersions divides the local proxies between the versions of a service.
 	HasVersions bool
 }
--- /dev/null
+++ b/internal/simulation/soak/load.go
@@ -0,0 +1,84 @@
+package soak
+
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"gannetline/internal/platform/metrics"
+)
+
+// counters are what a process has used since its start.
+type counters struct {
+	incarnation int
+	at          time.Duration
+	cpuSeconds  float64
+	// sentBytes are those of calls to peers and of datagrams.
+	sentBytes float64
+	commits   float64
+}
+
+// ProcessLoad is what a process uses a second, over a time in which it did not restart. Commits are transactions of its disk, each with
+// its syncs.
+type ProcessLoad struct {
+	Process   string  `json:"process"`
+	Role      Role    `json:"role"`
+	Cores     float64 `json:"cores"`
+	SentBytes float64 `json:"sent-bytes"`
+	Commits   float64 `json:"commits"`
+}
+
+// readCounters asks all running processes; those that don't answer are left out.
+func (s *soak) readCounters() map[runningProcess]counters {
+	client := &http.Client{Timeout: sampleLimit, Transport: &http.Transport{DisableKeepAlives: true}}
+	read := map[runningProcess]counters{}
+	for _, running := range s.cluster.runningProcesses() {
+		samples, err := metrics.Fetch(client, endpoint(running.node.IP, internalPort), sampleLimit)
+		if err != nil {
+			continue
+		}
+		read[running] = counters{at: s.recorder.now(), incarnation: running.incarnation, cpuSeconds: samples["process_cpu_seconds_total"],
+			sentBytes: sumOf(samples, "gannetline_peer_sent_bytes_total") + sumOf(samples, "gannetline_datagrams_sent_bytes_total"),
+			commits:   samples["gannetline_store_transactions_total"]}
+	}
+	return read
+}
+
+// sumOf adds up a counter over its labels.
+func sumOf(samples metrics.Samples, name string) float64 {
+	sum := 0.0
+	for full, value := range samples {
+		if strings.HasPrefix(full, name+"{") || full == name {
+			sum += value
+		}
+	}
+	return sum
+}
+
+// loadsBetween gives what each process used between two readings.
+func loadsBetween(before, after map[runningProcess]counters) []ProcessLoad {
+	var loads []ProcessLoad
+	for running, last := range after {
+		first, isKnown := before[running]
+		seconds := (last.at - first.at).Seconds()
+		if !isKnown || seconds <= 0 {
+			continue
+		}
+		loads = append(loads, ProcessLoad{Process: running.node.Name, Role: running.node.Role, Cores: (last.cpuSeconds - first.cpuSeconds) / seconds,
+			SentBytes: (last.sentBytes - first.sentBytes) / seconds, Commits: (last.commits - first.commits) / seconds})
+	}
+	return loads
+}
+
+// busiest gives the most of each figure over all processes of some roles.
+func busiest(loads []ProcessLoad, roles ...Role) ProcessLoad {
+	var most ProcessLoad
+	for _, load := range loads {
+		for _, role := range roles {
+			if load.Role == role {
+				most.Cores, most.SentBytes, most.Commits = max(most.Cores, load.Cores), max(most.SentBytes, load.SentBytes), max(most.Commits, load.Commits)
+			}
+		}
+	}
+	return most
+}
--- a/internal/simulation/soak/lots.go
+++ b/internal/simulation/soak/lots.go
@@ -68,7 +68,7 @@
 
 // run hands in lots and reads them until ctx is done, and then reads each until it is whole.
 func (c *lotClient) run(ctx context.Context) {
-	for pause(ctx, time.Duration(c.draw.ExpFloat64()*float64(meanLotPause))) {
+	for pause(ctx, time.Duration(c.draw.ExpFloat64()*float64(meanLotPause)/c.options.pace())) {
 		c.submit(ctx, &Lot{ID: fmt.Sprintf("%016x", c.draw.Uint64()), Items: 1 + c.draw.IntN(maxLotItems)})
 		for _, lot := range c.open {
 			c.read(ctx, lot, c.draw.IntN(len(lot.Last)+1))
--- a/internal/simulation/soak/options.go
+++ b/internal/simulation/soak/options.go
@@ -39,6 +39,10 @@
 	Rollouts bool
 	// Mix is what the deployment has switched on; nil is the usual one.
 	Mix *Mix
+	// Parts are those that are kept busy; nil is all of them.
+	Parts []Part
+	// Pace is how many times as often as usual clients call; 0 is 1.
+	Pace float64
 	// SettingsFault is a mistake in the settings, to see that an oracle finds what comes of it.
 	SettingsFault SettingsFault
 	// Schedule is played in place of a drawn one.
@@ -50,7 +54,25 @@
 	if o.Mix == nil {
 		return NewLayout(o.Processes, o.Network)
 	}
-	return NewMixedLayout(o.Processes, o.Network, o.Mix)
+	layout := NewMixedLayout(o.Processes, o.Network, o.Mix)
+	layout.LeavesOutTenants = !o.isBusy(PartTenants)
+	return layout
+}
+
+// pace is how many times as often as usual clients call.
+func (o *Options) pace() float64 {
+	if o.Pace == 0 {
+		return 1
+	}
+	return o.Pace
+}
+
+// jobClients is how many clients each gate has.
+func (o *Options) jobClients() int {
+	if !o.isBusy(PartJobs) && !o.isBusy(PartTenants) {
+		return 0
+	}
+	return clientsPerGate
 }
 
 // Check tells what is wrong with the options, by the names of their flags.
--- a/internal/simulation/soak/soak.go
+++ b/internal/simulation/soak/soak.go
@@ -93,9 +93,12 @@
 	}
 	s.log.Info("soak started", "seed", s.schedule.Seed, "processes", s.options.Processes, "faults", len(s.schedule.Events))
 	clientsCtx, endClients := context.WithTimeout(ctx, s.schedule.length())
+	before := s.readCounters()
 	clients := s.startClients(clientsCtx)
 	s.cluster.obey(s.schedule)
 	s.reportProgress(clientsCtx)
+	loads := loadsBetween(before, s.readCounters())
+	s.recorder.write(func(h *History) { h.Loads = loads })
 	endClients()
 	clients.Wait()
 	if ctx.Err() != nil {
--- a/internal/simulation/soak/streams.go
+++ b/internal/simulation/soak/streams.go
@@ -88,7 +88,7 @@
 
 // run asks for one stream after the other.
 func (c *streamClient) run(ctx context.Context) {
-	for pause(ctx, time.Duration(c.draw.ExpFloat64()*float64(meanStreamPause))) {
+	for pause(ctx, time.Duration(c.draw.ExpFloat64()*float64(meanStreamPause)/c.options.pace())) {
 		prefix := askPrefix
 		if c.draw.IntN(2) == 0 {
 			prefix = explainPrefix
--- a/internal/simulation/soak/tenants.go
+++ b/internal/simulation/soak/tenants.go
@@ -27,9 +27,12 @@
 	Status int
 }
 
+// hasTenants tells whether the configurations name tenants.
+func (l *Layout) hasTenants() bool { return l.Mix.Has(FeatureTenants) && !l.LeavesOutTenants }
+
 // keyOf is the key of a client, empty where there are no tenants.
 func (l *Layout) keyOf(client int) string {
-	if !l.Mix.Has(FeatureTenants) {
+	if !l.hasTenants() {
 		return ""
 	}
 	return keyOfTenant(client % tenantCount)
@@ -37,9 +40,9 @@
 
 func keyOfTenant(number int) string { return fmt.Sprintf("key-of-tenant-%d", number) }
 
-// tenantsOf is the list of tenants of a configuration, nil where there are none.
+// tenants is the list of tenants of a configuration, nil where there are none.
 func (l *Layout) tenants() []configuration.Tenant {
-	if !l.Mix.Has(FeatureTenants) {
+	if !l.hasTenants() {
 		return nil
 	}
 	var all []configuration.Tenant
