Gates prefer other executors to one that has requests and answers nothing; a look under no leader's fence is no refused order

An executor whose machine goes dark closes no connection: each gate went on sending to it, to 7 of its 8 slots, and learned nothing when the requests' time was over. Now an executor that has answered nothing for 500 ms while it has requests is taken as one that fails. The oracle counts fences of leaders, and any order under none.

--- a/internal/gate/balancer/balancer.go
+++ b/internal/gate/balancer/balancer.go
@@ -26,6 +26,9 @@
 	failuresToEject = 2
 	ejectionTime    = 2 * time.Second
 	unreachableTime = 700 * time.Millisecond
+	// silentAfter is how long an executor that has requests may answer nothing at all until others are preferred. One that is only busy
+	// answers some of them; one whose machine has gone dark closes no connection.
+	silentAfter = 500 * time.Millisecond
 )
 
 // Executor is one executor and what this process knows of its load and health. Any goroutine may use it.
@@ -39,14 +42,36 @@
 	// failures counts failures in a row; ejectedUntil ends the pause that they brought.
 	failures     atomic.Int64
 	ejectedUntil atomic.Int64
+	// heardAt is when it last answered something, or got a request while it had none, on the monotonic clock.
+	heardAt atomic.Int64
 }
 
 // Begin counts a request that goes to the executor; End ends it.
-func (e *Executor) Begin() { e.inFlight.Add(1) }
+func (e *Executor) Begin(now time.Duration) {
+	if e.inFlight.Add(1) == 1 {
+		e.Heard(now)
+	}
+}
 
 // End counts a request that is over.
 func (e *Executor) End() { e.inFlight.Add(-1) }
 
+// Heard notes that the executor has answered something.
+func (e *Executor) Heard(now time.Duration) { e.heardAt.Store(int64(now)) }
+
+// isSilent tells whether the executor has requests of this process and has answered nothing for some time.
+func (e *Executor) isSilent(now time.Duration) bool {
+	return e.inFlight.Load() > 0 && now-time.Duration(e.heardAt.Load()) > silentAfter
+}
+
+// TimedOut notes a request whose time was over before the executor had answered anything to it. If it answered nothing to others either,
+// it is left out as one that fails.
+func (e *Executor) TimedOut(now time.Duration) {
+	if now-time.Duration(e.heardAt.Load()) > silentAfter {
+		e.eject(now + ejectionTime)
+	}
+}
+
 // Report takes what the executor told of its load.
 func (e *Executor) Report(running, waiting int64, now time.Duration) {
 	e.reported.Store(running + waiting)
@@ -159,7 +184,7 @@
 	for _, executor := range (*b.services.Load())[service] {
 		switch {
 		case executor.IsDraining || slices.Contains(excluded, executor.ID) || b.isEvacuated(executor.Zone):
-		case executor.isEjected(now):
+		case executor.isEjected(now) || executor.isSilent(now):
 			ejected = append(ejected, executor)
 		case executor.Zone == b.zone:
 			near = append(near, executor)
--- a/internal/gate/forwarding/offer.go
+++ b/internal/gate/forwarding/offer.go
@@ -33,17 +33,23 @@
 	if err != nil {
 		return offerNotRun
 	}
-	executor.Begin()
+	executor.Begin(f.clock.Monotonic())
 	defer executor.End()
 	answer, err := f.client.Do(call)
 	now := f.clock.Monotonic()
+	if err == nil {
+		executor.Heard(now)
+	}
 	switch {
 	case err != nil && peerapi.NeverSent(err):
 		executor.Unreachable(now)
 		return offerNotRun
+	case err != nil && ctx.Err() == nil:
+		executor.Unreachable(now)
+		return offerUnknown
 	case err != nil:
-		if ctx.Err() == nil {
-			executor.Unreachable(now)
+		if now >= deadline {
+			executor.TimedOut(now)
 		}
 		return offerUnknown
 	}
@@ -60,7 +66,7 @@
 		executor.Unreachable(now)
 		return offerUnknown
 	}
-	if err := relay.pass(answer); err != nil {
+	if err := relay.pass(answer, func() { executor.Heard(f.clock.Monotonic()) }); err != nil {
 		if ctx.Err() == nil {
 			executor.Unreachable(f.clock.Monotonic())
 		}
--- a/internal/gate/forwarding/relay.go
+++ b/internal/gate/forwarding/relay.go
@@ -34,8 +34,9 @@
 	return r.request.IsIdempotent || r.request.IsResumable
 }
 
-// pass writes an executor's answer, or what of it the client does not have yet; an error says that it ended early.
-func (r *relay) pass(answer *http.Response) error {
+// pass writes an executor's answer, or what of it the client does not have yet; an error says that it ended early. onEvent is called for
+// each event that comes.
+func (r *relay) pass(answer *http.Response, onEvent func()) error {
 	isStream := strings.HasPrefix(answer.Header.Get("Content-Type"), eventstream.MediaType) && answer.StatusCode == http.StatusOK
 	if r.hasBegun && !isStream {
 		return ErrNotResumed
@@ -44,7 +45,7 @@
 		r.begin(answer, isStream)
 	}
 	if isStream {
-		return r.passEvents(answer.Body)
+		return r.passEvents(answer.Body, onEvent)
 	}
 	_, err := io.Copy(r.to, answer.Body)
 	return errors.Annotate(err, "passing an answer on")
@@ -58,7 +59,7 @@
 }
 
 // passEvents writes whole events as they come, so that another executor can go on after any of them.
-func (r *relay) passEvents(from io.Reader) error {
+func (r *relay) passEvents(from io.Reader, onEvent func()) error {
 	events := eventstream.NewReader(from)
 	controller := http.NewResponseController(r.to)
 	for {
@@ -69,6 +70,7 @@
 		if err != nil {
 			return errors.Annotate(err, "reading events")
 		}
+		onEvent()
 		if _, err := r.to.Write(event.Raw); err != nil {
 			return errors.Annotate(err, "writing events")
 		}
--- a/internal/simulation/hollow/executor.go
+++ b/internal/simulation/hollow/executor.go
@@ -141,16 +141,28 @@
 // fenceNotice is how long after a refusal whoever was refused has had time to learn of it.
 const fenceNotice = 2 * time.Second
 
+// noLeader is the fence of a local proxy that has heard of no leader since it started. It may only look, and nobody can have told it better.
+const noLeader = 0
+
 // raise takes note of a fence; it tells whether an order with it may be carried out.
 func (e *Executor) raise(fence uint64) bool {
 	if fence < e.fence {
-		e.noteRefusal(fence)
+		if fence != noLeader {
+			e.noteRefusal(fence)
+		}
 		return false
 	}
 	e.fence = fence
 	return true
 }
 
+// noteOrder counts an order to start or to stop that comes from no leader at all.
+func (e *Executor) noteOrder(fence uint64) {
+	if fence == noLeader {
+		e.repeatedFences++
+	}
+}
+
 // noteRefusal counts a call under a fence that was refused well before.
 func (e *Executor) noteRefusal(fence uint64) {
 	now := e.clock.Monotonic()
@@ -211,6 +223,7 @@
 // Start is POST /v1/run-start.
 func (e *Executor) Start(order executorapi.RunStart) (int, executorapi.Answer) {
 	load, err := parseLoad(order.Descriptor)
+	e.noteOrder(order.Fence)
 	switch {
 	case !e.raise(order.Fence):
 		return 409, e.answer(reasonFence)
@@ -272,6 +285,7 @@
 
 // Stop is POST /v1/run-stop.
 func (e *Executor) Stop(order executorapi.RunStop) (int, executorapi.Answer) {
+	e.noteOrder(order.Fence)
 	if !e.raise(order.Fence) {
 		return 409, e.answer(reasonFence)
 	}
--- a/internal/simulation/hollow/executor_test.go
+++ b/internal/simulation/hollow/executor_test.go
@@ -8,7 +8,9 @@
 
 	"gannetline/internal/cluster/peerapi/wire"
 	"gannetline/internal/node/executorapi"
+	"gannetline/internal/node/localproxy"
 	"gannetline/internal/platform/clock"
+	"gannetline/internal/platform/logging"
 	"gannetline/internal/simulation/hollow"
 )
 
@@ -87,6 +89,37 @@
 		Expect(w.hold(executorapi.Hold{Fence: 9, LastSeen: 1}).Ends).To(BeEmpty())
 	})
 
+	It("counts calls that go on under a refused fence, but no look of a proxy that has heard of no leader", func() {
+		w.start("a.0.0.0", 1, 5)
+		for range 20 {
+			Expect(w.hold(executorapi.Hold{Fence: 0}).Reason).To(Equal("fence"))
+			w.clock.Advance(time.Second)
+		}
+		Expect(w.executor.Counts().RepeatedFences).To(BeZero())
+		w.hold(executorapi.Hold{Fence: 4})
+		w.clock.Advance(time.Second)
+		w.hold(executorapi.Hold{Fence: 4})
+		Expect(w.executor.Counts().RepeatedFences).To(BeZero(), "so soon after the refusal")
+		w.clock.Advance(2 * time.Second)
+		w.hold(executorapi.Hold{Fence: 4})
+		Expect(w.executor.Counts().RepeatedFences).To(Equal(1))
+		w.start("a.0.0.0", 2, 0)
+		w.executor.Stop(executorapi.RunStop{Task: "a.0.0.0", Run: 1})
+		Expect(w.executor.Counts().RepeatedFences).To(Equal(3), "orders of nobody")
+	})
+
+	It("is looked at under no leader's fence by a proxy that started again, until a leader has answered that", func() {
+		w.start("a.0.0.0", 1, 5)
+		table := localproxy.NewTable(w.clock, logging.Silent(), "s", "d", "side-1", func() {}, func() {}, func() {})
+		heartbeat := w.executor.NextHeartbeat("s", "127.0.0.1:1", "d")
+		status, _ := table.Heartbeat("i-w", &heartbeat)
+		Expect(status).To(Equal(200))
+		work, isDue := table.NextHold(false)
+		Expect(isDue).To(BeTrue())
+		Expect(work.Hold.Fence).To(BeZero())
+		Expect(w.hold(work.Hold).Reason).To(Equal("fence"))
+	})
+
 	It("does nothing for a lower fence", func() {
 		started("a.0.0.0", 1, 5)
 		refused("b.0.0.0", 1, 4, "fence")
