--- a/internal/control/lots/running.go
+++ b/internal/control/lots/running.go
@@ -24,8 +24,6 @@
 	// with more urgent requests brings nothing, too, so each time-out doubles the next one, up to maxIdleTimeout.
 	minIdleTimeout = 2500 * time.Millisecond
 	maxIdleTimeout = 10 * time.Second
-	// runTimeReserve is how long before its route's time the run of an item must begin to bring its result in time.
-	runTimeReserve = time.Second
 )
 
 // enqueue lets the items of a lot run that have no result.
@@ -50,39 +48,28 @@
 	p.queue = slices.Insert(p.queue, place, items...)
 }
 
-// startItems starts as many items as there is capacity for: first those whose results can still be in time, the oldest lots first, and then
-// those that are late. In a backlog that is longer than the time of its results, all would else come late.
+// startItems starts as many items as there is capacity for.
 func (p *Part) startItems() {
 	if len(p.queue) == 0 {
 		return
 	}
-	capacities := map[string]*serviceCapacity{}
-	p.startThose(capacities, func(item *item, route *configuration.Route) bool { return !p.isLate(item, route) })
-	p.startThose(capacities, func(*item, *configuration.Route) bool { return true })
-}
-
-// isLate tells whether the result of an item that starts now would come after its route's time.
-func (p *Part) isLate(item *item, route *configuration.Route) bool {
-	age := clock.Milliseconds(p.leadership.WallMs() - item.lot.record.AcceptedMs)
-	return route.ResultDeadlineMs > 0 && age > clock.Milliseconds(route.ResultDeadlineMs)-runTimeReserve
-}
-
-// startThose starts items of a kind, in the order of the queue, as far as the capacities go.
-func (p *Part) startThose(capacities map[string]*serviceCapacity, isOfKind func(*item, *configuration.Route) bool) {
 	now := p.Clock.Monotonic()
+	capacities := map[string]*serviceCapacity{}
 	p.queue = slices.DeleteFunc(p.queue, func(item *item) bool {
 		if item.lot.isEnded || item.isListed {
 			return true
 		}
 		route := p.Route(item.lot.record.Route)
-		if route == nil || now < item.notBefore || !isOfKind(item, route) {
+		if route == nil || now < item.notBefore {
 			return false
 		}
 		service := route.ServiceFor(item.record().ID)
-		if capacities[service] == nil {
-			capacities[service] = p.capacityOf(service)
+		capacity := capacities[service]
+		if capacity == nil {
+			capacity = p.capacityOf(service)
+			capacities[service] = capacity
 		}
-		executor := capacities[service].take(item.failedAt)
+		executor := capacity.take(item.failedAt)
 		if executor == nil {
 			return false
 		}
@@ -95,8 +82,6 @@
 type serviceCapacity struct {
 	executors []wire.ExecutorRecord
 	taken     []int
-	// isFull tells that no executor can take any more.
-	isFull bool
 }
 
 func (p *Part) capacityOf(service string) *serviceCapacity {
@@ -118,26 +103,22 @@
 }
 
 // take gives the executor with the most capacity, or nil if there is none left; the one where the item failed last only if it is the only one.
-func (c *serviceCapacity) take(failedAt string) *wire.ExecutorRecord {
+func (r *serviceCapacity) take(failedAt string) *wire.ExecutorRecord {
 	best := -1
-	if c.isFull {
-		return nil
-	}
-	for index := range c.executors {
-		limit := max(1, int(float64(c.executors[index].Slots)*slotShare))
-		if len(c.executors) > 1 && c.executors[index].ID == failedAt {
+	for index := range r.executors {
+		limit := max(1, int(float64(r.executors[index].Slots)*slotShare))
+		if len(r.executors) > 1 && r.executors[index].ID == failedAt {
 			continue
 		}
-		if c.taken[index] < limit && (best < 0 || c.taken[index] < c.taken[best]) {
+		if r.taken[index] < limit && (best < 0 || r.taken[index] < r.taken[best]) {
 			best = index
 		}
 	}
 	if best < 0 {
-		c.isFull = failedAt == ""
 		return nil
 	}
-	c.taken[best]++
-	return &c.executors[best]
+	r.taken[best]++
+	return &r.executors[best]
 }
 
 // start has an item run at an executor.
