--- a/check.sh
+++ b/check.sh
@@ -34,11 +34,12 @@
 }
 # The first run of the README, on addresses that two checks at once seldom share.
 first_run_completes() { FIRST_RUN_NETWORK=127.91.$(($$ % 256)) tools/first-run.sh; }
-# Short soaks of real processes, one for one loss to be borne and one for two, on addresses that two checks at once seldom share.
+# Short soaks of real processes, one for one loss to be borne, one for two, and one of a mix with everything switched on, on addresses that two checks at once seldom share.
 soaks_find_nothing() {
   local network=127.$((100 + $$ % 100))
   target/soak --seed 1 --seconds 25 --processes 10 --network "$network" &&
-    target/soak --seed 41 --seconds 30 --processes 20 --network "$network"
+    target/soak --seed 41 --seconds 30 --processes 20 --network "$network" &&
+    target/soak --mix 15 --seed 3 --seconds 15 --processes 10 --network "$network"
 }
 step "build" go build -buildvcs=false -ldflags=-linkmode=external -o target/ ./cmd/...
 step "vet" go vet ./...
--- a/tools/first-run.sh
+++ b/tools/first-run.sh
@@ -19,6 +19,7 @@
 readonly limit=60 # seconds that each step may take
 # A job of 2 steps: 4 tasks, then one. The stand-in reads from the descriptor how long a task runs and what it takes.
 readonly job_id=5c0e7a21d94b36f8
+readonly second_job_id=5c0e7a21d94b36f9
 readonly job='{"task-descriptor":"hollow 2000 ms, 500 cpu-units, 100 MB","step-list":[
   {"task-count":4,"cpu-units":500,"memory-req-mb":100,"estimated-ms":2000},
   {"task-count":1,"cpu-units":500,"memory-req-mb":100,"estimated-ms":2000,"depends-on":[0]}]}'
@@ -158,6 +159,11 @@
 until_answered "the gate is ready" GET "$gate" $readiness_port /v1/readiness
 until_answered "the job is handed in" POST "$gate" $front_port $prefix$job_id "$job"
 watch_job
+# The other calls of the README.
+until_answered "the queue is asked for its count" GET "$gate" $front_port $prefix
+echo "the queue says $(tail -n 1 "$folder/answer")"
+until_answered "a second job is handed in" POST "$gate" $front_port $prefix$second_job_id "$job"
+until_answered "it is cancelled" DELETE "$gate" $front_port $prefix$second_job_id
 
 # tool WHAT ARGUMENTS...: runs a command of the program against the steward, and prints what it says.
 tool() {
@@ -166,11 +172,36 @@
   said=$(GANNETLINE_STEWARD=$steward:$control_port target/gannetline "$@" 2>&1) || fail "$what: $said"
   echo "$what: $said"
 }
+# refused_put: a put on a revision that is no longer the key's must name the one that is.
+refused_put() {
+  local said status
+  said=$(GANNETLINE_STEWARD=$steward:$control_port target/gannetline key put --revision 1 shop.open maybe 2>&1)
+  status=$?
+  [ $status -eq 3 ] && [[ $said == *"at revision 2"* ]] || fail "a put on an old revision ended with $status: $said"
+  echo "a put on an old revision is refused: $said"
+}
+
+# watch_key: a watcher prints a put that is made while it watches.
+watch_key() {
+  local until=$((SECONDS + limit)) watcher number=2
+  GANNETLINE_STEWARD=$steward:$control_port target/gannetline key watch shop. >"$folder/watched" 2>&1 &
+  watcher=$!
+  # The watcher begins with the next put that it can see, so one is made again and again until it has seen one.
+  until grep -q '"maybe"' "$folder/watched"; do
+    [ $SECONDS -lt $until ] || fail "key watch printed no put: $(cat "$folder/watched")"
+    number=$(GANNETLINE_STEWARD=$steward:$control_port target/gannetline key put --revision "$number" shop.open maybe) || fail "the key is not put"
+    sleep 0.2
+  done
+  kill "$watcher"
+  echo "a put is watched: $(grep -m 1 '"maybe"' "$folder/watched")"
+}
 tool "a number is drawn" number invoices
 tool "a key is put, at revision" key put shop.open yes
 tool "the key is read" key get shop.open
 tool "the key is put again, at revision" key put --revision 1 shop.open no
 tool "the key with its revision" key get --json shop.open
+refused_put
+watch_key
 tool "a leader is elected" elect board-writer -- sh -c 'echo "and has done its work"'
 tool "a command runs under a lock" lock nightly -- sh -c 'echo "with the fencing token $GANNETLINE_FENCE"'
 tool "locks" locks --parts
