--- /dev/null
+++ b/client/othermodule_test.go
@@ -0,0 +1,50 @@
+package client
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// application is a program of another module that uses the package.
+const application = `package main
+
+import (
+	"context"
+	"fmt"
+
+	"gannetline/client"
+)
+
+func main() {
+	stewards, err := client.New([]string{"10.0.0.1:8166"})
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	fmt.Println(stewards.Number(context.Background(), "invoices"))
+}
+`
+
+var _ = It("can be used from another module, as docs/locks.md says", func() {
+	root, err := filepath.Abs("..")
+	Expect(err).NotTo(HaveOccurred())
+	folder := GinkgoT().TempDir()
+	for _, copied := range []string{"go.mod", "go.sum"} {
+		text, err := os.ReadFile(filepath.Join(root, copied))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(os.WriteFile(filepath.Join(folder, copied), text, 0o644)).To(Succeed())
+	}
+	Expect(os.WriteFile(filepath.Join(folder, "main.go"), []byte(application), 0o644)).To(Succeed())
+	// The requirements of this module stand in for what "go mod tidy" of the other one would add.
+	for _, arguments := range [][]string{{"mod", "edit", "-module=shop", "-require=gannetline@v0.0.0", "-replace=gannetline=" + root},
+		{"vet", "-mod=mod", "."}, {"build", "-mod=mod", "-o", filepath.Join(folder, "shop"), "."}} {
+		command := exec.Command("go", arguments...)
+		command.Dir, command.Env = folder, append(os.Environ(), "GOWORK=off", "GOFLAGS=")
+		text, err := command.CombinedOutput()
+		Expect(err).NotTo(HaveOccurred(), "go %v: %s", arguments, text)
+	}
+})
