--- a/internal/simulation/modelcheck/controlmodel/coordination.go
+++ b/internal/simulation/modelcheck/controlmodel/coordination.go
@@ -134,13 +134,13 @@
 }
 
 // mustBe is an oracle: once all is settled, and the time of all holders is over, calls are answered.
-func (s *coordinationService) mustBe(status int, what string, allowed ...int) {
+func (s *coordinationService) mustBe(status int, call string, allowed ...int) {
 	for _, good := range allowed {
 		if status == good {
 			return
 		}
 	}
-	s.cluster.violated("settled", "%s is answered %d once all is settled", what, status)
+	s.cluster.violated("settled", "%s is answered %d once all is settled", call, status)
 }
 
 // judge has the oracles look at all that the applications saw.
--- a/internal/simulation/modelcheck/controlmodel/coordinationcallers.go
+++ b/internal/simulation/modelcheck/controlmodel/coordinationcallers.go
@@ -124,7 +124,7 @@
 func (c *modelCaller) begin(name string, fence uint64, sentAt, hold time.Duration) {
 	w := c.service.cluster
 	c.held = &coordinationcheck.Hold{Lock: name, Holder: c.holder, Fence: fence, SentAt: sentAt, From: w.now, To: sentAt + hold}
-	w.springTraps()
+	w.fireTriggers()
 }
 
 // letGo ends the hold: the caller no longer counts itself the holder.
@@ -209,7 +209,7 @@
 			c.service.read(answer, &given)
 			c.service.history.Numbers = append(c.service.history.Numbers, coordinationcheck.Number{Name: name, Value: given.Value, SentAt: sentAt,
 				At: c.service.cluster.now})
-			c.service.cluster.springTraps()
+			c.service.cluster.fireTriggers()
 		}
 		done(statusOf(answer))
 	})
@@ -272,7 +272,7 @@
 	isTaken := answer.Status == http.StatusOK
 	put.Answers = append(put.Answers, coordinationcheck.PutAnswer{At: s.cluster.now, IsTaken: isTaken, Revision: at.Revision})
 	if isTaken {
-		s.cluster.springTraps()
+		s.cluster.fireTriggers()
 	}
 	return at.Revision
 }
--- a/internal/simulation/modelcheck/controlmodel/draw.go
+++ b/internal/simulation/modelcheck/controlmodel/draw.go
@@ -58,9 +58,9 @@
 func (d *drawing) add(step modelcheck.Step) { d.steps = append(d.steps, step) }
 
 // isBearable tells whether so many more may be lost for a time.
-func (d *drawing) isBearable(span lossInterval, count int) bool {
+func (d *drawing) isBearable(loss lossInterval, count int) bool {
 	for _, other := range d.lost {
-		if other.from < span.to && span.from < other.to {
+		if other.from < loss.to && loss.from < other.to {
 			count++
 		}
 	}
@@ -122,8 +122,8 @@
 func (d *drawing) addRestartInNetworkTrouble(at int) {
 	d.add(modelcheck.Step{AtMs: at, Kind: stepNetwork, Peer: 1, ForMs: 1000 + d.draw.IntN(1500), Value: d.draw.IntN(300)})
 	step := modelcheck.Step{AtMs: at + 300 + d.draw.IntN(900), Kind: stepKill, Node: d.draw.IntN(d.nodes), ForMs: 5 + d.draw.IntN(60)}
-	if span := (lossInterval{step.AtMs, step.AtMs + step.ForMs + catchUpMs}); d.isBearable(span, 1) {
-		d.lost = append(d.lost, span)
+	if loss := (lossInterval{step.AtMs, step.AtMs + step.ForMs + catchUpMs}); d.isBearable(loss, 1) {
+		d.lost = append(d.lost, loss)
 		d.add(step)
 	}
 }
@@ -141,7 +141,7 @@
 	if kind == stepKill && d.draw.IntN(2) == 0 {
 		step.ForMs = 10 + d.draw.IntN(100)
 	}
-	span := lossInterval{at, at + step.ForMs + catchUpMs}
+	loss := lossInterval{at, at + step.ForMs + catchUpMs}
 	switch kind {
 	case stepCut, stepCutOut, stepCutIn:
 		step.Peer = d.draw.IntN(2)
@@ -150,20 +150,20 @@
 		if kind == stepReplace {
 			step.ForMs = catchUpMs + d.draw.IntN(1000)
 			// A removed machine no longer counts once its successor has had its time.
-			span.to = at + step.ForMs
+			loss.to = at + step.ForMs
 		}
 	case stepPowerOnAck:
 		step.Node, step.Value = leaderIndex, 0
-		span.to += int(triggerDuration.Milliseconds())
+		loss.to += int(triggerDuration.Milliseconds())
 		if d.draw.IntN(3) == 0 {
 			d.addEndOfAll(at)
 			return
 		}
 	case stepRestart:
-		span.to += int(leaveLimit.Milliseconds())
+		loss.to += int(leaveLimit.Milliseconds())
 	}
-	if d.isBearable(span, 1) {
-		d.lost = append(d.lost, span)
+	if d.isBearable(loss, 1) {
+		d.lost = append(d.lost, loss)
 		d.add(step)
 	}
 }
@@ -188,18 +188,18 @@
 	case 1, 2:
 		step.Kind = stepPowerOnAck
 	}
-	span := lossInterval{at, at + step.ForMs + catchUpMs}
+	loss := lossInterval{at, at + step.ForMs + catchUpMs}
 	if step.Kind == stepPowerOnAck {
-		span.to += int(triggerDuration.Milliseconds())
+		loss.to += int(triggerDuration.Milliseconds())
 	}
-	if d.draw.IntN(2) == 0 && d.isBearable(span, d.losses) {
+	if d.draw.IntN(2) == 0 && d.isBearable(loss, d.losses) {
 		step.Value = d.losses
 	}
-	if step.Value == 0 && !d.isBearable(span, d.losses) {
+	if step.Value == 0 && !d.isBearable(loss, d.losses) {
 		return
 	}
 	for range d.losses {
-		d.lost = append(d.lost, span)
+		d.lost = append(d.lost, loss)
 	}
 	d.add(step)
 }
--- a/internal/simulation/modelcheck/controlmodel/drawlarge.go
+++ b/internal/simulation/modelcheck/controlmodel/drawlarge.go
@@ -59,17 +59,17 @@
 }
 
 func (d *drawing) addWipe(at, length int) {
-	span := lossInterval{at, at + length + catchUpMs}
-	if d.isBearable(span, 1) {
-		d.lost = append(d.lost, span)
+	loss := lossInterval{at, at + length + catchUpMs}
+	if d.isBearable(loss, 1) {
+		d.lost = append(d.lost, loss)
 		d.add(modelcheck.Step{AtMs: at, Kind: stepWipe, Node: d.position(), ForMs: length})
 	}
 }
 
 func (d *drawing) lastLostUntil() int {
 	last := growUpMs
-	for _, span := range d.lost {
-		last = max(last, span.to)
+	for _, loss := range d.lost {
+		last = max(last, loss.to)
 	}
 	return last
 }
--- a/internal/simulation/modelcheck/controlmodel/evacuations.go
+++ b/internal/simulation/modelcheck/controlmodel/evacuations.go
@@ -60,7 +60,7 @@
 		case answer != nil && answer.Status == http.StatusOK:
 			w.cover("evacuation acknowledged")
 			w.record.evacuations.acknowledged = max(w.record.evacuations.acknowledged, w.record.evacuations.published)
-			w.springTraps()
+			w.fireTriggers()
 		case attempts > 1:
 			w.after(100*time.Millisecond, func() { w.sendEvacuation(step, via+1, attempts-1) })
 		}
--- a/internal/simulation/modelcheck/controlmodel/node.go
+++ b/internal/simulation/modelcheck/controlmodel/node.go
@@ -220,8 +220,8 @@
 	n.isFrozen = false
 	waiting := n.postponed
 	n.postponed = nil
-	for _, one := range waiting {
-		n.cluster.after(time.Duration(n.cluster.draw.IntN(2000))*time.Microsecond, one)
+	for _, action := range waiting {
+		n.cluster.after(time.Duration(n.cluster.draw.IntN(2000))*time.Microsecond, action)
 	}
 }
 
--- a/internal/simulation/modelcheck/controlmodel/operators.go
+++ b/internal/simulation/modelcheck/controlmodel/operators.go
@@ -122,7 +122,7 @@
 		}
 		order.isDone = true
 		t.newest = max(t.newest, order.version)
-		w.springTraps()
+		w.fireTriggers()
 	case refused:
 		w.cover("order refused")
 		w.checkRefused(order, answer)
--- a/internal/simulation/modelcheck/controlmodel/oracles.go
+++ b/internal/simulation/modelcheck/controlmodel/oracles.go
@@ -230,8 +230,8 @@
 		}
 		return orderStep(chain, seen)
 	},
-	Equal: func(element, two any) bool {
-		first, second := element.(*modelChain), two.(*modelChain)
+	Equal: func(element, other any) bool {
+		first, second := element.(*modelChain), other.(*modelChain)
 		for first != second {
 			if first == nil || second == nil || first.digest != second.digest {
 				return false
--- a/internal/simulation/modelcheck/controlmodel/splits.go
+++ b/internal/simulation/modelcheck/controlmodel/splits.go
@@ -53,9 +53,9 @@
 func (d *drawing) addSplit(random *rand.Rand, at, length int) {
 	end := at + length + catchUpMs
 	extended := slices.Clone(d.lost)
-	for index, span := range extended {
-		if span.from < end && at < span.to {
-			extended[index].to = max(span.to, end)
+	for index, loss := range extended {
+		if loss.from < end && at < loss.to {
+			extended[index].to = max(loss.to, end)
 		}
 	}
 	if !isWithin(extended, d.losses) {
@@ -76,10 +76,10 @@
 
 // isWithin tells whether never more are lost at once than the losses to be borne.
 func isWithin(lost []lossInterval, losses int) bool {
-	for _, span := range lost {
+	for _, loss := range lost {
 		count := 0
 		for _, other := range lost {
-			if other.from <= span.from && span.from < other.to {
+			if other.from <= loss.from && loss.from < other.to {
 				count++
 			}
 		}
--- a/internal/simulation/modelcheck/controlmodel/steps.go
+++ b/internal/simulation/modelcheck/controlmodel/steps.go
@@ -46,7 +46,7 @@
 	percentHeavilyLost = 300
 	percentDuplicated  = 100
 	percentDelayed     = 150
-	minHeldBack        = 20 * time.Millisecond
+	minDelay           = 20 * time.Millisecond
 )
 
 // powerTrigger is a fault that comes within 5 ms of the next acknowledgement.
@@ -76,34 +76,15 @@
 	switch step.Kind {
 	case stepOrder, stepRace, stepResend, stepBurst, stepStorm, stepRead, stepCallers, stepEvacuate:
 		w.service.act(step)
-	case stepKill:
-		n.kill()
-		w.after(length, n.start)
-	case stepPower:
-		n.losePower()
-		w.after(length, n.start)
-	case stepWipe:
-		n.kill()
-		n.wipe()
-		w.after(length, n.start)
-	case stepFreeze:
-		incarnation := n.incarnation
-		n.freeze()
-		w.after(length, func() {
-			if n.incarnation == incarnation {
-				n.wake()
-			}
-		})
-	case stepSlow:
-		n.slowed = time.Duration(step.Value) * 10 * time.Microsecond
-		w.after(length, func() { n.slowed = 0 })
+	case stepKill, stepPower, stepWipe, stepFreeze, stepSlow:
+		w.troubleProcess(step, n, length)
 	case stepStall, stepSlowDisk, stepFullDisk:
 		w.troubleDisk(step.Kind, n.disk, length)
 	case stepCut, stepCutOut, stepCutIn:
 		w.cutOff(step, n, length)
 	case stepNetwork:
 		w.trouble = networkTrouble{until: w.now + length, lost: percentLost, doubled: percentDuplicated, delayed: percentDelayed,
-			longest: minHeldBack + clock.Milliseconds(int64(step.Value))}
+			longest: minDelay + clock.Milliseconds(int64(step.Value))}
 		if step.Peer == 1 {
 			w.trouble.lost = percentHeavilyLost
 		}
@@ -122,6 +103,33 @@
 	}
 }
 
+// troubleProcess is what befalls one process.
+func (w *simCluster) troubleProcess(step modelcheck.Step, n *simNode, length time.Duration) {
+	switch step.Kind {
+	case stepKill:
+		n.kill()
+		w.after(length, n.start)
+	case stepPower:
+		n.losePower()
+		w.after(length, n.start)
+	case stepWipe:
+		n.kill()
+		n.wipe()
+		w.after(length, n.start)
+	case stepFreeze:
+		incarnation := n.incarnation
+		n.freeze()
+		w.after(length, func() {
+			if n.incarnation == incarnation {
+				n.wake()
+			}
+		})
+	case stepSlow:
+		n.slowed = time.Duration(step.Value) * 10 * time.Microsecond
+		w.after(length, func() { n.slowed = 0 })
+	}
+}
+
 // applyChange is what planned work does to machines.
 func (w *simCluster) applyChange(step modelcheck.Step, n *simNode, length time.Duration) {
 	switch step.Kind {
@@ -208,17 +216,17 @@
 	}
 }
 
-// springTraps lets what waits for an acknowledgement happen: Peer is 1 for all machines, else it is the leader.
-func (w *simCluster) springTraps() {
+// fireTriggers lets what waits for an acknowledgement happen: Peer is 1 for all machines, else it is the leader.
+func (w *simCluster) fireTriggers() {
 	waiting := w.triggers
 	w.triggers = nil
-	for _, trap := range waiting {
-		if trap.until < w.now {
+	for _, trigger := range waiting {
+		if trigger.until < w.now {
 			continue
 		}
 		w.cover("power lost right after an acknowledgement")
 		wait := time.Duration(w.draw.IntN(longestAfterAck*1000)) * time.Microsecond
-		step := trap.step
+		step := trigger.step
 		if step.Kind == stepEndOfDay {
 			w.after(wait, func() { w.loseAll(step) })
 			continue
--- a/internal/simulation/modelcheck/controlmodel/timeline.go
+++ b/internal/simulation/modelcheck/controlmodel/timeline.go
@@ -38,8 +38,8 @@
 	return first.run, true
 }
 
-func (t *timeline) before(one, two int) bool {
-	return t.heap[one].due < t.heap[two].due || t.heap[one].due == t.heap[two].due && t.heap[one].order < t.heap[two].order
+func (t *timeline) before(first, second int) bool {
+	return t.heap[first].due < t.heap[second].due || t.heap[first].due == t.heap[second].due && t.heap[first].order < t.heap[second].order
 }
 
 // up moves an event towards the root of the heap until its parent is not later.
--- a/internal/simulation/modelcheck/countmodel/injectedfaults.go
+++ b/internal/simulation/modelcheck/countmodel/injectedfaults.go
@@ -6,7 +6,7 @@
 const (
 	faultLateCall           = "late-call-counts"
 	faultLateAnswer         = "late-answer-counts"
-	faultSilenceFrees       = "silence-frees-grant"
+	faultTimeoutFrees       = "silence-frees-grant"
 	faultGrantsForgotten    = "leader-without-grants"
 	faultStartUnsettled     = "start-before-returns"
 	faultAnswerBeforeCommit = "answer-before-commit"
@@ -17,7 +17,7 @@
 var injectedFaults = []modelcheck.InjectedFault{
 	{Name: faultLateCall, About: "a part decides on a call that comes after a later one of the same pool, so that a batch counts twice"},
 	{Name: faultLateAnswer, About: "a pool takes the answer to an earlier call for that to its last one"},
-	{Name: faultSilenceFrees, About: "a part frees the grant of a pool that is silent for a while"},
+	{Name: faultTimeoutFrees, About: "a part frees the grant of a pool that is silent for a while"},
 	{Name: faultGrantsForgotten, About: "a new leader of a part begins without the grants of the one before"},
 	{Name: faultStartUnsettled, About: "a pool starts runs under a lowered limit before the others have given back what they hold"},
 	{Name: faultAnswerBeforeCommit, About: "a part answers before its change is committed"},
--- a/internal/simulation/modelcheck/countmodel/oracles.go
+++ b/internal/simulation/modelcheck/countmodel/oracles.go
@@ -58,16 +58,16 @@
 		return
 	}
 	for _, tenant := range tenants {
-		var held int64
+		var balance int64
 		for _, pool := range c.pools {
-			held += pool.accounts.Balance(tenant).CPU
+			balance += pool.accounts.Balance(tenant).CPU
 			if pool.accounts.Balance(tenant).CPU == 0 && c.versions[len(c.versions)-1].limits[tenant] >= len(c.pools) {
 				c.violate("STARVED", "pool %d has nothing of tenant %s long after the last fault", pool.number, tenant)
 			}
 		}
 		limit := int64(c.versions[len(c.versions)-1].limits[tenant] * taskCPU)
-		if held < limit-int64(len(c.pools)) || held > limit {
-			c.violate("LEAKED", "the pools hold %d of tenant %s, whose limit is %d", held, tenant, limit)
+		if balance < limit-int64(len(c.pools)) || balance > limit {
+			c.violate("LEAKED", "the pools hold %d of tenant %s, whose limit is %d", balance, tenant, limit)
 		}
 	}
 }
--- a/internal/simulation/modelcheck/countmodel/part.go
+++ b/internal/simulation/modelcheck/countmodel/part.go
@@ -19,13 +19,13 @@
 	version int
 	// part is nil while nobody leads.
 	part *tenantcount.Part
-	// heard is when each asker called last, and newest its highest number of a call.
-	heard  map[string]time.Duration
-	newest map[string]uint64
+	// lastCallAt is when each asker called last, and newest its highest number of a call.
+	lastCallAt map[string]time.Duration
+	newest     map[string]uint64
 }
 
 func newModelPart(cluster *simCluster, number int) *modelPart {
-	return &modelPart{cluster: cluster, number: number, key: simkey.New(cluster.queue, cluster.coverage), heard: map[string]time.Duration{}, newest: map[string]uint64{}}
+	return &modelPart{cluster: cluster, number: number, key: simkey.New(cluster.queue, cluster.coverage), lastCallAt: map[string]time.Duration{}, newest: map[string]uint64{}}
 }
 
 func (p *modelPart) open() {
@@ -60,12 +60,12 @@
 	if p.part == nil {
 		return
 	}
-	p.forgetSilent()
+	p.freeUnresponsive()
 	received := *call
 	if p.cluster.fault == faultLateCall && call.Number < p.newest[call.Asker] {
 		received.Number = p.newest[call.Asker] + 1
 	}
-	p.newest[call.Asker], p.heard[call.Asker] = max(p.newest[call.Asker], received.Number), p.cluster.queue.Now()
+	p.newest[call.Asker], p.lastCallAt[call.Asker] = max(p.newest[call.Asker], received.Number), p.cluster.queue.Now()
 	given, ops, err := p.part.Ask(&received, p.limits, p.cluster.queue.Now())
 	if errors.Is(err, tenantcount.ErrStale) {
 		p.cluster.coverage["call_stale"]++
@@ -84,16 +84,16 @@
 	p.key.Propose(ops, func(error) { answer(given) })
 }
 
-// silenceFrees is how long an asker may be silent until the injected fault frees its grants.
-const silenceFrees = 1500 * time.Millisecond
+// freeAfter is how long an asker may be silent until the injected fault frees its grants.
+const freeAfter = 1500 * time.Millisecond
 
-// forgetSilent is the injected fault that frees what silent askers hold.
-func (p *modelPart) forgetSilent() {
-	if p.cluster.fault != faultSilenceFrees {
+// freeUnresponsive is the injected fault that frees what silent askers hold.
+func (p *modelPart) freeUnresponsive() {
+	if p.cluster.fault != faultTimeoutFrees {
 		return
 	}
-	for asker, at := range p.heard {
-		if p.cluster.queue.Now()-at < silenceFrees {
+	for asker, at := range p.lastCallAt {
+		if p.cluster.queue.Now()-at < freeAfter {
 			continue
 		}
 		for name := range p.key.Records {
@@ -101,7 +101,7 @@
 				delete(p.key.Records, name)
 			}
 		}
-		delete(p.heard, asker)
+		delete(p.lastCallAt, asker)
 		p.open()
 	}
 }
--- a/internal/simulation/modelcheck/countmodel/simcluster.go
+++ b/internal/simulation/modelcheck/countmodel/simcluster.go
@@ -44,9 +44,9 @@
 // version is a configuration: the limit of each tenant in tasks. It is in force from the moment that anybody may have it.
 type version struct {
 	limits map[string]int
-	// missing is how many processes don't have it yet, and heldSince when the last of them got it.
-	missing   int
-	heldSince time.Duration
+	// missing is how many processes don't have it yet, and inForceSince when the last of them got it.
+	missing      int
+	inForceSince time.Duration
 }
 
 // network is how messages fare.
@@ -123,11 +123,11 @@
 	next.limits[tenant] = limit
 	c.versions = append(c.versions, next)
 	number := len(c.versions) - 1
-	reach := func(held *int) {
+	reach := func(known *int) {
 		c.queue.After(c.between(0, int(spreadTime.Milliseconds())), func() {
-			*held = max(*held, number)
+			*known = max(*known, number)
 			if next.missing--; next.missing == 0 {
-				next.heldSince = c.queue.Now()
+				next.inForceSince = c.queue.Now()
 			}
 		})
 	}
@@ -144,7 +144,7 @@
 	highest := 0
 	for number := len(c.versions) - 1; number >= 0; number-- {
 		highest = max(highest, c.versions[number].limits[tenant])
-		if c.versions[number].missing == 0 && c.queue.Now()-c.versions[number].heldSince > inForceTime {
+		if c.versions[number].missing == 0 && c.queue.Now()-c.versions[number].inForceSince > inForceTime {
 			break
 		}
 	}
