--- a/internal/simulation/soak/evacuation.go
+++ b/internal/simulation/soak/evacuation.go
@@ -18,11 +18,9 @@
 
 // Evacuation is an order for a zone: when it was acknowledged, and when it was first asked to be taken back.
 type Evacuation struct {
-	Zone               string
-	AcknowledgedAt     time.Duration
-	TerminateSentAt    time.Duration
-	IsTerminateSent    bool
-	TerminateConfirmed bool
+	Zone            string
+	AcknowledgedAt  time.Duration
+	TerminateSentAt time.Duration
 }
 
 // evacuate empties one zone after the other until ctx is done, and takes each order back.
@@ -32,14 +30,14 @@
 		if !o.orderUntilAnswered(ctx, zone, "initiate") {
 			return
 		}
-		order := &Evacuation{Zone: zone, AcknowledgedAt: o.recorder.now()}
+		order := Evacuation{Zone: zone, AcknowledgedAt: o.recorder.now()}
 		pause(ctx, evacuationLasts)
-		order.IsTerminateSent, order.TerminateSentAt = true, o.recorder.now()
+		order.TerminateSentAt = o.recorder.now()
 		// A zone that is left evacuated would keep its jobs from running, so the order is taken back also where the soak ends.
 		limited, release := context.WithTimeout(context.WithoutCancel(ctx), settleLimit/2)
-		order.TerminateConfirmed = o.orderUntilAnswered(limited, zone, "terminate")
+		o.orderUntilAnswered(limited, zone, "terminate")
 		release()
-		o.recorder.write(func(h *History) { h.Evacuations = append(h.Evacuations, *order) })
+		o.recorder.write(func(h *History) { h.Evacuations = append(h.Evacuations, order) })
 	}
 }
 
--- a/internal/simulation/soak/load.go
+++ b/internal/simulation/soak/load.go
@@ -10,9 +10,8 @@
 
 // counters are what a process has used since its start.
 type counters struct {
-	incarnation int
-	at          time.Duration
-	cpuSeconds  float64
+	at         time.Duration
+	cpuSeconds float64
 	// sentBytes are those of calls to peers and of datagrams.
 	sentBytes float64
 	commits   float64
@@ -37,7 +36,7 @@
 		if err != nil {
 			continue
 		}
-		read[running] = counters{at: s.recorder.now(), incarnation: running.incarnation, cpuSeconds: samples["process_cpu_seconds_total"],
+		read[running] = counters{at: s.recorder.now(), cpuSeconds: samples["process_cpu_seconds_total"],
 			sentBytes: sumOf(samples, "gannetline_peer_sent_bytes_total") + sumOf(samples, "gannetline_datagrams_sent_bytes_total"),
 			commits:   samples["gannetline_store_transactions_total"]}
 	}
@@ -70,14 +69,12 @@
 	return loads
 }
 
-// busiest gives the most of each figure over all processes of some roles.
-func busiest(loads []ProcessLoad, roles ...Role) ProcessLoad {
+// busiest gives the most of each figure over all processes of a role.
+func busiest(loads []ProcessLoad, role Role) ProcessLoad {
 	var most ProcessLoad
 	for _, load := range loads {
-		for _, role := range roles {
-			if load.Role == role {
-				most.Cores, most.SentBytes, most.Commits = max(most.Cores, load.Cores), max(most.SentBytes, load.SentBytes), max(most.Commits, load.Commits)
-			}
+		if load.Role == role {
+			most.Cores, most.SentBytes, most.Commits = max(most.Cores, load.Cores), max(most.SentBytes, load.SentBytes), max(most.Commits, load.Commits)
 		}
 	}
 	return most
--- a/internal/simulation/soak/pairs.go
+++ b/internal/simulation/soak/pairs.go
@@ -92,19 +92,14 @@
 func measure(ctx context.Context, options Options, busy []Part, log logging.Logger) (PairRow, error) {
 	options.Parts, options.Kinds = busy, nil
 	options.Mix = &Mix{Features: AllFeatures, Zones: 2, OrderList: "invocation", HeartbeatMs: heartbeatMs, EvacuationMs: minEvacuation}
-	options.Schedule = Draw(options, options.Layout())
+	layout := options.Layout()
+	schedule := Draw(options, layout)
 	if slices.Contains(busy, PartMembership) {
 		for at := time.Second; at < options.Length; at += waveEvery {
-			options.Schedule.Events = append(options.Schedule.Events, Event{AtMs: at.Milliseconds(), Kind: FaultWave})
+			schedule.Events = append(schedule.Events, Event{AtMs: at.Milliseconds(), Kind: FaultWave})
 		}
 	}
-	folder, removeFolder, err := makeFolder("")
-	if err != nil {
-		return PairRow{}, err
-	}
-	defer removeFolder()
-	played := &soak{options: options, layout: options.Layout(), schedule: options.Schedule, folder: folder, log: log}
-	history, err := played.play(ctx)
+	history, err := playOnce(ctx, options, layout, schedule, log)
 	if err != nil {
 		return PairRow{}, err
 	}
--- a/internal/simulation/soak/soak.go
+++ b/internal/simulation/soak/soak.go
@@ -35,18 +35,22 @@
 	if schedule == nil {
 		schedule = Draw(options, layout)
 	}
-	folder, removeFolder, err := makeFolder(options.Keep)
+	history, err := playOnce(ctx, options, layout, schedule, log)
 	if err != nil {
 		return nil, err
 	}
-	defer removeFolder()
-	played := &soak{options: options, layout: layout, schedule: schedule, folder: folder, log: log}
-	history, err := played.play(ctx)
+	options.InjectedFault.disturb(history)
+	return newSummary(options, schedule, history, Judge(history)), nil
+}
+
+// playOnce plays a schedule on a layout in a folder of its own, and gives what was seen.
+func playOnce(ctx context.Context, options Options, layout *Layout, schedule *Schedule, log logging.Logger) (*History, error) {
+	folder, removeFolder, err := makeFolder(options.Keep)
 	if err != nil {
 		return nil, err
 	}
-	options.InjectedFault.disturb(history)
-	return newSummary(options, schedule, history, Judge(history)), nil
+	defer removeFolder()
+	return (&soak{options: options, layout: layout, schedule: schedule, folder: folder, log: log}).play(ctx)
 }
 
 // makeFolder makes the folder of a soak: the one to keep, or a temporary one that is removed.
--- a/tools/hunt-all.sh
+++ b/tools/hunt-all.sh
@@ -47,7 +47,15 @@
 digest=$("$root/tools/hunted.sh" --commit "$commit" --digest) || exit 2
 scratch=$(mktemp -d "$root/../hunt-all.XXXXXX")
 readonly stop=$scratch/stop
-trap 'rm -rf "$scratch"' EXIT
+# Runs of the bench that are under way end before their clones go.
+clean_up() {
+  local run
+  for run in $(jobs -p); do pkill -TERM -P "$run"; done
+  wait
+  rm -rf "$scratch"
+}
+trap clean_up EXIT
+trap 'exit 1' INT TERM HUP
 for ((lane = 0; lane < lanes; lane++)); do
   git -C "$root" clone -q . "$scratch/$lane" && git -C "$scratch/$lane" checkout -q "$commit" || exit 2
 done
