--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0 leaves the disruption out.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x review/bin/model-servers ] && [ -x target/gannetline ] || exit 2
+exec review/bin/model-servers review/3 extra
--- a/review/standin/lab/lab.go
+++ b/review/standin/lab/lab.go
@@ -52,6 +52,9 @@
 	stewards int
 	procs    []*exec.Cmd
 	spawn    chan func()
+	// isEnding is set once the script ends its processes. ends counts, by name, how often a supervised process ended by itself.
+	isEnding bool
+	ends     map[string]int
 }
 
 // Zones are the names of the zones; machine number n stands in zone n modulo 3.
@@ -69,7 +72,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(CouldNot)
 	}
-	l := &Lab{folder: folder, record: record, started: time.Now(), Trouble: os.Getenv("TROUBLE") != "0", spawn: make(chan func())}
+	l := &Lab{folder: folder, record: record, started: time.Now(), Trouble: os.Getenv("TROUBLE") != "0", spawn: make(chan func()), ends: map[string]int{}}
 	// A child gets SIGKILL when the thread that started it ends, so one thread that never ends starts them all.
 	go func() {
 		runtime.LockOSThread()
@@ -142,12 +145,16 @@
 	text := fmt.Sprintf(format, values...)
 	l.Logf("%s: %s", verdict, text)
 	fmt.Printf("%s: %s\n", verdict, text)
-	for _, process := range l.procs {
+	l.mutex.Lock()
+	l.isEnding = true
+	procs := append([]*exec.Cmd{}, l.procs...)
+	l.mutex.Unlock()
+	for _, process := range procs {
 		process.Process.Signal(syscall.SIGCONT)
 		process.Process.Kill()
 	}
-	for _, process := range l.procs {
-		process.Wait()
+	for _, process := range procs {
+		process.Process.Wait()
 	}
 	if os.Getenv("KEEP") == "" {
 		os.RemoveAll(l.folder)
@@ -206,20 +213,86 @@
 	if err := <-done; err != nil {
 		l.End(CouldNot, "starting %s: %v", name, err)
 	}
-	l.procs = append(l.procs, process)
+	l.keep(process)
 	l.Logf("started %s (pid %d): target/gannetline %s", name, process.Process.Pid, strings.Join(arguments, " "))
 	return process
 }
 
-// Stewards starts stewards on the machines 1 to count, each with a disk.
+func (l *Lab) keep(process *exec.Cmd) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.isEnding {
+		process.Process.Kill()
+	}
+	l.procs = append(l.procs, process)
+}
+
+// supervise starts a program again, half a second after it has ended by itself, as the platform does. The settings then no longer say that it
+// is the first start.
+func (l *Lab) supervise(name, settings string, process *exec.Cmd, arguments ...string) {
+	for {
+		state, _ := process.Process.Wait()
+		l.mutex.Lock()
+		if l.isEnding {
+			l.mutex.Unlock()
+			return
+		}
+		l.ends[name]++
+		l.mutex.Unlock()
+		l.Logf("%s ended by itself: %v; the last it wrote: %s", name, state, l.lastPanic(name))
+		time.Sleep(500 * time.Millisecond)
+		text, err := os.ReadFile(settings)
+		if err != nil {
+			return
+		}
+		os.WriteFile(settings, []byte(strings.Replace(string(text), "initial-start: true", "initial-start: false", 1)), 0o644)
+		l.mutex.Lock()
+		isEnding := l.isEnding
+		l.mutex.Unlock()
+		if isEnding {
+			return
+		}
+		process = l.run(name, settings, arguments...)
+	}
+}
+
+// lastPanic returns the first line of the last panic in the log of a process.
+func (l *Lab) lastPanic(name string) string {
+	text, _ := os.ReadFile(filepath.Join(l.folder, name+".log"))
+	at := strings.LastIndex(string(text), "panic: ")
+	if at < 0 {
+		return "no panic"
+	}
+	line, rest, _ := strings.Cut(string(text[at:]), "\n")
+	for _, frame := range strings.Split(rest, "\n") {
+		if strings.HasPrefix(frame, "gannetline/") {
+			return line + ", in " + frame[:strings.LastIndex(frame, "(")]
+		}
+	}
+	return line
+}
+
+// Ends returns how often each supervised process has ended by itself.
+func (l *Lab) Ends() map[string]int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	ends := map[string]int{}
+	for name, count := range l.ends {
+		ends[name] = count
+	}
+	return ends
+}
+
+// Stewards starts stewards on the machines 1 to count, each with a disk, and starts them again if they end by themselves.
 func (l *Lab) Stewards(count int) {
 	l.stewards = count
 	for machine := 1; machine <= count; machine++ {
 		name := fmt.Sprintf("steward-%d", machine)
 		data := filepath.Join(l.folder, "data-"+name)
 		os.Mkdir(data, 0o755)
-		l.run(name, l.settings(name, "steward", machine, "machine-class: edge", `served-roles: ["control"]`,
-			fmt.Sprintf("listen-addresses: {control-plane: %q}", l.Control(machine)), fmt.Sprintf("data-directory: %q", data)), "steward")
+		settings := l.settings(name, "steward", machine, "machine-class: edge", `served-roles: ["control"]`,
+			fmt.Sprintf("listen-addresses: {control-plane: %q}", l.Control(machine)), fmt.Sprintf("data-directory: %q", data))
+		go l.supervise(name, settings, l.run(name, settings, "steward"), "steward")
 	}
 }
 
@@ -266,7 +339,7 @@
 	}
 	runtime.KeepAlive(write)
 	inputs = append(inputs, write)
-	l.procs = append(l.procs, process)
+	l.keep(process)
 	l.Logf("started %s (pid %d): stand-in of an executor", name, process.Process.Pid)
 }
 
--- a/review/standin/moved-route/main.go
+++ b/review/standin/moved-route/main.go
@@ -91,9 +91,12 @@
 	long := submit("long job", "5c0e7a21d94b36f2", job(14000))
 	all := []submitted{short, long}
 	time.Sleep(time.Second)
-	// VARIANT=move is not part of the case: the same move in one change, for comparison.
+	// VARIANT=move and VARIANT=rename are not part of the case. For comparison, they move the route in one change, under the same name or
+	// under another.
 	if l.Trouble && os.Getenv("VARIANT") == "move" {
 		l.Configure(5, configuration(8, "rota-new"))
+	} else if l.Trouble && os.Getenv("VARIANT") == "rename" {
+		l.Configure(5, strings.Replace(configuration(8, "rota-new"), "r-rebuild", "r-rebuild-2", 1))
 	} else if l.Trouble {
 		l.Configure(5, configuration(7, ""))
 		time.Sleep((configApply + 200) * time.Millisecond)
