--- a/review/standin/lab/lab.go
+++ b/review/_standin/lab/lab.go
@@ -120,11 +120,14 @@
 // At returns the address of a port of a machine.
 func (l *Lab) At(machine, port int) string { return fmt.Sprintf("%s.%d:%d", l.network, machine, port) }
 
-// Front returns the address at which the gate of a machine serves clients, Control that of a steward or a local proxy, App that of an
-// executor.
-func (l *Lab) Front(machine int) string   { return l.At(machine, frontPort) }
+// Front returns the address at which the gate of a machine serves clients.
+func (l *Lab) Front(machine int) string { return l.At(machine, frontPort) }
+
+// Control returns the address at which a steward or a local proxy serves its callers.
 func (l *Lab) Control(machine int) string { return l.At(machine, controlPort) }
-func (l *Lab) App(machine int) string     { return l.At(machine, appPort) }
+
+// App returns the address at which the executor of a machine serves its local proxy.
+func (l *Lab) App(machine int) string { return l.At(machine, appPort) }
 
 // SinceMs is the time since the start of the script, in milliseconds.
 func (l *Lab) SinceMs() int64 { return time.Since(l.started).Milliseconds() }
