--- a/review/_standin/model-servers/main.go
+++ b/review/_standin/model-servers/main.go
@@ -35,13 +35,15 @@
 	prefill       = 25 * time.Millisecond
 	decode        = 25 * time.Millisecond
 	// The disruption: share .6 of the executors, x .03 of their answers, for 5 s.
-	garbling      = 3
-	garbledShare  = 0.03
-	garbledFor    = 5 * time.Second
-	garbledFrom   = 2 * time.Second
-	trafficFor    = 9 * time.Second
-	burstEvery    = 250 * time.Millisecond
+	garbling     = 3
+	garbledShare = 0.03
+	garbledFor   = 5 * time.Second
+	garbledFrom  = 2 * time.Second
+	trafficFor   = 9 * time.Second
+	// Each second begins with a burst, which meets full executors. The calm requests after it meet free ones.
+	pause         = 200 * time.Millisecond
 	burstRequests = 70
+	calmRequests  = 12
 )
 
 // executor is a stand-in of a model executor.
@@ -58,6 +60,8 @@
 	free             chan struct{}
 	// answers and extras count what was sent while the disruption lasts.
 	answers, extras int
+	// refusedAt is when the executor last turned a request away.
+	refusedAt time.Time
 }
 
 // board collects what ran where.
@@ -141,6 +145,8 @@
 		isFull := e.running >= slots && e.waiting >= queueLength
 		if !isFull {
 			e.waiting++
+		} else {
+			e.refusedAt = time.Now()
 		}
 		e.mutex.Unlock()
 		if isFull {
@@ -153,7 +159,9 @@
 		e.waiting--
 		e.running++
 		isDue := isTroubled && float64(e.extras+1) <= garbledShare*float64(e.answers)
-		isExtra, isBrokenOff := isDue && !e.board.unframed && lastRefusal != nil, isDue && e.board.unframed
+		sinceRefusal := time.Since(e.refusedAt)
+		isCalm := sinceRefusal > 120*time.Millisecond && sinceRefusal < 650*time.Millisecond
+		isExtra, isBrokenOff := isDue && !e.board.unframed && lastRefusal != nil && isCalm, isDue && e.board.unframed
 		if isExtra || isBrokenOff {
 			e.extras++
 		}
@@ -279,11 +287,10 @@
 	l.Logf("traffic begins; the executors i-1 to i-%d do the %s disruption from %v to %v after that, with at most %v of their answers", garbling, os.Args[2], garbledFrom, garbledFrom+garbledFor, garbledShare)
 	var clients sync.WaitGroup
 	number := 0
-	for time.Since(begun) < trafficFor {
-		// A burst meets full executors, and the calm after it meets free ones.
-		count := burstRequests
-		if number/burstRequests%2 == 1 {
-			count = burstRequests / 5
+	for step := 0; time.Since(begun) < trafficFor; step++ {
+		count := calmRequests
+		if step%5 == 0 {
+			count = burstRequests
 		}
 		for range count {
 			number++
@@ -307,7 +314,7 @@
 				b.mutex.Unlock()
 			}()
 		}
-		time.Sleep(burstEvery)
+		time.Sleep(pause)
 	}
 	clients.Wait()
 	time.Sleep(500 * time.Millisecond)
