Forwarding: a refusal with the ID of another request is not a refusal of this one

Callers saw a request on a route with max-attempts 1 run at two executors in one try (BUDGET), or a 503, which promises that it did not run, while it ran.

Cause: an executor may send an extra answer to an earlier request in the place of the next answer, and only the echoed X-Request-Id makes this known. The gate looked at X-Not-Executed and status 421 before it compared the ID.

Change: platform/executorclient sends a request and tells what the head of the answer states about it; it compares the ID first. An answer to another request states nothing, so the request counts as one that may have run. The runner of lots had the same order of checks and uses the same code. A foreign answer's load is not recorded, and its connection is closed: after an extra answer without a body it stayed in use, with the own answer still to come on it.

--- a/internal/control/itemrunner/itemrunner.go
+++ b/internal/control/itemrunner/itemrunner.go
@@ -16,6 +16,7 @@
 	"gannetline/internal/control/lots"
 	"gannetline/internal/platform/clock"
 	"gannetline/internal/platform/eventstream"
+	"gannetline/internal/platform/executorclient"
 	"gannetline/internal/platform/headers"
 	"gannetline/internal/platform/mailbox"
 )
@@ -26,8 +27,6 @@
 	// itemPriority is the value of the Priority header of items. Lower numbers go first, so that interactive requests overtake items at
 	// an executor.
 	itemPriority = "9"
-	// maxDrainedBytes limits the bytes that are read from the body of an answer without output, so that the connection can be reused.
-	maxDrainedBytes = 4096
 )
 
 // Runner runs items at executors and posts the outcomes to a mailbox. It implements lots.Runner.
@@ -70,19 +69,19 @@
 	if err != nil {
 		return lots.OutcomeImpossible, run.Progress
 	}
-	answer, err := r.client.Do(call)
+	answer, statement, err := executorclient.Do(r.client, call)
 	if err != nil {
 		return lots.OutcomeBroken, run.Progress
 	}
 	defer answer.Body.Close()
 	switch {
-	case answer.Header.Get(headers.NotExecuted) != "" || answer.StatusCode == http.StatusMisdirectedRequest:
-		io.CopyN(io.Discard, answer.Body, maxDrainedBytes)
-		return lots.OutcomeRefused, run.Progress
-	case answer.Header.Get(headers.RequestID) != run.ItemID:
+	case statement == executorclient.StatementNone:
 		return lots.OutcomeBroken, run.Progress
+	case statement == executorclient.StatementNotExecuted:
+		executorclient.Drain(answer)
+		return lots.OutcomeRefused, run.Progress
 	case answer.StatusCode != http.StatusOK:
-		io.CopyN(io.Discard, answer.Body, maxDrainedBytes)
+		executorclient.Drain(answer)
 		return lots.StatusOutcome(answer.StatusCode), run.Progress
 	case !strings.HasPrefix(answer.Header.Get("Content-Type"), eventstream.MediaType):
 		return lots.OutcomeBroken, run.Progress
--- a/internal/control/itemrunner/itemrunner_test.go
+++ b/internal/control/itemrunner/itemrunner_test.go
@@ -113,5 +113,8 @@
 		Entry("broken", status(504), lots.OutcomeBroken),
 		Entry("no event stream", status(200, "Content-Type", "text/plain"), lots.OutcomeBroken),
 		Entry("request ID of another request", status(200, "X-Request-Id", "other"), lots.OutcomeBroken),
+		// Guards against a late extra refusal of an earlier item that counted as that of the item that runs.
+		Entry("refusal of another request", status(503, "X-Request-Id", "other", "X-Not-Executed", "1"), lots.OutcomeBroken),
+		Entry("refusal of another request that was meant for another executor", status(421, "X-Request-Id", "other"), lots.OutcomeBroken),
 	)
 })
--- a/internal/gate/forwarding/executorcall.go
+++ b/internal/gate/forwarding/executorcall.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -12,6 +11,7 @@
 	"gannetline/internal/cluster/peerapi"
 	"gannetline/internal/gate/balancer"
 	"gannetline/internal/gate/headerrules"
+	"gannetline/internal/platform/executorclient"
 	"gannetline/internal/platform/headers"
 )
 
@@ -35,37 +35,44 @@
 	}
 	executor.RecordStart(f.clock.Monotonic())
 	defer executor.RecordEnd()
-	answer, err := f.client.Do(call)
+	answer, statement, err := executorclient.Do(f.client, call)
 	now := f.clock.Monotonic()
-	if err == nil {
-		executor.RecordActivity(now)
+	if err != nil {
+		return recordFailedCall(ctx, executor, err, now, deadline)
 	}
-	switch {
-	case err != nil && peerapi.NeverSent(err):
-		executor.RecordUnreachable(now)
-		return callNotRun
-	case err != nil && ctx.Err() == nil:
+	defer answer.Body.Close()
+	executor.RecordActivity(now)
+	if statement == executorclient.StatementNone {
 		executor.RecordUnreachable(now)
 		return callUnknown
-	case err != nil:
-		if now >= deadline {
-			executor.RecordTimeout(now)
-		}
-		return callUnknown
 	}
-	defer answer.Body.Close()
 	if running, waiting, isReported := loadOf(answer.Header); isReported {
 		executor.RecordLoad(running, waiting, now)
 	}
+	if statement == executorclient.StatementNotExecuted {
+		executorclient.Drain(answer)
+		return callNotRun
+	}
+	return f.passAnswer(ctx, relay, executor, answer)
+}
+
+// recordFailedCall records a call without an answer for the balancer and returns its result.
+func recordFailedCall(ctx context.Context, executor *balancer.Executor, err error, now, deadline time.Duration) callResult {
 	switch {
-	case answer.Header.Get(headers.NotExecuted) != "" || answer.StatusCode == http.StatusMisdirectedRequest:
-		// Reading the short body of a refusal allows the connection to be reused.
-		io.CopyN(io.Discard, answer.Body, maxRefusalBody)
+	case peerapi.NeverSent(err):
+		executor.RecordUnreachable(now)
 		return callNotRun
-	case answer.Header.Get(headers.RequestID) != relay.request.Header.Get(headers.RequestID):
+	case ctx.Err() == nil:
 		executor.RecordUnreachable(now)
-		return callUnknown
+	case now >= deadline:
+		executor.RecordTimeout(now)
 	}
+	return callUnknown
+}
+
+// passAnswer streams the answer of an executor that ran the request to the client, and records the result for the balancer.
+func (f *Forwarder) passAnswer(ctx context.Context, relay *relay, executor *balancer.Executor, answer *http.Response) callResult {
+	answeredAt := f.clock.Monotonic()
 	if err := relay.pass(answer, func() { executor.RecordActivity(f.clock.Monotonic()) }); err != nil {
 		if ctx.Err() == nil {
 			executor.RecordUnreachable(f.clock.Monotonic())
@@ -73,16 +80,13 @@
 		return callUnknown
 	}
 	if answer.StatusCode == http.StatusInternalServerError {
-		executor.RecordFailure(now)
+		executor.RecordFailure(answeredAt)
 	} else {
 		executor.RecordSuccess()
 	}
 	return callAnswered
 }
 
-// maxRefusalBody is how much of the body of a refusal is read, in bytes.
-const maxRefusalBody = 4096
-
 // newCall returns the HTTP request that forwards a client's request to an executor.
 func (f *Forwarder) newCall(ctx context.Context, relay *relay, executor *balancer.Executor, deadline time.Duration) (*http.Request, error) {
 	request := relay.request
--- a/internal/gate/forwarding/forwarding_test.go
+++ b/internal/gate/forwarding/forwarding_test.go
@@ -107,10 +107,18 @@
 	}
 }
 
+// refusingAs returns a script that answers with a status and the ID of a request that it was not run.
+func refusingAs(id string, status int) http.HandlerFunc {
+	return func(to http.ResponseWriter, _ *http.Request) {
+		to.Header().Set("X-Request-Id", id)
+		to.Header().Set("X-Not-Executed", "1")
+		to.WriteHeader(status)
+	}
+}
+
 // refusing answers that the request was not run.
-func refusing(to http.ResponseWriter, _ *http.Request) {
-	to.Header().Set("X-Not-Executed", "1")
-	to.WriteHeader(http.StatusServiceUnavailable)
+func refusing(to http.ResponseWriter, call *http.Request) {
+	refusingAs(requestID, http.StatusServiceUnavailable)(to, call)
 }
 
 // breaking closes the connection without an answer.
@@ -237,6 +245,18 @@
 		Expect(answer.StatusCode).To(Equal(http.StatusBadGateway))
 	})
 
+	// Guards against a late extra refusal of an earlier request that made the gate run the next request at a second executor.
+	DescribeTable("runs at one executor only if the refusal that arrives is that of another request", func(status int) {
+		f := newFleet(forwarding.Request{MaxAttempts: 1}, refusingAs("0c41d07be2a35f60", status), streaming(1, 1, false))
+		answer, err := f.send()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(f.calls.Load()).To(Equal(int64(1)))
+		Expect(answer.StatusCode).To(Equal(http.StatusBadGateway))
+	},
+		Entry("as the executor was full", http.StatusServiceUnavailable),
+		Entry("as another executor was meant", http.StatusMisdirectedRequest),
+	)
+
 	It("gets 504 at its deadline, and is not retried then", func() {
 		var f *fleet
 		f = newFleet(forwarding.Request{MaxAttempts: 2, IsIdempotent: true}, func(_ http.ResponseWriter, call *http.Request) {
