Configuration: a queue keeps its former services when it is removed or renamed

Callers saw 410 for accepted jobs, and jobs that ran a second time when they were sent again, after their queue's route had been removed and put back on another service, or replaced by a route of another name at the same address.

Cause: the leader found a queue's former services by comparing the next configuration with the one in force by the name of the route. A route missing there has no former service, so gates neither asked the former pool for the job nor had it renounce the ID.

Change: when a queue is removed or gets another address (host and path prefix), its service and that address are kept; a route that takes an address inherits the services of all routes that have left it. Former names go along with calls to pools, since jobs keep the name under which they were submitted: a renamed queue answered 409 to a repeated submission and counted no waiting jobs.

--- a/internal/cluster/configcache/configcache.go
+++ b/internal/cluster/configcache/configcache.go
@@ -48,6 +48,16 @@
 	return others
 }
 
+// FormerNames lists the names under which a pool may hold further jobs of a route.
+func (s *Snapshot) FormerNames(route string) []string {
+	for _, moved := range s.Committed.Moved {
+		if moved.Route == route {
+			return moved.Names
+		}
+	}
+	return nil
+}
+
 // mailboxSize is how many calls may wait for the goroutine that owns the cache.
 const mailboxSize = 64
 
--- a/internal/cluster/configcache/delta.go
+++ b/internal/cluster/configcache/delta.go
@@ -182,9 +182,9 @@
 	return delta
 }
 
-// equalMovedRoutes reports whether two entries have the same route and the same services.
+// equalMovedRoutes reports whether two entries are the same in all fields.
 func equalMovedRoutes(a, b wire.MovedRoute) bool {
-	return a.Route == b.Route && slices.Equal(a.Services, b.Services)
+	return a.Route == b.Route && a.LeftAddress == b.LeftAddress && slices.Equal(a.Services, b.Services) && slices.Equal(a.Names, b.Names)
 }
 
 // textBytes is how many bytes of a body a delta carries as text.
--- a/internal/cluster/configuration/configuration.go
+++ b/internal/cluster/configuration/configuration.go
@@ -105,6 +105,9 @@
 // RunsJobs reports whether the requests of the route are jobs, which are queued and scheduled.
 func (r *Route) RunsJobs() bool { return r.Type != RouteStreaming && r.Type != RouteBatch }
 
+// Address identifies the requests that a route accepts: the name of the host, in lower case and without a port, and the path prefix.
+func (r *Route) Address() string { return hostName(r.Host) + r.PathPrefix }
+
 // ServiceFor returns the service of a request. In a weighted split, a hash of the request's ID chooses the service, so that all processes
 // choose the same one.
 func (r *Route) ServiceFor(id string) string {
--- a/internal/cluster/peerapi/wire/client.go
+++ b/internal/cluster/peerapi/wire/client.go
@@ -94,6 +94,8 @@
 	Item string `json:"item,omitempty"`
 	// Version is the version of the configuration by which a gate chose the pool. Gates of earlier versions omit it.
 	Version int64 `json:"version,omitempty"`
+	// FormerRoutes are the former names of Route, under which the pool may hold jobs of the same queue.
+	FormerRoutes []string `json:"former-entries,omitempty"`
 }
 
 // RouteTerms are the settings of a job's route: the priority, the number of failures after which a task is not attempted again, and the
--- a/internal/cluster/peerapi/wire/client_easyjson.go
+++ b/internal/cluster/peerapi/wire/client_easyjson.go
@@ -219,6 +219,33 @@
 			} else {
 				out.Version = int64(in.Int64())
 			}
+		case "former-entries":
+			if in.IsNull() {
+				in.Skip()
+				out.FormerRoutes = nil
+			} else {
+				in.Delim('[')
+				if out.FormerRoutes == nil {
+					if !in.IsDelim(']') {
+						out.FormerRoutes = make([]string, 0, 4)
+					} else {
+						out.FormerRoutes = []string{}
+					}
+				} else {
+					out.FormerRoutes = (out.FormerRoutes)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v1 string
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						v1 = string(in.String())
+					}
+					out.FormerRoutes = append(out.FormerRoutes, v1)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -288,6 +315,20 @@
 		out.RawString(prefix)
 		out.Int64(int64(in.Version))
 	}
+	if len(in.FormerRoutes) != 0 {
+		const prefix string = ",\"former-entries\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('[')
+			for v2, v3 := range in.FormerRoutes {
+				if v2 > 0 {
+					out.RawByte(',')
+				}
+				out.String(string(v3))
+			}
+			out.RawByte(']')
+		}
+	}
 	out.RawByte('}')
 }
 
--- a/internal/cluster/peerapi/wire/configuration.go
+++ b/internal/cluster/peerapi/wire/configuration.go
@@ -67,10 +67,16 @@
 	Moved     []MovedRoute `json:"moved,omitempty"`
 }
 
-// MovedRoute names the services that a route led to previously.
+// MovedRoute names the services that a route led to previously, or that the routes led to which had its address before. The pools of these
+// services may hold jobs of the route.
 type MovedRoute struct {
 	Route    string   `json:"entry"`
 	Services []string `json:"services"`
+	// Names are the names that the routes at the route's address had before. Jobs keep the name of the route at which they were submitted.
+	Names []string `json:"names,omitempty"`
+	// LeftAddress is the address that the route had last before it was removed or got another one: its host name and path prefix. It is empty
+	// if the route has had only one address and was never removed.
+	LeftAddress string `json:"left-address,omitempty"`
 }
 
 // InitialVoters are the disks that are the first voters of a service's pool, or of Key.
--- a/internal/cluster/peerapi/wire/configuration_easyjson.go
+++ b/internal/cluster/peerapi/wire/configuration_easyjson.go
@@ -64,6 +64,39 @@
 				}
 				in.Delim(']')
 			}
+		case "names":
+			if in.IsNull() {
+				in.Skip()
+				out.Names = nil
+			} else {
+				in.Delim('[')
+				if out.Names == nil {
+					if !in.IsDelim(']') {
+						out.Names = make([]string, 0, 4)
+					} else {
+						out.Names = []string{}
+					}
+				} else {
+					out.Names = (out.Names)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v2 string
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						v2 = string(in.String())
+					}
+					out.Names = append(out.Names, v2)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
+		case "left-address":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.LeftAddress = string(in.String())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -90,15 +123,34 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v2, v3 := range in.Services {
-				if v2 > 0 {
+			for v3, v4 := range in.Services {
+				if v3 > 0 {
+					out.RawByte(',')
+				}
+				out.String(string(v4))
+			}
+			out.RawByte(']')
+		}
+	}
+	if len(in.Names) != 0 {
+		const prefix string = ",\"names\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('[')
+			for v5, v6 := range in.Names {
+				if v5 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v3))
+				out.String(string(v6))
 			}
 			out.RawByte(']')
 		}
 	}
+	if in.LeftAddress != "" {
+		const prefix string = ",\"left-address\":"
+		out.RawString(prefix)
+		out.String(string(in.LeftAddress))
+	}
 	out.RawByte('}')
 }
 
@@ -161,13 +213,13 @@
 					out.Voters = (out.Voters)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v4 string
+					var v7 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v4 = string(in.String())
+						v7 = string(in.String())
 					}
-					out.Voters = append(out.Voters, v4)
+					out.Voters = append(out.Voters, v7)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -204,11 +256,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v5, v6 := range in.Voters {
-				if v5 > 0 {
+			for v8, v9 := range in.Voters {
+				if v8 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v6))
+				out.String(string(v9))
 			}
 			out.RawByte(']')
 		}
@@ -466,13 +518,13 @@
 					out.Parts = (out.Parts)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v7 DeltaPart
+					var v10 DeltaPart
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v7).UnmarshalEasyJSON(in)
+						(v10).UnmarshalEasyJSON(in)
 					}
-					out.Parts = append(out.Parts, v7)
+					out.Parts = append(out.Parts, v10)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -493,13 +545,13 @@
 					out.InitialVoters = (out.InitialVoters)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v8 InitialVoters
+					var v11 InitialVoters
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v8).UnmarshalEasyJSON(in)
+						(v11).UnmarshalEasyJSON(in)
 					}
-					out.InitialVoters = append(out.InitialVoters, v8)
+					out.InitialVoters = append(out.InitialVoters, v11)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -512,7 +564,7 @@
 				in.Delim('[')
 				if out.Moved == nil {
 					if !in.IsDelim(']') {
-						out.Moved = make([]MovedRoute, 0, 1)
+						out.Moved = make([]MovedRoute, 0, 0)
 					} else {
 						out.Moved = []MovedRoute{}
 					}
@@ -520,13 +572,13 @@
 					out.Moved = (out.Moved)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v9 MovedRoute
+					var v12 MovedRoute
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v9).UnmarshalEasyJSON(in)
+						(v12).UnmarshalEasyJSON(in)
 					}
-					out.Moved = append(out.Moved, v9)
+					out.Moved = append(out.Moved, v12)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -567,11 +619,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v10, v11 := range in.Parts {
-				if v10 > 0 {
+			for v13, v14 := range in.Parts {
+				if v13 > 0 {
 					out.RawByte(',')
 				}
-				(v11).MarshalEasyJSON(out)
+				(v14).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -581,11 +633,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v12, v13 := range in.InitialVoters {
-				if v12 > 0 {
+			for v15, v16 := range in.InitialVoters {
+				if v15 > 0 {
 					out.RawByte(',')
 				}
-				(v13).MarshalEasyJSON(out)
+				(v16).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -595,11 +647,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v14, v15 := range in.Moved {
-				if v14 > 0 {
+			for v17, v18 := range in.Moved {
+				if v17 > 0 {
 					out.RawByte(',')
 				}
-				(v15).MarshalEasyJSON(out)
+				(v18).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -893,21 +945,21 @@
 					out.Changes = (out.Changes)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v19 *ConfigurationDelta
+					var v22 *ConfigurationDelta
 					if in.IsNull() {
 						in.Skip()
-						v19 = nil
+						v22 = nil
 					} else {
-						if v19 == nil {
-							v19 = new(ConfigurationDelta)
+						if v22 == nil {
+							v22 = new(ConfigurationDelta)
 						}
 						if in.IsNull() {
 							in.Skip()
 						} else {
-							(*v19).UnmarshalEasyJSON(in)
+							(*v22).UnmarshalEasyJSON(in)
 						}
 					}
-					out.Changes = append(out.Changes, v19)
+					out.Changes = append(out.Changes, v22)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -962,14 +1014,14 @@
 		}
 		{
 			out.RawByte('[')
-			for v20, v21 := range in.Changes {
-				if v20 > 0 {
+			for v23, v24 := range in.Changes {
+				if v23 > 0 {
 					out.RawByte(',')
 				}
-				if v21 == nil {
+				if v24 == nil {
 					out.RawString("null")
 				} else {
-					(*v21).MarshalEasyJSON(out)
+					(*v24).MarshalEasyJSON(out)
 				}
 			}
 			out.RawByte(']')
@@ -1063,13 +1115,13 @@
 					out.InitialVoters = (out.InitialVoters)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v22 InitialVoters
+					var v25 InitialVoters
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v22).UnmarshalEasyJSON(in)
+						(v25).UnmarshalEasyJSON(in)
 					}
-					out.InitialVoters = append(out.InitialVoters, v22)
+					out.InitialVoters = append(out.InitialVoters, v25)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -1090,13 +1142,13 @@
 					out.Confirmed = (out.Confirmed)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v23 ConfirmedVersion
+					var v26 ConfirmedVersion
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v23).UnmarshalEasyJSON(in)
+						(v26).UnmarshalEasyJSON(in)
 					}
-					out.Confirmed = append(out.Confirmed, v23)
+					out.Confirmed = append(out.Confirmed, v26)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -1115,7 +1167,7 @@
 				in.Delim('[')
 				if out.Moved == nil {
 					if !in.IsDelim(']') {
-						out.Moved = make([]MovedRoute, 0, 1)
+						out.Moved = make([]MovedRoute, 0, 0)
 					} else {
 						out.Moved = []MovedRoute{}
 					}
@@ -1123,13 +1175,13 @@
 					out.Moved = (out.Moved)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v24 MovedRoute
+					var v27 MovedRoute
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v24).UnmarshalEasyJSON(in)
+						(v27).UnmarshalEasyJSON(in)
 					}
-					out.Moved = append(out.Moved, v24)
+					out.Moved = append(out.Moved, v27)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -1163,11 +1215,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v25, v26 := range in.InitialVoters {
-				if v25 > 0 {
+			for v28, v29 := range in.InitialVoters {
+				if v28 > 0 {
 					out.RawByte(',')
 				}
-				(v26).MarshalEasyJSON(out)
+				(v29).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -1177,11 +1229,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v27, v28 := range in.Confirmed {
-				if v27 > 0 {
+			for v30, v31 := range in.Confirmed {
+				if v30 > 0 {
 					out.RawByte(',')
 				}
-				(v28).MarshalEasyJSON(out)
+				(v31).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -1196,11 +1248,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v29, v30 := range in.Moved {
-				if v29 > 0 {
+			for v32, v33 := range in.Moved {
+				if v32 > 0 {
 					out.RawByte(',')
 				}
-				(v30).MarshalEasyJSON(out)
+				(v33).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
--- a/internal/gate/clientapi/clientapi.go
+++ b/internal/gate/clientapi/clientapi.go
@@ -66,7 +66,8 @@
 	}
 	id := strings.ToLower(request.URL.Path[len(route.PathPrefix):])
 	service := snapshot.Matcher.ServiceFor(route, id)
-	call := &wire.ClientCall{Key: wire.PoolKey(service), Route: route.Name, ID: id, Tenant: tenant, Version: snapshot.Committed.Version}
+	call := &wire.ClientCall{Key: wire.PoolKey(service), Route: route.Name, ID: id, Tenant: tenant, Version: snapshot.Committed.Version,
+		FormerRoutes: snapshot.FormerNames(route.Name)}
 	decision := Decision{Call: call, OtherServices: snapshot.OtherServices(route.Name, service), Timeout: timeout}
 	if call.ID == "" {
 		if request.Method != http.MethodGet {
--- a/internal/gate/clientapi/rollout_test.go
+++ b/internal/gate/clientapi/rollout_test.go
@@ -147,3 +147,17 @@
 		Expect(gate.calls).To(Equal([]string{"pool/u renounce 7", "pool/s hand-in 7"}))
 	})
 })
+
+var _ = Describe("a queue that had another name", func() {
+	It("names it to the pools, which may have jobs under that name", func() {
+		var names [][]string
+		gate := &rolloutGate{answer: func(call *wire.ClientCall) *wire.ClientAnswer {
+			names = append(names, call.FormerRoutes)
+			return &wire.ClientAnswer{Status: http.StatusOK}
+		}}
+		snapshot := snapshotOf(configurationText, wire.MovedRoute{Route: "a", Services: []string{"s"}, Names: []string{"z"}})
+		Expect(gate.request(snapshot, http.MethodPost, id).Code).To(Equal(200))
+		Expect(gate.request(snapshot, http.MethodGet, "").Code).To(Equal(200))
+		Expect(names).To(Equal([][]string{{"z"}, {"z"}}))
+	})
+})
--- a/internal/scheduling/scheduler/clients.go
+++ b/internal/scheduling/scheduler/clients.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 
 	"github.com/mailru/easyjson"
@@ -45,7 +46,7 @@
 func (p *Pool) Submit(call *wire.ClientCall, answer answerClient) {
 	accepted := answerOnCommit(answer)
 	if known := p.jobs[call.ID]; known != nil {
-		if known.record.Route != call.Route || !known.isVisibleTo(call.Tenant) {
+		if !isOfQueue(known, call) || !known.isVisibleTo(call.Tenant) {
 			answer(wire.ClientAnswer{Status: http.StatusConflict, Reason: "the ID belongs to a job of another queue"})
 			return
 		}
@@ -84,6 +85,11 @@
 	p.afterCommit(accepted)
 }
 
+// isOfQueue reports whether a job belongs to the queue of a call. The queue may have had another name when the job was submitted.
+func isOfQueue(job *jobState, call *wire.ClientCall) bool {
+	return job.record.Route == call.Route || slices.Contains(call.FormerRoutes, job.record.Route)
+}
+
 // addJob adds a job to the tables and writes its record. The spec's text is stored only in the record, not kept in memory.
 func (p *Pool) addJob(id string, record jobRecord, spec *jobs.Spec) *jobState {
 	job := newJobState(id)
@@ -163,8 +169,11 @@
 // Count answers a client with the number of jobs of a queue that have not started.
 func (p *Pool) Count(call *wire.ClientCall, answer answerClient) {
 	p.answerUnderLease(answer, func() wire.ClientAnswer {
-		count := strconv.Itoa(max(0, p.queued[call.Route]))
-		return wire.ClientAnswer{Status: http.StatusOK, Body: []byte(`{"waiting-count":` + count + `}`)}
+		count := p.queued[call.Route]
+		for _, former := range call.FormerRoutes {
+			count += p.queued[former]
+		}
+		return wire.ClientAnswer{Status: http.StatusOK, Body: []byte(`{"waiting-count":` + strconv.Itoa(max(0, count)) + `}`)}
 	})
 }
 
--- a/internal/scheduling/scheduler/scheduler_test.go
+++ b/internal/scheduling/scheduler/scheduler_test.go
@@ -463,4 +463,16 @@
 		pool.Submit(&wire.ClientCall{Route: "other", ID: id, Body: []byte(`{}`)}, func(answer wire.ClientAnswer) { status = answer.Status })
 		Expect(status).To(Equal(409))
 	})
+
+	// Guards against a 409 for a job that is sent again after its queue has got another name.
+	It("acknowledges a repeated submission to a queue that had another name before", func() {
+		submit()
+		leadership.settle(nil)
+		renamed := wire.ClientCall{Route: "other", FormerRoutes: []string{"e"}, ID: id, Body: []byte(`{}`)}
+		var status int
+		pool.Submit(&renamed, func(answer wire.ClientAnswer) { status = answer.Status })
+		pool.Flush()
+		leadership.settle(nil)
+		Expect(status).To(Equal(200))
+	})
 })
