Jobs: amounts beyond any executor no longer exceed 64 bits in the scheduler

Callers saw accepted jobs stand still after one job that asks for 2^62 thousandths of a core had been accepted: each leader of the pool ended by itself, about every 1.5 s.

Cause: remainingTenths multiplied CPU, estimated time and number of tasks in 64 bits and divided by the sum, which wrapped around to 0.

Change: amounts and times of a job above the largest that can matter count as these, for submitted and for stored jobs, and so do the capacities that executors report. Products are floating-point numbers. Milliseconds beyond a duration stop at 146 years rather than wrap around below zero. The work that a rollout counts and the target under an extreme stretch factor are limited.

--- a/internal/platform/clock/clock.go
+++ b/internal/platform/clock/clock.go
@@ -28,8 +28,14 @@
 // After calls time.After.
 func (c realClock) After(wait time.Duration) <-chan time.Time { return time.After(wait) }
 
-// Milliseconds converts milliseconds to a duration.
-func Milliseconds(count int64) time.Duration { return time.Duration(count) * time.Millisecond }
+// maxDuration is the longest duration that Milliseconds returns, about 146 years. The sum of two such durations does not overflow.
+const maxDuration = 1 << 62 * time.Nanosecond
+
+// Milliseconds converts milliseconds to a duration, at most maxDuration in both directions.
+func Milliseconds(count int64) time.Duration {
+	const maxCount = int64(maxDuration / time.Millisecond)
+	return time.Duration(max(-maxCount, min(count, maxCount))) * time.Millisecond
+}
 
 // Fake is a clock for tests that moves only by Advance and StepWall. Only one goroutine may use it.
 type Fake struct {
--- a/internal/scheduling/jobs/jobs_test.go
+++ b/internal/scheduling/jobs/jobs_test.go
@@ -33,6 +33,20 @@
 		Entry("too many tasks", `{"step-list":[{"task-count":20000},{"task-count":20000}]}`, "task-count"),
 	)
 
+	It("counts amounts above the largest ones as these, also if it was accepted before", func() {
+		body := []byte(`{"first-run-ms":9223372036854775807,"period-ms":9223372036854775807,"repeat-count":2,"step-list":[{"task-count":3,
+			"cpu-units":9223372036854775807,"memory-req-mb":9223372036854775807,"gpu-count":9223372036854775807,"estimated-ms":9223372036854775807}]}`)
+		for _, read := range []func([]byte) (*jobs.Spec, error){jobs.Read, jobs.Restore} {
+			spec, err := read(body)
+			Expect(err).NotTo(HaveOccurred())
+			step := &spec.Steps[0]
+			Expect([]int64{step.CPU, step.Memory, step.GPU}).To(Equal([]int64{jobs.MaxCPU, jobs.MaxMemory, jobs.MaxGPU}))
+			Expect(spec.FirstRunMs + 100000*spec.PeriodMs).To(BeNumerically(">", 0))
+			Expect(256 * step.EstimatedMs).To(BeNumerically(">", 0))
+			Expect(step.Work(step.Tasks)).To(BeNumerically(">", 0))
+		}
+	})
+
 	DescribeTable("has an ID of 16 hex digits", func(id string, isGood bool) { Expect(jobs.IsID(id)).To(Equal(isGood)) },
 		Entry("good", "5c0e7a21d94b36f8", true), Entry("short", "5c0e", false), Entry("not hexadecimal", "5c0e7a21d94b36fx", false))
 
--- a/internal/scheduling/jobs/read.go
+++ b/internal/scheduling/jobs/read.go
@@ -82,12 +82,14 @@
 	return spec, spec.checkSize()
 }
 
-// Restore decodes and validates a job that was accepted before, possibly under other size limits than those of Read.
+// Restore decodes and validates a job that was accepted before, possibly under other size limits than those of Read. It reduces amounts above
+// the largest ones, see MaxCPU.
 func Restore(body []byte) (*Spec, error) {
 	spec := &Spec{}
 	if err := easyjson.Unmarshal(body, spec); err != nil {
 		return nil, errors.Annotate(err, "the job can't be read")
 	}
+	spec.limitAmounts()
 	return spec, spec.check()
 }
 
--- a/internal/scheduling/scheduler/job.go
+++ b/internal/scheduling/scheduler/job.go
@@ -76,6 +76,10 @@
 	return occurrences
 }
 
+// maxTargetMs limits the time from the release of an occurrence to its target, in milliseconds, for routes with an extreme stretch factor or
+// target latency.
+const maxTargetMs = 1_000_000_000_000_000
+
 // targetMs returns the time of day, in ms, by which an occurrence of the job should be complete.
 func (j *jobState) targetMs(number int) int64 {
 	if j.criticalPathMs == 0 {
@@ -86,7 +90,7 @@
 	if stretch < 1 {
 		stretch = 1
 	}
-	return beginMs + int64(stretch*float64(j.criticalPathMs)) + j.record.Terms.TargetMs
+	return beginMs + int64(min(stretch*float64(j.criticalPathMs), maxTargetMs)) + min(j.record.Terms.TargetMs, maxTargetMs)
 }
 
 // expiryFactor times the time from its release to its target is the time after which an occurrence is expired, and no longer just late.
--- a/internal/scheduling/scheduler/pool.go
+++ b/internal/scheduling/scheduler/pool.go
@@ -21,6 +21,7 @@
 	"gannetline/internal/platform/clock"
 	"gannetline/internal/platform/logging"
 	"gannetline/internal/platform/queuerules"
+	"gannetline/internal/scheduling/jobs"
 	"gannetline/internal/scheduling/placement"
 	"gannetline/internal/scheduling/recording"
 	"gannetline/internal/scheduling/tenantcount"
@@ -230,6 +231,7 @@
 	return grant + grant/leaseDriftDivisor + leaseMargin
 }
 
+// resourcesOf returns a capacity as resources, each at most the largest amount that counts.
 func resourcesOf(capacity wire.Capacity) placement.Resources {
-	return placement.Resources{CPU: capacity.CPU, Memory: capacity.Memory, GPU: capacity.GPU}
+	return placement.Resources{CPU: min(capacity.CPU, jobs.MaxCPU), Memory: min(capacity.Memory, jobs.MaxMemory), GPU: min(capacity.GPU, jobs.MaxGPU)}
 }
--- a/internal/scheduling/scheduler/refresh.go
+++ b/internal/scheduling/scheduler/refresh.go
@@ -183,11 +183,10 @@
 	if p.rules.HasOrder(step.queue()) || p.deadlineClass(step) == placement.Expired {
 		return allTenths
 	}
-	var total, remaining int64
+	var total, remaining float64
 	for _, other := range step.occurrence.steps {
-		taskWork := max(1, other.spec.CPU) * max(1, other.spec.EstimatedMs)
-		total += taskWork * int64(len(other.tasks))
-		remaining += taskWork * int64(len(other.idle))
+		total += other.spec.Work(len(other.tasks))
+		remaining += other.spec.Work(len(other.idle))
 	}
 	return int(remaining * allTenths / total)
 }
--- a/internal/scheduling/scheduler/rollouts.go
+++ b/internal/scheduling/scheduler/rollouts.go
@@ -172,12 +172,16 @@
 	return false
 }
 
-// work is the estimated size of one occurrence of the job in core milliseconds, at least 1.
+// maxWork is the largest estimated size of an occurrence in core milliseconds, more than 30,000 years on one core.
+const maxWork = 1_000_000_000_000_000
+
+// work is the estimated size of one occurrence of the job in core milliseconds, from 1 to maxWork.
 func (j *jobState) work() int64 {
-	var work int64
+	total := 0.0
 	for _, step := range j.spec.Steps {
-		work += int64(step.Tasks) * step.CPU * max(1, step.EstimatedMs) / thousandths
+		total += step.Work(step.Tasks) / thousandths
 	}
+	work := int64(min(total, maxWork))
 	return max(1, work)
 }
 
