Lots: token counts and wait times that exceed 64 bits are limited

Callers could submit a lot that passed any token limit, with two items of 2^62 tokens each or with a negative count, and a read with an X-Wait-Time longer than a duration can hold was answered at once.

Token counts are from 0 to 2^40 now, and the wait time is converted by clock.Milliseconds, which stops at a maximum.

Evidence: the three entries of lots_test.go (202 in place of 429) and the spec of servingapi failed before.

--- a/internal/control/lots/clients.go
+++ b/internal/control/lots/clients.go
@@ -18,6 +18,8 @@
 const (
 	// maxItems limits the items of a lot.
 	maxItems = 200
+	// maxItemTokens is the largest token count of an item. Larger ones count as this, so that the sums over all lots stay within 64 bits.
+	maxItemTokens = 1 << 40
 	// maxListBytes limits the result texts in one answer to a reader, in bytes. An answer with a single result may be larger.
 	maxListBytes = 900 << 10
 	// retryAfterS is the number of seconds after which a client may retry a lot that exceeded the tenant's token limit.
@@ -106,7 +108,8 @@
 func (p *Part) newLot(call *wire.ClientCall, submitted *submission) *lot {
 	created := &lot{id: call.ID, record: lotRecord{Route: call.Route, Tenant: call.Tenant, AcceptedMs: p.leadership.WallMs()}}
 	for index, input := range submitted.Items {
-		created.record.Items = append(created.record.Items, itemRecord{ID: input.ID, Path: input.Path, Headers: input.Headers, Tokens: input.Tokens})
+		created.record.Items = append(created.record.Items, itemRecord{ID: input.ID, Path: input.Path, Headers: input.Headers,
+			Tokens: max(0, min(input.Tokens, maxItemTokens))})
 		created.items = append(created.items, &item{lot: created, index: index, body: input.Body})
 	}
 	return created
--- a/internal/control/lots/lots_test.go
+++ b/internal/control/lots/lots_test.go
@@ -322,6 +322,21 @@
 		Expect(h.readResults(0).Results[0].State).To(Equal("dead_letter"))
 	})
 
+	// Guards against token counts whose sum exceeds 64 bits, or that are negative, and so stay below any limit.
+	DescribeTable("is refused if its tenant would exceed the token limit:", func(counts ...int64) {
+		h.route.UpperLimit = []byte("250")
+		var texts []string
+		for number, count := range counts {
+			texts = append(texts, fmt.Sprintf(`{"executor-id":"%d","path":"/p","token-count":%d}`, number, count))
+		}
+		answer := h.call(wire.VerbSubmitLot, wire.ClientCall{Route: routeName, Tenant: "team", Body: []byte(`{"item-list":[` + strings.Join(texts, ",") + `]}`)})
+		Expect(answer.Status).To(Equal(http.StatusTooManyRequests))
+	},
+		Entry("two counts whose sum wraps around below zero", int64(1<<62), int64(1<<62)),
+		Entry("four counts whose sum wraps around to zero", int64(1<<62), int64(1<<62), int64(1<<62), int64(1<<62)),
+		Entry("a negative count beside one above the limit", int64(-300), int64(300)),
+	)
+
 	It("is refused and not run if its tenant would exceed the token limit", func() {
 		h.route.UpperLimit = []byte("250")
 		Expect(h.submit(lotID, 2).Status).To(Equal(http.StatusAccepted))
--- a/internal/gate/servingapi/lots.go
+++ b/internal/gate/servingapi/lots.go
@@ -12,6 +12,7 @@
 	"gannetline/internal/cluster/leaderclient"
 	"gannetline/internal/cluster/peerapi/wire"
 	"gannetline/internal/gate/headerrules"
+	"gannetline/internal/platform/clock"
 	"gannetline/internal/platform/headers"
 	"gannetline/internal/platform/response"
 )
@@ -106,7 +107,7 @@
 	if err != nil || count < 0 {
 		return 0
 	}
-	return min(time.Duration(count)*time.Millisecond, maxWait)
+	return min(clock.Milliseconds(count), maxWait)
 }
 
 // replyOf returns the answer to a client. The answer to a submission is a refusal only if no process can have accepted the lot; if one may
--- a/internal/gate/servingapi/lots_test.go
+++ b/internal/gate/servingapi/lots_test.go
@@ -35,6 +35,13 @@
 		Expect(time.Duration(call.RemainingMs) * time.Millisecond).To(Equal(maxWait))
 	})
 
+	// Guards against a wait time that wraps around below zero.
+	It("waits for at most maxWait also if its client asks for more than a duration can hold", func() {
+		request := httptest.NewRequest("GET", "/v1/lots/7c41?depends-on=0", nil)
+		request.Header.Set("X-Wait-Time", "9223372036854775807")
+		Expect(waitOf(request)).To(Equal(maxWait))
+	})
+
 	DescribeTable("is answered", func(verb wire.Verb, outcome leaderclient.Outcome, status int, body string) {
 		reply := replyOf(&wire.ClientCall{Verb: verb}, outcome)
 		Expect(reply.Status).To(Equal(status))
