Model of rollouts: queues that are removed, come back and are renamed

The model drew moves of a queue in one change only, so it could not find the queue that is removed and comes back on another service. It now draws, from a stream of its own, removals, returns to any version under the same or another name, and late repeats of submissions, and has the planted fault "removed-queue-forgotten", which it finds.

The oracle of rollbacks counted each start in a version that was rolled back. It now looks at the jobs of the rollout's queue only: a queue of another name that an operator puts back leading to that version is no part of the rollout.

--- a/internal/simulation/modelcheck/rolloutmodel/pool.go
+++ b/internal/simulation/modelcheck/rolloutmodel/pool.go
@@ -1,6 +1,7 @@
 package rolloutmodel
 
 import (
+	"encoding/json"
 	"net/http"
 	"slices"
 	"time"
@@ -53,6 +54,17 @@
 	return pool
 }
 
+// queueOf returns the name of the queue under which the pool has accepted a job, or "" if the pool does not have the job.
+func (p *modelPool) queueOf(job string) string {
+	var record struct {
+		Route string `json:"entry"`
+	}
+	if json.Unmarshal(p.key.Records["j/"+job], &record) != nil {
+		return ""
+	}
+	return record.Route
+}
+
 func (p *modelPool) name() string { return wire.PoolKey(serviceOf(p.number)) }
 
 // leadership is a leadership of the pool's key in one epoch; it implements scheduler.Leadership.
--- a/internal/simulation/modelcheck/rolloutmodel/schedule.go
+++ b/internal/simulation/modelcheck/rolloutmodel/schedule.go
@@ -19,6 +19,15 @@
 	maxFaults   = 7
 	minOrders   = 1
 	maxOrders   = 4
+	// removalStream is a random stream of its own, so that removals do not change what else a seed draws. removalTenths of ten schedules have
+	// up to maxRemovals removals of the queue, which comes back within maxAbsenceMs. In half of them it comes back under another name. Then
+	// up to maxLateRepeats jobs are submitted again within maxRepeatDelayMs.
+	removalStream    = 67
+	removalTenths    = 4
+	maxRemovals      = 3
+	maxAbsenceMs     = 4000
+	maxLateRepeats   = 6
+	maxRepeatDelayMs = 3000
 	// cancelTenths of ten jobs are cancelled and submitAgainTenths of ten are submitted again, within maxJobDelayMs after the
 	// first submission.
 	cancelTenths      = 1
@@ -36,6 +45,10 @@
 	// kindRollout starts a rollout to the version Node, which is bad if Value is 1; kindMove moves the queue to the version Node.
 	kindRollout = "rollout"
 	kindMove    = "move"
+	// kindRemoveQueue removes the queue from the configuration. kindReturnQueue puts it back, leading to the version Node. It has its second
+	// name if Value is 1.
+	kindRemoveQueue = "remove-queue"
+	kindReturnQueue = "return-queue"
 	// kindPause, kindResume and kindAbort are operators' orders about the rollout in progress. kindRemoveRollouts commits a
 	// configuration without rollouts.
 	kindPause          = "pause"
@@ -100,6 +113,31 @@
 		add(modelcheck.Step{AtMs: between(random, firstStepMs, lastStepMs), Kind: faultKinds[random.IntN(len(faultKinds))], Node: random.IntN(versionCount),
 			ForMs: between(random, 100, maxFaultMs), Value: between(random, 5, 40)})
 	}
+	addRemovals(&schedule)
 	slices.SortStableFunc(schedule.Steps, func(a, b modelcheck.Step) int { return a.AtMs - b.AtMs })
 	return schedule
 }
+
+// addRemovals adds removals and returns of the queue, and late repeats of submissions, to some schedules.
+func addRemovals(schedule *modelcheck.Schedule) {
+	random := rand.New(rand.NewPCG(schedule.Seed, removalStream))
+	if random.IntN(10) >= removalTenths {
+		return
+	}
+	jobCount := 0
+	for _, step := range schedule.Steps {
+		if step.Kind == kindSubmit {
+			jobCount++
+		}
+	}
+	for range between(random, 1, maxRemovals) {
+		at := between(random, firstStepMs, lastStepMs)
+		returnAt := at + random.IntN(maxAbsenceMs)
+		schedule.Steps = append(schedule.Steps, modelcheck.Step{AtMs: at, Kind: kindRemoveQueue},
+			modelcheck.Step{AtMs: returnAt, Kind: kindReturnQueue, Node: random.IntN(versionCount), Value: random.IntN(2)})
+		for range random.IntN(maxLateRepeats + 1) {
+			schedule.Steps = append(schedule.Steps, modelcheck.Step{AtMs: returnAt + random.IntN(maxRepeatDelayMs), Kind: kindSubmitAgain,
+				Node: random.IntN(jobCount), Peer: random.IntN(gateCount)})
+		}
+	}
+}
--- a/internal/simulation/modelcheck/rolloutmodel/simcluster.go
+++ b/internal/simulation/modelcheck/rolloutmodel/simcluster.go
@@ -155,6 +155,14 @@
 		c.violate("CONFIG", "the committed configuration can't be read: %v", err)
 		return
 	}
+	if len(decoded.Routes) == 0 {
+		c.coverage["no_queue"]++
+	}
+	if c.fault == faultRemovedQueueForgotten && c.coverage["no_queue"] > 0 {
+		withoutFormer := *committed
+		withoutFormer.Moved = nil
+		committed = &withoutFormer
+	}
 	snapshot := &configcache.Snapshot{Committed: committed, Matcher: configuration.NewMatcher(decoded)}
 	for _, pool := range c.pools {
 		c.after(0, maxSpreadTimeMs, func() { pool.snapshot = newerOf(pool.snapshot, snapshot) })
