Soak: queues that move, executors that send refusals once more

Mixes have a fifth feature, moves: the clients' queue is removed, comes back on another service or under another name, and moves.

--wrong-settings contracts leaves out those of the last feature that has any.

--- a/check.sh
+++ b/check.sh
@@ -38,12 +38,13 @@
 # rarely use the same addresses.
 first_run_completes() { FIRST_RUN_NETWORK=127.91.$(($$ % 256)) tools/first-run.sh; }
 # soaks_pass: runs short soaks of real processes: one of a cluster that tolerates one failure, one of a cluster that tolerates two, and
-# one of a mix with every feature on. The network depends on the process ID, so that concurrent checks rarely use the same addresses.
+# two of mixes, one with every feature on and one with executors that send extra answers and queues that move. The network depends on the process ID, so that concurrent checks rarely use the same addresses.
 soaks_pass() {
   local network=127.$((100 + $$ % 100))
   target/soak --seed 1 --seconds 25 --processes 10 --network "$network" &&
     target/soak --seed 41 --seconds 30 --processes 20 --network "$network" &&
-    target/soak --mix 15 --seed 3 --seconds 15 --processes 10 --network "$network"
+    target/soak --mix 15 --seed 3 --seconds 15 --processes 10 --network "$network" &&
+    target/soak --mix 24 --seed 1 --seconds 20 --processes 12 --network "$network"
 }
 step "build" go build -buildvcs=false -ldflags=-linkmode=external -o target/ ./cmd/...
 step "vet" go vet ./...
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -59,7 +59,7 @@
 			&cli.IntFlag{Name: "processes", Usage: "8 to 200, of all roles together", Value: 10},
 			&cli.StringFlag{Name: "faults", Usage: "the kinds of faults, separated by commas; empty for a soak without faults", Value: joined(soak.AllFaults)},
 			&cli.BoolFlag{Name: "rollouts", Usage: "roll out a bad version of the service, and then a good one"},
-			&cli.Uint64Flag{Name: "mix", Usage: "run a deployment whose contracts, zones and bounds are drawn with this `SEED`; 16 consecutive seeds cover all combinations"},
+			&cli.Uint64Flag{Name: "mix", Usage: "run a deployment whose contracts, zones and bounds are drawn with this `SEED`; 32 consecutive seeds cover all combinations"},
 			&cli.StringFlag{Name: "wrong-settings", Usage: "give all processes settings with a mistake: " + joined(soak.AllSettingsFaults)},
 			&cli.StringFlag{Name: "keep", Usage: "`FOLDER` for settings, logs and data, which is kept"},
 			&cli.StringFlag{Name: "json", Usage: "`FILE` for the report"},
--- a/internal/simulation/soak/engine.go
+++ b/internal/simulation/soak/engine.go
@@ -25,9 +25,12 @@
 	assistantService = "assistant"
 )
 
-// engine is a fake executor of requests. It answers each request with a short event stream that contains the request's ID.
+// engine is a fake executor of requests. It answers each request with a short event stream that contains the request's ID. At random it refuses
+// requests, and sends refusals once more in the place of later answers.
 type engine struct {
 	id, address, zone string
+	// recordBegin records that a request begins to run, unless it is nil.
+	recordBegin func(id, engine string)
 }
 
 // ServeHTTP streams the events after Last-Event-Id. It refuses a request that has no ID or is meant for another executor.
@@ -39,6 +42,16 @@
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	connection, isKnown := call.Context().Value(engineConnectionKey{}).(*engineConnection)
+	if isKnown && connection.refuse(writer, id) {
+		return
+	}
+	if e.recordBegin != nil {
+		e.recordBegin(id, e.id)
+	}
+	if isKnown && connection.sendExtraAnswer(writer) {
+		return
+	}
 	writer.Header().Set("Content-Type", "text/event-stream")
 	// A missing header parses as 0: the answer begins with the first event.
 	last, _ := strconv.Atoi(call.Header.Get(headers.LastEventID))
@@ -89,6 +102,10 @@
 	}
 	var listed []listedInstance
 	for _, started := range s.layout.engines() {
+		started.recordBegin = func(id, engine string) {
+			begun := StreamRun{ID: id, Engine: engine, At: s.recorder.now()}
+			s.recorder.write(func(h *History) { h.StreamRuns = append(h.StreamRuns, begun) })
+		}
 		if err := serveUntil(ctx, started.address, &started); err != nil {
 			return err
 		}
@@ -112,7 +129,7 @@
 	if err != nil {
 		return errors.Annotatef(err, "listening at %s", address)
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: startTimeout}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: startTimeout, ConnContext: withConnection}
 	go func() {
 		<-ctx.Done()
 		server.Close()
--- a/internal/simulation/soak/history.go
+++ b/internal/simulation/soak/history.go
@@ -146,10 +146,11 @@
 	Mix      *Mix
 	Zones    map[string]string
 	Stewards map[string]bool
-	// Evacuations, KeyProbes, Streams, Lots and LotRefusals are empty if the mix lacks their features.
+	// Evacuations, KeyProbes, Streams, StreamRuns, Lots and LotRefusals are empty if the mix lacks their features.
 	Evacuations []Evacuation
 	KeyProbes   []KeyProbe
 	Streams     []StreamCall
+	StreamRuns  []StreamRun
 	Lots        []Lot
 	LotRefusals []Violation
 	// Loads is the resource use per second of the processes while the clients were active.
--- a/internal/simulation/soak/injectedfaults.go
+++ b/internal/simulation/soak/injectedfaults.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"net/http"
 	"slices"
 	"time"
@@ -11,7 +12,7 @@
 )
 
 // InjectedFault is a fault that is put into the data of relays or into the observations, to check that the oracle of the same
-// name finds it.
+// name finds it. OracleLost also finds InjectUnknown.
 type InjectedFault string
 
 // The injected faults; InjectNothing is none.
@@ -33,13 +34,15 @@
 	InjectQuota         InjectedFault = "quota"
 	InjectKey           InjectedFault = "key"
 	InjectStream        InjectedFault = "stream"
+	InjectBudget        InjectedFault = "budget"
+	InjectUnknown       InjectedFault = "unknown"
 	InjectLot           InjectedFault = "lot"
 	InjectServed        InjectedFault = "served"
 )
 
 // AllInjectedFaults are the injected faults that can be chosen.
 var AllInjectedFaults = []InjectedFault{InjectLost, InjectTwice, InjectWrong, InjectShown, InjectCut, InjectCancelled, InjectFence, InjectConfiguration, InjectExit, InjectCoordination, InjectRollout, InjectGrowth,
-	InjectEvacuation, InjectQuota, InjectKey, InjectStream, InjectLot, InjectServed}
+	InjectEvacuation, InjectQuota, InjectKey, InjectStream, InjectBudget, InjectUnknown, InjectLot, InjectServed}
 
 func (f InjectedFault) isKnown() bool {
 	return f == InjectNothing || slices.Contains(AllInjectedFaults, f)
@@ -103,7 +106,11 @@
 		h.Exits = append(h.Exits, Exit{Process: "planted", At: last(), Code: 2})
 	case InjectCoordination:
 		h.Applications.Numbers = append(h.Applications.Numbers, h.Applications.Numbers[0])
-	case InjectEvacuation, InjectQuota, InjectKey, InjectStream, InjectLot, InjectServed:
+	case InjectUnknown:
+		accepted := h.Calls[slices.IndexFunc(h.Calls, func(call Call) bool { return call.isAccepted() })]
+		h.Calls = append(h.Calls, Call{Verb: verbState, Job: accepted.Job, Outcome: answered, Status: http.StatusGone, Gate: "planted",
+			SentAt: accepted.EndedAt + contactWindow, EndedAt: accepted.EndedAt + contactWindow})
+	case InjectEvacuation, InjectQuota, InjectKey, InjectStream, InjectBudget, InjectLot, InjectServed:
 		f.injectMixFault(h)
 	case InjectGrowth:
 		for at := range 2 * minSamples {
@@ -126,6 +133,12 @@
 		h.KeyProbes = append(h.KeyProbes, KeyProbe{Gate: "planted", Status: http.StatusOK})
 	case InjectStream:
 		h.Streams = append(h.Streams, StreamCall{Gate: "planted", ID: "s", Status: http.StatusOK, Body: "id: 1\ndata: of another\n\n"})
+	case InjectBudget:
+		for number := range maxRepeatedStreams + 1 {
+			id := fmt.Sprint("s", number)
+			h.Streams = append(h.Streams, StreamCall{Gate: "planted", ID: id, Prefix: askPrefix, Status: http.StatusBadGateway})
+			h.StreamRuns = append(h.StreamRuns, StreamRun{ID: id, Engine: "e-0"}, StreamRun{ID: id, Engine: "e-1"})
+		}
 	case InjectLot:
 		h.Lots = append(h.Lots, Lot{ID: "0000000000000001", Items: 1})
 	case InjectServed:
--- a/internal/simulation/soak/layout.go
+++ b/internal/simulation/soak/layout.go
@@ -246,10 +246,14 @@
 
 // serviceOf returns the service of the executor beside a local proxy.
 func (l *Layout) serviceOf(node Node) string {
-	if !l.HasVersions {
-		return serviceName
+	number := slices.Index(l.Proxies, node)
+	switch {
+	case l.HasVersions:
+		return versionOf(number)
+	case l.Mix.Has(FeatureMoves) && number%2 == 1:
+		return movedServiceName
 	}
-	return versionOf(slices.Index(l.Proxies, node))
+	return serviceName
 }
 
 func dataFolder(folder string, node Node) string   { return filepath.Join(folder, node.Name+".data") }
--- a/internal/simulation/soak/mix.go
+++ b/internal/simulation/soak/mix.go
@@ -22,12 +22,14 @@
 	FeatureLocks Feature = "locks"
 	// FeatureTier makes gates forward requests to the executors that the platform lists, and accept lots of requests.
 	FeatureTier Feature = "tier"
+	// FeatureMoves makes the operator remove the clients' queue and put it back on another service or under another name.
+	FeatureMoves Feature = "moves"
 )
 
 // AllFeatures are the features a mix may have. DrawMix uses the index of a feature as its bit in the seed.
-var AllFeatures = []Feature{FeatureTenants, FeatureEvacuations, FeatureLocks, FeatureTier}
+var AllFeatures = []Feature{FeatureTenants, FeatureEvacuations, FeatureLocks, FeatureTier, FeatureMoves}
 
-// featureContracts are the contracts that enable each feature.
+// featureContracts are the contracts that enable each feature. Moves need none.
 var featureContracts = map[Feature][]string{
 	FeatureTenants:     {"tenants", "quota"},
 	FeatureEvacuations: {"pressure", "places"},
@@ -101,6 +103,16 @@
 	return append(all, settings.ContractJobs)
 }
 
+// lastContracts returns the contracts of the last feature that has contracts.
+func (m *Mix) lastContracts() []string {
+	for _, feature := range slices.Backward(m.Features) {
+		if contracts := featureContracts[feature]; len(contracts) > 0 {
+			return contracts
+		}
+	}
+	return nil
+}
+
 // bounds returns the drawn protocol bounds by their names in the settings file, without those that are 0.
 func (m *Mix) bounds() map[string]int {
 	all := map[string]int{"evacuation-ms": m.EvacuationMs, "drain-timeout-ms": m.DrainMs, "max-hold-ms": m.MaxHoldMs, "gang-wait-ms": m.GangWaitMs}
@@ -121,7 +133,7 @@
 // The faults of settings; NoSettingsFault is none.
 const (
 	NoSettingsFault SettingsFault = ""
-	// ForgetContracts leaves out the contracts of the mix's last feature.
+	// ForgetContracts leaves out the contracts of the mix's last feature that has contracts.
 	ForgetContracts SettingsFault = "contracts"
 	// WrongBound sets the retention of job states to wrongStatusSeconds, as if the value of another bound were written there.
 	WrongBound SettingsFault = "bound"
@@ -141,7 +153,7 @@
 func (f SettingsFault) applyTo(fields *settingsFields, mix *Mix) {
 	switch f {
 	case ForgetContracts:
-		forgotten := featureContracts[mix.Features[len(mix.Features)-1]]
+		forgotten := mix.lastContracts()
 		fields.Contracts = slices.DeleteFunc(fields.Contracts, func(contract string) bool { return slices.Contains(forgotten, contract) })
 	case WrongBound:
 		fields.Bounds["status_s"] = wrongStatusSeconds
--- a/internal/simulation/soak/operator.go
+++ b/internal/simulation/soak/operator.go
@@ -44,7 +44,7 @@
 // firstVersion is the version of the configuration at the start of a soak.
 const firstVersion = 1
 
-// run changes, probes and reads back the configuration until ctx is done.
+// run changes, probes and reads back the configuration until ctx is done. Then it puts the clients' queue back if there is none.
 func (o *operator) run(ctx context.Context) {
 	// Each call uses a new connection, so that probes don't keep persistent connections of the gates open.
 	o.client.Transport = &http.Transport{DisableKeepAlives: true}
@@ -58,6 +58,7 @@
 		o.readBack(ctx)
 		pause(ctx, probeInterval)
 	}
+	o.returnQueue(ctx)
 }
 
 // change proposes the next version repeatedly until it is acknowledged.
@@ -172,13 +173,16 @@
 // probePrefix returns the path prefix of the queue that a version adds.
 func probePrefix(version int64) string { return fmt.Sprintf("/version-%d/", version) }
 
-// newConfiguration returns the configuration of a version, with the queue of the clients and a queue for each of the newest
-// versions up to this one.
+// newConfiguration returns the configuration of a version, with the queue of the clients, unless moves have removed it, and a queue for
+// each of the newest versions up to this one.
 func (o *operator) newConfiguration(version int64) configuration.Configuration {
 	result := configuration.Configuration{Version: version,
 		Services: []configuration.Service{{Name: serviceName, ConnectionLimit: 64, Protocol: "h1", GuardsCapacity: true}},
 		Limits:   configuration.Limits{HeaderBytes: 16384, BodyBytes: 262144, HeaderTimeoutMs: 3000, IdleTimeoutMs: time.Minute.Milliseconds()},
-		Routes:   append([]configuration.Route{routeOf(jobsRoute, jobsPrefix)}, o.layout.tierRoutes()...), Tenants: o.layout.tenants()}
+		Routes:   append(o.layout.queueRoutes(version), o.layout.tierRoutes()...), Tenants: o.layout.tenants()}
+	if o.layout.Mix.Has(FeatureMoves) {
+		result.Services = append(result.Services, configuration.Service{Name: movedServiceName, ConnectionLimit: 64, Protocol: "h1", GuardsCapacity: true})
+	}
 	if o.layout.Mix.Has(FeatureTier) {
 		result.Services = append(result.Services, configuration.Service{Name: assistantService, ConnectionLimit: 64, Protocol: "h1"})
 	}
--- a/internal/simulation/soak/oracles.go
+++ b/internal/simulation/soak/oracles.go
@@ -19,7 +19,7 @@
 
 // The oracles.
 const (
-	// OracleLost: an accepted job is unknown, has not ended at the end of the soak, failed, or is cancelled without a request.
+	// OracleLost: an accepted job is unknown during the soak or at its end, has not ended at the end of the soak, failed, or is cancelled without a request.
 	OracleLost Oracle = "lost"
 	// OracleTwice: two runs of a task overlap, or a run starts after an earlier one has done the task.
 	OracleTwice Oracle = "twice"
@@ -51,6 +51,8 @@
 	// OracleStream: an answer is not the stream of its request, a proper request is refused, or a gate without a fault breaks a
 	// stream off.
 	OracleStream Oracle = "stream"
+	// OracleBudget: more than maxRepeatedStreams requests that must not run again ran at several executors in one try.
+	OracleBudget Oracle = "budget"
 	// OracleLot: a lot is refused, or an accepted lot is unknown, lacks results at the end, or has changing results.
 	OracleLot Oracle = "lot"
 	// OracleServed: an enabled feature served nothing.
@@ -67,8 +69,8 @@
 }
 
 // oracles are the functions of all oracles.
-var oracles = []func(*History) []Violation{lostJobs, repeatedRuns, wrongAnswers, falseCompletions, cutRequests, lateStarts, repeatedFences,
-	staleConfigurations, badExits, coordinationViolations, badRollouts, startsInEvacuatedZones, exceededLimits, unknownKeys, badStreams, badLots, unservedFeatures, growingResources}
+var oracles = []func(*History) []Violation{lostJobs, unknownJobs, repeatedRuns, wrongAnswers, falseCompletions, cutRequests, lateStarts, repeatedFences,
+	staleConfigurations, badExits, coordinationViolations, badRollouts, startsInEvacuatedZones, exceededLimits, unknownKeys, badStreams, repeatedStreams, badLots, unservedFeatures, growingResources}
 
 // Judge runs all oracles on a history and returns their violations in the order of time.
 func Judge(history *History) []Violation {
--- a/internal/simulation/soak/oracles_test.go
+++ b/internal/simulation/soak/oracles_test.go
@@ -65,6 +65,7 @@
 		Entry("a number issued twice", InjectCoordination), Entry("a start in an evacuated zone", InjectEvacuation),
 		Entry("a tenant above its limit", InjectQuota), Entry("an accepted unknown key", InjectKey),
 		Entry("the stream of another request", InjectStream), Entry("a lot without its results", InjectLot),
+		Entry("requests that ran at two executors in one try", InjectBudget),
 		Entry("a feature that served nothing", InjectServed))
 
 	DescribeTable("find a single violation and nothing else", func(oracle Oracle, change func(*History)) {
@@ -72,6 +73,7 @@
 		change(h)
 		Expect(oraclesOf(h)).To(Equal([]Oracle{oracle}))
 	},
+		Entry("an accepted job that is unknown to a gate", OracleLost, InjectUnknown.injectInto),
 		Entry("a job that failed", OracleLost, func(h *History) { h.FinalStates["0000000000000111"] = "failed" }),
 		Entry("a job that is cancelled without a request", OracleLost, func(h *History) { h.FinalStates["0000000000000111"] = "cancelled" }),
 		Entry("a start after the task was done", OracleTwice, func(h *History) {
--- a/internal/simulation/soak/served.go
+++ b/internal/simulation/soak/served.go
@@ -42,6 +42,8 @@
 			require(len(h.Evacuations) > 0, "evacuation was acknowledged")
 		case FeatureLocks:
 			require(len(h.Applications.Holds) > 0, "lock was taken")
+		case FeatureMoves:
+			require(h.hasMoved(), "move of the queue was acknowledged")
 		case FeatureTier:
 			require(slices.ContainsFunc(h.Streams, func(call StreamCall) bool { return call.isWhole() }), "stream was served")
 			require(len(h.Lots) > 0, "lot was accepted")
