Soak: a schedule with an impossible target is refused, unread runs are an error

A schedule file that cut or stalled a process other than a gate ended the soak in a panic, and events of unknown processes were passed over. They are refused now with the number of the event.

The specs of both would not compile before; the four refused targets of the table gave no error.

--- a/internal/simulation/soak/options.go
+++ b/internal/simulation/soak/options.go
@@ -114,7 +114,7 @@
 		refuse("--program: %v", err)
 	}
 	if o.Schedule != nil {
-		problems = multierr.Append(problems, o.Schedule.check())
+		problems = multierr.Append(problems, o.Schedule.check(o.Layout()))
 	}
 	return problems
 }
--- a/internal/simulation/soak/phases.go
+++ b/internal/simulation/soak/phases.go
@@ -139,29 +139,37 @@
 	return true
 }
 
-// readRecords fetches the run records and the fence count of the fake executors into the history.
-func (s *soak) readRecords(ctx context.Context) {
+// readRecords fetches the run records and the fence count of the fake executors into the history. After an error the oracles of runs have
+// nothing to check.
+func (s *soak) readRecords(ctx context.Context) error {
 	client := &http.Client{Timeout: reportTimeout}
 	var runs []hollow.RunRecord
 	var counts hollow.Counts
-	if s.fetch(ctx, client, hollow.PathRecords, &runs) && s.fetch(ctx, client, hollow.PathCounts, &counts) {
-		s.recorder.write(func(h *History) { h.Runs, h.RepeatedFences = runs, counts.RepeatedFences })
+	if err := fetch(ctx, client, s.layout.reportAddress()+hollow.PathRecords, &runs); err != nil {
+		return err
+	}
+	if err := fetch(ctx, client, s.layout.reportAddress()+hollow.PathCounts, &counts); err != nil {
+		return err
 	}
+	s.recorder.write(func(h *History) { h.Runs, h.RepeatedFences = runs, counts.RepeatedFences })
+	return nil
 }
 
-// fetch decodes the answer of the fake executors' process to a path into result, and reports whether that succeeded.
-func (s *soak) fetch(ctx context.Context, client *http.Client, path string, result any) bool {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.layout.reportAddress()+path, nil)
+// fetch decodes the answer of the fake executors' process at a location, its address and a path, into result.
+func fetch(ctx context.Context, client *http.Client, location string, result any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+location, nil)
 	if err != nil {
-		return false
+		return errors.Annotatef(err, "asking the fake executors at %s", location)
 	}
 	response, err := client.Do(request)
 	if err != nil {
-		s.log.Error(err, "fake executors did not answer")
-		return false
+		return errors.Annotatef(err, "asking the fake executors at %s", location)
 	}
 	defer response.Body.Close()
-	return json.NewDecoder(response.Body).Decode(result) == nil
+	if response.StatusCode != http.StatusOK {
+		return errors.Errorf("the fake executors at %s answered %d", location, response.StatusCode)
+	}
+	return errors.Annotatef(json.NewDecoder(response.Body).Decode(result), "reading the answer of the fake executors at %s", location)
 }
 
 // sample records the resource use of the running processes at a fixed interval until ctx is done.
--- a/internal/simulation/soak/schedule.go
+++ b/internal/simulation/soak/schedule.go
@@ -157,8 +157,8 @@
 	return schedule, nil
 }
 
-// check returns all problems of a schedule that was read from a file.
-func (s *Schedule) check() error {
+// check returns all problems of a schedule that was read from a file, for a layout.
+func (s *Schedule) check(layout *Layout) error {
 	var problems error
 	for number, event := range s.Events {
 		if !event.Kind.isKnown() {
@@ -167,10 +167,26 @@
 		if event.AtMs < 0 || event.at() > s.length() || event.ForMs < 0 || event.duration() > s.length() {
 			problems = multierr.Append(problems, errors.Errorf("--schedule: event %d is not within the length of the soak", number))
 		}
+		if event.Kind.isKnown() && event.Kind != FaultWave && !layout.canSuffer(event) {
+			problems = multierr.Append(problems, errors.Errorf("--schedule: event %d: %q is no process that can have the fault %q", number, event.Target, event.Kind))
+		}
 	}
 	return problems
 }
 
+// canSuffer reports whether the target of an event is a process of the layout, or a replacement steward, whose role the fault can affect.
+func (l *Layout) canSuffer(event Event) bool {
+	for _, role := range event.Kind.roles() {
+		if slices.ContainsFunc(l.nodes(role), func(node Node) bool { return node.Name == event.Target }) {
+			return true
+		}
+		if role == RoleSteward && l.stewardNames()[event.Target] {
+			return true
+		}
+	}
+	return false
+}
+
 // without returns a copy that lacks the events at the indexes [from, to).
 func (s *Schedule) without(from, to int) *Schedule {
 	shorter := *s
--- a/internal/simulation/soak/schedule_test.go
+++ b/internal/simulation/soak/schedule_test.go
@@ -1,6 +1,9 @@
 package soak
 
 import (
+	"context"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"time"
@@ -75,13 +78,37 @@
 		Expect(os.WriteFile(path, []byte(`{"length-ms":1000,"events":[{"at-ms":5,"kind":"quake"},{"at-ms":2000,"kind":"kill"}]}`), 0o600)).To(Succeed())
 		schedule, err := LoadSchedule(path)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(schedule.check()).To(MatchError(And(ContainSubstring("--schedule"), ContainSubstring("quake"), ContainSubstring("event 1"))))
+		Expect(schedule.check(NewLayout(MinProcesses, "127.92"))).To(MatchError(And(ContainSubstring("--schedule"), ContainSubstring("quake"), ContainSubstring("event 1"))))
 		Expect(os.WriteFile(path, []byte("no schedule"), 0o600)).To(Succeed())
 		_, err = LoadSchedule(path)
 		Expect(err).To(MatchError(ContainSubstring("--schedule")))
 	})
 })
 
+var _ = Describe("A schedule from a file", func() {
+	// Guards against a panic of the soak at a cut of a process that no client is connected to, and against events that were passed over.
+	DescribeTable("is refused if a process can't have a fault", func(kind FaultKind, target string, isRefused bool) {
+		schedule := &Schedule{LengthMs: 1000, Events: []Event{{AtMs: 5, Kind: kind, Target: target}}}
+		problems := schedule.check(NewLayout(MinProcesses, "127.92"))
+		Expect(problems != nil).To(Equal(isRefused))
+	},
+		Entry("a cut of a steward", FaultCut, "steward-1", true), Entry("a stall of a local proxy", FaultStall, "worker-1", true),
+		Entry("a cut of a gate", FaultCut, "gate-1", false), Entry("a kill of an unknown process", FaultKill, "gate-99", true),
+		Entry("a wipe of a gate", FaultWipe, "gate-1", true), Entry("a kill of a replacement steward", FaultKill, "steward-9", false),
+		Entry("a wave, which has no target", FaultWave, "", false))
+})
+
+var _ = Describe("The records of the fake executors", func() {
+	It("cause an error if they can't be read", func() {
+		server := httptest.NewServer(http.NotFoundHandler())
+		defer server.Close()
+		var records []string
+		Expect(fetch(context.Background(), http.DefaultClient, server.Listener.Addr().String()+"/records", &records)).To(MatchError(ContainSubstring("404")))
+		server.Close()
+		Expect(fetch(context.Background(), http.DefaultClient, server.Listener.Addr().String()+"/records", &records)).NotTo(Succeed())
+	})
+})
+
 // lostAt returns the number of stewards that count as lost at a time.
 func lostAt(schedule *Schedule, at time.Duration) int {
 	lost := map[string]bool{}
--- a/internal/simulation/soak/soak.go
+++ b/internal/simulation/soak/soak.go
@@ -111,7 +111,9 @@
 	}
 	s.log.Info("faults have ended, waiting for accepted jobs")
 	s.settle(ctx)
-	s.readRecords(ctx)
+	if err := s.readRecords(ctx); err != nil {
+		return nil, err
+	}
 	s.cluster.shutDown()
 	return s.recorder.history(), nil
 }
