Checktests: entries of KNOWN-RED.txt may name a command; specs of other packages

What no Go spec can bring about had no place in the list: its reader took any other line for an error. "command: COMMAND with its seed | WHAT WAS SEEN | issue NUMBER" is printed by each run and passes over nothing.

A run now looks at the listed specs of its own packages, prints the others, and fails for a package that doesn't exist.

--- a/internal/checktests/checktests_test.go
+++ b/internal/checktests/checktests_test.go
@@ -70,6 +70,31 @@
 		Expect(readList(filepath.Join(GinkgoT().TempDir(), listName))).To(BeEmpty())
 	})
 
+	It("may have commands with their seeds, which are printed and pass over nothing", func() {
+		const command = "command: target/soak --mix 24 --seed 7 --seconds 20 | two jobs were lost | issue 64"
+		list := listOf(command + "\n" + redLine)
+		Expect(list[0]).To(Equal(knownFailure{command: "target/soak --mix 24 --seed 7 --seconds 20", cause: "two jobs were lost", issue: "issue 64"}))
+		var output bytes.Buffer
+		const ownPackage = "gannetline/internal/checktests"
+		list[1].pkg = ownPackage
+		tested, err := selectTested(list, map[string]string{ownPackage: "."}, &output)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(tested).To(Equal(list[1:]))
+		Expect(output.String()).To(Equal("known red, not run here: " + command + "\n"))
+	})
+
+	// Guards against a listed spec that failed the runs which test other packages only.
+	It("has no effect on a run that does not test the package, unless there is no such package", func() {
+		elsewhere := knownFailure{pkg: "gannetline/internal/checktests", spec: "a sum is wrong", cause: "wrong", issue: "issue 8"}
+		var output bytes.Buffer
+		tested, err := selectTested([]knownFailure{elsewhere}, map[string]string{"gannetline/internal/hunted": "."}, &output)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(tested).To(BeEmpty())
+		Expect(output.String()).To(ContainSubstring("does not test: " + elsewhere.String()))
+		_, err = selectTested(listOf(redLine), map[string]string{}, &output)
+		Expect(err).To(MatchError(ContainSubstring("no such package")))
+	})
+
 	DescribeTable("is refused", func(text, problem string) {
 		_, err := parseList(text)
 		Expect(err).To(MatchError(ContainSubstring(problem)))
@@ -77,6 +102,8 @@
 		Entry("with a line of two parts", pkg+" a sum | wrong", "line 1"),
 		Entry("with a line of four parts", redLine+" | more", "line 1"),
 		Entry("with an empty line", redLine+"\n\n"+redLine, "line 2"),
+		Entry("with a command without a seed", "command: target/soak | wrong | issue 8", "seed"),
+		Entry("with an empty command", "command: | wrong | issue 8", "seed"),
 		Entry("without a spec", pkg+" | wrong | issue 8", "no spec"),
 		Entry("without a cause", pkg+" a sum | | issue 8", "no cause"),
 		Entry("without an issue", pkg+" a sum | wrong | soon", "no issue"),
--- a/internal/checktests/main.go
+++ b/internal/checktests/main.go
@@ -1,5 +1,5 @@
-// Checktests runs go test and ignores the failures of the tests listed in KNOWN-RED.txt. It fails if any other test fails, or if a listed test
-// doesn't.
+// Checktests runs go test and ignores the failures of the specs listed in KNOWN-RED.txt. It fails if any other test fails, or if a listed spec
+// doesn't. Listed commands are printed and have no other effect.
 package main
 
 import (
@@ -40,6 +40,10 @@
 	if err := clearReports(folders); err != nil {
 		return err
 	}
+	listed, err = selectTested(listed, folders, to)
+	if err != nil {
+		return err
+	}
 	outcomes, exitErr, err := runTests(arguments, to, errorsTo)
 	if err != nil {
 		return err
@@ -55,6 +59,32 @@
 	return conclude(checkOutcomes(listed, outcomes), outcomes, exitErr, to)
 }
 
+// selectTested returns the listed specs of the tested packages, and prints the other entries: commands, and specs of packages that this run
+// doesn't test. It returns an error if a listed spec is of a package that doesn't exist.
+func selectTested(listed []knownFailure, folders map[string]string, to io.Writer) ([]knownFailure, error) {
+	if len(listed) == 0 {
+		return nil, nil
+	}
+	all, err := foldersOf([]string{"./..."})
+	if err != nil {
+		return nil, err
+	}
+	var tested []knownFailure
+	for _, entry := range listed {
+		switch {
+		case entry.command != "":
+			fmt.Fprintln(to, "known red, not run here:", entry)
+		case folders[entry.pkg] != "":
+			tested = append(tested, entry)
+		case all[entry.pkg] != "":
+			fmt.Fprintln(to, "known red, of a package that this run does not test:", entry)
+		default:
+			return nil, errors.Errorf("listed as known red, but there is no such package: %s", entry)
+		}
+	}
+	return tested, nil
+}
+
 // conclude prints the known failures and returns an error if the check fails. It also fails if a package has no end event, or if the exit of
 // go test (exitErr) and the results of the packages disagree.
 func conclude(result verdict, outcomes []*packageOutcome, exitErr error, to io.Writer) error {
