--- a/tools/clean-build.sh
+++ b/tools/clean-build.sh
@@ -8,10 +8,12 @@
 # Requires Debian's dpkg, git and Go, and takes some minutes.
 set -u
 cd "$(dirname "$0")/.." || exit 1
-readonly listed=$(tools/system-packages.sh) || exit 1
-readonly build=$(sed -n 's/^build *= *"\(.*\)" *$/\1/p' deploy/system.toml)
-readonly goroot=$(go env GOROOT)
-readonly work=$(mktemp -d)
+# The assignments are commands of their own, as readonly would hide that a substitution has failed.
+listed=$(tools/system-packages.sh) || exit 1
+build=$(sed -n 's/^build *= *"\(.*\)" *$/\1/p' deploy/system.toml) || exit 1
+goroot=$(go env GOROOT) || exit 1
+work=$(mktemp -d) || exit 1
+readonly listed build goroot work
 trap 'chmod -R u+w "$work"; rm -rf "$work"' EXIT
 [ -n "$build" ] || { echo "deploy/system.toml has no \"build\" setting"; exit 1; }
 is_installed() { [ "$(dpkg-query -W -f '${db:Status-Status}\n' "$1" 2>/dev/null | head -n 1)" = installed ]; }
--- a/tools/hunt-all.sh
+++ b/tools/hunt-all.sh
@@ -64,7 +64,13 @@
 # list_missing_runs: prints "VERB SITE DAYS" for each missing run of the kind -o whose site file is given. Sites of -f come first, and hunts
 # are split into runs of at most $days_per_run days.
 list_missing_runs() {
-  "$root/tools/hunted.sh" --commit "$commit" --todo | while read -r verb site days; do
+  local todo status
+  todo=$("$root/tools/hunted.sh" --commit "$commit" --todo)
+  status=$?
+  # Exit status 1 only says that runs are missing.
+  [ $status -le 1 ] || return $status
+  [ -n "$todo" ] || return 0
+  while read -r verb site days; do
     [ -n "${site_files[$site]:-}" ] || continue
     [ -z "$only_verb" ] || [ "$verb" = "$only_verb" ] || continue
     rank=1
@@ -74,7 +80,7 @@
       days=$((days - days_per_run))
     done
     echo "$rank $verb $site $days"
-  done | sort -s -k 1,1 | cut -d ' ' -f 2-
+  done <<< "$todo" | sort -s -k 1,1 | cut -d ' ' -f 2-
 }
 
 # run_bench LANE VERB SITE DAYS: runs the bench in the clone of a lane, copies its journal entries and prints the result. Creates the file
@@ -96,7 +102,9 @@
   echo "$(date +%T) $verb of $site: $(grep -hE 'GATE passed|with a rule broken' "$output" | tail -n 1) $(grep -ho '^score on.*' "$output")"
 }
 
-mapfile -t runs < <(list_missing_runs)
+missing=$(list_missing_runs) || { echo "the missing runs could not be listed" >&2; exit 1; }
+runs=()
+[ -z "$missing" ] || mapfile -t runs <<< "$missing"
 declare -A lane_of
 free_lanes=($(seq 0 $((lanes - 1))))
 for run in ${runs[@]+"${runs[@]}"}; do
