--- a/review/_standin2/lots.go
+++ b/review/_standin2/lots.go
@@ -5,6 +5,7 @@
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
+	"os"
 	"time"
 )
 
@@ -116,6 +117,11 @@
 	waitForResults(c, gate, id, 3)
 	// The disruption: the new version has no route for lots. Without it, the new version only changes a time-out.
 	next := tierConfiguration(3, !env.hasTrouble, keys)
+	if env.hasTrouble && os.Getenv("VARIANT") == "rename" {
+		// A variant: the route stays at its host, prefix and service under another name.
+		next = tierConfiguration(3, true, keys)
+		next["route-list"].([]map[string]any)[1]["name"] = "r-drafts-2"
+	}
 	next["route-list"].([]map[string]any)[0]["timeout-ms"] = 3900
 	if answer := c.replace(next, 1); answer.status != 200 {
 		giveUp("the second configuration was not acknowledged")
