Scheduler: a job that is cancelled while it waits to be returned isn't started by the next configuration

What callers saw: after a rollback, a cancel of a job whose runs go on, and one more configuration, the leader of the new version's pool started a task of the cancelled job and ended with a nil dereference in orderFor; every other job of the pool waited for the next leader.

Cause: releaseReturning put the steps of every withheld job back into the queue whose steps were still in memory, ended jobs included.

The new spec panics on the sources before, at orders.go:40, and passes now.

Why it works: only open jobs are released; an ended job's steps stay out of the queue, as endJob has left them.

--- a/internal/scheduling/scheduler/rollouts.go
+++ b/internal/scheduling/scheduler/rollouts.go
@@ -112,7 +112,7 @@
 // returned.
 func (p *Pool) releaseReturning() {
 	for _, job := range p.jobs {
-		if job.transfer != nil || job.spec == nil || !job.holdsReleases {
+		if !job.isOpen() || job.transfer != nil || job.spec == nil || !job.holdsReleases {
 			continue
 		}
 		job.holdsReleases, p.nextReleaseMs = false, 0
--- a/internal/scheduling/scheduler/rollouts_test.go
+++ b/internal/scheduling/scheduler/rollouts_test.go
@@ -311,6 +311,23 @@
 			f.pass(time.Second)
 			Expect(f.tasks()).To(Equal([]string{jobID(1) + ".0.0.0"}))
 		})
+
+		// Guards against a leader that panicked on a run of a cancelled job, which a new configuration had put back into the queue.
+		It("starts no run of a job that is cancelled before it could be returned, whatever configuration follows", func() {
+			f.submitJob(jobID(0), terms, twoTasks)
+			f.pass(200 * time.Millisecond)
+			rollBack(nil)
+			f.pass(300 * time.Millisecond)
+			f.executors[0].isSilent, f.executors[1].isSilent = true, true
+			f.pool.Cancel(&wire.ClientCall{Route: "e", ID: jobID(0)}, func(wire.ClientAnswer) {})
+			f.settle()
+			rollBack(nil)
+			f.pass(100 * time.Millisecond)
+			f.executors[0].isSilent, f.executors[1].isSilent = false, false
+			f.pass(time.Second)
+			Expect(f.tasks()).To(BeEmpty())
+			Expect(f.starts()).To(Equal(2))
+		})
 	})
 
 	Describe("to which jobs are returned", func() {
