Gate: a job that a former pool has transferred isn't submitted a second time

What callers could see: a job that is sent again after an unclear answer, while a former pool of its queue transfers it to another former pool that was asked before, is accepted by the queue's present pool too, and runs in two pools (TWICE).

Cause: the answer 410 of a pool that has transferred the job was taken for the promise never to accept it.

Evidence: by reading, while the transfers of moved queues were built. The new spec failed before: the gate made the calls renounce and hand-in, where only the first is right.

Why it works: a pool names the pool that took the job over only if the job was accepted, so the client gets the 200 that any known job gets. The model of rollouts does the same.

--- a/internal/gate/clientapi/clientapi.go
+++ b/internal/gate/clientapi/clientapi.go
@@ -218,13 +218,16 @@
 	return response.Raw(http.StatusOK, []byte(`{"waiting-count":`+strconv.FormatInt(total.Count, 10)+`}`))
 }
 
-// submit submits a job, unless another pool of its queue already has it or does not answer.
+// submit submits a job, unless another pool of its queue already has it or does not answer. A pool that has transferred the job to another
+// one has promised nothing. The job was accepted then, and the pool that has it now may be one that was asked before it got the job.
 func (g *Gate) submit(ctx context.Context, decision Decision, deadline time.Duration) response.Reply {
 	for _, service := range decision.OtherServices {
 		call, outcome := g.renounce(ctx, decision.Call, service, deadline)
 		switch {
 		case outcome.Answer == nil:
 			return response.Later(http.StatusServiceUnavailable, 1, "the queue's former owner does not answer")
+		case outcome.Answer.MovedTo != "":
+			return response.Empty(http.StatusOK)
 		case outcome.Answer.Status != http.StatusGone:
 			return ResponseOf(call, outcome)
 		}
--- a/internal/gate/clientapi/renounce_test.go
+++ b/internal/gate/clientapi/renounce_test.go
@@ -28,15 +28,16 @@
 }
 
 var _ = Describe("a submission to a queue that was moved", func() {
-	DescribeTable("is accepted only once the former pool does not accept it any more", func(statusByVerb map[string]int, status int, calls ...string) {
-		var callsMade []string
+	// submit submits a job at a gate and returns the status of its answer and the calls that the gate made. The former pool answers as
+	// answerOf says.
+	submit := func(answerOf func(wire.Verb) *wire.ClientAnswer) (status int, callsMade []string) {
 		mux := http.NewServeMux()
 		peerapi.Serve(mux, peerapi.ProcedureClient, func(_ context.Context, call *wire.ClientCall) (*wire.ClientAnswer, error) {
 			callsMade = append(callsMade, call.Key+" "+string(call.Verb))
 			if call.Key == "pool/s" {
 				return &wire.ClientAnswer{Status: http.StatusOK}, nil
 			}
-			return &wire.ClientAnswer{Status: statusByVerb[string(call.Verb)], Reason: "told so"}, nil
+			return answerOf(call.Verb), nil
 		})
 		view := &membership.View{Leaders: map[string]wire.KeyLeader{"pool/s": {Name: "one"}, "pool/former": {Name: "one"}},
 			Stewards: []wire.Member{{Name: "one", Role: membership.RoleSteward, Address: "one:1", Disk: "d"}}}
@@ -47,7 +48,23 @@
 		answer := httptest.NewRecorder()
 		clientapi.New(func() *configcache.Snapshot { return moved }, leaderClient, clock).ServeHTTP(answer,
 			httptest.NewRequest("POST", "http://h.example/q/"+id, strings.NewReader("{}")))
-		Expect(answer.Code).To(Equal(status))
+		return answer.Code, callsMade
+	}
+
+	// Guards against a job that two pools accept: the former pool transfers it to a pool that was asked before, and so promises nothing.
+	It("is not passed on if the former pool has transferred the job, as it was accepted then", func() {
+		status, callsMade := submit(func(wire.Verb) *wire.ClientAnswer {
+			return &wire.ClientAnswer{Status: http.StatusGone, Reason: "the job was moved to another pool", MovedTo: "third"}
+		})
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(callsMade).To(Equal([]string{"pool/former renounce"}))
+	})
+
+	DescribeTable("is accepted only once the former pool does not accept it any more", func(statusByVerb map[string]int, status int, calls ...string) {
+		given, callsMade := submit(func(verb wire.Verb) *wire.ClientAnswer {
+			return &wire.ClientAnswer{Status: statusByVerb[string(verb)], Reason: "told so"}
+		})
+		Expect(given).To(Equal(status))
 		Expect(callsMade).To(Equal(calls))
 	},
 		Entry("the former pool promises that", map[string]int{"renounce": 410}, 200, "pool/former renounce", "pool/s hand-in"),
--- a/internal/simulation/modelcheck/rolloutmodel/gate.go
+++ b/internal/simulation/modelcheck/rolloutmodel/gate.go
@@ -58,7 +58,7 @@
 }
 
 // submit has all other pools renounce a job, and then submits the job to the pool of the call. It submits nothing if a pool does not
-// renounce the job.
+// renounce the job, or has transferred it.
 func (g *modelGate) submit(call *wire.ClientCall, otherServices []string, deadline time.Duration, done func(int)) {
 	if len(otherServices) == 0 || g.cluster.fault == faultRenounceSkipped {
 		g.callPool(call, deadline, func(outcome leaderclient.Outcome) { done(clientapi.ResponseOf(call, outcome).Status) })
@@ -69,6 +69,8 @@
 		switch {
 		case outcome.Answer == nil:
 			done(http.StatusServiceUnavailable)
+		case outcome.Answer.MovedTo != "":
+			done(http.StatusOK)
 		case outcome.Answer.Status != http.StatusGone:
 			done(clientapi.ResponseOf(renounce, outcome).Status)
 		default:
