Scheduler: jobs follow their queue to the service that it leads to now

Cause: a job belonged for good to the pool of the service that its queue led to when it was submitted; only a rollback gave jobs to another pool.

Change: a pool transfers the jobs of queues that lead elsewhere once they have had no run for 1 s, or at once if nothing of them is due, by the transfer of rollbacks. New with it: transfers are numbered, as a job may come back; jobs keep the configuration version that brought them, so that only a newer one moves them on; run numbers go along; at most 128 transfers are in flight. The policy of rollbacks knows queues by their present name, and jobs that a new configuration transfers too are not released for a moment.

Evidence: the model of rollouts draws services that lose their executors once the queue has left them. Found by it on the way, and mended here: two pools that passed a job to each other for ever after a rename, and a start in a version that was rolled back.

--- a/internal/cluster/peerapi/wire/client.go
+++ b/internal/cluster/peerapi/wire/client.go
@@ -19,6 +19,9 @@
 	VerbRenounce Verb = "renounce"
 	// VerbTransfer transfers a job to a pool from another one that had accepted it. The body is a TransferCall.
 	VerbTransfer Verb = "transfer"
+	// VerbTransferAgain is VerbTransfer for a job that was transferred before. Leaders of earlier versions of this program don't know it: they
+	// would take the return of a job that they have transferred for a repetition.
+	VerbTransferAgain Verb = "transfer-again"
 	// VerbRollouts asks a pool for its RolloutReport, and the leader of the configuration for its RolloutsStatus.
 	VerbRollouts Verb = "rollouts"
 	// VerbState asks for the state of a job.
--- a/internal/cluster/peerapi/wire/rollouts.go
+++ b/internal/cluster/peerapi/wire/rollouts.go
@@ -4,30 +4,34 @@
 
 //go:generate go run github.com/mailru/easyjson/easyjson -all rollouts.go
 
-// TransferCall is the body of a VerbTransfer call. It holds a job that another pool had accepted, and of which that pool starts no more
-// tasks.
+// TransferCall is the body of a VerbTransfer or VerbTransferAgain call. It holds a job that another pool had accepted, and of which that pool
+// starts no more tasks.
 type TransferCall struct {
 	// From is the key of the other pool.
 	From string `json:"from"`
+	// Number counts the transfers of the job from pool to pool, this one included. It is 0 in calls of earlier versions of this program.
+	Number int `json:"number,omitempty"`
 	// AcceptedMs is when the job was accepted there, in milliseconds since 1970.
 	AcceptedMs int64 `json:"accepted"`
 	// IsSurplus marks a job that was submitted above its tenant's rate (see TenantUsage).
 	IsSurplus bool `json:"surplus,omitempty"`
 	// CompletedOccurrences lists the completed repetitions of a repeated job.
 	CompletedOccurrences []int `json:"over,omitempty"`
-	// Tasks lists the tasks that are done or have failed attempts.
+	// Tasks lists the tasks that have had runs.
 	Tasks []TransferredTask `json:"tasks,omitempty"`
 	// Body is the job as submitted by its client.
 	Body easyjson.RawMessage `json:"body"`
 }
 
-// TransferredTask is the progress of one task of a transferred job. Failed counts its failed attempts.
+// TransferredTask is the progress of one task of a transferred job. Failed counts its failed attempts, and LastRun is the number of its
+// last run.
 type TransferredTask struct {
-	Occurrence int  `json:"k,omitempty"`
-	Step       int  `json:"s,omitempty"`
-	Index      int  `json:"i,omitempty"`
-	Failed     int  `json:"f,omitempty"`
-	IsDone     bool `json:"d,omitempty"`
+	Occurrence int   `json:"k,omitempty"`
+	Step       int   `json:"s,omitempty"`
+	Index      int   `json:"i,omitempty"`
+	Failed     int   `json:"f,omitempty"`
+	IsDone     bool  `json:"d,omitempty"`
+	LastRun    int64 `json:"r,omitempty"`
 }
 
 // RolloutReport holds the counts of a pool for each rollout that it serves a version of.
--- a/internal/cluster/peerapi/wire/rollouts_easyjson.go
+++ b/internal/cluster/peerapi/wire/rollouts_easyjson.go
@@ -268,6 +268,12 @@
 			} else {
 				out.IsDone = bool(in.Bool())
 			}
+		case "r":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.LastRun = int64(in.Int64())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -328,6 +334,16 @@
 		}
 		out.Bool(bool(in.IsDone))
 	}
+	if in.LastRun != 0 {
+		const prefix string = ",\"r\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		out.Int64(int64(in.LastRun))
+	}
 	out.RawByte('}')
 }
 
@@ -374,6 +390,12 @@
 			} else {
 				out.From = string(in.String())
 			}
+		case "number":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Number = int(in.Int())
+			}
 		case "accepted":
 			if in.IsNull() {
 				in.Skip()
@@ -465,6 +487,11 @@
 		out.RawString(prefix[1:])
 		out.String(string(in.From))
 	}
+	if in.Number != 0 {
+		const prefix string = ",\"number\":"
+		out.RawString(prefix)
+		out.Int(int(in.Number))
+	}
 	{
 		const prefix string = ",\"accepted\":"
 		out.RawString(prefix)
--- a/internal/control/controlkeys/keyrunner.go
+++ b/internal/control/controlkeys/keyrunner.go
@@ -98,7 +98,8 @@
 	counter := &countCaller{manager: m, ctx: m.ctx}
 	transfers := &transferSender{manager: m, ctx: m.ctx}
 	options := append(slices.Clone(m.PoolOptions), scheduler.WithTenants(m.currentTenantPolicy), scheduler.WithCounter(counter),
-		scheduler.WithEvacuations(m.Node.IsEvacuated), scheduler.WithRollouts(m.newRolloutPolicySource(key)), scheduler.WithTransfers(transfers))
+		scheduler.WithEvacuations(m.Node.IsEvacuated), scheduler.WithRollouts(m.newRolloutPolicySource(key)),
+		scheduler.WithQueueRouting(m.newQueueRoutingSource(key)), scheduler.WithTransfers(transfers))
 	runner.pool = scheduler.New(key, m.Clock, m.Timing, m.Log, options...)
 	runner.stateMachine = poolStateMachine{runner.pool}
 	host := poolhost.New(runner.pool, runner.engineMailbox)
--- a/internal/control/controlkeys/machines.go
+++ b/internal/control/controlkeys/machines.go
@@ -88,7 +88,7 @@
 		return p.Cancel
 	case wire.VerbRenounce:
 		return p.Renounce
-	case wire.VerbTransfer:
+	case wire.VerbTransfer, wire.VerbTransferAgain:
 		return p.Transfer
 	case wire.VerbRollouts:
 		return p.Rollouts
--- a/internal/control/controlkeys/rollouts.go
+++ b/internal/control/controlkeys/rollouts.go
@@ -11,6 +11,7 @@
 	"gannetline/internal/cluster/configcache"
 	"gannetline/internal/cluster/peerapi/wire"
 	"gannetline/internal/control/configleader"
+	"gannetline/internal/control/queuemoves"
 	"gannetline/internal/control/rollouts"
 	"gannetline/internal/platform/mailbox"
 	"gannetline/internal/scheduling/scheduler"
@@ -60,12 +61,26 @@
 	var policy scheduler.RolloutPolicy
 	return func() scheduler.RolloutPolicy {
 		if snapshot := m.Configurations.Current(); snapshot != nil && snapshot != lastSnapshot {
-			lastSnapshot, policy = snapshot, rollouts.PolicyFor(snapshot.Committed.Version, snapshot.Matcher, service)
+			lastSnapshot, policy = snapshot, rollouts.PolicyFor(snapshot, service)
 		}
 		return policy
 	}
 }
 
+// newQueueRoutingSource returns a function that returns the queue routing of a pool according to the configuration in force, nil if there is
+// none. The function must run on the pool's goroutine.
+func (m *Manager) newQueueRoutingSource(key string) func() scheduler.QueueRouting {
+	service := strings.TrimPrefix(key, wire.PoolPrefix)
+	var lastSnapshot *configcache.Snapshot
+	var routing scheduler.QueueRouting
+	return func() scheduler.QueueRouting {
+		if snapshot := m.Configurations.Current(); snapshot != nil && snapshot != lastSnapshot {
+			lastSnapshot, routing = snapshot, queuemoves.NewRouting(snapshot, service)
+		}
+		return routing
+	}
+}
+
 // transferSender sends jobs of a pool to other pools and passes the answers to the pool's goroutine.
 type transferSender struct {
 	manager *Manager
--- a/internal/scheduling/scheduler/clients.go
+++ b/internal/scheduling/scheduler/clients.go
@@ -71,7 +71,8 @@
 	}
 	p.metrics.submissions.Inc()
 	p.releaseRenounced(call.ID)
-	record := jobRecord{Route: call.Route, AcceptedMs: p.leadership.WallMs(), Spec: call.Body, Tenant: call.Tenant, IsSurplus: isSurplus}
+	record := jobRecord{Route: call.Route, AcceptedMs: p.leadership.WallMs(), Spec: call.Body, Tenant: call.Tenant, IsSurplus: isSurplus,
+		Version: call.Version}
 	if call.Terms != nil {
 		record.Terms = *call.Terms
 	}
@@ -99,6 +100,7 @@
 	}
 	p.jobs[id], p.awaitingRelease[id] = job, job
 	p.queued[record.Route]++
+	p.openJobs[record.Route]++
 	p.putRecord(prefixJob+id, record)
 	job.record.Spec = nil
 	return job
--- a/internal/scheduling/scheduler/endedjobs.go
+++ b/internal/scheduling/scheduler/endedjobs.go
@@ -12,6 +12,7 @@
 	if job.phase == jobQueued {
 		p.queued[job.record.Route]--
 	}
+	p.openJobs[job.record.Route]--
 	if job.record.IsSurplus {
 		job.tenant.surplusJobs--
 	}
@@ -21,7 +22,7 @@
 		p.endTransfer(job)
 	}
 	p.putRecord(prefixState+job.id, stateRecord{Route: job.record.Route, State: string(phase), Reason: reason, EndedMs: job.endedMs, Tenant: job.record.Tenant,
-		MovedTo: job.movedTo})
+		MovedTo: job.movedTo, Transfers: job.record.Transfers})
 	if phase == jobFailed {
 		p.countJobFailureForRollout(job)
 	}
--- a/internal/scheduling/scheduler/load.go
+++ b/internal/scheduling/scheduler/load.go
@@ -88,6 +88,7 @@
 		return err
 	}
 	p.queued[job.record.Route]++
+	p.openJobs[job.record.Route]++
 	job.tenant = p.tenantOf(job.record.Tenant)
 	spec, err := jobs.Restore(job.record.Spec)
 	if err != nil {
@@ -121,9 +122,10 @@
 	}
 	if isKnown {
 		p.queued[job.record.Route]--
+		p.openJobs[job.record.Route]--
 	}
 	job.phase, job.endedMs, job.record.Route = jobPhase(record.State), record.EndedMs, record.Route
-	job.record.Tenant, job.movedTo = record.Tenant, record.MovedTo
+	job.record.Tenant, job.movedTo, job.record.Transfers = record.Tenant, record.MovedTo, record.Transfers
 	return nil
 }
 
--- a/internal/scheduling/scheduler/pool.go
+++ b/internal/scheduling/scheduler/pool.go
@@ -70,6 +70,8 @@
 	// configuration.
 	rollouts      rolloutTable
 	rolloutPolicy func() RolloutPolicy
+	// queueRouting returns the queue routing of the newest configuration, nil if there is none.
+	queueRouting func() QueueRouting
 	// transfers sends jobs to other pools; it is nil if jobs can't be transferred.
 	transfers TransferSender
 	// isEvacuated reports whether no new runs may be sent to the executors of a zone.
@@ -88,8 +90,9 @@
 // jobTable holds all jobs that the pool knows, in progress and ended.
 type jobTable struct {
 	jobs map[string]*jobState
-	// queued counts, by route, the jobs of which no task has started.
-	queued map[string]int
+	// queued counts, by route, the jobs of which no task has started, and openJobs those that have not ended.
+	queued   map[string]int
+	openJobs map[string]int
 	// awaitingRelease holds the jobs with occurrences that are not due yet. The next of these occurrences is due at nextReleaseMs, a time of
 	// day in ms; 0 makes the next tick check all of them.
 	awaitingRelease map[string]*jobState
@@ -102,7 +105,7 @@
 }
 
 func newJobTable() jobTable {
-	return jobTable{jobs: map[string]*jobState{}, queued: map[string]int{}, awaitingRelease: map[string]*jobState{}, renounced: newRenounced()}
+	return jobTable{jobs: map[string]*jobState{}, queued: map[string]int{}, openJobs: map[string]int{}, awaitingRelease: map[string]*jobState{}, renounced: newRenounced()}
 }
 
 // executorRegistry holds all executors that report to the pool or have runs of its jobs, by ID. table has the same executors, sorted.
@@ -150,7 +153,7 @@
 
 // New returns a pool that is closed until Open is called.
 func New(key string, clock clock.Clock, timing Timing, log logging.Logger, options ...Option) *Pool {
-	pool := &Pool{key: key, clock: clock, timing: timing, log: log, recorder: discardRecorder{}, tenantPolicy: noTenantPolicy, rolloutPolicy: noRolloutPolicy, isEvacuated: noEvacuations,
+	pool := &Pool{key: key, clock: clock, timing: timing, log: log, recorder: discardRecorder{}, tenantPolicy: noTenantPolicy, rolloutPolicy: noRolloutPolicy, queueRouting: noQueueRouting, isEvacuated: noEvacuations,
 		metrics: newPoolMetrics(key)}
 	pool.health = map[string]*machineHealth{}
 	for _, option := range options {
--- a/internal/scheduling/scheduler/records.go
+++ b/internal/scheduling/scheduler/records.go
@@ -31,6 +31,10 @@
 	Tenant string `json:"tenant,omitempty"`
 	// IsSurplus marks a job that was submitted above its tenant's rate.
 	IsSurplus bool `json:"surplus,omitempty"`
+	// Version is the configuration version by which a gate or another pool has sent the job to this pool, 0 if that is unknown. Transfers
+	// counts the transfers from pool to pool that the job has had.
+	Version   int64 `json:"version,omitempty"`
+	Transfers int   `json:"transfers,omitempty"`
 }
 
 // stateRecord is the stored state of a job that has ended.
@@ -42,6 +46,8 @@
 	Tenant  string `json:"tenant,omitempty"`
 	// MovedTo is the service whose pool has the job now. It is set only in the state moved.
 	MovedTo string `json:"moved,omitempty"`
+	// Transfers is that of the job's jobRecord.
+	Transfers int `json:"transfers,omitempty"`
 }
 
 // runRecord is a run of a task, within the task's record.
@@ -82,6 +88,8 @@
 // transferRecord marks a job in transfer to the pool of another service. No run of the job starts here any more.
 type transferRecord struct {
 	To string `json:"to"`
+	// Version is the configuration version that moves the job, 0 for the return of a job after a rollback.
+	Version int64 `json:"version,omitempty"`
 }
 
 // rolloutRecord holds the results of jobs and runs that the pool has counted for a rollout.
--- a/internal/scheduling/scheduler/records_easyjson.go
+++ b/internal/scheduling/scheduler/records_easyjson.go
@@ -37,6 +37,12 @@
 			} else {
 				out.To = string(in.String())
 			}
+		case "version":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Version = int64(in.Int64())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -56,6 +62,11 @@
 		out.RawString(prefix[1:])
 		out.String(string(in.To))
 	}
+	if in.Version != 0 {
+		const prefix string = ",\"version\":"
+		out.RawString(prefix)
+		out.Int64(int64(in.Version))
+	}
 	out.RawByte('}')
 }
 
@@ -373,6 +384,12 @@
 			} else {
 				out.MovedTo = string(in.String())
 			}
+		case "transfers":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Transfers = int(in.Int())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -417,6 +434,11 @@
 		out.RawString(prefix)
 		out.String(string(in.MovedTo))
 	}
+	if in.Transfers != 0 {
+		const prefix string = ",\"transfers\":"
+		out.RawString(prefix)
+		out.Int(int(in.Transfers))
+	}
 	out.RawByte('}')
 }
 
@@ -786,6 +808,18 @@
 			} else {
 				out.IsSurplus = bool(in.Bool())
 			}
+		case "version":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Version = int64(in.Int64())
+			}
+		case "transfers":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Transfers = int(in.Int())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -830,6 +864,16 @@
 		out.RawString(prefix)
 		out.Bool(bool(in.IsSurplus))
 	}
+	if in.Version != 0 {
+		const prefix string = ",\"version\":"
+		out.RawString(prefix)
+		out.Int64(int64(in.Version))
+	}
+	if in.Transfers != 0 {
+		const prefix string = ",\"transfers\":"
+		out.RawString(prefix)
+		out.Int(int(in.Transfers))
+	}
 	out.RawByte('}')
 }
 
--- a/internal/scheduling/scheduler/rollouts.go
+++ b/internal/scheduling/scheduler/rollouts.go
@@ -53,8 +53,8 @@
 	returning []RolloutTerms
 	// inTransfer holds the jobs in transfer to another pool, by ID.
 	inTransfer map[string]*jobState
-	// nextReturnAt is when the pool next checks for jobs to return.
-	nextReturnAt time.Duration
+	// nextTransferAt is when the pool next checks for jobs to transfer.
+	nextTransferAt time.Duration
 }
 
 func newRolloutTable() rolloutTable {
@@ -78,9 +78,6 @@
 		return
 	}
 	p.rollouts.version = policy.Version
-	if len(p.rollouts.returning) > 0 {
-		p.releaseReturning()
-	}
 	p.rollouts.byRoute, p.rollouts.returning = map[string]*versionCounts{}, nil
 	named := map[string]bool{}
 	for _, terms := range policy.Rollouts {
@@ -101,6 +98,7 @@
 			p.dropRecord(prefixRollout + name)
 		}
 	}
+	p.releaseStaying()
 }
 
 // isReturning reports whether the jobs of a queue are being returned to the pool of the old version.
@@ -108,11 +106,15 @@
 	return slices.ContainsFunc(p.rollouts.returning, func(terms RolloutTerms) bool { return terms.Route == route })
 }
 
-// releaseReturning lets all withheld jobs whose transfer has not begun start again. The new configuration then decides which of them are
-// returned.
-func (p *Pool) releaseReturning() {
+// releaseStaying lets the withheld jobs that the new configuration doesn't transfer to another pool start again. Jobs that it does transfer
+// must not start meanwhile.
+func (p *Pool) releaseStaying() {
+	routing := p.queueRouting()
 	for _, job := range p.jobs {
-		if !job.isOpen() || job.transfer != nil || job.spec == nil || !job.holdsReleases {
+		if !job.holdsReleases || !job.isOpen() || job.transfer != nil || job.spec == nil {
+			continue
+		}
+		if p.isReturning(job.record.Route) || routing != nil && routing.HasMoved(job.record.Route) {
 			continue
 		}
 		job.holdsReleases, p.nextReleaseMs = false, 0
--- a/internal/scheduling/scheduler/rollouts_test.go
+++ b/internal/scheduling/scheduler/rollouts_test.go
@@ -233,7 +233,7 @@
 			f.endAll("done")
 			f.pass(500 * time.Millisecond)
 			Expect(f.tasks()).To(BeEmpty())
-			Expect(movedTasks(sender)).To(Equal([]wire.TransferredTask{{IsDone: true}}))
+			Expect(movedTasks(sender)).To(Equal([]wire.TransferredTask{{IsDone: true, LastRun: 1}}))
 		})
 
 		It("completes a job here if its last task ends", func() {
@@ -254,7 +254,7 @@
 			f.pass(300 * time.Millisecond)
 			f.endAll("failed")
 			f.pass(300 * time.Millisecond)
-			Expect(movedTasks(sender)).To(Equal([]wire.TransferredTask{{Failed: 1}}))
+			Expect(movedTasks(sender)).To(Equal([]wire.TransferredTask{{Failed: 1, LastRun: 1}}))
 		})
 
 		DescribeTable("stops runs only if the rollout allows it and tasks are repeatable", func(stopsRuns, isRepeatable, isReturned bool) {
@@ -274,7 +274,7 @@
 				return
 			}
 			Expect(f.tasks()).To(BeEmpty())
-			Expect(movedTasks(sender)).To(Equal([]wire.TransferredTask{{IsDone: true}}))
+			Expect(movedTasks(sender)).To(Equal([]wire.TransferredTask{{IsDone: true, LastRun: 1}, {Index: 1, LastRun: 1}}))
 		},
 			Entry("allowed and repeatable", true, true, true),
 			Entry("not allowed", false, true, false),
--- a/internal/scheduling/scheduler/tick.go
+++ b/internal/scheduling/scheduler/tick.go
@@ -23,7 +23,7 @@
 	defer func() { p.metrics.tickSeconds.Observe(p.clock.Monotonic() - now) }()
 	p.releaseDue()
 	p.tickTenantGrants(now)
-	p.tickReturns(now)
+	p.tickTransfers(now)
 	for _, executor := range slices.Clone(p.table.sorted) {
 		p.tickExecutor(executor, now)
 	}
--- a/internal/scheduling/scheduler/transfer.go
+++ b/internal/scheduling/scheduler/transfer.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"cmp"
 	"maps"
 	"net/http"
 	"slices"
@@ -18,8 +17,8 @@
 const jobMoved jobPhase = "moved"
 
 const (
-	// returnInterval is the time between two checks for jobs that can be returned to the old version.
-	returnInterval = 200 * time.Millisecond
+	// transferInterval is the time between two checks for jobs that can be transferred.
+	transferInterval = 200 * time.Millisecond
 	// transferResend is the time after which an unanswered transfer is sent again.
 	transferResend = 500 * time.Millisecond
 )
@@ -30,48 +29,38 @@
 	Send(service string, call *wire.ClientCall, answer func(*wire.ClientAnswer))
 }
 
-// WithTransfers sets the sender for returning jobs to the pool of the old version after a rollback. Without it no job is returned.
+// WithTransfers sets the sender for transferring jobs to the pools of other services. Without it no job is transferred.
 func WithTransfers(sender TransferSender) Option { return func(p *Pool) { p.transfers = sender } }
 
 // transfer is a pending transfer of a job to the pool of another service. It is committed before it is sent for the first time. After the
 // commit no run of the job starts here, also under a later leader, so that the other pool may start it.
 type transfer struct {
 	// to is the service that the job goes to.
-	to          string
+	to string
+	// version is the configuration version that moves the job. It is 0 for the return of a job after a rollback.
+	version     int64
 	isCommitted bool
 	isSent      bool
 	sentAt      time.Duration
 }
 
-// tickReturns returns jobs to the old version of a rollout that was rolled back. It begins transfers where possible, and sends unanswered
-// ones again.
-func (p *Pool) tickReturns(now time.Duration) {
+// tickTransfers returns jobs to the old version of a rollout that was rolled back, and transfers jobs of queues that lead to another service
+// now. It begins transfers where possible, and sends unanswered ones again.
+func (p *Pool) tickTransfers(now time.Duration) {
 	p.updateRollouts()
-	if p.transfers == nil || now < p.rollouts.nextReturnAt {
+	if p.transfers == nil || now < p.rollouts.nextTransferAt {
 		return
 	}
-	p.rollouts.nextReturnAt = now + returnInterval
+	p.rollouts.nextTransferAt = now + transferInterval
 	for _, id := range slices.Sorted(maps.Keys(p.rollouts.inTransfer)) {
 		p.sendTransfer(p.rollouts.inTransfer[id], now)
 	}
 	for _, terms := range p.rollouts.returning {
-		for _, job := range p.returnableJobs(terms.Route) {
+		for _, job := range p.transferableJobs(func(job *jobState) bool { return job.record.Route == terms.Route }) {
 			p.returnJob(job, terms)
 		}
 	}
-}
-
-// returnableJobs returns the open jobs of a queue that can be read, are not in transfer, and were not rejected by the other pool, sorted by
-// ID.
-func (p *Pool) returnableJobs(route string) []*jobState {
-	var returnable []*jobState
-	for _, job := range p.jobs {
-		if job.record.Route == route && job.isOpen() && job.spec != nil && !job.isUnreadable && job.transfer == nil && !job.isKept {
-			returnable = append(returnable, job)
-		}
-	}
-	slices.SortFunc(returnable, func(a, b *jobState) int { return cmp.Compare(a.id, b.id) })
-	return returnable
+	p.transferMovedJobs(now)
 }
 
 // returnJob keeps all further runs of a job from starting, and begins the job's transfer once it has no runs. Started runs end by
@@ -81,20 +70,21 @@
 	job.holdsReleases = true
 	p.withhold(job)
 	if job.runCount > 0 {
-		p.stopRunsOf(job, terms.StopsRuns && terms.IsRepeatable || job.isLongRunning())
+		stopsAll := terms.StopsRuns && terms.IsRepeatable || job.isLongRunning()
+		p.stopRunsOf(job, func(run *runState) bool { return stopsAll || run.phase == runLaunching })
 	}
 	if job.runCount == 0 {
-		p.beginTransfer(job, terms.ReturnTo)
+		p.beginTransfer(job, transfer{to: terms.ReturnTo})
 	}
 }
 
-// stopRunsOf stops all runs of a job, or only those whose launch has no answer yet.
-func (p *Pool) stopRunsOf(job *jobState, all bool) {
+// stopRunsOf stops the runs of a job that satisfy a condition.
+func (p *Pool) stopRunsOf(job *jobState, condition func(*runState) bool) {
 	for _, occurrence := range job.sortedOccurrences() {
 		for _, step := range occurrence.steps {
 			for _, task := range slices.Clone(step.busy) {
 				for _, run := range slices.Clone(task.runs) {
-					if all || run.phase == runLaunching {
+					if condition(run) {
 						p.stopRun(run)
 					}
 				}
@@ -135,11 +125,11 @@
 }
 
 // beginTransfer withholds a job, commits the transfer, and then sends the job.
-func (p *Pool) beginTransfer(job *jobState, to string) {
+func (p *Pool) beginTransfer(job *jobState, begun transfer) {
 	p.withhold(job)
-	pending := &transfer{to: to}
+	pending := &begun
 	job.transfer, p.rollouts.inTransfer[job.id] = pending, job
-	p.putRecord(prefixTransfer+job.id, transferRecord{To: to})
+	p.putRecord(prefixTransfer+job.id, transferRecord{To: pending.to, Version: pending.version})
 	p.afterCommit(func(err error) {
 		if err == nil && job.transfer == pending {
 			pending.isCommitted = true
@@ -155,7 +145,7 @@
 		return err
 	}
 	if job := p.jobs[id]; job != nil && job.isOpen() {
-		job.transfer, job.isWithheld = &transfer{to: record.To, isCommitted: true}, true
+		job.transfer, job.isWithheld = &transfer{to: record.To, version: record.Version, isCommitted: true}, true
 		p.rollouts.inTransfer[id] = job
 		return nil
 	}
@@ -183,14 +173,13 @@
 	})
 }
 
-// transferCall encodes a job for the pool that takes it over: the job's spec, its completed occurrences, and its tasks that are done or have
-// failed attempts.
+// transferCall encodes a job for the pool that takes it over: the job's spec, its completed occurrences, and its tasks that have had runs.
 func transferCall(job *jobState, key string) (*wire.ClientCall, error) {
 	spec, err := easyjson.Marshal(job.spec)
 	if err != nil {
 		return nil, err
 	}
-	moved := &wire.TransferCall{From: key, AcceptedMs: job.record.AcceptedMs, IsSurplus: job.record.IsSurplus, Body: spec}
+	moved := &wire.TransferCall{From: key, Number: job.record.Transfers + 1, AcceptedMs: job.record.AcceptedMs, IsSurplus: job.record.IsSurplus, Body: spec}
 	for number := range job.completedOccurrences {
 		moved.CompletedOccurrences = append(moved.CompletedOccurrences, number)
 	}
@@ -201,9 +190,9 @@
 		}
 		for _, step := range occurrence.steps {
 			for _, task := range step.tasks {
-				if task.failed > 0 || task.isDone {
+				if task.failed > 0 || task.isDone || task.lastRun > 0 {
 					moved.Tasks = append(moved.Tasks, wire.TransferredTask{Occurrence: occurrence.number, Step: step.number, Index: task.index,
-						Failed: task.failed, IsDone: task.isDone})
+						Failed: task.failed, IsDone: task.isDone, LastRun: task.lastRun})
 				}
 			}
 		}
@@ -212,8 +201,12 @@
 	if err != nil {
 		return nil, err
 	}
-	terms := job.record.Terms
-	return &wire.ClientCall{Verb: wire.VerbTransfer, Route: job.record.Route, ID: job.id, Tenant: job.record.Tenant, Terms: &terms, Body: body}, nil
+	terms, verb := job.record.Terms, wire.VerbTransfer
+	if moved.Number > 1 {
+		verb = wire.VerbTransferAgain
+	}
+	return &wire.ClientCall{Verb: verb, Route: job.record.Route, ID: job.id, Tenant: job.record.Tenant, Version: job.transfer.version,
+		Terms: &terms, Body: body}, nil
 }
 
 // handleTransferAnswer ends the job here once the other pool has accepted it. If that pool rejects it for good, the job stays and runs here.
@@ -221,9 +214,9 @@
 	switch {
 	case answer == nil || answer.NotLeader || answer.Status >= http.StatusInternalServerError:
 	case answer.Status == http.StatusOK:
-		p.endJob(job, jobMoved, "the new version was turned back")
+		p.endTransferred(job)
 	default:
-		p.log.Info("job stays with the new version", "job", job.id, "status", answer.Status, "reason", answer.Reason)
+		p.log.Info("job stays in this pool, the other one rejects it", "job", job.id, "status", answer.Status, "reason", answer.Reason)
 		p.endTransfer(job)
 		job.isKept, job.holdsReleases, p.nextReleaseMs = true, false, 0
 		p.releaseWithheld(job)
@@ -237,18 +230,15 @@
 	p.dropRecord(prefixTransfer + job.id)
 }
 
+// endTransferred ends a job that the other pool has accepted.
+func (p *Pool) endTransferred(job *jobState) {
+	p.endJob(job, jobMoved, "transferred to the pool of "+job.transfer.to)
+}
+
 // Transfer takes over a job from another pool, and answers once that is committed. It never refuses a job because of load, since the other
 // pool has already acknowledged the job to its client. A promise to refuse the job is void, since the other pool doesn't run it any more.
 func (p *Pool) Transfer(call *wire.ClientCall, answer answerClient) {
 	accepted := answerOnCommit(answer)
-	if known := p.jobs[call.ID]; known != nil {
-		if known.record.Route != call.Route {
-			answer(wire.ClientAnswer{Status: http.StatusConflict, Reason: "the ID belongs to a job of another queue"})
-			return
-		}
-		p.afterCommit(accepted)
-		return
-	}
 	var moved wire.TransferCall
 	if err := easyjson.Unmarshal(call.Body, &moved); err != nil {
 		answer(wire.ClientAnswer{Status: http.StatusBadRequest, Reason: err.Error()})
@@ -259,8 +249,20 @@
 		answer(wire.ClientAnswer{Status: http.StatusBadRequest, Reason: err.Error()})
 		return
 	}
+	if known := p.jobs[call.ID]; known != nil {
+		switch {
+		case known.record.Route != call.Route:
+			answer(wire.ClientAnswer{Status: http.StatusConflict, Reason: "the ID belongs to a job of another queue"})
+			return
+		case !known.comesBackWith(&moved):
+			p.afterCommit(accepted)
+			return
+		}
+		p.forgetTransferred(known)
+	}
 	p.releaseRenounced(call.ID)
-	record := jobRecord{Route: call.Route, AcceptedMs: moved.AcceptedMs, Spec: moved.Body, Tenant: call.Tenant, IsSurplus: moved.IsSurplus}
+	record := jobRecord{Route: call.Route, AcceptedMs: moved.AcceptedMs, Spec: moved.Body, Tenant: call.Tenant, IsSurplus: moved.IsSurplus,
+		Version: call.Version, Transfers: moved.Number}
 	if call.Terms != nil {
 		record.Terms = *call.Terms
 	}
@@ -269,13 +271,32 @@
 		job.completedOccurrences[number] = true
 		p.putRecord(prefixOccurrence+job.id+"/"+strconv.Itoa(number), timeRecord{Done: true})
 	}
+	job.holdsReleases = p.isReturning(call.Route)
+	job.isWithheld = job.holdsReleases
 	p.restoreTasks(job, moved.Tasks)
 	p.releaseDueOf(job, p.leadership.WallMs())
 	p.afterCommit(accepted)
 }
 
-// restoreTasks restores the tasks of a transferred job: those that are done, and the failed attempts of the others. It must run before any
-// step of the job opens.
+// comesBackWith reports whether a transfer brings back a job that this pool has transferred to another one. A late copy of an earlier
+// transfer doesn't: the numbers of a job's transfers rise from pool to pool.
+func (j *jobState) comesBackWith(moved *wire.TransferCall) bool {
+	return moved.Number > j.record.Transfers && (j.phase == jobMoved || j.transfer != nil)
+}
+
+// forgetTransferred deletes a job that comes back. If the transfer from here has no answer yet, it has succeeded, as the other pool has had
+// the job since.
+func (p *Pool) forgetTransferred(job *jobState) {
+	if job.transfer != nil {
+		p.endTransferred(job)
+	}
+	p.endedJobs = slices.DeleteFunc(p.endedJobs, func(ended *jobState) bool { return ended == job })
+	delete(p.jobs, job.id)
+	p.dropRecord(prefixState + job.id)
+}
+
+// restoreTasks restores the tasks of a transferred job: those that are done, and the runs and failed attempts of the others. Further runs of a
+// task continue its run numbers, as executors reject a number that they know. It must run before any step of the job opens.
 func (p *Pool) restoreTasks(job *jobState, tasks []wire.TransferredTask) {
 	for _, moved := range tasks {
 		if !job.hasTask(jobs.TaskPosition{ID: job.id, Occurrence: moved.Occurrence, Step: moved.Step, Index: moved.Index}) {
@@ -284,7 +305,10 @@
 		occurrence := p.occurrenceOf(job, moved.Occurrence)
 		step := occurrence.steps[moved.Step]
 		task := step.tasks[moved.Index]
-		task.failed = moved.Failed
+		task.failed, task.lastRun = moved.Failed, moved.LastRun
+		if task.lastRun > 0 {
+			p.recordStart(job)
+		}
 		if moved.IsDone && !task.isDone {
 			task.isDone = true
 			step.remaining--
--- a/internal/simulation/modelcheck/rolloutmodel/control.go
+++ b/internal/simulation/modelcheck/rolloutmodel/control.go
@@ -287,6 +287,10 @@
 			m.closedAt[service] = m.cluster.queue.Now()
 		}
 		m.takesJobs[service] = mayReceiveJobs(decoded, service)
+		// Jobs of a queue that was removed stay where they are, so they need executors there.
+		if m.takesJobs[service] || len(decoded.Routes) == 0 {
+			m.cluster.pools[number].reinstate()
+		}
 	}
 	for _, rollout := range decoded.Rollouts {
 		m.checkRollout(&rollout)
--- a/internal/simulation/modelcheck/rolloutmodel/executor.go
+++ b/internal/simulation/modelcheck/rolloutmodel/executor.go
@@ -12,6 +12,8 @@
 	minRunMs, maxRunMs = 50, 900
 	// outcomeStopped is the outcome of a run that was stopped by an order.
 	outcomeStopped wire.RunOutcome = "stopped"
+	// outcomeLost is the outcome of a run that ended with its executor.
+	outcomeLost wire.RunOutcome = "lost"
 	// badPercent is the percentage of the runs of a bad version that fail.
 	badPercent = 60
 )
@@ -26,6 +28,8 @@
 	highestRun map[string]int64
 	// lastEnd is the number of the last end.
 	lastEnd int64
+	// hasCrashed is set once the executor has ended for good.
+	hasCrashed bool
 }
 
 func newModelExecutor(pool *modelPool, number int) *modelExecutor {
@@ -38,7 +42,7 @@
 const maxListNumber = 1 << 40
 
 // exchange reports all runs, ends and answers to the leader, and carries out the orders in its answer. An answer that comes after the
-// leadership has ended is ignored.
+// leadership or the executor has ended is ignored.
 func (e *modelExecutor) exchange() {
 	call := e.ExchangeCall
 	call.Fence, call.ListNumber, call.Running = e.pool.key.Epoch, maxListNumber, nil
@@ -48,7 +52,7 @@
 	e.Answers = nil
 	epoch := e.pool.key.Epoch
 	e.pool.pool.Exchange(&call, func(answer wire.ExchangeAnswer) {
-		if e.pool.key.Epoch != epoch {
+		if e.pool.key.Epoch != epoch || e.hasCrashed {
 			return
 		}
 		e.Ends = slices.DeleteFunc(e.Ends, func(end wire.EndReport) bool { return end.Number <= answer.LastSeen })
@@ -88,6 +92,17 @@
 	c.queue.After(time.Duration(minRunMs+c.queue.Draw.IntN(maxRunMs-minRunMs))*time.Millisecond, func() { e.end(order, outcome) })
 }
 
+// crash ends all runs without a report. Ends that no leader has acknowledged yet are lost, so that their tasks may start again.
+func (e *modelExecutor) crash() {
+	for _, order := range e.running {
+		e.pool.cluster.recordEnd(order.Task, outcomeLost)
+	}
+	for _, end := range e.Ends {
+		e.pool.cluster.forgetEnd(end.Task, end.Outcome)
+	}
+	e.running, e.Ends, e.hasCrashed = nil, nil, true
+}
+
 // end ends a run and records its end for the next report; it does nothing if the run is not active.
 func (e *modelExecutor) end(order wire.Order, outcome wire.RunOutcome) {
 	index := slices.IndexFunc(e.running, func(known wire.Order) bool { return known.Task == order.Task && known.Run == order.Run })
--- a/internal/simulation/modelcheck/rolloutmodel/injectedfaults.go
+++ b/internal/simulation/modelcheck/rolloutmodel/injectedfaults.go
@@ -21,6 +21,7 @@
 	faultOperatorOverwritten   = "operator-overwritten"
 	faultRenounceSkipped       = "renounce-skipped"
 	faultRemovedQueueForgotten = "removed-queue-forgotten"
+	faultMovesIgnored          = "moves-not-heeded"
 )
 
 var injectedFaults = []modelcheck.InjectedFault{
@@ -33,6 +34,7 @@
 	{Name: faultOperatorOverwritten, About: "The controller changes the configuration in force, whichever one its decision was based on."},
 	{Name: faultRenounceSkipped, About: "A gate submits a job to a pool without having the others renounce it."},
 	{Name: faultRemovedQueueForgotten, About: "A queue that was removed and comes back has no former services."},
+	{Name: faultMovesIgnored, About: "Pools keep the jobs of queues that lead to another service."},
 }
 
 // changeCommit returns the operations of a pool's commit without those that an injected fault keeps from the disk.
--- a/internal/simulation/modelcheck/rolloutmodel/oracles.go
+++ b/internal/simulation/modelcheck/rolloutmodel/oracles.go
@@ -25,6 +25,8 @@
 	running     int
 	isDone      bool
 	failedCount int
+	// lostFailures counts the failed runs whose end was lost with the executor. A pool may have committed it or not.
+	lostFailures int
 	// lastStartedIn is the name of the pool that started the task last.
 	lastStartedIn string
 }
@@ -109,6 +111,18 @@
 	}
 }
 
+// forgetEnd reverts recordEnd for a run whose end is lost with its executor.
+func (c *simCluster) forgetEnd(task string, outcome wire.RunOutcome) {
+	facts := c.taskFactsOf(task)
+	switch outcome {
+	case wire.OutcomeDone:
+		facts.isDone = false
+	case wire.OutcomeFailed:
+		facts.failedCount--
+		facts.lostFailures++
+	}
+}
+
 // checkAccepted is the oracle of shares: the new version of the rollout in progress accepts only jobs that the rollout's largest
 // share so far assigns to it. Versions that may receive other jobs too are not checked.
 func (c *simCluster) checkAccepted(pool *modelPool, call *wire.ClientCall, response wire.ClientAnswer) {
@@ -187,7 +201,7 @@
 // enough.
 func (c *simCluster) hasUsedAttempts(job *modelJob) bool {
 	for name, facts := range c.tasks {
-		if jobs.JobOf(name) == job.id && facts.failedCount >= 1 && (facts.failedCount >= maxAttempts || strings.Contains(job.body, "gang")) {
+		if jobs.JobOf(name) == job.id && facts.failedCount+facts.lostFailures >= 1 && (facts.failedCount+facts.lostFailures >= maxAttempts || strings.Contains(job.body, "gang")) {
 			return true
 		}
 	}
--- a/internal/simulation/modelcheck/rolloutmodel/pool.go
+++ b/internal/simulation/modelcheck/rolloutmodel/pool.go
@@ -10,6 +10,7 @@
 
 	"gannetline/internal/cluster/configcache"
 	"gannetline/internal/cluster/peerapi/wire"
+	"gannetline/internal/control/queuemoves"
 	"gannetline/internal/control/rollouts"
 	"gannetline/internal/platform/logging"
 	"gannetline/internal/scheduling/scheduler"
@@ -38,10 +39,13 @@
 	// snapshot is the newest configuration that has reached the pool; nil if none has.
 	snapshot  *configcache.Snapshot
 	executors []*modelExecutor
+	// generation counts the executors that were started after a retirement.
+	generation int
 	// report is the last report for the rollout controller; nil if the leader has made none yet.
 	report *wire.RolloutReport
-	// isSilent is set while the executors make no exchanges, and isBad if the version is bad, so that badPercent of its runs fail.
-	isSilent, isBad bool
+	// isSilent is set while the executors make no exchanges, and isBad if the version is bad, so that badPercent of its runs fail. isRetired
+	// is set while the version has no executors.
+	isSilent, isBad, isRetired bool
 	// silentUntil is the end of the last silence of the executors, which may lie in the future.
 	silentUntil time.Duration
 }
@@ -98,7 +102,8 @@
 // open has a new leader take over the key.
 func (p *modelPool) open() {
 	sender := &modelSender{p}
-	p.pool = scheduler.New(p.name(), p.cluster.queue.Clock, poolTiming, logging.Silent(), scheduler.WithRollouts(p.policy), scheduler.WithTransfers(sender))
+	p.pool = scheduler.New(p.name(), p.cluster.queue.Clock, poolTiming, logging.Silent(), scheduler.WithRollouts(p.policy),
+		scheduler.WithQueueRouting(p.routing), scheduler.WithTransfers(sender))
 	p.pool.Open(&leadership{p, p.key.Epoch}, p.key.Pairs(""))
 	p.cluster.coverage["pool_opened"]++
 }
@@ -126,7 +131,7 @@
 	if p.snapshot == nil {
 		return scheduler.RolloutPolicy{}
 	}
-	policy := rollouts.PolicyFor(p.snapshot.Committed.Version, p.snapshot.Matcher, serviceOf(p.number))
+	policy := rollouts.PolicyFor(p.snapshot, serviceOf(p.number))
 	if p.cluster.fault == faultRollbackIgnored {
 		for index := range policy.Rollouts {
 			policy.Rollouts[index].ReturnTo = ""
@@ -135,12 +140,46 @@
 	return policy
 }
 
+// routing returns the queue routing of the newest configuration that has reached the pool. With faultMovesIgnored, there is none.
+func (p *modelPool) routing() scheduler.QueueRouting {
+	if p.snapshot == nil || p.cluster.fault == faultMovesIgnored {
+		return nil
+	}
+	return queuemoves.NewRouting(p.snapshot, serviceOf(p.number))
+}
+
+// retire ends the executors of a version that the queue no longer leads to, with all their runs. It does nothing if the version may still
+// receive jobs, or if there is no queue.
+func (p *modelPool) retire() {
+	decoded, _ := p.cluster.control.current()
+	if p.isRetired || decoded == nil || len(decoded.Routes) == 0 || mayReceiveJobs(decoded, serviceOf(p.number)) {
+		return
+	}
+	p.isRetired = true
+	p.cluster.coverage["retired"]++
+	for _, executor := range p.executors {
+		executor.crash()
+	}
+}
+
+// reinstate starts new executors, if the version has none.
+func (p *modelPool) reinstate() {
+	if !p.isRetired {
+		return
+	}
+	p.isRetired = false
+	for index := range p.executors {
+		p.generation++
+		p.executors[index] = newModelExecutor(p, executorsPerPool*p.generation+index)
+	}
+}
+
 // tickRepeatedly runs the periodic work of the pool and its executors at each tick, if the pool has a leader then.
 func (p *modelPool) tickRepeatedly() {
 	if p.pool != nil {
 		p.pool.Tick()
 		p.pool.Flush()
-		if !p.isSilent {
+		if !p.isSilent && !p.isRetired {
 			for _, executor := range p.executors {
 				executor.exchange()
 			}
@@ -189,7 +228,7 @@
 		p.pool.State(&copied, reply)
 	case wire.VerbCancel:
 		p.pool.Cancel(&copied, reply)
-	case wire.VerbTransfer:
+	case wire.VerbTransfer, wire.VerbTransferAgain:
 		if p.cluster.fault == faultTransferAnsweredEarly {
 			reply(wire.ClientAnswer{Status: statusOK})
 			reply = func(wire.ClientAnswer) {}
--- a/internal/simulation/modelcheck/rolloutmodel/rolloutmodel_test.go
+++ b/internal/simulation/modelcheck/rolloutmodel/rolloutmodel_test.go
@@ -34,7 +34,7 @@
 		}
 		for _, name := range []string{"start", "transfer", "turned_back", "widened", "finished", "move", "post-over", "abort", "pause", "resume", "cut-gates",
 			"order_during_look", "change_lasts_unknown", "commit_unknown_to_leader", "message_lost", "message_late", "killed_at_transfer", "killed_at_promise",
-			"no_queue", "return-queue"} {
+			"no_queue", "return-queue", "retired"} {
 			Expect(covered[name]).To(BeNumerically(">", 0), name)
 		}
 	})
--- a/internal/simulation/modelcheck/rolloutmodel/schedule.go
+++ b/internal/simulation/modelcheck/rolloutmodel/schedule.go
@@ -28,6 +28,12 @@
 	maxAbsenceMs     = 4000
 	maxLateRepeats   = 6
 	maxRepeatDelayMs = 3000
+	// retirementStream is a random stream of its own as well. In retirementTenths of ten schedules, the queue is moved up to maxExtraMoves more
+	// times, and within maxRetirementDelayMs after each of these moves the services that it has left lose their executors.
+	retirementStream     = 71
+	retirementTenths     = 4
+	maxExtraMoves        = 3
+	maxRetirementDelayMs = 3000
 	// cancelTenths of ten jobs are cancelled and submitAgainTenths of ten are submitted again, within maxJobDelayMs after the
 	// first submission.
 	cancelTenths      = 1
@@ -49,6 +55,8 @@
 	// name if Value is 1.
 	kindRemoveQueue = "remove-queue"
 	kindReturnQueue = "return-queue"
+	// kindRetire ends the executors of all versions that no configuration sends jobs to. They get new ones before they may get jobs again.
+	kindRetire = "retire"
 	// kindPause, kindResume and kindAbort are operators' orders about the rollout in progress. kindRemoveRollouts commits a
 	// configuration without rollouts.
 	kindPause          = "pause"
@@ -114,6 +122,7 @@
 			ForMs: between(random, 100, maxFaultMs), Value: between(random, 5, 40)})
 	}
 	addRemovals(&schedule)
+	addRetirements(&schedule)
 	slices.SortStableFunc(schedule.Steps, func(a, b modelcheck.Step) int { return a.AtMs - b.AtMs })
 	return schedule
 }
@@ -141,3 +150,16 @@
 		}
 	}
 }
+
+// addRetirements adds moves of the queue, each followed by the retirement of the services that it has left, to some schedules.
+func addRetirements(schedule *modelcheck.Schedule) {
+	random := rand.New(rand.NewPCG(schedule.Seed, retirementStream))
+	if random.IntN(10) >= retirementTenths {
+		return
+	}
+	for range between(random, 1, maxExtraMoves) {
+		at := between(random, firstStepMs, lastStepMs)
+		schedule.Steps = append(schedule.Steps, modelcheck.Step{AtMs: at, Kind: kindMove, Node: random.IntN(versionCount)},
+			modelcheck.Step{AtMs: at + random.IntN(maxRetirementDelayMs), Kind: kindRetire})
+	}
+}
--- a/internal/simulation/modelcheck/rolloutmodel/simcluster.go
+++ b/internal/simulation/modelcheck/rolloutmodel/simcluster.go
@@ -120,6 +120,10 @@
 		pool.isSilent = true
 		pool.silentUntil = max(pool.silentUntil, c.queue.Now()+length)
 		c.queue.After(length, func() { pool.isSilent = false })
+	case kindRetire:
+		for _, pool := range c.pools {
+			pool.retire()
+		}
 	default:
 		c.control.scheduleOrder(step)
 	}
--- a/internal/simulation/rehearsal/rolloutplay.go
+++ b/internal/simulation/rehearsal/rolloutplay.go
@@ -7,6 +7,7 @@
 
 	"github.com/mailru/easyjson"
 
+	"gannetline/internal/cluster/configcache"
 	"gannetline/internal/cluster/configuration"
 	"gannetline/internal/cluster/peerapi/wire"
 	"gannetline/internal/control/rollouts"
@@ -88,7 +89,7 @@
 func (r *replayedRollout) policy(service string) scheduler.RolloutPolicy {
 	route := configuration.Route{Name: r.rollout.Route, Host: rehearsalHost, Service: versionOld, Type: r.spec.routeType()}
 	matcher := configuration.NewMatcher(&configuration.Configuration{Routes: []configuration.Route{route}, Rollouts: []configuration.Rollout{r.rollout}})
-	return rollouts.PolicyFor(r.version, matcher, service)
+	return rollouts.PolicyFor(&configcache.Snapshot{Committed: &wire.Configuration{Version: r.version}, Matcher: matcher}, service)
 }
 
 // Send sends a transferred job to the pool of the old version.
--- a/internal/simulation/simcluster/simcluster.go
+++ b/internal/simulation/simcluster/simcluster.go
@@ -296,7 +296,7 @@
 		}
 		handlers := map[wire.Verb]func(*wire.ClientCall, func(wire.ClientAnswer)){
 			wire.VerbSubmit: pool.Submit, wire.VerbState: pool.State, wire.VerbCancel: pool.Cancel, wire.VerbCount: pool.Count,
-			wire.VerbTransfer: pool.Transfer, wire.VerbRollouts: pool.Rollouts}
+			wire.VerbTransfer: pool.Transfer, wire.VerbTransferAgain: pool.Transfer, wire.VerbRollouts: pool.Rollouts}
 		handlers[request.Verb](request, respond)
 	}, func(response wire.ClientAnswer, err error) {
 		if err == nil && !response.NotLeader {
