Lots: items whose route is removed become dead letters, and a renamed route keeps its lots

Cause: a lot knew its route by name only. Items without a route stayed in the queue, and max-queue-s, which belongs to the route, never ended them.

A lot keeps the address of its route and goes on with the route that is there. A configuration not newer than the lot gives nothing up. Same cause: the token limit after a rename, and a name that belongs to a route for streams now.

--- a/internal/cluster/configuration/check.go
+++ b/internal/cluster/configuration/check.go
@@ -193,6 +193,17 @@
 	return route.Service
 }
 
+// ByAddress returns the route of an address (see Route.Address), nil if there is none.
+func (m *Matcher) ByAddress(address string) *Route {
+	host, _, _ := strings.Cut(address, "/")
+	for _, index := range m.byHost[host] {
+		if route := &m.configuration.Routes[index]; route.Address() == address {
+			return route
+		}
+	}
+	return nil
+}
+
 // ByName returns the route of a name, nil if there is none.
 func (m *Matcher) ByName(name string) *Route {
 	if index, exists := m.byName[name]; exists {
--- a/internal/control/controlkeys/keyrunner.go
+++ b/internal/control/controlkeys/keyrunner.go
@@ -112,7 +112,7 @@
 // startLots creates the lots partition of a key and runs it on a goroutine of its own.
 func (m *Manager) startLots(key string, runner *keyRunner) *poolhost.Host {
 	itemRunner := &lateBoundRunner{}
-	part := lots.New(key, lots.Dependencies{Clock: m.Clock, Log: m.Log, Runner: itemRunner, Route: m.findRoute, Executors: m.Lots.Executors,
+	part := lots.New(key, lots.Dependencies{Clock: m.Clock, Log: m.Log, Runner: itemRunner, Configuration: m.currentMatcher, Executors: m.Lots.Executors,
 		Retention: m.Lots.Retention})
 	runner.stateMachine = lotsStateMachine{part}
 	host := poolhost.New(part, runner.engineMailbox)
@@ -126,10 +126,10 @@
 // host. startLots sets Runner once the mailbox exists, before the partition runs any item.
 type lateBoundRunner struct{ *itemrunner.Runner }
 
-// findRoute returns the route with that name in the configuration in force, nil if there is none.
-func (m *Manager) findRoute(name string) *configuration.Route {
+// currentMatcher returns the configuration in force, nil before the first.
+func (m *Manager) currentMatcher() *configuration.Matcher {
 	if snapshot := m.Configurations.Current(); snapshot != nil {
-		return snapshot.Matcher.ByName(name)
+		return snapshot.Matcher
 	}
 	return nil
 }
--- a/internal/control/lots/clients.go
+++ b/internal/control/lots/clients.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 	"github.com/mailru/easyjson"
 
+	"gannetline/internal/cluster/configuration"
 	"gannetline/internal/cluster/peerapi/wire"
 	"gannetline/internal/platform/clock"
 )
@@ -53,13 +54,14 @@
 		answer(refusal(http.StatusBadRequest, "the lot can't be read: "+err.Error()))
 		return
 	}
-	route := p.Route(call.Route)
+	route := p.routeNamed(call.Route)
 	if route == nil {
 		answer(refusal(http.StatusServiceUnavailable, "the route is not known here yet"))
 		return
 	}
 	lot := p.newLot(call, submitted)
-	if limit := route.TokenLimit(); limit > 0 && p.waitingTokens(call.Tenant, call.Route)+lot.waitingTokens() > limit {
+	lot.record.Address, lot.record.Version = route.Address(), p.Configuration().Configuration().Version
+	if limit := route.TokenLimit(); limit > 0 && p.waitingTokens(call.Tenant, route)+lot.waitingTokens() > limit {
 		answer(wire.ClientAnswer{Status: http.StatusTooManyRequests, RetryAfterS: retryAfterS, Reason: "the tenant has too many tokens waiting"})
 		return
 	}
@@ -133,11 +135,15 @@
 // bodyText returns a body as a base64 string in JSON. Records must be JSON, since they are embedded in messages.
 func bodyText(body []byte) []byte { return []byte(`"` + base64.StdEncoding.EncodeToString(body) + `"`) }
 
-// waitingTokens returns the number of tokens of a tenant's items on a route that have no result yet, apart from items of ended lots.
-func (p *Part) waitingTokens(tenant, route string) int64 {
+// waitingTokens returns the number of tokens of a tenant's items on a route that have no result yet, apart from items of ended lots. Lots
+// that were submitted when the route had another name count as well.
+func (p *Part) waitingTokens(tenant string, route *configuration.Route) int64 {
 	var tokens int64
 	for _, lot := range p.lots {
-		if lot.record.Tenant == tenant && lot.record.Route == route {
+		if lot.record.Tenant != tenant || lot.isFinished() {
+			continue
+		}
+		if present := p.routeOf(lot); present != nil && present.Name == route.Name {
 			tokens += lot.waitingTokens()
 		}
 	}
--- a/internal/control/lots/lot.go
+++ b/internal/control/lots/lot.go
@@ -24,6 +24,10 @@
 	isCommitted bool
 	// isEnded reports whether the client has ended the lot.
 	isEnded bool
+	// isRouteMissing reports whether the lot had no route when its items were last expired. routeMissingSince is the monotonic time of the
+	// first such check.
+	isRouteMissing    bool
+	routeMissingSince time.Duration
 	// readers holds the calls that wait for a result.
 	readers []*reader
 }
--- a/internal/control/lots/lots.go
+++ b/internal/control/lots/lots.go
@@ -68,8 +68,8 @@
 	Clock  clock.Clock
 	Log    logging.Logger
 	Runner Runner
-	// Route returns the route with a name in the active configuration, or nil if there is none.
-	Route func(name string) *configuration.Route
+	// Configuration returns the configuration in force, nil before the first. It may change between two calls.
+	Configuration func() *configuration.Matcher
 	// Executors returns the executors of a service.
 	Executors func(service string) []wire.ExecutorRecord
 	// Retention is the minimum time for which a lot is kept after it was accepted. A lot that isn't finished is kept for longer.
--- a/internal/control/lots/records.go
+++ b/internal/control/lots/records.go
@@ -16,12 +16,16 @@
 	prefixEnd = "e/"
 )
 
-// lotRecord stores a submitted lot without the bodies of its items. AcceptedMs is in milliseconds since 1970.
+// lotRecord stores a submitted lot without the bodies of its items. AcceptedMs is in milliseconds since 1970. Address is that of the lot's
+// route (configuration.Route.Address), and Version is the version of the configuration by which the lot was accepted; records of earlier
+// versions of this program have neither.
 type lotRecord struct {
 	Route      string       `json:"route"`
 	Tenant     string       `json:"tenant,omitempty"`
 	AcceptedMs int64        `json:"accepted"`
 	Items      []itemRecord `json:"items"`
+	Address    string       `json:"address,omitempty"`
+	Version    int64        `json:"version,omitempty"`
 }
 
 // itemRecord stores an item without its body.
--- a/internal/control/lots/records_easyjson.go
+++ b/internal/control/lots/records_easyjson.go
@@ -606,6 +606,18 @@
 				}
 				in.Delim(']')
 			}
+		case "address":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Address = string(in.String())
+			}
+		case "version":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Version = int64(in.Int64())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -651,6 +663,16 @@
 			out.RawByte(']')
 		}
 	}
+	if in.Address != "" {
+		const prefix string = ",\"address\":"
+		out.RawString(prefix)
+		out.String(string(in.Address))
+	}
+	if in.Version != 0 {
+		const prefix string = ",\"version\":"
+		out.RawString(prefix)
+		out.Int64(int64(in.Version))
+	}
 	out.RawByte('}')
 }
 
--- a/internal/control/lots/running.go
+++ b/internal/control/lots/running.go
@@ -63,7 +63,7 @@
 		if item.lot.isEnded || item.hasResult {
 			return true
 		}
-		route := p.Route(item.lot.record.Route)
+		route := p.routeOf(item.lot)
 		if route == nil || now < item.notBefore {
 			return false
 		}
@@ -167,7 +167,7 @@
 		item.failures++
 		item.failedExecutor = executorID
 		item.progress, item.notBefore = Progress{}, now+brokenRetryDelay
-		if route := p.Route(item.lot.record.Route); route != nil && item.failures >= max(1, route.MaxAttempts) {
+		if route := p.routeOf(item.lot); route != nil && item.failures >= max(1, route.MaxAttempts) {
 			p.recordResult(item, stateDeadLetter, "")
 			return
 		}
@@ -207,22 +207,28 @@
 	})
 }
 
-// expireItems records a dead-letter result for each queued item whose lot was accepted longer ago than the maximum queue time of its route
-// plus queueTimeMargin.
+// expireItems records a dead-letter result for each queued item whose lot may not wait any longer.
 func (p *Part) expireItems() {
-	nowMs := p.leadership.WallMs()
+	now, nowMs := p.Clock.Monotonic(), p.leadership.WallMs()
 	for _, item := range slices.Clone(p.queue) {
-		route := p.Route(item.lot.record.Route)
-		if route == nil || route.MaxQueueS <= 0 || item.hasResult || item.lot.isEnded {
-			continue
-		}
-		waited := clock.Milliseconds(nowMs - item.lot.record.AcceptedMs)
-		if waited > time.Duration(route.MaxQueueS*float64(time.Second))+queueTimeMargin {
+		if !item.hasResult && !item.lot.isEnded && p.hasExpired(item.lot, now, nowMs) {
 			p.recordResult(item, stateDeadLetter, "")
 		}
 	}
 }
 
+// hasExpired reports whether a lot was accepted longer ago than the maximum queue time of its route plus queueTimeMargin, or has lost its
+// route.
+func (p *Part) hasExpired(lot *lot, now time.Duration, nowMs int64) bool {
+	route := p.routeOf(lot)
+	if route == nil {
+		return p.hasLostRoute(lot, now)
+	}
+	lot.isRouteMissing = false
+	waited := clock.Milliseconds(nowMs - lot.record.AcceptedMs)
+	return route.MaxQueueS > 0 && waited > time.Duration(route.MaxQueueS*float64(time.Second))+queueTimeMargin
+}
+
 // queueTimeMargin is added to the maximum queue time of a route, since the time of day of a new leader is inexact until it knows
 // the clocks of its followers.
 const queueTimeMargin = time.Second
