Gate: requests that executors are answering go on into the last sixth of the grace period

Cause: one time ended the contexts of all requests, chosen for calls to leaders, which still need an answer written.

Change: calls to leaders end at 3/4 as before, requests at executors at 7/8. Same cause: requests that arrive on kept connections too late to be answered by then were passed on and cut; after the notice they get 503.

--- a/internal/gate/clientapi/clientapi.go
+++ b/internal/gate/clientapi/clientapi.go
@@ -16,6 +16,7 @@
 	"gannetline/internal/cluster/peerapi/wire"
 	"gannetline/internal/gate/headerrules"
 	"gannetline/internal/platform/clock"
+	"gannetline/internal/platform/httpserver"
 	"gannetline/internal/platform/response"
 	"gannetline/internal/scheduling/jobs"
 )
@@ -177,7 +178,9 @@
 		return verbRefused, response.Later(http.StatusServiceUnavailable, 1, "this node can't be sure of the keys")
 	}
 	decision.Timeout -= g.clock.Monotonic() - startedAt
-	return decision.Call.Verb, g.ask(request.Context(), decision)
+	ctx, cancel := httpserver.UntilCallsEnd(request.Context())
+	defer cancel()
+	return decision.Call.Verb, g.ask(ctx, decision)
 }
 
 // ask calls the pools of a decision. All calls together take no longer than the timeout of the decision.
--- a/internal/gate/servingapi/lots.go
+++ b/internal/gate/servingapi/lots.go
@@ -1,6 +1,7 @@
 package servingapi
 
 import (
+	"context"
 	"encoding/base64"
 	"encoding/json"
 	"net/http"
@@ -14,6 +15,7 @@
 	"gannetline/internal/gate/headerrules"
 	"gannetline/internal/platform/clock"
 	"gannetline/internal/platform/headers"
+	"gannetline/internal/platform/httpserver"
 	"gannetline/internal/platform/response"
 )
 
@@ -74,8 +76,10 @@
 	if refusal.Status != 0 {
 		return refusal
 	}
-	ctx, cancel := contextFor(request, decision.Timeout)
+	ctx, cancel := httpserver.UntilCallsEnd(request.Context())
 	defer cancel()
+	ctx, cancelTimeout := context.WithTimeout(ctx, max(0, decision.Timeout))
+	defer cancelTimeout()
 	return replyOf(call, g.leaderClient.Ask(ctx, call, decision.Timeout))
 }
 
--- a/internal/gate/servingapi/servingapi.go
+++ b/internal/gate/servingapi/servingapi.go
@@ -3,7 +3,6 @@
 package servingapi
 
 import (
-	"context"
 	"net/http"
 	"strconv"
 	"strings"
@@ -17,6 +16,7 @@
 	"gannetline/internal/gate/headerrules"
 	"gannetline/internal/platform/clock"
 	"gannetline/internal/platform/headers"
+	"gannetline/internal/platform/httpserver"
 	"gannetline/internal/platform/response"
 )
 
@@ -137,6 +137,9 @@
 		decision = g.decide(request)
 	}
 	decision.Timeout -= g.clock.Monotonic() - startedAt
+	if decision.Kind == kindForward && !httpserver.MayComplete(request.Context(), decision.Timeout) {
+		decision = refuse(response.Later(http.StatusServiceUnavailable, 1, "this process is leaving"))
+	}
 	requests.With(string(decision.Kind)).Inc()
 	if decision.Kind == kindForward {
 		g.forward(request, to, decision, body)
@@ -170,11 +173,6 @@
 	return prompt
 }
 
-// contextFor returns a context that ends with the request or after the timeout, whichever is first.
-func contextFor(request *http.Request, timeout time.Duration) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(request.Context(), max(0, timeout))
-}
-
 // positionOf parses a position in the results of a lot and reports whether it is valid. An empty text is position 0.
 func positionOf(text string) (int64, bool) {
 	if text == "" {
--- a/internal/platform/httpserver/leave_test.go
+++ b/internal/platform/httpserver/leave_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -148,6 +149,43 @@
 		Expect(fixture.clock.advance(shutdownTimes.Close, fixture.shutdownDone)).To(BeTrue())
 	})
 
+	// Guards against streams that were cut with the calls that wait for a leader, and against requests that are cut because they came too late.
+	It("cancels calls first and all other requests later, and says which requests can be answered until then", func() {
+		times := shutdownTimes
+		times.RequestsEnd = 5 * time.Second
+		started, callEnded, requestEnded := make(chan context.Context), make(chan struct{}), make(chan struct{})
+		fixture := startServer(func(to http.ResponseWriter, request *http.Request) {
+			call, cancel := UntilCallsEnd(request.Context())
+			defer cancel()
+			started <- request.Context()
+			<-call.Done()
+			close(callEnded)
+			<-request.Context().Done()
+			close(requestEnded)
+			response.Empty(http.StatusGatewayTimeout).Write(to)
+		})
+		caller := fixture.connect()
+		caller.send(plainRequest)
+		ctx := <-started
+		Expect(MayComplete(ctx, time.Hour)).To(BeTrue())
+		go func() {
+			fixture.server.Shutdown(times)
+			close(fixture.shutdownDone)
+		}()
+		fixture.clock.advance(times.Notice-time.Millisecond, fixture.shutdownDone)
+		Expect(MayComplete(ctx, time.Hour)).To(BeTrue(), "clients don't know of the shutdown yet")
+		fixture.clock.advance(3*time.Second, fixture.shutdownDone)
+		Expect(MayComplete(ctx, 2*time.Second)).To(BeTrue())
+		Expect(MayComplete(ctx, 2*time.Second+time.Millisecond)).To(BeFalse())
+		Expect(callEnded).NotTo(BeClosed())
+		fixture.clock.advance(times.CallsEnd+checkInterval, fixture.shutdownDone)
+		Eventually(callEnded).Should(BeClosed())
+		Expect(requestEnded).NotTo(BeClosed())
+		fixture.clock.advance(times.RequestsEnd+checkInterval, fixture.shutdownDone)
+		Eventually(requestEnded).Should(BeClosed())
+		Expect(caller.answer().StatusCode).To(Equal(http.StatusGatewayTimeout))
+	})
+
 	It("refuses requests after it has cancelled the contexts, and copies headers to the refusal", func() {
 		fixture := startServer(answerOK, WithRefusalHeaders(func(from, to http.Header) { to.Set("X-Request-Id", from.Get("X-Request-Id")) }))
 		caller := fixture.connect()
--- a/internal/platform/httpserver/server.go
+++ b/internal/platform/httpserver/server.go
@@ -38,11 +38,15 @@
 	log      logging.Logger
 	// isRefusing is true once the shutdown refuses new requests.
 	isRefusing atomic.Bool
-	// cancelRequests cancels requestContext.
-	cancelRequests func()
-	// requestContext is the parent of the contexts of all requests.
+	// requestContext is the parent of the contexts of all requests, and callsContext ends the contexts of UntilCallsEnd.
 	requestContext context.Context
-	tracker        tracker
+	callsContext   context.Context
+	// cancelRequests cancels requestContext and cancelCalls cancels callsContext.
+	cancelRequests func()
+	cancelCalls    func()
+	// shutdown is nil until Shutdown is called.
+	shutdown atomic.Pointer[shutdown]
+	tracker  tracker
 	// maxReusedConnections is the number of open connections beyond which each answer closes its connection. 0 means no limit.
 	maxReusedConnections int64
 	// copyRefusalHeaders copies headers from a refused request to its answer.
@@ -71,7 +75,8 @@
 	server := &Server{handler: handler, clock: clock, log: log, copyRefusalHeaders: func(http.Header, http.Header) {}}
 	server.tracker.clock = clock
 	server.listener = newTrackingListener(listener, &server.tracker)
-	server.requestContext, server.cancelRequests = context.WithCancel(context.Background())
+	server.callsContext, server.cancelCalls = context.WithCancel(context.Background())
+	server.requestContext, server.cancelRequests = context.WithCancel(context.WithValue(context.Background(), serverKey{}, server))
 	server.inner = &http.Server{
 		Handler:           http.HandlerFunc(server.serveRequest),
 		ReadHeaderTimeout: headerTimeout,
@@ -104,19 +109,26 @@
 	// Quiet is the time without a new connection after which the listener closes, and the time without received bytes after which the
 	// server may close. The listener closes at CallsEnd at the latest.
 	Quiet time.Duration
-	// CallsEnd is when the contexts of requests in flight are cancelled. Later requests are refused.
+	// CallsEnd is when the contexts of UntilCallsEnd are cancelled. Later requests are refused.
 	CallsEnd time.Duration
+	// RequestsEnd is when the contexts of all requests in flight are cancelled. It counts as CallsEnd if it is earlier.
+	RequestsEnd time.Duration
 	// Close is when the server closes even if requests are unanswered.
 	Close time.Duration
 }
 
+// requestsEnd returns when the contexts of all requests are cancelled.
+func (t *ShutdownTimes) requestsEnd() time.Duration { return max(t.CallsEnd, t.RequestsEnd) }
+
 // Shutdown answers the requests that have been read and closes the server. During the shutdown each answer closes its connection. Shutdown
 // returns once all requests are answered and no new ones arrive, or after times.Close. It must be called only once, and not on the goroutine
 // of Serve.
 func (s *Server) Shutdown(times ShutdownTimes) {
 	defer s.inner.Close()
 	defer s.cancelRequests()
+	defer s.cancelCalls()
 	startedAt := s.clock.Monotonic()
+	s.shutdown.Store(&shutdown{times: times, startedAt: startedAt})
 	s.tracker.isShuttingDown.Store(true)
 	if times.Notice > 0 {
 		<-s.clock.After(times.Notice)
@@ -131,6 +143,9 @@
 func (s *Server) advanceShutdown(times ShutdownTimes, elapsed time.Duration) bool {
 	if elapsed >= times.CallsEnd {
 		s.isRefusing.Store(true)
+		s.cancelCalls()
+	}
+	if elapsed >= times.requestsEnd() {
 		s.cancelRequests()
 	}
 	if elapsed >= times.CallsEnd || s.tracker.sinceAccept() >= times.Quiet {
--- a/internal/roles/gate.go
+++ b/internal/roles/gate.go
@@ -102,13 +102,15 @@
 }
 
 // clientShutdownTimes returns the shutdown times of a gate's client server, within the grace period. Calls that wait for an unreachable leader
-// are cancelled while there is time left to write all their answers on a slow machine and link.
+// are cancelled while there is time left to write all their answers on a slow machine and link. Requests that executors are answering go on
+// into the last sixth of the grace period, as long as the platform expects them to be answered.
 func clientShutdownTimes(gracePeriod time.Duration) httpserver.ShutdownTimes {
 	return httpserver.ShutdownTimes{
-		Notice:   min(noticeTime, gracePeriod/2),
-		Quiet:    quietTime,
-		CallsEnd: gracePeriod * 3 / 4,
-		Close:    gracePeriod * 11 / 12,
+		Notice:      min(noticeTime, gracePeriod/2),
+		Quiet:       quietTime,
+		CallsEnd:    gracePeriod * 3 / 4,
+		RequestsEnd: gracePeriod * 7 / 8,
+		Close:       gracePeriod * 11 / 12,
 	}
 }
 
--- a/internal/roles/leave_test.go
+++ b/internal/roles/leave_test.go
@@ -24,6 +24,8 @@
 		Expect(times.Notice).To(BeNumerically("<=", noticeTime))
 		Expect(times.CallsEnd).To(BeNumerically(">", times.Notice))
 		Expect(times.Close - times.CallsEnd).To(BeNumerically(">=", gracePeriod/8))
+		Expect(times.RequestsEnd).To(BeNumerically(">", gracePeriod*5/6))
+		Expect(times.Close).To(BeNumerically(">", times.RequestsEnd))
 		Expect(times.Close).To(BeNumerically("<", gracePeriod))
 	},
 		Entry("a short grace period", time.Second),
@@ -116,6 +118,61 @@
 	})
 })
 
+var _ = Describe("a gate that shuts down", func() {
+	// Guards against streams that were cut while their executor was at work, with time left in the grace period.
+	DescribeTable("lets an executor that answers before the last sixth of the grace period finish", func(gracePeriod time.Duration) {
+		fakeClock := &manualClock{wake: make(chan time.Time)}
+		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		started, release, shutdownDone := make(chan struct{}), make(chan struct{}), make(chan struct{})
+		server := httpserver.New(listener, http.HandlerFunc(func(to http.ResponseWriter, request *http.Request) {
+			close(started)
+			select {
+			case <-request.Context().Done():
+				response.Empty(http.StatusGatewayTimeout).Write(to)
+			case <-release:
+				response.Empty(http.StatusOK).Write(to)
+			}
+		}), fakeClock, logging.Silent())
+		go server.Serve()
+		answers := make(chan int, 1)
+		go func() {
+			defer GinkgoRecover()
+			got, err := http.Get("http://" + listener.Addr().String())
+			Expect(err).NotTo(HaveOccurred())
+			got.Body.Close()
+			answers <- got.StatusCode
+		}()
+		<-started
+		go func() {
+			server.Shutdown(clientShutdownTimes(gracePeriod))
+			close(shutdownDone)
+		}()
+		// endWait ends one wait of the shutdown, if the shutdown isn't over.
+		endWait := func() {
+			select {
+			case fakeClock.wake <- time.Time{}:
+			case <-shutdownDone:
+			}
+		}
+		endWait()
+		fakeClock.now.Store(int64(gracePeriod * 5 / 6))
+		// The shutdown looks at the clock after the first of these waits, and has done so before the second.
+		endWait()
+		endWait()
+		Consistently(answers, "50ms").ShouldNot(Receive())
+		close(release)
+		Expect(<-answers).To(Equal(http.StatusOK))
+		close(fakeClock.wake)
+		fakeClock.now.Store(int64(gracePeriod))
+		Eventually(shutdownDone, "10s").Should(BeClosed())
+	},
+		Entry("a short grace period", time.Second),
+		Entry("the usual grace period", 6*time.Second),
+		Entry("a long grace period", time.Minute),
+	)
+})
+
 var _ = DescribeTable("the limit on client connections leaves descriptors for calls", func(descriptors, limit int) {
 	Expect(maxClientConnections(descriptors)).To(Equal(limit))
 },
