Lots: only calls of a lot's tenant access it, unless its route is public

Cause: gates took a host without a route for lots for one that needs no key, and the leader showed every lot to calls without a tenant.

Change: the leader decides by the lot; gates refuse unknown keys wherever no public route for lots is at the host.

Why it works: whatever a gate lets through, a call without the lot's tenant gets 404 from the leader while the lot needs a key.

--- a/internal/cluster/configuration/tenants.go
+++ b/internal/cluster/configuration/tenants.go
@@ -109,26 +109,44 @@
 
 // NeedsKey reports whether a call on a route needs the API key of a tenant.
 func (m *Matcher) NeedsKey(route *Route) bool {
-	return m.configuration.Tenants != nil && !route.IsPublic
+	return m.HasTenants() && !route.IsPublic
 }
 
-// NeedsKeyForLots reports whether a call about a lot of a host needs the API key of a tenant. It needs none if the configuration has no
-// tenants, or if the host has a public route for lots, or no route for lots at all.
-func (m *Matcher) NeedsKeyForLots(host string) bool {
-	hasLotRoute := false
+// LotKeyRule states which calls about the lots of a host are allowed without the API key of a tenant.
+type LotKeyRule int
+
+const (
+	// LotKeyNeeded allows only calls with the key of a tenant.
+	LotKeyNeeded LotKeyRule = iota
+	// LotKeyOptional allows calls without a key too. The host has no route for lots, but there may be lots without a tenant, which were
+	// submitted before their public route was removed.
+	LotKeyOptional
+	// LotKeyIgnored allows all calls, whatever key they carry. The host has a public route for lots, or the configuration has no tenants.
+	LotKeyIgnored
+)
+
+// LotKeyRule returns the rule for calls about submitted lots, which name their host but no route.
+func (m *Matcher) LotKeyRule(host string) LotKeyRule {
+	if !m.HasTenants() {
+		return LotKeyIgnored
+	}
+	rule := LotKeyOptional
 	for _, index := range m.byHost[hostName(host)] {
 		route := &m.configuration.Routes[index]
 		if route.Type != RouteBatch {
 			continue
 		}
-		if !m.NeedsKey(route) {
-			return false
+		if route.IsPublic {
+			return LotKeyIgnored
 		}
-		hasLotRoute = true
+		rule = LotKeyNeeded
 	}
-	return hasLotRoute
+	return rule
 }
 
+// HasTenants reports whether the configuration has a list of tenants.
+func (m *Matcher) HasTenants() bool { return m.configuration.Tenants != nil }
+
 // TenantOfKey returns the tenant of an API key, nil if the key is unknown.
 func (m *Matcher) TenantOfKey(key string) *Tenant {
 	if index, exists := m.tenants.byKey[sha256.Sum256([]byte(key))]; exists {
--- a/internal/control/lots/clients.go
+++ b/internal/control/lots/clients.go
@@ -150,17 +150,20 @@
 	return tokens
 }
 
-// isVisibleTo reports whether a call may access the lot. The lot of a tenant is hidden from other tenants. A call without a tenant may
-// access any lot, and any call may access a lot without a tenant: routes without API keys have no tenants.
-func (l *lot) isVisibleTo(call *wire.ClientCall) bool {
-	return call.Tenant == "" || l.record.Tenant == "" || call.Tenant == l.record.Tenant
+// isVisibleTo reports whether a call may access a lot. Any call may access a lot without a tenant. The lot of a tenant is hidden from other
+// tenants, and from calls without a tenant unless its route needs no key any more.
+func (p *Part) isVisibleTo(lot *lot, call *wire.ClientCall) bool {
+	if lot.record.Tenant == "" || call.Tenant == lot.record.Tenant {
+		return true
+	}
+	return call.Tenant == "" && !p.needsKey(lot)
 }
 
 // findLot returns the lot of a call if the lot is durable and visible to the call. Otherwise it answers the call and returns nil. It
 // answers that a lot does not exist only under the lease, since another leader may have accepted the lot.
 func (p *Part) findLot(call *wire.ClientCall, answer answerClient) *lot {
 	lot := p.lots[call.ID]
-	isVisible := lot != nil && lot.isVisibleTo(call)
+	isVisible := lot != nil && p.isVisibleTo(lot, call)
 	if isVisible && lot.isCommitted {
 		return lot
 	}
--- a/internal/control/lots/lots_test.go
+++ b/internal/control/lots/lots_test.go
@@ -91,6 +91,7 @@
 	// route is the only route of the configuration in force, nil if it has none. version is the configuration's version.
 	route     *configuration.Route
 	version   int64
+	tenants   []configuration.Tenant
 	executors []wire.ExecutorRecord
 }
 
@@ -119,7 +120,7 @@
 }
 
 func (h *harness) configuration() *configuration.Matcher {
-	inForce := &configuration.Configuration{Version: h.version}
+	inForce := &configuration.Configuration{Version: h.version, Tenants: h.tenants}
 	if h.route != nil {
 		inForce.Routes = []configuration.Route{*h.route}
 	}
@@ -490,6 +491,43 @@
 		Expect(h.call(wire.VerbLotResults, wire.ClientCall{}).Status).To(Equal(http.StatusOK), "a call of a route without API keys has no tenant")
 	})
 
+	Describe("of a tenant", func() {
+		verbs := []wire.Verb{wire.VerbLotResults, wire.VerbLotItem, wire.VerbEndLot}
+		BeforeEach(func() {
+			h.tenants = []configuration.Tenant{{Name: "team", Keys: []string{"key"}}}
+			h.submit(lotID, 1)
+		})
+
+		// Guards against calls without a tenant, from hosts with public routes or with none, that read and ended every tenant's lots.
+		It("is hidden from calls without a tenant, also if its route is removed", func() {
+			for _, route := range []*configuration.Route{h.route, nil} {
+				h.changeRoute(route)
+				for _, verb := range verbs {
+					Expect(h.call(verb, wire.ClientCall{Item: lotID + "-0"}).Status).To(Equal(http.StatusNotFound), string(verb))
+				}
+				Expect(h.call(wire.VerbLotResults, wire.ClientCall{Tenant: "team"}).Status).To(Equal(http.StatusOK))
+			}
+		})
+
+		It("is shown to calls without a tenant once its route is public, or there are no tenants any more", func() {
+			public := *h.route
+			public.IsPublic = true
+			h.changeRoute(&public)
+			Expect(h.call(wire.VerbLotResults, wire.ClientCall{}).Status).To(Equal(http.StatusOK))
+			public.IsPublic, h.tenants = false, nil
+			h.changeRoute(&public)
+			Expect(h.call(wire.VerbLotResults, wire.ClientCall{}).Status).To(Equal(http.StatusOK))
+		})
+	})
+
+	It("of a public route is shown to calls without a tenant, also once the route is removed", func() {
+		h.tenants = []configuration.Tenant{{Name: "team", Keys: []string{"key"}}}
+		h.route.IsPublic = true
+		h.call(wire.VerbSubmitLot, wire.ClientCall{Route: routeName, Body: []byte(`{"item-list":[{"executor-id":"x","path":"/p/x"}]}`)})
+		h.changeRoute(nil)
+		Expect(h.call(wire.VerbLotResults, wire.ClientCall{}).Status).To(Equal(http.StatusOK))
+	})
+
 	It("lets readers wait for a result until their deadline", func() {
 		h.submit(lotID, 2)
 		var answers []wire.ClientAnswer
--- a/internal/control/lots/routes.go
+++ b/internal/control/lots/routes.go
@@ -39,6 +39,18 @@
 	return route
 }
 
+// needsKey reports whether calls about a lot need the API key of its tenant. They do if there are tenants, unless the lot's route is public.
+func (p *Part) needsKey(lot *lot) bool {
+	matcher := p.Configuration()
+	if matcher == nil {
+		return true
+	}
+	if route := p.routeOf(lot); route != nil {
+		return matcher.NeedsKey(route)
+	}
+	return matcher.HasTenants()
+}
+
 // hasLostRoute reports whether a lot has had no route for removedRouteGrace. It is called about once a second for a lot without a route.
 func (p *Part) hasLostRoute(lot *lot, now time.Duration) bool {
 	if matcher := p.Configuration(); matcher == nil || matcher.Configuration().Version <= lot.record.Version {
--- a/internal/gate/servingapi/lots.go
+++ b/internal/gate/servingapi/lots.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"gannetline/internal/cluster/configcache"
+	"gannetline/internal/cluster/configuration"
 	"gannetline/internal/cluster/leaderclient"
 	"gannetline/internal/cluster/peerapi/wire"
 	"gannetline/internal/gate/headerrules"
@@ -37,8 +38,8 @@
 	if refusal.Status != 0 {
 		return refuse(refusal)
 	}
-	tenant, isKnown := tenantOfLotCall(snapshot, request)
-	if !isKnown {
+	tenant, isAllowed := tenantOfLotCall(snapshot, request)
+	if !isAllowed {
 		return refuse(response.Unauthorized("lots need the key of a tenant, and the key is none"))
 	}
 	return Decision{Kind: kind, Tenant: tenant, Timeout: lotCallTimeout}
@@ -61,13 +62,21 @@
 	return kindRefused, response.Text(http.StatusMethodNotAllowed, "a lot is read by GET and ended by DELETE, an item read by GET")
 }
 
-// tenantOfLotCall returns the tenant whose key a call about a lot carries, or an empty name if it carries no known key and needs none.
-// isKnown is false if it needs a key and carries no known one.
-func tenantOfLotCall(snapshot *configcache.Snapshot, request *http.Request) (name string, isKnown bool) {
-	if tenant := snapshot.Matcher.TenantOfKey(headerrules.BearerKey(request.Header)); tenant != nil {
+// tenantOfLotCall returns the tenant whose key a call about a lot carries, or an empty name if it carries no known key and needs none. The
+// leader of the lots decides which lots a call without a tenant may access. isAllowed is false if the call needs a key and carries no known
+// one.
+func tenantOfLotCall(snapshot *configcache.Snapshot, request *http.Request) (name string, isAllowed bool) {
+	key := headerrules.BearerKey(request.Header)
+	if tenant := snapshot.Matcher.TenantOfKey(key); tenant != nil {
 		return tenant.Name, true
 	}
-	return "", !snapshot.Matcher.NeedsKeyForLots(request.Host)
+	switch snapshot.Matcher.LotKeyRule(request.Host) {
+	case configuration.LotKeyIgnored:
+		return "", true
+	case configuration.LotKeyOptional:
+		return "", key == ""
+	}
+	return "", false
 }
 
 // askAboutLot sends a call about a lot to the leader of the lots' partition.
--- a/internal/gate/servingapi/servingapi_test.go
+++ b/internal/gate/servingapi/servingapi_test.go
@@ -75,6 +75,9 @@
 		Entry("an invalid position", newRequest("GET", "/v1/lots/7c41?depends-on=-1"), 400),
 		Entry("a read without a key", newRequest("GET", "/v1/lots/7c41"), 401),
 		Entry("a read with an unknown key", newRequest("GET", "/v1/lots/7c41", "Authorization", "Bearer other"), 401),
+		// Guards against calls with a removed or unknown key that read, and ended, lots once their host had no route for lots.
+		Entry("a read with an unknown key, where the route for lots was removed", at("other", newRequest("GET", "/v1/lots/7c41", "Authorization", "Bearer other")), 401),
+		Entry("an end with an unknown key, where the route for lots was removed", at("other", newRequest("DELETE", "/v1/lots/7c41", "Authorization", "Bearer other")), 401),
 		Entry("an item without a key", newRequest("GET", "/v1/items/7c41?executor-id=1"), 401),
 		Entry("an item by a wrong method", newRequest("DELETE", "/v1/items/7c41"), 405),
 	)
