Lots: a lot under the ID of another tenant's lot gets 409, not a 202 for nothing

What callers could see: a lot whose ID another tenant's lot has was acknowledged with 202 and then unknown (404), and never ran.

Cause: a known ID made any submission a repetition, whoever sent it.

Evidence: by reading; the new spec got 202 before, and 409 now.

Why it works: a repetition is acknowledged only to callers that may access the lot, which those of the first submission may.

--- a/internal/control/lots/clients.go
+++ b/internal/control/lots/clients.go
@@ -43,9 +43,13 @@
 }
 
 // Submit accepts a lot unless its tenant would exceed the token limit of the route. A call with the ID of a known lot is taken for a retry
-// and acknowledged without a new lot.
+// and acknowledged without a new lot, unless the lot is hidden from the call.
 func (p *Part) Submit(call *wire.ClientCall, answer answerClient) {
 	if existing := p.lots[call.ID]; existing != nil {
+		if !p.isVisibleTo(existing, call) {
+			answer(refusal(http.StatusConflict, "the ID belongs to another lot"))
+			return
+		}
 		p.answerAccepted(answer)
 		return
 	}
--- a/internal/control/lots/lots_test.go
+++ b/internal/control/lots/lots_test.go
@@ -518,6 +518,13 @@
 			h.changeRoute(&public)
 			Expect(h.call(wire.VerbLotResults, wire.ClientCall{}).Status).To(Equal(http.StatusOK))
 		})
+
+		// Guards against a lot that is acknowledged and not kept, as its ID is that of another tenant's lot.
+		It("keeps its ID: a lot of another tenant under it is not acknowledged", func() {
+			body := `{"item-list":[{"executor-id":"x","path":"/p/x"}]}`
+			answer := h.call(wire.VerbSubmitLot, wire.ClientCall{Route: routeName, Tenant: "others", Body: []byte(body)})
+			Expect(answer.Status).To(Equal(http.StatusConflict))
+		})
 	})
 
 	It("of a public route is shown to calls without a tenant, also once the route is removed", func() {
