Scheduler: a call without a tenant accesses only jobs of its queue, or of no tenant

What callers could see: through a public queue, a call without a key read and cancelled jobs of tenants in other queues of the same service.

Why it works: a call has no tenant only if the queue that it addresses needs no key, so it may access that queue's jobs and no others.

--- a/internal/scheduling/scheduler/clients.go
+++ b/internal/scheduling/scheduler/clients.go
@@ -46,7 +46,7 @@
 func (p *Pool) Submit(call *wire.ClientCall, answer answerClient) {
 	accepted := answerOnCommit(answer)
 	if known := p.jobs[call.ID]; known != nil {
-		if !isOfQueue(known, call) || !known.isVisibleTo(call.Tenant) {
+		if !isOfQueue(known, call) || !known.isVisibleTo(call) {
 			answer(wire.ClientAnswer{Status: http.StatusConflict, Reason: "the ID belongs to a job of another queue"})
 			return
 		}
@@ -132,16 +132,16 @@
 
 // jobFor returns the job named by a call, or nil if there is no such job or the call's tenant may not see it.
 func (p *Pool) jobFor(call *wire.ClientCall) *jobState {
-	if job := p.jobs[call.ID]; job != nil && job.isVisibleTo(call.Tenant) {
+	if job := p.jobs[call.ID]; job != nil && job.isVisibleTo(call) {
 		return job
 	}
 	return nil
 }
 
-// isVisibleTo reports whether a tenant may see the job. A tenant may see its own jobs. A job without a tenant is visible to all tenants. A
-// call that needs no API key has no tenant, and may see all jobs.
-func (j *jobState) isVisibleTo(tenant string) bool {
-	return j.record.Tenant == "" || tenant == "" || j.record.Tenant == tenant
+// isVisibleTo reports whether a call may access the job. A tenant may access its own jobs, and any call a job without a tenant. A call to a
+// queue that needs no API key has no tenant, and may access all jobs of that queue.
+func (j *jobState) isVisibleTo(call *wire.ClientCall) bool {
+	return j.record.Tenant == "" || j.record.Tenant == call.Tenant || call.Tenant == "" && isOfQueue(j, call)
 }
 
 // State answers a client with the state of a job.
