--- a/internal/scheduling/scheduler/metrics.go
+++ b/internal/scheduling/scheduler/metrics.go
@@ -28,6 +28,7 @@
 	speculativeRuns = metrics.NewCounters("gannetline_pool_spares_total", "key")
 	ordersSent      = metrics.NewCounters("gannetline_pool_orders_sent_total", "key", "kind")
 	ordersResent    = metrics.NewCounters("gannetline_pool_orders_resent_total", "key", "kind")
+	transfers       = metrics.NewCounters("gannetline_pool_transfers_total", "key", "reason")
 	commits         = metrics.NewCounters("gannetline_pool_commits_total", "key")
 	changes         = metrics.NewCounters("gannetline_pool_changes_total", "key")
 	stepsOpen       = metrics.NewGauges("gannetline_pool_open_steps", "key")
@@ -42,6 +43,12 @@
 	occurrences     = metrics.NewCounters("gannetline_pool_occurrences_total", "key", "queue", "deadline")
 )
 
+// The reasons of transfers to other pools, in metrics.
+const (
+	reasonRolledBack = "rolled_back"
+	reasonQueueMoved = "queue_moved"
+)
+
 // poolMetrics holds the metric series of one pool, which are looked up once.
 type poolMetrics struct {
 	key                                                                                 string
--- a/internal/scheduling/scheduler/transfer.go
+++ b/internal/scheduling/scheduler/transfer.go
@@ -44,6 +44,14 @@
 	sentAt      time.Duration
 }
 
+// reason returns why the job is transferred, for metrics.
+func (t *transfer) reason() string {
+	if t.version == 0 {
+		return reasonRolledBack
+	}
+	return reasonQueueMoved
+}
+
 // tickTransfers returns jobs to the old version of a rollout that was rolled back, and transfers jobs of queues that lead to another service
 // now. It begins transfers where possible, and sends unanswered ones again.
 func (p *Pool) tickTransfers(now time.Duration) {
@@ -127,6 +135,7 @@
 // beginTransfer withholds a job, commits the transfer, and then sends the job.
 func (p *Pool) beginTransfer(job *jobState, begun transfer) {
 	p.withhold(job)
+	transfers.With(p.key, begun.reason()).Inc()
 	pending := &begun
 	job.transfer, p.rollouts.inTransfer[job.id] = pending, job
 	p.putRecord(prefixTransfer+job.id, transferRecord{To: pending.to, Version: pending.version})
