Soak: the route for lots gets another name, is removed and comes back

With moves and the tier in one mix, each version of the configuration may have the route for lots under another name, or not at all.

--- a/internal/simulation/soak/moves.go
+++ b/internal/simulation/soak/moves.go
@@ -14,6 +14,9 @@
 	movedServiceName = serviceName + "-moved"
 	// renamedRoute is the second name of the route of the clients' queue.
 	renamedRoute = "jobs-renamed"
+	// lotsRoute is the name of the route for lots, and renamedLotsRoute its second name.
+	lotsRoute        = "drafts"
+	renamedLotsRoute = "drafts-renamed"
 )
 
 // queuePlace is the route of the clients' queue in one version of the configuration. Without a name there is no such route.
@@ -24,6 +27,18 @@
 var queuePlaces = []queuePlace{{jobsRoute, serviceName}, {}, {jobsRoute, movedServiceName}, {}, {jobsRoute, movedServiceName}, {renamedRoute, movedServiceName},
 	{renamedRoute, serviceName}, {}, {jobsRoute, serviceName}, {jobsRoute, movedServiceName}, {renamedRoute, serviceName}, {jobsRoute, serviceName}}
 
+// lotsRouteNames are the names of the route for lots in consecutive versions, again and again, in a soak with moves. Without a name there is
+// no such route. The first version has the route.
+var lotsRouteNames = []string{lotsRoute, renamedLotsRoute, renamedLotsRoute, lotsRoute, "", renamedLotsRoute, lotsRoute}
+
+// lotsRouteIn returns the name of the route for lots in a version, "" if the version has none.
+func (l *Layout) lotsRouteIn(version int64) string {
+	if !l.Mix.Has(FeatureMoves) {
+		return lotsRoute
+	}
+	return lotsRouteNames[int(version-firstVersion)%len(lotsRouteNames)]
+}
+
 // queuePlaceIn returns the place of the clients' queue in a version.
 func (l *Layout) queuePlaceIn(version int64) queuePlace {
 	if !l.Mix.Has(FeatureMoves) {
--- a/internal/simulation/soak/operator.go
+++ b/internal/simulation/soak/operator.go
@@ -179,7 +179,7 @@
 	result := configuration.Configuration{Version: version,
 		Services: []configuration.Service{{Name: serviceName, ConnectionLimit: 64, Protocol: "h1", GuardsCapacity: true}},
 		Limits:   configuration.Limits{HeaderBytes: 16384, BodyBytes: 262144, HeaderTimeoutMs: 3000, IdleTimeoutMs: time.Minute.Milliseconds()},
-		Routes:   append(o.layout.queueRoutes(version), o.layout.tierRoutes()...), Tenants: o.layout.tenants()}
+		Routes:   append(o.layout.queueRoutes(version), o.layout.tierRoutes(version)...), Tenants: o.layout.tenants()}
 	if o.layout.Mix.Has(FeatureMoves) {
 		result.Services = append(result.Services, configuration.Service{Name: movedServiceName, ConnectionLimit: 64, Protocol: "h1", GuardsCapacity: true})
 	}
--- a/internal/simulation/soak/streams.go
+++ b/internal/simulation/soak/streams.go
@@ -45,8 +45,8 @@
 	return c.Status == http.StatusOK && !c.IsBroken && c.Body == expected.String()
 }
 
-// tierRoutes returns the routes of the tier, nil if the mix has no tier.
-func (l *Layout) tierRoutes() []configuration.Route {
+// tierRoutes returns the routes of the tier in a version, nil if the mix has no tier.
+func (l *Layout) tierRoutes(version int64) []configuration.Route {
 	if !l.Mix.Has(FeatureTier) {
 		return nil
 	}
@@ -54,10 +54,16 @@
 		return configuration.Route{Name: name, Host: frontHost, PathPrefix: prefix, Type: kind, TimeoutMs: callTimeout.Milliseconds(),
 			TargetLatencyMs: 300, Service: assistantService, MaxAttempts: 2}
 	}
-	explain, drafts := route("explain", explainPrefix, configuration.RouteStreaming), route("drafts", draftsPrefix, configuration.RouteBatch)
+	explain := route("explain", explainPrefix, configuration.RouteStreaming)
 	explain.IsResumable = true
+	routes := []configuration.Route{route("ask", askPrefix, configuration.RouteStreaming), explain}
+	name := l.lotsRouteIn(version)
+	if name == "" {
+		return routes
+	}
+	drafts := route(name, draftsPrefix, configuration.RouteBatch)
 	drafts.ResultDeadlineMs, drafts.MaxQueueS = lotDeadline.Milliseconds(), settleTimeout.Seconds()
-	return []configuration.Route{route("ask", askPrefix, configuration.RouteStreaming), explain, drafts}
+	return append(routes, drafts)
 }
 
 // streamClient requests streams at one gate, each over a new connection.
