--- a/tools/upgrade-check.sh
+++ b/tools/upgrade-check.sh
@@ -21,7 +21,7 @@
 readonly network=${UPGRADE_NETWORK:-127.93}
 readonly processes=12 mix=15 seconds=45
 # The names that the soak gives to the processes of a cluster of this size and mix.
-readonly stewards=(steward-1 steward-2 steward-3) storages=(storage-1 storage-2 storage-3) gates=(gate-1 gate-2)
+readonly stewards=(steward-1 steward-2 steward-3) storages_of_everything=(storage-1 storage-2 storage-3) gates=(gate-1 gate-2)
 readonly proxies=(worker-1 worker-2 worker-3 worker-4 worker-5 worker-6)
 # The JSON keys that the injected faults rename: the executor in an exchange message, and the job specification in a stored record.
 readonly message_file=internal/cluster/peerapi/wire/exchange.go message_key=life
@@ -96,18 +96,18 @@
   done
 }
 
-# write_schedule FILE MODE: writes the soak's schedule. In mode "switch" all processes are terminated at once. In mode "alternate" each is
-# terminated twice, one process of a role at a time.
+# write_schedule FILE MODE STORAGE...: writes the soak's schedule for a deployment with the named storage machines. In mode "switch" all
+# processes are terminated at once. In mode "alternate" each is terminated twice, one process of a role at a time.
 write_schedule() {
-  local separator='' round
+  local separator='' round storages=("${@:3}")
   {
     printf '{"seed":7,"length-ms":%d,"processes":%d,"events":[' $((seconds * 1000)) $processes
     if [ "$2" = switch ]; then
-      write_terminations 0 15000 "${stewards[@]}" "${gates[@]}" "${proxies[@]}" "${storages[@]}"
+      write_terminations 0 15000 "${stewards[@]}" "${gates[@]}" "${proxies[@]}" ${storages[@]+"${storages[@]}"}
     else
       for round in 2000 19000; do
         write_terminations 5500 $round "${stewards[@]}"
-        write_terminations 5500 $((round + 1500)) "${storages[@]}"
+        write_terminations 5500 $((round + 1500)) ${storages[@]+"${storages[@]}"}
         write_terminations 8000 $((round + 3000)) "${gates[@]}"
         write_terminations 2000 $((round + 500)) "${proxies[@]}"
       done
@@ -118,9 +118,11 @@
 
 # run_soak NAME SOAK FIRST SECOND MODE FLAGS...: runs the program SOAK with the flags of a deployment; its exit status is the soak's.
 run_soak() {
-  local name=$1 soak=$2 status
+  local name=$1 soak=$2 status storages=("${storages_of_everything[@]}")
+  # Only the deployment with every feature has storage machines.
+  [[ " ${*:6} " != *" --rollouts "* ]] || storages=()
   write_program "$scratch/$name.program" "$3" "$4" "$5"
-  write_schedule "$scratch/$name.json" "$5"
+  write_schedule "$scratch/$name.json" "$5" ${storages[@]+"${storages[@]}"}
   "$soak" "${@:6}" --schedule "$scratch/$name.json" --network "$network" --program "$scratch/$name.program" \
     --keep "$scratch/$name" --json "$scratch/$name.report" >"$scratch/$name.out" 2>"$scratch/$name.log"
   status=$?
