--- a/review/_standin3/case_retire.go
+++ b/review/_standin3/case_retire.go
@@ -6,13 +6,14 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
 
 func init() { cases["retire"] = runRetire }
 
-// runRetire hands in lots, and then the operator orders three of six storage machines to be emptied, one order right after the other. Three machines remain, as many as the loss of one machine takes. A machine
+// runRetire hands in lots, and then the operator orders three of six storage machines to be emptied, all at once. Three machines remain, as many as the loss of one machine takes. A machine
 // that is shown as completed is removed at once, disk included. With TROUBLE=0 only the first order is sent.
 func runRetire(c *cluster, isTrouble bool) int {
 	const stewards, gates, storages = 3, 2, 6
@@ -61,20 +62,18 @@
 		orders = 1
 	}
 	var retiring sync.WaitGroup
-	accepted := 0
+	var accepted atomic.Int64
 	for number := range orders {
 		node := fmt.Sprintf("storage-%d", number+1)
-		got := call("POST", c.control(number%stewards+1), "", "/v1/retire/"+node+"/initiate", nil, []byte(`{"rollout-period-s":10}`), time.Second)
-		c.record.printf("retire %s: %d %s", node, got.status, got.body)
-		if got.status != 200 {
-			continue
-		}
-		accepted++
-		time.Sleep(time.Duration(env("GAP", 0)) * time.Millisecond)
 		retiring.Add(1)
 		go func() {
 			defer retiring.Done()
-			c.removeOnceEmpty(node, 25*time.Second)
+			got := call("POST", c.control(number%stewards+1), "", "/v1/retire/"+node+"/initiate", nil, []byte(`{"rollout-period-s":10}`), time.Second)
+			c.record.printf("retire %s: %d %s", node, got.status, got.body)
+			if got.status == 200 {
+				accepted.Add(1)
+				c.removeOnceEmpty(node, 25*time.Second)
+			}
 		}()
 	}
 	retiring.Wait()
@@ -98,7 +97,7 @@
 		}
 		time.Sleep(200 * time.Millisecond)
 	}
-	c.record.printf("orders accepted: %d of %d; lots that can't be read: %d of %d %v", accepted, orders, len(unread), lots, unread)
+	c.record.printf("orders accepted: %d of %d; lots that can't be read: %d of %d %v", accepted.Load(), orders, len(unread), lots, unread)
 	if len(unread) > 0 {
 		return broken
 	}
--- a/review/_standin3/case_share.go
+++ b/review/_standin3/case_share.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"hash/fnv"
 	"os"
 	"path/filepath"
 	"strings"
@@ -24,12 +25,24 @@
 type tenantWork struct {
 	*cluster
 	executors []*executor
+	// tenant is the one whose jobs are handed in; its key is "k" and its name.
+	tenant string
 	// accepted maps the IDs of the accepted jobs to the prefixes of their queues.
 	accepted map[string]string
 }
 
 const tenantGates = 2
 
+// tenantNames are the tenants of the configuration.
+var tenantNames = []string{"north", "south", "east", "west", "hill", "dale", "moor", "coast"}
+
+// countKeyOf returns the key of the count that holds a tenant's limit, as the logs name it.
+func countKeyOf(tenant string) string {
+	hash := fnv.New32a()
+	hash.Write([]byte(tenant))
+	return fmt.Sprint("count/", hash.Sum32()%4)
+}
+
 // startTenantWork starts the deployment and has one small job done in each queue.
 func (c *cluster) startTenantWork() (*tenantWork, error) {
 	const stewards = 3
@@ -46,7 +59,7 @@
 	for number := range tenantGates {
 		c.add("gate", number+1, "")
 	}
-	work := &tenantWork{cluster: c, accepted: map[string]string{}}
+	work := &tenantWork{cluster: c, tenant: tenantNames[0], accepted: map[string]string{}}
 	services := []string{"ledger", "archive"}
 	for number, service := range services {
 		e := newExecutor(c, number+1, service, 64000, 131072)
@@ -59,12 +72,23 @@
 	text := string(configurationOf(1, services, 262144,
 		routeSpec{name: "sales", prefix: "/sales/", kind: "non_idempotent", service: "ledger", attempts: 4},
 		routeSpec{name: "files", prefix: "/files/", kind: "non_idempotent", service: "archive", attempts: 4}))
-	tenants := fmt.Sprintf(`"tenant-list":[{"name":"north","api-keys":["kn"],"weight":5,"upper-limit":{"cpu-units":%d}},{"name":"south","api-keys":["ks"],"weight":5,"upper-limit":{"cpu-units":64000}}],`, shareLimit)
+	var list []string
+	for _, name := range tenantNames {
+		list = append(list, fmt.Sprintf(`{"name":"%s","api-keys":["k%s"],"weight":5,"upper-limit":{"cpu-units":%d}}`, name, name, shareLimit))
+	}
+	tenants := `"tenant-list":[` + strings.Join(list, ",") + `],`
 	text = strings.Replace(text, `"service-list"`, tenants+`"service-list"`, 1)
 	if err := c.configure(stewards, 0, []byte(text)); err != nil {
 		return nil, err
 	}
 	time.Sleep(10 * time.Second)
+	// The tenant is one whose part of the count isn't led by the steward that leads the pool of "archive", if there is one.
+	for _, name := range tenantNames {
+		if leader := c.lastLeader(countKeyOf(name)); leader != "" && leader != c.lastLeader("pool/archive") {
+			work.tenant = name
+			break
+		}
+	}
 	work.hand("/sales/", "aaaa", 1, 1, 1000)
 	work.hand("/files/", "bbbb", 1, 1, 1000)
 	if open, _ := work.await(15 * time.Second); open > 0 || len(work.accepted) < 2 {
@@ -75,13 +99,13 @@
 	return work, nil
 }
 
-// hand hands in jobs of the tenant north.
+// hand hands in jobs of the tenant.
 func (w *tenantWork) hand(prefix, kind string, jobs, tasks, cpu int) {
 	job := fmt.Appendf(nil, `{"task-descriptor":"1000 %d 1000","step-list":[{"task-count":%d,"cpu-units":%d,"memory-req-mb":1000,"estimated-ms":1000}]}`, cpu, tasks, cpu)
 	for number := range jobs {
 		id := fmt.Sprintf("%s%012x", kind, number)
 		for attempt := range 5 {
-			got := call("POST", w.front((number+attempt)%tenantGates+1), jobHost, prefix+id, map[string]string{"X-Time-Remaining": "3000", "Authorization": "Bearer kn"}, job, 3*time.Second)
+			got := call("POST", w.front((number+attempt)%tenantGates+1), jobHost, prefix+id, map[string]string{"X-Time-Remaining": "3000", "Authorization": "Bearer k" + w.tenant}, job, 3*time.Second)
 			w.record.write("client POST", prefix+id, "->", fmt.Sprint(got.status))
 			if got.status == 200 {
 				w.accepted[id] = prefix
@@ -99,7 +123,7 @@
 	for begun := time.Now(); time.Since(begun) < limit; time.Sleep(100 * time.Millisecond) {
 		open = 0
 		for id, prefix := range w.accepted {
-			got := call("GET", w.front(1), jobHost, prefix+id, map[string]string{"X-Time-Remaining": "3000", "Authorization": "Bearer kn"}, nil, 3*time.Second)
+			got := call("GET", w.front(1), jobHost, prefix+id, map[string]string{"X-Time-Remaining": "3000", "Authorization": "Bearer k" + w.tenant}, nil, 3*time.Second)
 			if got.status != 200 || !strings.Contains(string(got.body), "completed") {
 				open++
 			}
@@ -165,7 +189,7 @@
 	work.accepted = map[string]string{}
 	time.Sleep(3 * time.Second)
 	if isTrouble {
-		leader := c.lastLeader("count/0")
+		leader := c.lastLeader(countKeyOf(work.tenant))
 		if leader == "" {
 			c.record.printf("could not run: no leader of the count is known")
 			return couldNot
