--- a/review/_standin3/case_share.go
+++ b/review/_standin3/case_share.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"hash/fnv"
 	"os"
+	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -82,13 +84,6 @@
 		return nil, err
 	}
 	time.Sleep(10 * time.Second)
-	// The tenant is one whose part of the count isn't led by the steward that leads the pool of "archive", if there is one.
-	for _, name := range tenantNames {
-		if leader := c.lastLeader(countKeyOf(name)); leader != "" && leader != c.lastLeader("pool/archive") {
-			work.tenant = name
-			break
-		}
-	}
 	work.hand("/sales/", "aaaa", 1, 1, 1000)
 	work.hand("/files/", "bbbb", 1, 1, 1000)
 	if open, _ := work.await(15 * time.Second); open > 0 || len(work.accepted) < 2 {
@@ -173,21 +168,40 @@
 	return work.judge(6)
 }
 
-// runGrant has a job of the tenant done in the second queue, kills the steward that leads the tenant's part of the count, and starts it again. 8 s
-// later jobs are handed in to the first queue; the second service has nothing to do any more. With TROUBLE=0 no steward is killed.
+// runGrant looks for a tenant of whose limit the idle pool of "archive" holds a half, as pools without work do, kills the steward that leads the
+// tenant's part of the count, and starts it again. 8 s later jobs are handed in to the queue of "ledger"; "archive" has nothing to do. With
+// TROUBLE=0 no steward is killed.
 func runGrant(c *cluster, isTrouble bool) int {
 	work, err := c.startTenantWork()
 	if err != nil {
 		c.record.printf("could not run: %v", err)
 		return couldNot
 	}
-	work.hand("/files/", "cccc", 1, 1, shareNeed)
-	if open, _ := work.await(15 * time.Second); open > 0 {
-		c.record.printf("could not run: the job before the kill was not completed")
+	isFound := false
+	for number, name := range tenantNames {
+		// The next leader of the pool would call again, so that steward has to stay.
+		if leader := c.lastLeader(countKeyOf(name)); leader == "" || leader == c.lastLeader("pool/archive") {
+			continue
+		}
+		work.tenant = name
+		// A small job in each queue, so that both pools have called for this tenant since they had work.
+		work.hand("/sales/", fmt.Sprintf("cc%02x", number), 1, 1, 1000)
+		work.hand("/files/", fmt.Sprintf("dd%02x", number), 1, 1, 1000)
+		if open, _ := work.await(10 * time.Second); open > 0 {
+			continue
+		}
+		time.Sleep(2 * time.Second)
+		held := c.grantOf(name, "pool/archive")
+		c.record.printf("of the limit of %s the idle pool of archive holds %d", name, held)
+		if isFound = held > shareLimit-shareNeed && held <= shareLimit/2; isFound {
+			break
+		}
+	}
+	if !isFound {
+		c.record.printf("could not run: the idle pool holds a half of no tenant's limit whose part is led by another steward")
 		return couldNot
 	}
 	work.accepted = map[string]string{}
-	time.Sleep(3 * time.Second)
 	if isTrouble {
 		leader := c.lastLeader(countKeyOf(work.tenant))
 		if leader == "" {
@@ -203,6 +217,25 @@
 	return work.judge(3)
 }
 
+// grantOf returns what a pool holds of a tenant's limit, in thousandths of a core, by the command of the project that shows it.
+func (c *cluster) grantOf(tenant, pool string) int {
+	text, _ := exec.Command(c.program, "--settings", filepath.Join(c.folder, "steward-1.yaml"), "tenants", "--by-pool", "--at", c.control(1)).Output()
+	isTenant := false
+	for _, line := range strings.Split(string(text), "\n") {
+		fields := strings.Fields(line)
+		switch {
+		case len(fields) < 2:
+		case !strings.HasPrefix(line, " "):
+			isTenant = fields[0] == tenant
+		case isTenant && fields[0] == pool:
+			cores, _, _ := strings.Cut(fields[1], "/")
+			amount, _ := strconv.ParseFloat(cores, 64)
+			return int(amount * 1000)
+		}
+	}
+	return 0
+}
+
 // lastLeader returns the steward that became the leader of a key last, by the logs.
 func (c *cluster) lastLeader(key string) string {
 	leader, latest := "", ""
