Tenant count: pools take turns for work that is larger than their share of a limit

Cause: the count divides a limit by what pools want in total, and knew nothing of the pieces in which they can use it. A share that is smaller than any waiting task, or gang, is of no use to its pool; as all pools went on wanting more, none returned its share.

Change: a call says what the pool's next work needs at once. Pools whose next work doesn't fit into their share get turns, one at a time, in the order in which they began to wait, for all resources together. In its turn a pool should hold what the work needs, and the others divide the rest. A pool leaves room for its next work in its turn, and when that was passed over for 2 s. Also: a pool calls again if its next work can't start though its total demand is covered.

Whatever a pool waits for becomes its target within a turn of each other pool, and a turn ends by a start, or after 2 s of silence or without use.

--- a/internal/cluster/peerapi/wire/grants.go
+++ b/internal/cluster/peerapi/wire/grants.go
@@ -14,12 +14,19 @@
 }
 
 // TenantDemand is the demand of a pool for one tenant. Has is the maximum that the pool may use until it gets an answer to this call or to a
-// later one. Used is the amount that its runs use, and Wants the amount that they and its waiting tasks need together.
+// later one. Used is the amount that its runs use, and Wants the amount that they and its waiting tasks need together. Lasting is the part of
+// Used that is used by runs which don't end by themselves. NextNeed is what the work that has waited longest needs at once: a task, or all
+// members of a gang. FinishedTurn is the last turn in which the pool has started such work. A pool that shares no tenants leaves out the last
+// three.
 type TenantDemand struct {
 	Tenant string   `json:"tenant"`
 	Has    Capacity `json:"has"`
 	Used   Capacity `json:"used"`
 	Wants  Capacity `json:"wants"`
+
+	Lasting      *Capacity `json:"lasting,omitempty"`
+	NextNeed     *Capacity `json:"next-need,omitempty"`
+	FinishedTurn uint64    `json:"finished-turn,omitempty"`
 }
 
 // GrantAnswer answers the call with the same number.
@@ -40,6 +47,8 @@
 	HasWholeLimit bool `json:"whole,omitempty"`
 	// IsSettled is set if all pools together hold no more than the limit of the configuration by which the partition decided.
 	IsSettled bool `json:"settled,omitempty"`
+	// Turn identifies the pool's current turn to hold more than its fair share of the limit; 0 if the pool has none.
+	Turn uint64 `json:"turn,omitempty"`
 }
 
 // TenantsCall asks a steward for reports of the tenants in the pools and partitions of the tenant count that it leads.
@@ -57,7 +66,8 @@
 	Tenants []TenantUsage `json:"tenants"`
 }
 
-// TenantUsage is the row of one tenant. A partition of the tenant count fills in Limit and Grants, a pool the other fields. Surplus counts
+// TenantUsage is the row of one tenant. A partition of the tenant count fills in Limit, Grants and Turn, a pool the other fields. Turn is the
+// pool that may hold more than its fair share of the limit now, so that its largest waiting work can start. Surplus counts
 // the open jobs that were submitted above the tenant's rate, which is Weight in jobs per second. Share is the fraction of the pool's capacity,
 // from 0 to 1, that the tenant is entitled to when all of it is in use; it is 0 for a tenant without work. Allowance is the amount that the
 // tenant's runs may use in the pool.
@@ -66,6 +76,7 @@
 	Weight      float64       `json:"weight,omitempty"`
 	Limit       *Capacity     `json:"limit,omitempty"`
 	Grants      []TenantShare `json:"grants,omitempty"`
+	Turn        string        `json:"turn,omitempty"`
 	Running     *Capacity     `json:"running,omitempty"`
 	Runs        int           `json:"runs,omitempty"`
 	Waiting     *Capacity     `json:"waiting,omitempty"`
--- a/internal/cluster/peerapi/wire/grants_easyjson.go
+++ b/internal/cluster/peerapi/wire/grants_easyjson.go
@@ -234,6 +234,12 @@
 				}
 				in.Delim(']')
 			}
+		case "turn":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Turn = string(in.String())
+			}
 		case "running":
 			if in.IsNull() {
 				in.Skip()
@@ -343,6 +349,11 @@
 			out.RawByte(']')
 		}
 	}
+	if in.Turn != "" {
+		const prefix string = ",\"turn\":"
+		out.RawString(prefix)
+		out.String(string(in.Turn))
+	}
 	if in.Running != nil {
 		const prefix string = ",\"running\":"
 		out.RawString(prefix)
@@ -535,6 +546,12 @@
 			} else {
 				out.IsSettled = bool(in.Bool())
 			}
+		case "turn":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Turn = uint64(in.Uint64())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -574,6 +591,11 @@
 		out.RawString(prefix)
 		out.Bool(bool(in.IsSettled))
 	}
+	if in.Turn != 0 {
+		const prefix string = ",\"turn\":"
+		out.RawString(prefix)
+		out.Uint64(uint64(in.Turn))
+	}
 	out.RawByte('}')
 }
 
@@ -638,6 +660,40 @@
 			} else {
 				(out.Wants).UnmarshalEasyJSON(in)
 			}
+		case "lasting":
+			if in.IsNull() {
+				in.Skip()
+				out.Lasting = nil
+			} else {
+				if out.Lasting == nil {
+					out.Lasting = new(Capacity)
+				}
+				if in.IsNull() {
+					in.Skip()
+				} else {
+					(*out.Lasting).UnmarshalEasyJSON(in)
+				}
+			}
+		case "next-need":
+			if in.IsNull() {
+				in.Skip()
+				out.NextNeed = nil
+			} else {
+				if out.NextNeed == nil {
+					out.NextNeed = new(Capacity)
+				}
+				if in.IsNull() {
+					in.Skip()
+				} else {
+					(*out.NextNeed).UnmarshalEasyJSON(in)
+				}
+			}
+		case "finished-turn":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.FinishedTurn = uint64(in.Uint64())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -672,6 +728,21 @@
 		out.RawString(prefix)
 		(in.Wants).MarshalEasyJSON(out)
 	}
+	if in.Lasting != nil {
+		const prefix string = ",\"lasting\":"
+		out.RawString(prefix)
+		(*in.Lasting).MarshalEasyJSON(out)
+	}
+	if in.NextNeed != nil {
+		const prefix string = ",\"next-need\":"
+		out.RawString(prefix)
+		(*in.NextNeed).MarshalEasyJSON(out)
+	}
+	if in.FinishedTurn != 0 {
+		const prefix string = ",\"finished-turn\":"
+		out.RawString(prefix)
+		out.Uint64(uint64(in.FinishedTurn))
+	}
 	out.RawByte('}')
 }
 
--- a/internal/control/countleader/countleader.go
+++ b/internal/control/countleader/countleader.go
@@ -74,6 +74,7 @@
 		return
 	}
 	policy := l.policy()
+	turnsBefore := l.part.TurnsBegun()
 	given, ops, err := l.part.HandleCall(&grantCall, policy.Limits, l.clock.Monotonic())
 	if errors.Is(err, tenantcount.ErrStale) {
 		answer(wire.ClientAnswer{Status: http.StatusConflict, Reason: err.Error()})
@@ -81,6 +82,7 @@
 	}
 	given.Version = policy.Version
 	grantCalls.With(l.key).Inc()
+	grantTurns.With(l.key).Add(l.part.TurnsBegun() - turnsBefore)
 	if len(ops) == 0 {
 		l.answerUnderLease(&given, answer)
 		return
--- a/internal/scheduling/placement/filter.go
+++ b/internal/scheduling/placement/filter.go
@@ -94,6 +94,26 @@
 	return limit != 0 && candidate.addedRuns >= max(0, limit)
 }
 
+// HasRoom reports whether the free capacity of the executors is enough for a task of a group, or for all members of a gang. It ignores all
+// limits but the constraints of the group.
+func HasRoom(executors []Executor, group *Group) bool {
+	missing := int64(1)
+	if group.IsGang {
+		missing = int64(group.Count)
+	}
+	for index := range executors {
+		executor := &executors[index]
+		if executor.isClosed() || filterConstraints(search{group: group, runs: group.RunsByExecutor}, executor, index) != Suitable {
+			continue
+		}
+		missing -= executor.Free.countSlots(group.Need, missing)
+		if missing <= 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // IsLocal reports whether an executor with these labels is near data at a locality: it has at least one of the locality's labels.
 func IsLocal(labels, locality []string) bool {
 	return slices.ContainsFunc(locality, func(label string) bool { return slices.Contains(labels, label) })
--- a/internal/scheduling/placement/tenant.go
+++ b/internal/scheduling/placement/tenant.go
@@ -13,6 +13,9 @@
 	Limit Resources
 	// MayOvershoot means that no other pool starts runs under the same limit, so that one task that is too large may exceed it.
 	MayOvershoot bool
+	// Reserved is what the tenant's work that has waited longest needs at once. Smaller work must leave it free. It is zero if nothing is
+	// reserved.
+	Reserved Resources
 	// LongAllocated is what the tenant's long work uses (see CountsAsLong). LongLimit is a soft limit for it, which leaves capacity within
 	// Limit for urgent work.
 	LongAllocated, LongLimit Resources
@@ -29,16 +32,20 @@
 // Admits reports whether the tenant may have count more runs of a need. All must be within its limit. With MayOvershoot, a single run
 // may exceed the limit while at most half of the limit is in use. So at most one run exceeds the limit, and it is larger than all others
 // together. Runs may start in another order than they were placed in, and a small run that starts last must not be the one that exceeds
-// the limit.
+// the limit. Work that is smaller than Reserved must leave Reserved free within the limit.
 func (t *Tenant) Admits(need Resources, count int) bool {
-	if fitsLimit(need, t.Allocated.Plus(need.Times(float64(count))), t.Limit) {
+	total := need.Times(float64(count))
+	if !total.Fits(t.Reserved) {
+		return CoversNeed(t.Limit, t.Allocated.Plus(total).Plus(t.Reserved), need.Plus(t.Reserved))
+	}
+	if CoversNeed(t.Limit, t.Allocated.Plus(total), need) {
 		return true
 	}
-	return count == 1 && t.MayOvershoot && fitsLimit(need, t.Allocated.Plus(t.Allocated), t.Limit)
+	return count == 1 && t.MayOvershoot && CoversNeed(t.Limit, t.Allocated.Plus(t.Allocated), need)
 }
 
-// fitsLimit reports whether an amount is within a limit in each resource of which something is needed.
-func fitsLimit(need, amount, limit Resources) bool {
+// CoversNeed reports whether an amount is within a limit in each resource of which something is needed.
+func CoversNeed(limit, amount, need Resources) bool {
 	return (need.CPU <= 0 || amount.CPU <= limit.CPU) && (need.Memory <= 0 || amount.Memory <= limit.Memory) && (need.GPU <= 0 || amount.GPU <= limit.GPU)
 }
 
@@ -53,7 +60,7 @@
 		return true
 	}
 	before := t.LongAllocated.Plus(need.Times(float64(count - 1)))
-	return fitsLimit(need, before, t.LongLimit)
+	return CoversNeed(t.LongLimit, before, need)
 }
 
 // isWithinShare reports whether the tenant stays within its share of each resource with one more run of a need. A tenant that has
--- a/internal/scheduling/placement/tenant_test.go
+++ b/internal/scheduling/placement/tenant_test.go
@@ -57,6 +57,32 @@
 		Expect(place(large, tiny)).To(Equal(map[int]int{1: 1}))
 	})
 
+	It("leave free within their limit what is reserved, except for work that is as large", func() {
+		reserving := limited(5000)
+		reserving.Reserved = unit.Times(3)
+		small, large := &placement.Group{Need: unit, Count: 20, Tenant: 1}, &placement.Group{Need: unit.Times(3), Count: 9, Tenant: 1, Due: 1}
+		Expect(place([]*placement.Group{small}, reserving)).To(Equal(map[int]int{1: 2}))
+		Expect(place([]*placement.Group{large}, reserving)).To(Equal(map[int]int{1: 1}))
+		reserving.Reserved = unit.Times(6)
+		Expect(place([]*placement.Group{small, large}, reserving)).To(BeEmpty())
+		gang := &placement.Group{Need: unit, Count: 5, IsGang: true, Tenant: 1}
+		reserving.Reserved = unit.Times(5)
+		Expect(place([]*placement.Group{small, gang}, reserving)).To(Equal(map[int]int{1: 5}))
+	})
+
+	It("have room for a group on the executors that it may use", func() {
+		group := &placement.Group{Need: unit.Times(10), Count: 3}
+		Expect(placement.HasRoom(executors(1), group)).To(BeTrue())
+		group.IsGang = true
+		Expect(placement.HasRoom(executors(2), group)).To(BeFalse())
+		Expect(placement.HasRoom(executors(3), group)).To(BeTrue())
+		group.ExcludedIndices = []int{1}
+		Expect(placement.HasRoom(executors(3), group)).To(BeFalse())
+		closed := executors(1)
+		closed[0].IsUnschedulable = true
+		Expect(placement.HasRoom(closed, &placement.Group{Need: unit, Count: 1})).To(BeFalse())
+	})
+
 	It("start a gang completely within the limit or not at all", func() {
 		gang := []*placement.Group{{Need: unit, Count: 5, IsGang: true, Tenant: 1, IsIdle: true}}
 		Expect(place(gang, limited(4000))).To(BeEmpty())
--- a/internal/scheduling/scheduler/step.go
+++ b/internal/scheduling/scheduler/step.go
@@ -32,6 +32,11 @@
 	overdueFactor float64
 	// remainingPathMs is the estimated length of the longest chain of steps from this one to the end of the job.
 	remainingPathMs int64
+	// lastLaunchAt is when a run of the step was last launched. turnEndedAt is when the last turn of the tenant ended in which the step's work
+	// was the next to start (see nextWork).
+	lastLaunchAt, turnEndedAt time.Duration
+	// noRoomUntil is the time before which the step counts as work without room, since there was none at the last check.
+	noRoomUntil time.Duration
 	// notBefore is the latest notBefore of the tasks.
 	notBefore time.Duration
 	// idle holds the tasks without runs that are not done, busy those with runs; both are sorted by index.
@@ -62,6 +67,14 @@
 	return last
 }
 
+// needAtOnce returns what must be free for the step to start something: what a task needs, or all members of a gang.
+func (s *stepState) needAtOnce() placement.Resources {
+	if s.spec.Gang {
+		return s.need().Times(float64(len(s.tasks)))
+	}
+	return s.need()
+}
+
 func (s *stepState) hasRuns() bool { return len(s.busy) > 0 }
 
 // classify puts a task into the step's busy or idle list, or into neither, after its runs or isDone have changed.
--- a/internal/scheduling/scheduler/tenantcount.go
+++ b/internal/scheduling/scheduler/tenantcount.go
@@ -54,6 +54,7 @@
 		return
 	}
 	policy := p.countPolicy()
+	p.chooseNextWork(now)
 	demands := p.tenantDemands()
 	for name, demand := range demands {
 		if lowered := p.accounts.Lower(name, demand); lowered != nil {
@@ -81,7 +82,7 @@
 		}
 		used := tenant.allocated.resources
 		wants := used.Plus(p.open.first.tenantDemand[tenant.index].resources).Plus(p.open.speculative.tenantDemand[tenant.index].resources)
-		demands[tenant.name] = tenantcount.Demand{Used: used, Wants: wants, Limit: tenant.terms.Limit}
+		demands[tenant.name] = tenantcount.Demand{Used: used, Wants: wants, Limit: tenant.terms.Limit, Lasting: tenant.lastingAllocated.resources, NextNeed: tenant.nextWork.need}
 	}
 	return demands
 }
--- a/internal/scheduling/scheduler/tenantcount_test.go
+++ b/internal/scheduling/scheduler/tenantcount_test.go
@@ -15,19 +15,24 @@
 
 // scriptedCounter stands for the leaders of all partitions of the tenant count. No partition answers while isAway is set.
 type scriptedCounter struct {
-	parts   []*tenantcount.Part
+	parts []*tenantcount.Part
+	// records holds the committed records of each partition.
+	records []map[string][]byte
 	limits  tenantcount.Limits
 	version int64
-	isAway  bool
-	calls   int
+	// now is the time on the clock of the partitions' leaders.
+	now    func() time.Duration
+	isAway bool
+	calls  int
 }
 
 func newScriptedCounter(limits tenantcount.Limits) *scriptedCounter {
-	counter := &scriptedCounter{limits: limits, version: 1}
+	counter := &scriptedCounter{limits: limits, version: 1, now: func() time.Duration { return 0 }}
 	for range tenantcount.Parts {
 		part, err := tenantcount.NewPart(nil, 0)
 		Expect(err).NotTo(HaveOccurred())
 		counter.parts = append(counter.parts, part)
+		counter.records = append(counter.records, map[string][]byte{})
 	}
 	return counter
 }
@@ -38,8 +43,14 @@
 		answer(nil)
 		return
 	}
-	given, _, err := s.parts[part].HandleCall(call, s.limits, 0)
+	given, ops, err := s.parts[part].HandleCall(call, s.limits, s.now())
 	Expect(err).NotTo(HaveOccurred())
+	for _, op := range ops {
+		s.records[part][op.Name] = op.Value
+		if len(op.Value) == 0 {
+			delete(s.records[part], op.Name)
+		}
+	}
 	given.Version = s.version
 	answer(&given)
 }
--- a/internal/scheduling/scheduler/tenants.go
+++ b/internal/scheduling/scheduler/tenants.go
@@ -54,6 +54,10 @@
 	allocated allocation
 	// longAllocated is the part of allocated that is taken by long work which must leave room for urgent work.
 	longAllocated allocation
+	// lastingAllocated is the part of allocated that is taken by runs which don't end by themselves.
+	lastingAllocated allocation
+	// nextWork is the tenant's work that has waited longest. It is set only if pools share the tenant's limit.
+	nextWork nextWork
 	// urgentDemand is the recent peak demand of the tenant's other work.
 	urgentDemand recentDemand
 	// openSteps counts the tenant's steps in the queue. Shares are divided among the tenants that have work.
@@ -117,6 +121,12 @@
 	if p.countsAsLong(run.task.step) {
 		tenant.longAllocated = tenant.longAllocated.with(run.task.step.need(), count)
 	}
+	if run.task.step.spec.LongRunning {
+		tenant.lastingAllocated = tenant.lastingAllocated.with(run.task.step.need(), count)
+	}
+	if count > 0 {
+		p.noteLaunch(run.task.step)
+	}
 }
 
 // countsAsLong reports whether a step is long work that must leave room for more urgent work.
@@ -144,7 +154,7 @@
 	totalWeight := p.activeWeight()
 	for index, tenant := range p.tenants.byIndex {
 		limit, mayOvershoot := p.limitOf(tenant)
-		limits[index] = placement.Tenant{Allocated: tenant.allocated.resources, Limit: limit, MayOvershoot: mayOvershoot,
+		limits[index] = placement.Tenant{Allocated: tenant.allocated.resources, Limit: limit, MayOvershoot: mayOvershoot, Reserved: p.reservedFor(tenant, now),
 			LongAllocated: tenant.longAllocated.resources, LongLimit: p.longLimit(tenant, limit, now), Share: placement.NoLimit}
 		if index > 0 && tenant.hasWork() {
 			limits[index].Share = p.table.openCapacity.Times(tenant.terms.Weight / totalWeight)
--- a/internal/scheduling/tenantcount/account.go
+++ b/internal/scheduling/tenantcount/account.go
@@ -33,6 +33,11 @@
 	knownGrant placement.Resources
 	// sentWants is the demand in the last call, capped by the limit.
 	sentWants placement.Resources
+	// turn is the pool's current turn as far as it knows, 0 if it has none. finishedTurn is the last turn in which the pool has started the
+	// work that had waited longest. sentNextNeed and sentFinishedTurn are those of the last call.
+	turn, finishedTurn uint64
+	sentNextNeed       placement.Resources
+	sentFinishedTurn   uint64
 }
 
 // Change is a record that the pool must commit. The pool must call Accounts.HandleCommit after the commit.
--- a/internal/scheduling/tenantcount/accounts.go
+++ b/internal/scheduling/tenantcount/accounts.go
@@ -35,7 +35,12 @@
 
 // Demand is a pool's current demand for one tenant: Used is what its runs use, Wants includes its waiting tasks, and Limit is the
 // tenant's limit in the configuration that the pool uses.
-type Demand struct{ Used, Wants, Limit placement.Resources }
+type Demand struct {
+	Used, Wants, Limit placement.Resources
+	// Lasting is the part of Used that is used by runs which don't end by themselves. NextNeed is what the work that has waited longest needs
+	// at once: a task, or all members of a gang. It is zero if no work waits that there is room for. Both matter only if pools share tenants.
+	Lasting, NextNeed placement.Resources
+}
 
 // wanted returns the demand capped by the limit, in the resources that have a limit.
 func (d Demand) wanted() placement.Resources { return onlyLimited(d.Wants.Min(d.Limit), d.Limit) }
@@ -98,6 +103,22 @@
 	return placement.Resources{}
 }
 
+// Turn returns the pool's current turn for a tenant, in which it should reserve its allowance for the work that has waited longest. It is 0
+// if the pool has no turn or has finished it.
+func (a *Accounts) Turn(tenant string) uint64 {
+	if account := a.byTenant[tenant]; account != nil && account.turn != account.finishedTurn {
+		return account.turn
+	}
+	return 0
+}
+
+// FinishTurn must be called when the pool has started work for which it had a turn, or larger work.
+func (a *Accounts) FinishTurn(tenant string) {
+	if account := a.byTenant[tenant]; account != nil {
+		account.finishedTurn = account.turn
+	}
+}
+
 // Tenants returns the tenants that have an account, sorted by name.
 func (a *Accounts) Tenants() []string { return slices.Sorted(maps.Keys(a.byTenant)) }
 
@@ -140,7 +161,9 @@
 			continue
 		}
 		account.lastCallAt, account.knownGrant, account.sentWants = now, account.claimed, demand.wanted()
-		asked = append(asked, wire.TenantDemand{Tenant: tenant, Has: CapacityOf(account.claimed), Used: CapacityOf(demand.Used), Wants: CapacityOf(demand.Wants)})
+		account.sentNextNeed, account.sentFinishedTurn = demand.NextNeed, account.finishedTurn
+		asked = append(asked, wire.TenantDemand{Tenant: tenant, Has: CapacityOf(account.claimed), Used: CapacityOf(demand.Used), Wants: CapacityOf(demand.Wants),
+			Lasting: optionalCapacity(demand.Lasting), NextNeed: optionalCapacity(demand.NextNeed), FinishedTurn: account.finishedTurn})
 	}
 	if len(asked) == 0 && !(policy.IsShared && now >= calls.nextPollAt) {
 		return nil
@@ -157,6 +180,7 @@
 //   - The demand is above the allowance.
 //   - The partition's grant differs from the claimed amount.
 //   - Pools share the limit, and the demand has changed since the last call or the grants are above the limit.
+//   - Pools share the limit, and the pool has finished a turn or waits for other work than in the last call.
 //
 // No call is made while a change of the account is being committed, because the call would be wrong if the commit failed.
 func (a *account) needsCall(demand Demand, policy Policy, now time.Duration) bool {
@@ -164,13 +188,22 @@
 		return false
 	}
 	canWait := now-a.lastCallAt < raiseInterval && a.isAnswered
-	isStarved := !a.allowance().Fits(demand.wanted())
+	isStarved := !a.allowance().Fits(demand.wanted()) || policy.IsShared && !a.canStartNext(demand)
 	if policy.IsShared && now-a.lastCallAt >= pollInterval && a.sentWants != demand.wanted() {
 		return true
 	}
+	if policy.IsShared && (a.sentFinishedTurn != a.finishedTurn || !canWait && a.sentNextNeed != demand.NextNeed) {
+		return true
+	}
 	return !a.isAnswered || a.knownGrant != a.claimed || !canWait && (a.version < policy.Version || isStarved || policy.IsShared && !a.isSettled)
 }
 
+// canStartNext reports whether the pool can start the work that has waited longest, if there is any.
+func (a *account) canStartNext(demand Demand) bool {
+	isZero := demand.NextNeed == placement.Resources{}
+	return isZero || canStart(demand.NextNeed, demand.Used, a.allowance(), demand.Limit, a.hasWholeLimit && !a.isAboveTarget)
+}
+
 // HandleAnswer handles the answer to a call to a partition; answer is nil if the call failed. It returns the changes that must be committed.
 // Answers to earlier calls are ignored. The answer to a poll never raises an account, because the grant that it reports may not be durable
 // yet.
@@ -188,6 +221,7 @@
 	for _, given := range answer.Tenants {
 		if calls.isPoll {
 			given.Granted = CapacityOf(resourcesOf(given.Granted).Min(a.accountOf(given.Tenant).claimed))
+			given.Turn = a.accountOf(given.Tenant).turn
 		}
 		if change := a.applyGrant(given, answer.Version); change != nil {
 			changes = append(changes, *change)
@@ -199,7 +233,7 @@
 // applyGrant applies a partition's decision on one tenant. It returns nil if there is nothing to commit.
 func (a *Accounts) applyGrant(given wire.TenantGrant, version int64) *Change {
 	account, granted := a.accountOf(given.Tenant), resourcesOf(given.Granted)
-	account.target, account.knownGrant = resourcesOf(given.Target), granted
+	account.target, account.knownGrant, account.turn = resourcesOf(given.Target), granted, given.Turn
 	account.isAboveTarget = !account.target.Fits(granted)
 	account.version, account.isAnswered, account.isSettled = max(account.version, version), true, given.IsSettled
 	if account.pending != nil {
--- a/internal/scheduling/tenantcount/part.go
+++ b/internal/scheduling/tenantcount/part.go
@@ -76,8 +76,14 @@
 	// lastCalls holds the last known call of each asker: at the start of the leadership the last one that a grant record names, then the last
 	// one that was handled.
 	lastCalls map[string]callID
+	// turns holds the current turn of each tenant that has one, and turnsBegun counts all turns of this leadership.
+	turns      map[string]*turn
+	turnsBegun int
 }
 
+// TurnsBegun returns the number of turns that began during this leadership.
+func (p *Part) TurnsBegun() int { return p.turnsBegun }
+
 // grant is the amount of a tenant's limit that is granted to one pool.
 type grant struct {
 	amount placement.Resources
@@ -88,6 +94,7 @@
 	// leadership, wants is amount and lastCallAt is the start of the leadership.
 	wants      placement.Resources
 	lastCallAt time.Duration
+	wait       waitState
 }
 
 // callID identifies a call of a pool, and orders all calls of that pool.
@@ -100,7 +107,7 @@
 // NewPart creates a partition from the committed records of its key. now is the time at which the leadership begins. An error names the
 // record that can't be read.
 func NewPart(pairs []wire.Op, now time.Duration) (*Part, error) {
-	part := &Part{tenants: map[string]map[string]*grant{}, lastCalls: map[string]callID{}}
+	part := &Part{tenants: map[string]map[string]*grant{}, lastCalls: map[string]callID{}, turns: map[string]*turn{}}
 	for _, pair := range pairs {
 		if !strings.HasPrefix(pair.Name, grantPrefix) {
 			continue
@@ -164,6 +171,7 @@
 	}
 	amountBefore, raisedByBefore := granted.amount, granted.raisedBy
 	granted.wants, granted.lastCallAt = resourcesOf(demand.Wants), now
+	granted.wait.update(&demand)
 	limit, isKnown := limits(demand.Tenant)
 	has := resourcesOf(demand.Has)
 	// A call that has raised the grant already is a duplicate, which describes the pool as it was before the answer.
@@ -175,6 +183,7 @@
 	}
 	target := granted.amount
 	if isKnown {
+		p.updateTurn(demand.Tenant, limit, now)
 		target = p.targetOf(demand.Tenant, asker, limit, now)
 		granted.amount = granted.amount.Plus(p.raiseFor(demand.Tenant, granted, target, limit))
 	}
@@ -183,6 +192,9 @@
 	}
 	given := wire.TenantGrant{Tenant: demand.Tenant, Granted: CapacityOf(granted.amount), Target: CapacityOf(target),
 		HasWholeLimit: isKnown && p.hasWholeLimit(demand.Tenant, asker, limit), IsSettled: isKnown && p.isSettled(demand.Tenant, limit)}
+	if current := p.turns[demand.Tenant]; current != nil && current.asker == asker {
+		given.Turn = current.id
+	}
 	if granted.amount == amountBefore && granted.raisedBy == raisedByBefore && has.Fits(granted.amount) {
 		return given, nil
 	}
@@ -227,6 +239,7 @@
 		if granted == nil || !isKnown {
 			continue
 		}
+		p.updateTurn(tenant, limit, now)
 		if target := p.targetOf(tenant, asker, limit, now); !target.Fits(granted.amount) {
 			recalled = append(recalled, wire.TenantGrant{Tenant: tenant, Granted: CapacityOf(granted.amount), Target: CapacityOf(target),
 				IsSettled: p.isSettled(tenant, limit)})
@@ -254,6 +267,9 @@
 			shown := CapacityOf(ShownLimit(limit))
 			row.Limit = &shown
 		}
+		if current := p.turns[tenant]; current != nil {
+			row.Turn = current.asker
+		}
 		for _, asker := range slices.Sorted(maps.Keys(p.tenants[tenant])) {
 			granted := p.tenants[tenant][asker]
 			row.Grants = append(row.Grants, wire.TenantShare{Asker: asker, Granted: CapacityOf(granted.amount), Wants: CapacityOf(granted.wants)})
