Tenant count: no pool gets a part of a raised limit while another may exceed the former one

What callers could see: a tenant with more running than its limit and one task more (QUOTA), after its limit was raised while a pool that held all of the former limit ran a task that is larger than it. No caller has reported it.

Cause: the partition learns only with the pool's next call that the pool has exceeded its grant with one task. Until then it granted the rest of the raised limit to other pools.

Change: calls say whether the pool may exceed the limit. While a pool has that permission, or its answer with the permission may still be on the way, no other grant of the tenant is raised. A new leader of the partition assumes it for the only pool with a grant; polls name the tenants that others wait for.

Why it works: a pool starts such a task only with the permission. When others are granted anything, the pool has called without it, and what that call reports as used is part of its grant.

--- a/internal/cluster/peerapi/wire/grants.go
+++ b/internal/cluster/peerapi/wire/grants.go
@@ -16,8 +16,8 @@
 // TenantDemand is the demand of a pool for one tenant. Has is the maximum that the pool may use until it gets an answer to this call or to a
 // later one. Used is the amount that its runs use, and Wants the amount that they and its waiting tasks need together. Lasting is the part of
 // Used that is used by runs which don't end by themselves. NextNeed is what the work that has waited longest needs at once: a task, or all
-// members of a gang. FinishedTurn is the last turn in which the pool has started such work. A pool that shares no tenants leaves out the last
-// three.
+// members of a gang. FinishedTurn is the last turn in which the pool has started such work. A pool that shares no tenants leaves out these
+// three. MayOvershoot is set if the pool may exceed the limit with one task before it gets an answer to this call or to a later one.
 type TenantDemand struct {
 	Tenant string   `json:"tenant"`
 	Has    Capacity `json:"has"`
@@ -27,6 +27,7 @@
 	Lasting      *Capacity `json:"lasting,omitempty"`
 	NextNeed     *Capacity `json:"next-need,omitempty"`
 	FinishedTurn uint64    `json:"finished-turn,omitempty"`
+	MayOvershoot bool      `json:"may-overshoot,omitempty"`
 }
 
 // GrantAnswer answers the call with the same number.
--- a/internal/cluster/peerapi/wire/grants_easyjson.go
+++ b/internal/cluster/peerapi/wire/grants_easyjson.go
@@ -694,6 +694,12 @@
 			} else {
 				out.FinishedTurn = uint64(in.Uint64())
 			}
+		case "may-overshoot":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.MayOvershoot = bool(in.Bool())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -743,6 +749,11 @@
 		out.RawString(prefix)
 		out.Uint64(uint64(in.FinishedTurn))
 	}
+	if in.MayOvershoot {
+		const prefix string = ",\"may-overshoot\":"
+		out.RawString(prefix)
+		out.Bool(bool(in.MayOvershoot))
+	}
 	out.RawByte('}')
 }
 
--- a/internal/scheduling/tenantcount/account.go
+++ b/internal/scheduling/tenantcount/account.go
@@ -38,6 +38,9 @@
 	turn, finishedTurn uint64
 	sentNextNeed       placement.Resources
 	sentFinishedTurn   uint64
+	// sentMayOvershoot is what the last call said of hasWholeLimit. isRecalled means that the last poll has named the tenant, so that the
+	// partition waits for a call.
+	sentMayOvershoot, isRecalled bool
 }
 
 // Change is a record that the pool must commit. The pool must call Accounts.HandleCommit after the commit.
--- a/internal/scheduling/tenantcount/accounts.go
+++ b/internal/scheduling/tenantcount/accounts.go
@@ -162,8 +162,10 @@
 		}
 		account.lastCallAt, account.knownGrant, account.sentWants = now, account.claimed, demand.wanted()
 		account.sentNextNeed, account.sentFinishedTurn = demand.NextNeed, account.finishedTurn
+		account.sentMayOvershoot, account.isRecalled = account.hasWholeLimit, false
 		asked = append(asked, wire.TenantDemand{Tenant: tenant, Has: CapacityOf(account.claimed), Used: CapacityOf(demand.Used), Wants: CapacityOf(demand.Wants),
-			Lasting: optionalCapacity(demand.Lasting), NextNeed: optionalCapacity(demand.NextNeed), FinishedTurn: account.finishedTurn})
+			Lasting: optionalCapacity(demand.Lasting), NextNeed: optionalCapacity(demand.NextNeed), FinishedTurn: account.finishedTurn,
+			MayOvershoot: account.hasWholeLimit})
 	}
 	if len(asked) == 0 && !(policy.IsShared && now >= calls.nextPollAt) {
 		return nil
@@ -181,6 +183,7 @@
 //   - The partition's grant differs from the claimed amount.
 //   - Pools share the limit, and the demand has changed since the last call or the grants are above the limit.
 //   - Pools share the limit, and the pool has finished a turn or waits for other work than in the last call.
+//   - Pools share the limit, and the last poll has named the tenant, or the pool may no longer exceed the limit.
 //
 // No call is made while a change of the account is being committed, because the call would be wrong if the commit failed.
 func (a *account) needsCall(demand Demand, policy Policy, now time.Duration) bool {
@@ -192,6 +195,9 @@
 	if policy.IsShared && now-a.lastCallAt >= pollInterval && a.sentWants != demand.wanted() {
 		return true
 	}
+	if policy.IsShared && (a.isRecalled || a.sentMayOvershoot && !a.hasWholeLimit) {
+		return true
+	}
 	if policy.IsShared && (a.sentFinishedTurn != a.finishedTurn || !canWait && a.sentNextNeed != demand.NextNeed) {
 		return true
 	}
@@ -222,6 +228,7 @@
 		if calls.isPoll {
 			given.Granted = CapacityOf(resourcesOf(given.Granted).Min(a.accountOf(given.Tenant).claimed))
 			given.Turn = a.accountOf(given.Tenant).turn
+			a.accountOf(given.Tenant).isRecalled = true
 		}
 		if change := a.applyGrant(given, answer.Version); change != nil {
 			changes = append(changes, *change)
--- a/internal/scheduling/tenantcount/part.go
+++ b/internal/scheduling/tenantcount/part.go
@@ -95,6 +95,12 @@
 	wants      placement.Resources
 	lastCallAt time.Duration
 	wait       waitState
+	// mayOvershoot is set while the asker may exceed the limit with one task: it was told that it holds the whole limit, and has not called
+	// since without that permission. It then may use more than amount, so nothing is granted to others. A new leader assumes it for the only
+	// asker that holds a grant.
+	mayOvershoot bool
+	// permittedBy is the last call whose answer contained that permission.
+	permittedBy callID
 }
 
 // callID identifies a call of a pool, and orders all calls of that pool.
@@ -123,6 +129,11 @@
 			part.lastCalls[record.Asker] = id
 		}
 	}
+	for _, askers := range part.tenants {
+		for _, only := range askers {
+			only.mayOvershoot = len(askers) == 1
+		}
+	}
 	return part, nil
 }
 
@@ -174,6 +185,8 @@
 	granted.wait.update(&demand)
 	limit, isKnown := limits(demand.Tenant)
 	has := resourcesOf(demand.Has)
+	// The answer to a call of which this is a duplicate may still arrive, and may contain the permission.
+	granted.mayOvershoot = demand.MayOvershoot || granted.mayOvershoot && granted.permittedBy == id
 	// A call that has raised the grant already is a duplicate, which describes the pool as it was before the answer.
 	if granted.raisedBy != id {
 		granted.amount = granted.amount.Min(has)
@@ -192,6 +205,9 @@
 	}
 	given := wire.TenantGrant{Tenant: demand.Tenant, Granted: CapacityOf(granted.amount), Target: CapacityOf(target),
 		HasWholeLimit: isKnown && p.hasWholeLimit(demand.Tenant, asker, limit), IsSettled: isKnown && p.isSettled(demand.Tenant, limit)}
+	if given.HasWholeLimit {
+		granted.mayOvershoot, granted.permittedBy = true, id
+	}
 	if current := p.turns[demand.Tenant]; current != nil && current.asker == asker {
 		given.Turn = current.id
 	}
@@ -202,10 +218,13 @@
 }
 
 // raiseFor returns the amount by which a grant is raised: up to its target, but by no more than the part of the limit that is not granted.
-// It is 0 in each resource of which the asker holds its target already.
+// It is 0 in each resource of which the asker holds its target already, and in all while another asker may exceed the limit.
 func (p *Part) raiseFor(tenant string, granted *grant, target, limit placement.Resources) placement.Resources {
 	free := limit
 	for _, other := range p.tenants[tenant] {
+		if other != granted && other.mayOvershoot {
+			return placement.Resources{}
+		}
 		free = free.Minus(other.amount)
 	}
 	return target.Minus(granted.amount).Min(free).Max(placement.Resources{})
@@ -230,7 +249,7 @@
 	return limit.Fits(granted)
 }
 
-// listRecalls returns the grants of an asker that are above their targets.
+// listRecalls returns the grants of an asker that are above their targets, or for which it may exceed a limit that it doesn't hold completely.
 func (p *Part) listRecalls(asker string, limits Limits, now time.Duration) []wire.TenantGrant {
 	var recalled []wire.TenantGrant
 	for _, tenant := range slices.Sorted(maps.Keys(p.tenants)) {
@@ -240,7 +259,8 @@
 			continue
 		}
 		p.updateTurn(tenant, limit, now)
-		if target := p.targetOf(tenant, asker, limit, now); !target.Fits(granted.amount) {
+		keepsOthersWaiting := granted.mayOvershoot && !p.hasWholeLimit(tenant, asker, limit)
+		if target := p.targetOf(tenant, asker, limit, now); !target.Fits(granted.amount) || keepsOthersWaiting {
 			recalled = append(recalled, wire.TenantGrant{Tenant: tenant, Granted: CapacityOf(granted.amount), Target: CapacityOf(target),
 				IsSettled: p.isSettled(tenant, limit)})
 		}
--- a/internal/scheduling/tenantcount/tenantcount_test.go
+++ b/internal/scheduling/tenantcount/tenantcount_test.go
@@ -280,6 +280,40 @@
 		Expect(e.allowance("x") + e.allowance("y")).To(Equal(int64(40)))
 	})
 
+	// Guards against two pools that exceed a limit together: one with a task that is larger than the former limit, the other with what was added.
+	It("grants nothing of a raised limit to others while a pool may exceed the former one", func() {
+		e := newEscrow(60, "x", "y")
+		e.round("x", 0, 90)
+		_, hasWholeLimit := e.accounts["x"].Allowance("t", e.policy())
+		Expect(hasWholeLimit).To(BeTrue())
+		e.limit, e.version = 110, 2
+		Expect(e.round("y", 0, 500)).To(BeZero(), "the other pool may have started a task of 90")
+		e.changePartLeader()
+		Expect(e.round("y", 0, 500)).To(BeZero(), "also under the next leader of the partition")
+		for range 12 {
+			e.round("x", 90, 90)
+			e.round("y", 0, 500)
+			Expect(e.allowance("y")).To(BeNumerically("<=", 20))
+		}
+		Expect(e.allowance("y")).To(Equal(int64(20)))
+	})
+
+	It("grants a raised limit to others if a new leader of the partition doesn't know that no pool may exceed it", func() {
+		e := newEscrow(60, "x", "y")
+		e.round("x", 0, 60)
+		e.limit, e.version = 200, 2
+		Expect(e.round("y", 0, 500)).To(BeZero())
+		e.round("x", 60, 60)
+		e.round("x", 60, 60)
+		e.changePartLeader()
+		for range 12 {
+			e.round("x", 60, 60)
+			e.round("y", 0, 500)
+		}
+		Expect(e.allowance("x")).To(Equal(int64(60)))
+		Expect(e.allowance("y")).To(Equal(int64(140)))
+	})
+
 	It("uses a raised account only after the commit, and reduces a lowered one before it", func() {
 		e := newEscrow(100, "x")
 		call := e.call("x", 0, 50)
