--- a/internal/simulation/modelcheck/countmodel/injectedfaults.go
+++ b/internal/simulation/modelcheck/countmodel/injectedfaults.go
@@ -12,6 +12,8 @@
 	faultAnswerBeforeCommit = "answer-before-commit"
 	faultRaiseBeforeCommit  = "raise-before-commit"
 	faultLowerNotCommitted  = "lower-not-committed"
+	faultNoTurns            = "limit-divided-without-sizes"
+	faultTurnKept           = "turn-kept"
 )
 
 var injectedFaults = []modelcheck.InjectedFault{
@@ -23,4 +25,6 @@
 	{Name: faultAnswerBeforeCommit, About: "a part answers before its change is committed"},
 	{Name: faultRaiseBeforeCommit, About: "a pool uses a raised account before that is committed"},
 	{Name: faultLowerNotCommitted, About: "a pool says that it holds less without committing that"},
+	{Name: faultNoTurns, About: "a limit is divided by what pools want, whatever the size of their waiting tasks"},
+	{Name: faultTurnKept, About: "a pool doesn't say that it has used its turn"},
 }
--- a/internal/simulation/modelcheck/countmodel/part.go
+++ b/internal/simulation/modelcheck/countmodel/part.go
@@ -75,6 +75,11 @@
 		return
 	}
 	given.Version, given.Number = int64(p.version), call.Number
+	for _, grant := range given.Tenants {
+		if grant.Turn != 0 {
+			p.cluster.coverage["turn"]++
+		}
+	}
 	p.cluster.tracef("part %d answers %s call %d: %+v", p.number, call.Asker, call.Number, given.Tenants)
 	if len(ops) == 0 || p.cluster.fault == faultAnswerBeforeCommit {
 		if len(ops) > 0 {
--- a/internal/simulation/modelcheck/countmodel/schedule.go
+++ b/internal/simulation/modelcheck/countmodel/schedule.go
@@ -13,8 +13,12 @@
 	firstStepMs          = 1000
 	lastStepMs           = 12000
 	maxFaultMs           = 3000
-	// demandPercent of the steps change the demand, the others are faults or changes of limits.
+	// demandPercent of the steps change the demand, the others are faults or changes of limits. largePercent of the changes of demand change
+	// the size of a pool's large tasks.
 	demandPercent = 40
+	largePercent  = 50
+	// maxLargeSize is above the highest limit.
+	maxLargeSize = maxLimit + 2
 )
 
 // The kinds of steps. Depending on the kind, Node is a pool or a partition, Peer a partition or a tenant, and Value a number.
@@ -32,9 +36,11 @@
 	kindLimit = "limit"
 	// kindDemand sets the demand of the pool Node for the tenant Peer to Value tasks.
 	kindDemand = "demand"
+	// kindLargeTasks sets the size of the large tasks of the pool Node for the tenant Peer to Value; 0 means that it has none.
+	kindLargeTasks = "large-tasks"
 )
 
-// faultKinds are all kinds except kindDemand. A kind listed twice is drawn twice as often.
+// faultKinds are all kinds except kindDemand and kindLargeTasks. A kind listed twice is drawn twice as often.
 var faultKinds = []string{kindKillPool, kindKillPart, kindCut, kindLoseMessages, kindLateMessages, kindLimit, kindLimit}
 
 func draw(seed uint64, losses int, _ modelcheck.Size) modelcheck.Schedule {
@@ -47,10 +53,21 @@
 	return schedule
 }
 
+// drawLargeSize draws the size of large tasks, or 0 for none.
+func drawLargeSize(random *rand.Rand) int {
+	if size := random.IntN(maxLargeSize + 1); size > smallSize {
+		return size
+	}
+	return 0
+}
+
 func drawStep(random *rand.Rand, pools int) modelcheck.Step {
 	step := modelcheck.Step{AtMs: firstStepMs + random.IntN(lastStepMs-firstStepMs), Node: random.IntN(pools)}
 	if random.IntN(100) < demandPercent {
 		step.Kind, step.Peer, step.Value = kindDemand, random.IntN(len(tenants)), random.IntN(2*maxLimit)
+		if random.IntN(100) < largePercent {
+			step.Kind, step.Value = kindLargeTasks, drawLargeSize(random)
+		}
 		return step
 	}
 	step.Kind = faultKinds[random.IntN(len(faultKinds))]
