Tenant count: a pool repeats a call that got no answer

What callers could see: after a pool's work of a tenant had ended, another pool's work got no more than an equal share of the limit, for good.

Cause: a pool calls when its demand differs from that of its last call. A call counted as said once it was sent, also if it was lost.

Why it works: a call without an answer leaves the tenant due for a call, at the usual pause, so the partition hears of every demand that lasts.

--- a/internal/scheduling/tenantcount/account.go
+++ b/internal/scheduling/tenantcount/account.go
@@ -38,6 +38,8 @@
 	turn, finishedTurn uint64
 	sentNextNeed       placement.Resources
 	sentFinishedTurn   uint64
+	// isUnanswered means that the last call has no answer yet, so that the partition may not know what it said.
+	isUnanswered bool
 	// sentMayOvershoot is what the last call said of hasWholeLimit. isRecalled means that the last poll has named the tenant, so that the
 	// partition waits for a call.
 	sentMayOvershoot, isRecalled bool
--- a/internal/scheduling/tenantcount/accounts.go
+++ b/internal/scheduling/tenantcount/accounts.go
@@ -163,6 +163,7 @@
 		account.lastCallAt, account.knownGrant, account.sentWants = now, account.claimed, demand.wanted()
 		account.sentNextNeed, account.sentFinishedTurn = demand.NextNeed, account.finishedTurn
 		account.sentMayOvershoot, account.isRecalled = account.hasWholeLimit, false
+		account.isUnanswered = true
 		asked = append(asked, wire.TenantDemand{Tenant: tenant, Has: CapacityOf(account.claimed), Used: CapacityOf(demand.Used), Wants: CapacityOf(demand.Wants),
 			Lasting: optionalCapacity(demand.Lasting), NextNeed: optionalCapacity(demand.NextNeed), FinishedTurn: account.finishedTurn,
 			MayOvershoot: account.hasWholeLimit})
@@ -184,6 +185,7 @@
 //   - Pools share the limit, and the demand has changed since the last call or the grants are above the limit.
 //   - Pools share the limit, and the pool has finished a turn or waits for other work than in the last call.
 //   - Pools share the limit, and the last poll has named the tenant, or the pool may no longer exceed the limit.
+//   - Pools share the limit, and the last call was not answered.
 //
 // No call is made while a change of the account is being committed, because the call would be wrong if the commit failed.
 func (a *account) needsCall(demand Demand, policy Policy, now time.Duration) bool {
@@ -195,7 +197,7 @@
 	if policy.IsShared && now-a.lastCallAt >= pollInterval && a.sentWants != demand.wanted() {
 		return true
 	}
-	if policy.IsShared && (a.isRecalled || a.sentMayOvershoot && !a.hasWholeLimit) {
+	if policy.IsShared && (a.isUnanswered || a.isRecalled || a.sentMayOvershoot && !a.hasWholeLimit) {
 		return true
 	}
 	if policy.IsShared && (a.sentFinishedTurn != a.finishedTurn || !canWait && a.sentNextNeed != demand.NextNeed) {
@@ -225,6 +227,9 @@
 	}
 	var changes []Change
 	for _, given := range answer.Tenants {
+		if !calls.isPoll {
+			a.accountOf(given.Tenant).isUnanswered = false
+		}
 		if calls.isPoll {
 			given.Granted = CapacityOf(resourcesOf(given.Granted).Min(a.accountOf(given.Tenant).claimed))
 			given.Turn = a.accountOf(given.Tenant).turn
--- a/internal/scheduling/tenantcount/tenantcount_test.go
+++ b/internal/scheduling/tenantcount/tenantcount_test.go
@@ -254,6 +254,25 @@
 		Expect(e.allowance("y")).To(Equal(int64(50)))
 	})
 
+	// Guards against a share that stays with a pool whose call with its last, lower demand was lost.
+	It("learns a demand whose call was lost", func() {
+		e := newEscrow(100, "x", "y")
+		for range 12 {
+			e.round("x", 0, 500)
+			e.round("y", 0, 500)
+		}
+		Expect(e.allowance("x")).To(Equal(int64(50)))
+		e.now += pollInterval
+		lost := e.call("x", 0, 0)
+		Expect(lost.Tenants).NotTo(BeEmpty())
+		Expect(e.accounts["x"].HandleAnswer(PartOf("t"), lost.Number, nil, e.now)).To(BeEmpty())
+		for range 24 {
+			e.round("x", 0, 0)
+			e.round("y", 0, 500)
+		}
+		Expect(e.allowance("y")).To(Equal(int64(100)))
+	})
+
 	It("does not free the grant of a pool that makes no calls", func() {
 		e := newEscrow(100, "x", "y")
 		e.round("x", 100, 500)
