Scheduler: small tasks leave room for a task above the limit that was passed over

What callers could see: with pools that share tenants, a task that is larger than its tenant's limit waited for good behind small tasks without end in the same pool, if no other pool had work of that tenant.

Cause: the reserve asked whether the allowance covers the work, which it never does for such a task; no turn is due, as the pool holds all of the limit.

Change: the reserve also applies if the pool holds the whole limit.

The new entry "in the same pool, a task above the limit" passes.

--- a/internal/scheduling/scheduler/nextwork.go
+++ b/internal/scheduling/scheduler/nextwork.go
@@ -94,9 +94,10 @@
 	if next.step == nil {
 		return placement.Resources{}
 	}
-	allowance, _ := p.limitOf(tenant)
-	isPassedOver := now-next.step.waitsSince() > maxPassedOverTime && placement.CoversNeed(allowance, tenant.lastingAllocated.resources.Plus(next.need), next.need)
-	if isPassedOver || p.accounts.Turn(tenant.name) != 0 {
+	allowance, hasWholeLimit := p.limitOf(tenant)
+	isHeld := hasWholeLimit || placement.CoversNeed(allowance, tenant.lastingAllocated.resources.Plus(next.need), next.need)
+	isPassedOver := now-next.step.waitsSince() > maxPassedOverTime
+	if isHeld && isPassedOver || p.accounts.Turn(tenant.name) != 0 {
 		return next.need
 	}
 	return placement.Resources{}
--- a/internal/scheduling/scheduler/sharedlimit_test.go
+++ b/internal/scheduling/scheduler/sharedlimit_test.go
@@ -190,6 +190,7 @@
 	},
 		Entry("in the other pool", cpu(largeNeed), 1, "", 1),
 		Entry("in the same pool", cpu(largeNeed), 1, "", 0),
+		Entry("in the same pool, a task above the limit", cpu(sharedLimit+1000), 1, "", 0),
 		Entry("in both pools", cpu(largeNeed), 1, "", 0, 1),
 		Entry("in both pools, a gang", cpu(2000), 3, gang, 0, 1),
 		Entry("in both pools, a task of the whole limit", cpu(sharedLimit), 1, "", 0, 1),
--- a/internal/scheduling/tenantcount/account.go
+++ b/internal/scheduling/tenantcount/account.go
@@ -72,6 +72,9 @@
 	return a.spendable
 }
 
+// hasTurn reports whether the pool has a turn, as far as it knows, and hasn't finished it. 0 is no turn.
+func (a *account) hasTurn() bool { return a.turn != 0 && a.turn != a.finishedTurn }
+
 // encode returns the encoded record, or nil for an empty account, which deletes the record.
 func (r *accountRecord) encode() []byte {
 	if r.Amount == (amountRecord{}) {
--- a/internal/scheduling/tenantcount/accounts.go
+++ b/internal/scheduling/tenantcount/accounts.go
@@ -106,7 +106,7 @@
 // Turn returns the pool's current turn for a tenant, in which it should reserve its allowance for the work that has waited longest. It is 0
 // if the pool has no turn or has finished it.
 func (a *Accounts) Turn(tenant string) uint64 {
-	if account := a.byTenant[tenant]; account != nil && account.turn != account.finishedTurn {
+	if account := a.byTenant[tenant]; account != nil && account.hasTurn() {
 		return account.turn
 	}
 	return 0
@@ -193,7 +193,7 @@
 		return false
 	}
 	canWait := now-a.lastCallAt < raiseInterval && a.isAnswered
-	isStarved := !a.allowance().Fits(demand.wanted()) || policy.IsShared && !a.canStartNext(demand)
+	isStarved := !a.allowance().Fits(demand.wanted()) || policy.IsShared && a.needsMoreForNext(demand)
 	if policy.IsShared && now-a.lastCallAt >= pollInterval && a.sentWants != demand.wanted() {
 		return true
 	}
@@ -206,10 +206,20 @@
 	return !a.isAnswered || a.knownGrant != a.claimed || !canWait && (a.version < policy.Version || isStarved || policy.IsShared && !a.isSettled)
 }
 
-// canStartNext reports whether the pool can start the work that has waited longest, if there is any.
-func (a *account) canStartNext(demand Demand) bool {
-	isZero := demand.NextNeed == placement.Resources{}
-	return isZero || canStart(demand.NextNeed, demand.Used, a.allowance(), demand.Limit, a.hasWholeLimit && !a.isAboveTarget)
+// needsMoreForNext reports whether the pool has a turn, or could hold more of the limit and can't start the work that has waited longest.
+func (a *account) needsMoreForNext(demand Demand) bool {
+	if demand.NextNeed == (placement.Resources{}) {
+		return false
+	}
+	hasWholeLimit := a.hasWholeLimit && !a.isAboveTarget
+	if a.hasTurn() {
+		return true
+	}
+	if canStart(demand.NextNeed, demand.Used, a.allowance(), demand.Limit, hasWholeLimit) {
+		return false
+	}
+	isAboveLimit := !demand.Limit.Fits(demand.NextNeed)
+	return !a.allowance().Fits(onlyLimited(demand.Limit, demand.Limit)) || isAboveLimit && !hasWholeLimit
 }
 
 // HandleAnswer handles the answer to a call to a partition; answer is nil if the call failed. It returns the changes that must be committed.
