Tenant count: a new leader of a partition asks pools for their demand

Cause: a new leader of a partition takes a pool's grant for its demand until the pool calls. A pool without work never does.

Change: the answer to a poll names the tenants of which the pool's demand is only assumed, and the pool calls for them. The model's last demand is more than all limits or nothing in each pool, and it plants the old rule.

Evidence: the spec "takes back what an idle pool holds after a change of the partition's leader" failed before (50 of 100) and passes now.

Why it works: a pool that shares tenants polls twice a second, so each new leader knows all demands half a second and a call after it began.

--- a/internal/scheduling/tenantcount/part.go
+++ b/internal/scheduling/tenantcount/part.go
@@ -91,9 +91,10 @@
 	// also reject earlier calls.
 	raisedBy callID
 	// wants is the demand in the asker's last call, and lastCallAt the time of that call on the leader's clock. Before the first call of this
-	// leadership, wants is amount and lastCallAt is the start of the leadership.
+	// leadership, wants is amount and lastCallAt is the start of the leadership. isAssumed is set until that call.
 	wants      placement.Resources
 	lastCallAt time.Duration
+	isAssumed  bool
 	wait       waitState
 	// mayOvershoot is set while the asker may exceed the limit with one task: it was told that it holds the whole limit, and has not called
 	// since without that permission. It then may use more than amount, so nothing is granted to others. A new leader assumes it for the only
@@ -124,7 +125,7 @@
 		}
 		amount := record.Amount.resources()
 		id := callID{record.Epoch, record.Number}
-		part.askersOf(record.Tenant)[record.Asker] = &grant{amount: amount, raisedBy: id, wants: amount, lastCallAt: now}
+		part.askersOf(record.Tenant)[record.Asker] = &grant{amount: amount, raisedBy: id, wants: amount, lastCallAt: now, isAssumed: true}
 		if id.compare(part.lastCalls[record.Asker]) > 0 {
 			part.lastCalls[record.Asker] = id
 		}
@@ -181,7 +182,7 @@
 		askers[asker] = granted
 	}
 	amountBefore, raisedByBefore := granted.amount, granted.raisedBy
-	granted.wants, granted.lastCallAt = resourcesOf(demand.Wants), now
+	granted.wants, granted.lastCallAt, granted.isAssumed = resourcesOf(demand.Wants), now, false
 	granted.wait.update(&demand)
 	limit, isKnown := limits(demand.Tenant)
 	has := resourcesOf(demand.Has)
@@ -249,7 +250,8 @@
 	return limit.Fits(granted)
 }
 
-// listRecalls returns the grants of an asker that are above their targets, or for which it may exceed a limit that it doesn't hold completely.
+// listRecalls returns the grants of an asker that are above their targets, for which it may exceed a limit that it doesn't hold completely, or
+// for which its demand is not known.
 func (p *Part) listRecalls(asker string, limits Limits, now time.Duration) []wire.TenantGrant {
 	var recalled []wire.TenantGrant
 	for _, tenant := range slices.Sorted(maps.Keys(p.tenants)) {
@@ -260,7 +262,7 @@
 		}
 		p.updateTurn(tenant, limit, now)
 		keepsOthersWaiting := granted.mayOvershoot && !p.hasWholeLimit(tenant, asker, limit)
-		if target := p.targetOf(tenant, asker, limit, now); !target.Fits(granted.amount) || keepsOthersWaiting {
+		if target := p.targetOf(tenant, asker, limit, now); !target.Fits(granted.amount) || keepsOthersWaiting || granted.isAssumed {
 			recalled = append(recalled, wire.TenantGrant{Tenant: tenant, Granted: CapacityOf(granted.amount), Target: CapacityOf(target),
 				IsSettled: p.isSettled(tenant, limit)})
 		}
--- a/internal/scheduling/tenantcount/tenantcount_test.go
+++ b/internal/scheduling/tenantcount/tenantcount_test.go
@@ -254,6 +254,27 @@
 		Expect(e.allowance("y")).To(Equal(int64(50)))
 	})
 
+	// Guards against a half of a limit that stays with an idle pool after a change of the partition's leader.
+	It("takes back what an idle pool holds after a change of the partition's leader", func() {
+		e := newEscrow(100, "x", "y")
+		for range 12 {
+			e.round("x", 0, 500)
+			e.round("y", 0, 500)
+		}
+		for range 12 {
+			e.round("x", 0, 0)
+			e.round("y", 0, 0)
+		}
+		Expect(e.allowance("x")).To(Equal(int64(50)))
+		Expect(e.allowance("y")).To(Equal(int64(50)))
+		e.changePartLeader()
+		for range 24 {
+			e.round("x", 0, 0)
+			e.round("y", 0, 500)
+		}
+		Expect(e.allowance("y")).To(Equal(int64(100)))
+	})
+
 	// Guards against a share that stays with a pool whose call with its last, lower demand was lost.
 	It("learns a demand whose call was lost", func() {
 		e := newEscrow(100, "x", "y")
--- a/internal/simulation/modelcheck/countmodel/injectedfaults.go
+++ b/internal/simulation/modelcheck/countmodel/injectedfaults.go
@@ -14,6 +14,7 @@
 	faultLowerNotCommitted  = "lower-not-committed"
 	faultNoTurns            = "limit-divided-without-sizes"
 	faultTurnKept           = "turn-kept"
+	faultDemandAssumed      = "grant-taken-for-demand"
 )
 
 var injectedFaults = []modelcheck.InjectedFault{
@@ -27,4 +28,5 @@
 	{Name: faultLowerNotCommitted, About: "a pool says that it holds less without committing that"},
 	{Name: faultNoTurns, About: "a limit is divided by what pools want, whatever the size of their waiting tasks"},
 	{Name: faultTurnKept, About: "a pool doesn't say that it has used its turn"},
+	{Name: faultDemandAssumed, About: "a new leader of a part takes the grant of a pool for its demand, and doesn't ask for that"},
 }
--- a/internal/simulation/modelcheck/countmodel/oracles.go
+++ b/internal/simulation/modelcheck/countmodel/oracles.go
@@ -58,7 +58,7 @@
 	}
 }
 
-// noteBalances notes the highest sum of the accounts of each tenant from settleTime after the last fault on. At some moments a part of a
+// noteBalances notes the highest sum of the accounts of each tenant, in the pools that want it, from settleTime after the last fault on. At some moments a part of a
 // limit is on its way from one pool to another.
 func (c *simCluster) noteBalances() {
 	if !c.isSettled {
@@ -67,7 +67,9 @@
 	for _, tenant := range tenants {
 		var balance int64
 		for _, pool := range c.pools {
-			balance += pool.accounts.Balance(tenant).CPU
+			if pool.demand[tenant] > 0 {
+				balance += pool.accounts.Balance(tenant).CPU
+			}
 		}
 		c.highestBalance[tenant] = max(c.highestBalance[tenant], balance)
 	}
@@ -86,10 +88,9 @@
 	return int64(largest*taskCPU + limit*taskCPU/2)
 }
 
-// checkProgress is the oracle of limits that are not fully granted. From settleTime after the last fault on, when each pool demands more than
-// the limit, the accounts of a tenant must have added up to its limit at some moment, less at most one unit of CPU per pool, and
-// never to more, unless a large task exceeds it.
-// That each pool gets its part is checked by waitTimes.
+// checkProgress is the oracle of limits that are not fully granted. From settleTime after the last fault on, when some pools demand more than
+// the limit and the others nothing, the accounts of those pools must have added up to its limit at some moment, less at most one unit of CPU
+// per pool, and never to more, unless a large task exceeds it. That each pool gets its part is checked by waitTimes.
 func (c *simCluster) checkProgress() {
 	if len(c.violations) > 0 {
 		return
--- a/internal/simulation/modelcheck/countmodel/part.go
+++ b/internal/simulation/modelcheck/countmodel/part.go
@@ -1,6 +1,7 @@
 package countmodel
 
 import (
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -74,6 +75,9 @@
 		p.cluster.coverage["call_stale"]++
 		return
 	}
+	if p.cluster.fault == faultDemandAssumed && len(call.Tenants) == 0 {
+		given.Tenants = slices.DeleteFunc(given.Tenants, func(grant wire.TenantGrant) bool { return grant.Target.CPU >= grant.Granted.CPU })
+	}
 	given.Version, given.Number = int64(p.version), call.Number
 	for _, grant := range given.Tenants {
 		if grant.Turn != 0 {
