Replication: machines that are being emptied lead on until others can

Cause: a machine that is being emptied gave up its leaderships and campaigned no more, as a process does that ends. If all voters do so, nobody can lead, and so nobody can replace them. The order is on the disks, so restarts didn't help.

Change: Engine.Retire transfers a key to a voter that stays as soon as there is one, leads on until then, and campaigns after all others. After a restart such a machine starts its runners again.

Why it works: as long as a quorum of the voters runs, one of them campaigns. It replaces the other retiring voters, hands over, and the next leader replaces it.

--- a/internal/control/controlkeys/keyrunner.go
+++ b/internal/control/controlkeys/keyrunner.go
@@ -90,6 +90,9 @@
 		owner.Tick = func() { runner.engine.Tick(); tickStateMachine() }
 	}
 	m.runners[key] = runner
+	if m.isRetiring {
+		engineMailbox.Post(runner.engine.Retire)
+	}
 	go engineMailbox.Run(m.ctx, m.Clock, owner)
 }
 
--- a/internal/control/controlkeys/manager.go
+++ b/internal/control/controlkeys/manager.go
@@ -99,6 +99,8 @@
 	// hasConfigurationReplica is set once the disk holds a replica of the configuration's key.
 	hasConfigurationReplica bool
 	isLeaving               bool
+	// isRetiring is set while this storage machine is being emptied.
+	isRetiring bool
 
 	// rollouts drives the rollouts of the configuration while this process leads the configuration's key.
 	rollouts *rollouts.Controller
--- a/internal/control/controlkeys/retire.go
+++ b/internal/control/controlkeys/retire.go
@@ -18,7 +18,7 @@
 		if err := m.Store.SetRetiring(); err != nil {
 			return nil, err
 		}
-		m.startLeaving()
+		m.startRetiring()
 		isRetiring = true
 	}
 	if !isRetiring {
@@ -37,6 +37,18 @@
 	}
 	if isRetiring {
 		m.Log.Info("this storage machine is still being emptied")
-		m.startLeaving()
+		m.startRetiring()
 	}
 }
+
+// startRetiring makes the leaders replace this disk as a voter, as startLeaving does. The runners go on, since the keys need leaders until
+// other disks have replaced this one, and reconcile starts those that are missing after a restart.
+func (m *Manager) startRetiring() {
+	m.Replicas.Mailbox().Post(m.Replicas.Leave)
+	m.mailbox.Post(func() {
+		m.isRetiring = true
+		for _, runner := range m.runners {
+			runner.engineMailbox.Post(runner.engine.Retire)
+		}
+	})
+}
--- a/internal/control/replication/election.go
+++ b/internal/control/replication/election.go
@@ -79,15 +79,15 @@
 
 // earliestCampaignTime returns when the candidate of a rank may campaign. If the local replica granted its last lease to this disk, the
 // candidate may campaign at once, even if that lease has not ended. Otherwise it waits for a delay after the release of the key or, if
-// the key was not released, after the end of the lease.
+// the key was not released, after the end of the lease. The candidate of a retiring machine always waits, and longer.
 func (e *Engine) earliestCampaignTime(status ReplicaStatus, rank, voters int) time.Duration {
 	switch {
-	case status.LeaseHolderDisk == e.disk:
+	case status.LeaseHolderDisk == e.disk && !e.leaving.isRetiring:
 		return 0
 	case status.Released:
-		return status.ReleasedAt + e.delayAfterRelease(rank, voters, status.Successor)
+		return status.ReleasedAt + e.delayAfterRelease(rank, voters, status.Successor) + e.retiringDelay()
 	}
-	return status.LeaseUntil + e.staggerDelay(rank, voters)
+	return status.LeaseUntil + e.staggerDelay(rank, voters) + e.retiringDelay()
 }
 
 // staggerDelay returns how long the candidate of a rank waits for those ranked before it. The delays shrink in larger voter sets, so
--- a/internal/control/replication/leaving.go
+++ b/internal/control/replication/leaving.go
@@ -15,20 +15,67 @@
 type leaveRequest struct {
 	isRequested bool
 	deadline    time.Duration
+	// isRetiring is set while this machine is being emptied. The process runs on until other disks have replaced its own.
+	isRetiring bool
 }
 
 // Leave prepares the shutdown of this process: if the engine leads, it transfers the key to the most up-to-date follower once no commit
 // is pending, or after maxLeaveWait. It starts no further campaign.
 func (e *Engine) Leave() {
-	e.leaving = leaveRequest{isRequested: true, deadline: e.clock.Monotonic() + maxLeaveWait}
+	e.leaving.isRequested, e.leaving.deadline = true, e.clock.Monotonic()+maxLeaveWait
 	if e.phase == phaseCandidate {
 		e.backOff()
 	}
 	e.maybeLeave()
 }
 
-// maybeLeave releases the key if a leave was requested and no commit is pending or the deadline has passed.
+// Retire prepares the removal of this machine, whose process runs on meanwhile: if the engine leads, it transfers the key to a voter that
+// stays. Until there is such a voter it continues to lead, and it campaigns if none of the others does, since only a leader can replace the
+// voters. So the key keeps a leader even if all its voters retire at once.
+func (e *Engine) Retire() {
+	e.leaving.isRetiring = true
+	e.maybeLeave()
+}
+
+// retiringDelay is how much longer a retiring voter waits for a campaign of the others than it would otherwise.
+func (e *Engine) retiringDelay() time.Duration {
+	if !e.leaving.isRetiring {
+		return 0
+	}
+	return e.timing.Lease/4 + 2*e.timing.Stagger
+}
+
+// maybeTransferRetiring transfers the key of a retiring machine to the most up-to-date voter that stays, if there is one, once no commit is
+// pending or after maxLeaveWait.
+func (e *Engine) maybeTransferRetiring() {
+	now := e.clock.Monotonic()
+	if e.phase != phaseLeading || !e.hasOnlyVoters() || e.mostUpToDateFollower() == nil {
+		e.leaving.deadline = now + maxLeaveWait
+		return
+	}
+	if len(e.commits.pending) == 0 || now >= e.leaving.deadline {
+		e.releaseToMostUpToDate("this machine is being emptied")
+	}
+}
+
+// hasOnlyVoters reports whether no change of voters is in progress and all disks that were replaced have been told so. Another leader would
+// not tell them.
+func (e *Engine) hasOnlyVoters() bool {
+	for disk := range e.followers {
+		if !quorum.Contains(e.voters.set, disk) {
+			return false
+		}
+	}
+	return !quorum.IsJoint(e.voters.set) && e.voters.isCommitted(e.commits.index)
+}
+
+// maybeLeave releases the key if a leave was requested and no commit is pending or the deadline has passed, or if this machine is being
+// emptied and another voter can lead.
 func (e *Engine) maybeLeave() {
+	if e.leaving.isRetiring && !e.leaving.isRequested {
+		e.maybeTransferRetiring()
+		return
+	}
 	hasWonElection := e.phase >= phaseFetching
 	if !e.leaving.isRequested || !hasWonElection || len(e.commits.pending) > 0 && e.clock.Monotonic() < e.leaving.deadline {
 		return
