Operator API: machines that are being emptied don't count as remaining

What callers could see: with four storage machines all four could be ordered to empty themselves, one after the other, though three must remain.

Cause: the check counted every other live machine.

Change: the others are asked, concurrently, whether they are being emptied.

Evidence: the new spec got 200 before and gets 409 now; the other specs of the package pass unchanged, with the race detector.

Why it works: the order to empty a machine is on its disk before it is acknowledged, so a later order at any steward sees it.

--- a/internal/control/controlapi/retire.go
+++ b/internal/control/controlapi/retire.go
@@ -26,7 +26,7 @@
 type RetireHandler struct {
 	caller *peerapi.Caller
 	view   func() *membership.View
-	// minRemaining is the number of other live storage machines below which no machine may retire.
+	// minRemaining is the number of other live storage machines that aren't retiring below which no machine may retire.
 	minRemaining int
 }
 
@@ -56,7 +56,7 @@
 
 // execute carries out an operator's call by calling the storage machine, which stores on its disk that it is being emptied.
 func (r *RetireHandler) execute(ctx context.Context, node string, isInitiate bool) response.Reply {
-	machine, others := r.find(node)
+	machine := r.find(node)
 	if machine == nil {
 		return response.Text(http.StatusNotFound, "no storage machine has that name")
 	}
@@ -70,7 +70,7 @@
 		return response.Raw(http.StatusOK, []byte(`{"executor-state":"completed"}`))
 	case !isInitiate:
 		return response.Raw(http.StatusOK, []byte(`{"executor-state":"active"}`))
-	case !state.IsRetiring && others < r.minRemaining:
+	case !state.IsRetiring && r.countRemaining(ctx, node) < r.minRemaining:
 		return response.Text(http.StatusConflict, "too few storage machines would remain")
 	}
 	if !state.IsRetiring {
@@ -81,19 +81,39 @@
 	return response.Empty(http.StatusOK)
 }
 
-// find returns the storage machine with that name, nil if there is none, and the number of other live storage machines that have a
-// persistent disk. A steward with a control address is not a storage machine.
-func (r *RetireHandler) find(node string) (machine *wire.Member, others int) {
+// find returns the storage machine with that name, nil if there is none. A steward with a control address is not a storage machine.
+func (r *RetireHandler) find(node string) *wire.Member {
 	for _, steward := range r.view().Stewards {
-		switch {
-		case steward.Control != "":
-		case steward.Name == node:
-			machine = &steward
-		case steward.State == wire.StateAlive && steward.Disk != "":
-			others++
+		if steward.Control == "" && steward.Name == node {
+			return &steward
 		}
 	}
-	return machine, others
+	return nil
+}
+
+// countRemaining returns the number of storage machines that would remain without a node: those that are alive, have a persistent disk and
+// aren't retiring. A live machine that doesn't answer counts as remaining. Orders that arrive at the same moment may not see each other; then
+// fewer machines remain, and the retiring ones keep the lots until others are added.
+func (r *RetireHandler) countRemaining(ctx context.Context, node string) int {
+	remains := make(chan bool)
+	asked := 0
+	for _, steward := range r.view().Stewards {
+		if steward.Control != "" || steward.Name == node || steward.State != wire.StateAlive || steward.Disk == "" {
+			continue
+		}
+		asked++
+		go func() {
+			state, err := r.callMachine(ctx, &steward, false)
+			remains <- err != nil || !state.IsRetiring
+		}()
+	}
+	count := 0
+	for range asked {
+		if <-remains {
+			count++
+		}
+	}
+	return count
 }
 
 // callMachine returns the state of a machine. If isStart is set, the machine starts to empty itself.
--- a/internal/control/controlapi/retire_test.go
+++ b/internal/control/controlapi/retire_test.go
@@ -60,6 +60,23 @@
 		Expect(state.IsRetiring).To(BeFalse())
 	})
 
+	// Guards against orders that leave too few machines, because machines that are being emptied counted as remaining.
+	It("is refused if too few machines would remain that aren't being emptied", func() {
+		mux := http.NewServeMux()
+		peerapi.Serve(mux, peerapi.ProcedureRetire, func(context.Context, *wire.RetireCall) (*wire.RetireAnswer, error) {
+			return &wire.RetireAnswer{IsRetiring: true}, nil
+		})
+		retiring := httptest.NewServer(mux)
+		DeferCleanup(retiring.Close)
+		view.Stewards[2].Address = retiring.Listener.Addr().String()
+		Expect(ask("POST", "/v1/retire/store-1/initiate").Code).To(Equal(409))
+		Expect(state.IsRetiring).To(BeFalse())
+		view.Stewards = append(view.Stewards, wire.Member{Name: "store-5", Role: "steward", Disk: "5"})
+		Expect(ask("POST", "/v1/retire/store-1/initiate").Code).To(Equal(200))
+		view.Stewards = view.Stewards[:4]
+		Expect(ask("POST", "/v1/retire/store-1/initiate").Code).To(Equal(200), "the order was accepted before")
+	})
+
 	It("is answered 503 if the machine does not answer", func() {
 		machine.Close()
 		Expect(ask("POST", "/v1/retire/store-1/initiate").Code).To(Equal(503))
