Scheduler: work that isn't placed for 2 s holds back no other work of its tenant

What callers could see: with pools that share tenants, small tasks of a tenant waited for good behind a gang for which there seemed to be room, but which couldn't be placed (three members, one an executor, two executors).

Cause: the reserve for passed-over work lasted until that work started, and what looks like room is not always enough to place it.

Change: work that the tenant's limit allows to start and that isn't launched for 2 s goes behind the tenant's other work, as after a turn.

--- a/internal/control/replication/retiring_test.go
+++ b/internal/control/replication/retiring_test.go
@@ -119,4 +119,20 @@
 			Expect(c.leader()).NotTo(Equal(retiring))
 		}
 	})
+
+	It("learn after a restart that they are no voters any more", func() {
+		for seed := range uint64(8) {
+			c := newTestCluster(3400+seed, "a", "b", "c", "d")
+			c.run(2 * time.Second)
+			retiring := c.anyVoter()
+			retiring.retire()
+			Expect(c.runUntilRemoved(retiring, 6*time.Second)).To(BeTrue())
+			retiring.kill()
+			c.run(time.Second)
+			retiring.start()
+			retiring.retire()
+			Expect(c.runUntilRemoved(retiring, 6*time.Second)).To(BeTrue())
+			Expect(c.violations).To(BeEmpty())
+		}
+	})
 })
--- a/internal/scheduling/scheduler/nextwork.go
+++ b/internal/scheduling/scheduler/nextwork.go
@@ -15,21 +15,48 @@
 	need placement.Resources
 	// turn is the pool's turn for the tenant at the last tick, 0 if there was none.
 	turn uint64
+	// startableSince is the time since which the tenant's limit allows the work to start, if isStartable is set.
+	startableSince time.Duration
+	isStartable    bool
 }
 
 // waitsSince returns the time by which the step's place among the tenant's waiting work is decided: since when it has launched nothing, or
 // since its last turn.
 func (s *stepState) waitsSince() time.Duration { return max(s.openedAt, s.lastLaunchAt, s.turnEndedAt) }
 
+// maxUnusedTime is how long work stays the next work that the tenant's limit allows to start, but that isn't placed for another reason.
+const maxUnusedTime = 2 * time.Second
+
 // chooseNextWork chooses the next work of each tenant, if pools share their limits.
 func (p *Pool) chooseNextWork(now time.Duration) {
 	p.endTurns(now)
-	for _, tenant := range p.tenants.byIndex {
+	formerSteps := make([]*stepState, len(p.tenants.byIndex))
+	for index, tenant := range p.tenants.byIndex {
+		formerSteps[index] = tenant.nextWork.step
 		tenant.nextWork.step, tenant.nextWork.need = nil, placement.Resources{}
 	}
-	if !p.tenants.hasOtherPools {
-		return
+	if p.tenants.hasOtherPools {
+		p.findNextWork(now)
+	}
+	for index, tenant := range p.tenants.byIndex {
+		p.updateStartable(tenant, formerSteps[index], now)
+	}
+}
+
+// updateStartable updates since when the limit of a tenant allows its next work to start.
+func (p *Pool) updateStartable(tenant *tenantState, former *stepState, now time.Duration) {
+	next := &tenant.nextWork
+	limit, mayOvershoot := p.limitOf(tenant)
+	state := placement.Tenant{Allocated: tenant.allocated.resources, Limit: limit, MayOvershoot: mayOvershoot}
+	isStartable := next.step != nil && state.Admits(next.need, 1)
+	if !next.isStartable || next.step != former {
+		next.startableSince = now
 	}
+	next.isStartable = isStartable
+}
+
+// findNextWork sets the next work of each tenant that has a limit.
+func (p *Pool) findNextWork(now time.Duration) {
 	executors := p.placementView(now)
 	for index, request := range p.open.first.requests {
 		step, group := request.step, p.open.first.groups[index]
@@ -58,11 +85,14 @@
 	return false
 }
 
-// endTurns moves the next work of each tenant whose turn has ended behind the tenant's other work.
+// endTurns moves the next work of each tenant behind the tenant's other work if its turn has ended, or if it isn't placed though it could
+// start.
 func (p *Pool) endTurns(now time.Duration) {
 	for _, tenant := range p.tenants.byIndex[1:] {
 		turn, former := p.accounts.Turn(tenant.name), &tenant.nextWork
-		if former.turn != 0 && former.turn != turn && former.step != nil {
+		isTurnOver := former.turn != 0 && former.turn != turn
+		isUnused := former.isStartable && now-former.startableSince >= maxUnusedTime
+		if former.step != nil && (isTurnOver || isUnused) {
 			former.step.turnEndedAt = now
 		}
 		former.turn = turn
--- a/internal/scheduling/scheduler/sharedlimit_test.go
+++ b/internal/scheduling/scheduler/sharedlimit_test.go
@@ -221,6 +221,18 @@
 		s.expectCompleted(0, small)
 	})
 
+	// Guards against small tasks that wait for good for larger work, for which there seems to be room but that can't be placed.
+	It("start small tasks behind larger work that can't be placed", func() {
+		s := newSharedPools(2, cpuOnly)
+		unplaceable := s.submit(0, 3, cpu(2000), gang+`,"anti-affinity":1`)
+		s.submit(0, 4000, cpu(1000), "")
+		s.pass(maxTurnTime)
+		before := s.pools[0].starts()
+		s.pass(4 * maxTurnTime)
+		Expect(s.pools[0].state(unplaceable)).To(ContainSubstring("queued"))
+		Expect(s.pools[0].starts() - before).To(BeNumerically(">", 100))
+	})
+
 	It("go on after each loss of the leader of a pool or of a partition", func() {
 		s := newSharedPools(3, cpuOnly)
 		poolOf := map[string]int{}
