Model of the control keys: machines that are emptied while they run on

Change: some schedules order voters to be emptied, half of them all voters, at once or one after the other, within what the operators' API accepts. In the settled system no such machine may be a voter if enough others run. The order is on the disk and outlives the process.

--- a/internal/simulation/modelcheck/controlmodel/controlmodel_test.go
+++ b/internal/simulation/modelcheck/controlmodel/controlmodel_test.go
@@ -50,9 +50,9 @@
 		})
 	}
 
-	It("covers splits without other faults and power losses at the end", func() {
+	It("covers splits without other faults, machines that are emptied, and power losses at the end", func() {
 		_, progress := modelcheck.Run(controlmodel.New(), modelcheck.Budget{Seed: seed, Schedules: soundSchedules, Losses: 1, Workers: workers}, func(modelcheck.Progress) {})
-		for _, name := range []string{"split with nothing else wrong", "end of the day"} {
+		for _, name := range []string{"split with nothing else wrong", "end of the day", "machine emptied"} {
 			Expect(progress.Coverage[name]).To(BeNumerically(">", 50), name)
 		}
 	})
--- a/internal/simulation/modelcheck/controlmodel/disk.go
+++ b/internal/simulation/modelcheck/controlmodel/disk.go
@@ -41,6 +41,8 @@
 	isStalled bool
 	isSlow    bool
 	isFull    bool
+	// isRetiring is set if the disk holds an order to empty its machine.
+	isRetiring bool
 	// isFileSafe is set if the replica file and its folders have been synced. The real store syncs them before it answers.
 	isFileSafe bool
 	// waiting are the writes of later transactions. syncing are those of the current one.
--- a/internal/simulation/modelcheck/controlmodel/draw.go
+++ b/internal/simulation/modelcheck/controlmodel/draw.go
@@ -53,6 +53,7 @@
 	if m.name == Name {
 		d.addEvacuations(seed)
 		d.addSplits(seed)
+		d.addRetirements(seed)
 		d.addEndOfDay(seed)
 	}
 	slices.SortStableFunc(d.steps, func(a, b modelcheck.Step) int { return a.AtMs - b.AtMs })
--- a/internal/simulation/modelcheck/controlmodel/faultlist.go
+++ b/internal/simulation/modelcheck/controlmodel/faultlist.go
@@ -55,6 +55,7 @@
 	"folder-not-synced":        {about: "A folder is not synced after the replica's file was made in it.", isFileUnsafe: true},
 	"replaced-disk-keeps-name": {about: "An empty disk answers under the name of the disk it replaces.", keepsDiskName: true},
 	"leaves-at-once":           {about: "A machine that is replaced goes before its successor holds all that it held.", leavesAtOnce: true},
+	"retires-as-leaving":       {about: "A machine that is being emptied gives up leading, as one does that is shut down.", retiresAsLeaving: true},
 	"confirmed-list-lost": {about: "A new leader forgets which changes were confirmed.",
 		machine: func(_ *simNode, inner replication.StateMachine) replication.StateMachine {
 			return machineWithoutConfirmed{inner}
--- a/internal/simulation/modelcheck/controlmodel/injectedfaults.go
+++ b/internal/simulation/modelcheck/controlmodel/injectedfaults.go
@@ -19,6 +19,8 @@
 	isFileUnsafe bool
 	// leavesAtOnce shuts a machine down without replacing its voter first.
 	leavesAtOnce bool
+	// retiresAsLeaving makes a machine that is being emptied give up leading for good.
+	retiresAsLeaving bool
 	// lease is the length of the lease that replicas grant. 0 means the default of the engines, which leaders always use.
 	lease      time.Duration
 	disk       func(n *simNode, inner *disk) replication.Disk
--- a/internal/simulation/modelcheck/controlmodel/node.go
+++ b/internal/simulation/modelcheck/controlmodel/node.go
@@ -122,6 +122,9 @@
 		replication.WithMachineLosses(n.cluster.schedule.Losses), replication.WithLog(n.cluster.newLog(n)))
 	n.engine = replication.NewEngine(n.cluster.service.key(), n.disk.name, n.name, &n.clock, n.cluster.fault.wrapLinks(n, &links{n}),
 		n.cluster.fault.wrapMachine(n, &stateMachine{n}), n.members, options...)
+	if n.disk.isRetiring {
+		n.retire()
+	}
 	incarnation := n.incarnation
 	n.disk.afterTransaction = func() { n.enter(incarnation, n.drain) }
 	n.cluster.after(time.Duration(n.cluster.random.Int64N(int64(tickInterval))), func() { n.tick(incarnation) })
--- a/internal/simulation/modelcheck/controlmodel/oracles.go
+++ b/internal/simulation/modelcheck/controlmodel/oracles.go
@@ -174,6 +174,9 @@
 	if wanted := min(2*sim.schedule.Losses+1, len(sim.slots)-1+len(sim.slots)%2); len(belief.Voters.Current) < wanted {
 		return "there are fewer voters than the losses ask for"
 	}
+	if sim.hasRetiringVoter(belief.Voters.Current) {
+		return "a machine that is being emptied is still a voter"
+	}
 	for _, disk := range belief.Voters.Current {
 		index := slices.IndexFunc(sim.slots, func(node *simNode) bool { return node.isUp && node.disk.name == disk })
 		if index < 0 {
--- a/internal/simulation/modelcheck/controlmodel/steps.go
+++ b/internal/simulation/modelcheck/controlmodel/steps.go
@@ -104,6 +104,8 @@
 		sim.takeAllDown(step)
 	case stepSplit:
 		sim.split(step, length)
+	case stepRetire:
+		sim.retireVoters(step)
 	case stepEndOfDay:
 		sim.scheduleEndOfDay(step)
 	case stepPowerOnAck:
