Soak: one job in sixteen has tasks of more than half of a tenant's limit

Change: a digit of a job's ID says whether its tasks are large (4 of 6). The oracle of quotas counts sizes, and allows the size of the task that starts beyond the limit, where it allowed one task.

--- a/internal/simulation/soak/job.go
+++ b/internal/simulation/soak/job.go
@@ -10,15 +10,17 @@
 	"gannetline/internal/simulation/hollow"
 )
 
-// shape is the size of a job: the tasks of its two steps and the length of each task. It is encoded in the job's ID, so any
-// observer of the job can decode it.
+// shape is the size of a job: the tasks of its two steps, the length of each task, and what each task needs, in multiples of
+// taskCPU and taskMemoryMB. It is encoded in the job's ID, so any observer of the job can decode it.
 type shape struct {
 	first, second int
 	length        time.Duration
+	taskSize      int
 }
 
 // The last three hexadecimal digits of an ID are the number of tasks of the first step, that of the second step, and the length
-// of each task in multiples of shapeUnit. maxTasks is the maximum number of tasks of the first step.
+// of each task in multiples of shapeUnit. maxTasks is the maximum number of tasks of the first step. The digit before them is
+// largeDigit in jobs with large tasks, which need more than half of a tenant's limit.
 const (
 	idDigits     = 16
 	maxTasks     = 6
@@ -26,6 +28,8 @@
 	shapeUnit    = 50 * time.Millisecond
 	taskCPU      = 400
 	taskMemoryMB = 100
+	largeDigit   = 15
+	largeSize    = tenantLimitTasks/2 + 1
 )
 
 // newJob draws the ID of a job with a random shape.
@@ -42,16 +46,21 @@
 		value, _ := strconv.ParseInt(id[place:place+1], 16, 8)
 		return int(value)
 	}
-	return shape{digit(idDigits - 3), digit(idDigits - 2), time.Duration(digit(idDigits-1)) * shapeUnit}
+	taskSize := 1
+	if digit(idDigits-4) == largeDigit {
+		taskSize = largeSize
+	}
+	return shape{digit(idDigits - 3), digit(idDigits - 2), time.Duration(digit(idDigits-1)) * shapeUnit, taskSize}
 }
 
 func (s shape) tasks() int { return s.first + s.second }
 
 // body returns the JSON body of the job's submission.
 func (s shape) body() string {
-	load := hollow.Load{Length: s.length, CPU: taskCPU, MemoryMB: taskMemoryMB}
+	cpu, memoryMB := int64(s.taskSize*taskCPU), int64(s.taskSize*taskMemoryMB)
+	load := hollow.Load{Length: s.length, CPU: cpu, MemoryMB: memoryMB}
 	step := func(tasks int, after string) string {
-		return fmt.Sprintf(`{"task-count":%d,"cpu-units":%d,"memory-req-mb":%d,"estimated-ms":%d%s}`, tasks, taskCPU, taskMemoryMB, s.length.Milliseconds(), after)
+		return fmt.Sprintf(`{"task-count":%d,"cpu-units":%d,"memory-req-mb":%d,"estimated-ms":%d%s}`, tasks, cpu, memoryMB, s.length.Milliseconds(), after)
 	}
 	steps := []string{step(s.first, "")}
 	if s.second > 0 {
--- a/internal/simulation/soak/schedule_test.go
+++ b/internal/simulation/soak/schedule_test.go
@@ -144,7 +144,8 @@
 
 var _ = Describe("A job ID", func() {
 	It("encodes the shape of the job", func() {
-		Expect(shapeOf("00000000000003a2")).To(Equal(shape{3, 10, 2 * shapeUnit}))
+		Expect(shapeOf("00000000000003a2")).To(Equal(shape{3, 10, 2 * shapeUnit, 1}))
+		Expect(shapeOf("000000000000f3a2")).To(Equal(shape{3, 10, 2 * shapeUnit, largeSize}))
 		Expect(shapeOf("no ID").tasks()).To(BeZero())
 	})
 })
--- a/internal/simulation/soak/tenants.go
+++ b/internal/simulation/soak/tenants.go
@@ -14,7 +14,7 @@
 const (
 	// tenantCount is the number of tenants that share the clients. The first tenant has a limit.
 	tenantCount = 2
-	// tenantLimitTasks is the number of tasks that the first tenant may run at the same time. It may exceed the limit by the
+	// tenantLimitTasks is the number of tasks of size 1 that the first tenant may run at the same time. It may exceed the limit by the
 	// fraction tenantOverrun for a short time.
 	tenantLimitTasks = 6
 	tenantOverrun    = 0.1
@@ -88,8 +88,8 @@
 	return violations
 }
 
-// exceededLimits is the oracle of quotas: the first tenant never runs more tasks at the same time than its limit plus
-// tenantOverrun plus one task.
+// exceededLimits is the oracle of quotas: with each start, the tasks of the first tenant that run at the same time take at most
+// its limit plus tenantOverrun plus the task that starts, in all pools together.
 func exceededLimits(h *History) []Violation {
 	if !h.mix().Has(FeatureTenants) {
 		return nil
@@ -109,9 +109,10 @@
 		if !limited[jobs.JobOf(run.Task)] {
 			continue
 		}
-		changes = append(changes, change{run.StartMs, 1})
+		size := shapeOf(jobs.JobOf(run.Task)).taskSize
+		changes = append(changes, change{run.StartMs, size})
 		if run.EndMs > 0 {
-			changes = append(changes, change{run.EndMs, -1})
+			changes = append(changes, change{run.EndMs, -size})
 		}
 	}
 	// Within a millisecond the order is unknown, so ends are counted before starts.
@@ -121,12 +122,12 @@
 		}
 		return a.by - b.by
 	})
-	const maxRunning = tenantLimitTasks*(1+tenantOverrun) + 1
+	const maxRunning = tenantLimitTasks * (1 + tenantOverrun)
 	running := 0
 	for _, change := range changes {
 		running += change.by
-		if change.by > 0 && float64(running) > maxRunning {
-			return []Violation{{OracleQuota, h.sinceStart(change.atMs), fmt.Sprintf("a tenant has %d tasks running, and may have %d", running, tenantLimitTasks)}}
+		if change.by > 0 && float64(running) > maxRunning+float64(change.by) {
+			return []Violation{{OracleQuota, h.sinceStart(change.atMs), fmt.Sprintf("a tenant has tasks of size %d running after a start of size %d, and may have %d", running, change.by, tenantLimitTasks)}}
 		}
 	}
 	return nil
