Storage specs: an injected fault is searched for in up to 10,000 losses

Cause: the simulation does not repeat itself, although its seeds are fixed: bbolt chooses the pages of a transaction anew in each run. The load has no part in it.

Change: the search for an injected fault ends at the first find, as before, and at 10,000 losses instead of 1,000. The spec without a fault keeps its 1,000 losses, and what counts as found is unchanged.

--- a/internal/control/storage/powerloss_faults_test.go
+++ b/internal/control/storage/powerloss_faults_test.go
@@ -21,6 +21,9 @@
 	// exitFound and exitNotFound are the exit statuses of such a process: the simulation has found the fault or has not.
 	exitFound    = 10
 	exitNotFound = 11
+	// lossesWithFault is the largest number of power losses in which an injected fault must be found. The simulation does not repeat itself
+	// exactly, since bbolt chooses other pages each time.
+	lossesWithFault = 10_000
 	// readerPanic appears in the stack trace if the goroutine of bbolt that checks the pages of a file crashes.
 	readerPanic = "go.etcd.io/bbolt.(*Tx).recursivelyCheckBucket"
 )
@@ -32,7 +35,11 @@
 		os.Exit(m.Run())
 	}
 	RegisterFailHandler(func(message string, _ ...int) { panic(message) })
-	if simulateLosses(lossesInCI, injectedFault(number)) != nil {
+	fault, losses := injectedFault(number), lossesInCI
+	if fault != noFault {
+		losses = lossesWithFault
+	}
+	if simulateLosses(losses, fault) != nil {
 		os.Exit(exitFound)
 	}
 	os.Exit(exitNotFound)
