Trace what clients are shown of their jobs, and how far the commits were

No log told whether a client had been shown the state of a job that no disk had yet. At the trace verbosity a pool logs each state that it answers, with the index up to which changes are committed and the number of commits in flight, and a gate logs what its client gets. Together with 'changes committed' and 'replica opened' the hypotheses of docs/incidents/twice-shown-before-commit.md can be told apart. No decision changes; a leadership publishes its commit index.

--- a/internal/control/lots/harness_test.go
+++ b/internal/control/lots/harness_test.go
@@ -38,9 +38,10 @@
 	durable      map[string][]byte
 }
 
-func (l *fakeLeadership) Epoch() uint64  { return 1 }
-func (l *fakeLeadership) HasLease() bool { return l.hasLease }
-func (l *fakeLeadership) WallMs() int64  { return l.clock.WallMs() }
+func (l *fakeLeadership) Epoch() uint64       { return 1 }
+func (l *fakeLeadership) CommitIndex() uint64 { return 1 }
+func (l *fakeLeadership) HasLease() bool      { return l.hasLease }
+func (l *fakeLeadership) WallMs() int64       { return l.clock.WallMs() }
 
 func (l *fakeLeadership) Commit(ops []wire.Op, done func(error)) {
 	l.pending = append(l.pending, proposedChange{ops, done})
--- a/internal/control/replication/commit.go
+++ b/internal/control/replication/commit.go
@@ -58,6 +58,9 @@
 	}
 	e.logCommit(e.commits.index, index)
 	e.commits.index = index
+	if e.leadership != nil {
+		e.leadership.commitIndex.Store(index)
+	}
 	generation := e.generation
 	for _, commit := range e.commits.takeUpTo(index) {
 		// The callback of an earlier commit may have made this engine step down.
--- a/internal/control/replication/leadership.go
+++ b/internal/control/replication/leadership.go
@@ -21,6 +21,8 @@
 	clock  clock.Clock
 
 	isOver atomic.Bool
+	// commitIndex is the index of the last change that is known to be committed.
+	commitIndex atomic.Uint64
 	// leaseUntil is the end of the lease on the monotonic clock, in nanoseconds.
 	leaseUntil atomic.Int64
 	// wallOffsets holds, for each follower except the leader's own disk, its time of day minus this process's monotonic clock, in
@@ -30,6 +32,7 @@
 
 func newLeadership(engine *Engine) *Leadership {
 	leadership := &Leadership{engine: engine, epoch: engine.epoch, clock: engine.clock}
+	leadership.commitIndex.Store(engine.commits.index)
 	leadership.publish()
 	return leadership
 }
@@ -49,6 +52,9 @@
 // Epoch returns the epoch of this leadership. No other leadership of the key has the same epoch. Epoch may run on any goroutine.
 func (l *Leadership) Epoch() uint64 { return l.epoch }
 
+// CommitIndex returns the index of the last change that is known to be committed. It may run on any goroutine.
+func (l *Leadership) CommitIndex() uint64 { return l.commitIndex.Load() }
+
 // IsOpen reports whether the leadership has not ended yet. It may run on any goroutine.
 func (l *Leadership) IsOpen() bool { return !l.isOver.Load() }
 
--- a/internal/gate/clientapi/clientapi.go
+++ b/internal/gate/clientapi/clientapi.go
@@ -17,6 +17,7 @@
 	"gannetline/internal/gate/headerrules"
 	"gannetline/internal/platform/clock"
 	"gannetline/internal/platform/httpserver"
+	"gannetline/internal/platform/logging"
 	"gannetline/internal/platform/response"
 	"gannetline/internal/scheduling/jobs"
 )
@@ -130,6 +131,7 @@
 	clock        clock.Clock
 	// areKeysFresh reports whether the API keys in the current configuration can be trusted now.
 	areKeysFresh func() bool
+	log          logging.Logger
 }
 
 // Option configures a gate.
@@ -141,9 +143,12 @@
 	return func(g *Gate) { g.areKeysFresh = areKeysFresh }
 }
 
+// WithLog sets the logger for what clients are shown of their jobs, at the verbosity logging.TraceVerbosity.
+func WithLog(log logging.Logger) Option { return func(g *Gate) { g.log = log } }
+
 // New returns a gate that decides by the latest configuration and calls the leaders of the pools.
 func New(snapshot func() *configcache.Snapshot, leaderClient *leaderclient.Client, clock clock.Clock, options ...Option) *Gate {
-	gate := &Gate{snapshot: snapshot, leaderClient: leaderClient, clock: clock, areKeysFresh: func() bool { return true }}
+	gate := &Gate{snapshot: snapshot, leaderClient: leaderClient, clock: clock, areKeysFresh: func() bool { return true }, log: logging.Silent()}
 	for _, option := range options {
 		option(gate)
 	}
@@ -180,7 +185,16 @@
 	decision.Timeout -= g.clock.Monotonic() - startedAt
 	ctx, cancel := httpserver.UntilCallsEnd(request.Context())
 	defer cancel()
-	return decision.Call.Verb, g.ask(ctx, decision)
+	reply := g.ask(ctx, decision)
+	g.logReply(decision.Call, reply)
+	return decision.Call.Verb, reply
+}
+
+// logReply logs the answer to a client's request about a job.
+func (g *Gate) logReply(call *wire.ClientCall, reply response.Reply) {
+	if log := g.log.V(logging.TraceVerbosity); log.Enabled() {
+		log.Info("client answered", "verb", call.Verb, "job", call.ID, "status", reply.Status, "body", string(reply.Body))
+	}
 }
 
 // ask calls the pools of a decision. All calls together take no longer than the timeout of the decision.
--- a/internal/roles/gate.go
+++ b/internal/roles/gate.go
@@ -75,7 +75,7 @@
 	areKeysFresh := b.keyFreshness(leaderClient, configurations)
 	always := func() bool { return true }
 	if !b.settings.ServesRequests() {
-		return clientapi.New(configurations.Current, leaderClient, b.clock, clientapi.WithKeyFreshness(areKeysFresh)), always
+		return clientapi.New(configurations.Current, leaderClient, b.clock, clientapi.WithKeyFreshness(areKeysFresh), clientapi.WithLog(b.log)), always
 	}
 	executors := balancer.New(b.settings.Domain, b.clock, balancer.WithEvacuations(b.node.IsEvacuated))
 	b.followExecutors(executorlist.NearSteward, func(list *executorlist.List) { executors.Update(list.Executors) })
@@ -84,7 +84,7 @@
 	if !b.settings.ServesJobs() {
 		return requests, executors.HasExecutors
 	}
-	jobs := clientapi.New(configurations.Current, leaderClient, b.clock, clientapi.WithKeyFreshness(areKeysFresh))
+	jobs := clientapi.New(configurations.Current, leaderClient, b.clock, clientapi.WithKeyFreshness(areKeysFresh), clientapi.WithLog(b.log))
 	return routekind.New(configurations.Current, jobs, requests), always
 }
 
--- a/internal/scheduling/scheduler/clients.go
+++ b/internal/scheduling/scheduler/clients.go
@@ -8,6 +8,7 @@
 	"github.com/mailru/easyjson"
 
 	"gannetline/internal/cluster/peerapi/wire"
+	"gannetline/internal/platform/logging"
 	"gannetline/internal/scheduling/jobs"
 	"gannetline/internal/scheduling/recording"
 )
@@ -156,10 +157,20 @@
 		case job.isUnreadable && job.isOpen():
 			return wire.ClientAnswer{Status: http.StatusServiceUnavailable, Reason: "the job's record can't be read by this version"}
 		}
+		p.logShownState(job)
 		return wire.ClientAnswer{Status: http.StatusOK, Body: []byte(`{"executor-state":"` + string(job.shownState()) + `"}`)}
 	})
 }
 
+// logShownState logs the state of a job that is about to be answered, with the index up to which changes are committed and the number of
+// commits in flight.
+func (p *Pool) logShownState(job *jobState) {
+	if log := p.log.V(logging.TraceVerbosity); log.Enabled() {
+		log.Info("job state answered", "key", p.key, "epoch", p.leadership.Epoch(), "job", job.id, "state", job.shownState(),
+			"commit_index", p.leadership.CommitIndex(), "pending_commits", p.pendingCommits.Len())
+	}
+}
+
 // shownState is the phase reported to clients and operators. A queued job of which a run has started is reported as active.
 func (j *jobState) shownState() jobPhase {
 	if j.phase == jobQueued && j.hasStarted {
--- a/internal/scheduling/scheduler/cost_test.go
+++ b/internal/scheduling/scheduler/cost_test.go
@@ -23,9 +23,10 @@
 	records map[string][]byte
 }
 
-func (t *instantLeadership) Epoch() uint64  { return 1 }
-func (t *instantLeadership) HasLease() bool { return true }
-func (t *instantLeadership) WallMs() int64  { return t.clock.WallMs() }
+func (t *instantLeadership) Epoch() uint64       { return 1 }
+func (t *instantLeadership) CommitIndex() uint64 { return 1 }
+func (t *instantLeadership) HasLease() bool      { return true }
+func (t *instantLeadership) WallMs() int64       { return t.clock.WallMs() }
 
 func (t *instantLeadership) Commit(ops []wire.Op, done func(error)) {
 	t.ops += len(ops)
--- a/internal/scheduling/scheduler/pool.go
+++ b/internal/scheduling/scheduler/pool.go
@@ -34,6 +34,8 @@
 	// Commit makes a change durable on a quorum and then calls done, which gets an error if the leadership is lost first. done runs on the
 	// pool's goroutine, in the order of the commits.
 	Commit(ops []wire.Op, done func(error))
+	// CommitIndex returns the index of the last change that is known to be committed.
+	CommitIndex() uint64
 	// HasLease reports whether this leader's lease is valid, so that no other process can lead the key now.
 	HasLease() bool
 	// WallMs returns the time of day in milliseconds since 1970: the median of the clocks of the followers and of this process.
--- a/internal/scheduling/scheduler/scheduler_test.go
+++ b/internal/scheduling/scheduler/scheduler_test.go
@@ -24,15 +24,19 @@
 	hasLease bool
 	records  map[string][]byte
 	inFlight []func(error)
+	// committed counts the commits that have succeeded.
+	committed uint64
 }
 
-func (s *scriptedLeadership) Epoch() uint64  { return s.epoch }
-func (s *scriptedLeadership) HasLease() bool { return s.hasLease }
-func (s *scriptedLeadership) WallMs() int64  { return s.clock.WallMs() }
+func (s *scriptedLeadership) Epoch() uint64       { return s.epoch }
+func (s *scriptedLeadership) CommitIndex() uint64 { return s.committed }
+func (s *scriptedLeadership) HasLease() bool      { return s.hasLease }
+func (s *scriptedLeadership) WallMs() int64       { return s.clock.WallMs() }
 
 func (s *scriptedLeadership) Commit(ops []wire.Op, done func(error)) {
 	s.inFlight = append(s.inFlight, func(err error) {
 		if err == nil {
+			s.committed++
 			for _, op := range ops {
 				s.records[op.Name] = op.Value
 				if len(op.Value) == 0 {
--- a/internal/simulation/modelcheck/ordermodel/leadership.go
+++ b/internal/simulation/modelcheck/ordermodel/leadership.go
@@ -63,6 +63,9 @@
 // Epoch returns the epoch of this leadership.
 func (l *leadership) Epoch() uint64 { return l.epoch }
 
+// CommitIndex returns 0, because the key doesn't number its changes.
+func (l *leadership) CommitIndex() uint64 { return 0 }
+
 // HasLease reports whether the leadership is open and reached a majority within leaseLength, less leaseMargin.
 func (l *leadership) HasLease() bool {
 	return l.isOpen && l.key.cluster.queue.now() < l.lastContactAt+leaseLength-leaseMargin
--- a/internal/simulation/modelcheck/rolloutmodel/pool.go
+++ b/internal/simulation/modelcheck/rolloutmodel/pool.go
@@ -82,6 +82,9 @@
 // Epoch returns the epoch of this leadership.
 func (l *leadership) Epoch() uint64 { return l.epoch }
 
+// CommitIndex returns 0, because the key doesn't number its changes.
+func (l *leadership) CommitIndex() uint64 { return 0 }
+
 // HasLease reports whether the leadership is not over.
 func (l *leadership) HasLease() bool { return !l.isOver() }
 
