Scheduler spec that fails: a client is shown a completion that no disk has

A change is in flight, a client asks for the state of a job whose only task runs, the end of that task comes, and only the first change is committed. The client gets 'completed'; after a loss of all power the next leader has the job as active and starts its task again once the lease is over. It should have got 'active'.

--- /dev/null
+++ b/internal/scheduling/scheduler/committedanswers_test.go
@@ -0,0 +1,99 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/juju/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gannetline/internal/cluster/peerapi/wire"
+	"gannetline/internal/scheduling/scheduler"
+)
+
+// oversizedTask fits on no executor of an answerScenario.
+const oversizedTask = `{"task-descriptor":"d","step-list":[{"task-count":1,"cpu-units":8000}]}`
+
+// answerScenario is a pool with a running job, a waiting job, and a job of a moved queue whose transfer has no answer yet.
+type answerScenario struct {
+	*fleet
+	sender *scriptedSender
+}
+
+var (
+	runningJob, waitingJob, movedJob = jobID(0), jobID(1), jobID(2)
+	errPowerLost                     = errors.New("power lost")
+)
+
+func newAnswerScenario() *answerScenario {
+	routing, sender := &scriptedRouting{version: 3, moved: []string{"m"}, service: "next"}, &scriptedSender{}
+	s := &answerScenario{newFleet(timing, scheduler.WithQueueRouting(func() scheduler.QueueRouting { return routing }), scheduler.WithTransfers(sender)), sender}
+	s.add(1, wire.Capacity{CPU: 4000, Memory: 4000}, "a", "r1")
+	for _, job := range []struct{ id, route, body string }{{runningJob, "e", largeTask}, {waitingJob, "e", oversizedTask}, {movedJob, "m", largeTask}} {
+		s.pool.Submit(&wire.ClientCall{Route: job.route, ID: job.id, Tenant: "t", Terms: &wire.RouteTerms{MaxAttempts: 1}, Body: []byte(job.body)}, func(wire.ClientAnswer) {})
+		s.settle()
+		s.pass(200 * time.Millisecond)
+	}
+	s.pass(2 * time.Second)
+	Expect(s.tasks()).To(ConsistOf(HavePrefix(runningJob)))
+	Expect(sender.sent).NotTo(BeEmpty())
+	return s
+}
+
+// question is a call whose answer depends on the tables of the pool.
+type question func(s *answerScenario, answer func(wire.ClientAnswer))
+
+func stateOf(id string) question {
+	return func(s *answerScenario, answer func(wire.ClientAnswer)) {
+		s.pool.State(&wire.ClientCall{ID: id, Tenant: "t"}, answer)
+	}
+}
+
+// endRun reports the end of the running job's task.
+func endRun(outcome string) func(*answerScenario) {
+	return func(s *answerScenario) {
+		executor := s.executors[0]
+		executor.end(runningJob+".0.0.0", outcome)
+		call := executor.ExchangeCall
+		call.Fence = s.leadership.epoch
+		s.pool.Exchange(&call, func(wire.ExchangeAnswer) {})
+	}
+}
+
+func cancel(id string) func(*answerScenario) {
+	return func(s *answerScenario) {
+		s.pool.Cancel(&wire.ClientCall{ID: id, Tenant: "t"}, func(wire.ClientAnswer) {})
+	}
+}
+
+// askDuringCommit asks while a commit is in flight, then makes a later change, and returns the answer that comes at the end of the first
+// commit.
+func (s *answerScenario) askDuringCommit(ask question, change func(*answerScenario)) string {
+	s.pool.Submit(&wire.ClientCall{Route: "other", ID: jobID(9), Terms: &wire.RouteTerms{}, Body: []byte(oversizedTask)}, func(wire.ClientAnswer) {})
+	s.pool.Flush()
+	var shown string
+	ask(s, func(answer wire.ClientAnswer) { shown = fmt.Sprint(answer.Status, string(answer.Body), answer.MovedTo) })
+	s.pool.Flush()
+	change(s)
+	s.pool.Flush()
+	Expect(len(s.leadership.inFlight)).To(BeNumerically(">=", 2))
+	s.leadership.settleFirst(nil)
+	return shown
+}
+
+var _ = Describe("an answer of a pool", func() {
+	DescribeTable("contains no change that a loss of all power can still undo", func(ask question, change func(*answerScenario), expected string) {
+		unchanged := newAnswerScenario()
+		Expect(unchanged.askDuringCommit(ask, cancel(jobID(9)))).To(MatchRegexp(expected))
+
+		s := newAnswerScenario()
+		shown := s.askDuringCommit(ask, change)
+		Expect(shown).To(MatchRegexp(expected))
+		s.leadership.settle(errPowerLost)
+		s.takeOver()
+		Expect(s.state(runningJob)).To(Equal(`200{"executor-state":"active"}`))
+	},
+		Entry("a completed job", stateOf(runningJob), endRun("done"), `^200{"executor-state":"active"}$`),
+	)
+})
--- a/internal/scheduling/scheduler/scheduler_test.go
+++ b/internal/scheduling/scheduler/scheduler_test.go
@@ -57,6 +57,13 @@
 	}
 }
 
+// settleFirst ends the first commit in flight.
+func (s *scriptedLeadership) settleFirst(err error) {
+	first := s.inFlight[0]
+	s.inFlight = s.inFlight[1:]
+	first(err)
+}
+
 func (s *scriptedLeadership) pairs() []wire.Op {
 	var all []wire.Op
 	for name, value := range s.records {
