Scheduler: an answer contains only what is committed when it is sent

Callers saw a job as completed, and after a loss of all power within milliseconds its last task was started again.

Cause: Pool.answerUnderLease waited for the commits of all changes up to the call, and computed the response when they ended, from tables in memory that are ahead of the commits. An end that came in between was in the response while its own commit was still under way. The class: an answer computed from state later than the commit that it waits for.

Fix: the response is computed at the call, and sent once all changes up to the call are committed. What it says is then held by a quorum, and it is no older than what any client was told before the call. The same rule now covers the states (completed, failed, cancelled, transferred), the count of waiting jobs, cancellations, and the reports on tenants and rollouts.

--- a/internal/scheduling/scheduler/clients.go
+++ b/internal/scheduling/scheduler/clients.go
@@ -108,26 +108,26 @@
 }
 
 // answerWithReport answers with an encoded report, under the conditions of answerUnderLease.
-func (p *Pool) answerWithReport(answer answerClient, report func() easyjson.Marshaler) {
-	p.answerUnderLease(answer, func() wire.ClientAnswer {
-		body, err := easyjson.Marshal(report())
-		if err != nil {
-			p.log.Error(err, "answer not written", "key", p.key)
-			return wire.ClientAnswer{Status: http.StatusInternalServerError, Reason: "the answer could not be written"}
-		}
-		return wire.ClientAnswer{Status: http.StatusOK, Body: body}
-	})
+func (p *Pool) answerWithReport(answer answerClient, report easyjson.Marshaler) {
+	body, err := easyjson.Marshal(report)
+	if err != nil {
+		p.log.Error(err, "answer not written", "key", p.key)
+		answer(wire.ClientAnswer{Status: http.StatusInternalServerError, Reason: "the answer could not be written"})
+		return
+	}
+	p.answerUnderLease(answer, wire.ClientAnswer{Status: http.StatusOK, Body: body})
 }
 
-// answerUnderLease computes and sends a response once all changes up to now are committed. It then checks the lease on the key, and without
-// a valid lease it answers that this process isn't the leader.
-func (p *Pool) answerUnderLease(answer answerClient, response func() wire.ClientAnswer) {
+// answerUnderLease sends a response that follows from the tables as they are now. It sends the response once all changes up to now are
+// committed, so that the next leader has them too. It then checks the lease on the key, and without a valid lease it answers that this process
+// isn't the leader. The response must not be computed later: changes that come meanwhile are in the tables before they are committed.
+func (p *Pool) answerUnderLease(answer answerClient, response wire.ClientAnswer) {
 	p.afterCommit(func(err error) {
 		if err != nil || p.leadership == nil || !p.leadership.HasLease() {
 			answer(notLeaderAnswer())
 			return
 		}
-		answer(response())
+		answer(response)
 	})
 }
 
@@ -148,26 +148,32 @@
 // State answers a client with the state of a job.
 func (p *Pool) State(call *wire.ClientCall, answer answerClient) {
 	job := p.jobFor(call)
-	p.answerUnderLease(answer, func() wire.ClientAnswer {
-		switch {
-		case job == nil:
-			return unknownJobAnswer()
-		case job.phase == jobMoved:
-			return movedJobAnswer(job)
-		case job.isUnreadable && job.isOpen():
-			return wire.ClientAnswer{Status: http.StatusServiceUnavailable, Reason: "the job's record can't be read by this version"}
-		}
-		p.logShownState(job)
-		return wire.ClientAnswer{Status: http.StatusOK, Body: []byte(`{"executor-state":"` + string(job.shownState()) + `"}`)}
-	})
+	switch {
+	case job == nil:
+		p.answerUnderLease(answer, unknownJobAnswer())
+	case job.phase == jobMoved:
+		p.answerUnderLease(answer, movedJobAnswer(job))
+	case job.isUnreadable && job.isOpen():
+		answer(wire.ClientAnswer{Status: http.StatusServiceUnavailable, Reason: "the job's record can't be read by this version"})
+	default:
+		state := job.shownState()
+		p.answerUnderLease(p.logShownState(job.id, state, answer), wire.ClientAnswer{Status: http.StatusOK, Body: []byte(`{"executor-state":"` + string(state) + `"}`)})
+	}
 }
 
-// logShownState logs the state of a job that is about to be answered, with the index up to which changes are committed and the number of
-// commits in flight.
-func (p *Pool) logShownState(job *jobState) {
-	if log := p.log.V(logging.TraceVerbosity); log.Enabled() {
-		log.Info("job state answered", "key", p.key, "epoch", p.leadership.Epoch(), "job", job.id, "state", job.shownState(),
-			"commit_index", p.leadership.CommitIndex(), "pending_commits", p.pendingCommits.Len())
+// logShownState returns an answer function that logs the state that a client is shown, with the index up to which changes are committed and
+// the number of commits in flight at the time of the answer.
+func (p *Pool) logShownState(id string, state jobPhase, answer answerClient) answerClient {
+	log := p.log.V(logging.TraceVerbosity)
+	if !log.Enabled() {
+		return answer
+	}
+	return func(response wire.ClientAnswer) {
+		if p.leadership != nil {
+			log.Info("job state answered", "key", p.key, "epoch", p.leadership.Epoch(), "job", id, "state", state, "status", response.Status,
+				"commit_index", p.leadership.CommitIndex(), "pending_commits", p.pendingCommits.Len())
+		}
+		answer(response)
 	}
 }
 
@@ -181,13 +187,11 @@
 
 // Count answers a client with the number of jobs of a queue that have not started.
 func (p *Pool) Count(call *wire.ClientCall, answer answerClient) {
-	p.answerUnderLease(answer, func() wire.ClientAnswer {
-		count := p.queued[call.Route]
-		for _, former := range call.FormerRoutes {
-			count += p.queued[former]
-		}
-		return wire.ClientAnswer{Status: http.StatusOK, Body: []byte(`{"waiting-count":` + strconv.Itoa(max(0, count)) + `}`)}
-	})
+	count := p.queued[call.Route]
+	for _, former := range call.FormerRoutes {
+		count += p.queued[former]
+	}
+	p.answerUnderLease(answer, wire.ClientAnswer{Status: http.StatusOK, Body: []byte(`{"waiting-count":` + strconv.Itoa(max(0, count)) + `}`)})
 }
 
 // Cancel ends a job as cancelled and answers once that is committed. The state of a job that has ended doesn't change, and a job in
@@ -202,13 +206,12 @@
 		p.recorder.Record(recording.Event{Kind: recording.KindCancel, AtMs: p.leadership.WallMs(), ID: call.ID})
 		p.endJob(job, jobCancelled, "cancelled by its client")
 	}
-	p.answerUnderLease(answer, func() wire.ClientAnswer {
-		switch {
-		case job == nil:
-			return unknownJobAnswer()
-		case job.phase == jobMoved:
-			return movedJobAnswer(job)
-		}
-		return wire.ClientAnswer{Status: http.StatusOK, Body: []byte(`{}`)}
-	})
+	switch {
+	case job == nil:
+		p.answerUnderLease(answer, unknownJobAnswer())
+	case job.phase == jobMoved:
+		p.answerUnderLease(answer, movedJobAnswer(job))
+	default:
+		p.answerUnderLease(answer, wire.ClientAnswer{Status: http.StatusOK, Body: []byte(`{}`)})
+	}
 }
--- a/internal/scheduling/scheduler/committedanswers_test.go
+++ b/internal/scheduling/scheduler/committedanswers_test.go
@@ -50,6 +50,14 @@
 	}
 }
 
+func waitingCount(s *answerScenario, answer func(wire.ClientAnswer)) {
+	s.pool.Count(&wire.ClientCall{Route: "e"}, answer)
+}
+
+func tenantReport(s *answerScenario, answer func(wire.ClientAnswer)) { s.pool.Tenants(nil, answer) }
+
+func rolloutReport(s *answerScenario, answer func(wire.ClientAnswer)) { s.pool.Rollouts(nil, answer) }
+
 // endRun reports the end of the running job's task.
 func endRun(outcome string) func(*answerScenario) {
 	return func(s *answerScenario) {
@@ -67,6 +75,8 @@
 	}
 }
 
+func acceptTransfer(s *answerScenario) { s.sender.sent[0].answer(&wire.ClientAnswer{Status: 200}) }
+
 // askDuringCommit asks while a commit is in flight, then makes a later change, and returns the answer that comes at the end of the first
 // commit.
 func (s *answerScenario) askDuringCommit(ask question, change func(*answerScenario)) string {
@@ -95,5 +105,11 @@
 		Expect(s.state(runningJob)).To(Equal(`200{"executor-state":"active"}`))
 	},
 		Entry("a completed job", stateOf(runningJob), endRun("done"), `^200{"executor-state":"active"}$`),
+		Entry("a failed job", stateOf(runningJob), endRun("failed"), `^200{"executor-state":"active"}$`),
+		Entry("a cancelled job", stateOf(runningJob), cancel(runningJob), `^200{"executor-state":"active"}$`),
+		Entry("a transferred job", stateOf(movedJob), acceptTransfer, `^200{"executor-state":"queued"}$`),
+		Entry("the count of waiting jobs", question(waitingCount), cancel(waitingJob), `^200{"waiting-count":1}$`),
+		Entry("the use of tenants", question(tenantReport), endRun("done"), `"running":{"cpu-units":4000`),
+		Entry("the use in a rollout", question(rolloutReport), endRun("done"), `"allocated":4000`),
 	)
 })
--- a/internal/scheduling/scheduler/rollouts.go
+++ b/internal/scheduling/scheduler/rollouts.go
@@ -189,7 +189,7 @@
 
 // Rollouts answers the leader of the configuration with this pool's counts for each rollout.
 func (p *Pool) Rollouts(_ *wire.ClientCall, answer answerClient) {
-	p.answerWithReport(answer, func() easyjson.Marshaler { return p.rolloutReport() })
+	p.answerWithReport(answer, p.rolloutReport())
 }
 
 func (p *Pool) rolloutReport() *wire.RolloutReport {
--- a/internal/scheduling/scheduler/tenantcount.go
+++ b/internal/scheduling/scheduler/tenantcount.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/mailru/easyjson"
-
 	"gannetline/internal/cluster/peerapi/wire"
 	"gannetline/internal/scheduling/placement"
 	"gannetline/internal/scheduling/tenantcount"
@@ -119,9 +117,7 @@
 
 // Tenants answers an operator with the running, allowed and pending resources of each tenant in this pool.
 func (p *Pool) Tenants(_ *wire.ClientCall, answer answerClient) {
-	p.answerWithReport(answer, func() easyjson.Marshaler {
-		return &wire.TenantCountReport{Key: p.key, Version: p.tenants.version, Tenants: p.tenantUsage()}
-	})
+	p.answerWithReport(answer, &wire.TenantCountReport{Key: p.key, Version: p.tenants.version, Tenants: p.tenantUsage()})
 }
 
 // tenantUsage returns a row for each tenant, in the order in which the pool first saw them.
