Scheduler: an ID is refused for good only once its other job is committed

Callers got 409 for a job, or a transfer, whose ID belonged to a job of another queue while that job's own commit was still in flight. After a loss of all power the other job is gone, and a job was refused for good, or kept from its transfer for good, for a reason that never was. The refusal now waits for the commits up to the call, and for the lease.

Both entries of 'refuses no ID for a job that is not committed' failed before. The spec 'refuses a submission whose ID belongs to a job of another queue' now flushes before it expects the 409, as every caller of the pool does.

--- a/internal/scheduling/scheduler/clients.go
+++ b/internal/scheduling/scheduler/clients.go
@@ -26,6 +26,11 @@
 	return wire.ClientAnswer{Status: http.StatusGone, Reason: "there is no such job"}
 }
 
+// takenIDAnswer refuses a job for good, because its ID belongs to another job.
+func takenIDAnswer() wire.ClientAnswer {
+	return wire.ClientAnswer{Status: http.StatusConflict, Reason: "the ID belongs to a job of another queue"}
+}
+
 // movedJobAnswer tells the client which service's pool has the job now.
 func movedJobAnswer(job *jobState) wire.ClientAnswer {
 	return wire.ClientAnswer{Status: http.StatusGone, Reason: "the job was moved to another pool", MovedTo: job.movedTo}
@@ -48,7 +53,7 @@
 	accepted := answerOnCommit(answer)
 	if known := p.jobs[call.ID]; known != nil {
 		if !isOfQueue(known, call) || !known.isVisibleTo(call) {
-			answer(wire.ClientAnswer{Status: http.StatusConflict, Reason: "the ID belongs to a job of another queue"})
+			p.answerUnderLease(answer, takenIDAnswer())
 			return
 		}
 		p.afterCommit(accepted)
--- a/internal/scheduling/scheduler/committedanswers_test.go
+++ b/internal/scheduling/scheduler/committedanswers_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/mailru/easyjson"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -112,4 +113,34 @@
 		Entry("the use of tenants", question(tenantReport), endRun("done"), `"running":{"cpu-units":4000`),
 		Entry("the use in a rollout", question(rolloutReport), endRun("done"), `"allocated":4000`),
 	)
+
+	DescribeTable("refuses no ID for a job that is not committed", func(offer func(*fleet, func(wire.ClientAnswer))) {
+		f := newFleet(timing)
+		f.pool.Submit(&wire.ClientCall{Route: "e", ID: runningJob, Body: []byte(largeTask)}, func(wire.ClientAnswer) {})
+		f.pool.Flush()
+		var answers []wire.ClientAnswer
+		record := func(answer wire.ClientAnswer) { answers = append(answers, answer) }
+		offer(f, record)
+		f.pool.Flush()
+		Expect(answers).To(BeEmpty())
+		f.leadership.settle(errPowerLost)
+		Expect(answers).To(HaveExactElements(HaveField("NotLeader", true)))
+		f.takeOver()
+		offer(f, record)
+		f.settle()
+		Expect(answers[1].Status).To(Equal(200))
+
+		f.pool.Submit(&wire.ClientCall{Route: "e", ID: runningJob, Body: []byte(largeTask)}, record)
+		f.settle()
+		Expect(answers[2].Status).To(Equal(409))
+	},
+		Entry("to a submission to another queue", func(f *fleet, answer func(wire.ClientAnswer)) {
+			f.pool.Submit(&wire.ClientCall{Route: "other", ID: runningJob, Body: []byte(largeTask)}, answer)
+		}),
+		Entry("to a transfer of another queue's job", func(f *fleet, answer func(wire.ClientAnswer)) {
+			body, err := easyjson.Marshal(&wire.TransferCall{From: "pool/other", Number: 1, AcceptedMs: 1, Body: []byte(largeTask)})
+			Expect(err).NotTo(HaveOccurred())
+			f.pool.Transfer(&wire.ClientCall{Route: "other", ID: runningJob, Body: body}, answer)
+		}),
+	)
 })
--- a/internal/scheduling/scheduler/scheduler_test.go
+++ b/internal/scheduling/scheduler/scheduler_test.go
@@ -472,6 +472,7 @@
 		leadership.settle(nil)
 		var status int
 		pool.Submit(&wire.ClientCall{Route: "other", ID: id, Body: []byte(`{}`)}, func(answer wire.ClientAnswer) { status = answer.Status })
+		pool.Flush()
 		Expect(status).To(Equal(409))
 	})
 
--- a/internal/scheduling/scheduler/transfer.go
+++ b/internal/scheduling/scheduler/transfer.go
@@ -261,7 +261,7 @@
 	if known := p.jobs[call.ID]; known != nil {
 		switch {
 		case known.record.Route != call.Route:
-			answer(wire.ClientAnswer{Status: http.StatusConflict, Reason: "the ID belongs to a job of another queue"})
+			p.answerUnderLease(answer, takenIDAnswer())
 			return
 		case !known.comesBackWith(&moved):
 			p.afterCommit(accepted)
