Lots: an answer from uncommitted state waits for the commits

Callers were told 404 for an item whose lot was just being ended, 404 for a lot that was just being removed, and 409 for an ID that a lot just being taken had; all three before the commit. After a loss of all power the item waits, the lot is there, the ID is free.

--- a/internal/control/lots/clients.go
+++ b/internal/control/lots/clients.go
@@ -47,7 +47,7 @@
 func (p *Part) Submit(call *wire.ClientCall, answer answerClient) {
 	if existing := p.lots[call.ID]; existing != nil {
 		if !p.isVisibleTo(existing, call) {
-			answer(refusal(http.StatusConflict, "the ID belongs to another lot"))
+			p.answerUnderLease(answer, refusal(http.StatusConflict, "the ID belongs to another lot"))
 			return
 		}
 		p.answerAccepted(answer)
@@ -179,10 +179,22 @@
 	return nil
 }
 
-// answerUnderLease sends an answer that is only true while no other process leads the key. Without the lease, it refers the client to the
-// leader.
+// answerUnderLease sends an answer that depends on every change made so far and is only true while no other process leads the key. It waits
+// for the commits of these changes and then checks the lease. If a commit fails or the lease is lost, it refers the client to the leader.
 func (p *Part) answerUnderLease(answer answerClient, response wire.ClientAnswer) {
-	if !p.leadership.HasLease() {
+	p.changes.afterCommit(func(err error) {
+		if err != nil {
+			answer(wire.ClientAnswer{NotLeader: true})
+			return
+		}
+		p.answerIfLeased(answer, response)
+	})
+}
+
+// answerIfLeased sends an answer that depends only on committed changes and is only true while no other process leads the key. Without the
+// lease, it refers the client to the leader.
+func (p *Part) answerIfLeased(answer answerClient, response wire.ClientAnswer) {
+	if p.leadership == nil || !p.leadership.HasLease() {
 		answer(wire.ClientAnswer{NotLeader: true})
 		return
 	}
@@ -222,7 +234,7 @@
 		reader.answer(refusal(http.StatusInternalServerError, "the results can't be written"))
 		return
 	}
-	p.answerUnderLease(reader.answer, wire.ClientAnswer{Status: http.StatusOK, Body: encoded})
+	p.answerIfLeased(reader.answer, wire.ClientAnswer{Status: http.StatusOK, Body: encoded})
 }
 
 // answerReaders answers the readers of a lot whose position has a committed result.
