Tenant count: an answer waits for all commits that it rests on

A call that changed no grant was answered at once, and so were operators, from grants in memory whose commits were in flight: a grant of another pool, whether all grants are within the limit, whether a pool holds a whole limit. By the records no pool could use more for it: a raised grant always has a commit of its own, and a pool commits a lowered account before it reports it. But the answer said what the next leader may not know.

Answers now wait for the commits of all changes up to the call, in a commitqueue as in the other leaders; Close answers the calls that wait.

The spec 'answers when its decision is committed ...' expected the second call, which changes nothing, to be answered before the first decision is committed. That was the fault; it now expects both answers after the commit, in their order. The new spec on reports failed before (an answer came at once).

--- a/internal/control/countleader/countleader.go
+++ b/internal/control/countleader/countleader.go
@@ -11,6 +11,7 @@
 
 	"gannetline/internal/cluster/peerapi/wire"
 	"gannetline/internal/platform/clock"
+	"gannetline/internal/platform/commitqueue"
 	"gannetline/internal/platform/logging"
 	"gannetline/internal/scheduling/tenantcount"
 )
@@ -40,6 +41,7 @@
 	// leadership and part are nil while another process leads the key.
 	leadership Leadership
 	part       *tenantcount.Part
+	commits    commitqueue.Queue
 }
 
 // New creates a leader without a leadership. policy returns the policy of the current configuration; Grant and Tenants call it each time.
@@ -53,13 +55,22 @@
 	if err != nil {
 		return err
 	}
+	l.Close()
 	l.leadership, l.part = leadership, part
 	l.log.Info("tenant count taken over", "key", l.key, "epoch", leadership.Epoch(), "grants", len(pairs))
 	return nil
 }
 
-// Close ends the leadership. Calls that wait for a commit are answered with NotLeader when that commit ends.
-func (l *Leader) Close() { l.leadership, l.part = nil, nil }
+// errClosed is passed to the callbacks that are waiting for a commit when the leadership ends.
+const errClosed = errors.ConstError("the leadership of the partition has ended")
+
+// Close ends the leadership. Calls that wait for a commit are answered with NotLeader.
+func (l *Leader) Close() {
+	l.leadership, l.part = nil, nil
+	for _, callback := range l.commits.TakeCallbacks() {
+		callback(errClosed)
+	}
+}
 
 // IsOpen reports whether this process leads the key.
 func (l *Leader) IsOpen() bool { return l.part != nil }
@@ -83,22 +94,21 @@
 	given.Version = policy.Version
 	grantCalls.With(l.key).Inc()
 	grantTurns.With(l.key).Add(l.part.TurnsBegun() - turnsBefore)
-	if len(ops) == 0 {
-		l.answerUnderLease(&given, answer)
-		return
+	if len(ops) > 0 {
+		grantChanges.With(l.key).Add(len(ops))
+		l.commit(ops)
 	}
-	grantChanges.With(l.key).Add(len(ops))
-	l.leadership.Commit(ops, func(err error) {
-		if err != nil {
-			answer(wire.ClientAnswer{NotLeader: true})
-			return
-		}
-		l.answerUnderLease(&given, answer)
-	})
+	l.answerUnderLease(&given, answer)
 }
 
-// answerUnderLease answers with the content if the lease is valid, and otherwise with NotLeader, because another leader may have decided
-// differently.
+// commit proposes a change.
+func (l *Leader) commit(ops []wire.Op) {
+	commit := l.commits.Add()
+	l.leadership.Commit(ops, func(err error) { l.commits.End(commit, err) })
+}
+
+// answerUnderLease answers with the content, which follows from the state as it is now, once all changes up to now are committed. If the
+// lease is not valid then, it answers with NotLeader, because another leader may have decided differently.
 func (l *Leader) answerUnderLease(content easyjson.Marshaler, answer func(wire.ClientAnswer)) {
 	body, err := easyjson.Marshal(content)
 	if err != nil {
@@ -106,11 +116,13 @@
 		answer(wire.ClientAnswer{Status: http.StatusInternalServerError, Reason: "the answer could not be written"})
 		return
 	}
-	if l.leadership == nil || !l.leadership.HasLease() {
-		answer(wire.ClientAnswer{NotLeader: true})
-		return
-	}
-	answer(wire.ClientAnswer{Status: http.StatusOK, Body: body})
+	l.commits.AfterAll(func(err error) {
+		if err != nil || l.leadership == nil || !l.leadership.HasLease() {
+			answer(wire.ClientAnswer{NotLeader: true})
+			return
+		}
+		answer(wire.ClientAnswer{Status: http.StatusOK, Body: body})
+	})
 }
 
 // Tenants answers an operator's call with the limits and grants of the partition's tenants. It may be called only while IsOpen returns true.
--- a/internal/control/countleader/countleader_test.go
+++ b/internal/control/countleader/countleader_test.go
@@ -65,11 +65,19 @@
 	It("answers when its decision is committed, and decides on further calls before that", func() {
 		ask("x", 1, 500)
 		ask("y", 1, 500)
-		Expect(answers).To(HaveLen(1), "the second call changes nothing and needs no commit")
-		Expect(granted(answers[0])).To(BeZero())
+		Expect(answers).To(BeEmpty(), "the second answer depends on the first decision")
 		leadership.finishCommits(nil)
 		Expect(answers).To(HaveLen(2))
-		Expect(granted(answers[1])).To(Equal(int64(100)))
+		Expect(granted(answers[0])).To(Equal(int64(100)))
+		Expect(granted(answers[1])).To(BeZero())
+	})
+
+	It("reports no grant to operators that a loss of all power can still undo", func() {
+		ask("x", 1, 500)
+		leader.Tenants(nil, func(answer wire.ClientAnswer) { answers = append(answers, answer) })
+		Expect(answers).To(BeEmpty())
+		leadership.finishCommits(errors.New("power lost"))
+		Expect(answers).To(HaveExactElements(HaveField("NotLeader", true), HaveField("NotLeader", true)))
 	})
 
 	It("answers NotLeader after the leadership is lost or the lease has expired", func() {
