Locks and cells: puts are refused as no longer kept once their removal is committed

A watch from an old revision got 410 while the change that removes those puts was still in flight; after a loss of all power the next leader has them. The refusal waits for the pending commits now; answers with puts contain durable ones only and don't wait, as before. The new spec on watches failed before (410 came at once).

--- a/internal/control/coordination/part_test.go
+++ b/internal/control/coordination/part_test.go
@@ -285,6 +285,16 @@
 		Expect(h.lastAnswer()).To(Equal("not leader"), "another leader may have accepted puts since")
 	})
 
+	It("are not refused for puts whose removal a loss of all power can still undo", func() {
+		h.advance(testHistory + cleanUpInterval)
+		h.watch("g.", 1, time.Second)
+		Expect(h.answers).To(BeEmpty())
+		h.changeLeader()
+		Expect(h.lastAnswer()).To(Equal("not leader"))
+		h.watch("g.", 1, time.Second)
+		Expect(h.lastAnswer()).To(Equal("200 " + events))
+	})
+
 	It("return all puts of the history time, also after a change of leader, and are refused after it", func() {
 		h.advance(testHistory - time.Second)
 		h.changeLeader()
--- a/internal/control/coordination/watches.go
+++ b/internal/control/coordination/watches.go
@@ -22,7 +22,7 @@
 
 // Watch answers with the puts of a group above the revision call.Base, as soon as there is one. After call.RemainingMs it answers without
 // puts. Base 0 asks for the current revision only, so such a call waits only if the group has no durable put yet. Answers contain only
-// durable puts, so they don't wait for pending commits.
+// durable puts, so they don't wait for pending commits. The answer that puts are no longer kept waits, since their removal may be pending.
 func (p *Part) Watch(call *wire.ClientCall, answer answerClient) {
 	afterRevision, now := uint64(call.Base), p.Clock.Monotonic()
 	group := p.cells.groups[call.ID]
@@ -30,7 +30,7 @@
 	case afterRevision == 0 && group != nil && group.committedRevision > 0:
 		p.answerIfLeased(p.success(noEvents(group.committedRevision)), answer)
 	case group != nil && afterRevision < group.compactRevision:
-		p.answerIfLeased(refusal(http.StatusGone, "the puts after that revision are no longer kept"), answer)
+		p.answerUnderLease(refusal(http.StatusGone, "the puts after that revision are no longer kept"), answer)
 	case group != nil && afterRevision < group.committedRevision:
 		p.answerIfLeased(p.success(group.eventsAfter(afterRevision)), answer)
 	case call.RemainingMs <= 0:
