Simulated cluster: clients that ask every leader all the time, power lost at every millisecond

None of the worlds had clients that ask while power is lost, so none could show TWICE. The simulated cluster runs the leaders of all kinds of keys now (jobs, lots, tenant count, locks and cells, configuration and evacuations), each with the real replication.

Not in the world: the removal of old lots and of old puts, which take minutes; their specs stand in lots and coordination.

--- a/internal/simulation/simcluster/node.go
+++ b/internal/simulation/simcluster/node.go
@@ -6,10 +6,8 @@
 	"github.com/juju/errors"
 
 	"gannetline/internal/cluster/peerapi/wire"
-	"gannetline/internal/control/poolhost"
 	"gannetline/internal/control/replication"
 	"gannetline/internal/platform/mailbox"
-	"gannetline/internal/scheduling/scheduler"
 )
 
 const (
@@ -26,21 +24,19 @@
 
 // Node is one simulated steward. Its disk survives a crash of the process; Wipe replaces the disk, and formerDisks names the earlier ones.
 type Node struct {
-	cluster         *Cluster
-	Name            string
-	disk            *Disk
-	formerDisks     []string
-	isUp            bool
-	isFrozen        bool
-	incarnation     int
-	replicas        *replication.Replicas
-	engines         map[string]*replication.Engine
-	engineMailboxes map[string]*mailbox.Mailbox
-	hosts           map[string]*poolhost.Host
-	pools           map[string]*scheduler.Pool
-}
-
-// start starts the process on its disk, with a replication engine and a pool for each key.
+	cluster     *Cluster
+	Name        string
+	disk        *Disk
+	formerDisks []string
+	isUp        bool
+	isFrozen    bool
+	incarnation int
+	replicas    *replication.Replicas
+	// runners holds the engine and the state machine of each key.
+	runners map[string]*keyRunner
+}
+
+// start starts the process on its disk, with a replication engine and a state machine for each key.
 func (n *Node) start() {
 	n.isUp, n.isFrozen = true, false
 	n.incarnation++
@@ -50,28 +46,21 @@
 		panic(err)
 	}
 	n.replicas = replicas
-	n.engines, n.pools = map[string]*replication.Engine{}, map[string]*scheduler.Pool{}
-	n.engineMailboxes, n.hosts = map[string]*mailbox.Mailbox{}, map[string]*poolhost.Host{}
+	n.runners = map[string]*keyRunner{}
 	for _, key := range n.cluster.keys {
-		pool := scheduler.New(key, n.cluster.Events.Clock, n.cluster.timing, n.cluster.log, n.cluster.poolOptions...)
-		n.pools[key] = pool
-		n.engineMailboxes[key] = mailbox.New(4096)
-		n.hosts[key] = poolhost.New(pool, n.engineMailboxes[key])
-		n.engines[key] = replication.NewEngine(key, n.disk.name, n.Name, n.cluster.Events.Clock, &transport{n, n.incarnation}, n.hosts[key],
-			n.cluster.members, replication.WithInitialVoters(n.cluster.initialVoters()), replication.WithLog(n.cluster.log))
+		n.runners[key] = n.newKeyRunner(key)
 	}
 	n.tick(n.incarnation)
 }
 
-// tick calls Tick of engines and pools at each tickInterval until the process ends.
+// tick ticks the engines and state machines at each tickInterval until the process ends.
 func (n *Node) tick(incarnation int) {
 	if !n.isUp || n.incarnation != incarnation {
 		return
 	}
 	n.runIfAlive(incarnation, func() {
 		for _, key := range n.cluster.keys {
-			n.engines[key].Tick()
-			n.pools[key].Tick()
+			n.runners[key].tick()
 		}
 	})
 	n.cluster.Events.After(tickInterval, func() { n.tick(incarnation) })
@@ -97,21 +86,9 @@
 	}
 	n.replicas.Mailbox().Drain()
 	for _, key := range n.cluster.keys {
-		for n.drainKey(key) {
-		}
-	}
-}
-
-// drainKey runs the messages that wait for a key's engine and pool. It reports whether there were any.
-func (n *Node) drainKey(key string) (wasBusy bool) {
-	n.pools[key].Flush()
-	for _, inbox := range []*mailbox.Mailbox{n.engineMailboxes[key], n.hosts[key].Mailbox()} {
-		for inbox.Step() {
-			wasBusy = true
+		for n.runners[key].drain() {
 		}
-		n.hosts[key].Flush()
 	}
-	return wasBusy
 }
 
 func (n *Node) kill() {
--- a/internal/simulation/simcluster/proxy.go
+++ b/internal/simulation/simcluster/proxy.go
@@ -199,7 +199,7 @@
 		p.table.HandleAnswer(request, sentAt, &wire.ExchangeAnswer{Fence: request.Fence, LastSeen: request.Ends[count-1].Number})
 	}
 	call(p.cluster, p.endpoint(), leader.endpoint(), clock.Milliseconds(request.WaitMs)+1500*time.Millisecond, func(answer func(wire.ExchangeAnswer)) {
-		pool := leader.pools[request.Key]
+		pool := leader.poolOf(request.Key)
 		if pool == nil || !pool.IsOpen() {
 			answer(wire.ExchangeAnswer{NotLeader: true})
 			return
--- a/internal/simulation/simcluster/simcluster.go
+++ b/internal/simulation/simcluster/simcluster.go
@@ -35,6 +35,7 @@
 	poolOptions       []scheduler.Option
 	grantFactor       int64
 	acknowledgesEarly bool
+	answerFault       AnswerFault
 	hasGossip         bool
 	// knownLeader is the leader that was last announced to the proxies. It is nil without WithGossip.
 	knownLeader *Node
@@ -55,6 +56,11 @@
 // serve sets the service whose pool the cluster runs.
 func (s *Cluster) serve(service string) { s.service, s.keys = service, []string{wire.PoolKey(service)} }
 
+// WithKeys adds keys other than the pool's: the configuration, the lots, and parts of the tenant count and of the coordination.
+func WithKeys(keys ...string) Option {
+	return func(s *Cluster) { s.keys = append(s.keys, keys...) }
+}
+
 // WithTiming replaces DefaultTiming.
 func WithTiming(timing scheduler.Timing) Option { return func(s *Cluster) { s.timing = timing } }
 
@@ -197,7 +203,7 @@
 // Leader returns the first running steward that leads the pool by its own view, or nil. A frozen steward does not count.
 func (s *Cluster) Leader() *Node {
 	index := slices.IndexFunc(s.Nodes, func(node *Node) bool {
-		return node.isUp && !node.isFrozen && node.engines[s.keys[0]].IsLeader()
+		return node.isUp && !node.isFrozen && node.runners[s.keys[0]].engine.IsLeader()
 	})
 	if index < 0 {
 		return nil
@@ -205,6 +211,13 @@
 	return s.Nodes[index]
 }
 
+// HasLeaders reports whether each key has a running leader, by its own view.
+func (s *Cluster) HasLeaders() bool {
+	return !slices.ContainsFunc(s.keys, func(key string) bool {
+		return !slices.ContainsFunc(s.Nodes, func(node *Node) bool { return node.isUp && node.runners[key].engine.IsLeader() })
+	})
+}
+
 // Kill cuts the power of a steward. Writes that were not synced are lost.
 func (s *Cluster) Kill(node *Node) { node.kill() }
 
@@ -276,34 +289,44 @@
 	})
 }
 
-// CallLeader makes a client's call: it calls the stewards in turn, from a random one, until the leader of the pool answers. If no leader
-// answers within 200 retries, answer is not called.
+// CallLeader makes a client's call: it calls the stewards in turn, from a random one, until the leader of the call's key answers, by default
+// of the pool. If no leader answers within maxCallRetries retries, answer is not called.
 func (s *Cluster) CallLeader(request wire.ClientCall, answer func(wire.ClientAnswer)) {
-	request.Key = s.keys[0]
+	if request.Key == "" {
+		request.Key = s.keys[0]
+	}
 	s.callNode(&request, s.Events.Draw.IntN(len(s.Nodes)), 0, answer)
 }
 
+// CallLeaderOnce makes a client's call to the present leader of the call's key, once. Without a leader or an answer, answer is not called.
+func (s *Cluster) CallLeaderOnce(request wire.ClientCall, answer func(wire.ClientAnswer)) {
+	index := slices.IndexFunc(s.Nodes, func(node *Node) bool { return node.isUp && node.runners[request.Key].engine.IsLeader() })
+	if index >= 0 {
+		s.callNode(&request, index, maxCallRetries, answer)
+	}
+}
+
+// maxCallRetries is how often a client's call is tried again.
+const maxCallRetries = 200
+
 // callNode makes a client's call to the node at an index (modulo their number), and 50 ms after a failure to the next one. attempt is the
-// number of earlier tries, at most 200.
+// number of earlier tries, at most maxCallRetries.
 func (s *Cluster) callNode(request *wire.ClientCall, index, attempt int, answer func(wire.ClientAnswer)) {
 	node := s.Nodes[index%len(s.Nodes)]
 	client := &simEndpoint{"client", func(run func()) { run() }}
 	call(s, client, node.endpoint(), 900*time.Millisecond, func(respond func(wire.ClientAnswer)) {
-		pool := node.pools[request.Key]
-		if pool == nil || !pool.IsOpen() {
+		runner := node.runners[request.Key]
+		if runner == nil || !runner.machine.IsOpen() {
 			respond(wire.ClientAnswer{NotLeader: true})
 			return
 		}
-		handlers := map[wire.Verb]func(*wire.ClientCall, func(wire.ClientAnswer)){
-			wire.VerbSubmit: pool.Submit, wire.VerbState: pool.State, wire.VerbCancel: pool.Cancel, wire.VerbCount: pool.Count,
-			wire.VerbTransfer: pool.Transfer, wire.VerbTransferAgain: pool.Transfer, wire.VerbRollouts: pool.Rollouts}
-		handlers[request.Verb](request, respond)
+		runner.machine.execute(request, respond)
 	}, func(response wire.ClientAnswer, err error) {
 		if err == nil && !response.NotLeader {
 			answer(response)
 			return
 		}
-		if attempt < 200 {
+		if attempt < maxCallRetries {
 			s.Events.After(50*time.Millisecond, func() { s.callNode(request, index+1, attempt+1, answer) })
 		}
 	})
@@ -352,7 +375,7 @@
 	if leader == nil {
 		return 0, 0
 	}
-	allJobs, _ := leader.pools[s.keys[0]].Beliefs()
+	allJobs, _ := leader.poolOf(s.keys[0]).Beliefs()
 	return len(allJobs), len(leader.disk.pairs[s.keys[0]])
 }
 
@@ -363,7 +386,7 @@
 func (s *Cluster) JobStates() map[string]string {
 	states := map[string]string{}
 	if leader := s.Leader(); leader != nil {
-		jobs, _ := leader.pools[s.keys[0]].Beliefs()
+		jobs, _ := leader.poolOf(s.keys[0]).Beliefs()
 		for _, belief := range jobs {
 			states[belief.ID] = belief.State
 		}
--- a/internal/simulation/simcluster/stalls.go
+++ b/internal/simulation/simcluster/stalls.go
@@ -179,7 +179,7 @@
 // excuseUnreachable excuses the jobs that, in the leader's table, have runs on executors that are unreachable now. Their tasks may start
 // elsewhere only after the lease of these runs has expired, so the excuse lasts for the longest hold and one second more.
 func (d *StallDetector) excuseUnreachable() {
-	pool := d.cluster.Leader().pools[d.cluster.keys[0]]
+	pool := d.cluster.Leader().poolOf(d.cluster.keys[0])
 	until := d.cluster.Events.Now() + d.cluster.timing.MaxHold + time.Second
 	for _, executor := range d.cluster.Executors {
 		if executor.isReachable() {
