Scheduler: a client that asks shortly before a job ends learns of the end

Now the state is worked out again when the changes up to the call are committed. If it is another one by then, the answer waits until the changes up to then are committed too. What is shown is committed as before, and no older than the call.

--- a/internal/scheduling/scheduler/clients.go
+++ b/internal/scheduling/scheduler/clients.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"bytes"
 	"net/http"
 	"slices"
 	"strconv"
@@ -128,7 +129,7 @@
 // isn't the leader. The response must not be computed later: changes that come meanwhile are in the tables before they are committed.
 func (p *Pool) answerUnderLease(answer answerClient, response wire.ClientAnswer) {
 	p.afterCommit(func(err error) {
-		if err != nil || p.leadership == nil || !p.leadership.HasLease() {
+		if !p.mayAnswer(err) {
 			answer(notLeaderAnswer())
 			return
 		}
@@ -136,6 +137,34 @@
 	})
 }
 
+// mayAnswer reports whether an answer may be sent after a commit: it has succeeded, and no other process can lead the key.
+func (p *Pool) mayAnswer(err error) bool {
+	return err == nil && p.leadership != nil && p.leadership.HasLease()
+}
+
+// answerLatest sends a response that follows from the tables. If the response has changed by the time at which all changes up to now are
+// committed, it sends the new one instead, once the changes up to then are committed, too. So a client that asks shortly before a job ends
+// learns of the end.
+func (p *Pool) answerLatest(answer answerClient, response func() wire.ClientAnswer) {
+	atCall := response()
+	p.afterCommit(func(err error) {
+		if !p.mayAnswer(err) {
+			answer(notLeaderAnswer())
+			return
+		}
+		if latest := response(); !isSameAnswer(latest, atCall) {
+			p.answerUnderLease(answer, latest)
+			return
+		}
+		answer(atCall)
+	})
+}
+
+// isSameAnswer reports whether a client learns the same from two answers about a job.
+func isSameAnswer(a, b wire.ClientAnswer) bool {
+	return a.Status == b.Status && a.MovedTo == b.MovedTo && bytes.Equal(a.Body, b.Body)
+}
+
 // jobFor returns the job named by a call, or nil if there is no such job or the call's tenant may not see it.
 func (p *Pool) jobFor(call *wire.ClientCall) *jobState {
 	if job := p.jobs[call.ID]; job != nil && job.isVisibleTo(call) {
@@ -152,30 +181,33 @@
 
 // State answers a client with the state of a job.
 func (p *Pool) State(call *wire.ClientCall, answer answerClient) {
+	p.answerLatest(p.logShownState(call.ID, answer), func() wire.ClientAnswer { return p.stateAnswer(call) })
+}
+
+// stateAnswer returns the answer about the state of a job that follows from the tables, which may be ahead of the commits.
+func (p *Pool) stateAnswer(call *wire.ClientCall) wire.ClientAnswer {
 	job := p.jobFor(call)
 	switch {
 	case job == nil:
-		p.answerUnderLease(answer, unknownJobAnswer())
+		return unknownJobAnswer()
 	case job.phase == jobMoved:
-		p.answerUnderLease(answer, movedJobAnswer(job))
+		return movedJobAnswer(job)
 	case job.isUnreadable && job.isOpen():
-		answer(wire.ClientAnswer{Status: http.StatusServiceUnavailable, Reason: "the job's record can't be read by this version"})
-	default:
-		state := job.shownState()
-		p.answerUnderLease(p.logShownState(job.id, state, answer), wire.ClientAnswer{Status: http.StatusOK, Body: []byte(`{"executor-state":"` + string(state) + `"}`)})
+		return wire.ClientAnswer{Status: http.StatusServiceUnavailable, Reason: "the job's record can't be read by this version"}
 	}
+	return wire.ClientAnswer{Status: http.StatusOK, Body: []byte(`{"executor-state":"` + string(job.shownState()) + `"}`)}
 }
 
-// logShownState returns an answer function that logs the state that a client is shown, with the index up to which changes are committed and
+// logShownState returns an answer function that logs what a client is shown of a job, with the index up to which changes are committed and
 // the number of commits in flight at the time of the answer.
-func (p *Pool) logShownState(id string, state jobPhase, answer answerClient) answerClient {
+func (p *Pool) logShownState(id string, answer answerClient) answerClient {
 	log := p.log.V(logging.TraceVerbosity)
 	if !log.Enabled() {
 		return answer
 	}
 	return func(response wire.ClientAnswer) {
 		if p.leadership != nil {
-			log.Info("job state answered", "key", p.key, "epoch", p.leadership.Epoch(), "job", id, "state", state, "status", response.Status,
+			log.Info("job state answered", "key", p.key, "epoch", p.leadership.Epoch(), "job", id, "status", response.Status, "body", string(response.Body),
 				"commit_index", p.leadership.CommitIndex(), "pending_commits", p.pendingCommits.Len())
 		}
 		answer(response)
