--- a/internal/simulation/simcluster/answerfaults.go
+++ b/internal/simulation/simcluster/answerfaults.go
@@ -1,6 +1,7 @@
 package simcluster
 
 import (
+	"fmt"
 	"net/http"
 
 	"gannetline/internal/cluster/peerapi/wire"
@@ -87,33 +88,41 @@
 	return machine
 }
 
-// lateAnswers replaces a pool's answers to calls with a verb by those that follow from the tables as they are when the answer is sent.
+// lateAnswers answers calls with a verb from the pool's tables as they are when the commits before the call end.
 type lateAnswers struct {
 	poolMachine
 	verb wire.Verb
 }
 
 func (m lateAnswers) execute(call *wire.ClientCall, answer func(wire.ClientAnswer)) {
-	m.poolMachine.execute(call, func(response wire.ClientAnswer) {
-		if response.Status == http.StatusOK && call.Verb == m.verb && m.IsOpen() {
-			response.Body = m.currentAnswer(call)
+	if call.Verb != m.verb {
+		m.poolMachine.execute(call, answer)
+		return
+	}
+	// The answer to a count comes when the commits before the call end.
+	m.Count(call, func(response wire.ClientAnswer) {
+		if response.Status == http.StatusOK && m.IsOpen() {
+			response = m.answerFromTables(call)
 		}
 		answer(response)
 	})
 }
 
-func (m lateAnswers) currentAnswer(call *wire.ClientCall) []byte {
+func (m lateAnswers) answerFromTables(call *wire.ClientCall) wire.ClientAnswer {
 	jobs, _ := m.Beliefs()
 	waiting := 0
 	for _, job := range jobs {
 		if call.Verb == wire.VerbState && job.ID == call.ID {
-			return stateBody(job.State)
+			return wire.ClientAnswer{Status: http.StatusOK, Body: fmt.Appendf(nil, `{"executor-state":%q}`, job.State)}
 		}
 		if job.State == "queued" {
 			waiting++
 		}
 	}
-	return countBody(waiting)
+	if call.Verb == wire.VerbState {
+		return wire.ClientAnswer{Status: http.StatusGone}
+	}
+	return wire.ClientAnswer{Status: http.StatusOK, Body: fmt.Appendf(nil, `{"waiting-count":%d}`, waiting)}
 }
 
 // earlyRefusals refuses an ID at once if it was submitted to another queue, or by another tenant, before.
--- a/internal/simulation/simcluster/history.go
+++ b/internal/simulation/simcluster/history.go
@@ -100,7 +100,3 @@
 
 // String returns the state as text.
 func (s Shown) String() string { return fmt.Sprintf("%d %s", s.Rank, s.Text) }
-
-func stateBody(state string) []byte { return fmt.Appendf(nil, `{"executor-state":%q}`, state) }
-
-func countBody(count int) []byte { return fmt.Appendf(nil, `{"waiting-count":%d}`, count) }
