--- a/internal/answeraudit/audit.go
+++ b/internal/answeraudit/audit.go
@@ -5,8 +5,8 @@
 	"bytes"
 	"encoding/json"
 	"io"
+	"regexp"
 	"slices"
-	"strings"
 
 	"github.com/juju/errors"
 )
@@ -14,9 +14,6 @@
 // maxLineBytes limits a log line. A line names all records of a change.
 const maxLineBytes = 16 << 20
 
-// stateRecordPrefix is the prefix of the names of the records that hold how jobs ended.
-const stateRecordPrefix = "s/"
-
 // The messages of the lines that are read.
 const (
 	messageCommitted = "changes committed"
@@ -26,15 +23,12 @@
 // finalStates are the states in which a job has ended.
 var finalStates = []string{"completed", "failed", "cancelled"}
 
-// logLine holds the fields of the lines that are read.
+// logLine holds the fields of a line with an answer.
 type logLine struct {
-	Message     string   `json:"msg"`
-	Key         string   `json:"key"`
-	Epoch       uint64   `json:"epoch"`
-	Records     []string `json:"records"`
-	Job         string   `json:"job"`
-	Body        string   `json:"body"`
-	CommitIndex uint64   `json:"commit_index"`
+	Epoch       uint64 `json:"epoch"`
+	Job         string `json:"job"`
+	Body        string `json:"body"`
+	CommitIndex uint64 `json:"commit_index"`
 }
 
 // state returns the state of the job in an answer, or an empty string if the answer has none.
@@ -48,54 +42,67 @@
 	return shown.State
 }
 
-// auditReport is the result of an audit: the number of final states that were answered, and the answers that came before the commit.
+// auditReport is the result of an audit.
 type auditReport struct {
+	// answered is the number of final states that were answered.
+	answered int
+	// early holds the answers that came before the commit of the end.
+	early []*logLine
+	// unnamed is the number of answers about jobs whose end no line names. A new leader may have found the end among the records.
+	unnamed int
+}
+
+// auditor reads log lines in the order in which they were written.
+type auditor struct {
 	answered int
 	early    []*logLine
+	// ended holds the jobs whose end is committed.
+	ended map[string]bool
+	// unproven holds, by job, the answers about an end for which no commit has come yet.
+	unproven map[string][]*logLine
 }
 
-// audit reads log lines in the order in which they were written.
+// stateRecordPattern matches the name of a record that holds how a job ended.
+var stateRecordPattern = regexp.MustCompile(`"s/([0-9a-f]{16})"`)
+
+// audit reads the log of all processes.
 func audit(input io.Reader) (*auditReport, error) {
-	report, ended := &auditReport{}, map[string]bool{}
+	a := &auditor{ended: map[string]bool{}, unproven: map[string][]*logLine{}}
 	lines := bufio.NewScanner(input)
 	lines.Buffer(nil, maxLineBytes)
 	for lines.Scan() {
-		if !bytes.Contains(lines.Bytes(), []byte(messageCommitted)) && !bytes.Contains(lines.Bytes(), []byte(messageAnswered)) {
-			continue
-		}
-		if line := parseLine(lines.Bytes()); line != nil {
-			report.add(line, ended)
+		switch text := lines.Bytes(); {
+		case bytes.Contains(text, []byte(messageCommitted)):
+			a.addCommit(text)
+		case bytes.Contains(text, []byte(messageAnswered)):
+			a.addAnswer(text)
 		}
 	}
-	return report, errors.Annotate(lines.Err(), "reading the log")
+	unnamed := 0
+	for _, answers := range a.unproven {
+		unnamed += len(answers)
+	}
+	return &auditReport{a.answered, a.early, unnamed}, errors.Annotate(lines.Err(), "reading the log")
 }
 
-// parseLine returns the fields of a line, or nil if it has no JSON or was cut off.
-func parseLine(text []byte) *logLine {
-	start := bytes.IndexByte(text, '{')
-	line := &logLine{}
-	if start < 0 || json.Unmarshal(text[start:], line) != nil {
-		return nil
+// addCommit records the ends that a commit contains. It doesn't parse the line, since two long lines of a process may run together.
+func (a *auditor) addCommit(text []byte) {
+	for _, match := range stateRecordPattern.FindAllSubmatch(text, -1) {
+		job := string(match[1])
+		a.ended[job] = true
+		a.early = append(a.early, a.unproven[job]...)
+		delete(a.unproven, job)
 	}
-	return line
 }
 
-// add counts a line. ended holds the jobs whose end is committed, by key and ID.
-func (r *auditReport) add(line *logLine, ended map[string]bool) {
-	switch line.Message {
-	case messageCommitted:
-		for _, record := range line.Records {
-			if job, isState := strings.CutPrefix(record, stateRecordPrefix); isState {
-				ended[line.Key+" "+job] = true
-			}
-		}
-	case messageAnswered:
-		if !slices.Contains(finalStates, line.state()) {
-			return
-		}
-		r.answered++
-		if !ended[line.Key+" "+line.Job] {
-			r.early = append(r.early, line)
-		}
+// addAnswer counts an answer with a final state. It passes over a line that was cut off.
+func (a *auditor) addAnswer(text []byte) {
+	start, line := bytes.IndexByte(text, '{'), &logLine{}
+	if start < 0 || json.Unmarshal(text[start:], line) != nil || !slices.Contains(finalStates, line.state()) {
+		return
+	}
+	a.answered++
+	if !a.ended[line.Job] {
+		a.unproven[line.Job] = append(a.unproven[line.Job], line)
 	}
 }
--- a/internal/answeraudit/main.go
+++ b/internal/answeraudit/main.go
@@ -15,7 +15,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
-	fmt.Printf("final states answered: %d, before the commit of the end: %d\n", report.answered, len(report.early))
+	fmt.Printf("final states answered: %d, before the commit of the end: %d, of ends that no line names: %d\n", report.answered, len(report.early), report.unnamed)
 	for _, answer := range report.early {
 		fmt.Printf("job %s: %s answered at epoch %d, commit index %d\n", answer.Job, answer.state(), answer.Epoch, answer.CommitIndex)
 	}
