--- a/internal/simulation/simcluster/answers_test.go
+++ b/internal/simulation/simcluster/answers_test.go
@@ -125,7 +125,7 @@
 	}
 }
 
-// askForContestedID submits jobs to two queues under the same ID.
+// askForContestedIDs submits jobs to two queues under the same ID.
 func (w *askedWorld) askForContestedIDs() {
 	const contests = 5
 	for number := range contests {
