Soak: an oracle for states that are taken back

A job that was shown as ended must be shown so to every client that asks later. The soak compared only completions with what executors had done. The new spec plants a job that is shown as active after completed.

--- a/internal/simulation/soak/oracles.go
+++ b/internal/simulation/soak/oracles.go
@@ -27,6 +27,8 @@
 	OracleWrong Oracle = "wrong-answer"
 	// OracleShown: a job is shown as completed before all its tasks are done.
 	OracleShown Oracle = "shown"
+	// OracleTakenBack: a job was shown as ended, and a client that asked later is shown another state.
+	OracleTakenBack Oracle = "taken-back"
 	// OracleCut: a request was sent whole and got no answer, and no fault explains this.
 	OracleCut Oracle = "cut"
 	// OracleCancelled: a task of a cancelled job starts long after the cancellation was acknowledged.
@@ -69,7 +71,7 @@
 }
 
 // oracles are the functions of all oracles.
-var oracles = []func(*History) []Violation{lostJobs, unknownJobs, repeatedRuns, wrongAnswers, falseCompletions, cutRequests, lateStarts, repeatedFences,
+var oracles = []func(*History) []Violation{lostJobs, unknownJobs, repeatedRuns, wrongAnswers, falseCompletions, retractedStates, cutRequests, lateStarts, repeatedFences,
 	staleConfigurations, badExits, coordinationViolations, badRollouts, startsInEvacuatedZones, exceededLimits, unknownKeys, badStreams, repeatedStreams, badLots, unservedFeatures, growingResources}
 
 // Judge runs all oracles on a history and returns their violations in the order of time.
@@ -236,6 +238,31 @@
 	return violations
 }
 
+// retractedStates is OracleTakenBack. It compares the state in each answer with the first answers that showed the job as ended.
+func retractedStates(h *History) []Violation {
+	ended := map[string]*Call{}
+	for index := range h.Calls {
+		call := &h.Calls[index]
+		if first := ended[call.Job]; isFinalState(call.State) && (first == nil || call.EndedAt < first.EndedAt) {
+			ended[call.Job] = call
+		}
+	}
+	var violations []Violation
+	for index := range h.Calls {
+		call := &h.Calls[index]
+		if first := ended[call.Job]; first != nil && call.State != "" && call.State != first.State && call.SentAt > first.EndedAt {
+			violations = append(violations, Violation{OracleTakenBack, call.EndedAt, fmt.Sprintf("job %s was shown as %s at %v, and as %s to a call sent at %v",
+				call.Job, first.State, first.EndedAt, call.State, call.SentAt)})
+		}
+	}
+	return violations
+}
+
+// isFinalState reports whether a job with this state has ended.
+func isFinalState(state string) bool {
+	return state == "completed" || state == "failed" || state == "cancelled"
+}
+
 // hadFault reports whether a fault of the given kinds, or of any kind if none is given, affected a process or the connections of
 // its clients at any time of an interval.
 func (h *History) hadFault(target string, from, to time.Duration, kinds ...FaultKind) bool {
--- a/internal/simulation/soak/oracles_test.go
+++ b/internal/simulation/soak/oracles_test.go
@@ -79,6 +79,11 @@
 		Entry("a start after the task was done", OracleTwice, func(h *History) {
 			h.Runs = append(h.Runs, hollow.RunRecord{Task: "0000000000000111.0.0.0", Run: 3, Node: "worker-2", StartMs: h.StartMs + 1350, EndMs: h.StartMs + 1360, Outcome: "stopped"})
 		}),
+		Entry("a completed job that is shown as active later", OracleTakenBack, func(h *History) {
+			later := h.Calls[3]
+			later.State, later.SentAt, later.EndedAt = "active", 9100*time.Millisecond, 9200*time.Millisecond
+			h.Calls = append(h.Calls, later)
+		}),
 		Entry("the answer to another request", OracleWrong, func(h *History) { h.Calls[0].EchoedID = "another" }),
 		Entry("an answer without an ID", OracleWrong, func(h *History) { h.Calls[0].EchoedID = "" }),
 		Entry("a request without an answer from a gate without a fault", OracleCut, func(h *History) {
