--- a/internal/simulation/simcluster/answerfaults.go
+++ b/internal/simulation/simcluster/answerfaults.go
@@ -16,9 +16,9 @@
 type AnswerFault string
 
 const (
-	// FaultStateAtEndOfCommit and FaultCountAtEndOfCommit make pools compute the states of jobs, or the number of waiting jobs, when the
-	// commits before the call end.
+	// FaultStateAtEndOfCommit makes pools compute the states of jobs when the commits before the call end.
 	FaultStateAtEndOfCommit AnswerFault = "state-computed-at-end-of-commit"
+	// FaultCountAtEndOfCommit makes pools compute the number of waiting jobs when the commits before the call end.
 	FaultCountAtEndOfCommit AnswerFault = "count-computed-at-end-of-commit"
 	// FaultIDRefusedEarly makes pools refuse an ID for good because of a job that is not committed.
 	FaultIDRefusedEarly AnswerFault = "id-refused-for-uncommitted-job"
@@ -26,10 +26,11 @@
 	FaultItemGoneEarly AnswerFault = "item-gone-before-commit"
 	// FaultLotIDRefusedEarly makes lots refuse an ID for good because of a lot that is not committed.
 	FaultLotIDRefusedEarly AnswerFault = "lot-id-refused-for-uncommitted-lot"
-	// FaultEarlyGrants, FaultEarlyCells and FaultEarlyVersions make the leaders of the tenant count, of the coordination and of the
-	// configuration answer before their commits.
-	FaultEarlyGrants   AnswerFault = "grants-before-commit"
-	FaultEarlyCells    AnswerFault = "cells-before-commit"
+	// FaultEarlyGrants makes the leaders of the tenant count answer before their commits.
+	FaultEarlyGrants AnswerFault = "grants-before-commit"
+	// FaultEarlyCells makes the leaders of locks, numbers and cells answer before their commits.
+	FaultEarlyCells AnswerFault = "cells-before-commit"
+	// FaultEarlyVersions makes the leader of the configuration answer before its commits.
 	FaultEarlyVersions AnswerFault = "versions-before-commit"
 )
 
--- a/internal/simulation/simcluster/keyrunner.go
+++ b/internal/simulation/simcluster/keyrunner.go
@@ -63,7 +63,7 @@
 			return leader.Open(fault.leadershipFor(key, leadership), pairs)
 		})
 	case tenantcount.IsKey(key):
-		leader := countleader.New(key, clock, log, unlimitedPolicy)
+		leader := countleader.New(key, clock, log, countPolicy)
 		runner.machine = countMachine{leader}
 		return openedBy(leader.Close, func(leadership *replication.Leadership, pairs []wire.Op) error {
 			return leader.Open(fault.leadershipFor(key, leadership), pairs)
@@ -200,8 +200,8 @@
 // eventHistory is how long puts are kept for watchers.
 const eventHistory = 20 * time.Second
 
-// unlimitedPolicy is the policy of the tenant count: every tenant has the limit countedLimit.
-func unlimitedPolicy() countleader.Policy {
+// countPolicy is the policy of the tenant count: every tenant has the limit CountedLimit.
+func countPolicy() countleader.Policy {
 	return countleader.Policy{Version: 1, Limits: func(string) (placement.Resources, bool) {
 		return placement.Resources{CPU: CountedLimit, Memory: placement.Unlimited, GPU: placement.Unlimited}, true
 	}}
--- a/internal/simulation/simcluster/simcluster.go
+++ b/internal/simulation/simcluster/simcluster.go
@@ -12,7 +12,8 @@
 	"gannetline/internal/scheduling/scheduler"
 )
 
-// Cluster is a small simulated system of one service: stewards, local proxies, executors and clients. Loss is the chance that a
+// Cluster is a small simulated system of one service: stewards, local proxies, executors and clients. With WithKeys, the stewards also lead
+// keys other than the pool's. Loss is the chance that a
 // call arrives 0, 1 or 2 times at random instead of once. Polls counts how often proxies polled the leader, Reports how often they
 // reported to it (both with attempts that failed), and Refusals the connections that executors refused.
 type Cluster struct {
