--- a/tools/power-plays.sh
+++ b/tools/power-plays.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Runs a day with power losses of all machines many times, with the log lines that follow each configuration change and each end of a job
-# (verbosity 2), and keeps the logs of the runs in which a rule was broken. All figures are simulated. Each run leaves an entry in the
-# journal of a scratch copy, and the entries are copied to journal/ of the repository at the end.
+# (verbosity 2), and keeps the logs of the runs in which a rule was broken, or a job's end was shown before its commit (internal/answeraudit).
+# All figures are simulated. Each run leaves an entry in the journal of a scratch copy, and the entries are copied to journal/ of the
+# repository at the end.
 #
 #   FLEETBENCH=PATH tools/power-plays.sh [-d DAY] [-n COUNT] [-s SEED] [-j N] [-o DIR] [-w WHY] SITE...
 #
@@ -47,6 +48,7 @@
 scratch=$(mktemp -d "$root/../power-plays.XXXXXX")
 trap 'rm -rf "$scratch"' EXIT
 git -C "$root" clone -q . "$scratch/copy" && cd "$scratch/copy" || exit 2
+go build -o "$scratch/answeraudit" ./internal/answeraudit || exit 2
 sed -i 's/logging.New(os.Stderr, nodeSettings.LogLevel)/logging.New(os.Stderr, 2)/' internal/roles/common.go
 git diff --quiet HEAD -- internal/roles/common.go && { echo "the verbosity of the log could not be raised" >&2; exit 2; }
 
@@ -64,7 +66,9 @@
     return
   fi
   broken_rules=$(jq -r '[.breaks | to_entries[] | "\(.key) \(.value)"] + (if .fault then ["fault: \(.fault)"] else [] end) | join(", ")' "$report")
-  echo "$name: worth $(jq -r .G "$report"), rules broken: ${broken_rules:-none}"
+  early_answers=$(zcat "$log" | "$scratch/answeraudit")
+  [ $? -eq 0 ] || broken_rules="${broken_rules:+$broken_rules, }answers"
+  echo "$name: worth $(jq -r .G "$report"), rules broken: ${broken_rules:-none}; $(head -n 1 <<< "$early_answers")"
   if [ -n "$broken_rules" ]; then touch "$failure_mark"; else rm -f "$log"; fi
 }
 
